--- /dev/null
+++ b/src/briardyke/__init__.py
@@ -0,0 +1,1 @@
+"""Serve many language models on a shared pool of accelerators."""
