--- /dev/null
+++ b/src/briardyke/agreed/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the state that a majority of voters agrees on."""
--- /dev/null
+++ b/src/briardyke/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Record who may run a non-idempotent request, and its first response."""
--- /dev/null
+++ b/src/briardyke/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate a log of commands over a group of members."""
--- /dev/null
+++ b/src/briardyke/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve and call HTTP interfaces through hypercorn and httpcore."""
--- /dev/null
+++ b/src/briardyke/http/client.py
@@ -0,0 +1,193 @@
+"""Call HTTP interfaces through httpcore and tell whether any byte was sent."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import httpcore
+from result import Err, Ok, Result
+
+from briardyke.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from briardyke.settings import Address
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_MAX_CONNECTIONS = 2000
+_MAX_IDLE_CONNECTIONS = 200
+_IDLE_EXPIRY_S = 10.0
+
+
+class CallError(Exception):
+    """Report a call that broke, with a failure that says whether it can have run.
+
+    :param failure: ``upstream_unreachable`` when no byte was sent, else ``upstream_failed``.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        """Keep the failure."""
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+@attrs.frozen
+class WholeResponse:
+    """Carry a complete HTTP response.
+
+    :param status: HTTP status code.
+    :param headers: headers by lower-case name.
+    :param body: bytes of the body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the parsed body.
+
+        :raises ValueError: when the body is not JSON.
+        """
+        return json.loads(self.body)
+
+
+@attrs.define
+class OpenResponse:
+    """Carry a response whose body is still arriving.
+
+    :param status: HTTP status code.
+    :param headers: headers by lower-case name.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    _response: httpcore.Response = attrs.field(alias="response")
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        :raises CallError: of kind ``upstream_failed`` when the connection breaks.
+        """
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except _BROKEN as error:
+            raise CallError(_failure(error, bytes_sent=True)) from error
+
+
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException, OSError)
+
+
+class HttpClient:
+    """Keep a pool of connections to any number of addresses."""
+
+    def __init__(self) -> None:
+        """Create the pool; connections open on demand."""
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=_MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=_IDLE_EXPIRY_S,
+        )
+
+    @asynccontextmanager
+    async def open(
+        self,
+        method: str,
+        address: Address,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: float,
+    ) -> AsyncIterator[OpenResponse]:
+        """Send a request and yield the response before its body is read.
+
+        :param method: HTTP method.
+        :param address: where to connect.
+        :param target: path with query.
+        :param body: request body.
+        :param headers: request headers.
+        :param timeout_ms: longest silence on the connection, in milliseconds.
+        :raises CallError: when the call breaks before the response starts.
+        """
+        sent = _SentTracker()
+        timeout_s = timeout_ms / 1000.0
+        extensions = {
+            "timeout": {
+                "connect": min(CONNECT_TIMEOUT_S, timeout_s),
+                "read": timeout_s,
+                "write": timeout_s,
+                "pool": timeout_s,
+            },
+            "trace": sent.trace,
+        }
+        encoded = [(k.encode("latin-1"), v.encode("latin-1")) for k, v in (headers or {}).items()]
+        encoded.append((b"host", str(address).encode()))
+        if body or method in ("POST", "PUT", "PATCH"):
+            encoded.append((b"content-length", str(len(body)).encode()))
+        request = httpcore.Request(
+            method,
+            f"http://{address}{target}",
+            headers=encoded,
+            content=body,
+            extensions=extensions,
+        )
+        try:
+            response = await self._pool.handle_async_request(request)
+        except _BROKEN as error:
+            raise CallError(_failure(error, sent.bytes_sent)) from error
+        received = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in response.headers}
+        try:
+            yield OpenResponse(response.status, received, response)
+        finally:
+            await response.aclose()
+
+    async def call(
+        self,
+        method: str,
+        address: Address,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: float,
+    ) -> Result[WholeResponse, Failure]:
+        """Send a request and read the whole response; parameters as for :meth:`open`."""
+        try:
+            async with self.open(
+                method, address, target, body=body, headers=headers, timeout_ms=timeout_ms
+            ) as opened:
+                received = bytearray()
+                async for chunk in opened.chunks():
+                    received += chunk
+                    if len(received) > MAX_RESPONSE_BYTES:
+                        text = f"response is over {MAX_RESPONSE_BYTES} bytes"
+                        return Err(Failure(ErrorKind.UPSTREAM_FAILED, text))
+                return Ok(WholeResponse(opened.status, opened.headers, bytes(received)))
+        except CallError as error:
+            return Err(error.failure)
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+class _SentTracker:
+    """Remember whether a request's first byte may have left."""
+
+    def __init__(self) -> None:
+        self.bytes_sent = False
+
+    async def trace(self, name: str, info: Any) -> None:
+        if name.endswith("send_request_headers.started"):
+            self.bytes_sent = True
+
+
+def _failure(error: BaseException, bytes_sent: bool) -> Failure:
+    kind = ErrorKind.UPSTREAM_FAILED if bytes_sent else ErrorKind.UPSTREAM_UNREACHABLE
+    return Failure(kind, f"call failed: {type(error).__name__}")
--- /dev/null
+++ b/src/briardyke/http/sse.py
@@ -0,0 +1,54 @@
+"""Write and read server-sent events."""
+
+from __future__ import annotations
+
+import attrs
+
+DONE = "[DONE]"
+STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
+
+
+@attrs.frozen
+class ServerSentEvent:
+    """Carry one event.
+
+    :param data: payload without line breaks.
+    :param id: event id; in token streams the token offset after this event.
+    :param event: event type, empty for ``message``.
+    """
+
+    data: str
+    id: str = ""
+    event: str = ""
+
+    def encode(self) -> bytes:
+        """Return the event's wire form."""
+        head = f"event: {self.event}\n" if self.event else ""
+        head += f"id: {self.id}\n" if self.id else ""
+        return f"{head}data: {self.data}\n\n".encode()
+
+
+class EventParser:
+    """Cut a byte stream into events."""
+
+    def __init__(self) -> None:
+        """Start with an empty buffer."""
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> list[ServerSentEvent]:
+        """Take the next bytes and return the events that they complete."""
+        self._buffer += chunk
+        *blocks, self._buffer = self._buffer.replace(b"\r\n", b"\n").split(b"\n\n")
+        return [_parse(block.decode("utf-8", "replace")) for block in blocks if block.strip()]
+
+
+def _parse(block: str) -> ServerSentEvent:
+    fields = {"data": "", "id": "", "event": ""}
+    for line in block.split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "data" and fields["data"]:
+            fields["data"] += "\n" + value
+        elif name in fields:
+            fields[name] = value
+    return ServerSentEvent(**fields)
--- /dev/null
+++ b/src/briardyke/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what each engine has loaded and send the orders for it."""
--- /dev/null
+++ b/src/briardyke/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide routing, limits, admission and retries without performing I/O."""
--- /dev/null
+++ b/src/briardyke/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the system's own processes as msgpack over TCP."""
