Add sync, entry tables and control evidence; fix decoding of peer messages

Cause: msgpack.unpackb takes no max_buffer_size, so every message from a peer was refused as a protocol violation; the new wire tests showed it on their first run. Ruled out: the cattrs registration, which decodes the same fields by itself. The sync package and the process modules are not wired yet.

--- /dev/null
+++ b/src/briardyke/control/evidence.py
@@ -0,0 +1,58 @@
+"""Provide the responder with what depends on whether this process leads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.clock import now_ms
+
+if TYPE_CHECKING:
+    from briardyke.consensus.driver import ReplicatedLog
+    from briardyke.control.shares import ShareSystem
+    from briardyke.sync.instances import InstanceTable
+    from briardyke.sync.view import SyncedView
+    from briardyke.wire.messages import InstanceStatus, LimitShare
+
+
+class ControlEvidence:
+    """Use the log's own evidence while leading, else what came through the uplink."""
+
+    def __init__(self, log: ReplicatedLog, view: SyncedView, shares: ShareSystem) -> None:
+        """Use the control group's log, the uplink's view and the leader's share system."""
+        self._log = log
+        self._view = view
+        self._shares = shares
+        self.table: InstanceTable | None = None
+
+    def leads(self) -> bool:
+        """Return whether this process leads the control group with fresh evidence."""
+        status = self._log.status()
+        return status.role == "leader" and status.ready
+
+    def confirmed_age_ms(self) -> float | None:
+        """Return the age of the evidence that the held version is current."""
+        if not self.leads():
+            return self._view.lease.age_ms(now_ms())
+        status = self._log.status()
+        if status.applied_index < status.commit_index:
+            return None  # a committed version may not have reached the documents yet
+        return self._log.confirmed_age_ms()
+
+    def instances(self) -> tuple[str, list[InstanceStatus]]:
+        """Return the instance list with a tag that changes whenever the list does."""
+        if self.leads() and self.table is not None:
+            listed = self.table.listed(now_ms())
+            return f"leader:{self.table.sequence}", listed
+        return f"relay:{self._view.listed_sequence}", self._view.listed
+
+    def shares(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
+        """Return the limit shares of the given instances."""
+        if self.leads():
+            self._shares.start_term(self._log.status().term)
+            return self._shares.grant(statuses)
+        known = self._view.shares
+        return {s.instance_id: known[s.instance_id] for s in statuses if s.instance_id in known}
+
+    def leader_hint(self) -> str:
+        """Return the leader's peer address, empty when unknown."""
+        return str(self._log.leader_address() or "")
--- /dev/null
+++ b/src/briardyke/control/messages.py
@@ -0,0 +1,35 @@
+"""Define the messages between control processes, besides those of the replicated log."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.wire.codec import message
+
+
+@message
+@attrs.frozen
+class ForwardCommand:
+    """Ask the leader of a group to propose a command.
+
+    :param group_id: group of the replicated log.
+    :param command: encoded command.
+    :param timeout_ms: longest wait for the commit.
+    """
+
+    group_id: str
+    command: bytes
+    timeout_ms: float
+
+
+@message
+@attrs.frozen
+class CommandResult:
+    """Answer a :class:`ForwardCommand`.
+
+    :param index: log index of the command.
+    :param result: what the state machine returned.
+    """
+
+    index: int
+    result: bytes
--- /dev/null
+++ b/src/briardyke/control/proposer.py
@@ -0,0 +1,79 @@
+"""Propose commands to a group of the replicated log from any control process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from briardyke.clock import now_ms, sleep_ms
+from briardyke.control.messages import CommandResult, ForwardCommand
+from briardyke.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from briardyke.consensus.driver import ReplicatedLog
+    from briardyke.settings import Address
+    from briardyke.wire.pool import PeerPool
+
+_PAUSE_MS = 50.0
+_FORWARD_MARGIN_MS = 200.0
+_NOT_EXECUTED = frozenset({ErrorKind.NOT_LEADER, ErrorKind.PEER_UNREACHABLE})
+
+
+class GroupProposer:
+    """Propose locally while this process leads the group, else through the leader.
+
+    Every command of the control and claim groups is idempotent (by request id, attempt id or
+    order id), so a proposal whose outcome is unknown is repeated until the time is up.
+    """
+
+    def __init__(self, log: ReplicatedLog, peers: PeerPool) -> None:
+        """Use a group's log and the connections to its other members."""
+        self._log = log
+        self._peers = peers
+
+    async def propose(self, command: bytes, timeout_ms: int) -> Result[bytes, Failure]:
+        """Commit a command and return what the state machine answered.
+
+        :param command: encoded command.
+        :param timeout_ms: longest wait over all tries.
+        :return: the machine's answer; ``no_majority`` when nothing can have been committed;
+            ``outcome_unknown`` when it may have been.
+        """
+        give_up_at_ms = now_ms() + timeout_ms
+        uncertain = False
+        while (left_ms := give_up_at_ms - now_ms()) > 0:
+            outcome = await self._try_once(command, left_ms)
+            if outcome.is_ok():
+                return outcome
+            uncertain = uncertain or outcome.unwrap_err().kind not in _NOT_EXECUTED
+            await sleep_ms(_PAUSE_MS)
+        if uncertain:
+            text = "the outcome is unknown; resend with the same request id"
+            return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, text, retry_after_ms=1000))
+        text = "no leader accepted the command in time"
+        return Err(Failure(ErrorKind.NOT_LEADER, text, retry_after_ms=1000))
+
+    async def propose_here(self, command: bytes, timeout_ms: float) -> Result[bytes, Failure]:
+        """Commit a command only if this process leads the group."""
+        applied = await self._log.propose(command, int(timeout_ms))
+        return applied.map(lambda a: a.result)
+
+    async def _try_once(self, command: bytes, left_ms: float) -> Result[bytes, Failure]:
+        status = self._log.status()
+        if status.role == "leader":
+            return await self.propose_here(command, left_ms)
+        address = self.leader_address()
+        if address is None:
+            return Err(Failure(ErrorKind.NOT_LEADER, "no leader is known"))
+        message = ForwardCommand(self._log.group_id, command, left_ms)
+        client = self._peers.client(address)
+        reply = await client.call(message, min(left_ms, 2000.0) + _FORWARD_MARGIN_MS)
+        if reply.is_err():
+            return Err(reply.unwrap_err())
+        answer: CommandResult = reply.unwrap()
+        return Ok(answer.result)
+
+    def leader_address(self) -> Address | None:
+        """Return the leader's peer address if it is known and not this process."""
+        return self._log.leader_address()
--- /dev/null
+++ b/src/briardyke/control/settings.py
@@ -0,0 +1,85 @@
+"""Declare the settings of a control process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+
+from briardyke.settings import (
+    Address,
+    parse_address,
+    parse_addresses,
+    parse_boolean,
+    parse_choice,
+    parse_members,
+    setting,
+)
+
+
+def _instance_id() -> str:
+    return setting("Name of this instance, unique in the deployment.")
+
+
+def _cluster_id() -> str:
+    return setting("Name of the deployment; peers of another one are refused.", default="briardyke")
+
+
+def _data_dir() -> Path:
+    return setting("Folder for the state of this process; it must be on a disk.", parse=Path)
+
+
+def _claim_shards() -> int:
+    return setting(
+        "Number of log groups that claims are spread over; the same on all instances.",
+        default="1",
+        parse=int,
+        minimum=1,
+        maximum=64,
+    )
+
+
+@attrs.frozen
+class InitSettings:
+    """Prepare an empty data folder of one of the first voters."""
+
+    instance_id: str = _instance_id()
+    cluster_id: str = _cluster_id()
+    data_dir: Path = _data_dir()
+    voters: dict[str, Address] = setting(
+        "Peer addresses of all first voters, id=ip:port,...; the same on each of them.",
+        parse=parse_members,
+    )
+    claim_shards: int = _claim_shards()
+
+
+@attrs.frozen
+class ControlSettings:
+    """Run a control process of briardyke."""
+
+    instance_id: str = _instance_id()
+    data_centre: str = setting("Data centre that this instance is in.")
+    cluster_id: str = _cluster_id()
+    data_dir: Path = _data_dir()
+    peer_listen: Address = setting(
+        "Where to accept connections of other processes, ip:port.", parse=parse_address
+    )
+    http_listen: Address = setting(
+        "Where to accept operator requests, ip:port.", parse=parse_address
+    )
+    control_addresses: tuple[Address, ...] = setting(
+        "Peer addresses of other control processes, ip:port,...; used to join and to sync.",
+        default="",
+        parse=parse_addresses,
+    )
+    claim_shards: int = _claim_shards()
+    placement: bool = setting(
+        "Whether this process places models while it leads: true or false.",
+        default="true",
+        parse=parse_boolean,
+    )
+    log_level: str = setting(
+        "Lowest level that is logged: debug, info, warning or error.",
+        default="info",
+        parse=parse_choice("debug", "info", "warning", "error"),
+    )
--- /dev/null
+++ b/src/briardyke/control/shares.py
@@ -0,0 +1,53 @@
+"""Grant limit shares while this process leads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.clock import now_ms
+from briardyke.policy.shares import ShareAllocator
+from briardyke.sync.lease import VERSION_LEASE_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.agreed.configuration import Configuration
+    from briardyke.wire.messages import InstanceStatus, LimitShare
+
+_REALLOCATE_AFTER_MS = 100.0
+
+
+class ShareSystem:
+    """Run the share allocator of one term of leadership.
+
+    Shares are soft state: a new leader knows none of its predecessor's grants, so it starts a new
+    allocator, which only confirms reported shares until every older grant has expired.
+    """
+
+    def __init__(self, configuration: Callable[[], Configuration]) -> None:
+        """Use the given source of the configuration in force."""
+        self._configuration = configuration
+        self._term = 0
+        self._allocator = ShareAllocator(VERSION_LEASE_MS, 0.0)
+        self._granted: dict[str, list[LimitShare]] = {}
+        self._granted_at_ms = -_REALLOCATE_AFTER_MS
+
+    def start_term(self, term: int) -> None:
+        """Begin with an empty allocator when this process starts to lead a term."""
+        if term != self._term:
+            self._term = term
+            self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms())
+            self._granted_at_ms = -_REALLOCATE_AFTER_MS
+
+    def grant(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
+        """Take in the statuses of one sync and return the shares of their instances."""
+        now = now_ms()
+        for status in statuses:
+            self._allocator.report(
+                status.instance_id, status.held_shares, status.share_demand, now - status.age_ms
+            )
+        unknown = any(s.instance_id not in self._granted for s in statuses)
+        if unknown or now - self._granted_at_ms >= _REALLOCATE_AFTER_MS:
+            self._granted = self._allocator.allocate(self._configuration().limits, now)
+            self._granted_at_ms = now
+        return {s.instance_id: self._granted.get(s.instance_id, []) for s in statuses}
--- /dev/null
+++ b/src/briardyke/entry/claims.py
@@ -0,0 +1,61 @@
+"""Claim non-idempotent requests through the control processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from briardyke.clock import now_ms, sleep_ms
+from briardyke.errors import ErrorKind, Failure
+from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from briardyke.settings import Address
+    from briardyke.wire.pool import PeerPool
+
+_CALL_TIMEOUT_MS = 1500.0
+_PAUSE_MS = 50.0
+
+
+class ControlClaims:
+    """Send claims to any control process, which passes them on to the shard's leader."""
+
+    def __init__(self, peers: PeerPool, addresses: Sequence[Address], timeout_ms: float) -> None:
+        """Set up the client.
+
+        :param peers: connections to other processes.
+        :param addresses: peer addresses of the control processes.
+        :param timeout_ms: longest time for one claim over all tries.
+        """
+        self._peers = peers
+        self._addresses = addresses
+        self._timeout_ms = timeout_ms
+        self._position = 0
+
+    async def claim(self, request: ClaimRequest) -> Result[ClaimReply, Failure]:
+        """Claim the right to run a request.
+
+        Repeating is safe: the machine grants the same attempt its claim again.
+
+        :return: the reply, or ``claim_unavailable``; the request must then not be dispatched.
+        """
+        return await self._send(request)
+
+    async def end(self, request: ClaimEnd) -> Result[ClaimReply, Failure]:
+        """Record how a claimed request ended."""
+        return await self._send(request)
+
+    async def _send(self, message: ClaimRequest | ClaimEnd) -> Result[ClaimReply, Failure]:
+        give_up_at_ms = now_ms() + self._timeout_ms
+        while (left_ms := give_up_at_ms - now_ms()) > 0:
+            address = self._addresses[self._position % len(self._addresses)]
+            reply = await self._peers.client(address).call(message, min(left_ms, _CALL_TIMEOUT_MS))
+            if reply.is_ok() and isinstance(reply.unwrap(), ClaimReply):
+                return Ok(reply.unwrap())
+            self._position += 1
+            await sleep_ms(_PAUSE_MS)
+        text = "no control process recorded the claim in time"
+        return Err(Failure(ErrorKind.CLAIM_UNAVAILABLE, text, retry_after_ms=1000))
--- /dev/null
+++ b/src/briardyke/entry/settings.py
@@ -0,0 +1,131 @@
+"""Declare the settings of an entry process."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.policy.tables import RoutingPolicy
+from briardyke.settings import Address, parse_address, parse_addresses, parse_choice, setting
+
+
+def parse_words(text: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of words."""
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+def parse_optional_address(text: str) -> Address | None:
+    """Parse ``ip:port``; empty text gives ``None``."""
+    return parse_address(text) if text else None
+
+
+@attrs.frozen
+class EntrySettings:
+    """Serve callers on one entry instance of briardyke."""
+
+    instance_id: str = setting("Name of this instance, unique in the deployment.")
+    data_centre: str = setting("Data centre that this instance is in.")
+    cluster_id: str = setting(
+        "Name of the deployment; peers of another one are refused.", default="briardyke"
+    )
+    listen: Address = setting("Where to accept HTTP requests, ip:port.", parse=parse_address)
+    advertise: Address | None = setting(
+        "Address that callers are told to use, ip:port; the listening address if empty.",
+        default="",
+        parse=parse_optional_address,
+    )
+    control_addresses: tuple[Address, ...] = setting(
+        "Peer addresses of control processes, ip:port,...; preferred ones first.",
+        parse=parse_addresses,
+    )
+    weight: float = setting(
+        "Capacity of this instance relative to others.",
+        default="1.0",
+        parse=float,
+        minimum=0.01,
+        maximum=1000,
+    )
+    upstream_data_centres: tuple[str, ...] = setting(
+        "Data centres whose upstreams this instance uses, comma separated; all if empty.",
+        default="",
+        parse=parse_words,
+    )
+    address_ttl_ms: float = setting(
+        "Time for which callers may keep an address response.",
+        default="3000",
+        parse=float,
+        unit="ms",
+        minimum=100,
+        maximum=60000,
+    )
+    drain_margin_ms: float = setting(
+        "Wait after the address responses have expired, before the listener closes.",
+        default="2000",
+        parse=float,
+        unit="ms",
+        minimum=0,
+        maximum=60000,
+    )
+    graceful_timeout_ms: float = setting(
+        "Longest wait for requests in flight during a planned stop.",
+        default="600000",
+        parse=float,
+        unit="ms",
+        minimum=0,
+        maximum=3600000,
+    )
+    default_deadline_ms: float = setting(
+        "Deadline of a request that names none, from its arrival to its last token.",
+        default="60000",
+        parse=float,
+        unit="ms",
+        minimum=100,
+        maximum=3600000,
+    )
+    body_limit_bytes: int = setting(
+        "Largest accepted request body.",
+        default="4194304",
+        parse=int,
+        unit="bytes",
+        minimum=1024,
+        maximum=268435456,
+    )
+    body_timeout_ms: float = setting(
+        "Longest time to receive a request body.",
+        default="10000",
+        parse=float,
+        unit="ms",
+        minimum=100,
+        maximum=600000,
+    )
+    coalesce_ms: float = setting(
+        "Time for which generated tokens are gathered into one write; the first is sent at once.",
+        default="20",
+        parse=float,
+        unit="ms",
+        minimum=0,
+        maximum=50,
+    )
+    claim_timeout_ms: float = setting(
+        "Longest wait for a claim before a non-idempotent request is refused.",
+        default="5000",
+        parse=float,
+        unit="ms",
+        minimum=100,
+        maximum=60000,
+    )
+    routing_policy: RoutingPolicy = setting(
+        "Routing policy: round_robin, least_outstanding, random_of_two or adaptive.",
+        default="adaptive",
+        parse=RoutingPolicy,
+    )
+    seed: int = setting(
+        "Seed of random choices in routing; 0 takes one from the system.",
+        default="0",
+        parse=int,
+        minimum=0,
+    )
+    log_level: str = setting(
+        "Lowest level that is logged: debug, info, warning or error.",
+        default="info",
+        parse=parse_choice("debug", "info", "warning", "error"),
+    )
--- /dev/null
+++ b/src/briardyke/entry/state.py
@@ -0,0 +1,154 @@
+"""Hold the tables of an entry process and the systems that run over them each tick."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from briardyke.agreed.configuration import Configuration
+from briardyke.agreed.parsing import parse_configuration
+from briardyke.clock import now_ms
+from briardyke.entry.announcements import parse_announcement
+from briardyke.entry.demand import DemandMeter
+from briardyke.logs import log_event, log_warning
+from briardyke.policy.admission import AdmissionController
+from briardyke.policy.limits import LimitLedger
+from briardyke.policy.retries import RetryBudget
+from briardyke.policy.routing import RoutingTable
+from briardyke.settings import parse_address
+from briardyke.sync.client import Report
+from briardyke.sync.instances import INSTANCE_SILENCE_MS, Lifecycle
+from briardyke.sync.view import SyncedView
+from briardyke.wire.messages import InstanceStatus
+
+if TYPE_CHECKING:
+    from briardyke.entry.settings import EntrySettings
+    from briardyke.http.client import HttpClient
+    from briardyke.settings import Address
+
+TICK_MS = 100.0
+PROBE_AGE_MS = 1500.0  # half of the silence bound leaves time for two probes
+_PROBES_PER_TICK = 16
+_PROBE_TIMEOUT_MS = 500.0
+
+
+class EntryState:
+    """Own every table of the process."""
+
+    def __init__(self, settings: EntrySettings, address: Address) -> None:
+        """Create empty tables.
+
+        :param settings: settings of the process.
+        :param address: address that callers are told to use.
+        """
+        self.settings = settings
+        self.address = address
+        self.view = SyncedView(now_ms())
+        self.configuration = Configuration()
+        self.version = 0
+        self.draining = False
+        self.in_flight = 0
+        self.demand = DemandMeter()
+        chosen = random.Random(settings.seed) if settings.seed else random.Random()
+        self.table = RoutingTable(settings.routing_policy, settings.data_centre, chosen)
+        self.ledger = LimitLedger()
+        self.admission = AdmissionController(self.table)
+        self.budget = RetryBudget()
+        self._probing: set[str] = set()
+
+    def lifecycle(self) -> Lifecycle:
+        """Return the stage that this process reports."""
+        if self.draining:
+            return Lifecycle.DRAINING
+        return Lifecycle.READY if self.ready() else Lifecycle.STARTING
+
+    def ready(self) -> bool:
+        """Return whether new requests are admitted: a version is held and confirmed."""
+        return self.version > 0 and self.view.lease.valid(now_ms())
+
+    def isolated(self) -> bool:
+        """Return whether the evidence is too old to send callers to this instance."""
+        age_ms = self.view.lease.age_ms(now_ms())
+        return age_ms is None or age_ms > INSTANCE_SILENCE_MS
+
+    def report(self, since: int) -> Report:
+        """Build the report of one sync.
+
+        :param since: digest sequence up to which the responder has heard announcements.
+        """
+        now = now_ms()
+        status = InstanceStatus(
+            instance_id=self.settings.instance_id,
+            data_centre=self.settings.data_centre,
+            address=str(self.address),
+            weight=self.settings.weight,
+            lifecycle=self.lifecycle().value,
+            share_demand=self.ledger.demand(now),
+            held_shares=self.ledger.held(),
+        )
+        digest = self.view.digest
+        passed_on = digest.to_pass_on(since, now)
+        return Report([status], passed_on, self.demand.rates(now), digest.sequence)
+
+    def tick(self) -> None:
+        """Run the systems once."""
+        now = now_ms()
+        self._adopt_version()
+        self._apply_shares()
+        self._feed_routing(now)
+        self.table.tick(now)
+
+    def _adopt_version(self) -> None:
+        documents = self.view.documents
+        if documents.version == self.version:
+            return
+        parsed = parse_configuration(documents.document)
+        self.configuration = parsed.configuration
+        self.version = documents.version
+        log_event("version_in_force", version=self.version)
+
+    def _apply_shares(self) -> None:
+        shares = self.view.shares.get(self.settings.instance_id, [])
+        self.ledger.apply(self.configuration.limits, shares, self.view.lease.expires_at_ms())
+
+    def _feed_routing(self, now: float) -> None:
+        digest = self.view.digest
+        for row in digest.alive(now).values():
+            self.table.observe(row, now)
+        for upstream_id in digest.forget_silent(now):
+            self.table.remove(upstream_id)
+
+    async def run_systems(self) -> None:
+        """Tick until cancelled, at once when sync brings news."""
+        while True:
+            self.tick()
+            await self.view.changed.wait(TICK_MS)
+
+    async def run_probes(self, client: HttpClient) -> None:
+        """Ask upstreams directly when the relayed evidence is old, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                stale = self.view.digest.older_than(PROBE_AGE_MS, now_ms())
+                for row in stale[:_PROBES_PER_TICK]:
+                    if row.upstream_id not in self._probing:
+                        self._probing.add(row.upstream_id)
+                        nursery.start_soon(self._probe, client, row.upstream_id, row.address)
+                await trio.sleep(TICK_MS / 1000.0)
+
+    async def _probe(self, client: HttpClient, upstream_id: str, address: str) -> None:
+        sent_at_ms = now_ms()
+        try:
+            answer = await client.call(
+                "GET", parse_address(address), "/health", timeout_ms=_PROBE_TIMEOUT_MS
+            )
+            if answer.is_err():
+                return
+            row = parse_announcement(answer.unwrap().body, now_ms() - sent_at_ms)
+            if row.is_ok() and row.unwrap().upstream_id == upstream_id:
+                self.view.digest.observe(row.unwrap(), now_ms())
+            elif row.is_err():
+                log_warning("probe_answer_invalid", upstream=upstream_id)
+        finally:
+            self._probing.discard(upstream_id)
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import re
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from functools import singledispatch
@@ -297,6 +298,7 @@
     config.graceful_timeout = graceful_timeout_s
     config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
     config.accesslog = None
+    config.errorlog = logging.getLogger("hypercorn")  # keeps the key=value format of the logs
     config.include_server_header = False
     async with trio.open_nursery() as nursery:
 
--- /dev/null
+++ b/src/briardyke/sync/__init__.py
@@ -0,0 +1,1 @@
+"""Keep entry processes and relays up to date with the leader, with ages for all evidence."""
--- /dev/null
+++ b/src/briardyke/sync/responder.py
@@ -0,0 +1,114 @@
+"""Answer sync requests from the local tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Protocol
+
+from briardyke.clock import now_ms
+from briardyke.sync.demand import DemandTable
+from briardyke.sync.instances import InstanceTable
+from briardyke.wire.messages import SyncReply
+
+if TYPE_CHECKING:
+    from briardyke.sync.digest import UpstreamDigest
+    from briardyke.sync.documents import DocumentHistory
+    from briardyke.sync.notifier import Notifier
+    from briardyke.wire.messages import InstanceStatus, LimitShare, SyncRequest
+
+MAX_WAIT_MS = 1000.0
+
+
+class Evidence(Protocol):
+    """Provide what depends on whether this process leads."""
+
+    def confirmed_age_ms(self) -> float | None:
+        """Return the age of the evidence that the held version is current."""
+
+    def instances(self) -> tuple[str, list[InstanceStatus]]:
+        """Return the instance list with a tag that changes whenever the list does."""
+
+    def shares(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
+        """Return the limit shares of the given instances."""
+
+    def leader_hint(self) -> str:
+        """Return the leader's peer address, empty when unknown."""
+
+
+class Responder:
+    """Take in what senders report and tell them what they do not hold yet."""
+
+    def __init__(
+        self,
+        digest: UpstreamDigest,
+        documents: DocumentHistory,
+        changed: Notifier,
+        evidence: Evidence,
+    ) -> None:
+        """Use the given tables.
+
+        :param digest: upstreams.
+        :param documents: configuration versions.
+        :param changed: wakes held replies.
+        :param evidence: the part that depends on leadership.
+        """
+        self.instances = InstanceTable()
+        self.demand = DemandTable()
+        self._digest = digest
+        self._documents = documents
+        self._changed = changed
+        self._evidence = evidence
+
+    async def respond(self, request: SyncRequest) -> SyncReply:
+        """Take in a request and answer it, at once or after at most ``wait_ms``."""
+        self._observe(request)
+        if not self._has_news(request):
+            await self._changed.wait(min(request.wait_ms, MAX_WAIT_MS))
+        return self._reply(request)
+
+    def _observe(self, request: SyncRequest) -> None:
+        now = now_ms()
+        lifecycle_before = self._digest.lifecycle_sequence, self.instances.sequence
+        for row in request.announcements:
+            self._digest.observe_from_below(row, now)
+        for status in request.statuses:
+            self.instances.observe(status, now)
+        self.demand.observe(request.sender_id, request.demand, now)
+        if (self._digest.lifecycle_sequence, self.instances.sequence) != lifecycle_before:
+            self._changed.notify()
+
+    def _has_news(self, request: SyncRequest) -> bool:
+        return (
+            request.held_version != self._documents.version
+            or request.digest_id != self._digest.digest_id
+            or request.held_digest < self._digest.lifecycle_sequence
+            or request.held_instances != self._evidence.instances()[0]
+        )
+
+    def _reply(self, request: SyncRequest) -> SyncReply:
+        now = now_ms()
+        same_tables = request.digest_id == self._digest.digest_id
+        since = request.held_digest if same_tables else 0
+        tag, instances = self._evidence.instances()
+        whole, patch = self._document_for(request.held_version)
+        return SyncReply(
+            confirmed_age_ms=self._evidence.confirmed_age_ms(),
+            version=self._documents.version,
+            configuration=whole,
+            configuration_patch=patch,
+            digest_id=self._digest.digest_id,
+            digest=self._digest.sequence,
+            upstreams=self._digest.changes_since(since, now, request.data_centres),
+            upstream_ages_ms=self._digest.ages_ms(now, request.data_centres),
+            instances_tag=tag,
+            instances=None if request.held_instances == tag else instances,
+            shares=self._evidence.shares(request.statuses),
+            leader_hint=self._evidence.leader_hint(),
+        )
+
+    def _document_for(
+        self, held_version: int
+    ) -> tuple[dict[str, Any] | None, dict[str, Any] | None]:
+        if held_version == self._documents.version:
+            return None, None
+        patch = self._documents.patch_from(held_version)
+        return (self._documents.document, None) if patch is None else (None, patch)
--- /dev/null
+++ b/src/briardyke/sync/view.py
@@ -0,0 +1,97 @@
+"""Hold what a process has learned through sync, and apply replies to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from briardyke.agreed.merge_patch import merge_patch
+from briardyke.sync.digest import UpstreamDigest
+from briardyke.sync.documents import DocumentHistory
+from briardyke.sync.lease import VersionLease
+from briardyke.sync.notifier import Notifier
+
+if TYPE_CHECKING:
+    from briardyke.wire.messages import InstanceStatus, LimitShare, SyncReply
+
+
+class SyncedView:
+    """Keep the local copy of agreed and soft state, with the evidence for its age.
+
+    :ivar lease: until when the held version may be acted on.
+    :ivar documents: held configuration versions.
+    :ivar digest: upstreams, also fed by announcements and probes of this process.
+    :ivar listed: entry instances that callers may be sent to.
+    :ivar shares: limit shares by instance id.
+    """
+
+    def __init__(self, started_at_ms: float) -> None:
+        """Start without evidence.
+
+        :param started_at_ms: start of the process on the runtime's clock.
+        """
+        self.lease = VersionLease()
+        self.documents = DocumentHistory()
+        self.digest = UpstreamDigest()
+        self.listed: list[InstanceStatus] = []
+        self.listed_sequence = 0
+        self.shares: dict[str, list[LimitShare]] = {}
+        self.changed = Notifier()
+        self.responder_id = ""
+        self.held_digest = 0
+        self.held_instances = ""
+        self._started_at_ms = started_at_ms
+
+    def apply(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> bool:
+        """Take in a reply.
+
+        :param reply: the responder's answer.
+        :param sent_at_ms: when the request was sent, on the runtime's clock.
+        :param now_ms: the runtime's clock.
+        :return: whether the responder is useful; a caller should turn to another one if not.
+        """
+        if reply.version < self.documents.version:
+            return False  # the responder is behind, and a version never goes back
+        if not self._take_version(reply):
+            return False
+        self._take_tables(reply, sent_at_ms, now_ms)
+        self.shares = reply.shares
+        if reply.confirmed_age_ms is None:
+            return False
+        as_of_ms = sent_at_ms - reply.confirmed_age_ms
+        # Evidence from before the start of the process could be older than a version that this
+        # process held before it restarted.
+        if as_of_ms >= self._started_at_ms:
+            self.lease.confirm(as_of_ms)
+        return reply.confirmed_age_ms < self.lease.lease_ms / 2
+
+    def _take_version(self, reply: SyncReply) -> bool:
+        if reply.version == self.documents.version:
+            return True
+        document: dict[str, Any] | None = reply.configuration
+        if document is None and reply.configuration_patch is not None:
+            document = merge_patch(self.documents.document, reply.configuration_patch)
+        if document is None:
+            return False
+        self.documents.append(reply.version, document)
+        self.changed.notify()
+        return True
+
+    def _take_tables(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> None:
+        before = self.digest.lifecycle_sequence
+        travelled_ms = now_ms - sent_at_ms
+        for row in reply.upstreams:
+            # The true age is between age_ms and age_ms plus the travel time; assume the worst.
+            aged = attrs.evolve(row, age_ms=row.age_ms + travelled_ms)
+            self.digest.observe(aged, now_ms)
+        self.digest.refresh(reply.upstream_ages_ms, sent_at_ms)
+        if reply.instances is not None:
+            self.listed = reply.instances
+            self.listed_sequence += 1
+        self.responder_id = reply.digest_id
+        self.held_digest = reply.digest
+        self.held_instances = reply.instances_tag
+        if reply.instances is not None or self.digest.lifecycle_sequence != before:
+            self.changed.notify()
+
--- a/src/briardyke/wire/codec.py
+++ b/src/briardyke/wire/codec.py
@@ -38,7 +38,7 @@
     :return: the message, or a failure of kind ``protocol_violation``.
     """
     try:
-        name, fields = msgpack.unpackb(data, max_buffer_size=MAX_FRAME_BYTES)
+        name, fields = msgpack.unpackb(data)
         return Ok(_converter.structure(fields, _classes[name]))
     except Exception as error:  # cattrs and msgpack raise many types; input is untrusted
         text = f"cannot decode message: {type(error).__name__}"
--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -168,8 +168,10 @@
 
     :param sender_id: instance id of the sender.
     :param held_version: configuration version that the sender holds, 0 for none.
+    :param digest_id: identity of the responder's tables, empty for none.
     :param held_digest: sequence of the upstream digest that the sender holds, 0 for none.
-    :param digest_id: identity of the responder's digest, empty for none.
+    :param held_instances: tag of the instance list that the sender holds, empty for none.
+    :param data_centres: data centres whose upstreams the sender wants; empty for all.
     :param wait_ms: longest time to hold the reply when nothing is new.
     :param statuses: the sender's own status, or those of all entry processes behind a relay.
     :param announcements: upstream announcements received since the last sync.
@@ -178,8 +180,10 @@
 
     sender_id: str
     held_version: int
-    held_digest: int
     digest_id: str
+    held_digest: int
+    held_instances: str
+    data_centres: list[str]
     wait_ms: float
     statuses: list[InstanceStatus]
     announcements: list[UpstreamRow]
@@ -194,12 +198,15 @@
     :param confirmed_age_ms: age of the responder's evidence that the version is current; ``None``
         when it has no evidence, in which case the reply extends no lease.
     :param version: current configuration version.
-    :param configuration: document of that version; ``None`` when the sender holds it.
-    :param digest_id: identity of the responder's digest.
+    :param configuration: whole document of that version; ``None`` when a patch suffices.
+    :param configuration_patch: JSON Merge Patch from the held version; ``None`` when the sender
+        holds the current version or gets the whole document.
+    :param digest_id: identity of the responder's tables.
     :param digest: sequence of the upstream digest.
     :param upstreams: rows that changed after the held digest.
-    :param upstream_ids: every upstream that the responder knows to be alive.
-    :param instances: entry instances that callers may be sent to.
+    :param upstream_ages_ms: age of the evidence for every upstream that the responder lists.
+    :param instances_tag: identifies the contents of the instance list.
+    :param instances: entry instances that callers may be sent to; ``None`` when unchanged.
     :param shares: shares by instance id, for the statuses that were sent.
     :param leader_hint: peer address of the leader, empty when unknown.
     """
@@ -207,11 +214,13 @@
     confirmed_age_ms: float | None
     version: int
     configuration: dict[str, Any] | None
+    configuration_patch: dict[str, Any] | None
     digest_id: str
     digest: int
     upstreams: list[UpstreamRow]
-    upstream_ids: list[str]
-    instances: list[InstanceStatus]
+    upstream_ages_ms: dict[str, float]
+    instances_tag: str
+    instances: list[InstanceStatus] | None
     shares: dict[str, list[LimitShare]]
     leader_hint: str = ""
 
--- /dev/null
+++ b/src/briardyke/wire/pool.py
@@ -0,0 +1,34 @@
+"""Share one connection to each peer among all users in a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.wire.connection import Hello, PeerClient
+
+if TYPE_CHECKING:
+    import trio
+
+    from briardyke.settings import Address
+
+
+class PeerPool:
+    """Create a :class:`PeerClient` for each address on first use."""
+
+    def __init__(self, nursery: trio.Nursery, hello: Hello) -> None:
+        """Run the connections in a nursery.
+
+        :param nursery: outlives every call.
+        :param hello: this process's greeting.
+        """
+        self._nursery = nursery
+        self._hello = hello
+        self._clients: dict[Address, PeerClient] = {}
+
+    def client(self, address: Address) -> PeerClient:
+        """Return the client for an address."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = PeerClient(address, self._hello)
+            self._nursery.start_soon(client.run)
+        return client
--- /dev/null
+++ b/tests/wire/test_connection.py
@@ -0,0 +1,155 @@
+"""Check calls between processes, and what happens to faulty peers."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import trio
+
+from briardyke.errors import ErrorKind, Failure
+from briardyke.settings import Address
+from briardyke.wire import codec
+from briardyke.wire.connection import (
+    PROTOCOL_VERSION,
+    Hello,
+    PeerClient,
+    Refused,
+    refusal,
+    serve_peers,
+)
+from briardyke.wire.messages import ClaimReply, ClaimRequest
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_HELLO = Hello(PROTOCOL_VERSION, "cluster", "server")
+_REQUEST = ClaimRequest(7, "caller", "digest", "att-1")
+
+
+async def _handler(peer_id: str, message: Any) -> Any:
+    if message.attempt_id == "hang":
+        await trio.sleep_forever()
+    if message.attempt_id == "refuse":
+        return refusal(Failure(ErrorKind.NOT_LEADER, "not here", "127.0.0.1:9"))
+    return ClaimReply("granted", peer_id.encode())
+
+
+@asynccontextmanager
+async def _server() -> AsyncIterator[Address]:
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(serve_peers, Address("127.0.0.1", 0), _HELLO, _handler)
+        yield Address("127.0.0.1", port)
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def _client(address: Address, hello: Hello) -> AsyncIterator[PeerClient]:
+    async with trio.open_nursery() as nursery:
+        client = PeerClient(address, hello)
+        nursery.start_soon(client.run)
+        yield client
+        nursery.cancel_scope.cancel()
+
+
+class TestCalls:
+    """Guards against lost, crossed or hanging replies."""
+
+    async def test_concurrent_calls_get_their_own_replies(self) -> None:
+        async with _server() as address, _client(address, Hello(1, "cluster", "me")) as client:
+            results: list[str] = []
+
+            async def call(attempt_id: str) -> None:
+                message = ClaimRequest(1, "c", "d", attempt_id)
+                result = await client.call(message, 300)
+                results.append(f"{attempt_id}:{result.map_or(None, lambda r: r.state)}")
+
+            async with trio.open_nursery() as nursery:
+                for attempt_id in ("hang", "a", "refuse", "b"):
+                    nursery.start_soon(call, attempt_id)
+            assert sorted(results) == ["a:granted", "b:granted", "hang:None", "refuse:None"]
+
+    @pytest.mark.parametrize(
+        ("attempt_id", "kind"),
+        [("hang", ErrorKind.PEER_TIMEOUT), ("refuse", ErrorKind.NOT_LEADER)],
+    )
+    async def test_failures_keep_their_kind(self, attempt_id: str, kind: ErrorKind) -> None:
+        async with _server() as address, _client(address, Hello(1, "cluster", "me")) as client:
+            result = await client.call(ClaimRequest(1, "c", "d", attempt_id), 200)
+            assert result.unwrap_err().kind is kind
+
+    async def test_unreachable_peer_is_reported_as_not_sent(self) -> None:
+        async with _server() as address:
+            pass
+        async with _client(address, Hello(1, "cluster", "me")) as client:
+            result = await client.call(_REQUEST, 2000)
+            assert result.unwrap_err().kind is ErrorKind.PEER_UNREACHABLE
+
+    async def test_client_reconnects_after_the_peer_restarts(self) -> None:
+        async with _server() as address:
+            port = address.port
+        async with _client(address, Hello(1, "cluster", "me")) as client:
+            assert (await client.call(_REQUEST, 500)).is_err()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_peers, Address("127.0.0.1", port), _HELLO, _handler)
+                assert (await client.call(_REQUEST, 2000)).is_ok()
+                nursery.cancel_scope.cancel()
+
+
+class TestFaultyPeers:
+    """Guards against a faulty peer that ends the process or gets its messages handled."""
+
+    @pytest.mark.parametrize(
+        ("hello", "field"),
+        [
+            (Hello(PROTOCOL_VERSION + 1, "cluster", "me"), "protocol_version"),
+            (Hello(PROTOCOL_VERSION, "other", "me"), "cluster_id"),
+        ],
+    )
+    async def test_wrong_greeting_is_refused_with_its_field(self, hello: Hello, field: str) -> None:
+        async with _server() as address, _client(address, hello) as client:
+            failure = (await client.call(_REQUEST, 1000)).unwrap_err()
+            assert (failure.kind, failure.field) == (ErrorKind.PROTOCOL_MISMATCH, field)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\xff\xff\xff\xff",
+            b"\x00\x00\x00\x03abc",
+            b"\x00\x00\x00\x01\xc0",
+            b"",
+        ],
+    )
+    async def test_garbage_closes_only_its_own_connection(self, data: bytes) -> None:
+        async with _server() as address:
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            await stream.send_all(data)
+            await stream.send_eof()
+            with trio.fail_after(5):
+                try:
+                    while await stream.receive_some():
+                        pass
+                except trio.BrokenResourceError:
+                    pass  # a reset closes the connection as well
+            async with _client(address, Hello(1, "cluster", "me")) as client:
+                assert (await client.call(_REQUEST, 1000)).is_ok()
+
+
+class TestCodec:
+    """Guards against messages that change on the way, and against decoding errors that escape."""
+
+    @pytest.mark.parametrize("value", [_REQUEST, ClaimReply("completed", b"\x00\xff"), _HELLO])
+    def test_messages_survive_the_round_trip(self, value: Any) -> None:
+        assert codec.decode(codec.encode(value)).unwrap() == value
+
+    @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x92\xa1x\x80"])
+    def test_faulty_bytes_are_a_protocol_violation(self, data: bytes) -> None:
+        assert codec.decode(data).unwrap_err().kind is ErrorKind.PROTOCOL_VIOLATION
+
+    def test_refusal_carries_kind_and_field(self) -> None:
+        failure = Failure(ErrorKind.FENCED, "old", "token")
+        assert codec.decode(codec.encode(refusal(failure))).unwrap() == Refused(
+            "fenced", "old", "token"
+        )
