--- /dev/null
+++ b/src/briardyke/agreed/history.py
@@ -0,0 +1,228 @@
+"""Keep the configuration versions, the outcomes of operator requests and the audit trail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgpack
+from result import Err, Ok, Result
+
+from briardyke.agreed.audit import AuditRecord
+from briardyke.agreed.commands import (
+    CommandRefused,
+    PatchAccepted,
+    PatchConfiguration,
+    refuse,
+)
+from briardyke.agreed.merge_patch import MAX_DEPTH, content_digest, merge_patch, too_deep
+from briardyke.agreed.validation import Upstreams, check_document
+from briardyke.errors import ErrorKind
+from briardyke.wire.codec import encode, structure, unstructure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+DAY_MS = 24 * 60 * 60 * 1000
+# The document travels in one frame (16 MiB) and 64 versions of it are kept in memory.
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+MAX_REASONS = 200
+MAX_REQUEST_ID_LENGTH = 128
+
+
+@attrs.frozen
+class Retention:
+    """Bound what is kept; all members of a group must use the same values.
+
+    :param versions: configuration versions kept in full.
+    :param requests: operator request ids.
+    :param request_age_ms: time for which a request id is kept.
+    :param request_bytes: total size of the kept outcomes.
+    :param audit_records: audit records in the state.
+    :param audit_bytes: total size of these records.
+    :param audit_batch: records that are moved to the audit log with one sync.
+    """
+
+    versions: int = 64
+    requests: int = 200_000
+    request_age_ms: int = DAY_MS
+    request_bytes: int = 64 * 1024 * 1024
+    audit_records: int = 100_000
+    audit_bytes: int = 64 * 1024 * 1024
+    audit_batch: int = 100
+
+
+@attrs.frozen
+class KeptOutcome:
+    """Keep the first outcome of an operator request.
+
+    :param digest: hash of the base version and the patch.
+    :param outcome: encoded outcome.
+    :param wall_ms: when it was decided.
+    """
+
+    digest: str
+    outcome: bytes
+    wall_ms: int
+
+
+class History:
+    """Apply patches and keep their traces."""
+
+    def __init__(
+        self,
+        retention: Retention,
+        audit_sink: Callable[[Sequence[AuditRecord]], None] | None = None,
+    ) -> None:
+        """Start at version 0 with an empty document.
+
+        :param retention: bounds.
+        :param audit_sink: takes records that leave the state.
+        """
+        self.version = 0
+        self.versions: dict[int, dict[str, Any]] = {0: {}}
+        self.audit: dict[int, AuditRecord] = {}
+        self._next_audit = 1
+        self._audit_bytes = 0
+        self._outcomes: dict[str, KeptOutcome] = {}
+        self._outcome_bytes = 0
+        # Leaders' clocks differ; the highest stamp keeps the time of the state from going back.
+        self._wall_ms = 0
+        self._retention = retention
+        self._audit_sink = audit_sink
+
+    def patch(self, command: PatchConfiguration, size_bytes: int, upstreams: Upstreams) -> bytes:
+        """Apply a patch, or return the first outcome of a resent one.
+
+        :param command: the command.
+        :param size_bytes: its encoded size, which counts towards the size of the audit trail.
+        :param upstreams: registered upstreams by id.
+        :return: the encoded outcome.
+        """
+        self._wall_ms = max(self._wall_ms, command.wall_unix_ms)
+        self._expire_outcomes()
+        if too_deep(command.patch):
+            text = f"patch is nested deeper than {MAX_DEPTH} levels"
+            return encode(refuse(ErrorKind.MALFORMED_REQUEST, text, "patch"))
+        if not 0 < len(command.request_id) <= MAX_REQUEST_ID_LENGTH:
+            text = "request id is empty or too long"
+            return encode(refuse(ErrorKind.FIELD_INVALID, text, "request_id"))
+        digest = content_digest([command.base_version, command.patch])
+        kept = self._outcomes.get(command.request_id)
+        if kept is not None:
+            if kept.digest == digest:
+                return kept.outcome
+            text = "request id was used for a different patch"
+            return encode(refuse(ErrorKind.KEY_REUSED, text, "request_id"))
+        result = self._evaluate(command, upstreams)
+        outcome = encode(result.value)
+        self._keep_outcome(command.request_id, KeptOutcome(digest, outcome, self._wall_ms))
+        self._record(command, result, size_bytes)
+        return outcome
+
+    def _evaluate(
+        self, command: PatchConfiguration, upstreams: Upstreams
+    ) -> Result[PatchAccepted, CommandRefused]:
+        if command.base_version != self.version:
+            text = f"version {command.base_version} is not current; {self.version} is"
+            refusal = refuse(ErrorKind.VERSION_CONFLICT, text, "base_version")
+            return Err(attrs.evolve(refusal, current_version=self.version))
+        document = merge_patch(self.versions[self.version], command.patch)
+        checked = check_document(document, upstreams)
+        reasons = checked.err() or ()
+        if not reasons and len(msgpack.packb(document)) > MAX_DOCUMENT_BYTES:
+            reasons = (f"document: is over {MAX_DOCUMENT_BYTES} bytes",)
+        if reasons:
+            text = f"{len(reasons)} reason(s): {reasons[0]}"
+            refusal = refuse(ErrorKind.CONFIGURATION_INVALID, text, reasons[0].partition(":")[0])
+            return Err(attrs.evolve(refusal, reasons=_bound(reasons), current_version=self.version))
+        self.version += 1
+        self.versions[self.version] = document
+        self.versions.pop(self.version - self._retention.versions, None)
+        return Ok(PatchAccepted(self.version))
+
+    def _keep_outcome(self, request_id: str, kept: KeptOutcome) -> None:
+        self._outcomes[request_id] = kept
+        self._outcome_bytes += len(kept.outcome)
+        while (
+            len(self._outcomes) > self._retention.requests
+            or self._outcome_bytes > self._retention.request_bytes
+        ):
+            self._drop_oldest_outcome()
+
+    def _expire_outcomes(self) -> None:
+        limit = self._wall_ms - self._retention.request_age_ms
+        while self._outcomes and next(iter(self._outcomes.values())).wall_ms <= limit:
+            self._drop_oldest_outcome()
+
+    def _drop_oldest_outcome(self) -> None:
+        kept = self._outcomes.pop(next(iter(self._outcomes)))
+        self._outcome_bytes -= len(kept.outcome)
+
+    def _record(
+        self,
+        command: PatchConfiguration,
+        result: Result[PatchAccepted, CommandRefused],
+        size_bytes: int,
+    ) -> None:
+        refusal = result.err()
+        record = AuditRecord(
+            number=self._next_audit,
+            request_id=command.request_id,
+            operator=command.operator,
+            wall_unix_ms=command.wall_unix_ms,
+            from_version=command.base_version,
+            to_version=None if refusal else self.version,
+            patch=command.patch,
+            refused=refusal.kind if refusal else "",
+            reasons=(refusal.reasons or [refusal.message]) if refusal else [],
+            size_bytes=size_bytes + sum(map(len, refusal.reasons if refusal else ())),
+        )
+        self._next_audit += 1
+        self.audit[record.number] = record
+        self._audit_bytes += record.size_bytes
+        if (
+            len(self.audit) >= self._retention.audit_records + self._retention.audit_batch
+            or self._audit_bytes > self._retention.audit_bytes
+        ):
+            self._move_audit()
+
+    def _move_audit(self) -> None:
+        moved = []
+        while (
+            len(self.audit) > self._retention.audit_records
+            or self._audit_bytes > self._retention.audit_bytes
+        ):
+            record = self.audit.pop(next(iter(self.audit)))
+            self._audit_bytes -= record.size_bytes
+            moved.append(record)
+        if self._audit_sink is not None:
+            self._audit_sink(moved)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the history as plain values for a snapshot."""
+        return {
+            "version": self.version,
+            "versions": self.versions,
+            "audit": unstructure(list(self.audit.values())),
+            "next_audit": self._next_audit,
+            "outcomes": {i: [k.digest, k.outcome, k.wall_ms] for i, k in self._outcomes.items()},
+            "wall_ms": self._wall_ms,
+        }
+
+    def load(self, values: dict[str, Any]) -> None:
+        """Replace the history by :meth:`dump`'s values."""
+        self.version = values["version"]
+        self.versions = values["versions"]
+        self.audit = {r.number: r for r in structure(values["audit"], list[AuditRecord])}
+        self._audit_bytes = sum(r.size_bytes for r in self.audit.values())
+        self._next_audit = values["next_audit"]
+        self._outcomes = {i: KeptOutcome(*kept) for i, kept in values["outcomes"].items()}
+        self._outcome_bytes = sum(len(k.outcome) for k in self._outcomes.values())
+        self._wall_ms = values["wall_ms"]
+
+
+def _bound(reasons: tuple[str, ...]) -> list[str]:
+    if len(reasons) <= MAX_REASONS:
+        return list(reasons)
+    return [*reasons[:MAX_REASONS], f"and {len(reasons) - MAX_REASONS} more"]
--- /dev/null
+++ b/src/briardyke/agreed/merge_patch.py
@@ -0,0 +1,50 @@
+"""Apply JSON Merge Patches (RFC 7396)."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+# The configuration document has four levels; the bound keeps recursion far from the
+# interpreter's limit, whose distance depends on the caller and would differ between members.
+MAX_DEPTH = 16
+
+
+def merge_patch(target: Any, patch: Any) -> Any:
+    """Return the target with the patch applied; neither argument is changed.
+
+    :param target: JSON value.
+    :param patch: JSON value; ``null`` inside an object removes the member.
+    :return: the new JSON value, which may share unchanged parts with the target.
+    """
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = merge_patch(merged.get(name), value)
+    return merged
+
+
+def too_deep(value: Any) -> bool:
+    """Return whether a JSON value is nested deeper than :data:`MAX_DEPTH`."""
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        level = [child for parent in level for child in _children(parent)]
+        if not level:
+            return False
+    return True
+
+
+def content_digest(value: Any) -> str:
+    """Return a hash of a JSON value that does not depend on the order of object members."""
+    return hashlib.sha256(json.dumps(value, sort_keys=True).encode()).hexdigest()
+
+
+def _children(value: Any) -> list[Any]:
+    if isinstance(value, dict):
+        return list(value.values())
+    return value if isinstance(value, list) else []
--- /dev/null
+++ b/src/briardyke/agreed/projection.py
@@ -0,0 +1,65 @@
+"""Hold the part of the agreed state that processes read locally."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from briardyke.agreed.configuration import Configuration
+from briardyke.agreed.parsing import parse_configuration
+from briardyke.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briardyke.agreed.records import Reservation, UpstreamRegistration
+
+SCHEMA = 1
+
+
+class Projection:
+    """Read the current configuration, registrations and reservations.
+
+    A control process reads the one that its state machine maintains; an entry process feeds one
+    from the replies of its sync. The configuration is parsed once for each version.
+    """
+
+    schema = SCHEMA
+
+    def __init__(self) -> None:
+        """Start at version 0 with nothing."""
+        self.version = 0
+        self.document: Mapping[str, Any] = {}
+        self.configuration = Configuration()
+        self.upstreams: Mapping[str, UpstreamRegistration] = {}
+        self.reservations: Mapping[tuple[str, str], Reservation] = {}
+        self.applied_index = 0
+
+    def accept(self, version: int, document: Mapping[str, Any]) -> Result[bool, Failure]:
+        """Take a version of the configuration.
+
+        :param version: its number; one that is not newer is ignored.
+        :param document: its document.
+        :return: whether the version is new, or ``protocol_mismatch`` when this process cannot read
+            the document; the held version stays in force then.
+        """
+        if version <= self.version:
+            return Ok(False)
+        parsed = parse_configuration(document)
+        if parsed.reasons:
+            text = f"cannot read version {version} with schema {SCHEMA}: {parsed.reasons[0]}"
+            return Err(Failure(ErrorKind.PROTOCOL_MISMATCH, text, reasons=parsed.reasons))
+        self.version, self.document = version, document
+        self.configuration = parsed.configuration
+        return Ok(True)
+
+    def follow(
+        self,
+        upstreams: dict[str, UpstreamRegistration],
+        reservations: dict[tuple[str, str], Reservation],
+    ) -> None:
+        """Show the tables of a state machine, read-only and always current."""
+        self.upstreams = MappingProxyType(upstreams)
+        self.reservations = MappingProxyType(reservations)
--- /dev/null
+++ b/src/briardyke/claims/shards.py
@@ -0,0 +1,29 @@
+"""Assign claims to log groups."""
+
+from __future__ import annotations
+
+import xxhash
+
+
+def claim_key_hash(caller: str, key: str) -> int:
+    """Return the 64-bit hash that identifies a claim.
+
+    :param caller: name of the caller.
+    :param key: the caller's idempotency key.
+    """
+    # The length separates caller from key, so that ("ab", "c") and ("a", "bc") differ.
+    return xxhash.xxh3_64_intdigest(f"{len(caller)}:{caller}{key}".encode())
+
+
+def shard_of(key_hash: int, shards: int) -> int:
+    """Return the index of the claim group that holds a key.
+
+    :param key_hash: hash of caller and key.
+    :param shards: number of claim groups.
+    """
+    return key_hash % shards
+
+
+def shard_name(index: int) -> str:
+    """Return the name of the log group with that index."""
+    return f"claims-{index}"
