--- /dev/null
+++ b/src/briardyke/policy/admission.py
@@ -0,0 +1,148 @@
+"""Refuse requests early that would miss their deadline or cost other callers their targets."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from briardyke.agreed.configuration import Targets
+from briardyke.errors import ErrorKind, Failure
+from briardyke.policy.buckets import DecayingRate
+from briardyke.policy.fairness import water_level
+
+if TYPE_CHECKING:
+    import random
+
+    from briardyke.policy.routing import RoutingTable
+    from briardyke.policy.tables import AdmissionRequest
+
+# Parts of the time to the deadline (or of the target between tokens) that a forecast may use. A
+# caller above its fair part is refused first, which leaves room for the callers below theirs.
+LIMIT_WITHIN_FAIR_PART = 0.8
+LIMIT_ABOVE_FAIR_PART = 0.6
+# A priority above 0 may use this much more per level, one below 0 this much less.
+PRIORITY_STEP = 0.1
+# Refused callers come back after the excess of the forecast, spread so that they do not return
+# together.
+RETRY_MINIMUM_MS = 200
+RETRY_MAXIMUM_MS = 5000
+LEVEL_INTERVAL_MS = 100.0
+FORGET_CALLER_BELOW_PER_SECOND = 0.01
+
+
+@attrs.define
+class _CallerUse:
+    """Count one caller's traffic to one model.
+
+    :param weight: share under overload.
+    :param wanted: rate of tokens that arrived.
+    :param admitted: rate of tokens that were admitted.
+    """
+
+    weight: float
+    wanted: DecayingRate = attrs.field(factory=DecayingRate)
+    admitted: DecayingRate = attrs.field(factory=DecayingRate)
+
+
+@attrs.define
+class _ModelUse:
+    """Count the callers of one model and hold their fair part.
+
+    :param callers: use by caller.
+    :param level: admitted tokens a second per unit of weight that nobody needs to exceed.
+    :param level_at_ms: time at which the level was computed.
+    """
+
+    callers: dict[str, _CallerUse] = attrs.field(factory=dict)
+    level: float = float("inf")
+    level_at_ms: float = float("-inf")
+
+
+class AdmissionController:
+    """Decide which requests are worth dispatching; one per entry process.
+
+    :param routing: table that forecasts latencies.
+    :param random: source of randomness, which spreads the retries of refused callers.
+    :param targets: latency targets of the configuration in force.
+    """
+
+    def __init__(
+        self, routing: RoutingTable, random: random.Random, targets: Targets | None = None
+    ) -> None:
+        self._routing = routing
+        self._random = random
+        self._targets = targets or Targets()
+        self._models: dict[str, _ModelUse] = {}
+
+    def apply(self, targets: Targets) -> None:
+        """Replace the latency targets after a change of the configuration."""
+        self._targets = targets
+
+    def admit(self, request: AdmissionRequest, now_ms: float) -> Result[None, Failure]:
+        """Admit or refuse a request before it is dispatched.
+
+        :param request: the request; without a finite deadline the first-token target counts.
+        :param now_ms: current time.
+        :return: ``deadline_unmeetable`` when no candidate would answer in time; ``overloaded``
+            when the caller is above its fair part and the candidates are close to their limit.
+        """
+        target_ms = self._targets.first_token_ms
+        remaining_ms = request.deadline_ms - now_ms
+        if math.isinf(remaining_ms):
+            remaining_ms = target_ms
+        if remaining_ms <= 0.0:
+            return Err(self._refuse(ErrorKind.DEADLINE_UNMEETABLE, "the deadline has passed", 0.0))
+        name = request.route.service or request.route.model
+        use = self._count(name, request, now_ms)
+        forecast = None if request.route.service else self._routing.forecast(request.route, now_ms)
+        if forecast is not None:
+            first_ms = forecast.first_token_ms
+            gap_pressure = forecast.between_tokens_ms / self._targets.between_tokens_ms
+            excess_ms = max(0.0, first_ms - remaining_ms)
+            shift = PRIORITY_STEP * max(-2, min(2, request.route.priority))
+            if max(first_ms / remaining_ms, gap_pressure) > LIMIT_WITHIN_FAIR_PART + shift:
+                late = first_ms > remaining_ms
+                kind = ErrorKind.DEADLINE_UNMEETABLE if late else ErrorKind.OVERLOADED
+                return Err(self._refuse(kind, f"{name} cannot answer within target", excess_ms))
+            pressure = max(first_ms / min(remaining_ms, target_ms), gap_pressure)
+            if pressure > LIMIT_ABOVE_FAIR_PART + shift and self._above_fair_part(
+                name, request.caller, now_ms
+            ):
+                return Err(
+                    self._refuse(
+                        ErrorKind.OVERLOADED, f"{name} is busy with other callers", excess_ms
+                    )
+                )
+        use.admitted.add(max(1, request.estimated_tokens), now_ms)
+        return Ok(None)
+
+    def _count(self, name: str, request: AdmissionRequest, now_ms: float) -> _CallerUse:
+        model = self._models.setdefault(name, _ModelUse())
+        use = model.callers.get(request.caller)
+        if use is None:
+            use = model.callers[request.caller] = _CallerUse(request.caller_weight)
+        use.weight = max(1e-6, request.caller_weight)
+        use.wanted.add(max(1, request.estimated_tokens), now_ms)
+        return use
+
+    def _above_fair_part(self, name: str, caller: str, now_ms: float) -> bool:
+        model = self._models[name]
+        if now_ms - model.level_at_ms >= LEVEL_INTERVAL_MS:
+            model.level_at_ms = now_ms
+            for other, counted in list(model.callers.items()):
+                if counted.wanted.per_second(now_ms) < FORGET_CALLER_BELOW_PER_SECOND:
+                    del model.callers[other]
+            capacity = sum(use.admitted.per_second(now_ms) for use in model.callers.values())
+            model.level = water_level(
+                {c: (u.wanted.per_second(now_ms), u.weight) for c, u in model.callers.items()},
+                capacity,
+            )
+        use = model.callers.get(caller)
+        return use is not None and use.admitted.per_second(now_ms) >= model.level * use.weight
+
+    def _refuse(self, kind: ErrorKind, message: str, excess_ms: float) -> Failure:
+        wait_ms = (RETRY_MINIMUM_MS + excess_ms) * (1.0 + self._random.random())
+        return Failure(kind, message, retry_after_ms=int(min(RETRY_MAXIMUM_MS, wait_ms)))
--- /dev/null
+++ b/src/briardyke/policy/directory.py
@@ -0,0 +1,122 @@
+"""Index upstreams by what they carry, so that a decision does not look at all of them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from briardyke.agreed.configuration import may_carry
+from briardyke.policy.indexed import IndexedSet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.wire.messages import UpstreamRow
+
+# Sets of patterns of plain services that are kept; there is one per configured service.
+PATTERN_SETS_KEPT = 256
+
+
+class Group:
+    """Hold the upstreams that can serve one model, adapter or service.
+
+    :param own_data_centre: data centre of this process.
+    """
+
+    def __init__(self) -> None:
+        self.everywhere = IndexedSet()
+        self.local = IndexedSet()
+        self.cursor = 0
+
+    def add(self, upstream_id: str, local: bool) -> None:
+        """Add an upstream."""
+        self.everywhere.add(upstream_id)
+        if local:
+            self.local.add(upstream_id)
+
+    def discard(self, upstream_id: str) -> None:
+        """Remove an upstream."""
+        self.everywhere.discard(upstream_id)
+        self.local.discard(upstream_id)
+
+
+class Directory:
+    """Keep groups by item name and by service patterns.
+
+    :param own_data_centre: data centre of this process.
+    """
+
+    def __init__(self, own_data_centre: str) -> None:
+        self._own_data_centre = own_data_centre
+        self._by_item: dict[str, Group] = {}
+        self._by_patterns: OrderedDict[tuple[str, ...], Group] = OrderedDict()
+        self._services: dict[str, bool] = {}
+        self._items: dict[str, frozenset[str]] = {}
+        self.engines = IndexedSet()
+
+    def place(self, row: UpstreamRow) -> None:
+        """Index an upstream that may receive work, by its latest report."""
+        upstream_id = row.upstream_id
+        local = row.data_centre == self._own_data_centre
+        if row.kind == "service":
+            if upstream_id not in self._services:
+                self._services[upstream_id] = local
+                for patterns, group in self._by_patterns.items():
+                    if may_carry(patterns, upstream_id):
+                        group.add(upstream_id, local)
+            return
+        self.engines.add(upstream_id)
+        items = frozenset(item.name for item in row.loaded if item.state == "loaded")
+        before = self._items.get(upstream_id, frozenset())
+        if items == before:
+            return
+        self._items[upstream_id] = items
+        for name in before - items:
+            self._leave(name, upstream_id)
+        for name in items - before:
+            self._by_item.setdefault(name, Group()).add(upstream_id, local)
+
+    def withdraw(self, upstream_id: str) -> None:
+        """Remove an upstream that may not receive work."""
+        if self._services.pop(upstream_id, None) is not None:
+            for group in self._by_patterns.values():
+                group.discard(upstream_id)
+        self.engines.discard(upstream_id)
+        for name in self._items.pop(upstream_id, frozenset()):
+            self._leave(name, upstream_id)
+
+    def by_item(self, name: str) -> Group | None:
+        """Return the engines that have an item loaded, if any."""
+        return self._by_item.get(name)
+
+    def by_patterns(self, patterns: tuple[str, ...]) -> Group:
+        """Return the plain services whose ids match any of the patterns."""
+        group = self._by_patterns.get(patterns)
+        if group is None:
+            group = self._by_patterns[patterns] = Group()
+            for upstream_id, local in self._services.items():
+                if may_carry(patterns, upstream_id):
+                    group.add(upstream_id, local)
+            if len(self._by_patterns) > PATTERN_SETS_KEPT:
+                self._by_patterns.popitem(last=False)
+        else:
+            self._by_patterns.move_to_end(patterns)
+        return group
+
+    def any_engine(self, patterns: tuple[str, ...], usable: Callable[[str], bool]) -> bool:
+        """Return whether some usable engine may carry an item.
+
+        :param patterns: glob patterns over upstream ids; empty allows every engine.
+        :param usable: tells whether an upstream may receive work.
+        """
+        return any(
+            usable(upstream_id) and (not patterns or may_carry(patterns, upstream_id))
+            for upstream_id in list(self.engines)
+        )
+
+    def _leave(self, name: str, upstream_id: str) -> None:
+        group = self._by_item.get(name)
+        if group is not None:
+            group.discard(upstream_id)
+            if not len(group.everywhere):
+                del self._by_item[name]
--- /dev/null
+++ b/src/briardyke/policy/ejection.py
@@ -0,0 +1,60 @@
+"""Reduce the traffic of a failing upstream by steps and let it return by steps."""
+
+from __future__ import annotations
+
+# An upstream never falls below this part of its traffic; the rest are the probes that let it back.
+MINIMUM_WEIGHT = 1.0 / 32.0
+# Failures within this time count as one step, since one broken connection fails many requests.
+STEP_MS = 50.0
+# The weight doubles once in this time without failures; each new ejection doubles the time, up to
+# the limit, so that a flapping upstream returns more slowly every time.
+RECOVERY_DOUBLING_MS = 1500.0
+RECOVERY_DOUBLING_LIMIT_MS = 12000.0
+FLAP_MEMORY_MS = 60000.0
+EJECTED_BELOW = 0.5
+# Largest part of the candidates of one decision that ejection may remove, rounded down. A single
+# candidate is therefore never removed, and a fault that all upstreams share removes half at most.
+LARGEST_EJECTED_SHARE = 0.5
+
+
+class HealthGate:
+    """Hold the part of its traffic that an upstream receives, from 1/32 to 1."""
+
+    def __init__(self) -> None:
+        self._weight = 1.0
+        self._changed_ms = 0.0
+        self._doubling_ms = RECOVERY_DOUBLING_MS
+        self._ejected_ms: float | None = None
+
+    def weight(self, now_ms: float) -> float:
+        """Return the part of its traffic that the upstream receives at this time."""
+        if self._weight >= 1.0:
+            return 1.0
+        doublings = max(0.0, now_ms - self._changed_ms) / self._doubling_ms
+        return float(min(1.0, self._weight * 2.0 ** min(doublings, 6.0)))
+
+    def failed(self, now_ms: float) -> None:
+        """Halve the weight, at most once in 50 ms."""
+        current = self.weight(now_ms)
+        if current < 1.0 and now_ms - self._changed_ms < STEP_MS:
+            return
+        if current >= EJECTED_BELOW > current / 2.0 or current == 1.0:
+            self._count_flap(now_ms)
+        self._weight = max(MINIMUM_WEIGHT, current / 2.0)
+        self._changed_ms = now_ms
+
+    def succeeded(self, now_ms: float) -> None:
+        """Raise the weight by half after a successful attempt."""
+        if self._weight >= 1.0:
+            return
+        self._weight = min(1.0, self.weight(now_ms) * 1.5)
+        self._changed_ms = now_ms
+
+    def _count_flap(self, now_ms: float) -> None:
+        recent = self._ejected_ms is not None and now_ms - self._ejected_ms < FLAP_MEMORY_MS
+        self._doubling_ms = (
+            min(RECOVERY_DOUBLING_LIMIT_MS, self._doubling_ms * 2.0)
+            if recent
+            else RECOVERY_DOUBLING_MS
+        )
+        self._ejected_ms = now_ms
--- /dev/null
+++ b/src/briardyke/policy/retries.py
@@ -0,0 +1,54 @@
+"""Bound the retries of one entry process so that they cannot multiply an overload."""
+
+from __future__ import annotations
+
+RETRY_RATIO = 0.10
+RETRIES_PER_SECOND = 3.0
+# Unused budget is kept for ten seconds of requests and one second of the fixed part, so that a
+# quiet hour does not pay for a burst of retries.
+RATIO_BURST_SECONDS = 10.0
+
+
+class RetryBudget:
+    """Allow retries up to a tenth of the requests plus three a second.
+
+    :param ratio: retries allowed per request.
+    :param per_second: retries allowed per second without any request.
+    """
+
+    def __init__(self, ratio: float = RETRY_RATIO, per_second: float = RETRIES_PER_SECOND) -> None:
+        self._ratio = ratio
+        self._per_second = per_second
+        self._fixed = per_second
+        self._earned = 0.0
+        self._request_rate = 0.0
+        self._updated_ms: float | None = None
+
+    def record_request(self, now_ms: float) -> None:
+        """Add one first attempt's part of a retry to the budget."""
+        self._refill(now_ms)
+        self._request_rate += 1.0 / RATIO_BURST_SECONDS
+        ceiling = max(1.0, self._request_rate * RATIO_BURST_SECONDS * self._ratio)
+        self._earned = min(ceiling, self._earned + self._ratio)
+
+    def try_spend(self, now_ms: float) -> bool:
+        """Take one retry from the budget; return whether there was one."""
+        self._refill(now_ms)
+        if self._fixed >= 1.0:
+            self._fixed -= 1.0
+            return True
+        if self._earned >= 1.0 - 1e-9:
+            self._earned = max(0.0, self._earned - 1.0)
+            return True
+        return False
+
+    def _refill(self, now_ms: float) -> None:
+        if self._updated_ms is None:
+            self._updated_ms = now_ms
+        elapsed_s = max(0.0, now_ms - self._updated_ms) / 1000.0
+        self._updated_ms = max(now_ms, self._updated_ms)
+        self._fixed = min(self._per_second, self._fixed + elapsed_s * self._per_second)
+        self._request_rate *= 2.0 ** (-elapsed_s / RATIO_BURST_SECONDS)
+        self._earned = min(
+            self._earned, max(1.0, self._request_rate * RATIO_BURST_SECONDS * self._ratio)
+        )
--- /dev/null
+++ b/src/briardyke/policy/speed.py
@@ -0,0 +1,74 @@
+"""Learn how fast an upstream answers from the outcomes of its attempts."""
+
+from __future__ import annotations
+
+import math
+
+# Shape of an engine's response time at nominal speed. Only the ratios matter: a factor per
+# upstream is learned on top, so one observation already separates upstreams that differ tenfold.
+FIRST_TOKEN_BASE_MS = 40.0
+FIRST_TOKEN_PER_REQUEST_MS = 4.0
+FIRST_TOKEN_PER_PROMPT_TOKEN_MS = 0.1
+BETWEEN_TOKENS_BASE_MS = 16.0
+BETWEEN_TOKENS_PER_REQUEST_MS = 0.8
+
+# A new observation weighs at least this much, so that a change of speed is followed within a few
+# requests; the first observations weigh more (1/n).
+MINIMUM_GAIN = 0.2
+# Without observations an estimate returns to nominal with this half-life, so that a slow upstream
+# is tried again.
+FORGET_HALF_LIFE_MS = 8000.0
+FACTOR_LIMIT = 200.0
+
+
+class LearnedFactor:
+    """Track the ratio between observed and nominal time as a moving geometric mean."""
+
+    def __init__(self) -> None:
+        self._log = 0.0
+        self._count = 0
+        self._updated_ms = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Return whether anything has been observed."""
+        return self._count > 0
+
+    def value(self, now_ms: float) -> float:
+        """Return the factor; above 1 is slower than nominal."""
+        if self._count == 0:
+            return 1.0
+        idle_ms = now_ms - self._updated_ms
+        if idle_ms > 1000.0:
+            return math.exp(self._log * 0.5 ** ((idle_ms - 1000.0) / FORGET_HALF_LIFE_MS))
+        return math.exp(self._log)
+
+    def observe(self, ratio: float, now_ms: float) -> None:
+        """Include one observation.
+
+        :param ratio: observed time over nominal time.
+        :param now_ms: time of the observation.
+        """
+        log = math.log(min(FACTOR_LIMIT, max(1.0 / FACTOR_LIMIT, ratio)))
+        self._count += 1
+        gain = max(MINIMUM_GAIN, 1.0 / self._count)
+        self._log += gain * (log - self._log)
+        self._updated_ms = now_ms
+
+
+def nominal_first_token_ms(running: float, uncached_tokens: float) -> float:
+    """Return the time to the first token at nominal speed without a queue, in milliseconds.
+
+    :param running: requests in the batch.
+    :param uncached_tokens: prompt tokens that must be computed.
+    """
+    return (
+        FIRST_TOKEN_BASE_MS
+        + FIRST_TOKEN_PER_REQUEST_MS * running
+        + FIRST_TOKEN_PER_PROMPT_TOKEN_MS * uncached_tokens
+    )
+
+
+def nominal_between_tokens_ms(running: float) -> float:
+    """Return the time between tokens of one stream at nominal speed, in milliseconds."""
+    return BETWEEN_TOKENS_BASE_MS + BETWEEN_TOKENS_PER_REQUEST_MS * running
--- /dev/null
+++ b/src/briardyke/policy/upstreams.py
@@ -0,0 +1,149 @@
+"""Hold what one entry process knows about one upstream, and estimate its present load."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.policy.ejection import HealthGate
+from briardyke.policy.speed import (
+    LearnedFactor,
+    nominal_between_tokens_ms,
+    nominal_first_token_ms,
+)
+from briardyke.policy.tables import RouteRequest
+
+if TYPE_CHECKING:
+    from briardyke.wire.messages import UpstreamRow
+
+# Own dispatches and ends kept to correct a report; more than this within its age is not expected.
+CHANGES_KEPT = 1024
+# A forecast is at most multiplied by this when an attempt waits longer than predicted.
+OVERDUE_LIMIT = 50.0
+MINIMUM_SLOTS = 4
+
+
+@attrs.define
+class Attempt:
+    """Record an attempt until it ends.
+
+    :param upstream_id: upstream that runs it.
+    :param incarnation: process of the upstream at the time of dispatch.
+    :param route: what the request needs.
+    :param began_ms: time of dispatch.
+    :param predicted_ms: predicted time to the first token.
+    :param first_factor: first-token factor used in the prediction.
+    :param nominal_gap_ms: nominal time between tokens at dispatch.
+    :param first_token_ms: time of the first token, once there is one.
+    """
+
+    upstream_id: str
+    incarnation: str
+    route: RouteRequest
+    began_ms: float
+    predicted_ms: float
+    first_factor: float
+    nominal_gap_ms: float
+    first_token_ms: float | None = None
+
+
+@attrs.frozen
+class Forecast:
+    """Predict what a request would see at an upstream.
+
+    :param first_token_ms: time to the first token.
+    :param between_tokens_ms: time between tokens.
+    """
+
+    first_token_ms: float
+    between_tokens_ms: float
+
+
+class Upstream:
+    """Combine an upstream's last report with what this process sent to it.
+
+    :param row: first report.
+    """
+
+    def __init__(self, row: UpstreamRow) -> None:
+        self.row = row
+        self.as_of_ms = float("-inf")
+        self.gate = HealthGate()
+        self.first_token = LearnedFactor()
+        self.between_tokens = LearnedFactor()
+        self.own_in_flight = 0
+        self.waiting: dict[str, Attempt] = {}
+        self.slots: int | None = None
+        self._changes: deque[tuple[float, int]] = deque(maxlen=CHANGES_KEPT)
+        self._net_change = 0
+
+    @property
+    def reported(self) -> int:
+        """Return the number of requests in the last report."""
+        return self.row.in_flight + self.row.queued
+
+    def accept(self, row: UpstreamRow, as_of_ms: float) -> None:
+        """Take a newer report and drop own changes that it already includes.
+
+        :param row: the report.
+        :param as_of_ms: time of its evidence on this process's clock.
+        """
+        self.row = row
+        self.as_of_ms = as_of_ms
+        while self._changes and self._changes[0][0] <= as_of_ms:
+            self._net_change -= self._changes.popleft()[1]
+        if row.queued > 0:
+            self.slots = max(MINIMUM_SLOTS, row.in_flight)
+        elif self.slots is not None and row.in_flight > self.slots:
+            self.slots = row.in_flight
+
+    def count(self, change: int, now_ms: float) -> None:
+        """Count an own dispatch (+1) or an own end (-1)."""
+        self.own_in_flight = max(0, self.own_in_flight + change)
+        if len(self._changes) == CHANGES_KEPT:
+            self._net_change -= self._changes.popleft()[1]
+        self._changes.append((now_ms, change))
+        self._net_change += change
+
+    def load(self, others_factor: float) -> float:
+        """Return the estimated number of requests at the upstream now.
+
+        Other instances see the same reports and behave alike, so what this instance added since
+        the report stands for what each of them added.
+
+        :param others_factor: requests of all instances per request of this instance.
+        """
+        return max(float(self.own_in_flight), self.reported + self._net_change * others_factor)
+
+    def forecast(
+        self,
+        uncached_tokens: float,
+        others_factor: float,
+        queue_share: float,
+        mean_tokens: float,
+        now_ms: float,
+    ) -> Forecast:
+        """Predict the latencies of one more request.
+
+        :param uncached_tokens: prompt tokens that are probably not cached.
+        :param others_factor: see :meth:`load`.
+        :param queue_share: part of the queue that has at least the request's priority.
+        :param mean_tokens: usual number of generated tokens.
+        :param now_ms: current time.
+        """
+        load = self.load(others_factor)
+        slots = self.slots
+        running = load if slots is None else min(load, float(slots))
+        queued = (load - running) * queue_share
+        gap_ms = self.between_tokens.value(now_ms) * nominal_between_tokens_ms(running + 1.0)
+        first_ms = self.first_token.value(now_ms) * nominal_first_token_ms(running, uncached_tokens)
+        if slots is not None and load >= slots:
+            first_ms += (queued + 1.0) * mean_tokens * gap_ms / slots
+        if self.waiting:
+            oldest = next(iter(self.waiting.values()))
+            overdue = (now_ms - oldest.began_ms) / max(1.0, oldest.predicted_ms)
+            if overdue > 1.0:
+                first_ms *= min(OVERDUE_LIMIT, overdue)
+        return Forecast(first_ms, gap_ms)
