--- /dev/null
+++ b/src/briardyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for model engines and plain services in tests and demonstrations."""
--- /dev/null
+++ b/src/briardyke/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for a model engine with finite speed and counted accelerator memory."""
--- /dev/null
+++ b/src/briardyke/standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for a plain service with non-idempotent calls."""
