--- a/src/briardyke/control/evidence.py
+++ b/src/briardyke/control/evidence.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.clock import now_ms
+from briardyke.consensus.state import Role
 
 if TYPE_CHECKING:
     from briardyke.consensus.driver import ReplicatedLog
@@ -27,7 +28,7 @@
     def leads(self) -> bool:
         """Return whether this process leads the control group with fresh evidence."""
         status = self._log.status()
-        return status.role == "leader" and status.ready
+        return status.role is Role.LEADER and status.ready
 
     def confirmed_age_ms(self) -> float | None:
         """Return the age of the evidence that the held version is current."""
@@ -55,4 +56,4 @@
 
     def leader_hint(self) -> str:
         """Return the leader's peer address, empty when unknown."""
-        return str(self._log.leader_address() or "")
+        return str(self._log.status().leader_address or "")
--- /dev/null
+++ b/src/briardyke/control/groups.py
@@ -0,0 +1,69 @@
+"""Open the log groups of a control process."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from briardyke.agreed.audit import AuditLog
+from briardyke.agreed.machine import ControlMachine
+from briardyke.claims.machine import ClaimMachine
+from briardyke.claims.shards import shard_name
+from briardyke.consensus.driver import ReplicatedLog, StateMachine
+from briardyke.control.proposer import GroupProposer
+
+if TYPE_CHECKING:
+    from briardyke.consensus.identity import Identity
+    from briardyke.control.settings import ControlSettings
+    from briardyke.errors import Failure
+    from briardyke.settings import Address
+    from briardyke.wire.pool import PeerPool
+
+CONTROL_GROUP = "control"
+
+
+@attrs.frozen
+class Group:
+    """Hold one log group's parts.
+
+    :param log: this process's member of the group.
+    :param machine: local state machine.
+    :param proposer: proposes commands from here.
+    """
+
+    log: ReplicatedLog
+    machine: StateMachine
+    proposer: GroupProposer
+
+
+def open_groups(
+    settings: ControlSettings, identity: Identity, own_address: Address, peers: PeerPool
+) -> Result[dict[str, Group], Failure]:
+    """Open the control group and all claim groups from the data folder.
+
+    :return: groups by id, or a failure of kind ``log_corrupt`` or ``storage_failed``.
+    """
+    audit = AuditLog(settings.data_dir / "audit.log")
+    machines: dict[str, StateMachine] = {CONTROL_GROUP: ControlMachine(audit.append)}
+    for index in range(settings.claim_shards):
+        machines[shard_name(index)] = ClaimMachine()
+    groups: dict[str, Group] = {}
+    for group_id, machine in machines.items():
+        opened = identity.open_group(group_id)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        log = ReplicatedLog(
+            group_id,
+            identity,
+            own_address,
+            opened.unwrap(),
+            machine,
+            lambda address, message: peers.client(address).send(message),
+            random.Random(),
+            seeds=settings.control_addresses,
+        )
+        groups[group_id] = Group(log, machine, GroupProposer(group_id, log, peers))
+    return Ok(groups)
--- a/src/briardyke/control/handlers.py
+++ b/src/briardyke/control/handlers.py
@@ -3,21 +3,19 @@
 from __future__ import annotations
 
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from briardyke.claims.machine import ApplyClaimEnd, ApplyClaimRequest
 from briardyke.claims.shards import shard_name, shard_of
 from briardyke.clock import wall_unix_ms
 from briardyke.consensus.messages import GroupMessage
 from briardyke.control.messages import CommandResult, ForwardCommand
+from briardyke.control.process import ControlProcess
 from briardyke.errors import ErrorKind, Failure
 from briardyke.wire.codec import decode, encode
 from briardyke.wire.connection import refusal
 from briardyke.wire.messages import ClaimEnd, ClaimRequest, SyncRequest
 
-if TYPE_CHECKING:
-    from briardyke.control.process import ControlProcess
-
 _CLAIM_TIMEOUT_MS = 1200
 
 
--- a/src/briardyke/control/proposer.py
+++ b/src/briardyke/control/proposer.py
@@ -7,17 +7,17 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms, sleep_ms
+from briardyke.consensus.state import Role
 from briardyke.control.messages import CommandResult, ForwardCommand
 from briardyke.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
     from briardyke.consensus.driver import ReplicatedLog
-    from briardyke.settings import Address
     from briardyke.wire.pool import PeerPool
 
 _PAUSE_MS = 50.0
 _FORWARD_MARGIN_MS = 200.0
-_NOT_EXECUTED = frozenset({ErrorKind.NOT_LEADER, ErrorKind.PEER_UNREACHABLE})
+_NOT_EXECUTED = frozenset({ErrorKind.NOT_LEADER, ErrorKind.NO_MAJORITY, ErrorKind.PEER_UNREACHABLE})
 
 
 class GroupProposer:
@@ -27,8 +27,9 @@
     order id), so a proposal whose outcome is unknown is repeated until the time is up.
     """
 
-    def __init__(self, log: ReplicatedLog, peers: PeerPool) -> None:
+    def __init__(self, group_id: str, log: ReplicatedLog, peers: PeerPool) -> None:
         """Use a group's log and the connections to its other members."""
+        self._group_id = group_id
         self._log = log
         self._peers = peers
 
@@ -37,7 +38,7 @@
 
         :param command: encoded command.
         :param timeout_ms: longest wait over all tries.
-        :return: the machine's answer; ``no_majority`` when nothing can have been committed;
+        :return: the machine's answer; ``not_leader`` when nothing can have been committed;
             ``outcome_unknown`` when it may have been.
         """
         give_up_at_ms = now_ms() + timeout_ms
@@ -56,24 +57,20 @@
 
     async def propose_here(self, command: bytes, timeout_ms: float) -> Result[bytes, Failure]:
         """Commit a command only if this process leads the group."""
-        applied = await self._log.propose(command, int(timeout_ms))
+        applied = await self._log.propose(command, timeout_ms)
         return applied.map(lambda a: a.result)
 
     async def _try_once(self, command: bytes, left_ms: float) -> Result[bytes, Failure]:
         status = self._log.status()
-        if status.role == "leader":
+        if status.role is Role.LEADER:
             return await self.propose_here(command, left_ms)
-        address = self.leader_address()
+        address = status.leader_address
         if address is None:
             return Err(Failure(ErrorKind.NOT_LEADER, "no leader is known"))
-        message = ForwardCommand(self._log.group_id, command, left_ms)
+        message = ForwardCommand(self._group_id, command, left_ms)
         client = self._peers.client(address)
         reply = await client.call(message, min(left_ms, 2000.0) + _FORWARD_MARGIN_MS)
         if reply.is_err():
             return Err(reply.unwrap_err())
         answer: CommandResult = reply.unwrap()
         return Ok(answer.result)
-
-    def leader_address(self) -> Address | None:
-        """Return the leader's peer address if it is known and not this process."""
-        return self._log.leader_address()
--- a/src/briardyke/entry/authentication.py
+++ b/src/briardyke/entry/authentication.py
@@ -19,9 +19,7 @@
 _SCHEME = "Bearer "
 
 
-def authenticate(
-    headers: Mapping[str, str], callers: Mapping[str, Caller]
-) -> Result[str, Failure]:
+def authenticate(headers: Mapping[str, str], callers: Mapping[str, Caller]) -> Result[str, Failure]:
     """Return the name of the caller that owns the request's API key.
 
     :param headers: request headers by lower-case name.
--- a/src/briardyke/entry/claims.py
+++ b/src/briardyke/entry/claims.py
@@ -23,33 +23,35 @@
 class ControlClaims:
     """Send claims to any control process, which passes them on to the shard's leader."""
 
-    def __init__(self, peers: PeerPool, addresses: Sequence[Address], timeout_ms: float) -> None:
+    def __init__(self, peers: PeerPool, addresses: Sequence[Address]) -> None:
         """Set up the client.
 
         :param peers: connections to other processes.
         :param addresses: peer addresses of the control processes.
-        :param timeout_ms: longest time for one claim over all tries.
         """
         self._peers = peers
         self._addresses = addresses
-        self._timeout_ms = timeout_ms
         self._position = 0
 
-    async def claim(self, request: ClaimRequest) -> Result[ClaimReply, Failure]:
+    async def claim(self, request: ClaimRequest, timeout_ms: float) -> Result[ClaimReply, Failure]:
         """Claim the right to run a request.
 
         Repeating is safe: the machine grants the same attempt its claim again.
 
+        :param request: the claim.
+        :param timeout_ms: longest time over all tries, in milliseconds.
         :return: the reply, or ``claim_unavailable``; the request must then not be dispatched.
         """
-        return await self._send(request)
+        return await self._send(request, timeout_ms)
 
-    async def end(self, request: ClaimEnd) -> Result[ClaimReply, Failure]:
-        """Record how a claimed request ended."""
-        return await self._send(request)
+    async def end(self, request: ClaimEnd, timeout_ms: float) -> Result[ClaimReply, Failure]:
+        """Record how a claimed request ended; parameters as for :meth:`claim`."""
+        return await self._send(request, timeout_ms)
 
-    async def _send(self, message: ClaimRequest | ClaimEnd) -> Result[ClaimReply, Failure]:
-        give_up_at_ms = now_ms() + self._timeout_ms
+    async def _send(
+        self, message: ClaimRequest | ClaimEnd, timeout_ms: float
+    ) -> Result[ClaimReply, Failure]:
+        give_up_at_ms = now_ms() + timeout_ms
         while (left_ms := give_up_at_ms - now_ms()) > 0:
             address = self._addresses[self._position % len(self._addresses)]
             reply = await self._peers.client(address).call(message, min(left_ms, _CALL_TIMEOUT_MS))
--- /dev/null
+++ b/src/briardyke/entry/main.py
@@ -0,0 +1,19 @@
+"""Provide the command line of an entry process."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from briardyke.entry.process import run_entry
+from briardyke.entry.settings import EntrySettings
+from briardyke.logs import configure_logs
+from briardyke.runtime import run_until_signal
+from briardyke.settings import settings_command
+
+
+def _run(settings: EntrySettings) -> int:
+    configure_logs(settings.log_level)
+    return run_until_signal(partial(run_entry, settings))
+
+
+run = settings_command(EntrySettings, "briardyke-entry", _run)
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -7,12 +7,11 @@
 
 import trio
 
-from briardyke.agreed.configuration import Configuration
-from briardyke.agreed.parsing import parse_configuration
+from briardyke.agreed.projection import Projection
 from briardyke.clock import now_ms
 from briardyke.entry.announcements import parse_announcement
 from briardyke.entry.demand import DemandMeter
-from briardyke.logs import log_event, log_warning
+from briardyke.logs import log_error, log_event, log_warning
 from briardyke.policy.admission import AdmissionController
 from briardyke.policy.limits import LimitLedger
 from briardyke.policy.retries import RetryBudget
@@ -24,6 +23,7 @@
 from briardyke.wire.messages import InstanceStatus
 
 if TYPE_CHECKING:
+    from briardyke.agreed.configuration import Configuration
     from briardyke.entry.settings import EntrySettings
     from briardyke.http.client import HttpClient
     from briardyke.settings import Address
@@ -46,18 +46,27 @@
         self.settings = settings
         self.address = address
         self.view = SyncedView(now_ms())
-        self.configuration = Configuration()
-        self.version = 0
+        self.projection = Projection()
         self.draining = False
         self.in_flight = 0
         self.demand = DemandMeter()
         chosen = random.Random(settings.seed) if settings.seed else random.Random()
         self.table = RoutingTable(settings.routing_policy, settings.data_centre, chosen)
         self.ledger = LimitLedger()
-        self.admission = AdmissionController(self.table)
+        self.admission = AdmissionController(self.table, chosen)
         self.budget = RetryBudget()
         self._probing: set[str] = set()
 
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.projection.configuration
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.projection.version
+
     def lifecycle(self) -> Lifecycle:
         """Return the stage that this process reports."""
         if self.draining:
@@ -65,8 +74,9 @@
         return Lifecycle.READY if self.ready() else Lifecycle.STARTING
 
     def ready(self) -> bool:
-        """Return whether new requests are admitted: a version is held and confirmed."""
-        return self.version > 0 and self.view.lease.valid(now_ms())
+        """Return whether new requests are admitted: the current version is held and confirmed."""
+        newest = self.view.documents.version
+        return 0 < self.version == newest and self.view.lease.valid(now_ms())
 
     def isolated(self) -> bool:
         """Return whether the evidence is too old to send callers to this instance."""
@@ -102,12 +112,13 @@
 
     def _adopt_version(self) -> None:
         documents = self.view.documents
-        if documents.version == self.version:
-            return
-        parsed = parse_configuration(documents.document)
-        self.configuration = parsed.configuration
-        self.version = documents.version
-        log_event("version_in_force", version=self.version)
+        accepted = self.projection.accept(documents.version, documents.document)
+        if accepted.is_err():
+            # The process stays out of service, since it must not act on an older version.
+            log_error("version_unreadable", reason=accepted.unwrap_err().message)
+        elif accepted.unwrap():
+            self.admission.apply(self.configuration.targets)
+            log_event("version_in_force", version=self.version)
 
     def _apply_shares(self) -> None:
         shares = self.view.shares.get(self.settings.instance_id, [])
--- /dev/null
+++ b/src/briardyke/entry/upstream_api.py
@@ -0,0 +1,40 @@
+"""Take the announcements of upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.clock import now_ms
+from briardyke.entry.announcements import parse_announcement
+from briardyke.errors import ErrorKind, Failure
+from briardyke.http.app import HttpApp, Request, Response, error_response, json_response
+
+if TYPE_CHECKING:
+    from briardyke.entry.state import EntryState
+
+
+class UpstreamApi:
+    """Handle the upstreams' route."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Use the process's tables."""
+        self._state = state
+
+    def register(self, app: HttpApp) -> None:
+        """Register the route."""
+        app.route("POST", "/v1/upstreams/announce", self._announce)
+
+    async def _announce(self, request: Request) -> Response:
+        parsed = parse_announcement(request.body, 0.0)
+        if parsed.is_err():
+            return error_response(parsed.unwrap_err())
+        view = self._state.view
+        before = view.digest.lifecycle_sequence
+        view.digest.observe_from_below(parsed.unwrap(), now_ms())
+        if view.digest.lifecycle_sequence != before:
+            view.changed.notify()
+        if self._state.isolated() or self._state.draining:
+            # The row is used here, but another instance can pass it on to the leader sooner.
+            text = "this instance has no fresh contact to the leader; announce to another one"
+            return error_response(Failure(ErrorKind.VERSION_UNCONFIRMED, text))
+        return json_response({"accepted": True})
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -8,11 +8,11 @@
 import attrs
 
 from briardyke.ids import new_id
+from briardyke.wire.messages import UpstreamRow
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
 
-    from briardyke.wire.messages import UpstreamRow
 
 UPSTREAM_SILENCE_MS = 3000.0
 FORGET_AFTER_MS = 60_000.0
--- a/src/briardyke/sync/instances.py
+++ b/src/briardyke/sync/instances.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
-if TYPE_CHECKING:
-    from briardyke.wire.messages import InstanceStatus
+from briardyke.wire.messages import InstanceStatus
 
 INSTANCE_SILENCE_MS = 2000.0
 
@@ -63,9 +61,12 @@
         entries = sorted(self._entries.items())
         return [_public(entry.status) for _, entry in entries if entry.listed]
 
-    def heard(self, now_ms: float) -> list[tuple[InstanceStatus, float]]:
-        """Return every status with the age of its evidence, for the next hop."""
-        return [(e.status, max(0.0, now_ms - e.heard_at_ms)) for e in self._entries.values()]
+    def for_next_hop(self, now_ms: float) -> list[InstanceStatus]:
+        """Return every status with the age of its evidence, limit reports included."""
+        return [
+            attrs.evolve(entry.status, age_ms=max(0.0, now_ms - entry.heard_at_ms))
+            for entry in self._entries.values()
+        ]
 
     def forget(self, before_ms: float) -> None:
         """Drop statuses whose evidence is older than a moment."""
--- a/src/briardyke/sync/view.py
+++ b/src/briardyke/sync/view.py
@@ -94,4 +94,3 @@
         self.held_instances = reply.instances_tag
         if reply.instances is not None or self.digest.lifecycle_sequence != before:
             self.changed.notify()
-
--- a/tests/http/test_app.py
+++ b/tests/http/test_app.py
@@ -104,9 +104,7 @@
     ) -> None:
         async with _serving() as (address, _, _):
             client = HttpClient()
-            answer = (
-                await client.call(method, address, path, body=body, timeout_ms=2000)
-            ).unwrap()
+            answer = (await client.call(method, address, path, body=body, timeout_ms=2000)).unwrap()
             error = json.loads(answer.body)["error"]
             assert error["kind"] == kind.value
             assert error["ran"] == ("unknown" if kind is ErrorKind.INTERNAL else "no")
@@ -149,18 +147,19 @@
         async with _serving() as (address, handlers, stop), trio.open_nursery() as nursery:
             client = HttpClient()
             bodies: list[bytes] = []
+            answered = trio.Event()
 
             async def call() -> None:
                 answer = await client.call("GET", address, "/slow", timeout_ms=5000)
                 bodies.append(answer.unwrap().body)
+                answered.set()
                 await client.aclose()
 
             nursery.start_soon(call)
             await handlers.started.wait()
             stop.set()
             with trio.fail_after(10):
-                while not bodies:
-                    await trio.sleep(0.01)
+                await answered.wait()
             assert bodies == [b"done"]
 
 
