--- /dev/null
+++ b/src/briardyke/consensus/log.py
@@ -0,0 +1,156 @@
+"""Hold the part of the replicated log that follows the last compaction, in memory."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+
+class EntryKind(Enum):
+    """List what a log entry can hold."""
+
+    NO_OP = "no_op"
+    COMMAND = "command"
+    MEMBERS = "members"
+
+
+@attrs.frozen
+class Entry:
+    """Describe one log entry.
+
+    :param index: position in the log, from 1.
+    :param term: term of the leader that created it.
+    :param kind: what ``data`` holds.
+    :param data: a command, an encoded membership, or nothing.
+    """
+
+    index: int
+    term: int
+    kind: EntryKind
+    data: bytes = b""
+
+
+@attrs.frozen
+class Snapshot:
+    """Hold the state after all entries up to an index.
+
+    :param index: last entry included.
+    :param term: term of that entry.
+    :param members: encoded membership at that entry.
+    :param data: output of the state machine's ``snapshot``.
+    """
+
+    index: int
+    term: int
+    members: bytes
+    data: bytes
+
+
+@attrs.frozen
+class HardState:
+    """Hold what a member must never forget.
+
+    :param term: highest term seen.
+    :param vote: member id that received the vote in that term, or empty.
+    """
+
+    term: int = 0
+    vote: str = ""
+
+
+@attrs.frozen
+class Recovered:
+    """Hold the durable state that storage found at start.
+
+    :param hard_state: term and vote.
+    :param snapshot: latest snapshot, if any.
+    :param entries: entries after the snapshot, without gaps.
+    """
+
+    hard_state: HardState = HardState()
+    snapshot: Snapshot | None = None
+    entries: tuple[Entry, ...] = ()
+
+
+class MemoryLog:
+    """Keep consecutive entries after a base index."""
+
+    def __init__(self, base_index: int, base_term: int, entries: tuple[Entry, ...] = ()) -> None:
+        """Start after the base.
+
+        :param base_index: index of the last entry that is not held.
+        :param base_term: term of that entry.
+        :param entries: entries that follow the base.
+        """
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry, or the base index."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry, or the base term."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or ``None`` when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> list[Entry]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        return self._entries[first - self.base_index - 1 : last - self.base_index]
+
+    def batch(self, first: int, max_entries: int, max_bytes: int) -> list[Entry]:
+        """Return entries for one message.
+
+        :param first: index of the first entry.
+        :param max_entries: highest number of entries.
+        :param max_bytes: highest sum of data sizes; a single larger entry is still returned.
+        """
+        chosen: list[Entry] = []
+        size_bytes = 0
+        for entry in self.between(first, min(self.last_index, first + max_entries - 1)):
+            size_bytes += len(entry.data)
+            if chosen and size_bytes > max_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry."""
+        assert entry.index == self.last_index + 1
+        self._entries.append(entry)
+
+    def truncate_after(self, index: int) -> None:
+        """Drop all entries after an index."""
+        del self._entries[max(0, index - self.base_index) :]
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first held index with the same term as the entry at ``index``."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def compact(self, index: int) -> None:
+        """Drop all entries up to an index that is held."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        assert term is not None
+        del self._entries[: index - self.base_index]
+        self.base_index, self.base_term = index, term
+
+    def reset(self, index: int, term: int) -> None:
+        """Drop everything and start after an installed snapshot."""
+        self._entries.clear()
+        self.base_index, self.base_term = index, term
--- /dev/null
+++ b/src/briardyke/consensus/members.py
@@ -0,0 +1,187 @@
+"""Describe the members of a log group and the changes that are allowed to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Literal
+
+import attrs
+import msgpack
+from result import Err, Ok, Result
+
+from briardyke.errors import ErrorKind, Failure
+from briardyke.settings import Address
+
+ID_SEPARATOR = "#"
+# Each membership entry carries the removed ids. 1,000 of them take less than 64 KiB.
+MAX_REMOVED_IDS = 1000
+
+
+def instance_of(member_id: str) -> str:
+    """Return the instance id in a member id."""
+    return member_id.rpartition(ID_SEPARATOR)[0]
+
+
+@attrs.frozen
+class Member:
+    """Describe one member.
+
+    :param member_id: ``<instance_id>#<storage_id>``.
+    :param address: peer address.
+    :param voter: whether it counts towards majorities; otherwise it is a learner.
+    :param replaces_voter: whether the leader promotes this learner once it has caught up.
+    """
+
+    member_id: str
+    address: Address
+    voter: bool = False
+    replaces_voter: bool = False
+
+
+@attrs.frozen
+class MemberChange:
+    """Ask for one change of the membership.
+
+    :param action: what to do; ``add`` adds a learner.
+    :param member_id: member that is added, promoted or removed.
+    :param address: peer address, for ``add`` only.
+    :param successor_id: learner that takes the place of a removed member, or empty.
+    """
+
+    action: Literal["add", "promote", "remove"]
+    member_id: str
+    address: Address | None = None
+    successor_id: str = ""
+
+
+@attrs.frozen
+class Membership:
+    """Hold the members of a group in the order in which they were added.
+
+    :param members: voters and learners.
+    :param removed: ids that must not return, oldest first.
+    """
+
+    members: tuple[Member, ...] = ()
+    removed: tuple[str, ...] = ()
+
+    def get(self, member_id: str) -> Member | None:
+        """Return a member, or ``None`` when the id is not listed."""
+        return next((m for m in self.members if m.member_id == member_id), None)
+
+    @property
+    def voters(self) -> list[Member]:
+        """Return the members that vote."""
+        return [member for member in self.members if member.voter]
+
+    def is_voter(self, member_id: str) -> bool:
+        """Return whether an id belongs to a voter."""
+        member = self.get(member_id)
+        return member is not None and member.voter
+
+    def has_majority(self, member_ids: Iterable[str]) -> bool:
+        """Return whether the given members include a majority of the voters."""
+        agreeing = {m.member_id for m in self.voters} & set(member_ids)
+        return len(agreeing) > len(self.voters) // 2
+
+    def majority_value(self, value: Callable[[str], int]) -> int:
+        """Return the highest value that a majority of the voters has reached.
+
+        :param value: returns the value that a voter, named by its id, has reached.
+        :return: 0 when there are no voters.
+        """
+        values = sorted((value(member.member_id) for member in self.voters), reverse=True)
+        return values[len(values) // 2] if values else 0
+
+    def encode(self) -> bytes:
+        """Return the form that is stored in log entries and snapshots."""
+        rows = [
+            [m.member_id, m.address.host, m.address.port, m.voter, m.replaces_voter]
+            for m in self.members
+        ]
+        return msgpack.packb([rows, list(self.removed)])
+
+    @staticmethod
+    def decode(data: bytes) -> Membership:
+        """Read the output of :meth:`encode`."""
+        rows, removed = msgpack.unpackb(data)
+        members = tuple(Member(row[0], Address(row[1], row[2]), row[3], row[4]) for row in rows)
+        return Membership(members, tuple(removed))
+
+    def changed(self, change: MemberChange) -> Result[Membership, Failure]:
+        """Return the membership after a change.
+
+        :return: ``member_change_refused`` when the change does not fit the current members.
+        """
+        member = self.get(change.member_id)
+        if change.action == "add":
+            return self._added(change, member)
+        if member is None:
+            return _refused(f"{change.member_id} is not a member")
+        if change.action == "promote":
+            if member.voter:
+                return _refused(f"{change.member_id} is already a voter")
+            promoted = attrs.evolve(member, voter=True, replaces_voter=False)
+            rows = tuple(promoted if m is member else m for m in self.members)
+            return Ok(attrs.evolve(self, members=rows))
+        if member.voter and len(self.voters) == 1:
+            return _refused(f"{change.member_id} is the last voter")
+        return Ok(self._without(member, change.successor_id))
+
+    def _added(self, change: MemberChange, member: Member | None) -> Result[Membership, Failure]:
+        if member is not None:
+            return _refused(f"{change.member_id} is already a member")
+        if change.member_id in self.removed:
+            return _refused(f"{change.member_id} was removed and must use new storage")
+        if change.address is None or not instance_of(change.member_id):
+            return _refused("a new member needs an address and an id with a storage id")
+        return Ok(
+            attrs.evolve(self, members=(*self.members, Member(change.member_id, change.address)))
+        )
+
+    def _without(self, member: Member, successor_id: str) -> Membership:
+        becomes_voter = member.voter or member.replaces_voter
+        rows = tuple(
+            (
+                attrs.evolve(m, replaces_voter=m.replaces_voter or becomes_voter)
+                if m.member_id == successor_id and not m.voter
+                else m
+            )
+            for m in self.members
+            if m is not member
+        )
+        return Membership(rows, (*self.removed, member.member_id)[-MAX_REMOVED_IDS:])
+
+
+def _refused(reason: str) -> Err[Failure]:
+    return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, reason, "member_id"))
+
+
+def next_replacement(
+    membership: Membership,
+    caught_up: Callable[[str], bool],
+    silent: Callable[[str], bool],
+) -> MemberChange | None:
+    """Return the next step in replacing members that lost their storage.
+
+    A learner replaces an older member of the same instance: the older member is removed first,
+    then the learner is promoted if the older one was a voter. Learners of other instances stay
+    learners.
+
+    :param membership: current members.
+    :param caught_up: returns whether a learner holds nearly all entries.
+    :param silent: returns whether a member has not been heard for an election timeout. A member
+        that still answers is not replaced, since two live processes must share its instance id.
+    :return: one change, or ``None`` when nothing is to be done.
+    """
+    for position, learner in enumerate(membership.members):
+        if learner.voter or not caught_up(learner.member_id):
+            continue
+        instance_id = instance_of(learner.member_id)
+        earlier = membership.members[:position]
+        older = [m for m in earlier if instance_of(m.member_id) == instance_id]
+        if older and silent(older[0].member_id):
+            return MemberChange("remove", older[0].member_id, None, learner.member_id)
+        if not older and learner.replaces_voter:
+            return MemberChange("promote", learner.member_id)
+    return None
--- /dev/null
+++ b/src/briardyke/consensus/messages.py
@@ -0,0 +1,178 @@
+"""Define the messages between the members of one log group."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.consensus.log import Entry
+from briardyke.settings import Address
+from briardyke.wire.codec import message
+
+
+@attrs.frozen(kw_only=True)
+class GroupMessage:
+    """Carry the fields of every message.
+
+    :param group_id: log group, so that several groups share a connection.
+    :param sender_id: member id of the sender.
+    :param sender_address: where replies are sent; a new learner knows no members yet.
+    :param recipient_id: member id of the recipient. A process that returned with new storage at
+        the same address ignores messages to its former id.
+    :param term: the sender's term.
+    """
+
+    group_id: str
+    sender_id: str
+    sender_address: Address
+    recipient_id: str
+    term: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class PreVoteRequest(GroupMessage):
+    """Ask whether an election in ``term`` could succeed, without starting it.
+
+    :param last_index: last entry of the sender's log.
+    :param last_term: term of that entry.
+    """
+
+    last_index: int
+    last_term: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class PreVoteReply(GroupMessage):
+    """Answer a pre-vote; ``term`` repeats the requested term when granted.
+
+    :param granted: whether the sender would vote for the recipient.
+    """
+
+    granted: bool
+
+
+@message
+@attrs.frozen(kw_only=True)
+class VoteRequest(GroupMessage):
+    """Ask for the vote in ``term``.
+
+    :param last_index: last entry of the sender's log.
+    :param last_term: term of that entry.
+    :param transfer: whether the leader itself asked for this election.
+    """
+
+    last_index: int
+    last_term: int
+    transfer: bool = False
+
+
+@message
+@attrs.frozen(kw_only=True)
+class VoteReply(GroupMessage):
+    """Answer a vote request.
+
+    :param granted: whether the sender's vote is stored for the recipient.
+    """
+
+    granted: bool
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AppendRequest(GroupMessage):
+    """Send entries, or none as a heartbeat.
+
+    :param previous_index: entry before the first one sent.
+    :param previous_term: term of that entry.
+    :param entries: consecutive entries.
+    :param commit_index: the leader's commit index.
+    :param commit_confirmed: whether the leader has committed an entry of its own term, so that
+        its commit index covers everything that earlier leaders acknowledged.
+    :param round_number: number of the leader's latest heartbeat round.
+    """
+
+    previous_index: int
+    previous_term: int
+    entries: list[Entry]
+    commit_index: int
+    commit_confirmed: bool
+    round_number: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AppendReply(GroupMessage):
+    """Answer an append or the last chunk of a snapshot.
+
+    :param success: whether the log matched at ``previous_index``.
+    :param match_index: last index known to match; after a mismatch, the index to continue from.
+    :param rejected_index: ``previous_index`` of the rejected request.
+    :param round_number: round of the request.
+    """
+
+    success: bool
+    match_index: int
+    rejected_index: int
+    round_number: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class SnapshotChunk(GroupMessage):
+    """Send a part of a snapshot.
+
+    :param index: last entry that the snapshot includes.
+    :param index_term: term of that entry.
+    :param members: encoded membership.
+    :param offset_bytes: position of ``data`` in the snapshot.
+    :param data: the part.
+    :param done: whether this is the last part.
+    :param round_number: number of the leader's latest heartbeat round.
+    """
+
+    index: int
+    index_term: int
+    members: bytes
+    offset_bytes: int
+    data: bytes
+    done: bool
+    round_number: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class SnapshotReply(GroupMessage):
+    """Report how much of a snapshot has arrived.
+
+    :param index: last entry that the snapshot includes.
+    :param received_bytes: offset that is expected next.
+    :param round_number: round of the chunk.
+    """
+
+    index: int
+    received_bytes: int
+    round_number: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class TimeoutNow(GroupMessage):
+    """Ask the recipient to start an election at once, because the leader stops."""
+
+
+@message
+@attrs.frozen(kw_only=True)
+class JoinRequest(GroupMessage):
+    """Ask to be added as a learner; sent to known addresses with an empty recipient id.
+
+    :param forwarded: whether a member already passed the request on to the leader.
+    """
+
+    forwarded: bool = False
+
+
+@message
+@attrs.frozen(kw_only=True)
+class JoinRefused(GroupMessage):
+    """Tell a removed member that its id cannot join again."""
--- /dev/null
+++ b/src/briardyke/consensus/node.py
@@ -0,0 +1,351 @@
+"""Run one member of a log group as a pure function of time and messages."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from functools import singledispatch
+from typing import Any
+
+from result import Err, Ok, Result
+
+from briardyke.consensus import election, replication
+from briardyke.consensus.log import EntryKind, MemoryLog, Recovered, Snapshot
+from briardyke.consensus.members import MemberChange, Membership, next_replacement
+from briardyke.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    GroupMessage,
+    JoinRefused,
+    JoinRequest,
+    PreVoteReply,
+    PreVoteRequest,
+    SnapshotChunk,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from briardyke.consensus.state import Effects, NodeSettings, NodeState, Role
+from briardyke.errors import ErrorKind, Failure
+from briardyke.logs import log_error, log_warning
+from briardyke.settings import Address
+
+_DEFAULT_SETTINGS = NodeSettings()
+
+
+class Node:
+    """Take part in a group; performs no I/O and reads no clock.
+
+    Every call returns :class:`Effects`. They must be carried out in order: persist and sync, then
+    send, then apply; afterwards :meth:`synced` reports what is on disk.
+    """
+
+    def __init__(
+        self,
+        group_id: str,
+        own_id: str,
+        own_address: Address,
+        recovered: Recovered,
+        founding: Membership,
+        random: random.Random,
+        now_ms: float,
+        seeds: Sequence[Address] = (),
+        settings: NodeSettings = _DEFAULT_SETTINGS,
+    ) -> None:
+        """Start from what storage holds.
+
+        :param group_id: log group.
+        :param own_id: own member id.
+        :param own_address: own peer address.
+        :param recovered: durable state.
+        :param founding: members before the first entry; empty for a process that joins.
+        :param random: source of election timeouts.
+        :param now_ms: current time.
+        :param seeds: addresses that an unlisted member asks to join.
+        :param settings: intervals and limits.
+        """
+        snapshot = recovered.snapshot
+        base = (snapshot.index, snapshot.term) if snapshot else (0, 0)
+        members = Membership.decode(snapshot.members) if snapshot else founding
+        configs = [(base[0], members)]
+        for entry in recovered.entries:
+            if entry.kind is EntryKind.MEMBERS:
+                configs.append((entry.index, Membership.decode(entry.data)))
+        log = MemoryLog(*base, recovered.entries)
+        self.state = NodeState(
+            group_id=group_id,
+            own_id=own_id,
+            own_address=own_address,
+            seeds=tuple(seeds),
+            settings=settings,
+            random=random,
+            hard_state=recovered.hard_state,
+            log=log,
+            snapshot=snapshot,
+            configs=configs,
+            now_ms=now_ms,
+            commit_index=base[0],
+            delivered_index=base[0],
+            synced_index=log.last_index,
+        )
+        self.state.reset_election_deadline()
+
+    def tick(self, now_ms: float) -> Effects:
+        """Handle timeouts; to be called several times per heartbeat interval."""
+        state = self.state
+        state.now_ms = now_ms
+        if state.role is Role.LEADER:
+            self._tick_leader()
+        elif state.is_voter:
+            if now_ms >= state.election_deadline_ms:
+                election.start_pre_vote(state)
+        elif state.membership.get(state.own_id) is None:
+            self._ask_to_join()
+        return self._take_effects()
+
+    def step(self, message: GroupMessage, now_ms: float) -> Effects:
+        """Handle a message; those for another group or member id are ignored."""
+        state = self.state
+        state.now_ms = now_ms
+        addressed = message.recipient_id == state.own_id or isinstance(message, JoinRequest)
+        if message.group_id == state.group_id and addressed:
+            _handle(message, state)
+        return self._take_effects()
+
+    def propose(self, commands: Sequence[bytes]) -> Effects:
+        """Append commands as leader.
+
+        :return: effects with ``proposed``, or with ``refused`` when nothing was appended.
+        """
+        state = self.state
+        refused = self._refusal()
+        if refused is not None:
+            state.effects.refused = refused
+        else:
+            for command in commands:
+                entry = state.append(EntryKind.COMMAND, command)
+                state.effects.proposed.append((entry.index, entry.term))
+            replication.broadcast(state, heartbeat=False)
+        return self._take_effects()
+
+    def propose_change(self, change: MemberChange) -> Effects:
+        """Append a membership change as leader.
+
+        :return: effects with ``proposed``, or with ``refused`` when nothing was appended.
+        """
+        state = self.state
+        failure = self._refusal()
+        if failure is None:
+            failure = _change(state, change).err()
+        if failure is None:
+            state.effects.proposed.append((state.log.last_index, state.term))
+        state.effects.refused = failure
+        return self._take_effects()
+
+    def transfer(self, now_ms: float) -> Effects:
+        """Hand leadership to the most complete other voter, before a planned stop.
+
+        New commands are refused until the transfer has happened or an election timeout has passed.
+        """
+        state = self.state
+        state.now_ms = now_ms
+        others = [m.member_id for m in state.membership.voters if m.member_id in state.progress]
+        if state.role is not Role.LEADER or not others:
+            state.effects.refused = self._refusal()
+            return self._take_effects()
+        state.transfer_target = max(others, key=lambda i: state.progress[i].match_index)
+        state.transfer_deadline_ms = now_ms + state.settings.election_min_ms
+        election.continue_transfer(state)
+        return self._take_effects()
+
+    def synced(self, index: int, term: int) -> Effects:
+        """Report that entries up to an index are on disk.
+
+        :param index: last entry of the synced batch.
+        :param term: its term; ignored when the entry was replaced in the meantime.
+        """
+        state = self.state
+        if state.log.term_at(index) == term and index > state.synced_index:
+            state.synced_index = index
+            if state.role is Role.LEADER:
+                replication.advance_commit(state)
+                if state.transfer_target and state.role is Role.LEADER:
+                    election.continue_transfer(state)
+        return self._take_effects()
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Drop entries that a snapshot on disk covers, except the latest few."""
+        state = self.state
+        if state.snapshot is not None and snapshot.index <= state.snapshot.index:
+            return
+        state.snapshot = snapshot
+        state.log.compact(max(state.log.base_index, snapshot.index - state.settings.kept_entries))
+        position = max(i for i, row in enumerate(state.configs) if row[0] <= snapshot.index)
+        del state.configs[:position]
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership in force after an index that is not below the snapshot."""
+        return next(members for at, members in reversed(self.state.configs) if at <= index)
+
+    def confirmed_age_ms(self, now_ms: float) -> float | None:
+        """Return the age of the evidence of leadership, by the age rule of the design.
+
+        :return: time since the last heartbeat round that a majority of voters acknowledged was
+            sent; ``None`` when this member does not lead or has not committed in its term.
+        """
+        state = self.state
+        if not state.commit_confirmed or not state.evidence_round:
+            return None
+        return now_ms - state.evidence_ms
+
+    def _tick_leader(self) -> None:
+        state = self.state
+        if state.now_ms - state.evidence_ms >= state.settings.election_min_ms:
+            log_warning("leader_without_majority", group=state.group_id, term=state.term)
+            state.become_follower(state.term)
+            return
+        if state.transfer_target and state.now_ms >= state.transfer_deadline_ms:
+            state.transfer_target = ""
+        if state.now_ms >= state.next_heartbeat_ms:
+            replication.start_round(state)
+            step = next_replacement(state.membership, self._caught_up, self._silent)
+            if step is not None:
+                _change(state, step)
+
+    def _caught_up(self, member_id: str) -> bool:
+        progress = self.state.progress.get(member_id)
+        if progress is None or progress.probing or self._silent(member_id):
+            return False
+        lag = self.state.log.last_index - progress.match_index
+        return progress.match_index > 0 and lag <= self.state.settings.caught_up_entries
+
+    def _silent(self, member_id: str) -> bool:
+        progress = self.state.progress.get(member_id)
+        if progress is None:
+            return False
+        return self.state.now_ms - progress.heard_ms >= self.state.settings.election_min_ms
+
+    def _ask_to_join(self) -> None:
+        state = self.state
+        removed = state.expelled or state.own_id in state.membership.removed
+        if removed or state.now_ms < state.next_join_ms:
+            return
+        state.next_join_ms = state.now_ms + state.settings.join_interval_ms
+        listed = [member.address for member in state.membership.members]
+        for address in dict.fromkeys([*state.seeds, *listed]):
+            if address != state.own_address:
+                state.send(JoinRequest, "", address)
+
+    def _refusal(self) -> Failure | None:
+        state = self.state
+        if state.role is Role.LEADER and not state.transfer_target:
+            return None
+        if state.role is not Role.LEADER and state.leader_address is None:
+            return Failure(ErrorKind.NO_MAJORITY, "no leader is known; nothing was proposed")
+        leader = "" if state.role is Role.LEADER else str(state.leader_address)
+        return Failure(ErrorKind.NOT_LEADER, "this member does not lead the group", leader)
+
+    def _take_effects(self) -> Effects:
+        state = self.state
+        effects, state.effects = state.effects, Effects()
+        if state.commit_index > state.delivered_index:
+            effects.committed = state.log.between(state.delivered_index + 1, state.commit_index)
+            state.delivered_index = state.commit_index
+        return effects
+
+
+def _change(state: NodeState, change: MemberChange) -> Result[None, Failure]:
+    """Append a membership change if no other one is open.
+
+    A change before the leader has committed in its own term could overlap with an uncommitted
+    change of an earlier leader; two such changes can produce two disjoint majorities.
+    """
+    if not state.commit_confirmed or state.configs[-1][0] > state.commit_index:
+        text = "an earlier change or the start of the term is not committed yet"
+        return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text))
+    if change.action == "remove" and change.member_id == state.own_id:
+        text = "the leader cannot be removed; transfer leadership first"
+        return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text, "member_id"))
+    changed = state.membership.changed(change)
+    if changed.is_err():
+        return Err(changed.unwrap_err())
+    reason = f"{change.action} {change.member_id}"
+    replication.propose_members(state, changed.unwrap().encode(), reason)
+    return Ok(None)
+
+
+@singledispatch
+def _handle(message: Any, state: NodeState) -> None:
+    log_warning("message_ignored", group=state.group_id, type=type(message).__name__)
+
+
+@_handle.register
+def _(message: PreVoteRequest, state: NodeState) -> None:
+    election.on_pre_vote_request(state, message)
+
+
+@_handle.register
+def _(message: PreVoteReply, state: NodeState) -> None:
+    election.on_pre_vote_reply(state, message)
+
+
+@_handle.register
+def _(message: VoteRequest, state: NodeState) -> None:
+    election.on_vote_request(state, message)
+
+
+@_handle.register
+def _(message: VoteReply, state: NodeState) -> None:
+    election.on_vote_reply(state, message)
+
+
+@_handle.register
+def _(message: TimeoutNow, state: NodeState) -> None:
+    election.on_timeout_now(state, message)
+
+
+@_handle.register
+def _(message: AppendRequest, state: NodeState) -> None:
+    replication.on_append_request(state, message)
+
+
+@_handle.register
+def _(message: AppendReply, state: NodeState) -> None:
+    replication.on_append_reply(state, message)
+
+
+@_handle.register
+def _(message: SnapshotChunk, state: NodeState) -> None:
+    replication.on_snapshot_chunk(state, message)
+
+
+@_handle.register
+def _(message: SnapshotReply, state: NodeState) -> None:
+    replication.on_snapshot_reply(state, message)
+
+
+@_handle.register
+def _(message: JoinRequest, state: NodeState) -> None:
+    if state.role is not Role.LEADER:
+        if state.leader_address and not message.forwarded:
+            state.send(
+                JoinRequest,
+                "",
+                state.leader_address,
+                forwarded=True,
+                sender_id=message.sender_id,
+                sender_address=message.sender_address,
+            )
+        return
+    if message.sender_id in state.membership.removed:
+        state.reply(JoinRefused, message)
+    elif state.membership.get(message.sender_id) is None:
+        _change(state, MemberChange("add", message.sender_id, message.sender_address))
+
+
+@_handle.register
+def _(message: JoinRefused, state: NodeState) -> None:
+    if state.membership.get(state.own_id) is None and not state.expelled:
+        log_error("member_was_removed", group=state.group_id, member=state.own_id)
+        state.expelled = True
--- /dev/null
+++ b/src/briardyke/consensus/replication.py
@@ -0,0 +1,302 @@
+"""Replicate entries and snapshots from the leader and advance the commit index."""
+
+from __future__ import annotations
+
+from briardyke.consensus import election
+from briardyke.consensus.log import EntryKind, Snapshot
+from briardyke.consensus.members import Member, Membership
+from briardyke.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from briardyke.consensus.state import NodeState, Progress, Role
+from briardyke.logs import log_event, log_warning
+
+
+def start_round(state: NodeState) -> None:
+    """Start a heartbeat round; its send time becomes evidence once a majority has answered."""
+    state.round_number += 1
+    state.round_sent_ms[state.round_number] = state.now_ms
+    state.next_heartbeat_ms = state.now_ms + state.settings.heartbeat_ms
+    broadcast(state, heartbeat=True)
+    _update_evidence(state)
+
+
+def broadcast(state: NodeState, heartbeat: bool) -> None:
+    """Send every other member what it lacks.
+
+    :param heartbeat: whether members that lack nothing are sent an empty append.
+    """
+    for member in state.membership.members:
+        if member.member_id != state.own_id:
+            send_append(state, member, heartbeat)
+
+
+def send_append(state: NodeState, member: Member, heartbeat: bool) -> None:
+    """Send a member its next entries or the next part of a snapshot."""
+    fresh = Progress(state.log.last_index + 1, state.now_ms)
+    progress = state.progress.setdefault(member.member_id, fresh)
+    previous_index = progress.next_index - 1
+    previous_term = state.log.term_at(previous_index)
+    if progress.snapshot is not None or previous_term is None:
+        if heartbeat:
+            _send_chunk(state, member, progress)
+        return
+    settings = state.settings
+    in_flight = progress.next_index - progress.match_index - 1
+    entries = []
+    if progress.probing or in_flight < settings.max_in_flight_entries:
+        entries = state.log.batch(
+            progress.next_index, settings.max_append_entries, settings.max_append_bytes
+        )
+    if not heartbeat and (progress.probing or not entries):
+        return
+    if not progress.probing:
+        progress.next_index += len(entries)
+    state.send(
+        AppendRequest,
+        member.member_id,
+        member.address,
+        previous_index=previous_index,
+        previous_term=previous_term,
+        entries=entries,
+        commit_index=state.commit_index,
+        commit_confirmed=state.commit_confirmed,
+        round_number=state.round_number,
+    )
+
+
+def _send_chunk(state: NodeState, member: Member, progress: Progress) -> None:
+    if progress.snapshot is None:
+        progress.snapshot, progress.snapshot_offset_bytes = state.snapshot, 0
+    snapshot, start = progress.snapshot, progress.snapshot_offset_bytes
+    assert snapshot is not None
+    end = start + state.settings.snapshot_chunk_bytes
+    state.send(
+        SnapshotChunk,
+        member.member_id,
+        member.address,
+        index=snapshot.index,
+        index_term=snapshot.term,
+        members=snapshot.members,
+        offset_bytes=start,
+        data=snapshot.data[start:end],
+        done=end >= len(snapshot.data),
+        round_number=state.round_number,
+    )
+
+
+def _acknowledge(state: NodeState, message: AppendReply | SnapshotReply) -> Progress | None:
+    """Record contact; return ``None`` when the reply is not for this leader's term."""
+    if message.term > state.term:
+        state.become_follower(message.term)
+        return None
+    if state.role is not Role.LEADER or message.term != state.term:
+        return None
+    progress = state.progress.get(message.sender_id)
+    if progress is None:
+        return None
+    progress.heard_ms = state.now_ms
+    progress.acked_round = max(progress.acked_round, message.round_number)
+    _update_evidence(state)
+    return progress
+
+
+def _update_evidence(state: NodeState) -> None:
+    def acked_round(member_id: str) -> int:
+        if member_id == state.own_id:
+            return state.round_number
+        progress = state.progress.get(member_id)
+        return progress.acked_round if progress else 0
+
+    number = state.membership.majority_value(acked_round)
+    if number > state.evidence_round:
+        state.evidence_round = number
+        state.evidence_ms = state.round_sent_ms[number]
+        state.round_sent_ms = {n: t for n, t in state.round_sent_ms.items() if n >= number}
+
+
+def on_append_reply(state: NodeState, message: AppendReply) -> None:
+    """Update what the sender holds, commit, and send what follows."""
+    progress = _acknowledge(state, message)
+    member = state.membership.get(message.sender_id)
+    if progress is None or member is None:
+        return
+    if message.success:
+        progress.match_index = max(progress.match_index, message.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.probing:
+            progress.probing = False
+            progress.next_index = progress.match_index + 1
+        if progress.snapshot and progress.match_index >= progress.snapshot.index:
+            progress.snapshot = None
+        advance_commit(state)
+        if state.role is not Role.LEADER:
+            return
+        if state.transfer_target == member.member_id:
+            election.continue_transfer(state)
+        if state.role is Role.LEADER:
+            send_append(state, member, heartbeat=False)
+        return
+    stale = message.rejected_index <= progress.match_index
+    if stale or (progress.probing and message.rejected_index != progress.next_index - 1):
+        return
+    progress.probing = True
+    continue_at = min(message.match_index + 1, message.rejected_index)
+    progress.next_index = max(progress.match_index + 1, continue_at)
+    send_append(state, member, heartbeat=True)
+
+
+def advance_commit(state: NodeState) -> None:
+    """Commit what a majority of the voters holds on disk.
+
+    Only an entry of the current term is committed by counting: an older entry on a majority can
+    still be replaced by a leader whose log ends in a higher term.
+    """
+
+    def match(member_id: str) -> int:
+        if member_id == state.own_id:
+            return state.synced_index
+        progress = state.progress.get(member_id)
+        return progress.match_index if progress else 0
+
+    index = state.membership.majority_value(match)
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return
+    state.commit_index = index
+    if state.ready_index is None:
+        state.ready_index = state.term_start_index
+    if index == state.log.last_index:
+        broadcast(state, heartbeat=True)  # members learn of the commit before the next round
+
+
+def on_append_request(state: NodeState, message: AppendRequest) -> None:
+    """Store a leader's entries as follower."""
+    if message.term < state.term:
+        _reply(state, message, False, 0)  # the higher term makes the old leader step down
+        return
+    state.follow(message)
+    if message.commit_confirmed and state.ready_index is None:
+        state.ready_index = message.commit_index
+    previous, log = message.previous_index, state.log
+    if previous < state.commit_index:
+        last = previous + len(message.entries)
+        if last <= state.commit_index:
+            _reply(state, message, True, state.commit_index)
+            return
+    elif log.term_at(previous) != message.previous_term:
+        if previous > log.last_index:
+            hint = log.last_index
+        else:
+            hint = max(state.commit_index, log.first_index_of_term(previous) - 1)
+        _reply(state, message, False, hint)
+        return
+    for entry in message.entries:
+        if entry.index <= state.commit_index:
+            continue
+        held = log.term_at(entry.index)
+        if held == entry.term:
+            continue
+        if held is not None:
+            _truncate(state, entry.index - 1)
+        state.store(entry)
+    last = previous + len(message.entries)
+    state.commit_index = max(state.commit_index, min(message.commit_index, last))
+    _reply(state, message, True, last)
+
+
+def _truncate(state: NodeState, index: int) -> None:
+    state.log.truncate_after(index)
+    state.synced_index = min(state.synced_index, index)
+    state.configs = [row for row in state.configs if row[0] <= index]
+
+
+def _reply(
+    state: NodeState, message: AppendRequest | SnapshotChunk, success: bool, match: int
+) -> None:
+    rejected = message.previous_index if isinstance(message, AppendRequest) else 0
+    state.reply(
+        AppendReply,
+        message,
+        success=success,
+        match_index=match,
+        rejected_index=rejected,
+        round_number=message.round_number,
+    )
+
+
+def on_snapshot_chunk(state: NodeState, message: SnapshotChunk) -> None:
+    """Collect the parts of a snapshot; install it after the last one."""
+    if message.term < state.term:
+        _reply(state, message, False, 0)
+        return
+    state.follow(message)
+    if message.index <= state.commit_index:
+        state.incoming = None
+        state.incoming_data.clear()
+        _reply(state, message, True, state.commit_index)
+        return
+    key = (message.index, message.index_term, message.sender_id)
+    if state.incoming != key:
+        state.incoming = key
+        state.incoming_data.clear()
+    if message.offset_bytes == len(state.incoming_data):
+        state.incoming_data += message.data
+        if message.done:
+            _install(state, message)
+            _reply(state, message, True, message.index)
+            return
+    state.reply(
+        SnapshotReply,
+        message,
+        index=message.index,
+        received_bytes=len(state.incoming_data),
+        round_number=message.round_number,
+    )
+
+
+def _install(state: NodeState, message: SnapshotChunk) -> None:
+    data = bytes(state.incoming_data)
+    state.incoming = None
+    state.incoming_data.clear()
+    snapshot = Snapshot(message.index, message.index_term, message.members, data)
+    log_event("snapshot_received", group=state.group_id, index=message.index, bytes=len(data))
+    state.snapshot = state.effects.snapshot = snapshot
+    if state.log.term_at(message.index) == message.index_term:
+        kept = [row for row in state.configs if row[0] > message.index]
+        state.log.compact(message.index)
+    else:
+        kept = []
+        state.log.reset(message.index, message.index_term)
+        state.synced_index = message.index
+    state.configs = [(message.index, Membership.decode(message.members)), *kept]
+    state.synced_index = max(state.synced_index, message.index)
+    state.commit_index = state.delivered_index = message.index
+
+
+def on_snapshot_reply(state: NodeState, message: SnapshotReply) -> None:
+    """Send the part that the member expects next."""
+    progress = _acknowledge(state, message)
+    member = state.membership.get(message.sender_id)
+    if progress is None or member is None or progress.snapshot is None:
+        return
+    if message.index == progress.snapshot.index:
+        advanced = message.received_bytes != progress.snapshot_offset_bytes
+        progress.snapshot_offset_bytes = message.received_bytes
+        if advanced:
+            _send_chunk(state, member, progress)
+
+
+def propose_members(state: NodeState, encoded: bytes, reason: str) -> None:
+    """Append a membership as leader and replicate it.
+
+    :param encoded: the new membership.
+    :param reason: text for the log line.
+    """
+    entry = state.append(EntryKind.MEMBERS, encoded)
+    log_warning("members_changed", group=state.group_id, index=entry.index, change=reason)
+    listed = {member.member_id for member in state.membership.members}
+    state.progress = {k: v for k, v in state.progress.items() if k in listed}
+    broadcast(state, heartbeat=True)
--- /dev/null
+++ b/src/briardyke/consensus/state.py
@@ -0,0 +1,252 @@
+"""Hold the state of a node and the helpers that elections and replication share."""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+from typing import Any, TypeVar
+
+import attrs
+
+from briardyke.consensus.log import Entry, EntryKind, HardState, MemoryLog, Snapshot
+from briardyke.consensus.members import Membership
+from briardyke.consensus.messages import GroupMessage
+from briardyke.errors import Failure
+from briardyke.settings import Address
+
+M = TypeVar("M", bound=GroupMessage)
+
+
+class Role(Enum):
+    """List the roles of a member; learners and members without contact are followers."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.frozen
+class NodeSettings:
+    """Hold the intervals and limits of a node.
+
+    :param heartbeat_ms: interval of heartbeat rounds.
+    :param election_min_ms: shortest election timeout. Longer than the 900 ms for which orders
+        rely on the leader's evidence, so that no other leader exists while they do.
+    :param election_max_ms: longest election timeout.
+    :param join_interval_ms: interval at which an unlisted member asks to join.
+    :param caught_up_entries: a learner that lacks fewer entries counts as caught up.
+    :param max_append_entries: highest number of entries in one message.
+    :param max_append_bytes: highest size of the entries of one message.
+    :param max_in_flight_entries: highest number of unacknowledged entries of a member.
+    :param snapshot_chunk_bytes: size of snapshot parts.
+    :param kept_entries: entries kept in memory before a snapshot, so that a slow member does not
+        need the snapshot.
+    """
+
+    heartbeat_ms: float = 150.0
+    election_min_ms: float = 1000.0
+    election_max_ms: float = 1800.0
+    join_interval_ms: float = 1000.0
+    caught_up_entries: int = 256
+    max_append_entries: int = 512
+    max_append_bytes: int = 1024 * 1024
+    max_in_flight_entries: int = 8192
+    snapshot_chunk_bytes: int = 256 * 1024
+    kept_entries: int = 1000
+
+
+@attrs.define
+class Progress:
+    """Track what the leader knows about another member.
+
+    :param next_index: next entry to send.
+    :param heard_ms: time of the last reply.
+    :param match_index: last entry known to be on the member's disk.
+    :param acked_round: latest heartbeat round that it acknowledged.
+    :param probing: whether the match is unknown; then ``next_index`` moves only on replies.
+    :param snapshot: snapshot being sent.
+    :param snapshot_offset_bytes: offset of the next part.
+    """
+
+    next_index: int
+    heard_ms: float
+    match_index: int = 0
+    acked_round: int = 0
+    probing: bool = True
+    snapshot: Snapshot | None = None
+    snapshot_offset_bytes: int = 0
+
+
+@attrs.frozen
+class Outgoing:
+    """Pair a message with the address that it goes to.
+
+    :param address: peer address.
+    :param message: the message.
+    """
+
+    address: Address
+    message: GroupMessage
+
+
+@attrs.define
+class Effects:
+    """Collect what a node wants done, in this order: persist, sync, send, apply.
+
+    :param hard_state: term and vote to persist, if changed.
+    :param snapshot: received snapshot to persist and restore.
+    :param entries: entries to persist; one at a known index replaces it and all after it.
+    :param messages: messages to send once everything above is synced.
+    :param committed: entries to apply.
+    :param proposed: index and term of each accepted command.
+    :param refused: why commands were not accepted.
+    """
+
+    hard_state: HardState | None = None
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = attrs.field(factory=list)
+    messages: list[Outgoing] = attrs.field(factory=list)
+    committed: list[Entry] = attrs.field(factory=list)
+    proposed: list[tuple[int, int]] = attrs.field(factory=list)
+    refused: Failure | None = None
+
+
+@attrs.define
+class NodeState:
+    """Hold the complete state of a node.
+
+    :param group_id: log group.
+    :param own_id: own member id.
+    :param own_address: own peer address.
+    :param seeds: addresses that an unlisted member asks to join.
+    :param settings: intervals and limits.
+    :param random: source of election timeouts.
+    :param hard_state: term and vote.
+    :param log: entries in memory.
+    :param snapshot: latest snapshot.
+    :param configs: memberships by the index of their entry; the last one is in force.
+    :param now_ms: time of the latest call.
+    :param commit_index: last entry known to be committed.
+    :param delivered_index: last entry handed out for applying.
+    :param synced_index: last own entry known to be on disk.
+    """
+
+    group_id: str
+    own_id: str
+    own_address: Address
+    seeds: tuple[Address, ...]
+    settings: NodeSettings
+    random: random.Random
+    hard_state: HardState
+    log: MemoryLog
+    snapshot: Snapshot | None
+    configs: list[tuple[int, Membership]]
+    now_ms: float
+    commit_index: int
+    delivered_index: int
+    synced_index: int
+    role: Role = Role.FOLLOWER
+    leader_id: str = ""
+    leader_address: Address | None = None
+    # A member that acknowledged a heartbeat right before a restart must still honour it, so a
+    # start counts as contact with a leader.
+    leader_contact_ms: float = attrs.field(
+        default=attrs.Factory(lambda self: self.now_ms, takes_self=True)
+    )
+    election_deadline_ms: float = 0.0
+    votes: set[str] = attrs.field(factory=set)
+    progress: dict[str, Progress] = attrs.field(factory=dict)
+    term_start_index: int = 0
+    next_heartbeat_ms: float = 0.0
+    round_number: int = 0
+    round_sent_ms: dict[int, float] = attrs.field(factory=dict)
+    evidence_round: int = 0
+    evidence_ms: float = 0.0
+    transfer_target: str = ""
+    transfer_deadline_ms: float = 0.0
+    next_join_ms: float = 0.0
+    expelled: bool = False
+    ready_index: int | None = None
+    incoming: tuple[int, int, str] | None = None
+    incoming_data: bytearray = attrs.field(factory=bytearray)
+    effects: Effects = attrs.field(factory=Effects)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def membership(self) -> Membership:
+        """Return the membership in force, which is the latest in the log, committed or not."""
+        return self.configs[-1][1]
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this member votes under the membership in force."""
+        return self.membership.is_voter(self.own_id)
+
+    @property
+    def commit_confirmed(self) -> bool:
+        """Return whether this leader has committed an entry of its own term."""
+        return self.role is Role.LEADER and self.commit_index >= self.term_start_index
+
+    def set_hard_state(self, term: int, vote: str) -> None:
+        """Change term and vote, to be persisted with the effects."""
+        self.hard_state = self.effects.hard_state = HardState(term, vote)
+
+    def append(self, kind: EntryKind, data: bytes) -> Entry:
+        """Append an entry of the current term as leader."""
+        entry = Entry(self.log.last_index + 1, self.term, kind, data)
+        self.store(entry)
+        return entry
+
+    def store(self, entry: Entry) -> None:
+        """Append an entry to the log and to the effects; a membership takes effect at once."""
+        self.log.append(entry)
+        self.effects.entries.append(entry)
+        if entry.kind is EntryKind.MEMBERS:
+            self.configs.append((entry.index, Membership.decode(entry.data)))
+
+    def send(self, cls: type[M], recipient_id: str, address: Address, **fields: Any) -> None:
+        """Queue a message; ``fields`` may override the envelope."""
+        envelope = {
+            "group_id": self.group_id,
+            "sender_id": self.own_id,
+            "sender_address": self.own_address,
+            "recipient_id": recipient_id,
+            "term": self.term,
+        }
+        built = cls(**(envelope | fields))
+        self.effects.messages.append(Outgoing(address, built))
+
+    def reply(self, cls: type[M], request: GroupMessage, **fields: Any) -> None:
+        """Queue an answer to a message."""
+        self.send(cls, request.sender_id, request.sender_address, **fields)
+
+    def reset_election_deadline(self) -> None:
+        """Choose a new random election deadline."""
+        low, high = self.settings.election_min_ms, self.settings.election_max_ms
+        self.election_deadline_ms = self.now_ms + self.random.uniform(low, high)
+
+    def become_follower(self, term: int) -> None:
+        """Give up any other role and enter a term that is not lower than the current one."""
+        if term > self.term:
+            self.set_hard_state(term, "")
+            self.leader_id, self.leader_address = "", None
+        if self.role is Role.LEADER:
+            self.leader_id, self.leader_address = "", None
+        self.role = Role.FOLLOWER
+        self.progress.clear()
+        self.votes.clear()
+        self.transfer_target = ""
+        self.reset_election_deadline()
+
+    def follow(self, message: GroupMessage) -> None:
+        """Accept the sender of a current append or snapshot as leader."""
+        if message.term > self.term or self.role is not Role.FOLLOWER:
+            self.become_follower(message.term)
+        self.leader_id, self.leader_address = message.sender_id, message.sender_address
+        self.leader_contact_ms = self.now_ms
+        self.reset_election_deadline()
