--- a/src/briardyke/consensus/election.py
+++ b/src/briardyke/consensus/election.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from briardyke.consensus import replication
 from briardyke.consensus.log import EntryKind
-from briardyke.consensus.members import Member
 from briardyke.consensus.messages import (
-    GroupMessage,
     PreVoteReply,
     PreVoteRequest,
     TimeoutNow,
@@ -16,6 +16,9 @@
 from briardyke.consensus.state import NodeState, Progress, Role
 from briardyke.logs import log_event
 
+if TYPE_CHECKING:
+    from briardyke.consensus.members import Member
+
 
 def start_pre_vote(state: NodeState) -> None:
     """Ask the other voters whether an election could succeed.
--- a/src/briardyke/consensus/members.py
+++ b/src/briardyke/consensus/members.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from typing import Literal
+from typing import TYPE_CHECKING, Literal
 
 import attrs
 import msgpack
@@ -12,6 +11,9 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.settings import Address
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
 ID_SEPARATOR = "#"
 # Each membership entry carries the removed ids. 1,000 of them take less than 64 KiB.
 MAX_REMOVED_IDS = 1000
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Sequence
 from functools import singledispatch
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
@@ -29,7 +27,12 @@
 from briardyke.consensus.state import Effects, NodeSettings, NodeState, Role
 from briardyke.errors import ErrorKind, Failure
 from briardyke.logs import log_error, log_warning
-from briardyke.settings import Address
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from briardyke.settings import Address
 
 _DEFAULT_SETTINGS = NodeSettings()
 
@@ -270,11 +273,21 @@
     changed = state.membership.changed(change)
     if changed.is_err():
         return Err(changed.unwrap_err())
+    # A change that leaves no answering majority could never be committed nor undone.
+    if not changed.unwrap().has_majority(_answering(state)):
+        text = "the changed group would have no majority of answering voters"
+        return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text, "member_id"))
     reason = f"{change.action} {change.member_id}"
     replication.propose_members(state, changed.unwrap().encode(), reason)
     return Ok(None)
 
 
+def _answering(state: NodeState) -> set[str]:
+    oldest_ms = state.now_ms - state.settings.election_min_ms
+    heard = {i for i, row in state.progress.items() if row.match_index and row.heard_ms > oldest_ms}
+    return heard | {state.own_id}
+
+
 @singledispatch
 def _handle(message: Any, state: NodeState) -> None:
     log_warning("message_ignored", group=state.group_id, type=type(message).__name__)
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -266,6 +266,7 @@
     state.snapshot = state.effects.snapshot = snapshot
     if state.log.term_at(message.index) == message.index_term:
         kept = [row for row in state.configs if row[0] > message.index]
+        state.effects.snapshot_keeps_log = True
         state.log.compact(message.index)
     else:
         kept = []
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -96,6 +96,7 @@
 
     :param hard_state: term and vote to persist, if changed.
     :param snapshot: received snapshot to persist and restore.
+    :param snapshot_keeps_log: whether the entries after that snapshot stay valid.
     :param entries: entries to persist; one at a known index replaces it and all after it.
     :param messages: messages to send once everything above is synced.
     :param committed: entries to apply.
@@ -105,6 +106,7 @@
 
     hard_state: HardState | None = None
     snapshot: Snapshot | None = None
+    snapshot_keeps_log: bool = False
     entries: list[Entry] = attrs.field(factory=list)
     messages: list[Outgoing] = attrs.field(factory=list)
     committed: list[Entry] = attrs.field(factory=list)
@@ -211,7 +213,7 @@
 
     def send(self, cls: type[M], recipient_id: str, address: Address, **fields: Any) -> None:
         """Queue a message; ``fields`` may override the envelope."""
-        envelope = {
+        envelope: dict[str, Any] = {
             "group_id": self.group_id,
             "sender_id": self.own_id,
             "sender_address": self.own_address,
--- /dev/null
+++ b/tests/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated log."""
--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,337 @@
+"""Run pure nodes over simulated disks and a simulated network, and check Raft's guarantees."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgpack
+
+from briardyke.consensus.log import Entry, EntryKind, HardState, Recovered, Snapshot
+from briardyke.consensus.members import Member, MemberChange, Membership
+from briardyke.consensus.node import Node
+from briardyke.consensus.state import Effects, NodeSettings, Role
+from briardyke.settings import Address
+
+TICK_MS = 50.0
+
+
+class Disk:
+    """Hold what was synced; everything else is lost in a crash."""
+
+    def __init__(self) -> None:
+        self.hard_state, self.snapshot = HardState(), None
+        self.entries: list[Entry] = []
+
+    def save(self, effects: Effects) -> None:
+        self.hard_state = effects.hard_state or self.hard_state
+        if effects.snapshot is not None:
+            kept = self.entries if effects.snapshot_keeps_log else []
+            self.save_snapshot(effects.snapshot, kept)
+        for entry in effects.entries:
+            self.entries = [held for held in self.entries if held.index < entry.index] + [entry]
+
+    def save_snapshot(self, snapshot: Snapshot, kept: list[Entry]) -> None:
+        self.snapshot = snapshot
+        self.entries = [entry for entry in kept if entry.index > snapshot.index]
+
+    def holds(self, entry: Entry) -> bool:
+        if self.snapshot is not None and entry.index <= self.snapshot.index:
+            return True
+        return entry in self.entries
+
+    def recovered(self) -> Recovered:
+        return Recovered(self.hard_state, self.snapshot, tuple(self.entries))
+
+
+@attrs.define(eq=False)
+class Host:
+    """Hold one instance; ``node`` is ``None`` while its process is down."""
+
+    name: str
+    address: Address
+    member_id: str
+    founding: Membership
+    disk: Disk = attrs.field(factory=Disk)
+    node: Node | None = None
+    pending: deque[Effects] = attrs.field(factory=deque)
+    applied: list[bytes] = attrs.field(factory=list)
+    applied_index: int = 0
+    own_proposals: dict[int, int] = attrs.field(factory=dict)
+    frozen_until: float = 0.0
+
+
+class Cluster:
+    """Simulate several instances and check every guarantee after each event."""
+
+    def __init__(
+        self, voters: int = 3, extra: int = 0, seed: int = 0, sync_ms: float = 0.0
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now, self.sync_ms = 0.0, sync_ms
+        self.loss = self.duplication = 0.0
+        self.delay_ms = (1.0, 1.0)
+        self.settings = NodeSettings(
+            snapshot_chunk_bytes=64, kept_entries=3, max_append_entries=4, caught_up_entries=4
+        )
+        self.groups: list[set[str]] = []
+        self.blocked: Callable[[str, str, Any], bool] = lambda sender, receiver, message: False
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._storage_ids = itertools.count()
+        names = [chr(ord("a") + i) for i in range(voters + extra)]
+        addresses = {name: Address("127.0.0.1", 1 + i) for i, name in enumerate(names)}
+        self.founding = Membership(
+            tuple(Member(f"{name}#0", addresses[name], True) for name in names[:voters])
+        )
+        self.hosts = {
+            name: Host(name, addresses[name], f"{name}#0", self.founding) for name in names
+        }
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, Entry] = {}
+        self.acknowledged: list[Entry] = []
+        self.disks: dict[str, Disk | None] = {h.member_id: h.disk for h in self.hosts.values()}
+        for host in self.hosts.values():
+            if not self.founding.get(host.member_id):
+                host.founding = Membership()
+            self.start(host)
+            self._tick(host)
+
+    # Control of instances
+
+    def start(self, host: Host) -> None:
+        """Start a process from its synced disk."""
+        host.pending.clear()
+        host.own_proposals.clear()
+        recovered = host.disk.recovered()
+        host.applied, host.applied_index = [], 0
+        if recovered.snapshot:
+            self._restore(host, recovered.snapshot)
+        host.node = Node(
+            "g",
+            host.member_id,
+            host.address,
+            recovered,
+            host.founding,
+            random.Random(self.random.random()),
+            self.now,
+            [other.address for other in self.hosts.values()],
+            self.settings,
+        )
+
+    def crash(self, host: Host) -> None:
+        """End a process; unsynced effects are lost."""
+        host.node = None
+        host.pending.clear()
+
+    def lose_disk(self, host: Host, keep_id: bool = False) -> None:
+        """Empty a disk; the process returns as a new member that has to join."""
+        self.crash(host)
+        self.disks[host.member_id] = None
+        host.disk = Disk()
+        if not keep_id:
+            host.member_id = f"{host.name}#{next(self._storage_ids) + 1}"
+            host.founding = Membership()
+        self.disks[host.member_id] = host.disk
+        self.start(host)
+
+    def may_lose_disk(self, host: Host) -> bool:
+        """Return whether every membership in use keeps a majority of intact disks."""
+        memberships = [
+            members for other in self.running for _, members in other.node.state.configs
+        ]
+        return all(
+            not members.voters
+            or members.has_majority(
+                i for i, disk in self.disks.items() if disk is not None and i != host.member_id
+            )
+            for members in memberships
+        )
+
+    def freeze(self, host: Host, duration_ms: float) -> None:
+        """Suspend a process; its messages wait and its clock goes on."""
+        host.frozen_until = self.now + duration_ms
+
+    def compact(self, host: Host) -> None:
+        """Write a snapshot of everything applied."""
+        if host.node is None or host.pending or not host.applied_index:
+            return
+        term = host.node.state.log.term_at(host.applied_index)
+        if term is None or not host.disk.holds(self.committed[host.applied_index]):
+            return
+        members = host.node.membership_at(host.applied_index).encode()
+        data = msgpack.packb(host.applied)
+        snapshot = Snapshot(host.applied_index, term, members, data)
+        host.disk.save_snapshot(snapshot, host.disk.entries)
+        host.node.compact(snapshot)
+
+    def propose(self, host: Host, command: bytes) -> bool:
+        """Propose a command; return whether it was accepted."""
+        assert host.node is not None
+        effects = host.node.propose([command])
+        for index, term in effects.proposed:
+            host.own_proposals[index] = term
+        self._carry_out(host, effects)
+        return bool(effects.proposed)
+
+    def change(self, host: Host, change: MemberChange) -> Effects:
+        """Propose a membership change."""
+        effects = host.node.propose_change(change)
+        self._carry_out(host, effects)
+        return effects
+
+    def transfer(self, host: Host) -> None:
+        """Hand over leadership."""
+        self._carry_out(host, host.node.transfer(self.now))
+
+    @property
+    def running(self) -> list[Host]:
+        return [host for host in self.hosts.values() if host.node is not None]
+
+    def leader(self) -> Host | None:
+        """Return the running leader of the highest term."""
+        leading = [host for host in self.running if host.node.state.role is Role.LEADER]
+        return max(leading, key=lambda host: host.node.state.term, default=None)
+
+    def heal(self) -> None:
+        """End all faults and start all processes."""
+        self.loss = self.duplication = 0.0
+        self.delay_ms, self.groups = (1.0, 1.0), []
+        for host in self.hosts.values():
+            host.frozen_until = 0.0
+            if host.node is None:
+                self.start(host)
+
+    def settle(self, timeout_ms: float = 30_000) -> Host:
+        """Run until a command is acknowledged by a leader and applied by all members."""
+        command = f"settle-{self.now}".encode()
+        proposed, end = None, self.now + timeout_ms
+        while self.now < end:
+            self.advance(100)
+            leader = self.leader()
+            if leader is not None and proposed is not leader and self.propose(leader, command):
+                proposed = leader
+            listed = leader.node.state.membership.members if leader else ()
+            members = [h for h in self.running if any(h.member_id == m.member_id for m in listed)]
+            if members and all(command in host.applied for host in members):
+                assert leader is not None
+                return leader
+        raise AssertionError(f"no progress: {[h.node.state.membership for h in self.running]}")
+
+    # Simulation
+
+    def advance(self, duration_ms: float) -> None:
+        """Process all events of the next milliseconds."""
+        end = self.now + duration_ms
+        while self._events and self._events[0][0] <= end:
+            at, _, action = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            action()
+        self.now = end
+
+    def _at(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), action))
+
+    def _tick(self, host: Host) -> None:
+        if host.node is not None and self.now >= host.frozen_until:
+            self._carry_out(host, host.node.tick(self.now))
+        self._at(max(self.now + TICK_MS, host.frozen_until), lambda: self._tick(host))
+
+    def _carry_out(self, host: Host, effects: Effects) -> None:
+        self._check_leaders()
+        host.pending.append(effects)
+        if self.sync_ms:
+            node = host.node
+            delay = self.random.uniform(0, self.sync_ms)
+            self._at(self.now + delay, lambda: self._flush(host, node))
+        else:
+            self._flush(host, host.node)
+
+    def _flush(self, host: Host, node: Node | None) -> None:
+        if host.node is not node or node is None:
+            return
+        if self.now < host.frozen_until:
+            self._at(host.frozen_until, lambda: self._flush(host, node))
+            return
+        while host.pending:
+            effects = host.pending.popleft()
+            host.disk.save(effects)
+            if effects.snapshot is not None:
+                self._restore(host, effects.snapshot)
+            for outgoing in effects.messages:
+                self._send(host, outgoing.address, outgoing.message)
+            if effects.entries:
+                last = effects.entries[-1]
+                host.pending.append(node.synced(last.index, last.term))
+            for entry in effects.committed:
+                self._apply(host, entry)
+
+    def _send(self, host: Host, address: Address, message: Any) -> None:
+        receiver = next(h for h in self.hosts.values() if h.address == address)
+        copies = 2 if self.random.random() < self.duplication else 1
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                at = self.now + self.random.uniform(*self.delay_ms)
+                self._at(at, lambda: self._deliver(host, receiver, message))
+
+    def _deliver(self, sender: Host, receiver: Host, message: Any) -> None:
+        for group in self.groups:
+            if (sender.name in group) != (receiver.name in group):
+                return
+        if self.blocked(sender.name, receiver.name, message):
+            return
+        if self.now < receiver.frozen_until:
+            self._at(receiver.frozen_until, lambda: self._deliver(sender, receiver, message))
+        elif receiver.node is not None:
+            self._carry_out(receiver, receiver.node.step(message, self.now))
+
+    # Checks
+
+    def _check_leaders(self) -> None:
+        fresh = []
+        for host in self.running:
+            state = host.node.state
+            if state.role is Role.LEADER:
+                first = self.leaders.setdefault(state.term, host.member_id)
+                assert first == host.member_id, f"two leaders in term {state.term}"
+                age = host.node.confirmed_age_ms(self.now)
+                if age is not None and age < 900:
+                    fresh.append(state.term)
+        assert len(fresh) <= 1, f"two leaders with fresh evidence: terms {fresh}"
+
+    def _apply(self, host: Host, entry: Entry) -> None:
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f"committed entry changed: {known} became {entry}"
+        assert entry.index == host.applied_index + 1, "entry applied out of order"
+        host.applied_index = entry.index
+        if entry.kind is EntryKind.COMMAND:
+            host.applied.append(entry.data)
+        if host.own_proposals.pop(entry.index, None) == entry.term:
+            voters = host.node.state.membership.voters
+            on_disk = [
+                self.disks[m.member_id] is None or self.disks[m.member_id].holds(entry)
+                for m in voters
+            ]
+            assert sum(on_disk) > len(voters) // 2, "acknowledged without a synced majority"
+            self.acknowledged.append(entry)
+
+    def _restore(self, host: Host, snapshot: Snapshot) -> None:
+        commands = msgpack.unpackb(snapshot.data)
+        expected = [
+            entry.data
+            for index, entry in sorted(self.committed.items())
+            if index <= snapshot.index and entry.kind is EntryKind.COMMAND
+        ]
+        assert commands == expected, "snapshot differs from the committed entries"
+        host.applied, host.applied_index = commands, snapshot.index
+
+    def check_durable(self) -> None:
+        """Check that every acknowledged command is applied by the current leader."""
+        leader = self.settle()
+        missing = [e for e in self.acknowledged if e.data not in leader.applied]
+        assert not missing, f"acknowledged commands were lost: {missing}"
