--- /dev/null
+++ b/src/briardyke/placement/draft.py
@@ -0,0 +1,197 @@
+"""Hold the working state of one placement decision."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.placement.candidates import Candidates
+from briardyke.placement.reservations import Engine, live_engines
+from briardyke.placement.tables import Step, StepKind
+
+if TYPE_CHECKING:
+    from briardyke.placement.tables import PlacementView
+
+# Ten times the order timeout: an engine that announces itself but takes no orders this long is
+# cut off in one direction, and the model is placed elsewhere.
+STUCK_MS = 30_000.0
+# The target size generates 23 million tokens for 50,000 requests per second.
+TOKENS_PER_REQUEST = 460.0
+
+
+# A search for victims over 10,000 engines takes some 100 ms, so few are made per decision; the
+# most urgent models come first and the next decision continues.
+MAX_SCANS = 4
+
+
+class Draft:
+    """Track memory, replicas and pressure while steps are added.
+
+    :param engines: live engines by upstream id.
+    :param steps: steps decided so far.
+    :param loaded: engines with a replica that serves now and is not being unloaded, by item.
+    :param coming: engines on which a load of the item is on its way, by item.
+    :param doubtful: engines that reserve memory for the item, which may or may not be there.
+    :param leaving: bytes being unloaded by upstream id.
+    :param free: bytes that a new reservation may take, by upstream id; may fall below zero when
+        memory that is being unloaded is already assigned.
+    :param unloading: upstream ids and items that are being unloaded.
+    :param stuck: upstream ids and items whose load is in doubt for too long.
+    :param pressure: demand in tokens per second that falls on each engine.
+    """
+
+    def __init__(self, view: PlacementView, now_ms: float) -> None:
+        """Build the state from the view in time proportional to its size."""
+        self.view = view
+        self.now_ms = now_ms
+        self.models = view.configuration.models
+        self.adapters = view.configuration.adapters
+        self.engines = live_engines(view)
+        self.steps: list[Step] = []
+        self._scans = 0
+        self.loaded: dict[str, set[str]] = {}
+        self.coming: dict[str, set[str]] = {}
+        self.doubtful: dict[str, set[str]] = {}
+        self.leaving: dict[str, int] = {}
+        self.unloading: set[tuple[str, str]] = set()
+        self.stuck: set[tuple[str, str]] = set()
+        self.free = {i: e.free_bytes for i, e in self.engines.items()}
+        self.pressure = dict.fromkeys(self.engines, 0.0)
+        ready = [i for i, e in self.engines.items() if e.ready]
+        self.candidates = Candidates(ready, self.pressure)
+        for engine in self.engines.values():
+            self._sort_items(engine)
+        for name, adapter in self.adapters.items():
+            beside = self.loaded.get(adapter.model, set())
+            if name in self.loaded:
+                self.loaded[name] &= beside
+        # Sorted, because the rounding of the sums depends on their order.
+        for item in sorted(self.loaded.keys() | self.coming.keys()):
+            self._press(item, 1.0)
+
+    def demand(self, item: str) -> float:
+        """Return the demand for an item in tokens per second."""
+        demand = self.view.demand.get(item)
+        if demand is None:
+            return 0.0
+        requested = (demand.requests_per_second + demand.waiting_requests) * TOKENS_PER_REQUEST
+        return demand.tokens_per_second or requested
+
+    def size(self, item: str) -> int:
+        """Return the memory of an item of the current version in bytes."""
+        found = self.models.get(item) or self.adapters[item]
+        return found.size_bytes
+
+    def known(self, item: str) -> bool:
+        """Return whether the item is in the current version."""
+        return item in self.models or item in self.adapters
+
+    def replicas(self, item: str) -> set[str]:
+        """Return the engines that serve the item now or after their load."""
+        return self.loaded.get(item, set()) | self.coming.get(item, set())
+
+    def allowed(self, item: str, upstream_id: str) -> bool:
+        """Return whether a ready engine may carry the item now."""
+        adapter = self.adapters.get(item)
+        if adapter is not None:
+            return upstream_id in self.loaded.get(adapter.model, ())
+        return self.candidates.is_allowed(self.models[item].instances, upstream_id)
+
+    def need(self, item: str, upstream_id: str) -> int:
+        """Return the bytes that a load must newly reserve; 0 when they are reserved already."""
+        return max(0, self.size(item) - self.engines[upstream_id].sizes.get(item, 0))
+
+    def can_take(self, item: str, upstream_id: str) -> bool:
+        """Return whether a load of the item can be ordered without any unload."""
+        return self.eligible(item, upstream_id) and self.need(item, upstream_id) <= max(
+            0, self.free[upstream_id]
+        )
+
+    def eligible(self, item: str, upstream_id: str) -> bool:
+        """Return whether the engine lacks the item and did not refuse it recently."""
+        return (
+            upstream_id not in self.loaded.get(item, ())
+            and upstream_id not in self.coming.get(item, ())
+            and (upstream_id, item) not in self.view.blocked
+            and (upstream_id, item) not in self.stuck
+            and (upstream_id, item) not in self.unloading
+        )
+
+    def load(self, item: str, upstream_id: str) -> None:
+        """Add a load that fits."""
+        need = self.need(item, upstream_id)
+        engine = self.engines[upstream_id]
+        self._press(item, -1.0)
+        self.free[upstream_id] -= need
+        if (upstream_id, item) in self.unloading:
+            self.unloading.discard((upstream_id, item))
+            self.leaving[upstream_id] -= engine.sizes[item]
+        engine.sizes[item] = engine.sizes.get(item, 0) + need
+        self.coming.setdefault(item, set()).add(upstream_id)
+        self.doubtful.get(item, set()).discard(upstream_id)
+        self._press(item, 1.0)
+        self._step(StepKind.LOAD, item, upstream_id, self.size(item))
+
+    def unload(self, item: str, upstream_id: str) -> None:
+        """Add an unload; its memory is assignable but not free."""
+        self._press(item, -1.0)
+        self.loaded.get(item, set()).discard(upstream_id)
+        self.doubtful.get(item, set()).discard(upstream_id)
+        self._press(item, 1.0)
+        size = self.engines[upstream_id].sizes[item]
+        self.leaving[upstream_id] = self.leaving.get(upstream_id, 0) + size
+        self.unloading.add((upstream_id, item))
+        self._step(StepKind.UNLOAD, item, upstream_id, size)
+
+    def claim(self, item: str, upstream_id: str) -> None:
+        """Assign memory that is being unloaded to an item that is loaded later."""
+        need = self.need(item, upstream_id)
+        self.free[upstream_id] -= need
+
+    def available(self, upstream_id: str) -> int:
+        """Return free bytes plus those being unloaded, less what is assigned."""
+        return self.free[upstream_id] + self.leaving.get(upstream_id, 0)
+
+    def may_scan(self) -> bool:
+        """Return whether one more search over all engines may be made in this decision."""
+        self._scans += 1
+        return self._scans <= MAX_SCANS
+
+    def _step(self, kind: StepKind, item: str, upstream_id: str, size: int) -> None:
+        incarnation = self.engines[upstream_id].incarnation
+        self.steps.append(Step(kind, upstream_id, incarnation, item, size))
+
+    def _sort_items(self, engine: Engine) -> None:
+        upstream_id = engine.upstream_id
+        for item in engine.sizes:
+            order = self.view.pending.get((upstream_id, item))
+            if order is not None and order.kind is StepKind.UNLOAD:
+                self.unloading.add((upstream_id, item))
+                if engine.checks_fencing:
+                    size = engine.sizes[item]
+                    self.leaving[upstream_id] = self.leaving.get(upstream_id, 0) + size
+                continue
+            model = self.models.get(item)
+            if not engine.ready or not self.known(item):
+                continue
+            if model is not None and not self.candidates.is_allowed(model.instances, upstream_id):
+                continue
+            if item in engine.loaded:
+                self.loaded.setdefault(item, set()).add(upstream_id)
+            elif item in engine.loading:
+                self.coming.setdefault(item, set()).add(upstream_id)
+            elif order is None:
+                self.doubtful.setdefault(item, set()).add(upstream_id)
+            elif self.now_ms - order.since_ms < STUCK_MS:
+                self.coming.setdefault(item, set()).add(upstream_id)
+            else:
+                self.stuck.add((upstream_id, item))
+
+    def _press(self, item: str, sign: float) -> None:
+        replicas = self.replicas(item)
+        demand = self.demand(item)
+        if not replicas or not demand:
+            return
+        share = sign * demand / len(replicas)
+        for upstream_id in replicas:
+            self.pressure[upstream_id] += share
+            self.candidates.changed(upstream_id)
--- /dev/null
+++ b/src/briardyke/placement/replicas.py
@@ -0,0 +1,144 @@
+"""Add replicas where demand exceeds what the present ones serve, if the gain pays for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.placement.room import victims
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.placement.draft import Draft
+
+# Above this use an engine is taken to miss its targets for the excess.
+HIGH_USE = 0.9
+# Demand that varies tenfold within an hour changes by a fifth within this time, so the present
+# demand is a fair forecast for as long.
+HORIZON_MS = 300_000.0
+# Gain is counted in minutes of one engine's throughput served within target. A replica that is
+# fully used over the horizon gains 5, so a move weight of 1 asks for a fifth of an engine.
+GAIN_UNIT_MS = 60_000.0
+# An engine that ignores fencing tokens never frees the memory, so a load there counts double.
+PERMANENT_MOVES = 2
+_PROBES = 32
+_MAX_REPLICAS_PER_DECISION = 16
+
+
+def gain(draft: Draft, served_tokens_per_second: float) -> float:
+    """Return the weighted gain of serving more demand over the horizon."""
+    engines = served_tokens_per_second / draft.view.engine_tokens_per_second
+    weight = draft.view.configuration.placement.attainment_weight
+    return weight * engines * HORIZON_MS / GAIN_UNIT_MS
+
+
+def unserved(draft: Draft, item: str) -> float:
+    """Return the item's demand beyond the capacity of its replicas, in tokens per second."""
+    replicas = draft.replicas(item)
+    if not replicas:
+        return 0.0
+    share = draft.demand(item) / len(replicas)
+    limit = HIGH_USE * draft.view.engine_tokens_per_second
+    return sum(
+        share * (1.0 - limit / draft.pressure[i])
+        for i in sorted(replicas)
+        if draft.pressure[i] > limit
+    )
+
+
+def follow_demand(draft: Draft, max_steps: int) -> None:
+    """Add replicas for items on overloaded engines, the largest excess first.
+
+    Only items that have a replica on an overloaded engine are examined.
+
+    :param draft: state of the decision.
+    :param max_steps: number of steps at which to stop.
+    """
+    limit = HIGH_USE * draft.view.engine_tokens_per_second
+    busy = {i for i, pressure in draft.pressure.items() if pressure > limit}
+    items = {item for i in busy for item in draft.engines[i].sizes if draft.known(item)}
+    ranked = sorted((-unserved(draft, item), item) for item in items if draft.demand(item) > 0)
+    for _, item in ranked:
+        for _ in range(_MAX_REPLICAS_PER_DECISION):
+            if len(draft.steps) >= max_steps or not _add_replica(draft, item):
+                break
+
+
+def _add_replica(draft: Draft, item: str) -> bool:
+    excess = unserved(draft, item)
+    weight = draft.view.configuration.placement.move_weight
+    if excess <= 0 or gain(draft, excess) <= weight:
+        return False
+    target = _least_busy(draft, item)
+    if target is not None and _pays(draft, item, target, excess, _load_moves(draft, target)):
+        draft.load(item, target)
+        return True
+    return _replace(draft, item, excess)
+
+
+def _replace(draft: Draft, item: str, excess: float) -> bool:
+    tested: list[str] = []
+
+    def has_room(upstream_id: str) -> bool:
+        tested.append(upstream_id)
+        if not draft.engines[upstream_id].checks_fencing or not draft.eligible(item, upstream_id):
+            return False
+        chosen = victims(draft, upstream_id, item, draft.need(item, upstream_id))
+        if chosen is None:
+            return False
+        return _pays(draft, item, upstream_id, excess, 1 + len(chosen))
+
+    target = _search(draft, item, has_room)
+    if target is None:
+        return False
+    for other in victims(draft, target, item, draft.need(item, target)) or []:
+        draft.unload(other, target)
+    draft.claim(item, target)
+    return False
+
+
+def _least_busy(draft: Draft, item: str) -> str | None:
+    doubtful = [i for i in draft.doubtful.get(item, ()) if draft.can_take(item, i)]
+    if doubtful and all(draft.allowed(item, i) for i in doubtful):
+        return min(doubtful, key=lambda i: (draft.pressure[i], i))
+    return _search(draft, item, lambda i: draft.can_take(item, i) and _headroom(draft, item, i))
+
+
+def _search(draft: Draft, item: str, accepts: Callable[[str], bool]) -> str | None:
+    adapter = draft.adapters.get(item)
+    if adapter is None:
+        return draft.candidates.least_busy(draft.models[item].instances, accepts, _PROBES)
+    beside = draft.loaded.get(adapter.model, set())
+    for upstream_id in sorted(beside, key=lambda i: (draft.pressure[i], i))[:_PROBES]:
+        if accepts(upstream_id):
+            return upstream_id
+    return None
+
+
+def _headroom(draft: Draft, item: str, upstream_id: str) -> bool:
+    """Keep room on engines that cannot free memory for the largest model that may need it."""
+    engine = draft.engines[upstream_id]
+    if engine.checks_fencing or item in engine.sizes:
+        return True
+    largest = max(
+        (
+            model.size_bytes
+            for name, model in draft.models.items()
+            if name != item
+            and name not in engine.sizes
+            and draft.candidates.is_allowed(model.instances, upstream_id)
+        ),
+        default=0,
+    )
+    return draft.free[upstream_id] - draft.need(item, upstream_id) >= largest
+
+
+def _load_moves(draft: Draft, upstream_id: str) -> int:
+    return 1 if draft.engines[upstream_id].checks_fencing else PERMANENT_MOVES
+
+
+def _pays(draft: Draft, item: str, upstream_id: str, excess: float, moves: int) -> bool:
+    spare = HIGH_USE * draft.view.engine_tokens_per_second - draft.pressure[upstream_id]
+    share = draft.demand(item) / (len(draft.replicas(item)) + 1)
+    served = min(excess, spare, share)
+    return gain(draft, served) > moves * draft.view.configuration.placement.move_weight
--- /dev/null
+++ b/src/briardyke/placement/room.py
@@ -0,0 +1,136 @@
+"""Find room on an engine by unloading what is needed least."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.placement.tables import StepKind
+
+if TYPE_CHECKING:
+    from briardyke.placement.draft import Draft
+
+# A replica is given up only when the others stay below this use, and one is added above HIGH_USE
+# (plan.py). The gap keeps demand that varies by a quarter from loading and unloading in turn.
+LOW_USE = 0.65
+
+
+def unwanted(draft: Draft, upstream_id: str, item: str) -> bool:
+    """Return whether an item serves nothing where it is.
+
+    That is an item outside the current version, a model on an engine that its patterns no longer
+    match once an allowed engine serves it, and an adapter on an engine without its model.
+    """
+    if item in draft.models:
+        allowed = draft.candidates.is_allowed(draft.models[item].instances, upstream_id)
+        return not allowed and bool(draft.loaded.get(item))
+    if item in draft.adapters:
+        model = draft.adapters[item].model
+        return model not in draft.engines[upstream_id].sizes
+    return True
+
+
+def spare(draft: Draft, upstream_id: str, item: str) -> bool:
+    """Return whether the other replicas of a model serve its demand without this one."""
+    others = draft.loaded.get(item, set()) - {upstream_id}
+    if not others or len(others) < draft.models[item].minimum_replicas:
+        return False
+    replicas = draft.replicas(item)
+    if upstream_id not in replicas:
+        return False
+    demand = draft.demand(item)
+    extra = demand / (len(replicas) - 1) - demand / len(replicas)
+    limit = LOW_USE * draft.view.engine_tokens_per_second
+    return all(draft.pressure[other] + extra <= limit for other in others) or demand == 0.0
+
+
+def victims(
+    draft: Draft, upstream_id: str, item: str, need: int, *, reach: bool = False
+) -> list[str] | None:
+    """Return items whose unloading makes room, least valuable first.
+
+    An adapter gives way to a model, and to an adapter that is more in demand or has callers
+    waiting while the victim has none. A model gives way only when :func:`spare` allows, or when
+    the item is otherwise unreachable and another replica of the victim serves callers.
+
+    :param draft: state of the decision.
+    :param upstream_id: engine that needs room.
+    :param item: item that the room is for.
+    :param need: bytes that the item must reserve.
+    :param reach: whether the item is unreachable without the room.
+    :return: items to unload, empty when the room is on its way; ``None`` when there is not enough.
+    """
+    engine = draft.engines[upstream_id]
+    missing = need - draft.available(upstream_id)
+    if missing <= 0:
+        return []
+    if not engine.checks_fencing:
+        return None
+    chosen: list[str] = []
+    for _, _, size, other in removable(draft, upstream_id, item, reach):
+        if missing <= 0:
+            break
+        chosen.append(other)
+        missing += size
+    if missing > 0:
+        return None
+    return _without_needless(draft, upstream_id, chosen, -missing)
+
+
+def removable(
+    draft: Draft, upstream_id: str, item: str, reach: bool
+) -> list[tuple[int, float, int, str]]:
+    """Return what may give way to an item, as (rank, demand, negative size, name), sorted."""
+    ranked = []
+    for other, size in draft.engines[upstream_id].sizes.items():
+        if other == item or (upstream_id, other) in draft.unloading:
+            continue
+        rank = _rank(draft, upstream_id, other, item, reach)
+        if rank is not None:
+            ranked.append((rank, draft.demand(other), -size, other))
+    return sorted(ranked)
+
+
+def _rank(draft: Draft, upstream_id: str, other: str, item: str, reach: bool) -> int | None:
+    if (upstream_id, other) in draft.stuck:
+        return 1
+    order = draft.view.pending.get((upstream_id, other))
+    if order is not None and order.kind is StepKind.LOAD:
+        return None
+    if unwanted(draft, upstream_id, other):
+        return 0
+    if upstream_id in draft.coming.get(other, ()):
+        return None
+    if other in draft.models:
+        if upstream_id in draft.doubtful.get(other, ()):
+            return 1
+        if spare(draft, upstream_id, other):
+            return 3
+        return 4 if reach and draft.loaded.get(other, set()) - {upstream_id} else None
+    if item == draft.adapters[other].model:
+        return None
+    if item in draft.models or draft.demand(other) == 0.0:
+        return 2
+    more = draft.demand(item) > draft.demand(other) * ADAPTER_MARGIN
+    blocked = _waiting(draft, item) and not _waiting(draft, other)
+    return 2 if more or blocked else None
+
+
+# An adapter replaces one whose demand is at most half of its own, so that two adapters with
+# similar demand do not replace each other in turn.
+ADAPTER_MARGIN = 2.0
+
+
+def _waiting(draft: Draft, item: str) -> bool:
+    demand = draft.view.demand.get(item)
+    return demand is not None and demand.waiting_requests > 0
+
+
+def _without_needless(draft: Draft, upstream_id: str, chosen: list[str], excess: int) -> list[str]:
+    sizes = draft.engines[upstream_id].sizes
+    kept = []
+    for other in chosen:
+        if sizes[other] <= excess:
+            excess -= sizes[other]
+        else:
+            kept.append(other)
+    return kept
--- /dev/null
+++ b/src/briardyke/placement/store_rate.py
@@ -0,0 +1,87 @@
+"""Limit how fast loads are started, so that the weight store stays at full speed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from briardyke.agreed.configuration import PlacementSettings
+
+# A load that is neither confirmed nor announced counts as in transit this long. It is ten times
+# the silence after which an upstream counts as dead, so a slow network rarely outlasts it.
+TRANSIT_TIMEOUT_MS = 30_000.0
+
+
+@attrs.define
+class _Transit:
+    is_adapter: bool
+    expires_at_ms: float
+
+
+class StoreRate:
+    """Count loads in transit and the time since the last start.
+
+    Rate and concurrency of the store apply to models. Adapters have a limit of their own, because
+    they take milliseconds and would otherwise wait behind models at one start per second.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        """Start as if a load had just started: the previous leader may have started one.
+
+        :param now_ms: current time in milliseconds.
+        """
+        self._transits: dict[tuple[str, str, str], _Transit] = {}
+        self._last_start_ms = now_ms
+        self._adapters = 0
+
+    def may_start(self, is_adapter: bool, settings: PlacementSettings, now_ms: float) -> bool:
+        """Return whether a load may start now.
+
+        :param is_adapter: whether the item is an adapter.
+        :param settings: limits in force.
+        :param now_ms: current time in milliseconds.
+        """
+        self._expire(now_ms)
+        if is_adapter:
+            return self._adapters < settings.adapters_in_transit
+        if len(self._transits) - self._adapters >= settings.store_concurrent_loads:
+            return False
+        rate = settings.store_loads_per_second
+        return rate > 0 and now_ms - self._last_start_ms >= 1000.0 / rate
+
+    def start(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
+        """Count a load that starts now.
+
+        :param key: upstream id, incarnation and item.
+        :param is_adapter: whether the item is an adapter.
+        :param now_ms: current time in milliseconds.
+        """
+        self.hold(key, is_adapter, now_ms)
+        if not is_adapter:
+            self._last_start_ms = now_ms
+
+    def hold(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
+        """Count a load as in transit from now, such as one announced or left by another leader."""
+        self.finish(key)
+        self._transits[key] = _Transit(is_adapter, now_ms + TRANSIT_TIMEOUT_MS)
+        self._adapters += is_adapter
+
+    def finish(self, key: tuple[str, str, str]) -> None:
+        """Stop counting a load that is confirmed or cannot run any more."""
+        transit = self._transits.pop(key, None)
+        if transit is not None:
+            self._adapters -= transit.is_adapter
+
+    def in_transit(self) -> set[tuple[str, str, str]]:
+        """Return the keys of all loads that count as in transit."""
+        return set(self._transits)
+
+    def holds(self, key: tuple[str, str, str]) -> bool:
+        """Return whether a load counts as in transit."""
+        return key in self._transits
+
+    def _expire(self, now_ms: float) -> None:
+        for key in [k for k, t in self._transits.items() if t.expires_at_ms <= now_ms]:
+            self.finish(key)
--- a/src/briardyke/placement/tables.py
+++ b/src/briardyke/placement/tables.py
@@ -42,6 +42,24 @@
     size_bytes: int
 
 
+@attrs.frozen
+class PendingOrder:
+    """Describe an order that the engine has not confirmed yet.
+
+    :param kind: load or unload.
+    :param size_bytes: memory of the item, held even before its reservation is visible.
+    :param since_ms: time at which the order was created, on the runtime's clock.
+    """
+
+    kind: StepKind
+    size_bytes: int
+    since_ms: float
+
+
+# The target size of 23 million tokens per second on 10,000 workers.
+ENGINE_TOKENS_PER_SECOND = 2300.0
+
+
 @attrs.frozen
 class PlacementView:
     """Hold everything that placement decides from.
@@ -53,6 +71,9 @@
     :param upstreams: live upstreams by id; one that is silent is absent.
     :param demand: demand over all entry instances, by model or adapter name.
     :param term: leader's term, the first half of new fencing tokens.
+    :param pending: unconfirmed orders of this leader by upstream id and item; the runner sets it.
+    :param blocked: upstream ids and items that were refused recently; the runner sets it.
+    :param engine_tokens_per_second: demand that one engine serves within the targets.
     """
 
     version: int
@@ -62,6 +83,9 @@
     upstreams: dict[str, UpstreamRow]
     demand: dict[str, ModelDemand]
     term: int
+    pending: dict[tuple[str, str], PendingOrder] = attrs.field(factory=dict)
+    blocked: frozenset[tuple[str, str]] = frozenset()
+    engine_tokens_per_second: float = ENGINE_TOKENS_PER_SECOND
 
 
 class MemoryLedger(Protocol):
