--- a/src/briardyke/control/__init__.py
+++ b/src/briardyke/control/__init__.py
@@ -1,1 +1,1 @@
-"""Run the control process, which replicates and serves the agreed state."""
+"""Run a control process: agreed state, sync responder, leader systems and operator API."""
