--- a/src/briardyke/agreed/history.py
+++ b/src/briardyke/agreed/history.py
@@ -115,7 +115,7 @@
             text = "request id was used for a different patch"
             return encode(refuse(ErrorKind.KEY_REUSED, text, "request_id"))
         result = self._evaluate(command, upstreams)
-        outcome = encode(result.value)
+        outcome = encode(result.unwrap_or_else(lambda refusal: refusal))
         self._keep_outcome(command.request_id, KeptOutcome(digest, outcome, self._wall_ms))
         self._record(command, result, size_bytes)
         return outcome
--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -40,7 +40,8 @@
     async def propose(self, command: bytes, timeout_ms: int) -> Result[bytes, Failure]:
         """Return the outcome of the applied command.
 
-        :param command: encoded command; the leader stamps its own wall time on it.
+        :param command: encoded command, stamped with this process's wall time; the leader may
+            put its own in its place with :func:`briardyke.agreed.commands.restamp`.
         :param timeout_ms: longest wait.
         """
 
@@ -193,7 +194,9 @@
 
 def _failed(failure: Failure, request_id: str) -> Response:
     if failure.answer.ran is not Ran.NO:
-        failure = attrs.evolve(failure, message=f"{failure.message}; {_RESEND}")
+        known = failure.kind is ErrorKind.OUTCOME_UNKNOWN
+        text = _RESEND if known else f"{failure.message}; {_RESEND}"
+        failure = attrs.evolve(failure, message=text)
     log_event("patch_failed", kind=failure.kind.value, request_id=request_id)
     return error_response(failure, request_id)
 
