Check shares and ledger with state machines; do not confirm expired shares

The share state machine found that an instance returning after its lease reported shares that others already had, and was confirmed in them: 17.5 granted of a limit of 10.

--- a/src/briardyke/policy/beliefs.py
+++ b/src/briardyke/policy/beliefs.py
@@ -67,6 +67,10 @@
                 largest = grant.value
         return largest
 
+    def entitled(self, now_ms: float) -> float:
+        """Return the largest unexpired grant of this leader, whatever the instance reported."""
+        return max((g.value for g in self._grants if now_ms < g.expires_ms), default=0.0)
+
     def expire(self, now_ms: float) -> bool:
         """Drop what has expired; return whether nothing is left."""
         self._grants = [grant for grant in self._grants if now_ms < grant.expires_ms]
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -91,8 +91,12 @@
         :param request: what the request uses; its estimated tokens are charged now.
         :param now_ms: current time.
         :return: a permit to settle later, or ``rate_limited`` or ``concurrency_limited`` with the
-            time after which a retry can succeed.
+            time after which a retry can succeed; ``version_unconfirmed`` before the first
+            :meth:`apply`.
         """
+        if self._expires_at_ms == float("-inf"):
+            text = "no configuration has been received yet"
+            return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, text, retry_after_ms=1000))
         limit_ids = self._matching(request)
         failure: Failure | None = None
         for limit_id in limit_ids:
@@ -163,18 +167,24 @@
             use.refused = 0
         return report
 
-    def held(self) -> list[LimitShare]:
-        """Return the held shares for the next sync.
+    def held(self, now_ms: float) -> list[LimitShare]:
+        """Return what this instance holds, for the next sync.
 
-        Concurrency in use above the share, after the share shrank, counts as held until the
-        requests end, so that the leader does not grant it to another instance meanwhile.
+        Concurrency in use above the share, after the share shrank or its lease ended, counts as
+        held until the requests end, so that the leader does not grant it to another instance
+        meanwhile. Other parts of an expired share are not held: others may have them by now.
+
+        :param now_ms: current time, not before the send time that the next lease counts from.
         """
-        held = dict(self._shares)
+        held = dict(self._shares) if now_ms < self._expires_at_ms else {}
         for (limit_id, caller), use in self._uses.items():
-            share = self._share(limit_id, caller)
-            if share is None or share.concurrent_requests is None:
+            share = held.get((limit_id, caller)) or held.get((limit_id, ANY))
+            limit = self._limits.get(limit_id)
+            if not use.in_use or limit is None or limit.concurrent_requests is None:
                 continue
-            if use.in_use > share.concurrent_requests:
+            if share is None:
+                share = LimitShare(limit_id, caller, 0, None, 0, None)
+            if use.in_use > (share.concurrent_requests or 0):
                 held[limit_id, caller] = attrs.evolve(
                     share, caller=caller, concurrent_requests=use.in_use
                 )
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -243,7 +243,16 @@
         Shares shrink at once. They grow only by what no instance can be using any more.
         """
         largest = {instance_id: belief.largest(now_ms) for instance_id, belief in beliefs.items()}
-        spare = max(0.0, total - sum(largest.values()))
+        spare = total - sum(largest.values())
+        if spare < 0.0:
+            # The limit was lowered, or an instance reports more than this leader granted, such as
+            # requests that outlived their lease. A report then entitles to nothing by itself.
+            return {
+                instance_id: min(
+                    target, beliefs[instance_id].entitled(now_ms) if instance_id in beliefs else 0.0
+                )
+                for instance_id, target in targets.items()
+            }
         missing = {
             instance_id: target - largest.get(instance_id, 0.0)
             for instance_id, target in targets.items()
--- /dev/null
+++ b/tests/policy/test_shares.py
@@ -0,0 +1,252 @@
+"""Check that leased shares of a limit never add up to more than the limit."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from briardyke.agreed.configuration import Limit
+from briardyke.policy.fairness import max_min, whole_numbers
+from briardyke.policy.limits import LimitLedger
+from briardyke.policy.shares import ShareAllocator
+from briardyke.policy.tables import LimitRequest, Permit
+from briardyke.wire.messages import LimitShare, ShareDemand
+
+LEASE_MS = 6000.0
+INSTANCES = ("i0", "i1", "i2", "i3")
+CALLERS = ("x", "y")
+LOAD = st.sampled_from((0.0, 1.0, 4.0, 30.0))
+
+
+def limit_of(units: int) -> dict[str, Limit]:
+    return {"l": Limit("*", "*", "*", float(units), units, units * 100.0)}
+
+
+class EntryModel:
+    """Stands for an entry process: a ledger, its lease, and one sync that may be under way."""
+
+    def __init__(self) -> None:
+        self.ledger = LimitLedger()
+        self.expires_ms = float("-inf")
+        self.pending: tuple[float, list[LimitShare], dict[str, Limit]] | None = None
+        self.demand: dict[str, float] = {}
+        self.open: list[tuple[Permit, bool]] = []
+
+    def share(self, caller: str) -> LimitShare | None:
+        held = {share.caller: share for share in self.ledger._shares.values()}
+        return held.get(caller, held.get("*"))
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """Guards against an instance using a share that was also granted to another instance."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100_000.0
+        self.limits = limit_of(10)
+        self.history: deque[tuple[float, int]] = deque([(float("inf"), 10)])
+        self.allocator = ShareAllocator(LEASE_MS, 0.0)
+        self.entries = {name: EntryModel() for name in INSTANCES}
+
+    @rule(ms=st.sampled_from((1.0, 40.0, 700.0, 2500.0, 5990.0, 6001.0)))
+    def advance(self, ms: float) -> None:
+        self.now += ms
+        for entry in self.entries.values():
+            if self.now >= entry.expires_ms:
+                # Requests that outlive the lease of a cut-off instance are the stated overshoot.
+                entry.open = [(permit, True) for permit, _ in entry.open]
+
+    @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS), load=LOAD)
+    def change_demand(self, name: str, caller: str, load: float) -> None:
+        self.entries[name].demand[caller] = load
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def send(self, name: str) -> None:
+        entry = self.entries[name]
+        demand = [
+            ShareDemand("l", c, load, load, load * 100.0)
+            for c, load in entry.demand.items()
+            if load
+        ]
+        self.allocator.report(name, entry.ledger.held(self.now), demand, self.now)
+        shares = self.allocator.allocate(self.limits, self.now)[name]
+        entry.pending = (self.now, shares, self.limits)
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def deliver(self, name: str) -> None:
+        entry = self.entries[name]
+        if entry.pending is not None:
+            sent_ms, shares, limits = entry.pending
+            entry.expires_ms = sent_ms + LEASE_MS
+            entry.ledger.apply(limits, shares, entry.expires_ms)
+            entry.pending = None
+            self.advance(0.0)
+
+    @rule()
+    def sync_all(self) -> None:
+        for name in INSTANCES:
+            self.send(name)
+            self.deliver(name)
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def lose_reply(self, name: str) -> None:
+        self.entries[name].pending = None
+
+    @rule(name=st.sampled_from(INSTANCES))
+    def restart(self, name: str) -> None:
+        self.entries[name] = EntryModel()
+
+    @rule()
+    def change_leader(self) -> None:
+        self.allocator = ShareAllocator(LEASE_MS, self.now)
+
+    @rule(units=st.integers(1, 14))
+    def change_limit(self, units: int) -> None:
+        self.history[-1] = (self.now, self.history[-1][1])
+        self.history.append((float("inf"), units))
+        self.limits = limit_of(units)
+
+    @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS))
+    def admit(self, name: str, caller: str) -> None:
+        entry = self.entries[name]
+        result = entry.ledger.admit(LimitRequest(caller, "m", "", 10), self.now)
+        if result.is_ok():
+            assert self.now < entry.expires_ms
+            entry.open.append((result.unwrap(), False))
+
+    @precondition(lambda self: any(entry.open for entry in self.entries.values()))
+    @rule()
+    def settle_oldest(self) -> None:
+        for entry in self.entries.values():
+            if entry.open:
+                permit, _ = entry.open.pop(0)
+                entry.ledger.settle(permit, 5, self.now)
+
+    @invariant()
+    def shares_stay_within_the_limit(self) -> None:
+        # A lowered limit binds everywhere only once older leases have ended.
+        while self.history[0][0] <= self.now - LEASE_MS:
+            self.history.popleft()
+        allowed = max(units for _, units in self.history)
+        for caller in (*CALLERS, "unseen"):
+            rate = tokens = concurrent = 0.0
+            for entry in self.entries.values():
+                share = entry.share(caller)
+                if share is None or self.now >= entry.expires_ms:
+                    continue
+                rate += share.requests_per_second or 0.0
+                tokens += share.tokens_per_second or 0.0
+                running = [p for p, late in entry.open if p.request.caller == caller and not late]
+                concurrent += max(share.concurrent_requests or 0, len(running))
+            assert rate <= allowed * (1 + 1e-9)
+            assert tokens <= allowed * 100.0 * (1 + 1e-9)
+            assert concurrent <= allowed
+
+
+SharesMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestSharesMachine = SharesMachine.TestCase
+
+
+class Leader:
+    """Drives an allocator with instances that receive every reply."""
+
+    def __init__(self, became_ms: float = -10_000.0) -> None:
+        self.allocator = ShareAllocator(LEASE_MS, became_ms)
+        self.held: dict[str, list[LimitShare]] = {}
+
+    def sync(
+        self, limits: dict[str, Limit], loads: dict[str, float], now_ms: float
+    ) -> dict[str, LimitShare]:
+        for name, load in loads.items():
+            demand = [ShareDemand("l", "x", load, load, load)] if load else []
+            self.allocator.report(name, self.held.get(name, []), demand, now_ms)
+        self.held.update(self.allocator.allocate(limits, now_ms))
+        return {
+            name: next((s for s in self.held[name] if s.caller == "x"), self.held[name][0])
+            for name in loads
+        }
+
+
+class TestShareAllocator:
+    """Guards against unfair, late or fractional shares."""
+
+    limits = {"l": Limit("*", "*", "*", 12.0, 12)}
+
+    def test_shares_follow_demand_by_max_min(self) -> None:
+        """Guards against a small demand being cut because another instance wants everything."""
+        leader = Leader()
+        loads = {"a": 2.0, "b": 50.0, "c": 0.0}
+        for step in range(4):
+            shares = leader.sync(self.limits, loads, step * 100.0)
+        assert shares["a"].requests_per_second >= 2.0
+        assert shares["b"].requests_per_second >= 8.5
+        assert shares["c"].requests_per_second > 0.0
+        assert shares["b"].concurrent_requests >= 8 and shares["c"].concurrent_requests >= 1
+        assert sum(s.concurrent_requests for s in shares.values()) == 12
+
+    def test_a_silent_instance_keeps_its_share_for_one_lease_only(self) -> None:
+        """Guards against reassigning a share that is in use, and against losing it for ever."""
+        leader = Leader()
+        leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
+        held = leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 100.0)["a"].requests_per_second
+        for now_ms in range(200, 6100, 1000):
+            share = leader.sync(self.limits, {"b": 50.0}, float(now_ms))["b"]
+            assert share.requests_per_second <= 12.0 - held + 1e-9
+        assert leader.sync(self.limits, {"b": 50.0}, 6100.0)["b"].requests_per_second > 11.9
+
+    def test_a_new_leader_only_confirms_for_one_lease(self) -> None:
+        """Guards against a new leader granting what the previous one granted to others."""
+        leader = Leader()
+        leader.sync(self.limits, {"a": 50.0}, 0.0)
+        leader.allocator = ShareAllocator(LEASE_MS, 1000.0)
+        assert leader.sync(self.limits, {"a": 50.0}, 1500.0)["a"].requests_per_second == 12.0
+        assert leader.sync(self.limits, {"b": 50.0}, 6900.0)["b"].requests_per_second == 0.0
+        assert leader.sync(self.limits, {"b": 50.0}, 7600.0)["b"].requests_per_second > 11.9
+
+    def test_a_lowered_limit_shrinks_shares_in_the_next_sync(self) -> None:
+        """Guards against an old, higher limit staying in force."""
+        leader = Leader()
+        leader.sync(self.limits, {"a": 50.0, "b": 50.0}, 0.0)
+        lowered = {"l": Limit("*", "*", "*", 4.0, 3)}
+        shares = leader.sync(lowered, {"a": 50.0, "b": 50.0}, 100.0).values()
+        assert sum(s.requests_per_second for s in shares) <= 4.0
+        assert sum(s.concurrent_requests for s in shares) <= 3
+
+    def test_running_requests_above_a_shrunken_share_are_not_granted_twice(self) -> None:
+        """Guards against granting concurrency that is still in use elsewhere."""
+        leader = Leader()
+        leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
+        ledger = LimitLedger()
+        ledger.apply(self.limits, leader.held["a"], 6000.0)
+        shares = leader.held["a"]
+        granted = next(s for s in shares if s.caller == "x").concurrent_requests
+        for use in range(granted):
+            ledger._use("l", "x").requests.charge(-1.0)
+            assert ledger.admit(LimitRequest("x", "m", "", 0), 10.0 + use).is_ok()
+        for step in range(1, 4):
+            shrunk = leader.sync(self.limits, {"a": 0.0, "b": 50.0}, step * 100.0)
+            ledger.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
+            leader.held["a"] = ledger.held(step * 100.0)
+            assert shrunk["b"].concurrent_requests <= 12 - granted
+
+
+class TestFairness:
+    """Guards against divisions that lose or invent capacity."""
+
+    def test_max_min_satisfies_small_demands_first(self) -> None:
+        assert max_min({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
+
+    def test_unwanted_capacity_is_divided_evenly(self) -> None:
+        assert max_min({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
+
+    def test_whole_numbers_keep_the_total(self) -> None:
+        assert whole_numbers({"a": 1.5, "b": 1.5, "c": 1.0}, 4) == {"a": 2, "b": 1, "c": 1}
