--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -96,7 +96,7 @@
             weight=self.settings.weight,
             lifecycle=self.lifecycle().value,
             share_demand=self.ledger.demand(now),
-            held_shares=self.ledger.held(),
+            held_shares=self.ledger.held(now),
         )
         digest = self.view.digest
         passed_on = digest.to_pass_on(since, now)
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -130,7 +130,9 @@
 
     async def _end(self, order: Order) -> None:
         step = order.step
-        match await self._ledger.end(step.upstream_id, step.incarnation, step.item):
+        match await self._ledger.end(
+            step.upstream_id, step.incarnation, step.item, order.fencing_token
+        ):
             case Ok():
                 self._coordinator.finish(order)
             case Err(failure):
--- a/src/briardyke/placement/tables.py
+++ b/src/briardyke/placement/tables.py
@@ -94,5 +94,7 @@
     async def reserve(self, reservation: Reservation) -> Result[None, Failure]:
         """Commit a reservation; ``memory_exhausted`` means that it does not fit."""
 
-    async def end(self, upstream_id: str, incarnation: str, item: str) -> Result[None, Failure]:
+    async def end(
+        self, upstream_id: str, incarnation: str, item: str, fencing_token: int
+    ) -> Result[None, Failure]:
         """Commit the end of a reservation after the engine confirmed the unload."""
--- a/src/briardyke/sync/documents.py
+++ b/src/briardyke/sync/documents.py
@@ -50,7 +50,7 @@
     """
     patch: dict[str, Any] = {key: None for key in old if key not in new}
     for key, value in new.items():
-        before = old.get(key)
+        before: Any = old.get(key)
         if key not in old or type(before) is not type(value):
             patch[key] = value
         elif isinstance(value, dict):
