Start control processes: handler context, audit folder, absl start-up

Cause: singledispatch evaluates annotations, so the handlers may not import the process that imports them; the audit log takes a folder; absl warned on each start.

--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -46,7 +46,7 @@
 
     :return: groups by id, or a failure of kind ``log_corrupt`` or ``storage_failed``.
     """
-    audit = AuditLog(settings.data_dir / "audit.log")
+    audit = AuditLog(settings.data_dir)
     machines: dict[str, StateMachine] = {CONTROL_GROUP: ControlMachine(audit.append)}
     for index in range(settings.claim_shards):
         machines[shard_name(index)] = ClaimMachine()
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -13,7 +13,7 @@
 from briardyke.consensus.state import Role
 from briardyke.control.evidence import ControlEvidence
 from briardyke.control.groups import CONTROL_GROUP, Group, open_groups
-from briardyke.control.handlers import handle
+from briardyke.control.handlers import HandlerContext, handle
 from briardyke.control.ledger import AgreedLedger
 from briardyke.control.operator_api import Member, register_operator_routes
 from briardyke.control.registration import RegistrationSystem
@@ -70,6 +70,7 @@
             self.view.digest, self.view.documents, self.view.changed, self._evidence
         )
         self._evidence.table = self.responder.instances
+        self._context = HandlerContext(groups, settings.claim_shards, self.responder)
         self._client = HttpClient()
         self._registration = RegistrationSystem(self._projection, self._control.proposer)
         self._placement = PlacementRunner(
@@ -111,7 +112,7 @@
             nursery.cancel_scope.cancel()
 
     async def _handle(self, peer_id: str, message: Any) -> Any:
-        return await handle(message, self, peer_id)
+        return await handle(message, self._context, peer_id)
 
     def _uplink(self) -> SyncClient:
         return SyncClient(
--- a/src/briardyke/logs.py
+++ b/src/briardyke/logs.py
@@ -7,7 +7,7 @@
 import time
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
@@ -33,10 +33,11 @@
 
     :param level: lowest level written: debug, info, warning or error.
     """
+    flags.FLAGS.mark_as_parsed()  # absl warns about lines logged before its own flags are parsed
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(_KeyValueFormatter())
-    handler.python_handler.stream = sys.stderr  # absl chooses its stream before flags are parsed
+    handler.python_handler.stream = sys.stderr
     logging.set_verbosity(level)
     standard_logging.getLogger("hypercorn").setLevel(standard_logging.WARNING)
 
