--- /dev/null
+++ b/src/briardyke/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run the entry process: caller interface, addresses, relay and sync."""
--- a/src/briardyke/standins/engine/api.py
+++ b/src/briardyke/standins/engine/api.py
@@ -26,6 +26,7 @@
 from briardyke.standins.engine.faults import StreamFault, stream_fault
 from briardyke.standins.engine.memory import Order, parse_order
 from briardyke.standins.engine.responses import DONE_EVENT, ResponseForm
+from briardyke.standins.switches import set_switches
 from briardyke.wire import codec
 
 if TYPE_CHECKING:
@@ -134,7 +135,7 @@
     async def _stream(
         self, active: ActiveRun, form: ResponseForm, seed: int, fault: StreamFault
     ) -> AsyncIterator[bytes]:
-        run, offset, sent = active.run, active.run.position, 0
+        run, offset, sent = active.run, active.first_position, 0
         copies = 2 if fault.duplicate else 1
         if fault.wrong_id:
             form = ResponseForm("att-other", form.model, form.chat, form.prompt_tokens, 0)
@@ -187,10 +188,11 @@
         self._work()
 
     async def _set_faults(self, request: Request) -> AnyResponse:
-        changed = request.json_object().and_then(self._state.faults.update)
+        faults = self._state.faults
+        changed = request.json_object().and_then(lambda body: set_switches(faults, body))
         if changed.is_err():
             return error_response(changed.unwrap_err())
-        return json_response(codec.unstructure(self._state.faults))
+        return json_response(codec.unstructure(faults))
 
     async def _health(self, request: Request) -> AnyResponse:
         return json_response(codec.unstructure(self._state.row(now_ms())))
--- a/src/briardyke/standins/engine/faults.py
+++ b/src/briardyke/standins/engine/faults.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import attrs
-from result import Err, Ok, Result
-
-from briardyke.errors import ErrorKind, Failure
 
 
 @attrs.define
@@ -42,18 +37,6 @@
     duplicated_events: int = 0
     silent: bool = False
 
-    def update(self, body: dict[str, Any]) -> Result[None, Failure]:
-        """Set the named switches, or none when a name or type is wrong."""
-        types = {field.name: field.type for field in attrs.fields(EngineFaults)}
-        accepted = {"int": (int,), "float": (int, float), "bool": (bool,)}
-        for name, value in body.items():
-            if name not in types or type(value) not in accepted[str(types[name])]:
-                text = f"{name} is no fault switch or has a value of the wrong type"
-                return Err(Failure(ErrorKind.FIELD_INVALID, text, name))
-        for name, value in body.items():
-            setattr(self, name, value)
-        return Ok(None)
-
     def use(self, name: str) -> bool:
         """Take one use of a counted switch; return whether one was left."""
         left = getattr(self, name)
--- a/src/briardyke/standins/engine/memory.py
+++ b/src/briardyke/standins/engine/memory.py
@@ -54,7 +54,7 @@
 def parse_order(body: dict[str, Any]) -> Result[Order, Failure]:
     """Return the order in a request body, or a failure that names the bad field."""
     for field in attrs.fields(Order):
-        expected = int if field.type == "int" else str
+        expected = int if field.name in ("fencing_token", "size_bytes") else str
         value = body.get(field.name, 0 if field.name == "size_bytes" else None)
         if type(value) is not expected:
             text = f"{field.name} must be of type {expected.__name__}"
--- a/src/briardyke/standins/engine/state.py
+++ b/src/briardyke/standins/engine/state.py
@@ -35,6 +35,8 @@
     """Pair a run in the batch with the task that waits for its tokens."""
 
     run: Run
+    # The run can progress before the task that sends its tokens is first scheduled.
+    first_position: int
     progressed: trio.Event = attrs.field(factory=trio.Event)
 
 
@@ -73,9 +75,10 @@
 
     def start(self, run: Run, now_ms: float) -> ActiveRun | None:
         """Submit a run; return ``None`` when the queue is full."""
+        active = ActiveRun(run, run.position)
         if not self.batch.submit(run, now_ms):
             return None
-        active = self.active[run.key] = ActiveRun(run)
+        self.active[run.key] = active
         return active
 
     def end(self, active: ActiveRun) -> None:
--- a/src/briardyke/standins/service/server.py
+++ b/src/briardyke/standins/service/server.py
@@ -20,6 +20,7 @@
 from briardyke.logs import log_event
 from briardyke.standins.announcing import Announcer
 from briardyke.standins.service.state import ServiceState
+from briardyke.standins.switches import set_switches
 from briardyke.wire import codec
 
 if TYPE_CHECKING:
@@ -89,10 +90,11 @@
         return json_response(body, status)
 
     async def _set_faults(self, request: Request) -> AnyResponse:
-        changed = request.json_object().and_then(self._state.faults.update)
+        faults = self._state.faults
+        changed = request.json_object().and_then(lambda body: set_switches(faults, body))
         if changed.is_err():
             return error_response(changed.unwrap_err())
-        return json_response(codec.unstructure(self._state.faults))
+        return json_response(codec.unstructure(faults))
 
     async def _health(self, request: Request) -> AnyResponse:
         while self._state.faults.silent:
--- a/src/briardyke/standins/service/state.py
+++ b/src/briardyke/standins/service/state.py
@@ -6,9 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
-from result import Err, Ok, Result
 
-from briardyke.errors import ErrorKind, Failure
 from briardyke.ids import new_id
 from briardyke.wire.messages import UpstreamRow
 
@@ -35,18 +33,6 @@
     slow_ms: float = 1000.0
     silent: bool = False
 
-    def update(self, body: dict[str, Any]) -> Result[None, Failure]:
-        """Set the named switches, or none when a name or type is wrong."""
-        accepted = {"int": (int,), "float": (int, float), "bool": (bool,)}
-        types = {field.name: accepted[str(field.type)] for field in attrs.fields(ServiceFaults)}
-        for name, value in body.items():
-            if name not in types or type(value) not in types[name]:
-                text = f"{name} is no fault switch or has a value of the wrong type"
-                return Err(Failure(ErrorKind.FIELD_INVALID, text, name))
-        for name, value in body.items():
-            setattr(self, name, value)
-        return Ok(None)
-
     def use(self, name: str) -> bool:
         """Take one use of a counted switch; return whether one was left."""
         left = getattr(self, name)
