--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -94,7 +94,11 @@
 
 
 class RelayStream:
-    """Iterate one response, joining tokens that arrive close together into one chunk."""
+    """Iterate one response, joining tokens that arrive close together into one chunk.
+
+    :ivar failure: how the response ended; ``None`` once it is complete.
+    :ivar tokens: tokens received so far.
+    """
 
     def __init__(
         self, job: ModelJob, attempts: ModelAttempts, policy: RelayPolicy, nursery: trio.Nursery
@@ -108,7 +112,8 @@
         self._started = False
         self._pieces: list[bytes] = []
         self._held_bytes = 0
-        self._failure: Failure | None = _INTERRUPTED
+        self.failure: Failure | None = _INTERRUPTED
+        self.tokens = 0
         self._arrived = trio.Event()
         self._taken = trio.Event()
         self._ended = trio.Event()
@@ -122,10 +127,10 @@
             error status.
         """
         await self._wait()
-        if self._pieces or self._failure is None:
+        if self._pieces or self.failure is None:
             return Ok(None)  # without pieces the attempts have ended
         self._exhausted = True
-        return Err(self._failure)
+        return Err(self.failure)
 
     def __aiter__(self) -> RelayStream:
         """Return the stream itself."""
@@ -159,6 +164,7 @@
     def put(self, piece: Piece) -> None:
         """Take the next piece from the attempts."""
         data = piece.encode()
+        self.tokens = piece.offset - self._job.offset_tokens
         self._pieces.append(data)
         self._held_bytes += len(data)
         self._arrived.set()
@@ -184,18 +190,18 @@
     async def _run(self) -> None:
         try:
             with self._scope:
-                self._failure = await self._attempts.run(self._job, self)
+                self.failure = await self._attempts.run(self._job, self)
         except Exception as error:  # a defect must not end the streams of other callers
             log_error("relay_defect", request_id=self._job.request_id, error=repr(error))
-            self._failure = Failure(ErrorKind.INTERNAL, "internal error")
+            self.failure = Failure(ErrorKind.INTERNAL, "internal error")
         finally:
             self._ended.set()
             self._arrived.set()
 
     def _end_event(self) -> bytes:
-        if self._failure is None:
+        if self.failure is None:
             return _DONE_EVENT
-        body = json.dumps(error_body(self._failure, self._job.request_id))
+        body = json.dumps(error_body(self.failure, self._job.request_id))
         return ServerSentEvent(body, event="error").encode()
 
 
