--- a/src/briardyke/agreed/machine.py
+++ b/src/briardyke/agreed/machine.py
@@ -114,6 +114,11 @@
         """Return a version's document, or ``None`` when it is not kept."""
         return self._state.history.versions.get(version)
 
+    def kept_limit_ids(self) -> frozenset[str]:
+        """Return the ids of the limits in all kept versions."""
+        documents = self._state.history.versions.values()
+        return frozenset(name for document in documents for name in document.get("limits", {}))
+
     def audit_records(self, limit: int, before: int | None = None) -> list[AuditRecord]:
         """Return audit records in the state, newest first.
 
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -64,7 +64,7 @@
         self._machine: ControlMachine = self._control.machine  # type: ignore[assignment]
         self._projection = self._machine.projection
         self.view = SyncedView(now_ms())
-        self._shares = ShareSystem(lambda: self._projection.configuration)
+        self._shares = ShareSystem(self._projection, self._machine.kept_limit_ids)
         self._evidence = ControlEvidence(self._control.log, self.view, self._shares)
         self.responder = Responder(
             self.view.digest, self.view.documents, self.view.changed, self._evidence
--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briardyke.agreed.configuration import Configuration
+    from briardyke.agreed.projection import Projection
     from briardyke.wire.messages import InstanceStatus, LimitShare
 
 _REALLOCATE_AFTER_MS = 100.0
@@ -24,9 +24,16 @@
     allocator, which only confirms reported shares until every older grant has expired.
     """
 
-    def __init__(self, configuration: Callable[[], Configuration]) -> None:
-        """Use the given source of the configuration in force."""
-        self._configuration = configuration
+    def __init__(
+        self, projection: Projection, earlier_limit_ids: Callable[[], frozenset[str]]
+    ) -> None:
+        """Use the agreed state.
+
+        :param projection: configuration in force.
+        :param earlier_limit_ids: returns the limits of all versions that an entry process may hold.
+        """
+        self._projection = projection
+        self._earlier_limit_ids = earlier_limit_ids
         self._term = 0
         self._allocator = ShareAllocator(VERSION_LEASE_MS, 0.0)
         self._granted: dict[str, list[LimitShare]] = {}
@@ -36,7 +43,7 @@
         """Begin with an empty allocator when this process starts to lead a term."""
         if term != self._term:
             self._term = term
-            self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms())
+            self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms(), self._earlier_limit_ids())
             self._granted_at_ms = -_REALLOCATE_AFTER_MS
 
     def grant(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
@@ -48,6 +55,8 @@
             )
         unknown = any(s.instance_id not in self._granted for s in statuses)
         if unknown or now - self._granted_at_ms >= _REALLOCATE_AFTER_MS:
-            self._granted = self._allocator.allocate(self._configuration().limits, now)
+            self._granted = self._allocator.allocate(
+                self._projection.configuration.limits, now, self._projection.version
+            )
             self._granted_at_ms = now
         return {s.instance_id: self._granted.get(s.instance_id, []) for s in statuses}
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -13,7 +13,7 @@
 from briardyke.wire.messages import LimitShare, ShareDemand
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Container, Mapping, Sequence
 
     from briardyke.agreed.configuration import Limit
 
@@ -49,10 +49,18 @@
     :param lease_ms: share lease.
     :param became_leader_at_ms: start of this leader's term; during the first lease only reported
         shares are confirmed, since the previous leader may have granted the rest.
+    :param inherited: limits that an earlier leader may have granted shares of; ``None`` for all.
+        A limit that did not exist before the term needs no wait.
     """
 
-    def __init__(self, lease_ms: float, became_leader_at_ms: float) -> None:
+    def __init__(
+        self,
+        lease_ms: float,
+        became_leader_at_ms: float,
+        inherited: Container[str] | None = None,
+    ) -> None:
         self._lease_ms = lease_ms
+        self._inherited = inherited
         self._confirm_until_ms = became_leader_at_ms + lease_ms
         self._instances: dict[str, _Instance] = {}
         self._beliefs: dict[_Key, dict[str, Belief]] = {}
@@ -178,7 +186,8 @@
         """Grant one quantity of one limit for one caller and record the grants."""
         beliefs = self._beliefs[key]
         whole = key[2] == "concurrent_requests"
-        if now_ms < self._confirm_until_ms:
+        inherited = self._inherited is None or key[0] in self._inherited
+        if inherited and now_ms < self._confirm_until_ms:
             grants = self._confirm(beliefs, total, whole, now_ms)
         else:
             targets = self._targets(key, total, whole, defaults)
