--- a/features/steps/agreed_steps.py
+++ b/features/steps/agreed_steps.py
@@ -52,7 +52,7 @@
     patch(context, operator, base, request_id, {"callers": {name: {"weight": weight}}})
 
 
-@when('"{operator}" sends this patch against version {base:d} as "{request_id}"')
+@when('"{operator}" sends this patch against version {base:d} as "{request_id}":')
 def patch_text(context: Any, operator: str, base: int, request_id: str) -> None:
     patch(context, operator, base, request_id, json.loads(context.text))
 
@@ -96,7 +96,7 @@
     assert context.machine.projection.version == version
 
 
-@then("the reasons are")
+@then("the reasons are:")
 def check_reasons(context: Any) -> None:
     expected = [row["reason"] for row in context.table]
     assert context.outcome.reasons == expected, context.outcome.reasons
--- a/src/briardyke/agreed/history.py
+++ b/src/briardyke/agreed/history.py
@@ -16,13 +16,16 @@
     refuse,
 )
 from briardyke.agreed.merge_patch import MAX_DEPTH, content_digest, merge_patch, too_deep
-from briardyke.agreed.validation import Upstreams, check_document
+from briardyke.agreed.validation import check_document
 from briardyke.errors import ErrorKind
 from briardyke.wire.codec import encode, structure, unstructure
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from briardyke.agreed.configuration import Configuration
+    from briardyke.agreed.places import PlaceChecker
+
 DAY_MS = 24 * 60 * 60 * 1000
 # The document travels in one frame (16 MiB) and 64 versions of it are kept in memory.
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
@@ -81,6 +84,7 @@
         """
         self.version = 0
         self.versions: dict[int, dict[str, Any]] = {0: {}}
+        self.configuration: Configuration | None = None
         self.audit: dict[int, AuditRecord] = {}
         self._next_audit = 1
         self._audit_bytes = 0
@@ -91,12 +95,12 @@
         self._retention = retention
         self._audit_sink = audit_sink
 
-    def patch(self, command: PatchConfiguration, size_bytes: int, upstreams: Upstreams) -> bytes:
+    def patch(self, command: PatchConfiguration, size_bytes: int, places: PlaceChecker) -> bytes:
         """Apply a patch, or return the first outcome of a resent one.
 
         :param command: the command.
         :param size_bytes: its encoded size, which counts towards the size of the audit trail.
-        :param upstreams: registered upstreams by id.
+        :param places: checks against the registered upstreams.
         :return: the encoded outcome.
         """
         self._wall_ms = max(self._wall_ms, command.wall_unix_ms)
@@ -114,21 +118,21 @@
                 return kept.outcome
             text = "request id was used for a different patch"
             return encode(refuse(ErrorKind.KEY_REUSED, text, "request_id"))
-        result = self._evaluate(command, upstreams)
+        result = self._evaluate(command, places)
         outcome = encode(result.unwrap_or_else(lambda refusal: refusal))
         self._keep_outcome(command.request_id, KeptOutcome(digest, outcome, self._wall_ms))
         self._record(command, result, size_bytes)
         return outcome
 
     def _evaluate(
-        self, command: PatchConfiguration, upstreams: Upstreams
+        self, command: PatchConfiguration, places: PlaceChecker
     ) -> Result[PatchAccepted, CommandRefused]:
         if command.base_version != self.version:
             text = f"version {command.base_version} is not current; {self.version} is"
             refusal = refuse(ErrorKind.VERSION_CONFLICT, text, "base_version")
             return Err(attrs.evolve(refusal, current_version=self.version))
         document = merge_patch(self.versions[self.version], command.patch)
-        checked = check_document(document, upstreams)
+        checked = check_document(document, places)
         reasons = checked.err() or ()
         if not reasons and len(msgpack.packb(document)) > MAX_DOCUMENT_BYTES:
             reasons = (f"document: is over {MAX_DOCUMENT_BYTES} bytes",)
@@ -137,6 +141,7 @@
             refusal = refuse(ErrorKind.CONFIGURATION_INVALID, text, reasons[0].partition(":")[0])
             return Err(attrs.evolve(refusal, reasons=_bound(reasons), current_version=self.version))
         self.version += 1
+        self.configuration = checked.unwrap()
         self.versions[self.version] = document
         self.versions.pop(self.version - self._retention.versions, None)
         return Ok(PatchAccepted(self.version))
@@ -213,6 +218,7 @@
     def load(self, values: dict[str, Any]) -> None:
         """Replace the history by :meth:`dump`'s values."""
         self.version = values["version"]
+        self.configuration = None
         self.versions = values["versions"]
         self.audit = {r.number: r for r in structure(values["audit"], list[AuditRecord])}
         self._audit_bytes = sum(r.size_bytes for r in self.audit.values())
--- a/src/briardyke/agreed/machine.py
+++ b/src/briardyke/agreed/machine.py
@@ -73,7 +73,8 @@
             outcome = _execute(decoded.unwrap(), self._state, len(command))
         history = self._state.history
         if history.version != self.projection.version:
-            self.projection.accept(history.version, history.versions[history.version]).unwrap()
+            document = history.versions[history.version]
+            self.projection.accept(history.version, document, history.configuration).unwrap()
         self.projection.applied_index = index
         return outcome if isinstance(outcome, bytes) else encode(outcome)
 
@@ -144,7 +145,7 @@
 
 @_execute.register
 def _patch(command: PatchConfiguration, state: _State, size_bytes: int) -> Any:
-    return state.history.patch(command, size_bytes, state.memory.upstreams)
+    return state.history.patch(command, size_bytes, state.memory.places)
 
 
 @_execute.register
--- a/src/briardyke/agreed/memory.py
+++ b/src/briardyke/agreed/memory.py
@@ -17,6 +17,7 @@
     refuse,
 )
 from briardyke.agreed.parsing import MAX_INTEGER
+from briardyke.agreed.places import PlaceChecker
 from briardyke.agreed.records import Reservation, UpstreamRegistration
 from briardyke.errors import ErrorKind
 from briardyke.wire.codec import structure, unstructure
@@ -51,6 +52,7 @@
         """Start without upstreams."""
         self.upstreams: dict[str, UpstreamRegistration] = {}
         self.reservations: dict[tuple[str, str], Reservation] = {}
+        self.places = PlaceChecker(self.upstreams)
         self._items: dict[str, dict[str, Reservation]] = {}
         self._forgotten: dict[str, Forgotten] = {}
         self._retired: dict[str, list[str]] = {}
@@ -79,13 +81,13 @@
                 )
             if forgotten is not None:
                 del self._forgotten[upstream_id]
-                self.upstreams[upstream_id] = new
+                self._set(new)
                 self._put_all(forgotten.reservations)
             return CommandAccepted()
         if known is not None:
             self._forgotten.pop(upstream_id, None)
             self._retire(known)
-        self.upstreams[upstream_id] = new
+        self._set(new)
         return CommandAccepted()
 
     def forget(self, command: ForgetUpstream) -> CommandAccepted | CommandRefused:
@@ -96,6 +98,7 @@
         if fenced is not None:
             return fenced
         registration = self.upstreams.pop(command.upstream_id)
+        self.places.upstreams_changed()
         reservations = self._clear(command.upstream_id)
         self._forgotten[command.upstream_id] = Forgotten(registration, reservations)
         if len(self._forgotten) > MAX_FORGOTTEN:
@@ -161,7 +164,7 @@
         table = cls()
         upstreams = structure(values["upstreams"], list[UpstreamRegistration])
         forgotten = structure(values["forgotten"], list[Forgotten])
-        table.upstreams = {u.upstream_id: u for u in upstreams}
+        table.upstreams.update((u.upstream_id, u) for u in upstreams)
         table._forgotten = {f.registration.upstream_id: f for f in forgotten}
         table._retired = structure(values["retired"], dict[str, list[str]])
         table._put_all(structure(values["reservations"], list[Reservation]))
@@ -175,6 +178,12 @@
             return refuse(ErrorKind.FENCED, "another incarnation is registered", "incarnation")
         return None
 
+    def _set(self, new: UpstreamRegistration) -> None:
+        old = self.upstreams.get(new.upstream_id)
+        self.upstreams[new.upstream_id] = new
+        if old is None or (old.kind, old.capacity_bytes) != (new.kind, new.capacity_bytes):
+            self.places.upstreams_changed()
+
     def _retire(self, registration: UpstreamRegistration) -> None:
         self._clear(registration.upstream_id)
         retired = self._retired.setdefault(registration.upstream_id, [])
--- a/src/briardyke/agreed/projection.py
+++ b/src/briardyke/agreed/projection.py
@@ -37,22 +37,30 @@
         self.reservations: Mapping[tuple[str, str], Reservation] = {}
         self.applied_index = 0
 
-    def accept(self, version: int, document: Mapping[str, Any]) -> Result[bool, Failure]:
+    def accept(
+        self,
+        version: int,
+        document: Mapping[str, Any],
+        configuration: Configuration | None = None,
+    ) -> Result[bool, Failure]:
         """Take a version of the configuration.
 
         :param version: its number; one that is not newer is ignored.
         :param document: its document.
+        :param configuration: the parsed document, if it has been parsed already.
         :return: whether the version is new, or ``protocol_mismatch`` when this process cannot read
             the document; the held version stays in force then.
         """
         if version <= self.version:
             return Ok(False)
-        parsed = parse_configuration(document)
-        if parsed.reasons:
-            text = f"cannot read version {version} with schema {SCHEMA}: {parsed.reasons[0]}"
-            return Err(Failure(ErrorKind.PROTOCOL_MISMATCH, text, reasons=parsed.reasons))
+        if configuration is None:
+            parsed = parse_configuration(document)
+            if parsed.reasons:
+                text = f"cannot read version {version} with schema {SCHEMA}: {parsed.reasons[0]}"
+                return Err(Failure(ErrorKind.PROTOCOL_MISMATCH, text, reasons=parsed.reasons))
+            configuration = parsed.configuration
         self.version, self.document = version, document
-        self.configuration = parsed.configuration
+        self.configuration = configuration
         return Ok(True)
 
     def follow(
--- a/tests/agreed/test_control_machine.py
+++ b/tests/agreed/test_control_machine.py
@@ -129,6 +129,32 @@
         assert merge_patch(target, patch) == expected
 
 
+class TestUpstreamsAndPatches:
+    """Guards against a remembered check that outlives the upstreams it was made for."""
+
+    def test_a_patch_is_checked_against_the_present_upstreams(self) -> None:
+        driver = Driver()
+        models = {"models": {"m": {"size_bytes": 60, "instances": ["e*"]}}}
+        steps: list[tuple[Any, str]] = [
+            (engine("i1", capacity=50), "configuration_invalid"),
+            (engine("i2", capacity=60), ""),
+            (engine("i3", capacity=59), "configuration_invalid"),
+            (engine("i4"), ""),
+            (ForgetUpstream("e1", "i4"), "configuration_invalid"),
+            (engine("i4"), ""),
+            (attrs.evolve(engine("i5"), kind="service"), "configuration_invalid"),
+        ]
+        for number, (command, expected) in enumerate(steps):
+            driver.apply(command)
+            other = ControlMachine()
+            other.restore(driver.machine.snapshot())
+            base = driver.machine.projection.version
+            outcome = driver.patch(f"r{number}", base, models)
+            assert getattr(outcome, "kind", "") == expected
+            last = encode(PatchConfiguration(f"r{number}", "ada", base, models, 0))
+            assert decode(other.apply(driver.index, last)).unwrap() == outcome
+
+
 class TestMemory:
     """Guards against accelerator memory that is committed beyond its capacity."""
 
--- a/tests/agreed/test_validation.py
+++ b/tests/agreed/test_validation.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from briardyke.agreed.places import PlaceChecker
 from briardyke.agreed.records import UpstreamRegistration
 from briardyke.agreed.validation import check_document
 
@@ -25,7 +28,7 @@
 
 
 def reasons(document: Any) -> list[str]:
-    return list(check_document(document, UPSTREAMS).err() or ())
+    return list(check_document(document, PlaceChecker(UPSTREAMS)).err() or ())
 
 
 class TestParsing:
@@ -89,7 +92,7 @@
             "placement": {"move_weight": 0},
             "targets": {"first_token_ms": 600},
         }
-        configuration = check_document(document, UPSTREAMS).unwrap()
+        configuration = check_document(document, PlaceChecker(UPSTREAMS)).unwrap()
         assert configuration.models["m1"].instances == ("a-*",)
         assert configuration.services["o"].non_idempotent_paths == ("/bookings",)
         assert configuration.limits["l1"].requests_per_second == 0.0
@@ -154,3 +157,39 @@
         found = reasons(document)
         assert len(found) == bool(reason)
         assert "".join(found).startswith(reason)
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        capacities=st.lists(st.integers(5, 12), min_size=130, max_size=200),
+        sizes=st.lists(
+            st.tuples(st.integers(1, 12), st.sampled_from(["e*", "e1*"]), st.integers(0, 60)),
+            min_size=1,
+            max_size=12,
+        ),
+    )
+    def test_the_search_in_blocks_equals_a_plain_first_fit(
+        self, capacities: list[int], sizes: list[tuple[int, str, int]]
+    ) -> None:
+        ids = [f"e{n:03d}" for n in range(len(capacities))]
+        upstreams = {
+            i: UpstreamRegistration(i, "i", "engine", c, True)
+            for i, c in zip(ids, capacities, strict=True)
+        }
+        models = {
+            f"m{n:02d}": model(size, pattern, minimum_replicas=count)
+            for n, (size, pattern, count) in enumerate(sizes)
+        }
+        free = dict(zip(ids, capacities, strict=True))
+        expected = []
+        for name in sorted(models, key=lambda n: (-models[n]["size_bytes"], n)):
+            size, count = models[name]["size_bytes"], models[name]["minimum_replicas"]
+            matching = [i for i in ids if i.startswith(models[name]["instances"][0][:-1])]
+            if size > max(upstreams[i].capacity_bytes for i in matching) or count > len(matching):
+                continue
+            chosen = [i for i in matching if free[i] >= size][:count]
+            for i in chosen:
+                free[i] -= size
+            if len(chosen) < count:
+                expected.append(f"models.{name}: only {len(chosen)} of {count}")
+        found = check_document({"models": models}, PlaceChecker(upstreams)).err() or ()
+        assert [r.split(" replicas")[0] for r in found if ": only" in r] == expected
