Cut the time of place checks at the target size

A patch of limits took 170 ms inside apply with 950 models on 10,000 engines and one that lets every model run anywhere took 1.96 s, longer than the shortest election timeout (1 s). The profile showed the search for the largest matching engine of each model, not the matching of patterns.

--- a/src/briardyke/agreed/places.py
+++ b/src/briardyke/agreed/places.py
@@ -71,9 +71,14 @@
         """
         reasons: list[str] = []
         room: dict[str, int] = {}
+        largest_by_patterns: dict[tuple[str, ...], int] = {}
         for name, model in sorted(models.items()):
             matching = self._engines.find(model.instances)
-            largest = max((self._upstreams[i].capacity_bytes for i in matching), default=0)
+            if model.instances not in largest_by_patterns:
+                largest_by_patterns[model.instances] = max(
+                    (self._upstreams[i].capacity_bytes for i in matching), default=0
+                )
+            largest = largest_by_patterns[model.instances]
             if not matching:
                 reasons.append(f"models.{name}.instances: match no registered engine")
             elif model.size_bytes > largest:
@@ -172,19 +177,20 @@
         self._upstreams = upstreams
         self._kind = kind
         self._ids: list[str] | None = None
-        self._by_pattern: dict[str, list[str]] = {}
+        self._found: dict[tuple[str, ...], list[str]] = {}
 
     def find(self, patterns: tuple[str, ...]) -> list[str]:
         """Return the matching upstream ids in order."""
-        if len(patterns) == 1:
-            return self._match(patterns[0])
-        return sorted({i for pattern in patterns for i in self._match(pattern)})
+        if patterns not in self._found:
+            if len(patterns) == 1:
+                self._found[patterns] = self._match(patterns[0])
+            else:
+                self._found[patterns] = sorted({i for p in patterns for i in self.find((p,))})
+        return self._found[patterns]
 
     def _match(self, pattern: str) -> list[str]:
         if self._ids is None:
             rows = self._upstreams.values()
             self._ids = sorted(u.upstream_id for u in rows if u.kind == self._kind)
-        if pattern not in self._by_pattern:
-            expression = re.compile(translate(pattern))
-            self._by_pattern[pattern] = [i for i in self._ids if expression.match(i)]
-        return self._by_pattern[pattern]
+        expression = re.compile(translate(pattern))
+        return [i for i in self._ids if expression.match(i)]
