--- a/src/briardyke/operator/client.py
+++ b/src/briardyke/operator/client.py
@@ -149,7 +149,7 @@
 
 
 def _unknown(last: Failure) -> Failure:
-    return Failure(ErrorKind.OUTCOME_UNKNOWN, f"outcome unknown; last error: {last.message}")
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, f"last error: {last.message}")
 
 
 def _read(response: WholeResponse) -> Result[Any, Failure]:
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -27,7 +27,10 @@
 
 
 class Instances:
-    """Serve two control instances; the first can lose its replies."""
+    """Serve a control instance directly and through a relay that can lose its replies.
+
+    ``addresses`` holds the relay first, so that a client tries it first.
+    """
 
     def __init__(self) -> None:
         self.machine = ControlMachine()
@@ -46,27 +49,43 @@
         self.added.append(f"{action} {member_id}")
         return Ok(None)
 
-    def serve(self, started: threading.Event, stopping: threading.Event) -> None:
-        plain, losing = HttpApp(), HttpApp()
-        for app in (plain, losing):
-            register_operator_routes(app, self, self.machine, self, lambda: {"role": "leader"})
-
-        async def lossy(scope: Any, receive: Any, send: Any) -> None:
-            async def drop(event: Any) -> None:
-                raise ConnectionError("reply lost")
+    async def relay(self, caller: trio.SocketStream) -> None:
+        """Pass requests on; close the connection instead of replying when replies are lost."""
+        host, port = self.addresses[1].split(":")
+        async with (
+            caller,
+            await trio.open_tcp_stream(host, int(port)) as server,
+            trio.open_nursery() as nursery,
+        ):
+
+            async def forward() -> None:
+                async for data in caller:
+                    await server.send_all(data)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(forward)
+            async for data in server:
+                if self.lose_replies:
+                    break
+                await caller.send_all(data)
+            nursery.cancel_scope.cancel()
 
-            await losing(scope, receive, drop if self.lose_replies else send)
+    def serve(self, started: threading.Event, stopping: threading.Event) -> None:
+        app = HttpApp()
+        register_operator_routes(app, self, self.machine, self, lambda: {"role": "leader"})
 
         async def main() -> None:
             stop = trio.Event()
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
             async with trio.open_nursery() as nursery:
-                self.addresses = [
-                    await nursery.start(serve_http, app, Address("127.0.0.1", 0), stop, 0.1)
-                    for app in (lossy, plain)
-                ]
+                server = await nursery.start(serve_http, app, Address("127.0.0.1", 0), stop, 0.1)
+                self.addresses = [f"127.0.0.1:{port}", server]
+                nursery.start_soon(trio.serve_listeners, self.relay, listeners)
                 started.set()
                 await trio.to_thread.run_sync(stopping.wait)
                 stop.set()
+                nursery.cancel_scope.cancel()
 
         trio.run(main)
 
