--- /dev/null
+++ b/src/briardyke/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""Send load to entry processes and verify every response."""
