--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -242,7 +242,9 @@
     async with trio.open_nursery() as nursery:
         hello = Hello(PROTOCOL_VERSION, settings.cluster_id, settings.instance_id)
         peers = PeerPool(nursery, hello)
-        groups = open_groups(settings, identity.unwrap(), settings.peer_listen, peers)
+        groups = open_groups(
+            settings, identity.unwrap(), settings.peer_advertise or settings.peer_listen, peers
+        )
         if groups.is_err():
             return Err(groups.unwrap_err())
         await ControlProcess(settings, groups.unwrap(), peers).run(stop)
--- a/src/briardyke/control/settings.py
+++ b/src/briardyke/control/settings.py
@@ -13,6 +13,7 @@
     parse_boolean,
     parse_choice,
     parse_members,
+    parse_optional_address,
     setting,
 )
 
@@ -64,6 +65,11 @@
     peer_listen: Address = setting(
         "Where to accept connections of other processes, ip:port.", parse=parse_address
     )
+    peer_advertise: Address | None = setting(
+        "Address under which other processes reach the peer port; the listening one if empty.",
+        default="",
+        parse=parse_optional_address,
+    )
     http_listen: Address = setting(
         "Where to accept operator requests, ip:port.", parse=parse_address
     )
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -5,17 +5,15 @@
 import attrs
 
 from briardyke.policy.tables import RoutingPolicy
-from briardyke.settings import Address, parse_address, parse_addresses, parse_choice, setting
-
-
-def parse_words(text: str) -> tuple[str, ...]:
-    """Parse a comma-separated list of words."""
-    return tuple(part.strip() for part in text.split(",") if part.strip())
-
-
-def parse_optional_address(text: str) -> Address | None:
-    """Parse ``ip:port``; empty text gives ``None``."""
-    return parse_address(text) if text else None
+from briardyke.settings import (
+    Address,
+    parse_address,
+    parse_addresses,
+    parse_choice,
+    parse_optional_address,
+    parse_words,
+    setting,
+)
 
 
 @attrs.frozen
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -25,6 +25,9 @@
 DEFAULT_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 DEFAULT_BODY_TIMEOUT_S = 10.0
 _KEEP_ALIVE_TIMEOUT_S = 30
+# A caller that is still sending when the connection closes sees a reset instead of the answer, so
+# this much of a body over the limit is read and thrown away.
+_DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
 _JSON_HEADERS = {"content-type": "application/json"}
 
 AsgiReceive = Callable[[], Awaitable[Any]]
@@ -202,21 +205,24 @@
 
     async def _read_body(self, request: Request, receive: AsgiReceive) -> Result[bytes, Failure]:
         limit = self._body_limit_bytes
-        too_large = Failure(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes", "body")
-        if int(request.headers.get("content-length") or 0) > limit:
-            return Err(too_large)
-        body = bytearray()
+        too_large = Err(Failure(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes", "body"))
+        size_bytes, pieces = 0, []
         with trio.move_on_after(self._body_timeout_s):
             while True:
                 event = await receive()
                 if event["type"] == "http.disconnect":
                     text = "caller disconnected before the end of the body"
                     return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
-                body += event.get("body", b"")
-                if len(body) > limit:
-                    return Err(too_large)
+                piece = event.get("body", b"")
+                size_bytes += len(piece)
+                if size_bytes <= limit:
+                    pieces.append(piece)
+                elif size_bytes > limit + _DISCARD_LIMIT_BYTES:
+                    return too_large
                 if not event.get("more_body", False):
-                    return Ok(bytes(body))
+                    return Ok(b"".join(pieces)) if size_bytes <= limit else too_large
+        if size_bytes > limit:
+            return too_large
         text = f"body was not complete within {self._body_timeout_s:g} s"
         return Err(Failure(ErrorKind.BODY_TIMEOUT, text, "body"))
 
--- a/src/briardyke/settings.py
+++ b/src/briardyke/settings.py
@@ -91,6 +91,16 @@
     return Address(str(ipaddress.ip_address(bare)), int(port))
 
 
+def parse_optional_address(text: str) -> Address | None:
+    """Parse ``ip:port``; empty text gives ``None``."""
+    return parse_address(text) if text else None
+
+
+def parse_words(text: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of words."""
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def parse_addresses(text: str) -> tuple[Address, ...]:
     """Parse a comma-separated list of ``ip:port``."""
     return tuple(parse_address(part.strip()) for part in text.split(",") if part.strip())
--- a/tests/http/test_app.py
+++ b/tests/http/test_app.py
@@ -115,7 +115,7 @@
         [
             (b"content-length: 10\r\n\r\n{", b"body_timeout"),
             (b"transfer-encoding: chunked\r\n\r\n5\r\n{", b"body_timeout"),
-            (b"content-length: 9999\r\n\r\n", b"body_too_large"),
+            (b"content-length: 9999\r\n\r\n" + b"x" * 1001, b"body_too_large"),
         ],
     )
     async def test_incomplete_bodies_are_bounded_in_time_and_size(
