Cancel a handler when its caller disconnects, where its route says so

A response that is not streamed was produced to its end for a caller who had gone, since only streams watched the connection. The watch is off by default: a configuration patch must not stop midway.

--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -129,6 +129,7 @@
     method: str
     pattern: re.Pattern[str]
     handler: HttpHandler
+    cancel_on_disconnect: bool
 
 
 class HttpApp:
@@ -148,16 +149,20 @@
         self._body_limit_bytes = body_limit_bytes
         self._body_timeout_s = body_timeout_s
 
-    def route(self, method: str, path: str, handler: HttpHandler) -> None:
+    def route(
+        self, method: str, path: str, handler: HttpHandler, *, cancel_on_disconnect: bool = False
+    ) -> None:
         """Register a handler.
 
         :param method: upper-case method, or ``*`` for any.
         :param path: path with ``{name}`` for one segment or ``{name*}`` for the rest.
         :param handler: called with the request after its body was read.
+        :param cancel_on_disconnect: cancel the handler when the caller disconnects; for handlers
+            whose work is wanted only by that caller.
         """
         escaped = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", path)
         pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", escaped)
-        self._routes.append(_Route(method, re.compile(pattern), handler))
+        self._routes.append(_Route(method, re.compile(pattern), handler, cancel_on_disconnect))
 
     async def __call__(self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
         """Serve one ASGI scope."""
@@ -167,9 +172,10 @@
         if scope["type"] != "http":
             return
         response = await self._respond(scope, receive)
-        await send_response(response, receive, send)
+        if response is not None:
+            await send_response(response, receive, send)
 
-    async def _respond(self, scope: dict[str, Any], receive: AsgiReceive) -> AnyResponse:
+    async def _respond(self, scope: dict[str, Any], receive: AsgiReceive) -> AnyResponse | None:
         request = _request(scope)
         found = self._find(request)
         if found.is_err():
@@ -179,12 +185,15 @@
             return error_response(body.unwrap_err())
         request.body = body.unwrap()
         try:
-            return await found.unwrap()(request)
+            route = found.unwrap()
+            if route.cancel_on_disconnect:
+                return await _handle_while_connected(route.handler, request, receive)
+            return await route.handler(request)
         except Exception as error:  # a defect in one handler must not end the process
             log_error("handler_defect", path=request.path, error=repr(error))
             return error_response(Failure(ErrorKind.INTERNAL, "internal error"))
 
-    def _find(self, request: Request) -> Result[HttpHandler, Failure]:
+    def _find(self, request: Request) -> Result[_Route, Failure]:
         path_known = False
         for route in self._routes:
             match = route.pattern.fullmatch(request.path)
@@ -193,7 +202,7 @@
             path_known = True
             if route.method in ("*", request.method):
                 request.path_values = match.groupdict()
-                return Ok(route.handler)
+                return Ok(route)
         if path_known:
             text = f"method {request.method} is not allowed here"
             return Err(Failure(ErrorKind.METHOD_NOT_ALLOWED, text, "method"))
@@ -256,6 +265,22 @@
         nursery.cancel_scope.cancel()
 
 
+async def _handle_while_connected(
+    handler: HttpHandler, request: Request, receive: AsgiReceive
+) -> AnyResponse | None:
+    response: AnyResponse | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
+        response = await handler(request)
+        disconnected = nursery.cancel_scope.cancel_called
+        nursery.cancel_scope.cancel()
+        if not disconnected:
+            return response
+    if isinstance(response, StreamResponse) and hasattr(response.chunks, "aclose"):
+        await response.chunks.aclose()
+    return None
+
+
 async def _cancel_on_disconnect(receive: AsgiReceive, scope: trio.CancelScope) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -185,13 +185,13 @@
             _, body = await e.call("/v1/completions", changed, x_request_id="r1")
             texts.append(body["choices"][0]["text"])
 
-        async with engine(request_tokens_per_second="400", leave_notice_ms="100") as e:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(long_call, e)
-                await e.until("/health", in_flight=1)
-                e.stop.set()
-                await e.until("/health", lifecycle="leaving")
-                status, body = await e.call("/v1/completions", BODY)
+        slow = {"request_tokens_per_second": "400", "leave_notice_ms": "100"}
+        async with engine(**slow) as e, trio.open_nursery() as nursery:
+            nursery.start_soon(long_call, e)
+            await e.until("/health", in_flight=1)
+            e.stop.set()
+            await e.until("/health", lifecycle="leaving")
+            status, body = await e.call("/v1/completions", BODY)
         assert (status, body["error"]["kind"]) == (503, "upstream_refused")
         assert texts == [whole_text("r1", "m1", PROMPT, 100)]
 
