--- /dev/null
+++ b/src/briardyke/agreed/validation.py
@@ -0,0 +1,69 @@
+"""Check a configuration against itself and the registered upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from briardyke.agreed.configuration import ANY, Configuration
+from briardyke.agreed.parsing import Parsed, parse_configuration
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from briardyke.agreed.places import PlaceChecker
+
+
+def check_document(document: Any, places: PlaceChecker) -> Result[Configuration, tuple[str, ...]]:
+    """Parse and check a configuration document.
+
+    :param document: JSON value.
+    :param places: checks against the registered upstreams.
+    :return: the configuration, or all reasons against it, each with the path of its field.
+    """
+    parsed = parse_configuration(document)
+    reasons = [
+        *parsed.reasons,
+        *_check_names(parsed),
+        *_check_limits(parsed),
+        *places.check(parsed.configuration),
+    ]
+    return Err(tuple(reasons)) if reasons else Ok(parsed.configuration)
+
+
+def _names(parsed: Parsed, table: str) -> set[str]:
+    known = set(getattr(parsed.configuration, table))
+    prefix = table + "."
+    return known | {p.removeprefix(prefix) for p in parsed.broken if p.startswith(prefix)}
+
+
+def _check_names(parsed: Parsed) -> list[str]:
+    configuration = parsed.configuration
+    models = _names(parsed, "models")
+    reasons = []
+    for name in sorted(models & _names(parsed, "adapters")):
+        reasons.append(f"adapters.{name}: name is also a model")
+    for name, adapter in sorted(configuration.adapters.items()):
+        if adapter.model not in models:
+            reasons.append(f"adapters.{name}.model: unknown model {adapter.model}")
+    keys: dict[str, str] = {}
+    for name, caller in sorted(configuration.callers.items()):
+        first = keys.setdefault(caller.api_key_sha256, name)
+        if first != name:
+            reasons.append(f"callers.{name}.api_key_sha256: is also the key of {first}")
+    return reasons
+
+
+def _check_limits(parsed: Parsed) -> list[str]:
+    known = {
+        "caller": _names(parsed, "callers"),
+        "model": _names(parsed, "models"),
+        "adapter": _names(parsed, "adapters"),
+    }
+    return [
+        f"limits.{limit_id}.{field}: unknown {field} {getattr(limit, field)}"
+        for limit_id, limit in sorted(parsed.configuration.limits.items())
+        for field, names in known.items()
+        if getattr(limit, field) != ANY and getattr(limit, field) not in names
+    ]
--- a/src/briardyke/entry/__init__.py
+++ b/src/briardyke/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Run the entry process: caller interface, addresses, relay and sync."""
+"""Run an entry process: caller API, address responses, admission and relay."""
