--- a/src/briardyke/loadtool/callers.py
+++ b/src/briardyke/loadtool/callers.py
@@ -127,12 +127,17 @@
         headers = {"content-type": "application/json", "x-request-id": request.request_id}
         if self._settings.direct:
             return headers | {"x-resume-offset-tokens": str(offset)}
-        headers["authorization"] = f"Bearer {self._settings.api_key}"
-        headers["x-deadline-ms"] = f"{self._settings.deadline_ms:.0f}"
+        headers |= self._entry_headers()
         if offset:
             headers["last-event-id"] = str(offset)
         return headers
 
+    def _entry_headers(self) -> dict[str, str]:
+        headers = {"x-deadline-ms": f"{self._settings.deadline_ms:.0f}"}
+        if self._settings.api_key:
+            headers["authorization"] = f"Bearer {self._settings.api_key}"
+        return headers
+
     async def service(self, request_id: str) -> RequestResult:
         """Send a non-idempotent call, repeating it with its key when the connection breaks."""
         settings = self._settings
@@ -146,10 +151,9 @@
                 body=json.dumps({"request": request_id}).encode(),
                 headers={
                     "content-type": "application/json",
-                    "authorization": f"Bearer {settings.api_key}",
                     "x-request-id": request_id,
                     "idempotency-key": request_id,
-                    "x-deadline-ms": f"{settings.deadline_ms:.0f}",
+                    **self._entry_headers(),
                 },
                 timeout_ms=settings.deadline_ms + settings.idle_timeout_ms,
             )
--- a/src/briardyke/loadtool/main.py
+++ b/src/briardyke/loadtool/main.py
@@ -112,14 +112,19 @@
     return load.summary, now_ms() - started_ms
 
 
+def exit_code(settings: LoadSettings, summary: Summary) -> ExitCode:
+    """Return the exit code that belongs to the outcomes of a run."""
+    if settings.require_whole and not summary.all_whole:
+        return ExitCode.REQUEST_FAILED
+    return ExitCode.OK
+
+
 def _run(settings: LoadSettings) -> int:
     configure_logs(settings.log_level)
     summary, elapsed_ms = trio.run(run_load, settings)
     for line in summary_lines(summary.as_dict(elapsed_ms)):
         typer.echo(line)
-    if settings.require_whole and not summary.all_whole:
-        return ExitCode.REQUEST_FAILED
-    return ExitCode.OK
+    return exit_code(settings, summary)
 
 
 run = settings_command(LoadSettings, "briardyke-load", _run)
