Count small own changes less when estimating what other instances sent

Cause: with six instances an own change of two requests since a report was counted as twelve, mostly by chance, and requests were refused at half load.

--- a/src/briardyke/policy/beliefs.py
+++ b/src/briardyke/policy/beliefs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import attrs
 
 
@@ -10,11 +12,13 @@
     """Record one granted value.
 
     :param value: the value.
-    :param expires_ms: time at which no instance can hold it any more.
+    :param expires_ms: time at which the instance cannot hold it any more.
+    :param total: limit that it was granted under.
     """
 
     value: float
     expires_ms: float
+    total: float
 
 
 class Belief:
@@ -27,7 +31,7 @@
 
     def __init__(self) -> None:
         self._grants: list[_Granted] = []
-        self._reported = _Granted(0.0, float("-inf"))
+        self._reported = _Granted(0.0, float("-inf"), 0.0)
 
     def copy(self) -> Belief:
         """Return an independent copy."""
@@ -46,14 +50,19 @@
             if grant.value <= value:
                 del self._grants[:index]
                 break
-        self._reported = _Granted(value, expires_ms)
+        else:
+            # The share dates from before the grants, all of which may still be under way. Kept
+            # as the oldest entry, it is what a repeated report of the same value refers to.
+            self._grants.insert(0, _Granted(value, expires_ms, float("inf")))
+        self._reported = _Granted(value, expires_ms, float("inf"))
 
-    def granted(self, value: float, expires_ms: float) -> None:
+    def granted(self, value: float, expires_ms: float, total: float) -> None:
         """Record a grant that is about to be sent."""
-        if self._grants and self._grants[-1].value == value:
-            self._grants[-1].expires_ms = max(self._grants[-1].expires_ms, expires_ms)
+        last = self._grants[-1] if self._grants else None
+        if last is not None and last.value == value and last.total == total:
+            last.expires_ms = max(last.expires_ms, expires_ms)
         else:
-            self._grants.append(_Granted(value, expires_ms))
+            self._grants.append(_Granted(value, expires_ms, total))
 
     def confirmed(self, now_ms: float) -> float:
         """Return the value of the last report, 0 once it has expired."""
@@ -67,9 +76,16 @@
                 largest = grant.value
         return largest
 
-    def entitled(self, now_ms: float) -> float:
-        """Return the largest unexpired grant of this leader, whatever the instance reported."""
-        return max((g.value for g in self._grants if now_ms < g.expires_ms), default=0.0)
+    def entitled(self, now_ms: float, total: float = sys.float_info.max) -> float:
+        """Return the largest unexpired grant of this leader, whatever the instance reported.
+
+        :param now_ms: current time.
+        :param total: leaves out what was granted under a higher limit.
+        """
+        return max(
+            (g.value for g in self._grants if now_ms < g.expires_ms and g.total <= total),
+            default=0.0,
+        )
 
     def expire(self, now_ms: float) -> bool:
         """Drop what has expired; return whether nothing is left."""
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -28,6 +28,9 @@
 CANDIDATES = 10
 # Requests of all instances per request of this one; limited because the estimate is coarse.
 OTHERS_FACTOR_LIMIT = 16.0
+# Own attempts in flight are averaged over about this part of a report each.
+OWN_MEAN_GAIN = 0.03
+OWN_MEAN_MINIMUM = 1.0
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
 # Retry hint while an item is loading; a load takes from milliseconds (adapter) to seconds (model).
@@ -61,6 +64,7 @@
         self._attempts: dict[str, Attempt] = {}
         self._by_priority: Counter[int] = Counter()
         self._reported_total = 0
+        self._own_mean = 0.0
         self._mean_tokens = INITIAL_MEAN_TOKENS
 
     def observe(self, row: UpstreamRow, now_ms: float) -> None:
@@ -84,6 +88,7 @@
             return
         else:
             self._reported_total -= upstream.reported
+        self._own_mean += OWN_MEAN_GAIN * (len(self._attempts) - self._own_mean)
         upstream.accept(row, as_of_ms)
         self._reported_total += upstream.reported
         if row.cache_events:
@@ -300,9 +305,7 @@
         return usable[group.cursor % len(usable)].row.upstream_id
 
     def _others_factor(self) -> float:
-        own = len(self._attempts)
-        if own == 0:
-            return 1.0
+        own = max(OWN_MEAN_MINIMUM, self._own_mean)
         return min(OTHERS_FACTOR_LIMIT, max(1.0, self._reported_total / own))
 
     def _queue_share(self, priority: int) -> float:
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -71,7 +71,8 @@
         :param held: shares that it holds; concurrency in use counts as held.
         :param demand: what it wanted since its last report.
         :param heard_at_ms: arrival of the sync request that the next grants answer. The lease
-            that an answer gives counts from before this time.
+            that an answer gives counts from before this time. A status is reported once; a copy
+            that a relay repeats says nothing about what the instance holds now.
         """
         instance = _Instance(
             heard_at_ms,
@@ -185,7 +186,7 @@
             grants = self._grow(beliefs, targets, total, whole, now_ms)
         for instance_id, value in grants.items():
             expires_ms = self._instances[instance_id].heard_at_ms + self._lease_ms
-            beliefs.setdefault(instance_id, Belief()).granted(value, expires_ms)
+            beliefs.setdefault(instance_id, Belief()).granted(value, expires_ms, total)
         return grants
 
     def _confirm(
@@ -197,10 +198,28 @@
             for instance_id in self._instances
         }
         used = sum(held.values())
-        if used <= total:
-            return held
-        reduced = {instance_id: value * total / used for instance_id, value in held.items()}
-        return {i: float(math.floor(v)) if whole else v for i, v in reduced.items()}
+        if used > total:
+            held = {instance_id: value * total / used for instance_id, value in held.items()}
+        return self._within(beliefs, held, total, whole, now_ms)
+
+    def _within(
+        self,
+        beliefs: Mapping[str, Belief],
+        wanted: Mapping[str, float],
+        total: float,
+        whole: bool,
+        now_ms: float,
+    ) -> dict[str, float]:
+        """Cut what is wanted so that it fits beside every grant made under the present limit."""
+        counted = {i: belief.entitled(now_ms, total) for i, belief in beliefs.items()}
+        used = sum(counted.values())
+        grants = {}
+        for instance_id, value in wanted.items():
+            own = counted.get(instance_id, 0.0)
+            value = max(0.0, min(value, total - (used - own)))
+            grants[instance_id] = float(math.floor(value + 1e-9)) if whole else value
+            used += max(0.0, grants[instance_id] - own)
+        return grants
 
     def _targets(
         self, key: _Key, total: float, whole: bool, defaults: Mapping[str, float] | None
@@ -247,12 +266,11 @@
         if spare < 0.0:
             # The limit was lowered, or an instance reports more than this leader granted, such as
             # requests that outlived their lease. A report then entitles to nothing by itself.
-            return {
-                instance_id: min(
-                    target, beliefs[instance_id].entitled(now_ms) if instance_id in beliefs else 0.0
-                )
-                for instance_id, target in targets.items()
+            wanted = {
+                i: min(target, beliefs[i].entitled(now_ms) if i in beliefs else 0.0)
+                for i, target in targets.items()
             }
+            return self._within(beliefs, wanted, total, whole, now_ms)
         missing = {
             instance_id: target - largest.get(instance_id, 0.0)
             for instance_id, target in targets.items()
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -20,6 +20,8 @@
 
 # Own dispatches and ends kept to correct a report; more than this within its age is not expected.
 CHANGES_KEPT = 1024
+# An own change of this size counts half for what other instances did: small changes are chance.
+DOUBTFUL_CHANGE = 1.0
 # A forecast is at most multiplied by this when an attempt waits longer than predicted.
 OVERDUE_LIMIT = 50.0
 MINIMUM_SLOTS = 4
@@ -115,7 +117,9 @@
 
         :param others_factor: requests of all instances per request of this instance.
         """
-        return max(float(self.own_in_flight), self.reported + self._net_change * others_factor)
+        change = self._net_change
+        others = (others_factor - 1.0) * change * (abs(change) / (abs(change) + DOUBTFUL_CHANGE))
+        return max(float(self.own_in_flight), self.reported + change + others)
 
     def forecast(
         self,
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -144,3 +144,39 @@
             ledger.admit(self.request, 0.0)
         (demand,) = ledger.demand(0.0)
         assert demand.requests_per_second == 10.0 and demand.caller == "x"
+
+    def test_a_higher_share_gives_no_credit_for_the_time_before(self) -> None:
+        """Guards against a burst when a share moves from one instance to another."""
+        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 1.0, 8, 2000.0))
+        ledger.settle(ledger.admit(self.request, 0.0).unwrap(), 0, 0.0)
+        ledger.apply(LIMITS, [LimitShare("l", "*", 1, 20.0, 8, 2000.0)], 9000.0)
+        assert ledger.admit(self.request, 1000.0).is_ok()
+        assert ledger.admit(self.request, 1000.0).is_err()
+
+    def test_the_burst_is_one_second_of_the_share(self) -> None:
+        """Guards against an idle period being saved up."""
+        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 5.0, 8, 2000.0))
+        admitted = 0
+        for now_ms in [0.0] + [5000.0] * 20:
+            result = ledger.admit(LimitRequest("x", "m", "a", 0), now_ms)
+            if result.is_ok():
+                admitted += 1
+                ledger.settle(result.unwrap(), 0, now_ms)
+        assert admitted == 6
+
+    def test_estimated_tokens_count_until_settled_on_the_true_number(self) -> None:
+        """Guards against a large request being free until it ends, or charged twice over."""
+        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 20.0, 8, 100.0))
+        permit = ledger.admit(LimitRequest("x", "m", "a", 500), 0.0).unwrap()
+        assert ledger.admit(self.request, 2000.0).unwrap_err().retry_after_ms == 3000
+        ledger.settle(permit, 100, 2000.0)
+        assert ledger.admit(self.request, 2000.0).is_ok()
+
+    def test_a_permit_is_settled_once(self) -> None:
+        """Guards against concurrency growing because an end is reported twice."""
+        ledger = ledger_with({"l": Limit(concurrent_requests=1)}, LimitShare("l", "*", 1, 9, 1, 9))
+        permit = ledger.admit(self.request, 0.0).unwrap()
+        ledger.settle(permit, 0, 0.0)
+        ledger.settle(permit, 0, 0.0)
+        assert ledger.admit(self.request, 0.0).is_ok()
+        assert ledger.admit(self.request, 0.0).is_err()
