--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -149,7 +149,7 @@
             now_ms,
             forecast.first_token_ms,
             upstream.first_token.value(now_ms),
-            nominal_between_tokens_ms(upstream.load(self._others_factor(), now_ms) + 1.0),
+            nominal_between_tokens_ms(upstream.load(self._others_factor()) + 1.0),
         )
         self._attempts[attempt_id] = attempt
         upstream.waiting[attempt_id] = attempt
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -20,8 +20,8 @@
 
 # Own dispatches and ends kept to correct a report; more than this within its age is not expected.
 CHANGES_KEPT = 1024
-# Age of a report at which it counts as much as the estimate from own requests in flight.
-REPORT_HALF_TRUST_MS = 1000.0
+# An own change of this size counts half for what other instances did: small changes are chance.
+DOUBTFUL_CHANGE = 1.0
 # A forecast is at most multiplied by this when an attempt waits longer than predicted.
 OVERDUE_LIMIT = 50.0
 MINIMUM_SLOTS = 4
@@ -109,7 +109,7 @@
         self._changes.append((now_ms, change))
         self._net_change += change
 
-    def load(self, others_factor: float, now_ms: float) -> float:
+    def load(self, others_factor: float) -> float:
         """Return the estimated number of requests at the upstream now.
 
         Other instances see the same reports and behave alike, so what this instance added since
@@ -117,13 +117,9 @@
 
         :param others_factor: requests of all instances per request of this instance.
         """
-        reported_others = max(0, self.reported - (self.own_in_flight - self._net_change))
-        age_ms = max(0.0, now_ms - self.as_of_ms)
-        doubt = age_ms / (age_ms + REPORT_HALF_TRUST_MS)
-        others = (1.0 - doubt) * reported_others + doubt * (
-            (others_factor - 1.0) * self.own_in_flight
-        )
-        return self.own_in_flight + others
+        change = self._net_change
+        others = (others_factor - 1.0) * change * (abs(change) / (abs(change) + DOUBTFUL_CHANGE))
+        return max(float(self.own_in_flight), self.reported + change + others)
 
     def forecast(
         self,
@@ -141,7 +137,7 @@
         :param mean_tokens: usual number of generated tokens.
         :param now_ms: current time.
         """
-        load = self.load(others_factor, now_ms)
+        load = self.load(others_factor)
         slots = self.slots
         running = load if slots is None else min(load, float(slots))
         queued = (load - running) * queue_share
