--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -23,9 +23,6 @@
 # caller above its fair part is refused first, which leaves room for the callers below theirs.
 LIMIT_WITHIN_FAIR_PART = 0.8
 LIMIT_ABOVE_FAIR_PART = 0.6
-LATE_BASE = 0.2
-LATE_MAX = 0.3
-LATE_FACTOR = 2.0
 # A priority above 0 may use this much more per level, one below 0 this much less.
 PRIORITY_STEP = 0.1
 # Refused callers come back after the excess of the forecast, spread so that they do not return
@@ -106,7 +103,6 @@
             gap_pressure = forecast.between_tokens_ms / self._targets.between_tokens_ms
             excess_ms = max(0.0, first_ms - remaining_ms)
             shift = PRIORITY_STEP * max(-2, min(2, request.route.priority))
-            shift += LATE_BASE - min(LATE_MAX, LATE_FACTOR * self._routing.late_share(name))
             if max(first_ms / remaining_ms, gap_pressure) > LIMIT_WITHIN_FAIR_PART + shift:
                 late = first_ms > remaining_ms
                 kind = ErrorKind.DEADLINE_UNMEETABLE if late else ErrorKind.OVERLOADED
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -10,15 +10,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.policy.directory import Directory, Group
 from briardyke.policy.prefixes import PrefixMap
-from briardyke.policy.selection import (
-    BETWEEN_TOKENS_TARGET_MS,
-    FIRST_TOKEN_TARGET_MS,
-    REMOTE_MS,
-    SPREAD,
-    admit_by_health,
-    cost,
-    pick_by_cost,
-)
+from briardyke.policy.selection import REMOTE_MS, SPREAD, admit_by_health, cost, pick_by_cost
 from briardyke.policy.speed import nominal_between_tokens_ms
 from briardyke.policy.tables import AttemptOutcome, RoutingPolicy
 from briardyke.policy.upstreams import Attempt, Forecast, Upstream
@@ -39,7 +31,6 @@
 # Own attempts in flight are averaged over about this part of a report each.
 OWN_MEAN_GAIN = 0.03
 OWN_MEAN_MINIMUM = 1.0
-LATE_GAIN = 0.1
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
 # Retry hint while an item is loading; a load takes from milliseconds (adapter) to seconds (model).
@@ -74,7 +65,6 @@
         self._by_priority: Counter[int] = Counter()
         self._reported_total = 0
         self._own_mean = 0.0
-        self._late: dict[str, float] = {}
         self._mean_tokens = INITIAL_MEAN_TOKENS
 
     def observe(self, row: UpstreamRow, now_ms: float) -> None:
@@ -144,10 +134,6 @@
         forecasts = self._forecasts(candidates, request, now_ms)
         return min(forecasts, key=cost)
 
-    def late_share(self, name: str) -> float:
-        """Return the recent share of a model's attempts that missed a latency target, 0 to 1."""
-        return self._late.get(name, 0.0)
-
     def begin(
         self, attempt_id: str, upstream_id: str, request: RouteRequest, now_ms: float
     ) -> None:
@@ -204,12 +190,6 @@
         if attempt.first_token_ms is not None and tokens > 1:
             gap_ms = max(0.1, now_ms - attempt.first_token_ms) / (tokens - 1)
             upstream.between_tokens.observe(gap_ms / attempt.nominal_gap_ms, now_ms)
-            missed = (
-                attempt.first_token_ms - attempt.began_ms > FIRST_TOKEN_TARGET_MS
-                or gap_ms > BETWEEN_TOKENS_TARGET_MS
-            )
-            late = self._late.get(attempt.route.model, 0.0)
-            self._late[attempt.route.model] = late + LATE_GAIN * (missed - late)
         if outcome is AttemptOutcome.COMPLETED:
             upstream.gate.succeeded(now_ms)
             self._mean_tokens += MEAN_TOKENS_GAIN * (tokens - self._mean_tokens)
