--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -124,7 +124,11 @@
             "version": state.version,
             "confirmed_age_ms": state.view.lease.age_ms(now_ms()),
             "in_flight": state.in_flight,
-            "upstreams": sorted(state.view.digest.alive(now_ms())),
+            "upstreams": sorted(
+                row.upstream_id
+                for row in state.view.digest.alive(now_ms()).values()
+                if row.lifecycle == "ready"
+            ),
         }
         return json_response(body)
 
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -321,9 +321,13 @@
         document = {**default_configuration(), **tables}
         answer = self.patch(0, document, request_id="configure")
         assert answer.status == 200, answer.body
-        self.until(lambda: self.entry_versions() == {1}, "version 1 in force")
+        self.until(lambda: self.entry_versions() == {1} and self.all_ready(), "version 1 in force")
         return 1
 
+    def all_ready(self) -> bool:
+        """Return whether every entry process admits requests."""
+        return all(self.call(n, "GET", "/ready").status == 200 for n in self.names("entry"))
+
     def entry_versions(self) -> set[int]:
         """Return the versions that the running entry processes have in force."""
         return {self.call(name, "GET", "/health").json()["version"] for name in self.names("entry")}
--- a/tests/process/cut_relay.py
+++ b/tests/process/cut_relay.py
@@ -61,6 +61,8 @@
         except OSError:
             near.close()
             return
+        for end in (near, far):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for source, sink in ((near, far), (far, near)):
             threading.Thread(target=self._copy, args=(source, sink, sender), daemon=True).start()
 
