--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -12,7 +12,7 @@
     SnapshotReply,
 )
 from briardyke.consensus.state import NodeState, Progress, Role
-from briardyke.logs import log_event, log_warning
+from briardyke.logs import log_event
 
 
 def start_round(state: NodeState) -> None:
@@ -297,7 +297,7 @@
     :param reason: text for the log line.
     """
     entry = state.append(EntryKind.MEMBERS, encoded)
-    log_warning("members_changed", group=state.group_id, index=entry.index, change=reason)
+    log_event("members_changed", group=state.group_id, index=entry.index, change=reason)
     listed = {member.member_id for member in state.membership.members}
     state.progress = {k: v for k, v in state.progress.items() if k in listed}
     broadcast(state, heartbeat=True)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -142,9 +142,7 @@
 
     def may_lose_disk(self, host: Host) -> bool:
         """Return whether every membership in use keeps a majority of intact disks."""
-        memberships = [
-            members for other in self.running for _, members in other.node.state.configs
-        ]
+        memberships = [members for other in self.running for _, members in other.node.state.configs]
         return all(
             not members.voters
             or members.has_majority(
