--- /dev/null
+++ b/tests/consensus/test_driver.py
@@ -0,0 +1,271 @@
+"""Check the driver: disk, callers, restarts and several members together, on a paused clock."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import trio
+
+from briardyke.consensus.driver import ReplicatedLog
+from briardyke.consensus.identity import Identity, initialise, open_identity
+from briardyke.consensus.members import MemberChange
+from briardyke.consensus.state import Role
+from briardyke.errors import ErrorKind
+from briardyke.settings import Address
+
+ADDRESSES = {name: Address("127.0.0.1", port) for port, name in enumerate("abcd", start=1)}
+VOTERS = {name: ADDRESSES[name] for name in "abc"}
+
+
+class _Machine:
+    """Record commands and answer with their number."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.append(command)
+        return b"%d" % len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return msgpack.packb(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = msgpack.unpackb(data)
+
+
+async def _run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run in place: the paused clock would jump ahead while a worker thread works."""
+    await trio.lowlevel.checkpoint()
+    return function(*arguments)
+
+
+class _Group:
+    """Run drivers that exchange messages with 1 ms latency."""
+
+    def __init__(self, directory: Path, nursery: trio.Nursery) -> None:
+        self.directory, self.nursery = directory, nursery
+        self.logs: dict[str, ReplicatedLog] = {}
+        self.machines: dict[str, _Machine] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.isolated: set[str] = set()
+        self.snapshot_entries = 10_000
+
+    def initialise(self, names: str = "abc") -> None:
+        for name in names:
+            initialise(self.directory / name, "k", name, VOTERS).unwrap()
+
+    async def start(self, name: str, directory: str = "", **options: Any) -> ReplicatedLog:
+        identity: Identity = open_identity(self.directory / (directory or name), name).unwrap()
+        options.setdefault("run_blocking", _run_inline)
+        machine = self.machines[name] = _Machine()
+        log = ReplicatedLog(
+            "control",
+            identity,
+            ADDRESSES[name],
+            identity.open_group("control").unwrap(),
+            machine,
+            lambda address, message: self._send(name, address, message),
+            random.Random(name),
+            seeds=list(VOTERS.values()),
+            snapshot_entries=self.snapshot_entries,
+            **options,
+        )
+
+        async def run(*, task_status: Any) -> None:
+            with trio.CancelScope() as self.scopes[name]:
+                await log.run(task_status=task_status)
+
+        await self.nursery.start(run)
+        self.logs[name] = log
+        return log
+
+    def stop(self, name: str) -> None:
+        self.scopes.pop(name).cancel()
+        del self.logs[name]
+
+    def _send(self, sender: str, address: Address, message: Any) -> None:
+        self.nursery.start_soon(self._deliver, sender, address, message)
+
+    async def _deliver(self, sender: str, address: Address, message: Any) -> None:
+        await trio.sleep(0.001)
+        name = next(name for name, known in ADDRESSES.items() if known == address)
+        if name in self.logs and not {sender, name} & self.isolated:
+            await self.logs[name].handle(message)
+
+    async def leader(self) -> str:
+        for _ in range(200):
+            await trio.sleep(0.05)
+            for name, log in self.logs.items():
+                if log.confirmed_age_ms() is not None and name not in self.isolated:
+                    return name
+        raise AssertionError("no leader")
+
+    async def started(self, names: str = "abc") -> str:
+        self.initialise()
+        for name in names:
+            await self.start(name)
+        return await self.leader()
+
+
+async def test_proposals_are_applied_everywhere(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against results that reach the wrong proposer and members that diverge."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        leader = await group.started()
+        results: dict[bytes, Any] = {}
+
+        async def propose(command: bytes) -> None:
+            results[command] = await group.logs[leader].propose(command, 1000)
+
+        async with trio.open_nursery() as proposers:
+            for number in range(50):
+                proposers.start_soon(propose, b"%d" % number)
+        applied = group.machines[leader].commands
+        for command, result in results.items():
+            assert result.unwrap().result == b"%d" % (applied.index(command) + 1)
+        for name in "abc":
+            await group.logs[name].wait_applied(results[b"1"].unwrap().index)
+            await trio.sleep(0.5)
+            assert group.machines[name].commands == applied
+            assert group.logs[name].status().ready
+        other = next(name for name in "abc" if name != leader)
+        refused = (await group.logs[other].propose(b"x", 100)).unwrap_err()
+        assert (refused.kind, refused.field) == (ErrorKind.NOT_LEADER, str(ADDRESSES[leader]))
+        nursery.cancel_scope.cancel()
+
+
+async def test_nothing_is_sent_before_the_sync(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against acknowledging entries that a power failure removes: while the sync hangs, no
+    acknowledgement leaves the member and no proposal is answered."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        leader = await group.started()
+        stuck = trio.Event()
+
+        async def hang(function: Callable[..., Any], *arguments: Any) -> Any:
+            await stuck.wait()
+            return await _run_inline(function, *arguments)
+
+        for log in group.logs.values():
+            log._run_blocking = hang
+        outcome = await group.logs[leader].propose(b"x", 300)
+        assert outcome.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+        assert all(machine.commands == [] for machine in group.machines.values())
+        stuck.set()
+        await trio.sleep(0.5)
+        assert group.machines[await group.leader()].commands in ([b"x"], [])
+        nursery.cancel_scope.cancel()
+
+
+async def test_proposal_that_lost_its_leader_is_unknown(
+    autojump_clock: Any, tmp_path: Path
+) -> None:
+    """Guards against "not run" for a command that the next leader may still commit."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        leader = await group.started()
+        group.isolated = {leader}
+        outcome = await group.logs[leader].propose(b"x", 5000)
+        assert outcome.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
+        later = await group.logs[leader].propose(b"y", 5000)
+        assert later.unwrap_err().kind is ErrorKind.NO_MAJORITY
+        nursery.cancel_scope.cancel()
+
+
+async def test_restart_reads_the_disk_and_waits_until_ready(
+    autojump_clock: Any, tmp_path: Path
+) -> None:
+    """Guards against serving old state after a restart, and against replaying truncated entries
+    or applying an entry twice after a snapshot."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        group.snapshot_entries = 20
+        leader = await group.started()
+        for number in range(70):
+            assert (await group.logs[leader].propose(b"%d" % number, 1000)).is_ok()
+        for name in "abc":
+            group.stop(name)
+        logs = [await group.start(name) for name in "abc"]
+        assert not any(log.status().ready for log in logs)
+        assert all(log.status().applied_index >= 60 for log in logs)
+        leader = await group.leader()
+        await trio.sleep(1)
+        assert all(log.status().ready for log in logs)
+        for machine in group.machines.values():
+            assert machine.commands == [b"%d" % number for number in range(70)]
+        nursery.cancel_scope.cancel()
+
+
+async def test_lost_disk_returns_as_replacement(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against a repair that needs an operator; a relay meanwhile stays a learner until it
+    is promoted explicitly."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        leader = await group.started()
+        await group.start("d")
+        lost = next(name for name in "abc" if name != leader)
+        group.stop(lost)
+        assert (await group.logs[leader].propose(b"x", 1000)).is_ok()
+        returned = await group.start(lost, directory="new-disk")
+        await trio.sleep(15)
+        status = group.logs[leader].status()
+        voters = {member.member_id for member in status.members if member.voter}
+        assert returned.status().member_id in voters and len(voters) == 3
+        assert group.machines[lost].commands == [b"x"]
+        relay = group.logs["d"].status()
+        assert relay.ready and relay.member_id not in voters
+        change = MemberChange("promote", relay.member_id)
+        assert (await group.logs[leader].change_member(change, 1000)).is_ok()
+        assert sum(member.voter for member in group.logs[leader].status().members) == 4
+        nursery.cancel_scope.cancel()
+
+
+async def test_planned_stop_hands_leadership_over(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against an election timeout without leader at every planned stop."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        leader = await group.started()
+        before = trio.current_time()
+        assert await group.logs[leader].transfer_leadership(2000)
+        next_leader = await group.leader()
+        assert next_leader != leader
+        assert trio.current_time() - before < 0.5
+        assert group.logs[leader].status().role is Role.FOLLOWER
+        nursery.cancel_scope.cancel()
+
+
+async def test_sync_does_not_block_other_tasks(tmp_path: Path) -> None:
+    """Guards against streams that stall while the disk syncs: the write runs in another thread,
+    and the event loop runs while that thread waits."""
+    async with trio.open_nursery() as nursery:
+        group = _Group(tmp_path, nursery)
+        initialise(tmp_path / "a", "k", "a", {"a": ADDRESSES["a"]}).unwrap()
+        log = await group.start("a", run_blocking=trio.to_thread.run_sync)
+        with trio.fail_after(20):
+            while log.confirmed_age_ms() is None:
+                await trio.sleep(0.01)
+        event_loop_ran, threads = threading.Event(), []
+        save = log._storage.save
+
+        def slow_save(*arguments: Any) -> None:
+            threads.append(threading.get_ident())
+            assert event_loop_ran.wait(10)
+            save(*arguments)
+
+        log._storage.save = slow_save
+
+        async def run_beside() -> None:
+            while not threads:
+                await trio.sleep(0.001)
+            event_loop_ran.set()
+
+        nursery.start_soon(run_beside)
+        assert (await log.propose(b"x", 15_000)).is_ok()
+        assert threads[0] != threading.get_ident()
+        nursery.cancel_scope.cancel()
