--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from briardyke.consensus.members import MemberChange
@@ -120,6 +120,7 @@
     max_examples=250,
     stateful_step_count=40,
     deadline=None,
+    phases=[Phase.explicit, Phase.generate],  # shrinking would take minutes
     database=None,
     suppress_health_check=list(HealthCheck),
 )
