Let the memory test send and deliver more orders a run

With the comparison of unload tokens removed the state machine test did not fail: few of its steps sent or delivered orders, and most replaced a process. Orders and deliveries now come in short lists and a process is replaced only after it has received some. A member change is tested against two addresses, because with one the test did not notice a second attempt.

--- a/tests/agreed/test_true_memory.py
+++ b/tests/agreed/test_true_memory.py
@@ -13,7 +13,7 @@
 
 CAPACITY = 10
 ENGINES = st.sampled_from(["fencing", "ignoring"])
-ITEMS = st.sampled_from(["m1", "m2", "m3"])
+ITEMS = st.sampled_from(["m1", "m2"])
 
 
 @attrs.frozen
@@ -71,32 +71,36 @@
         )
         assert self.apply(command) == ""
 
-    @rule(name=ENGINES, item=ITEMS, size=st.integers(1, 7))
-    def order_load(self, name: str, item: str, size: int) -> None:
+    @rule(name=ENGINES, item=ITEMS, sizes=st.lists(st.integers(0, 7), min_size=1, max_size=3))
+    def order(self, name: str, item: str, sizes: list[int]) -> None:
+        """Order loads of these sizes; 0 orders an unload."""
         engine = self.engines[name]
-        self.token += 1
-        command = ReserveMemory(
-            name, str(engine.incarnation), item, size, f"o{self.token}", self.token
-        )
-        if self.apply(command) == "":
-            engine.sent.append(Order(item, size, self.token))
-
-    @rule(name=ENGINES, item=ITEMS)
-    def order_unload(self, name: str, item: str) -> None:
-        self.token += 1
-        self.engines[name].sent.append(Order(item, 0, self.token, unload=True))
-
-    @rule(name=ENGINES, data=st.data())
-    def deliver(self, name: str, data: st.DataObject) -> None:
-        engine = self.engines[name]
-        if not engine.sent:
-            return
-        order = data.draw(st.sampled_from(engine.sent))
-        if engine.run(order) and order.unload:
-            self.apply(EndReservation(name, str(engine.incarnation), order.item, order.token))
-
-    @rule(name=ENGINES)
-    def replace_process(self, name: str) -> None:
+        for size in sizes:
+            self.token += 1
+            reserve = ReserveMemory(
+                name, str(engine.incarnation), item, size, f"o{self.token}", self.token
+            )
+            if size == 0 or self.apply(reserve) == "":
+                engine.sent.append(Order(item, size, self.token, unload=size == 0))
+
+    @rule(picks=st.lists(st.integers(0, 5), min_size=1, max_size=6))
+    def deliver(self, picks: list[int]) -> None:
+        for pick in picks:
+            for name, engine in self.engines.items():
+                self.deliver_one(name, engine, pick)
+
+    def deliver_one(self, name: str, engine: Engine, pick: int) -> None:
+        if pick < len(engine.sent):
+            order = engine.sent[-1 - pick]
+            if engine.run(order) and order.unload:
+                self.apply(EndReservation(name, str(engine.incarnation), order.item, order.token))
+            self.true_memory_fits()
+
+    @precondition(lambda self: any(len(e.sent) > 5 for e in self.engines.values()))
+    @rule()
+    def replace_the_busiest_process(self) -> None:
+        # A process that has received few orders is kept: replacing it would tell nothing.
+        name = max(self.engines, key=lambda n: (len(self.engines[n].sent), n))
         engine = self.engines[name]
         self.engines[name] = Engine(engine.fencing, engine.incarnation + 1)
         self.register(name)
@@ -129,5 +133,5 @@
 
 TestTrueMemory = TrueMemory.TestCase
 TestTrueMemory.settings = settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=40
+    derandomize=True, deadline=None, max_examples=300, stateful_step_count=30
 )
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -150,7 +150,7 @@
         assert "outcome_unknown" in patched.stderr
         assert "--request-id r7" in patched.stderr
         assert instances.index == client.ROUNDS
-        change = call(control, "members", "remove", "c1#s1")
+        change = call(",".join(instances.addresses), "members", "remove", "c1#s1")
         assert "members list" in change.stderr
         assert instances.added == ["remove c1#s1"]
 
