--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -25,7 +25,7 @@
 )
 # Every model may use the checking engines, which are large enough for all models of one version
 # at once; e3 ignores fencing tokens and may be full of old items for ever.
-_CAPACITY = {"e1": 7, "e2": 7, "e3": 5}
+_CAPACITY = {"e1": 6, "e2": 6, "e3": 5}
 _SIZES = {"a": 2, "b": 3, "c": 2, "d": 1}
 _ADAPTERS = {"x": ("a", 1), "y": ("b", 1)}
 # Ticks for loads spaced two seconds apart, one relocation and the timeouts of orders and transits.
@@ -301,12 +301,11 @@
         engines = [FakeEngine("e1", 4, True), FakeEngine("e2", 4, True)]
         pool = _Pool(engines, configuration({}, a=Model(3, ("*",), minimum_replicas=2)))
         pool.run(3)
-        pool.config = configuration({"a": 3, "b": 3})
+        pool.config = configuration({"a": 3}, b=Model(3, ("e1",), priority=1))
         pool.run(1, deliver=False)
-        unload = pool.leader.outbox[-1]
-        assert unload.step.kind is StepKind.UNLOAD
-        other = next(e for e in engines if e.upstream_id != unload.step.upstream_id)
-        other.restart()
+        unload = pool.leader.outbox[-1].step
+        assert (unload.kind, unload.upstream_id) == (StepKind.UNLOAD, "e1")
+        engines[1].restart()
         sent = len(pool.leader.outbox)
         pool.run(8, deliver=False)
         assert all(o.step.kind is StepKind.LOAD for o in pool.leader.outbox[sent:])
