Count repeated and renewed load orders as starts at the store

Ordering a load again after a leader change or a timeout took no start, so several loads could start at once when their first orders were lost.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -98,9 +98,12 @@
         view = self.view(rates)
         asked, outcomes = self.coordinator.observe(view, self.now_ms)
         self.moves += len(outcomes)
-        self.coordinator.accept(view, policy(asked, self.now_ms), self.now_ms)
-        for order in self.coordinator.due(view, self.now_ms):
+        due = self.coordinator.due(view, self.now_ms)
+        steps = policy(asked, self.now_ms)
+        for order in [*due, *self.coordinator.accept(view, steps, self.now_ms)]:
             step = order.step
+            if not self.coordinator.is_current(order, view):
+                continue
             if order.state is OrderState.UNLOADED:
                 self.reservations.pop(order.key, None)
                 self.coordinator.finish(order)
@@ -227,22 +230,47 @@
     return PlacementView(1, config, known, held, rows, demand, 1)
 
 
+def unreachable_view(engines: int, seed: int) -> PlacementView:
+    """Return a running view in which every tenth model is nowhere and no memory is free."""
+    view = large_view(engines, seed, True)
+    rows = {
+        name: attrs.evolve(
+            row,
+            capacity_bytes=sum(item.size_bytes for item in row.loaded if not _lost(item.name)),
+            loaded=[item for item in row.loaded if not _lost(item.name)],
+        )
+        for name, row in view.upstreams.items()
+    }
+    held = {key: r for key, r in view.reservations.items() if not _lost(key[1])}
+    return attrs.evolve(view, upstreams=rows, reservations=held)
+
+
+def _lost(item: str) -> bool:
+    return item.endswith("0")
+
+
 def decision_time() -> None:
     """Print the time of a decision for growing numbers of engines, the median over seeds."""
-    print("| engines | models | cold start ms | running ms | steps |\n|---|---|---|---|---|")
+    print("| engines | models | cold start ms | running ms | full memory ms | steps when running |")
+    print("|---|---|---|---|---|---|")
     for engines in (10, 100, 1000, 10_000):
-        columns: dict[bool, list[float]] = {True: [], False: []}
-        steps = 0
+        columns: list[list[float]] = [[], [], [], []]
         for seed in SEEDS:
-            for loaded, column in columns.items():
-                view = large_view(engines, seed, loaded)
+            views = (
+                large_view(engines, seed, False),
+                large_view(engines, seed, True),
+                unreachable_view(engines, seed),
+            )
+            for column, view in zip(columns, views, strict=False):
                 started = time.perf_counter()
-                decided = plan(view, 0.0)
+                steps = plan(view, 0.0)
                 column.append((time.perf_counter() - started) * 1000.0)
-                steps = len(decided) if loaded else steps
-        cold, running = statistics.median(columns[False]), statistics.median(columns[True])
+                if column is columns[1]:
+                    columns[3].append(len(steps))
+        cold, running, full, decided = (statistics.median(column) for column in columns)
         models = min(950, engines * 2)
-        print(f"| {engines} | {models} | {cold:.1f} | {running:.1f} | {steps} |", flush=True)
+        row = f"{cold:.1f} | {running:.1f} | {full:.1f} | {decided:.0f}"
+        print(f"| {engines} | {models} | {row} |", flush=True)
 
 
 if __name__ == "__main__":
--- a/src/briardyke/placement/coordinator.py
+++ b/src/briardyke/placement/coordinator.py
@@ -85,12 +85,19 @@
             earlier = self._table.find(step.upstream_id, step.item)
             if earlier is not None and earlier.state is OrderState.UNLOADED:
                 continue  # A load must not be reserved before the old reservation's end commits.
-            if step.kind is StepKind.UNLOAD or self._start_transit(view, step, now_ms):
-                created.append(self._table.create(step, now_ms))
+            if step.kind is StepKind.LOAD:
+                if not self._may_start(view, step, now_ms):
+                    continue
+                is_adapter = step.item in view.configuration.adapters
+                self._rate.start(_transit(step), is_adapter, now_ms)
+            created.append(self._table.create(step, now_ms))
         return created
 
     def due(self, view: PlacementView, now_ms: float) -> list[Order]:
-        """Return the orders to reserve, send, repeat or end now, by rising token.
+        """Return the earlier orders to reserve, send, repeat or end now, by rising token.
+
+        It is called before :meth:`accept`, so that new loads do not take every start from
+        repetitions.
 
         :param view: what placement sees.
         :param now_ms: current time in milliseconds.
@@ -162,22 +169,24 @@
                     key = (row.upstream_id, row.incarnation, held.name)
                     self._rate.hold(key, held.name in view.configuration.adapters, now_ms)
 
-    def _start_transit(self, view: PlacementView, step: Step, now_ms: float) -> bool:
-        """Count a load as in transit unless it still is; return whether it may be sent."""
-        key = _transit(step)
-        if self._rate.holds(key):
-            return True
+    def _may_start(self, view: PlacementView, step: Step, now_ms: float) -> bool:
         is_adapter = step.item in view.configuration.adapters
-        if not self._rate.may_start(is_adapter, view.configuration.placement, now_ms):
-            return False
-        self._rate.start(key, is_adapter, now_ms)
-        return True
+        limits = view.configuration.placement
+        return self._rate.may_start(_transit(step), is_adapter, limits, now_ms)
 
     def _sendable(self, view: PlacementView, order: Order, now_ms: float) -> bool:
         row = view.upstreams.get(order.step.upstream_id)
         if row is None or order.step.kind is StepKind.UNLOAD:
             return row is not None
-        return row.lifecycle == "ready" and self._start_transit(view, order.step, now_ms)
+        if row.lifecycle != "ready":
+            return False
+        # A new order was counted when it was created, and one that was taken starts nothing again.
+        if order.state is not OrderState.NEW and not order.taken:
+            if not self._may_start(view, order.step, now_ms):
+                return False
+            is_adapter = order.step.item in view.configuration.adapters
+            self._rate.repeat(_transit(order.step), is_adapter, now_ms)
+        return True
 
 
 def reservation_of(order: Order) -> Reservation:
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -85,7 +85,9 @@
             steps = await trio.to_thread.run_sync(plan, asked, now)
         else:
             steps = plan(asked, now)
-        for order in self._coordinator.accept(view, steps, now):
+        due = self._coordinator.due(view, now)
+        created = self._coordinator.accept(view, steps, now)
+        for order in created:
             log_event(
                 "placement_order",
                 **_names(order),
@@ -93,7 +95,7 @@
                 size_bytes=order.step.size_bytes,
             )
         work: dict[str, list[Order]] = defaultdict(list)
-        for order in self._coordinator.due(view, now):
+        for order in [*due, *created]:
             work[order.step.upstream_id].append(order)
         for upstream_id, orders in work.items():
             if upstream_id not in self._busy:
--- a/src/briardyke/placement/store_rate.py
+++ b/src/briardyke/placement/store_rate.py
@@ -36,23 +36,34 @@
         self._last_start_ms = now_ms
         self._adapters = 0
 
-    def may_start(self, is_adapter: bool, settings: PlacementSettings, now_ms: float) -> bool:
+    def may_start(
+        self,
+        key: tuple[str, str, str],
+        is_adapter: bool,
+        settings: PlacementSettings,
+        now_ms: float,
+    ) -> bool:
         """Return whether a load may start now.
 
+        A load that counts as in transit takes no further place, but ordering or repeating it counts
+        as a start, because the earlier order may have been lost.
+
+        :param key: upstream id, incarnation and item.
         :param is_adapter: whether the item is an adapter.
         :param settings: limits in force.
         :param now_ms: current time in milliseconds.
         """
         self._expire(now_ms)
+        held = key in self._transits
         if is_adapter:
-            return self._adapters < settings.adapters_in_transit
-        if len(self._transits) - self._adapters >= settings.store_concurrent_loads:
+            return held or self._adapters < settings.adapters_in_transit
+        if not held and len(self._transits) - self._adapters >= settings.store_concurrent_loads:
             return False
         rate = settings.store_loads_per_second
         return rate > 0 and now_ms - self._last_start_ms >= 1000.0 / rate
 
     def start(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
-        """Count a load that starts now.
+        """Count a load that is ordered now; its time in transit starts again.
 
         :param key: upstream id, incarnation and item.
         :param is_adapter: whether the item is an adapter.
@@ -62,6 +73,16 @@
         if not is_adapter:
             self._last_start_ms = now_ms
 
+    def repeat(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
+        """Count a repeated order; its time in transit goes on.
+
+        Otherwise an engine that takes no orders would occupy a place for ever.
+        """
+        if not self.holds(key):
+            self.hold(key, is_adapter, now_ms)
+        if not is_adapter:
+            self._last_start_ms = now_ms
+
     def hold(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
         """Count a load as in transit from now, such as one announced or left by another leader."""
         self.finish(key)
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -236,9 +236,11 @@
     def tick(self, view: PlacementView, now_ms: float) -> None:
         """Do what the runner does in one tick, with immediate commits."""
         asked, _ = self.coordinator.observe(view, now_ms)
-        self.coordinator.accept(view, plan(asked, now_ms), now_ms)
-        for order in self.coordinator.due(view, now_ms):
+        due = self.coordinator.due(view, now_ms)
+        for order in [*due, *self.coordinator.accept(view, plan(asked, now_ms), now_ms)]:
             step = order.step
+            if not self.coordinator.is_current(order, view):
+                continue
             if order.state is OrderState.UNLOADED:
                 if self.ledger.end(step.upstream_id, step.incarnation, step.item).is_ok():
                     self.coordinator.finish(order)
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -65,6 +65,7 @@
         self.views: dict[int, PlacementView] = {}
         self.starts: dict[tuple[str, str, str], float] = {}
         self.start_times: list[float] = []
+        self.sent_ids: set[str] = set()
         for name in self.engines:
             self._announce(name)
 
@@ -200,10 +201,13 @@
         for order in sent:
             step = order.step
             key = (step.upstream_id, step.incarnation, step.item)
-            if step.kind is StepKind.LOAD and key not in self.starts:
+            if step.kind is not StepKind.LOAD:
+                continue
+            if order.order_id not in self.sent_ids or key not in self.starts:
                 self.starts[key] = self.now_ms
-                if step.item not in _ADAPTERS:
-                    self.start_times.append(self.now_ms)
+            self.sent_ids.add(order.order_id)
+            if step.item not in _ADAPTERS and not order.taken:
+                self.start_times.append(self.now_ms)
         models = [key for key in self.starts if key[2] not in _ADAPTERS]
         assert len(models) <= _LIMITS.store_concurrent_loads
         assert len(self.starts) - len(models) <= _LIMITS.adapters_in_transit
@@ -211,6 +215,10 @@
             assert later - earlier >= 1000.0 / _LIMITS.store_loads_per_second
 
     def _expire(self, view: PlacementView) -> None:
+        for row in view.upstreams.values():
+            for item in row.loaded:
+                if item.state == "loading":
+                    self.starts[row.upstream_id, row.incarnation, item.name] = self.now_ms
         for key, started in list(self.starts.items()):
             row = view.upstreams.get(key[0])
             loaded = row is not None and any(
--- a/tests/placement/test_store_rate.py
+++ b/tests/placement/test_store_rate.py
@@ -16,28 +16,40 @@
     def test_starts_are_spaced(self) -> None:
         """Guards against bursts, also right after another leader's last start."""
         rate = StoreRate(0.0)
-        assert not rate.may_start(False, _LIMITS, 499.0)
-        assert rate.may_start(False, _LIMITS, 500.0)
+        assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 499.0)
+        assert rate.may_start(("e", "i", "new"), False, _LIMITS, 500.0)
         rate.start(("e", "i", "a"), False, 500.0)
-        assert not rate.may_start(False, _LIMITS, 999.0)
+        assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 999.0)
 
     def test_concurrency_counts_loads_in_doubt_until_their_timeout(self) -> None:
         """Guards against more loads at once than the store serves at full speed."""
         rate = StoreRate(0.0)
         rate.start(("e", "i", "a"), False, 500.0)
         rate.start(("e", "i", "b"), False, 1000.0)
-        assert not rate.may_start(False, _LIMITS, 9_000.0)
+        assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 9_000.0)
         rate.finish(("e", "i", "a"))
-        assert rate.may_start(False, _LIMITS, 9_000.0)
+        assert rate.may_start(("e", "i", "new"), False, _LIMITS, 9_000.0)
         rate.hold(("e", "i", "c"), False, 9_000.0)
-        assert not rate.may_start(False, _LIMITS, 1000.0 + TRANSIT_TIMEOUT_MS - 1)
-        assert rate.may_start(False, _LIMITS, 1000.0 + TRANSIT_TIMEOUT_MS)
+        assert not rate.may_start(
+            ("e", "i", "new"), False, _LIMITS, 1000.0 + TRANSIT_TIMEOUT_MS - 1
+        )
+        assert rate.may_start(("e", "i", "new"), False, _LIMITS, 1000.0 + TRANSIT_TIMEOUT_MS)
 
     def test_adapters_have_their_own_limit(self) -> None:
         """Guards against adapters that wait behind models, and against too many of them."""
         rate = StoreRate(0.0)
         for name in "abc":
-            assert rate.may_start(True, _LIMITS, 0.0)
+            assert rate.may_start(("e", "i", "new"), True, _LIMITS, 0.0)
             rate.start(("e", "i", name), True, 0.0)
-        assert not rate.may_start(True, _LIMITS, 0.0)
-        assert rate.may_start(False, _LIMITS, 500.0)
+        assert not rate.may_start(("e", "i", "new"), True, _LIMITS, 0.0)
+        assert rate.may_start(("e", "i", "new"), False, _LIMITS, 500.0)
+
+    def test_repeated_order_counts_as_a_start_but_keeps_its_timeout(self) -> None:
+        """Guards against repetitions at any rate, and a dead end that occupies a place for ever."""
+        rate, key = StoreRate(0.0), ("e", "i", "a")
+        rate.start(key, False, 500.0)
+        assert not rate.may_start(key, False, _LIMITS, 999.0)
+        rate.repeat(key, False, 1000.0)
+        assert not rate.may_start(("e", "i", "b"), False, _LIMITS, 1499.0)
+        rate.may_start(key, False, _LIMITS, 500.0 + TRANSIT_TIMEOUT_MS)
+        assert not rate.holds(key)
