Compare callers by what was admitted, probe idle upstreams, forget on observation

Tests of the cold start found three faults. While a model was close to its target, the fair part was computed from what was admitted, which fell until every caller was refused; callers are now compared with the mean by weight, kept per admission. An upstream that is slower than the best estimate was never tried again; 1% of the decisions now go to a candidate without an answer for 5 s. An observation after a long silence weighed one fifth against an estimate that had been forgotten.

--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -11,7 +11,6 @@
 from briardyke.agreed.configuration import Targets
 from briardyke.errors import ErrorKind, Failure
 from briardyke.policy.buckets import DecayingRate
-from briardyke.policy.fairness import water_level
 
 if TYPE_CHECKING:
     import random
@@ -29,7 +28,11 @@
 # together.
 RETRY_MINIMUM_MS = 200
 RETRY_MAXIMUM_MS = 5000
-LEVEL_INTERVAL_MS = 100.0
+# A caller is above its fair part when it was admitted this much more than the mean by weight. It
+# is compared with what was admitted, not with an assumed capacity, so a caller that is alone is
+# never above.
+FAIR_TOLERANCE = 1.25
+WEIGHTS_INTERVAL_MS = 100.0
 FORGET_CALLER_BELOW_PER_SECOND = 0.01
 
 
@@ -49,16 +52,18 @@
 
 @attrs.define
 class _ModelUse:
-    """Count the callers of one model and hold their fair part.
+    """Count the callers of one model.
 
     :param callers: use by caller.
-    :param level: admitted tokens a second per unit of weight that nobody needs to exceed.
-    :param level_at_ms: time at which the level was computed.
+    :param admitted: rate of tokens that were admitted for all callers.
+    :param weights: sum of the weights of the callers.
+    :param weights_at_ms: time at which that sum was computed.
     """
 
     callers: dict[str, _CallerUse] = attrs.field(factory=dict)
-    level: float = float("inf")
-    level_at_ms: float = float("-inf")
+    admitted: DecayingRate = attrs.field(factory=DecayingRate)
+    weights: float = 0.0
+    weights_at_ms: float = float("-inf")
 
 
 class AdmissionController:
@@ -117,6 +122,7 @@
                     )
                 )
         use.admitted.add(max(1, request.estimated_tokens), now_ms)
+        self._models[name].admitted.add(max(1, request.estimated_tokens), now_ms)
         return Ok(None)
 
     def _count(self, name: str, request: AdmissionRequest, now_ms: float) -> _CallerUse:
@@ -124,24 +130,24 @@
         use = model.callers.get(request.caller)
         if use is None:
             use = model.callers[request.caller] = _CallerUse(request.caller_weight)
+            model.weights_at_ms = float("-inf")
         use.weight = max(1e-6, request.caller_weight)
         use.wanted.add(max(1, request.estimated_tokens), now_ms)
         return use
 
     def _above_fair_part(self, name: str, caller: str, now_ms: float) -> bool:
         model = self._models[name]
-        if now_ms - model.level_at_ms >= LEVEL_INTERVAL_MS:
-            model.level_at_ms = now_ms
+        if now_ms - model.weights_at_ms >= WEIGHTS_INTERVAL_MS:
+            model.weights_at_ms = now_ms
             for other, counted in list(model.callers.items()):
                 if counted.wanted.per_second(now_ms) < FORGET_CALLER_BELOW_PER_SECOND:
                     del model.callers[other]
-            capacity = sum(use.admitted.per_second(now_ms) for use in model.callers.values())
-            model.level = water_level(
-                {c: (u.wanted.per_second(now_ms), u.weight) for c, u in model.callers.items()},
-                capacity,
-            )
+            model.weights = sum(counted.weight for counted in model.callers.values())
         use = model.callers.get(caller)
-        return use is not None and use.admitted.per_second(now_ms) >= model.level * use.weight
+        if use is None:
+            return False
+        mean = model.admitted.per_second(now_ms) / max(1e-6, model.weights)
+        return use.admitted.per_second(now_ms) > FAIR_TOLERANCE * mean * use.weight
 
     def _refuse(self, kind: ErrorKind, message: str, excess_ms: float) -> Failure:
         wait_ms = (RETRY_MINIMUM_MS + excess_ms) * (1.0 + self._random.random())
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -31,6 +31,10 @@
 # Own attempts in flight are averaged over about this part of a report each.
 OWN_MEAN_GAIN = 0.03
 OWN_MEAN_MINIMUM = 1.0
+# This part of the decisions tries a candidate that has not answered anything for a while, since a
+# request that goes elsewhere shows nothing about it.
+PROBE_PART = 0.01
+PROBE_IDLE_MS = 5000.0
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
 # Retry hint while an item is loading; a load takes from milliseconds (adapter) to seconds (model).
@@ -281,6 +285,10 @@
         self, candidates: list[Upstream], request: RouteRequest, now_ms: float
     ) -> str:
         healthy = admit_by_health(candidates, now_ms, self._random)
+        if self._random.random() < PROBE_PART:
+            idle = [u for u in healthy if u.first_token.idle_ms(now_ms) > PROBE_IDLE_MS]
+            if idle:
+                return self._random.choice(idle).row.upstream_id
         costs = []
         for upstream, forecast in zip(
             healthy, self._forecasts(healthy, request, now_ms), strict=True
--- a/src/briardyke/policy/speed.py
+++ b/src/briardyke/policy/speed.py
@@ -15,8 +15,9 @@
 # A new observation weighs at least this much, so that a change of speed is followed within a few
 # requests; the first observations weigh more (1/n).
 MINIMUM_GAIN = 0.2
-# Without observations an estimate returns to nominal with this half-life, so that a slow upstream
-# is tried again.
+# After this time without observations an estimate returns to nominal with this half-life, so that
+# a slow upstream is tried again.
+FORGET_AFTER_MS = 1000.0
 FORGET_HALF_LIFE_MS = 8000.0
 FACTOR_LIMIT = 200.0
 
@@ -26,22 +27,16 @@
 
     def __init__(self) -> None:
         self._log = 0.0
-        self._count = 0
+        self._count = 0.0
         self._updated_ms = 0.0
 
-    @property
-    def known(self) -> bool:
-        """Return whether anything has been observed."""
-        return self._count > 0
+    def idle_ms(self, now_ms: float) -> float:
+        """Return the time since the last observation, infinite without any."""
+        return now_ms - self._updated_ms if self._count else math.inf
 
     def value(self, now_ms: float) -> float:
         """Return the factor; above 1 is slower than nominal."""
-        if self._count == 0:
-            return 1.0
-        idle_ms = now_ms - self._updated_ms
-        if idle_ms > 1000.0:
-            return math.exp(self._log * 0.5 ** ((idle_ms - 1000.0) / FORGET_HALF_LIFE_MS))
-        return math.exp(self._log)
+        return math.exp(self._log * self._kept(now_ms))
 
     def observe(self, ratio: float, now_ms: float) -> None:
         """Include one observation.
@@ -50,11 +45,19 @@
         :param now_ms: time of the observation.
         """
         log = math.log(min(FACTOR_LIMIT, max(1.0 / FACTOR_LIMIT, ratio)))
-        self._count += 1
+        # What has been forgotten does not weigh against the new observation either.
+        kept = self._kept(now_ms)
+        self._count = self._count * kept + 1.0
         gain = max(MINIMUM_GAIN, 1.0 / self._count)
-        self._log += gain * (log - self._log)
+        self._log = self._log * kept + gain * (log - self._log * kept)
         self._updated_ms = now_ms
 
+    def _kept(self, now_ms: float) -> float:
+        idle_ms = now_ms - self._updated_ms
+        if idle_ms <= FORGET_AFTER_MS:
+            return 1.0
+        return float(0.5 ** ((idle_ms - FORGET_AFTER_MS) / FORGET_HALF_LIFE_MS))
+
 
 def nominal_first_token_ms(running: float, uncached_tokens: float) -> float:
     """Return the time to the first token at nominal speed without a queue, in milliseconds.
