--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -213,13 +213,18 @@
         self.reservations[wanted.upstream_id, wanted.item] = wanted
         return Ok(None)
 
-    def end(self, upstream_id: str, incarnation: str, item: str) -> Result[None, Failure]:
+    def end(
+        self, upstream_id: str, incarnation: str, item: str, fencing_token: int
+    ) -> Result[None, Failure]:
         """End a reservation, unless the engine could still run the load."""
         known = self.registrations[upstream_id]
         if known.incarnation != incarnation:
             return Ok(None)
         if not known.checks_fencing:
             return Err(Failure(ErrorKind.FENCED, "memory stays held until a restart"))
+        held = self.reservations.get((upstream_id, item))
+        if held is not None and fencing_token <= held.fencing_token:
+            return Err(Failure(ErrorKind.FENCED, "the load could still run after the unload"))
         self.reservations.pop((upstream_id, item), None)
         return Ok(None)
 
@@ -242,7 +247,10 @@
             if not self.coordinator.is_current(order, view):
                 continue
             if order.state is OrderState.UNLOADED:
-                if self.ledger.end(step.upstream_id, step.incarnation, step.item).is_ok():
+                ended = self.ledger.end(
+                    step.upstream_id, step.incarnation, step.item, order.fencing_token
+                )
+                if ended.is_ok():
                     self.coordinator.finish(order)
                 continue
             if step.kind is StepKind.LOAD and not order.reserved:
--- a/tests/placement/test_executor.py
+++ b/tests/placement/test_executor.py
@@ -46,9 +46,11 @@
         self.leading = self.leading and not self.lose_lease_in_commit
         return self.ledger.reserve(reservation)
 
-    async def end(self, upstream_id: str, incarnation: str, item: str) -> Result[None, Failure]:
+    async def end(
+        self, upstream_id: str, incarnation: str, item: str, fencing_token: int
+    ) -> Result[None, Failure]:
         self.calls.append(("end", item))
-        return self.ledger.end(upstream_id, incarnation, item)
+        return self.ledger.end(upstream_id, incarnation, item, fencing_token)
 
     async def call(
         self, method: str, address: Any, target: str, *, body: bytes, **_: Any
