--- a/tests/placement/test_executor.py
+++ b/tests/placement/test_executor.py
@@ -31,6 +31,7 @@
     leading: bool = True
     lose_lease_in_commit: bool = False
     broken: str = ""
+    term: int = 0
 
     def view(self) -> PlacementView:
         rows = {}
@@ -38,7 +39,7 @@
             rows[name] = attrs.evolve(engine.row(), address=f"127.0.0.1:{position + 1}")
             self.ledger.register(rows[name])
         known, held = dict(self.ledger.registrations), dict(self.ledger.reservations)
-        return PlacementView(1, configuration(self.models), known, held, rows, {}, 1)
+        return PlacementView(1, configuration(self.models), known, held, rows, {}, self.term)
 
     async def reserve(self, reservation: Reservation) -> Result[None, Failure]:
         await trio.sleep(0.01)
@@ -70,6 +71,7 @@
         return Ok(WholeResponse(409 if document else 200, {}, json.dumps(document).encode()))
 
     async def run(self, seconds: float) -> None:
+        self.term += 1  # a second runner stands for the leader of the next term
         runner = PlacementRunner(self, self.view, lambda: self.leading, self)  # type: ignore
         with trio.move_on_after(seconds):
             await runner.run()
