--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -244,7 +244,7 @@
 
 
 _SETTINGS = settings(
-    max_examples=60,
+    max_examples=200,
     stateful_step_count=50,
     derandomize=True,
     deadline=None,
