--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -141,8 +141,9 @@
 
 
 async def test_nothing_is_sent_before_the_sync(autojump_clock: Any, tmp_path: Path) -> None:
-    """Guards against acknowledging entries that a power failure removes: while the sync hangs, no
-    acknowledgement leaves the member and no proposal is answered."""
+    """Guards against acknowledging entries that a power failure removes: while the syncs of the
+    followers hang, the leader holds the only copy and must not acknowledge; and nothing is sent
+    for entries whose sync on the leader hangs."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
@@ -152,14 +153,22 @@
             await stuck.wait()
             return await _run_inline(function, *arguments)
 
-        for log in group.logs.values():
-            log._run_blocking = hang
+        for name, log in group.logs.items():
+            if name != leader:
+                log._run_blocking = hang
         outcome = await group.logs[leader].propose(b"x", 300)
         assert outcome.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
         assert all(machine.commands == [] for machine in group.machines.values())
         stuck.set()
-        await trio.sleep(0.5)
+        await trio.sleep(3)
         assert group.machines[await group.leader()].commands in ([b"x"], [])
+        sent: list[Any] = []
+        leader = await group.leader()
+        stuck = trio.Event()
+        group.logs[leader]._send = lambda address, message: sent.append(message)
+        group.logs[leader]._run_blocking = hang
+        assert (await group.logs[leader].propose(b"y", 100)).is_err()
+        assert not any(entry.data == b"y" for m in sent for entry in getattr(m, "entries", ()))
         nursery.cancel_scope.cancel()
 
 
