--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -4,20 +4,20 @@
 
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import trio
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
+from briardyke.consensus.interface import Applied, LogStatus, StateMachine
 from briardyke.consensus.log import EntryKind, Recovered, Snapshot
-from briardyke.consensus.members import Member, MemberChange
+from briardyke.consensus.members import MemberChange
 from briardyke.consensus.node import Node
 from briardyke.consensus.state import Effects, NodeSettings, Role
 from briardyke.errors import ErrorKind, Failure
 from briardyke.logs import log_event
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     import random as random_module
@@ -26,7 +26,9 @@
     from briardyke.consensus.log import Entry
     from briardyke.consensus.messages import GroupMessage
     from briardyke.consensus.storage import GroupStorage
+    from briardyke.settings import Address
 
+__all__ = ["Applied", "LogStatus", "ReplicatedLog", "StateMachine"]
 TICK_MS = 50.0
 SNAPSHOT_ENTRIES = 10_000
 _MAX_BATCH_COMMANDS = 512
@@ -35,60 +37,6 @@
 RunBlocking = Callable[..., Awaitable[Any]]
 
 
-class StateMachine(Protocol):
-    """Apply the commands of a group in log order."""
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        """Apply one command and return the result for its proposer."""
-
-    def snapshot(self) -> bytes:
-        """Return the complete state."""
-
-    def restore(self, data: bytes) -> None:
-        """Replace the complete state."""
-
-
-@attrs.frozen
-class Applied:
-    """Report an entry that was committed and applied.
-
-    :param index: position in the log.
-    :param term: term of the entry.
-    :param result: what the state machine returned.
-    """
-
-    index: int
-    term: int
-    result: bytes
-
-
-@attrs.frozen
-class LogStatus:
-    """Describe a member at one moment.
-
-    :param member_id: own member id.
-    :param role: role in the group.
-    :param term: current term.
-    :param leader_id: member id of the known leader, or empty.
-    :param leader_address: peer address of the known leader.
-    :param commit_index: last committed entry known here.
-    :param applied_index: last applied entry.
-    :param members: members, voters and learners.
-    :param ready: whether everything that the leader had committed at the first contact after the
-        start is applied.
-    """
-
-    member_id: str
-    role: Role
-    term: int
-    leader_id: str
-    leader_address: Address | None
-    commit_index: int
-    applied_index: int
-    members: tuple[Member, ...]
-    ready: bool
-
-
 @attrs.define(eq=False)
 class _Waiter:
     """Wait for one proposal; ``term`` is 0 until it is in the log."""
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -6,8 +6,7 @@
 import itertools
 import random
 from collections import deque
-from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgpack
@@ -18,6 +17,9 @@
 from briardyke.consensus.state import Effects, NodeSettings, Role
 from briardyke.settings import Address
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 TICK_MS = 50.0
 
 
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -4,9 +4,7 @@
 
 import random
 import threading
-from collections.abc import Callable
-from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 import trio
@@ -18,6 +16,10 @@
 from briardyke.errors import ErrorKind
 from briardyke.settings import Address
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
 ADDRESSES = {name: Address("127.0.0.1", port) for port, name in enumerate("abcd", start=1)}
 VOTERS = {name: ADDRESSES[name] for name in "abc"}
 
@@ -256,22 +258,21 @@
         group = _Group(tmp_path, nursery)
         initialise(tmp_path / "a", "k", "a", {"a": ADDRESSES["a"]}).unwrap()
         log = await group.start("a", run_blocking=trio.to_thread.run_sync)
-        with trio.fail_after(20):
-            while log.confirmed_age_ms() is None:
-                await trio.sleep(0.01)
-        event_loop_ran, threads = threading.Event(), []
+        await group.leader()
+        event_loop_ran, entered = threading.Event(), trio.Event()
+        threads: list[int] = []
         save = log._storage.save
 
         def slow_save(*arguments: Any) -> None:
             threads.append(threading.get_ident())
+            trio.from_thread.run_sync(entered.set)
             assert event_loop_ran.wait(10)
             save(*arguments)
 
         log._storage.save = slow_save
 
         async def run_beside() -> None:
-            while not threads:
-                await trio.sleep(0.001)
+            await entered.wait()
             event_loop_ran.set()
 
         nursery.start_soon(run_beside)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import os
-from pathlib import Path
-
-import pytest
+from typing import TYPE_CHECKING
 
 from briardyke.consensus import storage as storage_module
 from briardyke.consensus.identity import initialise, open_identity
@@ -14,6 +12,11 @@
 from briardyke.errors import ErrorKind
 from briardyke.settings import Address
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    import pytest
+
 VOTERS = {name: Address("127.0.0.1", port) for port, name in enumerate("abc", start=1)}
 
 
