Finish unloads of items that have no reservation

An item that an engine had from its start has no reservation, so a ledger that refuses to end an unknown one would have been asked at each tick. The unload is now finished without the ledger; the new test fails without this.

--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -137,6 +137,11 @@
 
     async def _end(self, order: Order) -> None:
         step = order.step
+        held = self._view().reservations.get(order.key)
+        if held is None or held.incarnation != step.incarnation:
+            # The engine had the item from its start, or an earlier attempt to end it succeeded.
+            self._coordinator.finish(order)
+            return
         match await self._ledger.end(step.upstream_id, step.incarnation, step.item):
             case Ok():
                 self._coordinator.finish(order)
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -65,17 +65,8 @@
             size = (sizes or {}).get(name) or self._size(name)
             items.append(LoadedItem(name, size, "order-0-0", "loaded"))
             self.reserve(upstream_id, name, size)
-        self.rows[upstream_id] = UpstreamRow(
-            upstream_id,
-            f"{upstream_id}-1",
-            "engine",
-            "127.0.0.1:1",
-            "dc",
-            lifecycle,
-            items,
-            capacity_bytes=capacity,
-            checks_fencing=checks_fencing,
-        )
+        row = FakeEngine(upstream_id, capacity, checks_fencing).row()
+        self.rows[upstream_id] = attrs.evolve(row, lifecycle=lifecycle, loaded=items)
 
     def reserve(self, upstream_id: str, item: str, size: int) -> None:
         """Add a reservation for the engine's first incarnation."""
@@ -85,15 +76,9 @@
 
     def view(self, **changes: object) -> PlacementView:
         """Return the view."""
-        registrations = {i: registration(row) for i, row in self.rows.items()}
+        known = {i: registration(row) for i, row in self.rows.items()}
         view = PlacementView(
-            1,
-            self.config,
-            registrations,
-            dict(self.reservations),
-            dict(self.rows),
-            self.demand,
-            self.term,
+            1, self.config, known, dict(self.reservations), dict(self.rows), self.demand, self.term
         )
         return attrs.evolve(view, **changes)
 
@@ -213,6 +198,13 @@
         self.reservations[wanted.upstream_id, wanted.item] = wanted
         return Ok(None)
 
+    def view(
+        self, config: Configuration, rows: dict[str, UpstreamRow], term: int = 1, **rates: float
+    ) -> PlacementView:
+        """Return the view of a leader; demand is given as tokens per second by item."""
+        known, held = dict(self.registrations), dict(self.reservations)
+        return PlacementView(1, config, known, held, dict(rows), demand(**rates), term)
+
     def end(self, upstream_id: str, incarnation: str, item: str) -> Result[None, Failure]:
         """End a reservation, unless the engine could still run the load."""
         known = self.registrations[upstream_id]
--- a/tests/placement/test_executor.py
+++ b/tests/placement/test_executor.py
@@ -15,6 +15,7 @@
 from briardyke.placement.executor import PlacementRunner
 from briardyke.placement.orders import Order
 from briardyke.placement.tables import PlacementView, Step, StepKind
+from briardyke.wire.messages import LoadedItem
 
 if TYPE_CHECKING:
     from briardyke.agreed.records import Reservation
@@ -37,8 +38,7 @@
         for position, (name, engine) in enumerate(self.engines.items()):
             rows[name] = attrs.evolve(engine.row(), address=f"127.0.0.1:{position + 1}")
             self.ledger.register(rows[name])
-        known, held = dict(self.ledger.registrations), dict(self.ledger.reservations)
-        return PlacementView(1, configuration(self.models), known, held, rows, {}, 1)
+        return self.ledger.view(configuration(self.models), rows)
 
     async def reserve(self, reservation: Reservation) -> Result[None, Failure]:
         await trio.sleep(0.01)
@@ -100,6 +100,14 @@
         assert set(pool.ledger.reservations) == {("e1", "b")}
         assert pool.calls.index(("end", "a")) < pool.calls.index(("reserve", "b"))
 
+    async def test_item_without_reservation_is_unloaded_once(self, autojump_clock: Any) -> None:
+        """Guards against ending for ever what an engine had loaded from its start."""
+        pool = _Pool({"e1": FakeEngine("e1", 4, True)}, {"a": 3})
+        pool.engines["e1"].items["old"] = LoadedItem("old", 3, "", "loaded")
+        await pool.run(5.0)
+        assert set(pool.engines["e1"].items) == {"a"}
+        assert pool.calls == [("unload", "old"), ("reserve", "a"), ("load", "a")]
+
     async def test_broken_engine_does_not_delay_others(self, autojump_clock: Any) -> None:
         """Guards against one silent engine that stops the whole pool."""
         engines = {name: FakeEngine(name, 2, True) for name in ("e1", "e2")}
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -9,14 +9,15 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from placement_world import FakeEngine, Leader, ReferenceLedger, configuration, demand
+from placement_world import FakeEngine, Leader, ReferenceLedger, configuration
 
 from briardyke.agreed.configuration import Configuration, Model, PlacementSettings
 from briardyke.placement.store_rate import TRANSIT_TIMEOUT_MS
-from briardyke.placement.tables import PlacementView, StepKind
+from briardyke.placement.tables import StepKind
 
 if TYPE_CHECKING:
     from briardyke.placement.orders import Order
+    from briardyke.placement.tables import PlacementView
     from briardyke.wire.messages import UpstreamRow
 
 _TICK_MS = 1000.0
@@ -62,7 +63,6 @@
         self.demand: dict[str, float] = {}
         self.leader = Leader(self.ledger, 1)
         self.network: list[tuple[Leader, Order]] = []
-        self.views: dict[int, PlacementView] = {}
         self.starts: dict[tuple[str, str, str], float] = {}
         self.start_times: list[float] = []
         self.sent_ids: set[str] = set()
@@ -177,15 +177,7 @@
         self.ledger.register(self.rows[name])
 
     def _view(self, leader: Leader) -> PlacementView:
-        return PlacementView(
-            1,
-            self.config,
-            dict(self.ledger.registrations),
-            dict(self.ledger.reservations),
-            dict(self.rows),
-            demand(**self.demand),
-            leader.term,
-        )
+        return self.ledger.view(self.config, self.rows, leader.term, **self.demand)
 
     def _lead(self, leader: Leader, view: PlacementView) -> None:
         leader.tick(view, self.now_ms)
@@ -269,8 +261,7 @@
         rows = {name: engine.row() for name, engine in self.engines.items()}
         for row in rows.values():
             self.ledger.register(row)
-        known, held = dict(self.ledger.registrations), dict(self.ledger.reservations)
-        return PlacementView(1, self.config, known, held, rows, {}, 1)
+        return self.ledger.view(self.config, rows)
 
     def run(self, ticks: int, *, deliver: bool = True) -> None:
         for _ in range(ticks):
