Check durability when too few disks are left; report disk failures

Cause: a random trial lost the disk of a learner within the second before its promotion, which left two voters, one without disk; the simulation then waited for progress. Ruled out: lost data; the other voter held every acknowledged entry.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -17,7 +17,7 @@
 from briardyke.consensus.node import Node
 from briardyke.consensus.state import Effects, NodeSettings, Role
 from briardyke.errors import ErrorKind, Failure
-from briardyke.logs import log_event
+from briardyke.logs import log_error, log_event
 
 if TYPE_CHECKING:
     import random as random_module
@@ -117,8 +117,8 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Take part in the group until cancelled.
 
-        :raises OSError: when the disk fails; the process must stop, since what was written is
-            unknown.
+        :raises ExceptionGroup: with an ``OSError`` when the disk fails, or an error of the state
+            machine. The process must stop, since what was written or applied is unknown.
         """
         self._node = Node(**self._node_arguments, now_ms=now_ms())
         self._is_running = True
@@ -282,7 +282,11 @@
         entries = [entry for effects in batch for entry in effects.entries]
         snapshot = batch[0].snapshot if batch else None
         if hard_state is not None or entries:
-            await self._run_blocking(self._storage.save, hard_state, entries)
+            try:
+                await self._run_blocking(self._storage.save, hard_state, entries)
+            except OSError as error:
+                log_error("storage_failed", group=self._node.state.group_id, reason=error)
+                raise
         if snapshot is not None:
             await self._run_blocking(self._storage.install, snapshot, batch[0].snapshot_keeps_log)
             self._restore(snapshot)
