Check the reason for refusing an early membership change

Cause: with the current-term rule for changes removed, the test still passed, because the majority check refused the change with the same kind. After: the test also reads the reason and fails when the rule is removed.

--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -284,6 +284,7 @@
         change = MemberChange("add", "x#0", Address("127.0.0.1", 4))
         effects = cluster.change(cluster.leader(), change)
         assert effects.refused.kind is ErrorKind.MEMBER_CHANGE_REFUSED
+        assert "not committed yet" in effects.refused.message
 
     def test_second_change_waits_for_the_first(self) -> None:
         """Guards against two changes at once, whose majorities need not overlap."""
