Wait for the coalescing time only once a token has arrived

At the target pace of one token in 64 ms, coalescing cost more than it saved: the timers of reader and writer ran out before each token. Both now wait for data first and for the rest of the time after it.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,6 +1,7 @@
 """Measure the relay's processor time and added time to first token.
 
-Run ``PYTHONPATH=src:bench python bench/relay.py [--repetitions N --tokens N --interval-ms N]``. One process relays with the real HTTP modules
+Run ``PYTHONPATH=src:bench python bench/relay.py [--repetitions N --tokens N --interval-ms N]``.
+One process relays with the real HTTP modules
 (hypercorn in, httpcore out); upstreams and callers are other processes that read and write raw
 HTTP, so that the processor time of the relaying process is the relay's alone. Both coalescing
 times are measured in one run, alternating, with the order swapped in each repetition.
--- a/bench/relay_peers.py
+++ b/bench/relay_peers.py
@@ -28,7 +28,7 @@
 
 
 async def serve_upstream(interval_ms: float) -> None:
-    """Answer with tokens at a fixed interval; print the address."""
+    """Answer with a token at once and the others at an interval; print the address."""
 
     async def serve(stream: trio.SocketStream) -> None:
         buffer = b""
@@ -62,8 +62,8 @@
     due = trio.current_time()
     head = _HEAD
     for number in range(1, tokens + 1):
-        due += interval_ms / 1000.0
         await trio.sleep_until(due)
+        due += interval_ms / 1000.0
         await stream.send_all(head + _chunk(_event(attempt_id, number, "abcdefgh ", None)))
         head = b""
     final = _event(attempt_id, tokens, "", "length") + b"data: [DONE]\n\n"
--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -140,12 +140,13 @@
         """Return the next chunk of events."""
         if self._exhausted:
             raise StopAsyncIteration
+        await self._wait()
+        # Waiting only once a token has arrived costs no timer for tokens that come slowly.
         if self._written_at_ms is not None:
             rest_ms = self._written_at_ms + self._policy.coalesce_ms - now_ms()
             if rest_ms > 0:
                 with trio.move_on_after(rest_ms / 1000.0):
                     await self._ended.wait()
-        await self._wait()
         chunk = b"".join(self._pieces)
         self._pieces.clear()
         self._held_bytes = 0
--- a/src/briardyke/http/client.py
+++ b/src/briardyke/http/client.py
@@ -71,7 +71,12 @@
     _response: httpcore.Response = attrs.field(alias="response")
 
     def pace_reads(self, interval_ms: float) -> None:
-        """Read the rest of the body at most once per interval, in milliseconds."""
+        """Read the rest of the body at most once per interval.
+
+        While an interval is set, the reader bounds the silence on the connection itself.
+
+        :param interval_ms: the interval, in milliseconds; 0 to read as data arrives.
+        """
         stream = self._response.extensions["network_stream"]
         if isinstance(stream, PacedStream):
             stream.interval_s = interval_ms / 1000.0
--- a/src/briardyke/http/paced.py
+++ b/src/briardyke/http/paced.py
@@ -25,8 +25,13 @@
         self.interval_s = 0.0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read what has arrived, after the rest of the interval."""
+        """Read what has arrived, after the rest of the interval.
+
+        The wait for the first byte has no timeout while an interval is set; the caller bounds it.
+        """
         if self.interval_s:
+            # Waiting only once data has arrived costs no timer for data that comes slowly.
+            await trio.lowlevel.wait_readable(self._stream.get_extra_info("socket"))
             rest_s = self._read_at_s + self.interval_s - trio.current_time()
             if rest_s > 0:
                 await trio.sleep(rest_s)
--- a/tests/http/test_app_disconnect.py
+++ b/tests/http/test_app_disconnect.py
@@ -40,11 +40,9 @@
                     calls.start_soon(call)
                     await started.wait()
                     caller.cancel()
-            if cancel:
-                with trio.fail_after(3):
-                    await ended.wait()
-            else:
+            if not cancel:
                 proceed.set()
+            with trio.fail_after(3):
                 await ended.wait()
             nursery.cancel_scope.cancel()
         await client.aclose()
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -13,6 +13,8 @@
 from briardyke.settings import Address
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     import pytest
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -45,64 +47,51 @@
             self.closed += 1
 
 
-Use = Callable[[HttpClient, Address], Awaitable[None]]
-
-
-async def _with_server(server: _Server, use: Use) -> None:
+@asynccontextmanager
+async def _served(server: _Server) -> AsyncIterator[tuple[HttpClient, Address]]:
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    address = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
     client = HttpClient()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, server.serve, listeners)
-        await use(client, address)
+        yield client, Address("127.0.0.1", listeners[0].socket.getsockname()[1])
         await client.aclose()
         nursery.cancel_scope.cancel()
 
 
 async def _get(client: HttpClient, address: Address) -> bytes:
-    called = await client.call("GET", address, "/", timeout_ms=3000)
-    return called.unwrap().body
+    return (await client.call("GET", address, "/", timeout_ms=3000)).unwrap().body
 
 
 class TestReuse:
     async def test_free_connection_is_reused(self) -> None:
         """Guards against a connection for each request."""
-
-        async def use(client: HttpClient, address: Address) -> None:
-            for _ in range(5):
-                assert await _get(client, address) == b"ok"
-
         server = _Server()
-        await _with_server(server, use)
+        async with _served(server) as at:
+            for _ in range(5):
+                assert await _get(*at) == b"ok"
         assert server.connections == 1
 
     async def test_connection_that_the_server_closed_is_not_used(self) -> None:
         """Guards against a needless "unknown" after the server's keep-alive time."""
-
-        async def use(client: HttpClient, address: Address) -> None:
+        server = _Server(requests_per_connection=1)
+        async with _served(server) as at:
             for number in range(1, 4):
-                assert await _get(client, address) == b"ok"
+                assert await _get(*at) == b"ok"
                 while server.closed < number:  # noqa: ASYNC110
                     await trio.sleep(0.001)
-
-        server = _Server(requests_per_connection=1)
-        await _with_server(server, use)
         assert server.connections == 3
 
     async def test_cancelled_request_does_not_leave_its_response_to_the_next(self) -> None:
         """Guards against a response of another request on a reused connection (P3)."""
-
-        async def use(client: HttpClient, address: Address) -> None:
+        server = _Server()
+        async with _served(server) as at:
             server.answers = trio.Event()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_get, client, address)
+                nursery.start_soon(_get, *at)
                 await server.received.wait()
                 nursery.cancel_scope.cancel()
             server.answers.set()
-            assert await _get(client, address) == b"ok"
-
-        server = _Server()
-        await _with_server(server, use)
+            assert await _get(*at) == b"ok"
         assert server.connections == 2
 
     async def test_requests_beyond_the_limit_are_not_sent(
@@ -110,8 +99,8 @@
     ) -> None:
         """Guards against connections without bound, and against "unknown" for unsent requests."""
         monkeypatch.setattr(client_module, "_MAX_CONNECTIONS", 1)
-
-        async def use(client: HttpClient, address: Address) -> None:
+        server = _Server()
+        async with _served(server) as (client, address):
             server.answers = trio.Event()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_get, client, address)
@@ -120,7 +109,4 @@
                 assert called.unwrap_err().kind is ErrorKind.UPSTREAM_UNREACHABLE
                 server.answers.set()
             assert await _get(client, address) == b"ok"
-
-        server = _Server()
-        await _with_server(server, use)
         assert server.connections == 1
