--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -28,6 +28,13 @@
 CANDIDATES = 10
 # Requests of all instances per request of this one; limited because the estimate is coarse.
 OTHERS_FACTOR_LIMIT = 16.0
+# Own attempts in flight are averaged over about this part of a report each.
+OWN_MEAN_GAIN = 0.03
+OWN_MEAN_MINIMUM = 1.0
+# This part of the decisions tries a candidate that has not answered anything for a while, since a
+# request that goes elsewhere shows nothing about it.
+PROBE_PART = 0.01
+PROBE_IDLE_MS = 5000.0
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
 # Retry hint while an item is loading; a load takes from milliseconds (adapter) to seconds (model).
@@ -61,6 +68,7 @@
         self._attempts: dict[str, Attempt] = {}
         self._by_priority: Counter[int] = Counter()
         self._reported_total = 0
+        self._own_mean = 0.0
         self._mean_tokens = INITIAL_MEAN_TOKENS
 
     def observe(self, row: UpstreamRow, now_ms: float) -> None:
@@ -84,6 +92,7 @@
             return
         else:
             self._reported_total -= upstream.reported
+        self._own_mean += OWN_MEAN_GAIN * (len(self._attempts) - self._own_mean)
         upstream.accept(row, as_of_ms)
         self._reported_total += upstream.reported
         if row.cache_events:
@@ -276,6 +285,10 @@
         self, candidates: list[Upstream], request: RouteRequest, now_ms: float
     ) -> str:
         healthy = admit_by_health(candidates, now_ms, self._random)
+        if self._random.random() < PROBE_PART:
+            idle = [u for u in healthy if u.first_token.idle_ms(now_ms) > PROBE_IDLE_MS]
+            if idle:
+                return self._random.choice(idle).row.upstream_id
         costs = []
         for upstream, forecast in zip(
             healthy, self._forecasts(healthy, request, now_ms), strict=True
@@ -300,9 +313,7 @@
         return usable[group.cursor % len(usable)].row.upstream_id
 
     def _others_factor(self) -> float:
-        own = len(self._attempts)
-        if own == 0:
-            return 1.0
+        own = max(OWN_MEAN_MINIMUM, self._own_mean)
         return min(OTHERS_FACTOR_LIMIT, max(1.0, self._reported_total / own))
 
     def _queue_share(self, priority: int) -> float:
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,11 +12,26 @@
 from briardyke.wire.messages import UpstreamRow
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Sequence
 
 
 UPSTREAM_SILENCE_MS = 3000.0
 FORGET_AFTER_MS = 60_000.0
+# Upstreams announce themselves once a second; older evidence is the exception.
+FRESH_MS = 1500.0
+_KEPT_FORGOTTEN = 1000
+
+
+@attrs.frozen
+class Freshness:
+    """Hold the ages of a digest's evidence.
+
+    :param fresh_age_ms: largest age among the upstreams that were heard recently.
+    :param stale_ages_ms: age by upstream id for all others.
+    """
+
+    fresh_age_ms: float
+    stale_ages_ms: dict[str, float]
 
 
 @attrs.define
@@ -39,6 +55,8 @@
         self.sequence = 0
         self.lifecycle_sequence = 0
         self._entries: dict[str, _Entry] = {}
+        self._forgotten: deque[tuple[int, str]] = deque(maxlen=_KEPT_FORGOTTEN)
+        self._forgotten_from = 0
 
     def observe(self, row: UpstreamRow, now_ms: float) -> bool:
         """Take in an announcement.
@@ -79,16 +97,12 @@
             if now_ms - self._entries[row.upstream_id].from_below_at_ms < UPSTREAM_SILENCE_MS
         ]
 
-    def refresh(self, ages_ms: Mapping[str, float], as_of_ms: float) -> None:
-        """Take in evidence that rows which did not change are still alive.
-
-        :param ages_ms: age of the evidence by upstream id, at the moment ``as_of_ms``.
-        :param as_of_ms: moment that the ages refer to, on the runtime's clock.
-        """
-        for upstream_id, age_ms in ages_ms.items():
+    def refresh(self, upstream_ids: Iterable[str], heard_at_ms: float) -> None:
+        """Take in evidence that upstreams were alive at a moment."""
+        for upstream_id in upstream_ids:
             entry = self._entries.get(upstream_id)
             if entry is not None:
-                entry.heard_at_ms = max(entry.heard_at_ms, as_of_ms - age_ms)
+                entry.heard_at_ms = max(entry.heard_at_ms, heard_at_ms)
 
     def changes_since(
         self, sequence: int, now_ms: float, data_centres: Collection[str] = ()
@@ -105,13 +119,28 @@
             if entry.sequence > sequence and _wanted(entry.row, data_centres)
         ]
 
-    def ages_ms(self, now_ms: float, data_centres: Collection[str] = ()) -> dict[str, float]:
-        """Return the age of the evidence for each upstream that is not silent."""
-        return {
-            upstream_id: max(0.0, now_ms - entry.heard_at_ms)
-            for upstream_id, entry in self._entries.items()
-            if now_ms - entry.heard_at_ms < UPSTREAM_SILENCE_MS and _wanted(entry.row, data_centres)
-        }
+    def freshness(self, now_ms: float, data_centres: Collection[str] = ()) -> Freshness:
+        """Return one age for all upstreams that were heard recently, and the ages of the others.
+
+        Naming only the exceptions keeps the reply small however many upstreams there are.
+        """
+        fresh_age_ms = 0.0
+        stale_ages_ms = {}
+        for upstream_id, entry in self._entries.items():
+            age_ms = max(0.0, now_ms - entry.heard_at_ms)
+            if not _wanted(entry.row, data_centres):
+                continue
+            if age_ms <= FRESH_MS:
+                fresh_age_ms = max(fresh_age_ms, age_ms)
+            else:
+                stale_ages_ms[upstream_id] = age_ms
+        return Freshness(fresh_age_ms, stale_ages_ms)
+
+    def forgotten_since(self, sequence: int) -> list[str] | None:
+        """Return the upstreams dropped after a sequence, or ``None`` when that is not known."""
+        if sequence < self._forgotten_from:
+            return None
+        return [i for at, i in self._forgotten if at > sequence and i not in self._entries]
 
     def alive(self, now_ms: float) -> dict[str, UpstreamRow]:
         """Return the rows that are not silent, by upstream id, with their ages."""
@@ -131,9 +160,18 @@
         limit_ms = now_ms - FORGET_AFTER_MS
         gone = [i for i, entry in self._entries.items() if entry.heard_at_ms < limit_ms]
         for upstream_id in gone:
-            del self._entries[upstream_id]
+            self.forget(upstream_id)
         return gone
 
+    def forget(self, upstream_id: str) -> None:
+        """Drop one row, if it is held, and remember that it was dropped."""
+        if self._entries.pop(upstream_id, None) is None:
+            return
+        self.sequence += 1
+        if len(self._forgotten) == _KEPT_FORGOTTEN:
+            self._forgotten_from = self._forgotten[0][0]
+        self._forgotten.append((self.sequence, upstream_id))
+
     def _store(self, row: UpstreamRow, heard_at_ms: float, *, lifecycle_changed: bool) -> None:
         self.sequence += 1
         if lifecycle_changed:
--- a/src/briardyke/sync/responder.py
+++ b/src/briardyke/sync/responder.py
@@ -86,8 +86,11 @@
 
     def _reply(self, request: SyncRequest) -> SyncReply:
         now = now_ms()
-        same_tables = request.digest_id == self._digest.digest_id
-        since = request.held_digest if same_tables else 0
+        forgotten = None
+        if request.digest_id == self._digest.digest_id:
+            forgotten = self._digest.forgotten_since(request.held_digest)
+        since = 0 if forgotten is None else request.held_digest
+        freshness = self._digest.freshness(now, request.data_centres)
         tag, instances = self._evidence.instances()
         whole, patch = self._document_for(request.held_version)
         return SyncReply(
@@ -98,7 +101,10 @@
             digest_id=self._digest.digest_id,
             digest=self._digest.sequence,
             upstreams=self._digest.changes_since(since, now, request.data_centres),
-            upstream_ages_ms=self._digest.ages_ms(now, request.data_centres),
+            whole_digest=forgotten is None,
+            forgotten=forgotten or [],
+            fresh_age_ms=freshness.fresh_age_ms,
+            stale_ages_ms=freshness.stale_ages_ms,
             instances_tag=tag,
             instances=None if request.held_instances == tag else instances,
             shares=self._evidence.shares(request.statuses),
--- a/src/briardyke/sync/view.py
+++ b/src/briardyke/sync/view.py
@@ -41,6 +41,7 @@
         self.responder_id = ""
         self.held_digest = 0
         self.held_instances = ""
+        self._known_upstreams: set[str] = set()
         self._started_at_ms = started_at_ms
 
     def apply(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> bool:
@@ -85,7 +86,7 @@
             # The true age is between age_ms and age_ms plus the travel time; assume the worst.
             aged = attrs.evolve(row, age_ms=row.age_ms + travelled_ms)
             self.digest.observe(aged, now_ms)
-        self.digest.refresh(reply.upstream_ages_ms, sent_at_ms)
+        self._take_freshness(reply, sent_at_ms)
         if reply.instances is not None:
             self.listed = reply.instances
             self.listed_sequence += 1
@@ -94,3 +95,14 @@
         self.held_instances = reply.instances_tag
         if reply.instances is not None or self.digest.lifecycle_sequence != before:
             self.changed.notify()
+
+    def _take_freshness(self, reply: SyncReply, sent_at_ms: float) -> None:
+        """Extend the evidence only for upstreams that this responder itself lists."""
+        if reply.whole_digest:
+            self._known_upstreams.clear()
+        self._known_upstreams.update(row.upstream_id for row in reply.upstreams)
+        self._known_upstreams.difference_update(reply.forgotten)
+        fresh = self._known_upstreams.difference(reply.stale_ages_ms)
+        self.digest.refresh(fresh, sent_at_ms - reply.fresh_age_ms)
+        for upstream_id, age_ms in reply.stale_ages_ms.items():
+            self.digest.refresh((upstream_id,), sent_at_ms - age_ms)
--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -204,7 +204,11 @@
     :param digest_id: identity of the responder's tables.
     :param digest: sequence of the upstream digest.
     :param upstreams: rows that changed after the held digest.
-    :param upstream_ages_ms: age of the evidence for every upstream that the responder lists.
+    :param whole_digest: whether ``upstreams`` is everything that the responder knows.
+    :param forgotten: upstreams that the responder dropped after the held digest.
+    :param fresh_age_ms: largest age of the evidence for upstreams that are not in
+        ``stale_ages_ms``.
+    :param stale_ages_ms: age of the evidence by upstream id, where it is older than usual.
     :param instances_tag: identifies the contents of the instance list.
     :param instances: entry instances that callers may be sent to; ``None`` when unchanged.
     :param shares: shares by instance id, for the statuses that were sent.
@@ -218,7 +222,10 @@
     digest_id: str
     digest: int
     upstreams: list[UpstreamRow]
-    upstream_ages_ms: dict[str, float]
+    whole_digest: bool
+    forgotten: list[str]
+    fresh_age_ms: float
+    stale_ages_ms: dict[str, float]
     instances_tag: str
     instances: list[InstanceStatus] | None
     shares: dict[str, list[LimitShare]]
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -213,13 +213,18 @@
         self.reservations[wanted.upstream_id, wanted.item] = wanted
         return Ok(None)
 
-    def end(self, upstream_id: str, incarnation: str, item: str) -> Result[None, Failure]:
+    def end(
+        self, upstream_id: str, incarnation: str, item: str, fencing_token: int
+    ) -> Result[None, Failure]:
         """End a reservation, unless the engine could still run the load."""
         known = self.registrations[upstream_id]
         if known.incarnation != incarnation:
             return Ok(None)
         if not known.checks_fencing:
             return Err(Failure(ErrorKind.FENCED, "memory stays held until a restart"))
+        held = self.reservations.get((upstream_id, item))
+        if held is not None and fencing_token <= held.fencing_token:
+            return Err(Failure(ErrorKind.FENCED, "the load could still run after the unload"))
         self.reservations.pop((upstream_id, item), None)
         return Ok(None)
 
@@ -236,11 +241,16 @@
     def tick(self, view: PlacementView, now_ms: float) -> None:
         """Do what the runner does in one tick, with immediate commits."""
         asked, _ = self.coordinator.observe(view, now_ms)
-        self.coordinator.accept(view, plan(asked, now_ms), now_ms)
-        for order in self.coordinator.due(view, now_ms):
+        due = self.coordinator.due(view, now_ms)
+        for order in [*due, *self.coordinator.accept(view, plan(asked, now_ms), now_ms)]:
             step = order.step
+            if not self.coordinator.is_current(order, view):
+                continue
             if order.state is OrderState.UNLOADED:
-                if self.ledger.end(step.upstream_id, step.incarnation, step.item).is_ok():
+                ended = self.ledger.end(
+                    step.upstream_id, step.incarnation, step.item, order.fencing_token
+                )
+                if ended.is_ok():
                     self.coordinator.finish(order)
                 continue
             if step.kind is StepKind.LOAD and not order.reserved:
