Hold requests of a dead engine until their deadline; wait for a running key

Cause: four quick attempts at the only engine of a model failed a request that placement would have made servable within seconds, and a second sender of a key was told 'unknown' while the first was still running. Both seen in process tests. Ruled out: a higher attempt limit, which also repeats work that may have run. Change: attempts that cannot have run wait twice as long each time, within the retry budget, until the deadline; the first resumption of a stream is free of the budget; a running key is polled until the deadline.

--- a/src/briardyke/control/proposer.py
+++ b/src/briardyke/control/proposer.py
@@ -6,7 +6,8 @@
 
 from result import Err, Ok, Result
 
-from briardyke.clock import now_ms, sleep_ms
+from briardyke.agreed.commands import restamp
+from briardyke.clock import now_ms, sleep_ms, wall_unix_ms
 from briardyke.consensus.state import Role
 from briardyke.control.messages import CommandResult, ForwardCommand
 from briardyke.errors import ErrorKind, Failure
@@ -56,8 +57,13 @@
         return Err(Failure(ErrorKind.NOT_LEADER, text, retry_after_ms=1000))
 
     async def propose_here(self, command: bytes, timeout_ms: float) -> Result[bytes, Failure]:
-        """Commit a command only if this process leads the group."""
-        applied = await self._log.propose(command, timeout_ms)
+        """Commit a command only if this process leads the group.
+
+        Records carry the leader's wall time, so that they do not depend on the clock of the
+        instance that an operator or caller happened to reach.
+        """
+        stamped = restamp(command, wall_unix_ms())
+        applied = await self._log.propose(stamped, timeout_ms)
         return applied.map(lambda a: a.result)
 
     async def _try_once(self, command: bytes, left_ms: float) -> Result[bytes, Failure]:
--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -11,6 +11,7 @@
 from briardyke.clock import now_ms
 from briardyke.entry.reassembly import AnswerAssembler, Piece, Progress
 from briardyke.entry.relay_outcomes import AttemptEnd, broken_end, error_end, final_failure
+from briardyke.entry.relay_pacing import AttemptPacer
 from briardyke.entry.relay_selection import select_upstream
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import CallError, HttpClient, OpenResponse
@@ -68,12 +69,14 @@
         deadline_ms = job.deadline_ms
         tried: set[str] = set()
         failure = Failure(ErrorKind.NO_UPSTREAM, "no attempt was made")
-        for number in range(self._policy.attempt_limit):
+        pacer = AttemptPacer(self._budget, self._policy)
+        while True:
             chosen = await select_upstream(self._table, self._policy, job.route, tried, deadline_ms)
             if chosen.is_err():
                 failure = chosen.unwrap_err()
                 break
-            if number and not self._budget.try_spend(now_ms()):
+            resumes = assembler.offset > job.offset_tokens
+            if not await pacer.may_start(resumes=resumes, deadline_ms=deadline_ms):
                 break
             end = await self._attempt(job, chosen.unwrap(), assembler, sink, deadline_ms)
             if end.failure is None:
@@ -81,6 +84,7 @@
             failure, may_have_run = end.failure, may_have_run or end.may_have_run
             if not end.retryable:
                 break
+            pacer.ended(may_have_run=end.may_have_run)
             tried.add(chosen.unwrap())
             if assembler.offset > job.offset_tokens:
                 # The deadline bounds the first token; a started stream has its own bound.
--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -14,16 +14,18 @@
 class RelayPolicy:
     """Set the relay's bounds; times are in milliseconds.
 
-    :param attempt_limit: attempts for one request, the first included.
+    :param attempt_limit: attempts for one request that may have run, the first included.
     :param first_token_timeout_ms: longest wait for the first event of an attempt.
     :param idle_timeout_ms: longest silence after the first event of an attempt.
     :param resume_timeout_ms: time after a break within which a started stream may resume.
     :param loading_poll_ms: time between looks at a model that is loading.
     :param retry_delay_ms: wait before an upstream that failed is tried again.
+    :param longest_retry_delay_ms: bound of that wait, which doubles while nothing runs.
     :param coalesce_ms: tokens that arrive within this time share one write. A write costs about
         0.1 ms of processor time; the target between tokens is 64 ms.
     :param buffer_limit_bytes: bytes kept for a slow caller before the upstream is paused.
     :param claim_timeout_ms: longest wait for the claims of a key.
+    :param claim_poll_ms: time between looks at a key that another request is running under.
     """
 
     attempt_limit: int = 4
@@ -32,9 +34,11 @@
     resume_timeout_ms: float = 10_000.0
     loading_poll_ms: float = 25.0
     retry_delay_ms: float = 50.0
+    longest_retry_delay_ms: float = 1000.0
     coalesce_ms: float = 20.0
     buffer_limit_bytes: int = 256 * 1024
     claim_timeout_ms: float = 2000.0
+    claim_poll_ms: float = 200.0
 
 
 @attrs.frozen
--- a/src/briardyke/entry/relay_services.py
+++ b/src/briardyke/entry/relay_services.py
@@ -7,18 +7,19 @@
 
 import msgpack
 import trio
-import xxhash
 from result import Err, Ok, Result
 
-from briardyke.clock import now_ms
+from briardyke.claims.shards import claim_key_hash
+from briardyke.clock import now_ms, sleep_ms
 from briardyke.entry.relay_jobs import RelayPolicy, ServiceAnswer, ServiceJob
 from briardyke.entry.relay_outcomes import AttemptEnd, broken_end, final_failure, refused_end
+from briardyke.entry.relay_pacing import AttemptPacer
 from briardyke.entry.relay_selection import select_upstream
 from briardyke.errors import ErrorKind, Failure
 from briardyke.ids import new_id
 from briardyke.logs import log_warning
 from briardyke.policy.tables import AttemptOutcome
-from briardyke.wire.messages import ClaimEnd, ClaimRequest
+from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
 if TYPE_CHECKING:
     from briardyke.entry.interfaces import RelayBudget, RelayClaims, RelayTable
@@ -78,7 +79,7 @@
     async def _call_claimed(
         self, job: ServiceJob, claim: ClaimRequest
     ) -> Result[ServiceAnswer, Failure]:
-        claimed = await self._claims.claim(claim, self._policy.claim_timeout_ms)
+        claimed = await self._claim(claim, job.deadline_ms)
         if claimed.is_err():
             # The claim may have been granted all the same; this attempt did not use it.
             await self._end_claim(claim, Err(claimed.unwrap_err()), may_have_run=False)
@@ -93,6 +94,15 @@
         await self._end_claim(claim, answer, may_have_run=may_have_run)
         return answer
 
+    async def _claim(self, claim: ClaimRequest, deadline_ms: float) -> Result[ClaimReply, Failure]:
+        """Claim a key; while another request with it runs, wait for its response."""
+        while True:
+            claimed = await self._claims.claim(claim, self._policy.claim_timeout_ms)
+            running = claimed.is_ok() and claimed.unwrap().state == "running"
+            if not running or now_ms() + self._policy.claim_poll_ms >= deadline_ms:
+                return claimed
+            await sleep_ms(self._policy.claim_poll_ms)
+
     async def _end_claim(
         self, claim: ClaimRequest, answer: Result[ServiceAnswer, Failure], *, may_have_run: bool
     ) -> None:
@@ -113,14 +123,15 @@
         may_have_run = False
         tried: set[str] = set()
         failure = Failure(ErrorKind.NO_UPSTREAM, "no attempt was made")
-        for number in range(self._policy.attempt_limit):
+        pacer = AttemptPacer(self._budget, self._policy)
+        while True:
             chosen = await select_upstream(
                 self._table, self._policy, job.route, tried, job.deadline_ms
             )
             if chosen.is_err():
                 failure = chosen.unwrap_err()
                 break
-            if number and not self._budget.try_spend(now_ms()):
+            if not await pacer.may_start(resumes=False, deadline_ms=job.deadline_ms):
                 break
             answer, end = await self._attempt(job, chosen.unwrap())
             may_have_run = may_have_run or end.may_have_run
@@ -131,6 +142,7 @@
             if job.non_idempotent and end.may_have_run:
                 text = f"call may have run: {failure.message}"
                 return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, text)), True
+            pacer.ended(may_have_run=end.may_have_run)
             tried.add(chosen.unwrap())
         return Err(final_failure(failure, may_have_run=may_have_run)), may_have_run
 
@@ -186,7 +198,7 @@
     digest = hashlib.sha256(
         b"\0".join((job.method.encode(), job.target.encode(), job.body))
     ).hexdigest()
-    return ClaimRequest(xxhash.xxh64_intdigest(job.key.encode()), job.caller, digest, new_id("att"))
+    return ClaimRequest(claim_key_hash(job.caller, job.key), job.caller, digest, new_id("att"))
 
 
 def _to_store(answer: ServiceAnswer) -> bytes | None:
