--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -22,8 +22,9 @@
 # caller above its fair part is refused first, which leaves room for the callers below theirs.
 LIMIT_WITHIN_FAIR_PART = 0.8
 LIMIT_ABOVE_FAIR_PART = 0.6
-# The limits fall by this much per part of the demand refused above the first: with demand to spare, a
-# request that would probably be late is better replaced by one that is not.
+# The limits fall by this much per part of the demand refused above the first: with demand to
+# spare, a request that would probably be late is better replaced by one that is not. Refusals of
+# callers above their fair part do not count, so that a burst does not tighten it for the others.
 OVERLOAD_ABOVE = 0.15
 OVERLOAD_STEP = 0.3
 # A priority above 0 may use this much more per level, one below 0 this much less.
@@ -59,22 +60,22 @@
     """Count the callers of one model.
 
     :param callers: use by caller.
-    :param wanted: rate of tokens that arrived from all callers.
     :param admitted: rate of tokens that were admitted for all callers.
+    :param refused: rate of tokens refused to callers that were not above their fair part.
     :param weights: sum of the weights of the callers.
     :param weights_at_ms: time at which that sum was computed.
     """
 
     callers: dict[str, _CallerUse] = attrs.field(factory=dict)
-    wanted: DecayingRate = attrs.field(factory=DecayingRate)
     admitted: DecayingRate = attrs.field(factory=DecayingRate)
+    refused: DecayingRate = attrs.field(factory=DecayingRate)
     weights: float = 0.0
     weights_at_ms: float = float("-inf")
 
     def refused_share(self, now_ms: float) -> float:
-        """Return the recent share of the wanted tokens that was refused, 0 to 1."""
-        wanted = self.wanted.per_second(now_ms)
-        return max(0.0, 1.0 - self.admitted.per_second(now_ms) / wanted) if wanted > 0.0 else 0.0
+        """Return the recent share of the demand within fair parts that was refused, 0 to 1."""
+        refused = self.refused.per_second(now_ms)
+        return refused / max(1e-9, refused + self.admitted.per_second(now_ms))
 
 
 class AdmissionController:
@@ -123,6 +124,8 @@
                 0.0, self._models[name].refused_share(now_ms) - OVERLOAD_ABOVE
             )
             if max(first_ms / remaining_ms, gap_pressure) > LIMIT_WITHIN_FAIR_PART + shift:
+                if not self._above_fair_part(name, request.caller, now_ms):
+                    self._models[name].refused.add(max(1, request.estimated_tokens), now_ms)
                 late = first_ms > remaining_ms
                 kind = ErrorKind.DEADLINE_UNMEETABLE if late else ErrorKind.OVERLOADED
                 return Err(self._refuse(kind, f"{name} cannot answer within target", excess_ms))
@@ -147,7 +150,6 @@
             model.weights_at_ms = float("-inf")
         use.weight = max(1e-6, request.caller_weight)
         use.wanted.add(max(1, request.estimated_tokens), now_ms)
-        model.wanted.add(max(1, request.estimated_tokens), now_ms)
         return use
 
     def _above_fair_part(self, name: str, caller: str, now_ms: float) -> bool:
