Count limit shares by report, serve slow engines, bound the wait for a running key

Cause: (1) a relay repeats the reports of its instances; taken as new, an old copy could have dropped a grant that was under way. (2) A grant from the cache was sent without lengthening its record. Change: reports are numbered and taken once; every answer extends what was granted; slow engines are measured against 1.5 times their idle time; 10 s bound.

--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -37,6 +37,7 @@
         self._term = 0
         self._allocator = ShareAllocator(VERSION_LEASE_MS, 0.0)
         self._granted: dict[str, list[LimitShare]] = {}
+        self._reported: dict[str, int] = {}
         self._granted_at_ms = -_REALLOCATE_AFTER_MS
 
     def start_term(self, term: int) -> None:
@@ -44,15 +45,21 @@
         if term != self._term:
             self._term = term
             self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms(), self._earlier_limit_ids())
+            self._granted = {}
             self._granted_at_ms = -_REALLOCATE_AFTER_MS
+            self._reported = {}
 
     def grant(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
         """Take in the statuses of one sync and return the shares of their instances."""
         now = now_ms()
         for status in statuses:
-            self._allocator.report(
-                status.instance_id, status.held_shares, status.share_demand, now - status.age_ms
-            )
+            if status.report_number > self._reported.get(status.instance_id, 0):
+                self._reported[status.instance_id] = status.report_number
+                self._allocator.report(
+                    status.instance_id, status.held_shares, status.share_demand, now
+                )
+            # The answer extends the lease of whatever was granted before.
+            self._allocator.extend(status.instance_id, now)
         unknown = any(s.instance_id not in self._granted for s in statuses)
         if unknown or now - self._granted_at_ms >= _REALLOCATE_AFTER_MS:
             self._granted = self._allocator.allocate(
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -52,8 +52,8 @@
 
     def register(self, app: HttpApp) -> None:
         """Register the routes."""
-        app.route("POST", "/v1/chat/completions", self._complete)
-        app.route("POST", "/v1/completions", self._complete)
+        for path in ("/v1/chat/completions", "/v1/completions"):
+            app.route("POST", path, self._complete, cancel_on_disconnect=True)
         app.route("GET", "/v1/models", self._models)
         app.route("GET", "/v1/addresses", self._addresses)
         app.route("*", "/services/{name}/{path*}", self._service)
--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -26,6 +26,7 @@
     :param buffer_limit_bytes: bytes kept for a slow caller before the upstream is paused.
     :param claim_timeout_ms: longest wait for the claims of a key.
     :param claim_poll_ms: time between looks at a key that another request is running under.
+    :param running_key_wait_ms: longest wait for that request; its entry process may be dead.
     """
 
     attempt_limit: int = 4
@@ -39,6 +40,7 @@
     buffer_limit_bytes: int = 256 * 1024
     claim_timeout_ms: float = 2000.0
     claim_poll_ms: float = 200.0
+    running_key_wait_ms: float = 10_000.0
 
 
 @attrs.frozen
--- a/src/briardyke/entry/relay_services.py
+++ b/src/briardyke/entry/relay_services.py
@@ -96,10 +96,11 @@
 
     async def _claim(self, claim: ClaimRequest, deadline_ms: float) -> Result[ClaimReply, Failure]:
         """Claim a key; while another request with it runs, wait for its response."""
+        give_up_at_ms = min(deadline_ms, now_ms() + self._policy.running_key_wait_ms)
         while True:
             claimed = await self._claims.claim(claim, self._policy.claim_timeout_ms)
             running = claimed.is_ok() and claimed.unwrap().state == "running"
-            if not running or now_ms() + self._policy.claim_poll_ms >= deadline_ms:
+            if not running or now_ms() + self._policy.claim_poll_ms >= give_up_at_ms:
                 return claimed
             await sleep_ms(self._policy.claim_poll_ms)
 
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -8,7 +8,7 @@
 import trio
 
 from briardyke.agreed.projection import Projection
-from briardyke.clock import now_ms
+from briardyke.clock import now_ms, wall_unix_ms
 from briardyke.entry.announcements import parse_announcement
 from briardyke.entry.demand import DemandMeter
 from briardyke.logs import log_error, log_event, log_warning
@@ -56,6 +56,7 @@
         self.admission = AdmissionController(self.table, chosen)
         self.budget = RetryBudget()
         self._probing: set[str] = set()
+        self._report_number = 0
 
     @property
     def configuration(self) -> Configuration:
@@ -95,6 +96,7 @@
             address=str(self.address),
             weight=self.settings.weight,
             lifecycle=self.lifecycle().value,
+            report_number=self._next_report_number(),
             share_demand=self.ledger.demand(now),
             held_shares=self.ledger.held(now),
         )
@@ -102,6 +104,11 @@
         passed_on = digest.to_pass_on(since, now)
         return Report([status], passed_on, self.demand.rates(now), digest.sequence)
 
+    def _next_report_number(self) -> int:
+        # Starting from the wall clock makes the numbers rise over restarts as well.
+        self._report_number = max(self._report_number + 1, wall_unix_ms())
+        return self._report_number
+
     def tick(self) -> None:
         """Run the systems once."""
         now = now_ms()
--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -29,6 +29,9 @@
 OVERLOAD_STEP = 0.3
 # A priority above 0 may use this much more per level, one below 0 this much less.
 PRIORITY_STEP = 0.1
+# An engine that misses the target between tokens even when idle still serves its models up to this
+# multiple of its idle time; measured against the target alone it would never get a request.
+SLOW_FACTOR = 1.5
 # Refused callers come back after the excess of the forecast, spread so that they do not return
 # together.
 RETRY_MINIMUM_MS = 200
@@ -117,7 +120,10 @@
         forecast = None if request.route.service else self._routing.forecast(request.route, now_ms)
         if forecast is not None:
             first_ms = forecast.first_token_ms
-            gap_pressure = forecast.between_tokens_ms / self._targets.between_tokens_ms
+            gap_target_ms = max(
+                self._targets.between_tokens_ms, SLOW_FACTOR * forecast.idle_between_tokens_ms
+            )
+            gap_pressure = forecast.between_tokens_ms / gap_target_ms
             excess_ms = max(0.0, first_ms - remaining_ms)
             shift = PRIORITY_STEP * max(-2, min(2, request.route.priority))
             shift -= OVERLOAD_STEP * max(
--- a/src/briardyke/policy/beliefs.py
+++ b/src/briardyke/policy/beliefs.py
@@ -60,6 +60,12 @@
         self._reported = _Granted(value, expires_ms, float("inf"))
         self._in_use = in_use
 
+    def extend(self, now_ms: float, expires_ms: float) -> None:
+        """Lengthen what the instance may still hold, when its lease may have been extended."""
+        for held in (self._reported, *self._grants):
+            if now_ms < held.expires_ms:
+                held.expires_ms = max(held.expires_ms, expires_ms)
+
     def granted(self, value: float, expires_ms: float, total: float) -> None:
         """Record a grant that is about to be sent."""
         last = self._grants[-1] if self._grants else None
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -104,6 +104,23 @@
                 value, in_use.get((limit_id, caller, quantity), 0.0), expires_ms
             )
 
+    def extend(self, instance_id: str, heard_at_ms: float) -> None:
+        """Note that an answer may extend an instance's lease without a new report from it.
+
+        A relay repeats the last report of each instance in every sync of its own, and may extend
+        the instance's lease up to the evidence of that sync.
+
+        :param instance_id: the instance.
+        :param heard_at_ms: arrival of the sync request.
+        """
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return
+        instance.heard_at_ms = max(instance.heard_at_ms, heard_at_ms)
+        for beliefs in self._beliefs.values():
+            if instance_id in beliefs:
+                beliefs[instance_id].extend(heard_at_ms, heard_at_ms + self._lease_ms)
+
     def allocate(
         self, limits: Mapping[str, Limit], now_ms: float, version: int = 0
     ) -> dict[str, list[LimitShare]]:
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -61,6 +61,7 @@
 
     first_token_ms: float
     between_tokens_ms: float
+    idle_between_tokens_ms: float = 0.0
 
 
 class Upstream:
@@ -150,4 +151,5 @@
             overdue = (now_ms - oldest.began_ms) / max(1.0, oldest.predicted_ms)
             if overdue > 1.0:
                 first_ms *= min(OVERDUE_LIMIT, overdue)
-        return Forecast(first_ms, gap_ms)
+        idle_gap_ms = self.between_tokens.value(now_ms) * nominal_between_tokens_ms(1.0)
+        return Forecast(first_ms, gap_ms, idle_gap_ms)
--- a/src/briardyke/sync/instances.py
+++ b/src/briardyke/sync/instances.py
@@ -9,6 +9,7 @@
 from briardyke.wire.messages import InstanceStatus
 
 INSTANCE_SILENCE_MS = 2000.0
+PASS_ON_MS = 3000.0
 
 
 class Lifecycle(Enum):
@@ -62,10 +63,15 @@
         return [_public(entry.status) for _, entry in entries if entry.listed]
 
     def for_next_hop(self, now_ms: float) -> list[InstanceStatus]:
-        """Return every status with the age of its evidence, limit reports included."""
+        """Return statuses that were heard recently, with ages and limit reports.
+
+        The leader keeps the shares of an instance that it is told about. One that has been silent
+        for :data:`PASS_ON_MS` is left out, so that its shares become free for others.
+        """
         return [
             attrs.evolve(entry.status, age_ms=max(0.0, now_ms - entry.heard_at_ms))
             for entry in self._entries.values()
+            if now_ms - entry.heard_at_ms < PASS_ON_MS
         ]
 
     def forget(self, before_ms: float) -> None:
@@ -77,4 +83,4 @@
 
 
 def _public(status: InstanceStatus) -> InstanceStatus:
-    return attrs.evolve(status, age_ms=0.0, share_demand=[], held_shares=[])
+    return attrs.evolve(status, age_ms=0.0, report_number=0, share_demand=[], held_shares=[])
--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -133,8 +133,11 @@
     :param weight: relative capacity.
     :param lifecycle: ``starting``, ``ready`` or ``draining``.
     :param age_ms: age of this evidence when the message was sent.
+    :param report_number: number of the report; rises with each one, restarts included. A relay
+        repeats a report with its number until it hears the next one.
     :param share_demand: use of the limits.
-    :param held_shares: shares that the instance currently holds.
+    :param held_shares: shares that the instance held when it sent the report, and, with version
+        -1, concurrency in use above a share.
     """
 
     instance_id: str
@@ -143,6 +146,7 @@
     weight: float
     lifecycle: str
     age_ms: float = 0.0
+    report_number: int = 0
     share_demand: list[ShareDemand] = attrs.field(factory=list)
     held_shares: list[LimitShare] = attrs.field(factory=list)
 
