Refuse to show an unconfirmed configuration as the current one

Cause: an isolated control process answered GET /v1/configuration with the version that it last held. Ruled out: a header with the age, which a script would overlook. Change: without evidence younger than the version lease the answer is 503 version_unconfirmed, and ?unconfirmed=true asks for it all the same.

--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -17,6 +17,7 @@
 from briardyke.http.app import error_body, error_response, json_response
 from briardyke.logs import log_event
 from briardyke.settings import Address, parse_address
+from briardyke.sync.lease import VERSION_LEASE_MS
 from briardyke.wire.codec import decode, encode, unstructure
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 MAX_PATCH_BYTES = 1024 * 1024
 DEFAULT_AUDIT_LIMIT = 100
 MEMBER_ACTIONS = ("add", "promote", "remove")
+_UNCONFIRMED_RETRY_MS = 1000
 _VERSION_TAG = re.compile(r'"(\d{1,18})"')
 _RESEND = "outcome unknown; resend with the same X-Request-Id"
 
@@ -119,6 +121,14 @@
         self.status = status
 
     async def get_current(self, request: Request) -> Response:
+        age_ms = self.status().get("confirmed_age_ms")
+        confirmed = age_ms is not None and age_ms < VERSION_LEASE_MS
+        if not confirmed and request.query.get("unconfirmed") != "true":
+            text = "this process cannot confirm that its version is current"
+            failure = Failure(
+                ErrorKind.VERSION_UNCONFIRMED, text, retry_after_ms=_UNCONFIRMED_RETRY_MS
+            )
+            return error_response(failure)
         projection = self.machine.projection
         return _document_response(projection.version, projection.document)
 
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -30,7 +30,11 @@
         self.fail_after: Failure | None = None
         self.changes: list[tuple[str, str, Address | None]] = []
         self.app = HttpApp()
-        register_operator_routes(self.app, self, self.machine, self, lambda: {"role": "leader"})
+        self.confirmed_age_ms: float | None = 100.0
+        register_operator_routes(self.app, self, self.machine, self, self._status)
+
+    def _status(self) -> dict[str, Any]:
+        return {"role": "leader", "confirmed_age_ms": self.confirmed_age_ms}
 
     async def propose(self, command: bytes, timeout_ms: int) -> Result[bytes, Failure]:
         if self.fail_before is not None:
@@ -79,6 +83,20 @@
 CALLER = {"callers": {"shop": {"api_key_sha256": "0" * 64}}}
 
 
+class TestUnconfirmedVersion:
+    """Guards against an isolated process that shows an old version as the current one."""
+
+    @pytest.mark.parametrize("age_ms", [None, 6000.0])
+    async def test_current_version_is_refused_unless_asked_for(
+        self, control: Any, age_ms: float | None
+    ) -> None:
+        control.confirmed_age_ms = age_ms
+        status, body, _ = await send(control, "GET", "/v1/configuration")
+        assert (status, body["error"]["kind"]) == (503, "version_unconfirmed")
+        status, body, _ = await send(control, "GET", "/v1/configuration?unconfirmed=true")
+        assert (status, body["version"]) == (200, 0)
+
+
 class TestPatch:
     """Guards against patches without version, name or id, and against unclear outcomes."""
 
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -72,7 +72,8 @@
 
     def serve(self, started: threading.Event, stopping: threading.Event) -> None:
         app = HttpApp()
-        register_operator_routes(app, self, self.machine, self, lambda: {"role": "leader"})
+        status = {"role": "leader", "confirmed_age_ms": 100.0}
+        register_operator_routes(app, self, self.machine, self, lambda: status)
 
         async def main() -> None:
             stop = trio.Event()
