Pass only changed upstreams towards the leader; bound evidence of late requests

(2) A request that was under way for long was taken as fresh evidence, because ages counted from its arrival. Ruled out: comparing clocks of instances.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,6 +20,7 @@
 from briardyke.agreed.commands import PatchConfiguration, RegisterUpstream
 from briardyke.agreed.configuration import Limit
 from briardyke.agreed.machine import ControlMachine
+from briardyke.clock import now_ms
 from briardyke.claims.machine import ApplyClaimEnd, ApplyClaimRequest, ClaimMachine
 from briardyke.placement.plan import plan
 from briardyke.placement.tables import PlacementView
@@ -139,43 +140,44 @@
 def _request(view: SyncedView, **changes: Any) -> SyncRequest:
     fields: dict[str, Any] = {
         "sender_id": "entry-0001",
+        "request_number": 1,
         "held_version": view.documents.version,
         "digest_id": view.responder_id,
         "held_digest": view.held_digest,
         "held_instances": view.held_instances,
         "data_centres": [],
+        "with_load": True,
         "wait_ms": 0.0,
+        "echo_ms": 0.0,
         "statuses": [status(1)],
         "announcements": [],
+        "whole_announcements": False,
+        "departed": [],
+        "fresh_age_ms": 0.0,
+        "stale_ages_ms": {},
         "demand": {f"model-{i}": ModelDemand(1.0, 300.0) for i in range(20)},
     }
     return SyncRequest(**{**fields, **changes})
 
 
-def sync_slopes() -> list[Fit]:
+async def sync_slopes() -> list[Fit]:
     """Measure one sync of an entry process against the upstreams that it hears about."""
     quiet, changed, costs, memory = [], [], [], []
     for count in (10, 50, 200, 800):
         digest, documents, view = UpstreamDigest(), DocumentHistory(), SyncedView(-1e9)
         documents.append(1, {"models": {}})
         responder = Responder(digest, documents, Notifier(), _Evidence())
-
-        async def respond(request: SyncRequest, responder: Responder = responder) -> Any:
-            return await responder.respond(request)
-
         for number in range(count):
-            digest.observe(row(number), trio_now())
-        view.apply(trio.run(respond, _request(view)), trio_now(), trio_now())
-        reply = trio.run(respond, _request(view))
-        quiet.append((count, len(encode(reply))))
+            digest.observe(row(number), now_ms())
+        view.apply(await responder.respond(_request(view)), now_ms(), now_ms())
+        quiet.append((count, len(encode(await responder.respond(_request(view))))))
         for number in range(count):
-            digest.observe(row(number, sequence=2), trio_now())
-        reply = trio.run(respond, _request(view))
-        data = encode(reply)
+            digest.observe(row(number, sequence=2), now_ms())
+        data = encode(await responder.respond(_request(view)))
         changed.append((count, len(data)))
 
         def handle(data: bytes = data, view: SyncedView = view) -> None:
-            view.apply(decode(data).unwrap(), trio_now(), trio_now())
+            view.apply(decode(data).unwrap(), now_ms(), now_ms())
 
         costs.append((count, processor_us(handle)))
         memory.append((count, memory_bytes(lambda n=count: [row(i) for i in range(n)])))
@@ -187,12 +189,7 @@
     ]
 
 
-def trio_now() -> float:
-    """Return a time for code that runs outside trio."""
-    return time.monotonic() * 1000.0
-
-
-def status_slopes() -> list[Fit]:
+async def status_slopes() -> list[Fit]:
     """Measure what the reports of entry instances cost a relay and the leader."""
     sizes, decoding, allocating = [], [], []
     for count in (10, 40, 160, 640):
@@ -215,7 +212,7 @@
     ]
 
 
-def version_slopes() -> list[Fit]:
+async def version_slopes() -> list[Fit]:
     """Measure accepted changes: processor time, bytes in the log, snapshot and restore."""
     applying, snapshots, restoring, entry = [], [], [], []
     for models in (50, 200, 500, 950):
@@ -252,7 +249,7 @@
     ]
 
 
-def claim_slopes() -> list[Fit]:
+async def claim_slopes() -> list[Fit]:
     """Measure claims: processor time, memory and snapshot of a shard."""
     applying, snapshots, memory = [], [], []
     for count in (2_000, 5_000, 10_000, 20_000):
@@ -282,7 +279,7 @@
     ]
 
 
-def decision_slopes() -> list[Fit]:
+async def decision_slopes() -> list[Fit]:
     """Measure a routing decision and a placement decision against the number of upstreams."""
     routing, placing, table_memory = [], [], []
     for count in (10, 100, 1_000, 10_000):
@@ -340,7 +337,7 @@
     fits: list[Fit] = []
     for measure in (sync_slopes, status_slopes, version_slopes, claim_slopes, decision_slopes):
         started = time.monotonic()
-        fits += measure()
+        fits += trio.run(measure)
         print(f"{measure.__name__}: {time.monotonic() - started:.1f} s", file=sys.stderr)
     for one in fits:
         print(
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -116,7 +116,12 @@
 
     def _uplink(self) -> SyncClient:
         return SyncClient(
-            self.settings.instance_id, self._peers, self._leader_addresses, self.view, self._report
+            self.settings.instance_id,
+            self._peers,
+            self._leader_addresses,
+            self.view,
+            self._report,
+            with_load=self.settings.load_reports,
         )
 
     def _leader_addresses(self) -> Sequence[Address]:
@@ -125,12 +130,10 @@
             return ()
         return (status.leader_address,)
 
-    def _report(self, since: int) -> Report:
+    def _report(self) -> Report:
         now = now_ms()
         statuses = self.responder.instances.for_next_hop(now)
-        announcements = self.view.digest.to_pass_on(since, now)
-        demand = self.responder.demand.total(now)
-        return Report(statuses, announcements, demand, self.view.digest.sequence)
+        return Report(statuses, self.responder.demand.total(now))
 
     async def _run_systems(self) -> None:
         while True:
--- a/src/briardyke/control/settings.py
+++ b/src/briardyke/control/settings.py
@@ -79,6 +79,11 @@
         parse=parse_addresses,
     )
     claim_shards: int = _claim_shards()
+    load_reports: bool = setting(
+        "Whether load and cache events of upstreams are exchanged: true or false.",
+        default="true",
+        parse=parse_boolean,
+    )
     placement: bool = setting(
         "Whether this process places models while it leads: true or false.",
         default="true",
--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -87,6 +87,7 @@
             self.state.view,
             self.state.report,
             self.settings.upstream_data_centres,
+            with_load=self.settings.load_reports,
         )
 
     async def _drain(self) -> None:
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -9,6 +9,7 @@
     Address,
     parse_address,
     parse_addresses,
+    parse_boolean,
     parse_choice,
     parse_optional_address,
     parse_words,
@@ -47,6 +48,11 @@
         default="",
         parse=parse_words,
     )
+    load_reports: bool = setting(
+        "Whether load and cache events of upstreams are exchanged: true or false.",
+        default="true",
+        parse=parse_boolean,
+    )
     address_ttl_ms: float = setting(
         "Time for which callers may keep an address response.",
         default="3000",
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -84,11 +84,8 @@
         age_ms = self.view.lease.age_ms(now_ms())
         return age_ms is None or age_ms > INSTANCE_SILENCE_MS
 
-    def report(self, since: int) -> Report:
-        """Build the report of one sync.
-
-        :param since: digest sequence up to which the responder has heard announcements.
-        """
+    def report(self) -> Report:
+        """Build the report of one sync."""
         now = now_ms()
         status = InstanceStatus(
             instance_id=self.settings.instance_id,
@@ -100,9 +97,7 @@
             share_demand=self.ledger.demand(now),
             held_shares=self.ledger.held(now),
         )
-        digest = self.view.digest
-        passed_on = digest.to_pass_on(since, now)
-        return Report([status], passed_on, self.demand.rates(now), digest.sequence)
+        return Report([status], self.demand.rates(now))
 
     def _next_report_number(self) -> int:
         # Starting from the wall clock makes the numbers rise over restarts as well.
--- a/src/briardyke/sync/client.py
+++ b/src/briardyke/sync/client.py
@@ -7,9 +7,9 @@
 import attrs
 from result import Err, Ok
 
-from briardyke.clock import now_ms, sleep_ms
+from briardyke.clock import now_ms, sleep_ms, wall_unix_ms
 from briardyke.logs import log_event, log_warning
-from briardyke.wire.messages import InstanceStatus, ModelDemand, SyncReply, SyncRequest, UpstreamRow
+from briardyke.wire.messages import InstanceStatus, ModelDemand, SyncReply, SyncRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -26,18 +26,14 @@
 
 @attrs.frozen
 class Report:
-    """Hold what a process reports upwards in one sync.
+    """Hold what a process reports upwards in one sync, besides announcements.
 
     :param statuses: statuses of entry instances.
-    :param announcements: upstream announcements received here.
     :param demand: demand by model or adapter name.
-    :param digest_sequence: sequence up to which announcements are included.
     """
 
     statuses: list[InstanceStatus]
-    announcements: list[UpstreamRow]
     demand: dict[str, ModelDemand]
-    digest_sequence: int
 
 
 class SyncClient:
@@ -49,8 +45,10 @@
         peers: PeerPool,
         addresses: Callable[[], Sequence[Address]],
         view: SyncedView,
-        report: Callable[[int], Report],
+        report: Callable[[], Report],
         data_centres: Sequence[str] = (),
+        *,
+        with_load: bool = True,
     ) -> None:
         """Set up the loop.
 
@@ -58,8 +56,9 @@
         :param peers: connections to other processes.
         :param addresses: returns the responders to use, preferred ones first.
         :param view: receives the replies.
-        :param report: builds the report of one request, with the announcements after a sequence.
+        :param report: builds the report of one request.
         :param data_centres: data centres whose upstreams are wanted; empty for all.
+        :param with_load: whether load figures of upstreams are sent and wanted.
         """
         self._sender_id = sender_id
         self._peers = peers
@@ -67,9 +66,12 @@
         self._view = view
         self._report = report
         self._data_centres = list(data_centres)
+        self._with_load = with_load
         self._position = 0
         self._reported_digest = 0
+        self._reported_ids: set[str] | None = None  # None until the responder has heard all
         self._failures_in_row = 0
+        self._number = 0
 
     async def run(self) -> None:
         """Sync until cancelled."""
@@ -85,36 +87,59 @@
                 self._failures_in_row = 0
                 continue
             self._position += 1
-            self._reported_digest = 0  # the next responder may have heard none of it
+            self._reported_digest = 0
+            self._reported_ids = None  # the next responder may have heard none of it
             self._failures_in_row += 1
             # One full round over all responders is made at once; only then the pause grows.
             rounds = self._failures_in_row // len(addresses)
             await sleep_ms(min(_LONGEST_PAUSE_MS, _PAUSE_AFTER_FAILURE_MS * 2**rounds))
 
     async def _sync(self, address: Address) -> bool:
-        report = self._report(self._reported_digest)
-        request = self._request(report)
         sent_at_ms = now_ms()
+        digest_sequence = self._view.digest.sequence
+        announcing = self._view.digest.passed_on(sent_at_ms)
+        request = self._request(announcing, sent_at_ms)
         reply = await self._peers.client(address).call(request, WAIT_MS + REPLY_MARGIN_MS)
         match reply:
             case Ok(SyncReply() as answer):
-                self._reported_digest = report.digest_sequence
+                self._reported_digest = digest_sequence
+                self._reported_ids = announcing
                 return self._view.apply(answer, sent_at_ms, now_ms())
             case Err(failure):
                 log_warning("sync_failed", responder=address, kind=failure.kind.value)
         return False
 
-    def _request(self, report: Report) -> SyncRequest:
-        view = self._view
+    def _request(self, announcing: set[str], now: float) -> SyncRequest:
+        report, view = self._report(), self._view
+        known = self._reported_ids
+        changed = view.digest.changes_since(self._reported_digest, now, with_load=self._with_load)
+        if known is not None:
+            # A row that begins to announce here is sent even if the row itself is old.
+            held = {row.upstream_id for row in changed}
+            begun = announcing - known - held
+            changed += [r for r in view.digest.changes_since(0, now) if r.upstream_id in begun]
+        freshness = view.digest.freshness(now, upstream_ids=announcing)
         return SyncRequest(
             sender_id=self._sender_id,
+            request_number=self._next_number(),
             held_version=view.documents.version,
             digest_id=view.responder_id,
             held_digest=view.held_digest,
             held_instances=view.held_instances,
             data_centres=self._data_centres,
+            with_load=self._with_load,
             wait_ms=WAIT_MS,
+            echo_ms=view.echo_ms,
             statuses=report.statuses,
-            announcements=report.announcements,
+            announcements=[row for row in changed if row.upstream_id in announcing],
+            whole_announcements=known is None,
+            departed=sorted((known or set()) - announcing),
+            fresh_age_ms=freshness.fresh_age_ms,
+            stale_ages_ms=freshness.stale_ages_ms,
             demand=report.demand,
         )
+
+    def _next_number(self) -> int:
+        # Starting from the wall clock makes the numbers rise over restarts as well.
+        self._number = max(self._number + 1, wall_unix_ms())
+        return self._number
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -39,6 +39,7 @@
     row: UpstreamRow
     heard_at_ms: float
     sequence: int
+    structure_sequence: int
     from_below_at_ms: float = -math.inf
 
 
@@ -89,13 +90,24 @@
         self.observe(row, now_ms)
         self._entries[row.upstream_id].from_below_at_ms = now_ms
 
-    def to_pass_on(self, sequence: int, now_ms: float) -> list[UpstreamRow]:
-        """Return rows changed after a sequence whose announcements arrive through this process."""
-        return [
-            row
-            for row in self.changes_since(sequence, now_ms)
-            if now_ms - self._entries[row.upstream_id].from_below_at_ms < UPSTREAM_SILENCE_MS
-        ]
+    def refresh_from_below(
+        self, upstream_ids: Iterable[str], heard_at_ms: float, now_ms: float
+    ) -> None:
+        """Take in evidence for upstreams whose announcements arrive through this process."""
+        ids = list(upstream_ids)
+        self.refresh(ids, heard_at_ms)
+        for upstream_id in ids:
+            entry = self._entries.get(upstream_id)
+            if entry is not None:
+                entry.from_below_at_ms = now_ms
+
+    def passed_on(self, now_ms: float) -> set[str]:
+        """Return the upstreams whose announcements arrive through this process."""
+        return {
+            upstream_id
+            for upstream_id, entry in self._entries.items()
+            if now_ms - entry.from_below_at_ms < UPSTREAM_SILENCE_MS
+        }
 
     def refresh(self, upstream_ids: Iterable[str], heard_at_ms: float) -> None:
         """Take in evidence that upstreams were alive at a moment."""
@@ -105,31 +117,51 @@
                 entry.heard_at_ms = max(entry.heard_at_ms, heard_at_ms)
 
     def changes_since(
-        self, sequence: int, now_ms: float, data_centres: Collection[str] = ()
+        self,
+        sequence: int,
+        now_ms: float,
+        data_centres: Collection[str] = (),
+        *,
+        with_load: bool = True,
     ) -> list[UpstreamRow]:
         """Return the rows that changed after a sequence, with their ages.
 
         :param sequence: sequence that the reader holds.
         :param now_ms: the runtime's clock.
         :param data_centres: data centres to include; empty for all.
+        :param with_load: whether load figures and cache events are wanted; without them a row
+            counts as changed only when its address, lifecycle or loaded items did.
         """
-        return [
-            attrs.evolve(entry.row, age_ms=max(0.0, now_ms - entry.heard_at_ms))
-            for entry in self._entries.values()
-            if entry.sequence > sequence and _wanted(entry.row, data_centres)
-        ]
-
-    def freshness(self, now_ms: float, data_centres: Collection[str] = ()) -> Freshness:
+        rows = []
+        for entry in self._entries.values():
+            changed = entry.sequence if with_load else entry.structure_sequence
+            if changed > sequence and _wanted(entry.row, data_centres):
+                row = entry.row if with_load else _without_load(entry.row)
+                rows.append(attrs.evolve(row, age_ms=max(0.0, now_ms - entry.heard_at_ms)))
+        return rows
+
+    def freshness(
+        self,
+        now_ms: float,
+        data_centres: Collection[str] = (),
+        upstream_ids: Collection[str] | None = None,
+    ) -> Freshness:
         """Return one age for all upstreams that were heard recently, and the ages of the others.
 
-        Naming only the exceptions keeps the reply small however many upstreams there are.
+        Naming only the exceptions keeps messages small however many upstreams there are.
+
+        :param now_ms: the runtime's clock.
+        :param data_centres: data centres to include; empty for all.
+        :param upstream_ids: upstreams to include; ``None`` for all.
         """
         fresh_age_ms = 0.0
         stale_ages_ms = {}
         for upstream_id, entry in self._entries.items():
-            age_ms = max(0.0, now_ms - entry.heard_at_ms)
+            if upstream_ids is not None and upstream_id not in upstream_ids:
+                continue
             if not _wanted(entry.row, data_centres):
                 continue
+            age_ms = max(0.0, now_ms - entry.heard_at_ms)
             if age_ms <= FRESH_MS:
                 fresh_age_ms = max(fresh_age_ms, age_ms)
             else:
@@ -177,9 +209,22 @@
         if lifecycle_changed:
             self.lifecycle_sequence = self.sequence
         held = self._entries.get(row.upstream_id)
+        structure_sequence = self.sequence
+        if held is not None and _structure(held.row) == _structure(row):
+            structure_sequence = held.structure_sequence
         from_below_at_ms = held.from_below_at_ms if held else -math.inf
-        self._entries[row.upstream_id] = _Entry(row, heard_at_ms, self.sequence, from_below_at_ms)
+        self._entries[row.upstream_id] = _Entry(
+            row, heard_at_ms, self.sequence, structure_sequence, from_below_at_ms
+        )
 
 
 def _wanted(row: UpstreamRow, data_centres: Collection[str]) -> bool:
     return not data_centres or row.data_centre in data_centres
+
+
+def _without_load(row: UpstreamRow) -> UpstreamRow:
+    return attrs.evolve(row, in_flight=0, queued=0, tokens_per_second=0.0, cache_events=[])
+
+
+def _structure(row: UpstreamRow) -> UpstreamRow:
+    return attrs.evolve(_without_load(row), sequence=0, age_ms=0.0, committed_bytes=0)
--- a/src/briardyke/sync/responder.py
+++ b/src/briardyke/sync/responder.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING, Any, Protocol
 
+import attrs
+
 from briardyke.clock import now_ms
 from briardyke.sync.demand import DemandTable
+from briardyke.sync.digest import UPSTREAM_SILENCE_MS
 from briardyke.sync.instances import InstanceTable
 from briardyke.wire.messages import SyncReply
 
@@ -53,6 +56,8 @@
         """
         self.instances = InstanceTable()
         self.demand = DemandTable()
+        self._announced_by: dict[str, set[str]] = {}
+        self._latest_request: dict[str, int] = {}
         self._digest = digest
         self._documents = documents
         self._changed = changed
@@ -60,22 +65,43 @@
 
     async def respond(self, request: SyncRequest) -> SyncReply:
         """Take in a request and answer it, at once or after at most ``wait_ms``."""
-        self._observe(request)
+        if request.request_number > self._latest_request.get(request.sender_id, 0):
+            self._latest_request[request.sender_id] = request.request_number
+            self._observe(request)
         if not self._has_news(request):
             await self._changed.wait(min(request.wait_ms, MAX_WAIT_MS))
         return self._reply(request)
 
     def _observe(self, request: SyncRequest) -> None:
         now = now_ms()
-        lifecycle_before = self._digest.lifecycle_sequence, self.instances.sequence
-        for row in request.announcements:
-            self._digest.observe_from_below(row, now)
+        before = self._digest.lifecycle_sequence, self.instances.sequence
+        # The request may have been under way for long; it was sent after the reply that it echoes.
+        same_responder = request.digest_id == self._digest.digest_id
+        sent_at_ms = request.echo_ms if same_responder else now - UPSTREAM_SILENCE_MS
+        under_way_ms = max(0.0, now - sent_at_ms)
+        self._take_announcements(request, under_way_ms, now)
         for status in request.statuses:
-            self.instances.observe(status, now)
+            aged = attrs.evolve(status, age_ms=status.age_ms + under_way_ms)
+            self.instances.observe(aged, now)
         self.demand.observe(request.sender_id, request.demand, now)
-        if (self._digest.lifecycle_sequence, self.instances.sequence) != lifecycle_before:
+        if (self._digest.lifecycle_sequence, self.instances.sequence) != before:
             self._changed.notify()
 
+    def _take_announcements(self, request: SyncRequest, under_way_ms: float, now: float) -> None:
+        known = self._announced_by.setdefault(request.sender_id, set())
+        if request.whole_announcements:
+            known.clear()
+        for row in request.announcements:
+            known.add(row.upstream_id)
+            aged = attrs.evolve(row, age_ms=row.age_ms + under_way_ms)
+            self._digest.observe_from_below(aged, now)
+        known.difference_update(request.departed)
+        fresh = known.difference(request.stale_ages_ms)
+        heard_at_ms = now - under_way_ms - request.fresh_age_ms
+        self._digest.refresh_from_below(fresh, heard_at_ms, now)
+        for upstream_id, age_ms in request.stale_ages_ms.items():
+            self._digest.refresh((upstream_id,), now - under_way_ms - age_ms)
+
     def _has_news(self, request: SyncRequest) -> bool:
         return (
             request.held_version != self._documents.version
@@ -94,13 +120,16 @@
         tag, instances = self._evidence.instances()
         whole, patch = self._document_for(request.held_version)
         return SyncReply(
+            replied_at_ms=now,
             confirmed_age_ms=self._evidence.confirmed_age_ms(),
             version=self._documents.version,
             configuration=whole,
             configuration_patch=patch,
             digest_id=self._digest.digest_id,
             digest=self._digest.sequence,
-            upstreams=self._digest.changes_since(since, now, request.data_centres),
+            upstreams=self._digest.changes_since(
+                since, now, request.data_centres, with_load=request.with_load
+            ),
             whole_digest=forgotten is None,
             forgotten=forgotten or [],
             fresh_age_ms=freshness.fresh_age_ms,
--- a/src/briardyke/sync/view.py
+++ b/src/briardyke/sync/view.py
@@ -39,6 +39,7 @@
         self.shares: dict[str, list[LimitShare]] = {}
         self.changed = Notifier()
         self.responder_id = ""
+        self.echo_ms = 0.0
         self.held_digest = 0
         self.held_instances = ""
         self._known_upstreams: set[str] = set()
@@ -91,6 +92,7 @@
             self.listed = reply.instances
             self.listed_sequence += 1
         self.responder_id = reply.digest_id
+        self.echo_ms = reply.replied_at_ms
         self.held_digest = reply.digest
         self.held_instances = reply.instances_tag
         if reply.instances is not None or self.digest.lifecycle_sequence != before:
--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -171,26 +171,42 @@
     """Report upwards and ask for everything newer than what the sender holds.
 
     :param sender_id: instance id of the sender.
+    :param request_number: rises with each request, restarts included; one that arrives after a
+        later one tells nothing.
     :param held_version: configuration version that the sender holds, 0 for none.
     :param digest_id: identity of the responder's tables, empty for none.
     :param held_digest: sequence of the upstream digest that the sender holds, 0 for none.
     :param held_instances: tag of the instance list that the sender holds, empty for none.
     :param data_centres: data centres whose upstreams the sender wants; empty for all.
+    :param with_load: whether load figures and cache events of upstreams are wanted and sent.
     :param wait_ms: longest time to hold the reply when nothing is new.
+    :param echo_ms: ``replied_at_ms`` of the last reply, 0 for none. The request was sent after
+        that moment on the responder's clock, which bounds how long it was under way.
     :param statuses: the sender's own status, or those of all entry processes behind a relay.
-    :param announcements: upstream announcements received since the last sync.
+    :param announcements: upstreams that announce through the sender, where changed.
+    :param whole_announcements: whether ``announcements`` holds all of them.
+    :param departed: upstreams that no longer announce through the sender.
+    :param fresh_age_ms: largest age of the evidence for the others that announce through it.
+    :param stale_ages_ms: age of the evidence by upstream id, where it is older than usual.
     :param demand: demand by model or adapter name.
     """
 
     sender_id: str
+    request_number: int
     held_version: int
     digest_id: str
     held_digest: int
     held_instances: str
     data_centres: list[str]
+    with_load: bool
     wait_ms: float
+    echo_ms: float
     statuses: list[InstanceStatus]
     announcements: list[UpstreamRow]
+    whole_announcements: bool
+    departed: list[str]
+    fresh_age_ms: float
+    stale_ages_ms: dict[str, float]
     demand: dict[str, ModelDemand]
 
 
@@ -199,6 +215,7 @@
 class SyncReply:
     """Answer a :class:`SyncRequest`.
 
+    :param replied_at_ms: the responder's clock, for ``echo_ms`` of the next request.
     :param confirmed_age_ms: age of the responder's evidence that the version is current; ``None``
         when it has no evidence, in which case the reply extends no lease.
     :param version: current configuration version.
@@ -219,6 +236,7 @@
     :param leader_hint: peer address of the leader, empty when unknown.
     """
 
+    replied_at_ms: float
     confirmed_age_ms: float | None
     version: int
     configuration: dict[str, Any] | None
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -213,6 +213,10 @@
         """Empty the data folder of a process that is not running."""
         shutil.rmtree(self.folder / name)
 
+    def peer_bytes(self, sender: str) -> int:
+        """Return the bytes that passed on peer connections opened by a process."""
+        return sum(relay.bytes_by_sender[sender] for relay in self._relays.values())
+
     def close(self) -> None:
         """End every process that is still running."""
         for process in self.processes.values():
--- a/tests/process/cut_relay.py
+++ b/tests/process/cut_relay.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+from collections import Counter
 from typing import Any
 
 import msgpack
@@ -27,10 +28,13 @@
         :param name: process behind the relay.
         :param target_port: its peer port on the loopback address.
         :param cuts: names of processes that are cut off, shared by all relays and changed by tests.
+
+        Bytes in both directions are counted by the process that opened the connection.
         """
         self._name = name
         self._target_port = target_port
         self._cuts = cuts
+        self.bytes_by_sender: Counter[str] = Counter()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -75,6 +79,7 @@
                 if dropped and not {sender, self._name} & self._cuts:
                     break
                 if not dropped:
+                    self.bytes_by_sender[sender] += len(data)
                     sink.sendall(data)
         except OSError:
             pass
--- /dev/null
+++ b/tests/sync/test_responder.py
@@ -0,0 +1,129 @@
+"""Check what a responder takes from requests, on the paused clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from briardyke.clock import now_ms
+from briardyke.sync.client import Report, SyncClient
+from briardyke.sync.digest import UPSTREAM_SILENCE_MS, UpstreamDigest
+from briardyke.sync.documents import DocumentHistory
+from briardyke.sync.notifier import Notifier
+from briardyke.sync.responder import Responder
+from briardyke.sync.view import SyncedView
+from briardyke.wire.messages import InstanceStatus, LimitShare, SyncReply, UpstreamRow
+
+if TYPE_CHECKING:
+    import trio.testing
+
+_ROW = UpstreamRow("u1", "inc-1", "engine", "127.0.0.1:1", "dc-1", sequence=1)
+
+
+class _Leader:
+    """Stand for the evidence of a leader."""
+
+    def confirmed_age_ms(self) -> float | None:
+        return 0.0
+
+    def instances(self) -> tuple[str, list[InstanceStatus]]:
+        return "leader:1", []
+
+    def shares(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
+        return {}
+
+    def leader_hint(self) -> str:
+        return ""
+
+
+class _Link:
+    """Join an entry process's view with a responder and carry requests by hand."""
+
+    def __init__(self, *, with_load: bool = True) -> None:
+        self.view = SyncedView(now_ms())
+        self.digest = UpstreamDigest()
+        self.responder = Responder(self.digest, DocumentHistory(), Notifier(), _Leader())
+        self.client = SyncClient(
+            "entry-1",
+            None,  # type: ignore[arg-type]
+            tuple,
+            self.view,
+            lambda: Report([], {}),
+            with_load=with_load,
+        )
+
+    def request(self) -> Any:
+        announcing = self.view.digest.passed_on(now_ms())
+        made = self.client._request(announcing, now_ms())
+        self.client._reported_digest = self.view.digest.sequence
+        self.client._reported_ids = announcing
+        return attrs.evolve(made, wait_ms=0.0)
+
+    async def sync(self) -> SyncReply:
+        sent_at_ms = now_ms()
+        reply = await self.responder.respond(self.request())
+        self.view.apply(reply, sent_at_ms, now_ms())
+        return reply
+
+
+class TestEvidenceFromBelow:
+    """Guards against a dead upstream that relayed or late requests keep alive."""
+
+    async def test_quiet_upstream_stays_alive_without_its_row(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        link = _Link(with_load=False)
+        link.view.digest.observe_from_below(_ROW, now_ms())
+        for number in range(20):
+            loaded = attrs.evolve(_ROW, sequence=number + 2, in_flight=number)
+            link.view.digest.observe_from_below(loaded, now_ms())
+            request = link.request()
+            assert len(request.announcements) == (1 if number == 0 else 0)
+            link.view.apply(await link.responder.respond(request), now_ms(), now_ms())
+            mock_clock.jump(0.5)
+        assert list(link.digest.alive(now_ms())) == ["u1"]
+
+    async def test_silent_upstream_ends_within_the_bound(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        link = _Link()
+        link.view.digest.observe_from_below(_ROW, now_ms())
+        for _ in range(13):
+            await link.sync()
+            mock_clock.jump(0.25)
+        assert link.digest.alive(now_ms()) == {}
+
+    async def test_request_that_was_under_way_for_long_is_old_evidence(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        link = _Link()
+        await link.sync()
+        link.view.digest.observe_from_below(_ROW, now_ms())
+        late = link.request()
+        mock_clock.jump(UPSTREAM_SILENCE_MS / 1000.0)
+        await link.responder.respond(late)
+        assert link.digest.alive(now_ms()) == {}
+
+    async def test_request_overtaken_by_a_later_one_tells_nothing(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        link = _Link()
+        await link.sync()
+        link.view.digest.observe_from_below(_ROW, now_ms())
+        overtaken = link.request()
+        mock_clock.jump(3.5)  # the upstream has fallen silent meanwhile
+        link.client._reported_ids = None
+        await link.sync()
+        await link.responder.respond(overtaken)
+        await link.sync()
+        assert link.digest.alive(now_ms()) == {}
+
+    async def test_upstream_that_moves_here_is_announced(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        link = _Link(with_load=False)
+        link.digest.observe(_ROW, now_ms())
+        await link.sync()
+        link.view.digest.observe_from_below(attrs.evolve(_ROW, sequence=2), now_ms())
+        assert [r.upstream_id for r in link.request().announcements] == ["u1"]
--- a/tests/sync/test_sync.py
+++ b/tests/sync/test_sync.py
@@ -21,6 +21,7 @@
 
 def _reply(**changes: Any) -> SyncReply:
     fields: dict[str, Any] = {
+        "replied_at_ms": 0.0,
         "confirmed_age_ms": 0.0,
         "version": 1,
         "configuration": {"a": 1},
