--- a/bench/daemon_cost.py
+++ b/bench/daemon_cost.py
@@ -28,6 +28,15 @@
 SIZES = (1, 25, 50, 100, 200)
 WARM_UP_S = 3.0
 MEASURE_S = 10.0
+SETTINGS = {
+    "defaults": (),
+    "settings of the target size": ("--sync-wait-ms", "1000", "--load-reports", "false"),
+}
+ROLES = {
+    "entry-1": "entry taking announcements",
+    "entry-2": "entry hearing through sync",
+    "control-1": "leader",
+}
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -72,10 +81,14 @@
     return int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1]) * _PAGE_BYTES
 
 
-def measure(count: int, points: dict[tuple[str, str], list[tuple[float, float]]]) -> None:
+def measure(
+    count: int, flags: tuple[str, ...], points: dict[tuple[str, str], list[tuple[float, float]]]
+) -> None:
     """Measure one size and add its points."""
     with tempfile.TemporaryDirectory() as folder:
-        cluster = Cluster(Path(folder), controls=1, entries=2, engines=0, services=0)
+        cluster = Cluster(
+            Path(folder), controls=1, entries=2, engines=0, services=0, sync_flags=flags
+        )
         try:
             cluster.start()
             cluster.until(
@@ -104,19 +117,16 @@
 
 def main(path: str) -> None:
     """Measure all sizes and write the fits."""
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
-    for count in SIZES:
-        measure(count, points)
-    roles = {
-        "entry-1": "entry process that takes the announcements",
-        "entry-2": "entry process that hears of upstreams through sync",
-        "control-1": "control process that leads",
-    }
-    fits: list[Fit] = [
-        fit(roles[name], unit, "upstream announcing once a second", values)
-        for (name, unit), values in points.items()
-        if not (name == "control-1" and unit == "bytes a second")  # a single one opens none
-    ]
+    fits: list[Fit] = []
+    for name, flags in SETTINGS.items():
+        points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+        for count in SIZES:
+            measure(count, flags, points)
+        fits += [
+            fit(f"{ROLES[role]}, {name}", unit, "upstream announcing once a second", values)
+            for (role, unit), values in points.items()
+            if not (role == "control-1" and unit == "bytes a second")  # it opens no connection
+        ]
     for one in fits:
         print(
             f"{one.name}: {one.slope:.4g} {one.unit} per {one.per} + {one.intercept:.4g}"
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -83,6 +83,7 @@
         services: int = 1,
         engine_flags: tuple[str, ...] = (),
         address_ttl_ms: int = 600,
+        sync_flags: tuple[str, ...] = (),
     ) -> None:
         """Describe the cluster; :meth:`start` starts it.
 
@@ -93,7 +94,9 @@
         :param services: number of plain service stand-ins.
         :param engine_flags: further flags of each engine.
         :param address_ttl_ms: time to live of address responses; short, so that stops are quick.
+        :param sync_flags: further flags of control and entry processes.
         """
+        self._sync_flags = sync_flags
         self.folder = folder
         self.cuts: set[str] = set()
         self.processes: dict[str, Process] = {}
@@ -187,7 +190,7 @@
         if process.module.startswith("briardyke.standins"):
             entries = [f"127.0.0.1:{self.processes[n].http_port}" for n in self.names("entry")]
             return ["--entry-addresses", ",".join(entries)]
-        return ["--control-addresses", peers]
+        return ["--control-addresses", peers, *self._sync_flags]
 
     def kill(self, name: str) -> None:
         """End a process at once, as a power failure would."""
