--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -72,7 +72,7 @@
         maximum=3600000,
     )
     default_deadline_ms: float = setting(
-        "Deadline of a request that names none: latest first token of a model, response of a service.",
+        "Deadline of a request that names none, for its first token or a service response.",
         default="60000",
         parse=float,
         unit="ms",
