Check events, metrics, file names and links of the written pages

The pages on log events, metrics and terms are written by hand and could miss a new event or name a removed file. The tests parse src for calls instead of running it, since many events occur only under faults. The docstring of LoadedItem.state lacked unloading, which engines announce.

--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -16,7 +16,7 @@
     :param name: name of the model or adapter.
     :param size_bytes: memory that it occupies.
     :param order_id: order that loaded it, empty when it was there at the start.
-    :param state: ``loading`` or ``loaded``.
+    :param state: ``loading``, ``loaded`` or ``unloading``.
     """
 
     name: str
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ast
 import importlib.util
+import re
 from pathlib import Path
 from typing import Any
 
@@ -44,3 +46,44 @@
         assert set(GENERATOR.EXIT_CODES) == set(ExitCode)
         for text in [*GENERATOR.OCCURRENCES.values(), *GENERATOR.EXIT_CODES.values()]:
             assert text.endswith(".")
+
+
+LOG_FUNCTIONS = {"log_event", "log_debug", "log_warning", "log_error"}
+METRIC_FUNCTIONS = {"counter", "up_down_counter", "histogram_ms"}
+
+
+def _first_arguments(functions: set[str]) -> set[str]:
+    found = set()
+    for path in sorted((ROOT / "src").rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Call) and getattr(node.func, "id", "") in functions:
+                argument = node.args[0]
+                assert isinstance(argument, ast.Constant), f"{path}:{node.lineno}"
+                found.add(str(argument.value))
+    return found
+
+
+class TestWrittenPages:
+    """Guards against pages that miss an event or metric or name a file that is gone."""
+
+    def test_every_log_event_is_listed(self) -> None:
+        listed = set(re.findall(r"`(\w+)`", self._page("metrics-and-logs.md")))
+        assert _first_arguments(LOG_FUNCTIONS) - listed == set()
+
+    def test_every_metric_is_listed(self) -> None:
+        page = self._page("metrics-and-logs.md")
+        for name in _first_arguments(METRIC_FUNCTIONS):
+            assert re.search(rf"`{name}_(total|milliseconds)`", page), name
+
+    def test_files_that_the_glossary_names_exist(self) -> None:
+        for name in re.findall(r"`([a-z_]+/[a-z_/]*(?:\.py)?)`", self._page("glossary.md")):
+            assert (ROOT / "src" / "briardyke" / name).exists(), name
+
+    def test_links_between_pages_lead_somewhere(self) -> None:
+        for page in (ROOT / "docs").glob("*.md"):
+            for target in re.findall(r"\]\(([\w.-]+\.md)", page.read_text(encoding="utf-8")):
+                assert (ROOT / "docs" / target).exists(), f"{page.name}: {target}"
+
+    @staticmethod
+    def _page(name: str) -> str:
+        return (ROOT / "docs" / name).read_text(encoding="utf-8")
