--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -96,8 +96,8 @@
         NOTICE,
         "# Settings and exit codes",
         "Each setting is a flag and an environment variable; the flag takes precedence. All errors"
-        " are reported at once. Switches take `true` or `false`. A variable has the same name for every"
-        " binary, so processes that differ need separate environments.",
+        " are reported at once. Switches take `true` or `false`. A variable has the same name for"
+        " every binary, so processes that differ need separate environments.",
     ]
     for binary, settings in BINARIES.items():
         summary = (settings.__doc__ or "").strip().splitlines()[0]
