Divide only limit shares whose inputs changed

Cause: every allocation divided every pair of limit and caller for every instance and built all messages, and report and extend looped over all beliefs.

Change: the lease is one per instance (every answer may extend all its shares, so single grants had no lease of their own), which makes extend constant time. Reports are compared with the previous one. Only pairs whose held shares, demand (by more than 5%), limit or default shares changed are divided; pairs affected only by instances coming or going wait, 8 per call. allocate takes the instances to answer and leaves out shares equal to the default of callers without demand there. The 100 ms cache is gone.

Idle capacity: what demand leaves was already divided evenly (max_min). Free capacity at the leader moves with the next sync, divided capacity has to be given back first.

--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -14,8 +14,6 @@
     from briardyke.agreed.projection import Projection
     from briardyke.wire.messages import InstanceStatus, LimitShare
 
-_REALLOCATE_AFTER_MS = 100.0
-
 
 class ShareSystem:
     """Run the share allocator of one term of leadership.
@@ -36,17 +34,13 @@
         self._earlier_limit_ids = earlier_limit_ids
         self._term = 0
         self._allocator = ShareAllocator(VERSION_LEASE_MS, 0.0)
-        self._granted: dict[str, list[LimitShare]] = {}
         self._reported: dict[str, int] = {}
-        self._granted_at_ms = -_REALLOCATE_AFTER_MS
 
     def start_term(self, term: int) -> None:
         """Begin with an empty allocator when this process starts to lead a term."""
         if term != self._term:
             self._term = term
             self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms(), self._earlier_limit_ids())
-            self._granted = {}
-            self._granted_at_ms = -_REALLOCATE_AFTER_MS
             self._reported = {}
 
     def grant(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
@@ -60,10 +54,9 @@
                 )
             # The answer extends the lease of whatever was granted before.
             self._allocator.extend(status.instance_id, now)
-        unknown = any(s.instance_id not in self._granted for s in statuses)
-        if unknown or now - self._granted_at_ms >= _REALLOCATE_AFTER_MS:
-            self._granted = self._allocator.allocate(
-                self._projection.configuration.limits, now, self._projection.version
-            )
-            self._granted_at_ms = now
-        return {s.instance_id: self._granted.get(s.instance_id, []) for s in statuses}
+        return self._allocator.allocate(
+            self._projection.configuration.limits,
+            now,
+            self._projection.version,
+            [status.instance_id for status in statuses],
+        )
--- /dev/null
+++ b/src/briardyke/policy/division.py
@@ -0,0 +1,107 @@
+"""Divide one quantity of a limit among instances, given what each may still believe."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from briardyke.policy.fairness import max_min, whole_numbers
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briardyke.policy.beliefs import Belief
+
+# Demand is granted with this headroom, so that growth between two syncs is not refused.
+HEADROOM = 1.25
+# Part of a rate that is divided evenly whatever the demand, so that an instance without demand
+# can admit a first request at once.
+RESERVE = 0.05
+# Rates are rounded down to this part of the limit; equal values make grants recognisable.
+RATE_STEPS = 4096
+
+
+def targets(demand: Mapping[str, float], total: float, whole: bool) -> dict[str, float]:
+    """Return the shares that instances should end up with.
+
+    :param demand: demand of every instance, 0 for none, in the order of their names.
+    :param total: the limit.
+    :param whole: whether shares are whole numbers.
+    """
+    reserve = 0.0 if whole else total * RESERVE / max(1, len(demand))
+    demands = {i: max(reserve, value * HEADROOM) for i, value in demand.items()}
+    if whole:
+        # One unit each while that takes at most a quarter of the limit.
+        for instance_id in list(demands)[: int(total // 4)]:
+            demands[instance_id] = max(1.0, demands[instance_id])
+        parts = max_min(demands, float(int(total)))
+        return {i: float(n) for i, n in whole_numbers(parts, int(total)).items()}
+    step = total / RATE_STEPS
+    if step <= 0.0:
+        return dict.fromkeys(demands, 0.0)
+    return {i: math.floor(v / step) * step for i, v in max_min(demands, total).items()}
+
+
+def confirm(
+    beliefs: Mapping[str, Belief], instances: Mapping[str, object], total: float, whole: bool
+) -> dict[str, float]:
+    """Return the reported shares, reduced in proportion when the limit was lowered."""
+    held = {i: beliefs[i].confirmed() if i in beliefs else 0.0 for i in instances}
+    used = sum(held.values())
+    if used > total:
+        held = {instance_id: value * total / used for instance_id, value in held.items()}
+    return _within(beliefs, held, total, whole)
+
+
+def grow(
+    beliefs: Mapping[str, Belief], wanted: Mapping[str, float], total: float, whole: bool
+) -> dict[str, float]:
+    """Move shares towards their targets without counting any part of the limit twice.
+
+    Shares shrink at once. They grow only by what no instance can be using any more.
+    """
+    largest = {instance_id: belief.largest() for instance_id, belief in beliefs.items()}
+    spare = total - sum(largest.values())
+    if spare < 0.0:
+        # The limit was lowered, or an instance reports more than this leader granted, such as
+        # requests that outlived their lease. A report then entitles to nothing by itself.
+        fitting = {
+            i: min(target, beliefs[i].entitled() if i in beliefs else 0.0)
+            for i, target in wanted.items()
+        }
+        return _within(beliefs, fitting, total, whole)
+    missing = {
+        instance_id: target - largest.get(instance_id, 0.0)
+        for instance_id, target in wanted.items()
+        if target > largest.get(instance_id, 0.0)
+    }
+    grants = dict(wanted)
+    if not missing or sum(missing.values()) <= spare:
+        return grants
+    level = max_min(missing, spare)
+    for instance_id, want in missing.items():
+        part = min(want, level[instance_id])
+        grants[instance_id] = largest.get(instance_id, 0.0) + (
+            float(math.floor(part + 1e-9)) if whole else part
+        )
+    if whole:
+        left = int(spare + 1e-9) - sum(int(grants[i] - largest.get(i, 0.0)) for i in missing)
+        for instance_id in sorted(missing, key=lambda i: (-missing[i], i))[: max(0, left)]:
+            if grants[instance_id] < wanted[instance_id]:
+                grants[instance_id] += 1.0
+    return grants
+
+
+def _within(
+    beliefs: Mapping[str, Belief], wanted: Mapping[str, float], total: float, whole: bool
+) -> dict[str, float]:
+    """Cut what is wanted so that it fits beside every grant made under the present limit."""
+    counted = {i: belief.entitled(total) for i, belief in beliefs.items()}
+    used = sum(counted.values())
+    grants = {}
+    for instance_id, value in wanted.items():
+        own = counted.get(instance_id, 0.0)
+        value = max(0.0, min(value, total - (used - own)))
+        grants[instance_id] = float(math.floor(value + 1e-9)) if whole else value
+        used += max(0.0, grants[instance_id] - own)
+    return grants
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -2,51 +2,51 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import attrs
 
 from briardyke.agreed.configuration import ANY
-from briardyke.policy.beliefs import Belief
 from briardyke.policy.buckets import IN_USE_VERSION
-from briardyke.policy.fairness import max_min, whole_numbers
-from briardyke.wire.messages import LimitShare, ShareDemand
+from briardyke.policy.division import confirm, grow, targets
+from briardyke.policy.pairs import QUANTITIES, Pair, effective, share_of
+from briardyke.wire.messages import LimitShare
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Mapping, Sequence
+    from collections.abc import Container, Iterable, Mapping, Sequence
 
     from briardyke.agreed.configuration import Limit
+    from briardyke.wire.messages import ShareDemand
 
-QUANTITIES = ("requests_per_second", "concurrent_requests", "tokens_per_second")
-# Demand is granted with this headroom, so that growth between two syncs is not refused.
-HEADROOM = 1.25
-# Part of a rate that is divided evenly whatever the demand, so that an instance without demand
-# can admit a first request at once.
-RESERVE = 0.05
-# Rates are rounded down to this part of the limit; equal values make grants recognisable.
-RATE_STEPS = 4096
+# Pairs per allocation that are divided anew only because an instance came or went. Their shares
+# are safe meanwhile, so that many instances coming at once do not delay answers.
+WAITING_PER_CALL = 8
 
-_Key = tuple[str, str, str]
+_Key = tuple[str, str]
 
 
 @attrs.define
 class _Instance:
     """Hold an entry process's last report.
 
-    :param heard_at_ms: time of arrival.
+    :param heard_at_ms: arrival of the last sync request whose answer may extend its lease.
     :param held: shares that it held, by limit and caller.
-    :param demand: its demand, by limit and caller.
+    :param in_use: concurrency in use above its share, by limit and caller.
+    :param wanted: limits and callers that it has demand for.
     """
 
     heard_at_ms: float
-    held: dict[tuple[str, str], LimitShare]
-    demand: dict[tuple[str, str], ShareDemand]
+    held: dict[_Key, LimitShare] = attrs.field(factory=dict)
+    in_use: dict[_Key, float] = attrs.field(factory=dict)
+    wanted: set[_Key] = attrs.field(factory=set)
 
 
 class ShareAllocator:
     """Grant shares whose sum never exceeds the limit over all instances that may use one.
 
+    A pair of limit and caller is divided anew only after a report, a limit or the set of instances
+    changed for it. Until then its last grants stay, which the beliefs already count.
+
     :param lease_ms: share lease.
     :param became_leader_at_ms: start of this leader's term; during the first lease only reported
         shares are confirmed, since the previous leader may have granted the rest.
@@ -63,9 +63,15 @@
         self._lease_ms = lease_ms
         self._inherited = inherited
         self._confirm_until_ms = became_leader_at_ms + lease_ms
+        self._confirming = True
         self._instances: dict[str, _Instance] = {}
-        self._beliefs: dict[_Key, dict[str, Belief]] = {}
-        self._callers: dict[str, set[str]] = {}
+        self._next_expiry_ms = float("-inf")
+        self._limits: dict[str, Limit] = {}
+        self._removed: dict[str, float] = {}
+        self._pairs: dict[str, dict[str, Pair]] = {}
+        # Dictionaries instead of sets, so that the order does not depend on string hashes.
+        self._changed: dict[_Key, None] = {}
+        self._waiting: dict[_Key, None] = {}
 
     def report(
         self,
@@ -83,26 +89,20 @@
             that an answer gives counts from before this time. A status is reported once; a copy
             that a relay repeats says nothing about what the instance holds now.
         """
-        instance = _Instance(
-            heard_at_ms,
-            {(s.limit_id, s.caller): s for s in held if s.version != IN_USE_VERSION},
-            {(wanted.limit_id, wanted.caller): wanted for wanted in demand},
-        )
-        self._instances[instance_id] = instance
-        in_use = {
-            (s.limit_id, s.caller, "concurrent_requests"): float(s.concurrent_requests or 0)
+        self.extend(instance_id, heard_at_ms)
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            instance = self._instances[instance_id] = _Instance(heard_at_ms)
+            self._wait_for_all()
+        before, used_before = instance.held, instance.in_use
+        instance.held = {(s.limit_id, s.caller): s for s in held if s.version != IN_USE_VERSION}
+        instance.in_use = {
+            (s.limit_id, s.caller): float(s.concurrent_requests or 0)
             for s in held
             if s.version == IN_USE_VERSION
         }
-        for limit_id, caller in (*instance.held, *instance.demand, *(key[:2] for key in in_use)):
-            self._track(limit_id, caller)
-        expires_ms = heard_at_ms + self._lease_ms
-        for (limit_id, caller, quantity), beliefs in self._beliefs.items():
-            share = instance.held.get((limit_id, caller)) or instance.held.get((limit_id, ANY))
-            value = float(getattr(share, quantity) or 0.0) if share is not None else 0.0
-            beliefs.setdefault(instance_id, Belief()).reported(
-                value, in_use.get((limit_id, caller, quantity), 0.0), expires_ms
-            )
+        self._report_demand(instance_id, instance, demand)
+        self._report_held(instance_id, instance, before, used_before)
 
     def extend(self, instance_id: str, heard_at_ms: float) -> None:
         """Note that an answer may extend an instance's lease without a new report from it.
@@ -116,212 +116,204 @@
         instance = self._instances.get(instance_id)
         if instance is None:
             return
-        instance.heard_at_ms = max(instance.heard_at_ms, heard_at_ms)
-        for beliefs in self._beliefs.values():
-            if instance_id in beliefs:
-                beliefs[instance_id].extend(heard_at_ms, heard_at_ms + self._lease_ms)
+        if heard_at_ms >= instance.heard_at_ms + self._lease_ms:
+            self._forget(instance_id)
+        else:
+            instance.heard_at_ms = max(instance.heard_at_ms, heard_at_ms)
 
     def allocate(
-        self, limits: Mapping[str, Limit], now_ms: float, version: int = 0
+        self,
+        limits: Mapping[str, Limit],
+        now_ms: float,
+        version: int = 0,
+        instance_ids: Iterable[str] | None = None,
     ) -> dict[str, list[LimitShare]]:
-        """Return new shares for every instance whose lease may still run.
+        """Divide what changed since the last call and return the shares of some instances.
 
         :param limits: limits of the current version, by id.
         :param now_ms: current time.
         :param version: configuration version of the limits.
-        :return: shares by instance id; caller ``*`` is the share of each caller without a share of
-            its own at that instance.
+        :param instance_ids: instances that are answered; ``None`` for all known ones.
+        :return: shares by instance id. Caller ``*`` is the share of each caller without a share of
+            its own at that instance; a caller without demand there that has the same is left out.
         """
         self._expire(now_ms)
-        shares: dict[str, list[LimitShare]] = {instance_id: [] for instance_id in self._instances}
-        for limit_id, limit in limits.items():
-            self._track(limit_id, limit.caller)
-            defaults: dict[str, dict[str, float]] = {}
-            if limit.caller == ANY:
-                callers = [ANY, *sorted(self._callers[limit_id] - {ANY})]
-            else:
-                callers = [limit.caller]
-            for caller in callers:
-                granted: dict[str, dict[str, float]] = {}
-                for quantity in QUANTITIES:
-                    total = getattr(limit, quantity)
-                    if total is not None:
-                        granted[quantity] = self._grant(
-                            (limit_id, caller, quantity), total, defaults.get(quantity), now_ms
-                        )
-                if caller == ANY:
-                    defaults = granted
-                for instance_id, granted_shares in shares.items():
-                    concurrent = granted.get("concurrent_requests", {}).get(instance_id)
-                    granted_shares.append(
-                        LimitShare(
-                            limit_id,
-                            caller,
-                            version,
-                            granted.get("requests_per_second", {}).get(instance_id),
-                            None if concurrent is None else int(concurrent),
-                            granted.get("tokens_per_second", {}).get(instance_id),
-                        )
-                    )
-        return shares
+        self._take_limits(limits, now_ms)
+        if self._confirming and now_ms >= self._confirm_until_ms:
+            self._confirming = False
+            self._wait_for_all()
+        # Default shares first, since the division for callers without demand follows them.
+        for key in [key for key in self._changed if key[1] == ANY]:
+            self._divide(key)
+        for key in list(self._changed):
+            self._divide(key)
+        for key in list(self._waiting)[:WAITING_PER_CALL]:
+            self._divide(key)
+        callers = {limit_id: sorted(self._granted_callers(limit_id)) for limit_id in limits}
+        answered = self._instances if instance_ids is None else instance_ids
+        return {
+            instance_id: (
+                self._shares(instance_id, callers, version)
+                if instance_id in self._instances
+                else []
+            )
+            for instance_id in answered
+        }
 
-    def _track(self, limit_id: str, caller: str) -> None:
-        callers = self._callers.setdefault(limit_id, set())
-        if caller in callers:
-            return
-        callers.add(caller)
-        for quantity in QUANTITIES:
+    def _report_demand(
+        self, instance_id: str, instance: _Instance, demand: Sequence[ShareDemand]
+    ) -> None:
+        wanted = {(d.limit_id, d.caller) for d in demand}
+        for key in sorted(instance.wanted - wanted):
+            pair = self._pairs.get(key[0], {}).get(key[1])
+            if pair is not None and pair.demand.pop(instance_id, None) is not None:
+                self._changed[key] = None
+        instance.wanted = wanted
+        for one in demand:
+            if self._track(one.limit_id, one.caller).report_demand(instance_id, one):
+                self._changed[one.limit_id, one.caller] = None
+
+    def _report_held(
+        self,
+        instance_id: str,
+        instance: _Instance,
+        before: Mapping[_Key, LimitShare],
+        used_before: Mapping[_Key, float],
+    ) -> None:
+        changed = [k for k in instance.held if not _same(instance.held[k], before.get(k))]
+        changed += [k for k in before if k not in instance.held]
+        changed += [k for k in instance.in_use if instance.in_use[k] != used_before.get(k)]
+        changed += [k for k in used_before if k not in instance.in_use]
+        for limit_id, caller in changed:
+            self._track(limit_id, caller)
+        keys = dict.fromkeys(changed)
+        for limit_id, caller in changed:
+            if caller == ANY:
+                # Callers without a share of their own use the default share.
+                others = ((limit_id, other) for other in self._pairs[limit_id])
+                keys.update((k, None) for k in others if k not in instance.held)
+        for limit_id, caller in keys:
+            share = effective(instance.held, limit_id, caller, ANY)
+            used = instance.in_use.get((limit_id, caller), 0.0)
+            self._pairs[limit_id][caller].report_held(instance_id, share, used)
+            self._changed[limit_id, caller] = None
+
+    def _track(self, limit_id: str, caller: str) -> Pair:
+        pairs = self._pairs.setdefault(limit_id, {})
+        pair = pairs.get(caller)
+        if pair is None:
             # An instance without a share for this caller uses its default share.
-            defaults = self._beliefs.get((limit_id, ANY, quantity), {})
-            self._beliefs[limit_id, caller, quantity] = {
-                instance_id: belief.copy() for instance_id, belief in defaults.items()
-            }
+            pair = pairs[caller] = pairs[ANY].copy_beliefs() if ANY in pairs else Pair()
+            key = (limit_id, caller)
+            for instance_id, instance in self._instances.items():
+                if key in instance.held or key in instance.in_use:
+                    used = instance.in_use.get(key, 0.0)
+                    share = effective(instance.held, limit_id, caller, ANY)
+                    pair.report_held(instance_id, share, used)
+            self._changed[limit_id, caller] = None
+        return pair
+
+    def _wait_for_all(self) -> None:
+        for limit_id, pairs in self._pairs.items():
+            for caller in pairs:
+                # Default shares are what a new instance starts with.
+                (self._changed if caller == ANY else self._waiting)[limit_id, caller] = None
+
+    def _take_limits(self, limits: Mapping[str, Limit], now_ms: float) -> None:
+        for limit_id in self._pairs:
+            if limit_id not in limits and limit_id not in self._removed:
+                self._limits.pop(limit_id, None)
+                self._removed[limit_id] = now_ms
+        for limit_id, limit in limits.items():
+            if self._limits.get(limit_id) != limit:
+                self._limits[limit_id] = limit
+                self._removed.pop(limit_id, None)
+                self._track(limit_id, limit.caller)
+                for caller, pair in self._pairs[limit_id].items():
+                    pair.grants = {}
+                    self._changed[limit_id, caller] = None
+        for limit_id, removed_ms in list(self._removed.items()):
+            # No answer since then carried shares of it, so every lease of one has ended.
+            if now_ms >= removed_ms + self._lease_ms:
+                del self._removed[limit_id]
+                self._pairs.pop(limit_id, None)
 
     def _expire(self, now_ms: float) -> None:
+        if now_ms < self._next_expiry_ms:
+            return
         for instance_id, instance in list(self._instances.items()):
             if now_ms >= instance.heard_at_ms + self._lease_ms:
-                del self._instances[instance_id]
-        for beliefs in self._beliefs.values():
-            for instance_id, belief in list(beliefs.items()):
-                if belief.expire(now_ms):
-                    del beliefs[instance_id]
-        for limit_id, callers in self._callers.items():
-            for caller in list(callers):
-                if caller != ANY and self._follows_default(limit_id, caller, now_ms):
-                    callers.discard(caller)
-                    for quantity in QUANTITIES:
-                        del self._beliefs[limit_id, caller, quantity]
-
-    def _follows_default(self, limit_id: str, caller: str, now_ms: float) -> bool:
-        """Return whether a caller without demand holds its default share everywhere."""
-        for instance in self._instances.values():
-            if (limit_id, caller) in instance.demand:
-                return False
+                self._forget(instance_id)
+        heard = (instance.heard_at_ms for instance in self._instances.values())
+        self._next_expiry_ms = min(heard, default=now_ms) + self._lease_ms
+
+    def _forget(self, instance_id: str) -> None:
+        del self._instances[instance_id]
+        for pairs in self._pairs.values():
+            for pair in pairs.values():
+                pair.forget(instance_id)
+        self._wait_for_all()
+
+    def _granted_callers(self, limit_id: str) -> list[str]:
+        pairs, limit = self._pairs[limit_id], self._limits[limit_id]
+        return list(pairs) if limit.caller == ANY else [limit.caller]
+
+    def _divide(self, key: _Key) -> None:
+        """Divide one limit for one caller and record the grants."""
+        self._changed.pop(key, None)
+        self._waiting.pop(key, None)
+        limit_id, caller = key
+        limit = self._limits.get(limit_id)
+        pair = self._pairs.get(limit_id, {}).get(caller)
+        if limit is None or pair is None or limit.caller not in (ANY, caller):
+            return
+        default = self._pairs[limit_id].get(ANY) if caller != ANY else None
+        if default is not None and pair.equals(default, self._instances):
+            del self._pairs[limit_id][caller]
+            return
+        inherited = self._inherited is None or limit_id in self._inherited
+        previous = pair.grants
+        pair.grants = {}
         for quantity in QUANTITIES:
-            defaults = self._beliefs.get((limit_id, ANY, quantity), {})
-            for instance_id, belief in self._beliefs[limit_id, caller, quantity].items():
-                value = belief.only(now_ms)
-                default = defaults.get(instance_id, Belief()).only(now_ms)
-                if value is None or value != default:
-                    return False
-        return True
-
-    def _grant(
-        self, key: _Key, total: float, defaults: Mapping[str, float] | None, now_ms: float
-    ) -> dict[str, float]:
-        """Grant one quantity of one limit for one caller and record the grants."""
-        beliefs = self._beliefs[key]
-        whole = key[2] == "concurrent_requests"
-        inherited = self._inherited is None or key[0] in self._inherited
-        if inherited and now_ms < self._confirm_until_ms:
-            grants = self._confirm(beliefs, total, whole, now_ms)
-        else:
-            targets = self._targets(key, total, whole, defaults)
-            grants = self._grow(beliefs, targets, total, whole, now_ms)
-        for instance_id, value in grants.items():
-            expires_ms = self._instances[instance_id].heard_at_ms + self._lease_ms
-            beliefs.setdefault(instance_id, Belief()).granted(value, expires_ms, total)
-        return grants
-
-    def _confirm(
-        self, beliefs: Mapping[str, Belief], total: float, whole: bool, now_ms: float
-    ) -> dict[str, float]:
-        """Return the reported shares, reduced in proportion when the limit was lowered."""
-        held = {
-            instance_id: beliefs[instance_id].confirmed(now_ms) if instance_id in beliefs else 0.0
-            for instance_id in self._instances
-        }
-        used = sum(held.values())
-        if used > total:
-            held = {instance_id: value * total / used for instance_id, value in held.items()}
-        return self._within(beliefs, held, total, whole, now_ms)
+            total = getattr(limit, quantity)
+            if total is None:
+                continue
+            whole = quantity == "concurrent_requests"
+            beliefs = pair.beliefs[quantity]
+            if inherited and self._confirming:
+                grants = confirm(beliefs, self._instances, total, whole)
+            elif default is not None and not pair.demand and limit.caller == ANY:
+                wanted = {i: default.grants[quantity].get(i, 0.0) for i in self._instances}
+                grants = grow(beliefs, wanted, total, whole)
+            else:
+                demand = dict.fromkeys(sorted(self._instances), 0.0)
+                demand.update((i, getattr(d, quantity)) for i, d in pair.demand.items())
+                grants = grow(beliefs, targets(demand, total, whole), total, whole)
+            pair.record(quantity, grants, total)
+        if caller == ANY and pair.grants != previous:
+            for other, dependent in self._pairs[limit_id].items():
+                if other != ANY and not dependent.demand:
+                    self._waiting[limit_id, other] = None
+
+    def _shares(
+        self, instance_id: str, callers: Mapping[str, Sequence[str]], version: int
+    ) -> list[LimitShare]:
+        shares = []
+        for limit_id, names in callers.items():
+            pairs = self._pairs[limit_id]
+            default = pairs[ANY].values(instance_id) if ANY in names else None
+            for caller in names:
+                pair = pairs[caller]
+                values = pair.values(instance_id)
+                if caller == ANY or values != default or instance_id in pair.demand:
+                    shares.append(share_of(limit_id, caller, version, values))
+        return shares
 
-    def _within(
-        self,
-        beliefs: Mapping[str, Belief],
-        wanted: Mapping[str, float],
-        total: float,
-        whole: bool,
-        now_ms: float,
-    ) -> dict[str, float]:
-        """Cut what is wanted so that it fits beside every grant made under the present limit."""
-        counted = {i: belief.entitled(now_ms, total) for i, belief in beliefs.items()}
-        used = sum(counted.values())
-        grants = {}
-        for instance_id, value in wanted.items():
-            own = counted.get(instance_id, 0.0)
-            value = max(0.0, min(value, total - (used - own)))
-            grants[instance_id] = float(math.floor(value + 1e-9)) if whole else value
-            used += max(0.0, grants[instance_id] - own)
-        return grants
-
-    def _targets(
-        self, key: _Key, total: float, whole: bool, defaults: Mapping[str, float] | None
-    ) -> dict[str, float]:
-        limit_id, caller, quantity = key
-        wanted = {
-            instance_id: instance.demand.get((limit_id, caller))
-            for instance_id, instance in sorted(self._instances.items())
-        }
-        if defaults is not None and not any(wanted.values()):
-            return dict(defaults)
-        reserve = 0.0 if whole else total * RESERVE / max(1, len(wanted))
-        demands = {
-            instance_id: max(
-                reserve, getattr(demand, quantity) * HEADROOM if demand is not None else 0.0
-            )
-            for instance_id, demand in wanted.items()
-        }
-        if whole:
-            # One unit each while that takes at most a quarter of the limit.
-            for instance_id in list(demands)[: int(total // 4)]:
-                demands[instance_id] = max(1.0, demands[instance_id])
-            parts = max_min(demands, float(int(total)))
-            return {i: float(n) for i, n in whole_numbers(parts, int(total)).items()}
-        step = total / RATE_STEPS
-        if step <= 0.0:
-            return dict.fromkeys(demands, 0.0)
-        return {i: math.floor(v / step) * step for i, v in max_min(demands, total).items()}
-
-    def _grow(
-        self,
-        beliefs: Mapping[str, Belief],
-        targets: Mapping[str, float],
-        total: float,
-        whole: bool,
-        now_ms: float,
-    ) -> dict[str, float]:
-        """Move shares towards their targets without counting any part of the limit twice.
 
-        Shares shrink at once. They grow only by what no instance can be using any more.
-        """
-        largest = {instance_id: belief.largest(now_ms) for instance_id, belief in beliefs.items()}
-        spare = total - sum(largest.values())
-        if spare < 0.0:
-            # The limit was lowered, or an instance reports more than this leader granted, such as
-            # requests that outlived their lease. A report then entitles to nothing by itself.
-            wanted = {
-                i: min(target, beliefs[i].entitled(now_ms) if i in beliefs else 0.0)
-                for i, target in targets.items()
-            }
-            return self._within(beliefs, wanted, total, whole, now_ms)
-        missing = {
-            instance_id: target - largest.get(instance_id, 0.0)
-            for instance_id, target in targets.items()
-            if target > largest.get(instance_id, 0.0)
-        }
-        grants = dict(targets)
-        if not missing or sum(missing.values()) <= spare:
-            return grants
-        level = max_min(missing, spare)
-        for instance_id, want in missing.items():
-            part = min(want, level[instance_id])
-            grants[instance_id] = largest.get(instance_id, 0.0) + (
-                float(math.floor(part + 1e-9)) if whole else part
-            )
-        if whole:
-            left = int(spare + 1e-9) - sum(int(grants[i] - largest.get(i, 0.0)) for i in missing)
-            for instance_id in sorted(missing, key=lambda i: (-missing[i], i))[: max(0, left)]:
-                if grants[instance_id] < targets[instance_id]:
-                    grants[instance_id] += 1.0
-        return grants
+def _same(share: LimitShare, before: LimitShare | None) -> bool:
+    return (
+        before is not None
+        and share.requests_per_second == before.requests_per_second
+        and share.concurrent_requests == before.concurrent_requests
+        and share.tokens_per_second == before.tokens_per_second
+    )
