Cut the cost of dividing one pair; keep the pair of a limit of one caller

A profile at 640 showed beliefs and grants that did not change being recorded again and the construction of frozen records.

Change: instances that need only the reserve of a rate are calculated once together, equal grants are not recorded again (the last grant of a belief is never excluded by a report, so it is still there), records are tuples.

Also fixed: a limit changed from every caller to one caller could lose its only pair when that equalled the old default shares, and the next answer raised KeyError. A test covers the change of scope.

Conclusion: a division is still linear in the number of instances, which is too slow for 140 syncs a second at 1500 instances.

--- a/src/briardyke/policy/beliefs.py
+++ b/src/briardyke/policy/beliefs.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import sys
+from typing import NamedTuple
 
-import attrs
 
-
-@attrs.frozen
-class _Granted:
+class _Granted(NamedTuple):
     """Record one granted value.
 
     :param value: the value.
@@ -74,7 +72,9 @@
 
     def largest(self) -> float:
         """Return the largest share that the instance may use."""
-        largest = max(self._reported, self._in_use)
+        largest = self._reported
+        if self._in_use > largest:
+            largest = self._in_use
         for grant in self._grants:
             if grant.value > largest:
                 largest = grant.value
--- a/src/briardyke/policy/division.py
+++ b/src/briardyke/policy/division.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from briardyke.policy.fairness import max_min, whole_numbers
+from briardyke.policy.fairness import max_min, water_level, whole_numbers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,18 +28,37 @@
     :param total: the limit.
     :param whole: whether shares are whole numbers.
     """
-    reserve = 0.0 if whole else total * RESERVE / max(1, len(demand))
-    demands = {i: max(reserve, value * HEADROOM) for i, value in demand.items()}
-    if whole:
-        # One unit each while that takes at most a quarter of the limit.
-        for instance_id in list(demands)[: int(total // 4)]:
-            demands[instance_id] = max(1.0, demands[instance_id])
-        parts = max_min(demands, float(int(total)))
-        return {i: float(n) for i, n in whole_numbers(parts, int(total)).items()}
+    if not whole:
+        return _rates(demand, total)
+    demands = {i: value * HEADROOM for i, value in demand.items()}
+    # One unit each while that takes at most a quarter of the limit.
+    for instance_id in list(demands)[: int(total // 4)]:
+        demands[instance_id] = max(1.0, demands[instance_id])
+    parts = max_min(demands, float(int(total)))
+    return {i: float(n) for i, n in whole_numbers(parts, int(total)).items()}
+
+
+def _rates(demand: Mapping[str, float], total: float) -> dict[str, float]:
+    """Divide a rate; the instances that need only the reserve are calculated once together."""
     step = total / RATE_STEPS
-    if step <= 0.0:
-        return dict.fromkeys(demands, 0.0)
-    return {i: math.floor(v / step) * step for i, v in max_min(demands, total).items()}
+    if not demand or step <= 0.0:
+        return dict.fromkeys(demand, 0.0)
+    reserve = total * RESERVE / len(demand)
+    above = {i: value * HEADROOM for i, value in demand.items() if value * HEADROOM > reserve}
+    others = len(demand) - len(above)
+    level = water_level(
+        {
+            **{i: (value, 1.0) for i, value in above.items()},
+            **({"": (reserve * others, float(others))} if others else {}),
+        },
+        total,
+    )
+    used = sum(min(value, level) for value in above.values()) + min(reserve, level) * others
+    extra = max(0.0, total - used) / len(demand)
+    parts = dict.fromkeys(demand, math.floor((min(reserve, level) + extra) / step) * step)
+    for instance_id, value in above.items():
+        parts[instance_id] = math.floor((min(value, level) + extra) / step) * step
+    return parts
 
 
 def confirm(
--- a/src/briardyke/policy/pairs.py
+++ b/src/briardyke/policy/pairs.py
@@ -66,10 +66,16 @@
         return True
 
     def record(self, quantity: str, grants: dict[str, float], total: float) -> None:
-        """Record grants that answers may carry from now on."""
+        """Record grants that answers may carry from now on.
+
+        Grants are cleared when the limit changes, so an equal value was granted under this total.
+        """
+        previous = self.grants.get(quantity, {})
         self.grants[quantity] = grants
         beliefs = self.beliefs[quantity]
         for instance_id, value in grants.items():
+            if previous.get(instance_id) == value:
+                continue
             belief = beliefs.get(instance_id)
             if belief is None:
                 belief = beliefs[instance_id] = Belief()
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -267,13 +267,12 @@
         pair = self._pairs.get(limit_id, {}).get(caller)
         if limit is None or pair is None or limit.caller not in (ANY, caller):
             return
-        default = self._pairs[limit_id].get(ANY) if caller != ANY else None
+        default = self._pairs[limit_id][ANY] if caller != ANY and limit.caller == ANY else None
         if default is not None and pair.equals(default, self._instances):
             del self._pairs[limit_id][caller]
             return
         inherited = self._inherited is None or limit_id in self._inherited
-        previous = pair.grants
-        pair.grants = {}
+        previous = dict(pair.grants)
         for quantity in QUANTITIES:
             total = getattr(limit, quantity)
             if total is None:
@@ -282,7 +281,7 @@
             beliefs = pair.beliefs[quantity]
             if inherited and self._confirming:
                 grants = confirm(beliefs, self._instances, total, whole)
-            elif default is not None and not pair.demand and limit.caller == ANY:
+            elif default is not None and not pair.demand:
                 wanted = {i: default.grants[quantity].get(i, 0.0) for i in self._instances}
                 grants = grow(beliefs, wanted, total, whole)
             else:
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -373,6 +373,16 @@
         share = leader.sync(self.limits, {"b": 50.0}, 300.0)["b"].requests_per_second
         assert held > 11.0 and share <= 12.0 - held + 1e-9
 
+    def test_a_limit_that_becomes_one_callers_keeps_its_shares(self) -> None:
+        """Guards against dropping the only caller of a limit that once applied to each caller."""
+        leader = Leader()
+        leader.sync(self.limits, {"a": 50.0}, 0.0)
+        leader.sync(self.limits, {"a": 0.0}, 100.0)
+        own = {"l": Limit("x", "*", "*", 12.0, 12)}
+        for now_ms in (200.0, 300.0, 400.0):
+            assert leader.sync(own, {"a": 0.0}, now_ms)["a"].caller == "x"
+            assert [share.caller for share in leader.held["a"]] == ["x"]
+
     def test_a_reported_default_share_counts_for_every_caller(self) -> None:
         """Guards against granting a caller what another instance lets it use by default."""
         allocator = ShareAllocator(LEASE_MS, 0.0)
