--- a/bench/relay.py
+++ b/bench/relay.py
@@ -11,12 +11,14 @@
 
 import argparse
 import json
+import os
 import statistics
 import subprocess
 import sys
 import time
 from collections import Counter
 from contextlib import contextmanager
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -108,7 +110,10 @@
         return StreamResponse(_counted(stream, counts), 200, STREAM_HEADERS)
 
     async def usage(request: Request) -> AnyResponse:
-        return json_response({"processor_s": time.process_time(), **counts})
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+        resident_mib = pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+        used_s = time.process_time()
+        return json_response({"processor_s": used_s, "resident_mib": resident_mib, **counts})
 
     app.route("POST", "/v1/chat/completions", complete)
     app.route("GET", "/usage", usage)
@@ -134,10 +139,14 @@
 
 
 @contextmanager
-def child(*arguments: str) -> Iterator[str]:
-    """Run this file in another role and yield the address that it prints."""
+def child(*arguments: str, python_path: str = "") -> Iterator[str]:
+    """Run this file in another role and yield the address that it prints.
+
+    :param python_path: replaces the module search path, to run another version.
+    """
     command = [sys.executable, __file__, *arguments]
-    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+    env = {**os.environ, "PYTHONPATH": python_path} if python_path else None
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True, env=env) as process:
         assert process.stdout is not None
         try:
             yield json.loads(process.stdout.readline())["address"]
