Send the head and body of a request upstream in one write

Cause: httpcore writes head and body separately; cProfile over the relaying process shows about 0.2 ms for each send system call on this machine, 4.9 sends per request. Ruled out: TCP_CORK, which joins packets but not system calls.

--- a/src/briardyke/http/paced.py
+++ b/src/briardyke/http/paced.py
@@ -1,7 +1,8 @@
-"""Read from a connection at most once per interval, so that arriving data accumulates."""
+"""Read and write a connection in few system calls: paced reads and joined writes."""
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import httpcore
@@ -11,11 +12,15 @@
     from collections.abc import Iterable
 
 
+_JOIN_LIMIT_BYTES = 64 * 1024
+
+
 class PacedStream(httpcore.AsyncNetworkStream):
-    """Delay reads that follow the previous one within an interval.
+    """Delay reads that follow the previous one within an interval, and join writes.
 
     A read costs several tenths of a millisecond of processor time with trio, httpcore and h11,
-    whether it returns one token or five.
+    whether it returns one token or five. httpcore writes a request's head and body separately; a
+    system call to send costs about 0.2 ms, so both are held back until the response is read.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
@@ -23,12 +28,19 @@
         self._stream = stream
         self._read_at_s = float("-inf")
         self.interval_s = 0.0
+        self._unsent = bytearray()
+        self._write_timeout_s: float | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read what has arrived, after the rest of the interval.
 
         The wait for the first byte has no timeout while an interval is set; the caller bounds it.
         """
+        if self._unsent:
+            # An upstream may answer before it has read the whole request; httpcore ignores such a
+            # broken write as well, and the read reports a connection that is really lost.
+            with suppress(httpcore.WriteError):
+                await self._send()
         if self.interval_s:
             # Waiting only once data has arrived costs no timer for data that comes slowly.
             await trio.lowlevel.wait_readable(self._stream.get_extra_info("socket"))
@@ -41,13 +53,21 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write to the stream."""
-        await self._stream.write(buffer, timeout)
+        """Write to the stream with the next read, or now when much is waiting."""
+        self._unsent += buffer
+        self._write_timeout_s = timeout
+        if len(self._unsent) > _JOIN_LIMIT_BYTES:
+            await self._send()
 
     async def aclose(self) -> None:
         """Close the stream."""
         await self._stream.aclose()
 
+    async def _send(self) -> None:
+        data = bytes(self._unsent)
+        self._unsent.clear()
+        await self._stream.write(data, self._write_timeout_s)
+
     def get_extra_info(self, info: str) -> Any:
         """Return information about the stream."""
         return self._stream.get_extra_info(info)
