Read paced data from the socket without a timeout and a second scheduling

Cause: after waiting for data, trio's receive ran the scheduler once more and httpcore set a timeout for data that had already arrived. Ruled out: trio's receive without the timeout, which still schedules once more.

--- a/src/briardyke/http/paced.py
+++ b/src/briardyke/http/paced.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -42,15 +43,24 @@
             with suppress(httpcore.WriteError):
                 await self._send()
         if self.interval_s:
-            # Waiting only once data has arrived costs no timer for data that comes slowly.
-            await trio.lowlevel.wait_readable(self._stream.get_extra_info("socket"))
-            rest_s = self._read_at_s + self.interval_s - trio.current_time()
-            if rest_s > 0:
-                await trio.sleep(rest_s)
-        data = await self._stream.read(max_bytes, timeout)
-        if self.interval_s:
-            self._read_at_s = trio.current_time()
-        return data
+            return await self._read_paced(max_bytes)
+        return await self._stream.read(max_bytes, timeout)
+
+    async def _read_paced(self, max_bytes: int) -> bytes:
+        connected = self._stream.get_extra_info("socket")
+        try:
+            while True:
+                # Waiting only once data has arrived costs no timer for data that comes slowly.
+                await trio.lowlevel.wait_readable(connected)
+                rest_s = self._read_at_s + self.interval_s - trio.current_time()
+                if rest_s > 0:
+                    await trio.sleep(rest_s)
+                self._read_at_s = trio.current_time()
+                # trio's own receive would run a timeout and the scheduler once more.
+                with suppress(BlockingIOError):
+                    return os.read(connected.fileno(), max_bytes)
+        except (OSError, trio.ClosedResourceError) as error:
+            raise httpcore.ReadError(str(error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write to the stream with the next read, or now when much is waiting."""
