Pass tokens on without parsing when only the text differs

Change: the second event of an attempt is parsed with two texts, which proves where the text stands; an event with the same bytes around a JSON string has the same attempt id and no finish reason. Offset and [DONE] are checked as before, any other event is parsed. A piece holds its encoded data now, so the coalescing test builds it from that. Ruled out: replacing the attempt id in the bytes, which would not check the finish reason.

--- a/tests/entry/test_reassembly.py
+++ b/tests/entry/test_reassembly.py
@@ -80,3 +80,24 @@
         seen = [assembler.take(event)[0] for event in _with_faults(_stream("att-0", 0), faults)]
         assert Progress.COMPLETE in seen
         assert Progress.BROKEN not in seen[: seen.index(Progress.COMPLETE)]
+
+    def test_events_with_the_bytes_of_the_first_still_have_their_ids_checked(self) -> None:
+        """Guards against passing on events of another attempt, form or offset without parsing."""
+        assembler = AnswerAssembler("cmpl-1", 0)
+        assembler.begin("att-0")
+        texts = ['"', "\\", "\n", "é\u2028", "att-0", "t5"]
+        for offset, text in enumerate(texts, 1):
+            assert assembler.take(_event("att-1", offset, "CROSSED"))[1] is None
+            progress, piece = assembler.take(_event("att-0", offset, text))
+            assert piece is not None
+            assert (piece.text, piece.offset, piece.document["id"]) == (text, offset, "cmpl-1")
+            assert b"\n" not in piece.encode().removesuffix(b"\n\n").partition(b"\n")[2]
+            assert assembler.take(_event("att-0", offset, text))[1] is None
+        assert assembler.dropped == 2 * len(texts)
+        skipped = ServerSentEvent(_event("att-0", 9, "x").data, id="9")
+        assert assembler.take(skipped) == (Progress.BROKEN, None)
+        event = _event("att-0", 7, "x")
+        broken = event.data.replace('"x"', '"x" "')
+        assert assembler.take(ServerSentEvent(broken, id="7")) == (Progress.BROKEN, None)
+        assembler.begin("att-1")
+        assert assembler.take(event)[1] is None
--- a/tests/entry/test_relay_coalescing.py
+++ b/tests/entry/test_relay_coalescing.py
@@ -23,7 +23,7 @@
     async def run(self, job: Any, sink: Any) -> None:
         for number in range(self._tokens):
             await trio.sleep(self._interval_s)
-            sink.put(Piece({}, number + 1, ""))
+            sink.put(Piece("{}", number + 1))
             self.put_at.append(trio.current_time())
             await sink.wait_for_room()
 
