--- a/bench/relay.py
+++ b/bench/relay.py
@@ -90,6 +90,12 @@
         return False
 
 
+def resident_mib() -> float:
+    """Return this process's resident memory in MiB."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
 async def serve_relay(upstreams: list[Address]) -> None:
     """Relay with one instance for each coalescing time; report usage at ``/usage``."""
     counts: Counter[str] = Counter()
@@ -110,10 +116,8 @@
         return StreamResponse(_counted(stream, counts), 200, STREAM_HEADERS)
 
     async def usage(request: Request) -> AnyResponse:
-        pages = int(Path("/proc/self/statm").read_text().split()[1])
-        resident_mib = pages * os.sysconf("SC_PAGE_SIZE") / 2**20
-        used_s = time.process_time()
-        return json_response({"processor_s": used_s, "resident_mib": resident_mib, **counts})
+        used = {"processor_s": time.process_time(), "resident_mib": resident_mib()}
+        return json_response({**used, **counts})
 
     app.route("POST", "/v1/chat/completions", complete)
     app.route("GET", "/usage", usage)
