--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from contextlib import AsyncExitStack, aclosing
 from typing import TYPE_CHECKING, Protocol, cast
 
@@ -26,7 +25,6 @@
 
     from briardyke.entry.interfaces import RelayBudget, RelayTable
     from briardyke.entry.relay_jobs import ModelJob, RelayPolicy
-    from briardyke.http.sse import ServerSentEvent
 
 _ERROR_BODY_LIMIT_BYTES = 64 * 1024
 _DRAIN_TIMEOUT_S = 0.05
@@ -182,42 +180,31 @@
         latest_ms: float,
     ) -> AttemptEnd:
         parser = EventParser()
-        end: AttemptEnd | None = None
         first = True
         async with aclosing(_chunks(opened)) as chunks:
-            # One scope whose deadline moves costs less than a new scope for each read.
-            with trio.CancelScope(deadline=latest_ms / 1000.0) as waiting:
-                while end is None and (chunk := await anext(chunks, b"")):
-                    waiting.deadline = math.inf
-                    offset = assembler.offset
-                    end = _deliver(parser.feed(chunk), assembler, sink)
-                    if first and (assembler.offset > offset or end is _COMPLETE):
-                        self._table.first_token(attempt_id, now_ms())
-                        opened.pace_reads(self._policy.coalesce_ms)
-                        first = False
-                    if end is None:
-                        await sink.wait_for_room()
-                        waiting.deadline = (now_ms() + self._policy.idle_timeout_ms) / 1000.0
-            if end is None:
-                return broken_end(_STALLED if waiting.cancelled_caught else _TRUNCATED)
-            # Outside the scope, whose deadline can have passed while the last event was read.
-            if end is _COMPLETE:
-                await _drain(chunks)
-            return end
-
-
-def _deliver(
-    events: list[ServerSentEvent], assembler: AnswerAssembler, sink: PieceSink
-) -> AttemptEnd | None:
-    for event in events:
-        progress, piece = assembler.take(event)
-        if piece is not None:
-            sink.put(piece)
-        if progress is Progress.COMPLETE:
-            return _COMPLETE
-        if progress is Progress.BROKEN:
-            return broken_end(_TRUNCATED)
-    return None
+            while True:
+                chunk: bytes | None = None
+                with trio.move_on_at(latest_ms / 1000.0):
+                    chunk = await anext(chunks, b"")
+                if chunk is None:
+                    return broken_end(_STALLED)
+                if not chunk:
+                    return broken_end(_TRUNCATED)
+                for event in parser.feed(chunk):
+                    progress, piece = assembler.take(event)
+                    if piece is not None:
+                        if first:
+                            self._table.first_token(attempt_id, now_ms())
+                            opened.pace_reads(self._policy.coalesce_ms)
+                            first = False
+                        sink.put(piece)
+                    if progress is Progress.COMPLETE:
+                        await _drain(chunks)
+                        return _COMPLETE
+                    if progress is Progress.BROKEN:
+                        return broken_end(_TRUNCATED)
+                await sink.wait_for_room()
+                latest_ms = now_ms() + self._policy.idle_timeout_ms
 
 
 async def _drain(chunks: AsyncGenerator[bytes, None]) -> None:
