--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -30,9 +30,6 @@
 
 _DONE_EVENT = ServerSentEvent(DONE).encode()
 _INTERRUPTED = Failure(ErrorKind.ANSWER_TRUNCATED, "entry process stopped the request")
-# Reads keep the same interval, so that a token arrives just before the write is due; a timer for
-# the rest costs more than the early write.
-_TIMER_WORTH_MS = 1.0
 _OBJECTS = {"chat.completion.chunk": "chat.completion"}
 
 
@@ -147,7 +144,7 @@
         # Waiting only once a token has arrived costs no timer for tokens that come slowly.
         if self._written_at_ms is not None:
             rest_ms = self._written_at_ms + self._policy.coalesce_ms - now_ms()
-            if rest_ms > _TIMER_WORTH_MS:
+            if rest_ms > 0:
                 with trio.move_on_after(rest_ms / 1000.0):
                     await self._ended.wait()
         chunk = b"".join(self._pieces)
