Describe the data path, its cost and what remains

Correction: the 0.2 ms for each send in and in the comment came from a profile under load; a later one shows 0.02 ms, so the comment no longer names it. Conclusion: interpreted code in trio, httpcore and h11 remains the largest cost.

--- a/src/briardyke/http/paced.py
+++ b/src/briardyke/http/paced.py
@@ -20,8 +20,8 @@
     """Delay reads that follow the previous one within an interval, and join writes.
 
     A read costs several tenths of a millisecond of processor time with trio, httpcore and h11,
-    whether it returns one token or five. httpcore writes a request's head and body separately; a
-    system call to send costs about 0.2 ms, so both are held back until the response is read.
+    whether it returns one token or five. httpcore writes a request's head and body separately,
+    each with a pass through trio's scheduler, so both are held back until the response is read.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
