Lock the data folder, refuse non-finite and empty settings, fix no_majority

Ruled out for the lock: a file inside the folder, which has to stay empty until an identity is created in it.

--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
+from briardyke.consensus.folder_lock import FolderLock
 from briardyke.consensus.identity import open_identity
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.state import Role
@@ -240,6 +241,9 @@
         data folder cannot be used.
     :raises OSError: when an address cannot be bound.
     """
+    lock = FolderLock.take(settings.data_dir)
+    if lock.is_err():
+        return Err(lock.unwrap_err())
     identity = open_identity(settings.data_dir, settings.instance_id)
     if identity.is_err():
         return Err(identity.unwrap_err())
@@ -251,6 +255,9 @@
         )
         if groups.is_err():
             return Err(groups.unwrap_err())
-        await ControlProcess(settings, groups.unwrap(), peers).run(stop)
+        try:
+            await ControlProcess(settings, groups.unwrap(), peers).run(stop)
+        finally:
+            lock.unwrap().release()
         nursery.cancel_scope.cancel()
     return Ok(None)
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -30,7 +30,7 @@
 
 TICK_MS = 100.0
 REFRESH_MS = 500.0
-PROBE_AGE_MS = 1500.0  # half of the silence bound leaves time for two probes
+PROBE_AGE_MS = 2000.0  # leaves time for two probes within the silence bound of 3000 ms
 _PROBES_PER_TICK = 16
 _PROBE_TIMEOUT_MS = 500.0
 
--- a/src/briardyke/errors.py
+++ b/src/briardyke/errors.py
@@ -113,7 +113,7 @@
     ErrorKind.FENCED: Answer(409, False, Ran.NO),
     ErrorKind.MEMORY_EXHAUSTED: Answer(409, False, Ran.NO),
     ErrorKind.NOT_LEADER: Answer(503, True, Ran.NO),
-    ErrorKind.NO_MAJORITY: Answer(503, True, Ran.UNKNOWN),
+    ErrorKind.NO_MAJORITY: Answer(503, True, Ran.NO),
     ErrorKind.MEMBER_CHANGE_REFUSED: Answer(409, False, Ran.NO),
     ErrorKind.PEER_UNREACHABLE: Answer(503, True, Ran.NO),
     ErrorKind.PEER_TIMEOUT: Answer(504, True, Ran.UNKNOWN),
--- a/src/briardyke/prompts.py
+++ b/src/briardyke/prompts.py
@@ -40,7 +40,7 @@
 def token_limit(body: Mapping[str, Any]) -> Result[int, Failure]:
     """Return how many tokens a request generates."""
     value = body.get("max_tokens", DEFAULT_MAX_TOKENS)
-    if not isinstance(value, int) or not 1 <= value <= MAX_TOKENS_LIMIT:
+    if isinstance(value, bool) or not isinstance(value, int) or not 1 <= value <= MAX_TOKENS_LIMIT:
         return _invalid("max_tokens", f"max_tokens must be 1 to {MAX_TOKENS_LIMIT}")
     return Ok(value)
 
--- a/src/briardyke/settings.py
+++ b/src/briardyke/settings.py
@@ -4,6 +4,7 @@
 
 import inspect
 import ipaddress
+import math
 from collections.abc import Callable, Mapping
 from enum import IntEnum
 from typing import Annotated, Any, TypeVar
@@ -55,6 +56,11 @@
     maximum: float | None
     default: str | None
 
+    @property
+    def required(self) -> bool:
+        """Return whether a value must be given."""
+        return self.default is None
+
 
 def setting(
     help: str,
@@ -223,6 +229,10 @@
     if text is None:
         raise ValueError("is required")
     value = declared.parse(text)
+    if isinstance(value, float) and not math.isfinite(value):
+        raise ValueError("must be a finite number")
+    if declared.required and not value:
+        raise ValueError("must not be empty")
     if declared.minimum is not None and value < declared.minimum:
         raise ValueError(f"must be at least {declared.minimum}")
     if declared.maximum is not None and value > declared.maximum:
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -17,8 +17,9 @@
 
 UPSTREAM_SILENCE_MS = 3000.0
 FORGET_AFTER_MS = 60_000.0
-# Upstreams announce themselves once a second; older evidence is the exception.
-FRESH_MS = 1500.0
+# Upstreams announce themselves once a second and two or three syncs add to the age; older evidence
+# is the exception.
+FRESH_MS = 2000.0
 _KEPT_FORGOTTEN = 1000
 
 
--- /dev/null
+++ b/tests/consensus/test_folder_lock.py
@@ -0,0 +1,24 @@
+"""Check that a data folder has one user."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.consensus.folder_lock import FolderLock
+from briardyke.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class TestFolderLock:
+    """Guards against two processes that vote and write under one identity."""
+
+    def test_second_user_is_refused_until_the_first_is_gone(self, tmp_path: Path) -> None:
+        folder = tmp_path / "data"
+        first = FolderLock.take(folder).unwrap()
+        assert not folder.exists()  # the folder has to stay empty for a new identity
+        refused = FolderLock.take(folder).unwrap_err()
+        assert (refused.kind, refused.field) == (ErrorKind.STORAGE_FAILED, "data_dir")
+        first.release()
+        assert FolderLock.take(folder).is_ok()
