--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -113,7 +113,8 @@
             return error_response(failure, work.job.request_id)
         whole = answer.unwrap()
         finish("complete", whole.tokens)
-        return json_response({**whole.body, "created": wall_unix_ms() // 1000})
+        body = {**whole.body, "created": wall_unix_ms() // 1000}
+        return json_response(body, 200, {"x-request-id": work.job.request_id})
 
     async def _start_stream(self, work: ModelRequest, finish: _Finish) -> AnyResponse:
         stream = self._relay.stream(work.job)
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -122,7 +122,7 @@
 
 def error_response(failure: Failure, request_id: str = "") -> Response:
     """Return the response that reports a failure, with ``Retry-After`` when it is known."""
-    headers = {}
+    headers = {"x-request-id": request_id} if request_id else {}
     if failure.retry_after_ms is not None:
         headers["retry-after"] = str(max(1, -(-failure.retry_after_ms // 1000)))
     return json_response(error_body(failure, request_id), failure.answer.http_status, headers)
--- a/tests/process/test_whole_path.py
+++ b/tests/process/test_whole_path.py
@@ -35,6 +35,7 @@
     def test_every_model_and_adapter_answers(self, shared_cluster: Cluster, model: str) -> None:
         answer = shared_cluster.chat("entry-1", model, x_request_id=f"r-{model}")
         assert answer.status == 200, answer.body
+        assert answer.headers["x-request-id"] == f"r-{model}"
         text = answer.json()["choices"][0]["message"]["content"]
         assert text == whole_text(f"r-{model}", model, "user: sort this lot", 4)
 
