Give test processes ports that outgoing connections cannot take

A run of the random faults ended with listen_or_disk_failed (address already in use): the port came from the range of outgoing connections, and one of those held it when the entry process started. A configuration error or a second process on the same port was ruled out: each process has its own port. Ports now come from below that range, each one once.

--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -26,13 +27,27 @@
 API_KEY = "test-key"
 API_KEY_SHA256 = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef"
 GIGABYTE = 10**9
+_PORTS = (12000, 32000)
+_RANDOM = random.SystemRandom()
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that nothing listens on at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens on at the moment.
+
+    The port is below the range from which the system takes ports for outgoing connections, as one
+    of those could occupy it before the process starts, or while it is down.
+    """
+    while True:
+        port = _RANDOM.randrange(*_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return port
 
 
 @attrs.define
