Resume streams of an entry process that was suspended

The log shows: attempt_failed (upstream went silent) at the wake-up, then request_failed (no ready upstream) 52 ms later, and the next sync 47 ms after that. All evidence about upstreams had expired, as the age rule demands, and the request was given up before the first sync could renew it. A dead engine was ruled out: the engines of both streams served other requests at that time. A started stream now looks again until its resume timeout. Requests that no upstream has started are refused as before, since their callers can go elsewhere.

--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from briardyke.clock import now_ms
+from briardyke.clock import now_ms, sleep_ms
 from briardyke.entry.reassembly import AnswerAssembler, Piece, Progress
 from briardyke.entry.relay_outcomes import AttemptEnd, broken_end, error_end, final_failure
 from briardyke.entry.relay_pacing import AttemptPacer
@@ -72,10 +72,14 @@
         pacer = AttemptPacer(self._budget, self._policy)
         while True:
             chosen = await select_upstream(self._table, self._policy, job.route, tried, deadline_ms)
+            resumes = assembler.offset > job.offset_tokens
             if chosen.is_err():
                 failure = chosen.unwrap_err()
+                if resumes and failure.kind is ErrorKind.NO_UPSTREAM:
+                    # A process that was suspended finds all its evidence expired until it syncs.
+                    await sleep_ms(self._policy.loading_poll_ms)
+                    continue
                 break
-            resumes = assembler.offset > job.offset_tokens
             if not await pacer.may_start(resumes=resumes, deadline_ms=deadline_ms):
                 break
             end = await self._attempt(job, chosen.unwrap(), assembler, sink, deadline_ms)
--- a/tests/process/test_request_failures.py
+++ b/tests/process/test_request_failures.py
@@ -19,18 +19,21 @@
 pytestmark = pytest.mark.process
 
 LEAVING_BOUND_S = 4.0
+SUSPENDED_S = 6.5  # longer than every lease and age
 
 
 class Load:
     """Send requests from several threads until told to stop, and check every answer."""
 
-    def __init__(self, cluster: Cluster, threads: int = 6) -> None:
+    def __init__(self, cluster: Cluster, threads: int = 6, tokens: int = 30) -> None:
         """Start the threads.
 
         :param cluster: where to send.
         :param threads: number of callers.
+        :param tokens: length of each response.
         """
         self._cluster = cluster
+        self._tokens = tokens
         self._stop = threading.Event()
         self.complete = 0
         self.problems: list[str] = []
@@ -70,12 +73,12 @@
     def _request(self, name: str, request_id: str) -> None:
         try:
             answer = self._cluster.chat(
-                name, tokens=30, stream=True, x_request_id=request_id, prompt="p"
+                name, tokens=self._tokens, stream=True, x_request_id=request_id, prompt="p"
             )
         except OSError as error:
             self.problems.append(f"{request_id} at {name}: {error!r}")
             return
-        expected = whole_text(request_id, "m1", "user: p", 30)
+        expected = whole_text(request_id, "m1", "user: p", self._tokens)
         if answer.status != 200 or not answer.body.endswith(b"data: [DONE]\n\n"):
             self.problems.append(f"{request_id} at {name}: {answer.status} {answer.body[-300:]!r}")
         elif _text(answer.body) != expected:
@@ -141,6 +144,25 @@
         assert counters["peak_bytes"] <= counters["capacity_bytes"]
 
 
+class TestWokenEntry:
+    """Guards against giving up open streams because all evidence expired during a suspension."""
+
+    def test_open_stream_goes_on(self, start_cluster: Callable[..., Cluster]) -> None:
+        cluster = start_cluster(
+            entries=1, engines=1, engine_flags=("--request-tokens-per-second", "20")
+        )
+        cluster.configure()
+        assert cluster.chat("entry-1").status == 200
+        load = Load(cluster, threads=1, tokens=100)
+        _until_running(cluster, "sorting-1")
+        time.sleep(1.0)  # the first tokens have reached the entry process
+        cluster.freeze("entry-1")
+        time.sleep(SUSPENDED_S)
+        cluster.thaw("entry-1")
+        load.finish()
+        assert [p for p in load.problems if "load-0-0 " in p] == []
+
+
 class TestLeavingEngine:
     """Guards against new work on an upstream that is leaving."""
 
@@ -246,6 +268,12 @@
     cluster.until(lambda: cluster.entry_versions() == {version + 1}, "version in force")
 
 
+def _until_running(cluster: Cluster, name: str) -> None:
+    cluster.until(
+        lambda: "load-0-0" in cluster.call(name, "GET", "/counters").json()["runs"], "dispatch"
+    )
+
+
 def _text(stream: bytes) -> str:
     lines = [line[6:] for line in stream.split(b"\n") if line.startswith(b"data: {")]
     deltas = [json.loads(line)["choices"][0]["delta"] for line in lines]
