--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import random
 import threading
 import time
@@ -284,6 +285,7 @@
             *check_requests(load, run.windows),
             *_check_calm(load, calm_s),
         ]
+        _write_trace(cluster, load, run.windows)
         return _report(load, watch, plan + stops, violations, faults_end_s, newest)
     finally:
         if load is not None:
@@ -293,6 +295,18 @@
         cluster.close()
 
 
+def _write_trace(cluster: Cluster, load: Load, windows: list[Window]) -> None:
+    """Write faults, broken connections and incomplete requests beside the logs."""
+    incomplete = [e for e in load.ended if e.result != "complete"]
+    rows = [*windows, *load.breaks, *incomplete]
+    with (cluster.folder / "trace.jsonl").open("w") as file:
+        for row in sorted(rows, key=lambda r: r.started_s):
+            fields = attrs.asdict(row)
+            for name in ("started_s", "ended_s"):
+                fields[name] = round(fields[name] - load.started_s, 2)
+            file.write(json.dumps(fields) + "\n")
+
+
 def calm(cluster: Cluster, watch: Watch) -> int:
     """Wait until all processes agree on the newest accepted version, and return it."""
     newest = max(version for version, _ in watch.accepted.values())
