--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -298,7 +298,7 @@
 def _write_trace(cluster: Cluster, load: Load, windows: list[Window]) -> None:
     """Write faults, broken connections and incomplete requests beside the logs."""
     incomplete = [e for e in load.ended if e.result != "complete"]
-    rows = [*windows, *load.breaks, *incomplete]
+    rows: list[Any] = [*windows, *load.breaks, *incomplete]
     with (cluster.folder / "trace.jsonl").open("w") as file:
         for row in sorted(rows, key=lambda r: r.started_s):
             fields = attrs.asdict(row)
