Put a new version in force at admission, not at the next tick

Before: the new test fails at version 1 (admission waited for the tick). After: both tests of test_state.py pass.

--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -79,6 +79,7 @@
 
     def ready(self) -> bool:
         """Return whether new requests are admitted: the current version is held and confirmed."""
+        self._adopt_version()  # a version that sync has just brought must not wait for the tick
         newest = self.view.documents.version
         return 0 < self.version == newest and self.view.lease.valid(now_ms())
 
--- /dev/null
+++ b/tests/entry/test_state.py
@@ -0,0 +1,73 @@
+"""Check when an entry process admits requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.clock import now_ms
+from briardyke.entry.settings import EntrySettings
+from briardyke.entry.state import EntryState
+from briardyke.settings import Address, load_settings
+from briardyke.sync.lease import VERSION_LEASE_MS
+from briardyke.wire.messages import SyncReply
+
+if TYPE_CHECKING:
+    import trio.testing
+
+
+def _state() -> EntryState:
+    given = {
+        "instance_id": "entry-1",
+        "data_centre": "dc-1",
+        "listen": "127.0.0.1:1",
+        "control_addresses": "127.0.0.1:2",
+    }
+    return EntryState(load_settings(EntrySettings, given).unwrap(), Address("127.0.0.1", 1))
+
+
+def _reply(version: int, document: dict[str, object]) -> SyncReply:
+    return SyncReply(
+        replied_at_ms=0.0,
+        confirmed_age_ms=0.0,
+        version=version,
+        configuration=document,
+        configuration_patch=None,
+        digest_id="dig-1",
+        digest=0,
+        upstreams=[],
+        whole_digest=True,
+        forgotten=[],
+        fresh_age_ms=0.0,
+        stale_ages_ms={},
+        instances_tag="",
+        instances=None,
+        shares={},
+    )
+
+
+class TestReady:
+    """Guards against refusing requests while a version spreads, and against an old version."""
+
+    async def test_new_version_is_in_force_without_waiting_for_a_tick(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        state = _state()
+        assert not state.ready()
+        for version in (1, 2):
+            target = {"targets": {"first_token_ms": 600.0 + version}}
+            state.view.apply(_reply(version, target), now_ms(), now_ms())
+            assert state.ready()
+            assert state.configuration.targets.first_token_ms == 600.0 + version
+
+    async def test_lease_ends_and_an_unreadable_version_keeps_the_process_out(
+        self, mock_clock: trio.testing.MockClock
+    ) -> None:
+        state = _state()
+        state.view.apply(_reply(1, {}), now_ms(), now_ms())
+        assert state.ready()
+        state.view.apply(_reply(2, {"unknown_table": {}}), now_ms(), now_ms())
+        assert not state.ready()
+        state = _state()
+        state.view.apply(_reply(1, {}), now_ms(), now_ms())
+        mock_clock.jump(VERSION_LEASE_MS / 1000.0)
+        assert not state.ready()
