Return live upstreams without copying their rows; measure daemons without placement

Cause: the leader copied every row ten times a second. In the benchmark, placement also sent unload orders to announced engines that do not exist, which filled a core at 200 upstreams; it is switched off there.

--- a/bench/daemon_cost.py
+++ b/bench/daemon_cost.py
@@ -87,7 +87,14 @@
     """Measure one size and add its points."""
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(
-            Path(folder), controls=1, entries=2, engines=0, services=0, sync_flags=flags
+            Path(folder),
+            controls=1,
+            entries=2,
+            engines=0,
+            services=0,
+            sync_flags=flags,
+            # The announced engines do not exist, so orders to them would only fail.
+            control_flags=("--placement", "false"),
         )
         try:
             cluster.start()
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -176,9 +176,9 @@
         return [i for at, i in self._forgotten if at > sequence and i not in self._entries]
 
     def alive(self, now_ms: float) -> dict[str, UpstreamRow]:
-        """Return the rows that are not silent, by upstream id, with their ages."""
+        """Return the rows that are not silent, by upstream id, as they were received."""
         return {
-            upstream_id: attrs.evolve(entry.row, age_ms=max(0.0, now_ms - entry.heard_at_ms))
+            upstream_id: entry.row
             for upstream_id, entry in self._entries.items()
             if now_ms - entry.heard_at_ms < UPSTREAM_SILENCE_MS
         }
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -99,6 +99,7 @@
         engine_flags: tuple[str, ...] = (),
         address_ttl_ms: int = 600,
         sync_flags: tuple[str, ...] = (),
+        control_flags: tuple[str, ...] = (),
     ) -> None:
         """Describe the cluster; :meth:`start` starts it.
 
@@ -110,8 +111,10 @@
         :param engine_flags: further flags of each engine.
         :param address_ttl_ms: time to live of address responses; short, so that stops are quick.
         :param sync_flags: further flags of control and entry processes.
+        :param control_flags: further flags of control processes.
         """
         self._sync_flags = sync_flags
+        self._control_flags = control_flags
         self.folder = folder
         self.cuts: set[str] = set()
         self.processes: dict[str, Process] = {}
@@ -137,6 +140,7 @@
             *("--peer-listen", f"127.0.0.1:{self._peer_ports[name]}"),
             *("--peer-advertise", f"127.0.0.1:{self._relays[name].port}"),
         ]
+        flags += self._control_flags
         self._add(name, "briardyke.control.main", flags, "--http-listen")
 
     def _add_entry(self, name: str, data_centre: str, ttl_ms: int) -> None:
