--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -66,10 +66,10 @@
         fits += json.loads(Path(path).read_text(encoding="utf-8"))
     plot(fits, DOCS / "capacity-slopes.svg")
     head = (
-        "# Measured slopes\n\nWritten by `bench/capacity.py` from the runs of `bench/slopes.py` and "
-        "`bench/daemon_cost.py` on a machine with 10 cores. Lines are fitted to relative errors; a "
-        "residual above 30% means that the growth is not a straight line or that the value is close "
-        "to the noise, and its slope is a rough figure.\n\n"
+        "# Measured slopes\n\nWritten by `bench/capacity.py` from the runs of `bench/slopes.py` "
+        "and `bench/daemon_cost.py` on a machine with 10 cores. Lines are fitted to relative "
+        "errors; a residual above 30% means that the growth is not a straight line or that the "
+        "value is close to the noise, and its slope is a rough figure.\n\n"
         "![slopes](capacity-slopes.svg)\n\n"
     )
     (DOCS / "capacity-slopes.md").write_text(head + table(fits) + "\n", encoding="utf-8")
