Declare the settings that entry and control processes share in one place

Cause: four settings stood twice, word for word, in the settings of both processes. No behaviour changes; the generated settings page is the same.

--- a/src/briardyke/control/settings.py
+++ b/src/briardyke/control/settings.py
@@ -11,21 +11,22 @@
     parse_address,
     parse_addresses,
     parse_boolean,
-    parse_choice,
     parse_members,
     parse_optional_address,
     setting,
 )
+from briardyke.sync.settings import (
+    cluster_id_setting,
+    load_reports_setting,
+    log_level_setting,
+    sync_wait_setting,
+)
 
 
 def _instance_id() -> str:
     return setting("Name of this instance, unique in the deployment.")
 
 
-def _cluster_id() -> str:
-    return setting("Name of the deployment; peers of another one are refused.", default="briardyke")
-
-
 def _data_dir() -> Path:
     return setting("Folder for the state of this process; it must be on a disk.", parse=Path)
 
@@ -45,7 +46,7 @@
     """Prepare an empty data folder of one of the first voters."""
 
     instance_id: str = _instance_id()
-    cluster_id: str = _cluster_id()
+    cluster_id: str = cluster_id_setting()
     data_dir: Path = _data_dir()
     voters: dict[str, Address] = setting(
         "Peer addresses of all first voters, id=ip:port,...; the same on each of them.",
@@ -60,7 +61,7 @@
 
     instance_id: str = _instance_id()
     data_centre: str = setting("Data centre that this instance is in.")
-    cluster_id: str = _cluster_id()
+    cluster_id: str = cluster_id_setting()
     data_dir: Path = _data_dir()
     peer_listen: Address = setting(
         "Where to accept connections of other processes, ip:port.", parse=parse_address
@@ -79,26 +80,11 @@
         parse=parse_addresses,
     )
     claim_shards: int = _claim_shards()
-    sync_wait_ms: float = setting(
-        "Time between two syncs while nothing changes.",
-        default="250",
-        parse=float,
-        unit="ms",
-        minimum=50,
-        maximum=1000,
-    )
-    load_reports: bool = setting(
-        "Whether load and cache events of upstreams are exchanged: true or false.",
-        default="true",
-        parse=parse_boolean,
-    )
+    sync_wait_ms: float = sync_wait_setting()
+    load_reports: bool = load_reports_setting()
     placement: bool = setting(
         "Whether this process places models while it leads: true or false.",
         default="true",
         parse=parse_boolean,
     )
-    log_level: str = setting(
-        "Lowest level that is logged: debug, info, warning or error.",
-        default="info",
-        parse=parse_choice("debug", "info", "warning", "error"),
-    )
+    log_level: str = log_level_setting()
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -9,12 +9,16 @@
     Address,
     parse_address,
     parse_addresses,
-    parse_boolean,
-    parse_choice,
     parse_optional_address,
     parse_words,
     setting,
 )
+from briardyke.sync.settings import (
+    cluster_id_setting,
+    load_reports_setting,
+    log_level_setting,
+    sync_wait_setting,
+)
 
 
 @attrs.frozen
@@ -23,9 +27,7 @@
 
     instance_id: str = setting("Name of this instance, unique in the deployment.")
     data_centre: str = setting("Data centre that this instance is in.")
-    cluster_id: str = setting(
-        "Name of the deployment; peers of another one are refused.", default="briardyke"
-    )
+    cluster_id: str = cluster_id_setting()
     listen: Address = setting("Where to accept HTTP requests, ip:port.", parse=parse_address)
     advertise: Address | None = setting(
         "Address that callers are told to use, ip:port; the listening address if empty.",
@@ -48,19 +50,8 @@
         default="",
         parse=parse_words,
     )
-    sync_wait_ms: float = setting(
-        "Time between two syncs while nothing changes.",
-        default="250",
-        parse=float,
-        unit="ms",
-        minimum=50,
-        maximum=1000,
-    )
-    load_reports: bool = setting(
-        "Whether load and cache events of upstreams are exchanged: true or false.",
-        default="true",
-        parse=parse_boolean,
-    )
+    sync_wait_ms: float = sync_wait_setting()
+    load_reports: bool = load_reports_setting()
     address_ttl_ms: float = setting(
         "Time for which callers may keep an address response.",
         default="3000",
@@ -136,8 +127,4 @@
         parse=int,
         minimum=0,
     )
-    log_level: str = setting(
-        "Lowest level that is logged: debug, info, warning or error.",
-        default="info",
-        parse=parse_choice("debug", "info", "warning", "error"),
-    )
+    log_level: str = log_level_setting()
