--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -20,6 +20,7 @@
     :param resume_timeout_ms: time after a break within which a started stream may resume.
     :param loading_poll_ms: time between looks at a model that is loading.
     :param retry_delay_ms: wait before an upstream that failed is tried again.
+    :param budget_wait_ms: longest wait for the retry budget after an attempt that may have run.
     :param longest_retry_delay_ms: bound of that wait, which doubles while nothing runs.
     :param coalesce_ms: tokens that arrive within this time share one write. A write costs about
         0.1 ms of processor time; the target between tokens is 64 ms.
@@ -36,6 +37,7 @@
     loading_poll_ms: float = 25.0
     retry_delay_ms: float = 50.0
     longest_retry_delay_ms: float = 1000.0
+    budget_wait_ms: float = 1000.0
     coalesce_ms: float = 20.0
     buffer_limit_bytes: int = 256 * 1024
     claim_timeout_ms: float = 2000.0
--- a/src/briardyke/entry/relay_pacing.py
+++ b/src/briardyke/entry/relay_pacing.py
@@ -30,10 +30,12 @@
         self._started = False
         self._ran = 0
         self._resumed = False
+        self._last_may_have_run = False
         self._delay_ms = 0.0
 
     def ended(self, *, may_have_run: bool) -> None:
         """Count an attempt that failed."""
+        self._last_may_have_run = may_have_run
         if may_have_run:
             self._ran += 1
             self._delay_ms = 0.0
@@ -61,8 +63,12 @@
         if resumes and not self._resumed:
             self._resumed = True
             return True
+        # The budget bounds the rate of retries; waiting for it costs no upstream anything.
+        give_up_at_ms = deadline_ms
+        if self._last_may_have_run:
+            give_up_at_ms = min(deadline_ms, now_ms() + self._policy.budget_wait_ms)
         while not self._budget.try_spend(now_ms()):
-            if self._ran or now_ms() + self._policy.retry_delay_ms >= deadline_ms:
+            if now_ms() + self._policy.retry_delay_ms >= give_up_at_ms:
                 return False
             await sleep_ms(self._policy.retry_delay_ms)
         return now_ms() < deadline_ms
