--- a/bench/consensus_commit.py
+++ b/bench/consensus_commit.py
@@ -16,9 +16,9 @@
 import trio
 from absl import logging
 
+from briardyke.addresses import Address
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import initialise
-from briardyke.settings import Address
 from briardyke.wire import codec
 
 ADDRESSES = {name: Address("127.0.0.1", port) for port, name in enumerate("abc", start=1)}
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -25,6 +25,7 @@
 from relay_peers import call_many, serve_upstream
 from result import Ok
 
+from briardyke.addresses import Address, parse_address
 from briardyke.entry.relay import Relay, RelayStream
 from briardyke.entry.relay_jobs import ModelJob, RelayPolicy
 from briardyke.http.app import (
@@ -39,7 +40,6 @@
 from briardyke.http.client import HttpClient
 from briardyke.http.sse import STREAM_HEADERS
 from briardyke.policy.tables import RouteRequest
-from briardyke.settings import Address, parse_address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
--- a/bench/relay_peers.py
+++ b/bench/relay_peers.py
@@ -10,7 +10,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 _HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
 _END = b"0\r\n\r\n"
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -13,7 +13,8 @@
 from briardyke.errors import ANSWERS, ErrorKind
 from briardyke.loadtool.settings import LoadSettings
 from briardyke.operator.client import OperatorSettings
-from briardyke.settings import ENVIRONMENT_PREFIX, ExitCode
+from briardyke.exit_codes import ExitCode
+from briardyke.settings import ENVIRONMENT_PREFIX
 from briardyke.standins.engine.settings import EngineSettings
 from briardyke.standins.service.settings import ServiceSettings
 
--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -22,11 +22,11 @@
 if TYPE_CHECKING:
     import random as random_module
 
+    from briardyke.addresses import Address
     from briardyke.consensus.identity import Identity
     from briardyke.consensus.log import Entry
     from briardyke.consensus.messages import GroupMessage
     from briardyke.consensus.storage import GroupStorage
-    from briardyke.settings import Address
 
 __all__ = ["Applied", "LogStatus", "ReplicatedLog", "StateMachine"]
 TICK_MS = 50.0
@@ -207,6 +207,33 @@
             return None
         return self._node.confirmed_age_ms(now_ms())
 
+    def hears_leader(self, window_ms: float) -> bool:
+        """Return whether a majority or its leader was heard within a window, in milliseconds."""
+        state = self._node.state
+        if state.role is Role.LEADER:
+            return state.commit_confirmed and now_ms() - state.evidence_ms < window_ms
+        return state.leader_address is not None and now_ms() - state.leader_contact_ms < window_ms
+
+    async def confirm_read(self, timeout_ms: float) -> bool:
+        """Wait until the state applied here is proved to be current at the time of the call.
+
+        The proof is a round of acknowledgements that began after the call. A clock is not enough:
+        the steady clock of a suspended machine stands still.
+
+        :param timeout_ms: longest wait, in milliseconds.
+        :return: whether it was proved; never for a member that does not lead.
+        """
+        self._absorb(self._node.start_read(now_ms()))
+        state = self._node.state
+        term, number = state.term, state.round_number
+        with trio.move_on_after(timeout_ms / 1000.0):
+            while state.role is Role.LEADER and state.term == term:
+                if state.evidence_round >= number and state.commit_confirmed:
+                    await self.wait_applied(state.commit_index)
+                    return True
+                await self._progress.wait()
+        return False
+
     async def _submit(self, waiter: _Waiter, timeout_ms: float) -> Result[Applied, Failure]:
         self._queue.append(waiter)
         self._work.set()
--- a/src/briardyke/consensus/identity.py
+++ b/src/briardyke/consensus/identity.py
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from briardyke.addresses import Address
     from briardyke.consensus.log import Recovered
-    from briardyke.settings import Address
 
 _FILE = "identity.json"
 
--- a/src/briardyke/consensus/interface.py
+++ b/src/briardyke/consensus/interface.py
@@ -6,9 +6,9 @@
 
 import attrs
 
+from briardyke.addresses import Address
 from briardyke.consensus.members import Member
 from briardyke.consensus.state import Role
-from briardyke.settings import Address
 
 
 class StateMachine(Protocol):
--- a/src/briardyke/consensus/members.py
+++ b/src/briardyke/consensus/members.py
@@ -8,8 +8,8 @@
 import msgpack
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Failure
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -17,6 +17,8 @@
 ID_SEPARATOR = "#"
 # Each membership entry carries the removed ids. 1,000 of them take less than 64 KiB.
 MAX_REMOVED_IDS = 1000
+# Automatic removal keeps as many voters as the first start has, which bears the loss of one.
+MIN_VOTERS = 3
 
 
 def instance_of(member_id: str) -> str:
@@ -187,3 +189,43 @@
         if not older and learner.replaces_voter:
             return MemberChange("promote", learner.member_id)
     return None
+
+
+def next_automatic_change(
+    membership: Membership,
+    caught_up: Callable[[str], bool],
+    silent: Callable[[str], bool],
+    departed: Callable[[str], bool],
+) -> MemberChange | None:
+    """Return the next change where every control instance is to vote.
+
+    Nobody is told how many control instances there are, so each learner that has caught up is
+    promoted. An instance that is gone for good leaves once the voters that answer are a majority
+    without it; see ``departed`` of the leader's settings.
+
+    :param membership: current members.
+    :param caught_up: returns whether a learner holds nearly all entries.
+    :param silent: returns whether a member has not been heard for an election timeout.
+    :param departed: returns whether a member has been silent for so long that it counts as gone.
+    :return: one change, or ``None`` when nothing is to be done.
+    """
+    replacement = next_replacement(membership, caught_up, silent)
+    if replacement is not None:
+        return replacement
+    for learner in membership.members:
+        if learner.voter or not caught_up(learner.member_id):
+            continue
+        if _older_of(membership, learner):
+            continue  # the older member of the instance is removed first
+        return MemberChange("promote", learner.member_id)
+    for member in membership.members:
+        voters = len(membership.voters)
+        if departed(member.member_id) and (not member.voter or voters > MIN_VOTERS):
+            return MemberChange("remove", member.member_id)
+    return None
+
+
+def _older_of(membership: Membership, learner: Member) -> list[Member]:
+    position = membership.members.index(learner)
+    instance_id = instance_of(learner.member_id)
+    return [m for m in membership.members[:position] if instance_of(m.member_id) == instance_id]
--- a/src/briardyke/consensus/messages.py
+++ b/src/briardyke/consensus/messages.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from briardyke.addresses import Address
 from briardyke.consensus.log import Entry
-from briardyke.settings import Address
 from briardyke.wire.codec import message
 
 
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -9,7 +9,12 @@
 
 from briardyke.consensus import election, replication
 from briardyke.consensus.log import EntryKind, MemoryLog, Recovered, Snapshot
-from briardyke.consensus.members import MemberChange, Membership, next_replacement
+from briardyke.consensus.members import (
+    MemberChange,
+    Membership,
+    next_automatic_change,
+    next_replacement,
+)
 from briardyke.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -32,7 +37,7 @@
     import random
     from collections.abc import Sequence
 
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 _DEFAULT_SETTINGS = NodeSettings()
 
@@ -202,6 +207,13 @@
             return None
         return now_ms - state.evidence_ms
 
+    def start_read(self, now_ms: float) -> Effects:
+        """Start a round whose acknowledgements prove that this member led when a read began."""
+        self.state.now_ms = now_ms
+        if self.state.role is Role.LEADER:
+            replication.start_round(self.state)
+        return self._take_effects()
+
     def _tick_leader(self) -> None:
         state = self.state
         if state.now_ms - state.evidence_ms >= state.settings.election_min_ms:
@@ -212,10 +224,21 @@
             state.transfer_target = ""
         if state.now_ms >= state.next_heartbeat_ms:
             replication.start_round(state)
-            step = next_replacement(state.membership, self._caught_up, self._silent)
+            step = self._next_change()
             if step is not None:
                 _change(state, step)
 
+    def _next_change(self) -> MemberChange | None:
+        members = self.state.membership
+        if not self.state.settings.promotes_learners:
+            return next_replacement(members, self._caught_up, self._silent)
+        return next_automatic_change(members, self._caught_up, self._silent, self._departed)
+
+    def _departed(self, member_id: str) -> bool:
+        progress = self.state.progress.get(member_id)
+        silence_ms = self.state.now_ms - progress.heard_ms if progress else 0.0
+        return silence_ms >= self.state.settings.departed_ms
+
     def _caught_up(self, member_id: str) -> bool:
         progress = self.state.progress.get(member_id)
         if progress is None or progress.probing or self._silent(member_id):
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -8,11 +8,11 @@
 
 import attrs
 
+from briardyke.addresses import Address
 from briardyke.consensus.log import Entry, EntryKind, HardState, MemoryLog, Snapshot
 from briardyke.consensus.members import Membership
 from briardyke.consensus.messages import GroupMessage
 from briardyke.errors import Failure
-from briardyke.settings import Address
 
 M = TypeVar("M", bound=GroupMessage)
 
@@ -42,6 +42,8 @@
     :param snapshot_chunk_bytes: size of snapshot parts.
     :param kept_entries: entries kept in memory before a snapshot, so that a slow member does not
         need the snapshot.
+    :param promotes_learners: whether every learner that has caught up becomes a voter.
+    :param departed_ms: silence after which a member is removed, where learners are promoted.
     """
 
     heartbeat_ms: float = 150.0
@@ -54,6 +56,8 @@
     max_in_flight_entries: int = 8192
     snapshot_chunk_bytes: int = 256 * 1024
     kept_entries: int = 1000
+    promotes_learners: bool = False
+    departed_ms: float = 20_000.0
 
 
 @attrs.define
--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -16,10 +16,10 @@
 from briardyke.control.proposer import GroupProposer
 
 if TYPE_CHECKING:
+    from briardyke.addresses import Address
     from briardyke.consensus.identity import Identity
     from briardyke.control.settings import ControlSettings
     from briardyke.errors import Failure
-    from briardyke.settings import Address
     from briardyke.wire.pool import PeerPool
 
 CONTROL_GROUP = "control"
--- a/src/briardyke/control/main.py
+++ b/src/briardyke/control/main.py
@@ -11,9 +11,10 @@
 from briardyke.control.process import run_control
 from briardyke.control.settings import ControlSettings, InitSettings
 from briardyke.errors import ErrorKind, Failure
+from briardyke.exit_codes import ExitCode
 from briardyke.logs import configure_logs, log_error
 from briardyke.runtime import run_until_signal
-from briardyke.settings import ExitCode, as_command
+from briardyke.settings import as_command
 
 if TYPE_CHECKING:
     import trio
--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -9,6 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address, parse_address
 from briardyke.agreed.commands import CommandRefused, PatchAccepted, PatchConfiguration
 from briardyke.agreed.machine import MAX_AUDIT_PAGE
 from briardyke.agreed.merge_patch import MAX_DEPTH, too_deep
@@ -16,7 +17,6 @@
 from briardyke.errors import ErrorKind, Failure, Ran
 from briardyke.http.app import error_body, error_response, json_response
 from briardyke.logs import log_event
-from briardyke.settings import Address, parse_address
 from briardyke.sync.lease import VERSION_LEASE_MS
 from briardyke.wire.codec import decode, encode, unstructure
 
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -34,11 +34,11 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from briardyke.addresses import Address
     from briardyke.agreed.machine import ControlMachine
     from briardyke.control.settings import ControlSettings
     from briardyke.errors import Failure
     from briardyke.http.app import Request
-    from briardyke.settings import Address
 
 # Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
 LEADER_LEASE_MS = 900.0
--- a/src/briardyke/control/settings.py
+++ b/src/briardyke/control/settings.py
@@ -6,9 +6,8 @@
 
 import attrs
 
+from briardyke.addresses import Address, parse_address
 from briardyke.settings import (
-    Address,
-    parse_address,
     parse_addresses,
     parse_boolean,
     parse_members,
--- a/src/briardyke/entry/announcements.py
+++ b/src/briardyke/entry/announcements.py
@@ -8,8 +8,8 @@
 import attrs
 from result import Err, Ok, Result
 
+from briardyke.addresses import parse_address
 from briardyke.errors import ErrorKind, Failure
-from briardyke.settings import parse_address
 from briardyke.wire.codec import structure
 from briardyke.wire.messages import UpstreamRow
 
--- a/src/briardyke/entry/claims.py
+++ b/src/briardyke/entry/claims.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
     from briardyke.wire.pool import PeerPool
 
 _CALL_TIMEOUT_MS = 1500.0
--- a/src/briardyke/entry/interfaces.py
+++ b/src/briardyke/entry/interfaces.py
@@ -7,9 +7,9 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from briardyke.addresses import Address
     from briardyke.errors import Failure
     from briardyke.policy.tables import AttemptOutcome, RouteRequest
-    from briardyke.settings import Address
     from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
 
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -4,15 +4,9 @@
 
 import attrs
 
+from briardyke.addresses import Address, parse_address
 from briardyke.policy.tables import RoutingPolicy
-from briardyke.settings import (
-    Address,
-    parse_address,
-    parse_addresses,
-    parse_optional_address,
-    parse_words,
-    setting,
-)
+from briardyke.settings import parse_addresses, parse_optional_address, parse_words, setting
 from briardyke.sync.settings import (
     cluster_id_setting,
     load_reports_setting,
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from briardyke.addresses import parse_address
 from briardyke.agreed.projection import Projection
 from briardyke.clock import now_ms, wall_unix_ms
 from briardyke.entry.announcements import parse_announcement
@@ -16,17 +17,16 @@
 from briardyke.policy.limits import LimitLedger
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
-from briardyke.settings import parse_address
 from briardyke.sync.client import Report
 from briardyke.sync.instances import INSTANCE_SILENCE_MS, Lifecycle
 from briardyke.sync.view import SyncedView
 from briardyke.wire.messages import InstanceStatus
 
 if TYPE_CHECKING:
+    from briardyke.addresses import Address
     from briardyke.agreed.configuration import Configuration
     from briardyke.entry.settings import EntrySettings
     from briardyke.http.client import HttpClient
-    from briardyke.settings import Address
 
 TICK_MS = 100.0
 REFRESH_MS = 500.0
--- /dev/null
+++ b/src/briardyke/fleet/control.py
@@ -0,0 +1,330 @@
+"""Run a control instance: agreed configuration, soft tables, answers to entry instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgpack
+import trio
+from result import Err, Ok, Result
+
+from briardyke.clock import now_ms
+from briardyke.consensus.messages import GroupMessage
+from briardyke.consensus.state import Role
+from briardyke.errors import ErrorKind, Failure
+from briardyke.fleet.machine import ConfigurationMachine
+from briardyke.fleet.messages import (
+    AdapterReply,
+    AdapterRequest,
+    FleetReply,
+    FleetRequest,
+    RowsRequest,
+    RowsUpdate,
+)
+from briardyke.fleet.records import GONE, SILENT, EntryInstance, Upstream
+from briardyke.fleet.table import SoftTable
+from briardyke.ids import new_id
+from briardyke.logs import log_event, log_warning
+from briardyke.sync.notifier import Notifier
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from briardyke.addresses import Address
+    from briardyke.consensus.driver import ReplicatedLog
+    from briardyke.wire.pool import PeerPool
+
+# A follower that has not heard the leader for this long answers nothing as current. It is the
+# shortest election timeout, after which another leader may have moved on.
+CONTACT_WINDOW_MS = 1000.0
+# Four missed heartbeats of an upstream at 1.2 s; heartbeats may arrive a few seconds late.
+UPSTREAM_SILENCE_MS = 5000.0
+# Entry instances report every 0.7 s at least.
+ENTRY_SILENCE_MS = 2500.0
+# Rows repeated without news are passed on together at this interval.
+BATCH_INTERVAL_MS = 400.0
+_PROPOSE_TIMEOUT_MS = 2500.0
+_READ_TIMEOUT_MS = 900.0
+# Rows of departed owners are kept, so that late announcements do not revive them.
+_FORGET_MS = 120_000.0
+_TRANSFER_TIMEOUT_MS = 1500.0
+
+
+@attrs.define
+class Tables:
+    """Hold the soft state of a control instance.
+
+    :param upstreams: announced upstreams.
+    :param entries: entry instances.
+    """
+
+    upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
+    entries: SoftTable[EntryInstance] = attrs.field(factory=SoftTable)
+
+
+class ControlInstance:
+    """Keep the agreed configuration and the soft tables of one control instance."""
+
+    def __init__(
+        self, log: ReplicatedLog, machine: ConfigurationMachine, peers: PeerPool, own: Address
+    ) -> None:
+        """Wire the parts; :meth:`run` starts them.
+
+        :param log: member of the group that agrees.
+        :param machine: its state machine.
+        :param peers: connections to other instances.
+        :param own: own peer address.
+        """
+        self.log = log
+        self.machine = machine
+        self.tables = Tables()
+        self.table_id = new_id("tbl")
+        self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
+        self._peers = peers
+        self._own = own
+        self._changed = Notifier()
+        self._fresh_upstreams: set[str] = set()
+        self._fresh_entries: set[str] = set()
+        self._current_since_ms = float("inf")
+
+    # Operator
+
+    async def offer(self, version: int, document: bytes) -> Result[int, Failure]:
+        """Commit a checked document unless its number is overtaken.
+
+        :return: the number in force; ``not_leader`` with the leader's peer address as field.
+        """
+        if self.log.status().role is not Role.LEADER:
+            return Err(self._not_leader())
+        command = ConfigurationMachine.command(version, document)
+        applied = await self.log.propose(command, _PROPOSE_TIMEOUT_MS)
+        if applied.is_err():
+            failure = applied.unwrap_err()
+            log_warning("configuration_not_committed", version=version, reason=failure.message)
+            return Err(failure)
+        return Ok(msgpack.unpackb(applied.unwrap().result))
+
+    async def newest(self) -> Result[bytes, Failure]:
+        """Return the newest document, proved to be the newest at the time of the call."""
+        if self.log.status().role is not Role.LEADER:
+            return Err(self._not_leader())
+        if not await self.log.confirm_read(_READ_TIMEOUT_MS) or self.machine.document is None:
+            return Err(Failure(ErrorKind.NO_MAJORITY, "the newest configuration is not certain"))
+        return Ok(self.machine.document)
+
+    def _not_leader(self) -> Failure:
+        status = self.log.status()
+        if status.leader_address is None or not self.log.hears_leader(CONTACT_WINDOW_MS):
+            return Failure(ErrorKind.NO_MAJORITY, "no leader is known")
+        leader = str(status.leader_address)
+        return Failure(ErrorKind.NOT_LEADER, "this instance does not lead", leader)
+
+    # Upstreams
+
+    @property
+    def is_current(self) -> bool:
+        """Return whether this instance takes part in the working majority."""
+        return self.log.hears_leader(CONTACT_WINDOW_MS)
+
+    def announce(self, row: Upstream) -> bool:
+        """Take an upstream's announcement; return whether it can be acknowledged.
+
+        A start at an address that another row names ends that row: two processes cannot share it.
+        """
+        if not self.is_current:
+            return False
+        for other in self.tables.upstreams.rows():
+            reused = other.address == row.address and other.upstream_id != row.upstream_id
+            if reused and other.lifecycle != GONE and other.incarnation < row.incarnation:
+                self._take_upstream(attrs.evolve(other, lifecycle=GONE))
+        self._take_upstream(row)
+        return True
+
+    def depart(self, upstream_id: str) -> bool:
+        """Take note that an upstream leaves; return whether it can be acknowledged."""
+        if not self.is_current:
+            return False
+        held = self.tables.upstreams.get(upstream_id)
+        if held is not None:
+            self._take_upstream(attrs.evolve(held, lifecycle=GONE))
+        return True
+
+    def _take_upstream(self, row: Upstream, age_ms: float = 0.0, is_own: bool = True) -> None:
+        held = self.tables.upstreams.get(row.upstream_id)
+        before = held.lifecycle if held else "unknown"
+        changed = self.tables.upstreams.merge(row, age_ms)
+        if is_own:
+            self._fresh_upstreams.add(row.upstream_id)
+        if not changed:
+            return
+        if before != row.lifecycle:
+            log_event(
+                "upstream_changed",
+                upstream=row.upstream_id,
+                service=row.service,
+                before=before,
+                lifecycle=row.lifecycle,
+                sequence=row.sequence,
+                age_ms=round(age_ms),
+            )
+        self._changed.notify()
+        if is_own:
+            self._broadcast([row], [])
+
+    # Entry instances and peers
+
+    async def handle(self, peer_id: str, message: Any) -> Any:
+        """Handle a message of another process and return the reply."""
+        if isinstance(message, GroupMessage):
+            return await self.log.handle(message)
+        if isinstance(message, RowsUpdate):
+            return self._take_rows(message)
+        if isinstance(message, RowsRequest):
+            return self._all_rows()
+        if isinstance(message, FleetRequest):
+            return await self._answer_entry(message)
+        if isinstance(message, AdapterRequest) and self.load_adapter is not None:
+            return await self.load_adapter(message)
+        return None
+
+    async def _answer_entry(self, request: FleetRequest) -> FleetReply:
+        before = self.tables.entries.get(request.entry.instance_id)
+        if self.tables.entries.merge(request.entry):
+            self._changed.notify()
+            self._broadcast([], [request.entry])
+            if before is None or before.is_ready != request.entry.is_ready:
+                log_event(
+                    "entry_changed",
+                    instance=request.entry.instance_id,
+                    ready=request.entry.is_ready,
+                )
+        self._fresh_entries.add(request.entry.instance_id)
+        with trio.move_on_after(request.wait_ms / 1000.0):
+            while not self._has_news(request):
+                await self._changed.wait(request.wait_ms)
+        return self._reply(request)
+
+    def _has_news(self, request: FleetRequest) -> bool:
+        if request.table_id != self.table_id or not self.is_current:
+            return True
+        return (
+            self.machine.version > request.held_version
+            or self.tables.upstreams.sequence > request.held_upstreams
+            or self.tables.entries.sequence > request.held_entries
+        )
+
+    def _reply(self, request: FleetRequest) -> FleetReply:
+        is_known = request.table_id == self.table_id
+        upstreams = [
+            attrs.evolve(row, lifecycle=SILENT) if is_silent and row.lifecycle != GONE else row
+            for row, is_silent in self.tables.upstreams.changed_after(
+                request.held_upstreams if is_known else 0
+            )
+        ]
+        entries = None
+        if not is_known or self.tables.entries.sequence > request.held_entries:
+            entries = [
+                attrs.evolve(row, demand={})
+                for row, is_silent in self.tables.entries.changed_after(0)
+                if not is_silent and row.is_ready
+            ]
+        is_newer = self.machine.version > request.held_version or request.held_version == 0
+        leader = self.log.status().leader_address
+        return FleetReply(
+            is_current=self.is_current,
+            version=self.machine.version,
+            configuration=self.machine.document if is_newer else None,
+            table_id=self.table_id,
+            upstreams=upstreams,
+            upstream_sequence=self.tables.upstreams.sequence,
+            entries=entries,
+            entry_sequence=self.tables.entries.sequence,
+            leader=str(leader or ""),
+            controls=[str(m.address) for m in self.log.status().members],
+            is_whole=not is_known,
+        )
+
+    def _take_rows(self, update: RowsUpdate) -> None:
+        for row, age_ms in zip(update.upstreams, update.upstream_ages_ms, strict=True):
+            self._take_upstream(row, age_ms, is_own=False)
+        for entry, age_ms in zip(update.entries, update.entry_ages_ms, strict=True):
+            if self.tables.entries.merge(entry, age_ms):
+                self._changed.notify()
+
+    def _all_rows(self) -> RowsUpdate:
+        upstreams = self.tables.upstreams.heard_within(_FORGET_MS)
+        entries = self.tables.entries.heard_within(_FORGET_MS)
+        return RowsUpdate(
+            [row for row, _ in upstreams],
+            [age for _, age in upstreams],
+            [row for row, _ in entries],
+            [age for _, age in entries],
+        )
+
+    # Tasks
+
+    async def run(self) -> None:
+        """Watch, pass on rows and adopt configurations until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_log)
+            nursery.start_soon(self._pass_on_rows)
+            nursery.start_soon(self._fetch_rows)
+
+    async def stop(self) -> None:
+        """Hand over leadership before a planned stop."""
+        await self.log.transfer_leadership(_TRANSFER_TIMEOUT_MS)
+
+    async def _watch_log(self) -> None:
+        version = self.machine.version
+        while True:
+            await self.log.wait_applied(self.log.status().applied_index + 1)
+            if self.machine.version != version:
+                version = self.machine.version
+                self._changed.notify()
+
+    async def _pass_on_rows(self) -> None:
+        while True:
+            await trio.sleep(BATCH_INTERVAL_MS / 1000.0)
+            self._note_contact()
+            upstreams = [self.tables.upstreams.get(k) for k in self._fresh_upstreams]
+            entries = [self.tables.entries.get(k) for k in self._fresh_entries]
+            self._fresh_upstreams.clear()
+            self._fresh_entries.clear()
+            if upstreams or entries:
+                self._broadcast([u for u in upstreams if u], [e for e in entries if e])
+
+    def _note_contact(self) -> None:
+        was_current = self._current_since_ms < float("inf")
+        if self.is_current != was_current:
+            self._current_since_ms = now_ms() if self.is_current else float("inf")
+            status = self.log.status()
+            event = "majority_contact_regained" if self.is_current else "majority_contact_lost"
+            log_event(event, role=status.role.value, term=status.term, leader=status.leader_id)
+            self._changed.notify()
+        if self.is_current:
+            since_ms = self._current_since_ms
+            for row in self.tables.upstreams.mark_silent(UPSTREAM_SILENCE_MS, since_ms):
+                log_event("upstream_silent", upstream=row.upstream_id, service=row.service)
+                self._changed.notify()
+            for entry in self.tables.entries.mark_silent(ENTRY_SILENCE_MS, since_ms):
+                log_event("entry_silent", instance=entry.instance_id)
+                self._changed.notify()
+
+    def _broadcast(self, upstreams: list[Upstream], entries: list[EntryInstance]) -> None:
+        update = RowsUpdate(upstreams, [0.0] * len(upstreams), entries, [0.0] * len(entries))
+        for address in self._other_members():
+            self._peers.client(address).send(update)
+
+    def _other_members(self) -> list[Address]:
+        members = self.log.status().members
+        return list(dict.fromkeys(m.address for m in members if m.address != self._own))
+
+    async def _fetch_rows(self) -> None:
+        """Ask the other instances for their rows once after the start."""
+        await self.log.wait_applied(1)
+        for address in self._other_members():
+            reply = await self._peers.client(address).call(RowsRequest(), CONTACT_WINDOW_MS)
+            if reply.is_ok() and isinstance(reply.unwrap(), RowsUpdate):
+                self._take_rows(reply.unwrap())
+                return
--- /dev/null
+++ b/src/briardyke/fleet/messages.py
@@ -0,0 +1,111 @@
+"""Define the messages between control instances and between entry and control instances."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.fleet.records import EntryInstance, Upstream
+from briardyke.wire.codec import message
+
+
+@message
+@attrs.frozen
+class RowsUpdate:
+    """Pass on rows between control instances; one-way.
+
+    :param upstreams: upstream rows.
+    :param upstream_ages_ms: time since each was sent by its owner.
+    :param entries: entry rows.
+    :param entry_ages_ms: time since each was sent by its owner.
+    """
+
+    upstreams: list[Upstream]
+    upstream_ages_ms: list[float]
+    entries: list[EntryInstance]
+    entry_ages_ms: list[float]
+
+
+@message
+@attrs.frozen
+class RowsRequest:
+    """Ask another control instance for all rows; the answer is a :class:`RowsUpdate`."""
+
+
+@message
+@attrs.frozen
+class FleetRequest:
+    """Report an entry instance's state and ask for everything newer than what it holds.
+
+    :param entry: the sender's own row.
+    :param held_version: configuration version that it holds, 0 for none.
+    :param table_id: identity of the answering control process at the last answer, or empty.
+    :param held_upstreams: sequence of the upstream table that it holds.
+    :param held_entries: sequence of the entry table that it holds.
+    :param wait_ms: longest time to hold the answer when nothing is new.
+    """
+
+    entry: EntryInstance
+    held_version: int
+    table_id: str
+    held_upstreams: int
+    held_entries: int
+    wait_ms: float
+
+
+@message
+@attrs.frozen
+class FleetReply:
+    """Answer a :class:`FleetRequest`.
+
+    :param is_current: whether this control instance hears a leader; otherwise the rest is stale.
+    :param version: number of the newest configuration known here.
+    :param configuration: its document, or ``None`` when the sender holds it.
+    :param table_id: identity of this control process.
+    :param upstreams: rows that changed after the held sequence.
+    :param upstream_sequence: sequence of the upstream table.
+    :param entries: entry instances that callers may be sent to, or ``None`` when unchanged.
+    :param entry_sequence: sequence of the entry table.
+    :param leader: peer address of the leader, empty when unknown.
+    :param controls: peer addresses of all members of the control group.
+    :param is_whole: whether ``upstreams`` is everything that is known here.
+    """
+
+    is_current: bool
+    version: int
+    configuration: bytes | None
+    table_id: str
+    upstreams: list[Upstream]
+    upstream_sequence: int
+    entries: list[EntryInstance] | None
+    entry_sequence: int
+    leader: str
+    controls: list[str]
+    is_whole: bool
+
+
+@message
+@attrs.frozen
+class AdapterRequest:
+    """Ask the leader to have an adapter loaded beside its model.
+
+    :param model: name of the model.
+    :param adapter: name of the adapter.
+    :param upstream_ids: upstreams that hold the model and could take it, best first.
+    """
+
+    model: str
+    adapter: str
+    upstream_ids: list[str]
+
+
+@message
+@attrs.frozen
+class AdapterReply:
+    """Answer an :class:`AdapterRequest`.
+
+    :param upstream_id: upstream that holds the adapter now, or empty.
+    :param reason: why there is none.
+    """
+
+    upstream_id: str
+    reason: str = ""
--- /dev/null
+++ b/src/briardyke/fleet/records.py
@@ -0,0 +1,117 @@
+"""Define the soft state that control instances share and entry instances receive."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.addresses import parse_address
+
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+SILENT = "silent"
+
+
+@attrs.frozen
+class HeldModel:
+    """Describe a model in an upstream's memory.
+
+    :param name: name of the model.
+    :param adapters: names of its adapters there.
+    """
+
+    name: str
+    adapters: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Upstream:
+    """Describe an upstream as it last announced itself.
+
+    :param upstream_id: name that it gave itself.
+    :param incarnation: Unix time of its start, in milliseconds; a later start replaces an earlier.
+    :param sequence: number of the announcement within the incarnation.
+    :param service: service that it belongs to.
+    :param address: ``ip:port`` of its HTTP interface.
+    :param data_centre: where it runs.
+    :param lifecycle: ``ready``, ``draining`` or ``gone``; ``silent`` only towards entry instances.
+    :param slots: requests that it runs at once.
+    :param models: models in its memory.
+    :param at_hand: models of which it keeps a copy on its own disk or in host memory.
+    :param leaves_in_ms: time until it is taken away, 0 when unknown.
+    """
+
+    upstream_id: str
+    incarnation: int
+    sequence: int
+    service: str = ""
+    address: str = ""
+    data_centre: str = ""
+    lifecycle: str = GONE
+    slots: int = 1
+    models: list[HeldModel] = attrs.field(factory=list)
+    at_hand: list[str] = attrs.field(factory=list)
+    leaves_in_ms: float = 0.0
+
+    @property
+    def key(self) -> str:
+        """Return the row's key."""
+        return self.upstream_id
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return what decides between two rows of one key; a departure is final in its start."""
+        return (self.incarnation, int(self.lifecycle == GONE), self.sequence)
+
+    def same_content(self, other: Upstream) -> bool:
+        """Return whether another row differs in nothing but its number."""
+        return attrs.evolve(self, sequence=other.sequence) == other
+
+
+@attrs.frozen
+class EntryInstance:
+    """Describe an entry instance as it last reported.
+
+    :param instance_id: name of the instance.
+    :param incarnation: Unix time of its start, in milliseconds.
+    :param sequence: number of the report within the incarnation.
+    :param address: ``ip:port`` for callers.
+    :param data_centre: where it runs.
+    :param is_ready: whether callers may be sent to it.
+    :param demand: requests of the last seconds by model, and by service for plain services.
+    """
+
+    instance_id: str
+    incarnation: int
+    sequence: int
+    address: str
+    data_centre: str
+    is_ready: bool
+    demand: dict[str, float] = attrs.field(factory=dict)
+
+    @property
+    def key(self) -> str:
+        """Return the row's key."""
+        return self.instance_id
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return what decides between two rows of one key."""
+        return (self.incarnation, 0, self.sequence)
+
+    def same_content(self, other: EntryInstance) -> bool:
+        """Return whether callers would notice a difference."""
+        return (self.address, self.data_centre, self.is_ready) == (
+            other.address,
+            other.data_centre,
+            other.is_ready,
+        )
+
+
+def is_usable(row: Upstream) -> bool:
+    """Return whether a row names an upstream that can be connected to."""
+    try:
+        parse_address(row.address)
+    except ValueError:
+        return False
+    return bool(row.service) and row.incarnation > 0
--- /dev/null
+++ b/src/briardyke/fleet/table.py
@@ -0,0 +1,109 @@
+"""Keep rows that their owners repeat, on every control instance, by the newest evidence."""
+
+from __future__ import annotations
+
+from typing import Generic, Protocol, TypeVar
+
+import attrs
+
+from briardyke.clock import now_ms
+
+
+class Row(Protocol):
+    """Describe what the table needs of a row."""
+
+    @property
+    def key(self) -> str:
+        """Return the row's key."""
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return what decides between two rows of one key."""
+
+
+R = TypeVar("R", bound="Row")
+
+
+@attrs.define
+class _Entry(Generic[R]):
+    row: R
+    heard_ms: float
+    changed_at: int
+    is_silent: bool = False
+
+
+class SoftTable(Generic[R]):
+    """Merge rows; each change of content gets the next sequence of this table."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry[R]] = {}
+        self.sequence = 0
+
+    def merge(self, row: R, age_ms: float = 0.0) -> bool:
+        """Take a row unless a newer one is held.
+
+        :param row: the row.
+        :param age_ms: time since its owner sent it, as far as known.
+        :return: whether the content changed.
+        """
+        heard_ms = now_ms() - age_ms
+        held = self._entries.get(row.key)
+        if held is None:
+            self.sequence += 1
+            self._entries[row.key] = _Entry(row, heard_ms, self.sequence)
+            return True
+        if row.order < held.row.order:
+            return False
+        held.heard_ms = max(held.heard_ms, heard_ms)
+        if row.order == held.row.order:
+            return False
+        is_changed = held.is_silent or not held.row.same_content(row)  # type: ignore[attr-defined]
+        held.is_silent = False
+        held.row = row
+        if is_changed:
+            self.sequence += 1
+            held.changed_at = self.sequence
+        return is_changed
+
+    def get(self, key: str) -> R | None:
+        """Return a row."""
+        held = self._entries.get(key)
+        return held.row if held else None
+
+    def rows(self) -> list[R]:
+        """Return all rows."""
+        return [entry.row for entry in self._entries.values()]
+
+    def changed_after(self, sequence: int) -> list[tuple[R, bool]]:
+        """Return the rows that changed after a sequence, each with whether it is silent."""
+        found = self._entries.values()
+        return [(e.row, e.is_silent) for e in found if e.changed_at > sequence]
+
+    def is_silent(self, key: str) -> bool:
+        """Return whether a row's owner was last marked as silent."""
+        return self._entries[key].is_silent
+
+    def mark_silent(self, window_ms: float, since_ms: float) -> list[R]:
+        """Mark the rows that nobody confirmed for a window; return those newly marked.
+
+        :param window_ms: silence after which a row counts as silent.
+        :param since_ms: time from which silence counts, such as the end of an own outage.
+        """
+        limit_ms = now_ms() - window_ms
+        marked = []
+        for entry in self._entries.values():
+            if not entry.is_silent and max(entry.heard_ms, since_ms) < limit_ms:
+                self.sequence += 1
+                entry.is_silent, entry.changed_at = True, self.sequence
+                marked.append(entry.row)
+        return marked
+
+    def heard_within(self, window_ms: float) -> list[tuple[R, float]]:
+        """Return the rows confirmed within a window, with their ages."""
+        now = now_ms()
+        found = [(e.row, now - e.heard_ms) for e in self._entries.values()]
+        return [(row, age) for row, age in found if age <= window_ms]
+
+    def forget(self, key: str) -> None:
+        """Drop a row."""
+        self._entries.pop(key, None)
--- /dev/null
+++ b/src/briardyke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests of callers to upstreams and their answers back."""
--- /dev/null
+++ b/src/briardyke/gateway/adapters.py
@@ -0,0 +1,81 @@
+"""Find an upstream that holds an adapter, or have one load it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from briardyke.clock import now_ms
+from briardyke.fleet.messages import AdapterRequest
+from briardyke.gateway.choice import AFFINITY_SLACK
+from briardyke.logs import log_limited
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from briardyke.fleet.messages import AdapterReply
+    from briardyke.gateway.dialect import CallerRequest
+    from briardyke.gateway.state import GatewayState
+    from briardyke.gateway.tables import UpstreamState
+
+# The leader evicts an adapter no sooner than KEEP_MS after it was last asked for; this instance
+# trusts its presence for less than that.
+TRUST_MS = 2000.0
+# An adapter is spread over so many upstreams at most unless all of them are busier by the slack.
+_HOMES = 2
+
+
+class AdapterPlaces:
+    """Send requests for an adapter to few upstreams, so that its loads stay few.
+
+    Load: dozens of adapters with a flat demand share eight places an upstream. If any upstream
+    could get any adapter, most requests would evict one that the next request needs.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        ask: Callable[[AdapterRequest], Awaitable[AdapterReply]],
+    ) -> None:
+        """Ask control instances through ``ask``."""
+        self._state = state
+        self._ask = ask
+
+    async def place(
+        self, caller: CallerRequest, candidates: Sequence[UpstreamState], fallback: UpstreamState
+    ) -> UpstreamState | None:
+        """Return an upstream that holds the adapter, or ``None`` if none can get it now.
+
+        :param caller: what the caller asks for.
+        :param candidates: upstreams that hold the model.
+        :param fallback: the best of them without regard to the adapter.
+        """
+        name = f"{caller.model}/{caller.adapter}"
+        ranked = sorted(
+            candidates,
+            key=lambda s: xxhash.xxh64_intdigest(f"{name}|{s.row.upstream_id}".encode()),
+            reverse=True,
+        )
+        homes = ranked[:_HOMES]
+        held = [s for s in candidates if s.holds_adapter(caller.model, caller.adapter)]
+        limit = fallback.load() + AFFINITY_SLACK * 2
+        near = [s for s in held if s.load() <= limit]
+        if near:
+            return min(near, key=lambda s: s.load())
+        order = [s for s in homes if s.load() <= limit] or [fallback]
+        order += [s for s in ranked if s not in order]
+        request = AdapterRequest(caller.model, caller.adapter, [s.row.upstream_id for s in order])
+        reply = await self._ask(request)
+        chosen = self._state.upstreams.get(reply.upstream_id) if reply.upstream_id else None
+        if chosen is None:
+            log_limited(
+                "adapter_not_placed",
+                is_routine=False,
+                request=caller.request_id,
+                adapter=name,
+                reason=reply.reason,
+            )
+            return None
+        chosen.adapters[(caller.model, caller.adapter)] = now_ms() + TRUST_MS
+        return chosen
--- /dev/null
+++ b/src/briardyke/gateway/demand.py
@@ -0,0 +1,35 @@
+"""Count the requests for each model and service over the last seconds."""
+
+from __future__ import annotations
+
+import math
+
+from briardyke.clock import now_ms
+
+HALF_LIFE_MS = 2000.0
+_FORGOTTEN_BELOW = 0.02
+_RATE_OF_ONE = math.log(2.0) / (HALF_LIFE_MS / 1000.0)
+
+
+class DemandMeter:
+    """Keep exponentially weighted rates by name, in requests a second."""
+
+    def __init__(self) -> None:
+        self._rates: dict[str, tuple[float, float]] = {}
+
+    def record(self, name: str) -> None:
+        """Count one request."""
+        now = now_ms()
+        self._rates[name] = (self._rate(name, now) + _RATE_OF_ONE, now)
+
+    def rates(self) -> dict[str, float]:
+        """Return the present rates; names without recent requests are dropped."""
+        now = now_ms()
+        rates = {name: self._rate(name, now) for name in list(self._rates)}
+        for name in [n for n, rate in rates.items() if rate < _FORGOTTEN_BELOW]:
+            del self._rates[name], rates[name]
+        return rates
+
+    def _rate(self, name: str, now: float) -> float:
+        rate, at_ms = self._rates.get(name, (0.0, now))
+        return float(rate * 0.5 ** ((now - at_ms) / HALF_LIFE_MS))
--- /dev/null
+++ b/src/briardyke/gateway/forward.py
@@ -0,0 +1,369 @@
+"""Carry a request to an upstream of its route and its answer back to the caller."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.errors import ErrorKind, Failure
+from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
+from briardyke.gateway.choice import choose_upstream
+from briardyke.gateway.dialect import CallerRequest, UpstreamCall
+from briardyke.gateway.event_stream import EventSplitter
+from briardyke.gateway.refusals import refusal_headers, retry_after_s
+from briardyke.gateway.trace import Trace
+from briardyke.http.exchange import CallerGoneError, HttpRequest, end_to_end, header
+from briardyke.http.h11_client import UpstreamError
+from briardyke.routes.configuration import Route
+from briardyke.routes.matching import choose_service
+
+if TYPE_CHECKING:
+    from briardyke.gateway.state import GatewayState
+    from briardyke.gateway.tables import UpstreamState
+    from briardyke.http.exchange import Answer
+    from briardyke.http.h11_client import UpstreamConnection
+
+# An upstream that is given a deadline answers at it; the way back takes some milliseconds.
+_ANSWER_MARGIN_MS = 60.0
+# Least time in which an attempt can still succeed.
+_LEAST_ATTEMPT_MS = 25.0
+# An answer that takes this many latency objectives is asked of another upstream, if it may be.
+_PATIENCE_OBJECTIVES = 3.0
+_LEAST_PATIENCE_MS = 800.0
+# Callers give a stream up after two seconds without an event, so it is continued before that.
+_STREAM_PAUSE_MS = 1300.0
+_STREAM_PAUSES = 4.0
+_MAX_CONNECT_FAILURES = 3
+# An adapter stays for a while after it was confirmed; see ADAPTER_KEEP_MS of the orders.
+ADAPTER_TRUST_MS = 2000.0
+
+
+@attrs.define
+class Journey:
+    """Hold one request while it is carried.
+
+    :param request: what the caller sent.
+    :param caller: what its headers say.
+    :param route: its route.
+    :param service: chosen service.
+    :param deadline_ms: time by which it must be answered, on the runtime's clock.
+    :param trace: record for the log.
+    """
+
+    request: HttpRequest
+    caller: CallerRequest
+    route: Route
+    service: str
+    deadline_ms: float
+    trace: Trace
+    sent: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    tried: set[str] = attrs.field(factory=set)
+    last: Attempt | None = None
+    wait_hint_ms: float | None = None
+
+    @property
+    def remaining_ms(self) -> float:
+        """Return the time left until the deadline."""
+        return self.deadline_ms - now_ms()
+
+
+class Forwarder:
+    """Carry requests with the state of an entry instance."""
+
+    def __init__(self, state: GatewayState) -> None:
+        """Use the instance's state."""
+        self._state = state
+        self._runner = AttemptRunner(state.dialect)
+        self._random = random.Random()
+
+    async def handle(self, request: HttpRequest, answer: Answer) -> None:
+        """Answer one request of a caller."""
+        state = self._state
+        caller = state.dialect.read_request(request)
+        trace = Trace(caller.request_id, request.received_ms, state.version)
+        trace.model = caller.model
+        route = self._route(request)
+        if route is None:
+            kind = ErrorKind.NOT_FOUND if state.version else ErrorKind.VERSION_UNCONFIRMED
+            await self._fail(answer, trace, Failure(kind, "no route"))
+            return
+        trace.route = route.name
+        usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
+        service = choose_service(route, usable, self._random)
+        trace.service = service
+        budget_ms = min(caller.deadline_ms or route.timeout_ms, route.timeout_ms)
+        deadline_ms = request.received_ms + budget_ms
+        journey = Journey(request, caller, route, service, deadline_ms, trace)
+        state.budget(service).record_request(now_ms())
+        state.demand.record(caller.model or service)
+        refused = state.admission.refusal(journey, state)
+        if refused is not None:
+            await self._fail(answer, trace, refused)
+            return
+        try:
+            await self._carry(journey, answer)
+        except CallerGoneError:
+            trace.finish(state.counters, 0, "caller_gone")
+            raise
+        except trio.Cancelled:
+            trace.finish(state.counters, 0, "caller_gone")
+            raise
+
+    def _route(self, request: HttpRequest) -> Route | None:
+        host = (header(request.headers, b"host") or b"").decode("latin-1")
+        return self._state.routes.find(host, request.path) if self._state.routes else None
+
+    async def _carry(self, journey: Journey, answer: Answer) -> None:
+        """Try upstreams until one answers or no further attempt is allowed."""
+        async with trio.open_nursery() as nursery:
+            while (upstream := await self._next_upstream(journey)) is not None:
+                attempt = await self._attempt(journey, upstream, nursery)
+                if attempt.ending is Ending.ANSWERED and not self._is_worth_repeating(
+                    journey, attempt
+                ):
+                    await self._deliver(journey, upstream, attempt, answer, nursery)
+                    nursery.cancel_scope.cancel()
+                    return
+                journey.last = attempt
+                if not self._may_try_again(journey, attempt):
+                    break
+            nursery.cancel_scope.cancel()
+        await self._give_up(journey, answer)
+
+    async def _attempt(
+        self, journey: Journey, upstream: UpstreamState, nursery: trio.Nursery
+    ) -> Attempt:
+        upstream_id = upstream.row.upstream_id
+        journey.tried.add(upstream_id)
+        load = upstream.load()
+        call = UpstreamCall(
+            upstream_id,
+            max(1.0, journey.remaining_ms - _ANSWER_MARGIN_MS / 2),
+            journey.route.priority,
+            journey.caller.last_event_id,
+        )
+        upstream.in_flight += 1
+        started_ms = now_ms()
+        attempt = None
+        try:
+            attempt = await self._runner.run(
+                upstream,
+                journey.request,
+                call,
+                self._patience_ms(journey),
+                may_repeat=journey.route.may_repeat,
+                nursery=nursery,
+            )
+        finally:
+            if attempt is None or attempt.connection is None:
+                upstream.in_flight -= 1
+        self._learn(journey, upstream, attempt, now_ms() - started_ms)
+        journey.trace.step(upstream_id, attempt.reason or attempt.ending.value, load)
+        return attempt
+
+    def _patience_ms(self, journey: Journey) -> float:
+        remaining_ms = journey.remaining_ms
+        if not journey.route.may_repeat or journey.sent + 1 >= journey.route.max_attempts:
+            return remaining_ms
+        objective_ms = journey.route.latency_objective_ms
+        patience_ms = max(_LEAST_PATIENCE_MS, _PATIENCE_OBJECTIVES * objective_ms)
+        return patience_ms if patience_ms < remaining_ms * 0.6 else remaining_ms
+
+    def _learn(
+        self, journey: Journey, upstream: UpstreamState, attempt: Attempt, took_ms: float
+    ) -> None:
+        """Update the evidence about the upstream."""
+        if attempt.facts is not None and attempt.facts.load is not None:
+            upstream.take_report(attempt.facts.load)
+        if attempt.ending is Ending.NOT_CONNECTED:
+            journey.connect_failures += 1
+            upstream.gate.failed(now_ms())
+        elif attempt.ending in (Ending.FAILED, Ending.TIMED_OUT):
+            journey.sent += 1
+            journey.may_have_run = True
+            upstream.gate.failed(now_ms())
+        elif attempt.ending is Ending.REFUSED:
+            journey.sent += 1
+            if journey.caller.adapter:
+                upstream.adapters.pop((journey.caller.model, journey.caller.adapter), None)
+        else:
+            journey.sent += 1
+            journey.may_have_run = True
+            assert attempt.head is not None
+            upstream.pace_ms += 0.2 * (took_ms - upstream.pace_ms)
+            if attempt.head.status < 500:
+                upstream.gate.succeeded(now_ms())
+
+    def _is_worth_repeating(self, journey: Journey, attempt: Attempt) -> bool:
+        assert attempt.head is not None
+        return attempt.head.status >= 500 and journey.route.may_repeat
+
+    def _may_try_again(self, journey: Journey, attempt: Attempt) -> bool:
+        """Return whether another upstream may be asked after a failed attempt.
+
+        Load: a service that is overloaded or failing must not get more arrivals because of it, so
+        every repeat that arrives at an upstream draws on the shared budget.
+        """
+        if journey.remaining_ms < _LEAST_ATTEMPT_MS:
+            return False
+        if attempt.ending is Ending.NOT_CONNECTED:
+            return journey.connect_failures <= _MAX_CONNECT_FAILURES
+        if attempt.may_have_run and not journey.route.may_repeat:
+            return False
+        if journey.sent >= journey.route.max_attempts:
+            return False
+        return self._state.budget(journey.service).try_spend(now_ms())
+
+    async def _next_upstream(self, journey: Journey) -> UpstreamState | None:
+        """Return the best upstream, waiting for a model or adapter that is on its way."""
+        state = self._state
+        while journey.remaining_ms > _LEAST_ATTEMPT_MS:
+            candidates = self._candidates(journey)
+            if candidates:
+                chosen = choose_upstream(
+                    candidates, journey.caller, state.data_centre, self._random
+                )
+                if chosen is None or not journey.caller.adapter:
+                    return chosen
+                held = await state.adapters.place(journey.caller, candidates, chosen)
+                if held is not None:
+                    return held
+            patience_ms = state.admission.wait_ms(journey, state)
+            if patience_ms <= 0:
+                return None
+            await state.changed.wait(min(patience_ms, journey.remaining_ms))
+        return None
+
+    def _candidates(self, journey: Journey) -> list[UpstreamState]:
+        usable = self._state.upstreams.usable(journey.service)
+        model = journey.caller.model
+        if model and self._state.is_engine(journey.service):
+            usable = [s for s in usable if s.holds(model)]
+        return [s for s in usable if s.row.upstream_id not in journey.tried]
+
+    # Answers
+
+    async def _deliver(
+        self,
+        journey: Journey,
+        upstream: UpstreamState,
+        attempt: Attempt,
+        answer: Answer,
+        nursery: trio.Nursery,
+    ) -> None:
+        assert attempt.head is not None
+        status, headers = attempt.head.status, end_to_end(attempt.head.headers)
+        if attempt.connection is None:
+            await answer.send_whole(status, headers, attempt.body)
+            outcome = "served" if status < 500 else "upstream_failed"
+            journey.trace.finish(self._state.counters, status, outcome)
+            return
+        await answer.start(status, headers)
+        splitter = EventSplitter(journey.caller.last_event_id)
+        is_whole = await self._relay(journey, upstream, attempt, answer, splitter)
+        while not is_whole and self._may_resume(journey, splitter):
+            next_upstream = await self._next_upstream(journey)
+            if next_upstream is None:
+                break
+            journey.caller = attrs.evolve(journey.caller, last_event_id=splitter.last_event_id)
+            attempt = await self._attempt(journey, next_upstream, nursery)
+            if attempt.connection is None:
+                continue
+            is_whole = await self._relay(journey, next_upstream, attempt, answer, splitter)
+        if is_whole:
+            await answer.finish()
+        outcome = "served" if is_whole else "stream_broken"
+        journey.trace.finish(self._state.counters, status, outcome)
+
+    def _may_resume(self, journey: Journey, splitter: EventSplitter) -> bool:
+        if not journey.route.is_resumable or journey.remaining_ms < _LEAST_ATTEMPT_MS:
+            return False
+        if journey.sent >= journey.route.max_attempts:
+            return False
+        return self._state.budget(journey.service).try_spend(now_ms())
+
+    async def _relay(
+        self,
+        journey: Journey,
+        upstream: UpstreamState,
+        attempt: Attempt,
+        answer: Answer,
+        splitter: EventSplitter,
+    ) -> bool:
+        """Pass on events as they come; return whether the stream ended properly."""
+        connection = attempt.connection
+        assert connection is not None and attempt.head is not None
+        is_kept = False
+        try:
+            is_whole = await self._relay_parts(journey, connection, answer, splitter)
+            if is_whole and connection.finish(attempt.head):
+                upstream.pool.give_back(connection)
+                is_kept = True
+            if not is_whole:
+                upstream.gate.failed(now_ms())
+                journey.trace.step(upstream.row.upstream_id, "stream_broken", upstream.load())
+            return is_whole
+        finally:
+            upstream.in_flight -= 1
+            splitter.drop_partial()
+            if not is_kept:
+                await connection.aclose()
+
+    async def _relay_parts(
+        self,
+        journey: Journey,
+        connection: UpstreamConnection,
+        answer: Answer,
+        splitter: EventSplitter,
+    ) -> bool:
+        pause_ms = max(_STREAM_PAUSE_MS, _STREAM_PAUSES * journey.route.longest_pause_ms)
+        while (left_ms := journey.remaining_ms) > 0:
+            part: bytes | None = b""
+            try:
+                with trio.move_on_after(min(pause_ms, left_ms) / 1000.0) as scope:
+                    part = await connection.read_part()
+            except UpstreamError:
+                return False
+            if scope.cancelled_caught:
+                if journey.route.is_resumable or journey.remaining_ms <= 0:
+                    return False
+                continue
+            whole = splitter.take_rest() if part is None else splitter.feed(part)
+            if whole:
+                await answer.send_part(whole)
+            if part is None:
+                return True
+        return False
+
+    async def _give_up(self, journey: Journey, answer: Answer) -> None:
+        """Give the final answer to a request that no upstream has answered well."""
+        last = journey.last
+        if last is not None and last.ending is Ending.ANSWERED and last.head is not None:
+            headers = end_to_end(last.head.headers)
+            await answer.send_whole(last.head.status, headers, last.body)
+            journey.trace.finish(self._state.counters, last.head.status, "upstream_failed")
+            return
+        if journey.may_have_run:
+            late = journey.remaining_ms <= _LEAST_ATTEMPT_MS
+            kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.UPSTREAM_FAILED
+        elif last is not None and last.ending is Ending.REFUSED:
+            kind = ErrorKind.UPSTREAM_REFUSED
+        else:
+            kind = ErrorKind.NO_UPSTREAM
+        reason = last.reason if last else "no upstream"
+        wait_ms = journey.wait_hint_ms
+        hint = round(wait_ms) if wait_ms is not None else None
+        await self._fail(answer, journey.trace, Failure(kind, reason, retry_after_ms=hint))
+
+    async def _fail(self, answer: Answer, trace: Trace, failure: Failure) -> None:
+        status = failure.answer.http_status
+        headers = refusal_headers(trace.request_id, failure, retry_after_s(failure, self._random))
+        trace.steps.append(failure.message)
+        trace.finish(self._state.counters, status, failure.kind.value)
+        await answer.send_whole(status, headers)
--- /dev/null
+++ b/src/briardyke/gateway/settings.py
@@ -0,0 +1,27 @@
+"""Describe where an entry instance runs and what bounds it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.addresses import Address
+
+
+@attrs.frozen
+class EntryPlace:
+    """Describe an entry instance.
+
+    :param instance_id: name of the instance.
+    :param data_centre: where it runs.
+    :param listen: where callers connect.
+    :param grace_s: time between a stop request and the kill.
+    :param retry_ratio: repeats allowed for each request, over all entry instances.
+    """
+
+    instance_id: str
+    data_centre: str
+    listen: Address
+    grace_s: float
+    retry_ratio: float
--- /dev/null
+++ b/src/briardyke/gateway/tables.py
@@ -0,0 +1,102 @@
+"""Hold what an entry instance knows of each upstream beside its announcements."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.addresses import parse_address
+from briardyke.clock import now_ms
+from briardyke.fleet.records import DRAINING, GONE, READY, Upstream
+from briardyke.http.h11_client import ConnectionPool
+from briardyke.policy.ejection import HealthGate
+
+if TYPE_CHECKING:
+    from briardyke.gateway.dialect import Load
+
+# Load that other entry instances caused counts half after this time without a new report.
+REPORT_HALF_LIFE_MS = 1500.0
+
+
+@attrs.define
+class UpstreamState:
+    """Hold one upstream's row and this instance's own evidence.
+
+    :param row: its latest announcement.
+    :param pool: connections to it.
+    :param gate: part of its usual traffic that it receives.
+    :param in_flight: requests of this instance that it runs or holds.
+    :param others: requests of other instances at the last report.
+    :param reported_ms: time of the last report.
+    :param drain_ms: time from which it leaves, or ``None``.
+    :param pace_ms: recent time to its first answer bytes.
+    """
+
+    row: Upstream
+    pool: ConnectionPool
+    gate: HealthGate = attrs.field(factory=HealthGate)
+    in_flight: int = 0
+    others: float = 0.0
+    reported_ms: float = 0.0
+    pace_ms: float = 0.0
+    adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
+
+    def load(self) -> float:
+        """Return the estimated number of requests at the upstream."""
+        age_ms = now_ms() - self.reported_ms
+        return self.in_flight + self.others * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+
+    def take_report(self, load: Load) -> None:
+        """Take a load report that came with an answer."""
+        self.others = max(0.0, load.running + load.waiting - self.in_flight)
+        self.reported_ms = now_ms()
+
+    def holds(self, model: str) -> bool:
+        """Return whether the model is in its memory."""
+        return any(held.name == model for held in self.row.models)
+
+    def holds_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether the adapter was seen in its memory."""
+        return self.adapters.get((model, adapter), 0.0) > now_ms()
+
+
+class UpstreamTable:
+    """Follow the announced upstreams."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, UpstreamState] = {}
+
+    def adopt(self, rows: dict[str, Upstream]) -> list[ConnectionPool]:
+        """Take the announced rows; return the pools of upstreams that are no longer used."""
+        retired = []
+        for upstream_id in [i for i in self._states if i not in rows]:
+            retired.append(self._states.pop(upstream_id).pool)
+        for upstream_id, row in rows.items():
+            state = self._states.get(upstream_id)
+            if state is None or _is_other_process(state.row, row):
+                if state is not None:
+                    retired.append(state.pool)
+                pool = ConnectionPool(parse_address(row.address))
+                self._states[upstream_id] = UpstreamState(row, pool)
+            else:
+                state.row = row
+        return retired
+
+    def usable(self, service: str) -> list[UpstreamState]:
+        """Return the upstreams of a service that take new work, or else those that are silent."""
+        rows = [s for s in self._states.values() if s.row.service == service]
+        ready = [s for s in rows if s.row.lifecycle == READY]
+        return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
+
+    def get(self, upstream_id: str) -> UpstreamState | None:
+        """Return an upstream's state."""
+        return self._states.get(upstream_id)
+
+    def pools(self) -> list[ConnectionPool]:
+        """Return the connections to all upstreams."""
+        return [state.pool for state in self._states.values()]
+
+
+def _is_other_process(held: Upstream, row: Upstream) -> bool:
+    return (held.incarnation, held.address) != (row.incarnation, row.address)
--- /dev/null
+++ b/src/briardyke/gateway/trace.py
@@ -0,0 +1,55 @@
+"""Record the way of one request for its log line and the counters."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.clock import now_ms
+from briardyke.logs import log_limited
+
+if TYPE_CHECKING:
+    from briardyke.gateway.counters import Counters
+
+
+@attrs.define
+class Trace:
+    """Collect the decisions about one request.
+
+    :param request_id: id of the caller's attempt.
+    :param route: name of its route, or empty.
+    :param started_ms: time at which its head was read.
+    :param version: number of the configuration that decided.
+    """
+
+    request_id: str
+    started_ms: float
+    version: int
+    route: str = ""
+    service: str = ""
+    model: str = ""
+    steps: list[str] = attrs.field(factory=list)
+
+    def step(self, upstream_id: str, outcome: str, load: float) -> None:
+        """Add one attempt with the load that was assumed for its upstream."""
+        elapsed = now_ms() - self.started_ms
+        self.steps.append(f"{upstream_id}@{elapsed:.0f}ms:load={load:.1f}:{outcome}")
+
+    def finish(self, counters: Counters, status: int, outcome: str) -> None:
+        """Write the request's line and count it."""
+        duration_ms = now_ms() - self.started_ms
+        counters.record(self.service, outcome, duration_ms)
+        log_limited(
+            "request_finished",
+            is_routine=outcome == "served",
+            request=self.request_id,
+            route=self.route,
+            service=self.service,
+            model=self.model,
+            version=self.version,
+            status=status,
+            outcome=outcome,
+            duration_ms=round(duration_ms),
+            attempts=";".join(self.steps),
+        )
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -20,7 +20,7 @@
 from briardyke.logs import log_error, log_warning
 
 if TYPE_CHECKING:
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 DEFAULT_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 DEFAULT_BODY_TIMEOUT_S = 10.0
--- a/src/briardyke/http/client.py
+++ b/src/briardyke/http/client.py
@@ -16,7 +16,7 @@
 from briardyke.http.pool import ConnectionPool
 
 if TYPE_CHECKING:
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
--- /dev/null
+++ b/src/briardyke/http/exchange.py
@@ -0,0 +1,124 @@
+"""Hold one request and the answer that is written to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import h11
+
+from briardyke.clock import now_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+Headers = list[tuple[bytes, bytes]]
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def end_to_end(headers: Sequence[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that concern more than one connection, without the body's framing."""
+    dropped = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_HEADERS and name not in dropped and name != b"content-length"
+    ]
+
+
+def header(headers: Sequence[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a header, named in lower case."""
+    return next((value for key, value in headers if key == name), None)
+
+
+@attrs.frozen
+class HttpRequest:
+    """Hold a request that was read in full.
+
+    :param method: method, in capitals.
+    :param target: path and query as received.
+    :param headers: headers with names in lower case.
+    :param body: the whole body.
+    :param received_ms: time at which its head was read, on the runtime's clock.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    received_ms: float = attrs.field(factory=now_ms)
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+class CallerGoneError(Exception):
+    """Report that the caller's connection does not take the answer any more."""
+
+
+class Answer:
+    """Write the answer to one request; a streamed one is sent as it grows."""
+
+    def __init__(self, connection: h11.Connection, send: Callable[[bytes], Awaitable[None]]):
+        """Write through a connection's protocol state and its socket."""
+        self._connection = connection
+        self._send = send
+        self.is_started = False
+        self.is_complete = False
+        self.closes_connection = False
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a complete answer with its length.
+
+        :raises CallerGoneError: when the caller does not take it.
+        """
+        framed = [*headers, (b"content-length", b"%d" % len(body))]
+        await self.start(status, framed)
+        await self._write(h11.Data(data=body) if body else None, h11.EndOfMessage())
+        self.is_complete = True
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head; without a length the body is sent in chunks."""
+        if self.closes_connection:
+            headers = [*headers, (b"connection", b"close")]
+        self.is_started = True
+        self._head = h11.Response(status_code=status, headers=headers)
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._write(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the body."""
+        await self._write(h11.EndOfMessage())
+        self.is_complete = True
+
+    async def _write(self, *events: h11.Event | None) -> None:
+        parts: list[bytes | None] = []
+        try:
+            if self._head is not None:
+                parts.append(self._connection.send(self._head))
+                self._head = None
+            parts += [self._connection.send(event) for event in events if event is not None]
+        except h11.LocalProtocolError as error:
+            raise CallerGoneError(str(error)) from error
+        await self._send(b"".join([part for part in parts if part]))
+
+    _head: h11.Response | None = None
--- /dev/null
+++ b/src/briardyke/http/h11_client.py
@@ -0,0 +1,254 @@
+"""Send requests to upstreams over kept connections with h11 on trio."""
+
+from __future__ import annotations
+
+import select
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+import h11
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.http.exchange import Headers, header
+from briardyke.http.sockets import tune
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.addresses import Address
+
+CONNECT_TIMEOUT_S = 1.0
+_READ_BYTES = 65536
+# A kept connection is given up this long before the upstream would close it, which covers the
+# way of a request and a slow turn of the event loop.
+_KEEP_MARGIN_MS = 700.0
+_DEFAULT_KEEP_MS = 4000.0
+# Answers of earlier requests that an upstream may send late on a connection.
+_MAX_FOREIGN_ANSWERS = 3
+# Bodies up to this size fit a socket's buffer, so that writing them cannot block the answer.
+_INLINE_BODY_BYTES = 16 * 1024
+
+
+class Fault(Enum):
+    """List how an exchange with an upstream fails before its answer is whole."""
+
+    NOT_CONNECTED = "not_connected"
+    BROKEN = "broken"
+    MALFORMED = "malformed"
+
+
+class UpstreamError(Exception):
+    """Report a failed exchange.
+
+    :param fault: how it failed; only ``NOT_CONNECTED`` proves that the request did not run.
+    """
+
+    def __init__(self, fault: Fault, reason: str) -> None:
+        """Describe the failure."""
+        super().__init__(reason)
+        self.fault = fault
+
+
+@attrs.frozen
+class UpstreamHead:
+    """Hold the head of an upstream's answer.
+
+    :param status: HTTP status.
+    :param headers: headers with names in lower case.
+    """
+
+    status: int
+    headers: Headers
+
+
+class UpstreamConnection:
+    """Run one request at a time on a connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        """Use a connected stream."""
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.idle_since_ms = now_ms()
+        self._keep_ms = _DEFAULT_KEEP_MS
+        self._may_keep = True
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes, nursery: trio.Nursery
+    ) -> None:
+        """Send a request; a long body is sent while the answer is read already.
+
+        :param nursery: runs the rest of the writing.
+        :raises UpstreamError: when the connection is gone.
+        """
+        self._request = h11.Request(method=method, target=target, headers=headers)
+        head = self._protocol.send(self._request) or b""
+        parts = [head]
+        if body:
+            parts.append(self._protocol.send(h11.Data(data=body)) or b"")
+        parts.append(self._protocol.send(h11.EndOfMessage()) or b"")
+        data = b"".join(parts)
+        if len(data) <= _INLINE_BODY_BYTES:
+            await self._send_all(data)
+        else:
+            self._may_keep = False
+            nursery.start_soon(self._send_rest, data)
+
+    async def _send_rest(self, data: bytes) -> None:
+        try:
+            await self._send_all(data)
+            self._may_keep = True
+        except UpstreamError:
+            pass  # the reading side sees the same failure and reports it
+
+    async def _send_all(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise UpstreamError(Fault.BROKEN, f"connection lost while sending: {error}") from error
+
+    async def read_head(self, is_own: Callable[[Headers], bool]) -> UpstreamHead:
+        """Read the head of the answer, passing over late answers to other requests.
+
+        :param is_own: returns whether headers belong to the answer of this request.
+        :raises UpstreamError: when the connection ends or the bytes are no answer.
+        """
+        for _ in range(_MAX_FOREIGN_ANSWERS):
+            event = await self._next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await self._next_event()
+            if not isinstance(event, h11.Response):
+                raise UpstreamError(Fault.BROKEN, "connection closed before the answer")
+            head = UpstreamHead(event.status_code, list(event.headers))
+            if is_own(head.headers):
+                return head
+            await self._skip_foreign()
+        raise UpstreamError(Fault.MALFORMED, "answers of other requests")
+
+    async def read_part(self) -> bytes | None:
+        """Read a part of the body, or return ``None`` at its proper end.
+
+        :raises UpstreamError: when the connection ends before.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise UpstreamError(Fault.BROKEN, "connection closed within the answer")
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Read the rest of the body.
+
+        :raises UpstreamError: when it does not end properly or is longer than the limit.
+        """
+        body = bytearray()
+        while (part := await self.read_part()) is not None:
+            body += part
+            if len(body) > limit_bytes:
+                raise UpstreamError(Fault.MALFORMED, "the answer is too long")
+        return bytes(body)
+
+    def finish(self, head: UpstreamHead) -> bool:
+        """Prepare for the next request; return whether the connection can be kept."""
+        if not self._may_keep or self._protocol.trailing_data[0]:
+            return False
+        if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
+            return False
+        for part in (header(head.headers, b"keep-alive") or b"").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self._keep_ms = float(value) * 1000.0 - _KEEP_MARGIN_MS
+        self._protocol.start_next_cycle()
+        self.idle_since_ms = now_ms()
+        return self._keep_ms > 0
+
+    def is_usable(self, longest_rest_ms: float) -> bool:
+        """Return whether the kept connection is still silent and young enough."""
+        if now_ms() - self.idle_since_ms > min(self._keep_ms, longest_rest_ms):
+            return False
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise UpstreamError(Fault.MALFORMED, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive_some(_READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise UpstreamError(Fault.BROKEN, f"connection reset: {error}") from error
+            self._protocol.receive_data(data)
+
+    async def _skip_foreign(self) -> None:
+        while await self.read_part() is not None:
+            pass
+        rest, _ = self._protocol.trailing_data
+        protocol = h11.Connection(h11.CLIENT)
+        protocol.send(self._request)  # already on the wire; this only sets the state
+        length = header(list(self._request.headers), b"content-length")
+        if length and int(length):
+            protocol.send(h11.Data(data=b"\0" * int(length)))
+        protocol.send(h11.EndOfMessage())
+        protocol.receive_data(rest)
+        self._protocol = protocol
+
+
+class ConnectionPool:
+    """Keep idle connections to one upstream."""
+
+    def __init__(self, address: Address) -> None:
+        """Connect to an address on demand."""
+        self.address = address
+        self._idle: deque[UpstreamConnection] = deque()
+        self.opened = 0
+
+    async def take(self, longest_rest_ms: float) -> UpstreamConnection:
+        """Return a kept connection that is usable, or a new one.
+
+        :param longest_rest_ms: longest rest of a kept connection.
+        :raises UpstreamError: when no connection can be opened; the request has not been sent.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable(longest_rest_ms):
+                return connection
+            await connection.aclose()
+        return await self._open()
+
+    def give_back(self, connection: UpstreamConnection) -> None:
+        """Keep a connection for the next request."""
+        self._idle.append(connection)
+
+    async def sweep(self) -> None:
+        """Close connections that rested too long or were closed by the upstream."""
+        for connection in list(self._idle):
+            if not connection.is_usable(float("inf")):
+                self._idle.remove(connection)
+                await connection.aclose()
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _open(self) -> UpstreamConnection:
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(self.address.host, self.address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise UpstreamError(Fault.NOT_CONNECTED, f"cannot connect: {error!r}") from error
+        tune(stream)
+        self.opened += 1
+        return UpstreamConnection(stream)
--- a/src/briardyke/http/pool.py
+++ b/src/briardyke/http/pool.py
@@ -12,7 +12,7 @@
 from briardyke.http.paced import PacedBackend
 
 if TYPE_CHECKING:
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 _SWEEP_INTERVAL_S = 1.0
 
--- /dev/null
+++ b/src/briardyke/http/sockets.py
@@ -0,0 +1,33 @@
+"""Set the options that every TCP connection of a process uses."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import trio
+
+# A peer behind a silent partition is given up within two seconds: shorter than the three seconds
+# for which the platform counts a machine as out of contact.
+USER_TIMEOUT_MS = 2000
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+
+
+def tune(stream: trio.SocketStream, *, keepalive: bool = True) -> None:
+    """Send small writes at once and notice a silent peer.
+
+    :param stream: connected stream.
+    :param keepalive: whether an idle connection is probed as well.
+    """
+    with contextlib.suppress(OSError):  # the peer may have reset the connection already
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        if keepalive:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
--- a/src/briardyke/loadtool/addresses.py
+++ b/src/briardyke/loadtool/addresses.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
+from briardyke.addresses import Address, parse_address
 from briardyke.clock import now_ms
 from briardyke.logs import log_debug
-from briardyke.settings import Address, parse_address
 
 if TYPE_CHECKING:
     import random
--- a/src/briardyke/loadtool/main.py
+++ b/src/briardyke/loadtool/main.py
@@ -10,13 +10,14 @@
 import typer
 
 from briardyke.clock import now_ms, sleep_ms
+from briardyke.exit_codes import ExitCode
 from briardyke.http.client import HttpClient
 from briardyke.loadtool.addresses import AddressBook
 from briardyke.loadtool.callers import Caller, ChatRequest
 from briardyke.loadtool.settings import LoadSettings
 from briardyke.loadtool.summary import Outcome, Summary, summary_lines
 from briardyke.logs import configure_logs, log_warning
-from briardyke.settings import ExitCode, settings_command
+from briardyke.settings import settings_command
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/briardyke/loadtool/settings.py
+++ b/src/briardyke/loadtool/settings.py
@@ -4,13 +4,8 @@
 
 import attrs
 
-from briardyke.settings import (
-    Address,
-    parse_addresses,
-    parse_boolean,
-    parse_choice,
-    setting,
-)
+from briardyke.addresses import Address
+from briardyke.settings import parse_addresses, parse_boolean, parse_choice, setting
 
 
 def parse_weights(text: str) -> dict[str, float]:
--- a/src/briardyke/logs.py
+++ b/src/briardyke/logs.py
@@ -5,10 +5,13 @@
 import logging as standard_logging
 import sys
 import time
-from typing import Any
+from typing import Any, TextIO
 
 from absl import flags, logging
 
+# One line costs about 0.1 ms; 60 a second take under 1% of a core.
+LINES_PER_S = 60
+ROUTINE_LINES_PER_S = 20
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
 
@@ -28,16 +31,17 @@
         return line
 
 
-def configure_logs(level: str) -> None:
-    """Send all log lines to standard error.
+def configure_logs(level: str, stream: TextIO | None = None) -> None:
+    """Send all log lines to one stream.
 
     :param level: lowest level written: debug, info, warning or error.
+    :param stream: where to write; standard error by default.
     """
     flags.FLAGS.mark_as_parsed()  # absl warns about lines logged before its own flags are parsed
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(_KeyValueFormatter())
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     logging.set_verbosity(level)
     standard_logging.getLogger("hypercorn").setLevel(standard_logging.WARNING)
 
@@ -52,6 +56,49 @@
         logging.info("%s", _line(event, fields))
 
 
+def log_limited(event: str, /, *, is_routine: bool, **fields: Any) -> None:
+    """Log an event at level info within the volume that one process may write.
+
+    Load: thousands of requests a second must not pay for as many lines. Routine events get a
+    smaller part, so that failures stay visible among them; what was left out is counted.
+
+    :param event: name of the event in snake case.
+    :param is_routine: whether nothing went wrong.
+    :param fields: pairs to write, in the given order.
+    """
+    left_out = _volume.admit(is_routine)
+    if left_out is None:
+        return
+    if left_out:
+        log_event("lines_left_out", count=left_out)
+    log_event(event, **fields)
+
+
+class _Volume:
+    """Bound the limited lines of each second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._written = 0
+        self._left_out = 0
+
+    def admit(self, is_routine: bool) -> int | None:
+        """Return ``None`` to leave a line out, else how many were left out before it."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._written = second, 0
+        bound = ROUTINE_LINES_PER_S if is_routine else LINES_PER_S
+        if self._written >= bound:
+            self._left_out += 1
+            return None
+        self._written += 1
+        left_out, self._left_out = self._left_out, 0
+        return left_out
+
+
+_volume = _Volume()
+
+
 def log_debug(event: str, /, **fields: Any) -> None:
     """Log an event at level debug."""
     if logging.level_debug():
--- a/src/briardyke/metrics.py
+++ b/src/briardyke/metrics.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from functools import cache, lru_cache
-from typing import TYPE_CHECKING
+from functools import cache, lru_cache, partial
+from typing import TYPE_CHECKING, Any
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
@@ -43,3 +44,22 @@
     """Return all instruments in the Prometheus text format."""
     meter()
     return generate_latest(REGISTRY)
+
+
+def page_of(figures: dict[str, list[tuple[float, dict[str, Any]]]]) -> bytes:
+    """Return figures that were counted without instruments in the Prometheus text format.
+
+    :param figures: values with their attributes, by name.
+    """
+    for name in figures:
+        if name not in _observed:
+            meter().create_observable_gauge(name, callbacks=[partial(_observe, name)])
+    _observed.update(figures)
+    return prometheus_page()
+
+
+def _observe(name: str, options: Any) -> list[Observation]:
+    return [Observation(value, attributes) for value, attributes in _observed[name]]
+
+
+_observed: dict[str, list[tuple[float, dict[str, Any]]]] = {}
--- a/src/briardyke/operator/client.py
+++ b/src/briardyke/operator/client.py
@@ -8,9 +8,10 @@
 import attrs
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address
 from briardyke.clock import sleep_ms
 from briardyke.errors import ErrorKind, Failure, Ran
-from briardyke.settings import Address, parse_addresses, setting
+from briardyke.settings import parse_addresses, setting
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/briardyke/operator/main.py
+++ b/src/briardyke/operator/main.py
@@ -14,10 +14,11 @@
 from result import Result
 
 from briardyke.errors import ErrorKind, Failure
+from briardyke.exit_codes import ExitCode
 from briardyke.http.client import HttpClient
 from briardyke.ids import new_id
 from briardyke.operator.client import OperatorClient, OperatorSettings, header_text
-from briardyke.settings import ENVIRONMENT_PREFIX, ExitCode, load_settings
+from briardyke.settings import ENVIRONMENT_PREFIX, load_settings
 
 Call = Callable[[OperatorClient], Awaitable[Result[Any, Failure]]]
 
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -9,6 +9,7 @@
 import trio
 from result import Err, Ok
 
+from briardyke.addresses import parse_address
 from briardyke.clock import now_ms, sleep_ms
 from briardyke.errors import ErrorKind
 from briardyke.logs import log_event, log_warning
@@ -17,7 +18,6 @@
 from briardyke.placement.orders import Order, OrderState, Outcome
 from briardyke.placement.plan import plan
 from briardyke.placement.tables import StepKind
-from briardyke.settings import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- /dev/null
+++ b/src/briardyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the product and the users' platform; holds no decisions."""
--- /dev/null
+++ b/src/briardyke/platform/announcements.py
@@ -0,0 +1,71 @@
+"""Read what an upstream says of itself to the platform's registration calls."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from briardyke.errors import ErrorKind, Failure
+from briardyke.fleet.records import DRAINING, READY, HeldModel, Upstream, is_usable
+
+# The platform's words for the two states; any other names no upstream to use.
+_STATES = {"ready": READY, "draining": DRAINING}
+
+
+def decode_announcement(upstream_id: str, body: bytes) -> Result[Upstream, Failure]:
+    """Read one announcement.
+
+    :param upstream_id: id in the path of the call.
+    :return: ``field_invalid`` when it names no upstream that can be used.
+    """
+    try:
+        row = _upstream(upstream_id, json.loads(body))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        text = f"cannot read the announcement: {type(error).__name__}: {error}"
+        return Err(Failure(ErrorKind.FIELD_INVALID, text))
+    if not is_usable(row):
+        return Err(Failure(ErrorKind.FIELD_INVALID, "no usable address or service"))
+    return Ok(row)
+
+
+def _upstream(upstream_id: str, value: dict[str, Any]) -> Upstream:
+    copies = value.get("at_hand") or {}
+    return Upstream(
+        upstream_id=upstream_id,
+        # The page's "born" is the start of the process, the same in every announcement of it.
+        incarnation=_whole(value["born"]),
+        sequence=_whole(value["sequence"]),
+        service=_text(value["service"]),
+        address=_text(value["address"]),
+        data_centre=_text(value["zone"]),
+        lifecycle=_STATES[value["state"]],
+        slots=max(1, _whole(value.get("slots", 1))),
+        models=[_held(row) for row in value.get("models") or ()],
+        at_hand=sorted(
+            {_name(row) for key in ("in_memory", "on_disk") for row in copies.get(key) or ()}
+        ),
+        leaves_in_ms=float(value.get("remaining_ms") or 0.0),
+    )
+
+
+def _held(row: dict[str, Any]) -> HeldModel:
+    return HeldModel(_text(row["name"]), [_name(adapter) for adapter in row.get("adapters") or ()])
+
+
+def _name(value: Any) -> str:
+    """Return the name in an entry that is a name or an object with one."""
+    return _text(value["name"] if isinstance(value, dict) else value)
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"expected a whole number, got {value!r}")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"expected text, got {value!r}")
+    return value
--- /dev/null
+++ b/src/briardyke/platform/configuration.py
@@ -0,0 +1,133 @@
+"""Read the platform's configuration document into the product's types."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from briardyke.errors import ErrorKind, Failure
+from briardyke.routes.configuration import (
+    CallerLimits,
+    EngineSpec,
+    ModelSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    ServingConfiguration,
+    Target,
+)
+from briardyke.routes.validation import invalid_reasons
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def decode_configuration(body: bytes) -> Result[ServingConfiguration, Failure]:
+    """Read and check a document.
+
+    :param body: JSON as the operator sent it.
+    :return: ``configuration_invalid`` with all reasons when it cannot be accepted.
+    """
+    try:
+        configuration = _configuration(json.loads(body))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        text = f"cannot read the configuration: {type(error).__name__}: {error}"
+        return Err(Failure(ErrorKind.CONFIGURATION_INVALID, text))
+    reasons = invalid_reasons(configuration)
+    if reasons:
+        failure = Failure(ErrorKind.CONFIGURATION_INVALID, reasons[0], reasons=tuple(reasons))
+        return Err(failure)
+    return Ok(configuration)
+
+
+def _configuration(value: dict[str, Any]) -> ServingConfiguration:
+    version = value["version"]
+    if type(version) is not int or version < 0:
+        raise ValueError("version must be a whole number")
+    limits = value.get("limits") or {}
+    services = [_service(row) for row in value["services"]]
+    defaults = CallerLimits()
+    return ServingConfiguration(
+        version,
+        tuple(_route(row) for row in value["routes"]),
+        {service.name: service for service in services},
+        CallerLimits(
+            int(limits.get("max_header_bytes", defaults.max_header_bytes)),
+            int(limits.get("max_body_bytes", defaults.max_body_bytes)),
+            _number(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
+            _number(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
+        ),
+    )
+
+
+def _route(row: dict[str, Any]) -> Route:
+    return Route(
+        name=_text(row["name"]),
+        host=_text(row["host"]).lower(),
+        path_prefix=_text(row["path_prefix"]),
+        kind=RequestKind(row["kind"]),
+        timeout_ms=_number(row["timeout_ms"]),
+        latency_objective_ms=_number(row.get("target_latency_ms", row["timeout_ms"])),
+        priority=int(row.get("priority", 5)),
+        targets=tuple(_targets(row)),
+        max_attempts=max(1, int(row.get("max_attempts", 1))),
+        is_resumable=bool(row.get("resumable", False)),
+        longest_pause_ms=_number(row.get("gap_target_ms", 0)),
+    )
+
+
+def _targets(row: dict[str, Any]) -> Iterable[Target]:
+    split = row.get("split")
+    if split:
+        for part in split:
+            yield Target(_text(part["service"]), _number(part["weight"]))
+    else:
+        yield Target(_text(row["service"]))
+
+
+def _service(row: dict[str, Any]) -> ServiceSpec:
+    engine = row.get("engine")
+    return ServiceSpec(
+        _text(row["name"]),
+        int(row.get("max_conns", 0)),
+        _engine(engine) if engine else None,
+    )
+
+
+def _engine(row: dict[str, Any]) -> EngineSpec:
+    models = [_model(model) for model in row.get("models", ())]
+    return EngineSpec(
+        slots=int(row["slots"]),
+        weights_mb=_number(row.get("weights_mb", 0)),
+        adapter_slots=int(row.get("adapter_slots", 0)),
+        store_loads_per_s=_number(row.get("loads_per_s", 0)),
+        cache_tokens=int(row.get("kv_capacity", 0)),
+        models={model.name: model for model in models},
+    )
+
+
+def _model(row: dict[str, Any]) -> ModelSpec:
+    load_s = _number(row["load_s"])
+    return ModelSpec(
+        name=_text(row["name"]),
+        weights_mb=_number(row["weights_mb"]),
+        load_s=load_s,
+        disk_load_s=_number(row.get("disk_s", load_s)),
+        memory_load_s=_number(row.get("warm_s", load_s)),
+        adapters=int(row.get("adapters", 0)),
+        adapter_mb=_number(row.get("adapter_mb", 0)),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"expected text, got {value!r}")
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"expected a number, got {value!r}")
+    return float(value)
--- /dev/null
+++ b/src/briardyke/platform/control_main.py
@@ -0,0 +1,53 @@
+"""Start a control instance on the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from briardyke.exit_codes import ExitCode
+from briardyke.fleet.control import ControlInstance
+from briardyke.fleet.member import CLUSTER_ID, Place, open_member
+from briardyke.http.h11_server import H11Server
+from briardyke.logs import log_error, log_event
+from briardyke.platform.control_api import ControlApi
+from briardyke.platform.seeds import SettingsFollower
+from briardyke.platform.starting import start
+from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
+from briardyke.wire.pool import PeerPool
+
+if TYPE_CHECKING:
+    from briardyke.platform.settings import PlatformSettings
+
+
+async def _run(settings: PlatformSettings, stop: trio.Event) -> None:
+    assert settings.control_listen is not None and settings.data_dir is not None
+    follower = SettingsFollower(settings)
+    own = settings.peer_address
+    hello = Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id)
+    async with trio.open_nursery() as nursery:
+        peers = PeerPool(nursery, hello)
+        place = Place(settings.data_dir, own, follower.peer_seeds(), settings.is_first_start)
+        opened = open_member(place, peers)
+        if opened.is_err():
+            log_error("data_folder_unusable", reason=opened.unwrap_err().message)
+            raise SystemExit(ExitCode.STORAGE_FAILED)
+        log, machine = opened.unwrap()
+        control = ControlInstance(log, machine, peers, own)
+        await nursery.start(log.run)
+        await nursery.start(serve_peers, own, hello, control.handle)
+        api = ControlApi(control, settings.control_listen.port)
+        await nursery.start(H11Server(api.handle).serve, settings.control_listen)
+        nursery.start_soon(follower.run)
+        nursery.start_soon(control.run)
+        log_event("control_started", member=log.status().member_id, version=machine.version)
+        await stop.wait()
+        await control.stop()
+        log_event("control_stopped", instance=settings.instance_id)
+        nursery.cancel_scope.cancel()
+
+
+def main() -> int:
+    """Run until the platform stops the process; return the exit code."""
+    return start("control", _run)
--- /dev/null
+++ b/src/briardyke/platform/entry_api.py
@@ -0,0 +1,50 @@
+"""Answer the platform's questions to an entry instance: readiness and addresses."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from briardyke.gateway.directory import addresses_for
+
+if TYPE_CHECKING:
+    from briardyke.gateway.process import EntryProcess
+    from briardyke.http.exchange import Answer, HttpRequest
+
+_READY = "/briardyke/ready"
+_RESOLVE = "/briardyke/resolve"
+METRICS_PATH = "/metrics"
+_JSON = [(b"content-type", b"application/json")]
+# Callers keep an answer this long; a shorter time lets them follow a stop sooner.
+ADDRESS_TTL_S = 2
+
+
+class EntryApi:
+    """Translate calls into questions to an :class:`EntryProcess`."""
+
+    def __init__(self, entry: EntryProcess) -> None:
+        """Serve an entry process."""
+        self._entry = entry
+
+    async def handle(self, request: HttpRequest, answer: Answer) -> None:
+        """Answer one call."""
+        if request.path == _READY:
+            await answer.send_whole(200 if self._entry.is_ready else 503, [])
+        elif request.path == _RESOLVE:
+            await self._resolve(request, answer)
+        elif request.path == METRICS_PATH:
+            page = self._entry.state.counters.page()
+            await answer.send_whole(200, [(b"content-type", b"text/plain")], page)
+        else:
+            await answer.send_whole(404, [])
+
+    async def _resolve(self, request: HttpRequest, answer: Answer) -> None:
+        query = parse_qs(request.target.partition("?")[2])
+        data_centre = query.get("zone", [""])[0]
+        addresses = addresses_for(data_centre, self._entry.client.view.entries)
+        if not addresses:
+            await answer.send_whole(503, [])
+            return
+        body = json.dumps({"addresses": addresses, "ttl_s": ADDRESS_TTL_S}).encode()
+        await answer.send_whole(200, _JSON, body)
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
 from briardyke.policy.directory import Directory, Group
 from briardyke.policy.prefixes import PrefixMap
@@ -14,7 +15,6 @@
 from briardyke.policy.speed import nominal_between_tokens_ms
 from briardyke.policy.tables import AttemptOutcome, RoutingPolicy
 from briardyke.policy.upstreams import Attempt, Forecast, Upstream
-from briardyke.settings import Address, parse_address
 
 if TYPE_CHECKING:
     import random
--- a/src/briardyke/runtime.py
+++ b/src/briardyke/runtime.py
@@ -7,8 +7,8 @@
 
 import trio
 
+from briardyke.exit_codes import ExitCode
 from briardyke.logs import log_error, log_event, log_warning
-from briardyke.settings import ExitCode
 
 Main = Callable[[trio.Event], Awaitable[None]]
 _SIGNAL_EXIT_BASE = 128
--- a/src/briardyke/settings.py
+++ b/src/briardyke/settings.py
@@ -3,50 +3,23 @@
 from __future__ import annotations
 
 import inspect
-import ipaddress
 import math
 from collections.abc import Callable, Mapping
-from enum import IntEnum
 from typing import Annotated, Any, TypeVar
 
 import attrs
 import typer
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
+from briardyke.exit_codes import ExitCode
 
 ENVIRONMENT_PREFIX = "BRIARDYKE_"
 _METADATA_KEY = "setting"
 T = TypeVar("T")
 
 
-class ExitCode(IntEnum):
-    """List the exit codes of every binary; docs/settings.md explains them."""
-
-    OK = 0
-    DEFECT = 1
-    SETTINGS_INVALID = 2
-    LISTEN_FAILED = 3
-    STORAGE_FAILED = 4
-    REQUEST_FAILED = 5
-
-
-@attrs.frozen
-class Address:
-    """Name one TCP endpoint by IP number.
-
-    :param host: IPv4 or IPv6 address.
-    :param port: TCP port, 0 to 65535.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return ``host:port``, with brackets around an IPv6 host."""
-        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
-
-
 @attrs.frozen
 class _Setting:
     parse: Callable[[str], Any]
@@ -85,18 +58,6 @@
     return attrs.field(metadata={_METADATA_KEY: declared})
 
 
-def parse_address(text: str) -> Address:
-    """Parse ``ip:port``.
-
-    :raises ValueError: when the host is no IP number or the port is out of range.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdecimal() or int(port) > 65535:
-        raise ValueError("expected <ip>:<port>")
-    bare = host.removeprefix("[").removesuffix("]")
-    return Address(str(ipaddress.ip_address(bare)), int(port))
-
-
 def parse_optional_address(text: str) -> Address | None:
     """Parse ``ip:port``; empty text gives ``None``."""
     return parse_address(text) if text else None
--- a/src/briardyke/standins/announcing.py
+++ b/src/briardyke/standins/announcing.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
     from briardyke.wire.messages import UpstreamRow
 
 _ANNOUNCE_TIMEOUT_MS = 500.0
--- a/src/briardyke/standins/process.py
+++ b/src/briardyke/standins/process.py
@@ -7,8 +7,8 @@
 
 import trio
 
+from briardyke.exit_codes import ExitCode
 from briardyke.logs import configure_logs, log_error, log_event
-from briardyke.settings import ExitCode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/briardyke/standins/service/settings.py
+++ b/src/briardyke/standins/service/settings.py
@@ -4,14 +4,8 @@
 
 import attrs
 
-from briardyke.settings import (
-    Address,
-    parse_address,
-    parse_addresses,
-    parse_boolean,
-    parse_choice,
-    setting,
-)
+from briardyke.addresses import Address, parse_address
+from briardyke.settings import parse_addresses, parse_boolean, parse_choice, setting
 
 
 @attrs.frozen
--- a/src/briardyke/sync/client.py
+++ b/src/briardyke/sync/client.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
     from briardyke.sync.view import SyncedView
     from briardyke.wire.pool import PeerPool
 
--- a/src/briardyke/wire/connection.py
+++ b/src/briardyke/wire/connection.py
@@ -16,7 +16,7 @@
 from briardyke.wire import codec
 
 if TYPE_CHECKING:
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 PROTOCOL_VERSION = 1
 HANDSHAKE_TIMEOUT_S = 3.0
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     import trio
 
-    from briardyke.settings import Address
+    from briardyke.addresses import Address
 
 
 class PeerPool:
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -11,11 +11,11 @@
 import attrs
 import msgpack
 
+from briardyke.addresses import Address
 from briardyke.consensus.log import Entry, EntryKind, HardState, Recovered, Snapshot
 from briardyke.consensus.members import Member, MemberChange, Membership
 from briardyke.consensus.node import Node
 from briardyke.consensus.state import Effects, NodeSettings, Role
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -9,12 +9,12 @@
 import msgpack
 import trio
 
+from briardyke.addresses import Address
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import Identity, initialise, open_identity
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -8,6 +8,7 @@
 import msgpack
 import pytest
 
+from briardyke.addresses import Address
 from briardyke.consensus.log import Entry, EntryKind, HardState, Recovered
 from briardyke.consensus.members import MAX_REMOVED_IDS, Member, MemberChange, Membership
 from briardyke.consensus.messages import (
@@ -24,7 +25,6 @@
 from briardyke.consensus.node import Node
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind
-from briardyke.settings import Address
 from briardyke.wire import codec
 
 from .cluster import Cluster
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -5,12 +5,12 @@
 import os
 from typing import TYPE_CHECKING
 
+from briardyke.addresses import Address
 from briardyke.consensus import storage as storage_module
 from briardyke.consensus.identity import initialise, open_identity
 from briardyke.consensus.log import Entry, EntryKind, HardState, Recovered, Snapshot
 from briardyke.consensus.storage import GroupStorage
 from briardyke.errors import ErrorKind
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -9,12 +9,12 @@
 import trio
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address, parse_address
 from briardyke.agreed.machine import ControlMachine
 from briardyke.control.operator_api import Member, register_operator_routes
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.app import HttpApp, serve_http
 from briardyke.http.client import HttpClient, WholeResponse
-from briardyke.settings import Address, parse_address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/entry/relay_support.py
+++ b/tests/entry/relay_support.py
@@ -10,13 +10,14 @@
 import trio
 from result import Err, Ok, Result
 
+from briardyke.addresses import Address, parse_address
 from briardyke.entry.relay import Relay
 from briardyke.entry.relay_jobs import ModelJob, RelayPolicy, ServiceJob
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import HttpClient
 from briardyke.http.sse import EventParser, ServerSentEvent
 from briardyke.policy.tables import AttemptOutcome, RouteRequest
-from briardyke.settings import Address, load_settings, parse_address
+from briardyke.settings import load_settings
 from briardyke.standins.engine.server import run_engine
 from briardyke.standins.engine.settings import EngineSettings
 from briardyke.standins.generation import whole_text
--- a/tests/entry/test_relay_attempts.py
+++ b/tests/entry/test_relay_attempts.py
@@ -9,10 +9,10 @@
 import trio
 from relay_support import FakeBudget, FakeClaims, FakeTable, model_job
 
+from briardyke.addresses import Address
 from briardyke.entry.relay import Relay
 from briardyke.entry.relay_jobs import RelayPolicy
 from briardyke.http.sse import DONE, ServerSentEvent
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/entry/test_relay_services.py
+++ b/tests/entry/test_relay_services.py
@@ -8,8 +8,8 @@
 import trio
 from relay_support import service_job, world
 
+from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Ran
-from briardyke.settings import Address
 
 SERVICES = ("s1", "s2")
 
--- a/tests/entry/test_relay_streams.py
+++ b/tests/entry/test_relay_streams.py
@@ -7,9 +7,9 @@
 import trio.testing
 from relay_support import FakeTable, expected_text, model_job, receive, world
 
+from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Failure
 from briardyke.policy.tables import AttemptOutcome
-from briardyke.settings import Address
 
 TWO = {"e1": {}, "e2": {}}
 
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from briardyke.addresses import Address
 from briardyke.clock import now_ms
 from briardyke.entry.settings import EntrySettings
 from briardyke.entry.state import EntryState
-from briardyke.settings import Address, load_settings
+from briardyke.settings import load_settings
 from briardyke.sync.lease import VERSION_LEASE_MS
 from briardyke.wire.messages import SyncReply
 
--- a/tests/http/test_app.py
+++ b/tests/http/test_app.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind
 from briardyke.http.app import (
     HttpApp,
@@ -20,7 +21,6 @@
     serve_http,
 )
 from briardyke.http.client import CallError, HttpClient
-from briardyke.settings import Address, parse_address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/http/test_app_disconnect.py
+++ b/tests/http/test_app_disconnect.py
@@ -5,9 +5,9 @@
 import pytest
 import trio
 
+from briardyke.addresses import Address, parse_address
 from briardyke.http.app import HttpApp, Request, Response, serve_http
 from briardyke.http.client import HttpClient
-from briardyke.settings import Address, parse_address
 
 
 class TestDisconnect:
--- a/tests/http/test_pool.py
+++ b/tests/http/test_pool.py
@@ -7,10 +7,10 @@
 
 import trio
 
+from briardyke.addresses import Address
 from briardyke.errors import ErrorKind
 from briardyke.http import client as client_module
 from briardyke.http.client import HttpClient
-from briardyke.settings import Address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/loadtool/test_run.py
+++ b/tests/loadtool/test_run.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.app import (
     AnyResponse,
@@ -23,7 +24,8 @@
 from briardyke.loadtool.main import exit_code, run_load
 from briardyke.loadtool.settings import LoadSettings
 from briardyke.loadtool.summary import Outcome, summary_lines
-from briardyke.settings import Address, ExitCode, load_settings, parse_address
+from briardyke.exit_codes import ExitCode
+from briardyke.settings import load_settings
 from briardyke.standins.engine.server import run_engine
 from briardyke.standins.engine.settings import EngineSettings
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -10,11 +10,12 @@
 import pytest
 import trio
 
+from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind
 from briardyke.http.app import HttpApp, Request, Response, serve_http
 from briardyke.http.client import HttpClient
 from briardyke.http.sse import EventParser
-from briardyke.settings import Address, load_settings, parse_address
+from briardyke.settings import load_settings
 from briardyke.standins.engine.server import run_engine
 from briardyke.standins.engine.settings import EngineSettings
 from briardyke.standins.generation import prefix_hashes, whole_text
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -9,9 +9,10 @@
 import pytest
 import trio
 
+from briardyke.addresses import parse_address
 from briardyke.errors import ErrorKind
 from briardyke.http.client import HttpClient, WholeResponse
-from briardyke.settings import load_settings, parse_address
+from briardyke.settings import load_settings
 from briardyke.standins.service.server import run_service
 from briardyke.standins.service.settings import ServiceSettings
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from briardyke.errors import ErrorKind
-from briardyke.settings import ExitCode
+from briardyke.exit_codes import ExitCode
 
 ROOT = Path(__file__).resolve().parent.parent
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,15 +7,9 @@
 import typer
 from typer.testing import CliRunner
 
-from briardyke.settings import (
-    Address,
-    ExitCode,
-    as_command,
-    load_settings,
-    parse_address,
-    parse_members,
-    setting,
-)
+from briardyke.addresses import Address, parse_address
+from briardyke.exit_codes import ExitCode
+from briardyke.settings import as_command, load_settings, parse_members, setting
 
 
 @attrs.frozen
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -8,8 +8,8 @@
 import pytest
 import trio
 
+from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Failure
-from briardyke.settings import Address
 from briardyke.wire import codec
 from briardyke.wire.connection import (
     PROTOCOL_VERSION,
