Order loads of models and adapters from the leader

Change: package models decides from demand that the entry instances report; orders carry the expected sequence and the term as fencing token; a model that is unloaded gets no new requests first; the retry budget is shared by entry instances.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -34,6 +34,7 @@
     :param version: number of the configuration held, 0 for none.
     :param upstreams: upstreams by id.
     :param entries: entry instances that callers may be sent to.
+    :param withheld: models by upstream id that get no new requests.
     :param leader: peer address of the leader of the control instances.
     :param controls: peer addresses of the control instances.
     :param confirmed_ms: time of the last current answer.
@@ -42,6 +43,7 @@
     version: int = 0
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     entries: list[EntryInstance] = attrs.field(factory=list)
+    withheld: dict[str, list[str]] = attrs.field(factory=dict)
     leader: Address | None = None
     controls: list[Address] = attrs.field(factory=list)
     confirmed_ms: float = float("-inf")
@@ -80,6 +82,7 @@
         self._table_id = ""
         self._held_upstreams = 0
         self._held_entries = 0
+        self._held_withheld = 0
         self._wake = trio.Event()
 
     async def run(self) -> None:
@@ -124,6 +127,7 @@
             self._table_id,
             self._held_upstreams,
             self._held_entries,
+            self._held_withheld,
             wait_ms,
         )
         reply = None
@@ -156,14 +160,18 @@
             return
         if reply.is_whole:
             view.upstreams = {}
+            view.withheld = {}
         for row in reply.upstreams:
             view.upstreams[row.upstream_id] = row
+        for held in reply.withheld:
+            view.withheld[held.upstream_id] = held.models
         if reply.entries is not None:
             view.entries = reply.entries
         self._table_id = reply.table_id
         self._held_upstreams = reply.upstream_sequence
         self._held_entries = reply.entry_sequence
-        if reply.upstreams or reply.entries is not None:
+        self._held_withheld = reply.withheld_sequence
+        if reply.upstreams or reply.withheld or reply.entries is not None:
             self._changed()
 
     async def ask_for_adapter(self, request: AdapterRequest) -> AdapterReply:
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -22,7 +22,7 @@
     RowsRequest,
     RowsUpdate,
 )
-from briardyke.fleet.records import GONE, SILENT, EntryInstance, Upstream
+from briardyke.fleet.records import GONE, SILENT, EntryInstance, Upstream, Withheld
 from briardyke.fleet.table import SoftTable
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
@@ -44,6 +44,8 @@
 ENTRY_SILENCE_MS = 2500.0
 # Rows repeated without news are passed on together at this interval.
 BATCH_INTERVAL_MS = 400.0
+# Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
+LEADER_EVIDENCE_MS = 900.0
 _PROPOSE_TIMEOUT_MS = 2500.0
 _READ_TIMEOUT_MS = 900.0
 # Rows of departed owners are kept, so that late announcements do not revive them.
@@ -57,10 +59,12 @@
 
     :param upstreams: announced upstreams.
     :param entries: entry instances.
+    :param withheld: models that get no new requests.
     """
 
     upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
     entries: SoftTable[EntryInstance] = attrs.field(factory=SoftTable)
+    withheld: SoftTable[Withheld] = attrs.field(factory=SoftTable)
 
 
 class ControlInstance:
@@ -172,6 +176,33 @@
         if is_own:
             self._broadcast([row], [])
 
+    # Placement
+
+    def leading_term(self) -> int | None:
+        """Return the term that this instance leads with fresh evidence, else ``None``."""
+        age_ms = self.log.confirmed_age_ms()
+        is_fresh = age_ms is not None and age_ms < LEADER_EVIDENCE_MS
+        return self.log.status().term if is_fresh else None
+
+    def live_upstreams(self) -> list[Upstream]:
+        """Return the upstreams that have not left and are not silent."""
+        rows = self.tables.upstreams.changed_after(0)
+        return [row for row, is_silent in rows if not is_silent and row.lifecycle != GONE]
+
+    def demand(self) -> dict[str, float]:
+        """Return requests a second by model, over all entry instances."""
+        total: dict[str, float] = {}
+        for row, is_silent in self.tables.entries.changed_after(0):
+            for name, rate in row.demand.items() if not is_silent else ():
+                total[name] = total.get(name, 0.0) + rate
+        return total
+
+    def withhold(self, row: Withheld) -> None:
+        """Tell all entry instances which models of an upstream get no new requests."""
+        if self.tables.withheld.merge(row):
+            self._changed.notify()
+            self._broadcast([], [], [row])
+
     # Entry instances and peers
 
     async def handle(self, peer_id: str, message: Any) -> Any:
@@ -212,6 +243,7 @@
             self.machine.version > request.held_version
             or self.tables.upstreams.sequence > request.held_upstreams
             or self.tables.entries.sequence > request.held_entries
+            or self.tables.withheld.sequence > request.held_withheld
         )
 
     def _reply(self, request: FleetRequest) -> FleetReply:
@@ -242,6 +274,13 @@
             entry_sequence=self.tables.entries.sequence,
             leader=str(leader or ""),
             controls=[str(m.address) for m in self.log.status().members],
+            withheld=[
+                row
+                for row, _ in self.tables.withheld.changed_after(
+                    request.held_withheld if is_known else 0
+                )
+            ],
+            withheld_sequence=self.tables.withheld.sequence,
             is_whole=not is_known,
         )
 
@@ -251,6 +290,9 @@
         for entry, age_ms in zip(update.entries, update.entry_ages_ms, strict=True):
             if self.tables.entries.merge(entry, age_ms):
                 self._changed.notify()
+        for held in update.withheld:
+            if self.tables.withheld.merge(held):
+                self._changed.notify()
 
     def _all_rows(self) -> RowsUpdate:
         upstreams = self.tables.upstreams.heard_within(_FORGET_MS)
@@ -260,6 +302,7 @@
             [age for _, age in upstreams],
             [row for row, _ in entries],
             [age for _, age in entries],
+            self.tables.withheld.rows(),
         )
 
     # Tasks
@@ -311,8 +354,14 @@
                 log_event("entry_silent", instance=entry.instance_id)
                 self._changed.notify()
 
-    def _broadcast(self, upstreams: list[Upstream], entries: list[EntryInstance]) -> None:
-        update = RowsUpdate(upstreams, [0.0] * len(upstreams), entries, [0.0] * len(entries))
+    def _broadcast(
+        self,
+        upstreams: list[Upstream],
+        entries: list[EntryInstance],
+        withheld: list[Withheld] | None = None,
+    ) -> None:
+        ages_ms = [0.0] * len(upstreams), [0.0] * len(entries)
+        update = RowsUpdate(upstreams, ages_ms[0], entries, ages_ms[1], withheld or [])
         for address in self._other_members():
             self._peers.client(address).send(update)
 
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briardyke.fleet.records import EntryInstance, Upstream
+from briardyke.fleet.records import EntryInstance, Upstream, Withheld
 from briardyke.wire.codec import message
 
 
@@ -17,12 +17,14 @@
     :param upstream_ages_ms: time since each was sent by its owner.
     :param entries: entry rows.
     :param entry_ages_ms: time since each was sent by its owner.
+    :param withheld: models that get no new requests.
     """
 
     upstreams: list[Upstream]
     upstream_ages_ms: list[float]
     entries: list[EntryInstance]
     entry_ages_ms: list[float]
+    withheld: list[Withheld] = attrs.field(factory=list)
 
 
 @message
@@ -41,6 +43,7 @@
     :param table_id: identity of the answering control process at the last answer, or empty.
     :param held_upstreams: sequence of the upstream table that it holds.
     :param held_entries: sequence of the entry table that it holds.
+    :param held_withheld: sequence of the table of withheld models that it holds.
     :param wait_ms: longest time to hold the answer when nothing is new.
     """
 
@@ -49,6 +52,7 @@
     table_id: str
     held_upstreams: int
     held_entries: int
+    held_withheld: int
     wait_ms: float
 
 
@@ -67,6 +71,8 @@
     :param entry_sequence: sequence of the entry table.
     :param leader: peer address of the leader, empty when unknown.
     :param controls: peer addresses of all members of the control group.
+    :param withheld: models that get no new requests, where this changed.
+    :param withheld_sequence: sequence of the table of withheld models.
     :param is_whole: whether ``upstreams`` is everything that is known here.
     """
 
@@ -80,6 +86,8 @@
     entry_sequence: int
     leader: str
     controls: list[str]
+    withheld: list[Withheld]
+    withheld_sequence: int
     is_whole: bool
 
 
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -108,6 +108,36 @@
         )
 
 
+@attrs.frozen
+class Withheld:
+    """Name models of an upstream that get no new requests, because they are being unloaded.
+
+    :param upstream_id: the upstream.
+    :param term: term of the leader that decided it.
+    :param sequence: number of the decision within the term.
+    :param models: names of the models.
+    """
+
+    upstream_id: str
+    term: int
+    sequence: int
+    models: list[str]
+
+    @property
+    def key(self) -> str:
+        """Return the row's key."""
+        return self.upstream_id
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """Return what decides between two rows of one key."""
+        return (self.term, 0, self.sequence)
+
+    def same_content(self, other: Withheld) -> bool:
+        """Return whether the same models are withheld."""
+        return self.models == other.models
+
+
 def is_usable(row: Upstream) -> bool:
     """Return whether a row names an upstream that can be connected to."""
     try:
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -63,7 +63,7 @@
         self._stopping_since_ms = 0.0
         self.client = FleetClient(peers, seeds, self._report, self._adopt, self._on_change)
         self.state = GatewayState(
-            dialect, place.data_centre, place.retry_ratio, self.client.ask_for_adapter
+            dialect, place.data_centre, place.retries, self.client.ask_for_adapter
         )
         self._forwarder = Forwarder(self.state)
         self.server = H11Server(self._forwarder.handle, self._limits)
@@ -136,7 +136,10 @@
         return True
 
     def _on_change(self) -> None:
-        self._retired += self.state.upstreams.adopt(self.client.view.upstreams)
+        self._retired += self.state.upstreams.adopt(
+            self.client.view.upstreams, self.client.view.withheld
+        )
+        self.state.entry_count = max(1, len(self.client.view.entries))
         self.state.changed.notify()
 
     async def _sweep(self) -> None:
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
 from briardyke.addresses import Address
+from briardyke.gateway.state import RetryBounds
 
 
 @attrs.frozen
@@ -17,11 +16,11 @@
     :param data_centre: where it runs.
     :param listen: where callers connect.
     :param grace_s: time between a stop request and the kill.
-    :param retry_ratio: repeats allowed for each request, over all entry instances.
+    :param retries: repeats allowed over all entry instances.
     """
 
     instance_id: str
     data_centre: str
     listen: Address
     grace_s: float
-    retry_ratio: float
+    retries: RetryBounds
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardyke.gateway.adapters import AdapterPlaces
 from briardyke.gateway.admission import Admission
 from briardyke.gateway.counters import Counters
@@ -20,9 +22,25 @@
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
-# Part of the retries allowed over all entry instances that they use together, so that requests
-# counted in another window or lost on their way leave the budget whole.
-_BUDGET_SHARE = 0.7
+# Within one window a budget can spend what it has kept and what it earns, up to twice its rate, so
+# half of the allowed rate keeps any window within the bound. The fixed part leaves a fifth for
+# instances that have not learned yet of another one.
+_RATIO_SHARE = 0.5
+_SLACK_SHARE = 0.4
+
+
+@attrs.frozen
+class RetryBounds:
+    """Bound the repeats that all entry instances send to one service in a window.
+
+    :param ratio: repeats for each request.
+    :param slack: repeats beside the ratio.
+    :param window_s: length of the window, in seconds.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
 
 
 class GatewayState:
@@ -32,14 +50,14 @@
         self,
         dialect: Dialect,
         data_centre: str,
-        retry_ratio: float,
+        retries: RetryBounds,
         ask_for_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
     ) -> None:
         """Start without a configuration.
 
         :param dialect: protocol of callers and upstreams.
         :param data_centre: data centre of this instance.
-        :param retry_ratio: repeats allowed for each request over all entry instances.
+        :param retries: repeats allowed over all entry instances.
         :param ask_for_adapter: asks the control instances for an adapter.
         """
         self.dialect = dialect
@@ -51,7 +69,8 @@
         self.changed = Notifier()
         self.admission = Admission()
         self.adapters = AdapterPlaces(self, ask_for_adapter)
-        self._retry_ratio = retry_ratio
+        self._retries = retries
+        self.entry_count = 1
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
@@ -61,10 +80,14 @@
 
     def budget(self, service: str) -> RetryBudget:
         """Return this instance's part of a service's retry budget."""
-        if service not in self._budgets:
-            ratio = self._retry_ratio * _BUDGET_SHARE
-            self._budgets[service] = RetryBudget(ratio=ratio, per_second=0.3)
-        return self._budgets[service]
+        bounds = self._retries
+        per_second = bounds.slack * _SLACK_SHARE / bounds.window_s / self.entry_count
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(bounds.ratio * _RATIO_SHARE, per_second, bounds.window_s)
+            self._budgets[service] = budget
+        budget.per_second = per_second
+        return budget
 
     def is_engine(self, service: str) -> bool:
         """Return whether a service runs models."""
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -29,8 +29,9 @@
     :param in_flight: requests of this instance that it runs or holds.
     :param others: requests of other instances at the last report.
     :param reported_ms: time of the last report.
-    :param drain_ms: time from which it leaves, or ``None``.
     :param pace_ms: recent time to its first answer bytes.
+    :param withheld: models that get no new requests.
+    :param adapters: time until which each adapter is trusted to be there, by model and name.
     """
 
     row: Upstream
@@ -40,6 +41,7 @@
     others: float = 0.0
     reported_ms: float = 0.0
     pace_ms: float = 0.0
+    withheld: frozenset[str] = frozenset()
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
     def load(self) -> float:
@@ -54,6 +56,8 @@
 
     def holds(self, model: str) -> bool:
         """Return whether the model is in its memory."""
+        if model in self.withheld:
+            return False
         return any(held.name == model for held in self.row.models)
 
     def holds_adapter(self, model: str, adapter: str) -> bool:
@@ -67,8 +71,12 @@
     def __init__(self) -> None:
         self._states: dict[str, UpstreamState] = {}
 
-    def adopt(self, rows: dict[str, Upstream]) -> list[ConnectionPool]:
-        """Take the announced rows; return the pools of upstreams that are no longer used."""
+    def adopt(
+        self, rows: dict[str, Upstream], withheld: dict[str, list[str]]
+    ) -> list[ConnectionPool]:
+        """Take the announced rows and the models that get no new requests.
+
+        :return: the pools of upstreams that are no longer used."""
         retired = []
         for upstream_id in [i for i in self._states if i not in rows]:
             retired.append(self._states.pop(upstream_id).pool)
@@ -81,6 +89,7 @@
                 self._states[upstream_id] = UpstreamState(row, pool)
             else:
                 state.row = row
+            self._states[upstream_id].withheld = frozenset(withheld.get(upstream_id, ()))
         return retired
 
     def usable(self, service: str) -> list[UpstreamState]:
--- /dev/null
+++ b/src/briardyke/models/ledger.py
@@ -0,0 +1,84 @@
+"""Keep what the leader knows of each engine's memory and orders."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.fleet.records import Upstream
+
+# An adapter stays this long after it was last asked for; entry instances trust it for less.
+ADAPTER_KEEP_MS = 3000.0
+
+
+@attrs.frozen
+class EngineReport:
+    """Hold an engine's report of itself.
+
+    :param sequence: orders that it has accepted since its start.
+    :param models: adapters by model in its memory.
+    :param is_busy: whether it carries out an order for a model.
+    :param incoming: adapters on their way to it, as model and adapter.
+    """
+
+    sequence: int
+    models: dict[str, list[str]]
+    is_busy: bool
+    incoming: list[tuple[str, str]] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class EngineLedger:
+    """Hold the leader's knowledge of one start of an engine.
+
+    :param row: its latest announcement.
+    :param sequence: orders that it has accepted, ``None`` before its first report and while an
+        order is in doubt.
+    :param models: models that it holds or loads.
+    :param adapters: time at which each adapter was last asked for, by model and name.
+    :param pending: model and direction of the order that it carries out.
+    :param pending_since_ms: time at which that order was accepted.
+    :param lock: orders to one engine go out one after the other.
+    """
+
+    row: Upstream
+    sequence: int | None = None
+    models: set[str] = attrs.field(factory=set)
+    adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    pending: tuple[str, bool] | None = None
+    pending_since_ms: float = 0.0
+    leaving: set[str] = attrs.field(factory=set)
+    doubt_since_ms: float = 0.0
+    lock: trio.Lock = attrs.field(factory=trio.Lock)
+    ready: dict[tuple[str, str], trio.Event] = attrs.field(factory=dict)
+
+    def adopt_report(self, report: EngineReport) -> None:
+        """Take the engine's own report of its memory."""
+        self.sequence = report.sequence
+        self.models = set(report.models)
+        held = {(m, a) for m, names in report.models.items() for a in names}
+        held |= set(report.incoming)
+        self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
+        if not report.is_busy:
+            self.pending = None
+
+    def adopt_row(self, row: Upstream) -> None:
+        """Take a new announcement, which tells when a model has come or gone."""
+        self.row = row
+        if self.pending is None:
+            return
+        model, is_load = self.pending
+        announced = {held.name for held in row.models}
+        if (model in announced) == is_load:
+            self.pending = None
+            if not is_load:
+                self.models.discard(model)
+                self.leaving.discard(model)
+                self.adapters = {k: t for k, t in self.adapters.items() if k[0] != model}
+
+    def idle_adapters(self) -> list[tuple[str, str]]:
+        """Return adapters that may be evicted, the least recently asked for first."""
+        limit_ms = now_ms() - ADAPTER_KEEP_MS
+        old = [key for key, used_ms in self.adapters.items() if used_ms < limit_ms]
+        return sorted(old, key=lambda key: self.adapters[key])
--- /dev/null
+++ b/src/briardyke/models/orders.py
@@ -0,0 +1,54 @@
+"""Define the orders that engines take and how they answer."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from briardyke.fleet.records import Upstream
+    from briardyke.models.ledger import EngineReport
+
+
+class OrderOutcome(Enum):
+    """List how an engine answers an order."""
+
+    ACCEPTED = "accepted"
+    HELD_ALREADY = "held_already"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class Order:
+    """Describe an order.
+
+    :param is_load: whether something is loaded or unloaded.
+    :param model: name of the model.
+    :param adapter: name of one of its adapters, or empty for the model itself.
+    :param expected_sequence: orders that the engine has accepted before; with any other number it
+        refuses, so that an order that arrives late changes nothing.
+    :param holder: name of the instance that orders.
+    :param fencing_token: token of its term; a lower one than the engine has seen is refused.
+    """
+
+    is_load: bool
+    model: str
+    adapter: str
+    expected_sequence: int
+    holder: str
+    fencing_token: int
+
+
+class Engines(Protocol):
+    """Reach engines."""
+
+    async def order(self, row: Upstream, order: Order) -> OrderOutcome:
+        """Send an order; ``UNKNOWN`` when it may be carried out now or later."""
+
+    async def report(self, row: Upstream) -> EngineReport | None:
+        """Return an engine's report, or ``None`` when it does not answer."""
--- /dev/null
+++ b/src/briardyke/models/runner.py
@@ -0,0 +1,308 @@
+"""Order loads and unloads while this instance leads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.fleet.messages import AdapterReply, AdapterRequest
+from briardyke.fleet.records import READY, Withheld
+from briardyke.logs import log_event, log_limited, log_warning
+from briardyke.models.decide import committed_mb, decide
+from briardyke.models.ledger import EngineLedger
+from briardyke.models.orders import Order, OrderOutcome
+from briardyke.models.store import StoreWindow
+from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.fleet.control import ControlInstance
+    from briardyke.models.orders import Engines
+    from briardyke.routes.configuration import EngineSpec, ServingConfiguration
+
+TICK_MS = 400.0
+# Entry instances learn of a model that leaves through their control instance within this time.
+WITHHOLD_MS = 200.0
+# An order is in doubt when it gets no answer. Its sequence is read again after this time, since
+# reports lag by some hundred milliseconds.
+REPORT_LAG_MS = 600.0
+# An adapter arrives within 14 ms while the store is not crowded.
+ADAPTER_ARRIVAL_MS = 15.0
+# An order that was accepted but shows no effect for this long is looked up in a report.
+_PENDING_CHECK_MS = 9000.0
+_MAX_ADAPTERS_IN_TRANSIT = 4
+
+
+class ModelsRunner:
+    """Carry out placement for all services that run models."""
+
+    def __init__(
+        self,
+        control: ControlInstance,
+        engines: Engines,
+        configuration: Callable[[], ServingConfiguration | None],
+        holder: str,
+        order_lease_ms: float,
+        store_window_s: float,
+    ) -> None:
+        """Prepare; :meth:`run` starts it.
+
+        :param control: this control instance.
+        :param engines: reaches the engines.
+        :param configuration: returns the configuration in force.
+        :param holder: name of this instance, the same for all its orders.
+        :param order_lease_ms: time for which an earlier leader may still order.
+        :param store_window_s: window in which loads from the store are counted.
+        """
+        self._control = control
+        self._engines = engines
+        self._configuration = configuration
+        self._holder = holder
+        self._order_lease_ms = order_lease_ms
+        self._store_window_s = store_window_s
+        self._store = StoreWindow(store_window_s)
+        self._ledgers: dict[str, EngineLedger] = {}
+        self._term = 0
+        self._term_since_ms = 0.0
+        self._fenced_term = 0
+        self._withheld_sequence = 0
+
+    async def run(self) -> None:
+        """Decide and order until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(TICK_MS / 1000.0)
+                if not self._may_order():
+                    continue
+                configuration = self._configuration()
+                if configuration is not None:
+                    await self._tick(configuration, nursery)
+
+    def _may_order(self) -> bool:
+        term = self._control.leading_term()
+        if term is None or term == self._fenced_term:
+            return False
+        if term != self._term:
+            self._term, self._term_since_ms = term, now_ms()
+            self._ledgers.clear()
+            self._store = StoreWindow(self._store_window_s)
+            log_event("placement_leads", term=term)
+        return now_ms() - self._term_since_ms >= self._order_lease_ms
+
+    async def _tick(self, configuration: ServingConfiguration, nursery: trio.Nursery) -> None:
+        self._follow_rows(configuration)
+        for ledger in self._ledgers.values():
+            if self._needs_report(ledger) and not ledger.lock.locked():
+                nursery.start_soon(self._refresh, ledger)
+        demand = self._control.demand()
+        for name, service in configuration.services.items():
+            if service.engine is None:
+                continue
+            view = ModelsView(
+                service.engine,
+                [self._view(i, g) for i, g in self._ledgers.items() if g.row.service == name],
+                demand,
+                self._store.free(service.engine.store_loads_per_s),
+            )
+            for change in decide(view):
+                self._start(change, nursery)
+
+    def _follow_rows(self, configuration: ServingConfiguration) -> None:
+        rows = {
+            row.upstream_id: row
+            for row in self._control.live_upstreams()
+            if (spec := configuration.services.get(row.service)) and spec.engine
+        }
+        for upstream_id in [i for i in self._ledgers if i not in rows]:
+            del self._ledgers[upstream_id]
+        for upstream_id, row in rows.items():
+            ledger = self._ledgers.get(upstream_id)
+            if ledger is None or ledger.row.incarnation != row.incarnation:
+                self._ledgers[upstream_id] = EngineLedger(row)
+            else:
+                ledger.adopt_row(row)
+
+    def _needs_report(self, ledger: EngineLedger) -> bool:
+        if ledger.sequence is None:
+            return now_ms() - ledger.doubt_since_ms >= REPORT_LAG_MS
+        if ledger.pending is None:
+            return False
+        return now_ms() - ledger.pending_since_ms >= _PENDING_CHECK_MS
+
+    async def _refresh(self, ledger: EngineLedger) -> None:
+        async with ledger.lock:
+            report = await self._engines.report(ledger.row)
+            if report is None:
+                ledger.doubt_since_ms = now_ms()
+                return
+            ledger.adopt_report(report)
+            ledger.pending_since_ms = now_ms()
+            if ledger.pending is None:
+                ledger.leaving.clear()
+                self._publish(ledger)
+
+    def _view(self, upstream_id: str, ledger: EngineLedger) -> EngineView:
+        held = dict.fromkeys(ledger.models, 0)
+        return EngineView(
+            upstream_id,
+            ledger.row.service,
+            held,
+            frozenset(ledger.row.at_hand),
+            is_free=ledger.sequence is not None
+            and ledger.pending is None
+            and not ledger.lock.locked(),
+            is_staying=ledger.row.lifecycle == READY,
+            leaving=frozenset(ledger.leaving),
+        )
+
+    # Models
+
+    def _start(self, change: Change, nursery: trio.Nursery) -> None:
+        ledger = self._ledgers[change.upstream_id]
+        if ledger.pending is not None:
+            return
+        is_load = change.kind is ChangeKind.LOAD
+        ledger.pending = (change.model, is_load)
+        ledger.pending_since_ms = now_ms()
+        if is_load:
+            ledger.models.add(change.model)
+            if change.is_from_store:
+                self._store.record()
+        else:
+            ledger.leaving.add(change.model)
+            self._publish(ledger)
+        nursery.start_soon(self._carry_out, ledger, change)
+
+    async def _carry_out(self, ledger: EngineLedger, change: Change) -> None:
+        is_load = change.kind is ChangeKind.LOAD
+        if not is_load:
+            await trio.sleep(WITHHOLD_MS / 1000.0)
+        outcome = await self._order(ledger, is_load, change.model, "")
+        log_event(
+            "model_ordered",
+            upstream=change.upstream_id,
+            change=change.kind.value,
+            model=change.model,
+            from_store=change.is_from_store,
+            outcome=outcome.value,
+            term=self._term,
+        )
+        if outcome is OrderOutcome.ACCEPTED:
+            return
+        ledger.pending = None
+        if not is_load:
+            ledger.leaving.discard(change.model)
+            self._publish(ledger)
+        if outcome is OrderOutcome.HELD_ALREADY and not is_load:
+            ledger.models.discard(change.model)
+
+    async def _order(
+        self, ledger: EngineLedger, is_load: bool, model: str, adapter: str
+    ) -> OrderOutcome:
+        async with ledger.lock:
+            term = self._control.leading_term()
+            if term is None or term != self._term or ledger.sequence is None:
+                return OrderOutcome.REFUSED
+            order = Order(is_load, model, adapter, ledger.sequence, self._holder, term)
+            outcome = await self._engines.order(ledger.row, order)
+            if outcome is OrderOutcome.ACCEPTED or (
+                outcome is OrderOutcome.HELD_ALREADY and adapter
+            ):
+                ledger.sequence += 1 if self._counts(outcome, order) else 0
+            elif outcome is OrderOutcome.FENCED:
+                log_warning("orders_fenced", term=term, upstream=ledger.row.upstream_id)
+                self._fenced_term = term
+            elif outcome is not OrderOutcome.HELD_ALREADY:
+                ledger.sequence = None
+                ledger.doubt_since_ms = now_ms()
+            return outcome
+
+    @staticmethod
+    def _counts(outcome: OrderOutcome, order: Order) -> bool:
+        """Return whether the engine's sequence has moved on.
+
+        An adapter that leaves at once is answered like something that already holds.
+        """
+        return outcome is OrderOutcome.ACCEPTED or not order.is_load
+
+    def _publish(self, ledger: EngineLedger) -> None:
+        self._withheld_sequence += 1
+        row = Withheld(
+            ledger.row.upstream_id, self._term, self._withheld_sequence, sorted(ledger.leaving)
+        )
+        self._control.withhold(row)
+
+    # Adapters
+
+    async def place_adapter(self, request: AdapterRequest) -> AdapterReply:
+        """Have one of the named engines hold an adapter."""
+        configuration = self._configuration()
+        if configuration is None or not self._may_order():
+            return AdapterReply("", "this instance does not order")
+        reason = "no engine is known"
+        for upstream_id in request.upstream_ids:
+            ledger = self._ledgers.get(upstream_id)
+            if ledger is None or ledger.sequence is None:
+                continue
+            spec = configuration.services[ledger.row.service].engine
+            if spec is None or request.model not in ledger.models - ledger.leaving:
+                continue
+            failure = await self._ensure_adapter(ledger, spec, request.model, request.adapter)
+            if not failure:
+                return AdapterReply(upstream_id)
+            reason = failure
+        return AdapterReply("", reason)
+
+    async def _ensure_adapter(
+        self, ledger: EngineLedger, spec: EngineSpec, model: str, adapter: str
+    ) -> str:
+        """Return an empty text once the engine holds the adapter, else the reason."""
+        key = (model, adapter)
+        arriving = ledger.ready.get(key)
+        if arriving is not None:
+            await arriving.wait()
+        if key in ledger.adapters:
+            ledger.adapters[key] = now_ms()
+            return ""
+        while len(ledger.adapters) >= spec.adapter_slots or not _fits(ledger, spec):
+            idle = ledger.idle_adapters()
+            if not idle:
+                return "all places for adapters are in use"
+            outcome = await self._order(ledger, False, *idle[0])
+            if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.HELD_ALREADY):
+                return f"unload {outcome.value}"
+            ledger.adapters.pop(idle[0], None)
+        if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
+            return "too many adapters are on their way"
+        return await self._load_adapter(ledger, key)
+
+    async def _load_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
+        event = ledger.ready[key] = trio.Event()
+        ledger.adapters[key] = now_ms()
+        try:
+            outcome = await self._order(ledger, True, *key)
+            if outcome is OrderOutcome.ACCEPTED:
+                await trio.sleep(ADAPTER_ARRIVAL_MS / 1000.0)
+            elif outcome is not OrderOutcome.HELD_ALREADY:
+                if outcome is not OrderOutcome.UNKNOWN:
+                    ledger.adapters.pop(key, None)
+                return f"load {outcome.value}"
+            log_limited(
+                "adapter_loaded",
+                is_routine=True,
+                upstream=ledger.row.upstream_id,
+                adapter="/".join(key),
+                held=len(ledger.adapters),
+            )
+            return ""
+        finally:
+            event.set()
+            del ledger.ready[key]
+
+
+def _fits(ledger: EngineLedger, spec: EngineSpec) -> bool:
+    held = dict.fromkeys(ledger.models, 0)
+    return committed_mb(spec, held) <= spec.weights_mb
--- /dev/null
+++ b/src/briardyke/models/tables.py
@@ -0,0 +1,72 @@
+"""Define what placement sees of engines and demand, and what it decides."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from briardyke.routes.configuration import EngineSpec
+
+
+class ChangeKind(Enum):
+    """List the changes of an engine's memory."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@attrs.frozen
+class Change:
+    """Describe one change of an engine's memory.
+
+    :param kind: load or unload.
+    :param upstream_id: the engine.
+    :param model: name of the model.
+    :param is_from_store: whether a load takes the weight store's bandwidth.
+    """
+
+    kind: ChangeKind
+    upstream_id: str
+    model: str
+    is_from_store: bool = False
+
+
+@attrs.frozen
+class EngineView:
+    """Describe an engine as placement sees it.
+
+    :param upstream_id: the engine.
+    :param service: service that it belongs to.
+    :param held: models in its memory or being loaded, with the number of their adapters.
+    :param at_hand: models of which it keeps a copy.
+    :param is_free: whether it could take an order now.
+    :param is_staying: whether it is ready and has not said that it leaves.
+    :param leaving: models that are being unloaded.
+    """
+
+    upstream_id: str
+    service: str
+    held: dict[str, int]
+    at_hand: frozenset[str]
+    is_free: bool
+    is_staying: bool
+    leaving: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class ModelsView:
+    """Hold everything that placement decides from for one service.
+
+    :param spec: models and room of the service's engines.
+    :param engines: its engines.
+    :param demand: requests a second by model.
+    :param store_starts: loads that the weight store may still start now.
+    :param idle_ms: time since each model was last asked for; absent when never.
+    """
+
+    spec: EngineSpec
+    engines: list[EngineView]
+    demand: dict[str, float]
+    store_starts: int
+    idle_ms: dict[str, float] = attrs.field(factory=dict)
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -11,14 +11,37 @@
 from briardyke.fleet.member import CLUSTER_ID, Place, open_member
 from briardyke.http.h11_server import H11Server
 from briardyke.logs import log_error, log_event
+from briardyke.models.runner import ModelsRunner
+from briardyke.platform.configuration import decode_configuration
 from briardyke.platform.control_api import ControlApi
+from briardyke.platform.engines import PlatformEngines
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
 
 if TYPE_CHECKING:
+    from briardyke.fleet.machine import ConfigurationMachine
     from briardyke.platform.settings import PlatformSettings
+    from briardyke.routes.configuration import ServingConfiguration
+
+
+class DecodedConfiguration:
+    """Read the agreed document once for each version."""
+
+    def __init__(self, machine: ConfigurationMachine) -> None:
+        """Follow the agreed state."""
+        self._machine = machine
+        self._decoded: ServingConfiguration | None = None
+
+    def current(self) -> ServingConfiguration | None:
+        """Return the configuration in force, or ``None`` before the first."""
+        machine = self._machine
+        if machine.document is None:
+            return None
+        if self._decoded is None or self._decoded.version != machine.version:
+            self._decoded = decode_configuration(machine.document).ok()
+        return self._decoded
 
 
 async def _run(settings: PlatformSettings, stop: trio.Event) -> None:
@@ -40,7 +63,17 @@
         api = ControlApi(control, settings.control_listen.port)
         await nursery.start(H11Server(api.handle).serve, settings.control_listen)
         nursery.start_soon(follower.run)
+        models = ModelsRunner(
+            control,
+            PlatformEngines(),
+            DecodedConfiguration(machine).current,
+            settings.instance_id,
+            settings.order_lease_ms,
+            settings.store_window_s,
+        )
+        control.load_adapter = models.place_adapter
         nursery.start_soon(control.run)
+        nursery.start_soon(models.run)
         log_event("control_started", member=log.status().member_id, version=machine.version)
         await stop.wait()
         await control.stop()
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -9,6 +9,7 @@
 from briardyke.fleet.member import CLUSTER_ID
 from briardyke.gateway.process import EntryProcess
 from briardyke.gateway.settings import EntryPlace
+from briardyke.gateway.state import RetryBounds
 from briardyke.http.h11_server import H11Server
 from briardyke.platform.configuration import decode_configuration
 from briardyke.platform.entry_api import EntryApi
@@ -30,7 +31,7 @@
         settings.data_centre,
         settings.entry_listen,
         settings.grace_s,
-        settings.retry_ratio,
+        RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s),
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
--- a/src/briardyke/policy/retries.py
+++ b/src/briardyke/policy/retries.py
@@ -14,12 +14,19 @@
 
     :param ratio: retries allowed per request.
     :param per_second: retries allowed per second without any request.
+    :param fixed_burst_s: seconds for which unused retries of the fixed part are kept.
     """
 
-    def __init__(self, ratio: float = RETRY_RATIO, per_second: float = RETRIES_PER_SECOND) -> None:
+    def __init__(
+        self,
+        ratio: float = RETRY_RATIO,
+        per_second: float = RETRIES_PER_SECOND,
+        fixed_burst_s: float = 1.0,
+    ) -> None:
         self._ratio = ratio
-        self._per_second = per_second
-        self._fixed = per_second
+        self.per_second = per_second
+        self._fixed_burst_s = fixed_burst_s
+        self._fixed = per_second * fixed_burst_s
         self._earned = 0.0
         self._request_rate = 0.0
         self._updated_ms: float | None = None
@@ -47,7 +54,8 @@
             self._updated_ms = now_ms
         elapsed_s = max(0.0, now_ms - self._updated_ms) / 1000.0
         self._updated_ms = max(now_ms, self._updated_ms)
-        self._fixed = min(self._per_second, self._fixed + elapsed_s * self._per_second)
+        fixed = self._fixed + elapsed_s * self.per_second
+        self._fixed = min(self.per_second * self._fixed_burst_s, fixed)
         self._request_rate *= 2.0 ** (-elapsed_s / RATIO_BURST_SECONDS)
         self._earned = min(
             self._earned, max(1.0, self._request_rate * RATIO_BURST_SECONDS * self._ratio)
