--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -149,9 +149,9 @@
 
     def _take(self, reply: FleetReply) -> None:
         view = self.view
-        if reply.configuration is not None and reply.version > view.version:
-            if self._adopt(reply.version, reply.configuration):
-                view.version = reply.version
+        document = reply.configuration if reply.version > view.version else None
+        if document is not None and self._adopt(reply.version, document):
+            view.version = reply.version
         if reply.leader:
             view.leader = parse_address(reply.leader)
         if reply.controls:
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -140,8 +140,12 @@
             return False
         for other in self.tables.upstreams.rows():
             reused = other.address == row.address and other.upstream_id != row.upstream_id
-            if reused and other.lifecycle != GONE and other.incarnation < row.incarnation:
-                self._take_upstream(attrs.evolve(other, lifecycle=GONE))
+            if not reused or other.lifecycle == GONE:
+                continue
+            if other.incarnation > row.incarnation:
+                log_event("late_announcement", upstream=row.upstream_id, now=other.upstream_id)
+                return True
+            self._take_upstream(attrs.evolve(other, lifecycle=GONE))
         self._take_upstream(row)
         return True
 
@@ -342,8 +346,13 @@
         if self.is_current != was_current:
             self._current_since_ms = now_ms() if self.is_current else float("inf")
             status = self.log.status()
-            event = "majority_contact_regained" if self.is_current else "majority_contact_lost"
-            log_event(event, role=status.role.value, term=status.term, leader=status.leader_id)
+            log_event(
+                "majority_contact",
+                held=self.is_current,
+                role=status.role.value,
+                term=status.term,
+                leader=status.leader_id,
+            )
             self._changed.notify()
         if self.is_current:
             since_ms = self._current_since_ms
--- a/src/briardyke/logs.py
+++ b/src/briardyke/logs.py
@@ -71,7 +71,8 @@
         return
     if left_out:
         log_event("lines_left_out", count=left_out)
-    log_event(event, **fields)
+    if logging.level_info():
+        logging.info("%s", _line(event, fields))
 
 
 class _Volume:
--- a/tests/loadtool/test_run.py
+++ b/tests/loadtool/test_run.py
@@ -10,6 +10,7 @@
 
 from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
+from briardyke.exit_codes import ExitCode
 from briardyke.http.app import (
     AnyResponse,
     HttpApp,
@@ -24,7 +25,6 @@
 from briardyke.loadtool.main import exit_code, run_load
 from briardyke.loadtool.settings import LoadSettings
 from briardyke.loadtool.summary import Outcome, summary_lines
-from briardyke.exit_codes import ExitCode
 from briardyke.settings import load_settings
 from briardyke.standins.engine.server import run_engine
 from briardyke.standins.engine.settings import EngineSettings
--- /dev/null
+++ b/tests/models/test_decide.py
@@ -0,0 +1,78 @@
+"""Tests for the placement of models, each with the load that it answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from briardyke.models.decide import decide
+from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
+from briardyke.routes.configuration import EngineSpec, ModelSpec
+
+
+def spec(weights_mb: float = 100.0, **sizes: float) -> EngineSpec:
+    models = {name: ModelSpec(name, mb, 5.0, 1.0, 0.5, 0, 0.0) for name, mb in sizes.items()}
+    return EngineSpec(8, weights_mb, 8, 1.0, 1000, models)
+
+
+def engine(name: str, *held: str, **changes: object) -> EngineView:
+    fields = {"at_hand": frozenset(), "is_free": True, "is_staying": True} | changes
+    return EngineView(name, "s", dict.fromkeys(held, 0), **fields)  # type: ignore[arg-type]
+
+
+def view(
+    room: EngineSpec, engines: list[EngineView], starts: int = 9, **demand: float
+) -> ModelsView:
+    return ModelsView(room, engines, demand, starts)
+
+
+LOAD, UNLOAD = ChangeKind.LOAD, ChangeKind.UNLOAD
+
+
+class TestMissingModels:
+    """Covers models that are asked for and held nowhere."""
+
+    def test_missing_model_is_loaded_where_there_is_room(self) -> None:
+        room = spec(a=40, b=40, c=40)
+        engines = [engine("e1", "a", "b"), engine("e2", "a")]
+        assert decide(view(room, engines, a=5, c=1)) == [Change(LOAD, "e2", "c", True)]
+
+    def test_model_that_nobody_asks_for_makes_way(self) -> None:
+        room = spec(a=50, b=50, c=50)
+        engines = [engine("e1", "a", "b")]
+        assert decide(view(room, engines, a=5, c=1)) == [Change(UNLOAD, "e1", "b")]
+
+    def test_rare_model_does_not_displace_the_only_replica_of_a_busy_one(self) -> None:
+        room = spec(a=60, b=60)
+        assert decide(view(room, [engine("e1", "a")], a=5, b=1)) == []
+
+    def test_copy_at_hand_is_preferred_and_needs_no_store(self) -> None:
+        room = spec(a=50, c=50)
+        engines = [engine("e1", "a"), engine("e2", "a", at_hand=frozenset({"c"}))]
+        found = decide(view(room, engines, starts=0, a=5, c=1))
+        assert found == [Change(LOAD, "e2", "c", False)]
+
+    def test_store_that_is_used_up_starts_nothing(self) -> None:
+        assert decide(view(spec(a=50), [engine("e1")], starts=0, a=5)) == []
+
+    @pytest.mark.parametrize("change", [{"is_free": False}, {"is_staying": False}])
+    def test_engine_that_is_busy_or_leaves_gets_no_order(self, change: dict[str, bool]) -> None:
+        assert decide(view(spec(a=50), [engine("e1", **change)], a=5)) == []
+
+
+class TestShiftingDemand:
+    """Covers a model whose demand rises past what its replicas carry."""
+
+    def test_hot_model_gets_a_replica_in_place_of_one_without_demand(self) -> None:
+        room = spec(a=50, b=50, c=50)
+        engines = [engine("e1", "a", "b"), engine("e2", "b", "c"), engine("e3", "b", "c")]
+        changes = decide(view(room, engines, a=9, c=1))
+        assert {(c.kind, c.model) for c in changes} == {(UNLOAD, "b")}
+
+    def test_even_load_moves_nothing(self) -> None:
+        room = spec(a=50, b=50)
+        engines = [engine("e1", "a", "b"), engine("e2", "a", "b")]
+        assert decide(view(room, engines, a=5, b=5)) == []
+
+    def test_memory_is_never_committed_beyond_its_bound(self) -> None:
+        room = spec(weights_mb=100.0, a=60, b=50)
+        assert all(c.kind is UNLOAD for c in decide(view(room, [engine("e1", "b")], a=5, b=0)))
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -14,11 +14,11 @@
 from briardyke.addresses import Address
 from briardyke.agreed.machine import ControlMachine
 from briardyke.control.operator_api import Member, register_operator_routes
+from briardyke.exit_codes import ExitCode
 from briardyke.http.app import HttpApp, serve_http
 from briardyke.http.client import WholeResponse
 from briardyke.operator import client
 from briardyke.operator.main import run
-from briardyke.exit_codes import ExitCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,68 @@
+"""Contract tests for what upstreams say of themselves."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from briardyke.errors import ErrorKind
+from briardyke.fleet.records import DRAINING, READY
+from briardyke.platform.announcements import decode_announcement
+
+BODY: dict[str, Any] = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "almaty-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "stage": "hybrid",
+    "models": [{"name": "daka", "version": 1, "adapters": ["a1"]}],
+    "at_hand": {"in_memory": ["daka"], "on_disk": ["rada"]},
+    "sequence": 4,
+    "born": 1774243181000,
+}
+
+
+class TestDecodeAnnouncement:
+    """Covers announcements, forged ones included."""
+
+    def test_fields_are_translated(self) -> None:
+        row = decode_announcement("i-1", json.dumps(BODY).encode()).unwrap()
+        assert (row.upstream_id, row.incarnation, row.sequence) == ("i-1", 1774243181000, 4)
+        assert (row.lifecycle, row.data_centre, row.slots) == (READY, "almaty-a", 64)
+        assert [(m.name, m.adapters) for m in row.models] == [("daka", ["a1"])]
+        assert row.at_hand == ["daka", "rada"]
+
+    def test_short_notice_is_kept(self) -> None:
+        body = json.dumps(BODY | {"state": "draining", "remaining_ms": 2000}).encode()
+        row = decode_announcement("i-1", body).unwrap()
+        assert (row.lifecycle, row.leaves_in_ms) == (DRAINING, 2000.0)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": None},
+            {"service": 7},
+            {"address": "nowhere"},
+            {"address": ["10.0.0.1:1"]},
+            {"state": "resting"},
+            {"sequence": "4"},
+            {"sequence": None},
+            {"born": 17.5},
+            {"born": True},
+            {"models": "daka"},
+            {"models": [3]},
+            {"zone": ""},
+        ],
+    )
+    def test_forged_announcement_names_no_upstream(self, change: dict[str, Any]) -> None:
+        decoded = decode_announcement("i-1", json.dumps(BODY | change).encode())
+        assert decoded.unwrap_err().kind is ErrorKind.FIELD_INVALID
+
+    @pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"{", b'"text"', b"null"])
+    def test_unreadable_bytes_are_refused(self, body: bytes) -> None:
+        assert decode_announcement("i-1", body).is_err()
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,136 @@
+"""Contract tests for the platform's configuration document."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+
+from briardyke.errors import ErrorKind
+from briardyke.platform.configuration import decode_configuration
+from briardyke.routes.configuration import RequestKind, Target
+
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "ficu95.example",
+            "path_prefix": "/pufi791/",
+            "kind": "streaming",
+            "timeout_ms": 25000,
+            "target_latency_ms": 5000,
+            "priority": 2,
+            "service": "pool",
+            "max_attempts": 1,
+            "sticky": True,
+            "resumable": False,
+            "gap_target_ms": 250,
+        },
+        {
+            "name": "r-2",
+            "host": "ficu95.example",
+            "path_prefix": "/lohu930/",
+            "kind": "idempotent",
+            "timeout_ms": 15000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "split": [{"service": "pool", "weight": 90}, {"service": "app", "weight": 10}],
+            "max_attempts": 2,
+        },
+    ],
+    "services": [
+        {
+            "name": "pool",
+            "health_path": "/health",
+            "max_conns": 360,
+            "engine": {
+                "slots": 64,
+                "kv_capacity": 141676,
+                "weights_mb": 200000.0,
+                "adapter_slots": 8,
+                "loads_per_s": 1.6,
+                "models": [
+                    {
+                        "name": "m",
+                        "weights_mb": 65500.0,
+                        "load_s": 5.8,
+                        "adapters": 42,
+                        "adapter_mb": 40.0,
+                        "warm_s": 0.57,
+                        "disk_s": 1.2,
+                    }
+                ],
+            },
+        },
+        {"name": "app", "health_path": "/health", "max_conns": 100},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def changed(path: list[Any], value: Any) -> bytes:
+    """Return the document with one field replaced."""
+    document = copy.deepcopy(DOCUMENT)
+    place: Any = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return json.dumps(document).encode()
+
+
+class TestDecodeConfiguration:
+    """Covers what the operator may send."""
+
+    def test_whole_document_is_read(self) -> None:
+        read = decode_configuration(json.dumps(DOCUMENT).encode()).unwrap()
+        first, second = read.routes
+        assert (first.kind, first.latency_objective_ms) == (RequestKind.STREAMING, 5000.0)
+        assert (first.longest_pause_ms, first.may_repeat) == (250.0, False)
+        assert second.targets == (Target("pool", 90.0), Target("app", 10.0))
+        engine = read.services["pool"].engine
+        assert engine is not None
+        assert engine.models["m"].disk_load_s == 1.2
+        assert read.services["app"].engine is None
+        assert read.limits.idle_timeout_ms == 15000.0
+
+    @pytest.mark.parametrize(
+        ("body", "reason"),
+        [
+            (json.dumps(DOCUMENT).encode()[:-40], "cannot read"),
+            (b"", "cannot read"),
+            (b"[]", "cannot read"),
+            (b"\xff\xfe", "cannot read"),
+            (changed(["version"], "7"), "whole number"),
+            (changed(["version"], True), "whole number"),
+            (changed(["routes", 0, "service"], "nobody"), "unknown service nobody"),
+            (changed(["routes", 0, "path_prefix"], "/lohu930/"), "share host and prefix"),
+            (changed(["routes", 1, "split", 0, "service"], "nobody"), "unknown service nobody"),
+            (changed(["routes", 0, "timeout_ms"], 0), "no timeout"),
+            (changed(["routes", 0, "kind"], "sometimes"), "cannot read"),
+            (changed(["services", 0], {"health_path": "/"}), "cannot read"),
+        ],
+    )
+    def test_invalid_document_is_refused_with_its_reason(self, body: bytes, reason: str) -> None:
+        failure = decode_configuration(body).unwrap_err()
+        assert failure.kind is ErrorKind.CONFIGURATION_INVALID
+        assert reason in failure.message
+
+    def test_weights_that_add_up_to_zero_are_refused(self) -> None:
+        split = [{"service": "pool", "weight": 0}, {"service": "app", "weight": 0}]
+        failure = decode_configuration(changed(["routes", 1, "split"], split)).unwrap_err()
+        assert "add up to 0" in failure.message
+
+    def test_every_reason_is_told(self) -> None:
+        document = copy.deepcopy(DOCUMENT)
+        document["routes"][0]["timeout_ms"] = 0
+        document["routes"][0]["service"] = "nobody"
+        failure = decode_configuration(json.dumps(document).encode()).unwrap_err()
+        assert len(failure.reasons) == 2
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -48,7 +48,7 @@
             assert text.endswith(".")
 
 
-LOG_FUNCTIONS = {"log_event", "log_debug", "log_warning", "log_error"}
+LOG_FUNCTIONS = {"log_event", "log_debug", "log_warning", "log_error", "log_limited"}
 METRIC_FUNCTIONS = {"counter", "up_down_counter", "histogram_ms"}
 
 
