Count the memory of a model on its way although reports do not name it

Ruled out: adapters (at most 6 held of 8 places), order of announcements (the unloaded model had gone).

--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -10,6 +10,8 @@
 
 # An adapter stays this long after it was last asked for; entry instances trust it for less.
 ADAPTER_KEEP_MS = 3000.0
+# Stands for a model that an earlier leader ordered and no report names yet.
+UNKNOWN_MODEL = ""
 
 
 @attrs.frozen
@@ -56,20 +58,29 @@
     def adopt_report(self, report: EngineReport) -> None:
         """Take the engine's own report of its memory."""
         self.sequence = report.sequence
-        self.models = set(report.models)
+        # A model on its way is not in the report yet, but its memory is taken; an announcement may
+        # know of a model that the report, which lags, does not name.
+        self.models = set(report.models) | {held.name for held in self.row.models}
         held = {(m, a) for m, names in report.models.items() for a in names}
         held |= set(report.incoming)
         self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
         if not report.is_busy:
             self.pending = None
+        elif self.pending is None:
+            self.pending = (UNKNOWN_MODEL, True)  # ordered by an earlier leader
+        elif self.pending[1]:
+            self.models.add(self.pending[0])
 
     def adopt_row(self, row: Upstream) -> None:
         """Take a new announcement, which tells when a model has come or gone."""
         self.row = row
+        announced = {held.name for held in row.models}
+        self.models |= announced - self.leaving
         if self.pending is None:
             return
         model, is_load = self.pending
-        announced = {held.name for held in row.models}
+        if model == UNKNOWN_MODEL:
+            return
         if (model in announced) == is_load:
             self.pending = None
             if not is_load:
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -11,7 +11,7 @@
 from briardyke.fleet.records import READY, Withheld
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.decide import committed_mb, decide
-from briardyke.models.ledger import EngineLedger
+from briardyke.models.ledger import UNKNOWN_MODEL, EngineLedger
 from briardyke.models.orders import Order, OrderOutcome
 from briardyke.models.store import StoreWindow
 from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
@@ -33,6 +33,7 @@
 ADAPTER_ARRIVAL_MS = 15.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
 _PENDING_CHECK_MS = 9000.0
+_UNKNOWN_CHECK_MS = 1500.0
 _MAX_ADAPTERS_IN_TRANSIT = 4
 
 
@@ -130,7 +131,9 @@
             return now_ms() - ledger.doubt_since_ms >= REPORT_LAG_MS
         if ledger.pending is None:
             return False
-        return now_ms() - ledger.pending_since_ms >= _PENDING_CHECK_MS
+        is_unknown = ledger.pending[0] == UNKNOWN_MODEL
+        check_ms = _UNKNOWN_CHECK_MS if is_unknown else _PENDING_CHECK_MS
+        return now_ms() - ledger.pending_since_ms >= check_ms
 
     async def _refresh(self, ledger: EngineLedger) -> None:
         async with ledger.lock:
