--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -141,6 +141,14 @@
             if report is None:
                 ledger.doubt_since_ms = now_ms()
                 return
+            log_limited(
+                "engine_report_read",
+                is_routine=True,
+                upstream=ledger.row.upstream_id,
+                expected=ledger.sequence,
+                sequence=report.sequence,
+                busy=report.is_busy,
+            )
             ledger.adopt_report(report)
             ledger.pending_since_ms = now_ms()
             if ledger.pending is None:
@@ -211,6 +219,18 @@
                 return OrderOutcome.REFUSED
             order = Order(is_load, model, adapter, ledger.sequence, self._holder, term)
             outcome = await self._engines.order(ledger.row, order)
+            if outcome is not OrderOutcome.ACCEPTED:
+                log_limited(
+                    "order_not_accepted",
+                    is_routine=outcome is OrderOutcome.HELD_ALREADY,
+                    upstream=ledger.row.upstream_id,
+                    is_load=is_load,
+                    model=model,
+                    adapter=adapter,
+                    expected=order.expected_sequence,
+                    outcome=outcome.value,
+                    pending=ledger.pending,
+                )
             if outcome is OrderOutcome.ACCEPTED or (
                 outcome is OrderOutcome.HELD_ALREADY and adapter
             ):
