Keep adapter orders off engines that change a model; unload each adapter once

Cause: an engine that loads a model refuses adapter orders for seconds, and each refusal cost the leader its knowledge of the engine for 600 ms; two requests could pick the same adapter to evict and count one answer twice (log lines order_not_accepted, expected 11 against a reported 10). Requests that found no place waited for an unrelated change.

--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -21,9 +21,9 @@
 
 # The leader evicts an adapter no sooner than KEEP_MS after it was last asked for; this instance
 # trusts its presence for less than that.
-TRUST_MS = 2000.0
-# An adapter is spread over so many upstreams at most unless all of them are busier by the slack.
-_HOMES = 2
+TRUST_MS = 1000.0
+# A request whose adapter has no place now asks again after this time.
+ASK_AGAIN_MS = 150.0
 
 
 class AdapterPlaces:
@@ -57,13 +57,12 @@
             key=lambda s: xxhash.xxh64_intdigest(f"{name}|{s.row.upstream_id}".encode()),
             reverse=True,
         )
-        homes = ranked[:_HOMES]
         held = [s for s in candidates if s.holds_adapter(caller.model, caller.adapter)]
         limit = fallback.load() + AFFINITY_SLACK * 2
         near = [s for s in held if s.load() <= limit]
         if near:
             return min(near, key=lambda s: s.load())
-        order = [s for s in homes if s.load() <= limit] or [fallback]
+        order = [ranked[0] if ranked[0].load() <= limit else fallback]
         order += [s for s in ranked if s not in order]
         request = AdapterRequest(caller.model, caller.adapter, [s.row.upstream_id for s in order])
         reply = await self._ask(request)
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -10,6 +10,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
+from briardyke.gateway.adapters import ASK_AGAIN_MS
 from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import CallerRequest, UpstreamCall
@@ -38,8 +39,6 @@
 _STREAM_PAUSE_MS = 1300.0
 _STREAM_PAUSES = 4.0
 _MAX_CONNECT_FAILURES = 3
-# An adapter stays for a while after it was confirmed; see ADAPTER_KEEP_MS of the orders.
-ADAPTER_TRUST_MS = 2000.0
 
 
 @attrs.define
@@ -234,6 +233,11 @@
                 held = await state.adapters.place(journey.caller, candidates, chosen)
                 if held is not None:
                     return held
+                patience_ms = min(ASK_AGAIN_MS, state.admission.wait_ms(journey, state))
+                if patience_ms > 0:
+                    await trio.sleep(patience_ms / 1000.0)
+                    continue
+                return None
             patience_ms = state.admission.wait_ms(journey, state)
             if patience_ms <= 0:
                 return None
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -22,6 +22,8 @@
 _DISPLACE_RATIO = 4.0
 # A replica that demand has left stays for a while, since demand often comes back.
 _SURPLUS_MARGIN = 1.3
+# An engine takes no adapter while it loads a model, so one with busy adapters is a worse place.
+_ADAPTER_COST = 0.5
 # Demand below this is the tail of requests that ended some seconds ago.
 _LEAST_DEMAND = 0.05
 
@@ -122,6 +124,7 @@
         missing_mb = self._size(model) - self._room(engine)
         victims: list[str] = []
         cost = self._pressure(engine) + (2.0 if from_store else 0.0)
+        cost += _ADAPTER_COST * sum(engine.held.values())
         rows = sorted((self._victim_cost(v, model, is_urgent), v) for v in engine.held)
         for victim_cost, victim in rows:
             if missing_mb <= 0:
@@ -166,7 +169,7 @@
         return self.view.spec.weights_mb - committed_mb(self.view.spec, engine.held)
 
 
-def committed_mb(spec: EngineSpec, held: dict[str, int]) -> float:
+def committed_mb(spec: EngineSpec, held: Iterable[str]) -> float:
     """Return the memory of models and adapters, with the places that adapters may still take."""
     largest = max((m.adapter_mb for m in spec.models.values() if m.adapters), default=0.0)
     weights = sum(spec.models[m].weights_mb for m in held if m in spec.models)
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -9,7 +9,9 @@
 from briardyke.fleet.records import Upstream
 
 # An adapter stays this long after it was last asked for; entry instances trust it for less.
-ADAPTER_KEEP_MS = 3000.0
+ADAPTER_KEEP_MS = 1500.0
+# An adapter that was asked for within this time counts as in use when engines are compared.
+ADAPTER_BUSY_MS = 5000.0
 # Stands for a model that an earlier leader ordered and no report names yet.
 UNKNOWN_MODEL = ""
 
@@ -41,6 +43,11 @@
     :param adapters: time at which each adapter was last asked for, by model and name.
     :param pending: model and direction of the order that it carries out.
     :param pending_since_ms: time at which that order was accepted.
+    :param leaving: models that are being unloaded.
+    :param leaving_adapters: adapters that are being unloaded and still take their places.
+    :param doubt_since_ms: time since which the sequence is unknown.
+    :param review_ms: time at which a report is wanted, 0 for none.
+    :param ready: set when an adapter that is being loaded has arrived or failed.
     :param lock: orders to one engine go out one after the other.
     """
 
@@ -51,7 +58,9 @@
     pending: tuple[str, bool] | None = None
     pending_since_ms: float = 0.0
     leaving: set[str] = attrs.field(factory=set)
+    leaving_adapters: set[tuple[str, str]] = attrs.field(factory=set)
     doubt_since_ms: float = 0.0
+    review_ms: float = 0.0
     lock: trio.Lock = attrs.field(factory=trio.Lock)
     ready: dict[tuple[str, str], trio.Event] = attrs.field(factory=dict)
 
@@ -64,6 +73,7 @@
         held = {(m, a) for m, names in report.models.items() for a in names}
         held |= set(report.incoming)
         self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
+        self.leaving_adapters &= held
         if not report.is_busy:
             self.pending = None
         elif self.pending is None:
@@ -91,5 +101,14 @@
     def idle_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that may be evicted, the least recently asked for first."""
         limit_ms = now_ms() - ADAPTER_KEEP_MS
-        old = [key for key, used_ms in self.adapters.items() if used_ms < limit_ms]
+        old = [
+            key
+            for key, used_ms in self.adapters.items()
+            if used_ms < limit_ms and key not in self.leaving_adapters
+        ]
         return sorted(old, key=lambda key: self.adapters[key])
+
+    def busy_adapters(self) -> list[tuple[str, str]]:
+        """Return adapters that were asked for recently."""
+        limit_ms = now_ms() - ADAPTER_BUSY_MS
+        return [key for key, used_ms in self.adapters.items() if used_ms >= limit_ms]
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -129,6 +129,8 @@
     def _needs_report(self, ledger: EngineLedger) -> bool:
         if ledger.sequence is None:
             return now_ms() - ledger.doubt_since_ms >= REPORT_LAG_MS
+        if ledger.review_ms and now_ms() >= ledger.review_ms:
+            return True
         if ledger.pending is None:
             return False
         is_unknown = ledger.pending[0] == UNKNOWN_MODEL
@@ -150,6 +152,7 @@
                 busy=report.is_busy,
             )
             ledger.adopt_report(report)
+            ledger.review_ms = now_ms() + REPORT_LAG_MS if ledger.leaving_adapters else 0.0
             ledger.pending_since_ms = now_ms()
             if ledger.pending is None:
                 ledger.leaving.clear()
@@ -157,6 +160,8 @@
 
     def _view(self, upstream_id: str, ledger: EngineLedger) -> EngineView:
         held = dict.fromkeys(ledger.models, 0)
+        for model, _ in ledger.busy_adapters():
+            held[model] = held.get(model, 0) + 1
         return EngineView(
             upstream_id,
             ledger.row.service,
@@ -238,6 +243,8 @@
             elif outcome is OrderOutcome.FENCED:
                 log_warning("orders_fenced", term=term, upstream=ledger.row.upstream_id)
                 self._fenced_term = term
+            elif outcome is OrderOutcome.CONFLICT and adapter and ledger.pending is not None:
+                pass  # an engine that changes a model takes no order for an adapter
             elif outcome is not OrderOutcome.HELD_ALREADY:
                 ledger.sequence = None
                 ledger.doubt_since_ms = now_ms()
@@ -261,19 +268,18 @@
     # Adapters
 
     async def place_adapter(self, request: AdapterRequest) -> AdapterReply:
-        """Have one of the named engines hold an adapter."""
+        """Have one of the named engines hold an adapter, one that holds it already if possible."""
         configuration = self._configuration()
         if configuration is None or not self._may_order():
             return AdapterReply("", "this instance does not order")
+        key = (request.model, request.adapter)
+        known = [(i, self._ledgers[i]) for i in request.upstream_ids if i in self._ledgers]
+        usable = [(i, g) for i, g in known if request.model in g.models - g.leaving]
+        holding = [row for row in usable if key in row[1].adapters]
         reason = "no engine is known"
-        for upstream_id in request.upstream_ids:
-            ledger = self._ledgers.get(upstream_id)
-            if ledger is None or ledger.sequence is None:
-                continue
+        for upstream_id, ledger in [*holding, *usable]:
             spec = configuration.services[ledger.row.service].engine
-            if spec is None or request.model not in ledger.models - ledger.leaving:
-                continue
-            failure = await self._ensure_adapter(ledger, spec, request.model, request.adapter)
+            failure = await self._ensure_adapter(ledger, spec, *key) if spec else "no engine"
             if not failure:
                 return AdapterReply(upstream_id)
             reason = failure
@@ -287,21 +293,39 @@
         arriving = ledger.ready.get(key)
         if arriving is not None:
             await arriving.wait()
+        if key in ledger.leaving_adapters:
+            return "the adapter is being unloaded"
         if key in ledger.adapters:
             ledger.adapters[key] = now_ms()
             return ""
+        if ledger.pending is not None or ledger.sequence is None:
+            return "the engine carries out another order"
         while len(ledger.adapters) >= spec.adapter_slots or not _fits(ledger, spec):
             idle = ledger.idle_adapters()
             if not idle:
                 return "all places for adapters are in use"
-            outcome = await self._order(ledger, False, *idle[0])
-            if outcome not in (OrderOutcome.ACCEPTED, OrderOutcome.HELD_ALREADY):
-                return f"unload {outcome.value}"
-            ledger.adapters.pop(idle[0], None)
+            failure = await self._unload_adapter(ledger, idle[0])
+            if failure:
+                return failure
         if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
             return "too many adapters are on their way"
         return await self._load_adapter(ledger, key)
 
+    async def _unload_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
+        """Return an empty text once the adapter's place is free, else the reason."""
+        ledger.leaving_adapters.add(key)
+        outcome = await self._order(ledger, False, *key)
+        if outcome is OrderOutcome.HELD_ALREADY:
+            ledger.leaving_adapters.discard(key)
+            ledger.adapters.pop(key, None)
+            return ""
+        if outcome is OrderOutcome.ACCEPTED:
+            # Requests still use it; a later report tells when its place is free.
+            ledger.review_ms = now_ms() + REPORT_LAG_MS
+        else:
+            ledger.leaving_adapters.discard(key)
+        return f"unload {outcome.value}"
+
     async def _load_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
         event = ledger.ready[key] = trio.Event()
         ledger.adapters[key] = now_ms()
@@ -327,5 +351,4 @@
 
 
 def _fits(ledger: EngineLedger, spec: EngineSpec) -> bool:
-    held = dict.fromkeys(ledger.models, 0)
-    return committed_mb(spec, held) <= spec.weights_mb
+    return committed_mb(spec, ledger.models) <= spec.weights_mb
