--- a/deploy/control.py
+++ b/deploy/control.py
@@ -1,8 +1,11 @@
 """Start a control instance from a checkout."""
 
+import signal
 import sys
 from pathlib import Path
 
+# The platform may ask for a reload while the imports still run; by default that would end it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 from briardyke.platform.control_main import main  # noqa: E402
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -35,9 +35,12 @@
 # An answer that takes this many latency objectives is asked of another upstream, if it may be.
 _PATIENCE_OBJECTIVES = 3.0
 _LEAST_PATIENCE_MS = 800.0
-# Callers give a stream up after two seconds without an event, so it is continued before that.
-_STREAM_PAUSE_MS = 1300.0
-_STREAM_PAUSES = 4.0
+# Callers give a stream up after the longest of two seconds, four objectives and eight pauses; it is
+# continued elsewhere in time for another upstream to send an event before that.
+_CALLER_PATIENCE_MS = 2000.0
+_CALLER_OBJECTIVES = 4.0
+_CALLER_PAUSES = 8.0
+_RESUME_SHARE = 0.65
 _MAX_CONNECT_FAILURES = 3
 
 
@@ -326,7 +329,7 @@
         answer: Answer,
         splitter: EventSplitter,
     ) -> bool:
-        pause_ms = max(_STREAM_PAUSE_MS, _STREAM_PAUSES * journey.route.longest_pause_ms)
+        pause_ms = self._longest_silence_ms(journey.route)
         while (left_ms := journey.remaining_ms) > 0:
             part: bytes | None = b""
             try:
@@ -335,9 +338,9 @@
             except UpstreamError:
                 return False
             if scope.cancelled_caught:
-                if journey.route.is_resumable or journey.remaining_ms <= 0:
+                if self._has_alternative(journey):
                     return False
-                continue
+                continue  # silence alone is no reason to end an answer
             whole = splitter.take_rest() if part is None else splitter.feed(part)
             if whole:
                 await answer.send_part(whole)
@@ -345,6 +348,21 @@
                 return True
         return False
 
+    @staticmethod
+    def _longest_silence_ms(route: Route) -> float:
+        patience_ms = max(
+            _CALLER_PATIENCE_MS,
+            _CALLER_OBJECTIVES * route.latency_objective_ms,
+            _CALLER_PAUSES * route.longest_pause_ms,
+        )
+        return patience_ms * _RESUME_SHARE
+
+    def _has_alternative(self, journey: Journey) -> bool:
+        """Return whether a silent stream could go on at another upstream now."""
+        if not journey.route.is_resumable or journey.sent >= journey.route.max_attempts:
+            return False
+        return bool(self._candidates(journey))
+
     async def _give_up(self, journey: Journey, answer: Answer) -> None:
         """Give the final answer to a request that no upstream has answered well."""
         last = journey.last
--- a/src/briardyke/platform/seeds.py
+++ b/src/briardyke/platform/seeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from typing import TYPE_CHECKING
 
 import trio
@@ -29,13 +30,20 @@
         return tuple(self.settings.peer_of(seed) for seed in self.settings.seeds)
 
     async def run(self) -> None:
-        """Read the file whenever it changes, until cancelled."""
-        seen = _stamp()
-        while True:
-            await trio.sleep(_CHECK_INTERVAL_S)
-            stamp = _stamp()
-            if stamp != seen:
-                seen = stamp
+        """Read the file whenever it changes or a signal says so, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_signal)
+            seen = _stamp()
+            while True:
+                await trio.sleep(_CHECK_INTERVAL_S)
+                stamp = _stamp()
+                if stamp != seen:
+                    seen = stamp
+                    self._reload()
+
+    async def _watch_signal(self) -> None:
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
                 self._reload()
 
     def _reload(self) -> None:
