Weigh the load of an upstream by its recent pace

Equal load on unequal upstreams makes the slow ones late. The test with a slow and a fast upstream fails on the code before.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -12,7 +12,7 @@
 from briardyke.clock import now_ms
 from briardyke.fleet.messages import AdapterReply, AdapterRequest, FleetReply, FleetRequest
 from briardyke.fleet.records import EntryInstance, Upstream
-from briardyke.logs import log_event, log_warning
+from briardyke.logs import log_event, log_limited, log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +24,8 @@
 WAIT_MS = 700.0
 _CALL_MARGIN_MS = 800.0
 _RETRY_MS = 150.0
+# Pause before the next control instance is asked, when one hears no leader.
+_NEXT_MS = 50.0
 _ADAPTER_TIMEOUT_MS = 1500.0
 
 
@@ -112,7 +114,13 @@
                 return
             self._take(reply)
             if not reply.is_current:
-                log_event("control_not_current", control=address, version=reply.version)
+                log_limited(
+                    "control_not_current",
+                    is_routine=True,
+                    control=address,
+                    version=reply.version,
+                )
+                await trio.sleep(_NEXT_MS / 1000.0)
                 return
             if is_first:
                 log_event("control_followed", control=address, version=reply.version)
--- a/src/briardyke/gateway/choice.py
+++ b/src/briardyke/gateway/choice.py
@@ -20,6 +20,10 @@
 AFFINITY_SLACK = 3.0
 # A shared part below this position is common to most requests of a kind and binds nothing.
 _AFFINITY_PARTS = 2
+# Beyond this the pace says more about what an upstream happened to run than about its speed.
+_MAX_SLOWNESS = 4.0
+# An upstream this much slower than the mean is no home for a shared prompt.
+_AFFINITY_SLOWNESS = 1.5
 # An upstream in the caller's data centre saves traffic between data centres.
 _REMOTE_LOAD = 0.5
 
@@ -44,11 +48,13 @@
     if not candidates:
         return None
     now = now_ms()
+    paces = [state.pace_ms for state in candidates if state.pace_ms > 0]
+    mean_pace_ms = sum(paces) / len(paces) if paces else 0.0
     costs = {}
     for state in candidates:
         slots = max(1, state.row.slots)
         remote = 0.0 if state.row.data_centre == data_centre else _REMOTE_LOAD
-        relative = (state.load() + 1.0 + remote) / slots
+        relative = (state.load() + 1.0 + remote) / slots * _slowness(state, mean_pace_ms)
         weight = state.gate.weight(now)
         costs[state.row.upstream_id] = relative / weight**2 * random.uniform(1.0, 1.05)
     best = min(candidates, key=lambda s: costs[s.row.upstream_id])
@@ -56,9 +62,20 @@
         return best
     shared = ",".join(request.prefix_ids[:_AFFINITY_PARTS])
     home = max(candidates, key=lambda s: _rank(shared, s.row.upstream_id))
-    if home.gate.weight(now) >= 1.0 and home.load() <= best.load() + AFFINITY_SLACK:
-        return home
-    return best
+    if home.gate.weight(now) < 1.0 or home.load() > best.load() + AFFINITY_SLACK:
+        return best
+    return home if _slowness(home, mean_pace_ms) <= _AFFINITY_SLOWNESS else best
+
+
+def _slowness(state: UpstreamState, mean_pace_ms: float) -> float:
+    """Return how slow an upstream is against the mean of the candidates.
+
+    Load: upstreams of one service differ in speed several times over, and a slow one holds its
+    requests longer, so load in proportion to speed keeps the times to an answer alike.
+    """
+    if state.pace_ms <= 0 or mean_pace_ms <= 0:
+        return 1.0
+    return min(_MAX_SLOWNESS, max(1.0 / _MAX_SLOWNESS, state.pace_ms / mean_pace_ms))
 
 
 def _rank(shared: str, upstream_id: str) -> int:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -42,6 +42,10 @@
 _CALLER_PAUSES = 8.0
 _RESUME_SHARE = 0.65
 _MAX_CONNECT_FAILURES = 3
+# Weights of one answer and one event in an upstream's pace: the last ten answers, or the events of
+# about one second.
+_ANSWER_WEIGHT = 0.1
+_EVENT_WEIGHT = 0.03
 
 
 @attrs.define
@@ -198,7 +202,8 @@
             journey.sent += 1
             journey.may_have_run = True
             assert attempt.head is not None
-            upstream.pace_ms += 0.2 * (took_ms - upstream.pace_ms)
+            if attempt.connection is None and attempt.head.status < 500:
+                upstream.observe_pace(took_ms, _ANSWER_WEIGHT)
             if attempt.head.status < 500:
                 upstream.gate.succeeded(now_ms())
 
@@ -308,7 +313,7 @@
         assert connection is not None and attempt.head is not None
         is_kept = False
         try:
-            is_whole = await self._relay_parts(journey, connection, answer, splitter)
+            is_whole = await self._relay_parts(journey, upstream, connection, answer, splitter)
             if is_whole and connection.finish(attempt.head):
                 upstream.pool.give_back(connection)
                 is_kept = True
@@ -325,10 +330,12 @@
     async def _relay_parts(
         self,
         journey: Journey,
+        upstream: UpstreamState,
         connection: UpstreamConnection,
         answer: Answer,
         splitter: EventSplitter,
     ) -> bool:
+        last_ms, count = now_ms(), splitter.count
         pause_ms = self._longest_silence_ms(journey.route)
         while (left_ms := journey.remaining_ms) > 0:
             part: bytes | None = b""
@@ -344,6 +351,10 @@
             whole = splitter.take_rest() if part is None else splitter.feed(part)
             if whole:
                 await answer.send_part(whole)
+                for _ in range(splitter.count - count):
+                    took_ms = (now_ms() - last_ms) / (splitter.count - count)
+                    upstream.observe_pace(took_ms, _EVENT_WEIGHT)
+                last_ms, count = now_ms(), splitter.count
             if part is None:
                 return True
         return False
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -29,7 +29,7 @@
     :param in_flight: requests of this instance that it runs or holds.
     :param others: requests of other instances at the last report.
     :param reported_ms: time of the last report.
-    :param pace_ms: recent time to its first answer bytes.
+    :param pace_ms: recent mean time of an answer, or between two events of a stream; 0 for none.
     :param withheld: models that get no new requests.
     :param adapters: time until which each adapter is trusted to be there, by model and name.
     """
@@ -44,6 +44,15 @@
     withheld: frozenset[str] = frozenset()
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    def observe_pace(self, took_ms: float, weight: float) -> None:
+        """Add the time of one answer, or of one event of a stream, to the recent mean.
+
+        :param weight: share of the new value in the mean.
+        """
+        if self.pace_ms == 0.0:
+            self.pace_ms = took_ms
+        self.pace_ms += weight * (took_ms - self.pace_ms)
+
     def load(self) -> float:
         """Return the estimated number of requests at the upstream."""
         age_ms = now_ms() - self.reported_ms
--- /dev/null
+++ b/tests/gateway/test_choice.py
@@ -0,0 +1,90 @@
+"""Tests for the choice of an upstream, each with the load that it answers."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from briardyke.addresses import parse_address
+from briardyke.clock import now_ms
+from briardyke.fleet.records import READY, HeldModel, Upstream
+from briardyke.gateway.choice import choose_upstream
+from briardyke.gateway.dialect import CallerRequest, Load
+from briardyke.gateway.tables import UpstreamState
+from briardyke.http.h11_client import ConnectionPool
+
+PLAIN = CallerRequest("r-1", 1000.0)
+
+
+def state(name: str, data_centre: str = "dc-1", slots: int = 8) -> UpstreamState:
+    address = f"10.0.0.{int(name)}:80"
+    row = Upstream(name, 1, 1, "s", address, data_centre, READY, slots, [HeldModel("m")])
+    return UpstreamState(row, ConnectionPool(parse_address(address)))
+
+
+def spread(states: list[UpstreamState], count: int, request: CallerRequest = PLAIN) -> Counter:
+    """Return the requests of a burst by upstream; none of them ends meanwhile."""
+    source, taken = random.Random(3), Counter[str]()
+    for _ in range(count):
+        chosen = choose_upstream(states, request, "dc-1", source)
+        assert chosen is not None
+        chosen.in_flight += 1
+        taken[chosen.row.upstream_id] += 1
+    return taken
+
+
+class TestBurst:
+    """Covers many requests at the same moment."""
+
+    async def test_equal_upstreams_share_it(self) -> None:
+        assert set(spread([state("1"), state("2"), state("3")], 30).values()) == {10}
+
+    async def test_slow_upstream_gets_its_part(self) -> None:
+        fast, slow = state("1"), state("2")
+        fast.pace_ms, slow.pace_ms = 20.0, 60.0
+        taken = spread([fast, slow], 40)
+        assert taken["1"] == pytest.approx(30, abs=2)
+
+    async def test_load_of_other_instances_counts_while_it_is_fresh(self) -> None:
+        busy, idle = state("1"), state("2")
+        busy.take_report(Load(6, 2, 8))
+        assert spread([busy, idle], 4) == {"2": 4}
+
+    async def test_failing_upstream_gets_little(self) -> None:
+        sound, failing = state("1"), state("2")
+        for step in range(4):
+            failing.gate.failed(now_ms() + step * 100.0)
+        assert spread([sound, failing], 8)["1"] >= 7
+
+    async def test_near_upstream_is_preferred_while_idle(self) -> None:
+        assert spread([state("1", "dc-2"), state("2", "dc-1")], 1) == {"2": 1}
+
+
+class TestSharedPrompts:
+    """Covers requests that share the beginning of their prompts."""
+
+    SESSION = CallerRequest("r-1", 1000.0, "m", prefix_ids=("a", "b", "c"))
+
+    async def test_session_stays_together_while_its_home_is_hardly_busier(self) -> None:
+        assert len(spread([state("1"), state("2"), state("3")], 3, self.SESSION)) == 1
+
+    async def test_hot_session_spreads(self) -> None:
+        taken = spread([state("1"), state("2"), state("3")], 60, self.SESSION)
+        assert min(taken.values()) > 15
+
+    async def test_slow_home_is_left(self) -> None:
+        states = [state("1"), state("2"), state("3")]
+        home = next(iter(spread(states, 1, self.SESSION)))
+        for row in states:
+            row.in_flight, row.pace_ms = 0, 20.0
+        states[int(home) - 1].pace_ms = 200.0
+        assert home not in spread(states, 3, self.SESSION)
+
+
+class TestNoCandidates:
+    """Covers a service without upstreams."""
+
+    async def test_nothing_is_chosen(self) -> None:
+        assert choose_upstream([], PLAIN, "dc-1", random.Random(1)) is None
