--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -24,6 +24,10 @@
 _SURPLUS_MARGIN = 1.3
 # An engine takes no adapter while it loads a model, so one with busy adapters is a worse place.
 _ADAPTER_COST = 0.5
+# The last replica of a resting model costs a load when the model is asked for again, the sooner
+# the more it was asked for lately.
+_LAST_REPLICA = 3.0
+_RETURN = 10.0
 # Demand below this is the tail of requests that ended some seconds ago.
 _LEAST_DEMAND = 0.05
 
@@ -139,12 +143,11 @@
     def _victim_cost(self, victim: str, model: str, is_urgent: bool) -> float:
         demand = self._demand.get(victim, 0.0)
         replicas = len(self._replicas.get(victim, ()))
-        if demand <= 0:
-            return 1.0 if replicas <= 1 else 0.0
+        if replicas <= 1 and demand <= 0:
+            return _LAST_REPLICA + _RETURN * self.view.lasting.get(victim, 0.0)
         if replicas > 1:
-            spare = replicas - 1 >= self.wanted(victim) * (1.0 if is_urgent else _SURPLUS_MARGIN)
-            if spare:
-                return 2.0
+            if replicas - 1 >= self.wanted(victim) * (1.0 if is_urgent else _SURPLUS_MARGIN):
+                return demand / replicas
             per_replica = demand / (replicas - 1)
             return 4.0 + per_replica if is_urgent else math.inf
         displaces = is_urgent and self._demand[model] > demand * _DISPLACE_RATIO
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -11,6 +11,7 @@
 from briardyke.fleet.records import READY, Withheld
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.decide import committed_mb, decide
+from briardyke.models.lasting import LastingDemand
 from briardyke.models.ledger import UNKNOWN_MODEL, EngineLedger
 from briardyke.models.orders import Order, OrderOutcome
 from briardyke.models.store import StoreWindow
@@ -70,6 +71,7 @@
         self._term_since_ms = 0.0
         self._fenced_term = 0
         self._withheld_sequence = 0
+        self._lasting = LastingDemand()
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
@@ -99,6 +101,7 @@
             if self._needs_report(ledger) and not ledger.lock.locked():
                 nursery.start_soon(self._refresh, ledger)
         demand = self._control.demand()
+        self._lasting.add(demand)
         for name, service in configuration.services.items():
             if service.engine is None:
                 continue
@@ -107,6 +110,7 @@
                 [self._view(i, g) for i, g in self._ledgers.items() if g.row.service == name],
                 demand,
                 self._store.free(service.engine.store_loads_per_s),
+                self._lasting.rates,
             )
             for change in decide(view):
                 self._start(change, nursery)
--- a/src/briardyke/models/tables.py
+++ b/src/briardyke/models/tables.py
@@ -62,11 +62,11 @@
     :param engines: its engines.
     :param demand: requests a second by model.
     :param store_starts: loads that the weight store may still start now.
-    :param idle_ms: time since each model was last asked for; absent when never.
+    :param lasting: the same demand over a longer time, which a model that rests keeps for a while.
     """
 
     spec: EngineSpec
     engines: list[EngineView]
     demand: dict[str, float]
     store_starts: int
-    idle_ms: dict[str, float] = attrs.field(factory=dict)
+    lasting: dict[str, float] = attrs.field(factory=dict)
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from briardyke.models.decide import decide
@@ -59,6 +60,24 @@
         assert decide(view(spec(a=50), [engine("e1", **change)], a=5)) == []
 
 
+class TestRestingModels:
+    """Covers rare models that pause between two requests."""
+
+    def test_spare_replica_makes_way_before_the_last_one_of_a_resting_model(self) -> None:
+        room = spec(a=50, b=50, c=50)
+        engines = [engine("e1", "a", "b"), engine("e2", "a"), engine("e3", "a")]
+        sight = view(room, engines, starts=9, a=1, c=4)
+        found = decide(attrs.evolve(sight, lasting={"b": 0.3}, engines=engines[:1] + engines[:0]))
+        assert found == [Change(UNLOAD, "e1", "b")]  # the only replica of a is asked for
+        assert decide(sight)[0] == Change(LOAD, "e2", "c", True)
+
+    def test_model_asked_for_lately_stays_before_one_that_was_not(self) -> None:
+        room = spec(a=50, b=50, c=50)
+        sight = view(room, [engine("e1", "a", "b")], c=1)
+        found = decide(attrs.evolve(sight, lasting={"a": 0.4, "b": 0.01}))
+        assert found == [Change(UNLOAD, "e1", "b")]
+
+
 class TestShiftingDemand:
     """Covers a model whose demand rises past what its replicas carry."""
 
