Weigh unread prompts more than running requests; ask elsewhere only where it is easier

Change: load counts what delays a new request, patience needs an easier upstream, demand includes requests that last.

--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -78,7 +78,8 @@
     :param address: ``ip:port`` for callers.
     :param data_centre: where it runs.
     :param is_ready: whether callers may be sent to it.
-    :param demand: requests of the last seconds by model, and by service for plain services.
+    :param demand: requests a second by model, and by service for plain services, raised where they
+        pile up.
     """
 
     instance_id: str
--- a/src/briardyke/gateway/choice.py
+++ b/src/briardyke/gateway/choice.py
@@ -17,7 +17,7 @@
 
 # A shared prompt is worth some waiting: reading it anew takes tens of milliseconds, about what
 # three more requests in a batch cost every other one.
-AFFINITY_SLACK = 3.0
+AFFINITY_SLACK = 2.0
 # A shared part below this position is common to most requests of a kind and binds nothing.
 _AFFINITY_PARTS = 2
 # Beyond this the pace says more about what an upstream happened to run than about its speed.
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -16,6 +16,7 @@
 from briardyke.gateway.dialect import CallerRequest, UpstreamCall
 from briardyke.gateway.event_stream import EventSplitter
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
+from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import CallerGoneError, HttpRequest, end_to_end, header
 from briardyke.http.h11_client import UpstreamError
@@ -35,6 +36,8 @@
 # An answer that takes this many latency objectives is asked of another upstream, if it may be.
 _PATIENCE_OBJECTIVES = 3.0
 _LEAST_PATIENCE_MS = 800.0
+# Another upstream counts as easier when its load is below this part of the present one's.
+_EASIER = 0.5
 # Callers give a stream up after the longest of two seconds, four objectives and eight pauses; it is
 # continued elsewhere in time for another upstream to send an event before that.
 _CALLER_PATIENCE_MS = 2000.0
@@ -112,6 +115,7 @@
         if refused is not None:
             await self._fail(answer, trace, refused)
             return
+        state.demand.began(caller.model or service)
         try:
             await self._carry(journey, answer)
         except CallerGoneError:
@@ -120,6 +124,8 @@
         except trio.Cancelled:
             trace.finish(state.counters, 0, "caller_gone")
             raise
+        finally:
+            state.demand.ended(caller.model or service)
 
     def _route(self, request: HttpRequest) -> Route | None:
         host = (header(request.headers, b"host") or b"").decode("latin-1")
@@ -154,7 +160,10 @@
             journey.route.priority,
             journey.caller.last_event_id,
         )
+        is_engine = self._state.is_engine(journey.service)
+        upstream.running_weight = ENGINE_RUNNING_WEIGHT if is_engine else 1.0
         upstream.in_flight += 1
+        upstream.pending += 1
         started_ms = now_ms()
         attempt = None
         try:
@@ -162,21 +171,29 @@
                 upstream,
                 journey.request,
                 call,
-                self._patience_ms(journey),
+                self._patience_ms(journey, load),
                 may_repeat=journey.route.may_repeat,
                 nursery=nursery,
             )
         finally:
+            upstream.pending -= 1
             if attempt is None or attempt.connection is None:
                 upstream.in_flight -= 1
         self._learn(journey, upstream, attempt, now_ms() - started_ms)
         journey.trace.step(upstream_id, attempt.reason or attempt.ending.value, load)
         return attempt
 
-    def _patience_ms(self, journey: Journey) -> float:
+    def _patience_ms(self, journey: Journey, load: float) -> float:
+        """Return how long to wait for an answer before another upstream is asked.
+
+        Load: where every upstream that could help is as busy, asking a second one adds to the
+        overload and loses the place in the first one's queue.
+        """
         remaining_ms = journey.remaining_ms
         if not journey.route.may_repeat or journey.sent + 1 >= journey.route.max_attempts:
             return remaining_ms
+        if not any(s.load() < load * _EASIER for s in self._candidates(journey)):
+            return remaining_ms  # it would wait elsewhere as long
         objective_ms = journey.route.latency_objective_ms
         patience_ms = max(_LEAST_PATIENCE_MS, _PATIENCE_OBJECTIVES * objective_ms)
         return patience_ms if patience_ms < remaining_ms * 0.6 else remaining_ms
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -121,7 +121,7 @@
             str(self._place.listen),
             self._place.data_centre,
             self.is_ready,
-            self.state.demand.rates(),
+            self.state.demand.demand(),
         )
 
     def _adopt(self, version: int, document: bytes) -> bool:
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -17,6 +17,9 @@
 
 # Load that other entry instances caused counts half after this time without a new report.
 REPORT_HALF_LIFE_MS = 1500.0
+# Reading a prompt takes an engine about seven times as long as the part of its steps that one
+# running request adds while it lasts.
+ENGINE_RUNNING_WEIGHT = 0.15
 
 
 @attrs.define
@@ -27,7 +30,10 @@
     :param pool: connections to it.
     :param gate: part of its usual traffic that it receives.
     :param in_flight: requests of this instance that it runs or holds.
+    :param pending: those of them that have not begun to answer.
     :param others: requests of other instances at the last report.
+    :param others_waiting: those of them that had not begun to run.
+    :param running_weight: how much a running request delays a new one, against a waiting one.
     :param reported_ms: time of the last report.
     :param pace_ms: recent mean time of an answer, or between two events of a stream; 0 for none.
     :param withheld: models that get no new requests.
@@ -38,7 +44,10 @@
     pool: ConnectionPool
     gate: HealthGate = attrs.field(factory=HealthGate)
     in_flight: int = 0
+    pending: int = 0
     others: float = 0.0
+    others_waiting: float = 0.0
+    running_weight: float = 1.0
     reported_ms: float = 0.0
     pace_ms: float = 0.0
     withheld: frozenset[str] = frozenset()
@@ -54,13 +63,21 @@
         self.pace_ms += weight * (took_ms - self.pace_ms)
 
     def load(self) -> float:
-        """Return the estimated number of requests at the upstream."""
+        """Return the estimated load, in requests that delay a new one.
+
+        Load: an engine reads prompts one after the other and generates for many requests at once,
+        so a new request waits for those that are not read yet and hardly for those that run.
+        """
         age_ms = now_ms() - self.reported_ms
-        return self.in_flight + self.others * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+        fresh = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+        waiting = self.pending + self.others_waiting * fresh
+        running = self.in_flight - self.pending + (self.others - self.others_waiting) * fresh
+        return waiting + self.running_weight * running
 
     def take_report(self, load: Load) -> None:
         """Take a load report that came with an answer."""
         self.others = max(0.0, load.running + load.waiting - self.in_flight)
+        self.others_waiting = min(self.others, max(0.0, load.waiting - self.pending))
         self.reported_ms = now_ms()
 
     def holds(self, model: str) -> bool:
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -12,7 +12,7 @@
 from briardyke.fleet.records import READY, HeldModel, Upstream
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import CallerRequest, Load
-from briardyke.gateway.tables import UpstreamState
+from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT, UpstreamState
 from briardyke.http.h11_client import ConnectionPool
 
 PLAIN = CallerRequest("r-1", 1000.0)
@@ -62,6 +62,18 @@
         assert spread([state("1", "dc-2"), state("2", "dc-1")], 1) == {"2": 1}
 
 
+class TestEngines:
+    """Covers engines, where waiting prompts delay a new one and running requests hardly do."""
+
+    async def test_engine_with_unread_prompts_is_left_for_one_that_runs_more(self) -> None:
+        reading, running = state("1", slots=64), state("2", slots=64)
+        for row in (reading, running):
+            row.running_weight = ENGINE_RUNNING_WEIGHT
+        reading.take_report(Load(4, 6, 64))
+        running.take_report(Load(20, 0, 64))
+        assert spread([reading, running], 2) == {"2": 2}
+
+
 class TestSharedPrompts:
     """Covers requests that share the beginning of their prompts."""
 
