Send away streams that would not begin within their caller's patience

Change: each upstream's time to the first event for a unit of load is learned; a stream expected after three quarters of the caller's patience is refused at once with the time to come back. The line of a request whose caller left is written again.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from briardyke.errors import ErrorKind, Failure
+from briardyke.routes.configuration import RequestKind
 
 if TYPE_CHECKING:
     from briardyke.gateway.forward import Journey
     from briardyke.gateway.state import GatewayState
+    from briardyke.gateway.tables import UpstreamState
+    from briardyke.routes.configuration import Route
 
 # A restarted upstream announces itself within a heartbeat or two.
 _RETURN_MS = 2500.0
@@ -16,6 +19,27 @@
 _WAITING_SHARE = 0.7
 
 
+# Callers give a stream up after the longest of two seconds, four objectives and eight pauses without
+# an event, also before the first one.
+_CALLER_PATIENCE_MS = 2000.0
+_CALLER_OBJECTIVES = 4.0
+_CALLER_PAUSES = 8.0
+# Part of a caller's patience that the expected time to the first event may take; the rest covers the
+# spread of the estimate.
+_PATIENCE_SHARE = 0.75
+# The longest time that a caller is sent away for, as a part of what it has left.
+_LONGEST_AWAY_SHARE = 1.0 / 3.0
+
+
+def caller_patience_ms(route: Route) -> float:
+    """Return how long a caller waits for the next event of a stream."""
+    return max(
+        _CALLER_PATIENCE_MS,
+        _CALLER_OBJECTIVES * route.latency_objective_ms,
+        _CALLER_PAUSES * route.longest_pause_ms,
+    )
+
+
 class Admission:
     """Refuse at once what cannot be served before its deadline."""
 
@@ -43,6 +67,23 @@
         hint_ms = round(min(load_ms, journey.remaining_ms / 3.0))
         return Failure(ErrorKind.MODEL_LOADING, f"{model} is not loaded", retry_after_ms=hint_ms)
 
+    def too_late(self, journey: Journey, upstream: UpstreamState) -> Failure | None:
+        """Return why a stream is not worth starting at its best upstream, or ``None``.
+
+        Load: engines get more prompts than they can read. Every caller then waits longer than it
+        is willing to, leaves, and the engine has read its prompt for nothing. Sending away those
+        that would leave keeps the others in time, and tells them when to come back.
+        """
+        if journey.route.kind is not RequestKind.STREAMING:
+            return None
+        expected_ms = upstream.expected_first_ms()
+        limit_ms = min(caller_patience_ms(journey.route), journey.remaining_ms) * _PATIENCE_SHARE
+        if expected_ms <= limit_ms:
+            return None
+        hint_ms = min(expected_ms - limit_ms / 2.0, journey.remaining_ms * _LONGEST_AWAY_SHARE)
+        reason = f"first event expected in {expected_ms:.0f} ms, limit {limit_ms:.0f} ms"
+        return Failure(ErrorKind.OVERLOADED, reason, retry_after_ms=round(hint_ms))
+
     def wait_ms(self, journey: Journey, state: GatewayState) -> float:
         """Return how long a request without an upstream may still wait; 0 to give up."""
         if journey.tried:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -11,6 +11,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.adapters import ASK_AGAIN_MS
+from briardyke.gateway.admission import caller_patience_ms
 from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import CallerRequest, UpstreamCall
@@ -18,7 +19,7 @@
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT
 from briardyke.gateway.trace import Trace
-from briardyke.http.exchange import CallerGoneError, HttpRequest, end_to_end, header
+from briardyke.http.exchange import HttpRequest, end_to_end, header
 from briardyke.http.h11_client import UpstreamError
 from briardyke.routes.configuration import Route
 from briardyke.routes.matching import choose_service
@@ -38,11 +39,8 @@
 _LEAST_PATIENCE_MS = 800.0
 # Another upstream counts as easier when its load is below this part of the present one's.
 _EASIER = 0.5
-# Callers give a stream up after the longest of two seconds, four objectives and eight pauses; it is
-# continued elsewhere in time for another upstream to send an event before that.
-_CALLER_PATIENCE_MS = 2000.0
-_CALLER_OBJECTIVES = 4.0
-_CALLER_PAUSES = 8.0
+# Part of a caller's patience after which a silent stream is continued elsewhere, in time for another
+# upstream to send an event.
 _RESUME_SHARE = 0.65
 _MAX_CONNECT_FAILURES = 3
 # Weights of one answer and one event in an upstream's pace: the last ten answers, or the events of
@@ -74,7 +72,7 @@
     may_have_run: bool = False
     tried: set[str] = attrs.field(factory=set)
     last: Attempt | None = None
-    wait_hint_ms: float | None = None
+    refusal: Failure | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -118,14 +116,10 @@
         state.demand.began(caller.model or service)
         try:
             await self._carry(journey, answer)
-        except CallerGoneError:
-            trace.finish(state.counters, 0, "caller_gone")
-            raise
-        except trio.Cancelled:
-            trace.finish(state.counters, 0, "caller_gone")
-            raise
         finally:
             state.demand.ended(caller.model or service)
+            if not trace.is_finished:
+                trace.finish(state.counters, 0, "caller_gone")
 
     def _route(self, request: HttpRequest) -> Route | None:
         host = (header(request.headers, b"host") or b"").decode("latin-1")
@@ -135,6 +129,9 @@
         """Try upstreams until one answers or no further attempt is allowed."""
         async with trio.open_nursery() as nursery:
             while (upstream := await self._next_upstream(journey)) is not None:
+                journey.refusal = self._state.admission.too_late(journey, upstream)
+                if journey.refusal is not None:
+                    break
                 attempt = await self._attempt(journey, upstream, nursery)
                 if attempt.ending is Ending.ANSWERED and not self._is_worth_repeating(
                     journey, attempt
@@ -179,7 +176,7 @@
             upstream.pending -= 1
             if attempt is None or attempt.connection is None:
                 upstream.in_flight -= 1
-        self._learn(journey, upstream, attempt, now_ms() - started_ms)
+        self._learn(journey, upstream, attempt, now_ms() - started_ms, load)
         journey.trace.step(upstream_id, attempt.reason or attempt.ending.value, load)
         return attempt
 
@@ -199,7 +196,12 @@
         return patience_ms if patience_ms < remaining_ms * 0.6 else remaining_ms
 
     def _learn(
-        self, journey: Journey, upstream: UpstreamState, attempt: Attempt, took_ms: float
+        self,
+        journey: Journey,
+        upstream: UpstreamState,
+        attempt: Attempt,
+        took_ms: float,
+        load: float,
     ) -> None:
         """Update the evidence about the upstream."""
         if attempt.facts is not None and attempt.facts.load is not None:
@@ -219,7 +221,9 @@
             journey.sent += 1
             journey.may_have_run = True
             assert attempt.head is not None
-            if attempt.connection is None and attempt.head.status < 500:
+            if attempt.connection is not None:
+                upstream.observe_first(took_ms, load)
+            elif attempt.head.status < 500:
                 upstream.observe_pace(took_ms, _ANSWER_WEIGHT)
             if attempt.head.status < 500:
                 upstream.gate.succeeded(now_ms())
@@ -353,7 +357,7 @@
         splitter: EventSplitter,
     ) -> bool:
         last_ms, count = now_ms(), splitter.count
-        pause_ms = self._longest_silence_ms(journey.route)
+        pause_ms = caller_patience_ms(journey.route) * _RESUME_SHARE
         while (left_ms := journey.remaining_ms) > 0:
             part: bytes | None = b""
             try:
@@ -376,15 +380,6 @@
                 return True
         return False
 
-    @staticmethod
-    def _longest_silence_ms(route: Route) -> float:
-        patience_ms = max(
-            _CALLER_PATIENCE_MS,
-            _CALLER_OBJECTIVES * route.latency_objective_ms,
-            _CALLER_PAUSES * route.longest_pause_ms,
-        )
-        return patience_ms * _RESUME_SHARE
-
     def _has_alternative(self, journey: Journey) -> bool:
         """Return whether a silent stream could go on at another upstream now."""
         if not journey.route.is_resumable or journey.sent >= journey.route.max_attempts:
@@ -404,12 +399,13 @@
             kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.UPSTREAM_FAILED
         elif last is not None and last.ending is Ending.REFUSED:
             kind = ErrorKind.UPSTREAM_REFUSED
+        elif journey.refusal is not None:
+            await self._fail(answer, journey.trace, journey.refusal)
+            return
         else:
             kind = ErrorKind.NO_UPSTREAM
         reason = last.reason if last else "no upstream"
-        wait_ms = journey.wait_hint_ms
-        hint = round(wait_ms) if wait_ms is not None else None
-        await self._fail(answer, journey.trace, Failure(kind, reason, retry_after_ms=hint))
+        await self._fail(answer, journey.trace, Failure(kind, reason))
 
     async def _fail(self, answer: Answer, trace: Trace, failure: Failure) -> None:
         status = failure.answer.http_status
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -20,6 +20,9 @@
 # Reading a prompt takes an engine about seven times as long as the part of its steps that one
 # running request adds while it lasts.
 ENGINE_RUNNING_WEIGHT = 0.15
+# The last half dozen streams; a single one that met a stall counts as if it took this long.
+_UNIT_WEIGHT = 0.15
+_MAX_UNIT_MS = 500.0
 
 
 @attrs.define
@@ -35,6 +38,7 @@
     :param others_waiting: those of them that had not begun to run.
     :param running_weight: how much a running request delays a new one, against a waiting one.
     :param reported_ms: time of the last report.
+    :param unit_ms: time to the first event for each unit of load, 0 when unknown.
     :param pace_ms: recent mean time of an answer, or between two events of a stream; 0 for none.
     :param withheld: models that get no new requests.
     :param adapters: time until which each adapter is trusted to be there, by model and name.
@@ -48,11 +52,27 @@
     others: float = 0.0
     others_waiting: float = 0.0
     running_weight: float = 1.0
+    unit_ms: float = 0.0
     reported_ms: float = 0.0
     pace_ms: float = 0.0
     withheld: frozenset[str] = frozenset()
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    def observe_first(self, took_ms: float, load: float) -> None:
+        """Learn from the time to the first event of a stream.
+
+        :param took_ms: time from the dispatch.
+        :param load: load at the dispatch.
+        """
+        unit_ms = min(_MAX_UNIT_MS, took_ms / (load + 1.0))
+        if self.unit_ms == 0.0:
+            self.unit_ms = unit_ms
+        self.unit_ms += _UNIT_WEIGHT * (unit_ms - self.unit_ms)
+
+    def expected_first_ms(self) -> float:
+        """Return the expected time to the first event of a stream, 0 when nothing is known."""
+        return (self.load() + 1.0) * self.unit_ms
+
     def observe_pace(self, took_ms: float, weight: float) -> None:
         """Add the time of one answer, or of one event of a stream, to the recent mean.
 
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -30,6 +30,7 @@
     service: str = ""
     model: str = ""
     steps: list[str] = attrs.field(factory=list)
+    is_finished: bool = False
 
     def step(self, upstream_id: str, outcome: str, load: float) -> None:
         """Add one attempt with the load that was assumed for its upstream."""
@@ -38,6 +39,7 @@
 
     def finish(self, counters: Counters, status: int, outcome: str) -> None:
         """Write the request's line and count it."""
+        self.is_finished = True
         duration_ms = now_ms() - self.started_ms
         counters.record(self.service, outcome, duration_ms)
         log_limited(
