--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -67,6 +67,8 @@
         request = AdapterRequest(caller.model, caller.adapter, [s.row.upstream_id for s in order])
         reply = await self._ask(request)
         chosen = self._state.upstreams.get(reply.upstream_id) if reply.upstream_id else None
+        if chosen is None:
+            chosen = self._announced(caller, candidates)
         if chosen is None:
             log_limited(
                 "adapter_not_placed",
@@ -78,3 +80,15 @@
             return None
         chosen.adapters[(caller.model, caller.adapter)] = now_ms() + TRUST_MS
         return chosen
+
+    @staticmethod
+    def _announced(
+        caller: CallerRequest, candidates: Sequence[UpstreamState]
+    ) -> UpstreamState | None:
+        """Return an upstream that named the adapter in its last announcement.
+
+        Load: while leadership changes hands nobody can order adapters for some seconds, but most
+        of those that are asked for are still where they were.
+        """
+        holding = [s for s in candidates if s.announces_adapter(caller.model, caller.adapter)]
+        return min(holding, key=lambda s: s.load(), default=None)
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.routes.configuration import RequestKind
 
@@ -15,17 +16,19 @@
 
 # A restarted upstream announces itself within a heartbeat or two.
 _RETURN_MS = 2500.0
-# Part of the remaining time that a request may spend waiting, so that it can still run.
+# From the arrival of a request for a missing model until its load is ordered.
+_ORDER_DELAY_MS = 700.0
+# Part of its time or patience that a request may spend waiting, so that it can still run.
 _WAITING_SHARE = 0.7
 
 
-# Callers give a stream up after the longest of two seconds, four objectives and eight pauses without
-# an event, also before the first one.
+# Callers give a stream up after the longest of two seconds, four objectives and eight pauses
+# without an event, also before the first one.
 _CALLER_PATIENCE_MS = 2000.0
 _CALLER_OBJECTIVES = 4.0
 _CALLER_PAUSES = 8.0
-# Part of a caller's patience that the expected time to the first event may take; the rest covers the
-# spread of the estimate.
+# Part of a caller's patience that the expected time to the first event may take; the rest covers
+# the spread of the estimate.
 _PATIENCE_SHARE = 0.75
 # The longest time that a caller is sent away for, as a part of what it has left.
 _LONGEST_AWAY_SHARE = 1.0 / 3.0
@@ -61,11 +64,23 @@
         if any(upstream.holds(model) for upstream in usable):
             return None
         at_hand = any(model in upstream.row.at_hand for upstream in usable)
-        load_ms = (spec.disk_load_s if at_hand else spec.load_s) * 1000.0
-        if load_ms < journey.remaining_ms * _WAITING_SHARE:
+        load_ms = (spec.disk_load_s if at_hand else spec.load_s) * 1000.0 + _ORDER_DELAY_MS
+        if load_ms < self._longest_wait_ms(journey):
             return None
-        hint_ms = round(min(load_ms, journey.remaining_ms / 3.0))
-        return Failure(ErrorKind.MODEL_LOADING, f"{model} is not loaded", retry_after_ms=hint_ms)
+        return self._comes_back(journey, load_ms, f"{model} is not loaded")
+
+    @staticmethod
+    def _longest_wait_ms(journey: Journey) -> float:
+        """Return how long a request may wait for an upstream, from its arrival."""
+        total_ms = journey.deadline_ms - journey.request.received_ms
+        if journey.route.kind is not RequestKind.STREAMING:
+            return total_ms * _WAITING_SHARE
+        return min(total_ms, caller_patience_ms(journey.route)) * _WAITING_SHARE
+
+    @staticmethod
+    def _comes_back(journey: Journey, wait_ms: float, reason: str) -> Failure:
+        hint_ms = min(wait_ms, journey.remaining_ms * _LONGEST_AWAY_SHARE)
+        return Failure(ErrorKind.MODEL_LOADING, reason, retry_after_ms=round(hint_ms))
 
     def too_late(self, journey: Journey, upstream: UpstreamState) -> Failure | None:
         """Return why a stream is not worth starting at its best upstream, or ``None``.
@@ -88,9 +103,11 @@
         """Return how long a request without an upstream may still wait; 0 to give up."""
         if journey.tried:
             return 0.0
-        total_ms = journey.deadline_ms - journey.request.received_ms
-        waited_ms = total_ms - journey.remaining_ms
-        model = journey.caller.model
-        if model and state.model(journey.service, model) is not None:
-            return total_ms * _WAITING_SHARE - waited_ms
-        return min(total_ms * _WAITING_SHARE, _RETURN_MS) - waited_ms
+        waited_ms = now_ms() - journey.request.received_ms
+        longest_ms = self._longest_wait_ms(journey)
+        if journey.caller.model and state.is_engine(journey.service):
+            if waited_ms >= longest_ms:
+                reason = f"{journey.caller.model} has no place yet"
+                journey.refusal = self._comes_back(journey, longest_ms, reason)
+            return longest_ms - waited_ms
+        return min(longest_ms, _RETURN_MS) - waited_ms
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -39,8 +39,8 @@
 _LEAST_PATIENCE_MS = 800.0
 # Another upstream counts as easier when its load is below this part of the present one's.
 _EASIER = 0.5
-# Part of a caller's patience after which a silent stream is continued elsewhere, in time for another
-# upstream to send an event.
+# Part of a caller's patience after which a silent stream is continued elsewhere, in time for
+# another upstream to send an event.
 _RESUME_SHARE = 0.65
 _MAX_CONNECT_FAILURES = 3
 # Weights of one answer and one event in an upstream's pace: the last ten answers, or the events of
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -106,6 +106,10 @@
             return False
         return any(held.name == model for held in self.row.models)
 
+    def announces_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether its last announcement named the adapter."""
+        return any(held.name == model and adapter in held.adapters for held in self.row.models)
+
     def holds_adapter(self, model: str, adapter: str) -> bool:
         """Return whether the adapter was seen in its memory."""
         return self.adapters.get((model, adapter), 0.0) > now_ms()
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -24,6 +24,8 @@
 _SURPLUS_MARGIN = 1.3
 # An engine takes no adapter while it loads a model, so one with busy adapters is a worse place.
 _ADAPTER_COST = 0.5
+# An engine that alone takes adapters now is used for a missing model only if no other can be.
+_ALONE_COST = 5.0
 # The last replica of a resting model costs a load when the model is asked for again, the sooner
 # the more it was asked for lately.
 _LAST_REPLICA = 3.0
@@ -101,6 +103,7 @@
             if engine.is_free
             and engine.upstream_id not in self._taken
             and model not in engine.held
+            and (is_urgent or not self._serves_adapters_alone(engine))
             and (option := self._option(model, engine, is_urgent)) is not None
         ]
         if not options:
@@ -118,6 +121,30 @@
             self._starts -= 1
         self._order(Change(ChangeKind.LOAD, best.engine.upstream_id, model, from_store))
 
+    def _serves_adapters_alone(self, engine: EngineView) -> bool:
+        """Return whether no other engine could take an adapter of one of its models meanwhile.
+
+        Load: an engine that loads a model takes no adapter for seconds, so a model with many
+        adapters keeps one free engine while another one changes.
+        """
+        for model in engine.held:
+            spec = self.view.spec.models.get(model)
+            if spec is None or not spec.adapters or not self._demand.get(model):
+                continue
+            others = [
+                e
+                for e in self._engines
+                if e is not engine
+                and model in e.held
+                and model not in e.leaving
+                and e.is_free
+                and e.upstream_id not in self._taken
+            ]
+            holders = len(self._replicas.get(model, ()))
+            if not others and holders > 1:
+                return True
+        return False
+
     def _order(self, change: Change) -> None:
         self.changes.append(change)
 
@@ -129,6 +156,8 @@
         victims: list[str] = []
         cost = self._pressure(engine) + (2.0 if from_store else 0.0)
         cost += _ADAPTER_COST * sum(engine.held.values())
+        if is_urgent and self._serves_adapters_alone(engine):
+            cost += _ALONE_COST
         rows = sorted((self._victim_cost(v, model, is_urgent), v) for v in engine.held)
         for victim_cost, victim in rows:
             if missing_mb <= 0:
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -95,3 +95,25 @@
     def test_memory_is_never_committed_beyond_its_bound(self) -> None:
         room = spec(weights_mb=100.0, a=60, b=50)
         assert all(c.kind is UNLOAD for c in decide(view(room, [engine("e1", "b")], a=5, b=0)))
+
+
+class TestAdapters:
+    """Covers models with many adapters, which an engine cannot take while it loads a model."""
+
+    def test_one_holder_stays_free_while_another_one_changes(self) -> None:
+        room = spec(a=40, b=40, c=40)
+        with_adapters = attrs.evolve(room.models["a"], adapters=20)
+        room = attrs.evolve(room, models=room.models | {"a": with_adapters})
+        engines = [engine("e1", "a"), engine("e2", "a", is_free=False)]
+        room = attrs.evolve(room, models={k: room.models[k] for k in ("a", "b")})
+        held = [engine("e3", "b"), *engines]
+        assert decide(view(room, [attrs.evolve(e) for e in held], a=1, b=9)) == []
+        held[2] = engine("e2", "a")
+        assert len(decide(view(room, held, a=1, b=9))) == 1
+
+    def test_only_holder_still_takes_missing_models(self) -> None:
+        room = spec(a=40, c=40)
+        with_adapters = attrs.evolve(room.models["a"], adapters=20)
+        room = attrs.evolve(room, models=room.models | {"a": with_adapters})
+        found = decide(view(room, [engine("e1", "a")], a=5, c=1))
+        assert found == [Change(LOAD, "e1", "c", True)]
