--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -11,9 +11,9 @@
 from briardyke.control.settings import ControlSettings, InitSettings
 from briardyke.entry.settings import EntrySettings
 from briardyke.errors import ANSWERS, ErrorKind
+from briardyke.exit_codes import ExitCode
 from briardyke.loadtool.settings import LoadSettings
 from briardyke.operator.client import OperatorSettings
-from briardyke.exit_codes import ExitCode
 from briardyke.settings import ENVIRONMENT_PREFIX
 from briardyke.standins.engine.settings import EngineSettings
 from briardyke.standins.service.settings import ServiceSettings
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -12,6 +12,8 @@
 ADAPTER_KEEP_MS = 1500.0
 # An adapter that was asked for within this time counts as in use when engines are compared.
 ADAPTER_BUSY_MS = 5000.0
+# A model stays this long after its load was ordered: the load itself and as long to pay for it.
+RESIDENCE_MS = 10_000.0
 # Stands for a model that an earlier leader ordered and no report names yet.
 UNKNOWN_MODEL = ""
 
@@ -47,6 +49,7 @@
     :param leaving_adapters: adapters that are being unloaded and still take their places.
     :param doubt_since_ms: time since which the sequence is unknown.
     :param review_ms: time at which a report is wanted, 0 for none.
+    :param loaded_ms: time at which the load of each model was ordered.
     :param ready: set when an adapter that is being loaded has arrived or failed.
     :param lock: orders to one engine go out one after the other.
     """
@@ -62,6 +65,7 @@
     doubt_since_ms: float = 0.0
     review_ms: float = 0.0
     lock: trio.Lock = attrs.field(factory=trio.Lock)
+    loaded_ms: dict[str, float] = attrs.field(factory=dict)
     ready: dict[tuple[str, str], trio.Event] = attrs.field(factory=dict)
 
     def adopt_report(self, report: EngineReport) -> None:
@@ -108,6 +112,11 @@
         ]
         return sorted(old, key=lambda key: self.adapters[key])
 
+    def recent_models(self) -> frozenset[str]:
+        """Return the models whose load was ordered lately."""
+        limit_ms = now_ms() - RESIDENCE_MS
+        return frozenset(m for m, loaded_ms in self.loaded_ms.items() if loaded_ms >= limit_ms)
+
     def busy_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that were asked for recently."""
         limit_ms = now_ms() - ADAPTER_BUSY_MS
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -176,6 +176,7 @@
             and not ledger.lock.locked(),
             is_staying=ledger.row.lifecycle == READY,
             leaving=frozenset(ledger.leaving),
+            recent=ledger.recent_models(),
         )
 
     # Models
@@ -189,6 +190,7 @@
         ledger.pending_since_ms = now_ms()
         if is_load:
             ledger.models.add(change.model)
+            ledger.loaded_ms[change.model] = now_ms()
             if change.is_from_store:
                 self._store.record()
         else:
--- a/src/briardyke/models/tables.py
+++ b/src/briardyke/models/tables.py
@@ -43,6 +43,7 @@
     :param is_free: whether it could take an order now.
     :param is_staying: whether it is ready and has not said that it leaves.
     :param leaving: models that are being unloaded.
+    :param recent: models whose load was ordered lately.
     """
 
     upstream_id: str
@@ -52,6 +53,7 @@
     is_free: bool
     is_staying: bool
     leaving: frozenset[str] = frozenset()
+    recent: frozenset[str] = frozenset()
 
 
 @attrs.frozen
