--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -29,12 +29,12 @@
 _ALONE_COST = 5.0
 # The last replica of a resting model costs a load when the model is asked for again, the sooner
 # the more it was asked for lately.
-_LAST_REPLICA = 1.0
-_RETURN = 3.0
+_LAST_REPLICA = 3.0
+_RETURN = 10.0
 # A spare replica of a busy model, when the others would carry a whole engine's mean; one that is
 # still needed gives way only to a model that is missing everywhere.
-_SPARE_REPLICA = 4.0
-_NEEDED_REPLICA = 6.0
+_SPARE_REPLICA = 2.0
+_NEEDED_REPLICA = 4.0
 # Demand below this is the tail of requests that ended some seconds ago.
 _LEAST_DEMAND = 0.05
 
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -12,8 +12,8 @@
 ADAPTER_KEEP_MS = 1500.0
 # An adapter that was asked for within this time counts as in use when engines are compared.
 ADAPTER_BUSY_MS = 5000.0
-# A model stays this long after its load was ordered: the load itself and as long to pay for it.
-RESIDENCE_MS = 10_000.0
+# A model stays this long after its load was ordered, about as long as a load takes.
+RESIDENCE_MS = 4000.0
 # Stands for a model that an earlier leader ordered and no report names yet.
 UNKNOWN_MODEL = ""
 
