Keep the process alive when an answer meets a caller that has gone; doubt evidence after a suspension

Heads over the limit that arrive whole are refused too. A leader that was suspended steps down before it orders again.

--- a/src/briardyke/clock.py
+++ b/src/briardyke/clock.py
@@ -17,6 +17,15 @@
     return time.time_ns() // 1_000_000
 
 
+def suspended_ms() -> float:
+    """Return how long this machine has been suspended since its start, in milliseconds.
+
+    The runtime's clock stands still meanwhile, so evidence looks fresher than it is.
+    """
+    boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return (boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) / 1e6
+
+
 async def sleep_ms(duration_ms: float) -> None:
     """Suspend the current task.
 
--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -214,6 +214,11 @@
             return state.commit_confirmed and now_ms() - state.evidence_ms < window_ms
         return state.leader_address is not None and now_ms() - state.leader_contact_ms < window_ms
 
+    def distrust_evidence(self) -> None:
+        """Step down at the next tick: the evidence of leadership is older than the clock says."""
+        state = self._node.state
+        state.evidence_ms = now_ms() - state.settings.election_min_ms
+
     async def confirm_read(self, timeout_ms: float) -> bool:
         """Wait until the state applied here is proved to be current at the time of the call.
 
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err, Ok, Result
 
-from briardyke.clock import now_ms
+from briardyke.clock import now_ms, suspended_ms
 from briardyke.consensus.messages import GroupMessage
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind, Failure
@@ -46,6 +46,8 @@
 BATCH_INTERVAL_MS = 400.0
 # Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
 LEADER_EVIDENCE_MS = 900.0
+# Shorter suspensions than this leave no time for another leader.
+SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
 _READ_TIMEOUT_MS = 900.0
 # Rows of departed owners are kept, so that late announcements do not revive them.
@@ -91,6 +93,7 @@
         self._fresh_upstreams: set[str] = set()
         self._fresh_entries: set[str] = set()
         self._current_since_ms = float("inf")
+        self._suspended_ms = suspended_ms()
 
     # Operator
 
@@ -183,7 +186,15 @@
     # Placement
 
     def leading_term(self) -> int | None:
-        """Return the term that this instance leads with fresh evidence, else ``None``."""
+        """Return the term that this instance leads with fresh evidence, else ``None``.
+
+        A leader that was suspended may have been replaced although its clock shows no time passed.
+        """
+        suspended = suspended_ms()
+        if suspended - self._suspended_ms >= SUSPENSION_MS:
+            log_event("suspension_noticed", duration_ms=round(suspended - self._suspended_ms))
+            self._suspended_ms = suspended
+            self.log.distrust_evidence()
         age_ms = self.log.confirmed_age_ms()
         is_fresh = age_ms is not None and age_ms < LEADER_EVIDENCE_MS
         return self.log.status().term if is_fresh else None
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -89,25 +89,35 @@
         tune(stream)
         try:
             await _Connection(self, stream).run()
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            log_debug("caller_connection_lost", reason=repr(error))
+        except* (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            CallerGoneError,
+        ) as group:
+            log_debug("caller_connection_lost", reason=repr(group.exceptions[0]))
+        except* Exception as group:
+            # A defect met by one connection must not end the others with the process.
+            log_error("connection_failed", reason=repr(group.exceptions))
         finally:
             await trio.aclose_forcefully(stream)
 
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Run the handler; a defect ends in an answer without detail."""
         self.in_flight += 1
+        failed = False
         try:
             await self._handler(request, answer)
-        except CallerGoneError as error:
-            log_debug("caller_gone", reason=error)
-        except Exception as error:
-            log_error("request_handler_failed", path=request.path, reason=repr(error))
-            if not answer.is_started:
-                await answer.send_whole(500, [])
+        except* CallerGoneError as group:
+            log_debug("caller_gone", reason=repr(group.exceptions[0]))
+        except* Exception as group:
+            log_error("request_handler_failed", path=request.path, reason=repr(group.exceptions))
+            failed = True
         finally:
             self.in_flight -= 1
             self._finished.set()
+        if failed and not answer.is_started:
+            await answer.send_whole(500, [])
 
 
 class _Connection:
@@ -175,6 +185,9 @@
                 self._protocol.receive_data(await self._stream.receive_some(_READ_BYTES))
             elif isinstance(event, h11.Request):
                 head, received_ms = event, now_ms()
+                if _head_bytes(head) > limits.max_header_bytes:
+                    await self._refuse(431)
+                    return None
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.max_body_bytes:
@@ -226,3 +239,9 @@
             answer = Answer(self._protocol, self._send)
             answer.closes_connection = True
             await answer.send_whole(status, [])
+
+
+def _head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head; h11 itself bounds only one that is not complete."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + 12 + fields
--- /dev/null
+++ b/tests/http/test_h11_server.py
@@ -0,0 +1,153 @@
+"""Tests for the HTTP server of the relay, against callers that misbehave."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+import trio
+
+from briardyke.addresses import Address
+from briardyke.http.exchange import Answer, CallerGoneError, HttpRequest
+from briardyke.http.h11_server import H11Server, ServerLimits
+
+Open = Callable[[], Awaitable[trio.SocketStream]]
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Handler:
+    """Answer with the body, or do what a test asks for."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.cancelled = 0
+        self.mode = ""
+
+    async def __call__(self, request: HttpRequest, answer: Answer) -> None:
+        self.requests.append(request)
+        if self.mode == "wait":
+            try:
+                await trio.sleep(60)
+            finally:
+                self.cancelled += 1
+        if self.mode == "cut":
+            await answer.start(200, [])
+            await answer.send_part(b"half")
+            return
+        if self.mode == "gone":
+            async with trio.open_nursery():
+                raise CallerGoneError("closed")
+        if self.mode == "defect":
+            raise KeyError("defect")
+        await answer.send_whole(200, [], request.body or b"ok")
+
+
+@pytest.fixture
+def handler() -> Handler:
+    return Handler()
+
+
+@pytest.fixture
+async def opened(handler: Handler) -> AsyncIterator[Open]:
+    """Serve on a free port and return a function that connects."""
+    server = H11Server(handler, lambda: ServerLimits(1000, 100, 200.0, 300.0))
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(server.serve, Address("127.0.0.1", 0))
+
+        async def connect() -> trio.SocketStream:
+            return await trio.open_tcp_stream("127.0.0.1", port)
+
+        yield connect
+        nursery.cancel_scope.cancel()
+
+
+async def read_all(stream: trio.SocketStream) -> bytes:
+    """Read until the server closes."""
+    data = b""
+    with trio.fail_after(3):
+        while chunk := await stream.receive_some():
+            data += chunk
+    return data
+
+
+class TestRequests:
+    """Covers what callers may send."""
+
+    async def test_requests_share_a_connection(self, opened: Open, handler: Handler) -> None:
+        stream = await opened()
+        await stream.send_all(GET + GET)
+        assert (await read_all(stream)).count(b"200") == 2
+
+    async def test_body_in_chunks_arrives_whole(self, opened: Open, handler: Handler) -> None:
+        stream = await opened()
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await stream.send_all(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+        assert b"abcde" in await read_all(stream)
+
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"GET /x HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 3000 + b"\r\n\r\n", b"431"),
+            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" + b"a" * 200, b"413"),
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"GET /x HTTP/1.1\r\nHost: h\r\n", b"408"),
+            (b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1, 2\r\n\r\na", b"400"),
+        ],
+    )
+    async def test_bad_request_is_refused_and_closed(
+        self, opened: Open, handler: Handler, sent: bytes, status: bytes
+    ) -> None:
+        stream = await opened()
+        await stream.send_all(sent)
+        assert (await read_all(stream)).split()[1] == status
+        assert handler.requests == []
+
+
+class TestEndings:
+    """Covers callers that leave and answers that stay incomplete."""
+
+    async def test_handler_ends_when_its_caller_goes(self, opened: Open, handler: Handler) -> None:
+        handler.mode = "wait"
+        stream = await opened()
+        await stream.send_all(GET)
+        await trio.sleep(0.05)
+        await stream.aclose()
+        with trio.fail_after(0.5):
+            while not handler.cancelled:
+                await trio.testing.wait_all_tasks_blocked(0.01)
+
+    async def test_cut_answer_does_not_look_complete(self, opened: Open, handler: Handler) -> None:
+        handler.mode = "cut"
+        stream = await opened()
+        await stream.send_all(GET)
+        data = await read_all(stream)
+        assert b"half" in data
+        assert not data.endswith(b"0\r\n\r\n")
+
+    @pytest.mark.parametrize("mode", ["gone", "defect"])
+    async def test_failing_handler_leaves_the_server_up(
+        self, opened: Open, handler: Handler, mode: str
+    ) -> None:
+        handler.mode = mode
+        for _ in range(3):
+            stream = await opened()
+            await stream.send_all(GET)
+            await stream.aclose()
+        await trio.sleep(0.1)
+        handler.mode = ""
+        stream = await opened()
+        await stream.send_all(GET)
+        assert b"200" in await read_all(stream)
+
+    async def test_caller_that_resets_while_it_is_refused_leaves_the_server_up(
+        self, opened: Open, handler: Handler
+    ) -> None:
+        for _ in range(3):
+            stream = await opened()
+            await stream.send_all(b"GET /x HTTP/1.1\r\nHost: h\r\n")
+            stream.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")  # close with a reset
+            await stream.aclose()
+        await trio.sleep(0.4)
+        stream = await opened()
+        await stream.send_all(GET)
+        assert b"200" in await read_all(stream)
