--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -86,6 +86,7 @@
         self._held_entries = 0
         self._held_withheld = 0
         self._wake = trio.Event()
+        self._was_current = False
 
     async def run(self) -> None:
         """Follow one control instance while it is current, else try the next."""
@@ -113,6 +114,10 @@
                     log_warning("control_lost", control=address)
                 return
             self._take(reply)
+            if reply.is_starting and not reply.is_current and not self._was_current:
+                self.view.confirmed_ms = now_ms()
+                await trio.sleep(_NEXT_MS / 1000.0)
+                continue
             if not reply.is_current:
                 log_limited(
                     "control_not_current",
@@ -164,8 +169,9 @@
             view.leader = parse_address(reply.leader)
         if reply.controls:
             view.controls = [parse_address(text) for text in reply.controls]
-        if not reply.is_current:
+        if not reply.is_current and not (reply.is_starting and not self._was_current):
             return
+        self._was_current = reply.is_current
         if reply.is_whole:
             view.upstreams = {}
             view.withheld = {}
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -46,6 +46,9 @@
 BATCH_INTERVAL_MS = 400.0
 # Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
 LEADER_EVIDENCE_MS = 900.0
+# An election takes up to the longest election timeout and a round; nobody counts on an instance
+# that has been back for less than three seconds.
+STARTING_MS = 2500.0
 # Shorter suspensions than this leave no time for another leader.
 SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
@@ -94,6 +97,7 @@
         self._fresh_entries: set[str] = set()
         self._current_since_ms = float("inf")
         self._suspended_ms = suspended_ms()
+        self._started_ms = now_ms()
 
     # Operator
 
@@ -134,12 +138,21 @@
         """Return whether this instance takes part in the working majority."""
         return self.log.hears_leader(CONTACT_WINDOW_MS)
 
+    @property
+    def is_starting(self) -> bool:
+        """Return whether this instance has just started and may not have heard a leader yet.
+
+        Load: after a loss of power everywhere, entry instances and upstreams are back before an
+        election can end. What this instance holds from disk is committed, though maybe not newest.
+        """
+        return now_ms() - self._started_ms < STARTING_MS
+
     def announce(self, row: Upstream) -> bool:
         """Take an upstream's announcement; return whether it can be acknowledged.
 
         A start at an address that another row names ends that row: two processes cannot share it.
         """
-        if not self.is_current:
+        if not self.is_current and not self.is_starting:
             return False
         for other in self.tables.upstreams.rows():
             reused = other.address == row.address and other.upstream_id != row.upstream_id
@@ -154,7 +167,7 @@
 
     def depart(self, upstream_id: str) -> bool:
         """Take note that an upstream leaves; return whether it can be acknowledged."""
-        if not self.is_current:
+        if not self.is_current and not self.is_starting:
             return False
         held = self.tables.upstreams.get(upstream_id)
         if held is not None:
@@ -280,6 +293,7 @@
         leader = self.log.status().leader_address
         return FleetReply(
             is_current=self.is_current,
+            is_starting=self.is_starting,
             version=self.machine.version,
             configuration=self.machine.document if is_newer else None,
             table_id=self.table_id,
--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -22,7 +22,9 @@
 
 CLUSTER_ID = "briardyke"
 _GROUP_ID = "fleet"
-_SNAPSHOT_ENTRIES = 200
+# The state is one document, so a snapshot costs as much as an entry. With each change in one, a
+# restarted instance knows a committed configuration before there is a leader.
+_SNAPSHOT_ENTRIES = 1
 _SETTINGS = NodeSettings(promotes_learners=True)
 
 
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -62,6 +62,7 @@
     """Answer a :class:`FleetRequest`.
 
     :param is_current: whether this control instance hears a leader; otherwise the rest is stale.
+    :param is_starting: whether it has just started; what it knows is committed but maybe old.
     :param version: number of the newest configuration known here.
     :param configuration: its document, or ``None`` when the sender holds it.
     :param table_id: identity of this control process.
@@ -77,6 +78,7 @@
     """
 
     is_current: bool
+    is_starting: bool
     version: int
     configuration: bytes | None
     table_id: str
--- a/tests/platform/platform_cluster.py
+++ b/tests/platform/platform_cluster.py
@@ -42,13 +42,15 @@
     sent = [(k.lower().encode(), v.encode()) for k, v in headers.items()]
     sent += [(b"host", headers.get("Host", "x").encode())] if "Host" not in headers else []
     sent.append((b"content-length", b"%d" % len(body)))
-    async with trio.open_nursery() as nursery:
-        try:
+    try:
+        async with trio.open_nursery() as nursery:
             await connection.send(method, target, sent, body, nursery)
             head: UpstreamHead = await connection.read_head(lambda _: True)
             return Reply(head.status, head.headers, await connection.read_body(1 << 20))
-        finally:
-            await connection.aclose()
+    except ExceptionGroup as group:
+        raise group.exceptions[0] from None  # the nursery wraps what the exchange raises
+    finally:
+        await connection.aclose()
 
 
 @attrs.define
