--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -153,7 +153,7 @@
 
     def finish(self, head: UpstreamHead) -> bool:
         """Prepare for the next request; return whether the connection can be kept."""
-        if not self._may_keep or self._protocol.trailing_data[0]:
+        if not self._may_keep or self._protocol.trailing_data[0] or not _is_framed(head):
             return False
         if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
             return False
@@ -201,10 +201,17 @@
         if length and int(length):
             protocol.send(h11.Data(data=b"\0" * int(length)))
         protocol.send(h11.EndOfMessage())
-        protocol.receive_data(rest)
+        if rest:  # no bytes would mean that the upstream has closed
+            protocol.receive_data(rest)
         self._protocol = protocol
 
 
+def _is_framed(head: UpstreamHead) -> bool:
+    """Return whether the end of an answer shows without the end of its connection."""
+    names = {name for name, _ in head.headers}
+    return head.status in (204, 304) or bool(names & {b"content-length", b"transfer-encoding"})
+
+
 class ConnectionPool:
     """Keep idle connections to one upstream."""
 
