--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -103,6 +103,9 @@
         """Return how long a request without an upstream may still wait; 0 to give up."""
         if journey.tried:
             return 0.0
+        if state.is_stopping:
+            journey.refusal = Failure(ErrorKind.DRAINING, "this instance stops")
+            return 0.0
         waited_ms = now_ms() - journey.request.received_ms
         longest_ms = self._longest_wait_ms(journey)
         if journey.caller.model and state.is_engine(journey.service):
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -97,6 +97,9 @@
         grace_s = self._place.grace_s
         log_event("entry_draining", in_flight=self.server.in_flight)
         await trio.sleep(grace_s * _TAKES_NEW_SHARE)
+        # What still waits for an upstream could not end in time any more.
+        self.state.is_stopping = True
+        self.state.changed.notify()
         self.server.close_idle()
         with trio.move_on_after(grace_s * (_LAST_SHARE - _TAKES_NEW_SHARE)):
             await self.server.wait_idle()
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -71,6 +71,7 @@
         self.adapters = AdapterPlaces(self, ask_for_adapter)
         self._retries = retries
         self.entry_count = 1
+        self.is_stopping = False
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -296,26 +296,27 @@
     ) -> str:
         """Return an empty text once the engine holds the adapter, else the reason."""
         key = (model, adapter)
-        arriving = ledger.ready.get(key)
-        if arriving is not None:
-            await arriving.wait()
-        if key in ledger.leaving_adapters:
-            return "the adapter is being unloaded"
-        if key in ledger.adapters:
-            ledger.adapters[key] = now_ms()
-            return ""
-        if ledger.pending is not None or ledger.sequence is None:
-            return "the engine carries out another order"
-        while len(ledger.adapters) >= spec.adapter_slots or not _fits(ledger, spec):
+        while True:
+            while key in ledger.ready:
+                await ledger.ready[key].wait()
+            if key in ledger.leaving_adapters:
+                return "the adapter is being unloaded"
+            if key in ledger.adapters:
+                ledger.adapters[key] = now_ms()
+                return ""
+            if ledger.pending is not None or ledger.sequence is None:
+                return "the engine carries out another order"
+            if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
+                return "too many adapters are on their way"
+            if len(ledger.adapters) < spec.adapter_slots and _fits(ledger, spec):
+                return await self._load_adapter(ledger, key)
             idle = ledger.idle_adapters()
             if not idle:
                 return "all places for adapters are in use"
+            # Another request may load the same adapter meanwhile, so all is looked at again.
             failure = await self._unload_adapter(ledger, idle[0])
             if failure:
                 return failure
-        if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
-            return "too many adapters are on their way"
-        return await self._load_adapter(ledger, key)
 
     async def _unload_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
         """Return an empty text once the adapter's place is free, else the reason."""
--- a/src/briardyke/standins/platform_worker.py
+++ b/src/briardyke/standins/platform_worker.py
@@ -28,6 +28,7 @@
     :param event_pause_s: time before each event.
     :param breaks_after: event after which streams are cut, 0 for never.
     :param is_full: whether it refuses every request.
+    :param takes_orders: whether it carries out orders; otherwise it is busy with another one.
     :param status: status of its answers to plain requests.
     """
 
@@ -39,6 +40,7 @@
     event_pause_s: float = 0.0
     breaks_after: int = 0
     is_full: bool = False
+    takes_orders: bool = True
     status: int = 200
     lifecycle: str = "ready"
     sequence: int = 0
@@ -87,7 +89,7 @@
             await self._run(request, answer)
 
     async def _take_order(self, order: dict[str, Any], answer: Answer) -> None:
-        if order.get("expected", self.sequence) != self.sequence:
+        if not self.takes_orders or order.get("expected", self.sequence) != self.sequence:
             await answer.send_whole(409, [])
             return
         self.orders.append(order)
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -34,6 +34,9 @@
             | {"name": "chat", "path_prefix": "/chat/", "kind": "streaming", "service": "pool"}
             | {"max_attempts": 2, "resumable": True, "gap_target_ms": 250, "timeout_ms": 8000},
             common
+            | {"name": "slow", "path_prefix": "/slow/", "kind": "streaming", "service": "pool"}
+            | {"timeout_ms": 8000, "target_latency_ms": 5000},
+            common
             | {"name": "buy", "path_prefix": "/buy/", "kind": "non_idempotent", "service": "app"},
             common
             | {"name": "see", "path_prefix": "/see/", "kind": "idempotent", "service": "app"}
@@ -245,6 +248,21 @@
                 await trio.sleep(0.1)
         assert site.cluster.processes["entry-1"].returncode == 0
 
+    async def test_request_that_waits_for_its_model_is_refused_at_a_stop(self, site: Site) -> None:
+        for engine in site.engines:
+            engine.takes_orders = False
+        replies: list[Reply] = []
+
+        async def send() -> None:
+            replies.append(await site.send("/slow/1", "s-7", "n"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await trio.sleep(0.3)
+            site.cluster.kill("entry-1", 15)
+        assert [reply.status for reply in replies] == [503]
+        assert all("s-7" not in engine.ran for engine in site.engines)
+
     async def test_reload_signal_ends_no_process(self, site: Site) -> None:
         for name in site.cluster.processes:
             site.cluster.kill(name, 1)
