--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -90,6 +90,15 @@
         assert len(replies) == 6
         assert world.ledger.ready == {}
 
+    async def test_two_requests_that_both_make_room_load_once(self, world: World) -> None:
+        world.ledger.adapters = {("m", "a8"): -9e9, ("m", "a9"): -9e9}
+        replies: list[AdapterReply] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(world.ask, "a1", replies)
+            nursery.start_soon(world.ask, "a1", replies)
+        assert [reply.upstream_id for reply in replies] == ["e", "e"]
+        assert [order.adapter for order in world.engines.orders if order.is_load] == ["a1"]
+
     async def test_places_are_kept_while_many_adapters_are_wanted(self, world: World) -> None:
         replies: list[AdapterReply] = []
         async with trio.open_nursery() as nursery:
