--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -23,7 +23,7 @@
     RowsUpdate,
 )
 from briardyke.fleet.records import GONE, SILENT, EntryInstance, Upstream, Withheld
-from briardyke.fleet.table import SoftTable
+from briardyke.fleet.tables import Tables
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
 from briardyke.sync.notifier import Notifier
@@ -58,20 +58,6 @@
 _TRANSFER_TIMEOUT_MS = 1500.0
 
 
-@attrs.define
-class Tables:
-    """Hold the soft state of a control instance.
-
-    :param upstreams: announced upstreams.
-    :param entries: entry instances.
-    :param withheld: models that get no new requests.
-    """
-
-    upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
-    entries: SoftTable[EntryInstance] = attrs.field(factory=SoftTable)
-    withheld: SoftTable[Withheld] = attrs.field(factory=SoftTable)
-
-
 class ControlInstance:
     """Keep the agreed configuration and the soft tables of one control instance."""
 
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -9,7 +9,7 @@
 from briardyke.routes.configuration import RequestKind
 
 if TYPE_CHECKING:
-    from briardyke.gateway.forward import Journey
+    from briardyke.gateway.journey import Journey
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.tables import UpstreamState
     from briardyke.routes.configuration import Route
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -14,14 +14,14 @@
 from briardyke.gateway.admission import caller_patience_ms
 from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
 from briardyke.gateway.choice import choose_upstream
-from briardyke.gateway.dialect import CallerRequest, UpstreamCall
+from briardyke.gateway.dialect import UpstreamCall
 from briardyke.gateway.event_stream import EventSplitter
+from briardyke.gateway.journey import Journey
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import HttpRequest, end_to_end, header
 from briardyke.http.h11_client import UpstreamError
-from briardyke.routes.configuration import Route
 from briardyke.routes.matching import choose_service
 
 if TYPE_CHECKING:
@@ -29,6 +29,7 @@
     from briardyke.gateway.tables import UpstreamState
     from briardyke.http.exchange import Answer
     from briardyke.http.h11_client import UpstreamConnection
+    from briardyke.routes.configuration import Route
 
 # An upstream that is given a deadline answers at it; the way back takes some milliseconds.
 _ANSWER_MARGIN_MS = 60.0
@@ -49,37 +50,6 @@
 _EVENT_WEIGHT = 0.03
 
 
-@attrs.define
-class Journey:
-    """Hold one request while it is carried.
-
-    :param request: what the caller sent.
-    :param caller: what its headers say.
-    :param route: its route.
-    :param service: chosen service.
-    :param deadline_ms: time by which it must be answered, on the runtime's clock.
-    :param trace: record for the log.
-    """
-
-    request: HttpRequest
-    caller: CallerRequest
-    route: Route
-    service: str
-    deadline_ms: float
-    trace: Trace
-    sent: int = 0
-    connect_failures: int = 0
-    may_have_run: bool = False
-    tried: set[str] = attrs.field(factory=set)
-    last: Attempt | None = None
-    refusal: Failure | None = None
-
-    @property
-    def remaining_ms(self) -> float:
-        """Return the time left until the deadline."""
-        return self.deadline_ms - now_ms()
-
-
 class Forwarder:
     """Carry requests with the state of an entry instance."""
 
--- a/src/briardyke/platform/engines.py
+++ b/src/briardyke/platform/engines.py
@@ -46,7 +46,7 @@
             "model": order.model,
             "expected": order.expected_sequence,
             "holder": order.holder,
-            # The page's fence number is a fencing token.
+            # Called "fence" on the wire; it is a fencing token.
             "fence": order.fencing_token,
         }
         if order.adapter:
--- a/tests/platform/platform_cluster.py
+++ b/tests/platform/platform_cluster.py
@@ -18,7 +18,7 @@
 from briardyke.http.h11_client import UpstreamConnection, UpstreamError, UpstreamHead
 
 if TYPE_CHECKING:
-    from briardyke.standins.platform_worker import PlatformWorker
+    from platform_worker import PlatformWorker
 
 ROOT = Path(__file__).resolve().parents[2]
 CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, PEER_PORT = 8144, 8143, 8149, 8141, 7380
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -9,11 +9,11 @@
 import pytest
 import trio
 from platform_cluster import DIRECTORY_PORT, READY_PORT, Cluster, Reply, call
+from platform_worker import PlatformWorker
 
 from briardyke.addresses import Address
 from briardyke.http.exchange import header
 from briardyke.http.h11_client import UpstreamConnection
-from briardyke.standins.platform_worker import PlatformWorker
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
