Read a request's headers once; drop a check and a wrapper without effect

Found in the read-through: each attempt decoded the caller's headers again for the request id, on the path of every request; admission checked for a configuration that a route proves; placement wrapped an append. Behaviour unchanged.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -20,8 +20,6 @@
 _ORDER_DELAY_MS = 700.0
 # Part of its time or patience that a request may spend waiting, so that it can still run.
 _WAITING_SHARE = 0.7
-
-
 # Callers give a stream up after the longest of two seconds, four objectives and eight pauses
 # without an event, also before the first one.
 _CALLER_PATIENCE_MS = 2000.0
@@ -53,8 +51,6 @@
         seconds; a caller that is told so at once can use its time better.
         """
         model = journey.caller.model
-        if not state.version:
-            return Failure(ErrorKind.VERSION_UNCONFIRMED, "no configuration yet")
         if not model or not state.is_engine(journey.service):
             return None
         spec = state.model(journey.service, model)
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -71,6 +71,7 @@
         self,
         state: UpstreamState,
         request: HttpRequest,
+        request_id: str,
         call: UpstreamCall,
         timeout_ms: float,
         *,
@@ -81,6 +82,7 @@
 
         :param state: the upstream.
         :param request: what the caller sent.
+        :param request_id: its id, which the answer repeats.
         :param call: what the gateway adds.
         :param timeout_ms: longest wait for the head, in milliseconds.
         :param may_repeat: whether a request with unknown outcome can be sent again.
@@ -96,7 +98,7 @@
                 await connection.send(
                     request.method, request.target, headers, request.body, nursery
                 )
-                attempt = await self._read(connection, request)
+                attempt = await self._read(connection, request_id)
                 is_kept = attempt.connection is not None or self._keep(state, connection, attempt)
                 return attempt
             if connection is None:
@@ -116,10 +118,9 @@
         state.pool.give_back(connection)
         return True
 
-    async def _read(self, connection: UpstreamConnection, request: HttpRequest) -> Attempt:
-        own = self._dialect.read_request(request).request_id
+    async def _read(self, connection: UpstreamConnection, request_id: str) -> Attempt:
         head = await connection.read_head(
-            lambda headers: self._dialect.read_answer(200, headers).request_id in ("", own)
+            lambda headers: self._dialect.read_answer(200, headers).request_id in ("", request_id)
         )
         facts = self._dialect.read_answer(head.status, head.headers)
         if facts.is_refusal:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -137,6 +137,7 @@
             attempt = await self._runner.run(
                 upstream,
                 journey.request,
+                journey.caller.request_id,
                 call,
                 self._patience_ms(journey, load),
                 may_repeat=journey.route.may_repeat,
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -118,12 +118,12 @@
         if best.victims:
             for victim in best.victims:
                 self._replicas[victim].discard(best.engine.upstream_id)
-                self._order(Change(ChangeKind.UNLOAD, best.engine.upstream_id, victim))
+                self.changes.append(Change(ChangeKind.UNLOAD, best.engine.upstream_id, victim))
             return
         from_store = model not in best.engine.at_hand
         if from_store:
             self._starts -= 1
-        self._order(Change(ChangeKind.LOAD, best.engine.upstream_id, model, from_store))
+        self.changes.append(Change(ChangeKind.LOAD, best.engine.upstream_id, model, from_store))
 
     def _serves_adapters_alone(self, engine: EngineView) -> bool:
         """Return whether no other engine could take an adapter of one of its models meanwhile.
@@ -149,9 +149,6 @@
                 return True
         return False
 
-    def _order(self, change: Change) -> None:
-        self.changes.append(change)
-
     def _option(self, model: str, engine: EngineView, is_urgent: bool) -> _Option | None:
         from_store = model not in engine.at_hand
         if from_store and self._starts <= 0:
