--- a/scripts/play.sh
+++ b/scripts/play.sh
@@ -6,12 +6,8 @@
 name="$1"
 shift
 copy="$PWD/run/play-$name"
-if [ -d "$copy" ]; then
-  git -C "$copy" fetch --quiet origin
-  git -C "$copy" checkout --quiet --detach "$(git rev-parse HEAD)"
-else
-  mkdir -p run
-  git clone --quiet . "$copy"
-fi
+rm -rf "$copy"
+mkdir -p run
+git clone --quiet . "$copy"
 (cd "$copy" && "$FLEETBENCH" "$@") > "run/$name.log" 2>&1 || true
-cp -rn "$copy/journal/." journal/
+cp -ru "$copy/journal/." journal/
