--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -118,6 +118,22 @@
         assert found == [Change(LOAD, "e1", "c", True)]
 
 
+class TestFewEnginesLeft:
+    """Covers a busy model on one of few engines while rare models are asked for."""
+
+    def test_busy_model_gets_the_next_engine_before_rare_ones(self) -> None:
+        room = spec(hot=40, warm=40, r1=40, r2=40, r3=40)
+        engines = [engine("e1", "hot", "warm"), engine("e2", "r1", "r2")]
+        engines.append(engine("e3", "r2", is_free=False))
+        found = decide(view(room, engines, hot=15, warm=5, r3=0.5))
+        assert [(c.upstream_id, c.kind) for c in found] == [("e2", UNLOAD)]
+
+    def test_rare_model_still_gets_a_place_when_busy_ones_are_even(self) -> None:
+        room = spec(hot=40, warm=40, r1=40, r2=40)
+        engines = [engine("e1", "hot", "warm"), engine("e2", "hot", "warm"), engine("e3", "r1")]
+        assert decide(view(room, engines, hot=4, warm=4, r2=0.5))[0].model == "r2"
+
+
 class TestWaveringDemand:
     """Covers demand that goes up and down around what the replicas carry."""
 
