Weigh a load by the time it takes; keep engines free from loads of rare models

Ruled out: the store's rate (starts were left); demand that arrives late at the leader (0.7 s).

Change: gains shrink with the time until a load ends, engines that are free soon are compared too, loads of little demand use at most two fifths of the engines, the adapters that an engine cannot take meanwhile count by demand, and a model that stays missing gains weight.

--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -22,21 +22,31 @@
 # A request for a model that nothing holds waits for a load or is sent away. It counts like this
 # many requests at an engine of mean load.
 _MISSING_WEIGHT = 6.0
+# A model that stays missing gains this much weight each second, so that each gets its turn.
+_WAITING_WEIGHT_PER_S = 0.2
 # A model that rests is asked for again, at about half of its mean rate of the last seconds.
 _RESTING_SHARE = 0.5
-# Part of the gain that is left when the weights come from the store, which takes several times as
-# long as from a copy at hand.
-_STORE_SHARE = 0.6
+# Demand for a model lasts about this long; a load that ends later gains nothing.
+_HORIZON_S = 12.0
+# Part of the gain that is left for a load that takes longer than that.
+_LEAST_SHARE = 0.1
+# Announcing that a model leaves, and unloading it, take this long before a load can begin.
+_UNLOAD_S = 0.7
+# Part of the engines that may load models of little demand from the store at the same time. The
+# others stay free for a model whose demand rises, and for adapters.
+_RARE_LOADS_SHARE = 0.4
+# Demand up to this part of an engine's mean load is little.
+_RARE_DEMAND = 0.5
 # A model whose engines carry this much more than the mean is a candidate for another replica.
 _HOT_LEVEL = 1.2
-# Least gain of a change: an order, its load, and the requests that miss their adapter meanwhile.
-# In requests a second at an engine of mean load, for each request a second at the mean engine.
+# Least gain of another replica, in parts of an engine's mean load: an order and a load.
 _LEAST_GAIN = 0.15
+# Least gain of a missing model, in requests a second at an engine of mean load.
 _LEAST_GAIN_RARE = 0.4
-# An engine takes no adapter while it loads a model; each busy adapter there adds this much.
-_ADAPTER_COST = 0.15
-# The last engine that could take adapters of a busy model adds this much.
-_ALONE_COST = 2.0
+# Part of the requests for a model with adapters that need one to be loaded.
+_ADAPTER_MISSES = 0.2
+# The same where another engine could load the adapter.
+_ADAPTER_MISSES_SHARED = 0.02
 # A replica is not given up for one that gains as much, since demand wavers.
 _KEEPING_FACTOR = 1.3
 # Models examined in one round; the rest wait for the next one, a fraction of a second later.
@@ -73,6 +83,7 @@
         self.view = view
         self.changes: list[Change] = []
         self._starts = view.store_starts
+        self._store_loads = 0
         self._engines = [e for e in view.engines if e.is_staying]
         self._ids = [e.upstream_id for e in self._engines]
         self._taken: set[str] = set()
@@ -108,26 +119,43 @@
         return [model for _, model in sorted(rows)]
 
     def place(self, model: str) -> None:
-        """Choose an engine for one more replica, and what must leave it first."""
-        free = [
+        """Choose an engine for one more replica, and what must leave it first.
+
+        An engine that will be free soon and keeps a copy can be better than one that is free now
+        and has to load from the store; then nothing is changed yet.
+        """
+        engines = [
             e
             for e in self._engines
-            if e.is_free
-            and e.upstream_id not in self._taken
+            if e.upstream_id not in self._taken
             and model not in e.held
             and not (self._holders.get(model) and self._serves_adapters_alone(e))
         ]
-        free.sort(key=lambda e: (model not in e.at_hand, self._loads[e.upstream_id]))
-        options = [o for e in free[:_MAX_ENGINES] if (o := self._option(model, e)) is not None]
+        engines.sort(key=lambda e: (self._load_s(model, e), self._loads[e.upstream_id]))
+        options = [o for e in engines[:_MAX_ENGINES] if (o := self._option(model, e)) is not None]
         best = max(options, key=lambda o: (o.gain, o.engine.upstream_id), default=None)
-        if best is None or best.gain < self._least_gain(model):
+        if best is None or best.gain < self._least_gain(model) or not best.engine.is_free:
             return
         self._adopt(model, best)
 
+    def _load_s(self, model: str, engine: EngineView) -> float:
+        """Return the time until an engine could serve a model that it has room for, in seconds."""
+        spec = self.view.spec.models[model]
+        load_s = spec.disk_load_s if model in engine.at_hand else spec.load_s
+        return load_s + engine.free_in_ms / 1000.0
+
+    def _may_use_store(self, model: str) -> bool:
+        if self._starts <= 0:
+            return False
+        if self._holders.get(model) or self._work[model] > _RARE_DEMAND * self._mean:
+            return True
+        loading = sum(e.is_loading for e in self._engines) + self._store_loads
+        return loading < max(1, int(_RARE_LOADS_SHARE * len(self._engines)))
+
     def _least_gain(self, model: str) -> float:
         if self._holders.get(model):
             return _LEAST_GAIN * self._mean
-        return min(_LEAST_GAIN_RARE, _MISSING_WEIGHT * self._demand[model] / 2.0)
+        return min(_LEAST_GAIN_RARE, _MISSING_WEIGHT * self._demand[model] / 4.0)
 
     def _adopt(self, model: str, best: _Option) -> None:
         engine_id = best.engine.upstream_id
@@ -138,13 +166,14 @@
         if not best.victims:
             from_store = model not in best.engine.at_hand
             self._starts -= from_store
+            self._store_loads += from_store
             self.changes.append(Change(ChangeKind.LOAD, engine_id, model, from_store))
         self._holders.setdefault(model, set()).add(engine_id)
         self._balance()
 
     def _option(self, model: str, engine: EngineView) -> _Option | None:
         from_store = model not in engine.at_hand
-        if from_store and self._starts <= 0:
+        if from_store and not self._may_use_store(model):
             return None
         missing_mb = self._size(model) - self._room(engine)
         rows = sorted(
@@ -153,7 +182,7 @@
             if victim not in engine.recent
         )
         victims: list[str] = []
-        loss = self._disturbance(engine)
+        loss = 0.0
         for value, victim in rows:
             if missing_mb <= 0:
                 break
@@ -164,7 +193,9 @@
             missing_mb -= self._size(victim)
         if missing_mb > 0:
             return None
-        gain = self._placing_value(model, engine) * (_STORE_SHARE if from_store else 1.0)
+        wait_s = self._load_s(model, engine) + (_UNLOAD_S if victims else 0.0)
+        gain = self._placing_value(model, engine) * max(_LEAST_SHARE, 1.0 - wait_s / _HORIZON_S)
+        loss += self._disturbance(engine) * min(1.0, wait_s / _HORIZON_S)
         return _Option(gain - loss, engine, victims)
 
     # Values, in requests a second at an engine of mean load
@@ -172,7 +203,8 @@
     def _placing_value(self, model: str, engine: EngineView) -> float:
         holders = self._holders.get(model)
         if not holders:
-            return _MISSING_WEIGHT * self._demand[model]
+            waiting = 1.0 + _WAITING_WEIGHT_PER_S * self.view.missing_s.get(model, 0.0)
+            return _MISSING_WEIGHT * self._demand[model] * waiting
         after = self._cost({**self._holders, model: holders | {engine.upstream_id}})
         return self._cost(self._holders) - after
 
@@ -191,19 +223,31 @@
         return max(0.0, after - self._cost(self._holders)) * _KEEPING_FACTOR
 
     def _disturbance(self, engine: EngineView) -> float:
-        """Return the cost of an engine that takes no adapter for the time of a load.
+        """Return the demand that misses an adapter while an engine takes none.
 
         Load: a busy model has more adapters than an engine has places, so its requests need an
         engine that can load one; rare models should come and go where that hurts nobody.
         """
-        cost = _ADAPTER_COST * sum(engine.held.values())
-        return cost + (_ALONE_COST if self._serves_adapters_alone(engine) else 0.0)
+        cost = 0.0
+        for model, is_alone in self._adapter_models(engine):
+            misses = _ADAPTER_MISSES if is_alone else _ADAPTER_MISSES_SHARED
+            cost += _MISSING_WEIGHT * misses * self._demand[model]
+        return cost
 
     def _serves_adapters_alone(self, engine: EngineView) -> bool:
         """Return whether the other holders of one of its models take no adapter now."""
+        rows = self._adapter_models(engine)
+        return any(is_alone and len(self._holders.get(m, ())) > 1 for m, is_alone in rows)
+
+    def _adapter_models(self, engine: EngineView) -> list[tuple[str, bool]]:
+        """Return an engine's models that are asked for with adapters.
+
+        Each comes with whether no other engine could take an adapter of it meanwhile.
+        """
+        found = []
         for model in engine.held:
             spec = self.view.spec.models.get(model)
-            if spec is None or not spec.adapters or not self._demand.get(model):
+            if spec is None or not spec.adapters or model not in self._demand:
                 continue
             others = [
                 e
@@ -214,9 +258,8 @@
                 and e.is_free
                 and e.upstream_id not in self._taken
             ]
-            if not others and len(self._holders.get(model, ())) > 1:
-                return True
-        return False
+            found.append((model, not others))
+        return found
 
     def _balance(self) -> None:
         self._loads = balanced_loads(self._work, self._holders, self._ids)
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -12,8 +12,10 @@
 ADAPTER_KEEP_MS = 1500.0
 # An adapter that was asked for within this time counts as in use when engines are compared.
 ADAPTER_BUSY_MS = 5000.0
-# A model stays this long after its load was ordered, about as long as a load takes.
-RESIDENCE_MS = 4000.0
+# A model stays this long after its load should have ended, for the callers that waited for it.
+RESIDENCE_MS = 2500.0
+# Shortest time that an engine with an order under way, or one in doubt, is expected to take.
+_LEAST_REST_MS = 400.0
 # Stands for a model that an earlier leader ordered and no report names yet.
 UNKNOWN_MODEL = ""
 
@@ -45,11 +47,13 @@
     :param adapters: time at which each adapter was last asked for, by model and name.
     :param pending: model and direction of the order that it carries out.
     :param pending_since_ms: time at which that order was accepted.
+    :param pending_until_ms: time at which it should have been carried out.
+    :param pending_from_store: whether it loads weights from the weight store.
     :param leaving: models that are being unloaded.
     :param leaving_adapters: adapters that are being unloaded and still take their places.
     :param doubt_since_ms: time since which the sequence is unknown.
     :param review_ms: time at which a report is wanted, 0 for none.
-    :param loaded_ms: time at which the load of each model was ordered.
+    :param loaded_ms: time at which the load of each model should have ended.
     :param ready: set when an adapter that is being loaded has arrived or failed.
     :param lock: orders to one engine go out one after the other.
     """
@@ -60,6 +64,8 @@
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
     pending: tuple[str, bool] | None = None
     pending_since_ms: float = 0.0
+    pending_until_ms: float = 0.0
+    pending_from_store: bool = False
     leaving: set[str] = attrs.field(factory=set)
     leaving_adapters: set[tuple[str, str]] = attrs.field(factory=set)
     doubt_since_ms: float = 0.0
@@ -113,10 +119,16 @@
         return sorted(old, key=lambda key: self.adapters[key])
 
     def recent_models(self) -> frozenset[str]:
-        """Return the models whose load was ordered lately."""
+        """Return the models that are on their way or arrived lately."""
         limit_ms = now_ms() - RESIDENCE_MS
         return frozenset(m for m, loaded_ms in self.loaded_ms.items() if loaded_ms >= limit_ms)
 
+    def free_in_ms(self) -> float:
+        """Return the time until the engine should take orders for models."""
+        if self.pending is not None:
+            return max(_LEAST_REST_MS, self.pending_until_ms - now_ms())
+        return _LEAST_REST_MS if self.sequence is None else 0.0
+
     def busy_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that were asked for recently."""
         limit_ms = now_ms() - ADAPTER_BUSY_MS
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -32,6 +32,8 @@
 REPORT_LAG_MS = 600.0
 # An adapter arrives within 14 ms while the store is not crowded.
 ADAPTER_ARRIVAL_MS = 15.0
+# A model leaves when it is announced as leaving and its last requests have ended.
+_UNLOAD_MS = 700.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
 _PENDING_CHECK_MS = 9000.0
 _UNKNOWN_CHECK_MS = 1500.0
@@ -72,6 +74,7 @@
         self._fenced_term = 0
         self._withheld_sequence = 0
         self._lasting = LastingDemand()
+        self._missing_since_ms: dict[str, float] = {}
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
@@ -102,6 +105,7 @@
                 nursery.start_soon(self._refresh, ledger)
         demand = self._control.demand()
         self._lasting.add(demand)
+        self._follow_missing(demand)
         for name, service in configuration.services.items():
             if service.engine is None:
                 continue
@@ -111,9 +115,16 @@
                 demand,
                 self._store.free(service.engine.store_loads_per_s),
                 self._lasting.rates,
+                {m: (now_ms() - since) / 1000.0 for m, since in self._missing_since_ms.items()},
             )
             for change in decide(view):
-                self._start(change, nursery)
+                self._start(change, service.engine, nursery)
+
+    def _follow_missing(self, demand: dict[str, float]) -> None:
+        held = {m for g in self._ledgers.values() for m in g.models - g.leaving}
+        missing = [model for model in demand if model not in held]
+        since_ms = self._missing_since_ms
+        self._missing_since_ms = {m: since_ms.get(m, now_ms()) for m in missing}
 
     def _follow_rows(self, configuration: ServingConfiguration) -> None:
         rows = {
@@ -177,20 +188,27 @@
             is_staying=ledger.row.lifecycle == READY,
             leaving=frozenset(ledger.leaving),
             recent=ledger.recent_models(),
+            free_in_ms=ledger.free_in_ms(),
+            is_loading=ledger.pending is not None and ledger.pending_from_store,
         )
 
     # Models
 
-    def _start(self, change: Change, nursery: trio.Nursery) -> None:
+    def _start(self, change: Change, spec: EngineSpec, nursery: trio.Nursery) -> None:
         ledger = self._ledgers[change.upstream_id]
         if ledger.pending is not None:
             return
         is_load = change.kind is ChangeKind.LOAD
+        model = spec.models.get(change.model)
         ledger.pending = (change.model, is_load)
         ledger.pending_since_ms = now_ms()
+        ledger.pending_until_ms = now_ms() + _UNLOAD_MS
+        ledger.pending_from_store = change.is_from_store
         if is_load:
+            load_s = (model.load_s if change.is_from_store else model.disk_load_s) if model else 0.0
+            ledger.pending_until_ms = now_ms() + load_s * 1000.0
             ledger.models.add(change.model)
-            ledger.loaded_ms[change.model] = now_ms()
+            ledger.loaded_ms[change.model] = ledger.pending_until_ms
             if change.is_from_store:
                 self._store.record()
         else:
--- a/src/briardyke/models/tables.py
+++ b/src/briardyke/models/tables.py
@@ -41,6 +41,8 @@
     :param held: models in its memory or being loaded, with the number of their adapters.
     :param at_hand: models of which it keeps a copy.
     :param is_free: whether it could take an order now.
+    :param free_in_ms: time until its present order should end, 0 for an engine that is free.
+    :param is_loading: whether it loads a model from the weight store.
     :param is_staying: whether it is ready and has not said that it leaves.
     :param leaving: models that are being unloaded.
     :param recent: models whose load was ordered lately.
@@ -54,6 +56,8 @@
     is_staying: bool
     leaving: frozenset[str] = frozenset()
     recent: frozenset[str] = frozenset()
+    free_in_ms: float = 0.0
+    is_loading: bool = False
 
 
 @attrs.frozen
@@ -65,6 +69,7 @@
     :param demand: requests a second by model.
     :param store_starts: loads that the weight store may still start now.
     :param lasting: the same demand over a longer time, which a model that rests keeps for a while.
+    :param missing_s: time for which each model was asked for while nothing held it, in seconds.
     """
 
     spec: EngineSpec
@@ -72,3 +77,4 @@
     demand: dict[str, float]
     store_starts: int
     lasting: dict[str, float] = attrs.field(factory=dict)
+    missing_s: dict[str, float] = attrs.field(factory=dict)
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -124,7 +124,7 @@
     def test_busy_model_gets_the_next_engine_before_rare_ones(self) -> None:
         room = spec(hot=40, warm=40, r1=40, r2=40, r3=40)
         engines = [engine("e1", "hot", "warm"), engine("e2", "r1", "r2")]
-        engines.append(engine("e3", "r2", is_free=False))
+        engines.append(engine("e3", "r2", is_free=False, free_in_ms=5000.0))
         found = decide(view(room, engines, hot=15, warm=5, r3=0.5))
         assert [(c.upstream_id, c.kind) for c in found] == [("e2", UNLOAD)]
 
@@ -134,6 +134,39 @@
         assert decide(view(room, engines, hot=4, warm=4, r2=0.5))[0].model == "r2"
 
 
+class TestLongLoads:
+    """Covers loads from the store, which keep an engine from other orders for seconds."""
+
+    def test_engine_that_is_free_soon_and_keeps_a_copy_is_waited_for(self) -> None:
+        room = spec(a=40, b=40, c=40)
+        soon = engine("e1", "a", at_hand=frozenset({"c"}), is_free=False, free_in_ms=600.0)
+        assert decide(view(room, [soon, engine("e2", "b")], a=1, b=1, c=2)) == []
+        late = attrs.evolve(soon, free_in_ms=9000.0)
+        found = decide(view(room, [late, engine("e2", "b")], a=1, b=1, c=2))
+        assert found == [Change(LOAD, "e2", "c", True)]
+
+    def test_rare_models_leave_engines_free_for_a_rise_in_demand(self) -> None:
+        room = spec(a=40, **{f"r{i}": 40.0 for i in range(5)})
+        engines = [engine(f"e{i}", "a") for i in range(5)]
+        rare = {f"r{i}": 0.5 for i in range(5)}
+        assert len(decide(view(room, engines, a=20, **rare))) == 2
+        engines[0] = engine("e0", "a", is_free=False, is_loading=True, free_in_ms=3000.0)
+        assert len(decide(view(room, engines, a=20, **rare))) == 1
+
+    def test_busy_model_is_not_held_back_by_loads_of_rare_ones(self) -> None:
+        room = spec(a=40, b=40, r=40)
+        loading = {"is_free": False, "is_loading": True, "free_in_ms": 5000.0}
+        engines = [engine("e1", "r", **loading), engine("e2", "r", **loading), engine("e3", "b")]
+        assert decide(view(room, engines, a=5, b=5)) == [Change(LOAD, "e3", "a", True)]
+
+    def test_model_that_stays_missing_gets_its_turn(self) -> None:
+        room = spec(weights_mb=50.0, a=40, r=40)
+        sight = attrs.evolve(view(room, [engine("e1", "a")], a=0.4, r=0.35), lasting={"a": 0.4})
+        assert decide(sight) == []
+        later = attrs.evolve(sight, missing_s={"r": 30.0})
+        assert decide(later) == [Change(UNLOAD, "e1", "a")]
+
+
 class TestWaveringDemand:
     """Covers demand that goes up and down around what the replicas carry."""
 
