Tell entry instances when a model arrives; believe refusals for want of a model

An upstream that had restarted or carried out a late order refused each request with 421, and the request was given up. A model was left for 6 s because the engine with a copy was 'soon free': its unload waited for long streams.

Ruled out: Retry-After (callers came back when told).

Change: the leader's row of withheld models also names what arrives and when; admission waits for it or sends away until then; an upstream that refuses for want of a model or adapter is not believed until it announces anew, its adapter is ordered again without giving up its place, and the request may wait; an overdue order is expected to last as long again.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -11,7 +11,7 @@
 from briardyke.addresses import Address, parse_address
 from briardyke.clock import now_ms
 from briardyke.fleet.messages import AdapterReply, AdapterRequest, FleetReply, FleetRequest
-from briardyke.fleet.records import EntryInstance, Upstream
+from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
 from briardyke.logs import log_event, log_limited, log_warning
 
 if TYPE_CHECKING:
@@ -36,7 +36,8 @@
     :param version: number of the configuration held, 0 for none.
     :param upstreams: upstreams by id.
     :param entries: entry instances that callers may be sent to.
-    :param withheld: models by upstream id that get no new requests.
+    :param changes: what orders change in the memory of upstreams, by upstream id, with the times of
+        arrival on the runtime's clock.
     :param leader: peer address of the leader of the control instances.
     :param controls: peer addresses of the control instances.
     :param confirmed_ms: time of the last current answer.
@@ -45,7 +46,7 @@
     version: int = 0
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     entries: list[EntryInstance] = attrs.field(factory=list)
-    withheld: dict[str, list[str]] = attrs.field(factory=dict)
+    changes: dict[str, ModelChanges] = attrs.field(factory=dict)
     leader: Address | None = None
     controls: list[Address] = attrs.field(factory=list)
     confirmed_ms: float = float("-inf")
@@ -84,7 +85,7 @@
         self._table_id = ""
         self._held_upstreams = 0
         self._held_entries = 0
-        self._held_withheld = 0
+        self._held_changes = 0
         self._wake = trio.Event()
         self._was_current = False
 
@@ -140,7 +141,7 @@
             self._table_id,
             self._held_upstreams,
             self._held_entries,
-            self._held_withheld,
+            self._held_changes,
             wait_ms,
         )
         reply = None
@@ -174,18 +175,18 @@
         self._was_current = reply.is_current
         if reply.is_whole:
             view.upstreams = {}
-            view.withheld = {}
+            view.changes = {}
         for row in reply.upstreams:
             view.upstreams[row.upstream_id] = row
-        for held in reply.withheld:
-            view.withheld[held.upstream_id] = held.models
+        for changes in reply.changes:
+            view.changes[changes.upstream_id] = changes.aged(-now_ms())
         if reply.entries is not None:
             view.entries = reply.entries
         self._table_id = reply.table_id
         self._held_upstreams = reply.upstream_sequence
         self._held_entries = reply.entry_sequence
-        self._held_withheld = reply.withheld_sequence
-        if reply.upstreams or reply.withheld or reply.entries is not None:
+        self._held_changes = reply.change_sequence
+        if reply.upstreams or reply.changes or reply.entries is not None:
             self._changed()
 
     async def ask_for_adapter(self, request: AdapterRequest) -> AdapterReply:
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -22,7 +22,7 @@
     RowsRequest,
     RowsUpdate,
 )
-from briardyke.fleet.records import GONE, SILENT, EntryInstance, Upstream, Withheld
+from briardyke.fleet.records import GONE, SILENT, EntryInstance, ModelChanges, Upstream
 from briardyke.fleet.tables import Tables
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
@@ -211,9 +211,9 @@
                 total[name] = total.get(name, 0.0) + rate
         return total
 
-    def withhold(self, row: Withheld) -> None:
-        """Tell all entry instances which models of an upstream get no new requests."""
-        if self.tables.withheld.merge(row):
+    def tell_changes(self, row: ModelChanges) -> None:
+        """Tell all entry instances which models of an upstream come and go."""
+        if self.tables.changes.merge(row):
             self._changed.notify()
             self._broadcast([], [], [row])
 
@@ -257,7 +257,7 @@
             self.machine.version > request.held_version
             or self.tables.upstreams.sequence > request.held_upstreams
             or self.tables.entries.sequence > request.held_entries
-            or self.tables.withheld.sequence > request.held_withheld
+            or self.tables.changes.sequence > request.held_changes
         )
 
     def _reply(self, request: FleetRequest) -> FleetReply:
@@ -289,13 +289,13 @@
             entry_sequence=self.tables.entries.sequence,
             leader=str(leader or ""),
             controls=[str(m.address) for m in self.log.status().members],
-            withheld=[
-                row
-                for row, _ in self.tables.withheld.changed_after(
-                    request.held_withheld if is_known else 0
+            changes=[
+                row.aged(age_ms)
+                for row, age_ms in self.tables.changes.changed_with_age(
+                    request.held_changes if is_known else 0
                 )
             ],
-            withheld_sequence=self.tables.withheld.sequence,
+            change_sequence=self.tables.changes.sequence,
             is_whole=not is_known,
         )
 
@@ -305,8 +305,8 @@
         for entry, age_ms in zip(update.entries, update.entry_ages_ms, strict=True):
             if self.tables.entries.merge(entry, age_ms):
                 self._changed.notify()
-        for held in update.withheld:
-            if self.tables.withheld.merge(held):
+        for changes in update.changes:
+            if self.tables.changes.merge(changes):
                 self._changed.notify()
 
     def _all_rows(self) -> RowsUpdate:
@@ -317,7 +317,7 @@
             [age for _, age in upstreams],
             [row for row, _ in entries],
             [age for _, age in entries],
-            self.tables.withheld.rows(),
+            [row.aged(age_ms) for row, age_ms in self.tables.changes.changed_with_age(0)],
         )
 
     # Tasks
@@ -378,10 +378,10 @@
         self,
         upstreams: list[Upstream],
         entries: list[EntryInstance],
-        withheld: list[Withheld] | None = None,
+        changes: list[ModelChanges] | None = None,
     ) -> None:
         ages_ms = [0.0] * len(upstreams), [0.0] * len(entries)
-        update = RowsUpdate(upstreams, ages_ms[0], entries, ages_ms[1], withheld or [])
+        update = RowsUpdate(upstreams, ages_ms[0], entries, ages_ms[1], changes or [])
         for address in self._other_members():
             self._peers.client(address).send(update)
 
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briardyke.fleet.records import EntryInstance, Upstream, Withheld
+from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
 from briardyke.wire.codec import message
 
 
@@ -17,14 +17,14 @@
     :param upstream_ages_ms: time since each was sent by its owner.
     :param entries: entry rows.
     :param entry_ages_ms: time since each was sent by its owner.
-    :param withheld: models that get no new requests.
+    :param changes: what orders change in the memory of upstreams.
     """
 
     upstreams: list[Upstream]
     upstream_ages_ms: list[float]
     entries: list[EntryInstance]
     entry_ages_ms: list[float]
-    withheld: list[Withheld] = attrs.field(factory=list)
+    changes: list[ModelChanges] = attrs.field(factory=list)
 
 
 @message
@@ -43,7 +43,7 @@
     :param table_id: identity of the answering control process at the last answer, or empty.
     :param held_upstreams: sequence of the upstream table that it holds.
     :param held_entries: sequence of the entry table that it holds.
-    :param held_withheld: sequence of the table of withheld models that it holds.
+    :param held_changes: sequence of the table of ordered changes that it holds.
     :param wait_ms: longest time to hold the answer when nothing is new.
     """
 
@@ -52,7 +52,7 @@
     table_id: str
     held_upstreams: int
     held_entries: int
-    held_withheld: int
+    held_changes: int
     wait_ms: float
 
 
@@ -72,8 +72,8 @@
     :param entry_sequence: sequence of the entry table.
     :param leader: peer address of the leader, empty when unknown.
     :param controls: peer addresses of all members of the control group.
-    :param withheld: models that get no new requests, where this changed.
-    :param withheld_sequence: sequence of the table of withheld models.
+    :param changes: what orders change in the memory of upstreams, where this is news.
+    :param change_sequence: sequence of the table of ordered changes.
     :param is_whole: whether ``upstreams`` is everything that is known here.
     """
 
@@ -88,8 +88,8 @@
     entry_sequence: int
     leader: str
     controls: list[str]
-    withheld: list[Withheld]
-    withheld_sequence: int
+    changes: list[ModelChanges]
+    change_sequence: int
     is_whole: bool
 
 
@@ -101,11 +101,13 @@
     :param model: name of the model.
     :param adapter: name of the adapter.
     :param upstream_ids: upstreams that hold the model and could take it, best first.
+    :param lacking_ids: those of them that have just refused a request for want of it.
     """
 
     model: str
     adapter: str
     upstream_ids: list[str]
+    lacking_ids: list[str] = attrs.field(factory=list)
 
 
 @message
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -110,19 +110,21 @@
 
 
 @attrs.frozen
-class Withheld:
-    """Name models of an upstream that get no new requests, because they are being unloaded.
+class ModelChanges:
+    """Tell what the orders under way change in an upstream's memory.
 
     :param upstream_id: the upstream.
     :param term: term of the leader that decided it.
     :param sequence: number of the decision within the term.
-    :param models: names of the models.
+    :param withheld: models that get no new requests, because they are being unloaded.
+    :param arriving_ms: models on their way, with the time until they should be there.
     """
 
     upstream_id: str
     term: int
     sequence: int
-    models: list[str]
+    withheld: list[str]
+    arriving_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def key(self) -> str:
@@ -134,9 +136,14 @@
         """Return what decides between two rows of one key."""
         return (self.term, 0, self.sequence)
 
-    def same_content(self, other: Withheld) -> bool:
-        """Return whether the same models are withheld."""
-        return self.models == other.models
+    def same_content(self, other: ModelChanges) -> bool:
+        """Return whether the same models come and go."""
+        return (self.withheld, self.arriving_ms) == (other.withheld, other.arriving_ms)
+
+    def aged(self, age_ms: float) -> ModelChanges:
+        """Return the row as it holds some time after it was sent."""
+        left_ms = {model: ms - age_ms for model, ms in self.arriving_ms.items()}
+        return attrs.evolve(self, arriving_ms=left_ms)
 
 
 def is_usable(row: Upstream) -> bool:
--- a/src/briardyke/fleet/table.py
+++ b/src/briardyke/fleet/table.py
@@ -79,6 +79,12 @@
         found = self._entries.values()
         return [(e.row, e.is_silent) for e in found if e.changed_at > sequence]
 
+    def changed_with_age(self, sequence: int) -> list[tuple[R, float]]:
+        """Return the rows that changed after a sequence, each with its age in milliseconds."""
+        now = now_ms()
+        found = self._entries.values()
+        return [(e.row, now - e.heard_ms) for e in found if e.changed_at > sequence]
+
     def is_silent(self, key: str) -> bool:
         """Return whether a row's owner was last marked as silent."""
         return self._entries[key].is_silent
--- a/src/briardyke/fleet/tables.py
+++ b/src/briardyke/fleet/tables.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from briardyke.fleet.records import EntryInstance, Upstream, Withheld
+from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
 from briardyke.fleet.table import SoftTable
 
 
@@ -14,9 +14,9 @@
 
     :param upstreams: announced upstreams.
     :param entries: entry instances.
-    :param withheld: models that get no new requests.
+    :param changes: what orders under way change in the memory of upstreams.
     """
 
     upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
     entries: SoftTable[EntryInstance] = attrs.field(factory=SoftTable)
-    withheld: SoftTable[Withheld] = attrs.field(factory=SoftTable)
+    changes: SoftTable[ModelChanges] = attrs.field(factory=SoftTable)
--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -64,7 +64,13 @@
             return min(near, key=lambda s: s.load())
         order = [ranked[0] if ranked[0].load() <= limit else fallback]
         order += [s for s in ranked if s not in order]
-        request = AdapterRequest(caller.model, caller.adapter, [s.row.upstream_id for s in order])
+        lacking = [s for s in order if s.lacks_adapter(caller.model, caller.adapter)]
+        request = AdapterRequest(
+            caller.model,
+            caller.adapter,
+            [s.row.upstream_id for s in order],
+            [s.row.upstream_id for s in lacking],
+        )
         reply = await self._ask(request)
         chosen = self._state.upstreams.get(reply.upstream_id) if reply.upstream_id else None
         if chosen is None:
@@ -78,6 +84,7 @@
                 reason=reply.reason,
             )
             return None
+        chosen.adapter_misses.pop((caller.model, caller.adapter), None)
         chosen.adapters[(caller.model, caller.adapter)] = now_ms() + TRUST_MS
         return chosen
 
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -9,15 +9,21 @@
 from briardyke.routes.configuration import RequestKind
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from briardyke.gateway.journey import Journey
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.tables import UpstreamState
-    from briardyke.routes.configuration import Route
+    from briardyke.routes.configuration import ModelSpec, Route
 
 # A restarted upstream announces itself within a heartbeat or two.
 _RETURN_MS = 2500.0
 # From the arrival of a request for a missing model until its load is ordered.
 _ORDER_DELAY_MS = 700.0
+# A load that ends is announced and passed on within this time.
+_LEAST_ARRIVAL_MS = 150.0
+# A load that should have ended this long ago has failed, or is many times slower than usual.
+_OVERDUE_MS = 3000.0
 # Part of its time or patience that a request may spend waiting, so that it can still run.
 _WAITING_SHARE = 0.7
 # Callers give a stream up after the longest of two seconds, four objectives and eight pauses
@@ -41,6 +47,19 @@
     )
 
 
+def model_arrival_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
+    """Return the expected time until a model that no upstream holds can be used."""
+    arrivals_ms = [
+        max(_LEAST_ARRIVAL_MS, upstream.arrivals_ms[spec.name] - now_ms())
+        for upstream in upstreams
+        if upstream.arrivals_ms.get(spec.name, 0.0) > now_ms() - _OVERDUE_MS
+    ]
+    if arrivals_ms:
+        return min(arrivals_ms)
+    is_at_hand = any(spec.name in upstream.row.at_hand for upstream in upstreams)
+    return (spec.disk_load_s if is_at_hand else spec.load_s) * 1000.0 + _ORDER_DELAY_MS
+
+
 class Admission:
     """Refuse at once what cannot be served before its deadline."""
 
@@ -59,11 +78,12 @@
         usable = state.upstreams.usable(journey.service)
         if any(upstream.holds(model) for upstream in usable):
             return None
-        at_hand = any(model in upstream.row.at_hand for upstream in usable)
-        load_ms = (spec.disk_load_s if at_hand else spec.load_s) * 1000.0 + _ORDER_DELAY_MS
-        if load_ms < self._longest_wait_ms(journey):
+        arrives_in_ms = model_arrival_ms(spec, usable)
+        waited_ms = now_ms() - journey.request.received_ms
+        if arrives_in_ms + waited_ms < self._longest_wait_ms(journey):
             return None
-        return self._comes_back(journey, load_ms, f"{model} is not loaded")
+        reason = f"{model} is not loaded, expected in {arrives_in_ms:.0f} ms"
+        return self._comes_back(journey, arrives_in_ms, reason)
 
     @staticmethod
     def _longest_wait_ms(journey: Journey) -> float:
@@ -97,7 +117,7 @@
 
     def wait_ms(self, journey: Journey, state: GatewayState) -> float:
         """Return how long a request without an upstream may still wait; 0 to give up."""
-        if journey.tried:
+        if journey.may_have_run or journey.sent >= journey.route.max_attempts:
             return 0.0
         if state.is_stopping:
             journey.refusal = Failure(ErrorKind.DRAINING, "this instance stops")
@@ -105,8 +125,10 @@
         waited_ms = now_ms() - journey.request.received_ms
         longest_ms = self._longest_wait_ms(journey)
         if journey.caller.model and state.is_engine(journey.service):
-            if waited_ms >= longest_ms:
+            refused = self.refusal(journey, state)
+            if refused is None and waited_ms >= longest_ms:
                 reason = f"{journey.caller.model} has no place yet"
-                journey.refusal = self._comes_back(journey, longest_ms, reason)
-            return longest_ms - waited_ms
+                refused = self._comes_back(journey, longest_ms, reason)
+            journey.refusal = refused
+            return 0.0 if refused else longest_ms - waited_ms
         return min(longest_ms, _RETURN_MS) - waited_ms
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -70,6 +70,8 @@
 
     :param request_id: request that the answer belongs to, or empty when it does not say.
     :param is_refusal: whether the upstream states that it did not run the request.
+    :param lacks_model: whether it refused because the model or adapter is not in its memory, or
+        because it is another process than was meant.
     :param is_signed: whether the answer carries the upstream's signature.
     :param load: its load, or ``None`` when it does not say.
     """
@@ -77,6 +79,7 @@
     request_id: str
     is_refusal: bool
     is_signed: bool
+    lacks_model: bool = False
     load: Load | None = None
 
 
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -186,8 +186,8 @@
             upstream.gate.failed(now_ms())
         elif attempt.ending is Ending.REFUSED:
             journey.sent += 1
-            if journey.caller.adapter:
-                upstream.adapters.pop((journey.caller.model, journey.caller.adapter), None)
+            if attempt.facts is not None and attempt.facts.lacks_model:
+                self._correct_belief(journey, upstream)
         else:
             journey.sent += 1
             journey.may_have_run = True
@@ -199,6 +199,19 @@
             if attempt.head.status < 500:
                 upstream.gate.succeeded(now_ms())
 
+    @staticmethod
+    def _correct_belief(journey: Journey, upstream: UpstreamState) -> None:
+        """Believe an upstream that has nothing of what the request needs.
+
+        It may be asked again once it has announced the model or loaded the adapter.
+        """
+        caller = journey.caller
+        journey.tried.discard(upstream.row.upstream_id)
+        if caller.adapter:
+            upstream.adapter_missed(caller.model, caller.adapter)
+        else:
+            upstream.missed(caller.model)
+
     def _is_worth_repeating(self, journey: Journey, attempt: Attempt) -> bool:
         assert attempt.head is not None
         return attempt.head.status >= 500 and journey.route.may_repeat
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -140,7 +140,7 @@
 
     def _on_change(self) -> None:
         self._retired += self.state.upstreams.adopt(
-            self.client.view.upstreams, self.client.view.withheld
+            self.client.view.upstreams, self.client.view.changes
         )
         self.state.entry_count = max(1, len(self.client.view.entries))
         self.state.changed.notify()
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -8,7 +8,7 @@
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
-from briardyke.fleet.records import DRAINING, GONE, READY, Upstream
+from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
 from briardyke.http.h11_client import ConnectionPool
 from briardyke.policy.ejection import HealthGate
 
@@ -17,6 +17,8 @@
 
 # Load that other entry instances caused counts half after this time without a new report.
 REPORT_HALF_LIFE_MS = 1500.0
+# Two heartbeats of an upstream at 1.2 s; by then it has announced what it holds.
+MISS_MS = 2500.0
 # Reading a prompt takes an engine about seven times as long as the part of its steps that one
 # running request adds while it lasts.
 ENGINE_RUNNING_WEIGHT = 0.15
@@ -25,6 +27,18 @@
 _MAX_UNIT_MS = 500.0
 
 
+@attrs.frozen
+class Miss:
+    """Remember that an upstream refused a request for want of a model or adapter.
+
+    :param sequence: its announcement at that time; a newer one is believed again.
+    :param until_ms: time until which the announcement is doubted.
+    """
+
+    sequence: int
+    until_ms: float
+
+
 @attrs.define
 class UpstreamState:
     """Hold one upstream's row and this instance's own evidence.
@@ -41,7 +55,10 @@
     :param unit_ms: time to the first event for each unit of load, 0 when unknown.
     :param pace_ms: recent mean time of an answer, or between two events of a stream; 0 for none.
     :param withheld: models that get no new requests.
+    :param arrivals_ms: time at which each model on its way should be there.
+    :param misses: models that it turned out not to hold.
     :param adapters: time until which each adapter is trusted to be there, by model and name.
+    :param adapter_misses: adapters that it turned out not to hold.
     """
 
     row: Upstream
@@ -56,7 +73,10 @@
     reported_ms: float = 0.0
     pace_ms: float = 0.0
     withheld: frozenset[str] = frozenset()
+    arrivals_ms: dict[str, float] = attrs.field(factory=dict)
+    misses: dict[str, Miss] = attrs.field(factory=dict)
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    adapter_misses: dict[tuple[str, str], Miss] = attrs.field(factory=dict)
 
     def observe_first(self, took_ms: float, load: float) -> None:
         """Learn from the time to the first event of a stream.
@@ -102,12 +122,30 @@
 
     def holds(self, model: str) -> bool:
         """Return whether the model is in its memory."""
-        if model in self.withheld:
+        if model in self.withheld or self._is_current(self.misses.get(model)):
             return False
         return any(held.name == model for held in self.row.models)
 
+    def missed(self, model: str) -> None:
+        """Believe no announcement up to the present one that the model is in its memory."""
+        self.misses[model] = Miss(self.row.sequence, now_ms() + MISS_MS)
+
+    def adapter_missed(self, model: str, adapter: str) -> None:
+        """Believe neither control nor announcements that the adapter is in its memory."""
+        self.adapters.pop((model, adapter), None)
+        self.adapter_misses[(model, adapter)] = Miss(self.row.sequence, now_ms() + MISS_MS)
+
+    def lacks_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether it said so since its last announcement."""
+        return self._is_current(self.adapter_misses.get((model, adapter)))
+
+    def _is_current(self, miss: Miss | None) -> bool:
+        return miss is not None and miss.sequence == self.row.sequence and now_ms() < miss.until_ms
+
     def announces_adapter(self, model: str, adapter: str) -> bool:
         """Return whether its last announcement named the adapter."""
+        if self.lacks_adapter(model, adapter):
+            return False
         return any(held.name == model and adapter in held.adapters for held in self.row.models)
 
     def holds_adapter(self, model: str, adapter: str) -> bool:
@@ -122,9 +160,9 @@
         self._states: dict[str, UpstreamState] = {}
 
     def adopt(
-        self, rows: dict[str, Upstream], withheld: dict[str, list[str]]
+        self, rows: dict[str, Upstream], changes: dict[str, ModelChanges]
     ) -> list[ConnectionPool]:
-        """Take the announced rows and the models that get no new requests.
+        """Take the announced rows and what orders change in the memory of upstreams.
 
         :return: the pools of upstreams that are no longer used."""
         retired = []
@@ -139,7 +177,9 @@
                 self._states[upstream_id] = UpstreamState(row, pool)
             else:
                 state.row = row
-            self._states[upstream_id].withheld = frozenset(withheld.get(upstream_id, ()))
+            if upstream_id in changes:
+                self._states[upstream_id].withheld = frozenset(changes[upstream_id].withheld)
+                self._states[upstream_id].arrivals_ms = changes[upstream_id].arriving_ms
         return retired
 
     def usable(self, service: str) -> list[UpstreamState]:
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -51,6 +51,8 @@
     :param pending_from_store: whether it loads weights from the weight store.
     :param leaving: models that are being unloaded.
     :param leaving_adapters: adapters that are being unloaded and still take their places.
+    :param doubted_adapters: adapters that a refused request did not find. They keep their places,
+        and are ordered again when they are asked for.
     :param doubt_since_ms: time since which the sequence is unknown.
     :param review_ms: time at which a report is wanted, 0 for none.
     :param loaded_ms: time at which the load of each model should have ended.
@@ -68,6 +70,7 @@
     pending_from_store: bool = False
     leaving: set[str] = attrs.field(factory=set)
     leaving_adapters: set[tuple[str, str]] = attrs.field(factory=set)
+    doubted_adapters: set[tuple[str, str]] = attrs.field(factory=set)
     doubt_since_ms: float = 0.0
     review_ms: float = 0.0
     lock: trio.Lock = attrs.field(factory=trio.Lock)
@@ -84,6 +87,7 @@
         held |= set(report.incoming)
         self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
         self.leaving_adapters &= held
+        self.doubted_adapters &= held
         if not report.is_busy:
             self.pending = None
         elif self.pending is None:
@@ -108,6 +112,10 @@
                 self.leaving.discard(model)
                 self.adapters = {k: t for k, t in self.adapters.items() if k[0] != model}
 
+    def has_adapter(self, key: tuple[str, str]) -> bool:
+        """Return whether an adapter is in its memory, as far as known."""
+        return key in self.adapters and key not in self.doubted_adapters
+
     def idle_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that may be evicted, the least recently asked for first."""
         limit_ms = now_ms() - ADAPTER_KEEP_MS
@@ -124,11 +132,21 @@
         return frozenset(m for m, loaded_ms in self.loaded_ms.items() if loaded_ms >= limit_ms)
 
     def free_in_ms(self) -> float:
-        """Return the time until the engine should take orders for models."""
+        """Return the time until the engine should take orders for models.
+
+        An order that is overdue, such as an unload that waits for long streams, is expected to
+        take as long again as it is late.
+        """
         if self.pending is not None:
-            return max(_LEAST_REST_MS, self.pending_until_ms - now_ms())
+            return max(_LEAST_REST_MS, abs(self.pending_until_ms - now_ms()))
         return _LEAST_REST_MS if self.sequence is None else 0.0
 
+    def arriving_ms(self) -> dict[str, float]:
+        """Return the model on its way with the time until it should be there."""
+        if self.pending is None or not self.pending[1] or self.pending[0] == UNKNOWN_MODEL:
+            return {}
+        return {self.pending[0]: self.pending_until_ms - now_ms()}
+
     def busy_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that were asked for recently."""
         limit_ms = now_ms() - ADAPTER_BUSY_MS
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -8,7 +8,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.fleet.messages import AdapterReply, AdapterRequest
-from briardyke.fleet.records import READY, Withheld
+from briardyke.fleet.records import READY, ModelChanges
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.decide import committed_mb, decide
 from briardyke.models.lasting import LastingDemand
@@ -72,7 +72,7 @@
         self._term = 0
         self._term_since_ms = 0.0
         self._fenced_term = 0
-        self._withheld_sequence = 0
+        self._change_sequence = 0
         self._lasting = LastingDemand()
         self._missing_since_ms: dict[str, float] = {}
 
@@ -213,7 +213,7 @@
                 self._store.record()
         else:
             ledger.leaving.add(change.model)
-            self._publish(ledger)
+        self._publish(ledger)
         nursery.start_soon(self._carry_out, ledger, change)
 
     async def _carry_out(self, ledger: EngineLedger, change: Change) -> None:
@@ -235,7 +235,7 @@
         ledger.pending = None
         if not is_load:
             ledger.leaving.discard(change.model)
-            self._publish(ledger)
+        self._publish(ledger)
         if outcome is OrderOutcome.HELD_ALREADY and not is_load:
             ledger.models.discard(change.model)
 
@@ -283,11 +283,15 @@
         return outcome is OrderOutcome.ACCEPTED or not order.is_load
 
     def _publish(self, ledger: EngineLedger) -> None:
-        self._withheld_sequence += 1
-        row = Withheld(
-            ledger.row.upstream_id, self._term, self._withheld_sequence, sorted(ledger.leaving)
+        self._change_sequence += 1
+        row = ModelChanges(
+            ledger.row.upstream_id,
+            self._term,
+            self._change_sequence,
+            sorted(ledger.leaving),
+            ledger.arriving_ms(),
         )
-        self._control.withhold(row)
+        self._control.tell_changes(row)
 
     # Adapters
 
@@ -298,8 +302,11 @@
             return AdapterReply("", "this instance does not order")
         key = (request.model, request.adapter)
         known = [(i, self._ledgers[i]) for i in request.upstream_ids if i in self._ledgers]
+        for upstream_id, ledger in known:
+            if upstream_id in request.lacking_ids and key not in ledger.ready:
+                ledger.doubted_adapters.add(key)
         usable = [(i, g) for i, g in known if request.model in g.models - g.leaving]
-        holding = [row for row in usable if key in row[1].adapters]
+        holding = [row for row in usable if row[1].has_adapter(key)]
         reason = "no engine is known"
         for upstream_id, ledger in [*holding, *usable]:
             spec = configuration.services[ledger.row.service].engine
@@ -319,14 +326,15 @@
                 await ledger.ready[key].wait()
             if key in ledger.leaving_adapters:
                 return "the adapter is being unloaded"
-            if key in ledger.adapters:
+            if ledger.has_adapter(key):
                 ledger.adapters[key] = now_ms()
                 return ""
             if ledger.pending is not None or ledger.sequence is None:
                 return "the engine carries out another order"
             if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
                 return "too many adapters are on their way"
-            if len(ledger.adapters) < spec.adapter_slots and _fits(ledger, spec):
+            is_counted = key in ledger.adapters or len(ledger.adapters) < spec.adapter_slots
+            if is_counted and _fits(ledger, spec):
                 return await self._load_adapter(ledger, key)
             idle = ledger.idle_adapters()
             if not idle:
@@ -354,6 +362,7 @@
     async def _load_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
         event = ledger.ready[key] = trio.Event()
         ledger.adapters[key] = now_ms()
+        ledger.doubted_adapters.discard(key)
         try:
             outcome = await self._order(ledger, True, *key)
             if outcome is OrderOutcome.ACCEPTED:
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -83,6 +83,7 @@
         return AnswerFacts(
             request_id=_text(headers, _REQUEST_ID),
             is_refusal=header(headers, _REFUSAL) is not None or status == _MISDIRECTED,
+            lacks_model=status == _MISDIRECTED,
             is_signed=header(headers, _SIGNATURE) is not None,
             load=_load(_text(headers, _LOAD)),
         )
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,106 @@
+"""Tests for refusals of requests whose model is not there, each with the load that it answers."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from briardyke.addresses import parse_address
+from briardyke.clock import now_ms
+from briardyke.fleet.records import READY, HeldModel, ModelChanges, Upstream
+from briardyke.gateway.admission import Admission, model_arrival_ms
+from briardyke.gateway.dialect import CallerRequest
+from briardyke.gateway.journey import Journey
+from briardyke.gateway.state import GatewayState, RetryBounds
+from briardyke.gateway.tables import UpstreamState
+from briardyke.gateway.trace import Trace
+from briardyke.http.exchange import HttpRequest
+from briardyke.http.h11_client import ConnectionPool
+from briardyke.routes.configuration import (
+    EngineSpec,
+    ModelSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    ServingConfiguration,
+    Target,
+)
+from briardyke.routes.matching import RouteTable
+
+ROW = Upstream("e", 1, 7, "s", "10.0.0.1:80", "dc", READY, 8, [HeldModel("held")])
+MODEL = ModelSpec("m", 40.0, 6.0, 1.2, 0.6, 0, 0.0)
+ENGINE = EngineSpec(8, 100.0, 8, 1.0, 1000, {"m": MODEL})
+ROUTE = Route("r", "h", "/", RequestKind.STREAMING, 15000.0, 500.0, 1, (Target("s", 1),), 2, True)
+
+
+def upstream(**changes: object) -> UpstreamState:
+    row = attrs.evolve(ROW, **changes)  # type: ignore[arg-type]
+    return UpstreamState(row, ConnectionPool(parse_address(row.address)))
+
+
+def state_with(rows: dict[str, Upstream], changes: dict[str, ModelChanges]) -> GatewayState:
+    state = GatewayState(None, "dc", RetryBounds(0.2, 50, 10), None)  # type: ignore[arg-type]
+    services = {"s": ServiceSpec("s", 10, ENGINE)}
+    state.routes = RouteTable(ServingConfiguration(1, (ROUTE,), services))
+    state.upstreams.adopt(rows, changes)
+    return state
+
+
+def journey(route: Route = ROUTE) -> Journey:
+    request = HttpRequest("POST", "/x", [], b"", now_ms())
+    deadline_ms = now_ms() + route.timeout_ms
+    caller = CallerRequest("q", route.timeout_ms, "m")
+    return Journey(request, caller, route, "s", deadline_ms, Trace("q", now_ms(), 1))
+
+
+class TestModelArrival:
+    """Covers how long a request for a missing model would wait."""
+
+    @pytest.mark.parametrize(
+        ("arrivals_ms", "at_hand", "expected_ms"),
+        [
+            ({}, [], 6700.0),
+            ({}, ["m"], 1900.0),
+            ({"m": 900.0}, [], 900.0),
+            ({"m": -500.0}, [], 150.0),
+            ({"m": -9000.0}, ["m"], 1900.0),
+            ({"other": 100.0}, [], 6700.0),
+        ],
+    )
+    async def test_load_under_way_goes_before_an_estimate(
+        self, arrivals_ms: dict[str, float], at_hand: list[str], expected_ms: float
+    ) -> None:
+        state = upstream(at_hand=at_hand)
+        state.arrivals_ms = {model: now_ms() + ms for model, ms in arrivals_ms.items()}
+        assert model_arrival_ms(MODEL, [state]) == pytest.approx(expected_ms, abs=60.0)
+
+
+class TestReturningCaller:
+    """Covers callers that were sent away while a model was loaded and come back."""
+
+    async def test_caller_waits_for_a_load_that_is_about_to_end(self) -> None:
+        changes = ModelChanges("e", 3, 1, [], {"m": now_ms() + 800.0})
+        state = state_with({"e": ROW}, {"e": changes})
+        assert Admission().refusal(journey(), state) is None
+
+    async def test_caller_is_sent_away_for_as_long_as_the_load_takes(self) -> None:
+        changes = ModelChanges("e", 3, 1, [], {"m": now_ms() + 4000.0})
+        failure = Admission().refusal(journey(), state_with({"e": ROW}, {"e": changes}))
+        assert failure is not None
+        assert failure.retry_after_ms == pytest.approx(4000.0, abs=60.0)
+
+    async def test_change_that_ages_on_its_way_keeps_its_end(self) -> None:
+        assert ModelChanges("e", 3, 1, [], {"m": 900.0}).aged(400.0).arriving_ms == {"m": 500.0}
+
+
+class TestRefusedForWantOfAModel:
+    """Covers upstreams that do not hold what they announced, such as one that has restarted."""
+
+    async def test_upstream_is_not_asked_again_before_its_next_announcement(self) -> None:
+        state = upstream(models=[HeldModel("m", ["a"])])
+        assert state.holds("m") and state.announces_adapter("m", "a")
+        state.missed("m")
+        state.adapter_missed("m", "a")
+        assert not state.holds("m") and not state.announces_adapter("m", "a")
+        state.row = attrs.evolve(state.row, sequence=8)
+        assert state.holds("m") and state.announces_adapter("m", "a")
--- a/tests/models/test_ledger.py
+++ b/tests/models/test_ledger.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import attrs
+import pytest
+import trio
 
+from briardyke.clock import now_ms
 from briardyke.fleet.records import READY, HeldModel, Upstream
 from briardyke.models.ledger import UNKNOWN_MODEL, EngineLedger, EngineReport
 
@@ -51,3 +54,32 @@
         ledger.adopt_row(attrs.evolve(ROW, sequence=3))
         assert (ledger.models, ledger.pending) == ({"a"}, None)
         assert set(ledger.adapters) == {("a", "a1")}
+
+
+class TestOrderUnderWay:
+    """Covers how long an engine with an order is expected to be busy."""
+
+    async def test_overdue_order_is_expected_to_last_as_long_again(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        ledger = EngineLedger(ROW, 1, {"m"})
+        assert ledger.free_in_ms() == 0.0
+        ledger.pending, ledger.pending_until_ms = ("m", False), now_ms() + 700.0
+        assert ledger.free_in_ms() == pytest.approx(700.0)
+        await trio.sleep(5.7)
+        assert ledger.free_in_ms() == pytest.approx(5000.0, abs=10.0)
+
+    async def test_only_loads_are_told_as_arriving(self) -> None:
+        ledger = EngineLedger(ROW, 1, {"m"})
+        ledger.pending, ledger.pending_until_ms = ("n", True), now_ms() + 900.0
+        assert ledger.arriving_ms()["n"] == pytest.approx(900.0, abs=50.0)
+        ledger.pending = ("m", False)
+        assert ledger.arriving_ms() == {}
+
+    async def test_doubted_adapter_keeps_its_place_until_a_report_denies_it(self) -> None:
+        ledger = EngineLedger(ROW, 1, {"m"}, {("m", "a1"): 1.0})
+        ledger.doubted_adapters.add(("m", "a1"))
+        assert not ledger.has_adapter(("m", "a1"))
+        assert len(ledger.adapters) == 1
+        ledger.adopt_report(EngineReport(2, {"m": []}, False))
+        assert ledger.adapters == {} and ledger.doubted_adapters == set()
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -108,3 +108,10 @@
         assert sum(bool(reply.upstream_id) for reply in replies) >= 20
         sequences = [order.expected_sequence for order in world.engines.orders]
         assert sequences == sorted(set(sequences))
+
+    async def test_adapter_that_a_request_did_not_find_is_ordered_again(self, world: World) -> None:
+        world.ledger.adapters = {("m", "a1"): 0.0, ("m", "a2"): 0.0}
+        reply = await world.runner.place_adapter(AdapterRequest("m", "a1", ["e"], ["e"]))
+        assert reply.upstream_id == "e"
+        assert [(o.is_load, o.adapter) for o in world.engines.orders] == [(True, "a1")]
+        assert len(world.ledger.adapters) == 2
