Leave out crashed engines within seconds; wait for the first configuration

Change: entry instances report upstreams that they cannot connect to; with two reports and a missed heartbeat the leader plans without it; a first configuration is waited for up to a quarter of the caller's time; an estimate lets a request in but does not end its wait; only replicas that serve count when another one is given up.

--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -80,6 +80,7 @@
     :param is_ready: whether callers may be sent to it.
     :param demand: requests a second by model, and by service for plain services, raised where they
         pile up.
+    :param unreachable: ids of upstreams to which it can open no connection.
     """
 
     instance_id: str
@@ -89,6 +90,7 @@
     data_centre: str
     is_ready: bool
     demand: dict[str, float] = attrs.field(factory=dict)
+    unreachable: list[str] = attrs.field(factory=list)
 
     @property
     def key(self) -> str:
--- a/src/briardyke/fleet/table.py
+++ b/src/briardyke/fleet/table.py
@@ -85,6 +85,10 @@
         found = self._entries.values()
         return [(e.row, now - e.heard_ms) for e in found if e.changed_at > sequence]
 
+    def age_ms(self, key: str) -> float:
+        """Return the time since the owner of a row confirmed it."""
+        return now_ms() - self._entries[key].heard_ms
+
     def is_silent(self, key: str) -> bool:
         """Return whether a row's owner was last marked as silent."""
         return self._entries[key].is_silent
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -47,15 +47,21 @@
     )
 
 
-def model_arrival_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
-    """Return the expected time until a model that no upstream holds can be used."""
+def load_under_way_ms(model: str, upstreams: Sequence[UpstreamState]) -> float | None:
+    """Return the time until a load of the model should end, or ``None`` without one."""
     arrivals_ms = [
-        max(_LEAST_ARRIVAL_MS, upstream.arrivals_ms[spec.name] - now_ms())
+        max(_LEAST_ARRIVAL_MS, upstream.arrivals_ms[model] - now_ms())
         for upstream in upstreams
-        if upstream.arrivals_ms.get(spec.name, 0.0) > now_ms() - _OVERDUE_MS
+        if upstream.arrivals_ms.get(model, 0.0) > now_ms() - _OVERDUE_MS
     ]
-    if arrivals_ms:
-        return min(arrivals_ms)
+    return min(arrivals_ms, default=None)
+
+
+def model_arrival_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
+    """Return the expected time until a model that no upstream holds can be used."""
+    under_way_ms = load_under_way_ms(spec.name, upstreams)
+    if under_way_ms is not None:
+        return under_way_ms
     is_at_hand = any(spec.name in upstream.row.at_hand for upstream in upstreams)
     return (spec.disk_load_s if is_at_hand else spec.load_s) * 1000.0 + _ORDER_DELAY_MS
 
@@ -75,9 +81,9 @@
         spec = state.model(journey.service, model)
         if spec is None:
             return None
-        usable = state.upstreams.usable(journey.service)
-        if any(upstream.holds(model) for upstream in usable):
-            return None
+        usable = [u for u in state.upstreams.usable(journey.service) if u.is_reachable]
+        if not usable or any(upstream.holds(model) for upstream in usable):
+            return None  # without any upstream, this instance may just have started
         arrives_in_ms = model_arrival_ms(spec, usable)
         waited_ms = now_ms() - journey.request.received_ms
         if arrives_in_ms + waited_ms < self._longest_wait_ms(journey):
@@ -85,6 +91,22 @@
         reason = f"{model} is not loaded, expected in {arrives_in_ms:.0f} ms"
         return self._comes_back(journey, arrives_in_ms, reason)
 
+    def _ends_wait(self, journey: Journey, state: GatewayState, left_ms: float) -> Failure | None:
+        """Return why a request that waits for its model is sent away now, or ``None``.
+
+        An estimate made it wait, so only a load that is known to end too late cuts that short.
+        """
+        model = journey.caller.model
+        spec = state.model(journey.service, model)
+        usable = [u for u in state.upstreams.usable(journey.service) if u.is_reachable]
+        under_way_ms = None
+        if not any(upstream.holds(model) for upstream in usable):
+            under_way_ms = load_under_way_ms(model, usable)
+        if left_ms > 0 and (under_way_ms is None or under_way_ms < left_ms):
+            return None
+        arrives_in_ms = model_arrival_ms(spec, usable) if spec else self._longest_wait_ms(journey)
+        return self._comes_back(journey, arrives_in_ms, f"{model} has no place yet")
+
     @staticmethod
     def _longest_wait_ms(journey: Journey) -> float:
         """Return how long a request may wait for an upstream, from its arrival."""
@@ -125,10 +147,6 @@
         waited_ms = now_ms() - journey.request.received_ms
         longest_ms = self._longest_wait_ms(journey)
         if journey.caller.model and state.is_engine(journey.service):
-            refused = self.refusal(journey, state)
-            if refused is None and waited_ms >= longest_ms:
-                reason = f"{journey.caller.model} has no place yet"
-                refused = self._comes_back(journey, longest_ms, reason)
-            journey.refusal = refused
-            return 0.0 if refused else longest_ms - waited_ms
+            journey.refusal = self._ends_wait(journey, state, longest_ms - waited_ms)
+            return 0.0 if journey.refusal else longest_ms - waited_ms
         return min(longest_ms, _RETURN_MS) - waited_ms
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -25,6 +25,7 @@
 from briardyke.routes.matching import choose_service
 
 if TYPE_CHECKING:
+    from briardyke.gateway.dialect import CallerRequest
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.tables import UpstreamState
     from briardyke.http.exchange import Answer
@@ -44,6 +45,10 @@
 # another upstream to send an event.
 _RESUME_SHARE = 0.65
 _MAX_CONNECT_FAILURES = 3
+# Control instances answer with what they have on disk about a second after a loss of power. A
+# quarter of its time leaves a request enough to be served, or to come back.
+_CONFIGURATION_WAIT_MS = 1500.0
+_CONFIGURATION_WAIT_SHARE = 0.25
 # Weights of one answer and one event in an upstream's pace: the last ten answers, or the events of
 # about one second.
 _ANSWER_WEIGHT = 0.1
@@ -63,6 +68,7 @@
         """Answer one request of a caller."""
         state = self._state
         caller = state.dialect.read_request(request)
+        await self._await_configuration(caller)
         trace = Trace(caller.request_id, request.received_ms, state.version)
         trace.model = caller.model
         route = self._route(request)
@@ -91,6 +97,17 @@
             if not trace.is_finished:
                 trace.finish(state.counters, 0, "caller_gone")
 
+    async def _await_configuration(self, caller: CallerRequest) -> None:
+        """Wait for the first configuration after a start, for a part of the caller's time.
+
+        Load: after a loss of power callers know the addresses already and come back before any
+        configuration is there, which takes about a second. Most of them have that time.
+        """
+        deadline_ms = caller.deadline_ms or _CONFIGURATION_WAIT_MS
+        until_ms = now_ms() + min(_CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_SHARE)
+        while not self._state.version and (left_ms := until_ms - now_ms()) > 0:
+            await self._state.changed.wait(left_ms)
+
     def _route(self, request: HttpRequest) -> Route | None:
         host = (header(request.headers, b"host") or b"").decode("latin-1")
         return self._state.routes.find(host, request.path) if self._state.routes else None
@@ -175,10 +192,13 @@
         load: float,
     ) -> None:
         """Update the evidence about the upstream."""
+        if attempt.ending is not Ending.NOT_CONNECTED:
+            upstream.connect_failures = 0
         if attempt.facts is not None and attempt.facts.load is not None:
             upstream.take_report(attempt.facts.load)
         if attempt.ending is Ending.NOT_CONNECTED:
             journey.connect_failures += 1
+            upstream.connect_failed()
             upstream.gate.failed(now_ms())
         elif attempt.ending in (Ending.FAILED, Ending.TIMED_OUT):
             journey.sent += 1
@@ -262,7 +282,8 @@
         model = journey.caller.model
         if model and self._state.is_engine(journey.service):
             usable = [s for s in usable if s.holds(model)]
-        return [s for s in usable if s.row.upstream_id not in journey.tried]
+        untried = [s for s in usable if s.row.upstream_id not in journey.tried]
+        return [s for s in untried if s.is_reachable]
 
     # Answers
 
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -125,6 +125,7 @@
             self._place.data_centre,
             self.is_ready,
             self.state.demand.demand(),
+            self.state.upstreams.unreachable(),
         )
 
     def _adopt(self, version: int, document: bytes) -> bool:
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -17,6 +17,12 @@
 
 # Load that other entry instances caused counts half after this time without a new report.
 REPORT_HALF_LIFE_MS = 1500.0
+# One connection may fail because the upstream has closed its door to a burst.
+UNREACHABLE_AFTER = 2
+# A restarted process listens again within about a second.
+CONNECT_PROBE_MS = 1000.0
+# Failures older than this say little about now; requests for a rare model are seconds apart.
+UNREACHABLE_REPORT_MS = 3000.0
 # Two heartbeats of an upstream at 1.2 s; by then it has announced what it holds.
 MISS_MS = 2500.0
 # Reading a prompt takes an engine about seven times as long as the part of its steps that one
@@ -54,6 +60,8 @@
     :param reported_ms: time of the last report.
     :param unit_ms: time to the first event for each unit of load, 0 when unknown.
     :param pace_ms: recent mean time of an answer, or between two events of a stream; 0 for none.
+    :param connect_failures: connections that could not be opened since the last one that could.
+    :param connect_failed_ms: time of the last of them.
     :param withheld: models that get no new requests.
     :param arrivals_ms: time at which each model on its way should be there.
     :param misses: models that it turned out not to hold.
@@ -72,12 +80,34 @@
     unit_ms: float = 0.0
     reported_ms: float = 0.0
     pace_ms: float = 0.0
+    connect_failures: int = 0
+    connect_failed_ms: float = 0.0
     withheld: frozenset[str] = frozenset()
     arrivals_ms: dict[str, float] = attrs.field(factory=dict)
     misses: dict[str, Miss] = attrs.field(factory=dict)
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
     adapter_misses: dict[tuple[str, str], Miss] = attrs.field(factory=dict)
 
+    def connect_failed(self) -> None:
+        """Count a connection that could not be opened."""
+        self.connect_failures += 1
+        self.connect_failed_ms = now_ms()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether a connection is worth trying; every second one request finds out."""
+        if self.connect_failures < UNREACHABLE_AFTER:
+            return True
+        return now_ms() - self.connect_failed_ms >= CONNECT_PROBE_MS
+
+    @property
+    def is_reported_unreachable(self) -> bool:
+        """Return whether the leader should hear that this upstream cannot be reached."""
+        return (
+            self.connect_failures >= UNREACHABLE_AFTER
+            and now_ms() - self.connect_failed_ms < UNREACHABLE_REPORT_MS
+        )
+
     def observe_first(self, took_ms: float, load: float) -> None:
         """Learn from the time to the first event of a stream.
 
@@ -188,6 +218,10 @@
         ready = [s for s in rows if s.row.lifecycle == READY]
         return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
 
+    def unreachable(self) -> list[str]:
+        """Return the ids of upstreams to which no connection can be opened."""
+        return [i for i, state in self._states.items() if state.is_reported_unreachable]
+
     def get(self, upstream_id: str) -> UpstreamState | None:
         """Return an upstream's state."""
         return self._states.get(upstream_id)
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -47,6 +47,8 @@
 _ADAPTER_MISSES = 0.2
 # The same where another engine could load the adapter.
 _ADAPTER_MISSES_SHARED = 0.02
+# An engine that is free within this time is waited for rather than left out.
+_SOON_MS = 1500.0
 # A replica is not given up for one that gains as much, since demand wavers.
 _KEEPING_FACTOR = 1.3
 # Models examined in one round; the rest wait for the next one, a fraction of a second later.
@@ -99,6 +101,7 @@
             for model, rate in self._demand.items()
         }
         self._holders: dict[str, set[str]] = {}
+        self._arriving = {e.upstream_id: e.arriving for e in self._engines}
         for engine in self._engines:
             for model in engine.held:
                 if model not in engine.leaving:
@@ -129,7 +132,7 @@
             for e in self._engines
             if e.upstream_id not in self._taken
             and model not in e.held
-            and not (self._holders.get(model) and self._serves_adapters_alone(e))
+            and not (self._holders.get(model) and self._is_relieved_soon(e))
         ]
         engines.sort(key=lambda e: (self._load_s(model, e), self._loads[e.upstream_id]))
         options = [o for e in engines[:_MAX_ENGINES] if (o := self._option(model, e)) is not None]
@@ -209,10 +212,14 @@
         return self._cost(self._holders) - after
 
     def _keeping_value(self, victim: str, engine: EngineView) -> float:
-        """Return what is lost when an engine gives up a model."""
+        """Return what is lost when an engine gives up a model.
+
+        A replica that is still being loaded replaces none that serves.
+        """
         if victim not in self.view.spec.models:
             return 0.0
-        holders = self._holders.get(victim, set()) - {engine.upstream_id}
+        loading = {i for i in self._holders.get(victim, ()) if self._arriving[i] == victim}
+        holders = self._holders.get(victim, set()) - loading - {engine.upstream_id}
         if not holders:
             lasting = self.view.lasting.get(victim, 0.0) * _RESTING_SHARE
             rate = max(self._demand.get(victim, 0.0), lasting)
@@ -234,10 +241,16 @@
             cost += _MISSING_WEIGHT * misses * self._demand[model]
         return cost
 
-    def _serves_adapters_alone(self, engine: EngineView) -> bool:
-        """Return whether the other holders of one of its models take no adapter now."""
-        rows = self._adapter_models(engine)
-        return any(is_alone and len(self._holders.get(m, ())) > 1 for m, is_alone in rows)
+    def _is_relieved_soon(self, engine: EngineView) -> bool:
+        """Return whether it alone takes adapters of a model now, but another holder will soon.
+
+        Load: a busy model can wait for its next replica until that is so.
+        """
+        for model, is_alone in self._adapter_models(engine):
+            others = self._other_holders(model, engine)
+            if is_alone and any(e.free_in_ms <= _SOON_MS for e in others):
+                return True
+        return False
 
     def _adapter_models(self, engine: EngineView) -> list[tuple[str, bool]]:
         """Return an engine's models that are asked for with adapters.
@@ -249,18 +262,18 @@
             spec = self.view.spec.models.get(model)
             if spec is None or not spec.adapters or model not in self._demand:
                 continue
-            others = [
-                e
-                for e in self._engines
-                if e is not engine
-                and model in e.held
-                and model not in e.leaving
-                and e.is_free
-                and e.upstream_id not in self._taken
-            ]
-            found.append((model, not others))
+            others = self._other_holders(model, engine)
+            takes = [e for e in others if e.is_free and e.upstream_id not in self._taken]
+            found.append((model, not takes))
         return found
 
+    def _other_holders(self, model: str, engine: EngineView) -> list[EngineView]:
+        return [
+            e
+            for e in self._engines
+            if e is not engine and model in e.held and model not in e.leaving
+        ]
+
     def _balance(self) -> None:
         self._loads = balanced_loads(self._work, self._holders, self._ids)
         self._mean = sum(self._work.values()) / max(1, len(self._ids))
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -75,6 +75,7 @@
         self._change_sequence = 0
         self._lasting = LastingDemand()
         self._missing_since_ms: dict[str, float] = {}
+        self._unreachable: set[str] = set()
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
@@ -100,6 +101,7 @@
 
     async def _tick(self, configuration: ServingConfiguration, nursery: trio.Nursery) -> None:
         self._follow_rows(configuration)
+        self._follow_unreachable()
         for ledger in self._ledgers.values():
             if self._needs_report(ledger) and not ledger.lock.locked():
                 nursery.start_soon(self._refresh, ledger)
@@ -120,6 +122,16 @@
             for change in decide(view):
                 self._start(change, service.engine, nursery)
 
+    def _follow_unreachable(self) -> None:
+        unreachable = self._control.unreachable_upstreams()
+        for upstream_id in unreachable ^ self._unreachable:
+            log_event(
+                "engine_reachability_changed",
+                upstream=upstream_id,
+                reachable=upstream_id not in unreachable,
+            )
+        self._unreachable = unreachable
+
     def _follow_missing(self, demand: dict[str, float]) -> None:
         held = {m for g in self._ledgers.values() for m in g.models - g.leaving}
         missing = [model for model in demand if model not in held]
@@ -185,8 +197,9 @@
             is_free=ledger.sequence is not None
             and ledger.pending is None
             and not ledger.lock.locked(),
-            is_staying=ledger.row.lifecycle == READY,
+            is_staying=ledger.row.lifecycle == READY and upstream_id not in self._unreachable,
             leaving=frozenset(ledger.leaving),
+            arriving=next(iter(ledger.arriving_ms()), ""),
             recent=ledger.recent_models(),
             free_in_ms=ledger.free_in_ms(),
             is_loading=ledger.pending is not None and ledger.pending_from_store,
--- a/src/briardyke/models/tables.py
+++ b/src/briardyke/models/tables.py
@@ -45,6 +45,7 @@
     :param is_loading: whether it loads a model from the weight store.
     :param is_staying: whether it is ready and has not said that it leaves.
     :param leaving: models that are being unloaded.
+    :param arriving: model that it is loading, or empty.
     :param recent: models whose load was ordered lately.
     """
 
@@ -56,6 +57,7 @@
     is_staying: bool
     leaving: frozenset[str] = frozenset()
     recent: frozenset[str] = frozenset()
+    arriving: str = ""
     free_in_ms: float = 0.0
     is_loading: bool = False
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -4,6 +4,7 @@
 
 import attrs
 import pytest
+import trio
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
@@ -12,7 +13,7 @@
 from briardyke.gateway.dialect import CallerRequest
 from briardyke.gateway.journey import Journey
 from briardyke.gateway.state import GatewayState, RetryBounds
-from briardyke.gateway.tables import UpstreamState
+from briardyke.gateway.tables import CONNECT_PROBE_MS, UNREACHABLE_REPORT_MS, UpstreamState
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import HttpRequest
 from briardyke.http.h11_client import ConnectionPool
@@ -93,6 +94,54 @@
         assert ModelChanges("e", 3, 1, [], {"m": 900.0}).aged(400.0).arriving_ms == {"m": 500.0}
 
 
+class TestWaitingForAModel:
+    """Covers requests that wait for a model, which were let in on an estimate."""
+
+    async def test_wait_is_not_cut_short_by_an_estimate(self) -> None:
+        state = state_with({"e": attrs.evolve(ROW, at_hand=["m"])}, {})
+        waiting = journey(attrs.evolve(ROUTE, latency_objective_ms=1000.0))
+        assert Admission().wait_ms(waiting, state) > 0
+        assert waiting.refusal is None
+
+    async def test_wait_ends_when_the_load_is_known_to_end_too_late(self) -> None:
+        changes = ModelChanges("e", 3, 1, [], {"m": now_ms() + 5000.0})
+        waiting = journey()
+        assert Admission().wait_ms(waiting, state_with({"e": ROW}, {"e": changes})) == 0.0
+        assert waiting.refusal is not None
+        assert waiting.refusal.retry_after_ms == pytest.approx(5000.0, abs=60.0)
+
+    async def test_instance_without_any_upstream_waits_for_announcements(self) -> None:
+        assert Admission().refusal(journey(), state_with({}, {})) is None
+
+
+class TestCrashedEngine:
+    """Covers an engine to which no connection can be opened."""
+
+    async def test_it_is_left_out_and_tried_again_after_a_while(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        state = upstream()
+        state.connect_failed()
+        assert state.is_reachable and not state.is_reported_unreachable
+        state.connect_failed()
+        assert not state.is_reachable and state.is_reported_unreachable
+        await trio.sleep(CONNECT_PROBE_MS / 1000.0)
+        assert state.is_reachable and state.is_reported_unreachable
+        await trio.sleep(UNREACHABLE_REPORT_MS / 1000.0)
+        assert not state.is_reported_unreachable
+
+    async def test_request_for_its_model_is_sent_away_until_another_engine_can_load_it(
+        self,
+    ) -> None:
+        holder = attrs.evolve(ROW, models=[HeldModel("m")])
+        other = attrs.evolve(ROW, upstream_id="f", address="10.0.0.2:80")
+        state = state_with({"e": holder, "f": other}, {})
+        assert Admission().refusal(journey(), state) is None
+        for _ in range(2):
+            state.upstreams.get("e").connect_failed()  # type: ignore[union-attr]
+        assert Admission().refusal(journey(), state) is not None
+
+
 class TestRefusedForWantOfAModel:
     """Covers upstreams that do not hold what they announced, such as one that has restarted."""
 
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -110,6 +110,14 @@
         held[2] = engine("e2", "a")
         assert len(decide(view(room, held, a=1, b=9))) == 1
 
+    def test_overloaded_model_does_not_wait_for_a_holder_that_is_busy_for_long(self) -> None:
+        room = spec(a=40, b=40)
+        with_adapters = attrs.evolve(room.models["a"], adapters=20)
+        room = attrs.evolve(room, models=room.models | {"a": with_adapters})
+        busy = engine("e2", "a", is_free=False, free_in_ms=6000.0)
+        found = decide(view(room, [engine("e3", "b"), engine("e1", "a"), busy], a=1, b=9))
+        assert found == [Change(LOAD, "e1", "b", True)]
+
     def test_only_holder_still_takes_missing_models(self) -> None:
         room = spec(a=40, c=40)
         with_adapters = attrs.evolve(room.models["a"], adapters=20)
@@ -167,6 +175,21 @@
         assert decide(later) == [Change(UNLOAD, "e1", "a")]
 
 
+class TestReplicaOnItsWay:
+    """Covers a busy model with one replica that serves and one that is still being loaded."""
+
+    def test_serving_replica_stays_until_the_other_one_serves(self) -> None:
+        room = spec(weights_mb=50.0, a=40, b=40, c=40)
+        serving = engine("e1", "a")
+        loading = engine("e2", "a", is_free=False, free_in_ms=5000.0, arriving="a")
+        other = engine("e3", "b", is_free=False, free_in_ms=9000.0)
+        sight = view(room, [serving, loading, other], a=4, b=4, c=1)
+        assert decide(sight) == []
+        arrived = attrs.evolve(loading, is_free=True, free_in_ms=0.0, arriving="")
+        found = decide(attrs.evolve(sight, engines=[serving, arrived, other]))
+        assert [(c.kind, c.model) for c in found] == [(UNLOAD, "a")]
+
+
 class TestWaveringDemand:
     """Covers demand that goes up and down around what the replicas carry."""
 
