Do not take a late report of an order that has ended for another order

Cause: a report lags by some hundred milliseconds. An empty model name stood among its models.

Ruled out: late orders (no applied_late at that time).

Change: a busy report within 0.6 s of an order's end says nothing new, an unknown order is expected to end as late as it is seen, and its empty name is kept out. The new test fails on the code before.

--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/ledger.py
@@ -16,6 +16,9 @@
 RESIDENCE_MS = 2500.0
 # Shortest time that an engine with an order under way, or one in doubt, is expected to take.
 _LEAST_REST_MS = 400.0
+# An order that gets no answer is in doubt. Its sequence is read again after this time, since
+# reports lag by some hundred milliseconds.
+REPORT_LAG_MS = 600.0
 # Stands for a model that an earlier leader ordered and no report names yet.
 UNKNOWN_MODEL = ""
 
@@ -48,6 +51,7 @@
     :param pending: model and direction of the order that it carries out.
     :param pending_since_ms: time at which that order was accepted.
     :param pending_until_ms: time at which it should have been carried out.
+    :param order_ended_ms: time at which the last order was seen to be carried out.
     :param pending_from_store: whether it loads weights from the weight store.
     :param leaving: models that are being unloaded.
     :param leaving_adapters: adapters that are being unloaded and still take their places.
@@ -67,6 +71,7 @@
     pending: tuple[str, bool] | None = None
     pending_since_ms: float = 0.0
     pending_until_ms: float = 0.0
+    order_ended_ms: float = float("-inf")
     pending_from_store: bool = False
     leaving: set[str] = attrs.field(factory=set)
     leaving_adapters: set[tuple[str, str]] = attrs.field(factory=set)
@@ -91,8 +96,10 @@
         if not report.is_busy:
             self.pending = None
         elif self.pending is None:
-            self.pending = (UNKNOWN_MODEL, True)  # ordered by an earlier leader
-        elif self.pending[1]:
+            if now_ms() - self.order_ended_ms > REPORT_LAG_MS:
+                self.pending = (UNKNOWN_MODEL, True)  # ordered by an earlier leader
+                self.pending_until_ms = now_ms()
+        elif self.pending[1] and self.pending[0] != UNKNOWN_MODEL:
             self.models.add(self.pending[0])
 
     def adopt_row(self, row: Upstream) -> None:
@@ -107,6 +114,7 @@
             return
         if (model in announced) == is_load:
             self.pending = None
+            self.order_ended_ms = now_ms()
             if not is_load:
                 self.models.discard(model)
                 self.leaving.discard(model)
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -12,7 +12,7 @@
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.decide import committed_mb, decide
 from briardyke.models.lasting import LastingDemand
-from briardyke.models.ledger import UNKNOWN_MODEL, EngineLedger
+from briardyke.models.ledger import REPORT_LAG_MS, UNKNOWN_MODEL, EngineLedger
 from briardyke.models.orders import Order, OrderOutcome
 from briardyke.models.store import StoreWindow
 from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
@@ -27,9 +27,6 @@
 TICK_MS = 400.0
 # Entry instances learn of a model that leaves through their control instance within this time.
 WITHHOLD_MS = 200.0
-# An order is in doubt when it gets no answer. Its sequence is read again after this time, since
-# reports lag by some hundred milliseconds.
-REPORT_LAG_MS = 600.0
 # An adapter arrives within 14 ms while the store is not crowded.
 ADAPTER_ARRIVAL_MS = 15.0
 # A model leaves when it is announced as leaving and its last requests have ended.
--- a/tests/models/test_ledger.py
+++ b/tests/models/test_ledger.py
@@ -56,6 +56,25 @@
         assert set(ledger.adapters) == {("a", "a1")}
 
 
+class TestLateReport:
+    """Covers reports that still name an order which has ended."""
+
+    async def test_order_that_has_just_ended_is_not_taken_for_another_one(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        ledger = EngineLedger(ROW, 3, {"a", "b"}, pending=("b", True))
+        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
+        assert ledger.pending is None
+        ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
+        assert ledger.pending is None
+        await trio.sleep(1.0)
+        ledger.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
+        assert ledger.pending == (UNKNOWN_MODEL, True)
+        assert ledger.free_in_ms() < 1000.0
+        ledger.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
+        assert ledger.models == {"a", "b"}
+
+
 class TestOrderUnderWay:
     """Covers how long an engine with an order is expected to be busy."""
 
