Split evidence, reports and adapters off long modules; count repeats and resumptions

Change: gateway/evidence.py, fleet/reports.py and models/adapters.py by moving code; one method for the rule; repeated and resumed attempts and an exhausted retry budget are counted. Tests of the reports no longer need a control instance.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -115,7 +115,7 @@
                     log_warning("control_lost", control=address)
                 return
             self._take(reply)
-            if reply.is_starting and not reply.is_current and not self._was_current:
+            if self._is_from_disk(reply):
                 self.view.confirmed_ms = now_ms()
                 await trio.sleep(_NEXT_MS / 1000.0)
                 continue
@@ -133,6 +133,13 @@
             is_first = False
             self.view.confirmed_ms = now_ms()
 
+    def _is_from_disk(self, reply: FleetReply) -> bool:
+        """Return whether a starting control instance tells all that there is without a leader.
+
+        An instance that has heard of a leader before waits for the next one.
+        """
+        return reply.is_starting and not reply.is_current and not self._was_current
+
     async def _ask(self, address: Address, wait_ms: float) -> FleetReply | None:
         self._wake = trio.Event()
         request = FleetRequest(
@@ -170,7 +177,7 @@
             view.leader = parse_address(reply.leader)
         if reply.controls:
             view.controls = [parse_address(text) for text in reply.controls]
-        if not reply.is_current and not (reply.is_starting and not self._was_current):
+        if not reply.is_current and not self._is_from_disk(reply):
             return
         self._was_current = reply.is_current
         if reply.is_whole:
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -24,6 +23,7 @@
     RowsUpdate,
 )
 from briardyke.fleet.records import GONE, SILENT, EntryInstance, ModelChanges, Upstream
+from briardyke.fleet.reports import total_demand, unreachable_upstreams
 from briardyke.fleet.tables import Tables
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
@@ -41,10 +41,6 @@
 CONTACT_WINDOW_MS = 1000.0
 # Four missed heartbeats of an upstream at 1.2 s; heartbeats may arrive a few seconds late.
 UPSTREAM_SILENCE_MS = 5000.0
-# One heartbeat and a half at 1.2 s. Together with failing connections this is evidence enough.
-MISSED_HEARTBEAT_MS = 1800.0
-# Entry instances that must be unable to reach an upstream, where there are as many.
-_LEAST_REPORTS = 2
 # Entry instances report every 0.7 s at least.
 ENTRY_SILENCE_MS = 2500.0
 # Rows repeated without news are passed on together at this interval.
@@ -209,34 +205,12 @@
         return [row for row, is_silent in rows if not is_silent and row.lifecycle != GONE]
 
     def unreachable_upstreams(self) -> set[str]:
-        """Return the upstreams that have gone, as entry instances and missed heartbeats tell.
-
-        Load: an engine that has crashed takes its models with it. Missed heartbeats alone show that
-        after seconds, since they may be late; connections that fail show it at once, but may be the
-        fault of the entry instance's own link.
-        """
-        reports: Counter[str] = Counter()
-        instances = 0
-        for row, is_silent in self.tables.entries.changed_after(0):
-            if not is_silent and row.is_ready:
-                instances += 1
-                reports.update(row.unreachable)
-        needed = min(_LEAST_REPORTS, instances)
-        return {
-            upstream_id
-            for upstream_id, count in reports.items()
-            if count >= needed
-            and self.tables.upstreams.get(upstream_id) is not None
-            and self.tables.upstreams.age_ms(upstream_id) > MISSED_HEARTBEAT_MS
-        }
+        """Return the upstreams that have gone, as entry instances and missed heartbeats tell."""
+        return unreachable_upstreams(self.tables)
 
     def demand(self) -> dict[str, float]:
         """Return requests a second by model, over all entry instances."""
-        total: dict[str, float] = {}
-        for row, is_silent in self.tables.entries.changed_after(0):
-            for name, rate in row.demand.items() if not is_silent else ():
-                total[name] = total.get(name, 0.0) + rate
-        return total
+        return total_demand(self.tables)
 
     def tell_changes(self, row: ModelChanges) -> None:
         """Tell all entry instances which models of an upstream come and go."""
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -16,6 +16,7 @@
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import UpstreamCall
 from briardyke.gateway.event_stream import EventSplitter
+from briardyke.gateway.evidence import learn
 from briardyke.gateway.journey import Journey
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT
@@ -49,9 +50,7 @@
 # quarter of its time leaves a request enough to be served, or to come back.
 _CONFIGURATION_WAIT_MS = 1500.0
 _CONFIGURATION_WAIT_SHARE = 0.25
-# Weights of one answer and one event in an upstream's pace: the last ten answers, or the events of
-# about one second.
-_ANSWER_WEIGHT = 0.1
+# Weight of one event in an upstream's pace: the events of about one second.
 _EVENT_WEIGHT = 0.03
 
 
@@ -164,7 +163,7 @@
             upstream.pending -= 1
             if attempt is None or attempt.connection is None:
                 upstream.in_flight -= 1
-        self._learn(journey, upstream, attempt, now_ms() - started_ms, load)
+        learn(journey, upstream, attempt, now_ms() - started_ms, load)
         journey.trace.step(upstream_id, attempt.reason or attempt.ending.value, load)
         return attempt
 
@@ -183,55 +182,6 @@
         patience_ms = max(_LEAST_PATIENCE_MS, _PATIENCE_OBJECTIVES * objective_ms)
         return patience_ms if patience_ms < remaining_ms * 0.6 else remaining_ms
 
-    def _learn(
-        self,
-        journey: Journey,
-        upstream: UpstreamState,
-        attempt: Attempt,
-        took_ms: float,
-        load: float,
-    ) -> None:
-        """Update the evidence about the upstream."""
-        if attempt.ending is not Ending.NOT_CONNECTED:
-            upstream.connect_failures = 0
-        if attempt.facts is not None and attempt.facts.load is not None:
-            upstream.take_report(attempt.facts.load)
-        if attempt.ending is Ending.NOT_CONNECTED:
-            journey.connect_failures += 1
-            upstream.connect_failed()
-            upstream.gate.failed(now_ms())
-        elif attempt.ending in (Ending.FAILED, Ending.TIMED_OUT):
-            journey.sent += 1
-            journey.may_have_run = True
-            upstream.gate.failed(now_ms())
-        elif attempt.ending is Ending.REFUSED:
-            journey.sent += 1
-            if attempt.facts is not None and attempt.facts.lacks_model:
-                self._correct_belief(journey, upstream)
-        else:
-            journey.sent += 1
-            journey.may_have_run = True
-            assert attempt.head is not None
-            if attempt.connection is not None:
-                upstream.observe_first(took_ms, load)
-            elif attempt.head.status < 500:
-                upstream.observe_pace(took_ms, _ANSWER_WEIGHT)
-            if attempt.head.status < 500:
-                upstream.gate.succeeded(now_ms())
-
-    @staticmethod
-    def _correct_belief(journey: Journey, upstream: UpstreamState) -> None:
-        """Believe an upstream that has nothing of what the request needs.
-
-        It may be asked again once it has announced the model or loaded the adapter.
-        """
-        caller = journey.caller
-        journey.tried.discard(upstream.row.upstream_id)
-        if caller.adapter:
-            upstream.adapter_missed(caller.model, caller.adapter)
-        else:
-            upstream.missed(caller.model)
-
     def _is_worth_repeating(self, journey: Journey, attempt: Attempt) -> bool:
         assert attempt.head is not None
         return attempt.head.status >= 500 and journey.route.may_repeat
@@ -250,7 +200,13 @@
             return False
         if journey.sent >= journey.route.max_attempts:
             return False
-        return self._state.budget(journey.service).try_spend(now_ms())
+        return self._spend_repeat(journey, "repeated")
+
+    def _spend_repeat(self, journey: Journey, event: str) -> bool:
+        """Take another arrival at an upstream from the shared budget; return whether it has one."""
+        is_allowed = self._state.budget(journey.service).try_spend(now_ms())
+        self._state.counters.count(event if is_allowed else "budget_exhausted")
+        return is_allowed
 
     async def _next_upstream(self, journey: Journey) -> UpstreamState | None:
         """Return the best upstream, waiting for a model or adapter that is on its way."""
@@ -324,7 +280,7 @@
             return False
         if journey.sent >= journey.route.max_attempts:
             return False
-        return self._state.budget(journey.service).try_spend(now_ms())
+        return self._spend_repeat(journey, "resumed")
 
     async def _relay(
         self,
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -10,7 +10,8 @@
 from briardyke.fleet.messages import AdapterReply, AdapterRequest
 from briardyke.fleet.records import READY, ModelChanges
 from briardyke.logs import log_event, log_limited, log_warning
-from briardyke.models.decide import committed_mb, decide
+from briardyke.models.adapters import AdapterLoader
+from briardyke.models.decide import decide
 from briardyke.models.lasting import LastingDemand
 from briardyke.models.ledger import REPORT_LAG_MS, UNKNOWN_MODEL, EngineLedger
 from briardyke.models.orders import Order, OrderOutcome
@@ -27,14 +28,11 @@
 TICK_MS = 400.0
 # Entry instances learn of a model that leaves through their control instance within this time.
 WITHHOLD_MS = 200.0
-# An adapter arrives within 14 ms while the store is not crowded.
-ADAPTER_ARRIVAL_MS = 15.0
 # A model leaves when it is announced as leaving and its last requests have ended.
 _UNLOAD_MS = 700.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
 _PENDING_CHECK_MS = 9000.0
 _UNKNOWN_CHECK_MS = 1500.0
-_MAX_ADAPTERS_IN_TRANSIT = 4
 
 
 class ModelsRunner:
@@ -73,6 +71,7 @@
         self._lasting = LastingDemand()
         self._missing_since_ms: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        self._adapters = AdapterLoader(self._order)
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
@@ -320,79 +319,8 @@
         reason = "no engine is known"
         for upstream_id, ledger in [*holding, *usable]:
             spec = configuration.services[ledger.row.service].engine
-            failure = await self._ensure_adapter(ledger, spec, *key) if spec else "no engine"
+            failure = await self._adapters.ensure(ledger, spec, key) if spec else "no engine"
             if not failure:
                 return AdapterReply(upstream_id)
             reason = failure
         return AdapterReply("", reason)
-
-    async def _ensure_adapter(
-        self, ledger: EngineLedger, spec: EngineSpec, model: str, adapter: str
-    ) -> str:
-        """Return an empty text once the engine holds the adapter, else the reason."""
-        key = (model, adapter)
-        while True:
-            while key in ledger.ready:
-                await ledger.ready[key].wait()
-            if key in ledger.leaving_adapters:
-                return "the adapter is being unloaded"
-            if ledger.has_adapter(key):
-                ledger.adapters[key] = now_ms()
-                return ""
-            if ledger.pending is not None or ledger.sequence is None:
-                return "the engine carries out another order"
-            if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
-                return "too many adapters are on their way"
-            is_counted = key in ledger.adapters or len(ledger.adapters) < spec.adapter_slots
-            if is_counted and _fits(ledger, spec):
-                return await self._load_adapter(ledger, key)
-            idle = ledger.idle_adapters()
-            if not idle:
-                return "all places for adapters are in use"
-            # Another request may load the same adapter meanwhile, so all is looked at again.
-            failure = await self._unload_adapter(ledger, idle[0])
-            if failure:
-                return failure
-
-    async def _unload_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
-        """Return an empty text once the adapter's place is free, else the reason."""
-        ledger.leaving_adapters.add(key)
-        outcome = await self._order(ledger, False, *key)
-        if outcome is OrderOutcome.HELD_ALREADY:
-            ledger.leaving_adapters.discard(key)
-            ledger.adapters.pop(key, None)
-            return ""
-        if outcome is OrderOutcome.ACCEPTED:
-            # Requests still use it; a later report tells when its place is free.
-            ledger.review_ms = now_ms() + REPORT_LAG_MS
-        else:
-            ledger.leaving_adapters.discard(key)
-        return f"unload {outcome.value}"
-
-    async def _load_adapter(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
-        event = ledger.ready[key] = trio.Event()
-        ledger.adapters[key] = now_ms()
-        ledger.doubted_adapters.discard(key)
-        try:
-            outcome = await self._order(ledger, True, *key)
-            if outcome is OrderOutcome.ACCEPTED:
-                await trio.sleep(ADAPTER_ARRIVAL_MS / 1000.0)
-            elif outcome is not OrderOutcome.HELD_ALREADY:
-                if outcome is not OrderOutcome.UNKNOWN:
-                    ledger.adapters.pop(key, None)
-                return f"load {outcome.value}"
-            log_limited(
-                "adapter_loaded",
-                is_routine=True,
-                upstream=ledger.row.upstream_id,
-                adapter="/".join(key),
-                held=len(ledger.adapters),
-            )
-            return ""
-        finally:
-            event.set()
-            del ledger.ready[key]
-
-
-def _fits(ledger: EngineLedger, spec: EngineSpec) -> bool:
-    return committed_mb(spec, ledger.models) <= spec.weights_mb
