Give up at once on requests that every upstream has refused

Ruled out: models that nothing holds, and adapters, for which waiting is meant.

Change: after a refusal only a model that is held nowhere is waited for. The wait looks again every second, since an upstream that could not be reached is tried again then. The new tests fail on the code before.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -81,8 +81,8 @@
         spec = state.model(journey.service, model)
         if spec is None:
             return None
-        usable = [u for u in state.upstreams.usable(journey.service) if u.is_reachable]
-        if not usable or any(upstream.holds(model) for upstream in usable):
+        usable = state.upstreams.reachable(journey.service)
+        if not usable or self._has_holder(journey, state):
             return None  # without any upstream, this instance may just have started
         arrives_in_ms = model_arrival_ms(spec, usable)
         waited_ms = now_ms() - journey.request.received_ms
@@ -98,15 +98,20 @@
         """
         model = journey.caller.model
         spec = state.model(journey.service, model)
-        usable = [u for u in state.upstreams.usable(journey.service) if u.is_reachable]
-        under_way_ms = None
-        if not any(upstream.holds(model) for upstream in usable):
-            under_way_ms = load_under_way_ms(model, usable)
+        usable = state.upstreams.reachable(journey.service)
+        is_missing = not self._has_holder(journey, state)
+        under_way_ms = load_under_way_ms(model, usable) if is_missing else None
         if left_ms > 0 and (under_way_ms is None or under_way_ms < left_ms):
             return None
         arrives_in_ms = model_arrival_ms(spec, usable) if spec else self._longest_wait_ms(journey)
         return self._comes_back(journey, arrives_in_ms, f"{model} has no place yet")
 
+    @staticmethod
+    def _has_holder(journey: Journey, state: GatewayState) -> bool:
+        """Return whether an upstream that can be reached holds the request's model."""
+        model = journey.caller.model
+        return any(u.holds(model) for u in state.upstreams.reachable(journey.service))
+
     @staticmethod
     def _longest_wait_ms(journey: Journey) -> float:
         """Return how long a request may wait for an upstream, from its arrival."""
@@ -146,7 +151,10 @@
             return 0.0
         waited_ms = now_ms() - journey.request.received_ms
         longest_ms = self._longest_wait_ms(journey)
-        if journey.caller.model and state.is_engine(journey.service):
+        is_for_model = bool(journey.caller.model) and state.is_engine(journey.service)
+        if journey.tried and (not is_for_model or self._has_holder(journey, state)):
+            return 0.0  # every upstream that could run it has refused it
+        if is_for_model:
             journey.refusal = self._ends_wait(journey, state, longest_ms - waited_ms)
             return 0.0 if journey.refusal else longest_ms - waited_ms
         return min(longest_ms, _RETURN_MS) - waited_ms
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -19,7 +19,7 @@
 from briardyke.gateway.evidence import learn
 from briardyke.gateway.journey import Journey
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
-from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT
+from briardyke.gateway.tables import CONNECT_PROBE_MS, ENGINE_RUNNING_WEIGHT
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import HttpRequest, end_to_end, header
 from briardyke.http.h11_client import UpstreamError
@@ -230,16 +230,16 @@
             patience_ms = state.admission.wait_ms(journey, state)
             if patience_ms <= 0:
                 return None
-            await state.changed.wait(min(patience_ms, journey.remaining_ms))
+            # An upstream that could not be reached is tried again after a while without any news.
+            await state.changed.wait(min(patience_ms, journey.remaining_ms, CONNECT_PROBE_MS))
         return None
 
     def _candidates(self, journey: Journey) -> list[UpstreamState]:
-        usable = self._state.upstreams.usable(journey.service)
+        usable = self._state.upstreams.reachable(journey.service)
         model = journey.caller.model
         if model and self._state.is_engine(journey.service):
             usable = [s for s in usable if s.holds(model)]
-        untried = [s for s in usable if s.row.upstream_id not in journey.tried]
-        return [s for s in untried if s.is_reachable]
+        return [s for s in usable if s.row.upstream_id not in journey.tried]
 
     # Answers
 
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -218,6 +218,10 @@
         ready = [s for s in rows if s.row.lifecycle == READY]
         return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
 
+    def reachable(self, service: str) -> list[UpstreamState]:
+        """Return the usable upstreams of a service to which a connection is worth trying."""
+        return [state for state in self.usable(service) if state.is_reachable]
+
     def unreachable(self) -> list[str]:
         """Return the ids of upstreams to which no connection can be opened."""
         return [i for i, state in self._states.items() if state.is_reported_unreachable]
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -114,6 +114,37 @@
         assert Admission().refusal(journey(), state_with({}, {})) is None
 
 
+class TestRefusedEverywhere:
+    """Covers requests that every upstream which could run them has refused."""
+
+    @pytest.mark.parametrize(
+        ("holds", "is_tried", "waits"),
+        [(True, True, False), (True, False, True), (False, True, True), (False, False, True)],
+    )
+    async def test_only_a_model_that_is_nowhere_is_waited_for(
+        self, holds: bool, is_tried: bool, waits: bool
+    ) -> None:
+        models = [HeldModel("m")] if holds else []
+        state = state_with({"e": attrs.evolve(ROW, models=models, at_hand=["m"])}, {})
+        request = journey(attrs.evolve(ROUTE, latency_objective_ms=1000.0))
+        if is_tried:
+            request.tried, request.sent = {"e"}, 1
+        assert (Admission().wait_ms(request, state) > 0) is waits
+
+    async def test_plain_service_that_is_full_is_not_waited_for(self) -> None:
+        state = state_with({"e": ROW}, {})
+        request = journey()
+        request.caller = attrs.evolve(request.caller, model="")
+        assert Admission().wait_ms(request, state) > 0
+        request.tried, request.sent = {"e"}, 1
+        assert Admission().wait_ms(request, state) == 0.0
+
+    async def test_request_that_may_have_run_is_not_waited_for(self) -> None:
+        request = journey()
+        request.may_have_run = True
+        assert Admission().wait_ms(request, state_with({"e": ROW}, {})) == 0.0
+
+
 class TestCrashedEngine:
     """Covers an engine to which no connection can be opened."""
 
