--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -189,8 +188,6 @@
         for value, victim in rows:
             if missing_mb <= 0:
                 break
-            if value == math.inf:
-                return None
             victims.append(victim)
             loss += value
             missing_mb -= self._size(victim)
