Judge resting connections before the first of them is closed

Ruled out: a fault of poll itself; the new test shows the second form of the same race (deque.remove) on the code before.

Measured: tests/http/test_h11_client.py fails before and passes after.

--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -169,8 +169,11 @@
         """Return whether the kept connection is still silent and young enough."""
         if now_ms() - self.idle_since_ms > min(self._keep_ms, longest_rest_ms):
             return False
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return False  # closed already
         poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        poll.register(descriptor, select.POLLIN)
         return not poll.poll(0)
 
     async def aclose(self) -> None:
@@ -240,10 +243,14 @@
 
     async def sweep(self) -> None:
         """Close connections that rested too long or were closed by the upstream."""
-        for connection in list(self._idle):
-            if not connection.is_usable(float("inf")):
-                self._idle.remove(connection)
-                await connection.aclose()
+        # All are judged before the first close, because requests take connections meanwhile.
+        resting, self._idle = list(self._idle), deque()
+        stale = []
+        for connection in resting:
+            is_usable = connection.is_usable(float("inf"))
+            (self._idle if is_usable else stale).append(connection)
+        for connection in stale:
+            await connection.aclose()
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/tests/http/test_h11_client.py
+++ b/tests/http/test_h11_client.py
@@ -212,3 +212,22 @@
         upstream.script = upstream.answer(answer, hold=True)
         head, _, connection = await exchange(pool)
         assert connection.finish(head) is kept
+
+    async def test_sweep_beside_requests_that_take_connections(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(OWN, hold=True)
+        kept = []
+        for _ in range(3):
+            head, _, connection = await exchange(pool)
+            assert connection.finish(head)
+            connection.idle_since_ms -= 60_000.0
+            kept.append(connection)
+        for connection in kept:
+            pool.give_back(connection)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pool.sweep)
+            nursery.start_soon(exchange, pool)
+            nursery.start_soon(pool.sweep)
+        assert upstream.connections == 4
