Start background tasks anew after a defect

The same holds for every loop beside the requests: the client that follows control, the watch on the settings, the passing on of rows, placement.

Ruled out: the replicated log and the listeners stay outside; after a failure of those the process is in doubt and has to end.

Change: keep_running logs the defect with the task's name and starts the task anew after half a second. Placement forgets what it knew of orders under way.

--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -27,6 +27,7 @@
 from briardyke.fleet.tables import Tables
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
+from briardyke.supervision import keep_running
 from briardyke.sync.notifier import Notifier
 
 if TYPE_CHECKING:
@@ -326,9 +327,9 @@
     async def run(self) -> None:
         """Watch, pass on rows and adopt configurations until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_log)
-            nursery.start_soon(self._pass_on_rows)
-            nursery.start_soon(self._fetch_rows)
+            nursery.start_soon(keep_running, "watch_log", self._watch_log)
+            nursery.start_soon(keep_running, "pass_on_rows", self._pass_on_rows)
+            nursery.start_soon(keep_running, "fetch_rows", self._fetch_rows)
 
     async def stop(self) -> None:
         """Hand over leadership before a planned stop."""
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -14,6 +14,7 @@
 from briardyke.http.h11_server import H11Server, ServerLimits
 from briardyke.logs import log_event
 from briardyke.routes.matching import RouteTable
+from briardyke.supervision import keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -80,8 +81,8 @@
         :raises OSError: when an address cannot be bound.
         """
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.client.run)
-            nursery.start_soon(self._sweep)
+            nursery.start_soon(keep_running, "fleet_client", self.client.run)
+            nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             await nursery.start(self.server.serve, self._place.listen)
             log_event("entry_started", instance=self._place.instance_id)
             await stop.wait()
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -75,6 +75,7 @@
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
+        self._term = 0  # after a defect nothing is known of the orders that were under way
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(TICK_MS / 1000.0)
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -17,6 +17,7 @@
 from briardyke.platform.engines import PlatformEngines
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
+from briardyke.supervision import keep_running
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
 
@@ -62,7 +63,7 @@
         await nursery.start(serve_peers, own, hello, control.handle)
         api = ControlApi(control, settings.control_listen.port)
         await nursery.start(H11Server(api.handle).serve, settings.control_listen)
-        nursery.start_soon(follower.run)
+        nursery.start_soon(keep_running, "settings", follower.run)
         models = ModelsRunner(
             control,
             PlatformEngines(),
@@ -73,7 +74,7 @@
         )
         control.load_adapter = models.place_adapter
         nursery.start_soon(control.run)
-        nursery.start_soon(models.run)
+        nursery.start_soon(keep_running, "placement", models.run)
         log_event("control_started", member=log.status().member_id, version=machine.version)
         await stop.wait()
         await control.stop()
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -16,6 +16,7 @@
 from briardyke.platform.headers import PlatformDialect
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
+from briardyke.supervision import keep_running
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello
 from briardyke.wire.pool import PeerPool
 
@@ -42,7 +43,7 @@
         for address in (settings.readiness_listen, settings.directory_listen):
             if address is not None:
                 await nursery.start(H11Server(api.handle).serve, address)
-        nursery.start_soon(follower.run)
+        nursery.start_soon(keep_running, "settings", follower.run)
         await entry.run(stop)
         nursery.cancel_scope.cancel()
 
