Answer requests that meet a planned stop

A stop closed every kept connection at once, also one whose next request was already in the socket; a caller that connected afterwards was closed without an answer; and the process ended as soon as no handler ran, while a request could still be on its way in. Each of the four new tests of the server fails on the code before.

Ruled out: requests that a handler has begun; those were waited for before.

Change: a connection that a stop finds open gets a quarter of a second for one last request, which is answered with 'connection: close'; an answer that begins after the stop says so too. The end waits for connections, not for handlers, and closes the listener first. Streams that reach the closing phase are sent away at once (they have not run), plain requests are served. New streams are taken for 35% of the grace period instead of 40%, so that fewer are cut at its end.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -73,8 +73,11 @@
         """Return why a request is refused, or ``None``.
 
         Load: a model that nothing holds is asked for with little time left. The load takes
-        seconds; a caller that is told so at once can use its time better.
+        seconds; a caller that is told so at once can use its time better. The same holds for a
+        stream that would begin late in a planned stop and be cut at its end.
         """
+        if state.is_stopping and journey.route.kind is RequestKind.STREAMING:
+            return Failure(ErrorKind.DRAINING, "this instance stops")
         model = journey.caller.model
         if not model or not state.is_engine(journey.service):
             return None
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -11,7 +11,7 @@
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.state import GatewayState
-from briardyke.http.h11_server import H11Server, ServerLimits
+from briardyke.http.h11_server import LAST_REQUEST_S, H11Server, ServerLimits
 from briardyke.logs import log_event
 from briardyke.routes.matching import RouteTable
 from briardyke.supervision import keep_running
@@ -31,10 +31,10 @@
 
 _SWEEP_INTERVAL_S = 1.0
 # Most callers follow a new address within two seconds and the rest within six; a stream that
-# starts in the first half can still end before the grace period does.
-_TAKES_NEW_SHARE = 0.4
+# starts in the first third can still end before the grace period does.
+_TAKES_NEW_SHARE = 0.35
 # Part of the grace period after which the process ends with whatever is left.
-_LAST_SHARE = 0.93
+_LAST_SHARE = 0.9
 
 
 class EntryProcess:
@@ -103,7 +103,10 @@
         self.state.changed.notify()
         self.server.close_idle()
         with trio.move_on_after(grace_s * (_LAST_SHARE - _TAKES_NEW_SHARE)):
-            await self.server.wait_idle()
+            await self.server.wait_closed()
+        self.server.stop_accepting()
+        with trio.move_on_after(LAST_REQUEST_S):
+            await self.server.wait_closed()
 
     def _limits(self) -> ServerLimits:
         if self.state.routes is None:
--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -76,10 +76,21 @@
 class Answer:
     """Write the answer to one request; a streamed one is sent as it grows."""
 
-    def __init__(self, connection: h11.Connection, send: Callable[[bytes], Awaitable[None]]):
-        """Write through a connection's protocol state and its socket."""
+    def __init__(
+        self,
+        connection: h11.Connection,
+        send: Callable[[bytes], Awaitable[None]],
+        is_last: Callable[[], bool] = lambda: False,
+    ):
+        """Write through a connection's protocol state and its socket.
+
+        :param connection: protocol state of the caller's connection.
+        :param send: writes bytes to its socket.
+        :param is_last: returns whether the connection closes after an answer that begins now.
+        """
         self._connection = connection
         self._send = send
+        self._is_last = is_last
         self.is_started = False
         self.is_complete = False
         self.closes_connection = False
@@ -96,6 +107,7 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head; without a length the body is sent in chunks."""
+        self.closes_connection = self.closes_connection or self._is_last()
         if self.closes_connection:
             headers = [*headers, (b"connection", b"close")]
         self.is_started = True
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -27,6 +27,9 @@
 # A caller that sends the next requests early fills this much before reading stops.
 _MAX_EARLY_BYTES = 256 * 1024
 _BACKLOG = 512
+# Time for the first bytes of a request on a connection that a stop has found open: its way from the
+# caller and one retransmission.
+LAST_REQUEST_S = 0.25
 
 
 @attrs.frozen
@@ -58,7 +61,9 @@
         self.limits = limits
         self.is_closing = False
         self.in_flight = 0
-        self._finished = trio.Event()
+        self.connections = 0
+        self._closed = trio.Event()
+        self._accepting = trio.CancelScope()
         self._idle: set[trio.CancelScope] = set()
 
     async def serve(
@@ -70,22 +75,42 @@
         """
         listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=_BACKLOG)
         async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve_connection, listeners)
+            nursery.start_soon(self._accept, listeners, nursery)
             task_status.started(listeners[0].socket.getsockname()[1])
 
-    async def wait_idle(self) -> None:
-        """Wait until no request is being answered."""
-        while self.in_flight:
-            self._finished = trio.Event()
-            await self._finished.wait()
+    async def _accept(self, listeners: list[trio.SocketListener], nursery: trio.Nursery) -> None:
+        with self._accepting:
+            await trio.serve_listeners(self._serve_connection, listeners, handler_nursery=nursery)
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        while self.connections:
+            self._closed = trio.Event()
+            await self._closed.wait()
 
     def close_idle(self) -> None:
-        """Close kept connections that rest, and every other one after its present request."""
+        """Close kept connections that rest, and every other one after its present request.
+
+        Load: a stop under load meets requests that have arrived and are not read yet, and callers
+        that still connect. These are answered too, each as the last one of its connection.
+        """
         self.is_closing = True
         for scope in self._idle:
             scope.cancel()
 
+    def stop_accepting(self) -> None:
+        """Close the listener; connections that were accepted go on."""
+        self._accepting.cancel()
+
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        try:
+            await self._serve_stream(stream)
+        finally:
+            self.connections -= 1
+            self._closed.set()
+
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
         tune(stream)
         try:
             await _Connection(self, stream).run()
@@ -115,7 +140,6 @@
             failed = True
         finally:
             self.in_flight -= 1
-            self._finished.set()
         if failed and not answer.is_started:
             await answer.send_whole(500, [])
 
@@ -157,21 +181,26 @@
         """Wait between requests; return whether another one begins."""
         if self._protocol.trailing_data[0]:
             return True
-        if self._server.is_closing:
-            return False
         # Callers reuse a connection up to four fifths of the advertised rest, so the whole of it
         # plus a quarter leaves them the time that a request needs on its way.
         idle_s = self._server.limits().idle_timeout_ms * 1.25 / 1000.0
-        with trio.move_on_after(idle_s) as scope:
-            self._server._idle.add(scope)
-            try:
-                data = await self._stream.receive_some(_READ_BYTES)
-            finally:
-                self._server._idle.discard(scope)
-            self._protocol.receive_data(data)
-            return bool(data)
+        if not self._server.is_closing:
+            with trio.move_on_after(idle_s) as scope:
+                self._server._idle.add(scope)
+                try:
+                    return await self._receive_first()
+                finally:
+                    self._server._idle.discard(scope)
+        if self._server.is_closing:
+            with trio.move_on_after(LAST_REQUEST_S):
+                return await self._receive_first()
         return False
 
+    async def _receive_first(self) -> bool:
+        data = await self._stream.receive_some(_READ_BYTES)
+        self._protocol.receive_data(data)
+        return bool(data)
+
     async def _read_request(self, limits: ServerLimits) -> HttpRequest | None:
         head: h11.Request | None = None
         received_ms = now_ms()
@@ -207,8 +236,7 @@
 
     async def _answer(self, request: HttpRequest) -> bool:
         """Run the handler beside a watch for the caller's close; return whether to go on."""
-        answer = Answer(self._protocol, self._send)
-        answer.closes_connection = self._server.is_closing
+        answer = Answer(self._protocol, self._send, lambda: self._server.is_closing)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
             await self._server.handle(request, answer)
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -8,6 +8,7 @@
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
+from briardyke.errors import ErrorKind
 from briardyke.fleet.records import READY, HeldModel, ModelChanges, Upstream
 from briardyke.gateway.admission import Admission, model_arrival_ms
 from briardyke.gateway.dialect import CallerRequest
@@ -184,3 +185,20 @@
         assert not state.holds("m") and not state.announces_adapter("m", "a")
         state.row = attrs.evolve(state.row, sequence=8)
         assert state.holds("m") and state.announces_adapter("m", "a")
+
+
+class TestPlannedStop:
+    """Covers requests that reach an instance in the last part of its stop."""
+
+    async def test_stream_is_sent_away_at_once(self) -> None:
+        state = state_with({"e": attrs.evolve(ROW, models=[HeldModel("m")])}, {})
+        assert Admission().refusal(journey(), state) is None
+        state.is_stopping = True
+        refused = Admission().refusal(journey(), state)
+        assert refused is not None and refused.kind is ErrorKind.DRAINING
+
+    async def test_short_request_is_still_served(self) -> None:
+        state = state_with({"e": ROW}, {})
+        state.is_stopping = True
+        plain = attrs.evolve(ROUTE, kind=RequestKind.NON_IDEMPOTENT)
+        assert Admission().refusal(journey(plain), state) is None
--- a/tests/http/test_h11_server.py
+++ b/tests/http/test_h11_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 import time
@@ -158,3 +159,70 @@
         stream = await opened()
         await stream.send_all(GET)
         assert b"200" in await read_all(stream)
+
+
+class TestStop:
+    """Covers requests that meet a planned stop."""
+
+    @pytest.fixture
+    async def stopping(self, handler: Handler) -> AsyncIterator[tuple[H11Server, Open]]:
+        server = H11Server(handler)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, Address("127.0.0.1", 0))
+
+            async def connect() -> trio.SocketStream:
+                return await trio.open_tcp_stream("127.0.0.1", port)
+
+            yield server, connect
+            nursery.cancel_scope.cancel()
+
+    async def test_request_that_has_just_arrived_on_a_kept_connection_is_answered(
+        self, stopping: tuple[H11Server, Open]
+    ) -> None:
+        server, connect = stopping
+        stream = await connect()
+        await stream.send_all(GET)
+        assert b"200" in await stream.receive_some()
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        os.write(stream.socket.fileno(), GET)  # arrives before the server's task can run
+        server.close_idle()
+        data = await read_all(stream)
+        assert b"200" in data
+        assert b"connection: close" in data.lower()
+
+    async def test_caller_that_connects_while_the_server_closes_is_answered(
+        self, stopping: tuple[H11Server, Open]
+    ) -> None:
+        server, connect = stopping
+        server.close_idle()
+        stream = await connect()
+        await stream.send_all(GET)
+        assert b"200" in await read_all(stream)
+
+    async def test_resting_connections_close_soon(self, stopping: tuple[H11Server, Open]) -> None:
+        server, connect = stopping
+        stream = await connect()
+        await stream.send_all(GET)
+        assert b"200" in await stream.receive_some()
+        server.close_idle()
+        with trio.fail_after(1.0):
+            await server.wait_closed()
+        assert await read_all(stream) == b""
+
+    async def test_end_waits_for_a_request_that_is_still_being_read(
+        self, stopping: tuple[H11Server, Open], handler: Handler
+    ) -> None:
+        server, connect = stopping
+        stream = await connect()
+        await stream.send_all(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+        await trio.sleep(0.05)
+        server.close_idle()
+        server.stop_accepting()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.wait_closed)
+            await trio.sleep(0.05)
+            assert server.connections == 1
+            await stream.send_all(b"cd")
+            assert b"abcd" in await read_all(stream)
+        with pytest.raises(OSError):
+            await connect()
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -12,7 +12,9 @@
 class TestKeepRunning:
     """Covers defects, proper ends and cancellation."""
 
-    async def test_defect_starts_the_task_anew(self, autojump_clock: trio.testing.MockClock) -> None:
+    async def test_defect_starts_the_task_anew(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         starts = []
 
         async def run() -> None:
