Count whole events as progress; bound bytes that are no answer

Cause: a stream whose upstream stalls but sends a byte now and then was never continued elsewhere: each byte restarted the wait. The new test fails on the code before. Bytes without end: h11 bounds heads, chunk lines and the buffer of a head; an event without an end was kept until the deadline, interim answers and the body of a late answer were read until then.

Ruled out: slow but sound streams are not cut, unless the stream may be resumed and another upstream holds the model (test with pauses of 1.5 s).

The trace names the reason.

Measured: tests/gateway/test_servers_in_trouble.py.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -15,7 +15,7 @@
 from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import UpstreamCall
-from briardyke.gateway.event_stream import EventSplitter
+from briardyke.gateway.event_stream import EndlessEventError, EventSplitter
 from briardyke.gateway.evidence import learn
 from briardyke.gateway.journey import Journey
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
@@ -318,19 +318,25 @@
         splitter: EventSplitter,
     ) -> bool:
         last_ms, count = now_ms(), splitter.count
-        pause_ms = caller_patience_ms(journey.route) * _RESUME_SHARE
+        longest_pause_ms = caller_patience_ms(journey.route) * _RESUME_SHARE
         while (left_ms := journey.remaining_ms) > 0:
             part: bytes | None = b""
+            # Only whole events show progress: an upstream that stalls may still send a byte now
+            # and then.
+            pause_left_ms = last_ms + longest_pause_ms - now_ms()
+            if pause_left_ms <= 0 and self._has_alternative(journey):
+                return False
+            # Silence alone is no reason to end an answer.
+            wait_ms = pause_left_ms if pause_left_ms > 0 else longest_pause_ms
             try:
-                with trio.move_on_after(min(pause_ms, left_ms) / 1000.0) as scope:
+                with trio.move_on_after(min(wait_ms, left_ms) / 1000.0) as scope:
                     part = await connection.read_part()
-            except UpstreamError:
+                if scope.cancelled_caught:
+                    continue
+                whole = splitter.take_rest() if part is None else splitter.feed(part)
+            except (UpstreamError, EndlessEventError) as error:
+                journey.trace.step(upstream.row.upstream_id, str(error), upstream.load())
                 return False
-            if scope.cancelled_caught:
-                if self._has_alternative(journey):
-                    return False
-                continue  # silence alone is no reason to end an answer
-            whole = splitter.take_rest() if part is None else splitter.feed(part)
             if whole:
                 await answer.send_part(whole)
                 for _ in range(splitter.count - count):
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -28,6 +28,10 @@
 _DEFAULT_KEEP_MS = 4000.0
 # Answers of earlier requests that an upstream may send late on a connection.
 _MAX_FOREIGN_ANSWERS = 3
+# Interim answers before one answer; more of them are noise without an end.
+_MAX_INTERIM_ANSWERS = 8
+# Answers of earlier requests are short; a longer one is given up with its connection.
+_MAX_FOREIGN_BYTES = 1024 * 1024
 # Bodies up to this size fit a socket's buffer, so that writing them cannot block the answer.
 _INLINE_BODY_BYTES = 16 * 1024
 
@@ -117,7 +121,11 @@
         """
         for _ in range(_MAX_FOREIGN_ANSWERS):
             event = await self._next_event()
+            interim = 0
             while isinstance(event, h11.InformationalResponse):
+                interim += 1
+                if interim > _MAX_INTERIM_ANSWERS:
+                    raise UpstreamError(Fault.MALFORMED, "interim answers without an end")
                 event = await self._next_event()
             if not isinstance(event, h11.Response):
                 raise UpstreamError(Fault.BROKEN, "connection closed before the answer")
@@ -195,8 +203,7 @@
             self._protocol.receive_data(data)
 
     async def _skip_foreign(self) -> None:
-        while await self.read_part() is not None:
-            pass
+        await self.read_body(_MAX_FOREIGN_BYTES)
         rest, _ = self._protocol.trailing_data
         protocol = h11.Connection(h11.CLIENT)
         protocol.send(self._request)  # already on the wire; this only sets the state
--- /dev/null
+++ b/tests/gateway/test_servers_in_trouble.py
@@ -0,0 +1,207 @@
+"""Tests of requests whose upstream sends bytes that are no answer, or hardly any bytes."""
+
+from __future__ import annotations
+
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from gateway_support import STREAM_HEAD, Gateway, ScriptedUpstream, chunk, event
+
+from briardyke.gateway.event_stream import MAX_EVENT_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+# A gateway that keeps what it cannot use would exceed this within a second.
+MEMORY_BOUND_BYTES = 24 * 1024 * 1024
+PLAIN = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+async def gateway() -> AsyncIterator[Gateway]:
+    async with trio.open_nursery() as nursery:
+        found = Gateway(nursery)
+        await found.start()
+        yield found
+        nursery.cancel_scope.cancel()
+
+
+async def sound(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Answer with five events, or with a short body."""
+    if request_id.startswith(b"s"):
+        await stream.send_all(STREAM_HEAD % request_id)
+        for number in range(1, 6):
+            await stream.send_all(event(number))
+        await stream.send_all(b"0\r\n\r\n")
+    else:
+        await stream.send_all(PLAIN % request_id)
+
+
+class TestStalledStream:
+    """Covers streams that are slow and streams that do not move on."""
+
+    async def test_byte_now_and_then_is_no_progress(self, gateway: Gateway) -> None:
+        async def trickle(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + event(1))
+            while True:
+                await trio.sleep(0.2)
+                await stream.send_all(chunk(b":"))
+
+        first = await gateway.add("pool", trickle)
+        reply_of = {}
+
+        async def ask() -> None:
+            reply_of["first"] = await gateway.send("/chat/x", "s-1", "m")
+
+        with trio.fail_after(4):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                while not first.requests:
+                    await trio.sleep(0.01)
+
+                async def rest(
+                    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+                ) -> None:
+                    await stream.send_all(STREAM_HEAD % request_id)
+                    await stream.send_all(event(2) + event(3) + b"0\r\n\r\n")
+
+                await gateway.add("pool", rest)
+        reply = reply_of["first"]
+        assert reply.is_complete
+        assert [line for line in reply.body.split(b"\n") if line.startswith(b"id")] == [
+            b"id: 1",
+            b"id: 2",
+            b"id: 3",
+        ]
+
+    async def test_slow_stream_without_alternative_goes_on(self, gateway: Gateway) -> None:
+        async def slow(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id)
+            for number in range(1, 4):
+                await stream.send_all(event(number))
+                await trio.sleep(1.5)
+            await stream.send_all(b"0\r\n\r\n")
+
+        await gateway.add("pool", slow)
+        reply = await gateway.send("/chat/x", "s-2", "m")
+        assert reply.is_complete
+        assert reply.body.count(b"id:") == 3
+
+    async def test_stalled_stream_ends_at_the_deadline_of_its_route(self, gateway: Gateway) -> None:
+        async def trickle(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + event(1))
+            while True:
+                await trio.sleep(0.1)
+                await stream.send_all(chunk(b":"))
+
+        upstream = await gateway.add("pool", trickle)
+        started = trio.current_time()
+        reply = await gateway.send("/chat/x", "s-3", "m")
+        assert not reply.is_complete
+        assert 5.8 < trio.current_time() - started < 6.5
+        await trio.sleep(0.3)
+        assert upstream.closed == 1
+
+
+class TestEndlessBytes:
+    """Covers bytes that are no answer and do not end until the gateway closes."""
+
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"", b"x" * 4096),
+            (b"HTTP/1.1 200 OK\r\nX: ", b"y" * 4096),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            (b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n", b"z" * 65536),
+            (
+                b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                b"0" * 4096,
+            ),
+            (
+                b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\n\r\n",
+                b"z" * 65536,
+            ),
+            (STREAM_HEAD, chunk(b"w" * 65536)),
+        ],
+        ids=["line", "head", "interim", "body", "chunk", "foreign", "event"],
+    )
+    @pytest.mark.parametrize("kind", ["see", "buy", "chat"])
+    async def test_caller_learns_the_truth_in_bounded_memory(
+        self, gateway: Gateway, kind: str, start: bytes, repeated: bytes
+    ) -> None:
+        async def endless(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(start.replace(b"%s", request_id))
+            while True:
+                await stream.send_all(repeated)
+
+        troubled = await gateway.add("pool" if kind == "chat" else "app", endless)
+        tracemalloc.start()
+        try:
+            with trio.fail_after(8):
+                reply = await gateway.send(f"/{kind}/x", f"{kind}-1", "m" if kind == "chat" else "")
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert reply.status in (502, 504) or not reply.is_complete  # no promise that it has not run
+        assert peak_bytes < MEMORY_BOUND_BYTES
+        with trio.fail_after(1):
+            while troubled.closed < troubled.connections:
+                await trio.sleep(0.01)
+
+    async def test_other_requests_go_on(self, gateway: Gateway) -> None:
+        async def endless(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            if request_id != b"b-1":
+                await sound(upstream, stream, request_id)
+                return
+            await stream.send_all(PLAIN % request_id)
+            while True:
+                await stream.send_all(b"more" * 1000)
+
+        upstream = await gateway.add("app", endless)
+        assert (await gateway.send("/buy/x", "b-1")).body == b"ok"
+        reply = await gateway.send("/buy/x", "b-2")
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert upstream.connections == 2
+
+    async def test_event_without_an_end_is_continued_elsewhere(self, gateway: Gateway) -> None:
+        async def endless(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + event(1))
+            sent = 0
+            while sent < 4 * MAX_EVENT_BYTES:
+                await stream.send_all(chunk(b"w" * 16384))
+                sent += 16384
+
+        async def rest(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + event(2) + b"0\r\n\r\n")
+
+        first = await gateway.add("pool", endless)
+        reply_of = {}
+
+        async def ask() -> None:
+            reply_of["first"] = await gateway.send("/chat/x", "s-9", "m")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            while not first.requests:
+                await trio.sleep(0)
+            await gateway.add("pool", rest)
+        reply = reply_of["first"]
+        assert reply.is_complete
+        assert reply.body == b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
