Tell answers on kept connections apart; ask again for the permission to order

Two new tests fail on the code before. - Answers of engines to orders and reports were matched to calls by order alone, so a copy of a 202 counted as the acceptance of the next order. - Upstreams that forget resting connections (idle_race) cost one request that must not run twice for each connection in the pool. - The permission to order was checked before a connection was opened, which can take 0.8 s, or longer in a process that is paused.

Ruled out: answers that carry another request's id; those were passed over before.

Change: on a kept connection only an answer with the request's own id counts; one without is a failure with unknown outcome. Calls to engines carry an id, and their connection is kept only when the answer repeats it. A reset at the first use after a rest shortens the rest of all connections of the instance for ten seconds. The term is checked again right before an order leaves.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from briardyke.gateway.dialect import Dialect, UpstreamCall
     from briardyke.gateway.tables import UpstreamState
-    from briardyke.http.exchange import HttpRequest
+    from briardyke.http.exchange import Headers, HttpRequest
 
 # Answers of plain services are held until they are whole; longer ones are passed on as they come.
 MAX_HELD_BYTES = 256 * 1024
@@ -106,6 +106,8 @@
             return Attempt(Ending.TIMED_OUT, f"no answer within {timeout_ms:.0f} ms")
         except UpstreamError as error:
             not_connected = error.fault is Fault.NOT_CONNECTED
+            if connection is not None and connection.was_dropped_at_rest:
+                state.pool.rest_limit.learn(connection.rested_ms)
             ending = Ending.NOT_CONNECTED if not_connected else Ending.FAILED
             return Attempt(ending, str(error))
         finally:
@@ -118,10 +120,14 @@
         state.pool.give_back(connection)
         return True
 
+    def _is_own(self, headers: Headers, request_id: str) -> bool:
+        return self._dialect.read_answer(0, headers).request_id in ("", request_id)
+
     async def _read(self, connection: UpstreamConnection, request_id: str) -> Attempt:
-        head = await connection.read_head(
-            lambda headers: self._dialect.read_answer(200, headers).request_id in ("", request_id)
-        )
+        head = await connection.read_head(lambda headers: self._is_own(headers, request_id))
+        if connection.is_reused and not self._dialect.read_answer(0, head.headers).request_id:
+            # It may be a second copy of an earlier answer, so it proves nothing about this one.
+            raise UpstreamError(Fault.MALFORMED, "answer without an id on a kept connection")
         facts = self._dialect.read_answer(head.status, head.headers)
         if facts.is_refusal:
             body = await connection.read_body(MAX_HELD_BYTES)
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -9,7 +9,7 @@
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
 from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
-from briardyke.http.h11_client import ConnectionPool
+from briardyke.http.h11_client import ConnectionPool, RestLimit
 from briardyke.policy.ejection import HealthGate
 
 if TYPE_CHECKING:
@@ -188,6 +188,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, UpstreamState] = {}
+        self._rest_limit = RestLimit()
 
     def adopt(
         self, rows: dict[str, Upstream], changes: dict[str, ModelChanges]
@@ -203,7 +204,7 @@
             if state is None or _is_other_process(state.row, row):
                 if state is not None:
                     retired.append(state.pool)
-                pool = ConnectionPool(parse_address(row.address))
+                pool = ConnectionPool(parse_address(row.address), self._rest_limit)
                 self._states[upstream_id] = UpstreamState(row, pool)
             else:
                 state.row = row
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -28,6 +28,12 @@
 _DEFAULT_KEEP_MS = 4000.0
 # Answers of earlier requests that an upstream may send late on a connection.
 _MAX_FOREIGN_ANSWERS = 3
+# A reset after a shorter rest says nothing about resting.
+LEAST_REST_MS = 40.0
+# Upstreams forget connections a little sooner or later than the one that was seen.
+_REST_SHARE = 0.7
+# Upstreams that forget early do so for some seconds; later the usual rest is tried again.
+REST_MEMORY_MS = 10_000.0
 # Interim answers before one answer; more of them are noise without an end.
 _MAX_INTERIM_ANSWERS = 8
 # Answers of earlier requests are short; a longer one is given up with its connection.
@@ -76,9 +82,17 @@
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT)
         self.idle_since_ms = now_ms()
+        self.is_reused = False
+        self.rested_ms = 0.0
+        self._has_received = False
         self._keep_ms = _DEFAULT_KEEP_MS
         self._may_keep = True
 
+    @property
+    def was_dropped_at_rest(self) -> bool:
+        """Return whether a kept connection has given nothing since its last request was sent."""
+        return self.is_reused and not self._has_received
+
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes, nursery: trio.Nursery
     ) -> None:
@@ -87,6 +101,7 @@
         :param nursery: runs the rest of the writing.
         :raises UpstreamError: when the connection is gone.
         """
+        self._has_received = False
         self._request = h11.Request(method=method, target=target, headers=headers)
         head = self._protocol.send(self._request) or b""
         parts = [head]
@@ -171,6 +186,7 @@
                 self._keep_ms = float(value) * 1000.0 - _KEEP_MARGIN_MS
         self._protocol.start_next_cycle()
         self.idle_since_ms = now_ms()
+        self.is_reused = True
         return self._keep_ms > 0
 
     def is_usable(self, longest_rest_ms: float) -> bool:
@@ -200,6 +216,7 @@
                 data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise UpstreamError(Fault.BROKEN, f"connection reset: {error}") from error
+            self._has_received = self._has_received or bool(data)
             self._protocol.receive_data(data)
 
     async def _skip_foreign(self) -> None:
@@ -222,12 +239,39 @@
     return head.status in (204, 304) or bool(names & {b"content-length", b"transfer-encoding"})
 
 
+class RestLimit:
+    """Learn how long upstreams keep a connection that rests.
+
+    Load: upstreams forget idle connections without notice, sooner than they say. Whatever is sent
+    next is reset, and a request that must not run twice is lost with it.
+    """
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        self._limit_ms = float("inf")
+        self._learned_ms = 0.0
+
+    def learn(self, rested_ms: float) -> None:
+        """Take note that a connection was reset at the first use after a rest."""
+        if rested_ms >= LEAST_REST_MS:
+            self._limit_ms = min(self.limit_ms(), max(LEAST_REST_MS, rested_ms * _REST_SHARE))
+            self._learned_ms = now_ms()
+
+    def limit_ms(self) -> float:
+        """Return the longest rest after which a connection is used again."""
+        return self._limit_ms if now_ms() - self._learned_ms < REST_MEMORY_MS else float("inf")
+
+
 class ConnectionPool:
     """Keep idle connections to one upstream."""
 
-    def __init__(self, address: Address) -> None:
-        """Connect to an address on demand."""
+    def __init__(self, address: Address, rest_limit: RestLimit | None = None) -> None:
+        """Connect to an address on demand.
+
+        :param rest_limit: what is known of the rest that upstreams allow, shared between pools.
+        """
         self.address = address
+        self.rest_limit = rest_limit or RestLimit()
         self._idle: deque[UpstreamConnection] = deque()
         self.opened = 0
 
@@ -237,9 +281,11 @@
         :param longest_rest_ms: longest rest of a kept connection.
         :raises UpstreamError: when no connection can be opened; the request has not been sent.
         """
+        longest_rest_ms = min(longest_rest_ms, self.rest_limit.limit_ms())
         while self._idle:
             connection = self._idle.pop()
             if connection.is_usable(longest_rest_ms):
+                connection.rested_ms = now_ms() - connection.idle_since_ms
                 return connection
             await connection.aclose()
         return await self._open()
--- a/src/briardyke/models/orders.py
+++ b/src/briardyke/models/orders.py
@@ -8,6 +8,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardyke.fleet.records import Upstream
     from briardyke.models.ledger import EngineReport
 
@@ -47,8 +49,14 @@
 class Engines(Protocol):
     """Reach engines."""
 
-    async def order(self, row: Upstream, order: Order) -> OrderOutcome:
-        """Send an order; ``UNKNOWN`` when it may be carried out now or later."""
+    async def order(
+        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Send an order; ``UNKNOWN`` when it may be carried out now or later.
+
+        :param may_send: asked right before the order leaves, since the permission to order can run
+            out while a connection is opened; ``REFUSED`` when it has.
+        """
 
     async def report(self, row: Upstream) -> EngineReport | None:
         """Return an engine's report, or ``None`` when it does not answer."""
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -249,15 +249,18 @@
         if outcome is OrderOutcome.HELD_ALREADY and not is_load:
             ledger.models.discard(change.model)
 
+    def _leads(self, term: int) -> bool:
+        return term == self._term and self._control.leading_term() == term
+
     async def _order(
         self, ledger: EngineLedger, is_load: bool, model: str, adapter: str
     ) -> OrderOutcome:
         async with ledger.lock:
-            term = self._control.leading_term()
-            if term is None or term != self._term or ledger.sequence is None:
+            term = self._term
+            if ledger.sequence is None or not self._leads(term):
                 return OrderOutcome.REFUSED
             order = Order(is_load, model, adapter, ledger.sequence, self._holder, term)
-            outcome = await self._engines.order(ledger.row, order)
+            outcome = await self._engines.order(ledger.row, order, lambda: self._leads(term))
             if outcome is not OrderOutcome.ACCEPTED:
                 log_limited(
                     "order_not_accepted",
--- a/src/briardyke/platform/engines.py
+++ b/src/briardyke/platform/engines.py
@@ -8,17 +8,23 @@
 import trio
 
 from briardyke.addresses import parse_address
+from briardyke.http.exchange import header
 from briardyke.http.h11_client import ConnectionPool, UpstreamError
+from briardyke.ids import new_id
 from briardyke.logs import log_limited
 from briardyke.models.ledger import EngineReport
 from briardyke.models.orders import Order, OrderOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardyke.fleet.records import Upstream
     from briardyke.http.exchange import Headers
 
 _ORDER_PATH = "/briardyke/order"
 _REPORT_PATH = "/briardyke/report"
+# Answers repeat it.
+_CALL_ID = b"request-id"
 # An engine answers an order within milliseconds; one that is lost gets no answer at all.
 _TIMEOUT_S = 0.8
 _MAX_ANSWER_BYTES = 256 * 1024
@@ -33,14 +39,20 @@
 }
 
 
+class _NotSentError(Exception):
+    """Report that the permission to order ran out before the order was sent."""
+
+
 class PlatformEngines:
     """Reach engines over kept connections."""
 
     def __init__(self) -> None:
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
-    async def order(self, row: Upstream, order: Order) -> OrderOutcome:
-        """Send an order."""
+    async def order(
+        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
+        """Send an order unless the permission has run out."""
         body: dict[str, Any] = {
             "op": "load" if order.is_load else "unload",
             "model": order.model,
@@ -51,7 +63,11 @@
         }
         if order.adapter:
             body["adapter"] = order.adapter
-        answer = await self._call(row, "POST", _ORDER_PATH, json.dumps(body).encode())
+        content = json.dumps(body).encode()
+        try:
+            answer = await self._call(row, "POST", _ORDER_PATH, content, may_send)
+        except _NotSentError:
+            return OrderOutcome.REFUSED
         if answer is None:
             return OrderOutcome.UNKNOWN
         return _OUTCOMES.get(answer[0], OrderOutcome.UNKNOWN)
@@ -70,12 +86,19 @@
             return None
 
     async def _call(
-        self, row: Upstream, method: str, path: str, body: bytes
+        self,
+        row: Upstream,
+        method: str,
+        path: str,
+        body: bytes,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes] | None:
         pool = self._pool(row)
+        call_id = new_id("call").encode("ascii")
         headers: Headers = [
             (b"host", row.address.encode("ascii")),
             (b"expect-instance", row.upstream_id.encode("latin-1")),
+            (_CALL_ID, call_id),
         ]
         if body:
             headers.append((b"content-type", b"application/json"))
@@ -83,12 +106,17 @@
         connection = None
         try:
             with trio.move_on_after(_TIMEOUT_S):
+                connection = await pool.take(_REST_MS)
+                if not may_send():
+                    raise _NotSentError
                 async with trio.open_nursery() as nursery:
-                    connection = await pool.take(_REST_MS)
                     await connection.send(method, path, headers, body, nursery)
-                    head = await connection.read_head(lambda _: True)
+                    head = await connection.read_head(
+                        lambda found: header(found, _CALL_ID) in (None, call_id)
+                    )
                     answer = await connection.read_body(_MAX_ANSWER_BYTES)
-                if connection.finish(head):
+                # Without the id of its call, a late copy of this answer would pass for the next.
+                if header(head.headers, _CALL_ID) == call_id and connection.finish(head):
                     pool.give_back(connection)
                     connection = None
                 return head.status, answer
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -48,6 +48,15 @@
 Script = Callable[["ScriptedUpstream", trio.SocketStream, bytes], Awaitable[None]]
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, for five seconds at most."""
+    with trio.fail_after(5):
+        while True:
+            if condition():
+                return
+            await trio.sleep(0.01)
+
+
 def chunk(data: bytes) -> bytes:
     """Return data as one chunk of a body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/tests/gateway/test_late_copies.py
@@ -0,0 +1,110 @@
+"""Tests of kept connections on which an upstream answers twice, late or not at all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from gateway_support import Gateway, ScriptedUpstream
+
+from briardyke.http.h11_client import LEAST_REST_MS, REST_MEMORY_MS, RestLimit
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HEAD = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s"
+
+
+def answer(status: int, request_id: bytes, body: bytes) -> bytes:
+    """Return a whole answer; without an id it does not name its request."""
+    whole = HEAD % (status, request_id, len(body), body)
+    return whole if request_id else whole.replace(b"Request-Id: \r\n", b"")
+
+
+@pytest.fixture
+async def gateway() -> AsyncIterator[Gateway]:
+    async with trio.open_nursery() as nursery:
+        found = Gateway(nursery)
+        await found.start()
+        yield found
+        nursery.cancel_scope.cancel()
+
+
+class TestSecondCopy:
+    """Covers a second copy of an answer on a connection that is in use again."""
+
+    @pytest.mark.parametrize("is_named", [True, False])
+    async def test_next_caller_gets_its_own_answer_or_none(
+        self, gateway: Gateway, is_named: bool
+    ) -> None:
+        async def twice(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            if request_id == b"b-2":
+                # The copy arrives when the next request is already on its way.
+                await stream.send_all(answer(200, b"b-1" if is_named else b"", b"first"))
+                await trio.sleep(0.05)
+            body = b"first" if request_id == b"b-1" else b"second"
+            await stream.send_all(answer(200, request_id, body))
+
+        upstream = await gateway.add("app", twice)
+        assert (await gateway.send("/buy/x", "b-1")).body == b"first"
+        reply = await gateway.send("/buy/x", "b-2")
+        assert upstream.connections == 1
+        if is_named:
+            assert (reply.status, reply.body) == (200, b"second")
+        else:
+            assert (reply.status, reply.body) == (502, b"")
+
+    async def test_copy_of_a_refusal_is_no_promise_for_the_next_request(
+        self, gateway: Gateway
+    ) -> None:
+        async def refuse_then_run(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            refusal = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            if request_id == b"b-1":
+                await stream.send_all(refusal.replace(b"Not", b"Request-Id: b-1\r\nNot"))
+            else:
+                await stream.send_all(refusal)
+                await stream.send_all(answer(200, request_id, b"ran"))
+
+        await gateway.add("app", refuse_then_run)
+        assert (await gateway.send("/buy/x", "b-1")).status == 503
+        assert (await gateway.send("/buy/x", "b-2")).status == 502
+
+
+class TestForgottenConnections:
+    """Covers upstreams that drop idle connections without notice and sooner than they say."""
+
+    async def test_rest_is_shortened_after_a_reset(self, gateway: Gateway) -> None:
+        async def forgetful(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            if len(upstream.requests) == 2:
+                await trio.aclose_forcefully(stream)  # the second request met a dropped connection
+                return
+            await stream.send_all(answer(200, request_id, b"ok"))
+
+        upstream = await gateway.add("app", forgetful)
+        statuses = []
+        for number in range(5):
+            statuses.append((await gateway.send("/buy/x", f"b-{number}")).status)
+            await trio.sleep(0.1)
+        assert statuses == [200, 502, 200, 200, 200]
+        assert upstream.connections == 4
+
+    async def test_limit_is_learned_and_forgotten(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        limit = RestLimit()
+        assert limit.limit_ms() == float("inf")
+        limit.learn(LEAST_REST_MS / 2)
+        assert limit.limit_ms() == float("inf")
+        limit.learn(400.0)
+        assert limit.limit_ms() == pytest.approx(280.0)
+        limit.learn(600.0)
+        assert limit.limit_ms() == pytest.approx(280.0)
+        await trio.sleep(REST_MEMORY_MS / 1000.0 + 0.1)
+        assert limit.limit_ms() == float("inf")
--- a/tests/gateway/test_servers_in_trouble.py
+++ b/tests/gateway/test_servers_in_trouble.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, Gateway, ScriptedUpstream, chunk, event
+from gateway_support import STREAM_HEAD, Gateway, ScriptedUpstream, chunk, event, until
 
 from briardyke.gateway.event_stream import MAX_EVENT_BYTES
 
@@ -60,8 +60,7 @@
         with trio.fail_after(4):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ask)
-                while not first.requests:
-                    await trio.sleep(0.01)
+                await until(lambda: bool(first.requests))
 
                 async def rest(
                     upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
@@ -155,9 +154,7 @@
             tracemalloc.stop()
         assert reply.status in (502, 504) or not reply.is_complete  # no promise that it has not run
         assert peak_bytes < MEMORY_BOUND_BYTES
-        with trio.fail_after(1):
-            while troubled.closed < troubled.connections:
-                await trio.sleep(0.01)
+        await until(lambda: troubled.closed == troubled.connections)
 
     async def test_other_requests_go_on(self, gateway: Gateway) -> None:
         async def endless(
@@ -199,8 +196,7 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
-            while not first.requests:
-                await trio.sleep(0)
+            await until(lambda: bool(first.requests))
             await gateway.add("pool", rest)
         reply = reply_of["first"]
         assert reply.is_complete
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import pytest
 import trio
@@ -13,6 +15,9 @@
 from briardyke.models.runner import ModelsRunner
 from briardyke.routes.configuration import EngineSpec, ModelSpec, ServiceSpec, ServingConfiguration
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [HeldModel("m")])
 SPEC = EngineSpec(8, 100.0, 2, 1.0, 1000, {"m": ModelSpec("m", 40.0, 1, 1, 1, 9, 1.0)})
 CONFIGURATION = ServingConfiguration(1, (), {"s": ServiceSpec("s", 10, SPEC)})
@@ -33,7 +38,9 @@
         self.outcomes: list[OrderOutcome] = []
         self.held: set[str] = set()
 
-    async def order(self, row: Upstream, order: Order) -> OrderOutcome:
+    async def order(
+        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+    ) -> OrderOutcome:
         self.orders.append(order)
         await trio.sleep(0.005)
         outcome = self.outcomes.pop(0) if self.outcomes else OrderOutcome.ACCEPTED
