--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -298,7 +298,7 @@
         """Close connections that rested too long or were closed by the upstream."""
         # All are judged before the first close, because requests take connections meanwhile.
         resting, self._idle = list(self._idle), deque()
-        stale = []
+        stale: list[UpstreamConnection] = []
         for connection in resting:
             is_usable = connection.is_usable(float("inf"))
             (self._idle if is_usable else stale).append(connection)
