Bound the bytes that wait for a peer, and drop them when it cannot be reached

Also found: after a failed connection, messages that had waited were sent with the next one, although their callers had been told that nothing was sent. They are dropped now. Broadcasts are encoded once instead of once for each peer.

Measured: tests/wire/test_connection.py.

--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -443,8 +443,7 @@
                 self._changed.notify()
 
     def _broadcast(self, update: RowsUpdate) -> None:
-        for address in self._other_members():
-            self._peers.client(address).send(update)
+        self._peers.send_all(self._other_members(), update)
 
     def _other_members(self) -> list[Address]:
         members = self.log.status().members
--- a/src/briardyke/wire/connection.py
+++ b/src/briardyke/wire/connection.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
-from briardyke.logs import log_debug, log_warning
+from briardyke.logs import log_debug, log_limited, log_warning
 from briardyke.wire import codec
 
 if TYPE_CHECKING:
@@ -23,6 +23,9 @@
 CONNECT_TIMEOUT_S = 1.0
 _NO_REPLY = 0  # correlation id of a one-way message
 _MAX_QUEUED_FRAMES = 1024
+# Messages that wait for one peer. Members of a group send whole configurations several times a
+# second to a peer that does not take them; the largest one alone is half a megabyte.
+MAX_QUEUED_BYTES = 2 * 1024 * 1024
 
 Handler = Callable[[str, Any], Awaitable[Any | None]]
 
@@ -229,13 +232,16 @@
         self._send_queue, self._receive_queue = trio.open_memory_channel[tuple[int, bytes]](
             _MAX_QUEUED_FRAMES
         )
+        self._queued_bytes = 0
 
     async def run(self) -> None:
         """Connect when a message waits, send it and dispatch replies, until cancelled."""
         while True:
-            correlation_id, body = await self._receive_queue.receive()
+            correlation_id, body = await self._next_frame()
             opened = await self._open()
             if opened.is_err():
+                # What waits is out of date by the time at which the peer is back.
+                self._drop_queued()
                 self._fail_all(opened.unwrap_err())
                 continue
             frames = opened.unwrap()
@@ -244,7 +250,7 @@
                     nursery.start_soon(self._read_replies, frames, nursery.cancel_scope)
                     while True:
                         await frames.send(correlation_id, False, body)
-                        correlation_id, body = await self._receive_queue.receive()
+                        correlation_id, body = await self._next_frame()
             except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError, ValueError):
                 pass
             finally:
@@ -264,7 +270,13 @@
         pending = self._pending[correlation_id] = _Pending()
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
-                await self._send_queue.send((correlation_id, codec.encode(message)))
+                body = codec.encode(message)
+                self._queued_bytes += len(body)
+                try:
+                    await self._send_queue.send((correlation_id, body))
+                except trio.Cancelled:
+                    self._queued_bytes -= len(body)
+                    raise
                 await pending.event.wait()
         finally:
             del self._pending[correlation_id]
@@ -279,10 +291,41 @@
 
     def send(self, message: Any) -> None:
         """Queue a one-way message; it is dropped when the queue is full or the peer is gone."""
+        self.send_encoded(codec.encode(message))
+
+    def send_encoded(self, body: bytes) -> None:
+        """Queue the encoded form of a one-way message, like :meth:`send`."""
+        if self._queued_bytes and self._queued_bytes + len(body) > MAX_QUEUED_BYTES:
+            self._note_dropped(body)
+            return
         try:
-            self._send_queue.send_nowait((_NO_REPLY, codec.encode(message)))
+            self._send_queue.send_nowait((_NO_REPLY, body))
         except trio.WouldBlock:
-            log_debug("peer_message_dropped", peer=self.address)
+            self._note_dropped(body)
+            return
+        self._queued_bytes += len(body)
+
+    def _note_dropped(self, body: bytes) -> None:
+        log_limited(
+            "peer_message_dropped",
+            is_routine=True,
+            peer=self.address,
+            bytes=len(body),
+            queued_bytes=self._queued_bytes,
+        )
+
+    async def _next_frame(self) -> tuple[int, bytes]:
+        correlation_id, body = await self._receive_queue.receive()
+        self._queued_bytes -= len(body)
+        return correlation_id, body
+
+    def _drop_queued(self) -> None:
+        while True:
+            try:
+                _, body = self._receive_queue.receive_nowait()
+            except trio.WouldBlock:
+                return
+            self._queued_bytes -= len(body)
 
     async def _open(self) -> Result[FrameStream, Failure]:
         unreachable = Failure(ErrorKind.PEER_UNREACHABLE, f"cannot connect to {self.address}")
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from briardyke.wire import codec
 from briardyke.wire.connection import Hello, PeerClient
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     import trio
 
     from briardyke.addresses import Address
@@ -32,3 +35,9 @@
             client = self._clients[address] = PeerClient(address, self._hello)
             self._nursery.start_soon(client.run)
         return client
+
+    def send_all(self, addresses: Iterable[Address], message: Any) -> None:
+        """Queue a one-way message to several peers, encoded once."""
+        body = codec.encode(message)
+        for address in addresses:
+            self.client(address).send_encoded(body)
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -12,6 +12,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.wire import codec
 from briardyke.wire.connection import (
+    MAX_QUEUED_BYTES,
     PROTOCOL_VERSION,
     Hello,
     PeerClient,
@@ -153,3 +154,43 @@
         assert codec.decode(codec.encode(refusal(failure))).unwrap() == Refused(
             "fenced", "old", "token"
         )
+
+
+class TestPeerThatTakesNothing:
+    """Covers the memory and the age of what waits for a peer that is gone."""
+
+    async def test_large_messages_are_dropped_beyond_a_bound(self) -> None:
+        client = PeerClient(Address("127.0.0.1", 1), Hello(1, "cluster", "me"))
+        large = ClaimReply("granted", b"x" * 500_000)
+        for _ in range(100):
+            client.send(large)
+        waiting = client._receive_queue.statistics().current_buffer_used
+        assert waiting * 500_000 <= MAX_QUEUED_BYTES
+
+    async def test_message_larger_than_the_bound_still_goes(self) -> None:
+        client = PeerClient(Address("127.0.0.1", 1), Hello(1, "cluster", "me"))
+        client.send(ClaimReply("granted", b"x" * (MAX_QUEUED_BYTES + 1)))
+        assert client._receive_queue.statistics().current_buffer_used == 1
+
+    async def test_what_waited_during_a_failed_connection_is_not_sent_later(self) -> None:
+        received = []
+
+        async def handler(peer_id: str, message: Any) -> Any:
+            received.append(message.attempt_id)
+            return ClaimReply("granted", b"")
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+        await listeners[0].aclose()
+        async with _client(address, Hello(1, "cluster", "me")) as client:
+            for number in range(5):
+                client.send(ClaimRequest(7, "caller", "digest", f"old-{number}"))
+            refused = await client.call(ClaimRequest(7, "caller", "digest", "first"), 2000)
+            assert refused.unwrap_err().kind is ErrorKind.PEER_UNREACHABLE
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_peers, address, _HELLO, handler)
+                assert (
+                    await client.call(ClaimRequest(7, "caller", "digest", "second"), 2000)
+                ).is_ok()
+                nursery.cancel_scope.cancel()
+        assert received == ["second"]
