Keep the control group's modules out of entry instances

Cause: an entry process imported the replicated log for the name of the deployment alone: 0.26 of 0.71 s of its start (importtime, busy machine), on 76 to 191 instances.

--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -13,6 +13,7 @@
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import Identity, initialise, open_identity
 from briardyke.consensus.state import NodeSettings
+from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.fleet.machine import ConfigurationMachine
 
 if TYPE_CHECKING:
@@ -20,7 +21,6 @@
     from briardyke.errors import Failure
     from briardyke.wire.pool import PeerPool
 
-CLUSTER_ID = "briardyke"
 _GROUP_ID = "fleet"
 # The state is one document, so a snapshot costs as much as an entry. With each change in one, a
 # restarted instance knows a committed configuration before there is a leader.
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -7,8 +7,9 @@
 import trio
 
 from briardyke.exit_codes import ExitCode
+from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.fleet.control import ControlInstance
-from briardyke.fleet.member import CLUSTER_ID, Place, open_member
+from briardyke.fleet.member import Place, open_member
 from briardyke.http.h11_server import H11Server
 from briardyke.logs import log_error, log_event
 from briardyke.models.runner import ModelsRunner
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from briardyke.fleet.member import CLUSTER_ID
+from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.gateway.directory import capacity_per_s
 from briardyke.gateway.process import EntryProcess
 from briardyke.gateway.settings import EntryPlace
