Give no promise that an upstream has not made

Cause: found while looking for requests that are said not to have run. An answer with status 408, 429 or 503 and without the upstream's statement was passed on as it came, also for requests that must not run twice; callers take these statuses as a promise. Three new cases fail on the code before.

Ruled out: refusals with the statement, which are passed on as before, and requests that may be repeated, for which another upstream is asked.

Change: such an answer becomes 502 without the upstream's signature.

Measured: tests/gateway/test_late_copies.py.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -33,6 +33,8 @@
     from briardyke.http.h11_client import UpstreamConnection
     from briardyke.routes.configuration import Route
 
+# Statuses by which callers understand that a request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
 # An upstream that is given a deadline answers at it; the way back takes some milliseconds.
 _ANSWER_MARGIN_MS = 60.0
 # Least time in which an attempt can still succeed.
@@ -258,6 +260,11 @@
     ) -> None:
         assert attempt.head is not None
         status, headers = attempt.head.status, end_to_end(attempt.head.headers)
+        if status in PROMISES and not journey.route.may_repeat:
+            # Only the upstream's own word would make it true, and that is an ending of its own.
+            reason = f"status {status} without the statement that it was not run"
+            await self._fail(answer, journey.trace, Failure(ErrorKind.UPSTREAM_FAILED, reason))
+            return
         if attempt.connection is None:
             await answer.send_whole(status, headers, attempt.body)
             outcome = "served" if status < 500 else "upstream_failed"
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -108,3 +108,32 @@
         assert limit.limit_ms() == pytest.approx(280.0)
         await trio.sleep(REST_MEMORY_MS / 1000.0 + 0.1)
         assert limit.limit_ms() == float("inf")
+
+
+class TestPromises:
+    """Covers answers whose status says more than the upstream does."""
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    async def test_status_alone_is_no_proof_that_a_request_has_not_run(
+        self, gateway: Gateway, status: int
+    ) -> None:
+        async def failing(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(answer(status, request_id, b"busy"))
+
+        upstream = await gateway.add("app", failing)
+        reply = await gateway.send("/buy/x", "b-1")
+        assert reply.status == 502
+        assert b"server-stamp" not in reply.headers
+        assert upstream.requests == [b"b-1"]
+
+    async def test_statement_of_the_upstream_is_passed_on(self, gateway: Gateway) -> None:
+        async def refusing(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            refusal = answer(503, request_id, b"")
+            await stream.send_all(refusal.replace(b"Server-Stamp: s", b"Not-Executed: 1"))
+
+        await gateway.add("app", refusing)
+        assert (await gateway.send("/buy/x", "b-1")).status == 503
