Let the clock of the fleet's tests jump

pytest-trio takes a clock only from the arguments of the test itself, not from those of its fixtures. The tests of reports slept a minute, those of the view three minutes, in real time.

--- a/tests/fleet/test_activity.py
+++ b/tests/fleet/test_activity.py
@@ -25,7 +25,7 @@
     """Covers sums over the entry instances of two control instances."""
 
     async def test_each_instance_counts_once(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         one.report(entry("entry-1", in_flight={"e": [3, 1]}))
@@ -38,7 +38,7 @@
         assert one.others("entry-3") == {"e": [6, 3], "f": [1, 0]}
 
     async def test_instance_that_moves_soon_counts_at_its_new_place_only(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         one.report(ENTRY)
@@ -48,7 +48,7 @@
         assert one.demand() == {"m": 2.0}
 
     async def test_sum_of_a_control_instance_that_is_gone_is_dropped(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         two.report(ENTRY)
@@ -57,7 +57,7 @@
         assert one.demand() == {}
 
     async def test_late_sum_does_not_replace_a_newer_one(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         late = two.own_sum(1)
@@ -67,7 +67,7 @@
         assert one.demand() == {"m": 2.0}
 
     async def test_wanted_model_is_news_once(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         assert two.report(entry("entry-2", wanted=["rare"]))
@@ -80,7 +80,7 @@
     """Covers fleets of hundreds of entry instances."""
 
     async def test_sum_does_not_grow_with_the_instances(
-        self, boards: tuple[ActivityBoard, ActivityBoard]
+        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
         flights = {f"engine-{n}": [3, 1] for n in range(60)}
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -101,7 +101,11 @@
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
     async def test_departure_is_known_before_entry_instances_are_told_anything(
-        self, network: Network, lifecycle: str, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        network: Network,
+        lifecycle: str,
+        nursery: trio.Nursery,
     ) -> None:
         knowing, other = network.add(1), network.add(2)
         other.announce(ROW)
@@ -118,7 +122,7 @@
         assert [row.lifecycle for row in reply.upstreams] == [lifecycle]
 
     async def test_instances_that_do_not_answer_delay_it_only_so_long(
-        self, network: Network, nursery: trio.Nursery
+        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
     ) -> None:
         started = network.add(0)
         network.down = set(ADDRESSES[1:])
@@ -126,7 +130,9 @@
         await trio.sleep(1.2)
         assert (await answer(started, request())).is_current
 
-    async def test_departure_of_an_upstream_not_known_here_is_kept(self, network: Network) -> None:
+    async def test_departure_of_an_upstream_not_known_here_is_kept(
+        self, autojump_clock: trio.testing.MockClock, network: Network
+    ) -> None:
         started = network.add(0)
         assert started.depart("e")
         started.announce(ROW)
@@ -138,7 +144,7 @@
     """Covers rows that owners only repeat."""
 
     async def test_names_keep_a_row_from_falling_silent(
-        self, network: Network, nursery: trio.Nursery
+        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
     ) -> None:
         one, two = network.add(0), network.add(1)
         nursery.start_soon(one.run)
@@ -157,7 +163,7 @@
         assert not two.tables.upstreams.is_silent("e")
 
     async def test_missed_change_comes_with_the_next_whole_rows(
-        self, network: Network, nursery: trio.Nursery
+        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
     ) -> None:
         one, two = network.add(0), network.add(1)
         nursery.start_soon(one.run)
@@ -172,7 +178,9 @@
         held = two.tables.upstreams.get("e")
         assert held is not None and held.lifecycle == DRAINING
 
-    async def test_row_of_another_incarnation_is_not_confirmed(self, network: Network) -> None:
+    async def test_row_of_another_incarnation_is_not_confirmed(
+        self, autojump_clock: trio.testing.MockClock, network: Network
+    ) -> None:
         one = network.add(0)
         one.announce(ROW)
         assert not one.tables.upstreams.confirm("e", ROW.incarnation + 1)
@@ -183,7 +191,7 @@
     """Covers what entry instances are told of each other."""
 
     async def test_only_a_busy_instance_is_told_what_others_have_in_flight(
-        self, network: Network
+        self, autojump_clock: trio.testing.MockClock, network: Network
     ) -> None:
         one = network.add(0)
         one._has_rows = True
@@ -193,7 +201,9 @@
         assert (await answer(one, request(entry=asker))).others == {"e": [4, 1]}
         assert (await answer(one, request())).others == {}
 
-    async def test_rows_of_instances_travel_without_their_activity(self, network: Network) -> None:
+    async def test_rows_of_instances_travel_without_their_activity(
+        self, autojump_clock: trio.testing.MockClock, network: Network
+    ) -> None:
         one = network.add(0)
         one._has_rows = True
         busy = attrs.evolve(ENTRY, demand={"m": 2.0}, in_flight={"e": [4, 1]})
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -45,6 +45,7 @@
     )
     async def test_it_takes_several_reports_and_a_missed_heartbeat(
         self,
+        autojump_clock: trio.testing.MockClock,
         tables: Tables,
         reports: tuple[bool, ...],
         silence_ms: float,
@@ -55,7 +56,9 @@
         report(board, *reports)
         assert unreachable_upstreams(tables, board) == ({"e"} if is_gone else set())
 
-    async def test_unknown_upstream_is_passed_over(self, tables: Tables) -> None:
+    async def test_unknown_upstream_is_passed_over(
+        self, autojump_clock: trio.testing.MockClock, tables: Tables
+    ) -> None:
         board = ActivityBoard("control")
         board.report(attrs.evolve(ENTRY, unreachable=["other"]))
         assert unreachable_upstreams(tables, board) == set()
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -31,7 +31,7 @@
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
     async def test_late_announcement_does_not_bring_it_back(
-        self, view: FleetView, lifecycle: str
+        self, autojump_clock: trio.testing.MockClock, view: FleetView, lifecycle: str
     ) -> None:
         view.take_rows(reply(attrs.evolve(ROW, lifecycle=lifecycle, sequence=7)))
         view.take_rows(reply(is_whole=True))  # of a control instance that has just started
@@ -42,12 +42,16 @@
         await trio.sleep(DEPARTED_KEEP_MS / 1000.0)
         assert view.forget_unlisted()
 
-    async def test_new_start_under_the_same_id_is_used(self, view: FleetView) -> None:
+    async def test_new_start_under_the_same_id_is_used(
+        self, autojump_clock: trio.testing.MockClock, view: FleetView
+    ) -> None:
         view.take_rows(reply(attrs.evolve(ROW, lifecycle=GONE)))
         view.take_rows(reply(attrs.evolve(ROW, incarnation=11, sequence=1)))
         assert view.upstreams["e"].lifecycle == READY
 
-    async def test_silent_upstream_returns_with_its_next_row(self, view: FleetView) -> None:
+    async def test_silent_upstream_returns_with_its_next_row(
+        self, autojump_clock: trio.testing.MockClock, view: FleetView
+    ) -> None:
         view.take_rows(reply(attrs.evolve(ROW, lifecycle=SILENT)))
         view.take_rows(reply(ROW))
         assert view.upstreams["e"].lifecycle == READY
@@ -56,14 +60,18 @@
 class TestUnlisted:
     """Covers answers that lack upstreams."""
 
-    async def test_upstream_stays_until_its_next_heartbeat_is_due(self, view: FleetView) -> None:
+    async def test_upstream_stays_until_its_next_heartbeat_is_due(
+        self, autojump_clock: trio.testing.MockClock, view: FleetView
+    ) -> None:
         view.take_rows(reply(is_whole=True))
         assert "e" in view.upstreams
         await trio.sleep(UNLISTED_KEEP_MS / 1000.0 + 0.1)
         assert view.forget_unlisted()
         assert view.upstreams == {}
 
-    async def test_upstream_that_is_named_again_is_kept(self, view: FleetView) -> None:
+    async def test_upstream_that_is_named_again_is_kept(
+        self, autojump_clock: trio.testing.MockClock, view: FleetView
+    ) -> None:
         view.take_rows(reply(is_whole=True))
         view.take_rows(reply(attrs.evolve(ROW, sequence=6)))
         await trio.sleep(UNLISTED_KEEP_MS / 1000.0 + 0.1)
