Give up no model for the first requests of the traffic

Reports travel in a fraction of a second now, so the first decision after the start of the traffic sees a tenth of a second of it.

Change: for two seconds after demand appears, models are only loaded where there is room.

--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -195,6 +195,8 @@
         if from_store and not self._may_use_store(model):
             return None
         missing_mb = self._size(model) - self._room(engine)
+        if missing_mb > 0 and not self.view.is_settled:
+            return None
         rows = sorted(
             (self._keeping_value(victim, engine), victim)
             for victim in engine.held
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -33,6 +33,9 @@
 _REST_FACTOR = 4.0
 # Entry instances learn of a model that leaves through their control instance within this time.
 WITHHOLD_MS = 200.0
+# When traffic starts, the first requests say little about which models are in demand: the half-life
+# of the rates that entry instances keep.
+SETTLING_MS = 2000.0
 # A model leaves when it is announced as leaving and its last requests have ended.
 _UNLOAD_MS = 700.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
@@ -77,6 +80,7 @@
         self._missing_since_ms: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self._decision_ms = 0.0
+        self._demand_since_ms = float("-inf")
         self._adapters = AdapterLoader(self._order)
 
     async def run(self) -> None:
@@ -118,6 +122,8 @@
             self._lasting.assume({m for ledger in self._ledgers.values() for m in ledger.models})
         self._lasting.add(demand)
         self._follow_missing(demand)
+        if not demand:
+            self._demand_since_ms = now_ms()
         for name, service in configuration.services.items():
             if service.engine is None:
                 continue
@@ -128,6 +134,7 @@
                 self._store.free(service.engine.store_loads_per_s),
                 self._lasting.rates,
                 {m: (now_ms() - since) / 1000.0 for m, since in self._missing_since_ms.items()},
+                is_settled=now_ms() - self._demand_since_ms >= SETTLING_MS,
             )
             for change in decide(view):
                 self._start(change, service.engine, nursery)
--- a/src/briardyke/models/tables.py
+++ b/src/briardyke/models/tables.py
@@ -71,6 +71,7 @@
     :param demand: requests a second by model.
     :param store_starts: loads that the weight store may still start now.
     :param lasting: the same demand over a longer time, which a model that rests keeps for a while.
+    :param is_settled: whether demand has been observed for long enough to give up a model for it.
     :param missing_s: time for which each model was asked for while nothing held it, in seconds.
     """
 
@@ -80,3 +81,4 @@
     store_starts: int
     lasting: dict[str, float] = attrs.field(factory=dict)
     missing_s: dict[str, float] = attrs.field(factory=dict)
+    is_settled: bool = True
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -92,6 +92,13 @@
         changes = decide(view(room, engines, a=30, b=4, c=4, d=4))
         assert [c.model for c in changes].count("a") >= 3
 
+    def test_first_requests_of_the_traffic_displace_nothing(self) -> None:
+        room = spec(a=50, b=50, c=50, d=50)
+        engines = [engine("e1", "a", "b"), engine("e2", "c"), engine("e3", "b", "c")]
+        start = attrs.evolve(view(room, engines, a=9, d=1), is_settled=False)
+        assert {c.kind for c in decide(start)} == {LOAD}
+        assert UNLOAD in {c.kind for c in decide(view(room, engines, a=9, d=1, c=1))}
+
     def test_even_load_moves_nothing(self) -> None:
         room = spec(a=50, b=50)
         engines = [engine("e1", "a", "b"), engine("e2", "a", "b")]
