Give the exchange of rows a module of its own; pass on every repeated row whole

Read while it was moved: whole rows went out only for the owners that happened to repeat within the batch in question, and with age 0. An owner in step with the batches never had its row passed on whole, so a control instance that had missed a change kept the old row.

Change: RowExchange in fleet/rows.py; the batch of whole rows holds all that were repeated since the one before, each with its age. The test of the missed change repeats in step with the batches now (1.2 s instead of 0.4 s), and the existing test of a silent row fails when ages are left out.

Measured: tests of fleet, models and platform.

--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -13,10 +13,8 @@
 from briardyke.consensus.messages import GroupMessage
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind, Failure
-from briardyke.fleet.activity import ActivityBoard
 from briardyke.fleet.machine import ConfigurationMachine
 from briardyke.fleet.messages import (
-    Activity,
     AdapterReply,
     AdapterRequest,
     FleetReply,
@@ -27,13 +25,12 @@
     RowsUpdate,
 )
 from briardyke.fleet.packing import pack
-from briardyke.fleet.records import GONE, SILENT, ModelChanges, Upstream
+from briardyke.fleet.records import GONE, SILENT, Upstream
 from briardyke.fleet.reports import unreachable_upstreams
-from briardyke.fleet.tables import Tables
+from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
 from briardyke.supervision import keep_running
-from briardyke.sync.notifier import Notifier
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -52,12 +49,6 @@
 # Sums of what entry instances do, and repeated rows, are passed on together at this interval: a
 # part of the time that a request lasts, so that others can choose by it.
 BATCH_INTERVAL_MS = 250.0
-# Every so many batches, repeated rows are passed on whole, for those that missed a change: about
-# once in three seconds.
-_WHOLE_BATCHES = 12
-# A control instance that starts waits this long for the rows of the others before it tells entry
-# instances what it knows; with all of them starting there is nothing to wait for.
-_ROWS_TIMEOUT_MS = 500.0
 # Clocks of instances differ, and jump by seconds at times.
 _CLOCK_DOUBT_MS = 5000
 # Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
@@ -69,8 +60,6 @@
 SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
 _READ_TIMEOUT_MS = 900.0
-# Rows of departed owners are kept, so that late announcements do not revive them.
-_FORGET_MS = 120_000.0
 _TRANSFER_TIMEOUT_MS = 1500.0
 
 
@@ -95,21 +84,13 @@
         """
         self.log = log
         self.machine = machine
-        self.tables = Tables()
-        self.activity = ActivityBoard(str(own))
-        self.placement_news = Notifier()
+        self.rows = RowExchange(peers, own, self._other_members)
+        self.tables = self.rows.tables
         self.table_id = new_id("tbl")
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
-        self._peers = peers
         self._own = own
         self._data_centre = data_centre
-        self._incarnation = wall_unix_ms()
-        self._has_rows = False
         self._packed: tuple[int, bytes] | None = None
-        self._batches = 0
-        self._changed = Notifier()
-        self._fresh_upstreams: set[str] = set()
-        self._fresh_entries: set[str] = set()
         self._current_since_ms = float("inf")
         self._suspended_ms = suspended_ms()
         self._started_ms = now_ms()
@@ -176,8 +157,8 @@
             if other.incarnation > row.incarnation:
                 log_event("late_announcement", upstream=row.upstream_id, now=other.upstream_id)
                 return True
-            self._take_upstream(attrs.evolve(other, lifecycle=GONE))
-        self._take_upstream(row)
+            self.rows.announce(attrs.evolve(other, lifecycle=GONE))
+        self.rows.announce(row)
         return True
 
     def depart(self, upstream_id: str) -> bool:
@@ -188,32 +169,9 @@
         if held is None:
             # It was announced before this process started; a late announcement must not revive it.
             held = Upstream(upstream_id, wall_unix_ms() - _CLOCK_DOUBT_MS, 0)
-        self._take_upstream(attrs.evolve(held, lifecycle=GONE))
+        self.rows.announce(attrs.evolve(held, lifecycle=GONE))
         return True
 
-    def _take_upstream(self, row: Upstream, age_ms: float = 0.0, is_own: bool = True) -> None:
-        held = self.tables.upstreams.get(row.upstream_id)
-        before = held.lifecycle if held else "unknown"
-        changed = self.tables.upstreams.merge(row, age_ms)
-        if is_own:
-            self._fresh_upstreams.add(row.upstream_id)
-        if not changed:
-            return
-        if before != row.lifecycle:
-            log_event(
-                "upstream_changed",
-                upstream=row.upstream_id,
-                service=row.service,
-                before=before,
-                lifecycle=row.lifecycle,
-                sequence=row.sequence,
-                age_ms=round(age_ms),
-            )
-        self._changed.notify()
-        self.placement_news.notify()
-        if is_own:
-            self._broadcast(RowsUpdate([row], [0.0], [], []))
-
     # Placement
 
     def leading_term(self) -> int | None:
@@ -237,17 +195,11 @@
 
     def unreachable_upstreams(self) -> set[str]:
         """Return the upstreams that have gone, as entry instances and missed heartbeats tell."""
-        return unreachable_upstreams(self.tables, self.activity)
+        return unreachable_upstreams(self.tables, self.rows.activity)
 
     def demand(self) -> dict[str, float]:
         """Return requests a second by model, over all entry instances."""
-        return self.activity.demand()
-
-    def tell_changes(self, row: ModelChanges) -> None:
-        """Tell all entry instances which models of an upstream come and go."""
-        if self.tables.changes.merge(row):
-            self._changed.notify()
-            self._broadcast(RowsUpdate([], [], [], [], [row]))
+        return self.rows.activity.demand()
 
     # Entry instances and peers
 
@@ -256,9 +208,9 @@
         if isinstance(message, GroupMessage):
             return await self.log.handle(message)
         if isinstance(message, RowsUpdate):
-            return self._take_rows(message)
+            return self.rows.take(message)
         if isinstance(message, RowsRequest):
-            return self._all_rows()
+            return self.rows.all_rows()
         if isinstance(message, PlaceRequest):
             return PlaceReply(self._data_centre)
         if isinstance(message, FleetRequest):
@@ -269,23 +221,16 @@
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
         before = self.tables.entries.get(request.entry.instance_id)
-        row = request.entry.without_activity()
-        if self.activity.report(request.entry):
-            self.placement_news.notify()
-            self._broadcast(RowsUpdate([], [], [], [], activity=self._own_activity()))
-        if self.tables.entries.merge(row):
-            self._changed.notify()
-            self._broadcast(RowsUpdate([], [], [row], [0.0]))
-            if before is None or before.is_ready != request.entry.is_ready:
-                log_event(
-                    "entry_changed",
-                    instance=request.entry.instance_id,
-                    ready=request.entry.is_ready,
-                )
-        self._fresh_entries.add(request.entry.instance_id)
+        is_changed = self.rows.report(request.entry)
+        if is_changed and (before is None or before.is_ready != request.entry.is_ready):
+            log_event(
+                "entry_changed",
+                instance=request.entry.instance_id,
+                ready=request.entry.is_ready,
+            )
         with trio.move_on_after(request.wait_ms / 1000.0):
             while not self._has_news(request):
-                await self._changed.wait(request.wait_ms)
+                await self.rows.changed.wait(request.wait_ms)
         return self._reply(request)
 
     def _has_news(self, request: FleetRequest) -> bool:
@@ -301,7 +246,7 @@
     @property
     def _is_informed(self) -> bool:
         """Return whether entry instances can rely on what this instance knows."""
-        return self.is_current and self._has_rows
+        return self.is_current and self.rows.is_complete
 
     def _reply(self, request: FleetRequest) -> FleetReply:
         is_known = request.table_id == self.table_id
@@ -341,11 +286,11 @@
             change_sequence=self.tables.changes.sequence,
             is_whole=not is_known,
             others=(
-                self.activity.others(request.entry.instance_id)
+                self.rows.activity.others(request.entry.instance_id)
                 if request.entry.carried_per_s
                 else {}
             ),
-            carried_per_s=self.activity.carried_per_s(),
+            carried_per_s=self.rows.activity.carried_per_s(),
         )
 
     def _packed_document(self) -> bytes | None:
@@ -355,38 +300,6 @@
             self._packed = self.machine.version, pack(self.machine.document)
         return self._packed[1]
 
-    def _own_activity(self) -> Activity:
-        return self.activity.own_sum(self._incarnation)
-
-    def _take_rows(self, update: RowsUpdate) -> None:
-        for row, age_ms in zip(update.upstreams, update.upstream_ages_ms, strict=True):
-            self._take_upstream(row, age_ms, is_own=False)
-        for entry, age_ms in zip(update.entries, update.entry_ages_ms, strict=True):
-            if self.tables.entries.merge(entry, age_ms):
-                self._changed.notify()
-        for changes in update.changes:
-            if self.tables.changes.merge(changes):
-                self._changed.notify()
-        for upstream_id, incarnation in update.repeated_upstreams.items():
-            if self.tables.upstreams.confirm(upstream_id, incarnation):
-                self._changed.notify()
-        for instance_id, incarnation in update.repeated_entries.items():
-            if self.tables.entries.confirm(instance_id, incarnation):
-                self._changed.notify()
-        if update.activity is not None and self.activity.take(update.activity):
-            self.placement_news.notify()
-
-    def _all_rows(self) -> RowsUpdate:
-        upstreams = self.tables.upstreams.heard_within(_FORGET_MS)
-        entries = self.tables.entries.heard_within(_FORGET_MS)
-        return RowsUpdate(
-            [row for row, _ in upstreams],
-            [age for _, age in upstreams],
-            [row for row, _ in entries],
-            [age for _, age in entries],
-            [row.aged(age_ms) for row, age_ms in self.tables.changes.changed_with_age(0)],
-        )
-
     # Tasks
 
     async def run(self) -> None:
@@ -394,7 +307,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, "watch_log", self._watch_log)
             nursery.start_soon(keep_running, "pass_on_rows", self._pass_on_rows)
-            nursery.start_soon(keep_running, "fetch_rows", self._fetch_rows)
+            await self.log.wait_applied(1)
+            nursery.start_soon(keep_running, "fetch_rows", self.rows.fetch)
 
     async def stop(self) -> None:
         """Hand over leadership before a planned stop."""
@@ -406,28 +320,13 @@
             await self.log.wait_applied(self.log.status().applied_index + 1)
             if self.machine.version != version:
                 version = self.machine.version
-                self._changed.notify()
+                self.rows.changed.notify()
 
     async def _pass_on_rows(self) -> None:
         while True:
             await trio.sleep(BATCH_INTERVAL_MS / 1000.0)
             self._note_contact()
-            self._batches += 1
-            upstreams = [u for k in self._fresh_upstreams if (u := self.tables.upstreams.get(k))]
-            entries = [e for k in self._fresh_entries if (e := self.tables.entries.get(k))]
-            self._fresh_upstreams.clear()
-            self._fresh_entries.clear()
-            if self._batches % _WHOLE_BATCHES == 0:
-                update = RowsUpdate(
-                    upstreams, [0.0] * len(upstreams), entries, [0.0] * len(entries)
-                )
-            else:
-                update = RowsUpdate(
-                    *([], [], [], []),
-                    repeated_upstreams={u.upstream_id: u.incarnation for u in upstreams},
-                    repeated_entries={e.instance_id: e.incarnation for e in entries},
-                )
-            self._broadcast(attrs.evolve(update, activity=self._own_activity()))
+            self.rows.pass_on()
 
     def _note_contact(self) -> None:
         was_current = self._current_since_ms < float("inf")
@@ -441,37 +340,16 @@
                 term=status.term,
                 leader=status.leader_id,
             )
-            self._changed.notify()
+            self.rows.changed.notify()
         if self.is_current:
             since_ms = self._current_since_ms
             for row in self.tables.upstreams.mark_silent(UPSTREAM_SILENCE_MS, since_ms):
                 log_event("upstream_silent", upstream=row.upstream_id, service=row.service)
-                self._changed.notify()
+                self.rows.changed.notify()
             for entry in self.tables.entries.mark_silent(ENTRY_SILENCE_MS, since_ms):
                 log_event("entry_silent", instance=entry.instance_id)
-                self._changed.notify()
-
-    def _broadcast(self, update: RowsUpdate) -> None:
-        self._peers.send_all(self._other_members(), update)
+                self.rows.changed.notify()
 
     def _other_members(self) -> list[Address]:
         members = self.log.status().members
         return list(dict.fromkeys(m.address for m in members if m.address != self._own))
-
-    async def _fetch_rows(self) -> None:
-        """Ask the other instances for their rows once after the start.
-
-        An answer of one instance may lack a departure that another one took last, so all are asked.
-        """
-        await self.log.wait_applied(1)
-
-        async def ask(address: Address) -> None:
-            reply = await self._peers.client(address).call(RowsRequest(), _ROWS_TIMEOUT_MS)
-            if reply.is_ok() and isinstance(reply.unwrap(), RowsUpdate):
-                self._take_rows(reply.unwrap())
-
-        async with trio.open_nursery() as nursery:
-            for address in self._other_members():
-                nursery.start_soon(ask, address)
-        self._has_rows = True
-        self._changed.notify()
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -57,7 +57,7 @@
         self.sent.append(update)
         for address in addresses:
             if address in self.instances and address not in self.down:
-                self.instances[address]._take_rows(update)
+                self.instances[address].rows.take(update)
 
     def add(self, number: int) -> ControlInstance:
         own = ADDRESSES[number]
@@ -172,9 +172,9 @@
         network.down = {ADDRESSES[1]}
         one.announce(attrs.evolve(ROW, sequence=6, lifecycle=DRAINING))
         network.down = set()
-        for number in range(10):
+        for number in range(5):
             one.announce(attrs.evolve(ROW, sequence=7 + number, lifecycle=DRAINING))
-            await trio.sleep(0.4)
+            await trio.sleep(1.2)  # in step with every second batch of whole rows
         held = two.tables.upstreams.get("e")
         assert held is not None and held.lifecycle == DRAINING
 
@@ -194,7 +194,7 @@
         self, autojump_clock: trio.testing.MockClock, network: Network
     ) -> None:
         one = network.add(0)
-        one._has_rows = True
+        one.rows.is_complete = True
         busy = attrs.evolve(ENTRY, instance_id="b", carried_per_s=2.0, in_flight={"e": [4, 1]})
         await answer(one, request(entry=busy))
         asker = attrs.evolve(ENTRY, carried_per_s=1.0, in_flight={"e": [1, 0]})
@@ -205,7 +205,7 @@
         self, autojump_clock: trio.testing.MockClock, network: Network
     ) -> None:
         one = network.add(0)
-        one._has_rows = True
+        one.rows.is_complete = True
         busy = attrs.evolve(ENTRY, demand={"m": 2.0}, in_flight={"e": [4, 1]})
         reply = await answer(one, request(entry=busy))
         assert reply.entries == [ENTRY]
