Draw the least busy upstream when rounding leaves no part

Cause: read again, the draw raised an error when the loads are so large that the amount poured over them vanishes in rounding; the request would have ended in 500. The new test fails on the code before.

Measured: the test.

--- a/src/briardyke/gateway/choice.py
+++ b/src/briardyke/gateway/choice.py
@@ -71,6 +71,8 @@
         widths.append(width)
     level = filled_level(zip(costs, widths, strict=True), max(_LEAST_UNSEEN, unseen))
     parts = [max(0.0, level - c) * w for c, w in zip(costs, widths, strict=True)]
+    if not any(parts):  # rounding has swallowed a very small amount
+        parts = [float(cost == min(costs)) for cost in costs]
     best = random.choices(candidates, parts)[0]
     if len(request.prefix_ids) < _AFFINITY_PARTS:
         return best
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -145,3 +145,9 @@
         known.take_report(Load(1, 0, 8))
         known.take_others(9, 9)
         assert known.load() <= 1.0
+
+    async def test_load_beyond_the_precision_of_the_amount_is_no_error(self) -> None:
+        states = [state("1", slots=1), state("2", slots=1)]
+        for candidate in states:
+            candidate.others, candidate.reported_ms = 1e18, now_ms()
+        assert choose_upstream(states, PLAIN, "dc-1", random.Random(1)) in states
