Count only instances that carry traffic as busy

Every ready instance gets a request that tests its configuration about once a second, and one request made it busy for eight seconds: all 76 instances polled three times a second instead of twenty of them, and each was told what all others have in flight.

Change: an instance is busy while callers are told of it, or while it carries more than one request.

Both new tests fail on the code before.

--- a/src/briardyke/gateway/demand.py
+++ b/src/briardyke/gateway/demand.py
@@ -21,9 +21,9 @@
         self._active: dict[str, int] = {}
 
     @property
-    def is_active(self) -> bool:
-        """Return whether requests are carried or came lately."""
-        return bool(self._active) or bool(self.rates())
+    def active_count(self) -> int:
+        """Return the requests that are being carried."""
+        return sum(self._active.values())
 
     def record(self, name: str) -> None:
         """Count one request."""
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -143,7 +143,7 @@
             self.state.demand.demand(),
             self.state.upstreams.unreachable(),
             self._place.capacity_per_s,
-            sum(self.state.demand.rates().values()),
+            sum(self.state.demand.rates().values()) if self.state.is_busy else 0.0,
             self.state.upstreams.in_flight(),
             self.state.wanted.names(),
         )
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -75,6 +75,7 @@
         self._retries = retries
         self.wanted = WantedModels()
         self.listed_count = 1
+        self.is_listed = False
         self.budget_part = 1.0
         self.is_stopping = False
         self._budgets: dict[str, RetryBudget] = {}
@@ -86,8 +87,12 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether this instance carries requests, or did a moment ago."""
-        return self.demand.is_active
+        """Return whether this instance carries a part of the traffic.
+
+        Load: every ready instance also gets single requests that test its configuration. If those
+        counted, all of hundreds would ask control for news several times a second.
+        """
+        return self.is_listed or self.demand.active_count > 1
 
     def budget(self, service: str) -> RetryBudget:
         """Return this instance's part of a service's retry budget."""
@@ -117,9 +122,10 @@
         :param listed: instances that callers are told of.
         :param count: all instances that are ready.
         """
+        self.is_listed = instance_id in listed
         self.listed_count = max(1, len(listed))
         unlisted_part = _UNLISTED_SHARE / max(1, count)
-        self.budget_part = 1.0 / self.listed_count if instance_id in listed else unlisted_part
+        self.budget_part = 1.0 / self.listed_count if self.is_listed else unlisted_part
 
     def is_engine(self, service: str) -> bool:
         """Return whether a service runs models."""
--- a/tests/gateway/test_budget_parts.py
+++ b/tests/gateway/test_budget_parts.py
@@ -50,3 +50,23 @@
         newcomer = instance()
         newcomer.divide_budget("entry-20", {f"entry-{n}" for n in range(21)}, 191)
         assert newcomer.budget_part == pytest.approx(1 / 21)
+
+
+class TestBusy:
+    """Covers instances that get single requests only, beside those that carry the traffic."""
+
+    async def test_single_request_makes_no_instance_busy(self) -> None:
+        probed = instance()
+        probed.divide_budget("entry-100", {"entry-1"}, 191)
+        probed.demand.record("app")
+        probed.demand.began("app")
+        assert not probed.is_busy
+
+    async def test_listed_instance_is_busy_and_one_with_several_requests_too(self) -> None:
+        listed, left = instance(), instance()
+        listed.divide_budget("entry-1", {"entry-1"}, 191)
+        assert listed.is_busy
+        left.divide_budget("entry-100", {"entry-1"}, 191)
+        for _ in range(2):
+            left.demand.began("app")
+        assert left.is_busy
