--- a/src/briardyke/fleet/activity.py
+++ b/src/briardyke/fleet/activity.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from briardyke.clock import now_ms
+from briardyke.clock import now_ms, wall_unix_ms
 from briardyke.fleet.messages import Activity
 from briardyke.fleet.records import EntryInstance
 
@@ -41,6 +41,7 @@
         :param control: name of this control instance.
         """
         self._control = control
+        self._incarnation = wall_unix_ms()
         self._sequence = 0
         self._reports: dict[str, _Heard] = {}
         self._total: Activity | None = None
@@ -49,8 +50,9 @@
 
     def report(self, entry: EntryInstance) -> bool:
         """Take the report of an entry instance; return whether it wants a model anew."""
-        self._total = None if entry.instance_id not in self._reports else self._total
         before = self._reports.get(entry.instance_id)
+        if before is None:
+            self._total = None
         self._reports[entry.instance_id] = _Heard(entry, now_ms())
         return bool(set(entry.wanted) - set(before.entry.wanted if before else ()))
 
@@ -62,20 +64,12 @@
         self._sums[activity.control] = (activity, now_ms())
         return bool(set(activity.wanted) - set(held[0].wanted if held else ()))
 
-    def own_sum(self, term: int) -> Activity:
-        """Return the sum of the entry instances that report here.
-
-        :param term: start of this process, which orders its sums after those of an earlier one.
-        """
+    def own_sum(self) -> Activity:
+        """Return the sum of the entry instances that report here, to be passed on."""
         self._sequence += 1
-        total = Activity(self._control, term, self._sequence)
+        total = Activity(self._control, self._incarnation, self._sequence)
         for entry in self._entries():
-            total.ready += entry.is_ready
-            _add(total.demand, entry.demand)
-            _add(total.carried_per_s, {entry.data_centre: entry.carried_per_s})
-            _add(total.unreachable, dict.fromkeys(entry.unreachable, 1) if entry.is_ready else {})
-            _add_pairs(total.in_flight, entry.in_flight)
-            total.wanted.extend(m for m in entry.wanted if m not in total.wanted)
+            _add_entry(total, entry)
         return total
 
     def demand(self) -> dict[str, float]:
@@ -109,12 +103,10 @@
         """Return the sum over all control instances, added up anew after a while."""
         if self._total is None or now_ms() - self._total_ms >= TOTAL_KEEP_MS:
             self._total, self._total_ms = Activity(self._control, 0, 0), now_ms()
-            for activity in self._all():
-                self._total.ready += activity.ready
-                _add(self._total.demand, activity.demand)
-                _add(self._total.carried_per_s, activity.carried_per_s)
-                _add(self._total.unreachable, activity.unreachable)
-                _add_pairs(self._total.in_flight, activity.in_flight)
+            for entry in self._entries():
+                _add_entry(self._total, entry)
+            for activity in self._other_sums():
+                _add_activity(self._total, activity)
         return self._total
 
     def _entries(self) -> Iterator[EntryInstance]:
@@ -124,22 +116,37 @@
         for heard in self._reports.values():
             yield heard.entry
 
-    def _all(self) -> Iterator[Activity]:
+    def _other_sums(self) -> Iterator[Activity]:
         limit_ms = now_ms() - SUM_KEEP_MS
         for name in [n for n, (_, heard_ms) in self._sums.items() if heard_ms < limit_ms]:
             del self._sums[name]
         for activity, _ in self._sums.values():
             yield activity
-        yield self.own_sum(0)
+
+
+def _add_entry(total: Activity, entry: EntryInstance) -> None:
+    own = Activity(
+        *(total.control, 0, 0, int(entry.is_ready), entry.demand),
+        {entry.data_centre: entry.carried_per_s},
+        dict.fromkeys(entry.unreachable, 1) if entry.is_ready else {},
+        entry.in_flight,
+        entry.wanted,
+    )
+    _add_activity(total, own)
+
+
+def _add_activity(total: Activity, part: Activity) -> None:
+    total.ready += part.ready
+    _add(total.demand, part.demand)
+    _add(total.carried_per_s, part.carried_per_s)
+    _add(total.unreachable, part.unreachable)
+    for upstream_id, (count, pending) in part.in_flight.items():
+        held = total.in_flight.setdefault(upstream_id, [0, 0])
+        held[0] += count
+        held[1] += pending
+    total.wanted.extend(model for model in part.wanted if model not in total.wanted)
 
 
 def _add(total: dict[str, float] | dict[str, int], part: dict[str, float] | dict[str, int]) -> None:
     for name, amount in part.items():
         total[name] = total.get(name, 0) + amount  # type: ignore[assignment]
-
-
-def _add_pairs(total: dict[str, list[int]], part: dict[str, list[int]]) -> None:
-    for name, (count, pending) in part.items():
-        held = total.setdefault(name, [0, 0])
-        held[0] += count
-        held[1] += pending
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -7,7 +7,6 @@
 import attrs
 import trio
 
-from briardyke.clock import wall_unix_ms
 from briardyke.fleet.activity import ActivityBoard
 from briardyke.fleet.messages import RowsRequest, RowsUpdate
 from briardyke.fleet.tables import Tables
@@ -18,7 +17,6 @@
     from collections.abc import Callable
 
     from briardyke.addresses import Address
-    from briardyke.fleet.messages import Activity
     from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
     from briardyke.wire.pool import PeerPool
 
@@ -53,7 +51,6 @@
         self.is_complete = False
         self._peers = peers
         self._others = others
-        self._incarnation = wall_unix_ms()
         self._batches = 0
         self._fresh_upstreams: set[str] = set()
         self._fresh_entries: set[str] = set()
@@ -73,7 +70,7 @@
         self._fresh_entries.add(entry.instance_id)
         if self.activity.report(entry):
             self.placement_news.notify()
-            self._send(RowsUpdate([], [], [], [], activity=self._own_sum()))
+            self._send(RowsUpdate([], [], [], [], activity=self.activity.own_sum()))
         row = entry.without_activity()
         if not self.tables.entries.merge(row):
             return False
@@ -161,7 +158,7 @@
             )
         self._fresh_upstreams.clear()
         self._fresh_entries.clear()
-        self._send(attrs.evolve(update, activity=self._own_sum()))
+        self._send(attrs.evolve(update, activity=self.activity.own_sum()))
 
     def _whole_rows(self) -> RowsUpdate:
         tables = self.tables
@@ -174,9 +171,6 @@
             [tables.entries.age_ms(row.key) for row in entries],
         )
 
-    def _own_sum(self) -> Activity:
-        return self.activity.own_sum(self._incarnation)
-
     def _send(self, update: RowsUpdate) -> None:
         self._peers.send_all(self._others(), update)
 
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -125,10 +125,10 @@
 
     async def _read(self, connection: UpstreamConnection, request_id: str) -> Attempt:
         head = await connection.read_head(lambda headers: self._is_own(headers, request_id))
-        if connection.is_reused and not self._dialect.read_answer(0, head.headers).request_id:
+        facts = self._dialect.read_answer(head.status, head.headers)
+        if connection.is_reused and not facts.request_id:
             # It may be a second copy of an earlier answer, so it proves nothing about this one.
             raise UpstreamError(Fault.MALFORMED, "answer without an id on a kept connection")
-        facts = self._dialect.read_answer(head.status, head.headers)
         if facts.is_refusal:
             body = await connection.read_body(MAX_HELD_BYTES)
             return Attempt(Ending.REFUSED, f"status {head.status}", head, body, facts)
--- a/src/briardyke/models/balance.py
+++ b/src/briardyke/models/balance.py
@@ -37,7 +37,6 @@
         :param engine_ids: all engines.
         """
         self.loads = dict.fromkeys(engine_ids, 0.0)
-        self._demand = demand
         self._shares: dict[str, dict[str, float]] = {}
         for model, amount in demand.items():
             holding = holders.get(model)
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from briardyke.gateway.demand import USUAL_DURATION_S
 from briardyke.models.balance import Balance
 from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
 
@@ -41,8 +42,6 @@
 # An engine with requests for up to this part of its places needs no relief, whatever the mean is:
 # tokens come hardly slower than alone.
 _EASY_SHARE = 0.15
-# A request in an engine lasts about this long.
-_USUAL_DURATION_S = 3.0
 # Least gain of another replica, in parts of an engine's mean load: an order and a load.
 _LEAST_GAIN = 0.15
 # Least gain of a missing model, in requests a second at an engine of mean load.
@@ -107,7 +106,7 @@
             for model, rate in view.demand.items()
             if model in view.spec.models and rate >= _LEAST_DEMAND
         }
-        self._easy_load = _EASY_SHARE * view.spec.slots / _USUAL_DURATION_S
+        self._easy_load = _EASY_SHARE * view.spec.slots / USUAL_DURATION_S
         self._reserve_mb = adapter_reserve_mb(view.spec)
         largest = max((m.weights_mb for m in view.spec.models.values()), default=1.0)
         # A larger model takes longer for each token.
@@ -304,14 +303,17 @@
 
     def _room(self, engine: EngineView) -> float:
         """Return the memory that a model may use, in megabytes."""
-        sizes = sum(self._size(model) for model in engine.held)
-        return self.view.spec.weights_mb - sizes - self._reserve_mb
+        held_mb = _weights_mb(self.view.spec, engine.held)
+        return self.view.spec.weights_mb - held_mb - self._reserve_mb
 
 
 def committed_mb(spec: EngineSpec, held: Iterable[str]) -> float:
     """Return the memory of models and adapters, with the places that adapters may still take."""
-    weights = sum(spec.models[m].weights_mb for m in held if m in spec.models)
-    return weights + adapter_reserve_mb(spec)
+    return _weights_mb(spec, held) + adapter_reserve_mb(spec)
+
+
+def _weights_mb(spec: EngineSpec, held: Iterable[str]) -> float:
+    return sum(spec.models[m].weights_mb for m in held if m in spec.models)
 
 
 def adapter_reserve_mb(spec: EngineSpec) -> float:
--- a/tests/fleet/test_activity.py
+++ b/tests/fleet/test_activity.py
@@ -31,7 +31,7 @@
         one.report(entry("entry-1", in_flight={"e": [3, 1]}))
         one.report(entry("entry-1", sequence=2, in_flight={"e": [4, 1]}))
         two.report(entry("entry-2", data_centre="dc-2", in_flight={"e": [2, 2], "f": [1, 0]}))
-        one.take(two.own_sum(1))
+        one.take(two.own_sum())
         assert one.demand() == {"m": 4.0}
         assert one.carried_per_s() == {"dc-1": 3.0, "dc-2": 3.0}
         assert one.others("entry-1") == {"e": [2, 2], "f": [1, 0]}
@@ -44,7 +44,7 @@
         one.report(ENTRY)
         await trio.sleep(REPORT_KEEP_MS / 1000.0 + 0.1)
         two.report(ENTRY)
-        one.take(two.own_sum(1))
+        one.take(two.own_sum())
         assert one.demand() == {"m": 2.0}
 
     async def test_sum_of_a_control_instance_that_is_gone_is_dropped(
@@ -52,7 +52,7 @@
     ) -> None:
         one, two = boards
         two.report(ENTRY)
-        one.take(two.own_sum(1))
+        one.take(two.own_sum())
         await trio.sleep(SUM_KEEP_MS / 1000.0 + 0.1)
         assert one.demand() == {}
 
@@ -60,9 +60,9 @@
         self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
     ) -> None:
         one, two = boards
-        late = two.own_sum(1)
+        late = two.own_sum()
         two.report(ENTRY)
-        one.take(two.own_sum(1))
+        one.take(two.own_sum())
         one.take(late)
         assert one.demand() == {"m": 2.0}
 
@@ -72,8 +72,8 @@
         one, two = boards
         assert two.report(entry("entry-2", wanted=["rare"]))
         assert not two.report(entry("entry-2", wanted=["rare"]))
-        assert one.take(two.own_sum(1))
-        assert not one.take(two.own_sum(1))
+        assert one.take(two.own_sum())
+        assert not one.take(two.own_sum())
 
 
 class TestSize:
@@ -87,6 +87,6 @@
         for number in range(200):
             one.report(entry(f"entry-{number}", in_flight=flights))
         two.report(entry("entry-1", in_flight=flights))
-        large, small = one.own_sum(1), two.own_sum(1)
+        large, small = one.own_sum(), two.own_sum()
         assert len(large.in_flight) == len(small.in_flight)
         assert large.in_flight["engine-1"] == [600, 200]
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_late_copies.py
@@ -6,12 +6,11 @@
 
 import pytest
 import trio
-from gateway_support import Gateway, ScriptedUpstream
 
 from briardyke.http.h11_client import LEAST_REST_MS, REST_MEMORY_MS, RestLimit
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from gateway_support import Gateway, ScriptedUpstream
 
 HEAD = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s"
 
@@ -22,15 +21,6 @@
     return whole if request_id else whole.replace(b"Request-Id: \r\n", b"")
 
 
-@pytest.fixture
-async def gateway() -> AsyncIterator[Gateway]:
-    async with trio.open_nursery() as nursery:
-        found = Gateway(nursery)
-        await found.start()
-        yield found
-        nursery.cancel_scope.cancel()
-
-
 class TestSecondCopy:
     """Covers a second copy of an answer on a connection that is in use again."""
 
--- a/tests/gateway/test_servers_in_trouble.py
+++ b/tests/gateway/test_servers_in_trouble.py
@@ -7,27 +7,18 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, Gateway, ScriptedUpstream, chunk, event, until
+from gateway_support import STREAM_HEAD, chunk, event, until
 
 from briardyke.gateway.event_stream import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from gateway_support import Gateway, ScriptedUpstream
 
 # A gateway that keeps what it cannot use would exceed this within a second.
 MEMORY_BOUND_BYTES = 24 * 1024 * 1024
 PLAIN = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
 
 
-@pytest.fixture
-async def gateway() -> AsyncIterator[Gateway]:
-    async with trio.open_nursery() as nursery:
-        found = Gateway(nursery)
-        await found.start()
-        yield found
-        nursery.cancel_scope.cancel()
-
-
 async def sound(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
     """Answer with five events, or with a short body."""
     if request_id.startswith(b"s"):
