Write the trickling upstream of the tests once

Two tests of stalled streams had the same script with pauses of 0.1 and 0.2 s; both use 0.1 s now, their assertions are unchanged. Measured: the tests of that class.

--- a/tests/gateway/test_servers_in_trouble.py
+++ b/tests/gateway/test_servers_in_trouble.py
@@ -30,18 +30,18 @@
         await stream.send_all(PLAIN % request_id)
 
 
+async def trickle(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Send one event, then a byte now and then."""
+    await stream.send_all(STREAM_HEAD % request_id + event(1))
+    while True:
+        await trio.sleep(0.1)
+        await stream.send_all(chunk(b":"))
+
+
 class TestStalledStream:
     """Covers streams that are slow and streams that do not move on."""
 
     async def test_byte_now_and_then_is_no_progress(self, gateway: Gateway) -> None:
-        async def trickle(
-            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-        ) -> None:
-            await stream.send_all(STREAM_HEAD % request_id + event(1))
-            while True:
-                await trio.sleep(0.2)
-                await stream.send_all(chunk(b":"))
-
         first = await gateway.add("pool", trickle)
         reply_of = {}
 
@@ -88,14 +88,6 @@
     ) -> None:
         autojump_clock.autojump_threshold = 0.05  # the kernel needs a moment for the sockets
 
-        async def trickle(
-            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-        ) -> None:
-            await stream.send_all(STREAM_HEAD % request_id + event(1))
-            while True:
-                await trio.sleep(0.1)
-                await stream.send_all(chunk(b":"))
-
         upstream = await gateway.add("pool", trickle)
         started = trio.current_time()
         reply = await gateway.send("/chat/x", "s-3", "m")
