Name the gateway's types after what they hold

The types that the gateway shares with the platform adapter were named CallerRequest, UpstreamCall and AnswerFacts. They hold the metadata that the headers of a request, of a forwarded request and of a response carry, and are named so now. Settings, load reports, retryable routes, event gap objectives and validation errors get the terms of the field as well.

--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -15,7 +15,7 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from briardyke.fleet.messages import AdapterReply
-    from briardyke.gateway.dialect import CallerRequest
+    from briardyke.gateway.dialect import RequestMetadata
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.tables import UpstreamState
 
@@ -43,7 +43,7 @@
         self._ask = ask
 
     async def place(
-        self, caller: CallerRequest, candidates: Sequence[UpstreamState], fallback: UpstreamState
+        self, caller: RequestMetadata, candidates: Sequence[UpstreamState], fallback: UpstreamState
     ) -> UpstreamState | None:
         """Return an upstream that holds the adapter, or ``None`` if none can get it now.
 
@@ -90,7 +90,7 @@
 
     @staticmethod
     def _announced(
-        caller: CallerRequest, candidates: Sequence[UpstreamState]
+        caller: RequestMetadata, candidates: Sequence[UpstreamState]
     ) -> UpstreamState | None:
         """Return an upstream that named the adapter in its last announcement.
 
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -43,7 +43,7 @@
     return max(
         _CALLER_PATIENCE_MS,
         _CALLER_OBJECTIVES * route.latency_objective_ms,
-        _CALLER_PAUSES * route.longest_pause_ms,
+        _CALLER_PAUSES * route.event_gap_objective_ms,
     )
 
 
@@ -153,7 +153,7 @@
         Load: engines crash with the only replica of a model in use. A stream that may be resumed
         waits for the next one as long as its caller waits for the next event.
         """
-        if journey.may_have_run and not journey.route.may_repeat:
+        if journey.may_have_run and not journey.route.is_retryable:
             return 0.0
         if journey.sent >= journey.route.max_attempts:
             return 0.0
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -8,12 +8,12 @@
 import attrs
 import trio
 
-from briardyke.gateway.dialect import AnswerFacts
+from briardyke.gateway.dialect import ResponseMetadata
 from briardyke.http.exchange import header
 from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
 
 if TYPE_CHECKING:
-    from briardyke.gateway.dialect import Dialect, UpstreamCall
+    from briardyke.gateway.dialect import Dialect, ForwardingMetadata
     from briardyke.gateway.tables import UpstreamState
     from briardyke.http.exchange import Headers, HttpRequest
 
@@ -51,7 +51,7 @@
     reason: str = ""
     head: UpstreamHead | None = None
     body: bytes = b""
-    facts: AnswerFacts | None = None
+    facts: ResponseMetadata | None = None
     connection: UpstreamConnection | None = None
 
     @property
@@ -72,10 +72,10 @@
         state: UpstreamState,
         request: HttpRequest,
         request_id: str,
-        call: UpstreamCall,
+        call: ForwardingMetadata,
         timeout_ms: float,
         *,
-        may_repeat: bool,
+        is_retryable: bool,
         nursery: trio.Nursery,
     ) -> Attempt:
         """Send the request and read the head, and the body unless it is a stream.
@@ -85,10 +85,10 @@
         :param request_id: its id, which the answer repeats.
         :param call: what the gateway adds.
         :param timeout_ms: longest wait for the head, in milliseconds.
-        :param may_repeat: whether a request with unknown outcome can be sent again.
+        :param is_retryable: whether a request with unknown outcome can be sent again.
         :param nursery: runs the writing of long bodies.
         """
-        rest_ms = LONGEST_REST_MS if may_repeat else LONGEST_REST_ONCE_MS
+        rest_ms = LONGEST_REST_MS if is_retryable else LONGEST_REST_ONCE_MS
         connection = None
         is_kept = False
         try:
@@ -121,11 +121,11 @@
         return True
 
     def _is_own(self, headers: Headers, request_id: str) -> bool:
-        return self._dialect.read_answer(0, headers).request_id in ("", request_id)
+        return self._dialect.read_response(0, headers).request_id in ("", request_id)
 
     async def _read(self, connection: UpstreamConnection, request_id: str) -> Attempt:
         head = await connection.read_head(lambda headers: self._is_own(headers, request_id))
-        facts = self._dialect.read_answer(head.status, head.headers)
+        facts = self._dialect.read_response(head.status, head.headers)
         if connection.is_reused and not facts.request_id:
             # It may be a second copy of an earlier answer, so it proves nothing about this one.
             raise UpstreamError(Fault.MALFORMED, "answer without an id on a kept connection")
--- a/src/briardyke/gateway/choice.py
+++ b/src/briardyke/gateway/choice.py
@@ -13,7 +13,7 @@
     import random
     from collections.abc import Sequence
 
-    from briardyke.gateway.dialect import CallerRequest
+    from briardyke.gateway.dialect import RequestMetadata
     from briardyke.gateway.tables import UpstreamState
 
 # A shared prompt is worth some waiting: reading it anew takes tens of milliseconds, about what
@@ -33,7 +33,7 @@
 
 def choose_upstream(
     candidates: Sequence[UpstreamState],
-    request: CallerRequest,
+    request: RequestMetadata,
     data_centre: str,
     random: random.Random,
     unseen: float = 0.0,
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -37,7 +37,7 @@
         """Count an event."""
         self.events[event] = self.events.get(event, 0) + 1
 
-    def page(self) -> bytes:
+    def prometheus_text(self) -> bytes:
         """Return all figures in the Prometheus text format."""
         from briardyke import metrics  # 0.3 s of processor time that only a reader should cost
 
--- a/src/briardyke/gateway/demand.py
+++ b/src/briardyke/gateway/demand.py
@@ -8,7 +8,7 @@
 
 HALF_LIFE_MS = 2000.0
 # A request that is neither delayed nor very long lasts about this long.
-USUAL_DURATION_S = 3.0
+TYPICAL_REQUEST_DURATION_S = 3.0
 _FORGOTTEN_BELOW = 0.02
 _RATE_OF_ONE = math.log(2.0) / (HALF_LIFE_MS / 1000.0)
 
@@ -48,7 +48,7 @@
         """
         total = self.rates()
         for name, count in self._active.items():
-            total[name] = total.get(name, 0.0) + count / USUAL_DURATION_S
+            total[name] = total.get(name, 0.0) + count / TYPICAL_REQUEST_DURATION_S
         return total
 
     def rate(self, name: str) -> float:
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -11,7 +11,7 @@
 
 
 @attrs.frozen
-class CallerRequest:
+class RequestMetadata:
     """Hold what a caller's headers say.
 
     :param request_id: id of this attempt of the caller.
@@ -35,7 +35,7 @@
 
 
 @attrs.frozen
-class Load:
+class LoadReport:
     """Describe an upstream's load as it reported it.
 
     :param running: requests that it runs.
@@ -49,7 +49,7 @@
 
 
 @attrs.frozen
-class UpstreamCall:
+class ForwardingMetadata:
     """Hold what the gateway adds to a request.
 
     :param upstream_id: upstream that it is meant for; any other must refuse it.
@@ -65,7 +65,7 @@
 
 
 @attrs.frozen
-class AnswerFacts:
+class ResponseMetadata:
     """Hold what an upstream's headers say.
 
     :param request_id: request that the answer belongs to, or empty when it does not say.
@@ -80,17 +80,17 @@
     is_refusal: bool
     is_signed: bool
     lacks_model: bool = False
-    load: Load | None = None
+    load: LoadReport | None = None
 
 
 class Dialect(Protocol):
     """Translate headers between the protocol and the gateway's types."""
 
-    def read_request(self, request: HttpRequest) -> CallerRequest:
+    def read_request(self, request: HttpRequest) -> RequestMetadata:
         """Return what a caller's headers say."""
 
-    def upstream_headers(self, request: HttpRequest, call: UpstreamCall) -> Headers:
+    def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
         """Return the headers to send to an upstream."""
 
-    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+    def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return what an upstream's headers say."""
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -14,7 +14,7 @@
 from briardyke.gateway.admission import caller_patience_ms
 from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
 from briardyke.gateway.choice import choose_upstream
-from briardyke.gateway.dialect import UpstreamCall
+from briardyke.gateway.dialect import ForwardingMetadata
 from briardyke.gateway.event_stream import EndlessEventError, EventSplitter
 from briardyke.gateway.evidence import learn
 from briardyke.gateway.journey import Journey
@@ -26,7 +26,7 @@
 from briardyke.routes.matching import choose_service
 
 if TYPE_CHECKING:
-    from briardyke.gateway.dialect import CallerRequest
+    from briardyke.gateway.dialect import RequestMetadata
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.tables import UpstreamState
     from briardyke.http.exchange import Answer
@@ -98,7 +98,7 @@
             if not trace.is_finished:
                 trace.finish(state.counters, 0, "caller_gone")
 
-    async def _await_configuration(self, caller: CallerRequest) -> None:
+    async def _await_configuration(self, caller: RequestMetadata) -> None:
         """Wait for the first configuration after a start, for a part of the caller's time.
 
         Load: after a loss of power callers know the addresses already and come back before any
@@ -139,7 +139,7 @@
         upstream_id = upstream.row.upstream_id
         journey.tried.add(upstream_id)
         load = upstream.load()
-        call = UpstreamCall(
+        call = ForwardingMetadata(
             upstream_id,
             max(1.0, journey.remaining_ms - _ANSWER_MARGIN_MS / 2),
             journey.route.priority,
@@ -158,7 +158,7 @@
                 journey.caller.request_id,
                 call,
                 self._patience_ms(journey, load),
-                may_repeat=journey.route.may_repeat,
+                is_retryable=journey.route.is_retryable,
                 nursery=nursery,
             )
         finally:
@@ -176,7 +176,7 @@
         overload and loses the place in the first one's queue.
         """
         remaining_ms = journey.remaining_ms
-        if not journey.route.may_repeat or journey.sent + 1 >= journey.route.max_attempts:
+        if not journey.route.is_retryable or journey.sent + 1 >= journey.route.max_attempts:
             return remaining_ms
         if not any(s.load() < load * _EASIER for s in self._candidates(journey)):
             return remaining_ms  # it would wait elsewhere as long
@@ -186,7 +186,7 @@
 
     def _is_worth_repeating(self, journey: Journey, attempt: Attempt) -> bool:
         assert attempt.head is not None
-        return attempt.head.status >= 500 and journey.route.may_repeat
+        return attempt.head.status >= 500 and journey.route.is_retryable
 
     def _may_try_again(self, journey: Journey, attempt: Attempt) -> bool:
         """Return whether another upstream may be asked after a failed attempt.
@@ -198,7 +198,7 @@
             return False
         if attempt.ending is Ending.NOT_CONNECTED:
             return journey.connect_failures <= _MAX_CONNECT_FAILURES
-        if attempt.may_have_run and not journey.route.may_repeat:
+        if attempt.may_have_run and not journey.route.is_retryable:
             return False
         if journey.sent >= journey.route.max_attempts:
             return False
@@ -260,7 +260,7 @@
     ) -> None:
         assert attempt.head is not None
         status, headers = attempt.head.status, end_to_end(attempt.head.headers)
-        if status in PROMISES and not journey.route.may_repeat:
+        if status in PROMISES and not journey.route.is_retryable:
             # Only the upstream's own word would make it true, and that is an ending of its own.
             reason = f"status {status} without the statement that it was not run"
             await self._fail(answer, journey.trace, Failure(ErrorKind.UPSTREAM_FAILED, reason))
--- a/src/briardyke/gateway/journey.py
+++ b/src/briardyke/gateway/journey.py
@@ -7,7 +7,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import Failure
 from briardyke.gateway.attempt import Attempt
-from briardyke.gateway.dialect import CallerRequest
+from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import HttpRequest
 from briardyke.routes.configuration import Route
@@ -27,7 +27,7 @@
     """
 
     request: HttpRequest
-    caller: CallerRequest
+    caller: RequestMetadata
     route: Route
     service: str
     deadline_ms: float
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -26,7 +26,7 @@
     from briardyke.errors import Failure
     from briardyke.fleet.messages import FleetReply
     from briardyke.gateway.dialect import Dialect
-    from briardyke.gateway.settings import EntryPlace
+    from briardyke.gateway.settings import InstanceSettings
     from briardyke.http.h11_client import ConnectionPool
     from briardyke.routes.configuration import ServingConfiguration
     from briardyke.wire.pool import PeerPool
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        place: EntryPlace,
+        place: InstanceSettings,
         dialect: Dialect,
         decode: Callable[[bytes], Result[ServingConfiguration, Failure]],
         peers: PeerPool,
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -9,7 +9,7 @@
 
 
 @attrs.frozen
-class EntryPlace:
+class InstanceSettings:
     """Describe an entry instance.
 
     :param instance_id: name of the instance.
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -13,7 +13,7 @@
 from briardyke.policy.ejection import HealthGate
 
 if TYPE_CHECKING:
-    from briardyke.gateway.dialect import Load
+    from briardyke.gateway.dialect import LoadReport
 
 # Load that other entry instances caused counts half after this time without a new report.
 REPORT_HALF_LIFE_MS = 1500.0
@@ -158,7 +158,7 @@
         self.others_waiting = float(min(count, pending))
         self.reported_ms = now_ms() - SUM_AGE_MS
 
-    def take_report(self, load: Load) -> None:
+    def take_report(self, load: LoadReport) -> None:
         """Take a load report that came with an answer."""
         self.others = max(0.0, load.running + load.waiting - self.in_flight)
         self.others_waiting = min(self.others, max(0.0, load.waiting - self.pending))
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briardyke.gateway.demand import USUAL_DURATION_S
+from briardyke.gateway.demand import TYPICAL_REQUEST_DURATION_S
 from briardyke.models.balance import Balance
 from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
 
@@ -106,7 +106,7 @@
             for model, rate in view.demand.items()
             if model in view.spec.models and rate >= _LEAST_DEMAND
         }
-        self._easy_load = _EASY_SHARE * view.spec.slots / USUAL_DURATION_S
+        self._easy_load = _EASY_SHARE * view.spec.slots / TYPICAL_REQUEST_DURATION_S
         self._reserve_mb = adapter_reserve_mb(view.spec)
         largest = max((m.weights_mb for m in view.spec.models.values()), default=1.0)
         # A larger model takes longer for each token.
--- a/src/briardyke/platform/configuration.py
+++ b/src/briardyke/platform/configuration.py
@@ -18,7 +18,7 @@
     ServingConfiguration,
     Target,
 )
-from briardyke.routes.validation import invalid_reasons
+from briardyke.routes.validation import configuration_errors
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -35,7 +35,7 @@
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         text = f"cannot read the configuration: {type(error).__name__}: {error}"
         return Err(Failure(ErrorKind.CONFIGURATION_INVALID, text))
-    reasons = invalid_reasons(configuration)
+    reasons = configuration_errors(configuration)
     if reasons:
         failure = Failure(ErrorKind.CONFIGURATION_INVALID, reasons[0], reasons=tuple(reasons))
         return Err(failure)
@@ -74,7 +74,7 @@
         targets=tuple(_targets(row)),
         max_attempts=max(1, int(row.get("max_attempts", 1))),
         is_resumable=bool(row.get("resumable", False)),
-        longest_pause_ms=_number(row.get("gap_target_ms", 0)),
+        event_gap_objective_ms=_number(row.get("gap_target_ms", 0)),
     )
 
 
--- a/src/briardyke/platform/entry_api.py
+++ b/src/briardyke/platform/entry_api.py
@@ -34,7 +34,7 @@
         elif request.path == _RESOLVE:
             await self._resolve(request, answer)
         elif request.path == METRICS_PATH:
-            page = self._entry.state.counters.page()
+            page = self._entry.state.counters.prometheus_text()
             await answer.send_whole(200, [(b"content-type", b"text/plain")], page)
         else:
             await answer.send_whole(404, [])
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -9,7 +9,7 @@
 from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.gateway.directory import capacity_per_s
 from briardyke.gateway.process import EntryProcess
-from briardyke.gateway.settings import EntryPlace
+from briardyke.gateway.settings import InstanceSettings
 from briardyke.gateway.state import RetryBounds
 from briardyke.http.h11_server import H11Server
 from briardyke.platform.configuration import decode_configuration
@@ -28,7 +28,7 @@
 async def _run(settings: PlatformSettings, stop: trio.Event) -> None:
     assert settings.entry_listen is not None
     follower = SettingsFollower(settings)
-    place = EntryPlace(
+    place = InstanceSettings(
         settings.instance_id,
         settings.data_centre,
         settings.entry_listen,
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.gateway.dialect import AnswerFacts, CallerRequest, Load, UpstreamCall
+from briardyke.gateway.dialect import (
+    ForwardingMetadata,
+    LoadReport,
+    RequestMetadata,
+    ResponseMetadata,
+)
 from briardyke.http.exchange import end_to_end, header
 
 if TYPE_CHECKING:
@@ -42,13 +47,13 @@
 class PlatformDialect:
     """Implement the gateway's dialect for the platform."""
 
-    def read_request(self, request: HttpRequest) -> CallerRequest:
+    def read_request(self, request: HttpRequest) -> RequestMetadata:
         """Return what a caller's headers say; unreadable ones count as absent."""
         headers = request.headers
         model, _, adapter = _text(headers, _MODEL).partition("/")
         prompt, _, output = _text(headers, _TOKENS).partition(",")
         parts = [part.partition(":")[0].strip() for part in _text(headers, _PREFIX).split(",")]
-        return CallerRequest(
+        return RequestMetadata(
             request_id=_text(headers, _REQUEST_ID),
             deadline_ms=_number(_text(headers, _DEADLINE)),
             model=model,
@@ -59,7 +64,7 @@
             last_event_id=_text(headers, _LAST_EVENT),
         )
 
-    def upstream_headers(self, request: HttpRequest, call: UpstreamCall) -> Headers:
+    def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
         """Return the caller's headers with what the system sets itself."""
         replaced = {_DEADLINE}
         if call.last_event_id:
@@ -78,9 +83,9 @@
             headers.append((b"content-length", b"%d" % len(request.body)))
         return headers
 
-    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+    def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return what an upstream's headers say."""
-        return AnswerFacts(
+        return ResponseMetadata(
             request_id=_text(headers, _REQUEST_ID),
             is_refusal=header(headers, _REFUSAL) is not None or status == _MISDIRECTED,
             lacks_model=status == _MISDIRECTED,
@@ -101,9 +106,9 @@
     return value if 0 <= value < 1e9 else None
 
 
-def _load(text: str) -> Load | None:
+def _load(text: str) -> LoadReport | None:
     parts = text.split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
-    return Load(running, waiting, slots)
+    return LoadReport(running, waiting, slots)
--- a/src/briardyke/routes/configuration.py
+++ b/src/briardyke/routes/configuration.py
@@ -42,7 +42,7 @@
     :param targets: services that may run the requests.
     :param max_attempts: highest number of upstreams that one request is sent to.
     :param is_resumable: whether a stream may be continued by another upstream.
-    :param longest_pause_ms: longest pause between events that is still on time; 0 for none.
+    :param event_gap_objective_ms: longest pause between events that is still on time; 0 for none.
     """
 
     name: str
@@ -55,10 +55,10 @@
     targets: tuple[Target, ...]
     max_attempts: int = 1
     is_resumable: bool = False
-    longest_pause_ms: float = 0.0
+    event_gap_objective_ms: float = 0.0
 
     @property
-    def may_repeat(self) -> bool:
+    def is_retryable(self) -> bool:
         """Return whether a request that may have run can be sent again."""
         return self.kind is RequestKind.IDEMPOTENT or (
             self.kind is RequestKind.STREAMING and self.is_resumable
--- a/src/briardyke/routes/validation.py
+++ b/src/briardyke/routes/validation.py
@@ -8,7 +8,7 @@
     from briardyke.routes.configuration import Route, ServingConfiguration
 
 
-def invalid_reasons(configuration: ServingConfiguration) -> list[str]:
+def configuration_errors(configuration: ServingConfiguration) -> list[str]:
     """Return one sentence for each fault; an empty list accepts the configuration."""
     reasons = []
     places: dict[tuple[str, str], str] = {}
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -42,7 +42,7 @@
         *("chat", "h", "/chat/", RequestKind.STREAMING, 6000.0, 500.0, 1, (Target("pool", 1),)),
         max_attempts=2,
         is_resumable=True,
-        longest_pause_ms=250.0,
+        event_gap_objective_ms=250.0,
     ),
 )
 Script = Callable[["ScriptedUpstream", trio.SocketStream, bytes], Awaitable[None]]
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -11,11 +11,11 @@
 from briardyke.clock import now_ms
 from briardyke.fleet.records import READY, HeldModel, Upstream
 from briardyke.gateway.choice import choose_upstream
-from briardyke.gateway.dialect import CallerRequest, Load
+from briardyke.gateway.dialect import LoadReport, RequestMetadata
 from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT, UpstreamState
 from briardyke.http.h11_client import ConnectionPool
 
-PLAIN = CallerRequest("r-1", 1000.0)
+PLAIN = RequestMetadata("r-1", 1000.0)
 
 
 def state(name: str, data_centre: str = "dc-1", slots: int = 8) -> UpstreamState:
@@ -24,7 +24,7 @@
     return UpstreamState(row, ConnectionPool(parse_address(address)))
 
 
-def spread(states: list[UpstreamState], count: int, request: CallerRequest = PLAIN) -> Counter:
+def spread(states: list[UpstreamState], count: int, request: RequestMetadata = PLAIN) -> Counter:
     """Return the requests of a burst by upstream; none of them ends meanwhile."""
     source, taken = random.Random(3), Counter[str]()
     for _ in range(count):
@@ -49,7 +49,7 @@
 
     async def test_load_of_other_instances_counts_while_it_is_fresh(self) -> None:
         busy, idle = state("1"), state("2")
-        busy.take_report(Load(6, 2, 8))
+        busy.take_report(LoadReport(6, 2, 8))
         assert spread([busy, idle], 4) == {"2": 4}
 
     async def test_failing_upstream_gets_little(self) -> None:
@@ -69,15 +69,15 @@
         reading, running = state("1", slots=64), state("2", slots=64)
         for row in (reading, running):
             row.running_weight = ENGINE_RUNNING_WEIGHT
-        reading.take_report(Load(4, 6, 64))
-        running.take_report(Load(20, 0, 64))
+        reading.take_report(LoadReport(4, 6, 64))
+        running.take_report(LoadReport(20, 0, 64))
         assert spread([reading, running], 2) == {"2": 2}
 
 
 class TestSharedPrompts:
     """Covers requests that share the beginning of their prompts."""
 
-    SESSION = CallerRequest("r-1", 1000.0, "m", prefix_ids=("a", "b", "c"))
+    SESSION = RequestMetadata("r-1", 1000.0, "m", prefix_ids=("a", "b", "c"))
 
     async def test_session_stays_together_while_its_home_is_hardly_busier(self) -> None:
         assert len(spread([state("1"), state("2"), state("3")], 3, self.SESSION)) == 1
@@ -142,7 +142,7 @@
         known = state("1")
         known.take_others(6, 2)
         assert known.load() == pytest.approx(6.0, abs=1.5)
-        known.take_report(Load(1, 0, 8))
+        known.take_report(LoadReport(1, 0, 8))
         known.take_others(9, 9)
         assert known.load() <= 1.0
 
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -11,7 +11,7 @@
 from briardyke.errors import ErrorKind
 from briardyke.fleet.records import READY, HeldModel, ModelChanges, Upstream
 from briardyke.gateway.admission import Admission, model_arrival_ms
-from briardyke.gateway.dialect import CallerRequest
+from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.journey import Journey
 from briardyke.gateway.state import GatewayState, RetryBounds
 from briardyke.gateway.tables import CONNECT_PROBE_MS, UNREACHABLE_REPORT_MS, UpstreamState
@@ -51,7 +51,7 @@
 def journey(route: Route = ROUTE) -> Journey:
     request = HttpRequest("POST", "/x", [], b"", now_ms())
     deadline_ms = now_ms() + route.timeout_ms
-    caller = CallerRequest("q", route.timeout_ms, "m")
+    caller = RequestMetadata("q", route.timeout_ms, "m")
     return Journey(request, caller, route, "s", deadline_ms, Trace("q", now_ms(), 1))
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -93,7 +93,7 @@
         read = decode_configuration(json.dumps(DOCUMENT).encode()).unwrap()
         first, second = read.routes
         assert (first.kind, first.latency_objective_ms) == (RequestKind.STREAMING, 5000.0)
-        assert (first.longest_pause_ms, first.may_repeat) == (250.0, False)
+        assert (first.event_gap_objective_ms, first.is_retryable) == (250.0, False)
         assert second.targets == (Target("pool", 90.0), Target("app", 10.0))
         engine = read.services["pool"].engine
         assert engine is not None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briardyke.gateway.dialect import Load, UpstreamCall
+from briardyke.gateway.dialect import ForwardingMetadata, LoadReport
 from briardyke.http.exchange import HttpRequest
 from briardyke.platform.headers import PlatformDialect
 
@@ -51,7 +51,7 @@
     """Covers what is passed on to upstreams."""
 
     def test_system_headers_replace_those_of_the_caller(self) -> None:
-        call = UpstreamCall("i-1", 812.7, 2)
+        call = ForwardingMetadata("i-1", 812.7, 2)
         headers = PlatformDialect().upstream_headers(request(), call)
         sent = dict(headers)
         assert len(sent) == len(headers)
@@ -65,7 +65,7 @@
         assert dropped & set(sent) == set()
 
     def test_resumed_stream_goes_on_after_the_last_event_sent(self) -> None:
-        call = UpstreamCall("i-2", 500.0, 1, "31")
+        call = ForwardingMetadata("i-2", 500.0, 1, "31")
         headers = PlatformDialect().upstream_headers(request(), call)
         assert [value for name, value in headers if name == b"last-event-id"] == [b"31"]
 
@@ -75,17 +75,17 @@
 
     def test_refusal_signature_and_load_are_read(self) -> None:
         headers = [(b"not-executed", b"1"), (b"instance-load", b"3,0,8"), (b"request-id", b"9")]
-        facts = PlatformDialect().read_answer(503, headers)
-        assert (facts.is_refusal, facts.is_signed, facts.load) == (True, False, Load(3, 0, 8))
+        facts = PlatformDialect().read_response(503, headers)
+        assert (facts.is_refusal, facts.is_signed, facts.load) == (True, False, LoadReport(3, 0, 8))
         assert facts.request_id == "9"
 
     def test_misdirected_request_has_not_run(self) -> None:
-        assert PlatformDialect().read_answer(421, []).is_refusal
+        assert PlatformDialect().read_response(421, []).is_refusal
 
     def test_plain_503_promises_nothing(self) -> None:
-        assert not PlatformDialect().read_answer(503, []).is_refusal
+        assert not PlatformDialect().read_response(503, []).is_refusal
 
     @pytest.mark.parametrize("value", [b"", b"3,0", b"a,b,c", b"-1,0,8"])
     def test_unreadable_load_counts_as_absent(self, value: bytes) -> None:
-        facts = PlatformDialect().read_answer(200, [(b"instance-load", value)])
+        facts = PlatformDialect().read_response(200, [(b"instance-load", value)])
         assert facts.load is None
