Rename the names of policy that other packages use

The data types move from policy.tables to policy.types, since RoutingTable lives elsewhere, and policy.filling becomes policy.water_filling after the algorithm. LimitLedger becomes RequestLimiter with release, held_shares and take_demand, HealthGate becomes UpstreamHealth with record_failure and record_success, RoutingTable.refresh becomes mark_alive, and ShareAllocator.extend becomes extend_lease.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -15,7 +15,7 @@
 from policy_world import BURST_MS, USERS, WORKLOADS, Served, Workload, World
 
 from briardyke.policy.routing import RoutingTable
-from briardyke.policy.tables import AttemptOutcome, RouteRequest, RoutingPolicy
+from briardyke.policy.types import AttemptOutcome, RouteRequest, RoutingPolicy
 from briardyke.wire.messages import LoadedItem, UpstreamRow
 
 SEEDS = (1, 2, 3, 4, 5, 6, 7)
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -10,7 +10,7 @@
 from briardyke.policy.admission import AdmissionController
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
-from briardyke.policy.tables import AdmissionRequest, AttemptOutcome, RouteRequest, RoutingPolicy
+from briardyke.policy.types import AdmissionRequest, AttemptOutcome, RouteRequest, RoutingPolicy
 
 FIRST_TOKEN_MS = 640.0
 BETWEEN_TOKENS_MS = 64.0
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -39,7 +39,7 @@
 )
 from briardyke.http.client import HttpClient
 from briardyke.http.sse import STREAM_HEADERS
-from briardyke.policy.tables import RouteRequest
+from briardyke.policy.types import RouteRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -10,9 +10,9 @@
 import time
 
 from briardyke.agreed.configuration import Limit
-from briardyke.policy.limits import LimitLedger
+from briardyke.policy.limits import RequestLimiter
 from briardyke.policy.shares import ShareAllocator
-from briardyke.policy.tables import LimitRequest, Permit
+from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.codec import encode
 from briardyke.wire.messages import LimitShare, ShareDemand, SyncReply
 
@@ -34,7 +34,7 @@
     Refusals count only while the requests in progress and the arrival rate are below the limit.
     """
     allocator = ShareAllocator(6000.0, -10_000.0)
-    ledgers = [LimitLedger() for _ in range(INSTANCES)]
+    ledgers = [RequestLimiter() for _ in range(INSTANCES)]
     replies: list[tuple[float, int, float, list[LimitShare]]] = []
     running: list[tuple[float, int, Permit]] = []
     credit = [0.0] * INSTANCES
@@ -44,8 +44,8 @@
         for index, ledger in enumerate(ledgers):
             if now % SYNC_MS == index * SYNC_MS // INSTANCES:
                 name = f"entry-{index}"
-                allocator.report(name, ledger.held(now), ledger.demand(now), now)
-                allocator.extend(name, now)
+                allocator.report(name, ledger.held_shares(now), ledger.take_demand(now), now)
+                allocator.extend_lease(name, now)
                 shares = allocator.allocate({LIMIT: limit}, now, 1)[name]
                 replies.append((now + ROUND_TRIP_MS, index, now + 6000.0, shares))
         while replies and replies[0][0] <= now:
@@ -53,7 +53,7 @@
             ledgers[index].apply({LIMIT: limit}, shares, expires_ms)
         while running and running[0][0] <= now:
             _, index, permit = running.pop(0)
-            ledgers[index].settle(permit, 10, now)
+            ledgers[index].release(permit, 10, now)
         for index, ledger in enumerate(ledgers):
             bursting = index == 0 and now >= BURST_AT_MS
             rate = burst_per_s if bursting else 0.0 if index == 0 else base_per_s
@@ -92,7 +92,7 @@
     started = time.process_time_ns()
     for index, name in enumerate(names[:20]):
         allocator.report(name, held[name], demand(index, 3.0), now)
-        allocator.extend(name, now)
+        allocator.extend_lease(name, now)
     report_us = (time.process_time_ns() - started) / len(names[:20]) / 1000.0
     times = []
     answered = names[: max(1, count // 35)]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,7 +26,7 @@
 from briardyke.placement.tables import PlacementView
 from briardyke.policy.routing import RoutingTable
 from briardyke.policy.shares import ShareAllocator
-from briardyke.policy.tables import RouteRequest, RoutingPolicy
+from briardyke.policy.types import RouteRequest, RoutingPolicy
 from briardyke.sync.digest import UpstreamDigest
 from briardyke.sync.documents import DocumentHistory
 from briardyke.sync.notifier import Notifier
--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -53,7 +53,7 @@
                     status.instance_id, status.held_shares, status.share_demand, now
                 )
             # The answer extends the lease of whatever was granted before.
-            self._allocator.extend(status.instance_id, now)
+            self._allocator.extend_lease(status.instance_id, now)
         return self._allocator.allocate(
             self._projection.configuration.limits,
             now,
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -28,7 +28,7 @@
 from briardyke.http.sse import STREAM_HEADERS
 from briardyke.logs import log_event
 from briardyke.metrics import counter, histogram_ms
-from briardyke.policy.tables import AdmissionRequest, LimitRequest, Permit, RouteRequest
+from briardyke.policy.types import AdmissionRequest, LimitRequest, Permit, RouteRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -145,7 +145,7 @@
             answer = await self._relay.call_service(job)
         finally:
             self._state.in_flight -= 1
-            self._state.ledger.settle(permit, 0, now_ms())
+            self._state.ledger.release(permit, 0, now_ms())
         self._duration.record(now_ms() - started_ms)
         if answer.is_err():
             return self._refuse(answer.unwrap_err(), job.request_id)
@@ -226,7 +226,7 @@
         wanted = AdmissionRequest(caller, weight, route, tokens, deadline_ms)
         admitted = state.admission.admit(wanted, now)
         if admitted.is_err():
-            state.ledger.settle(permit.unwrap(), 0, now)
+            state.ledger.release(permit.unwrap(), 0, now)
             return Err(admitted.unwrap_err())
         return Ok(permit.unwrap())
 
@@ -240,7 +240,7 @@
         """Settle the limits and record how a model request ended."""
         now = now_ms()
         self._state.in_flight -= 1
-        self._state.ledger.settle(permit, tokens, now)
+        self._state.ledger.release(permit, tokens, now)
         self._requests.add(1, {"result": result})
         self._duration.record(now - started_ms)
         if result != "complete":
--- a/src/briardyke/entry/interfaces.py
+++ b/src/briardyke/entry/interfaces.py
@@ -9,7 +9,7 @@
 
     from briardyke.addresses import Address
     from briardyke.errors import Failure
-    from briardyke.policy.tables import AttemptOutcome, RouteRequest
+    from briardyke.policy.types import AttemptOutcome, RouteRequest
     from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
 
--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -18,7 +18,7 @@
 from briardyke.http.sse import EventParser
 from briardyke.ids import new_id
 from briardyke.logs import log_event
-from briardyke.policy.tables import AttemptOutcome
+from briardyke.policy.types import AttemptOutcome
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from briardyke.policy.tables import RouteRequest
+from briardyke.policy.types import RouteRequest
 
 
 @attrs.frozen
--- a/src/briardyke/entry/relay_outcomes.py
+++ b/src/briardyke/entry/relay_outcomes.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briardyke.errors import ErrorKind, Failure, Ran
-from briardyke.policy.tables import AttemptOutcome
+from briardyke.policy.types import AttemptOutcome
 
 _SERVER_ERROR = 500
 
--- a/src/briardyke/entry/relay_selection.py
+++ b/src/briardyke/entry/relay_selection.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from briardyke.entry.interfaces import RelayTable
     from briardyke.entry.relay_jobs import RelayPolicy
-    from briardyke.policy.tables import RouteRequest
+    from briardyke.policy.types import RouteRequest
 
 
 async def select_upstream(
--- a/src/briardyke/entry/relay_services.py
+++ b/src/briardyke/entry/relay_services.py
@@ -18,7 +18,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.ids import new_id
 from briardyke.logs import log_warning
-from briardyke.policy.tables import AttemptOutcome
+from briardyke.policy.types import AttemptOutcome
 from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
 if TYPE_CHECKING:
--- a/src/briardyke/entry/requests.py
+++ b/src/briardyke/entry/requests.py
@@ -13,7 +13,7 @@
 from briardyke.entry.relay_jobs import ModelJob, ServiceJob
 from briardyke.errors import ErrorKind, Failure
 from briardyke.ids import new_id
-from briardyke.policy.tables import RouteRequest
+from briardyke.policy.types import RouteRequest
 from briardyke.prompts import count_tokens, prefix_hashes, prompt_text, token_limit
 
 if TYPE_CHECKING:
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from briardyke.addresses import Address, parse_address
-from briardyke.policy.tables import RoutingPolicy
+from briardyke.policy.types import RoutingPolicy
 from briardyke.settings import parse_addresses, parse_optional_address, parse_words, setting
 from briardyke.sync.settings import (
     cluster_id_setting,
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -14,7 +14,7 @@
 from briardyke.entry.demand import DemandMeter
 from briardyke.logs import log_error, log_event, log_warning
 from briardyke.policy.admission import AdmissionController
-from briardyke.policy.limits import LimitLedger
+from briardyke.policy.limits import RequestLimiter
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
 from briardyke.sync.client import Report
@@ -53,7 +53,7 @@
         self.demand = DemandMeter()
         chosen = random.Random(settings.seed) if settings.seed else random.Random()
         self.table = RoutingTable(settings.routing_policy, settings.data_centre, chosen)
-        self.ledger = LimitLedger()
+        self.ledger = RequestLimiter()
         self.admission = AdmissionController(self.table, chosen)
         self.budget = RetryBudget()
         self._probing: set[str] = set()
@@ -98,8 +98,8 @@
             weight=self.settings.weight,
             lifecycle=self.lifecycle().value,
             report_number=self._next_report_number(),
-            share_demand=self.ledger.demand(now),
-            held_shares=self.ledger.held(now),
+            share_demand=self.ledger.take_demand(now),
+            held_shares=self.ledger.held_shares(now),
         )
         return Report([status], self.demand.rates(now))
 
@@ -138,7 +138,7 @@
         if now - self._refreshed_at_ms >= REFRESH_MS:
             self._refreshed_at_ms = now
             for upstream_id, heard_at_ms in digest.heard_at_ms():
-                self.table.refresh(upstream_id, heard_at_ms)
+                self.table.mark_alive(upstream_id, heard_at_ms)
         for upstream_id in digest.forget_silent(now):
             self.table.remove(upstream_id)
 
--- a/src/briardyke/gateway/choice.py
+++ b/src/briardyke/gateway/choice.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from briardyke.clock import now_ms
-from briardyke.policy.filling import filled_level
+from briardyke.policy.water_filling import water_filling_level
 
 if TYPE_CHECKING:
     import random
@@ -69,7 +69,7 @@
         width *= state.gate.weight(now) ** 2
         costs.append((state.load() + 1.0 + remote) / width)
         widths.append(width)
-    level = filled_level(zip(costs, widths, strict=True), max(_LEAST_UNSEEN, unseen))
+    level = water_filling_level(zip(costs, widths, strict=True), max(_LEAST_UNSEEN, unseen))
     parts = [max(0.0, level - c) * w for c, w in zip(costs, widths, strict=True)]
     if not any(parts):  # rounding has swallowed a very small amount
         parts = [float(cost == min(costs)) for cost in costs]
--- a/src/briardyke/gateway/evidence.py
+++ b/src/briardyke/gateway/evidence.py
@@ -28,7 +28,7 @@
     if attempt.ending is Ending.NOT_CONNECTED:
         journey.connect_failures += 1
         upstream.connect_failed()
-        upstream.gate.failed(now_ms())
+        upstream.gate.record_failure(now_ms())
         return
     upstream.connect_failures = 0
     journey.sent += 1
@@ -40,7 +40,7 @@
     if attempt.ending is Ending.ANSWERED:
         _learn_pace(upstream, attempt, took_ms, load)
     else:
-        upstream.gate.failed(now_ms())
+        upstream.gate.record_failure(now_ms())
 
 
 def _learn_pace(upstream: UpstreamState, attempt: Attempt, took_ms: float, load: float) -> None:
@@ -51,7 +51,7 @@
     elif is_sound:
         upstream.observe_pace(took_ms, _ANSWER_WEIGHT)
     if is_sound:
-        upstream.gate.succeeded(now_ms())
+        upstream.gate.record_success(now_ms())
 
 
 def _correct_belief(journey: Journey, upstream: UpstreamState) -> None:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -312,7 +312,7 @@
                 upstream.pool.give_back(connection)
                 is_kept = True
             if not is_whole:
-                upstream.gate.failed(now_ms())
+                upstream.gate.record_failure(now_ms())
                 journey.trace.step(upstream.row.upstream_id, "stream_broken", upstream.load())
             return is_whole
         finally:
--- a/src/briardyke/gateway/tables.py
+++ b/src/briardyke/gateway/tables.py
@@ -10,7 +10,7 @@
 from briardyke.clock import now_ms
 from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
 from briardyke.http.h11_client import ConnectionPool, RestLimit
-from briardyke.policy.ejection import HealthGate
+from briardyke.policy.ejection import UpstreamHealth
 
 if TYPE_CHECKING:
     from briardyke.gateway.dialect import Load
@@ -74,7 +74,7 @@
 
     row: Upstream
     pool: ConnectionPool
-    gate: HealthGate = attrs.field(factory=HealthGate)
+    gate: UpstreamHealth = attrs.field(factory=UpstreamHealth)
     in_flight: int = 0
     pending: int = 0
     others: float = 0.0
--- a/src/briardyke/models/balance.py
+++ b/src/briardyke/models/balance.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.policy.filling import filled_level
+from briardyke.policy.water_filling import water_filling_level
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -74,7 +74,7 @@
     def _cost_change(self, share: dict[str, float], others: dict[str, float]) -> float:
         """Return by how much the cost falls when a model is poured over other loads."""
         total = sum(share.values())
-        level = filled_level(((load, 1.0) for load in others.values()), total)
+        level = water_filling_level(((load, 1.0) for load in others.values()), total)
         before = sum(self.loads[engine_id] ** 2 for engine_id in share.keys() | others.keys())
         return before - sum(max(level, load) ** 2 for load in others.values())
 
@@ -82,7 +82,7 @@
         """Spread one model's requests so that its holders are loaded as evenly as others allow."""
         others = self._others(share)
         total = sum(share.values())
-        level = filled_level(((load, 1.0) for load in others.values()), total)
+        level = water_filling_level(((load, 1.0) for load in others.values()), total)
         for engine_id, base in others.items():
             share[engine_id] = max(0.0, level - base)
             self.loads[engine_id] = base + share[engine_id]
--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -16,7 +16,7 @@
     import random
 
     from briardyke.policy.routing import RoutingTable
-    from briardyke.policy.tables import AdmissionRequest
+    from briardyke.policy.types import AdmissionRequest
 
 # Parts of the time to the deadline (or of the target between tokens) that a forecast may use. A
 # caller above its fair part is refused first, which leaves room for the callers below theirs.
--- a/src/briardyke/policy/ejection.py
+++ b/src/briardyke/policy/ejection.py
@@ -17,7 +17,7 @@
 LARGEST_EJECTED_SHARE = 0.5
 
 
-class HealthGate:
+class UpstreamHealth:
     """Hold the part of its traffic that an upstream receives, from 1/32 to 1."""
 
     def __init__(self) -> None:
@@ -33,7 +33,7 @@
         doublings = max(0.0, now_ms - self._changed_ms) / self._doubling_ms
         return float(min(1.0, self._weight * 2.0 ** min(doublings, 6.0)))
 
-    def failed(self, now_ms: float) -> None:
+    def record_failure(self, now_ms: float) -> None:
         """Halve the weight, at most once in 50 ms."""
         current = self.weight(now_ms)
         if current < 1.0 and now_ms - self._changed_ms < STEP_MS:
@@ -43,7 +43,7 @@
         self._weight = max(MINIMUM_WEIGHT, current / 2.0)
         self._changed_ms = now_ms
 
-    def succeeded(self, now_ms: float) -> None:
+    def record_success(self, now_ms: float) -> None:
         """Raise the weight by half after a successful attempt."""
         if self._weight >= 1.0:
             return
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -10,7 +10,7 @@
 from briardyke.agreed.configuration import ANY, Limit
 from briardyke.errors import ErrorKind, Failure
 from briardyke.policy.buckets import IN_USE_VERSION, NO_SHARE_RETRY_MS, DecayingRate, TokenBucket
-from briardyke.policy.tables import LimitRequest, Permit
+from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.messages import LimitShare, ShareDemand
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
     touched_ms: float = 0.0
 
 
-class LimitLedger:
+class RequestLimiter:
     """Hold leased shares of the limits and what is in use of them; one per entry process."""
 
     def __init__(self) -> None:
@@ -125,7 +125,7 @@
         self._permits[permit.permit_id] = permit
         return Ok(permit)
 
-    def settle(self, permit: Permit, used_tokens: int, now_ms: float) -> None:
+    def release(self, permit: Permit, used_tokens: int, now_ms: float) -> None:
         """End a permit and replace the estimated tokens by the true number; once per permit.
 
         :param permit: permit of the request.
@@ -145,7 +145,7 @@
                 use.tokens.wait_ms(now_ms)
                 use.tokens.charge(used_tokens - permit.request.estimated_tokens)
 
-    def demand(self, now_ms: float) -> list[ShareDemand]:
+    def take_demand(self, now_ms: float) -> list[ShareDemand]:
         """Return what was wanted of each limit since the last call, for the next sync."""
         report = []
         for (limit_id, caller), use in list(self._uses.items()):
@@ -167,7 +167,7 @@
             use.refused = 0
         return report
 
-    def held(self, now_ms: float) -> list[LimitShare]:
+    def held_shares(self, now_ms: float) -> list[LimitShare]:
         """Return what this instance holds, for the next sync.
 
         Concurrency in use above the share, after the share shrank or its lease ended, is reported
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -13,13 +13,13 @@
 from briardyke.policy.prefixes import PrefixMap
 from briardyke.policy.selection import REMOTE_MS, SPREAD, admit_by_health, cost, pick_by_cost
 from briardyke.policy.speed import nominal_between_tokens_ms
-from briardyke.policy.tables import AttemptOutcome, RoutingPolicy
+from briardyke.policy.types import AttemptOutcome, RoutingPolicy
 from briardyke.policy.upstreams import Attempt, Forecast, Upstream
 
 if TYPE_CHECKING:
     import random
 
-    from briardyke.policy.tables import RouteRequest
+    from briardyke.policy.types import RouteRequest
     from briardyke.wire.messages import UpstreamRow
 
 UPSTREAM_SILENCE_MS = 3000.0
@@ -102,7 +102,7 @@
         else:
             self._directory.withdraw(row.upstream_id)
 
-    def refresh(self, upstream_id: str, alive_ms: float) -> None:
+    def mark_alive(self, upstream_id: str, alive_ms: float) -> None:
         """Take evidence that an upstream is alive, without new load figures.
 
         :param upstream_id: the upstream; an unknown one is ignored.
@@ -208,10 +208,10 @@
             gap_ms = max(0.1, now_ms - attempt.first_token_ms) / (tokens - 1)
             upstream.between_tokens.observe(gap_ms / attempt.nominal_gap_ms, now_ms)
         if outcome is AttemptOutcome.COMPLETED:
-            upstream.gate.succeeded(now_ms)
+            upstream.gate.record_success(now_ms)
             self._mean_tokens += MEAN_TOKENS_GAIN * (tokens - self._mean_tokens)
         elif outcome is not AttemptOutcome.CANCELLED:
-            upstream.gate.failed(now_ms)
+            upstream.gate.record_failure(now_ms)
 
     def address(self, upstream_id: str) -> Address:
         """Return where an upstream listens.
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -89,7 +89,7 @@
             that an answer gives counts from before this time. A status is reported once; a copy
             that a relay repeats says nothing about what the instance holds now.
         """
-        self.extend(instance_id, heard_at_ms)
+        self.extend_lease(instance_id, heard_at_ms)
         instance = self._instances.get(instance_id)
         if instance is None:
             instance = self._instances[instance_id] = _Instance(heard_at_ms)
@@ -104,7 +104,7 @@
         self._report_demand(instance_id, instance, demand)
         self._report_held(instance_id, instance, before, used_before)
 
-    def extend(self, instance_id: str, heard_at_ms: float) -> None:
+    def extend_lease(self, instance_id: str, heard_at_ms: float) -> None:
         """Note that an answer may extend an instance's lease without a new report from it.
 
         A relay repeats the last report of each instance in every sync of its own, and may extend
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from briardyke.policy.ejection import HealthGate
+from briardyke.policy.ejection import UpstreamHealth
 from briardyke.policy.speed import (
     LearnedFactor,
     nominal_between_tokens_ms,
     nominal_first_token_ms,
 )
-from briardyke.policy.tables import RouteRequest
+from briardyke.policy.types import RouteRequest
 
 if TYPE_CHECKING:
     from briardyke.wire.messages import UpstreamRow
@@ -74,7 +74,7 @@
         self.row = row
         self.as_of_ms = float("-inf")  # of the load figures
         self.alive_ms = float("-inf")  # of the evidence that it is alive
-        self.gate = HealthGate()
+        self.gate = UpstreamHealth()
         self.first_token = LearnedFactor()
         self.between_tokens = LearnedFactor()
         self.own_in_flight = 0
--- a/src/briardyke/policy/filling.py
+++ b/src/briardyke/policy/water_filling.py
@@ -1,4 +1,4 @@
-"""Pour an amount over vessels of different heights, as water would spread."""
+"""Pour an amount over bins of different heights, as water would spread."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
     from collections.abc import Iterable
 
 
-def filled_level(vessels: Iterable[tuple[float, float]], amount: float) -> float:
+def water_filling_level(bins: Iterable[tuple[float, float]], amount: float) -> float:
     """Return the height that an amount reaches.
 
-    :param vessels: present height and width of each vessel; at least one.
-    :param amount: what is poured; a vessel of width 2 takes 2 for each unit of height.
+    :param bins: present height and width of each bin; at least one.
+    :param amount: what is poured; a bin of width 2 takes 2 for each unit of height.
     """
-    ascending = sorted(vessels)
+    ascending = sorted(bins)
     width = content = 0.0
     for position, (height, own_width) in enumerate(ascending, start=1):
         width += own_width
@@ -22,4 +22,4 @@
         level = (content + amount) / width
         if position == len(ascending) or level <= ascending[position][0]:
             return level
-    raise ValueError("no vessel to pour into")
+    raise ValueError("no bin to pour into")
--- a/tests/entry/relay_support.py
+++ b/tests/entry/relay_support.py
@@ -16,7 +16,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import HttpClient
 from briardyke.http.sse import EventParser, ServerSentEvent
-from briardyke.policy.tables import AttemptOutcome, RouteRequest
+from briardyke.policy.types import AttemptOutcome, RouteRequest
 from briardyke.settings import load_settings
 from briardyke.standins.engine.server import run_engine
 from briardyke.standins.engine.settings import EngineSettings
--- a/tests/entry/test_relay_streams.py
+++ b/tests/entry/test_relay_streams.py
@@ -9,7 +9,7 @@
 
 from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Failure
-from briardyke.policy.tables import AttemptOutcome
+from briardyke.policy.types import AttemptOutcome
 
 TWO = {"e1": {}, "e2": {}}
 
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -55,7 +55,7 @@
     async def test_failing_upstream_gets_little(self) -> None:
         sound, failing = state("1"), state("2")
         for step in range(4):
-            failing.gate.failed(now_ms() + step * 100.0)
+            failing.gate.record_failure(now_ms() + step * 100.0)
         assert spread([sound, failing], 8)["1"] >= 7
 
     async def test_near_upstream_is_preferred_while_idle(self) -> None:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -6,10 +6,10 @@
 
 from briardyke.errors import ErrorKind
 from briardyke.policy.admission import AdmissionController
-from briardyke.policy.ejection import LARGEST_EJECTED_SHARE, MINIMUM_WEIGHT, HealthGate
+from briardyke.policy.ejection import LARGEST_EJECTED_SHARE, MINIMUM_WEIGHT, UpstreamHealth
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
-from briardyke.policy.tables import AdmissionRequest, RouteRequest, RoutingPolicy
+from briardyke.policy.types import AdmissionRequest, RouteRequest, RoutingPolicy
 from briardyke.policy.upstreams import Forecast
 from briardyke.wire.messages import LoadedItem, UpstreamRow
 
@@ -90,20 +90,20 @@
     """Guards against sudden ejection and against ejection without return."""
 
     def test_traffic_falls_and_returns_by_steps(self) -> None:
-        gate = HealthGate()
-        gate.failed(0.0)
-        gate.failed(10.0)
+        gate = UpstreamHealth()
+        gate.record_failure(0.0)
+        gate.record_failure(10.0)
         assert gate.weight(10.0) >= 0.5
         for now in range(100, 2000, 100):
-            gate.failed(float(now))
+            gate.record_failure(float(now))
         assert MINIMUM_WEIGHT <= gate.weight(1900.0) < 0.1
         assert gate.weight(60_000.0) == 1.0
 
     def test_flapping_lengthens_the_return(self) -> None:
-        first, flapping = HealthGate(), HealthGate()
+        first, flapping = UpstreamHealth(), UpstreamHealth()
         for now in (0.0, 5000.0, 10_000.0, 15_000.0):
-            flapping.failed(now)
-        first.failed(15_000.0)
+            flapping.record_failure(now)
+        first.record_failure(15_000.0)
         assert flapping.weight(16_000.0) < first.weight(16_000.0)
 
     def test_the_largest_ejected_share_is_stated(self) -> None:
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -8,8 +8,8 @@
 
 from briardyke.agreed.configuration import Limit
 from briardyke.errors import ErrorKind
-from briardyke.policy.limits import LimitLedger
-from briardyke.policy.tables import LimitRequest, Permit
+from briardyke.policy.limits import RequestLimiter
+from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.messages import LimitShare
 
 LIMITS = {"l": Limit("*", "*", "*", 20.0, 8, 2000.0)}
@@ -22,7 +22,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.ledger = LimitLedger()
+        self.ledger = RequestLimiter()
         self.share = LimitShare("l", "*", 1, 0.0, 0, 0.0)
         self.expires_ms = float("-inf")
         self.open: list[Permit] = []
@@ -63,8 +63,8 @@
             permit = self.open.pop()
             used = int(permit.request.estimated_tokens * part)
             self.used[1] += used - permit.request.estimated_tokens
-            self.ledger.settle(permit, used, self.now)
-            self.ledger.settle(permit, used, self.now)
+            self.ledger.release(permit, used, self.now)
+            self.ledger.release(permit, used, self.now)
 
     @invariant()
     def within_share_and_burst(self) -> None:
@@ -83,8 +83,8 @@
 TestLedgerMachine = LedgerMachine.TestCase
 
 
-def ledger_with(limits: dict[str, Limit], *shares: LimitShare) -> LimitLedger:
-    ledger = LimitLedger()
+def ledger_with(limits: dict[str, Limit], *shares: LimitShare) -> RequestLimiter:
+    ledger = RequestLimiter()
     ledger.apply(limits, shares, 6000.0)
     return ledger
 
@@ -142,13 +142,13 @@
         ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 0.0, 0, 0.0))
         for _ in range(20):
             ledger.admit(self.request, 0.0)
-        (demand,) = ledger.demand(0.0)
+        (demand,) = ledger.take_demand(0.0)
         assert demand.requests_per_second == 10.0 and demand.caller == "x"
 
     def test_a_higher_share_gives_no_credit_for_the_time_before(self) -> None:
         """Guards against a burst when a share moves from one instance to another."""
         ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 1.0, 8, 2000.0))
-        ledger.settle(ledger.admit(self.request, 0.0).unwrap(), 0, 0.0)
+        ledger.release(ledger.admit(self.request, 0.0).unwrap(), 0, 0.0)
         ledger.apply(LIMITS, [LimitShare("l", "*", 1, 20.0, 8, 2000.0)], 9000.0)
         assert ledger.admit(self.request, 1000.0).is_ok()
         assert ledger.admit(self.request, 1000.0).is_err()
@@ -161,7 +161,7 @@
             result = ledger.admit(LimitRequest("x", "m", "a", 0), now_ms)
             if result.is_ok():
                 admitted += 1
-                ledger.settle(result.unwrap(), 0, now_ms)
+                ledger.release(result.unwrap(), 0, now_ms)
         assert admitted == 6
 
     def test_estimated_tokens_count_until_settled_on_the_true_number(self) -> None:
@@ -169,14 +169,14 @@
         ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 20.0, 8, 100.0))
         permit = ledger.admit(LimitRequest("x", "m", "a", 500), 0.0).unwrap()
         assert ledger.admit(self.request, 2000.0).unwrap_err().retry_after_ms == 3000
-        ledger.settle(permit, 100, 2000.0)
+        ledger.release(permit, 100, 2000.0)
         assert ledger.admit(self.request, 2000.0).is_ok()
 
     def test_a_permit_is_settled_once(self) -> None:
         """Guards against concurrency growing because an end is reported twice."""
         ledger = ledger_with({"l": Limit(concurrent_requests=1)}, LimitShare("l", "*", 1, 9, 1, 9))
         permit = ledger.admit(self.request, 0.0).unwrap()
-        ledger.settle(permit, 0, 0.0)
-        ledger.settle(permit, 0, 0.0)
+        ledger.release(permit, 0, 0.0)
+        ledger.release(permit, 0, 0.0)
         assert ledger.admit(self.request, 0.0).is_ok()
         assert ledger.admit(self.request, 0.0).is_err()
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -9,7 +9,7 @@
 
 from briardyke.errors import ErrorKind
 from briardyke.policy.routing import RoutingTable
-from briardyke.policy.tables import AttemptOutcome, RouteRequest, RoutingPolicy
+from briardyke.policy.types import AttemptOutcome, RouteRequest, RoutingPolicy
 from briardyke.wire.messages import CacheEvent, LoadedItem, UpstreamRow
 
 REQUEST = RouteRequest("m", prompt_tokens=400)
@@ -239,14 +239,14 @@
         table = table_of(row("e1"))
         table.tick(3100.0)
         assert table.choose(REQUEST, 3100.0).is_err()
-        table.refresh("e1", 2900.0)
+        table.mark_alive("e1", 2900.0)
         assert table.choose(REQUEST, 3200.0).unwrap() == "e1"
         assert table.choose(REQUEST, 5900.0).is_err()
 
     def test_leaving_upstream_does_not_return(self) -> None:
         table = table_of(row("e1", lifecycle="leaving"))
-        table.refresh("e1", 1000.0)
-        table.refresh("unknown", 1000.0)
+        table.mark_alive("e1", 1000.0)
+        table.mark_alive("unknown", 1000.0)
         assert table.choose(REQUEST, 1001.0).is_err()
 
     def test_own_dispatches_stay_counted_without_a_new_report(self) -> None:
@@ -254,5 +254,5 @@
         for number in range(20):
             table.begin(f"a{number}", "e1", REQUEST, 100.0)
         before = table.forecast(REQUEST, 200.0)
-        table.refresh("e1", 200.0)
+        table.mark_alive("e1", 200.0)
         assert table.forecast(REQUEST, 200.0) == before
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -12,10 +12,10 @@
 from briardyke.agreed.configuration import Limit
 from briardyke.policy.beliefs import Belief
 from briardyke.policy.fairness import max_min, whole_numbers
-from briardyke.policy.limits import LimitLedger
+from briardyke.policy.limits import RequestLimiter
 from briardyke.policy.pairs import Pair
 from briardyke.policy.shares import ShareAllocator
-from briardyke.policy.tables import LimitRequest, Permit
+from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.messages import LimitShare, ShareDemand
 
 LEASE_MS = 6000.0
@@ -46,7 +46,7 @@
     """Stands for an entry process: a ledger, its lease, and replies under way."""
 
     def __init__(self) -> None:
-        self.ledger = LimitLedger()
+        self.ledger = RequestLimiter()
         self.expires_ms = float("-inf")
         # A relay can pass on a status before the reply to the previous one has arrived.
         self.pending: deque[tuple[float, list[LimitShare], dict[str, Limit]]] = deque()
@@ -94,7 +94,7 @@
             if load
         ]
         self.last_number += 1
-        held = entry.ledger.held(self.now)
+        held = entry.ledger.held_shares(self.now)
         entry.last_report = Report(self.last_number, self.now, held, demand)
         self.answer(name, entry.last_report)
 
@@ -109,7 +109,7 @@
         if report.number > self.reported.get(name, 0):
             self.reported[name] = report.number
             self.allocator.report(name, report.held, report.demand, self.now)
-        self.allocator.extend(name, self.now)
+        self.allocator.extend_lease(name, self.now)
         shares = self.allocator.allocate(self.limits, self.now, 1, [name])[name]
         self.entries[name].pending.append((self.now, shares, self.limits))
 
@@ -181,7 +181,7 @@
         for entry in self.entries.values():
             if entry.open:
                 permit, _ = entry.open.pop(0)
-                entry.ledger.settle(permit, 5, self.now)
+                entry.ledger.release(permit, 5, self.now)
 
     @invariant()
     def shares_stay_within_the_limit(self) -> None:
@@ -296,10 +296,10 @@
 
     def test_an_expired_share_is_not_confirmed_by_a_new_leader(self) -> None:
         """Guards against a returning instance reviving a share that others have had since."""
-        ledger = LimitLedger()
+        ledger = RequestLimiter()
         ledger.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
         allocator = ShareAllocator(LEASE_MS, 7000.0)
-        allocator.report("a", ledger.held(8000.0), [], 8000.0)
+        allocator.report("a", ledger.held_shares(8000.0), [], 8000.0)
         assert allocator.allocate(self.limits, 8000.0)["a"][0].requests_per_second == 0.0
 
     def test_a_new_leader_only_confirms_for_one_lease(self) -> None:
@@ -337,7 +337,7 @@
         """Guards against reassigning a share whose lease a relay has lengthened."""
         leader = Leader()
         held = leader.sync(self.limits, {"a": 50.0}, 0.0)["a"].requests_per_second
-        leader.allocator.extend("a", 5000.0)
+        leader.allocator.extend_lease("a", 5000.0)
         for now_ms in (7000.0, 7100.0):
             share = leader.sync(self.limits, {"b": 50.0}, now_ms)["b"].requests_per_second
             assert held > 11.0 and share <= 12.0 - held + 1e-9
@@ -391,8 +391,8 @@
         allocator.allocate(self.limits, 10.0)
         allocator.report("a", [LimitShare("l", "*", 1, 12.0, 12, None)], [], 20.0)
         for now_ms in (30.0, 3000.0, 5900.0):
-            allocator.extend("a", now_ms)
-            allocator.extend("b", now_ms)
+            allocator.extend_lease("a", now_ms)
+            allocator.extend_lease("b", now_ms)
         shares = allocator.allocate(self.limits, 6100.0)["b"]
         assert [s.requests_per_second for s in shares if s.caller == "x"] == [0.0]
 
@@ -416,7 +416,7 @@
         """Guards against granting concurrency that is still in use elsewhere."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
-        ledger = LimitLedger()
+        ledger = RequestLimiter()
         ledger.apply(self.limits, leader.held["a"], 6000.0)
         shares = leader.held["a"]
         granted = next(s for s in shares if s.caller == "x").concurrent_requests
@@ -426,7 +426,7 @@
         for step in range(1, 4):
             shrunk = leader.sync(self.limits, {"a": 0.0, "b": 50.0}, step * 100.0)
             ledger.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
-            leader.held["a"] = ledger.held(step * 100.0)
+            leader.held["a"] = ledger.held_shares(step * 100.0)
             assert shrunk["b"].concurrent_requests <= 12 - granted
         leader.held["a"] = [s for s in leader.held["a"] if s.version >= 0]
         assert leader.sync(self.limits, {"a": 0.0, "b": 50.0}, 400.0)["b"].concurrent_requests == 11
--- a/tests/policy/test_filling.py
+++ b/tests/policy/test_water_filling.py
@@ -6,16 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardyke.policy.filling import filled_level
+from briardyke.policy.water_filling import water_filling_level
 
 VESSELS = st.lists(st.tuples(st.floats(0.0, 50.0), st.floats(0.1, 20.0)), min_size=1, max_size=12)
 
 
 class TestFilledLevel:
-    """Covers vessels of any height and width."""
+    """Covers bins of any height and width."""
 
     @pytest.mark.parametrize(
-        ("vessels", "amount", "level"),
+        ("bins", "amount", "level"),
         [
             ([(0.0, 1.0)], 3.0, 3.0),
             ([(0.0, 1.0), (2.0, 1.0)], 1.0, 1.0),
@@ -23,15 +23,13 @@
             ([(0.0, 4.0), (2.0, 1.0)], 8.0, 2.0),
         ],
     )
-    def test_examples(
-        self, vessels: list[tuple[float, float]], amount: float, level: float
-    ) -> None:
-        assert filled_level(vessels, amount) == pytest.approx(level)
+    def test_examples(self, bins: list[tuple[float, float]], amount: float, level: float) -> None:
+        assert water_filling_level(bins, amount) == pytest.approx(level)
 
     @given(VESSELS, st.floats(0.1, 100.0))
     def test_the_whole_amount_fits_below_the_level(
-        self, vessels: list[tuple[float, float]], amount: float
+        self, bins: list[tuple[float, float]], amount: float
     ) -> None:
-        level = filled_level(vessels, amount)
-        held = sum(max(0.0, level - height) * width for height, width in vessels)
+        level = water_filling_level(bins, amount)
+        held = sum(max(0.0, level - height) * width for height, width in bins)
         assert held == pytest.approx(amount, rel=1e-6, abs=1e-6)
