Name the functions of claim shards after what they return

shard_of is now shard_for_key, since it takes the hash of a key, and shard_name is shard_group_id, since its result is the id of the shard's log group.

--- a/src/briardyke/claims/shards.py
+++ b/src/briardyke/claims/shards.py
@@ -15,7 +15,7 @@
     return xxhash.xxh3_64_intdigest(f"{len(caller)}:{caller}{key}".encode())
 
 
-def shard_of(key_hash: int, shards: int) -> int:
+def shard_for_key(key_hash: int, shards: int) -> int:
     """Return the index of the claim group that holds a key.
 
     :param key_hash: hash of caller and key.
@@ -24,6 +24,6 @@
     return key_hash % shards
 
 
-def shard_name(index: int) -> str:
+def shard_group_id(index: int) -> str:
     """Return the name of the log group with that index."""
     return f"claims-{index}"
--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -11,7 +11,7 @@
 from briardyke.agreed.audit import AuditLog
 from briardyke.agreed.machine import ControlMachine
 from briardyke.claims.machine import ClaimMachine
-from briardyke.claims.shards import shard_name
+from briardyke.claims.shards import shard_group_id
 from briardyke.consensus.driver import ReplicatedLog, StateMachine
 from briardyke.control.proposer import GroupProposer
 
@@ -49,7 +49,7 @@
     audit = AuditLog(settings.data_dir)
     machines: dict[str, StateMachine] = {CONTROL_GROUP: ControlMachine(audit.append)}
     for index in range(settings.claim_shards):
-        machines[shard_name(index)] = ClaimMachine()
+        machines[shard_group_id(index)] = ClaimMachine()
     groups: dict[str, Group] = {}
     for group_id, machine in machines.items():
         opened = identity.open_group(group_id)
--- a/src/briardyke/control/handlers.py
+++ b/src/briardyke/control/handlers.py
@@ -9,7 +9,7 @@
 import attrs
 
 from briardyke.claims.machine import ApplyClaimEnd, ApplyClaimRequest
-from briardyke.claims.shards import shard_name, shard_of
+from briardyke.claims.shards import shard_for_key, shard_group_id
 from briardyke.clock import wall_unix_ms
 from briardyke.consensus.messages import GroupMessage
 from briardyke.control.groups import Group
@@ -80,8 +80,8 @@
 
 
 async def _apply_claim(command: bytes, key_hash: int, context: HandlerContext) -> Any:
-    shard = shard_of(key_hash, context.claim_shards)
-    proposer = context.groups[shard_name(shard)].proposer
+    shard = shard_for_key(key_hash, context.claim_shards)
+    proposer = context.groups[shard_group_id(shard)].proposer
     applied = await proposer.propose(command, _CLAIM_TIMEOUT_MS)
     if applied.is_err():
         return refusal(applied.unwrap_err())
--- a/tests/claims/test_claim_machine.py
+++ b/tests/claims/test_claim_machine.py
@@ -15,7 +15,7 @@
     ClaimLimits,
     ClaimMachine,
 )
-from briardyke.claims.shards import claim_key_hash, shard_name, shard_of
+from briardyke.claims.shards import claim_key_hash, shard_for_key, shard_group_id
 from briardyke.wire.codec import decode, encode
 from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
@@ -122,9 +122,9 @@
     def test_keys_spread_over_the_shards(self) -> None:
         counts = [0] * 4
         for n in range(1000):
-            counts[shard_of(claim_key_hash("shop", f"key-{n}"), 4)] += 1
+            counts[shard_for_key(claim_key_hash("shop", f"key-{n}"), 4)] += 1
         assert min(counts) > 200
-        assert shard_name(3) == "claims-3"
+        assert shard_group_id(3) == "claims-3"
 
 
 STORED = 15485870246713815943
