Rename the fleet and sync interfaces by what they do

HeldModel, EntrySide, Place, Report, offer, newest, depart, tell_changes, placement_news, ask_for_adapter, observe_from_below and for_next_hop had figurative or vague names. Each is renamed at every use; nothing else changes.

--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -25,7 +25,7 @@
 from briardyke.metrics import PAGE_CONTENT_TYPE, prometheus_page
 from briardyke.placement.executor import PlacementRunner
 from briardyke.placement.tables import PlacementView
-from briardyke.sync.client import Report, SyncClient
+from briardyke.sync.client import SyncClient, SyncReport
 from briardyke.sync.responder import Responder
 from briardyke.sync.view import SyncedView
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
@@ -132,10 +132,10 @@
             return ()
         return (status.leader_address,)
 
-    def _report(self) -> Report:
+    def _report(self) -> SyncReport:
         now = now_ms()
-        statuses = self.responder.instances.for_next_hop(now)
-        return Report(statuses, self.responder.demand.total(now))
+        statuses = self.responder.instances.statuses_to_forward(now)
+        return SyncReport(statuses, self.responder.demand.total(now))
 
     async def _run_systems(self) -> None:
         while True:
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -17,7 +17,7 @@
 from briardyke.policy.limits import LimitLedger
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
-from briardyke.sync.client import Report
+from briardyke.sync.client import SyncReport
 from briardyke.sync.instances import INSTANCE_SILENCE_MS, Lifecycle
 from briardyke.sync.view import SyncedView
 from briardyke.wire.messages import InstanceStatus
@@ -88,7 +88,7 @@
         age_ms = self.view.lease.age_ms(now_ms())
         return age_ms is None or age_ms > INSTANCE_SILENCE_MS
 
-    def report(self) -> Report:
+    def report(self) -> SyncReport:
         """Build the report of one sync."""
         now = now_ms()
         status = InstanceStatus(
@@ -101,7 +101,7 @@
             share_demand=self.ledger.demand(now),
             held_shares=self.ledger.held(now),
         )
-        return Report([status], self.demand.rates(now))
+        return SyncReport([status], self.demand.rates(now))
 
     def _next_report_number(self) -> int:
         # Starting from the wall clock makes the numbers rise over restarts as well.
--- a/src/briardyke/entry/upstream_api.py
+++ b/src/briardyke/entry/upstream_api.py
@@ -30,7 +30,7 @@
             return error_response(parsed.unwrap_err())
         view = self._state.view
         before = view.digest.lifecycle_sequence
-        view.digest.observe_from_below(parsed.unwrap(), now_ms())
+        view.digest.observe_for_forwarding(parsed.unwrap(), now_ms())
         if view.digest.lifecycle_sequence != before:
             view.changed.notify()
         if self._state.isolated() or self._state.draining:
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -53,7 +53,7 @@
 
 
 @attrs.frozen
-class EntrySide:
+class EntryCallbacks:
     """Connect the client to the entry instance that it keeps up to date.
 
     :param data_centre: where the instance runs.
@@ -76,7 +76,7 @@
     """Ask control instances in turn for news; a configuration never goes back."""
 
     def __init__(
-        self, peers: PeerPool, seeds: Callable[[], tuple[Address, ...]], side: EntrySide
+        self, peers: PeerPool, seeds: Callable[[], tuple[Address, ...]], side: EntryCallbacks
     ) -> None:
         """Prepare; :meth:`run` starts it.
 
@@ -237,7 +237,7 @@
         elif self._side.adopt(version, document.unwrap()):
             self.view.version = version
 
-    async def ask_for_adapter(self, request: AdapterRequest) -> AdapterReply:
+    async def request_adapter(self, request: AdapterRequest) -> AdapterReply:
         """Ask the leader to load an adapter.
 
         :return: a reply without upstream when the leader cannot be reached.
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -97,7 +97,7 @@
 
     # Operator
 
-    async def offer(self, version: int, document: bytes) -> Result[int, Failure]:
+    async def propose_configuration(self, version: int, document: bytes) -> Result[int, Failure]:
         """Commit a checked document unless its number is overtaken.
 
         :return: the number in force; ``not_leader`` with the leader's peer address as field.
@@ -112,7 +112,7 @@
             return Err(failure)
         return Ok(msgpack.unpackb(applied.unwrap().result))
 
-    async def newest(self) -> Result[bytes, Failure]:
+    async def read_configuration(self) -> Result[bytes, Failure]:
         """Return the newest document, proved to be the newest at the time of the call."""
         if self.log.status().role is not Role.LEADER:
             return Err(self._not_leader())
@@ -161,7 +161,7 @@
         self.rows.announce(row)
         return True
 
-    def depart(self, upstream_id: str) -> bool:
+    def record_departure(self, upstream_id: str) -> bool:
         """Take note that an upstream leaves; return whether it can be acknowledged."""
         if not self.is_current and not self.is_starting:
             return False
--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -29,7 +29,7 @@
 
 
 @attrs.frozen
-class Place:
+class MemberSettings:
     """Describe where a member runs and whom it asks.
 
     :param data_dir: folder for durable files.
@@ -45,7 +45,7 @@
 
 
 def open_member(
-    place: Place, peers: PeerPool
+    place: MemberSettings, peers: PeerPool
 ) -> Result[tuple[ReplicatedLog, ConfigurationMachine], Failure]:
     """Open the member's storage and prepare its log.
 
@@ -77,7 +77,7 @@
     return Ok((log, machine))
 
 
-def _open_identity(place: Place) -> Result[Identity, Failure]:
+def _open_identity(place: MemberSettings) -> Result[Identity, Failure]:
     instance_id = str(place.own)
     directory = place.data_dir
     is_empty = not directory.exists() or not any(directory.iterdir())
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -13,7 +13,7 @@
 
 
 @attrs.frozen
-class HeldModel:
+class LoadedModel:
     """Describe a model in an upstream's memory.
 
     :param name: name of the model.
@@ -49,7 +49,7 @@
     data_centre: str = ""
     lifecycle: str = GONE
     slots: int = 1
-    models: list[HeldModel] = attrs.field(factory=list)
+    models: list[LoadedModel] = attrs.field(factory=list)
     at_hand: list[str] = attrs.field(factory=list)
     leaves_in_ms: float = 0.0
 
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -47,7 +47,7 @@
         self.tables = Tables()
         self.activity = ActivityBoard(str(own))
         self.changed = Notifier()
-        self.placement_news = Notifier()
+        self.placement_inputs_changed = Notifier()
         self.is_complete = False
         self._peers = peers
         self._others = others
@@ -69,7 +69,7 @@
         """Take the report of an entry instance; return whether callers would notice a change."""
         self._fresh_entries.add(entry.instance_id)
         if self.activity.report(entry):
-            self.placement_news.notify()
+            self.placement_inputs_changed.notify()
             self._send(RowsUpdate([], [], [], [], activity=self.activity.own_sum()))
         row = entry.without_activity()
         if not self.tables.entries.merge(row):
@@ -78,7 +78,7 @@
         self._send(RowsUpdate([], [], [row], [0.0]))
         return True
 
-    def tell_changes(self, row: ModelChanges) -> None:
+    def publish_model_changes(self, row: ModelChanges) -> None:
         """Pass on which models of an upstream come and go."""
         if self.tables.changes.merge(row):
             self.changed.notify()
@@ -102,7 +102,7 @@
         if is_changed:
             self.changed.notify()
         if update.activity is not None and self.activity.take(update.activity):
-            self.placement_news.notify()
+            self.placement_inputs_changed.notify()
 
     def all_rows(self) -> RowsUpdate:
         """Return all rows, for an instance that starts."""
@@ -190,5 +190,5 @@
                 age_ms=round(age_ms),
             )
         self.changed.notify()
-        self.placement_news.notify()
+        self.placement_inputs_changed.notify()
         return True
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -7,7 +7,7 @@
 import trio
 
 from briardyke.clock import now_ms, wall_unix_ms
-from briardyke.fleet.client import EntrySide, FleetClient
+from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.forward import Forwarder
@@ -64,7 +64,7 @@
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
-        side = EntrySide(
+        side = EntryCallbacks(
             place.data_centre,
             self._report,
             lambda: self.state.is_busy,
@@ -74,7 +74,7 @@
         )
         self.client = FleetClient(peers, seeds, side)
         self.state = GatewayState(
-            dialect, place.data_centre, place.retries, self.client.ask_for_adapter
+            dialect, place.data_centre, place.retries, self.client.request_adapter
         )
         self.state.wanted.report_now = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -90,7 +90,7 @@
             while True:
                 rest_ms = max(LEAST_TICK_MS, _REST_FACTOR * self._decision_ms)
                 await trio.sleep(rest_ms / 1000.0)
-                await self._control.rows.placement_news.wait(max(0.0, TICK_MS - rest_ms))
+                await self._control.rows.placement_inputs_changed.wait(max(0.0, TICK_MS - rest_ms))
                 if not self._may_order():
                     continue
                 configuration = self._configuration()
@@ -324,7 +324,7 @@
             sorted(ledger.leaving),
             ledger.arriving_ms(),
         )
-        self._control.rows.tell_changes(row)
+        self._control.rows.publish_model_changes(row)
 
     # Adapters
 
--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
-from briardyke.fleet.records import DRAINING, READY, HeldModel, Upstream, is_usable
+from briardyke.fleet.records import DRAINING, READY, LoadedModel, Upstream, is_usable
 
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
@@ -50,8 +50,10 @@
     )
 
 
-def _held(row: dict[str, Any]) -> HeldModel:
-    return HeldModel(_text(row["name"]), [_name(adapter) for adapter in row.get("adapters") or ()])
+def _held(row: dict[str, Any]) -> LoadedModel:
+    return LoadedModel(
+        _text(row["name"]), [_name(adapter) for adapter in row.get("adapters") or ()]
+    )
 
 
 def _name(value: Any) -> str:
--- a/src/briardyke/platform/control_api.py
+++ b/src/briardyke/platform/control_api.py
@@ -47,7 +47,7 @@
 
     async def _registration(self, upstream_id: str, request: HttpRequest, answer: Answer) -> None:
         if request.method == "DELETE":
-            taken = self._control.depart(upstream_id)
+            taken = self._control.record_departure(upstream_id)
             log_event("departure_received", upstream=upstream_id, acknowledged=taken)
             await answer.send_whole(200 if taken else _TRY_ANOTHER, _JSON, b"{}" if taken else b"")
             return
@@ -71,7 +71,7 @@
             await answer.send_whole(400, _JSON, body)
             return
         version = decoded.unwrap().version
-        offered = await self._control.offer(version, request.body)
+        offered = await self._control.propose_configuration(version, request.body)
         if offered.is_err():
             await self._fail(offered.unwrap_err(), request, answer)
             return
@@ -79,7 +79,7 @@
         await answer.send_whole(200, _JSON, b"{}")
 
     async def _get(self, request: HttpRequest, answer: Answer) -> None:
-        newest = await self._control.newest()
+        newest = await self._control.read_configuration()
         if newest.is_err():
             await self._fail(newest.unwrap_err(), request, answer)
             return
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -9,7 +9,7 @@
 from briardyke.exit_codes import ExitCode
 from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.fleet.control import ControlInstance
-from briardyke.fleet.member import Place, open_member
+from briardyke.fleet.member import MemberSettings, open_member
 from briardyke.http.h11_server import H11Server
 from briardyke.logs import log_error, log_event
 from briardyke.models.runner import ModelsRunner
@@ -53,7 +53,9 @@
     hello = Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id)
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, hello)
-        place = Place(settings.data_dir, own, follower.peer_seeds(), settings.is_first_start)
+        place = MemberSettings(
+            settings.data_dir, own, follower.peer_seeds(), settings.is_first_start
+        )
         opened = open_member(place, peers)
         if opened.is_err():
             log_error("data_folder_unusable", reason=opened.unwrap_err().message)
--- a/src/briardyke/sync/client.py
+++ b/src/briardyke/sync/client.py
@@ -24,7 +24,7 @@
 
 
 @attrs.frozen
-class Report:
+class SyncReport:
     """Hold what a process reports upwards in one sync, besides announcements.
 
     :param statuses: statuses of entry instances.
@@ -44,7 +44,7 @@
         peers: PeerPool,
         addresses: Callable[[], Sequence[Address]],
         view: SyncedView,
-        report: Callable[[], Report],
+        report: Callable[[], SyncReport],
         data_centres: Sequence[str] = (),
         *,
         wait_ms: float,
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -86,7 +86,7 @@
         self._store(row, held.heard_at_ms, lifecycle_changed=lifecycle_changed)
         return True
 
-    def observe_from_below(self, row: UpstreamRow, now_ms: float) -> None:
+    def observe_for_forwarding(self, row: UpstreamRow, now_ms: float) -> None:
         """Take in an announcement that has to be passed on towards the leader."""
         self.observe(row, now_ms)
         self._entries[row.upstream_id].from_below_at_ms = now_ms
--- a/src/briardyke/sync/instances.py
+++ b/src/briardyke/sync/instances.py
@@ -62,7 +62,7 @@
         entries = sorted(self._entries.items())
         return [_public(entry.status) for _, entry in entries if entry.listed]
 
-    def for_next_hop(self, now_ms: float) -> list[InstanceStatus]:
+    def statuses_to_forward(self, now_ms: float) -> list[InstanceStatus]:
         """Return statuses that were heard recently, with ages and limit reports.
 
         The leader keeps the shares of an instance that it is told about. One that has been silent
--- a/src/briardyke/sync/responder.py
+++ b/src/briardyke/sync/responder.py
@@ -94,7 +94,7 @@
         for row in request.announcements:
             known.add(row.upstream_id)
             aged = attrs.evolve(row, age_ms=row.age_ms + under_way_ms)
-            self._digest.observe_from_below(aged, now)
+            self._digest.observe_for_forwarding(aged, now)
         known.difference_update(request.departed)
         fresh = known.difference(request.stale_ages_ms)
         heard_at_ms = now - under_way_ms - request.fresh_age_ms
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -134,7 +134,7 @@
         self, autojump_clock: trio.testing.MockClock, network: Network
     ) -> None:
         started = network.add(0)
-        assert started.depart("e")
+        assert started.record_departure("e")
         started.announce(ROW)
         held = started.tables.upstreams.get("e")
         assert held is not None and held.lifecycle == GONE
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -11,7 +11,7 @@
 
 from briardyke.addresses import Address
 from briardyke.fleet.messages import AdapterReply
-from briardyke.fleet.records import READY, HeldModel, Upstream
+from briardyke.fleet.records import READY, LoadedModel, Upstream
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.state import GatewayState, RetryBounds
 from briardyke.http.h11_server import H11Server
@@ -148,7 +148,7 @@
         upstream = ScriptedUpstream(script)
         await self._nursery.start(upstream.serve)
         name = f"u{len(self.rows)}"
-        held = [HeldModel("m")] if service == "pool" else []
+        held = [LoadedModel("m")] if service == "pool" else []
         self.rows[name] = Upstream(name, 1, 1, service, str(upstream.address), "dc", READY, 8, held)
         self.state.upstreams.adopt(self.rows, {})
         return upstream
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -9,7 +9,7 @@
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
-from briardyke.fleet.records import READY, HeldModel, Upstream
+from briardyke.fleet.records import READY, LoadedModel, Upstream
 from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import CallerRequest, Load
 from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT, UpstreamState
@@ -20,7 +20,7 @@
 
 def state(name: str, data_centre: str = "dc-1", slots: int = 8) -> UpstreamState:
     address = f"10.0.0.{int(name)}:80"
-    row = Upstream(name, 1, 1, "s", address, data_centre, READY, slots, [HeldModel("m")])
+    row = Upstream(name, 1, 1, "s", address, data_centre, READY, slots, [LoadedModel("m")])
     return UpstreamState(row, ConnectionPool(parse_address(address)))
 
 
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -9,7 +9,7 @@
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind
-from briardyke.fleet.records import READY, HeldModel, ModelChanges, Upstream
+from briardyke.fleet.records import READY, LoadedModel, ModelChanges, Upstream
 from briardyke.gateway.admission import Admission, model_arrival_ms
 from briardyke.gateway.dialect import CallerRequest
 from briardyke.gateway.journey import Journey
@@ -29,7 +29,7 @@
 )
 from briardyke.routes.matching import RouteTable
 
-ROW = Upstream("e", 1, 7, "s", "10.0.0.1:80", "dc", READY, 8, [HeldModel("held")])
+ROW = Upstream("e", 1, 7, "s", "10.0.0.1:80", "dc", READY, 8, [LoadedModel("held")])
 MODEL = ModelSpec("m", 40.0, 6.0, 1.2, 0.6, 0, 0.0)
 ENGINE = EngineSpec(8, 100.0, 8, 1.0, 1000, {"m": MODEL})
 ROUTE = Route("r", "h", "/", RequestKind.STREAMING, 15000.0, 500.0, 1, (Target("s", 1),), 2, True)
@@ -125,7 +125,7 @@
     async def test_only_a_model_that_is_nowhere_is_waited_for(
         self, holds: bool, is_tried: bool, waits: bool
     ) -> None:
-        models = [HeldModel("m")] if holds else []
+        models = [LoadedModel("m")] if holds else []
         state = state_with({"e": attrs.evolve(ROW, models=models, at_hand=["m"])}, {})
         request = journey(attrs.evolve(ROUTE, latency_objective_ms=1000.0))
         if is_tried:
@@ -172,7 +172,7 @@
     async def test_request_for_its_model_is_sent_away_until_another_engine_can_load_it(
         self,
     ) -> None:
-        holder = attrs.evolve(ROW, models=[HeldModel("m")])
+        holder = attrs.evolve(ROW, models=[LoadedModel("m")])
         other = attrs.evolve(ROW, upstream_id="f", address="10.0.0.2:80")
         state = state_with({"e": holder, "f": other}, {})
         assert Admission().refusal(journey(), state) is None
@@ -185,7 +185,7 @@
     """Covers upstreams that do not hold what they announced, such as one that has restarted."""
 
     async def test_upstream_is_not_asked_again_before_its_next_announcement(self) -> None:
-        state = upstream(models=[HeldModel("m", ["a"])])
+        state = upstream(models=[LoadedModel("m", ["a"])])
         assert state.holds("m") and state.announces_adapter("m", "a")
         state.missed("m")
         state.adapter_missed("m", "a")
@@ -198,7 +198,7 @@
     """Covers requests that reach an instance in the last part of its stop."""
 
     async def test_stream_is_sent_away_at_once(self) -> None:
-        state = state_with({"e": attrs.evolve(ROW, models=[HeldModel("m")])}, {})
+        state = state_with({"e": attrs.evolve(ROW, models=[LoadedModel("m")])}, {})
         assert Admission().refusal(journey(), state) is None
         state.is_stopping = True
         refused = Admission().refusal(journey(), state)
@@ -221,14 +221,14 @@
         return found
 
     async def test_stream_that_may_be_resumed_waits_for_another_replica(self) -> None:
-        state = state_with({"e": attrs.evolve(ROW, models=[HeldModel("m")])}, {})
+        state = state_with({"e": attrs.evolve(ROW, models=[LoadedModel("m")])}, {})
         stream = self.broken(ROUTE)
         stream.progress_ms = now_ms()
         stream.request = attrs.evolve(stream.request, received_ms=now_ms() - 5000.0)
         assert Admission().wait_ms(stream, state) > 500.0
 
     async def test_it_waits_no_longer_than_its_caller(self) -> None:
-        state = state_with({"e": attrs.evolve(ROW, models=[HeldModel("m")])}, {})
+        state = state_with({"e": attrs.evolve(ROW, models=[LoadedModel("m")])}, {})
         stream = self.broken(ROUTE)
         stream.progress_ms = now_ms() - 1500.0
         assert Admission().wait_ms(stream, state) <= 0.0
--- a/tests/models/test_ledger.py
+++ b/tests/models/test_ledger.py
@@ -7,10 +7,10 @@
 import trio
 
 from briardyke.clock import now_ms
-from briardyke.fleet.records import READY, HeldModel, Upstream
+from briardyke.fleet.records import READY, LoadedModel, Upstream
 from briardyke.models.ledger import UNKNOWN_MODEL, EngineLedger, EngineReport
 
-ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [HeldModel("a")])
+ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [LoadedModel("a")])
 
 
 class TestReport:
@@ -22,7 +22,7 @@
         assert ledger.models == {"a", "b"}
 
     async def test_announced_model_counts_although_the_report_lags(self) -> None:
-        row = attrs.evolve(ROW, models=[HeldModel("a"), HeldModel("b")])
+        row = attrs.evolve(ROW, models=[LoadedModel("a"), LoadedModel("b")])
         ledger = EngineLedger(row, 3)
         ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=False))
         assert ledger.models == {"a", "b"}
@@ -49,7 +49,7 @@
     async def test_unloaded_model_frees_its_memory_once_it_is_gone(self) -> None:
         ledger = EngineLedger(ROW, 3, {"a", "b"}, pending=("b", False), leaving={"b"})
         ledger.adapters = {("b", "a1"): 0.0, ("a", "a1"): 0.0}
-        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
+        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[LoadedModel("a"), LoadedModel("b")]))
         assert ledger.models == {"a", "b"}
         ledger.adopt_row(attrs.evolve(ROW, sequence=3))
         assert (ledger.models, ledger.pending) == ({"a"}, None)
@@ -63,7 +63,7 @@
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         ledger = EngineLedger(ROW, 3, {"a", "b"}, pending=("b", True))
-        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
+        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[LoadedModel("a"), LoadedModel("b")]))
         assert ledger.pending is None
         ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
         assert ledger.pending is None
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -9,7 +9,7 @@
 import trio
 
 from briardyke.fleet.messages import AdapterReply, AdapterRequest
-from briardyke.fleet.records import READY, HeldModel, Upstream
+from briardyke.fleet.records import READY, LoadedModel, Upstream
 from briardyke.models.ledger import EngineLedger, EngineReport
 from briardyke.models.orders import Order, OrderOutcome
 from briardyke.models.runner import ModelsRunner
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [HeldModel("m")])
+ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [LoadedModel("m")])
 SPEC = EngineSpec(8, 100.0, 2, 1.0, 1000, {"m": ModelSpec("m", 40.0, 1, 1, 1, 9, 1.0)})
 CONFIGURATION = ServingConfiguration(1, (), {"s": ServiceSpec("s", 10, SPEC)})
 
--- a/tests/sync/test_responder.py
+++ b/tests/sync/test_responder.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briardyke.clock import now_ms
-from briardyke.sync.client import Report, SyncClient
+from briardyke.sync.client import SyncClient, SyncReport
 from briardyke.sync.digest import UPSTREAM_SILENCE_MS, UpstreamDigest
 from briardyke.sync.documents import DocumentHistory
 from briardyke.sync.notifier import Notifier
@@ -49,7 +49,7 @@
             None,  # type: ignore[arg-type]
             tuple,
             self.view,
-            lambda: Report([], {}),
+            lambda: SyncReport([], {}),
             wait_ms=250.0,
             with_load=with_load,
         )
@@ -75,10 +75,10 @@
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link(with_load=False)
-        link.view.digest.observe_from_below(_ROW, now_ms())
+        link.view.digest.observe_for_forwarding(_ROW, now_ms())
         for number in range(20):
             loaded = attrs.evolve(_ROW, sequence=number + 2, in_flight=number)
-            link.view.digest.observe_from_below(loaded, now_ms())
+            link.view.digest.observe_for_forwarding(loaded, now_ms())
             request = link.request()
             assert len(request.announcements) == (1 if number == 0 else 0)
             link.view.apply(await link.responder.respond(request), now_ms(), now_ms())
@@ -89,7 +89,7 @@
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link()
-        link.view.digest.observe_from_below(_ROW, now_ms())
+        link.view.digest.observe_for_forwarding(_ROW, now_ms())
         for _ in range(13):
             await link.sync()
             mock_clock.jump(0.25)
@@ -100,7 +100,7 @@
     ) -> None:
         link = _Link()
         await link.sync()
-        link.view.digest.observe_from_below(_ROW, now_ms())
+        link.view.digest.observe_for_forwarding(_ROW, now_ms())
         late = link.request()
         mock_clock.jump(UPSTREAM_SILENCE_MS / 1000.0)
         await link.responder.respond(late)
@@ -111,7 +111,7 @@
     ) -> None:
         link = _Link()
         await link.sync()
-        link.view.digest.observe_from_below(_ROW, now_ms())
+        link.view.digest.observe_for_forwarding(_ROW, now_ms())
         overtaken = link.request()
         mock_clock.jump(3.5)  # the upstream has fallen silent meanwhile
         link.client._reported_ids = None
@@ -126,5 +126,5 @@
         link = _Link(with_load=False)
         link.digest.observe(_ROW, now_ms())
         await link.sync()
-        link.view.digest.observe_from_below(attrs.evolve(_ROW, sequence=2), now_ms())
+        link.view.digest.observe_for_forwarding(attrs.evolve(_ROW, sequence=2), now_ms())
         assert [r.upstream_id for r in link.request().announcements] == ["u1"]
