Name the placement types and the engine client after what they are

models.ledger becomes models.engine_state (EngineLedger: EngineState), the two tables modules become types, ModelsRunner becomes ModelPlacementRunner, and the Engines protocol becomes EngineClient with send_order and fetch_report. Order.holder and EngineReport.incoming are instance_id and loading_adapters: holder also named the engines that hold a model. Names on the wire stay.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -19,7 +19,7 @@
 from briardyke.placement.coordinator import Coordinator, reservation_of
 from briardyke.placement.orders import OrderState
 from briardyke.placement.plan import plan
-from briardyke.placement.tables import ENGINE_TOKENS_PER_SECOND, PlacementView, StepKind
+from briardyke.placement.types import ENGINE_TOKENS_PER_SECOND, PlacementView, StepKind
 from briardyke.wire.messages import LoadedItem, ModelDemand, UpstreamRow
 
 if TYPE_CHECKING:
--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -7,7 +7,7 @@
 
 from briardyke.placement.draft import Draft
 from briardyke.placement.plan import plan
-from briardyke.placement.tables import PlacementView, Step
+from briardyke.placement.types import PlacementView, Step
 
 Policy = Callable[[PlacementView, float], list[Step]]
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,7 @@
 from briardyke.claims.machine import ApplyClaimEnd, ApplyClaimRequest, ClaimMachine
 from briardyke.clock import now_ms
 from briardyke.placement.plan import plan
-from briardyke.placement.tables import PlacementView
+from briardyke.placement.types import PlacementView
 from briardyke.policy.routing import RoutingTable
 from briardyke.policy.shares import ShareAllocator
 from briardyke.policy.tables import RouteRequest, RoutingPolicy
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -24,7 +24,7 @@
 from briardyke.logs import log_event
 from briardyke.metrics import PAGE_CONTENT_TYPE, prometheus_page
 from briardyke.placement.executor import PlacementRunner
-from briardyke.placement.tables import PlacementView
+from briardyke.placement.types import PlacementView
 from briardyke.sync.client import Report, SyncClient
 from briardyke.sync.responder import Responder
 from briardyke.sync.view import SyncedView
--- a/src/briardyke/models/adapters.py
+++ b/src/briardyke/models/adapters.py
@@ -9,7 +9,7 @@
 from briardyke.clock import now_ms
 from briardyke.logs import log_limited
 from briardyke.models.decide import committed_mb
-from briardyke.models.ledger import REPORT_LAG_MS, EngineLedger
+from briardyke.models.engine_state import REPORT_LAG_MS, EngineState
 from briardyke.models.orders import OrderOutcome
 
 if TYPE_CHECKING:
@@ -27,12 +27,12 @@
     """Bring adapters into engines, in place of those that are not asked for."""
 
     def __init__(
-        self, order: Callable[[EngineLedger, bool, str, str], Awaitable[OrderOutcome]]
+        self, order: Callable[[EngineState, bool, str, str], Awaitable[OrderOutcome]]
     ) -> None:
         """Order through ``order``, which takes the engine, whether to load, model and adapter."""
         self._order = order
 
-    async def ensure(self, ledger: EngineLedger, spec: EngineSpec, key: tuple[str, str]) -> str:
+    async def ensure(self, ledger: EngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
         """Return an empty text once the engine holds the adapter, else the reason.
 
         :param key: names of the model and the adapter.
@@ -60,7 +60,7 @@
             if failure:
                 return failure
 
-    async def _unload(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
+    async def _unload(self, ledger: EngineState, key: tuple[str, str]) -> str:
         """Return an empty text once the adapter's place is free, else the reason."""
         ledger.leaving_adapters.add(key)
         outcome = await self._order(ledger, False, *key)
@@ -75,7 +75,7 @@
             ledger.leaving_adapters.discard(key)
         return f"unload {outcome.value}"
 
-    async def _load(self, ledger: EngineLedger, key: tuple[str, str]) -> str:
+    async def _load(self, ledger: EngineState, key: tuple[str, str]) -> str:
         event = ledger.ready[key] = trio.Event()
         ledger.adapters[key] = now_ms()
         ledger.doubted_adapters.discard(key)
@@ -100,5 +100,5 @@
             del ledger.ready[key]
 
 
-def _fits(ledger: EngineLedger, spec: EngineSpec) -> bool:
+def _fits(ledger: EngineState, spec: EngineSpec) -> bool:
     return committed_mb(spec, ledger.models) <= spec.weights_mb
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -8,7 +8,7 @@
 
 from briardyke.gateway.demand import USUAL_DURATION_S
 from briardyke.models.balance import Balance
-from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
+from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/briardyke/models/ledger.py
+++ b/src/briardyke/models/engine_state.py
@@ -30,17 +30,17 @@
     :param sequence: orders that it has accepted since its start.
     :param models: adapters by model in its memory.
     :param is_busy: whether it carries out an order for a model.
-    :param incoming: adapters on their way to it, as model and adapter.
+    :param loading_adapters: adapters on their way to it, as model and adapter.
     """
 
     sequence: int
     models: dict[str, list[str]]
     is_busy: bool
-    incoming: list[tuple[str, str]] = attrs.field(factory=list)
+    loading_adapters: list[tuple[str, str]] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
-class EngineLedger:
+class EngineState:
     """Hold the leader's knowledge of one start of an engine.
 
     :param row: its latest announcement.
@@ -89,7 +89,7 @@
         # know of a model that the report, which lags, does not name.
         self.models = set(report.models) | {held.name for held in self.row.models}
         held = {(m, a) for m, names in report.models.items() for a in names}
-        held |= set(report.incoming)
+        held |= set(report.loading_adapters)
         self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
         self.leaving_adapters &= held
         self.doubted_adapters &= held
--- a/src/briardyke/models/orders.py
+++ b/src/briardyke/models/orders.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable
 
     from briardyke.fleet.records import Upstream
-    from briardyke.models.ledger import EngineReport
+    from briardyke.models.engine_state import EngineReport
 
 
 class OrderOutcome(Enum):
@@ -34,7 +34,7 @@
     :param adapter: name of one of its adapters, or empty for the model itself.
     :param expected_sequence: orders that the engine has accepted before; with any other number it
         refuses, so that an order that arrives late changes nothing.
-    :param holder: name of the instance that orders.
+    :param instance_id: name of the instance that orders.
     :param fencing_token: token of its term; a lower one than the engine has seen is refused.
     """
 
@@ -42,14 +42,14 @@
     model: str
     adapter: str
     expected_sequence: int
-    holder: str
+    instance_id: str
     fencing_token: int
 
 
-class Engines(Protocol):
+class EngineClient(Protocol):
     """Reach engines."""
 
-    async def order(
+    async def send_order(
         self, row: Upstream, order: Order, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         """Send an order; ``UNKNOWN`` when it may be carried out now or later.
@@ -58,5 +58,5 @@
             out while a connection is opened; ``REFUSED`` when it has.
         """
 
-    async def report(self, row: Upstream) -> EngineReport | None:
+    async def fetch_report(self, row: Upstream) -> EngineReport | None:
         """Return an engine's report, or ``None`` when it does not answer."""
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -12,17 +12,17 @@
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.adapters import AdapterLoader
 from briardyke.models.decide import decide
+from briardyke.models.engine_state import REPORT_LAG_MS, UNKNOWN_MODEL, EngineState
 from briardyke.models.lasting import LastingDemand
-from briardyke.models.ledger import REPORT_LAG_MS, UNKNOWN_MODEL, EngineLedger
 from briardyke.models.orders import Order, OrderOutcome
 from briardyke.models.store import StoreWindow
-from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
+from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from briardyke.fleet.control import ControlInstance
-    from briardyke.models.orders import Engines
+    from briardyke.models.orders import EngineClient
     from briardyke.routes.configuration import EngineSpec, ServingConfiguration
 
 TICK_MS = 400.0
@@ -43,13 +43,13 @@
 _UNKNOWN_CHECK_MS = 1500.0
 
 
-class ModelsRunner:
+class ModelPlacementRunner:
     """Carry out placement for all services that run models."""
 
     def __init__(
         self,
         control: ControlInstance,
-        engines: Engines,
+        engines: EngineClient,
         configuration: Callable[[], ServingConfiguration | None],
         holder: str,
         order_lease_ms: float,
@@ -71,7 +71,7 @@
         self._order_lease_ms = order_lease_ms
         self._store_window_s = store_window_s
         self._store = StoreWindow(store_window_s)
-        self._ledgers: dict[str, EngineLedger] = {}
+        self._ledgers: dict[str, EngineState] = {}
         self._term = 0
         self._term_since_ms = 0.0
         self._fenced_term = 0
@@ -166,11 +166,11 @@
         for upstream_id, row in rows.items():
             ledger = self._ledgers.get(upstream_id)
             if ledger is None or ledger.row.incarnation != row.incarnation:
-                self._ledgers[upstream_id] = EngineLedger(row)
+                self._ledgers[upstream_id] = EngineState(row)
             else:
                 ledger.adopt_row(row)
 
-    def _needs_report(self, ledger: EngineLedger) -> bool:
+    def _needs_report(self, ledger: EngineState) -> bool:
         if ledger.sequence is None:
             return now_ms() - ledger.doubt_since_ms >= REPORT_LAG_MS
         if ledger.review_ms and now_ms() >= ledger.review_ms:
@@ -181,9 +181,9 @@
         check_ms = _UNKNOWN_CHECK_MS if is_unknown else _PENDING_CHECK_MS
         return now_ms() - ledger.pending_since_ms >= check_ms
 
-    async def _refresh(self, ledger: EngineLedger) -> None:
+    async def _refresh(self, ledger: EngineState) -> None:
         async with ledger.lock:
-            report = await self._engines.report(ledger.row)
+            report = await self._engines.fetch_report(ledger.row)
             if report is None:
                 ledger.doubt_since_ms = now_ms()
                 return
@@ -202,7 +202,7 @@
                 ledger.leaving.clear()
                 self._publish(ledger)
 
-    def _view(self, upstream_id: str, ledger: EngineLedger) -> EngineView:
+    def _view(self, upstream_id: str, ledger: EngineState) -> EngineView:
         held = dict.fromkeys(ledger.models, 0)
         for model, _ in ledger.busy_adapters():
             held[model] = held.get(model, 0) + 1
@@ -246,7 +246,7 @@
         self._publish(ledger)
         nursery.start_soon(self._carry_out, ledger, change)
 
-    async def _carry_out(self, ledger: EngineLedger, change: Change) -> None:
+    async def _carry_out(self, ledger: EngineState, change: Change) -> None:
         is_load = change.kind is ChangeKind.LOAD
         if not is_load:
             await trio.sleep(WITHHOLD_MS / 1000.0)
@@ -273,14 +273,14 @@
         return term == self._term and self._control.leading_term() == term
 
     async def _order(
-        self, ledger: EngineLedger, is_load: bool, model: str, adapter: str
+        self, ledger: EngineState, is_load: bool, model: str, adapter: str
     ) -> OrderOutcome:
         async with ledger.lock:
             term = self._term
             if ledger.sequence is None or not self._leads(term):
                 return OrderOutcome.REFUSED
             order = Order(is_load, model, adapter, ledger.sequence, self._holder, term)
-            outcome = await self._engines.order(ledger.row, order, lambda: self._leads(term))
+            outcome = await self._engines.send_order(ledger.row, order, lambda: self._leads(term))
             if outcome is not OrderOutcome.ACCEPTED:
                 log_limited(
                     "order_not_accepted",
@@ -315,7 +315,7 @@
         """
         return outcome is OrderOutcome.ACCEPTED or not order.is_load
 
-    def _publish(self, ledger: EngineLedger) -> None:
+    def _publish(self, ledger: EngineState) -> None:
         self._change_sequence += 1
         row = ModelChanges(
             ledger.row.upstream_id,
--- a/src/briardyke/placement/coordinator.py
+++ b/src/briardyke/placement/coordinator.py
@@ -11,12 +11,12 @@
 from briardyke.errors import ErrorKind
 from briardyke.placement.orders import Order, OrderState, OrderTable, Outcome
 from briardyke.placement.store_rate import StoreRate
-from briardyke.placement.tables import PlacementView, StepKind
+from briardyke.placement.types import PlacementView, StepKind
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from briardyke.placement.tables import Step
+    from briardyke.placement.types import Step
 
 # An engine that refuses an item for lack of memory is asked again after this time.
 REFUSAL_PAUSE_MS = 5_000.0
--- a/src/briardyke/placement/draft.py
+++ b/src/briardyke/placement/draft.py
@@ -6,10 +6,10 @@
 
 from briardyke.placement.candidates import Candidates
 from briardyke.placement.reservations import Engine, live_engines
-from briardyke.placement.tables import Step, StepKind
+from briardyke.placement.types import Step, StepKind
 
 if TYPE_CHECKING:
-    from briardyke.placement.tables import PlacementView
+    from briardyke.placement.types import PlacementView
 
 # Ten times the order timeout: an engine that announces itself but takes no orders this long is
 # cut off in one direction, and the model is placed elsewhere.
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -17,13 +17,13 @@
 from briardyke.placement.coordinator import Coordinator, reservation_of
 from briardyke.placement.orders import Order, OrderState, Outcome
 from briardyke.placement.plan import plan
-from briardyke.placement.tables import StepKind
+from briardyke.placement.types import StepKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from briardyke.http.client import HttpClient
-    from briardyke.placement.tables import MemoryLedger, PlacementView
+    from briardyke.placement.types import MemoryLedger, PlacementView
 
 # Announcements arrive once a second; deciding a few times in between keeps the delay after each
 # of them short.
--- a/src/briardyke/placement/orders.py
+++ b/src/briardyke/placement/orders.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from briardyke.placement.tables import PendingOrder, Step, StepKind
+from briardyke.placement.types import PendingOrder, Step, StepKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/briardyke/placement/plan.py
+++ b/src/briardyke/placement/plan.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from briardyke.placement.tables import PlacementView, Step
+    from briardyke.placement.types import PlacementView, Step
 
 # The store starts a few loads per second, so a decision needs to be no longer than this; the next
 # tick decides again.
--- a/src/briardyke/placement/reservations.py
+++ b/src/briardyke/placement/reservations.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from briardyke.placement.tables import StepKind
+from briardyke.placement.types import StepKind
 
 if TYPE_CHECKING:
-    from briardyke.placement.tables import PlacementView
+    from briardyke.placement.types import PlacementView
 
 
 @attrs.define
--- a/src/briardyke/placement/room.py
+++ b/src/briardyke/placement/room.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.placement.tables import StepKind
+from briardyke.placement.types import StepKind
 
 if TYPE_CHECKING:
     from briardyke.placement.draft import Draft
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -12,7 +12,7 @@
 from briardyke.fleet.member import Place, open_member
 from briardyke.http.h11_server import H11Server
 from briardyke.logs import log_error, log_event
-from briardyke.models.runner import ModelsRunner
+from briardyke.models.runner import ModelPlacementRunner
 from briardyke.platform.configuration import decode_configuration
 from briardyke.platform.control_api import ControlApi
 from briardyke.platform.engines import PlatformEngines
@@ -65,7 +65,7 @@
         api = ControlApi(control, settings.control_listen.port)
         await nursery.start(H11Server(api.handle).serve, settings.control_listen)
         nursery.start_soon(keep_running, "settings", follower.run)
-        models = ModelsRunner(
+        models = ModelPlacementRunner(
             control,
             PlatformEngines(),
             DecodedConfiguration(machine).current,
--- a/src/briardyke/platform/engines.py
+++ b/src/briardyke/platform/engines.py
@@ -12,7 +12,7 @@
 from briardyke.http.h11_client import ConnectionPool, UpstreamError
 from briardyke.ids import new_id
 from briardyke.logs import log_limited
-from briardyke.models.ledger import EngineReport
+from briardyke.models.engine_state import EngineReport
 from briardyke.models.orders import Order, OrderOutcome
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
-    async def order(
+    async def send_order(
         self, row: Upstream, order: Order, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         """Send an order unless the permission has run out."""
@@ -57,7 +57,7 @@
             "op": "load" if order.is_load else "unload",
             "model": order.model,
             "expected": order.expected_sequence,
-            "holder": order.holder,
+            "holder": order.instance_id,
             # Called "fence" on the wire; it is a fencing token.
             "fence": order.fencing_token,
         }
@@ -72,7 +72,7 @@
             return OrderOutcome.UNKNOWN
         return _OUTCOMES.get(answer[0], OrderOutcome.UNKNOWN)
 
-    async def report(self, row: Upstream) -> EngineReport | None:
+    async def fetch_report(self, row: Upstream) -> EngineReport | None:
         """Read an engine's report."""
         answer = await self._call(row, "GET", _REPORT_PATH, b"")
         if answer is None or answer[0] != 200:
@@ -150,7 +150,7 @@
         sequence=int(value["sequence"]),
         models={row["name"]: _adapters(row) for row in value["models"]},
         is_busy=bool(value["busy"]),
-        incoming=incoming,
+        loading_adapters=incoming,
     )
 
 
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -6,7 +6,7 @@
 import pytest
 
 from briardyke.models.decide import decide
-from briardyke.models.tables import Change, ChangeKind, EngineView, ModelsView
+from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
 from briardyke.routes.configuration import EngineSpec, ModelSpec
 
 
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -10,9 +10,9 @@
 
 from briardyke.fleet.messages import AdapterReply, AdapterRequest
 from briardyke.fleet.records import READY, HeldModel, Upstream
-from briardyke.models.ledger import EngineLedger, EngineReport
+from briardyke.models.engine_state import EngineReport, EngineState
 from briardyke.models.orders import Order, OrderOutcome
-from briardyke.models.runner import ModelsRunner
+from briardyke.models.runner import ModelPlacementRunner
 from briardyke.routes.configuration import EngineSpec, ModelSpec, ServiceSpec, ServingConfiguration
 
 if TYPE_CHECKING:
@@ -38,7 +38,7 @@
         self.outcomes: list[OrderOutcome] = []
         self.held: set[str] = set()
 
-    async def order(
+    async def send_order(
         self, row: Upstream, order: Order, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         self.orders.append(order)
@@ -52,7 +52,7 @@
         assert len(self.held) <= SPEC.adapter_slots
         return outcome
 
-    async def report(self, row: Upstream) -> EngineReport | None:
+    async def fetch_report(self, row: Upstream) -> EngineReport | None:
         return None
 
 
@@ -60,9 +60,9 @@
 class World:
     """Hold a runner that leads and its engine."""
 
-    runner: ModelsRunner
+    runner: ModelPlacementRunner
     engines: Engines
-    ledger: EngineLedger
+    ledger: EngineState
 
     async def ask(self, adapter: str, replies: list[AdapterReply]) -> None:
         replies.append(await self.runner.place_adapter(AdapterRequest("m", adapter, ["e"])))
@@ -71,9 +71,9 @@
 @pytest.fixture
 async def world(autojump_clock: trio.testing.MockClock) -> World:
     engines = Engines()
-    runner = ModelsRunner(Control(), engines, lambda: CONFIGURATION, "i", 0.0, 5.0)  # type: ignore
+    runner = ModelPlacementRunner(Control(), engines, lambda: CONFIGURATION, "i", 0.0, 5.0)  # type: ignore
     assert runner._may_order()
-    ledger = runner._ledgers["e"] = EngineLedger(ROW, 0, {"m"})
+    ledger = runner._ledgers["e"] = EngineState(ROW, 0, {"m"})
     return World(runner, engines, ledger)
 
 
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -13,7 +13,7 @@
 from briardyke.placement.coordinator import Coordinator, reservation_of
 from briardyke.placement.orders import Order, OrderState
 from briardyke.placement.plan import plan
-from briardyke.placement.tables import PlacementView, StepKind
+from briardyke.placement.types import PlacementView, StepKind
 from briardyke.wire.messages import LoadedItem, ModelDemand, UpstreamRow
 
 if TYPE_CHECKING:
--- a/tests/placement/test_executor.py
+++ b/tests/placement/test_executor.py
@@ -14,7 +14,7 @@
 from briardyke.http.client import WholeResponse
 from briardyke.placement.executor import PlacementRunner
 from briardyke.placement.orders import Order
-from briardyke.placement.tables import PlacementView, Step, StepKind
+from briardyke.placement.types import PlacementView, Step, StepKind
 from briardyke.wire.messages import LoadedItem
 
 if TYPE_CHECKING:
--- a/tests/placement/test_orders.py
+++ b/tests/placement/test_orders.py
@@ -6,7 +6,7 @@
 from placement_world import FakeEngine
 
 from briardyke.placement.orders import ORDER_TIMEOUT_MS, Order, OrderState, OrderTable, Outcome
-from briardyke.placement.tables import Step, StepKind
+from briardyke.placement.types import Step, StepKind
 
 
 def _step(kind: StepKind = StepKind.LOAD, item: str = "a") -> Step:
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -13,11 +13,11 @@
 
 from briardyke.agreed.configuration import Configuration, Model, PlacementSettings
 from briardyke.placement.store_rate import TRANSIT_TIMEOUT_MS
-from briardyke.placement.tables import StepKind
+from briardyke.placement.types import StepKind
 
 if TYPE_CHECKING:
     from briardyke.placement.orders import Order
-    from briardyke.placement.tables import PlacementView
+    from briardyke.placement.types import PlacementView
     from briardyke.wire.messages import UpstreamRow
 
 _TICK_MS = 1000.0
--- a/tests/placement/test_plan.py
+++ b/tests/placement/test_plan.py
@@ -6,7 +6,7 @@
 from placement_world import World, configuration, demand, steps_of
 
 from briardyke.agreed.configuration import Model
-from briardyke.placement.tables import PendingOrder, StepKind
+from briardyke.placement.types import PendingOrder, StepKind
 
 
 class TestReachability:
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -74,21 +74,21 @@
     async def test_copy_of_an_earlier_answer_is_passed_over(self, engine: Engine) -> None:
         engines = PlatformEngines()
         engine.answers = [[answer(202)], [answer(202, b"call-before") + answer(409)]]
-        assert await engines.order(engine.row, ORDER, lambda: True) is OrderOutcome.ACCEPTED
-        assert await engines.order(engine.row, ORDER, lambda: True) is OrderOutcome.CONFLICT
+        assert await engines.send_order(engine.row, ORDER, lambda: True) is OrderOutcome.ACCEPTED
+        assert await engines.send_order(engine.row, ORDER, lambda: True) is OrderOutcome.CONFLICT
         assert engine.connections == 1
 
     async def test_answer_that_names_no_call_ends_its_connection(self, engine: Engine) -> None:
         engines = PlatformEngines()
         engine.answers = [[answer(202, b"")], [answer(409, b"")]]
-        assert await engines.order(engine.row, ORDER, lambda: True) is OrderOutcome.ACCEPTED
-        assert await engines.order(engine.row, ORDER, lambda: True) is OrderOutcome.CONFLICT
+        assert await engines.send_order(engine.row, ORDER, lambda: True) is OrderOutcome.ACCEPTED
+        assert await engines.send_order(engine.row, ORDER, lambda: True) is OrderOutcome.CONFLICT
         assert engine.connections == 2
 
     async def test_report_is_read(self, engine: Engine) -> None:
         report = {"sequence": 3, "models": [{"name": "m", "adapters": []}], "busy": False}
         engine.answers = [[answer(200, body=json.dumps(report).encode())]]
-        found = await PlatformEngines().report(engine.row)
+        found = await PlatformEngines().fetch_report(engine.row)
         assert found is not None and (found.sequence, found.models) == (3, {"m": []})
 
 
@@ -102,7 +102,7 @@
             asked.append(engine.connections)
             return False
 
-        outcome = await PlatformEngines().order(engine.row, ORDER, may_send)
+        outcome = await PlatformEngines().send_order(engine.row, ORDER, may_send)
         assert outcome is OrderOutcome.REFUSED
         assert len(asked) == 1
         await trio.sleep(0.05)
