--- a/src/briardyke/gateway/__init__.py
+++ b/src/briardyke/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Carry requests of callers to upstreams and their answers back."""
+"""Forward requests of callers to upstreams and return the responses."""
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -1,4 +1,4 @@
-"""Decide whether a request can be served in time, and how long one may wait for its model."""
+"""Decide whether a request can meet its deadline, and how long it may wait for its model."""
 
 from __future__ import annotations
 
@@ -11,162 +11,176 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from briardyke.gateway.journey import Journey
+    from briardyke.gateway.request_context import RequestContext
     from briardyke.gateway.state import GatewayState
-    from briardyke.gateway.tables import UpstreamState
+    from briardyke.gateway.upstreams import UpstreamState
     from briardyke.routes.configuration import ModelSpec, Route
 
-# A restarted upstream announces itself within a heartbeat or two.
-_RETURN_MS = 2500.0
-# From the arrival of a request for a missing model until its load is ordered.
+# A restarted upstream announces itself within one or two heartbeats.
+_RESTART_WAIT_MS = 2500.0
+# Time from the arrival of a request for a missing model to the order of its load.
 _ORDER_DELAY_MS = 700.0
-# A load that ends is announced and passed on within this time.
-_LEAST_ARRIVAL_MS = 150.0
-# A load that should have ended this long ago has failed, or is many times slower than usual.
+# Time in which the end of a load is announced and propagated to entry instances.
+_MIN_LOAD_REMAINING_MS = 150.0
+# A load that is overdue by more than this has failed, or is many times slower than usual.
 _OVERDUE_MS = 3000.0
-# Part of its time or patience that a request may spend waiting, so that it can still run.
-_WAITING_SHARE = 0.7
-# Callers give a stream up after the longest of two seconds, four objectives and eight pauses
-# without an event, also before the first one.
-_CALLER_PATIENCE_MS = 2000.0
-_CALLER_OBJECTIVES = 4.0
-_CALLER_PAUSES = 8.0
-# Part of a caller's patience that the expected time to the first event may take; the rest covers
-# the spread of the estimate.
-_PATIENCE_SHARE = 0.75
-# The longest time that a caller is sent away for, as a part of what it has left.
-_LONGEST_AWAY_SHARE = 1.0 / 3.0
-
-
-def caller_patience_ms(route: Route) -> float:
-    """Return how long a caller waits for the next event of a stream."""
+# Fraction of its time limit that a request may wait for an upstream, so that it can still run.
+_MAX_WAIT_FRACTION = 0.7
+# Callers abandon a stream that sends no event for the longest of two seconds, four latency
+# objectives and eight event gap objectives; this also applies to the first event.
+_MIN_EVENT_TIMEOUT_MS = 2000.0
+_EVENT_TIMEOUT_LATENCY_OBJECTIVES = 4.0
+_EVENT_TIMEOUT_GAP_OBJECTIVES = 8.0
+# Fraction of a caller's event timeout that the expected time to the first event may take; the rest
+# covers the error of the estimate.
+_MAX_FIRST_EVENT_FRACTION = 0.75
+# Longest Retry-After, as a fraction of the time left until the deadline.
+_MAX_RETRY_AFTER_FRACTION = 1.0 / 3.0
+
+
+def caller_event_timeout_ms(route: Route) -> float:
+    """Return the time without an event after which a caller abandons a stream."""
     return max(
-        _CALLER_PATIENCE_MS,
-        _CALLER_OBJECTIVES * route.latency_objective_ms,
-        _CALLER_PAUSES * route.event_gap_objective_ms,
+        _MIN_EVENT_TIMEOUT_MS,
+        _EVENT_TIMEOUT_LATENCY_OBJECTIVES * route.latency_objective_ms,
+        _EVENT_TIMEOUT_GAP_OBJECTIVES * route.event_gap_objective_ms,
     )
 
 
-def load_under_way_ms(model: str, upstreams: Sequence[UpstreamState]) -> float | None:
-    """Return the time until a load of the model should end, or ``None`` without one."""
-    arrivals_ms = [
-        max(_LEAST_ARRIVAL_MS, upstream.arrivals_ms[model] - now_ms())
+def load_remaining_ms(model: str, upstreams: Sequence[UpstreamState]) -> float | None:
+    """Return the time until a load in progress should end, or ``None`` without one."""
+    available_at_ms = [
+        max(_MIN_LOAD_REMAINING_MS, upstream.available_at_ms[model] - now_ms())
         for upstream in upstreams
-        if upstream.arrivals_ms.get(model, 0.0) > now_ms() - _OVERDUE_MS
+        if upstream.available_at_ms.get(model, 0.0) > now_ms() - _OVERDUE_MS
     ]
-    return min(arrivals_ms, default=None)
+    return min(available_at_ms, default=None)
 
 
-def model_arrival_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
-    """Return the expected time until a model that no upstream holds can be used."""
-    under_way_ms = load_under_way_ms(spec.name, upstreams)
-    if under_way_ms is not None:
-        return under_way_ms
+def model_available_in_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
+    """Return the expected time until a model that no upstream has loaded can be used."""
+    load_left_ms = load_remaining_ms(spec.name, upstreams)
+    if load_left_ms is not None:
+        return load_left_ms
     is_at_hand = any(spec.name in upstream.row.at_hand for upstream in upstreams)
     return (spec.disk_load_s if is_at_hand else spec.load_s) * 1000.0 + _ORDER_DELAY_MS
 
 
 class Admission:
-    """Refuse at once what cannot be served before its deadline."""
+    """Reject requests that cannot be served before their deadline."""
 
-    def refusal(self, journey: Journey, state: GatewayState) -> Failure | None:
-        """Return why a request is refused, or ``None``.
+    def refusal(self, context: RequestContext, state: GatewayState) -> Failure | None:
+        """Return the reason to reject a new request, or ``None``.
 
-        Load: a model that nothing holds is asked for with little time left. The load takes
-        seconds; a caller that is told so at once can use its time better. The same holds for a
-        stream that would begin late in a planned stop and be cut at its end.
+        Loading a model that no upstream holds takes seconds. A request without that much time
+        left is rejected at once, so that its caller can retry in time. The same applies to a
+        stream that would start late in a planned shutdown and be truncated by it.
         """
-        if state.is_stopping and journey.route.kind is RequestKind.STREAMING:
-            return Failure(ErrorKind.DRAINING, "this instance stops")
-        model = journey.caller.model
-        if not model or not state.is_engine(journey.service):
+        if state.is_stopping and context.route.kind is RequestKind.STREAMING:
+            return Failure(ErrorKind.DRAINING, "this instance is shutting down")
+        model = context.metadata.model
+        if not model or not state.is_engine(context.service):
             return None
-        spec = state.model(journey.service, model)
+        spec = state.model(context.service, model)
         if spec is None:
             return None
-        usable = state.upstreams.reachable(journey.service)
-        if not usable or self._has_holder(journey, state):
-            return None  # without any upstream, this instance may just have started
-        if load_under_way_ms(model, usable) is None:
-            state.wanted.ask(model)
-        arrives_in_ms = model_arrival_ms(spec, usable)
-        waited_ms = now_ms() - journey.request.received_ms
-        if arrives_in_ms + waited_ms < self._longest_wait_ms(journey):
+        usable = state.upstreams.reachable(context.service)
+        if not usable or self._is_model_held(context, state):
+            return None  # without any upstream, this instance may have just started
+        if load_remaining_ms(model, usable) is None:
+            state.missing_models.record(model)
+        available_in_ms = model_available_in_ms(spec, usable)
+        waited_ms = now_ms() - context.request.received_ms
+        if available_in_ms + waited_ms < self._max_wait_ms(context):
             return None
-        reason = f"{model} is not loaded, expected in {arrives_in_ms:.0f} ms"
-        return self._comes_back(journey, arrives_in_ms, reason)
+        reason = f"{model} is not loaded, expected in {available_in_ms:.0f} ms"
+        return self._model_loading_failure(context, available_in_ms, reason)
 
-    def _ends_wait(self, journey: Journey, state: GatewayState, left_ms: float) -> Failure | None:
-        """Return why a request that waits for its model is sent away now, or ``None``.
+    def _wait_refusal(
+        self, context: RequestContext, state: GatewayState, left_ms: float
+    ) -> Failure | None:
+        """Return the reason to end a request's wait for its model, or ``None``.
 
-        An estimate made it wait, so only a load that is known to end too late cuts that short.
+        It waits on the basis of an estimate, so only a load that is known to end too late ends
+        the wait early.
         """
-        model = journey.caller.model
-        spec = state.model(journey.service, model)
-        usable = state.upstreams.reachable(journey.service)
-        is_missing = not self._has_holder(journey, state)
-        under_way_ms = load_under_way_ms(model, usable) if is_missing else None
-        if left_ms > 0 and (under_way_ms is None or under_way_ms < left_ms):
+        model = context.metadata.model
+        spec = state.model(context.service, model)
+        usable = state.upstreams.reachable(context.service)
+        is_missing = not self._is_model_held(context, state)
+        load_left_ms = load_remaining_ms(model, usable) if is_missing else None
+        if left_ms > 0 and (load_left_ms is None or load_left_ms < left_ms):
             return None
-        arrives_in_ms = model_arrival_ms(spec, usable) if spec else self._longest_wait_ms(journey)
-        return self._comes_back(journey, arrives_in_ms, f"{model} has no place yet")
+        available_in_ms = (
+            model_available_in_ms(spec, usable) if spec else self._max_wait_ms(context)
+        )
+        return self._model_loading_failure(
+            context, available_in_ms, f"no upstream has loaded {model} yet"
+        )
 
     @staticmethod
-    def _has_holder(journey: Journey, state: GatewayState) -> bool:
-        """Return whether an upstream that can be reached holds the request's model."""
-        model = journey.caller.model
-        return any(u.holds(model) for u in state.upstreams.reachable(journey.service))
+    def _is_model_held(context: RequestContext, state: GatewayState) -> bool:
+        """Return whether a reachable upstream has loaded the request's model."""
+        model = context.metadata.model
+        return any(u.holds(model) for u in state.upstreams.reachable(context.service))
 
     @staticmethod
-    def _longest_wait_ms(journey: Journey) -> float:
-        """Return how long a request may wait for an upstream, from its arrival."""
-        total_ms = journey.deadline_ms - journey.request.received_ms
-        if journey.route.kind is not RequestKind.STREAMING:
-            return total_ms * _WAITING_SHARE
-        return min(total_ms, caller_patience_ms(journey.route)) * _WAITING_SHARE
+    def _max_wait_ms(context: RequestContext) -> float:
+        """Return the longest time from its arrival that a request may wait for an upstream."""
+        total_ms = context.deadline_ms - context.request.received_ms
+        if context.route.kind is not RequestKind.STREAMING:
+            return total_ms * _MAX_WAIT_FRACTION
+        return min(total_ms, caller_event_timeout_ms(context.route)) * _MAX_WAIT_FRACTION
 
     @staticmethod
-    def _comes_back(journey: Journey, wait_ms: float, reason: str) -> Failure:
-        hint_ms = min(wait_ms, journey.remaining_ms * _LONGEST_AWAY_SHARE)
-        return Failure(ErrorKind.MODEL_LOADING, reason, retry_after_ms=round(hint_ms))
-
-    def too_late(self, journey: Journey, upstream: UpstreamState) -> Failure | None:
-        """Return why a stream is not worth starting at its best upstream, or ``None``.
-
-        Load: engines get more prompts than they can read. Every caller then waits longer than it
-        is willing to, leaves, and the engine has read its prompt for nothing. Sending away those
-        that would leave keeps the others in time, and tells them when to come back.
+    def _model_loading_failure(context: RequestContext, wait_ms: float, reason: str) -> Failure:
+        retry_after_ms = min(wait_ms, context.remaining_ms * _MAX_RETRY_AFTER_FRACTION)
+        return Failure(ErrorKind.MODEL_LOADING, reason, retry_after_ms=round(retry_after_ms))
+
+    def late_start_refusal(
+        self, context: RequestContext, upstream: UpstreamState
+    ) -> Failure | None:
+        """Return the reason not to start a stream on the selected upstream, or ``None``.
+
+        When engines receive more prompts than they can process, every caller reaches its event
+        timeout and disconnects, and the work on its prompt is wasted. Rejecting the requests that
+        would time out, with a Retry-After, lets the others finish in time.
         """
-        if journey.route.kind is not RequestKind.STREAMING:
+        if context.route.kind is not RequestKind.STREAMING:
             return None
         expected_ms = upstream.expected_first_ms()
-        limit_ms = min(caller_patience_ms(journey.route), journey.remaining_ms) * _PATIENCE_SHARE
+        limit_ms = (
+            min(caller_event_timeout_ms(context.route), context.remaining_ms)
+            * _MAX_FIRST_EVENT_FRACTION
+        )
         if expected_ms <= limit_ms:
             return None
-        hint_ms = min(expected_ms - limit_ms / 2.0, journey.remaining_ms * _LONGEST_AWAY_SHARE)
+        retry_after_ms = min(
+            expected_ms - limit_ms / 2.0, context.remaining_ms * _MAX_RETRY_AFTER_FRACTION
+        )
         reason = f"first event expected in {expected_ms:.0f} ms, limit {limit_ms:.0f} ms"
-        return Failure(ErrorKind.OVERLOADED, reason, retry_after_ms=round(hint_ms))
+        return Failure(ErrorKind.OVERLOADED, reason, retry_after_ms=round(retry_after_ms))
 
-    def wait_ms(self, journey: Journey, state: GatewayState) -> float:
-        """Return how long a request without an upstream may still wait; 0 to give up.
+    def remaining_wait_ms(self, context: RequestContext, state: GatewayState) -> float:
+        """Return how long a request without an upstream may still wait; 0 to stop waiting.
 
-        Load: engines crash with the only replica of a model in use. A stream that may be resumed
-        waits for the next one as long as its caller waits for the next event.
+        An engine may crash with the only replica of a model in use. A resumable stream then waits
+        for the next replica until shortly before its caller's event timeout.
         """
-        if journey.may_have_run and not journey.route.is_retryable:
+        if context.may_have_run and not context.route.is_retryable:
             return 0.0
-        if journey.sent >= journey.route.max_attempts:
+        if context.sent_attempts >= context.route.max_attempts:
             return 0.0
         if state.is_stopping:
-            journey.refusal = Failure(ErrorKind.DRAINING, "this instance stops")
+            context.refusal = Failure(ErrorKind.DRAINING, "this instance is shutting down")
             return 0.0
-        waited_ms = now_ms() - journey.progress_ms
-        longest_ms = self._longest_wait_ms(journey)
-        is_for_model = bool(journey.caller.model) and state.is_engine(journey.service)
-        has_holder = not is_for_model or self._has_holder(journey, state)
-        if journey.tried and has_holder and not journey.may_have_run:
-            return 0.0  # every upstream that could run it has refused it
+        waited_ms = now_ms() - context.last_progress_ms
+        max_wait_ms = self._max_wait_ms(context)
+        is_for_model = bool(context.metadata.model) and state.is_engine(context.service)
+        has_holder = not is_for_model or self._is_model_held(context, state)
+        if context.tried_upstreams and has_holder and not context.may_have_run:
+            return 0.0  # every upstream that could run it has rejected it
         if is_for_model:
-            journey.refusal = self._ends_wait(journey, state, longest_ms - waited_ms)
-            return 0.0 if journey.refusal else longest_ms - waited_ms
-        return min(longest_ms, _RETURN_MS) - waited_ms
+            context.refusal = self._wait_refusal(context, state, max_wait_ms - waited_ms)
+            return 0.0 if context.refusal else max_wait_ms - waited_ms
+        return min(max_wait_ms, _RESTART_WAIT_MS) - waited_ms
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -1,4 +1,4 @@
-"""Count requests and their durations; OpenTelemetry is imported when somebody reads them."""
+"""Count requests and their durations; OpenTelemetry is imported only when they are exported."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import attrs
 
-# Bounds of the latency histogram in milliseconds, from a plain answer to a long stream.
+# Bounds of the latency histogram in milliseconds, from a short response to a long stream.
 BOUNDS_MS = (25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12800, 25600)
 
 
@@ -38,8 +38,8 @@
         self.events[event] = self.events.get(event, 0) + 1
 
     def prometheus_text(self) -> bytes:
-        """Return all figures in the Prometheus text format."""
-        from briardyke import metrics  # 0.3 s of processor time that only a reader should cost
+        """Return all counters in the Prometheus text format."""
+        from briardyke import metrics  # the import takes 0.3 s of CPU time
 
         return metrics.page_of(self._observe())
 
--- a/src/briardyke/gateway/demand.py
+++ b/src/briardyke/gateway/demand.py
@@ -1,4 +1,4 @@
-"""Count the requests for each model and service over the last seconds."""
+"""Measure the recent request rate of each model and service."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 from briardyke.clock import now_ms
 
 HALF_LIFE_MS = 2000.0
-# A request that is neither delayed nor very long lasts about this long.
+# Duration of a request that is neither delayed nor very long.
 TYPICAL_REQUEST_DURATION_S = 3.0
-_FORGOTTEN_BELOW = 0.02
-_RATE_OF_ONE = math.log(2.0) / (HALF_LIFE_MS / 1000.0)
+_MIN_RATE = 0.02
+_RATE_PER_REQUEST = math.log(2.0) / (HALF_LIFE_MS / 1000.0)
 
 
 class DemandMeter:
-    """Keep exponentially weighted rates by name, in requests a second."""
+    """Keep exponentially decaying request rates by name, in requests per second."""
 
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
@@ -22,29 +22,29 @@
 
     @property
     def active_count(self) -> int:
-        """Return the requests that are being carried."""
+        """Return the number of requests in progress."""
         return sum(self._active.values())
 
     def record(self, name: str) -> None:
-        """Count one request."""
+        """Add one request to the rate."""
         now = now_ms()
-        self._rates[name] = (self._rate(name, now) + _RATE_OF_ONE, now)
+        self._rates[name] = (self._rate(name, now) + _RATE_PER_REQUEST, now)
 
-    def began(self, name: str) -> None:
-        """Count a request that is being carried."""
+    def request_started(self, name: str) -> None:
+        """Count a request as in progress."""
         self._active[name] = self._active.get(name, 0) + 1
 
-    def ended(self, name: str) -> None:
-        """Count the end of a request that was being carried."""
+    def request_finished(self, name: str) -> None:
+        """Stop counting a request as in progress."""
         self._active[name] -= 1
         if not self._active[name]:
             del self._active[name]
 
     def demand(self) -> dict[str, float]:
-        """Return the rates, raised where requests pile up.
+        """Return the rates, increased by the requests in progress.
 
-        Load: a model whose replicas are too few or too slow gets no more requests than before, but
-        each of them lasts longer.
+        A model with too few or too slow replicas receives no more requests than before, but each
+        of them takes longer.
         """
         total = self.rates()
         for name, count in self._active.items():
@@ -52,14 +52,14 @@
         return total
 
     def rate(self, name: str) -> float:
-        """Return the present rate of one name."""
+        """Return the current rate of one name."""
         return self._rate(name, now_ms())
 
     def rates(self) -> dict[str, float]:
-        """Return the present rates; names without recent requests are dropped."""
+        """Return the current rates and drop names without recent requests."""
         now = now_ms()
         rates = {name: self._rate(name, now) for name in list(self._rates)}
-        for name in [n for n, rate in rates.items() if rate < _FORGOTTEN_BELOW]:
+        for name in [n for n, rate in rates.items() if rate < _MIN_RATE]:
             del self._rates[name], rates[name]
         return rates
 
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -1,4 +1,4 @@
-"""Define what the gateway asks of the protocol that callers and upstreams speak."""
+"""Define how the gateway reads and writes the headers of callers and upstreams."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 
 @attrs.frozen
 class RequestMetadata:
-    """Hold what a caller's headers say.
+    """Values from the headers of a caller's request.
 
     :param request_id: id of this attempt of the caller.
-    :param deadline_ms: time that the caller will wait, or ``None`` when it does not say.
+    :param deadline_ms: time that the caller will wait, or ``None`` if not stated.
     :param model: name of the model, or empty for a plain service.
     :param adapter: name of the model's adapter, or empty.
-    :param prefix_ids: ids of the parts of the prompt, in order.
+    :param prefix_ids: ids of the leading parts of the prompt, in order.
     :param prompt_tokens: tokens of the prompt, 0 when unknown.
-    :param max_output_tokens: most tokens of the answer, 0 when unknown.
-    :param last_event_id: last event that the caller has, or empty.
+    :param max_output_tokens: largest number of tokens in the response, 0 when unknown.
+    :param last_event_id: id of the last event that the caller received, or empty.
     """
 
     request_id: str
@@ -36,11 +36,11 @@
 
 @attrs.frozen
 class LoadReport:
-    """Describe an upstream's load as it reported it.
+    """Load that an upstream reported.
 
-    :param running: requests that it runs.
-    :param waiting: requests that wait in it.
-    :param slots: requests that it runs at once.
+    :param running: requests that it is running.
+    :param waiting: requests in its queue.
+    :param slots: requests that it can run at the same time.
     """
 
     running: int
@@ -50,12 +50,12 @@
 
 @attrs.frozen
 class ForwardingMetadata:
-    """Hold what the gateway adds to a request.
+    """Values of the headers that the gateway sets on a forwarded request.
 
-    :param upstream_id: upstream that it is meant for; any other must refuse it.
+    :param upstream_id: intended upstream; any other one must reject the request.
     :param remaining_ms: time left until the deadline.
     :param priority: rank; 0 is the most urgent.
-    :param last_event_id: event after which a stream goes on, or empty.
+    :param last_event_id: id of the event after which a stream resumes, or empty.
     """
 
     upstream_id: str
@@ -66,14 +66,14 @@
 
 @attrs.frozen
 class ResponseMetadata:
-    """Hold what an upstream's headers say.
+    """Values from the headers of an upstream's response.
 
-    :param request_id: request that the answer belongs to, or empty when it does not say.
+    :param request_id: id of the request that the response belongs to, or empty if not stated.
     :param is_refusal: whether the upstream states that it did not run the request.
-    :param lacks_model: whether it refused because the model or adapter is not in its memory, or
-        because it is another process than was meant.
-    :param is_signed: whether the answer carries the upstream's signature.
-    :param load: its load, or ``None`` when it does not say.
+    :param lacks_model: whether it rejected the request because the model or adapter is not in its
+        memory, or because it is not the intended process.
+    :param is_signed: whether the response has the upstream's signature.
+    :param load: its load, or ``None`` if not stated.
     """
 
     request_id: str
@@ -84,13 +84,13 @@
 
 
 class Dialect(Protocol):
-    """Translate headers between the protocol and the gateway's types."""
+    """Translate between headers and the gateway's types."""
 
     def read_request(self, request: HttpRequest) -> RequestMetadata:
-        """Return what a caller's headers say."""
+        """Read the headers of a caller's request."""
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
-        """Return the headers to send to an upstream."""
+        """Return the headers of the request to an upstream."""
 
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
-        """Return what an upstream's headers say."""
+        """Read the headers of an upstream's response."""
--- a/src/briardyke/gateway/directory.py
+++ b/src/briardyke/gateway/directory.py
@@ -1,4 +1,4 @@
-"""Choose the entry instances that callers are told of."""
+"""Select the entry instances whose addresses are returned to callers."""
 
 from __future__ import annotations
 
@@ -11,45 +11,46 @@
 
     from briardyke.fleet.records import EntryInstance
 
-# Callers leave out addresses that fail them; with two near ones they need no far one meanwhile.
-LEAST_NEAR = 2
+# Callers skip addresses that fail. With two instances in their own data centre they need no remote
+# one in the meantime.
+MIN_LOCAL_INSTANCES = 2
 MAX_ADDRESSES = 64
-# Instances that callers of one data centre are told of at least, so that a crash of some of them
-# leaves others at once.
-LEAST_LISTED = 5
-# Capacity that is listed, in multiples of what is carried: traffic of one kind doubles or triples
-# within a second.
+# Callers of each data centre get at least this many addresses, if there are as many, so that some
+# remain usable when instances crash.
+MIN_LISTED_INSTANCES = 5
+# Listed capacity as a multiple of the current request rate; the traffic of one kind doubles or
+# triples within a second.
 CAPACITY_FACTOR = 4.0
-# Processor time of one request on an entry instance, by docs/platform-rounds.md.
+# CPU time of one request on an entry instance; see docs/platform-rounds.md.
 REQUEST_CPU_S = 0.010
-# A prompt and the events of an answer, on the way to and from an upstream.
+# Size of a prompt and of the events of its response, received and sent.
 REQUEST_BYTES = 12_000.0
 
 
 def capacity_per_s(cores: float, link_mbps: float) -> float:
-    """Return the requests a second that an instance could carry.
+    """Return the requests per second that an instance could process.
 
-    :param cores: processor time that it may use in a second, in seconds.
+    :param cores: CPU time that it may use per second, in seconds.
     :param link_mbps: bandwidth of its link, 0 when unknown.
     """
-    by_processor = cores / REQUEST_CPU_S
+    by_cpu = cores / REQUEST_CPU_S
     by_link = link_mbps * 1e6 / 8.0 / REQUEST_BYTES
-    return min(by_processor, by_link) if link_mbps > 0 else by_processor
+    return min(by_cpu, by_link) if link_mbps > 0 else by_cpu
 
 
 def addresses_for(
     data_centre: str, entries: Sequence[EntryInstance], carried_per_s: Mapping[str, float]
 ) -> list[str]:
-    """Return addresses of ready instances, near ones only where they are enough.
+    """Return addresses of ready instances, preferably in the caller's own data centre.
 
-    Load: traffic between data centres costs, but a data centre with a single instance would lose
-    all its callers' connections with it. Requests that are thinly spread over very many instances
-    find no kept connection to their upstream, and each instance knows little of the load; so only
-    as many are named as the traffic needs, the largest first.
+    Traffic between data centres is expensive, but if a data centre had a single listed instance,
+    its callers would lose all connections when that instance fails. Requests spread over very many
+    instances find no idle connection to their upstream, and each instance knows little of the
+    load. So only as many instances are listed as the traffic needs, the largest first.
 
-    :param data_centre: data centre of the caller, or empty when it does not say.
+    :param data_centre: data centre of the caller, or empty if not stated.
     :param entries: ready instances.
-    :param carried_per_s: requests a second by data centre of the instances that carry them.
+    :param carried_per_s: requests per second by data centre of the instances that process them.
     """
     return sorted(e.address for e in _listed(data_centre, entries, carried_per_s))[:MAX_ADDRESSES]
 
@@ -57,7 +58,7 @@
 def listed_instances(
     entries: Sequence[EntryInstance], carried_per_s: Mapping[str, float]
 ) -> set[str]:
-    """Return the ids of all instances that callers of some data centre are told of."""
+    """Return the ids of all instances that are listed for callers of any data centre."""
     centres = {e.data_centre for e in entries}
     return {e.instance_id for dc in centres for e in _listed(dc, entries, carried_per_s)}
 
@@ -65,22 +66,24 @@
 def _listed(
     data_centre: str, entries: Sequence[EntryInstance], carried_per_s: Mapping[str, float]
 ) -> list[EntryInstance]:
-    near = [e for e in entries if e.data_centre == data_centre]
-    if len(near) >= LEAST_NEAR:
-        return _enough(near, carried_per_s.get(data_centre, 0.0))
-    return _enough(entries, sum(carried_per_s.values()))
+    local = [e for e in entries if e.data_centre == data_centre]
+    if len(local) >= MIN_LOCAL_INSTANCES:
+        return _select_by_capacity(local, carried_per_s.get(data_centre, 0.0))
+    return _select_by_capacity(entries, sum(carried_per_s.values()))
 
 
-def _enough(entries: Sequence[EntryInstance], carried_per_s: float) -> list[EntryInstance]:
+def _select_by_capacity(
+    entries: Sequence[EntryInstance], carried_per_s: float
+) -> list[EntryInstance]:
     listed: list[EntryInstance] = []
     capacity = 0.0
-    for entry in sorted(entries, key=_rank):
-        if len(listed) >= LEAST_LISTED and capacity >= carried_per_s * CAPACITY_FACTOR:
+    for entry in sorted(entries, key=_sort_key):
+        if len(listed) >= MIN_LISTED_INSTANCES and capacity >= carried_per_s * CAPACITY_FACTOR:
             break
         listed.append(entry)
         capacity += entry.capacity_per_s
     return listed
 
 
-def _rank(entry: EntryInstance) -> tuple[float, int]:
+def _sort_key(entry: EntryInstance) -> tuple[float, int]:
     return (-entry.capacity_per_s, xxhash.xxh64_intdigest(entry.instance_id.encode()))
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -32,19 +32,20 @@
     from briardyke.wire.pool import PeerPool
 
 _SWEEP_INTERVAL_S = 1.0
-# Most callers follow a new address within two seconds and the rest within six; a stream that
-# starts in the first third can still end before the grace period does.
-_TAKES_NEW_SHARE = 0.35
-# Part of the grace period after which the process ends with whatever is left.
-_LAST_SHARE = 0.9
+# Fraction of the grace period during which new requests are accepted. Most callers switch to a new
+# address within two seconds and the rest within six; a stream that starts in the first third can
+# still end within the grace period.
+_ACCEPT_FRACTION = 0.35
+# Fraction of the grace period after which requests in progress are no longer waited for.
+_DRAIN_FRACTION = 0.9
 
 
 class EntryProcess:
-    """Wire the parts of an entry instance together."""
+    """Connect the components of an entry instance."""
 
     def __init__(
         self,
-        place: InstanceSettings,
+        settings: InstanceSettings,
         dialect: Dialect,
         decode: Callable[[bytes], Result[ServingConfiguration, Failure]],
         peers: PeerPool,
@@ -52,31 +53,31 @@
     ) -> None:
         """Prepare; :meth:`run` starts it.
 
-        :param place: where this instance runs.
-        :param dialect: protocol of callers and upstreams.
-        :param decode: reads a configuration document.
+        :param settings: settings of this instance.
+        :param dialect: translates the headers of callers and upstreams.
+        :param decode: decodes a configuration document.
         :param peers: connections to control instances.
         :param seeds: returns peer addresses of some control instances.
         """
-        self._place = place
+        self._settings = settings
         self._decode = decode
         self._incarnation = wall_unix_ms()
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
         side = EntrySide(
-            place.data_centre,
+            settings.data_centre,
             self._report,
             lambda: self.state.is_busy,
-            self._adopt,
+            self._apply_configuration,
             self._on_change,
-            self._on_told,
+            self._on_reply,
         )
         self.client = FleetClient(peers, seeds, side)
         self.state = GatewayState(
-            dialect, place.data_centre, place.retries, self.client.ask_for_adapter
+            dialect, settings.data_centre, settings.retries, self.client.ask_for_adapter
         )
-        self.state.wanted.report_now = self.client.report_now
+        self.state.missing_models.report_now = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
         self.server = H11Server(self._forwarder.handle, self._limits)
@@ -84,37 +85,37 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether callers should be sent here."""
+        """Return whether callers should be routed to this instance."""
         return self.client.view.is_synced and not self._is_stopping
 
     async def run(self, stop: trio.Event) -> None:
-        """Serve until ``stop`` is set, then finish what is in flight.
+        """Serve until ``stop`` is set, then finish the requests in flight.
 
         :raises OSError: when an address cannot be bound.
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, "fleet_client", self.client.run)
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
-            await nursery.start(self.server.serve, self._place.listen)
-            log_event("entry_started", instance=self._place.instance_id)
+            await nursery.start(self.server.serve, self._settings.listen)
+            log_event("entry_started", instance=self._settings.instance_id)
             await stop.wait()
             await self._drain()
-            log_event("entry_stopped", instance=self._place.instance_id)
+            log_event("entry_stopped", instance=self._settings.instance_id)
             nursery.cancel_scope.cancel()
 
     async def _drain(self) -> None:
-        """Leave the address answers first, then refuse, then close, then end."""
+        """Withdraw the address, then reject streams, then close idle connections, then stop."""
         self._is_stopping = True
         self._stopping_since_ms = now_ms()
         self.client.report_now()
-        grace_s = self._place.grace_s
+        grace_s = self._settings.grace_s
         log_event("entry_draining", in_flight=self.server.in_flight)
-        await trio.sleep(grace_s * _TAKES_NEW_SHARE)
-        # What still waits for an upstream could not end in time any more.
+        await trio.sleep(grace_s * _ACCEPT_FRACTION)
+        # Requests that still wait for an upstream could no longer finish in time.
         self.state.is_stopping = True
         self.state.changed.notify()
         self.server.close_idle()
-        with trio.move_on_after(grace_s * (_LAST_SHARE - _TAKES_NEW_SHARE)):
+        with trio.move_on_after(grace_s * (_DRAIN_FRACTION - _ACCEPT_FRACTION)):
             await self.server.wait_closed()
         self.server.stop_accepting()
         with trio.move_on_after(LAST_REQUEST_S):
@@ -134,21 +135,21 @@
     def _report(self) -> EntryInstance:
         self._sequence += 1
         return EntryInstance(
-            self._place.instance_id,
+            self._settings.instance_id,
             self._incarnation,
             self._sequence,
-            str(self._place.listen),
-            self._place.data_centre,
+            str(self._settings.listen),
+            self._settings.data_centre,
             self.is_ready,
             self.state.demand.demand(),
             self.state.upstreams.unreachable(),
-            self._place.capacity_per_s,
+            self._settings.capacity_per_s,
             sum(self.state.demand.rates().values()) if self.state.is_busy else 0.0,
             self.state.upstreams.in_flight(),
-            self.state.wanted.names(),
+            self.state.missing_models.names(),
         )
 
-    def _adopt(self, version: int, document: bytes) -> bool:
+    def _apply_configuration(self, version: int, document: bytes) -> bool:
         decoded = self._decode(document)
         if decoded.is_err():
             log_event("configuration_unreadable", version=version, reason=decoded.unwrap_err())
@@ -160,18 +161,18 @@
         return True
 
     def _on_change(self) -> None:
-        self._retired += self.state.upstreams.adopt(
+        self._retired += self.state.upstreams.update(
             self.client.view.upstreams, self.client.view.changes
         )
         self.state.changed.notify()
 
-    def _on_told(self, reply: FleetReply) -> None:
+    def _on_reply(self, reply: FleetReply) -> None:
         self.carried_per_s = reply.carried_per_s
         if self.state.is_busy:
-            self.state.upstreams.take_others(reply.others)
+            self.state.upstreams.update_other_load(reply.others)
         entries = self.client.view.entries
         listed = listed_instances(entries, self.carried_per_s)
-        self.state.divide_budget(self._place.instance_id, listed, len(entries))
+        self.state.update_listing(self._settings.instance_id, listed, len(entries))
 
     async def _sweep(self) -> None:
         while True:
--- /dev/null
+++ b/src/briardyke/gateway/request_context.py
@@ -0,0 +1,54 @@
+"""Define the state of one request while it is processed."""
+
+from __future__ import annotations
+
+import attrs
+
+from briardyke.clock import now_ms
+from briardyke.errors import Failure
+from briardyke.gateway.attempt import Attempt
+from briardyke.gateway.dialect import RequestMetadata
+from briardyke.gateway.trace import Trace
+from briardyke.http.exchange import HttpRequest
+from briardyke.routes.configuration import Route
+
+
+@attrs.define
+class RequestContext:
+    """Hold the state of one request while it is processed.
+
+    :param request: request as the caller sent it.
+    :param metadata: values from its headers.
+    :param route: its route.
+    :param service: name of the selected service.
+    :param deadline_ms: time by which the response is due, on the runtime's clock.
+    :param trace: record for the log and the counters.
+    :param sent_attempts: attempts that an upstream received, refused ones included.
+    :param connect_failures: attempts for which no connection could be opened.
+    :param may_have_run: whether an upstream may have worked on the request.
+    :param tried_upstreams: ids of upstreams that are not selected again.
+    :param last_attempt: last attempt that was not delivered.
+    :param refusal: reason to reject the request, if one was found.
+    :param last_progress_ms: time of its arrival, or of the last forwarded event.
+    """
+
+    request: HttpRequest
+    metadata: RequestMetadata
+    route: Route
+    service: str
+    deadline_ms: float
+    trace: Trace
+    sent_attempts: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    tried_upstreams: set[str] = attrs.field(factory=set)
+    last_attempt: Attempt | None = None
+    refusal: Failure | None = None
+    last_progress_ms: float = attrs.field(
+        default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
+    )
+
+    @property
+    def remaining_ms(self) -> float:
+        """Return the time left until the deadline."""
+        return self.deadline_ms - now_ms()
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -1,4 +1,4 @@
-"""Describe where an entry instance runs and what bounds it."""
+"""Settings of an entry instance."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 
 @attrs.frozen
 class InstanceSettings:
-    """Describe an entry instance.
+    """Settings of an entry instance.
 
-    :param instance_id: name of the instance.
+    :param instance_id: id of the instance.
     :param data_centre: where it runs.
     :param listen: where callers connect.
-    :param grace_s: time between a stop request and the kill.
-    :param retries: repeats allowed over all entry instances.
-    :param capacity_per_s: requests a second that it could carry.
+    :param grace_s: time between a stop request and the forced stop, in seconds.
+    :param retries: limits on the retries of all entry instances together.
+    :param capacity_per_s: requests per second that it could process.
     """
 
     instance_id: str
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of an entry instance that its parts share."""
+"""State that the components of an entry instance share."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 import attrs
 
-from briardyke.gateway.adapters import AdapterPlaces
+from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.demand import DemandMeter
-from briardyke.gateway.tables import SUM_AGE_MS, UpstreamTable
-from briardyke.gateway.wanted import WantedModels
+from briardyke.gateway.missing_models import MissingModels
+from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
 from briardyke.policy.retries import RetryBudget
 from briardyke.sync.notifier import Notifier
 
@@ -23,21 +23,21 @@
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
-# Within one window a budget can spend what it has kept and what it earns, up to twice its rate, so
-# half of the allowed rate keeps any window within the bound. The fixed part leaves a fifth for
-# instances that have not learned yet of another one.
-_RATIO_SHARE = 0.5
-_SLACK_SHARE = 0.4
-# Part of the fixed retries for all instances that callers are no longer, or not yet, told of.
-_UNLISTED_SHARE = 0.1
+# Within one window a budget can spend both its saved and its newly earned retries, up to twice its
+# rate, so half of the allowed rate keeps any window within the limit. The fixed part leaves a fifth
+# for instances that have not yet learned of another one.
+_RATIO_FRACTION = 0.5
+_SLACK_FRACTION = 0.4
+# Fraction of the fixed retries that all instances not, or no longer, listed for callers share.
+_UNLISTED_FRACTION = 0.1
 
 
 @attrs.frozen
 class RetryBounds:
-    """Bound the repeats that all entry instances send to one service in a window.
+    """Limits on the retries that all entry instances send to one service in a window.
 
-    :param ratio: repeats for each request.
-    :param slack: repeats beside the ratio.
+    :param ratio: retries allowed per request.
+    :param slack: retries allowed in addition, regardless of the number of requests.
     :param window_s: length of the window, in seconds.
     """
 
@@ -47,7 +47,7 @@
 
 
 class GatewayState:
-    """Hold configuration, upstreams, budgets and figures of an entry instance."""
+    """Configuration, upstreams, retry budgets and counters of an entry instance."""
 
     def __init__(
         self,
@@ -58,10 +58,10 @@
     ) -> None:
         """Start without a configuration.
 
-        :param dialect: protocol of callers and upstreams.
+        :param dialect: translates the headers of callers and upstreams.
         :param data_centre: data centre of this instance.
-        :param retries: repeats allowed over all entry instances.
-        :param ask_for_adapter: asks the control instances for an adapter.
+        :param retries: limits on the retries of all entry instances together.
+        :param ask_for_adapter: requests an adapter from the control instances.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -71,61 +71,61 @@
         self.counters = Counters()
         self.changed = Notifier()
         self.admission = Admission()
-        self.adapters = AdapterPlaces(self, ask_for_adapter)
+        self.adapters = AdapterRouter(self, ask_for_adapter)
         self._retries = retries
-        self.wanted = WantedModels()
+        self.missing_models = MissingModels()
         self.listed_count = 1
         self.is_listed = False
-        self.budget_part = 1.0
+        self.fixed_budget_share = 1.0
         self.is_stopping = False
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
     def version(self) -> int:
-        """Return the number of the configuration in force, 0 for none."""
+        """Return the version of the configuration in force, 0 for none."""
         return self.routes.configuration.version if self.routes else 0
 
     @property
     def is_busy(self) -> bool:
-        """Return whether this instance carries a part of the traffic.
+        """Return whether this instance receives regular traffic.
 
-        Load: every ready instance also gets single requests that test its configuration. If those
-        counted, all of hundreds would ask control for news several times a second.
+        Every ready instance also receives single requests that test its configuration. If those
+        counted, hundreds of instances would poll control instances several times per second.
         """
         return self.is_listed or self.demand.active_count > 1
 
     def budget(self, service: str) -> RetryBudget:
-        """Return this instance's part of a service's retry budget."""
+        """Return this instance's share of a service's retry budget."""
         bounds = self._retries
-        per_second = bounds.slack * _SLACK_SHARE / bounds.window_s * self.budget_part
+        per_second = bounds.slack * _SLACK_FRACTION / bounds.window_s * self.fixed_budget_share
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(bounds.ratio * _RATIO_SHARE, per_second, bounds.window_s)
+            budget = RetryBudget(bounds.ratio * _RATIO_FRACTION, per_second, bounds.window_s)
             self._budgets[service] = budget
         budget.per_second = per_second
         return budget
 
-    def unseen_arrivals(self, name: str) -> float:
-        """Return the requests for a model or service that other instances have just sent.
+    def unreported_requests(self, name: str) -> float:
+        """Estimate the requests that other instances have sent since their last reports.
 
-        They are as many as this instance sends, since callers spread over those they are told of.
+        Each listed instance sends about as many as this one, since callers spread over all of them.
         """
         rate = self.demand.rate(name) * (self.listed_count - 1)
-        return rate * SUM_AGE_MS / 1000.0
+        return rate * AGGREGATED_LOAD_AGE_MS / 1000.0
 
-    def divide_budget(self, instance_id: str, listed: set[str], count: int) -> None:
-        """Take this instance's part of the fixed retries.
+    def update_listing(self, instance_id: str, listed: set[str], count: int) -> None:
+        """Update whether this instance is listed, and its share of the fixed retries.
 
-        Load: callers are told of some instances only. An equal part for all would leave those that
-        carry the requests with almost nothing.
+        Callers use only the listed instances. Equal shares for all instances would leave those that
+        process the requests with almost none.
 
-        :param listed: instances that callers are told of.
-        :param count: all instances that are ready.
+        :param listed: ids of the instances that are listed for callers.
+        :param count: number of all ready instances.
         """
         self.is_listed = instance_id in listed
         self.listed_count = max(1, len(listed))
-        unlisted_part = _UNLISTED_SHARE / max(1, count)
-        self.budget_part = 1.0 / self.listed_count if self.is_listed else unlisted_part
+        unlisted_share = _UNLISTED_FRACTION / max(1, count)
+        self.fixed_budget_share = 1.0 / self.listed_count if self.is_listed else unlisted_share
 
     def is_engine(self, service: str) -> bool:
         """Return whether a service runs models."""
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -1,4 +1,4 @@
-"""Record the way of one request for its log line and the counters."""
+"""Record the course of one request for its log line and the counters."""
 
 from __future__ import annotations
 
@@ -15,14 +15,15 @@
 
 @attrs.define
 class Trace:
-    """Collect the decisions about one request.
+    """Record of one request.
 
-    :param request_id: id of the caller's attempt.
+    :param request_id: id that the caller gave the request.
     :param route: name of its route, or empty.
-    :param started_ms: time at which its head was read.
-    :param version: number of the configuration that decided.
+    :param started_ms: time at which the request was received.
+    :param version: version of the configuration that was applied.
     :param longest_pause_ms: longest time between two events of a stream, 0 without events.
-    :param events: events passed on.
+    :param attempts: description of each attempt, and of a failure.
+    :param events: number of events forwarded.
     """
 
     request_id: str
@@ -31,18 +32,18 @@
     route: str = ""
     service: str = ""
     model: str = ""
-    steps: list[str] = attrs.field(factory=list)
+    attempts: list[str] = attrs.field(factory=list)
     longest_pause_ms: float = 0.0
     events: int = 0
     is_finished: bool = False
 
-    def step(self, upstream_id: str, outcome: str, load: float) -> None:
-        """Add one attempt with the load that was assumed for its upstream."""
+    def add_attempt(self, upstream_id: str, outcome: str, load: float) -> None:
+        """Add one attempt with the estimated load of its upstream."""
         elapsed = now_ms() - self.started_ms
-        self.steps.append(f"{upstream_id}@{elapsed:.0f}ms:load={load:.1f}:{outcome}")
+        self.attempts.append(f"{upstream_id}@{elapsed:.0f}ms:load={load:.1f}:{outcome}")
 
     def finish(self, counters: Counters, status: int, outcome: str) -> None:
-        """Write the request's line and count it."""
+        """Write the log line of the request and count it."""
         self.is_finished = True
         duration_ms = now_ms() - self.started_ms
         counters.record(self.service, outcome, duration_ms)
@@ -59,5 +60,5 @@
             duration_ms=round(duration_ms),
             events=self.events,
             longest_pause_ms=round(self.longest_pause_ms),
-            attempts=";".join(self.steps),
+            attempts=";".join(self.attempts),
         )
--- /dev/null
+++ b/src/briardyke/gateway/upstreams.py
@@ -0,0 +1,270 @@
+"""State that an entry instance keeps about each upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.addresses import parse_address
+from briardyke.clock import now_ms
+from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
+from briardyke.http.h11_client import ConnectionPool, RestLimit
+from briardyke.policy.ejection import HealthGate
+
+if TYPE_CHECKING:
+    from briardyke.gateway.dialect import LoadReport
+
+# The weight of load caused by other entry instances halves in this time without a new report.
+REPORT_HALF_LIFE_MS = 1500.0
+# Age of the load of other instances when it arrives through control instances: a part of the
+# intervals of the reports, of the aggregation and of the replies.
+AGGREGATED_LOAD_AGE_MS = 400.0
+# A single connection may fail because the upstream rejects connections during a burst.
+UNREACHABLE_AFTER = 2
+# Interval of connection attempts to an unreachable upstream; a restarted process listens again
+# within about a second.
+CONNECT_PROBE_MS = 1000.0
+# Older failures say little about the current state; requests for a rarely used model are seconds
+# apart.
+UNREACHABLE_REPORT_MS = 3000.0
+# Two heartbeats of an upstream at 1.2 s; by then it has announced its loaded models.
+MISS_MS = 2500.0
+# Load of a running request on an engine, relative to a waiting one. Processing a prompt takes about
+# seven times as long as the time that one running request adds to the engine's steps in total.
+ENGINE_RUNNING_WEIGHT = 0.15
+# Weight of one stream in the mean, which covers about six streams.
+_FIRST_EVENT_WEIGHT = 0.15
+# Upper limit of one observation, so that a single stalled stream does not dominate the mean.
+_MAX_FIRST_EVENT_MS_PER_LOAD = 500.0
+
+
+@attrs.frozen
+class Miss:
+    """Record that an upstream rejected a request because it lacks a model or adapter.
+
+    :param sequence: sequence number of its announcement at that time; a newer one is trusted again.
+    :param until_ms: time until which the announcement is not trusted.
+    """
+
+    sequence: int
+    until_ms: float
+
+
+@attrs.define
+class UpstreamState:
+    """Announcement of one upstream and this instance's own observations of it.
+
+    :param row: its latest announcement.
+    :param pool: connections to it.
+    :param gate: limits the share of traffic that it receives after failures.
+    :param in_flight: requests of this instance that are in progress on it.
+    :param pending: those of them whose response has not started.
+    :param other_requests: requests of other instances at the last load report.
+    :param other_waiting: those of them that were not yet running.
+    :param running_weight: load of a running request, relative to a waiting one.
+    :param reported_ms: time of the last load report.
+    :param first_event_ms_per_load: time to the first event per unit of load, 0 when unknown.
+    :param service_time_ms: recent mean time of a response, or between two events of a stream; 0
+        when unknown.
+    :param connect_failures: consecutive failures to open a connection.
+    :param connect_failed_ms: time of the last of them.
+    :param withheld: loaded models that get no new requests.
+    :param available_at_ms: time at which each model that is being loaded should be available.
+    :param misses: models that it turned out not to have loaded.
+    :param adapters: time until which each adapter is assumed to be loaded, by model and name.
+    :param adapter_misses: adapters that it turned out not to have loaded.
+    """
+
+    row: Upstream
+    pool: ConnectionPool
+    gate: HealthGate = attrs.field(factory=HealthGate)
+    in_flight: int = 0
+    pending: int = 0
+    other_requests: float = 0.0
+    other_waiting: float = 0.0
+    running_weight: float = 1.0
+    first_event_ms_per_load: float = 0.0
+    reported_ms: float = 0.0
+    service_time_ms: float = 0.0
+    connect_failures: int = 0
+    connect_failed_ms: float = 0.0
+    withheld: frozenset[str] = frozenset()
+    available_at_ms: dict[str, float] = attrs.field(factory=dict)
+    misses: dict[str, Miss] = attrs.field(factory=dict)
+    adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    adapter_misses: dict[tuple[str, str], Miss] = attrs.field(factory=dict)
+
+    def connect_failed(self) -> None:
+        """Record a failure to open a connection."""
+        self.connect_failures += 1
+        self.connect_failed_ms = now_ms()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether to try a connection; an unreachable upstream is tried once per second."""
+        if self.connect_failures < UNREACHABLE_AFTER:
+            return True
+        return now_ms() - self.connect_failed_ms >= CONNECT_PROBE_MS
+
+    @property
+    def is_reported_unreachable(self) -> bool:
+        """Return whether to report this upstream to the leader as unreachable."""
+        return (
+            self.connect_failures >= UNREACHABLE_AFTER
+            and now_ms() - self.connect_failed_ms < UNREACHABLE_REPORT_MS
+        )
+
+    def observe_first_event(self, took_ms: float, load: float) -> None:
+        """Add the time to the first event of a stream to the mean.
+
+        :param took_ms: time from the start of the attempt.
+        :param load: load at the start of the attempt.
+        """
+        first_event_ms_per_load = min(_MAX_FIRST_EVENT_MS_PER_LOAD, took_ms / (load + 1.0))
+        if self.first_event_ms_per_load == 0.0:
+            self.first_event_ms_per_load = first_event_ms_per_load
+        self.first_event_ms_per_load += _FIRST_EVENT_WEIGHT * (
+            first_event_ms_per_load - self.first_event_ms_per_load
+        )
+
+    def expected_first_ms(self) -> float:
+        """Return the expected time to the first event of a stream, 0 when unknown."""
+        return (self.load() + 1.0) * self.first_event_ms_per_load
+
+    def observe_service_time(self, took_ms: float, weight: float) -> None:
+        """Add the time of one response, or of one event of a stream, to the recent mean.
+
+        :param weight: share of the new value in the mean.
+        """
+        if self.service_time_ms == 0.0:
+            self.service_time_ms = took_ms
+        self.service_time_ms += weight * (took_ms - self.service_time_ms)
+
+    def load(self) -> float:
+        """Return the estimated load, in requests that delay a new one.
+
+        An engine processes prompts one after the other and generates tokens for many requests in
+        parallel. A new request waits for unprocessed prompts, and hardly for running requests.
+        """
+        age_ms = now_ms() - self.reported_ms
+        fresh = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+        waiting = self.pending + self.other_waiting * fresh
+        running = self.in_flight - self.pending + (self.other_requests - self.other_waiting) * fresh
+        return waiting + self.running_weight * running
+
+    def update_other_load(self, count: int, pending: int) -> None:
+        """Update the load of other entry instances from the sum that control instances report.
+
+        A recent report of the upstream itself takes precedence.
+        """
+        if now_ms() - self.reported_ms < AGGREGATED_LOAD_AGE_MS:
+            return
+        self.other_requests = float(count)
+        self.other_waiting = float(min(count, pending))
+        self.reported_ms = now_ms() - AGGREGATED_LOAD_AGE_MS
+
+    def update_from_report(self, load: LoadReport) -> None:
+        """Update the load from a report in a response of the upstream."""
+        self.other_requests = max(0.0, load.running + load.waiting - self.in_flight)
+        self.other_waiting = min(self.other_requests, max(0.0, load.waiting - self.pending))
+        self.reported_ms = now_ms()
+
+    def holds(self, model: str) -> bool:
+        """Return whether the model is loaded and accepts requests."""
+        if model in self.withheld or self._is_current(self.misses.get(model)):
+            return False
+        return any(held.name == model for held in self.row.models)
+
+    def record_model_miss(self, model: str) -> None:
+        """Ignore announcements of the model up to and including the latest one."""
+        self.misses[model] = Miss(self.row.sequence, now_ms() + MISS_MS)
+
+    def record_adapter_miss(self, model: str, adapter: str) -> None:
+        """Treat the adapter as not loaded, whatever control or the latest announcement said."""
+        self.adapters.pop((model, adapter), None)
+        self.adapter_misses[(model, adapter)] = Miss(self.row.sequence, now_ms() + MISS_MS)
+
+    def lacks_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether it lacked the adapter since its last announcement."""
+        return self._is_current(self.adapter_misses.get((model, adapter)))
+
+    def _is_current(self, miss: Miss | None) -> bool:
+        return miss is not None and miss.sequence == self.row.sequence and now_ms() < miss.until_ms
+
+    def announces_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether its last announcement lists the adapter."""
+        if self.lacks_adapter(model, adapter):
+            return False
+        return any(held.name == model and adapter in held.adapters for held in self.row.models)
+
+    def holds_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether the adapter was recently seen to be loaded."""
+        return self.adapters.get((model, adapter), 0.0) > now_ms()
+
+
+class UpstreamTable:
+    """States of the announced upstreams."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, UpstreamState] = {}
+        self._rest_limit = RestLimit()
+
+    def update(
+        self, rows: dict[str, Upstream], changes: dict[str, ModelChanges]
+    ) -> list[ConnectionPool]:
+        """Apply announced rows and the model changes that are in progress.
+
+        :return: connection pools of upstreams that are no longer used."""
+        retired = []
+        for upstream_id in [i for i in self._states if i not in rows]:
+            retired.append(self._states.pop(upstream_id).pool)
+        for upstream_id, row in rows.items():
+            state = self._states.get(upstream_id)
+            if state is None or _is_different_process(state.row, row):
+                if state is not None:
+                    retired.append(state.pool)
+                pool = ConnectionPool(parse_address(row.address), self._rest_limit)
+                self._states[upstream_id] = UpstreamState(row, pool)
+            else:
+                state.row = row
+            if upstream_id in changes:
+                self._states[upstream_id].withheld = frozenset(changes[upstream_id].withheld)
+                self._states[upstream_id].available_at_ms = changes[upstream_id].arriving_ms
+        return retired
+
+    def usable(self, service: str) -> list[UpstreamState]:
+        """Return the ready upstreams of a service, or else those that are not leaving."""
+        rows = [s for s in self._states.values() if s.row.service == service]
+        ready = [s for s in rows if s.row.lifecycle == READY]
+        return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
+
+    def reachable(self, service: str) -> list[UpstreamState]:
+        """Return the usable upstreams of a service to which a connection may be tried."""
+        return [state for state in self.usable(service) if state.is_reachable]
+
+    def update_other_load(self, other_requests: dict[str, list[int]]) -> None:
+        """Update the load of other entry instances by upstream; it is zero for those not listed."""
+        for upstream_id, state in self._states.items():
+            count, pending = other_requests.get(upstream_id, (0, 0))
+            state.update_other_load(count, pending)
+
+    def in_flight(self) -> dict[str, list[int]]:
+        """Return the requests of this instance by upstream: all, and those not yet responded to."""
+        return {i: [s.in_flight, s.pending] for i, s in self._states.items() if s.in_flight}
+
+    def unreachable(self) -> list[str]:
+        """Return the ids of upstreams to report as unreachable."""
+        return [i for i, state in self._states.items() if state.is_reported_unreachable]
+
+    def get(self, upstream_id: str) -> UpstreamState | None:
+        """Return the state of an upstream."""
+        return self._states.get(upstream_id)
+
+    def pools(self) -> list[ConnectionPool]:
+        """Return the connection pools of all upstreams."""
+        return [state.pool for state in self._states.values()]
+
+
+def _is_different_process(known: Upstream, row: Upstream) -> bool:
+    return (known.incarnation, known.address) != (row.incarnation, row.address)
--- a/src/briardyke/routes/__init__.py
+++ b/src/briardyke/routes/__init__.py
@@ -1,1 +1,1 @@
-"""Describe which service answers which request, and what each service runs."""
+"""Map requests to services and describe the services."""
--- a/src/briardyke/routes/configuration.py
+++ b/src/briardyke/routes/configuration.py
@@ -1,4 +1,4 @@
-"""Describe a serving configuration: routes, services, the models of engines, limits."""
+"""Serving configuration: routes, services, engine models and limits."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class RequestKind(Enum):
-    """List what may be repeated of a request."""
+    """Which requests may be retried."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
@@ -17,10 +17,10 @@
 
 @attrs.frozen
 class Target:
-    """Name a service with its weight in a split.
+    """A service and its weight in a split.
 
     :param service: name of the service.
-    :param weight: relative share of the requests.
+    :param weight: relative share of requests.
     """
 
     service: str
@@ -29,20 +29,21 @@
 
 @attrs.frozen
 class Route:
-    """Describe the treatment of the requests below one host and path prefix.
+    """How to handle requests with one host and path prefix.
 
     :param name: name of the route.
     :param host: value of the ``Host`` header, in lower case.
-    :param path_prefix: prefix that begins and ends with a slash.
-    :param kind: what may be repeated.
-    :param timeout_ms: longest time that a caller is kept waiting.
-    :param latency_objective_ms: time to the answer, or to a stream's first event, that earns the
-        full worth.
-    :param priority: rank; 0 is the most urgent.
-    :param targets: services that may run the requests.
-    :param max_attempts: highest number of upstreams that one request is sent to.
-    :param is_resumable: whether a stream may be continued by another upstream.
-    :param event_gap_objective_ms: longest pause between events that is still on time; 0 for none.
+    :param path_prefix: path prefix; begins and ends with a slash.
+    :param kind: whether requests may be retried.
+    :param timeout_ms: time limit for a response.
+    :param latency_objective_ms: longest time to the response, or to the first event of a stream,
+        that meets the service level objective.
+    :param priority: priority class; 0 is the most urgent.
+    :param targets: services that may handle the requests.
+    :param max_attempts: largest number of upstreams that one request is sent to.
+    :param is_resumable: whether another upstream may resume a stream.
+    :param event_gap_objective_ms: longest time between events that meets the service level
+        objective; 0 for none.
     """
 
     name: str
@@ -67,15 +68,15 @@
 
 @attrs.frozen
 class ModelSpec:
-    """Describe a model that engines of a service can hold.
+    """A model that engines of a service can load.
 
     :param name: name of the model.
-    :param weights_mb: memory of its weights, in megabytes.
-    :param load_s: time of a load from the weight store.
-    :param disk_load_s: time of a load from the engine's own disk.
-    :param memory_load_s: time of a load from a copy in the engine's host memory.
+    :param weights_mb: size of its weights, in megabytes.
+    :param load_s: time to load it from the weight store, in seconds.
+    :param disk_load_s: time to load it from the engine's own disk, in seconds.
+    :param memory_load_s: time to load it from a copy in the engine's host memory, in seconds.
     :param adapters: number of its adapters.
-    :param adapter_mb: memory of one adapter, in megabytes.
+    :param adapter_mb: size of one adapter, in megabytes.
     """
 
     name: str
@@ -89,13 +90,13 @@
 
 @attrs.frozen
 class EngineSpec:
-    """Describe what the engines of a service have room for.
+    """Capacity of the engines of a service.
 
-    :param slots: requests in one batch.
+    :param slots: largest number of requests in one batch.
     :param weights_mb: memory for weights and adapters of one engine, in megabytes.
-    :param adapter_slots: adapters that one engine holds at most.
-    :param store_loads_per_s: loads that the weight store starts each second, over all engines.
-    :param cache_tokens: memory for running requests and cached prompts, in tokens.
+    :param adapter_slots: largest number of adapters loaded on one engine.
+    :param store_loads_per_s: loads per second that the weight store starts for all engines.
+    :param cache_tokens: cache capacity for running requests and cached prompts, in tokens.
     :param models: models by name.
     """
 
@@ -109,11 +110,11 @@
 
 @attrs.frozen
 class ServiceSpec:
-    """Describe a service.
+    """A service and the capacity of its upstreams.
 
     :param name: name of the service.
-    :param max_connections: connections that one upstream accepts from all callers.
-    :param engine: room and models of its engines; ``None`` for a plain service.
+    :param max_connections: largest number of connections that one upstream accepts.
+    :param engine: capacity and models of its engines; ``None`` for a plain service.
     """
 
     name: str
@@ -123,12 +124,12 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Bound what a caller may send and how long it may take.
+    """Size and time limits for requests of callers.
 
-    :param max_header_bytes: largest request head.
-    :param max_body_bytes: largest body.
-    :param header_timeout_ms: longest time for the head of a request.
-    :param idle_timeout_ms: longest time that a kept connection may rest.
+    :param max_header_bytes: largest request head, in bytes.
+    :param max_body_bytes: largest request body, in bytes.
+    :param header_timeout_ms: time limit for receiving the head of a request.
+    :param idle_timeout_ms: longest idle time of a keep-alive connection.
     """
 
     max_header_bytes: int = 16384
@@ -139,12 +140,12 @@
 
 @attrs.frozen
 class ServingConfiguration:
-    """Hold one numbered configuration.
+    """One version of the serving configuration.
 
-    :param version: its number.
+    :param version: version number.
     :param routes: all routes.
     :param services: services by name.
-    :param limits: bounds for callers.
+    :param limits: limits for callers.
     """
 
     version: int
--- a/src/briardyke/routes/matching.py
+++ b/src/briardyke/routes/matching.py
@@ -1,4 +1,4 @@
-"""Find the route of a request and a service of the route."""
+"""Find the route of a request and select one of its services."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class RouteTable:
-    """Find routes by host and longest prefix, in time linear in the path's segments."""
+    """Find routes by host and longest path prefix, in time linear in the number of segments."""
 
     def __init__(self, configuration: ServingConfiguration) -> None:
         """Index the routes of a configuration."""
@@ -19,10 +19,10 @@
         self._routes = {(r.host, r.path_prefix): r for r in configuration.routes}
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path, or ``None``.
+        """Return the route with the longest matching path prefix, or ``None``.
 
         :param host: value of the ``Host`` header; case and port are ignored.
-        :param path: request target; a query is ignored.
+        :param path: request target; a query string is ignored.
         """
         host = host.partition(":")[0].lower()
         end = len(path.partition("?")[0])
@@ -34,12 +34,13 @@
 
 
 def choose_service(route: Route, usable: set[str], random: random.Random) -> str:
-    """Draw a service by weight; one without a usable upstream is drawn only if none has any.
+    """Select a service at random by weight, preferring services with usable upstreams.
 
-    Load: a split whose smaller part has lost its upstreams must not fail its share of the
-    requests while another allowed service is up.
+    If the smaller service of a split has lost its upstreams, its share of the requests must not
+    fail while another target is available. Services without usable upstreams are selected only if
+    no target has any.
 
-    :param usable: services that have an upstream that could take the request.
+    :param usable: services with an upstream that can accept the request.
     """
     weighted = [t for t in route.targets if t.weight > 0]
     candidates = [t for t in weighted if t.service in usable] or weighted
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,4 +1,4 @@
-"""Share a running gateway between the tests of this folder."""
+"""Fixtures for the tests of this folder."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 @pytest.fixture
 async def gateway() -> AsyncIterator[Gateway]:
-    """Return a gateway that listens."""
+    """Yield a gateway that accepts connections."""
     async with trio.open_nursery() as nursery:
-        found = Gateway(nursery)
-        await found.start()
-        yield found
+        running = Gateway(nursery)
+        await running.start()
+        yield running
         nursery.cancel_scope.cancel()
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -1,4 +1,4 @@
-"""Run a gateway between a scripted upstream and a caller, in the process of a test."""
+"""Run a gateway between scripted upstreams and a caller within a test's process."""
 
 from __future__ import annotations
 
@@ -48,8 +48,8 @@
 Script = Callable[["ScriptedUpstream", trio.SocketStream, bytes], Awaitable[None]]
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait for a condition, for five seconds at most."""
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait up to five seconds for a condition."""
     with trio.fail_after(5):
         while True:
             if condition():
@@ -58,7 +58,7 @@
 
 
 def chunk(data: bytes) -> bytes:
-    """Return data as one chunk of a body."""
+    """Return data as one chunk of a chunked body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
@@ -69,11 +69,12 @@
 
 @attrs.define
 class ScriptedUpstream:
-    """Answer each request with a script.
+    """Upstream that runs a script for each request.
 
-    :param script: called with the stream and the id of each request that was read.
-    :param requests: ids of the requests that were read, in order.
-    :param closed: connections that the gateway closed.
+    :param script: called with the upstream, the stream and the id of each request.
+    :param requests: ids of the requests received, in order.
+    :param connections: number of accepted connections.
+    :param closed: number of closed connections.
     """
 
     script: Script
@@ -114,7 +115,7 @@
 
 @attrs.define
 class Reply:
-    """Hold what the caller received until its connection ended."""
+    """What the caller received until its connection ended."""
 
     status: int
     headers: dict[bytes, bytes]
@@ -123,7 +124,7 @@
 
 
 class Gateway:
-    """Serve callers from scripted upstreams."""
+    """Gateway in front of scripted upstreams."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
@@ -140,21 +141,21 @@
         self.port = 0
 
     async def start(self) -> None:
-        """Listen on a free port."""
+        """Start to listen on a free port."""
         self.port = await self._nursery.start(self.server.serve, Address("127.0.0.1", 0))
 
     async def add(self, service: str, script: Script) -> ScriptedUpstream:
-        """Start an upstream and announce it."""
+        """Start an upstream and add it to the gateway's announced upstreams."""
         upstream = ScriptedUpstream(script)
         await self._nursery.start(upstream.serve)
         name = f"u{len(self.rows)}"
         held = [HeldModel("m")] if service == "pool" else []
         self.rows[name] = Upstream(name, 1, 1, service, str(upstream.address), "dc", READY, 8, held)
-        self.state.upstreams.adopt(self.rows, {})
+        self.state.upstreams.update(self.rows, {})
         return upstream
 
     async def send(self, path: str, request_id: str, model: str = "") -> Reply:
-        """Send one request on a connection of its own and read until it ends."""
+        """Send one request on a new connection and read the response until the connection ends."""
         headers = [("Host", "h"), ("Request-Id", request_id), ("Connection", "close")]
         headers += [("Model", model)] if model else []
         protocol = h11.Connection(h11.CLIENT)
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -20,7 +20,7 @@
             await trio.sleep(0.1)
         assert meter.rates()["m"] == pytest.approx(10.0, rel=0.05)
 
-    async def test_rate_halves_and_is_forgotten(
+    async def test_rate_halves_and_is_then_dropped(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         meter = DemandMeter()
@@ -31,15 +31,15 @@
         await trio.sleep(60)
         assert meter.rates() == {}
 
-    async def test_requests_that_pile_up_raise_the_demand(
+    async def test_requests_in_progress_increase_the_demand(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         meter = DemandMeter()
         for _ in range(60):
             meter.record("m")
-            meter.began("m")
+            meter.request_started("m")
         await trio.sleep(30)
         assert meter.demand()["m"] == pytest.approx(20.0, abs=0.1)
         for _ in range(60):
-            meter.ended("m")
+            meter.request_finished("m")
         assert meter.demand() == {}
--- a/tests/gateway/test_late_copies.py
+++ b/tests/gateway/test_duplicate_responses.py
@@ -1,4 +1,4 @@
-"""Tests of kept connections on which an upstream answers twice, late or not at all."""
+"""Tests of keep-alive connections on which an upstream responds twice, late or not at all."""
 
 from __future__ import annotations
 
@@ -15,39 +15,39 @@
 HEAD = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s"
 
 
-def answer(status: int, request_id: bytes, body: bytes) -> bytes:
-    """Return a whole answer; without an id it does not name its request."""
+def response(status: int, request_id: bytes, body: bytes) -> bytes:
+    """Return a complete response; without an id it does not identify its request."""
     whole = HEAD % (status, request_id, len(body), body)
     return whole if request_id else whole.replace(b"Request-Id: \r\n", b"")
 
 
-class TestSecondCopy:
-    """Covers a second copy of an answer on a connection that is in use again."""
+class TestDuplicateResponse:
+    """Covers a duplicate of a response on a reused connection."""
 
-    @pytest.mark.parametrize("is_named", [True, False])
-    async def test_next_caller_gets_its_own_answer_or_none(
-        self, gateway: Gateway, is_named: bool
+    @pytest.mark.parametrize("has_id", [True, False])
+    async def test_next_caller_gets_its_own_response_or_none(
+        self, gateway: Gateway, has_id: bool
     ) -> None:
         async def twice(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
             if request_id == b"b-2":
-                # The copy arrives when the next request is already on its way.
-                await stream.send_all(answer(200, b"b-1" if is_named else b"", b"first"))
+                # The duplicate arrives after the next request was sent.
+                await stream.send_all(response(200, b"b-1" if has_id else b"", b"first"))
                 await trio.sleep(0.05)
             body = b"first" if request_id == b"b-1" else b"second"
-            await stream.send_all(answer(200, request_id, body))
+            await stream.send_all(response(200, request_id, body))
 
         upstream = await gateway.add("app", twice)
         assert (await gateway.send("/buy/x", "b-1")).body == b"first"
         reply = await gateway.send("/buy/x", "b-2")
         assert upstream.connections == 1
-        if is_named:
+        if has_id:
             assert (reply.status, reply.body) == (200, b"second")
         else:
             assert (reply.status, reply.body) == (502, b"")
 
-    async def test_copy_of_a_refusal_is_no_promise_for_the_next_request(
+    async def test_duplicate_refusal_does_not_apply_to_the_next_request(
         self, gateway: Gateway
     ) -> None:
         async def refuse_then_run(
@@ -58,26 +58,26 @@
                 await stream.send_all(refusal.replace(b"Not", b"Request-Id: b-1\r\nNot"))
             else:
                 await stream.send_all(refusal)
-                await stream.send_all(answer(200, request_id, b"ran"))
+                await stream.send_all(response(200, request_id, b"ran"))
 
         await gateway.add("app", refuse_then_run)
         assert (await gateway.send("/buy/x", "b-1")).status == 503
         assert (await gateway.send("/buy/x", "b-2")).status == 502
 
 
-class TestForgottenConnections:
-    """Covers upstreams that drop idle connections without notice and sooner than they say."""
+class TestDroppedConnections:
+    """Covers upstreams that drop idle connections without notice and earlier than announced."""
 
-    async def test_rest_is_shortened_after_a_reset(self, gateway: Gateway) -> None:
-        async def forgetful(
+    async def test_idle_limit_is_reduced_after_a_reset(self, gateway: Gateway) -> None:
+        async def dropping(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
             if len(upstream.requests) == 2:
-                await trio.aclose_forcefully(stream)  # the second request met a dropped connection
+                await trio.aclose_forcefully(stream)  # drops the connection of the second request
                 return
-            await stream.send_all(answer(200, request_id, b"ok"))
+            await stream.send_all(response(200, request_id, b"ok"))
 
-        upstream = await gateway.add("app", forgetful)
+        upstream = await gateway.add("app", dropping)
         statuses = []
         for number in range(5):
             statuses.append((await gateway.send("/buy/x", f"b-{number}")).status)
@@ -85,7 +85,7 @@
         assert statuses == [200, 502, 200, 200, 200]
         assert upstream.connections == 4
 
-    async def test_limit_is_learned_and_forgotten(
+    async def test_idle_limit_is_learned_and_expires(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         limit = RestLimit()
@@ -100,8 +100,8 @@
         assert limit.limit_ms() == float("inf")
 
 
-class TestPromises:
-    """Covers answers whose status says more than the upstream does."""
+class TestNotExecutedStatuses:
+    """Covers responses whose status implies that the request was not executed."""
 
     @pytest.mark.parametrize("status", [408, 429, 503])
     async def test_status_alone_is_no_proof_that_a_request_has_not_run(
@@ -110,7 +110,7 @@
         async def failing(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
-            await stream.send_all(answer(status, request_id, b"busy"))
+            await stream.send_all(response(status, request_id, b"busy"))
 
         upstream = await gateway.add("app", failing)
         reply = await gateway.send("/buy/x", "b-1")
@@ -118,11 +118,11 @@
         assert b"server-stamp" not in reply.headers
         assert upstream.requests == [b"b-1"]
 
-    async def test_statement_of_the_upstream_is_passed_on(self, gateway: Gateway) -> None:
+    async def test_refusal_of_the_upstream_is_forwarded(self, gateway: Gateway) -> None:
         async def refusing(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
-            refusal = answer(503, request_id, b"")
+            refusal = response(503, request_id, b"")
             await stream.send_all(refusal.replace(b"Server-Stamp: s", b"Not-Executed: 1"))
 
         await gateway.add("app", refusing)
--- a/tests/gateway/test_servers_in_trouble.py
+++ b/tests/gateway/test_faulty_upstreams.py
@@ -1,4 +1,4 @@
-"""Tests of requests whose upstream sends bytes that are no answer, or hardly any bytes."""
+"""Tests of upstreams that send invalid responses or stall."""
 
 from __future__ import annotations
 
@@ -7,20 +7,20 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, chunk, event, until
+from gateway_support import STREAM_HEAD, chunk, event, wait_until
 
 from briardyke.gateway.event_stream import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
     from gateway_support import Gateway, ScriptedUpstream
 
-# A gateway that keeps what it cannot use would exceed this within a second.
+# A gateway that buffers unusable data would exceed this within a second.
 MEMORY_BOUND_BYTES = 24 * 1024 * 1024
 PLAIN = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
 
 
-async def sound(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
-    """Answer with five events, or with a short body."""
+async def healthy(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Respond with five events, or with a short body."""
     if request_id.startswith(b"s"):
         await stream.send_all(STREAM_HEAD % request_id)
         for number in range(1, 6):
@@ -31,7 +31,7 @@
 
 
 async def trickle(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
-    """Send one event, then a byte now and then."""
+    """Send one event, then a single byte every 0.1 s."""
     await stream.send_all(STREAM_HEAD % request_id + event(1))
     while True:
         await trio.sleep(0.1)
@@ -39,28 +39,28 @@
 
 
 class TestStalledStream:
-    """Covers streams that are slow and streams that do not move on."""
+    """Covers slow streams and streams without progress."""
 
-    async def test_byte_now_and_then_is_no_progress(self, gateway: Gateway) -> None:
+    async def test_single_bytes_are_no_progress(self, gateway: Gateway) -> None:
         first = await gateway.add("pool", trickle)
-        reply_of = {}
+        replies = {}
 
-        async def ask() -> None:
-            reply_of["first"] = await gateway.send("/chat/x", "s-1", "m")
+        async def send_request() -> None:
+            replies["first"] = await gateway.send("/chat/x", "s-1", "m")
 
         with trio.fail_after(4):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(ask)
-                await until(lambda: bool(first.requests))
+                nursery.start_soon(send_request)
+                await wait_until(lambda: bool(first.requests))
 
-                async def rest(
+                async def remainder(
                     upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
                 ) -> None:
                     await stream.send_all(STREAM_HEAD % request_id)
                     await stream.send_all(event(2) + event(3) + b"0\r\n\r\n")
 
-                await gateway.add("pool", rest)
-        reply = reply_of["first"]
+                await gateway.add("pool", remainder)
+        reply = replies["first"]
         assert reply.is_complete
         assert [line for line in reply.body.split(b"\n") if line.startswith(b"id")] == [
             b"id: 1",
@@ -68,7 +68,7 @@
             b"id: 3",
         ]
 
-    async def test_slow_stream_without_alternative_goes_on(self, gateway: Gateway) -> None:
+    async def test_slow_stream_without_alternative_continues(self, gateway: Gateway) -> None:
         async def slow(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
@@ -86,7 +86,7 @@
     async def test_stalled_stream_ends_at_the_deadline_of_its_route(
         self, autojump_clock: trio.testing.MockClock, gateway: Gateway
     ) -> None:
-        autojump_clock.autojump_threshold = 0.05  # the kernel needs a moment for the sockets
+        autojump_clock.autojump_threshold = 0.05  # gives the kernel time to deliver socket data
 
         upstream = await gateway.add("pool", trickle)
         started = trio.current_time()
@@ -97,8 +97,8 @@
         assert upstream.closed == 1
 
 
-class TestEndlessBytes:
-    """Covers bytes that are no answer and do not end until the gateway closes."""
+class TestEndlessData:
+    """Covers invalid data that does not end until the gateway closes the connection."""
 
     @pytest.mark.parametrize(
         ("start", "repeated"),
@@ -121,7 +121,7 @@
         ids=["line", "head", "interim", "body", "chunk", "foreign", "event"],
     )
     @pytest.mark.parametrize("kind", ["see", "buy", "chat"])
-    async def test_caller_learns_the_truth_in_bounded_memory(
+    async def test_failure_is_reported_correctly_in_bounded_memory(
         self, gateway: Gateway, kind: str, start: bytes, repeated: bytes
     ) -> None:
         async def endless(
@@ -131,7 +131,7 @@
             while True:
                 await stream.send_all(repeated)
 
-        troubled = await gateway.add("pool" if kind == "chat" else "app", endless)
+        faulty = await gateway.add("pool" if kind == "chat" else "app", endless)
         tracemalloc.start()
         try:
             with trio.fail_after(8):
@@ -139,16 +139,16 @@
             peak_bytes = tracemalloc.get_traced_memory()[1]
         finally:
             tracemalloc.stop()
-        assert reply.status in (502, 504) or not reply.is_complete  # no promise that it has not run
+        assert reply.status in (502, 504) or not reply.is_complete  # not reported as not executed
         assert peak_bytes < MEMORY_BOUND_BYTES
-        await until(lambda: troubled.closed == troubled.connections)
+        await wait_until(lambda: faulty.closed == faulty.connections)
 
-    async def test_other_requests_go_on(self, gateway: Gateway) -> None:
+    async def test_other_requests_continue(self, gateway: Gateway) -> None:
         async def endless(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
             if request_id != b"b-1":
-                await sound(upstream, stream, request_id)
+                await healthy(upstream, stream, request_id)
                 return
             await stream.send_all(PLAIN % request_id)
             while True:
@@ -160,7 +160,7 @@
         assert (reply.status, reply.body) == (200, b"ok")
         assert upstream.connections == 2
 
-    async def test_event_without_an_end_is_continued_elsewhere(self, gateway: Gateway) -> None:
+    async def test_stream_with_endless_event_is_resumed_elsewhere(self, gateway: Gateway) -> None:
         async def endless(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
@@ -170,21 +170,21 @@
                 await stream.send_all(chunk(b"w" * 16384))
                 sent += 16384
 
-        async def rest(
+        async def remainder(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
         ) -> None:
             await stream.send_all(STREAM_HEAD % request_id + event(2) + b"0\r\n\r\n")
 
         first = await gateway.add("pool", endless)
-        reply_of = {}
+        replies = {}
 
-        async def ask() -> None:
-            reply_of["first"] = await gateway.send("/chat/x", "s-9", "m")
+        async def send_request() -> None:
+            replies["first"] = await gateway.send("/chat/x", "s-9", "m")
 
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            await until(lambda: bool(first.requests))
-            await gateway.add("pool", rest)
-        reply = reply_of["first"]
+            nursery.start_soon(send_request)
+            await wait_until(lambda: bool(first.requests))
+            await gateway.add("pool", remainder)
+        reply = replies["first"]
         assert reply.is_complete
         assert reply.body == b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_upstream_selection.py
@@ -1,4 +1,4 @@
-"""Tests for the choice of an upstream, each with the load that it answers."""
+"""Tests for the selection of an upstream under different loads."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
 from briardyke.fleet.records import READY, HeldModel, Upstream
-from briardyke.gateway.choice import choose_upstream
 from briardyke.gateway.dialect import LoadReport, RequestMetadata
-from briardyke.gateway.tables import ENGINE_RUNNING_WEIGHT, UpstreamState
+from briardyke.gateway.upstream_selection import choose_upstream
+from briardyke.gateway.upstreams import ENGINE_RUNNING_WEIGHT, UpstreamState
 from briardyke.http.h11_client import ConnectionPool
 
 PLAIN = RequestMetadata("r-1", 1000.0)
@@ -25,7 +25,7 @@
 
 
 def spread(states: list[UpstreamState], count: int, request: RequestMetadata = PLAIN) -> Counter:
-    """Return the requests of a burst by upstream; none of them ends meanwhile."""
+    """Return the requests of a burst by upstream; none of them ends during the burst."""
     source, taken = random.Random(3), Counter[str]()
     for _ in range(count):
         chosen = choose_upstream(states, request, "dc-1", source)
@@ -36,63 +36,65 @@
 
 
 class TestBurst:
-    """Covers many requests at the same moment."""
+    """Covers many requests at the same time."""
 
     async def test_equal_upstreams_share_it(self) -> None:
         assert set(spread([state("1"), state("2"), state("3")], 30).values()) == {10}
 
-    async def test_slow_upstream_gets_its_part(self) -> None:
+    async def test_slow_upstream_gets_a_smaller_share(self) -> None:
         fast, slow = state("1"), state("2")
-        fast.pace_ms, slow.pace_ms = 20.0, 60.0
+        fast.service_time_ms, slow.service_time_ms = 20.0, 60.0
         taken = spread([fast, slow], 40)
         assert taken["1"] == pytest.approx(30, abs=2)
 
     async def test_load_of_other_instances_counts_while_it_is_fresh(self) -> None:
         busy, idle = state("1"), state("2")
-        busy.take_report(LoadReport(6, 2, 8))
+        busy.update_from_report(LoadReport(6, 2, 8))
         assert spread([busy, idle], 4) == {"2": 4}
 
-    async def test_failing_upstream_gets_little(self) -> None:
-        sound, failing = state("1"), state("2")
+    async def test_failing_upstream_gets_few_requests(self) -> None:
+        healthy, failing = state("1"), state("2")
         for step in range(4):
             failing.gate.failed(now_ms() + step * 100.0)
-        assert spread([sound, failing], 8)["1"] >= 7
+        assert spread([healthy, failing], 8)["1"] >= 7
 
-    async def test_near_upstream_is_preferred_while_idle(self) -> None:
+    async def test_upstream_in_own_data_centre_is_preferred_while_idle(self) -> None:
         assert spread([state("1", "dc-2"), state("2", "dc-1")], 1) == {"2": 1}
 
 
 class TestEngines:
-    """Covers engines, where waiting prompts delay a new one and running requests hardly do."""
+    """Covers engines, where waiting prompts delay a new request and running requests hardly do."""
 
-    async def test_engine_with_unread_prompts_is_left_for_one_that_runs_more(self) -> None:
-        reading, running = state("1", slots=64), state("2", slots=64)
-        for row in (reading, running):
+    async def test_engine_with_waiting_prompts_loses_to_one_with_more_running_requests(
+        self,
+    ) -> None:
+        queueing, running = state("1", slots=64), state("2", slots=64)
+        for row in (queueing, running):
             row.running_weight = ENGINE_RUNNING_WEIGHT
-        reading.take_report(LoadReport(4, 6, 64))
-        running.take_report(LoadReport(20, 0, 64))
-        assert spread([reading, running], 2) == {"2": 2}
+        queueing.update_from_report(LoadReport(4, 6, 64))
+        running.update_from_report(LoadReport(20, 0, 64))
+        assert spread([queueing, running], 2) == {"2": 2}
 
 
 class TestSharedPrompts:
-    """Covers requests that share the beginning of their prompts."""
+    """Covers requests that share a prompt prefix."""
 
     SESSION = RequestMetadata("r-1", 1000.0, "m", prefix_ids=("a", "b", "c"))
 
-    async def test_session_stays_together_while_its_home_is_hardly_busier(self) -> None:
+    async def test_session_stays_on_one_upstream_that_is_hardly_busier(self) -> None:
         assert len(spread([state("1"), state("2"), state("3")], 3, self.SESSION)) == 1
 
     async def test_hot_session_spreads(self) -> None:
         taken = spread([state("1"), state("2"), state("3")], 60, self.SESSION)
         assert min(taken.values()) > 15
 
-    async def test_slow_home_is_left(self) -> None:
+    async def test_slow_preferred_upstream_is_avoided(self) -> None:
         states = [state("1"), state("2"), state("3")]
-        home = next(iter(spread(states, 1, self.SESSION)))
+        preferred = next(iter(spread(states, 1, self.SESSION)))
         for row in states:
-            row.in_flight, row.pace_ms = 0, 20.0
-        states[int(home) - 1].pace_ms = 200.0
-        assert home not in spread(states, 3, self.SESSION)
+            row.in_flight, row.service_time_ms = 0, 20.0
+        states[int(preferred) - 1].service_time_ms = 200.0
+        assert preferred not in spread(states, 3, self.SESSION)
 
 
 class TestNoCandidates:
@@ -103,34 +105,34 @@
 
 
 class TestManyInstances:
-    """Covers dozens of entry instances that choose from the same reports."""
+    """Covers dozens of entry instances that select by the same reports."""
 
     @staticmethod
-    def burst(instances: int, requests: int, unseen: float) -> int:
-        """Return the load of the busiest of ten engines when all choose by one report."""
+    def burst(instances: int, requests: int, unreported: float) -> int:
+        """Return the requests of the busiest of ten engines when all instances use one report."""
         arrived = Counter[str]()
         for number in range(instances):
             states = [state(str(n + 1), slots=16) for n in range(10)]
             for position, candidate in enumerate(states):
-                candidate.others = float(position % 3)
+                candidate.other_requests = float(position % 3)
                 candidate.reported_ms = now_ms()
             source = random.Random(number)
             for _ in range(requests):
-                chosen = choose_upstream(states, PLAIN, "dc-1", source, unseen)
+                chosen = choose_upstream(states, PLAIN, "dc-1", source, unreported)
                 assert chosen is not None
                 chosen.in_flight += 1
                 chosen.pending += 1
                 arrived[chosen.row.upstream_id] += 1
         return max(arrived.values())
 
-    async def test_they_do_not_all_choose_the_least_busy(self) -> None:
+    async def test_they_do_not_all_choose_the_least_loaded(self) -> None:
         mean = 20 * 2 / 10
-        assert self.burst(20, 2, unseen=38.0) <= 2 * mean
-        assert self.burst(20, 2, unseen=0.0) > 2 * mean
+        assert self.burst(20, 2, unreported=38.0) <= 2 * mean
+        assert self.burst(20, 2, unreported=0.0) > 2 * mean
 
     async def test_busier_upstream_gets_less(self) -> None:
         busy, idle = state("1", slots=16), state("2", slots=16)
-        busy.others, busy.reported_ms = 6.0, now_ms()
+        busy.other_requests, busy.reported_ms = 6.0, now_ms()
         source = random.Random(5)
         taken = Counter(
             choose_upstream([busy, idle], PLAIN, "dc-1", source, 10.0).row.upstream_id  # type: ignore[union-attr]
@@ -138,16 +140,16 @@
         )
         assert taken["2"] / 400 == pytest.approx(0.8, abs=0.06)
 
-    async def test_sum_of_the_fleet_counts_until_the_upstream_itself_says_more(self) -> None:
+    async def test_report_of_the_upstream_overrides_the_aggregated_load(self) -> None:
         known = state("1")
-        known.take_others(6, 2)
+        known.update_other_load(6, 2)
         assert known.load() == pytest.approx(6.0, abs=1.5)
-        known.take_report(LoadReport(1, 0, 8))
-        known.take_others(9, 9)
+        known.update_from_report(LoadReport(1, 0, 8))
+        known.update_other_load(9, 9)
         assert known.load() <= 1.0
 
-    async def test_load_beyond_the_precision_of_the_amount_is_no_error(self) -> None:
+    async def test_load_too_large_for_the_float_precision_is_no_error(self) -> None:
         states = [state("1", slots=1), state("2", slots=1)]
         for candidate in states:
-            candidate.others, candidate.reported_ms = 1e18, now_ms()
+            candidate.other_requests, candidate.reported_ms = 1e18, now_ms()
         assert choose_upstream(states, PLAIN, "dc-1", random.Random(1)) in states
--- a/tests/routes/test_matching.py
+++ b/tests/routes/test_matching.py
@@ -1,4 +1,4 @@
-"""Tests for finding routes and services."""
+"""Tests for matching routes and selecting services."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class TestRouteTable:
-    """Covers the choice of a route."""
+    """Covers the matching of routes."""
 
     @pytest.mark.parametrize(
         ("host", "path", "expected"),
@@ -42,7 +42,7 @@
 
 
 class TestChooseService:
-    """Covers splits between services."""
+    """Covers weighted splits between services."""
 
     def test_weights_divide_the_requests(self) -> None:
         split = route("r", "/x/", Target("big", 90), Target("small", 10))
@@ -50,10 +50,10 @@
         drawn = [choose_service(split, {"big", "small"}, source) for _ in range(2000)]
         assert 130 < drawn.count("small") < 280
 
-    def test_service_without_upstreams_is_passed_over(self) -> None:
+    def test_service_without_upstreams_is_skipped(self) -> None:
         split = route("r", "/x/", Target("big", 90), Target("small", 10))
         assert choose_service(split, {"small"}, random.Random(1)) == "small"
 
-    def test_service_of_weight_zero_gets_nothing(self) -> None:
+    def test_service_of_weight_zero_gets_no_requests(self) -> None:
         split = route("r", "/x/", Target("old", 0), Target("new", 10))
         assert choose_service(split, {"old"}, random.Random(1)) == "new"
