--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -49,12 +49,12 @@
 
 def load_remaining_ms(model: str, upstreams: Sequence[UpstreamState]) -> float | None:
     """Return the time until a load in progress should end, or ``None`` without one."""
-    available_at_ms = [
+    remaining_ms = [
         max(_MIN_LOAD_REMAINING_MS, upstream.available_at_ms[model] - now_ms())
         for upstream in upstreams
         if upstream.available_at_ms.get(model, 0.0) > now_ms() - _OVERDUE_MS
     ]
-    return min(available_at_ms, default=None)
+    return min(remaining_ms, default=None)
 
 
 def model_available_in_ms(spec: ModelSpec, upstreams: Sequence[UpstreamState]) -> float:
@@ -126,7 +126,7 @@
 
     @staticmethod
     def _max_wait_ms(context: RequestContext) -> float:
-        """Return the longest time from its arrival that a request may wait for an upstream."""
+        """Return how long a request may wait for an upstream after its arrival or last event."""
         total_ms = context.deadline_ms - context.request.received_ms
         if context.route.kind is not RequestKind.STREAMING:
             return total_ms * _MAX_WAIT_FRACTION
@@ -177,8 +177,8 @@
         waited_ms = now_ms() - context.last_progress_ms
         max_wait_ms = self._max_wait_ms(context)
         is_for_model = bool(context.metadata.model) and state.is_engine(context.service)
-        has_holder = not is_for_model or self._is_model_held(context, state)
-        if context.tried_upstreams and has_holder and not context.may_have_run:
+        is_model_held = not is_for_model or self._is_model_held(context, state)
+        if context.tried_upstreams and is_model_held and not context.may_have_run:
             return 0.0  # every upstream that could run it has rejected it
         if is_for_model:
             context.refusal = self._wait_refusal(context, state, max_wait_ms - waited_ms)
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -31,7 +31,7 @@
 # Two heartbeats of an upstream at 1.2 s; by then it has announced its loaded models.
 MISS_MS = 2500.0
 # Load of a running request on an engine, relative to a waiting one. Processing a prompt takes about
-# seven times as long as the time that one running request adds to the engine's steps in total.
+# seven times as long as one running request prolongs the engine's steps over its duration.
 ENGINE_RUNNING_WEIGHT = 0.15
 # Weight of one stream in the mean, which covers about six streams.
 _FIRST_EVENT_WEIGHT = 0.15
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -59,7 +59,7 @@
     """Covers the expected wait of a request for a missing model."""
 
     @pytest.mark.parametrize(
-        ("available_at_ms", "at_hand", "expected_ms"),
+        ("remaining_ms", "at_hand", "expected_ms"),
         [
             ({}, [], 6700.0),
             ({}, ["m"], 1900.0),
@@ -70,10 +70,10 @@
         ],
     )
     async def test_load_in_progress_takes_precedence_over_an_estimate(
-        self, available_at_ms: dict[str, float], at_hand: list[str], expected_ms: float
+        self, remaining_ms: dict[str, float], at_hand: list[str], expected_ms: float
     ) -> None:
         state = upstream(at_hand=at_hand)
-        state.available_at_ms = {model: now_ms() + ms for model, ms in available_at_ms.items()}
+        state.available_at_ms = {model: now_ms() + ms for model, ms in remaining_ms.items()}
         assert model_available_in_ms(MODEL, [state]) == pytest.approx(expected_ms, abs=60.0)
 
 
