--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -101,8 +101,8 @@
     ) -> Failure | None:
         """Return the reason to end a request's wait for its model, or ``None``.
 
-        It waits on the basis of an estimate, so only a load that is known to end too late ends
-        the wait early.
+        The request waits on the basis of an estimate, so only a load that is known to end too
+        late ends the wait early.
         """
         model = context.metadata.model
         spec = state.model(context.service, model)
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -42,7 +42,7 @@
     """Result of one attempt.
 
     :param ending: how it ended.
-    :param reason: explanation for the log and the caller.
+    :param reason: explanation for the log.
     :param head: response head, if one was received.
     :param body: complete body, if it was buffered.
     :param metadata: values from the response headers.
