--- a/src/briardyke/claims/__init__.py
+++ b/src/briardyke/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Record who may run a non-idempotent request, and its first response."""
+"""Record which attempt may run a non-idempotent request, and its first response."""
--- a/src/briardyke/claims/machine.py
+++ b/src/briardyke/claims/machine.py
@@ -1,4 +1,4 @@
-"""Apply the commands of one claim group."""
+"""Replicated state machine of one claim group."""
 
 from __future__ import annotations
 
@@ -13,17 +13,17 @@
 
 SCHEMA = 1
 RETENTION_MS = 24 * 60 * 60 * 1000
-UNREPORTED_MS = 10 * 60 * 1000
+HOLDER_TIMEOUT_MS = 10 * 60 * 1000
 MAX_CLAIMS = 100_000
 MAX_RESPONSE_BYTES = 64 * 1024
-# 100,000 responses of the largest size would need 6.4 GB of memory and snapshot.
-MAX_STORED_BYTES = 64 * 1024 * 1024
+# MAX_CLAIMS responses of MAX_RESPONSE_BYTES would take 6.4 GB of memory and snapshot size.
+MAX_STORED_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 @message
 @attrs.frozen
 class ApplyClaimRequest:
-    """Log a claim request.
+    """Command that applies a claim request.
 
     :param request: the request.
     :param wall_unix_ms: the leader's wall time, in milliseconds since the Unix epoch.
@@ -36,7 +36,7 @@
 @message
 @attrs.frozen
 class ApplyClaimEnd:
-    """Log the end of a claim.
+    """Command that ends a claim.
 
     :param end: the message.
     :param wall_unix_ms: the leader's wall time, in milliseconds since the Unix epoch.
@@ -48,14 +48,14 @@
 
 @attrs.frozen
 class ClaimLimits:
-    """Bound what a claim group keeps; all members of a group must use the same values.
+    """Limits of a claim group; all members of a group must use the same values.
 
-    :param claims: number of claims.
-    :param stored_bytes: total size of stored responses.
+    :param claims: largest number of claims.
+    :param stored_bytes: largest total size of stored responses.
     """
 
     claims: int = MAX_CLAIMS
-    stored_bytes: int = MAX_STORED_BYTES
+    stored_bytes: int = MAX_STORED_RESPONSE_BYTES
 
 
 @attrs.frozen
@@ -68,23 +68,24 @@
     changed_ms: int
     response: bytes | None = None
 
-    def seen_at(self, now_ms: int) -> str:
-        """Return the state at that time; a holder that never reports leaves it unknown."""
-        if self.state == "running" and now_ms - self.changed_ms >= UNREPORTED_MS:
+    def state_at(self, now_ms: int) -> str:
+        """Return the state at a time; it is unknown once the holder has not reported in time."""
+        if self.state == "running" and now_ms - self.changed_ms >= HOLDER_TIMEOUT_MS:
             return "unknown"
         return self.state
 
 
 class ClaimMachine:
-    """Hold the claims of one group; a consensus state machine.
+    """Hold the claims of one group; a state machine for the replicated log.
 
-    Time is the highest stamp seen, so that it never goes back when the leader changes.
+    The current time is the highest timestamp of all commands, so that it does not go back when the
+    leader changes.
     """
 
     def __init__(self, limits: ClaimLimits | None = None) -> None:
-        """Start without claims.
+        """Create the machine without claims.
 
-        :param limits: bounds, the same on all members.
+        :param limits: limits, the same on all members.
         """
         self._limits = limits or ClaimLimits()
         self._now_ms = 0
@@ -102,7 +103,7 @@
         return encode(_execute(decode(command).unwrap_or(None), self))
 
     def snapshot(self) -> bytes:
-        """Return the whole state; equal states give equal bytes."""
+        """Return the encoded state; equal states give equal bytes."""
         claims = [attrs.astuple(claim) for claim in self._claims.values()]
         return msgpack.packb({"schema": SCHEMA, "now_ms": self._now_ms, "claims": claims})
 
@@ -121,7 +122,7 @@
         self._stored_bytes = sum(len(c.response or b"") for c in claims)
 
     def advance(self, wall_unix_ms: int) -> None:
-        """Move the time forward and remove expired claims."""
+        """Advance the current time and remove expired claims."""
         self._now_ms = max(self._now_ms, wall_unix_ms)
         while self._claims:
             oldest = next(iter(self._claims.values()))
@@ -130,38 +131,38 @@
             self._remove(oldest)
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
-        """Grant a new claim or describe the one that exists."""
+        """Grant a new claim or return the state of the existing one."""
         claim = self._claims.get((request.caller, request.key_hash))
         if claim is None:
             if len(self._claims) >= self._limits.claims:
                 return ClaimReply("full")
-            self._put(_Claim(state="running", changed_ms=self._now_ms, **attrs.asdict(request)))
+            self._store(_Claim(state="running", changed_ms=self._now_ms, **attrs.asdict(request)))
             return ClaimReply("granted")
         if claim.digest != request.digest:
             return ClaimReply("key_reused")
-        state = claim.seen_at(self._now_ms)
+        state = claim.state_at(self._now_ms)
         if state == "running" and claim.attempt_id == request.attempt_id:
-            return ClaimReply("granted")  # the holder asks again after a lost reply
-        return _describe(claim, state)
+            return ClaimReply("granted")  # the holder retries after a lost reply
+        return _reply_for(claim, state)
 
     def end(self, end: ClaimEnd) -> ClaimReply:
-        """End a claim on behalf of the attempt that holds it."""
+        """End a claim if the attempt holds it; otherwise return the state of the claim."""
         claim = self._claims.get((end.caller, end.key_hash))
         if claim is None:
             # Either a repeated `not_run`, or the claim has expired.
             return ClaimReply("ended" if end.outcome == "not_run" else "unknown")
         if claim.attempt_id != end.attempt_id:
-            return ClaimReply(claim.seen_at(self._now_ms))
+            return ClaimReply(claim.state_at(self._now_ms))
         if claim.state == "completed":
             return ClaimReply("ended" if end.outcome == "completed" else "completed")
         if end.outcome == "completed":
             self._complete(claim, end.response)
         elif end.outcome != "not_run":
-            self._put(attrs.evolve(claim, state="unknown", changed_ms=self._now_ms))
+            self._store(attrs.evolve(claim, state="unknown", changed_ms=self._now_ms))
         elif claim.state == "running":
             self._remove(claim)
         else:
-            # The holder has reported that it does not know; it cannot know better later.
+            # The holder has already reported an unknown outcome, which "not_run" cannot revise.
             return ClaimReply("unknown")
         return ClaimReply("ended")
 
@@ -171,12 +172,12 @@
             or self._stored_bytes + len(response) > self._limits.stored_bytes
         ):
             response = None
-        self._put(
+        self._store(
             attrs.evolve(claim, state="completed", changed_ms=self._now_ms, response=response)
         )
         self._stored_bytes += len(response or b"")
 
-    def _put(self, claim: _Claim) -> None:
+    def _store(self, claim: _Claim) -> None:
         self._claims.pop((claim.caller, claim.key_hash), None)
         self._claims[claim.caller, claim.key_hash] = claim
 
@@ -185,7 +186,7 @@
         self._stored_bytes -= len(claim.response or b"")
 
 
-def _describe(claim: _Claim, state: str) -> ClaimReply:
+def _reply_for(claim: _Claim, state: str) -> ClaimReply:
     if state == "completed":
         if claim.response is None:
             return ClaimReply("unknown")
--- a/src/briardyke/claims/shards.py
+++ b/src/briardyke/claims/shards.py
@@ -1,4 +1,4 @@
-"""Assign claims to log groups."""
+"""Assign claims to the log groups (shards) that hold them."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 def shard_for_key(key_hash: int, shards: int) -> int:
-    """Return the index of the claim group that holds a key.
+    """Return the index of the shard that holds the claim of a key.
 
     :param key_hash: hash of caller and key.
-    :param shards: number of claim groups.
+    :param shards: number of shards.
     """
     return key_hash % shards
 
 
 def shard_group_id(index: int) -> str:
-    """Return the name of the log group with that index."""
+    """Return the id of the log group of a shard."""
     return f"claims-{index}"
--- a/src/briardyke/entry/addresses.py
+++ b/src/briardyke/entry/addresses.py
@@ -10,7 +10,7 @@
     from briardyke.wire.messages import InstanceStatus
 
 
-def address_answer(
+def address_response(
     listed: Sequence[InstanceStatus],
     data_centre: str,
     ttl_ms: float,
--- a/src/briardyke/entry/announcements.py
+++ b/src/briardyke/entry/announcements.py
@@ -21,7 +21,7 @@
     """Read an announcement.
 
     :param body: JSON object with the fields of an upstream row.
-    :param age_ms: how old the announcement may be by now, in milliseconds.
+    :param age_ms: largest possible age of the announcement, in milliseconds.
     :return: the row, or a failure that names the field.
     """
     try:
@@ -32,11 +32,11 @@
         return _invalid("announcement is not a JSON object", "body", ErrorKind.MALFORMED_REQUEST)
     missing = [f.name for f in _required() if f.name not in value]
     if missing:
-        return _invalid(f"announcement lacks {missing[0]}", missing[0])
+        return _invalid(f"announcement has no field {missing[0]}", missing[0])
     try:
         row = structure({**value, "age_ms": age_ms}, UpstreamRow)
-    except Exception as error:  # cattrs raises groups of many types
-        return _invalid(f"announcement has a wrong field: {type(error).__name__}", "body")
+    except Exception as error:  # cattrs raises exception groups of many types
+        return _invalid(f"announcement has an invalid field: {type(error).__name__}", "body")
     return _check(row)
 
 
--- a/src/briardyke/entry/authentication.py
+++ b/src/briardyke/entry/authentication.py
@@ -1,4 +1,4 @@
-"""Find out which caller sent a request."""
+"""Authenticate the caller of a request."""
 
 from __future__ import annotations
 
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms, wall_unix_ms
-from briardyke.entry.addresses import address_answer
+from briardyke.entry.addresses import address_response
 from briardyke.entry.authentication import authenticate
 from briardyke.entry.requests import (
     ModelRequest,
@@ -40,10 +40,10 @@
 
 
 class CallerApi:
-    """Handle the callers' routes."""
+    """Handle the routes for callers."""
 
     def __init__(self, state: EntryState, relay: Relay) -> None:
-        """Use the process's tables and relay."""
+        """Use the state and the relay of the process."""
         self._state = state
         self._relay = relay
         self._requests = counter("entry_requests", "Requests by result.")
@@ -60,19 +60,19 @@
 
     async def _addresses(self, request: Request) -> Response:
         state = self._state
-        leave_out = state.draining or state.isolated() or not state.ready()
-        body = address_answer(
+        is_excluded = state.draining or state.isolated() or not state.ready()
+        body = address_response(
             state.view.listed,
             request.query.get("data_centre", ""),
             state.settings.address_ttl_ms,
-            state.settings.instance_id if leave_out else None,
+            state.settings.instance_id if is_excluded else None,
         )
         return json_response(body, 200, {"cache-control": "no-store"})
 
     async def _models(self, request: Request) -> Response:
-        identified = self._identify(request)
-        if identified.is_err():
-            return error_response(identified.unwrap_err())
+        authenticated = self._authenticate(request)
+        if authenticated.is_err():
+            return error_response(authenticated.unwrap_err())
         configuration = self._state.configuration
         rows = [
             {"id": name, "object": "model", "created": 0, "owned_by": "briardyke"}
@@ -94,30 +94,32 @@
         started_ms = now_ms()
         request_id = read_request_id(request)
         if request_id.is_err():
-            return self._refuse(request_id.unwrap_err(), "")
+            return self._error_response(request_id.unwrap_err(), "")
         admitted = self._admit_model(request, request_id.unwrap())
         if admitted.is_err():
-            return self._refuse(admitted.unwrap_err(), request_id.unwrap())
-        work, permit = admitted.unwrap()
-        finish = _Finish(self, permit, work, started_ms)
-        if work.stream:
-            return await self._start_stream(work, finish)
+            return self._error_response(admitted.unwrap_err(), request_id.unwrap())
+        model_request, permit = admitted.unwrap()
+        finish = _RequestCompletion(self, permit, model_request, started_ms)
+        if model_request.stream:
+            return await self._start_stream(model_request, finish)
         try:
-            answer = await self._relay.complete(work.job)
+            result = await self._relay.complete(model_request.job)
         except BaseException:
             finish("cancelled", 0)
             raise
-        if answer.is_err():
-            failure = answer.unwrap_err()
+        if result.is_err():
+            failure = result.unwrap_err()
             finish(failure.kind.value, 0)
-            return error_response(failure, work.job.request_id)
-        whole = answer.unwrap()
-        finish("complete", whole.tokens)
-        body = {**whole.body, "created": wall_unix_ms() // 1000}
-        return json_response(body, 200, {"x-request-id": work.job.request_id})
-
-    async def _start_stream(self, work: ModelRequest, finish: _Finish) -> AnyResponse:
-        stream = self._relay.stream(work.job)
+            return error_response(failure, model_request.job.request_id)
+        response = result.unwrap()
+        finish("complete", response.tokens)
+        body = {**response.body, "created": wall_unix_ms() // 1000}
+        return json_response(body, 200, {"x-request-id": model_request.job.request_id})
+
+    async def _start_stream(
+        self, model_request: ModelRequest, finish: _RequestCompletion
+    ) -> AnyResponse:
+        stream = self._relay.stream(model_request.job)
         try:
             started = await stream.start()
         except BaseException:
@@ -126,37 +128,37 @@
         if started.is_err():
             failure = started.unwrap_err()
             finish(failure.kind.value, 0)
-            return error_response(failure, work.job.request_id)
+            return error_response(failure, model_request.job.request_id)
         self._first_token.record(now_ms() - finish.started_ms)
-        headers = {**STREAM_HEADERS, "x-request-id": work.job.request_id}
-        return StreamResponse(_Chunks(stream, finish), 200, headers)
+        headers = {**STREAM_HEADERS, "x-request-id": model_request.job.request_id}
+        return StreamResponse(_SettlingStream(stream, finish), 200, headers)
 
     async def _service(self, request: Request) -> Response:
         started_ms = now_ms()
         request_id = read_request_id(request)
         if request_id.is_err():
-            return self._refuse(request_id.unwrap_err(), "")
+            return self._error_response(request_id.unwrap_err(), "")
         admitted = self._admit_service(request, request_id.unwrap())
         if admitted.is_err():
-            return self._refuse(admitted.unwrap_err(), request_id.unwrap())
+            return self._error_response(admitted.unwrap_err(), request_id.unwrap())
         job, permit = admitted.unwrap()
         self._state.in_flight += 1
         try:
-            answer = await self._relay.call_service(job)
+            result = await self._relay.call_service(job)
         finally:
             self._state.in_flight -= 1
-            self._state.ledger.settle(permit, 0, now_ms())
+            self._state.limit_ledger.settle(permit, 0, now_ms())
         self._duration.record(now_ms() - started_ms)
-        if answer.is_err():
-            return self._refuse(answer.unwrap_err(), job.request_id)
-        response = answer.unwrap()
+        if result.is_err():
+            return self._error_response(result.unwrap_err(), job.request_id)
+        response = result.unwrap()
         self._requests.add(1, {"result": "complete"})
         headers = {**response.headers, "x-request-id": job.request_id}
         if response.replayed:
             headers["x-replayed"] = "true"
         return Response(response.status, response.body, headers)
 
-    def _identify(self, request: Request) -> Result[str, Failure]:
+    def _authenticate(self, request: Request) -> Result[str, Failure]:
         if not self._state.ready():
             text = "this instance cannot confirm that its configuration is current"
             failure = Failure(
@@ -168,7 +170,7 @@
     def _admit_model(
         self, request: Request, request_id: str
     ) -> Result[tuple[ModelRequest, Permit], Failure]:
-        caller = self._identify(request)
+        caller = self._authenticate(request)
         if caller.is_err():
             return Err(caller.unwrap_err())
         state = self._state
@@ -177,21 +179,23 @@
         )
         if read.is_err():
             return Err(read.unwrap_err())
-        work = read.unwrap()
+        model_request = read.unwrap()
         now = now_ms()
-        state.demand.record(work.adapter or work.model, work.estimated_tokens, now)
+        state.demand.record(
+            model_request.adapter or model_request.model, model_request.estimated_tokens, now
+        )
         permit = self._permit(
             caller.unwrap(),
-            work.job.route,
-            work.estimated_tokens,
-            work.job.deadline_ms,
+            model_request.job.route,
+            model_request.estimated_tokens,
+            model_request.job.deadline_ms,
         )
-        return permit.map(lambda p: (work, p))
+        return permit.map(lambda p: (model_request, p))
 
     def _admit_service(
         self, request: Request, request_id: str
     ) -> Result[tuple[Any, Permit], Failure]:
-        caller = self._identify(request)
+        caller = self._authenticate(request)
         if caller.is_err():
             return Err(caller.unwrap_err())
         name = request.path_values["name"]
@@ -199,63 +203,63 @@
         if service is None:
             text = f"no service is named {name!r}"
             return Err(Failure(ErrorKind.UNKNOWN_SERVICE, text, "name"))
-        job = read_service_job(
+        read = read_service_job(
             request,
             request_id,
             caller.unwrap(),
             service,
             self._state.settings.default_deadline_ms,
         )
-        if job.is_err():
-            return Err(job.unwrap_err())
-        work = job.unwrap()
-        permit = self._permit(caller.unwrap(), work.route, 0, work.deadline_ms)
-        return permit.map(lambda p: (work, p))
+        if read.is_err():
+            return Err(read.unwrap_err())
+        job = read.unwrap()
+        permit = self._permit(caller.unwrap(), job.route, 0, job.deadline_ms)
+        return permit.map(lambda p: (job, p))
 
     def _permit(
         self, caller: str, route: RouteRequest, tokens: int, deadline_ms: float
     ) -> Result[Permit, Failure]:
-        """Ask limits, then admission; a refusal by admission gives the limits their part back."""
+        """Check limits, then admission; if admission refuses, release what the limits granted."""
         state, now = self._state, now_ms()
         known = state.configuration.callers.get(caller)
         limit = LimitRequest(caller, route.model, route.adapter, tokens)
-        permit = state.ledger.admit(limit, now)
+        permit = state.limit_ledger.admit(limit, now)
         if permit.is_err():
             return Err(permit.unwrap_err())
         weight = known.weight if known else 1.0
         wanted = AdmissionRequest(caller, weight, route, tokens, deadline_ms)
         admitted = state.admission.admit(wanted, now)
         if admitted.is_err():
-            state.ledger.settle(permit.unwrap(), 0, now)
+            state.limit_ledger.settle(permit.unwrap(), 0, now)
             return Err(admitted.unwrap_err())
         return Ok(permit.unwrap())
 
-    def _refuse(self, failure: Failure, request_id: str) -> Response:
+    def _error_response(self, failure: Failure, request_id: str) -> Response:
         self._requests.add(1, {"result": failure.kind.value})
         return error_response(failure, request_id)
 
     def finish(
         self, result: str, permit: Permit, tokens: int, started_ms: float, request_id: str
     ) -> None:
-        """Settle the limits and record how a model request ended."""
+        """Settle the limits and record the result of a model request."""
         now = now_ms()
         self._state.in_flight -= 1
-        self._state.ledger.settle(permit, tokens, now)
+        self._state.limit_ledger.settle(permit, tokens, now)
         self._requests.add(1, {"result": result})
         self._duration.record(now - started_ms)
         if result != "complete":
             log_event("request_failed", request_id=request_id, result=result, tokens=tokens)
 
 
-class _Finish:
+class _RequestCompletion:
     """Settle one model request exactly once."""
 
     def __init__(
-        self, api: CallerApi, permit: Permit, work: ModelRequest, started_ms: float
+        self, api: CallerApi, permit: Permit, model_request: ModelRequest, started_ms: float
     ) -> None:
         self._api = api
         self._permit = permit
-        self._work = work
+        self._model_request = model_request
         self.started_ms = started_ms
         self._done = False
         api._state.in_flight += 1
@@ -264,14 +268,16 @@
         if self._done:
             return
         self._done = True
-        tokens = self._work.prompt_tokens + generated_tokens if generated_tokens else 0
-        self._api.finish(result, self._permit, tokens, self.started_ms, self._work.job.request_id)
+        tokens = self._model_request.prompt_tokens + generated_tokens if generated_tokens else 0
+        self._api.finish(
+            result, self._permit, tokens, self.started_ms, self._model_request.job.request_id
+        )
 
 
-class _Chunks:
-    """Pass a stream on and settle the request when it ends or the caller goes."""
+class _SettlingStream:
+    """Forward a stream and settle the request when it ends or the caller disconnects."""
 
-    def __init__(self, stream: RelayStream, finish: _Finish) -> None:
+    def __init__(self, stream: RelayStream, finish: _RequestCompletion) -> None:
         self._stream = stream
         self._finish = finish
 
--- a/src/briardyke/entry/claims.py
+++ b/src/briardyke/entry/claim_client.py
@@ -17,11 +17,11 @@
     from briardyke.wire.pool import PeerPool
 
 _CALL_TIMEOUT_MS = 1500.0
-_PAUSE_MS = 50.0
+_RETRY_DELAY_MS = 50.0
 
 
-class ControlClaims:
-    """Send claims to any control process, which passes them on to the shard's leader."""
+class ControlClaimClient:
+    """Send claims to any control process, which forwards them to the leader of the shard."""
 
     def __init__(self, peers: PeerPool, addresses: Sequence[Address]) -> None:
         """Set up the client.
@@ -31,15 +31,15 @@
         """
         self._peers = peers
         self._addresses = addresses
-        self._position = 0
+        self._next_address = 0
 
     async def claim(self, request: ClaimRequest, timeout_ms: float) -> Result[ClaimReply, Failure]:
         """Claim the right to run a request.
 
-        Repeating is safe: the machine grants the same attempt its claim again.
+        Retries are safe: an attempt that already holds the claim is granted it again.
 
         :param request: the claim.
-        :param timeout_ms: longest time over all tries, in milliseconds.
+        :param timeout_ms: timeout over all retries, in milliseconds.
         :return: the reply, or ``claim_unavailable``; the request must then not be dispatched.
         """
         return await self._send(request, timeout_ms)
@@ -52,12 +52,14 @@
         self, message: ClaimRequest | ClaimEnd, timeout_ms: float
     ) -> Result[ClaimReply, Failure]:
         give_up_at_ms = now_ms() + timeout_ms
-        while (left_ms := give_up_at_ms - now_ms()) > 0:
-            address = self._addresses[self._position % len(self._addresses)]
-            reply = await self._peers.client(address).call(message, min(left_ms, _CALL_TIMEOUT_MS))
+        while (remaining_ms := give_up_at_ms - now_ms()) > 0:
+            address = self._addresses[self._next_address % len(self._addresses)]
+            reply = await self._peers.client(address).call(
+                message, min(remaining_ms, _CALL_TIMEOUT_MS)
+            )
             if reply.is_ok() and isinstance(reply.unwrap(), ClaimReply):
                 return Ok(reply.unwrap())
-            self._position += 1
-            await sleep_ms(_PAUSE_MS)
+            self._next_address += 1
+            await sleep_ms(_RETRY_DELAY_MS)
         text = "no control process recorded the claim in time"
         return Err(Failure(ErrorKind.CLAIM_UNAVAILABLE, text, retry_after_ms=1000))
--- a/src/briardyke/entry/demand.py
+++ b/src/briardyke/entry/demand.py
@@ -9,11 +9,11 @@
 from briardyke.wire.messages import ModelDemand
 
 _TIME_CONSTANT_MS = 10_000.0
-_NEGLIGIBLE_PER_SECOND = 0.001
+_NEGLIGIBLE_REQUESTS_PER_SECOND = 0.001
 
 
 @attrs.define
-class _Meter:
+class _DecayingRates:
     requests_per_second: float = 0.0
     tokens_per_second: float = 0.0
     updated_at_ms: float = 0.0
@@ -31,33 +31,33 @@
 
     def __init__(self) -> None:
         """Start without demand."""
-        self._meters: dict[str, _Meter] = {}
+        self._rates: dict[str, _DecayingRates] = {}
 
     def record(self, name: str, tokens: int, now_ms: float) -> None:
         """Count the arrival of a request that may use a number of tokens."""
-        meter = self._meters.setdefault(name, _Meter(updated_at_ms=now_ms))
-        meter.decay(now_ms)
-        meter.requests_per_second += 1000.0 / _TIME_CONSTANT_MS
-        meter.tokens_per_second += tokens * 1000.0 / _TIME_CONSTANT_MS
+        rates = self._rates.setdefault(name, _DecayingRates(updated_at_ms=now_ms))
+        rates.decay(now_ms)
+        rates.requests_per_second += 1000.0 / _TIME_CONSTANT_MS
+        rates.tokens_per_second += tokens * 1000.0 / _TIME_CONSTANT_MS
 
-    def wait(self, name: str, change: int) -> None:
-        """Change the number of requests held because nothing has the model loaded."""
-        self._meters.setdefault(name, _Meter()).waiting_requests += change
+    def change_waiting(self, name: str, change: int) -> None:
+        """Change the number of requests that wait because no engine has the model loaded."""
+        self._rates.setdefault(name, _DecayingRates()).waiting_requests += change
 
     def rates(self, now_ms: float) -> dict[str, ModelDemand]:
-        """Return the current demand and drop what has faded."""
-        for meter in self._meters.values():
-            meter.decay(now_ms)
-        self._meters = {
-            name: meter
-            for name, meter in self._meters.items()
-            if meter.requests_per_second > _NEGLIGIBLE_PER_SECOND or meter.waiting_requests
+        """Return the current demand and remove entries whose rate is negligible."""
+        for rates in self._rates.values():
+            rates.decay(now_ms)
+        self._rates = {
+            name: rates
+            for name, rates in self._rates.items()
+            if rates.requests_per_second > _NEGLIGIBLE_REQUESTS_PER_SECOND or rates.waiting_requests
         }
         return {
             name: ModelDemand(
-                round(meter.requests_per_second, 4),
-                round(meter.tokens_per_second, 2),
-                meter.waiting_requests,
+                round(rates.requests_per_second, 4),
+                round(rates.tokens_per_second, 2),
+                rates.waiting_requests,
             )
-            for name, meter in self._meters.items()
+            for name, rates in self._rates.items()
         }
--- a/src/briardyke/entry/interfaces.py
+++ b/src/briardyke/entry/interfaces.py
@@ -1,4 +1,4 @@
-"""Declare what the relay needs from routing, the retry budget and claims."""
+"""Declare the interfaces of routing, the retry budget and claims that the relay uses."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
     from briardyke.wire.messages import ClaimEnd, ClaimReply, ClaimRequest
 
 
-class RelayTable(Protocol):
-    """Choose upstreams and learn from attempts; see policy/routing.py."""
+class RelayRoutingTable(Protocol):
+    """Select upstreams and record the results of attempts; see policy/routing.py."""
 
     def choose(self, request: RouteRequest, now_ms: float) -> Result[str, Failure]:
         """Return the upstream for an attempt, or ``model_loading`` or ``no_upstream``."""
@@ -34,17 +34,17 @@
         """Return where an upstream listens."""
 
 
-class RelayBudget(Protocol):
-    """Bound retries; see policy/retries.py."""
+class RelayRetryBudget(Protocol):
+    """Limit retries; see policy/retries.py."""
 
     def record_request(self, now_ms: float) -> None:
-        """Count a request, which earns a share of a retry."""
+        """Count a request, which adds a fraction of a retry to the budget."""
 
     def try_spend(self, now_ms: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+        """Take one retry from the budget; return whether one was available."""
 
 
-class RelayClaims(Protocol):
+class RelayClaimClient(Protocol):
     """Claim the right to run non-idempotent requests; see claims/."""
 
     async def claim(self, request: ClaimRequest, timeout_ms: float) -> Result[ClaimReply, Failure]:
--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -1,4 +1,4 @@
-"""Wire the parts of an entry process together."""
+"""Assemble and run an entry process."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from briardyke.clock import now_ms, sleep_ms
 from briardyke.entry.caller_api import CallerApi
-from briardyke.entry.claims import ControlClaims
+from briardyke.entry.claim_client import ControlClaimClient
 from briardyke.entry.relay import Relay
 from briardyke.entry.relay_jobs import RelayPolicy
 from briardyke.entry.state import EntryState
@@ -25,14 +25,14 @@
     from briardyke.entry.settings import EntrySettings
 
 _STOP_REPORT_TIMEOUT_MS = 2000.0
-_POLL_MS = 20.0
+_LISTING_POLL_MS = 20.0
 
 
 class EntryProcess:
     """Serve callers on one entry instance."""
 
     def __init__(self, settings: EntrySettings, nursery: trio.Nursery) -> None:
-        """Wire the parts.
+        """Create the components of the process.
 
         :param settings: settings of the process.
         :param nursery: runs the connections to control processes.
@@ -43,10 +43,10 @@
         self._peers = PeerPool(nursery, hello)
         self._client = HttpClient()
         self._relay = Relay(
-            self.state.table,
+            self.state.routing_table,
             self._client,
-            self.state.budget,
-            ControlClaims(self._peers, settings.control_addresses),
+            self.state.retry_budget,
+            ControlClaimClient(self._peers, settings.control_addresses),
             RelayPolicy(
                 coalesce_ms=settings.coalesce_ms, claim_timeout_ms=settings.claim_timeout_ms
             ),
@@ -62,7 +62,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._relay.run)
             nursery.start_soon(self._sync_client().run)
-            nursery.start_soon(self.state.run_systems)
+            nursery.start_soon(self.state.run_updates)
             nursery.start_soon(self.state.run_probes, self._client)
             async with trio.open_nursery() as serving:
                 bound = await serving.start(
@@ -94,14 +94,14 @@
     async def _drain(self) -> None:
         """Leave the address responses and wait until cached ones have expired.
 
-        Requests that still arrive meanwhile are served.
+        Requests that arrive in the meantime are still served.
         """
         state = self.state
         state.draining = True
         log_event("draining", instance=self.settings.instance_id, in_flight=state.in_flight)
         give_up_at_ms = now_ms() + _STOP_REPORT_TIMEOUT_MS
         while self._still_listed() and now_ms() < give_up_at_ms:
-            await sleep_ms(_POLL_MS)
+            await sleep_ms(_LISTING_POLL_MS)
         if self._still_listed():
             log_warning("still_listed", instance=self.settings.instance_id)
         await sleep_ms(self.settings.address_ttl_ms + self.settings.drain_margin_ms)
--- a/src/briardyke/entry/reassembly.py
+++ b/src/briardyke/entry/reassembly.py
@@ -1,4 +1,4 @@
-"""Put one response together from the events of several attempts."""
+"""Assemble one response from the events of several attempts."""
 
 from __future__ import annotations
 
@@ -15,14 +15,15 @@
     from collections.abc import Mapping
 
 _JSON_STRING = re.compile(r'"(?:[^"\\\x00-\x1f]|\\(?:["\\/bfnrt]|u[0-9a-fA-F]{4}))*"')
-# Events whose other bytes vary, such as a time for each, are not worth comparing.
-_FRAME_LIMIT = 4
-_PROBE_TEXT = "<token text>"
-_PROBE = json.dumps(_PROBE_TEXT)
+# Largest number of templates per attempt: events whose other bytes vary, for example with a
+# timestamp each, never match one.
+_TEMPLATE_LIMIT = 4
+_PLACEHOLDER_TEXT = "<token text>"
+_PLACEHOLDER = json.dumps(_PLACEHOLDER_TEXT)
 
 
 class Progress(Enum):
-    """State what an event means for the current attempt."""
+    """State of the current attempt after an event."""
 
     CONTINUES = "continues"
     COMPLETE = "complete"
@@ -30,8 +31,8 @@
 
 
 @attrs.frozen
-class Piece:
-    """Carry one accepted event in the form that the caller sees.
+class CallerEvent:
+    """Hold one accepted event in the form that is sent to the caller.
 
     :param data: JSON with the caller's completion id.
     :param offset: token offset after the event.
@@ -58,8 +59,8 @@
 
 
 @attrs.frozen
-class _Frame:
-    """Hold what the events of one attempt have in common: all bytes around the token's text.
+class _EventTemplate:
+    """Hold the bytes around the token's text, which the events of one attempt have in common.
 
     An event with the same bytes has the same attempt id and no finish reason, so it needs no
     parsing; any other event is parsed.
@@ -68,7 +69,7 @@
     received: tuple[str, str]
     sent: tuple[str, str]
 
-    def data(self, received: str) -> str | None:
+    def render(self, received: str) -> str | None:
         """Return the data for the caller, or ``None`` when the event has another form."""
         before, after = self.received
         if not (received.startswith(before) and received.endswith(after)):
@@ -79,26 +80,26 @@
         return f"{self.sent[0]}{literal}{self.sent[1]}"
 
 
-class AnswerAssembler:
-    """Accept each token once and in order, from whichever attempt is current.
+class ResponseAssembler:
+    """Accept each token once and in order, from the current attempt.
 
-    An event counts only when it carries the current attempt's id and continues at the offset that
-    was reached. The final event is kept back until ``[DONE]`` confirms it, so that a break between
-    the two leads to one final event and not to two.
+    An event counts only when it carries the current attempt's id and continues at the offset
+    reached so far. The final event is held back until ``[DONE]`` confirms it, so that an
+    interruption between the two does not lead to two final events.
     """
 
     def __init__(self, completion_id: str, offset_tokens: int) -> None:
-        """Start at an offset.
+        """Set up the assembler at an offset.
 
         :param completion_id: id that the caller sees.
         :param offset_tokens: tokens that the caller already has.
         """
         self._completion_id = completion_id
         self._attempt_id = ""
-        self._final: Piece | None = None
-        self._frame: _Frame | None = None
-        self._frames_left = 0
-        self._begun_at = offset_tokens
+        self._final: CallerEvent | None = None
+        self._template: _EventTemplate | None = None
+        self._templates_left = 0
+        self._start_offset = offset_tokens
         self.offset = offset_tokens
         self.dropped = 0
 
@@ -106,25 +107,25 @@
         """Make an attempt current; events of earlier ones no longer count."""
         self._attempt_id = attempt_id
         self._final = None
-        self._frame = None
-        self._frames_left = _FRAME_LIMIT
-        self._begun_at = self.offset
+        self._template = None
+        self._templates_left = _TEMPLATE_LIMIT
+        self._start_offset = self.offset
 
-    def take(self, event: ServerSentEvent) -> tuple[Progress, Piece | None]:
-        """Judge the next event of the current attempt's connection.
+    def accept(self, event: ServerSentEvent) -> tuple[Progress, CallerEvent | None]:
+        """Process the next event of the current attempt.
 
         :param event: the event as received.
-        :return: what it means for the attempt, and the piece to pass on, if any. ``BROKEN`` means
-            that the attempt cannot be continued; the offset stays valid for the next one.
+        :return: state of the attempt, and the event to send to the caller, if any. ``BROKEN`` means
+            that the attempt cannot continue; the offset stays valid for the next attempt.
         """
         if event.data == DONE:
             if self._final is None:
                 return Progress.BROKEN, None
             return Progress.COMPLETE, self._final
-        if self._frame is not None and event.id.isdecimal():
-            data = self._frame.data(event.data)
+        if self._template is not None and event.id.isdecimal():
+            data = self._template.render(event.data)
             if data is not None:
-                return self._place(data, int(event.id), final=False)
+                return self._accept_at(data, int(event.id), final=False)
         document = _document(event.data)
         if document is None or "error" in document:
             return Progress.BROKEN, None
@@ -133,37 +134,39 @@
             self.dropped += 1
             return Progress.CONTINUES, None
         final = choice.get("finish_reason") is not None
-        # Not from the first event, which would cost a response of one token more than it saves.
-        if not final and self._frames_left and self.offset > self._begun_at:
-            self._frames_left -= 1
-            self._frame = _frame(event.data, _text(choice), self._completion_id)
+        # No template from the first event: for a response of one token it would only add work.
+        if not final and self._templates_left and self.offset > self._start_offset:
+            self._templates_left -= 1
+            self._template = _template(event.data, _text(choice), self._completion_id)
         data = _encode({**document, "id": self._completion_id})
-        return self._place(data, int(event.id), final=final)
+        return self._accept_at(data, int(event.id), final=final)
 
-    def _place(self, data: str, offset: int, *, final: bool) -> tuple[Progress, Piece | None]:
+    def _accept_at(
+        self, data: str, offset: int, *, final: bool
+    ) -> tuple[Progress, CallerEvent | None]:
         expected = self.offset if final else self.offset + 1
         if offset < expected or self._final is not None:
             self.dropped += 1
             return Progress.CONTINUES, None
         if offset > expected:
-            return Progress.BROKEN, None  # tokens in between were lost
-        piece = Piece(data, offset)
+            return Progress.BROKEN, None  # tokens in between are missing
+        caller_event = CallerEvent(data, offset)
         if final:
-            self._final = piece
+            self._final = caller_event
             return Progress.CONTINUES, None
         self.offset = offset
-        return Progress.CONTINUES, piece
+        return Progress.CONTINUES, caller_event
 
 
-def _frame(received: str, text: str, completion_id: str) -> _Frame | None:
+def _template(received: str, text: str, completion_id: str) -> _EventTemplate | None:
     before, literal, after = received.partition(json.dumps(text))
-    document = _document(f"{before}{_PROBE}{after}") if literal else None
+    document = _document(f"{before}{_PLACEHOLDER}{after}") if literal else None
     choice = _choice(document) if document else None
-    # Parsing with another text proves that the literal is the token's text and nothing else.
-    if document is None or choice is None or _text(choice) != _PROBE_TEXT:
+    # Parsing with a placeholder verifies that the literal is the text of the token.
+    if document is None or choice is None or _text(choice) != _PLACEHOLDER_TEXT:
         return None
-    sent = _encode({**document, "id": completion_id}).split(_PROBE)
-    return _Frame((before, after), (sent[0], sent[1])) if len(sent) == 2 else None
+    sent = _encode({**document, "id": completion_id}).split(_PLACEHOLDER)
+    return _EventTemplate((before, after), (sent[0], sent[1])) if len(sent) == 2 else None
 
 
 def _encode(document: Mapping[str, Any]) -> str:
--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -1,4 +1,4 @@
-"""Relay admitted requests to upstreams and their responses to callers."""
+"""Forward admitted requests to upstreams, and their responses to callers."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 from briardyke.entry.relay_attempts import ModelAttempts
 from briardyke.entry.relay_jobs import (
     ModelJob,
+    ModelResponse,
     RelayPolicy,
-    ServiceAnswer,
     ServiceJob,
-    WholeAnswer,
+    ServiceResponse,
 )
 from briardyke.entry.relay_services import ServiceCalls
 from briardyke.errors import ErrorKind, Failure
@@ -24,33 +24,33 @@
 from briardyke.logs import log_error
 
 if TYPE_CHECKING:
-    from briardyke.entry.interfaces import RelayBudget, RelayClaims, RelayTable
-    from briardyke.entry.reassembly import Piece
+    from briardyke.entry.interfaces import RelayClaimClient, RelayRetryBudget, RelayRoutingTable
+    from briardyke.entry.reassembly import CallerEvent
     from briardyke.http.client import HttpClient
 
 _DONE_EVENT = ServerSentEvent(DONE).encode()
 _INTERRUPTED = Failure(ErrorKind.ANSWER_TRUNCATED, "entry process stopped the request")
-_OBJECTS = {"chat.completion.chunk": "chat.completion"}
+_WHOLE_OBJECT_NAMES = {"chat.completion.chunk": "chat.completion"}
 
 
 class Relay:
-    """Run requests at upstreams; :meth:`run` must be running in a nursery for streams."""
+    """Forward requests to upstreams; streams need :meth:`run` to be running in a nursery."""
 
     def __init__(
         self,
-        table: RelayTable,
+        table: RelayRoutingTable,
         client: HttpClient,
-        budget: RelayBudget,
-        claims: RelayClaims,
+        budget: RelayRetryBudget,
+        claims: RelayClaimClient,
         policy: RelayPolicy | None = None,
     ) -> None:
-        """Name the collaborators.
+        """Set up the relay.
 
         :param table: chooses upstreams.
         :param client: connects to upstreams.
         :param budget: bounds retries.
-        :param claims: protects non-idempotent calls that have a key.
-        :param policy: bounds and times; ``None`` for the defaults.
+        :param claims: ensures that a non-idempotent call with a key runs at most once.
+        :param policy: limits and timeouts; ``None`` for the defaults.
         """
         self._policy = policy or RelayPolicy()
         self._attempts = ModelAttempts(table, client, budget, self._policy)
@@ -60,8 +60,8 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run the tasks of open streams until cancelled.
 
-        A response is iterated from the task of its caller, where a nursery cannot stay open between
-        two chunks; therefore the attempts run here.
+        Attempts run in this nursery, because the task that iterates over a response cannot keep a
+        nursery open between two chunks.
         """
         async with trio.open_nursery() as self._nursery:
             task_status.started()
@@ -78,23 +78,23 @@
             raise RuntimeError("Relay.run is not running")
         return RelayStream(job, self._attempts, self._policy, self._nursery)
 
-    async def complete(self, job: ModelJob) -> Result[WholeAnswer, Failure]:
+    async def complete(self, job: ModelJob) -> Result[ModelResponse, Failure]:
         """Return the response as one document, or the failure to report."""
-        collected = _Collector()
+        collected = _ResponseCollector()
         failure = await self._attempts.run(job, collected)
         if failure is not None:
             return Err(failure)
-        return Ok(collected.answer())
+        return Ok(collected.response())
 
-    async def call_service(self, job: ServiceJob) -> Result[ServiceAnswer, Failure]:
-        """Call a plain service; a call with a key that was granted is finished even when the
-        caller disconnects, so that its response can be stored.
+    async def call_service(self, job: ServiceJob) -> Result[ServiceResponse, Failure]:
+        """Call a plain service; a call that holds the claim of its key is finished even when
+        the caller disconnects, so that its response can be stored.
         """
         return await self._services.call(job)
 
 
 class RelayStream:
-    """Iterate one response, joining tokens that arrive close together into one chunk.
+    """Iterate over one response, joining tokens that arrive close together into one chunk.
 
     :ivar failure: how the response ended; ``None`` once it is complete.
     :ivar tokens: tokens received so far.
@@ -103,32 +103,32 @@
     def __init__(
         self, job: ModelJob, attempts: ModelAttempts, policy: RelayPolicy, nursery: trio.Nursery
     ) -> None:
-        """Prepare; the first call of :meth:`start` or ``__anext__`` dispatches the request."""
+        """Set up the stream; the first :meth:`start` or ``__anext__`` dispatches the request."""
         self._job = job
         self._attempts = attempts
         self._policy = policy
         self._nursery = nursery
         self._scope = trio.CancelScope()
         self._started = False
-        self._pieces: list[bytes] = []
-        self._held_bytes = 0
+        self._pending: list[bytes] = []
+        self._buffered_bytes = 0
         self.failure: Failure | None = _INTERRUPTED
         self.tokens = 0
-        self._arrived = trio.Event()
-        self._taken = trio.Event()
+        self._event_arrived = trio.Event()
+        self._buffer_emptied = trio.Event()
         self._ended = trio.Event()
-        self._written_at_ms: float | None = None
+        self._last_write_at_ms: float | None = None
         self._exhausted = False
 
     async def start(self) -> Result[None, Failure]:
         """Wait for the first token.
 
-        :return: the failure when there will be none; the caller can then still be answered with an
-            error status.
+        :return: the failure when no token will come; the caller can then still be sent an error
+            status.
         """
-        await self._wait()
-        if self._pieces or self.failure is None:
-            return Ok(None)  # without pieces the attempts have ended
+        await self._wait_for_events()
+        if self._pending or self.failure is None:
+            return Ok(None)  # without pending events the response is complete
         self._exhausted = True
         return Err(self.failure)
 
@@ -140,21 +140,21 @@
         """Return the next chunk of events."""
         if self._exhausted:
             raise StopAsyncIteration
-        await self._wait()
-        # Waiting only once a token has arrived costs no timer for tokens that come slowly.
-        if self._written_at_ms is not None:
-            rest_ms = self._written_at_ms + self._policy.coalesce_ms - now_ms()
-            if rest_ms > 0:
-                with trio.move_on_after(rest_ms / 1000.0):
+        await self._wait_for_events()
+        # The wait starts only after a token has arrived: slow tokens then need no timer.
+        if self._last_write_at_ms is not None:
+            remaining_ms = self._last_write_at_ms + self._policy.coalesce_ms - now_ms()
+            if remaining_ms > 0:
+                with trio.move_on_after(remaining_ms / 1000.0):
                     await self._ended.wait()
-        chunk = b"".join(self._pieces)
-        self._pieces.clear()
-        self._held_bytes = 0
-        self._taken.set()
+        chunk = b"".join(self._pending)
+        self._pending.clear()
+        self._buffered_bytes = 0
+        self._buffer_emptied.set()
         if self._ended.is_set():
             self._exhausted = True
             chunk += self._end_event()
-        self._written_at_ms = now_ms()
+        self._last_write_at_ms = now_ms()
         return chunk
 
     async def aclose(self) -> None:
@@ -162,28 +162,28 @@
         self._exhausted = True
         self._scope.cancel()
 
-    def put(self, piece: Piece) -> None:
-        """Take the next piece from the attempts."""
-        data = piece.encode()
-        self.tokens = piece.offset - self._job.offset_tokens
-        self._pieces.append(data)
-        self._held_bytes += len(data)
-        self._arrived.set()
+    def put(self, caller_event: CallerEvent) -> None:
+        """Buffer the next event from the attempts."""
+        data = caller_event.encode()
+        self.tokens = caller_event.offset - self._job.offset_tokens
+        self._pending.append(data)
+        self._buffered_bytes += len(data)
+        self._event_arrived.set()
 
     async def wait_for_room(self) -> None:
-        """Wait while the caller is too slow."""
-        while self._held_bytes > self._policy.buffer_limit_bytes:
-            self._taken = trio.Event()
-            await self._taken.wait()
+        """Wait while more than the limit is buffered for a slow caller."""
+        while self._buffered_bytes > self._policy.buffer_limit_bytes:
+            self._buffer_emptied = trio.Event()
+            await self._buffer_emptied.wait()
 
-    async def _wait(self) -> None:
+    async def _wait_for_events(self) -> None:
         if not self._started:
             self._started = True
             self._nursery.start_soon(self._run)
         try:
-            while not self._pieces and not self._ended.is_set():
-                self._arrived = trio.Event()
-                await self._arrived.wait()
+            while not self._pending and not self._ended.is_set():
+                self._event_arrived = trio.Event()
+                await self._event_arrived.wait()
         except trio.Cancelled:
             self._scope.cancel()
             raise
@@ -192,12 +192,12 @@
         try:
             with self._scope:
                 self.failure = await self._attempts.run(self._job, self)
-        except Exception as error:  # a defect must not end the streams of other callers
+        except Exception as error:  # one failing stream must not end those of other callers
             log_error("relay_defect", request_id=self._job.request_id, error=repr(error))
             self.failure = Failure(ErrorKind.INTERNAL, "internal error")
         finally:
             self._ended.set()
-            self._arrived.set()
+            self._event_arrived.set()
 
     def _end_event(self) -> bytes:
         if self.failure is None:
@@ -206,30 +206,30 @@
         return ServerSentEvent(body, event="error").encode()
 
 
-class _Collector:
-    """Collect the pieces of a response that is not streamed."""
+class _ResponseCollector:
+    """Join the events of a response that is not streamed."""
 
     def __init__(self) -> None:
         self._texts: list[str] = []
-        self._last: Piece | None = None
+        self._last: CallerEvent | None = None
 
-    def put(self, piece: Piece) -> None:
-        self._texts.append(piece.text)
-        self._last = piece
+    def put(self, caller_event: CallerEvent) -> None:
+        self._texts.append(caller_event.text)
+        self._last = caller_event
 
     async def wait_for_room(self) -> None:
         pass
 
-    def answer(self) -> WholeAnswer:
+    def response(self) -> ModelResponse:
         assert self._last is not None, "a complete response has a final event"
         document = dict(self._last.document)
         text = "".join(self._texts)
-        chat = document["object"] in _OBJECTS
+        chat = document["object"] in _WHOLE_OBJECT_NAMES
         choice: dict[str, Any] = {
             "index": 0,
             "finish_reason": document["choices"][0]["finish_reason"],
         }
         choice |= {"message": {"role": "assistant", "content": text}} if chat else {"text": text}
-        document["object"] = _OBJECTS.get(document["object"], document["object"])
+        document["object"] = _WHOLE_OBJECT_NAMES.get(document["object"], document["object"])
         document["choices"] = [choice]
-        return WholeAnswer(document, self._last.offset)
+        return ModelResponse(document, self._last.offset)
--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -1,4 +1,4 @@
-"""Run the attempts of a model request and resume a broken stream at its offset."""
+"""Run the attempts of a model request and resume an interrupted stream at its offset."""
 
 from __future__ import annotations
 
@@ -9,9 +9,14 @@
 import trio
 
 from briardyke.clock import now_ms, sleep_ms
-from briardyke.entry.reassembly import AnswerAssembler, Piece, Progress
-from briardyke.entry.relay_outcomes import AttemptEnd, broken_end, error_end, final_failure
-from briardyke.entry.relay_pacing import AttemptPacer
+from briardyke.entry.reassembly import CallerEvent, Progress, ResponseAssembler
+from briardyke.entry.relay_outcomes import (
+    AttemptResult,
+    error_status_result,
+    final_failure,
+    interrupted_result,
+)
+from briardyke.entry.relay_retries import RetryController
 from briardyke.entry.relay_selection import select_upstream
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import CallError, HttpClient, OpenResponse
@@ -23,75 +28,81 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
-    from briardyke.entry.interfaces import RelayBudget, RelayTable
+    from briardyke.entry.interfaces import RelayRetryBudget, RelayRoutingTable
     from briardyke.entry.relay_jobs import ModelJob, RelayPolicy
 
 _ERROR_BODY_LIMIT_BYTES = 64 * 1024
-_DRAIN_TIMEOUT_S = 0.05
-_TRUNCATED = Failure(ErrorKind.UPSTREAM_FAILED, "stream ended without finish reason and [DONE]")
-_STALLED = Failure(ErrorKind.UPSTREAM_FAILED, "upstream went silent")
-_COMPLETE = AttemptEnd(AttemptOutcome.COMPLETED)
+_READ_TO_END_TIMEOUT_S = 0.05
+_TRUNCATED = Failure(ErrorKind.UPSTREAM_FAILED, "stream ended before a finish reason and [DONE]")
+_STALLED = Failure(ErrorKind.UPSTREAM_FAILED, "upstream sent nothing before the timeout")
+_COMPLETE = AttemptResult(AttemptOutcome.COMPLETED)
 
 
-class PieceSink(Protocol):
-    """Take the pieces of a response."""
+class CallerEventSink(Protocol):
+    """Receive the events of a response."""
 
-    def put(self, piece: Piece) -> None:
-        """Take the next piece."""
+    def put(self, caller_event: CallerEvent) -> None:
+        """Receive the next event."""
 
     async def wait_for_room(self) -> None:
-        """Wait until more pieces are wanted."""
+        """Wait until the sink can receive more events."""
 
 
 class ModelAttempts:
-    """Run one request at one upstream after another until the response is complete."""
+    """Send a request to one upstream after another until the response is complete."""
 
     def __init__(
-        self, table: RelayTable, client: HttpClient, budget: RelayBudget, policy: RelayPolicy
+        self,
+        table: RelayRoutingTable,
+        client: HttpClient,
+        budget: RelayRetryBudget,
+        policy: RelayPolicy,
     ) -> None:
-        """Name the collaborators."""
+        """Keep the tables and clients that attempts use."""
         self._table = table
         self._client = client
         self._budget = budget
         self._policy = policy
 
-    async def run(self, job: ModelJob, sink: PieceSink) -> Failure | None:
+    async def run(self, job: ModelJob, sink: CallerEventSink) -> Failure | None:
         """Deliver a response.
 
         :param job: the request.
-        :param sink: gets each token once and in order, then the final event.
+        :param sink: receives each token once and in order, then the final event.
         :return: ``None`` after a complete response, else the failure to report.
         """
         self._budget.record_request(now_ms())
-        assembler = AnswerAssembler(job.completion_id, job.offset_tokens)
-        # Earlier attempts of a resumed request ran under another entry process.
+        assembler = ResponseAssembler(job.completion_id, job.offset_tokens)
+        # A resumed request has already run, through this or another entry process.
         may_have_run = job.offset_tokens > 0
         deadline_ms = job.deadline_ms
         tried: set[str] = set()
         failure = Failure(ErrorKind.NO_UPSTREAM, "no attempt was made")
-        pacer = AttemptPacer(self._budget, self._policy)
+        retries = RetryController(self._budget, self._policy)
         while True:
-            chosen = await select_upstream(self._table, self._policy, job.route, tried, deadline_ms)
+            selected = await select_upstream(
+                self._table, self._policy, job.route, tried, deadline_ms
+            )
             resumes = assembler.offset > job.offset_tokens
-            if chosen.is_err():
-                failure = chosen.unwrap_err()
+            if selected.is_err():
+                failure = selected.unwrap_err()
                 if resumes and failure.kind is ErrorKind.NO_UPSTREAM:
-                    # A process that was suspended finds all its evidence expired until it syncs.
+                    # After this process was suspended, all evidence is expired until the next sync.
                     await sleep_ms(self._policy.loading_poll_ms)
                     continue
                 break
-            if not await pacer.may_start(resumes=resumes, deadline_ms=deadline_ms):
+            if not await retries.wait_to_start(resumes=resumes, deadline_ms=deadline_ms):
                 break
-            end = await self._attempt(job, chosen.unwrap(), assembler, sink, deadline_ms)
-            if end.failure is None:
+            result = await self._attempt(job, selected.unwrap(), assembler, sink, deadline_ms)
+            if result.failure is None:
                 return None
-            failure, may_have_run = end.failure, may_have_run or end.may_have_run
-            if not end.retryable:
+            failure, may_have_run = result.failure, may_have_run or result.may_have_run
+            if not result.retryable:
                 break
-            pacer.ended(may_have_run=end.may_have_run)
-            tried.add(chosen.unwrap())
+            retries.record_failure(may_have_run=result.may_have_run)
+            tried.add(selected.unwrap())
             if assembler.offset > job.offset_tokens:
-                # The deadline bounds the first token; a started stream has its own bound.
+                # The deadline is for the first token; a started stream has its own time limit.
                 deadline_ms = now_ms() + self._policy.resume_timeout_ms
         tokens = assembler.offset - job.offset_tokens
         return final_failure(failure, may_have_run=may_have_run, tokens=tokens)
@@ -100,20 +111,22 @@
         self,
         job: ModelJob,
         upstream_id: str,
-        assembler: AnswerAssembler,
-        sink: PieceSink,
+        assembler: ResponseAssembler,
+        sink: CallerEventSink,
         deadline_ms: float,
-    ) -> AttemptEnd:
+    ) -> AttemptResult:
         attempt_id = new_id("att")
         assembler.begin(attempt_id)
         offset, outcome = assembler.offset, AttemptOutcome.CANCELLED
         self._table.begin(attempt_id, upstream_id, job.route, now_ms())
         try:
-            end = await self._exchange(job, upstream_id, attempt_id, assembler, sink, deadline_ms)
-            outcome = end.outcome
+            result = await self._exchange(
+                job, upstream_id, attempt_id, assembler, sink, deadline_ms
+            )
+            outcome = result.outcome
         finally:
             self._table.finish(attempt_id, outcome, assembler.offset - offset, now_ms())
-        if end.failure is not None:
+        if result.failure is not None:
             log_event(
                 "attempt_failed",
                 request_id=job.request_id,
@@ -121,21 +134,21 @@
                 upstream=upstream_id,
                 outcome=outcome.value,
                 offset=assembler.offset,
-                reason=end.failure.message,
+                reason=result.failure.message,
             )
-        return end
+        return result
 
     async def _exchange(
         self,
         job: ModelJob,
         upstream_id: str,
         attempt_id: str,
-        assembler: AnswerAssembler,
-        sink: PieceSink,
+        assembler: ResponseAssembler,
+        sink: CallerEventSink,
         deadline_ms: float,
-    ) -> AttemptEnd:
+    ) -> AttemptResult:
         policy = self._policy
-        latest_ms = min(now_ms() + policy.first_token_timeout_ms, deadline_ms)
+        timeout_at_ms = min(now_ms() + policy.first_token_timeout_ms, deadline_ms)
         headers = {
             "content-type": "application/json",
             "x-request-id": job.request_id,
@@ -145,9 +158,9 @@
         }
         try:
             async with AsyncExitStack() as stack:
-                opened: OpenResponse | None = None
-                with trio.move_on_at(latest_ms / 1000.0):
-                    opened = await stack.enter_async_context(
+                response: OpenResponse | None = None
+                with trio.move_on_at(timeout_at_ms / 1000.0):
+                    response = await stack.enter_async_context(
                         self._client.open(
                             "POST",
                             self._table.address(upstream_id),
@@ -157,18 +170,18 @@
                             timeout_ms=max(policy.first_token_timeout_ms, policy.idle_timeout_ms),
                         )
                     )
-                if opened is None:
-                    return broken_end(_STALLED)
-                if opened.status != 200:
-                    return error_end(opened.status, await self._error_body(opened))
-                return await self._read(opened, attempt_id, assembler, sink, latest_ms)
+                if response is None:
+                    return interrupted_result(_STALLED)
+                if response.status != 200:
+                    return error_status_result(response.status, await self._error_body(response))
+                return await self._read(response, attempt_id, assembler, sink, timeout_at_ms)
         except CallError as error:
-            return broken_end(error.failure)
+            return interrupted_result(error.failure)
 
-    async def _error_body(self, opened: OpenResponse) -> bytes:
+    async def _error_body(self, response: OpenResponse) -> bytes:
         body = bytearray()
         with trio.move_on_after(self._policy.idle_timeout_ms / 1000.0):
-            async with aclosing(_chunks(opened)) as chunks:
+            async with aclosing(_chunks(response)) as chunks:
                 async for chunk in chunks:
                     body += chunk
                     if len(body) > _ERROR_BODY_LIMIT_BYTES:
@@ -177,46 +190,46 @@
 
     async def _read(
         self,
-        opened: OpenResponse,
+        response: OpenResponse,
         attempt_id: str,
-        assembler: AnswerAssembler,
-        sink: PieceSink,
-        latest_ms: float,
-    ) -> AttemptEnd:
+        assembler: ResponseAssembler,
+        sink: CallerEventSink,
+        timeout_at_ms: float,
+    ) -> AttemptResult:
         parser = EventParser()
         first = True
-        async with aclosing(_chunks(opened)) as chunks:
+        async with aclosing(_chunks(response)) as chunks:
             while True:
                 chunk: bytes | None = None
-                with trio.move_on_at(latest_ms / 1000.0):
+                with trio.move_on_at(timeout_at_ms / 1000.0):
                     chunk = await anext(chunks, b"")
                 if chunk is None:
-                    return broken_end(_STALLED)
+                    return interrupted_result(_STALLED)
                 if not chunk:
-                    return broken_end(_TRUNCATED)
+                    return interrupted_result(_TRUNCATED)
                 for event in parser.feed(chunk):
-                    progress, piece = assembler.take(event)
-                    if piece is not None:
+                    progress, caller_event = assembler.accept(event)
+                    if caller_event is not None:
                         if first:
                             self._table.first_token(attempt_id, now_ms())
-                            opened.pace_reads(self._policy.coalesce_ms)
+                            response.pace_reads(self._policy.coalesce_ms)
                             first = False
-                        sink.put(piece)
+                        sink.put(caller_event)
                     if progress is Progress.COMPLETE:
-                        await _drain(chunks)
+                        await _read_to_end(chunks)
                         return _COMPLETE
                     if progress is Progress.BROKEN:
-                        return broken_end(_TRUNCATED)
+                        return interrupted_result(_TRUNCATED)
                 await sink.wait_for_room()
-                latest_ms = now_ms() + self._policy.idle_timeout_ms
+                timeout_at_ms = now_ms() + self._policy.idle_timeout_ms
 
 
-async def _drain(chunks: AsyncGenerator[bytes, None]) -> None:
-    # A connection whose body was read to its end is kept for the next request.
-    with trio.move_on_after(_DRAIN_TIMEOUT_S):
+async def _read_to_end(chunks: AsyncGenerator[bytes, None]) -> None:
+    # The connection can be reused only when the response body was read to its end.
+    with trio.move_on_after(_READ_TO_END_TIMEOUT_S):
         while await anext(chunks, b""):
             pass
 
 
-def _chunks(opened: OpenResponse) -> AsyncGenerator[bytes, None]:
-    return cast("AsyncGenerator[bytes, None]", opened.chunks())
+def _chunks(response: OpenResponse) -> AsyncGenerator[bytes, None]:
+    return cast("AsyncGenerator[bytes, None]", response.chunks())
--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -1,4 +1,4 @@
-"""Define the relay's work, its results and its settings."""
+"""Define the requests, responses and limits of the relay."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 
 @attrs.frozen
 class RelayPolicy:
-    """Set the relay's bounds; times are in milliseconds.
+    """Hold the limits and delays of the relay; times are in milliseconds.
 
     :param attempt_limit: attempts for one request that may have run, the first included.
     :param first_token_timeout_ms: longest wait for the first event of an attempt.
     :param idle_timeout_ms: longest silence after the first event of an attempt.
-    :param resume_timeout_ms: time after a break within which a started stream may resume.
-    :param loading_poll_ms: time between looks at a model that is loading.
-    :param retry_delay_ms: wait before an upstream that failed is tried again.
+    :param resume_timeout_ms: time within which an interrupted stream may be resumed.
+    :param loading_poll_ms: time between checks whether a model has been loaded.
+    :param retry_delay_ms: delay before an upstream that failed is tried again.
+    :param max_retry_delay_ms: limit of that delay, which doubles while attempts cannot have run.
     :param budget_wait_ms: longest wait for the retry budget after an attempt that may have run.
-    :param longest_retry_delay_ms: bound of that wait, which doubles while nothing runs.
     :param coalesce_ms: tokens that arrive within this time share one write. A write costs about
         0.1 ms of processor time; the target between tokens is 64 ms.
-    :param buffer_limit_bytes: bytes kept for a slow caller before the upstream is paused.
-    :param claim_timeout_ms: longest wait for the claims of a key.
-    :param claim_poll_ms: time between looks at a key that another request is running under.
-    :param running_key_wait_ms: longest wait for that request; its entry process may be dead.
+    :param buffer_limit_bytes: bytes buffered for a slow caller before the upstream is paused.
+    :param claim_timeout_ms: longest wait for a reply to a claim.
+    :param claim_poll_ms: time between claims of a key while another request with it is running.
+    :param running_key_wait_ms: longest wait for that request; its entry process may have failed.
     """
 
     attempt_limit: int = 4
@@ -36,7 +36,7 @@
     resume_timeout_ms: float = 10_000.0
     loading_poll_ms: float = 25.0
     retry_delay_ms: float = 50.0
-    longest_retry_delay_ms: float = 1000.0
+    max_retry_delay_ms: float = 1000.0
     budget_wait_ms: float = 1000.0
     coalesce_ms: float = 20.0
     buffer_limit_bytes: int = 256 * 1024
@@ -49,7 +49,7 @@
 class ModelJob:
     """Describe an admitted request to a model.
 
-    :param request_id: identity of the request; it seeds the generation.
+    :param request_id: identity of the request; it is also the seed of the generation.
     :param path: ``/v1/chat/completions`` or ``/v1/completions``.
     :param body: parsed request body.
     :param route: what the request needs from an upstream.
@@ -66,13 +66,13 @@
 
     @property
     def completion_id(self) -> str:
-        """Return the id that the caller sees; the same through every entry process."""
+        """Return the id that the caller sees; it is the same at every entry process."""
         return f"cmpl-{self.request_id}"
 
 
 @attrs.frozen
-class WholeAnswer:
-    """Carry a complete response that was not streamed.
+class ModelResponse:
+    """Hold a complete response that was not streamed.
 
     :param body: response in the OpenAI-compatible form.
     :param tokens: number of generated tokens.
@@ -90,7 +90,7 @@
     :param caller: caller name.
     :param method: HTTP method.
     :param target: path with query at the service.
-    :param headers: headers to pass on, by lower-case name.
+    :param headers: headers to forward, by lower-case name.
     :param body: request body.
     :param route: what the request needs from an upstream.
     :param deadline_ms: latest useful time of the response, on the runtime's clock.
@@ -111,8 +111,8 @@
 
 
 @attrs.frozen
-class ServiceAnswer:
-    """Carry a service's response.
+class ServiceResponse:
+    """Hold the response of a service.
 
     :param status: HTTP status code.
     :param headers: headers by lower-case name.
--- a/src/briardyke/entry/relay_outcomes.py
+++ b/src/briardyke/entry/relay_outcomes.py
@@ -1,4 +1,4 @@
-"""Decide from an attempt's end whether the request can have run and may be retried."""
+"""Decide from the result of an attempt whether the request may have run and may be retried."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from briardyke.errors import ErrorKind, Failure, Ran
 from briardyke.policy.tables import AttemptOutcome
 
-_SERVER_ERROR = 500
+_FIRST_SERVER_ERROR_STATUS = 500
 
 
 @attrs.frozen
-class AttemptEnd:
-    """Describe how an attempt ended.
+class AttemptResult:
+    """Describe the result of an attempt.
 
     :param outcome: outcome for the routing table.
     :param failure: what went wrong; ``None`` after a complete response.
@@ -28,18 +28,18 @@
     retryable: bool = True
 
 
-def broken_end(failure: Failure) -> AttemptEnd:
-    """Return the end of an attempt whose connection broke or stalled.
+def interrupted_result(failure: Failure) -> AttemptResult:
+    """Return the result of an attempt whose connection failed or timed out.
 
-    :param failure: ``upstream_unreachable`` only when no byte can have been sent.
+    :param failure: its kind is ``upstream_unreachable`` only when no byte can have been sent.
     """
     if failure.kind is ErrorKind.UPSTREAM_UNREACHABLE:
-        return AttemptEnd(AttemptOutcome.UNREACHABLE, failure, may_have_run=False)
-    return AttemptEnd(AttemptOutcome.FAILED, failure)
+        return AttemptResult(AttemptOutcome.UNREACHABLE, failure, may_have_run=False)
+    return AttemptResult(AttemptOutcome.FAILED, failure)
 
 
-def refused_end(status: int, body: bytes) -> AttemptEnd | None:
-    """Return the end of an attempt that the upstream itself says it did not run.
+def refusal_result(status: int, body: bytes) -> AttemptResult | None:
+    """Return the result of an attempt that the upstream reports as not run.
 
     :param status: HTTP status code.
     :param body: bytes of the body.
@@ -59,21 +59,21 @@
     failure = Failure(kind, message, field)
     if failure.answer.ran is not Ran.NO:
         failure = Failure(ErrorKind.UPSTREAM_REFUSED, message, field)
-    return AttemptEnd(AttemptOutcome.REFUSED, failure, may_have_run=False, retryable=retryable)
+    return AttemptResult(AttemptOutcome.REFUSED, failure, may_have_run=False, retryable=retryable)
 
 
-def error_end(status: int, body: bytes) -> AttemptEnd:
-    """Return the end of an attempt that was answered with an error status."""
-    failure = Failure(ErrorKind.UPSTREAM_FAILED, f"upstream answered with status {status}")
-    unrun = refused_end(status, body)
-    retryable = status >= _SERVER_ERROR
-    return unrun or AttemptEnd(AttemptOutcome.FAILED, failure, retryable=retryable)
+def error_status_result(status: int, body: bytes) -> AttemptResult:
+    """Return the result of an attempt whose response had an error status."""
+    failure = Failure(ErrorKind.UPSTREAM_FAILED, f"upstream responded with status {status}")
+    refusal = refusal_result(status, body)
+    retryable = status >= _FIRST_SERVER_ERROR_STATUS
+    return refusal or AttemptResult(AttemptOutcome.FAILED, failure, retryable=retryable)
 
 
 def final_failure(failure: Failure, *, may_have_run: bool, tokens: int = 0) -> Failure:
     """Return the failure to report after the last attempt.
 
-    A kind that tells the caller "not run" is kept only when no attempt can have run.
+    A kind that means "not run" is kept only when no attempt can have run.
 
     :param failure: the last failure.
     :param may_have_run: whether any attempt can have run.
@@ -85,6 +85,8 @@
     if not may_have_run or failure.answer.ran is not Ran.NO:
         return failure
     if failure.kind is ErrorKind.DEADLINE_UNMEETABLE:
-        return Failure(ErrorKind.DEADLINE_EXCEEDED, "deadline passed after an attempt")
-    text = f"an attempt may have run; then: {failure.message}"
+        return Failure(
+            ErrorKind.DEADLINE_EXCEEDED, "deadline passed after an attempt that may have run"
+        )
+    text = f"an earlier attempt may have run; last failure: {failure.message}"
     return Failure(ErrorKind.UPSTREAM_FAILED, text)
--- a/src/briardyke/entry/relay_selection.py
+++ b/src/briardyke/entry/relay_selection.py
@@ -11,13 +11,13 @@
 from briardyke.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
-    from briardyke.entry.interfaces import RelayTable
+    from briardyke.entry.interfaces import RelayRoutingTable
     from briardyke.entry.relay_jobs import RelayPolicy
     from briardyke.policy.tables import RouteRequest
 
 
 async def select_upstream(
-    table: RelayTable,
+    table: RelayRoutingTable,
     policy: RelayPolicy,
     route: RouteRequest,
     tried: set[str],
@@ -26,14 +26,14 @@
     """Return the upstream for the next attempt.
 
     :param table: the routing table.
-    :param policy: waiting times.
+    :param policy: delays between two selections.
     :param route: what the request needs.
-    :param tried: upstreams that failed; cleared when no other one is left.
-    :param deadline_ms: latest time to dispatch.
+    :param tried: upstreams that failed; cleared when no other upstream is left.
+    :param deadline_ms: latest time to dispatch, on the runtime's clock.
     :return: the upstream's id; ``deadline_unmeetable`` when the deadline has passed; or the
         table's failure, ``model_loading`` after waiting until the deadline.
     """
-    waited_for: Failure | None = None
+    loading_failure: Failure | None = None
     while (now := now_ms()) < deadline_ms:
         excluded = route.excluded | tried
         chosen = table.choose(attrs.evolve(route, excluded=excluded), now)
@@ -41,7 +41,7 @@
             return chosen
         failure = chosen.unwrap_err()
         if failure.kind is ErrorKind.MODEL_LOADING:
-            waited_for = failure
+            loading_failure = failure
             delay_ms = policy.loading_poll_ms
         elif tried:
             delay_ms = policy.retry_delay_ms
@@ -50,4 +50,4 @@
         tried.clear()
         await sleep_ms(min(delay_ms, deadline_ms - now))
     passed = Failure(ErrorKind.DEADLINE_UNMEETABLE, "deadline passed before dispatch")
-    return Err(waited_for or passed)
+    return Err(loading_failure or passed)
--- a/src/briardyke/entry/requests.py
+++ b/src/briardyke/entry/requests.py
@@ -1,4 +1,4 @@
-"""Read callers' requests into jobs for the relay."""
+"""Validate the requests of callers and convert them to jobs for the relay."""
 
 from __future__ import annotations
 
@@ -26,14 +26,14 @@
 MAX_KEY_LENGTH = 256
 _MAX_DEADLINE_MS = 3_600_000.0
 _PRIORITY_RANGE = (-10, 10)
-_PASSED_HEADERS = frozenset({"content-type", "accept", "x-priority"})
+_FORWARDED_HEADERS = frozenset({"content-type", "accept", "x-priority"})
 
 
 @attrs.frozen
 class ModelRequest:
     """Hold a request to a model in the form that limits, admission and relay need.
 
-    :param job: the work for the relay.
+    :param job: the job for the relay.
     :param model: model name.
     :param adapter: adapter name, empty for none.
     :param estimated_tokens: prompt tokens plus the tokens that may be generated.
@@ -126,7 +126,7 @@
         caller=caller,
         method=request.method,
         target=quote(path) + _query(request.query),
-        headers={k: v for k, v in request.headers.items() if k in _PASSED_HEADERS},
+        headers={k: v for k, v in request.headers.items() if k in _FORWARDED_HEADERS},
         body=request.body,
         route=RouteRequest(
             service=name, priority=priority.unwrap(), patterns=tuple(service.instances)
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -1,4 +1,4 @@
-"""Hold the tables of an entry process and the systems that run over them each tick."""
+"""Hold the state of an entry process and update it periodically."""
 
 from __future__ import annotations
 
@@ -36,10 +36,10 @@
 
 
 class EntryState:
-    """Own every table of the process."""
+    """Hold the state that the routes and background tasks of an entry process share."""
 
     def __init__(self, settings: EntrySettings, address: Address) -> None:
-        """Create empty tables.
+        """Create an empty state.
 
         :param settings: settings of the process.
         :param address: address that callers are told to use.
@@ -51,15 +51,15 @@
         self.draining = False
         self.in_flight = 0
         self.demand = DemandMeter()
-        chosen = random.Random(settings.seed) if settings.seed else random.Random()
-        self.table = RoutingTable(settings.routing_policy, settings.data_centre, chosen)
-        self.ledger = LimitLedger()
-        self.admission = AdmissionController(self.table, chosen)
-        self.budget = RetryBudget()
-        self._probing: set[str] = set()
+        rng = random.Random(settings.seed) if settings.seed else random.Random()
+        self.routing_table = RoutingTable(settings.routing_policy, settings.data_centre, rng)
+        self.limit_ledger = LimitLedger()
+        self.admission = AdmissionController(self.routing_table, rng)
+        self.retry_budget = RetryBudget()
+        self._probed_ids: set[str] = set()
         self._report_number = 0
-        self._fed_sequence = 0
-        self._refreshed_at_ms = 0.0
+        self._routed_sequence = 0
+        self._evidence_refreshed_at_ms = 0.0
 
     @property
     def configuration(self) -> Configuration:
@@ -72,19 +72,19 @@
         return self.projection.version
 
     def lifecycle(self) -> Lifecycle:
-        """Return the stage that this process reports."""
+        """Return the lifecycle state that this process reports."""
         if self.draining:
             return Lifecycle.DRAINING
         return Lifecycle.READY if self.ready() else Lifecycle.STARTING
 
     def ready(self) -> bool:
         """Return whether new requests are admitted: the current version is held and confirmed."""
-        self._adopt_version()  # a version that sync has just brought must not wait for the tick
+        self._adopt_version()  # a version received since the last tick counts at once
         newest = self.view.documents.version
         return 0 < self.version == newest and self.view.lease.valid(now_ms())
 
     def isolated(self) -> bool:
-        """Return whether the evidence is too old to send callers to this instance."""
+        """Return whether the last contact with the leader is too old to send callers here."""
         age_ms = self.view.lease.age_ms(now_ms())
         return age_ms is None or age_ms > INSTANCE_SILENCE_MS
 
@@ -98,29 +98,29 @@
             weight=self.settings.weight,
             lifecycle=self.lifecycle().value,
             report_number=self._next_report_number(),
-            share_demand=self.ledger.demand(now),
-            held_shares=self.ledger.held(now),
+            share_demand=self.limit_ledger.demand(now),
+            held_shares=self.limit_ledger.held(now),
         )
         return Report([status], self.demand.rates(now))
 
     def _next_report_number(self) -> int:
-        # Starting from the wall clock makes the numbers rise over restarts as well.
+        # The wall clock is the lower bound, so that numbers also increase across restarts.
         self._report_number = max(self._report_number + 1, wall_unix_ms())
         return self._report_number
 
     def tick(self) -> None:
-        """Run the systems once."""
+        """Apply what has been received since the last tick."""
         now = now_ms()
         self._adopt_version()
         self._apply_shares()
-        self._feed_routing(now)
-        self.table.tick(now)
+        self._update_routing_table(now)
+        self.routing_table.tick(now)
 
     def _adopt_version(self) -> None:
         documents = self.view.documents
         accepted = self.projection.accept(documents.version, documents.document)
         if accepted.is_err():
-            # The process stays out of service, since it must not act on an older version.
+            # The process is not ready from now on, because it must not act on an older version.
             log_error("version_unreadable", reason=accepted.unwrap_err().message)
         elif accepted.unwrap():
             self.admission.apply(self.configuration.targets)
@@ -128,34 +128,34 @@
 
     def _apply_shares(self) -> None:
         shares = self.view.shares.get(self.settings.instance_id, [])
-        self.ledger.apply(self.configuration.limits, shares, self.view.lease.expires_at_ms())
+        self.limit_ledger.apply(self.configuration.limits, shares, self.view.lease.expires_at_ms())
 
-    def _feed_routing(self, now: float) -> None:
+    def _update_routing_table(self, now: float) -> None:
         digest = self.view.digest
-        for row in digest.changes_since(self._fed_sequence, now):
-            self.table.observe(row, now)
-        self._fed_sequence = digest.sequence
-        if now - self._refreshed_at_ms >= REFRESH_MS:
-            self._refreshed_at_ms = now
+        for row in digest.changes_since(self._routed_sequence, now):
+            self.routing_table.observe(row, now)
+        self._routed_sequence = digest.sequence
+        if now - self._evidence_refreshed_at_ms >= REFRESH_MS:
+            self._evidence_refreshed_at_ms = now
             for upstream_id, heard_at_ms in digest.heard_at_ms():
-                self.table.refresh(upstream_id, heard_at_ms)
+                self.routing_table.refresh(upstream_id, heard_at_ms)
         for upstream_id in digest.forget_silent(now):
-            self.table.remove(upstream_id)
+            self.routing_table.remove(upstream_id)
 
-    async def run_systems(self) -> None:
-        """Tick until cancelled, at once when sync brings news."""
+    async def run_updates(self) -> None:
+        """Tick until cancelled: periodically, and at once when a sync changes the view."""
         while True:
             self.tick()
             await self.view.changed.wait(TICK_MS)
 
     async def run_probes(self, client: HttpClient) -> None:
-        """Ask upstreams directly when the relayed evidence is old, until cancelled."""
+        """Probe upstreams whose last announcement is old, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 stale = self.view.digest.older_than(PROBE_AGE_MS, now_ms())
                 for row in stale[:_PROBES_PER_TICK]:
-                    if row.upstream_id not in self._probing:
-                        self._probing.add(row.upstream_id)
+                    if row.upstream_id not in self._probed_ids:
+                        self._probed_ids.add(row.upstream_id)
                         nursery.start_soon(self._probe, client, row.upstream_id, row.address)
                 await trio.sleep(TICK_MS / 1000.0)
 
@@ -173,4 +173,4 @@
             elif row.is_err():
                 log_warning("probe_answer_invalid", upstream=upstream_id)
         finally:
-            self._probing.discard(upstream_id)
+            self._probed_ids.discard(upstream_id)
--- a/src/briardyke/entry/upstream_api.py
+++ b/src/briardyke/entry/upstream_api.py
@@ -1,4 +1,4 @@
-"""Take the announcements of upstreams."""
+"""Receive the announcements of upstreams."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class UpstreamApi:
-    """Handle the upstreams' route."""
+    """Handle the route for announcements of upstreams."""
 
     def __init__(self, state: EntryState) -> None:
-        """Use the process's tables."""
+        """Use the state of the process."""
         self._state = state
 
     def register(self, app: HttpApp) -> None:
@@ -34,7 +34,9 @@
         if view.digest.lifecycle_sequence != before:
             view.changed.notify()
         if self._state.isolated() or self._state.draining:
-            # The row is used here, but another instance can pass it on to the leader sooner.
-            text = "this instance has no fresh contact to the leader; announce to another one"
+            # This instance uses the row, but another one can forward it to the leader sooner.
+            text = (
+                "this instance has no recent contact with the leader; announce to another instance"
+            )
             return error_response(Failure(ErrorKind.VERSION_UNCONFIRMED, text))
         return json_response({"accepted": True})
--- a/tests/claims/test_claim_machine.py
+++ b/tests/claims/test_claim_machine.py
@@ -1,4 +1,4 @@
-"""Check the claim groups' state machine and the assignment of keys to groups."""
+"""Test the state machine of claim groups and the assignment of keys to shards."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import pytest
 
 from briardyke.claims.machine import (
+    HOLDER_TIMEOUT_MS,
     MAX_RESPONSE_BYTES,
     RETENTION_MS,
-    UNREPORTED_MS,
     ApplyClaimEnd,
     ApplyClaimRequest,
     ClaimLimits,
@@ -62,22 +62,22 @@
         assert claim(machine, "b").state == "granted"
         assert end(machine, "c", "completed", key=9) == "unknown"
 
-    def test_a_silent_holder_leaves_the_claim_unknown(self) -> None:
+    def test_a_claim_is_unknown_after_the_holder_timeout(self) -> None:
         machine = ClaimMachine()
         claim(machine, "a")
-        assert claim(machine, "b", at=UNREPORTED_MS - 1).state == "running"
+        assert claim(machine, "b", at=HOLDER_TIMEOUT_MS - 1).state == "running"
         for attempt in ("a", "b"):
-            assert claim(machine, attempt, at=UNREPORTED_MS).state == "unknown"
-        assert end(machine, "a", "not_run", at=UNREPORTED_MS) == "ended"
+            assert claim(machine, attempt, at=HOLDER_TIMEOUT_MS).state == "unknown"
+        assert end(machine, "a", "not_run", at=HOLDER_TIMEOUT_MS) == "ended"
 
-    def test_a_full_shard_refuses_and_keeps_what_has_not_expired(self) -> None:
+    def test_a_full_group_refuses_new_claims_and_keeps_unexpired_ones(self) -> None:
         machine = ClaimMachine(ClaimLimits(claims=2))
         claim(machine, "a", key=1)
         claim(machine, "b", key=2, at=5)
         assert claim(machine, "c", key=3, at=RETENTION_MS - 1).state == "full"
         assert claim(machine, "c", key=1, at=RETENTION_MS - 1).state == "unknown"
         assert claim(machine, "c", key=3, at=RETENTION_MS).state == "granted"
-        # A later leader's clock is behind: time does not go back and nothing expires early.
+        # A later leader whose clock is behind: time does not go back and nothing expires early.
         assert claim(machine, "d", key=2, at=0).state == "unknown"
 
     @pytest.mark.parametrize(
@@ -112,14 +112,14 @@
 
 
 class TestShards:
-    """Guards against keys of different callers that share a claim."""
+    """Guards against different callers that share a claim, and against uneven shards."""
 
-    def test_callers_and_keys_do_not_run_into_each_other(self) -> None:
+    def test_callers_and_keys_are_hashed_separately(self) -> None:
         assert claim_key_hash("ab", "c") != claim_key_hash("a", "bc")
-        # A stored value: the hash must not change between versions that run side by side.
-        assert claim_key_hash("shop", "key-1") == STORED
+        # The hash must not change between versions that run at the same time.
+        assert claim_key_hash("shop", "key-1") == EXPECTED_KEY_HASH
 
-    def test_keys_spread_over_the_shards(self) -> None:
+    def test_keys_are_distributed_over_the_shards(self) -> None:
         counts = [0] * 4
         for n in range(1000):
             counts[shard_for_key(claim_key_hash("shop", f"key-{n}"), 4)] += 1
@@ -127,4 +127,4 @@
         assert shard_group_id(3) == "claims-3"
 
 
-STORED = 15485870246713815943
+EXPECTED_KEY_HASH = 15485870246713815943
--- a/tests/claims/test_claim_races.py
+++ b/tests/claims/test_claim_races.py
@@ -1,4 +1,4 @@
-"""Check that a claimed request runs at most once, whatever its senders do."""
+"""Test that a claimed request runs at most once, with retries, crashes and restarts."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 @attrs.define
 class Attempt:
-    """One sender's attempt; a crash removes it at any point."""
+    """Attempt of one sender; a crash can remove it at any time."""
 
     name: str
     key: int
@@ -35,8 +35,8 @@
 class ClaimRaces(RuleBasedStateMachine):
     """Guards against a second run of a request, and against lost claims in a full group.
 
-    The oracle keeps who was granted each key and when its claim last changed. Attempts end well
-    before the retention, because requests have deadlines.
+    ``live`` holds when the claim of each key last changed, and ``runs`` how often its request ran.
+    Attempts end long before the retention time, because requests have deadlines.
     """
 
     def __init__(self) -> None:
@@ -44,8 +44,8 @@
         self.machine = ClaimMachine(ClaimLimits(MAX_CLAIMS))
         self.snapshot = self.machine.snapshot()
         self.log: list[bytes] = []
-        self.wall = 0
-        self.count = 0
+        self.wall_ms = 0
+        self.attempt_count = 0
         self.live: dict[int, int] = {}
         self.runs: dict[int, int] = {}
         self.attempts: list[Attempt] = []
@@ -56,11 +56,11 @@
 
     def request(self, attempt: Attempt) -> str:
         request = ClaimRequest(attempt.key, "shop", "d", attempt.name)
-        return self.apply(ApplyClaimRequest(request, self.wall))
+        return self.apply(ApplyClaimRequest(request, self.wall_ms))
 
     def report(self, attempt: Attempt, outcome: str) -> str:
         end = ClaimEnd(attempt.key, "shop", attempt.name, outcome, b"x")
-        return self.apply(ApplyClaimEnd(end, self.wall))
+        return self.apply(ApplyClaimEnd(end, self.wall_ms))
 
     def pick(self, data: st.DataObject, granted: bool) -> Attempt | None:
         found = [a for a in self.attempts if a.granted is granted]
@@ -68,8 +68,8 @@
 
     @rule(key=KEYS)
     def send(self, key: int) -> None:
-        self.count += 1
-        attempt = Attempt(f"a{self.count}", key)
+        self.attempt_count += 1
+        attempt = Attempt(f"a{self.attempt_count}", key)
         state = self.request(attempt)
         if key in self.live:
             assert state in ("running", "completed", "unknown")
@@ -78,12 +78,12 @@
         else:
             assert state == "granted"
             attempt.granted = True
-            self.live[key] = self.wall
+            self.live[key] = self.wall_ms
             self.runs[key] = 0
         self.attempts.append(attempt)
 
     @rule(data=st.data())
-    def send_again_after_a_lost_reply(self, data: st.DataObject) -> None:
+    def retry_after_a_lost_reply(self, data: st.DataObject) -> None:
         attempt = self.pick(data, granted=True)
         if attempt is not None:
             assert self.request(attempt) in ("granted", "unknown")
@@ -106,7 +106,7 @@
         for _ in range(copies):
             assert self.report(attempt, outcome) == "ended"
         if attempt.ran:
-            self.live[attempt.key] = self.wall
+            self.live[attempt.key] = self.wall_ms
         else:
             del self.live[attempt.key]
 
@@ -117,23 +117,23 @@
             self.attempts.remove(attempt)
 
     @rule(data=st.data(), outcome=st.sampled_from(["not_run", "completed", "unknown"]))
-    def end_by_an_attempt_that_holds_nothing(self, data: st.DataObject, outcome: str) -> None:
+    def end_by_an_attempt_without_the_claim(self, data: st.DataObject, outcome: str) -> None:
         attempt = self.pick(data, granted=False)
         if attempt is not None and attempt.key in self.live:
             assert self.report(attempt, outcome) != "ended"
 
     @rule(minutes=st.sampled_from([1, 11]))
     def wait(self, minutes: int) -> None:
-        self.wall += minutes * MINUTE_MS
+        self.wall_ms += minutes * MINUTE_MS
 
     @rule(part=st.sampled_from([2, 1]))
     def wait_long(self, part: int) -> None:
         self.attempts.clear()
-        self.wall += RETENTION_MS // part
-        self.live = {k: at for k, at in self.live.items() if self.wall - at < RETENTION_MS}
+        self.wall_ms += RETENTION_MS // part
+        self.live = {k: at for k, at in self.live.items() if self.wall_ms - at < RETENTION_MS}
 
     @rule(key=KEYS, attempt=st.integers(1, 50))
-    def clock_of_a_new_leader_is_behind(self, key: int, attempt: int) -> None:
+    def claim_with_an_earlier_leader_clock(self, key: int, attempt: int) -> None:
         if key in self.live:
             request = ClaimRequest(key, "shop", "d", f"late{attempt}")
             assert self.apply(ApplyClaimRequest(request, 0)) != "granted"
--- a/tests/entry/relay_support.py
+++ b/tests/entry/relay_support.py
@@ -1,4 +1,4 @@
-"""Fakes and an in-process engine for the relay's tests."""
+"""Fakes and in-process stand-ins for the tests of the relay."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
 NO_UPSTREAM = Failure(ErrorKind.NO_UPSTREAM, "no upstream")
-FAST = {
+FAST_ENGINE = {
     "loaded": "m1=10",
     "allow_faults": "true",
     "leave_notice_ms": "0",
@@ -39,7 +39,7 @@
 
 
 class FakeTable:
-    """Choose upstreams in the given order and record outcomes."""
+    """Select upstreams in the given order and record outcomes."""
 
     def __init__(self, addresses: dict[str, Address]) -> None:
         self.addresses = addresses
@@ -50,8 +50,8 @@
     def choose(self, request: RouteRequest, now_ms: float) -> Result[str, Failure]:
         if self.refusals:
             return Err(self.refusals.pop(0))
-        free = [name for name in self.addresses if name not in request.excluded]
-        return Ok(free[0]) if free else Err(NO_UPSTREAM)
+        candidates = [name for name in self.addresses if name not in request.excluded]
+        return Ok(candidates[0]) if candidates else Err(NO_UPSTREAM)
 
     def begin(
         self, attempt_id: str, upstream_id: str, request: RouteRequest, now_ms: float
@@ -110,8 +110,8 @@
 
 
 @attrs.define
-class World:
-    """Hold a relay in front of stand-ins in this process."""
+class RelayTestbed:
+    """Hold a relay, its fakes and the stand-ins that it forwards to."""
 
     relay: Relay
     table: FakeTable
@@ -141,32 +141,34 @@
 
 
 @asynccontextmanager
-async def world(
+async def relay_testbed(
     engines: dict[str, dict[str, str]] | None = None,
     services: tuple[str, ...] = (),
     **policy: Any,
-) -> AsyncIterator[World]:
+) -> AsyncIterator[RelayTestbed]:
     """Run stand-ins and a relay in this process on loopback sockets."""
     client = HttpClient()
     table, budget, claims = FakeTable({}), FakeBudget(), FakeClaims()
     settings = RelayPolicy(**{"idle_timeout_ms": 5000.0, "retry_delay_ms": 5.0, **policy})
     relay = Relay(table, client, budget, claims, settings)
-    made = World(relay, table, budget, claims, client)
+    testbed = RelayTestbed(relay, table, budget, claims, client)
     async with trio.open_nursery() as nursery:
         for name, given in (engines or {}).items():
-            engine = load_settings(EngineSettings, {**FAST, "upstream_id": name, **given}).unwrap()
-            made.stops[name] = trio.Event()
-            address = await nursery.start(run_engine, engine, made.stops[name])
+            engine = load_settings(
+                EngineSettings, {**FAST_ENGINE, "upstream_id": name, **given}
+            ).unwrap()
+            testbed.stops[name] = trio.Event()
+            address = await nursery.start(run_engine, engine, testbed.stops[name])
             table.addresses[name] = parse_address(address)
         for name in services:
             service = load_settings(
                 ServiceSettings, {"upstream_id": name, "allow_faults": "true", "delay_ms": "0"}
             ).unwrap()
-            made.stops[name] = trio.Event()
-            address = await nursery.start(run_service, service, made.stops[name])
+            testbed.stops[name] = trio.Event()
+            address = await nursery.start(run_service, service, testbed.stops[name])
             table.addresses[name] = parse_address(address)
         await nursery.start(relay.run)
-        yield made
+        yield testbed
         nursery.cancel_scope.cancel()
     await client.aclose()
 
@@ -200,13 +202,13 @@
 
 
 def expected_text(request_id: str = "req-1", tokens: int = 20) -> str:
-    """Return the right response to :func:`model_job`."""
+    """Return the text of the correct response to :func:`model_job`."""
     return whole_text(request_id, "m1", "user: hi", tokens)
 
 
 @attrs.define
 class Received:
-    """Hold what a caller received."""
+    """Hold the events that a caller received."""
 
     events: list[ServerSentEvent]
 
--- a/tests/entry/test_reassembly.py
+++ b/tests/entry/test_reassembly.py
@@ -1,4 +1,4 @@
-"""Reassembly of responses, compared with a simple oracle."""
+"""Test the assembly of responses against a simple reference."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from briardyke.entry.reassembly import AnswerAssembler, Progress
+from briardyke.entry.reassembly import Progress, ResponseAssembler
 from briardyke.http.sse import DONE, ServerSentEvent
 
 LENGTH = 6
@@ -25,16 +25,18 @@
 
 
 # Each fault applies to one event of a stream.
-_FAULTS = st.sampled_from(["keep", "keep", "keep", "drop", "duplicate", "cross", "swap", "cut"])
+_FAULTS = st.sampled_from(
+    ["keep", "keep", "keep", "drop", "duplicate", "other_attempt", "swap", "truncate"]
+)
 
 
 def _with_faults(events: list[ServerSentEvent], faults: list[str]) -> list[ServerSentEvent]:
     sent: list[ServerSentEvent] = []
     for event, fault in zip(events, faults, strict=False):
-        if fault == "cut":
+        if fault == "truncate":
             return sent
-        if fault == "cross":
-            sent.append(_event("att-other", int(event.id or 1), "CROSSED "))
+        if fault == "other_attempt":
+            sent.append(_event("att-other", int(event.id or 1), "OTHER "))
         if fault == "swap" and sent:
             sent.insert(-1, event)
         elif fault != "drop":
@@ -48,19 +50,19 @@
     def test_response_is_a_prefix_and_whole_only_when_complete(
         self, attempts: list[list[str]]
     ) -> None:
-        """Guards against lost, repeated, crossed or reordered tokens and false completion."""
-        assembler = AnswerAssembler("cmpl-1", 0)
+        """Guards against lost, repeated, foreign or reordered tokens and false completion."""
+        assembler = ResponseAssembler("cmpl-1", 0)
         text, finals, complete = "", 0, False
         for number, faults in enumerate(attempts):
             attempt_id = f"att-{number}"
             assembler.begin(attempt_id)
             for event in _with_faults(_stream(attempt_id, assembler.offset), faults):
-                progress, piece = assembler.take(event)
-                if piece is not None:
-                    assert piece.document["id"] == "cmpl-1"
-                    text += piece.text
+                progress, caller_event = assembler.accept(event)
+                if caller_event is not None:
+                    assert caller_event.document["id"] == "cmpl-1"
+                    text += caller_event.text
                     finals += progress is Progress.COMPLETE
-                # The oracle: what was accepted is the true response's beginning, nothing else.
+                # Reference: the accepted text is always a prefix of the correct response.
                 assert text == "".join(TOKENS[: assembler.offset])
                 if progress is not Progress.CONTINUES:
                     complete = progress is Progress.COMPLETE
@@ -72,32 +74,38 @@
             assert text == "".join(TOKENS)
 
     @settings(derandomize=True, max_examples=100, deadline=None)
-    @given(st.lists(st.sampled_from(["keep", "duplicate", "cross"]), min_size=8, max_size=8))
-    def test_faults_that_lose_nothing_still_complete(self, faults: list[str]) -> None:
-        """Guards against an assembler that is safe because it never completes."""
-        assembler = AnswerAssembler("cmpl-1", 0)
+    @given(
+        st.lists(st.sampled_from(["keep", "duplicate", "other_attempt"]), min_size=8, max_size=8)
+    )
+    def test_response_completes_when_no_event_is_lost(self, faults: list[str]) -> None:
+        """Guards against an assembler that rejects every response."""
+        assembler = ResponseAssembler("cmpl-1", 0)
         assembler.begin("att-0")
-        seen = [assembler.take(event)[0] for event in _with_faults(_stream("att-0", 0), faults)]
+        seen = [assembler.accept(event)[0] for event in _with_faults(_stream("att-0", 0), faults)]
         assert Progress.COMPLETE in seen
         assert Progress.BROKEN not in seen[: seen.index(Progress.COMPLETE)]
 
-    def test_events_with_the_bytes_of_the_first_still_have_their_ids_checked(self) -> None:
-        """Guards against passing on events of another attempt, form or offset without parsing."""
-        assembler = AnswerAssembler("cmpl-1", 0)
+    def test_events_that_match_the_template_have_their_ids_and_offsets_checked(self) -> None:
+        """Guards against events of another attempt, form or offset that skip parsing."""
+        assembler = ResponseAssembler("cmpl-1", 0)
         assembler.begin("att-0")
         texts = ['"', "\\", "\n", "é\u2028", "att-0", "t5"]
         for offset, text in enumerate(texts, 1):
-            assert assembler.take(_event("att-1", offset, "CROSSED"))[1] is None
-            progress, piece = assembler.take(_event("att-0", offset, text))
-            assert piece is not None
-            assert (piece.text, piece.offset, piece.document["id"]) == (text, offset, "cmpl-1")
-            assert b"\n" not in piece.encode().removesuffix(b"\n\n").partition(b"\n")[2]
-            assert assembler.take(_event("att-0", offset, text))[1] is None
+            assert assembler.accept(_event("att-1", offset, "OTHER"))[1] is None
+            progress, caller_event = assembler.accept(_event("att-0", offset, text))
+            assert caller_event is not None
+            assert (caller_event.text, caller_event.offset, caller_event.document["id"]) == (
+                text,
+                offset,
+                "cmpl-1",
+            )
+            assert b"\n" not in caller_event.encode().removesuffix(b"\n\n").partition(b"\n")[2]
+            assert assembler.accept(_event("att-0", offset, text))[1] is None
         assert assembler.dropped == 2 * len(texts)
         skipped = ServerSentEvent(_event("att-0", 9, "x").data, id="9")
-        assert assembler.take(skipped) == (Progress.BROKEN, None)
+        assert assembler.accept(skipped) == (Progress.BROKEN, None)
         event = _event("att-0", 7, "x")
         broken = event.data.replace('"x"', '"x" "')
-        assert assembler.take(ServerSentEvent(broken, id="7")) == (Progress.BROKEN, None)
+        assert assembler.accept(ServerSentEvent(broken, id="7")) == (Progress.BROKEN, None)
         assembler.begin("att-1")
-        assert assembler.take(event)[1] is None
+        assert assembler.accept(event)[1] is None
--- a/tests/entry/test_relay_attempts.py
+++ b/tests/entry/test_relay_attempts.py
@@ -1,4 +1,4 @@
-"""Attempts against a scripted response, on a clock that jumps."""
+"""Test attempts with a scripted response, on an autojump clock."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class _LateClient:
-    """Deliver the end of a response just after the longest silence, as a busy process sees it."""
+    """Deliver the end of a response just after the idle timeout, as when the process is busy."""
 
     status = 200
 
@@ -45,9 +45,11 @@
         return ServerSentEvent(data, id="1").encode()
 
 
-class TestDeadline:
-    async def test_end_that_arrives_with_the_deadline_completes(self, autojump_clock: Any) -> None:
-        """Guards against a second final event from a retry of a complete response."""
+class TestIdleTimeout:
+    async def test_final_events_at_the_idle_timeout_complete_the_response(
+        self, autojump_clock: Any
+    ) -> None:
+        """Guards against a second final event after a retry of a complete response."""
         table = FakeTable({"e1": Address("127.0.0.1", 1), "e2": Address("127.0.0.1", 2)})
         relay = Relay(table, _LateClient(), FakeBudget(), FakeClaims(), RelayPolicy())  # type: ignore
         answer = (await relay.complete(model_job())).unwrap()
--- a/tests/entry/test_relay_coalescing.py
+++ b/tests/entry/test_relay_coalescing.py
@@ -1,4 +1,4 @@
-"""How the relay joins tokens into writes, on a clock that jumps."""
+"""Test how the relay joins tokens into writes, on an autojump clock."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import trio
 from relay_support import model_job
 
-from briardyke.entry.reassembly import Piece
+from briardyke.entry.reassembly import CallerEvent
 from briardyke.entry.relay import RelayStream
 from briardyke.entry.relay_jobs import RelayPolicy
 
@@ -23,7 +23,7 @@
     async def run(self, job: Any, sink: Any) -> None:
         for number in range(self._tokens):
             await trio.sleep(self._interval_s)
-            sink.put(Piece("{}", number + 1))
+            sink.put(CallerEvent("{}", number + 1))
             self.put_at.append(trio.current_time())
             await sink.wait_for_room()
 
@@ -49,20 +49,20 @@
             (1000.0, [(6, 1), (48, 7)]),
         ],
     )
-    async def test_first_token_at_once_and_the_rest_together(
+    async def test_first_token_is_written_at_once_and_later_ones_are_joined(
         self, autojump_clock: Any, coalesce_ms: float, expected: list[tuple[int, int]]
     ) -> None:
-        """Guards against a write for each token, and against a delay of the first or the end."""
+        """Guards against one write per token, and against a delay of the first token or the end."""
         writes = await _writes(8, 0.006, coalesce_ms=coalesce_ms)
         assert [write for write in writes if write[1]] == expected
 
     async def test_slow_tokens_are_not_delayed(self, autojump_clock: Any) -> None:
-        """Guards against a wait of the whole window for a token that comes after it."""
+        """Guards against delaying a token that arrives after the coalescing time."""
         writes = await _writes(3, 0.064, coalesce_ms=20.0)
         assert [write for write in writes if write[1]] == [(64, 1), (128, 1), (192, 1)]
 
     async def test_slow_caller_pauses_the_upstream(self, autojump_clock: Any) -> None:
-        """Guards against memory that grows with every slow caller."""
+        """Guards against unbounded buffers for slow callers."""
         attempts = _ScriptedAttempts(1000, 0.001)
         async with trio.open_nursery() as nursery:
             policy = RelayPolicy(buffer_limit_bytes=200)
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -1,4 +1,4 @@
-"""Check when an entry process admits requests."""
+"""Test when an entry process is ready to admit requests."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class TestReady:
-    """Guards against refusing requests while a version spreads, and against an old version."""
+    """Guards against refused requests during a version change, and against a stale version."""
 
     async def test_new_version_is_in_force_without_waiting_for_a_tick(
         self, mock_clock: trio.testing.MockClock
@@ -60,7 +60,7 @@
             assert state.ready()
             assert state.configuration.targets.first_token_ms == 600.0 + version
 
-    async def test_lease_ends_and_an_unreadable_version_keeps_the_process_out(
+    async def test_not_ready_with_an_unreadable_version_or_an_expired_lease(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         state = _state()
