--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -46,9 +46,9 @@
     ) -> None:
         """Set up the relay.
 
-        :param table: chooses upstreams.
+        :param table: selects upstreams.
         :param client: connects to upstreams.
-        :param budget: bounds retries.
+        :param budget: limits retries.
         :param claims: ensures that a non-idempotent call with a key runs at most once.
         :param policy: limits and timeouts; ``None`` for the defaults.
         """
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -29,7 +29,7 @@
     from briardyke.http.client import HttpClient
 
 TICK_MS = 100.0
-REFRESH_MS = 500.0
+EVIDENCE_REFRESH_MS = 500.0
 PROBE_AGE_MS = 2000.0  # leaves time for two probes within the silence bound of 3000 ms
 _PROBES_PER_TICK = 16
 _PROBE_TIMEOUT_MS = 500.0
@@ -78,7 +78,7 @@
         return Lifecycle.READY if self.ready() else Lifecycle.STARTING
 
     def ready(self) -> bool:
-        """Return whether new requests are admitted: the current version is held and confirmed."""
+        """Return whether requests are admitted: the newest version is in force and confirmed."""
         self._adopt_version()  # a version received since the last tick counts at once
         newest = self.view.documents.version
         return 0 < self.version == newest and self.view.lease.valid(now_ms())
@@ -120,7 +120,7 @@
         documents = self.view.documents
         accepted = self.projection.accept(documents.version, documents.document)
         if accepted.is_err():
-            # The process is not ready from now on, because it must not act on an older version.
+            # The process stays not ready, because it must not act on an older version.
             log_error("version_unreadable", reason=accepted.unwrap_err().message)
         elif accepted.unwrap():
             self.admission.apply(self.configuration.targets)
@@ -135,7 +135,7 @@
         for row in digest.changes_since(self._routed_sequence, now):
             self.routing_table.observe(row, now)
         self._routed_sequence = digest.sequence
-        if now - self._evidence_refreshed_at_ms >= REFRESH_MS:
+        if now - self._evidence_refreshed_at_ms >= EVIDENCE_REFRESH_MS:
             self._evidence_refreshed_at_ms = now
             for upstream_id, heard_at_ms in digest.heard_at_ms():
                 self.routing_table.refresh(upstream_id, heard_at_ms)
@@ -162,12 +162,12 @@
     async def _probe(self, client: HttpClient, upstream_id: str, address: str) -> None:
         sent_at_ms = now_ms()
         try:
-            answer = await client.call(
+            response = await client.call(
                 "GET", parse_address(address), "/health", timeout_ms=_PROBE_TIMEOUT_MS
             )
-            if answer.is_err():
+            if response.is_err():
                 return
-            row = parse_announcement(answer.unwrap().body, now_ms() - sent_at_ms)
+            row = parse_announcement(response.unwrap().body, now_ms() - sent_at_ms)
             if row.is_ok() and row.unwrap().upstream_id == upstream_id:
                 self.view.digest.observe(row.unwrap(), now_ms())
             elif row.is_err():
--- a/tests/entry/test_relay_streams.py
+++ b/tests/entry/test_relay_streams.py
@@ -107,7 +107,7 @@
 
 
 class TestNotRun:
-    """ "Not run" is reported only when no attempt can have run."""
+    """The relay reports "not run" only when no attempt can have run."""
 
     async def test_unreachable_upstream_is_not_run(self) -> None:
         """Guards against reporting "unknown", after which a caller does not retry."""
