Give local names of the entry package a meaning of their own

Methods and locals no longer share a name with the function or attribute that they use, and the readers of request fields are named after the field.

--- a/src/briardyke/claims/machine.py
+++ b/src/briardyke/claims/machine.py
@@ -17,7 +17,7 @@
 MAX_CLAIMS = 100_000
 MAX_RESPONSE_BYTES = 64 * 1024
 # MAX_CLAIMS responses of MAX_RESPONSE_BYTES would take 6.4 GB of memory and snapshot size.
-MAX_STORED_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_TOTAL_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 @message
@@ -55,7 +55,7 @@
     """
 
     claims: int = MAX_CLAIMS
-    stored_bytes: int = MAX_STORED_RESPONSE_BYTES
+    stored_bytes: int = MAX_TOTAL_RESPONSE_BYTES
 
 
 @attrs.frozen
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -70,7 +70,7 @@
         return json_response(body, 200, {"cache-control": "no-store"})
 
     async def _models(self, request: Request) -> Response:
-        authenticated = self._authenticate(request)
+        authenticated = self._identify_caller(request)
         if authenticated.is_err():
             return error_response(authenticated.unwrap_err())
         configuration = self._state.configuration
@@ -94,10 +94,10 @@
         started_ms = now_ms()
         request_id = read_request_id(request)
         if request_id.is_err():
-            return self._error_response(request_id.unwrap_err(), "")
+            return self._refuse_request(request_id.unwrap_err(), "")
         admitted = self._admit_model(request, request_id.unwrap())
         if admitted.is_err():
-            return self._error_response(admitted.unwrap_err(), request_id.unwrap())
+            return self._refuse_request(admitted.unwrap_err(), request_id.unwrap())
         model_request, permit = admitted.unwrap()
         finish = _RequestCompletion(self, permit, model_request, started_ms)
         if model_request.stream:
@@ -137,10 +137,10 @@
         started_ms = now_ms()
         request_id = read_request_id(request)
         if request_id.is_err():
-            return self._error_response(request_id.unwrap_err(), "")
+            return self._refuse_request(request_id.unwrap_err(), "")
         admitted = self._admit_service(request, request_id.unwrap())
         if admitted.is_err():
-            return self._error_response(admitted.unwrap_err(), request_id.unwrap())
+            return self._refuse_request(admitted.unwrap_err(), request_id.unwrap())
         job, permit = admitted.unwrap()
         self._state.in_flight += 1
         try:
@@ -150,7 +150,7 @@
             self._state.limit_ledger.settle(permit, 0, now_ms())
         self._duration.record(now_ms() - started_ms)
         if result.is_err():
-            return self._error_response(result.unwrap_err(), job.request_id)
+            return self._refuse_request(result.unwrap_err(), job.request_id)
         response = result.unwrap()
         self._requests.add(1, {"result": "complete"})
         headers = {**response.headers, "x-request-id": job.request_id}
@@ -158,7 +158,7 @@
             headers["x-replayed"] = "true"
         return Response(response.status, response.body, headers)
 
-    def _authenticate(self, request: Request) -> Result[str, Failure]:
+    def _identify_caller(self, request: Request) -> Result[str, Failure]:
         if not self._state.ready():
             text = "this instance cannot confirm that its configuration is current"
             failure = Failure(
@@ -170,7 +170,7 @@
     def _admit_model(
         self, request: Request, request_id: str
     ) -> Result[tuple[ModelRequest, Permit], Failure]:
-        caller = self._authenticate(request)
+        caller = self._identify_caller(request)
         if caller.is_err():
             return Err(caller.unwrap_err())
         state = self._state
@@ -195,7 +195,7 @@
     def _admit_service(
         self, request: Request, request_id: str
     ) -> Result[tuple[Any, Permit], Failure]:
-        caller = self._authenticate(request)
+        caller = self._identify_caller(request)
         if caller.is_err():
             return Err(caller.unwrap_err())
         name = request.path_values["name"]
@@ -234,7 +234,7 @@
             return Err(admitted.unwrap_err())
         return Ok(permit.unwrap())
 
-    def _error_response(self, failure: Failure, request_id: str) -> Response:
+    def _refuse_request(self, failure: Failure, request_id: str) -> Response:
         self._requests.add(1, {"result": failure.kind.value})
         return error_response(failure, request_id)
 
--- a/src/briardyke/entry/claim_client.py
+++ b/src/briardyke/entry/claim_client.py
@@ -31,7 +31,7 @@
         """
         self._peers = peers
         self._addresses = addresses
-        self._next_address = 0
+        self._address_index = 0
 
     async def claim(self, request: ClaimRequest, timeout_ms: float) -> Result[ClaimReply, Failure]:
         """Claim the right to run a request.
@@ -53,13 +53,13 @@
     ) -> Result[ClaimReply, Failure]:
         give_up_at_ms = now_ms() + timeout_ms
         while (remaining_ms := give_up_at_ms - now_ms()) > 0:
-            address = self._addresses[self._next_address % len(self._addresses)]
+            address = self._addresses[self._address_index % len(self._addresses)]
             reply = await self._peers.client(address).call(
                 message, min(remaining_ms, _CALL_TIMEOUT_MS)
             )
             if reply.is_ok() and isinstance(reply.unwrap(), ClaimReply):
                 return Ok(reply.unwrap())
-            self._next_address += 1
+            self._address_index += 1
             await sleep_ms(_RETRY_DELAY_MS)
         text = "no control process recorded the claim in time"
         return Err(Failure(ErrorKind.CLAIM_UNAVAILABLE, text, retry_after_ms=1000))
--- a/src/briardyke/entry/demand.py
+++ b/src/briardyke/entry/demand.py
@@ -31,33 +31,34 @@
 
     def __init__(self) -> None:
         """Start without demand."""
-        self._rates: dict[str, _DecayingRates] = {}
+        self._rates_by_name: dict[str, _DecayingRates] = {}
 
     def record(self, name: str, tokens: int, now_ms: float) -> None:
         """Count the arrival of a request that may use a number of tokens."""
-        rates = self._rates.setdefault(name, _DecayingRates(updated_at_ms=now_ms))
-        rates.decay(now_ms)
-        rates.requests_per_second += 1000.0 / _TIME_CONSTANT_MS
-        rates.tokens_per_second += tokens * 1000.0 / _TIME_CONSTANT_MS
+        model_rates = self._rates_by_name.setdefault(name, _DecayingRates(updated_at_ms=now_ms))
+        model_rates.decay(now_ms)
+        model_rates.requests_per_second += 1000.0 / _TIME_CONSTANT_MS
+        model_rates.tokens_per_second += tokens * 1000.0 / _TIME_CONSTANT_MS
 
     def change_waiting(self, name: str, change: int) -> None:
         """Change the number of requests that wait because no engine has the model loaded."""
-        self._rates.setdefault(name, _DecayingRates()).waiting_requests += change
+        self._rates_by_name.setdefault(name, _DecayingRates()).waiting_requests += change
 
     def rates(self, now_ms: float) -> dict[str, ModelDemand]:
         """Return the current demand and remove entries whose rate is negligible."""
-        for rates in self._rates.values():
-            rates.decay(now_ms)
-        self._rates = {
-            name: rates
-            for name, rates in self._rates.items()
-            if rates.requests_per_second > _NEGLIGIBLE_REQUESTS_PER_SECOND or rates.waiting_requests
+        for model_rates in self._rates_by_name.values():
+            model_rates.decay(now_ms)
+        self._rates_by_name = {
+            name: model_rates
+            for name, model_rates in self._rates_by_name.items()
+            if model_rates.requests_per_second > _NEGLIGIBLE_REQUESTS_PER_SECOND
+            or model_rates.waiting_requests
         }
         return {
             name: ModelDemand(
-                round(rates.requests_per_second, 4),
-                round(rates.tokens_per_second, 2),
-                rates.waiting_requests,
+                round(model_rates.requests_per_second, 4),
+                round(model_rates.tokens_per_second, 2),
+                model_rates.waiting_requests,
             )
-            for name, rates in self._rates.items()
+            for name, model_rates in self._rates_by_name.items()
         }
--- a/src/briardyke/entry/requests.py
+++ b/src/briardyke/entry/requests.py
@@ -75,8 +75,8 @@
     body = parsed.unwrap()
     prompt, limit = prompt_text(body), token_limit(body)
     deadline, priority = _deadline(request, default_deadline_ms), _priority(request)
-    offset, names = _offset(request), _names(body, configuration)
-    for checked in (names, prompt, limit, deadline, priority, offset, _stream(body)):
+    offset, names = _resume_offset(request), _model_and_adapter(body, configuration)
+    for checked in (names, prompt, limit, deadline, priority, offset, _check_stream(body)):
         if checked.is_err():
             return Err(checked.unwrap_err())
     model, adapter = names.unwrap()
@@ -120,25 +120,28 @@
     path = "/" + request.path_values["path"]
     name = request.path_values["name"]
     declared = any(path.startswith(prefix) for prefix in service.non_idempotent_paths)
-    marked = request.headers.get("x-idempotent", "").lower() == "false"
+    marked_by_caller = request.headers.get("x-idempotent", "").lower() == "false"
     job = ServiceJob(
         request_id=request_id,
         caller=caller,
         method=request.method,
-        target=quote(path) + _query(request.query),
+        target=quote(path) + _encode_query(request.query),
         headers={k: v for k, v in request.headers.items() if k in _FORWARDED_HEADERS},
         body=request.body,
         route=RouteRequest(
             service=name, priority=priority.unwrap(), patterns=tuple(service.instances)
         ),
         deadline_ms=deadline.unwrap(),
-        non_idempotent=marked or (declared and request.method not in ("GET", "HEAD", "OPTIONS")),
+        non_idempotent=marked_by_caller
+        or (declared and request.method not in ("GET", "HEAD", "OPTIONS")),
         key=key,
     )
     return Ok(job)
 
 
-def _names(body: Mapping[str, Any], configuration: Configuration) -> Result[Any, Failure]:
+def _model_and_adapter(
+    body: Mapping[str, Any], configuration: Configuration
+) -> Result[Any, Failure]:
     name = body.get("model")
     if not isinstance(name, str):
         return Err(Failure(ErrorKind.FIELD_INVALID, "model must be a string", "model"))
@@ -151,7 +154,7 @@
     return Err(Failure(ErrorKind.UNKNOWN_MODEL, text, "model"))
 
 
-def _stream(body: Mapping[str, Any]) -> Result[Any, Failure]:
+def _check_stream(body: Mapping[str, Any]) -> Result[Any, Failure]:
     if not isinstance(body.get("stream", False), bool):
         return Err(Failure(ErrorKind.FIELD_INVALID, "stream must be true or false", "stream"))
     return Ok(None)
@@ -178,7 +181,7 @@
     return Ok(int(text))
 
 
-def _offset(request: Request) -> Result[int, Failure]:
+def _resume_offset(request: Request) -> Result[int, Failure]:
     text = request.headers.get("last-event-id", "0")
     if not text.isdecimal() or len(text) > 9:
         message = "last-event-id must be the id of an event of this stream"
@@ -186,5 +189,5 @@
     return Ok(int(text))
 
 
-def _query(query: Mapping[str, str]) -> str:
+def _encode_query(query: Mapping[str, str]) -> str:
     return f"?{urlencode(query)}" if query else ""
--- a/tests/entry/test_relay_streams.py
+++ b/tests/entry/test_relay_streams.py
@@ -110,7 +110,7 @@
     """The relay reports "not run" only when no attempt can have run."""
 
     async def test_unreachable_upstream_is_not_run(self) -> None:
-        """Guards against reporting "unknown", after which a caller does not retry."""
+        """Guards against a needless "unknown", after which a caller does not retry."""
         async with relay_testbed() as testbed:
             testbed.table.addresses["gone"] = Address("127.0.0.1", 1)
             started = await testbed.relay.stream(model_job(wait_ms=300.0)).start()
