--- a/src/briardyke/fleet/__init__.py
+++ b/src/briardyke/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Keep the agreed configuration and the soft state of upstreams and entry instances."""
+"""Replicate the configuration and the soft state of upstreams and entry instances."""
--- a/src/briardyke/fleet/activity.py
+++ b/src/briardyke/fleet/activity.py
@@ -1,7 +1,7 @@
-"""Add up what entry instances do, on the way through the control instances.
+"""Aggregate the activity that entry instances report to control instances.
 
-Each control instance adds up the entry instances that report to it and passes on the sum, so the
-messages between control instances do not grow with the number of entry instances.
+Each control instance adds up the reports of the entry instances connected to it and sends only the
+sum, so messages between control instances do not grow with the number of entry instances.
 """
 
 from __future__ import annotations
@@ -17,23 +17,23 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# An entry instance without requests reports every 1.2 s; one that has moved to another control
-# instance must not count twice for long.
-REPORT_KEEP_MS = 1800.0
-# A total serves all entry instances that ask within this time.
-TOTAL_KEEP_MS = 50.0
-# Control instances pass on their sums several times a second.
-SUM_KEEP_MS = 1500.0
+# An idle entry instance reports every 1.2 s. A short lifetime limits how long an entry instance
+# that switched to another control instance is counted twice.
+REPORT_TTL_MS = 1800.0
+# A computed total is reused for all requests within this time.
+TOTAL_CACHE_MS = 50.0
+# Control instances broadcast their sums several times a second.
+SUM_TTL_MS = 1500.0
 
 
 @attrs.frozen
-class _Heard:
+class _TimedReport:
     entry: EntryInstance
-    heard_ms: float
+    received_ms: float
 
 
-class ActivityBoard:
-    """Hold the reports of this control instance's entry instances and the sums of the others."""
+class ActivityAggregator:
+    """Hold reports of directly connected entry instances and sums from other control instances."""
 
     def __init__(self, control: str) -> None:
         """Start empty.
@@ -43,29 +43,29 @@
         self._control = control
         self._incarnation = wall_unix_ms()
         self._sequence = 0
-        self._reports: dict[str, _Heard] = {}
+        self._reports: dict[str, _TimedReport] = {}
         self._total: Activity | None = None
         self._total_ms = 0.0
         self._sums: dict[str, tuple[Activity, float]] = {}
 
-    def report(self, entry: EntryInstance) -> bool:
-        """Take the report of an entry instance; return whether it wants a model anew."""
+    def record_report(self, entry: EntryInstance) -> bool:
+        """Store an entry instance's report; return whether it adds a wanted model."""
         before = self._reports.get(entry.instance_id)
         if before is None:
             self._total = None
-        self._reports[entry.instance_id] = _Heard(entry, now_ms())
+        self._reports[entry.instance_id] = _TimedReport(entry, now_ms())
         return bool(set(entry.wanted) - set(before.entry.wanted if before else ()))
 
-    def take(self, activity: Activity) -> bool:
-        """Take another control instance's sum; return whether a model is wanted anew."""
+    def merge_sum(self, activity: Activity) -> bool:
+        """Store another control instance's sum; return whether it adds a wanted model."""
         held = self._sums.get(activity.control)
         if held is not None and held[0].order >= activity.order:
             return False
         self._sums[activity.control] = (activity, now_ms())
         return bool(set(activity.wanted) - set(held[0].wanted if held else ()))
 
-    def own_sum(self) -> Activity:
-        """Return the sum of the entry instances that report here, to be passed on."""
+    def local_sum(self) -> Activity:
+        """Return the sum over directly connected entry instances, for broadcasting."""
         self._sequence += 1
         total = Activity(self._control, self._incarnation, self._sequence)
         for entry in self._entries():
@@ -73,23 +73,23 @@
         return total
 
     def demand(self) -> dict[str, float]:
-        """Return requests a second by model and service, over all entry instances."""
+        """Return requests per second by model and service, over all entry instances."""
         return self._sum_of_all().demand
 
     def carried_per_s(self) -> dict[str, float]:
-        """Return requests a second by the data centre of the instances that carry them."""
+        """Return requests per second by data centre of the entry instances that serve them."""
         return self._sum_of_all().carried_per_s
 
-    def unreachable(self) -> tuple[dict[str, int], int]:
-        """Return reports of upstreams that cannot be reached, and the number of instances."""
+    def unreachable_counts(self) -> tuple[dict[str, int], int]:
+        """Return unreachable reports per upstream, and the number of ready entry instances."""
         total = self._sum_of_all()
         return total.unreachable, total.ready
 
-    def others(self, instance_id: str) -> dict[str, list[int]]:
-        """Return the requests by upstream of all entry instances but one.
+    def in_flight_of_others(self, instance_id: str) -> dict[str, list[int]]:
+        """Return the requests in flight by upstream of all entry instances but one.
 
-        Load: each of many entry instances carries a few requests a second and would otherwise
-        learn of an upstream's load only from its own answers, many seconds apart.
+        With many entry instances, each serves only a few requests per second. Without these
+        counts it would learn an upstream's load only from its own responses, many seconds apart.
         """
         total = dict(self._sum_of_all().in_flight)
         own = self._reports.get(instance_id)
@@ -100,8 +100,8 @@
         return total
 
     def _sum_of_all(self) -> Activity:
-        """Return the sum over all control instances, added up anew after a while."""
-        if self._total is None or now_ms() - self._total_ms >= TOTAL_KEEP_MS:
+        """Return the sum over all control instances, cached for :data:`TOTAL_CACHE_MS`."""
+        if self._total is None or now_ms() - self._total_ms >= TOTAL_CACHE_MS:
             self._total, self._total_ms = Activity(self._control, 0, 0), now_ms()
             for entry in self._entries():
                 _add_entry(self._total, entry)
@@ -110,15 +110,15 @@
         return self._total
 
     def _entries(self) -> Iterator[EntryInstance]:
-        limit_ms = now_ms() - REPORT_KEEP_MS
-        for name in [n for n, heard in self._reports.items() if heard.heard_ms < limit_ms]:
+        limit_ms = now_ms() - REPORT_TTL_MS
+        for name in [n for n, report in self._reports.items() if report.received_ms < limit_ms]:
             del self._reports[name]
-        for heard in self._reports.values():
-            yield heard.entry
+        for report in self._reports.values():
+            yield report.entry
 
     def _other_sums(self) -> Iterator[Activity]:
-        limit_ms = now_ms() - SUM_KEEP_MS
-        for name in [n for n, (_, heard_ms) in self._sums.items() if heard_ms < limit_ms]:
+        limit_ms = now_ms() - SUM_TTL_MS
+        for name in [n for n, (_, received_ms) in self._sums.items() if received_ms < limit_ms]:
             del self._sums[name]
         for activity, _ in self._sums.values():
             yield activity
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -1,4 +1,4 @@
-"""Keep an entry instance's copy of the fleet up to date through control instances."""
+"""Synchronise an entry instance's view of the fleet with a control instance."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.fleet.compression import decompress_document
 from briardyke.fleet.messages import (
     AdapterReply,
     AdapterRequest,
@@ -18,7 +19,6 @@
     PlaceReply,
     PlaceRequest,
 )
-from briardyke.fleet.packing import unpack
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.view import FleetView
 from briardyke.logs import log_event, log_limited, log_warning
@@ -27,115 +27,116 @@
     from briardyke.addresses import Address
     from briardyke.wire.pool import PeerPool
 
-# Long enough to keep the messages of 191 entry instances small, short enough that control sees
+# Long enough to limit the traffic of 191 entry instances, short enough that control instances see
 # demand within a second.
 WAIT_MS = 700.0
-# An instance that carries requests reports this often: its requests last seconds, and others choose
-# by what it reports.
+# Long-poll time while requests are in flight: requests last seconds, and other entry instances
+# route by the reported load.
 BUSY_WAIT_MS = 300.0
-# News that comes in quick succession is taken together: within this time where requests are
-# carried, which is well below the time for which a model is withheld before it leaves, ...
+# Changes in quick succession are fetched together. While busy, the pause stays well below the time
+# for which a model is withheld before it is unloaded.
 BUSY_PAUSE_MS = 50.0
-# ... and within this time where none are, which leaves a change of the configuration most of its
-# two seconds.
+# While idle, the pause leaves most of the two seconds in which a configuration change must be in
+# force.
 IDLE_PAUSE_MS = 500.0
 _CALL_MARGIN_MS = 800.0
-_RETRY_MS = 150.0
-# Pause before the next control instance is asked, when one hears no leader.
-_NEXT_MS = 50.0
-# The same for an instance without requests. After a loss of all control instances, dozens of them
-# would ask those that start many times for each election.
-_IDLE_NEXT_MS = 200.0
+_RETRY_PAUSE_MS = 150.0
+# Pause before trying the next control instance when one has no contact with a leader.
+_NEXT_PAUSE_MS = 50.0
+# The same while idle. After an outage of all control instances, dozens of idle entry instances
+# would otherwise poll the restarting ones many times during each election.
+_IDLE_NEXT_PAUSE_MS = 200.0
 _ADAPTER_TIMEOUT_MS = 1500.0
 _PLACE_TIMEOUT_MS = 300.0
-# An instance that follows control in another data centre looks for a near one this often.
-_NEARER_INTERVAL_MS = 10_000.0
+# Interval at which an entry instance connected to another data centre looks for a local control
+# instance.
+_LOCAL_CHECK_INTERVAL_MS = 10_000.0
 
 
 @attrs.frozen
 class EntryCallbacks:
-    """Connect the client to the entry instance that it keeps up to date.
+    """Define the callbacks of the entry instance that the client serves.
 
     :param data_centre: where the instance runs.
-    :param report: returns the own row.
-    :param is_busy: returns whether requests are carried.
-    :param adopt: takes a configuration into force; returns whether it could be read.
-    :param changed: called after each change of upstreams or entries.
-    :param told: called with each current answer.
+    :param build_report: returns the entry instance's own row.
+    :param is_busy: returns whether requests are being served.
+    :param apply_configuration: puts a configuration in force; returns whether it was readable.
+    :param on_change: called after each change of upstreams or entries.
+    :param on_reply: called after each applied reply.
     """
 
     data_centre: str
-    report: Callable[[], EntryInstance]
+    build_report: Callable[[], EntryInstance]
     is_busy: Callable[[], bool]
-    adopt: Callable[[int, bytes], bool]
-    changed: Callable[[], None]
-    told: Callable[[FleetReply], None]
+    apply_configuration: Callable[[int, bytes], bool]
+    on_change: Callable[[], None]
+    on_reply: Callable[[FleetReply], None]
 
 
 class FleetClient:
-    """Ask control instances in turn for news; a configuration never goes back."""
+    """Poll one control instance at a time for changes; configuration versions never go back."""
 
     def __init__(
-        self, peers: PeerPool, seeds: Callable[[], tuple[Address, ...]], side: EntryCallbacks
+        self, peers: PeerPool, seeds: Callable[[], tuple[Address, ...]], callbacks: EntryCallbacks
     ) -> None:
-        """Prepare; :meth:`run` starts it.
+        """Set up the client; :meth:`run` starts it.
 
         :param peers: connections to control instances.
         :param seeds: returns peer addresses of some control instances.
-        :param side: the entry instance.
+        :param callbacks: callbacks of the entry instance.
         """
         self.view = FleetView()
         self._peers = peers
         self._seeds = seeds
-        self._side = side
+        self._callbacks = callbacks
         self._table_id = ""
         self._held_upstreams = 0
         self._held_entries = 0
         self._held_changes = 0
         self._wake = trio.Event()
         self._was_current = False
-        self._places: dict[Address, str] = {}
+        self._locations: dict[Address, str] = {}
 
     async def run(self) -> None:
-        """Follow one control instance while it is current, else try the next."""
+        """Poll a control instance while it is current, else try the next."""
         while True:
-            await self._learn_places()
-            for address in self._order():
+            await self._fetch_locations()
+            for address in self._candidates():
                 if await self._follow(address):
                     break
-            await trio.sleep(_RETRY_MS / 1000.0)
+            await trio.sleep(_RETRY_PAUSE_MS / 1000.0)
 
     def report_now(self) -> None:
-        """Send the own row at once, since it has changed."""
+        """Report the changed own row without waiting for the current poll to end."""
         self._wake.set()
 
-    async def _learn_places(self) -> None:
-        """Ask the control instances where they run, each once."""
+    async def _fetch_locations(self) -> None:
+        """Fetch the data centre of each control instance that is not known yet."""
 
         async def ask(address: Address) -> None:
             result = await self._peers.client(address).call(PlaceRequest(), _PLACE_TIMEOUT_MS)
             reply = result.ok()
             if isinstance(reply, PlaceReply):
-                self._places[address] = reply.data_centre
+                self._locations[address] = reply.data_centre
 
         async with trio.open_nursery() as nursery:
-            for address in {*self._seeds(), *self.view.controls} - self._places.keys():
+            for address in {*self._seeds(), *self.view.controls} - self._locations.keys():
                 nursery.start_soon(ask, address)
 
-    def _is_near(self, address: Address) -> bool:
-        return self._places.get(address) == self._side.data_centre
+    def _is_local(self, address: Address) -> bool:
+        return self._locations.get(address) == self._callbacks.data_centre
 
-    def _order(self) -> list[Address]:
+    def _candidates(self) -> list[Address]:
         """Return the control instances, those of the own data centre first.
 
-        The leader is the last of its kind: it has the most to do, but it is never out of date.
+        The leader comes last within its group: it has the highest load, but is never out of date.
         """
         listed = list({*self._seeds(), *self.view.controls})
         random.shuffle(listed)
-        return sorted(listed, key=lambda a: (not self._is_near(a), a == self.view.leader))
+        return sorted(listed, key=lambda a: (not self._is_local(a), a == self.view.leader))
 
     async def _follow(self, address: Address) -> bool:
-        """Follow an instance; return whether it was left for a nearer one, not for a failure."""
+        """Poll a control instance; return whether it was left for a local one, not on failure."""
         is_first = True
         since_ms = now_ms()
         while True:
@@ -144,10 +145,10 @@
                 if not is_first:
                     log_warning("control_lost", control=address)
                 return False
-            self._take(reply)
-            if self._is_from_disk(reply):
+            self._apply(reply)
+            if self._is_usable_without_leader(reply):
                 self.view.confirmed_ms = now_ms()
-                await trio.sleep(_NEXT_MS / 1000.0)
+                await trio.sleep(_NEXT_PAUSE_MS / 1000.0)
                 continue
             if not reply.is_current:
                 log_limited(
@@ -156,37 +157,38 @@
                     control=address,
                     version=reply.version,
                 )
-                pause_ms = _NEXT_MS if self._side.is_busy() else _IDLE_NEXT_MS
+                pause_ms = _NEXT_PAUSE_MS if self._callbacks.is_busy() else _IDLE_NEXT_PAUSE_MS
                 await trio.sleep(pause_ms / 1000.0)
                 return False
             if is_first:
                 log_event("control_followed", control=address, version=reply.version)
             is_first = False
             self.view.confirmed_ms = now_ms()
-            if not self._is_near(address) and now_ms() - since_ms >= _NEARER_INTERVAL_MS:
+            if not self._is_local(address) and now_ms() - since_ms >= _LOCAL_CHECK_INTERVAL_MS:
                 since_ms = now_ms()
-                await self._learn_places()
-                if any(self._is_near(a) for a in self.view.controls):
+                await self._fetch_locations()
+                if any(self._is_local(a) for a in self.view.controls):
                     log_event("nearer_control_tried", control=address)
                     return True
-            pause_ms = BUSY_PAUSE_MS if self._side.is_busy() else IDLE_PAUSE_MS
+            pause_ms = BUSY_PAUSE_MS if self._callbacks.is_busy() else IDLE_PAUSE_MS
             with trio.move_on_after(pause_ms / 1000.0):
                 await self._wake.wait()
 
     def _wait_ms(self) -> float:
-        return BUSY_WAIT_MS if self._side.is_busy() else WAIT_MS
+        return BUSY_WAIT_MS if self._callbacks.is_busy() else WAIT_MS
 
-    def _is_from_disk(self, reply: FleetReply) -> bool:
-        """Return whether a starting control instance tells all that there is without a leader.
+    def _is_usable_without_leader(self, reply: FleetReply) -> bool:
+        """Return whether a reply from a control instance without a leader can be used.
 
-        An instance that has heard of a leader before waits for the next one.
+        A starting control instance answers from its disk, which is the best state available before
+        an election. An entry instance that has had a current reply waits for the next leader.
         """
         return reply.is_starting and not reply.is_current and not self._was_current
 
     async def _ask(self, address: Address, wait_ms: float) -> FleetReply | None:
         self._wake = trio.Event()
         request = FleetRequest(
-            self._side.report(),
+            self._callbacks.build_report(),
             self.view.version,
             self._table_id,
             self._held_upstreams,
@@ -207,34 +209,34 @@
             nursery.start_soon(call)
             if wait_ms > 0:
                 await self._wake.wait()
-                request = attrs.evolve(request, entry=self._side.report(), wait_ms=0.0)
+                request = attrs.evolve(request, entry=self._callbacks.build_report(), wait_ms=0.0)
                 nursery.start_soon(call)
         return reply if isinstance(reply, FleetReply) else None
 
-    def _take(self, reply: FleetReply) -> None:
+    def _apply(self, reply: FleetReply) -> None:
         view = self.view
         if reply.configuration is not None and reply.version > view.version:
-            self._take_configuration(reply.version, reply.configuration)
-        view.take_members(reply)
-        if not reply.is_current and not self._is_from_disk(reply):
+            self._apply_configuration(reply.version, reply.configuration)
+        view.apply_members(reply)
+        if not reply.is_current and not self._is_usable_without_leader(reply):
             return
         self._was_current = reply.is_current
-        view.take_rows(reply)
+        view.apply_rows(reply)
         self._table_id = reply.table_id
         self._held_upstreams = reply.upstream_sequence
         self._held_entries = reply.entry_sequence
         self._held_changes = reply.change_sequence
-        has_dropped = view.forget_unlisted()
+        has_dropped = view.expire_unlisted()
         if has_dropped or reply.upstreams or reply.changes or reply.entries is not None:
-            self._side.changed()
-        self._side.told(reply)
+            self._callbacks.on_change()
+        self._callbacks.on_reply(reply)
 
-    def _take_configuration(self, version: int, packed: bytes) -> None:
-        document = unpack(packed)
+    def _apply_configuration(self, version: int, packed: bytes) -> None:
+        document = decompress_document(packed)
         if document.is_err():
             reason = document.unwrap_err().message
             log_warning("configuration_unreadable", version=version, reason=reason)
-        elif self._side.adopt(version, document.unwrap()):
+        elif self._callbacks.apply_configuration(version, document.unwrap()):
             self.view.version = version
 
     async def request_adapter(self, request: AdapterRequest) -> AdapterReply:
--- a/src/briardyke/fleet/cluster.py
+++ b/src/briardyke/fleet/cluster.py
@@ -1,7 +1,7 @@
-"""Name the deployment, so that processes of different ones do not talk to each other.
+"""Define the cluster id, by which processes refuse peers of other deployments.
 
-It stands apart from the member of the control group, whose modules take an entry instance a third
-of its start to import.
+It is separate from the member module, whose imports would take a third of an entry instance's start
+time.
 """
 
 from __future__ import annotations
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -1,4 +1,4 @@
-"""Run a control instance: agreed configuration, soft tables, answers to entry instances."""
+"""Run a control instance: replicated configuration, soft tables, replies to entry instances."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from briardyke.consensus.messages import GroupMessage
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind, Failure
+from briardyke.fleet.compression import compress_document
 from briardyke.fleet.machine import ConfigurationMachine
 from briardyke.fleet.messages import (
     AdapterReply,
@@ -24,9 +25,8 @@
     RowsRequest,
     RowsUpdate,
 )
-from briardyke.fleet.packing import pack
+from briardyke.fleet.reachability import unreachable_upstreams
 from briardyke.fleet.records import GONE, SILENT, Upstream
-from briardyke.fleet.reports import unreachable_upstreams
 from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
@@ -39,24 +39,25 @@
     from briardyke.consensus.driver import ReplicatedLog
     from briardyke.wire.pool import PeerPool
 
-# A follower that has not heard the leader for this long answers nothing as current. It is the
-# shortest election timeout, after which another leader may have moved on.
+# A follower without contact to the leader for this long no longer replies as current. This is the
+# shortest election timeout; after it, a new leader may have committed changes.
 CONTACT_WINDOW_MS = 1000.0
 # Four missed heartbeats of an upstream at 1.2 s; heartbeats may arrive a few seconds late.
 UPSTREAM_SILENCE_MS = 5000.0
-# Entry instances report every 0.7 s at least.
+# Entry instances report at least every 0.7 s.
 ENTRY_SILENCE_MS = 2500.0
-# Sums of what entry instances do, and repeated rows, are passed on together at this interval: a
-# part of the time that a request lasts, so that others can choose by it.
+# Interval for broadcasting activity sums and repeated rows. It is a fraction of the duration of a
+# request, so that entry instances can route by the load of the others.
 BATCH_INTERVAL_MS = 250.0
-# Clocks of instances differ, and jump by seconds at times.
-_CLOCK_DOUBT_MS = 5000
-# Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
+# Clocks of instances differ and sometimes jump by seconds.
+_MAX_CLOCK_ERROR_MS = 5000
+# Below the shortest election timeout, so that an old leader stops sending orders before a new one
+# starts.
 LEADER_EVIDENCE_MS = 900.0
-# An election takes up to the longest election timeout and a round; nobody counts on an instance
-# that has been back for less than three seconds.
+# An election takes up to the longest election timeout plus one round; no requirement relies on an
+# instance that has been running for less than three seconds.
 STARTING_MS = 2500.0
-# Shorter suspensions than this leave no time for another leader.
+# During a shorter suspension of the process, no other leader can be elected.
 SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
 _READ_TIMEOUT_MS = 900.0
@@ -64,7 +65,7 @@
 
 
 class ControlInstance:
-    """Keep the agreed configuration and the soft tables of one control instance."""
+    """Hold the replicated configuration and the soft tables of one control instance."""
 
     def __init__(
         self,
@@ -74,9 +75,9 @@
         own: Address,
         data_centre: str = "",
     ) -> None:
-        """Wire the parts; :meth:`run` starts them.
+        """Connect the components; :meth:`run` starts them.
 
-        :param log: member of the group that agrees.
+        :param log: member of the consensus group.
         :param machine: its state machine.
         :param peers: connections to other instances.
         :param own: own peer address.
@@ -90,7 +91,7 @@
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
         self._own = own
         self._data_centre = data_centre
-        self._packed: tuple[int, bytes] | None = None
+        self._compressed: tuple[int, bytes] | None = None
         self._current_since_ms = float("inf")
         self._suspended_ms = suspended_ms()
         self._started_ms = now_ms()
@@ -98,13 +99,13 @@
     # Operator
 
     async def propose_configuration(self, version: int, document: bytes) -> Result[int, Failure]:
-        """Commit a checked document unless its number is overtaken.
+        """Commit a validated document unless a higher version is in force.
 
-        :return: the number in force; ``not_leader`` with the leader's peer address as field.
+        :return: the version in force; ``not_leader`` with the leader's peer address as field.
         """
         if self.log.status().role is not Role.LEADER:
             return Err(self._not_leader())
-        command = ConfigurationMachine.command(version, document)
+        command = ConfigurationMachine.encode_command(version, document)
         applied = await self.log.propose(command, _PROPOSE_TIMEOUT_MS)
         if applied.is_err():
             failure = applied.unwrap_err()
@@ -113,11 +114,11 @@
         return Ok(msgpack.unpackb(applied.unwrap().result))
 
     async def read_configuration(self) -> Result[bytes, Failure]:
-        """Return the newest document, proved to be the newest at the time of the call."""
+        """Return the newest document by a linearizable read."""
         if self.log.status().role is not Role.LEADER:
             return Err(self._not_leader())
         if not await self.log.confirm_read(_READ_TIMEOUT_MS) or self.machine.document is None:
-            return Err(Failure(ErrorKind.NO_MAJORITY, "the newest configuration is not certain"))
+            return Err(Failure(ErrorKind.NO_MAJORITY, "cannot confirm the newest configuration"))
         return Ok(self.machine.document)
 
     def _not_leader(self) -> Failure:
@@ -125,28 +126,29 @@
         if status.leader_address is None or not self.log.hears_leader(CONTACT_WINDOW_MS):
             return Failure(ErrorKind.NO_MAJORITY, "no leader is known")
         leader = str(status.leader_address)
-        return Failure(ErrorKind.NOT_LEADER, "this instance does not lead", leader)
+        return Failure(ErrorKind.NOT_LEADER, "this instance is not the leader", leader)
 
     # Upstreams
 
     @property
     def is_current(self) -> bool:
-        """Return whether this instance takes part in the working majority."""
+        """Return whether this instance has recent contact with a leader."""
         return self.log.hears_leader(CONTACT_WINDOW_MS)
 
     @property
     def is_starting(self) -> bool:
-        """Return whether this instance has just started and may not have heard a leader yet.
+        """Return whether this instance has just started and may have no contact with a leader yet.
 
-        Load: after a loss of power everywhere, entry instances and upstreams are back before an
-        election can end. What this instance holds from disk is committed, though maybe not newest.
+        After a power failure of the whole system, entry instances and upstreams restart before an
+        election can finish. The state read from disk is committed but may not be the newest.
         """
         return now_ms() - self._started_ms < STARTING_MS
 
     def announce(self, row: Upstream) -> bool:
-        """Take an upstream's announcement; return whether it can be acknowledged.
+        """Record an upstream's announcement; return whether it can be acknowledged.
 
-        A start at an address that another row names ends that row: two processes cannot share it.
+        An earlier started upstream with the same address is marked as gone, since two processes
+        cannot share an address.
         """
         if not self.is_current and not self.is_starting:
             return False
@@ -162,22 +164,22 @@
         return True
 
     def record_departure(self, upstream_id: str) -> bool:
-        """Take note that an upstream leaves; return whether it can be acknowledged."""
+        """Record that an upstream leaves; return whether it can be acknowledged."""
         if not self.is_current and not self.is_starting:
             return False
         held = self.tables.upstreams.get(upstream_id)
         if held is None:
-            # It was announced before this process started; a late announcement must not revive it.
-            held = Upstream(upstream_id, wall_unix_ms() - _CLOCK_DOUBT_MS, 0)
+            # Announced before this process started; a delayed announcement must not revive it.
+            held = Upstream(upstream_id, wall_unix_ms() - _MAX_CLOCK_ERROR_MS, 0)
         self.rows.announce(attrs.evolve(held, lifecycle=GONE))
         return True
 
     # Placement
 
     def leading_term(self) -> int | None:
-        """Return the term that this instance leads with fresh evidence, else ``None``.
+        """Return the term that this instance leads, ``None`` without recent majority contact.
 
-        A leader that was suspended may have been replaced although its clock shows no time passed.
+        A leader that was suspended may have been replaced although its clock shows no elapsed time.
         """
         suspended = suspended_ms()
         if suspended - self._suspended_ms >= SUSPENSION_MS:
@@ -194,21 +196,21 @@
         return [row for row, is_silent in rows if not is_silent and row.lifecycle != GONE]
 
     def unreachable_upstreams(self) -> set[str]:
-        """Return the upstreams that have gone, as entry instances and missed heartbeats tell."""
+        """Return the upstreams that entry instances cannot reach and that missed a heartbeat."""
         return unreachable_upstreams(self.tables, self.rows.activity)
 
     def demand(self) -> dict[str, float]:
-        """Return requests a second by model, over all entry instances."""
+        """Return requests per second by model and service, over all entry instances."""
         return self.rows.activity.demand()
 
     # Entry instances and peers
 
     async def handle(self, peer_id: str, message: Any) -> Any:
-        """Handle a message of another process and return the reply."""
+        """Handle a message from another process and return the reply."""
         if isinstance(message, GroupMessage):
             return await self.log.handle(message)
         if isinstance(message, RowsUpdate):
-            return self.rows.take(message)
+            return self.rows.apply_update(message)
         if isinstance(message, RowsRequest):
             return self.rows.all_rows()
         if isinstance(message, PlaceRequest):
@@ -221,7 +223,7 @@
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
         before = self.tables.entries.get(request.entry.instance_id)
-        is_changed = self.rows.report(request.entry)
+        is_changed = self.rows.record_report(request.entry)
         if is_changed and (before is None or before.is_ready != request.entry.is_ready):
             log_event(
                 "entry_changed",
@@ -234,7 +236,7 @@
         return self._reply(request)
 
     def _has_news(self, request: FleetRequest) -> bool:
-        if request.table_id != self.table_id or not self._is_informed:
+        if request.table_id != self.table_id or not self._can_inform_entries:
             return True
         return (
             self.machine.version > request.held_version
@@ -244,8 +246,8 @@
         )
 
     @property
-    def _is_informed(self) -> bool:
-        """Return whether entry instances can rely on what this instance knows."""
+    def _can_inform_entries(self) -> bool:
+        """Return whether this instance's state is current and complete for entry instances."""
         return self.is_current and self.rows.is_complete
 
     def _reply(self, request: FleetRequest) -> FleetReply:
@@ -266,10 +268,10 @@
         is_newer = self.machine.version > request.held_version or request.held_version == 0
         leader = self.log.status().leader_address
         return FleetReply(
-            is_current=self._is_informed,
+            is_current=self._can_inform_entries,
             is_starting=self.is_starting,
             version=self.machine.version,
-            configuration=self._packed_document() if is_newer else None,
+            configuration=self._compressed_document() if is_newer else None,
             table_id=self.table_id,
             upstreams=upstreams,
             upstream_sequence=self.tables.upstreams.sequence,
@@ -286,32 +288,32 @@
             change_sequence=self.tables.changes.sequence,
             is_whole=not is_known,
             others=(
-                self.rows.activity.others(request.entry.instance_id)
+                self.rows.activity.in_flight_of_others(request.entry.instance_id)
                 if request.entry.carried_per_s
                 else {}
             ),
             carried_per_s=self.rows.activity.carried_per_s(),
         )
 
-    def _packed_document(self) -> bytes | None:
+    def _compressed_document(self) -> bytes | None:
         if self.machine.document is None:
             return None
-        if self._packed is None or self._packed[0] != self.machine.version:
-            self._packed = self.machine.version, pack(self.machine.document)
-        return self._packed[1]
+        if self._compressed is None or self._compressed[0] != self.machine.version:
+            self._compressed = self.machine.version, compress_document(self.machine.document)
+        return self._compressed[1]
 
     # Tasks
 
     async def run(self) -> None:
-        """Watch, pass on rows and adopt configurations until cancelled."""
+        """Watch the log and exchange rows until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, "watch_log", self._watch_log)
-            nursery.start_soon(keep_running, "pass_on_rows", self._pass_on_rows)
+            nursery.start_soon(keep_running, "pass_on_rows", self._broadcast_rows)
             await self.log.wait_applied(1)
-            nursery.start_soon(keep_running, "fetch_rows", self.rows.fetch)
+            nursery.start_soon(keep_running, "fetch_rows", self.rows.fetch_all)
 
     async def stop(self) -> None:
-        """Hand over leadership before a planned stop."""
+        """Transfer leadership before a planned stop."""
         await self.log.transfer_leadership(_TRANSFER_TIMEOUT_MS)
 
     async def _watch_log(self) -> None:
@@ -322,13 +324,13 @@
                 version = self.machine.version
                 self.rows.changed.notify()
 
-    async def _pass_on_rows(self) -> None:
+    async def _broadcast_rows(self) -> None:
         while True:
             await trio.sleep(BATCH_INTERVAL_MS / 1000.0)
-            self._note_contact()
-            self.rows.pass_on()
+            self._check_contact()
+            self.rows.broadcast_batch()
 
-    def _note_contact(self) -> None:
+    def _check_contact(self) -> None:
         was_current = self._current_since_ms < float("inf")
         if self.is_current != was_current:
             self._current_since_ms = now_ms() if self.is_current else float("inf")
--- a/src/briardyke/fleet/machine.py
+++ b/src/briardyke/fleet/machine.py
@@ -1,4 +1,4 @@
-"""Agree on the newest numbered configuration."""
+"""Implement the replicated state machine of the configuration."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 
 class ConfigurationMachine:
-    """Hold the document with the highest number; any other command changes nothing.
+    """Hold the document with the highest version; other commands are ignored.
 
-    Two documents under one number are decided by log order: the first stays.
+    Of two documents with the same version, the first in the log is kept.
     """
 
     def __init__(self) -> None:
@@ -18,12 +18,12 @@
         self.document: bytes | None = None
 
     @staticmethod
-    def command(version: int, document: bytes) -> bytes:
-        """Return the command that offers a document."""
+    def encode_command(version: int, document: bytes) -> bytes:
+        """Return the command that proposes a document."""
         return msgpack.packb([version, document])
 
     def apply(self, index: int, command: bytes) -> bytes:
-        """Take the document if its number is higher; return the number then in force."""
+        """Apply the document if its version is higher; return the version then in force."""
         version, document = msgpack.unpackb(command)
         if self.document is None or version > self.version:
             log_event("configuration_adopted", version=version, before=self.version, index=index)
@@ -31,9 +31,9 @@
         return msgpack.packb(self.version)
 
     def snapshot(self) -> bytes:
-        """Return the complete state."""
+        """Return the serialized state."""
         return msgpack.packb([self.version, self.document])
 
     def restore(self, data: bytes) -> None:
-        """Replace the complete state."""
+        """Replace the state by a snapshot."""
         self.version, self.document = msgpack.unpackb(data)
--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -1,4 +1,4 @@
-"""Open this control instance's member of the group that agrees on the configuration."""
+"""Open this control instance's member of the consensus group of the configuration."""
 
 from __future__ import annotations
 
@@ -22,17 +22,17 @@
     from briardyke.wire.pool import PeerPool
 
 _GROUP_ID = "fleet"
-# The state is one document, so a snapshot costs as much as an entry. With each change in one, a
-# restarted instance knows a committed configuration before there is a leader.
+# The state is one document, so a snapshot costs as much as a log entry. With a snapshot after each
+# change, a restarted instance knows a committed configuration before a leader is elected.
 _SNAPSHOT_ENTRIES = 1
-_SETTINGS = NodeSettings(promotes_learners=True)
+_NODE_SETTINGS = NodeSettings(promotes_learners=True)
 
 
 @attrs.frozen
 class MemberSettings:
-    """Describe where a member runs and whom it asks.
+    """Hold the settings of a consensus member.
 
-    :param data_dir: folder for durable files.
+    :param data_dir: directory for durable files.
     :param own: own peer address.
     :param seeds: peer addresses of some control instances.
     :param is_first_start: whether the whole system starts for the first time.
@@ -45,16 +45,17 @@
 
 
 def open_member(
-    place: MemberSettings, peers: PeerPool
+    settings: MemberSettings, peers: PeerPool
 ) -> Result[tuple[ReplicatedLog, ConfigurationMachine], Failure]:
     """Open the member's storage and prepare its log.
 
-    At the first start the seeds found the group, since they are all that every instance knows.
-    Any other instance, and any with an empty disk later, joins under a new storage id.
+    At the first start of the system the seeds form the group, since they are the only addresses
+    that every instance knows. Any other instance, and any that later starts with an empty disk,
+    joins with a new storage id.
 
     :return: ``log_corrupt`` or ``storage_failed`` when the data folder cannot be used.
     """
-    opened = _open_identity(place)
+    opened = _open_identity(settings)
     if opened.is_err():
         return Err(opened.unwrap_err())
     identity = opened.unwrap()
@@ -65,23 +66,23 @@
     log = ReplicatedLog(
         _GROUP_ID,
         identity,
-        place.own,
+        settings.own,
         storage.unwrap(),
         machine,
         lambda address, message: peers.client(address).send(message),
         random.Random(),
-        seeds=place.seeds,
-        settings=_SETTINGS,
+        seeds=settings.seeds,
+        settings=_NODE_SETTINGS,
         snapshot_entries=_SNAPSHOT_ENTRIES,
     )
     return Ok((log, machine))
 
 
-def _open_identity(place: MemberSettings) -> Result[Identity, Failure]:
-    instance_id = str(place.own)
-    directory = place.data_dir
+def _open_identity(settings: MemberSettings) -> Result[Identity, Failure]:
+    instance_id = str(settings.own)
+    directory = settings.data_dir
     is_empty = not directory.exists() or not any(directory.iterdir())
-    if place.is_first_start and is_empty and place.own in place.seeds:
-        voters = {str(seed): seed for seed in place.seeds}
+    if settings.is_first_start and is_empty and settings.own in settings.seeds:
+        voters = {str(seed): seed for seed in settings.seeds}
         return initialise(directory, CLUSTER_ID, instance_id, voters)
     return open_identity(directory, instance_id)
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -11,17 +11,17 @@
 @message
 @attrs.define
 class Activity:
-    """Hold the sum of what some entry instances do.
+    """Hold the summed activity of the entry instances that report to one control instance.
 
     :param control: control instance that they report to.
     :param incarnation: start of its process, in Unix milliseconds.
     :param sequence: number of the sum within the incarnation.
     :param ready: number of entry instances that are ready.
-    :param demand: requests a second by model, and by service for plain services.
-    :param carried_per_s: requests a second by data centre of the entry instances.
-    :param unreachable: entry instances that cannot reach an upstream, by upstream.
-    :param in_flight: their requests by upstream: all, and those that have not begun.
-    :param wanted: models that requests wait for and that nothing holds or loads.
+    :param demand: requests per second by model, and by service for services without models.
+    :param carried_per_s: requests per second by data centre of the entry instances.
+    :param unreachable: number of entry instances that cannot reach an upstream, by upstream.
+    :param in_flight: their requests by upstream: all, and those whose response has not begun.
+    :param wanted: models that requests wait for and that no upstream has loaded or is loading.
     """
 
     control: str
@@ -36,23 +36,23 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return what decides between two sums of one control instance."""
+        """Return the sort key between sums of one control instance."""
         return (self.incarnation, self.sequence)
 
 
 @message
 @attrs.frozen
 class RowsUpdate:
-    """Pass on rows between control instances; one-way.
+    """Send rows to another control instance; one-way.
 
     :param upstreams: upstream rows.
     :param upstream_ages_ms: time since each was sent by its owner.
     :param entries: entry rows.
     :param entry_ages_ms: time since each was sent by its owner.
-    :param changes: what orders change in the memory of upstreams.
-    :param repeated_upstreams: incarnations by id of upstreams that repeated what they said before.
+    :param changes: pending changes to the loaded models of upstreams.
+    :param repeated_upstreams: incarnations by id of upstreams that repeated an unchanged row.
     :param repeated_entries: the same for entry instances.
-    :param activity: sum of the sender's entry instances.
+    :param activity: activity sum of the sender's entry instances.
     """
 
     upstreams: list[Upstream]
@@ -68,19 +68,19 @@
 @message
 @attrs.frozen
 class RowsRequest:
-    """Ask another control instance for all rows; the answer is a :class:`RowsUpdate`."""
+    """Request all rows of a control instance; the reply is a :class:`RowsUpdate`."""
 
 
 @message
 @attrs.frozen
 class PlaceRequest:
-    """Ask a control instance where it runs; the answer is a :class:`PlaceReply`."""
+    """Request the data centre of a control instance; the reply is a :class:`PlaceReply`."""
 
 
 @message
 @attrs.frozen
 class PlaceReply:
-    """Answer a :class:`PlaceRequest`.
+    """Reply to a :class:`PlaceRequest`.
 
     :param data_centre: data centre of the control instance.
     """
@@ -91,15 +91,15 @@
 @message
 @attrs.frozen
 class FleetRequest:
-    """Report an entry instance's state and ask for everything newer than what it holds.
+    """Report an entry instance's state and request all newer data than it holds.
 
     :param entry: the sender's own row.
     :param held_version: configuration version that it holds, 0 for none.
-    :param table_id: identity of the answering control process at the last answer, or empty.
+    :param table_id: identity of the replying control process in the last reply, or empty.
     :param held_upstreams: sequence of the upstream table that it holds.
     :param held_entries: sequence of the entry table that it holds.
-    :param held_changes: sequence of the table of ordered changes that it holds.
-    :param wait_ms: longest time to hold the answer when nothing is new.
+    :param held_changes: sequence of the table of model changes that it holds.
+    :param wait_ms: longest time to hold the reply while nothing is new.
     """
 
     entry: EntryInstance
@@ -114,24 +114,26 @@
 @message
 @attrs.frozen
 class FleetReply:
-    """Answer a :class:`FleetRequest`.
+    """Reply to a :class:`FleetRequest`.
 
-    :param is_current: whether this control instance hears a leader; otherwise the rest is stale.
-    :param is_starting: whether it has just started; what it knows is committed but maybe old.
+    :param is_current: whether this control instance has recent contact with a leader and complete
+        rows; otherwise the rest may be stale.
+    :param is_starting: whether it has just started; its configuration is committed but may be old.
     :param version: number of the newest configuration known here.
-    :param configuration: its packed document, or ``None`` when the sender holds it.
+    :param configuration: its compressed document, or ``None`` when the sender holds it.
     :param table_id: identity of this control process.
     :param upstreams: rows that changed after the held sequence.
     :param upstream_sequence: sequence of the upstream table.
-    :param entries: entry instances that callers may be sent to, or ``None`` when unchanged.
+    :param entries: entry instances that may be advertised to callers, or ``None`` when unchanged.
     :param entry_sequence: sequence of the entry table.
     :param leader: peer address of the leader, empty when unknown.
     :param controls: peer addresses of all members of the control group.
-    :param changes: what orders change in the memory of upstreams, where this is news.
-    :param change_sequence: sequence of the table of ordered changes.
-    :param is_whole: whether ``upstreams`` is everything that is known here.
-    :param others: requests of other entry instances by upstream: all, and those not begun.
-    :param carried_per_s: requests a second that entry instances carry, by their data centre.
+    :param changes: pending changes to loaded models that are new to the sender.
+    :param change_sequence: sequence of the table of model changes.
+    :param is_whole: whether ``upstreams`` lists all upstreams known here.
+    :param others: requests of other entry instances by upstream: all, and those whose response has
+        not begun.
+    :param carried_per_s: requests per second that entry instances serve, by their data centre.
     """
 
     is_current: bool
@@ -155,12 +157,12 @@
 @message
 @attrs.frozen
 class AdapterRequest:
-    """Ask the leader to have an adapter loaded beside its model.
+    """Request that the leader load an adapter on an upstream that holds its model.
 
     :param model: name of the model.
     :param adapter: name of the adapter.
     :param upstream_ids: upstreams that hold the model and could take it, best first.
-    :param lacking_ids: those of them that have just refused a request for want of it.
+    :param lacking_ids: those of them that have just refused a request for lack of the adapter.
     """
 
     model: str
@@ -172,10 +174,10 @@
 @message
 @attrs.frozen
 class AdapterReply:
-    """Answer an :class:`AdapterRequest`.
+    """Reply to an :class:`AdapterRequest`.
 
     :param upstream_id: upstream that holds the adapter now, or empty.
-    :param reason: why there is none.
+    :param reason: why no upstream holds it.
     """
 
     upstream_id: str
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -1,4 +1,4 @@
-"""Define the soft state that control instances share and entry instances receive."""
+"""Define the soft-state rows that control instances share and entry instances receive."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 @attrs.frozen
 class LoadedModel:
-    """Describe a model in an upstream's memory.
+    """Describe a model loaded on an upstream.
 
     :param name: name of the model.
-    :param adapters: names of its adapters there.
+    :param adapters: names of its loaded adapters.
     """
 
     name: str
@@ -26,19 +26,20 @@
 
 @attrs.frozen
 class Upstream:
-    """Describe an upstream as it last announced itself.
+    """Describe an upstream by its last announcement.
 
-    :param upstream_id: name that it gave itself.
+    :param upstream_id: name that the upstream announces.
     :param incarnation: Unix time of its start, in milliseconds; a later start replaces an earlier.
     :param sequence: number of the announcement within the incarnation.
     :param service: service that it belongs to.
     :param address: ``ip:port`` of its HTTP interface.
     :param data_centre: where it runs.
-    :param lifecycle: ``ready``, ``draining`` or ``gone``; ``silent`` only towards entry instances.
-    :param slots: requests that it runs at once.
-    :param models: models in its memory.
-    :param at_hand: models of which it keeps a copy on its own disk or in host memory.
-    :param leaves_in_ms: time until it is taken away, 0 when unknown.
+    :param lifecycle: ``ready``, ``draining`` or ``gone``; ``silent`` only in replies to entry
+        instances.
+    :param slots: number of requests that it runs concurrently.
+    :param models: models loaded in its memory.
+    :param at_hand: models that it has on local disk or in host memory.
+    :param leaves_in_ms: time until it is scheduled to stop, 0 when unknown.
     """
 
     upstream_id: str
@@ -60,31 +61,31 @@
 
     @property
     def order(self) -> tuple[int, int, int]:
-        """Return what decides between two rows of one key; a departure is final in its start."""
+        """Return the sort key between rows of one key; a departure is final for an incarnation."""
         return (self.incarnation, int(self.lifecycle == GONE), self.sequence)
 
     def same_content(self, other: Upstream) -> bool:
-        """Return whether another row differs in nothing but its number."""
+        """Return whether another row differs in its sequence at most."""
         return attrs.evolve(self, sequence=other.sequence) == other
 
 
 @attrs.frozen
 class EntryInstance:
-    """Describe an entry instance as it last reported.
+    """Describe an entry instance by its last report.
 
     :param instance_id: name of the instance.
     :param incarnation: Unix time of its start, in milliseconds.
     :param sequence: number of the report within the incarnation.
     :param address: ``ip:port`` for callers.
     :param data_centre: where it runs.
-    :param is_ready: whether callers may be sent to it.
-    :param demand: requests a second by model, and by service for plain services, raised where they
-        pile up.
+    :param is_ready: whether it may be advertised to callers.
+    :param demand: requests per second by model, and by service for services without models, raised
+        where requests queue up.
     :param unreachable: ids of upstreams to which it can open no connection.
-    :param capacity_per_s: requests a second that it could carry.
-    :param carried_per_s: requests a second that it carries now.
-    :param in_flight: its requests by upstream: all, and those that have not begun.
-    :param wanted: models that its requests wait for and that nothing holds or loads.
+    :param capacity_per_s: requests per second that it can serve.
+    :param carried_per_s: requests per second that it serves now.
+    :param in_flight: its requests by upstream: all, and those whose response has not begun.
+    :param wanted: models that its requests wait for and that no upstream has loaded or is loading.
     """
 
     instance_id: str
@@ -107,11 +108,11 @@
 
     @property
     def order(self) -> tuple[int, int, int]:
-        """Return what decides between two rows of one key."""
+        """Return the sort key between rows of one key."""
         return (self.incarnation, 0, self.sequence)
 
     def same_content(self, other: EntryInstance) -> bool:
-        """Return whether callers would notice a difference."""
+        """Return whether no field that matters for routing callers differs."""
         return (self.address, self.data_centre, self.is_ready, self.capacity_per_s) == (
             other.address,
             other.data_centre,
@@ -120,7 +121,7 @@
         )
 
     def without_activity(self) -> EntryInstance:
-        """Return what other entry instances need to know of it."""
+        """Return the row without its activity, for other entry instances."""
         return attrs.evolve(
             self, demand={}, unreachable=[], in_flight={}, wanted=[], carried_per_s=0.0
         )
@@ -128,13 +129,13 @@
 
 @attrs.frozen
 class ModelChanges:
-    """Tell what the orders under way change in an upstream's memory.
+    """Describe the pending changes to an upstream's loaded models.
 
     :param upstream_id: the upstream.
     :param term: term of the leader that decided it.
-    :param sequence: number of the decision within the term.
+    :param sequence: number of the change within the term.
     :param withheld: models that get no new requests, because they are being unloaded.
-    :param arriving_ms: models on their way, with the time until they should be there.
+    :param arriving_ms: models being loaded, with the expected time until they are ready.
     """
 
     upstream_id: str
@@ -150,21 +151,21 @@
 
     @property
     def order(self) -> tuple[int, int, int]:
-        """Return what decides between two rows of one key."""
+        """Return the sort key between rows of one key."""
         return (self.term, 0, self.sequence)
 
     def same_content(self, other: ModelChanges) -> bool:
-        """Return whether the same models come and go."""
+        """Return whether the pending changes are the same."""
         return (self.withheld, self.arriving_ms) == (other.withheld, other.arriving_ms)
 
     def aged(self, age_ms: float) -> ModelChanges:
-        """Return the row as it holds some time after it was sent."""
+        """Return the row with its remaining times reduced by the time since it was sent."""
         left_ms = {model: ms - age_ms for model, ms in self.arriving_ms.items()}
         return attrs.evolve(self, arriving_ms=left_ms)
 
 
 def is_usable(row: Upstream) -> bool:
-    """Return whether a row names an upstream that can be connected to."""
+    """Return whether a row has a valid address, a service and an incarnation."""
     try:
         parse_address(row.address)
     except ValueError:
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -1,4 +1,4 @@
-"""Exchange the soft rows of upstreams and entry instances between control instances."""
+"""Replicate the soft-state rows of upstreams and entry instances between control instances."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 import attrs
 import trio
 
-from briardyke.fleet.activity import ActivityBoard
+from briardyke.fleet.activity import ActivityAggregator
 from briardyke.fleet.messages import RowsRequest, RowsUpdate
-from briardyke.fleet.tables import Tables
+from briardyke.fleet.tables import SoftTables
 from briardyke.logs import log_event
 from briardyke.sync.notifier import Notifier
 
@@ -20,21 +20,22 @@
     from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
     from briardyke.wire.pool import PeerPool
 
-# Every so many batches, the rows that were repeated since are passed on whole, for those that
-# missed a change: about once in three seconds.
-_WHOLE_BATCHES = 12
-# A control instance that starts waits this long for the rows of the others before it tells entry
-# instances what it knows; with all of them starting there is nothing to wait for.
+# Number of batches after which the rows repeated in the meantime are sent in full, for control
+# instances that missed a change: about every three seconds.
+_FULL_ROWS_BATCHES = 12
+# How long a starting control instance waits for the rows of the others before it replies to entry
+# instances as current. When all control instances start at once, no rows exist to wait for.
 _ROWS_TIMEOUT_MS = 500.0
-# Rows of departed owners are kept, so that late announcements do not revive them.
-_FORGET_MS = 120_000.0
+# Rows of departed owners are kept so that delayed announcements do not revive them.
+_ROW_TTL_MS = 120_000.0
 
 
 class RowExchange:
-    """Hold the soft tables of a control instance and keep those of the others alike.
+    """Hold the soft tables of a control instance and synchronise them with the others.
 
-    Changes travel at once. What owners only repeat travels as names in batches, since whole rows of
-    dozens of upstreams and hundreds of entry instances are most of the bytes between data centres.
+    Changes are sent at once. Rows that owners only repeat are sent as ids in batches, since full
+    rows of dozens of upstreams and hundreds of entry instances would be most of the traffic between
+    data centres.
     """
 
     def __init__(self, peers: PeerPool, own: Address, others: Callable[[], list[Address]]) -> None:
@@ -44,50 +45,50 @@
         :param own: own peer address.
         :param others: returns the peer addresses of the other control instances.
         """
-        self.tables = Tables()
-        self.activity = ActivityBoard(str(own))
+        self.tables = SoftTables()
+        self.activity = ActivityAggregator(str(own))
         self.changed = Notifier()
         self.placement_inputs_changed = Notifier()
         self.is_complete = False
         self._peers = peers
         self._others = others
         self._batches = 0
-        self._fresh_upstreams: set[str] = set()
-        self._fresh_entries: set[str] = set()
-        self._due_upstreams: set[str] = set()
-        self._due_entries: set[str] = set()
+        self._repeated_upstreams: set[str] = set()
+        self._repeated_entries: set[str] = set()
+        self._pending_full_upstreams: set[str] = set()
+        self._pending_full_entries: set[str] = set()
 
     # From owners
 
     def announce(self, row: Upstream) -> None:
-        """Take a row of an upstream that has called this instance."""
-        self._fresh_upstreams.add(row.upstream_id)
+        """Store the row that an upstream announced to this instance."""
+        self._repeated_upstreams.add(row.upstream_id)
         if self._merge_upstream(row, 0.0):
-            self._send(RowsUpdate([row], [0.0], [], []))
+            self._broadcast(RowsUpdate([row], [0.0], [], []))
 
-    def report(self, entry: EntryInstance) -> bool:
-        """Take the report of an entry instance; return whether callers would notice a change."""
-        self._fresh_entries.add(entry.instance_id)
-        if self.activity.report(entry):
+    def record_report(self, entry: EntryInstance) -> bool:
+        """Store an entry instance's report; return whether its row for callers changed."""
+        self._repeated_entries.add(entry.instance_id)
+        if self.activity.record_report(entry):
             self.placement_inputs_changed.notify()
-            self._send(RowsUpdate([], [], [], [], activity=self.activity.own_sum()))
+            self._broadcast(RowsUpdate([], [], [], [], activity=self.activity.local_sum()))
         row = entry.without_activity()
         if not self.tables.entries.merge(row):
             return False
         self.changed.notify()
-        self._send(RowsUpdate([], [], [row], [0.0]))
+        self._broadcast(RowsUpdate([], [], [row], [0.0]))
         return True
 
     def publish_model_changes(self, row: ModelChanges) -> None:
-        """Pass on which models of an upstream come and go."""
+        """Store and broadcast the pending model changes of an upstream."""
         if self.tables.changes.merge(row):
             self.changed.notify()
-            self._send(RowsUpdate([], [], [], [], [row]))
+            self._broadcast(RowsUpdate([], [], [], [], [row]))
 
     # From other control instances
 
-    def take(self, update: RowsUpdate) -> None:
-        """Take what another control instance passes on."""
+    def apply_update(self, update: RowsUpdate) -> None:
+        """Merge rows and activity from another control instance."""
         for row, age_ms in zip(update.upstreams, update.upstream_ages_ms, strict=True):
             self._merge_upstream(row, age_ms)
         is_changed = False
@@ -101,13 +102,13 @@
             is_changed |= self.tables.entries.confirm(instance_id, incarnation)
         if is_changed:
             self.changed.notify()
-        if update.activity is not None and self.activity.take(update.activity):
+        if update.activity is not None and self.activity.merge_sum(update.activity):
             self.placement_inputs_changed.notify()
 
     def all_rows(self) -> RowsUpdate:
-        """Return all rows, for an instance that starts."""
-        upstreams = self.tables.upstreams.heard_within(_FORGET_MS)
-        entries = self.tables.entries.heard_within(_FORGET_MS)
+        """Return all rows, for a control instance that starts."""
+        upstreams = self.tables.upstreams.confirmed_within(_ROW_TTL_MS)
+        entries = self.tables.entries.confirmed_within(_ROW_TTL_MS)
         return RowsUpdate(
             [row for row, _ in upstreams],
             [age for _, age in upstreams],
@@ -116,16 +117,16 @@
             [row.aged(age_ms) for row, age_ms in self.tables.changes.changed_with_age(0)],
         )
 
-    async def fetch(self) -> None:
-        """Ask the other instances for their rows, once after the start.
+    async def fetch_all(self) -> None:
+        """Fetch the rows of all other control instances, once after the start.
 
-        An answer of one instance may lack a departure that another one took last, so all are asked.
+        One instance may not have received a departure that another one recorded, so all are asked.
         """
 
         async def ask(address: Address) -> None:
             reply = await self._peers.client(address).call(RowsRequest(), _ROWS_TIMEOUT_MS)
             if reply.is_ok() and isinstance(reply.unwrap(), RowsUpdate):
-                self.take(reply.unwrap())
+                self.apply_update(reply.unwrap())
 
         async with trio.open_nursery() as nursery:
             for address in self._others():
@@ -133,37 +134,37 @@
         self.is_complete = True
         self.changed.notify()
 
-    def pass_on(self) -> None:
-        """Pass on what was repeated since the last batch, and the sum of the entry instances."""
+    def broadcast_batch(self) -> None:
+        """Broadcast the rows repeated since the last batch, and the local activity sum."""
         self._batches += 1
-        self._due_upstreams |= self._fresh_upstreams
-        self._due_entries |= self._fresh_entries
-        if self._batches % _WHOLE_BATCHES == 0:
-            update = self._whole_rows()
-            self._due_upstreams.clear()
-            self._due_entries.clear()
+        self._pending_full_upstreams |= self._repeated_upstreams
+        self._pending_full_entries |= self._repeated_entries
+        if self._batches % _FULL_ROWS_BATCHES == 0:
+            update = self._full_rows()
+            self._pending_full_upstreams.clear()
+            self._pending_full_entries.clear()
         else:
             update = RowsUpdate(
                 *([], [], [], []),
                 repeated_upstreams={
                     key: row.incarnation
-                    for key in self._fresh_upstreams
+                    for key in self._repeated_upstreams
                     if (row := self.tables.upstreams.get(key))
                 },
                 repeated_entries={
                     key: entry.incarnation
-                    for key in self._fresh_entries
+                    for key in self._repeated_entries
                     if (entry := self.tables.entries.get(key))
                 },
             )
-        self._fresh_upstreams.clear()
-        self._fresh_entries.clear()
-        self._send(attrs.evolve(update, activity=self.activity.own_sum()))
+        self._repeated_upstreams.clear()
+        self._repeated_entries.clear()
+        self._broadcast(attrs.evolve(update, activity=self.activity.local_sum()))
 
-    def _whole_rows(self) -> RowsUpdate:
+    def _full_rows(self) -> RowsUpdate:
         tables = self.tables
-        upstreams = [u for k in self._due_upstreams if (u := tables.upstreams.get(k))]
-        entries = [e for k in self._due_entries if (e := tables.entries.get(k))]
+        upstreams = [u for k in self._pending_full_upstreams if (u := tables.upstreams.get(k))]
+        entries = [e for k in self._pending_full_entries if (e := tables.entries.get(k))]
         return RowsUpdate(
             upstreams,
             [tables.upstreams.age_ms(row.key) for row in upstreams],
@@ -171,7 +172,7 @@
             [tables.entries.age_ms(row.key) for row in entries],
         )
 
-    def _send(self, update: RowsUpdate) -> None:
+    def _broadcast(self, update: RowsUpdate) -> None:
         self._peers.send_all(self._others(), update)
 
     def _merge_upstream(self, row: Upstream, age_ms: float) -> bool:
--- a/src/briardyke/fleet/table.py
+++ b/src/briardyke/fleet/table.py
@@ -1,4 +1,4 @@
-"""Keep rows that their owners repeat, on every control instance, by the newest evidence."""
+"""Keep soft-state rows that their owners refresh, merged by the newest evidence."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Row(Protocol):
-    """Describe what the table needs of a row."""
+    """Define the interface of a row in a soft table."""
 
     @property
     def key(self) -> str:
@@ -18,7 +18,7 @@
 
     @property
     def order(self) -> tuple[int, int, int]:
-        """Return what decides between two rows of one key; starts with the incarnation."""
+        """Return the sort key between rows of one key; it starts with the incarnation."""
 
 
 R = TypeVar("R", bound="Row")
@@ -27,34 +27,34 @@
 @attrs.define
 class _Entry(Generic[R]):
     row: R
-    heard_ms: float
-    changed_at: int
+    confirmed_ms: float
+    changed_sequence: int
     is_silent: bool = False
 
 
 class SoftTable(Generic[R]):
-    """Merge rows; each change of content gets the next sequence of this table."""
+    """Merge rows; each change of content increments this table's sequence."""
 
     def __init__(self) -> None:
         self._entries: dict[str, _Entry[R]] = {}
         self.sequence = 0
 
     def merge(self, row: R, age_ms: float = 0.0) -> bool:
-        """Take a row unless a newer one is held.
+        """Store a row unless a newer one is held.
 
         :param row: the row.
-        :param age_ms: time since its owner sent it, as far as known.
+        :param age_ms: known time since its owner sent it.
         :return: whether the content changed.
         """
-        heard_ms = now_ms() - age_ms
+        confirmed_ms = now_ms() - age_ms
         held = self._entries.get(row.key)
         if held is None:
             self.sequence += 1
-            self._entries[row.key] = _Entry(row, heard_ms, self.sequence)
+            self._entries[row.key] = _Entry(row, confirmed_ms, self.sequence)
             return True
         if row.order < held.row.order:
             return False
-        held.heard_ms = max(held.heard_ms, heard_ms)
+        held.confirmed_ms = max(held.confirmed_ms, confirmed_ms)
         if row.order == held.row.order:
             return False
         is_changed = held.is_silent or not held.row.same_content(row)  # type: ignore[attr-defined]
@@ -62,23 +62,23 @@
         held.row = row
         if is_changed:
             self.sequence += 1
-            held.changed_at = self.sequence
+            held.changed_sequence = self.sequence
         return is_changed
 
     def confirm(self, key: str, incarnation: int) -> bool:
-        """Take note that an owner repeated its row unchanged.
+        """Record that an owner repeated its row unchanged.
 
-        :return: whether the content changed, because the row counted as silent.
+        :return: whether the content changed, because the row was marked silent.
         """
         held = self._entries.get(key)
         if held is None or held.row.order[0] != incarnation:
-            return False  # the whole row follows
-        held.heard_ms = now_ms()
+            return False  # the owner's full row arrives with a later update
+        held.confirmed_ms = now_ms()
         if not held.is_silent:
             return False
         held.is_silent = False
         self.sequence += 1
-        held.changed_at = self.sequence
+        held.changed_sequence = self.sequence
         return True
 
     def get(self, key: str) -> R | None:
@@ -93,41 +93,41 @@
     def changed_after(self, sequence: int) -> list[tuple[R, bool]]:
         """Return the rows that changed after a sequence, each with whether it is silent."""
         found = self._entries.values()
-        return [(e.row, e.is_silent) for e in found if e.changed_at > sequence]
+        return [(e.row, e.is_silent) for e in found if e.changed_sequence > sequence]
 
     def changed_with_age(self, sequence: int) -> list[tuple[R, float]]:
         """Return the rows that changed after a sequence, each with its age in milliseconds."""
         now = now_ms()
         found = self._entries.values()
-        return [(e.row, now - e.heard_ms) for e in found if e.changed_at > sequence]
+        return [(e.row, now - e.confirmed_ms) for e in found if e.changed_sequence > sequence]
 
     def age_ms(self, key: str) -> float:
         """Return the time since the owner of a row confirmed it."""
-        return now_ms() - self._entries[key].heard_ms
+        return now_ms() - self._entries[key].confirmed_ms
 
     def is_silent(self, key: str) -> bool:
-        """Return whether a row's owner was last marked as silent."""
+        """Return whether a row is marked silent."""
         return self._entries[key].is_silent
 
     def mark_silent(self, window_ms: float, since_ms: float) -> list[R]:
-        """Mark the rows that nobody confirmed for a window; return those newly marked.
+        """Mark the rows that were not confirmed within a window; return those newly marked.
 
-        :param window_ms: silence after which a row counts as silent.
-        :param since_ms: time from which silence counts, such as the end of an own outage.
+        :param window_ms: time without confirmation after which a row counts as silent.
+        :param since_ms: earliest time that counts as silence, such as the end of an own outage.
         """
         limit_ms = now_ms() - window_ms
         marked = []
         for entry in self._entries.values():
-            if not entry.is_silent and max(entry.heard_ms, since_ms) < limit_ms:
+            if not entry.is_silent and max(entry.confirmed_ms, since_ms) < limit_ms:
                 self.sequence += 1
-                entry.is_silent, entry.changed_at = True, self.sequence
+                entry.is_silent, entry.changed_sequence = True, self.sequence
                 marked.append(entry.row)
         return marked
 
-    def heard_within(self, window_ms: float) -> list[tuple[R, float]]:
+    def confirmed_within(self, window_ms: float) -> list[tuple[R, float]]:
         """Return the rows confirmed within a window, with their ages."""
         now = now_ms()
-        found = [(e.row, now - e.heard_ms) for e in self._entries.values()]
+        found = [(e.row, now - e.confirmed_ms) for e in self._entries.values()]
         return [(row, age) for row, age in found if age <= window_ms]
 
     def forget(self, key: str) -> None:
--- a/src/briardyke/fleet/tables.py
+++ b/src/briardyke/fleet/tables.py
@@ -1,4 +1,4 @@
-"""Hold the soft tables of a control instance together."""
+"""Group the soft-state tables of a control instance."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 @attrs.define
-class Tables:
-    """Hold the soft state of a control instance.
+class SoftTables:
+    """Hold the soft-state tables of a control instance.
 
     :param upstreams: announced upstreams.
     :param entries: entry instances.
-    :param changes: what orders under way change in the memory of upstreams.
+    :param changes: pending changes to the loaded models of upstreams, caused by orders.
     """
 
     upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -1,4 +1,4 @@
-"""Hold what an entry instance knows of the fleet."""
+"""Hold an entry instance's view of the fleet."""
 
 from __future__ import annotations
 
@@ -14,23 +14,23 @@
 if TYPE_CHECKING:
     from briardyke.fleet.messages import FleetReply
 
-# A control instance that has just started may not know an upstream before its next heartbeat; two
-# of them at 1.2 s.
-UNLISTED_KEEP_MS = 2500.0
-# Announcements that were held up by a cut arrive within seconds; control instances remember
-# departures as long.
-DEPARTED_KEEP_MS = 120_000.0
+# Two heartbeat intervals of 1.2 s: a control instance that has just started may not know an
+# upstream until its next heartbeat.
+UNLISTED_TTL_MS = 2500.0
+# Announcements delayed by a network partition arrive within seconds. Control instances keep
+# departures for the same time.
+DEPARTED_TTL_MS = 120_000.0
 
 
 @attrs.define
 class FleetView:
-    """Hold what an entry instance knows of the fleet.
+    """Hold an entry instance's view of the fleet.
 
     :param version: number of the configuration held, 0 for none.
     :param upstreams: upstreams by id.
-    :param entries: entry instances that callers may be sent to.
-    :param changes: what orders change in the memory of upstreams, by upstream id, with the times of
-        arrival on the runtime's clock.
+    :param entries: entry instances that may be advertised to callers.
+    :param changes: pending changes to loaded models by upstream id, with load completion times on
+        the runtime's clock.
     :param leader: peer address of the leader of the control instances.
     :param controls: peer addresses of the control instances.
     :param confirmed_ms: time of the last current answer.
@@ -47,22 +47,22 @@
 
     @property
     def is_synced(self) -> bool:
-        """Return whether everything that serving needs has arrived once."""
+        """Return whether a configuration and a confirmed reply have been received."""
         return self.version > 0 and self.confirmed_ms > float("-inf")
 
-    def take_members(self, reply: FleetReply) -> None:
-        """Take the addresses of the control instances."""
+    def apply_members(self, reply: FleetReply) -> None:
+        """Apply the addresses of the control instances in a reply."""
         if reply.leader:
             self.leader = parse_address(reply.leader)
         if reply.controls:
             self.controls = [parse_address(text) for text in reply.controls]
 
-    def take_rows(self, reply: FleetReply) -> None:
-        """Take the rows of an answer; what is known of an upstream never goes back.
+    def apply_rows(self, reply: FleetReply) -> None:
+        """Apply the rows of a reply; older rows never replace newer ones.
 
-        Load: control instances start again and know nothing of a departure, while announcements
-        that were sent before it still arrive. Their answer may also lack upstreams whose next
-        heartbeat has not come yet.
+        Restarted control instances do not know past departures, while delayed announcements sent
+        before the departure may still reach them. Their reply may also lack upstreams whose next
+        heartbeat is not due yet.
         """
         if reply.is_whole:
             listed = {row.upstream_id for row in reply.upstreams}
@@ -70,13 +70,13 @@
                 self._unlisted_ms.setdefault(upstream_id, now_ms())
             self.changes = {}
         for row in reply.upstreams:
-            self._take_row(row)
+            self._apply_row(row)
         for changes in reply.changes:
             self.changes[changes.upstream_id] = changes.aged(-now_ms())
         if reply.entries is not None:
             self.entries = reply.entries
 
-    def _take_row(self, row: Upstream) -> None:
+    def _apply_row(self, row: Upstream) -> None:
         held = self.upstreams.get(row.upstream_id)
         if held is not None and row.order < held.order:
             log_limited(
@@ -91,16 +91,16 @@
         self.upstreams[row.upstream_id] = row
         self._unlisted_ms.pop(row.upstream_id, None)
 
-    def forget_unlisted(self) -> bool:
-        """Drop upstreams that no control instance has named for a while; return whether any."""
-        dropped = [i for i, since_ms in self._unlisted_ms.items() if self._is_over(i, since_ms)]
+    def expire_unlisted(self) -> bool:
+        """Drop upstreams that have been unlisted for too long; return whether any were dropped."""
+        dropped = [i for i, since_ms in self._unlisted_ms.items() if self._is_expired(i, since_ms)]
         for upstream_id in dropped:
             del self._unlisted_ms[upstream_id]
             self.upstreams.pop(upstream_id, None)
         return bool(dropped)
 
-    def _is_over(self, upstream_id: str, since_ms: float) -> bool:
+    def _is_expired(self, upstream_id: str, since_ms: float) -> bool:
         row = self.upstreams.get(upstream_id)
         has_departed = row is not None and row.lifecycle in (DRAINING, GONE)
-        keep_ms = DEPARTED_KEEP_MS if has_departed else UNLISTED_KEEP_MS
+        keep_ms = DEPARTED_TTL_MS if has_departed else UNLISTED_TTL_MS
         return now_ms() - since_ms >= keep_ms
--- a/src/briardyke/sync/__init__.py
+++ b/src/briardyke/sync/__init__.py
@@ -1,1 +1,1 @@
-"""Keep entry processes and relays up to date with the leader, with ages for all evidence."""
+"""Synchronise entry processes and relays with the leader, with the age of all evidence."""
--- a/src/briardyke/sync/demand.py
+++ b/src/briardyke/sync/demand.py
@@ -1,4 +1,4 @@
-"""Add up the demand that several senders report."""
+"""Aggregate the demand reported by several senders."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-_REPORT_LIFETIME_MS = 5000.0
+_REPORT_TTL_MS = 5000.0
 
 
 class DemandTable:
@@ -20,14 +20,14 @@
         self._reports: dict[str, tuple[float, Mapping[str, ModelDemand]]] = {}
 
     def observe(self, sender_id: str, demand: Mapping[str, ModelDemand], now_ms: float) -> None:
-        """Replace a sender's report."""
+        """Store a sender's report in place of its previous one."""
         self._reports[sender_id] = (now_ms, demand)
 
     def total(self, now_ms: float) -> dict[str, ModelDemand]:
         """Return the sum over all senders that reported recently."""
         total: dict[str, ModelDemand] = {}
         for sender_id, (heard_at_ms, demand) in list(self._reports.items()):
-            if now_ms - heard_at_ms > _REPORT_LIFETIME_MS:
+            if now_ms - heard_at_ms > _REPORT_TTL_MS:
                 del self._reports[sender_id]
                 continue
             for name, report in demand.items():
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -1,4 +1,4 @@
-"""Keep the latest announcement of each upstream with the time of the evidence."""
+"""Keep the latest announcement of each upstream and the time it was last heard."""
 
 from __future__ import annotations
 
@@ -17,15 +17,15 @@
 
 UPSTREAM_SILENCE_MS = 3000.0
 FORGET_AFTER_MS = 60_000.0
-# Upstreams announce themselves once a second and two or three syncs add to the age; older evidence
-# is the exception.
+# Upstreams announce themselves once a second, and two or three syncs add to the age. Older evidence
+# is rare and is listed for each upstream.
 FRESH_MS = 2000.0
-_KEPT_FORGOTTEN = 1000
+_MAX_FORGOTTEN = 1000
 
 
 @attrs.frozen
 class Freshness:
-    """Hold the ages of a digest's evidence.
+    """Hold the time since the upstreams of a digest were last heard.
 
     :param fresh_age_ms: largest age among the upstreams that were heard recently.
     :param stale_ages_ms: age by upstream id for all others.
@@ -41,27 +41,27 @@
     heard_at_ms: float
     sequence: int
     structure_sequence: int
-    from_below_at_ms: float = -math.inf
+    forwarding_at_ms: float = -math.inf
 
 
 class UpstreamDigest:
     """Merge announcements that arrive over several paths, in any order.
 
-    Each change of a row raises the digest's sequence, so that a reader that names the sequence it
-    holds gets only what is newer.
+    Each change of a row increments the digest's sequence, so that a reader that passes its last
+    sequence gets only newer rows.
     """
 
     def __init__(self) -> None:
-        """Start empty, under a random identity."""
+        """Start empty, with a random id."""
         self.digest_id = new_id("dig")
         self.sequence = 0
         self.lifecycle_sequence = 0
         self._entries: dict[str, _Entry] = {}
-        self._forgotten: deque[tuple[int, str]] = deque(maxlen=_KEPT_FORGOTTEN)
+        self._forgotten: deque[tuple[int, str]] = deque(maxlen=_MAX_FORGOTTEN)
         self._forgotten_from = 0
 
     def observe(self, row: UpstreamRow, now_ms: float) -> bool:
-        """Take in an announcement.
+        """Merge an announcement.
 
         :param row: the announcement; its ``age_ms`` is its age now.
         :param now_ms: the runtime's clock.
@@ -87,31 +87,31 @@
         return True
 
     def observe_for_forwarding(self, row: UpstreamRow, now_ms: float) -> None:
-        """Take in an announcement that has to be passed on towards the leader."""
+        """Merge an announcement that this process forwards towards the leader."""
         self.observe(row, now_ms)
-        self._entries[row.upstream_id].from_below_at_ms = now_ms
+        self._entries[row.upstream_id].forwarding_at_ms = now_ms
 
-    def refresh_from_below(
+    def refresh_for_forwarding(
         self, upstream_ids: Iterable[str], heard_at_ms: float, now_ms: float
     ) -> None:
-        """Take in evidence for upstreams whose announcements arrive through this process."""
+        """Record that upstreams announced through this process were alive at a moment."""
         ids = list(upstream_ids)
         self.refresh(ids, heard_at_ms)
         for upstream_id in ids:
             entry = self._entries.get(upstream_id)
             if entry is not None:
-                entry.from_below_at_ms = now_ms
+                entry.forwarding_at_ms = now_ms
 
-    def passed_on(self, now_ms: float) -> set[str]:
-        """Return the upstreams whose announcements arrive through this process."""
+    def upstreams_to_forward(self, now_ms: float) -> set[str]:
+        """Return the upstreams that recently announced themselves through this process."""
         return {
             upstream_id
             for upstream_id, entry in self._entries.items()
-            if now_ms - entry.from_below_at_ms < UPSTREAM_SILENCE_MS
+            if now_ms - entry.forwarding_at_ms < UPSTREAM_SILENCE_MS
         }
 
     def refresh(self, upstream_ids: Iterable[str], heard_at_ms: float) -> None:
-        """Take in evidence that upstreams were alive at a moment."""
+        """Record that upstreams were alive at a moment."""
         for upstream_id in upstream_ids:
             entry = self._entries.get(upstream_id)
             if entry is not None:
@@ -127,16 +127,16 @@
     ) -> list[UpstreamRow]:
         """Return the rows that changed after a sequence, with their ages.
 
-        :param sequence: sequence that the reader holds.
+        :param sequence: last sequence that the reader has.
         :param now_ms: the runtime's clock.
         :param data_centres: data centres to include; empty for all.
-        :param with_load: whether load figures and cache events are wanted; without them a row
+        :param with_load: whether to include load figures and cache events; without them a row
             counts as changed only when its address, lifecycle or loaded items did.
         """
         rows = []
         for entry in self._entries.values():
             changed = entry.sequence if with_load else entry.structure_sequence
-            if changed > sequence and _wanted(entry.row, data_centres):
+            if changed > sequence and _is_included(entry.row, data_centres):
                 row = entry.row if with_load else _without_load(entry.row)
                 rows.append(attrs.evolve(row, age_ms=max(0.0, now_ms - entry.heard_at_ms)))
         return rows
@@ -147,9 +147,9 @@
         data_centres: Collection[str] = (),
         upstream_ids: Collection[str] | None = None,
     ) -> Freshness:
-        """Return one age for all upstreams that were heard recently, and the ages of the others.
+        """Return one age for all recently heard upstreams, and individual ages for the others.
 
-        Naming only the exceptions keeps messages small however many upstreams there are.
+        Listing only the exceptions keeps messages small with any number of upstreams.
 
         :param now_ms: the runtime's clock.
         :param data_centres: data centres to include; empty for all.
@@ -160,7 +160,7 @@
         for upstream_id, entry in self._entries.items():
             if upstream_ids is not None and upstream_id not in upstream_ids:
                 continue
-            if not _wanted(entry.row, data_centres):
+            if not _is_included(entry.row, data_centres):
                 continue
             age_ms = max(0.0, now_ms - entry.heard_at_ms)
             if age_ms <= FRESH_MS:
@@ -170,7 +170,7 @@
         return Freshness(fresh_age_ms, stale_ages_ms)
 
     def forgotten_since(self, sequence: int) -> list[str] | None:
-        """Return the upstreams dropped after a sequence, or ``None`` when that is not known."""
+        """Return the upstreams dropped after a sequence, or ``None`` if the record no longer reaches back."""
         if sequence < self._forgotten_from:
             return None
         return [i for at, i in self._forgotten if at > sequence and i not in self._entries]
@@ -184,12 +184,12 @@
         }
 
     def heard_at_ms(self) -> Iterator[tuple[str, float]]:
-        """Yield each upstream with the moment of its latest evidence."""
+        """Yield each upstream with the time it was last heard."""
         for upstream_id, entry in self._entries.items():
             yield upstream_id, entry.heard_at_ms
 
     def older_than(self, age_ms: float, now_ms: float) -> Sequence[UpstreamRow]:
-        """Return the rows whose evidence is older than an age, oldest first."""
+        """Return the rows not heard for longer than an age, oldest first."""
         stale = [e for e in self._entries.values() if now_ms - e.heard_at_ms > age_ms]
         return [e.row for e in sorted(stale, key=lambda e: e.heard_at_ms)]
 
@@ -206,7 +206,7 @@
         if self._entries.pop(upstream_id, None) is None:
             return
         self.sequence += 1
-        if len(self._forgotten) == _KEPT_FORGOTTEN:
+        if len(self._forgotten) == _MAX_FORGOTTEN:
             self._forgotten_from = self._forgotten[0][0]
         self._forgotten.append((self.sequence, upstream_id))
 
@@ -218,13 +218,13 @@
         structure_sequence = self.sequence
         if held is not None and _structure(held.row) == _structure(row):
             structure_sequence = held.structure_sequence
-        from_below_at_ms = held.from_below_at_ms if held else -math.inf
+        forwarding_at_ms = held.forwarding_at_ms if held else -math.inf
         self._entries[row.upstream_id] = _Entry(
-            row, heard_at_ms, self.sequence, structure_sequence, from_below_at_ms
+            row, heard_at_ms, self.sequence, structure_sequence, forwarding_at_ms
         )
 
 
-def _wanted(row: UpstreamRow, data_centres: Collection[str]) -> bool:
+def _is_included(row: UpstreamRow, data_centres: Collection[str]) -> bool:
     return not data_centres or row.data_centre in data_centres
 
 
--- a/src/briardyke/sync/documents.py
+++ b/src/briardyke/sync/documents.py
@@ -5,11 +5,11 @@
 from collections import OrderedDict
 from typing import Any
 
-_KEPT_VERSIONS = 64
+_MAX_VERSIONS = 64
 
 
 class DocumentHistory:
-    """Hold the documents of the latest versions; version numbers only rise."""
+    """Hold the documents of the latest versions; version numbers only increase."""
 
     def __init__(self) -> None:
         """Start without any version."""
@@ -19,16 +19,16 @@
         self._patches: dict[int, dict[str, Any]] = {}
 
     def append(self, version: int, document: dict[str, Any]) -> bool:
-        """Take in a version.
+        """Store a version.
 
-        :return: whether it is newer than the held one; an older one is not stored.
+        :return: whether it is newer than the current one; an older one is not stored.
         """
         if version <= self.version:
             return False
         self.version, self.document = version, document
         self._documents[version] = document
         self._patches.clear()
-        if len(self._documents) > _KEPT_VERSIONS:
+        if len(self._documents) > _MAX_VERSIONS:
             self._documents.popitem(last=False)
         return True
 
@@ -38,15 +38,15 @@
         if base is None:
             return None
         if version not in self._patches:
-            self._patches[version] = merge_difference(base, self.document)
+            self._patches[version] = create_merge_patch(base, self.document)
         return self._patches[version]
 
 
-def merge_difference(old: dict[str, Any], new: dict[str, Any]) -> dict[str, Any]:
+def create_merge_patch(old: dict[str, Any], new: dict[str, Any]) -> dict[str, Any]:
     """Return the JSON Merge Patch (RFC 7396) that turns one document into another.
 
-    :param old: document to start from.
-    :param new: document to arrive at; it holds no null, which a merge patch cannot express.
+    :param old: base document.
+    :param new: target document; it contains no null, which a merge patch cannot express.
     """
     patch: dict[str, Any] = {key: None for key in old if key not in new}
     for key, value in new.items():
@@ -54,7 +54,7 @@
         if key not in old or type(before) is not type(value):
             patch[key] = value
         elif isinstance(value, dict):
-            inner = merge_difference(before, value)
+            inner = create_merge_patch(before, value)
             if inner:
                 patch[key] = inner
         elif before != value:
--- a/src/briardyke/sync/lease.py
+++ b/src/briardyke/sync/lease.py
@@ -1,4 +1,4 @@
-"""Hold the evidence that the local configuration version is still the current one."""
+"""Track how long the local configuration version may be treated as current."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 class VersionLease:
     """Track until when new requests may be admitted under the held version.
 
-    The leader may commit another version at any time after the confirmed moment, so the promise
-    that a version is in force everywhere within a bound rests on this lease running out.
+    The leader may commit another version at any time after the confirmed moment. The bound on the
+    time until a version is in force everywhere relies on the expiry of this lease.
 
     :param lease_ms: time from the confirmed moment to the end of the lease.
     :param confirmed_at_ms: latest moment at which the held version was known to be current.
@@ -22,7 +22,7 @@
     confirmed_at_ms: float | None = None
 
     def confirm(self, as_of_ms: float) -> None:
-        """Extend the lease; evidence that is older than what is held changes nothing."""
+        """Extend the lease; an earlier confirmation than the last is ignored."""
         if self.confirmed_at_ms is None or as_of_ms > self.confirmed_at_ms:
             self.confirmed_at_ms = as_of_ms
 
@@ -35,5 +35,5 @@
         return now_ms < self.expires_at_ms()
 
     def age_ms(self, now_ms: float) -> float | None:
-        """Return the age of the evidence, or ``None`` when there is none."""
+        """Return the time since the last confirmation, or ``None`` when never confirmed."""
         return None if self.confirmed_at_ms is None else max(0.0, now_ms - self.confirmed_at_ms)
--- a/src/briardyke/sync/notifier.py
+++ b/src/briardyke/sync/notifier.py
@@ -9,7 +9,7 @@
     """Let any number of tasks wait for the next change."""
 
     def __init__(self) -> None:
-        """Start without a change."""
+        """Start with no change pending."""
         self._event = trio.Event()
 
     def notify(self) -> None:
--- a/src/briardyke/sync/responder.py
+++ b/src/briardyke/sync/responder.py
@@ -21,11 +21,11 @@
 MAX_WAIT_MS = 1000.0
 
 
-class Evidence(Protocol):
-    """Provide what depends on whether this process leads."""
+class LeadershipView(Protocol):
+    """Provide the data that depends on whether this process is the leader."""
 
     def confirmed_age_ms(self) -> float | None:
-        """Return the age of the evidence that the held version is current."""
+        """Return the time since the held version was confirmed as current."""
 
     def instances(self) -> tuple[str, list[InstanceStatus]]:
         """Return the instance list with a tag that changes whenever the list does."""
@@ -38,21 +38,21 @@
 
 
 class Responder:
-    """Take in what senders report and tell them what they do not hold yet."""
+    """Process the reports of senders and return the data that they do not have yet."""
 
     def __init__(
         self,
         digest: UpstreamDigest,
         documents: DocumentHistory,
         changed: Notifier,
-        evidence: Evidence,
+        evidence: LeadershipView,
     ) -> None:
-        """Use the given tables.
+        """Set up the responder with the given tables.
 
         :param digest: upstreams.
         :param documents: configuration versions.
-        :param changed: wakes held replies.
-        :param evidence: the part that depends on leadership.
+        :param changed: wakes delayed replies.
+        :param evidence: data that depends on leadership.
         """
         self.instances = InstanceTable()
         self.demand = DemandTable()
@@ -64,7 +64,7 @@
         self._evidence = evidence
 
     async def respond(self, request: SyncRequest) -> SyncReply:
-        """Take in a request and answer it, at once or after at most ``wait_ms``."""
+        """Process a request and reply at once, or within ``wait_ms`` when nothing is new."""
         if request.request_number > self._latest_request.get(request.sender_id, 0):
             self._latest_request[request.sender_id] = request.request_number
             self._observe(request)
@@ -75,32 +75,32 @@
     def _observe(self, request: SyncRequest) -> None:
         now = now_ms()
         before = self._digest.lifecycle_sequence, self.instances.sequence
-        # The request may have been under way for long; it was sent after the reply that it echoes.
+        # The request may have been delayed; it was sent after the reply whose time it echoes.
         same_responder = request.digest_id == self._digest.digest_id
         sent_at_ms = request.echo_ms if same_responder else now - UPSTREAM_SILENCE_MS
-        under_way_ms = max(0.0, now - sent_at_ms)
-        self._take_announcements(request, under_way_ms, now)
+        transit_ms = max(0.0, now - sent_at_ms)
+        self._merge_announcements(request, transit_ms, now)
         for status in request.statuses:
-            aged = attrs.evolve(status, age_ms=status.age_ms + under_way_ms)
+            aged = attrs.evolve(status, age_ms=status.age_ms + transit_ms)
             self.instances.observe(aged, now)
         self.demand.observe(request.sender_id, request.demand, now)
         if (self._digest.lifecycle_sequence, self.instances.sequence) != before:
             self._changed.notify()
 
-    def _take_announcements(self, request: SyncRequest, under_way_ms: float, now: float) -> None:
+    def _merge_announcements(self, request: SyncRequest, transit_ms: float, now: float) -> None:
         known = self._announced_by.setdefault(request.sender_id, set())
         if request.whole_announcements:
             known.clear()
         for row in request.announcements:
             known.add(row.upstream_id)
-            aged = attrs.evolve(row, age_ms=row.age_ms + under_way_ms)
+            aged = attrs.evolve(row, age_ms=row.age_ms + transit_ms)
             self._digest.observe_for_forwarding(aged, now)
         known.difference_update(request.departed)
         fresh = known.difference(request.stale_ages_ms)
-        heard_at_ms = now - under_way_ms - request.fresh_age_ms
-        self._digest.refresh_from_below(fresh, heard_at_ms, now)
+        heard_at_ms = now - transit_ms - request.fresh_age_ms
+        self._digest.refresh_for_forwarding(fresh, heard_at_ms, now)
         for upstream_id, age_ms in request.stale_ages_ms.items():
-            self._digest.refresh((upstream_id,), now - under_way_ms - age_ms)
+            self._digest.refresh((upstream_id,), now - transit_ms - age_ms)
 
     def _has_news(self, request: SyncRequest) -> bool:
         return (
--- a/src/briardyke/sync/settings.py
+++ b/src/briardyke/sync/settings.py
@@ -1,4 +1,4 @@
-"""Declare the settings that every process that syncs has."""
+"""Declare the settings shared by all processes that sync."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 
 def cluster_id_setting() -> Any:
-    """Declare the name of the deployment."""
+    """Declare the setting of the deployment's name."""
     return setting("Name of the deployment; peers of another one are refused.", default="briardyke")
 
 
 def sync_wait_setting() -> Any:
-    """Declare the time between two syncs, in milliseconds."""
+    """Declare the setting of the time between two syncs, in milliseconds."""
     return setting(
         "Time between two syncs while nothing changes.",
         default="250",
@@ -25,7 +25,7 @@
 
 
 def load_reports_setting() -> Any:
-    """Declare whether load figures of upstreams travel."""
+    """Declare the setting for exchanging load figures of upstreams."""
     return setting(
         "Whether load and cache events of upstreams are exchanged: true or false.",
         default="true",
@@ -34,7 +34,7 @@
 
 
 def log_level_setting() -> Any:
-    """Declare the lowest level that is logged."""
+    """Declare the setting of the lowest log level."""
     return setting(
         "Lowest level that is logged: debug, info, warning or error.",
         default="info",
--- a/src/briardyke/sync/view.py
+++ b/src/briardyke/sync/view.py
@@ -1,4 +1,4 @@
-"""Hold what a process has learned through sync, and apply replies to it."""
+"""Hold the state that a process received through sync, and apply replies to it."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 
 
 class SyncedView:
-    """Keep the local copy of agreed and soft state, with the evidence for its age.
+    """Hold the local copy of replicated and soft state, with the evidence of its age.
 
-    :ivar lease: until when the held version may be acted on.
+    :ivar lease: how long the held version may be treated as current.
     :ivar documents: held configuration versions.
     :ivar digest: upstreams, also fed by announcements and probes of this process.
-    :ivar listed: entry instances that callers may be sent to.
+    :ivar listed: entry instances that may be advertised to callers.
     :ivar shares: limit shares by instance id.
     """
 
@@ -46,18 +46,18 @@
         self._started_at_ms = started_at_ms
 
     def apply(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> bool:
-        """Take in a reply.
+        """Apply a reply.
 
         :param reply: the responder's answer.
         :param sent_at_ms: when the request was sent, on the runtime's clock.
         :param now_ms: the runtime's clock.
-        :return: whether the responder is useful; a caller should turn to another one if not.
+        :return: whether the responder is current; if not, the caller should use another one.
         """
         if reply.version < self.documents.version:
-            return False  # the responder is behind, and a version never goes back
-        if not self._take_version(reply):
+            return False  # the responder is outdated; versions never go back
+        if not self._apply_version(reply):
             return False
-        self._take_tables(reply, sent_at_ms, now_ms)
+        self._apply_tables(reply, sent_at_ms, now_ms)
         self.shares = reply.shares
         if reply.confirmed_age_ms is None:
             return False
@@ -68,7 +68,7 @@
             self.lease.confirm(as_of_ms)
         return reply.confirmed_age_ms < self.lease.lease_ms / 2
 
-    def _take_version(self, reply: SyncReply) -> bool:
+    def _apply_version(self, reply: SyncReply) -> bool:
         if reply.version == self.documents.version:
             return True
         document: dict[str, Any] | None = reply.configuration
@@ -80,14 +80,14 @@
         self.changed.notify()
         return True
 
-    def _take_tables(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> None:
+    def _apply_tables(self, reply: SyncReply, sent_at_ms: float, now_ms: float) -> None:
         before = self.digest.lifecycle_sequence
-        travelled_ms = now_ms - sent_at_ms
+        transit_ms = now_ms - sent_at_ms
         for row in reply.upstreams:
-            # The true age is between age_ms and age_ms plus the travel time; assume the worst.
-            aged = attrs.evolve(row, age_ms=row.age_ms + travelled_ms)
+            # The true age is between age_ms and age_ms plus the transit time; use the upper bound.
+            aged = attrs.evolve(row, age_ms=row.age_ms + transit_ms)
             self.digest.observe(aged, now_ms)
-        self._take_freshness(reply, sent_at_ms)
+        self._apply_freshness(reply, sent_at_ms)
         if reply.instances is not None:
             self.listed = reply.instances
             self.listed_sequence += 1
@@ -98,8 +98,8 @@
         if reply.instances is not None or self.digest.lifecycle_sequence != before:
             self.changed.notify()
 
-    def _take_freshness(self, reply: SyncReply, sent_at_ms: float) -> None:
-        """Extend the evidence only for upstreams that this responder itself lists."""
+    def _apply_freshness(self, reply: SyncReply, sent_at_ms: float) -> None:
+        """Refresh only the upstreams that this responder lists."""
         if reply.whole_digest:
             self._known_upstreams.clear()
         self._known_upstreams.update(row.upstream_id for row in reply.upstreams)
--- a/tests/fleet/test_activity.py
+++ b/tests/fleet/test_activity.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from briardyke.fleet.activity import REPORT_KEEP_MS, SUM_KEEP_MS, ActivityBoard
+from briardyke.fleet.activity import REPORT_TTL_MS, SUM_TTL_MS, ActivityAggregator
 from briardyke.fleet.records import EntryInstance
 
 ENTRY = EntryInstance("entry-1", 1, 1, "10.0.0.2:80", "dc-1", True, {"m": 2.0}, [], 100.0, 3.0)
@@ -17,76 +17,92 @@
 
 
 @pytest.fixture
-async def boards(autojump_clock: trio.testing.MockClock) -> tuple[ActivityBoard, ActivityBoard]:
-    return ActivityBoard("control-1"), ActivityBoard("control-2")
+async def boards(
+    autojump_clock: trio.testing.MockClock,
+) -> tuple[ActivityAggregator, ActivityAggregator]:
+    return ActivityAggregator("control-1"), ActivityAggregator("control-2")
 
 
 class TestSums:
     """Covers sums over the entry instances of two control instances."""
 
     async def test_each_instance_counts_once(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
-        one.report(entry("entry-1", in_flight={"e": [3, 1]}))
-        one.report(entry("entry-1", sequence=2, in_flight={"e": [4, 1]}))
-        two.report(entry("entry-2", data_centre="dc-2", in_flight={"e": [2, 2], "f": [1, 0]}))
-        one.take(two.own_sum())
+        one.record_report(entry("entry-1", in_flight={"e": [3, 1]}))
+        one.record_report(entry("entry-1", sequence=2, in_flight={"e": [4, 1]}))
+        two.record_report(
+            entry("entry-2", data_centre="dc-2", in_flight={"e": [2, 2], "f": [1, 0]})
+        )
+        one.merge_sum(two.local_sum())
         assert one.demand() == {"m": 4.0}
         assert one.carried_per_s() == {"dc-1": 3.0, "dc-2": 3.0}
-        assert one.others("entry-1") == {"e": [2, 2], "f": [1, 0]}
-        assert one.others("entry-3") == {"e": [6, 3], "f": [1, 0]}
+        assert one.in_flight_of_others("entry-1") == {"e": [2, 2], "f": [1, 0]}
+        assert one.in_flight_of_others("entry-3") == {"e": [6, 3], "f": [1, 0]}
 
     async def test_instance_that_moves_soon_counts_at_its_new_place_only(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
-        one.report(ENTRY)
-        await trio.sleep(REPORT_KEEP_MS / 1000.0 + 0.1)
-        two.report(ENTRY)
-        one.take(two.own_sum())
+        one.record_report(ENTRY)
+        await trio.sleep(REPORT_TTL_MS / 1000.0 + 0.1)
+        two.record_report(ENTRY)
+        one.merge_sum(two.local_sum())
         assert one.demand() == {"m": 2.0}
 
     async def test_sum_of_a_control_instance_that_is_gone_is_dropped(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
-        two.report(ENTRY)
-        one.take(two.own_sum())
-        await trio.sleep(SUM_KEEP_MS / 1000.0 + 0.1)
+        two.record_report(ENTRY)
+        one.merge_sum(two.local_sum())
+        await trio.sleep(SUM_TTL_MS / 1000.0 + 0.1)
         assert one.demand() == {}
 
     async def test_late_sum_does_not_replace_a_newer_one(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
-        late = two.own_sum()
-        two.report(ENTRY)
-        one.take(two.own_sum())
-        one.take(late)
+        late = two.local_sum()
+        two.record_report(ENTRY)
+        one.merge_sum(two.local_sum())
+        one.merge_sum(late)
         assert one.demand() == {"m": 2.0}
 
     async def test_wanted_model_is_news_once(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
-        assert two.report(entry("entry-2", wanted=["rare"]))
-        assert not two.report(entry("entry-2", wanted=["rare"]))
-        assert one.take(two.own_sum())
-        assert not one.take(two.own_sum())
+        assert two.record_report(entry("entry-2", wanted=["rare"]))
+        assert not two.record_report(entry("entry-2", wanted=["rare"]))
+        assert one.merge_sum(two.local_sum())
+        assert not one.merge_sum(two.local_sum())
 
 
 class TestSize:
     """Covers fleets of hundreds of entry instances."""
 
     async def test_sum_does_not_grow_with_the_instances(
-        self, autojump_clock: trio.testing.MockClock, boards: tuple[ActivityBoard, ActivityBoard]
+        self,
+        autojump_clock: trio.testing.MockClock,
+        boards: tuple[ActivityAggregator, ActivityAggregator],
     ) -> None:
         one, two = boards
         flights = {f"engine-{n}": [3, 1] for n in range(60)}
         for number in range(200):
-            one.report(entry(f"entry-{number}", in_flight=flights))
-        two.report(entry("entry-1", in_flight=flights))
-        large, small = one.own_sum(), two.own_sum()
+            one.record_report(entry(f"entry-{number}", in_flight=flights))
+        two.record_report(entry("entry-1", in_flight=flights))
+        large, small = one.local_sum(), two.local_sum()
         assert len(large.in_flight) == len(small.in_flight)
         assert large.in_flight["engine-1"] == [600, 200]
--- a/tests/fleet/test_packing.py
+++ b/tests/fleet/test_compression.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from briardyke.fleet.packing import MAX_DOCUMENT_BYTES, pack, unpack
+from briardyke.fleet.compression import MAX_DOCUMENT_BYTES, compress_document, decompress_document
 
 # A quarter of a second on the slowest link, which leaves most of the time for a change to be in
 # force, also beside requests.
@@ -41,11 +41,17 @@
     def test_change_of_a_large_configuration_fits_a_slow_link(self) -> None:
         large = document(2000)
         assert len(large) > _LINK_BYTES_PER_S * _LONGEST_S
-        assert len(pack(large)) <= _LINK_BYTES_PER_S * _LONGEST_S
-        assert unpack(pack(large)).unwrap() == large
+        assert len(compress_document(large)) <= _LINK_BYTES_PER_S * _LONGEST_S
+        assert decompress_document(compress_document(large)).unwrap() == large
 
     @pytest.mark.parametrize(
-        "packed", [b"", b"{}", pack(document(3))[:-4], pack(b"x" * (MAX_DOCUMENT_BYTES + 1))]
+        "packed",
+        [
+            b"",
+            b"{}",
+            compress_document(document(3))[:-4],
+            compress_document(b"x" * (MAX_DOCUMENT_BYTES + 1)),
+        ],
     )
     def test_other_bytes_are_refused(self, packed: bytes) -> None:
-        assert unpack(packed).is_err()
+        assert decompress_document(packed).is_err()
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -57,7 +57,7 @@
         self.sent.append(update)
         for address in addresses:
             if address in self.instances and address not in self.down:
-                self.instances[address].rows.take(update)
+                self.instances[address].rows.apply_update(update)
 
     def add(self, number: int) -> ControlInstance:
         own = ADDRESSES[number]
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reachability.py
@@ -6,28 +6,28 @@
 import pytest
 import trio
 
-from briardyke.fleet.activity import ActivityBoard
+from briardyke.fleet.activity import ActivityAggregator
+from briardyke.fleet.reachability import MISSED_HEARTBEAT_MS, unreachable_upstreams
 from briardyke.fleet.records import READY, EntryInstance, Upstream
-from briardyke.fleet.reports import MISSED_HEARTBEAT_MS, unreachable_upstreams
-from briardyke.fleet.tables import Tables
+from briardyke.fleet.tables import SoftTables
 
 ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY)
 ENTRY = EntryInstance("entry", 1, 1, "10.0.0.2:80", "dc", True)
 
 
 @pytest.fixture
-async def tables(autojump_clock: trio.testing.MockClock) -> Tables:
-    tables = Tables()
+async def tables(autojump_clock: trio.testing.MockClock) -> SoftTables:
+    tables = SoftTables()
     tables.upstreams.merge(ROW)
     return tables
 
 
-def report(board: ActivityBoard, *unreachable: bool) -> None:
+def record_reports(activity: ActivityAggregator, *unreachable: bool) -> None:
     """Take the report of one entry instance for each flag."""
     for number, flag in enumerate(unreachable):
         ids = ["e"] if flag else []
         row = attrs.evolve(ENTRY, instance_id=f"entry-{number}", unreachable=ids)
-        board.report(row)
+        activity.record_report(row)
 
 
 class TestUnreachableUpstreams:
@@ -46,19 +46,19 @@
     async def test_it_takes_several_reports_and_a_missed_heartbeat(
         self,
         autojump_clock: trio.testing.MockClock,
-        tables: Tables,
+        tables: SoftTables,
         reports: tuple[bool, ...],
         silence_ms: float,
         is_gone: bool,
     ) -> None:
         await trio.sleep(silence_ms / 1000.0)
-        board = ActivityBoard("control")
-        report(board, *reports)
-        assert unreachable_upstreams(tables, board) == ({"e"} if is_gone else set())
+        activity = ActivityAggregator("control")
+        record_reports(activity, *reports)
+        assert unreachable_upstreams(tables, activity) == ({"e"} if is_gone else set())
 
     async def test_unknown_upstream_is_passed_over(
-        self, autojump_clock: trio.testing.MockClock, tables: Tables
+        self, autojump_clock: trio.testing.MockClock, tables: SoftTables
     ) -> None:
-        board = ActivityBoard("control")
-        board.report(attrs.evolve(ENTRY, unreachable=["other"]))
-        assert unreachable_upstreams(tables, board) == set()
+        activity = ActivityAggregator("control")
+        activity.record_report(attrs.evolve(ENTRY, unreachable=["other"]))
+        assert unreachable_upstreams(tables, activity) == set()
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -8,7 +8,7 @@
 
 from briardyke.fleet.messages import FleetReply
 from briardyke.fleet.records import DRAINING, GONE, READY, SILENT, Upstream
-from briardyke.fleet.view import DEPARTED_KEEP_MS, UNLISTED_KEEP_MS, FleetView
+from briardyke.fleet.view import DEPARTED_TTL_MS, UNLISTED_TTL_MS, FleetView
 
 ROW = Upstream("e", 10, 5, "s", "10.0.0.1:80", "dc", READY)
 
@@ -22,7 +22,7 @@
 @pytest.fixture
 async def view(autojump_clock: trio.testing.MockClock) -> FleetView:
     found = FleetView()
-    found.take_rows(reply(ROW, is_whole=True))
+    found.apply_rows(reply(ROW, is_whole=True))
     return found
 
 
@@ -33,27 +33,27 @@
     async def test_late_announcement_does_not_bring_it_back(
         self, autojump_clock: trio.testing.MockClock, view: FleetView, lifecycle: str
     ) -> None:
-        view.take_rows(reply(attrs.evolve(ROW, lifecycle=lifecycle, sequence=7)))
-        view.take_rows(reply(is_whole=True))  # of a control instance that has just started
-        view.take_rows(reply(attrs.evolve(ROW, sequence=6)))
+        view.apply_rows(reply(attrs.evolve(ROW, lifecycle=lifecycle, sequence=7)))
+        view.apply_rows(reply(is_whole=True))  # of a control instance that has just started
+        view.apply_rows(reply(attrs.evolve(ROW, sequence=6)))
         assert view.upstreams["e"].lifecycle == lifecycle
-        await trio.sleep(DEPARTED_KEEP_MS / 2000.0)
-        assert not view.forget_unlisted()
-        await trio.sleep(DEPARTED_KEEP_MS / 1000.0)
-        assert view.forget_unlisted()
+        await trio.sleep(DEPARTED_TTL_MS / 2000.0)
+        assert not view.expire_unlisted()
+        await trio.sleep(DEPARTED_TTL_MS / 1000.0)
+        assert view.expire_unlisted()
 
     async def test_new_start_under_the_same_id_is_used(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
-        view.take_rows(reply(attrs.evolve(ROW, lifecycle=GONE)))
-        view.take_rows(reply(attrs.evolve(ROW, incarnation=11, sequence=1)))
+        view.apply_rows(reply(attrs.evolve(ROW, lifecycle=GONE)))
+        view.apply_rows(reply(attrs.evolve(ROW, incarnation=11, sequence=1)))
         assert view.upstreams["e"].lifecycle == READY
 
     async def test_silent_upstream_returns_with_its_next_row(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
-        view.take_rows(reply(attrs.evolve(ROW, lifecycle=SILENT)))
-        view.take_rows(reply(ROW))
+        view.apply_rows(reply(attrs.evolve(ROW, lifecycle=SILENT)))
+        view.apply_rows(reply(ROW))
         assert view.upstreams["e"].lifecycle == READY
 
 
@@ -63,16 +63,16 @@
     async def test_upstream_stays_until_its_next_heartbeat_is_due(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
-        view.take_rows(reply(is_whole=True))
+        view.apply_rows(reply(is_whole=True))
         assert "e" in view.upstreams
-        await trio.sleep(UNLISTED_KEEP_MS / 1000.0 + 0.1)
-        assert view.forget_unlisted()
+        await trio.sleep(UNLISTED_TTL_MS / 1000.0 + 0.1)
+        assert view.expire_unlisted()
         assert view.upstreams == {}
 
     async def test_upstream_that_is_named_again_is_kept(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
-        view.take_rows(reply(is_whole=True))
-        view.take_rows(reply(attrs.evolve(ROW, sequence=6)))
-        await trio.sleep(UNLISTED_KEEP_MS / 1000.0 + 0.1)
-        assert not view.forget_unlisted()
+        view.apply_rows(reply(is_whole=True))
+        view.apply_rows(reply(attrs.evolve(ROW, sequence=6)))
+        await trio.sleep(UNLISTED_TTL_MS / 1000.0 + 0.1)
+        assert not view.expire_unlisted()
--- a/tests/sync/test_responder.py
+++ b/tests/sync/test_responder.py
@@ -55,10 +55,10 @@
         )
 
     def request(self) -> Any:
-        announcing = self.view.digest.passed_on(now_ms())
+        announcing = self.view.digest.upstreams_to_forward(now_ms())
         made = self.client._request(announcing, now_ms())
         self.client._reported_digest = self.view.digest.sequence
-        self.client._reported_ids = announcing
+        self.client._announced_ids = announcing
         return attrs.evolve(made, wait_ms=0.0)
 
     async def sync(self) -> SyncReply:
@@ -114,7 +114,7 @@
         link.view.digest.observe_for_forwarding(_ROW, now_ms())
         overtaken = link.request()
         mock_clock.jump(3.5)  # the upstream has fallen silent meanwhile
-        link.client._reported_ids = None
+        link.client._announced_ids = None
         await link.sync()
         await link.responder.respond(overtaken)
         await link.sync()
--- a/tests/sync/test_sync.py
+++ b/tests/sync/test_sync.py
@@ -9,7 +9,7 @@
 
 from briardyke.agreed.merge_patch import merge_patch
 from briardyke.sync.digest import FORGET_AFTER_MS, UPSTREAM_SILENCE_MS, UpstreamDigest
-from briardyke.sync.documents import DocumentHistory, merge_difference
+from briardyke.sync.documents import DocumentHistory, create_merge_patch
 from briardyke.sync.instances import INSTANCE_SILENCE_MS, InstanceTable
 from briardyke.sync.lease import VERSION_LEASE_MS, VersionLease
 from briardyke.sync.view import SyncedView
@@ -103,7 +103,7 @@
         documents = [{}, {"a": 1}, {"a": {"b": [1], "c": {}}}, {"a": {"c": {"d": True}}, "e": 1.5}]
         for old in documents:
             for new in documents:
-                assert merge_patch(old, merge_difference(old, new)) == new
+                assert merge_patch(old, create_merge_patch(old, new)) == new
 
     def test_patch_is_kept_for_64_versions(self) -> None:
         history = DocumentHistory()
