--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -231,8 +231,8 @@
             self._callbacks.on_change()
         self._callbacks.on_reply(reply)
 
-    def _apply_configuration(self, version: int, packed: bytes) -> None:
-        document = decompress_document(packed)
+    def _apply_configuration(self, version: int, compressed: bytes) -> None:
+        document = decompress_document(compressed)
         if document.is_err():
             reason = document.unwrap_err().message
             log_warning("configuration_unreadable", version=version, reason=reason)
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -170,7 +170,7 @@
         return Freshness(fresh_age_ms, stale_ages_ms)
 
     def forgotten_since(self, sequence: int) -> list[str] | None:
-        """Return the upstreams dropped after a sequence, or ``None`` if the record no longer reaches back."""
+        """Return the upstreams dropped after a sequence; ``None`` if the record is incomplete."""
         if sequence < self._forgotten_from:
             return None
         return [i for at, i in self._forgotten if at > sequence and i not in self._entries]
--- a/tests/fleet/test_compression.py
+++ b/tests/fleet/test_compression.py
@@ -1,4 +1,4 @@
-"""Tests for documents on their way to entry instances."""
+"""Tests for the compression of documents sent to entry instances."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 from briardyke.fleet.compression import MAX_DOCUMENT_BYTES, compress_document, decompress_document
 
-# A quarter of a second on the slowest link, which leaves most of the time for a change to be in
-# force, also beside requests.
+# A quarter of a second on the slowest link, which leaves most of the time in which a change must be
+# in force, also with concurrent requests.
 _LINK_BYTES_PER_S = 3.75e6 / 8
-_LONGEST_S = 0.25
+_MAX_TRANSFER_S = 0.25
 
 
 def document(routes: int) -> bytes:
@@ -35,17 +35,17 @@
     return json.dumps({"version": 7, "routes": rows}).encode()
 
 
-class TestPacking:
-    """Covers configurations that have grown by hundreds of routes, and bytes that are none."""
+class TestCompression:
+    """Test configurations with hundreds of routes, and bytes that are not valid documents."""
 
-    def test_change_of_a_large_configuration_fits_a_slow_link(self) -> None:
+    def test_large_configuration_fits_a_slow_link(self) -> None:
         large = document(2000)
-        assert len(large) > _LINK_BYTES_PER_S * _LONGEST_S
-        assert len(compress_document(large)) <= _LINK_BYTES_PER_S * _LONGEST_S
+        assert len(large) > _LINK_BYTES_PER_S * _MAX_TRANSFER_S
+        assert len(compress_document(large)) <= _LINK_BYTES_PER_S * _MAX_TRANSFER_S
         assert decompress_document(compress_document(large)).unwrap() == large
 
     @pytest.mark.parametrize(
-        "packed",
+        "compressed",
         [
             b"",
             b"{}",
@@ -53,5 +53,5 @@
             compress_document(b"x" * (MAX_DOCUMENT_BYTES + 1)),
         ],
     )
-    def test_other_bytes_are_refused(self, packed: bytes) -> None:
-        assert decompress_document(packed).is_err()
+    def test_invalid_bytes_are_refused(self, compressed: bytes) -> None:
+        assert decompress_document(compressed).is_err()
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -1,4 +1,4 @@
-"""Tests for the rows that control instances exchange, and for one that starts again."""
+"""Tests for row exchange between control instances and for restarted control instances."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
 ADDRESSES = [Address(f"10.0.2.{n}", 7380) for n in range(3)]
 
 
-class Log:
-    """Follow a leader all the time."""
+class FakeLog:
+    """Replace the replicated log by one that is always in contact with a leader."""
 
     async def wait_applied(self, index: int) -> None:
         if index > 1:
@@ -43,8 +43,8 @@
 
 
 @attrs.define
-class Network:
-    """Carry messages between control instances; those in ``down`` answer nothing."""
+class FakeNetwork:
+    """Deliver messages between control instances; those in ``down`` never reply."""
 
     instances: dict[Address, ControlInstance] = attrs.field(factory=dict)
     down: set[Address] = attrs.field(factory=set)
@@ -59,18 +59,18 @@
             if address in self.instances and address not in self.down:
                 self.instances[address].rows.apply_update(update)
 
-    def add(self, number: int) -> ControlInstance:
+    def start(self, number: int) -> ControlInstance:
         own = ADDRESSES[number]
-        log: Any = Log()
+        log: Any = FakeLog()
         peers: Any = self
-        found = ControlInstance(log, ConfigurationMachine(), peers, own, "dc")
-        self.instances[own] = found
-        return found
+        control = ControlInstance(log, ConfigurationMachine(), peers, own, "dc")
+        self.instances[own] = control
+        return control
 
 
 @attrs.define
 class _Client:
-    network: Network
+    network: FakeNetwork
     address: Address
 
     async def call(self, message: Any, timeout_ms: float) -> Result[Any, Failure]:
@@ -82,58 +82,58 @@
 
 
 @pytest.fixture
-async def network(autojump_clock: trio.testing.MockClock) -> Network:
-    return Network()
+async def network(autojump_clock: trio.testing.MockClock) -> FakeNetwork:
+    return FakeNetwork()
 
 
 def request(**changes: Any) -> FleetRequest:
     return attrs.evolve(FleetRequest(ENTRY, 1, "", 0, 0, 0, 0.0), **changes)
 
 
-async def answer(control: ControlInstance, message: FleetRequest) -> FleetReply:
+async def ask(control: ControlInstance, message: FleetRequest) -> FleetReply:
     reply = await control.handle("entry-1", message)
     assert isinstance(reply, FleetReply)
     return reply
 
 
-class TestStart:
-    """Covers a control instance that starts again beside others."""
+class TestRestart:
+    """Test a control instance that restarts while others run."""
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
-    async def test_departure_is_known_before_entry_instances_are_told_anything(
+    async def test_departure_is_fetched_before_replying_as_current(
         self,
         autojump_clock: trio.testing.MockClock,
-        network: Network,
+        network: FakeNetwork,
         lifecycle: str,
         nursery: trio.Nursery,
     ) -> None:
-        knowing, other = network.add(1), network.add(2)
+        informed, other = network.start(1), network.start(2)
         other.announce(ROW)
-        knowing.tables.upstreams.merge(attrs.evolve(ROW, lifecycle=lifecycle, sequence=6))
-        started = network.add(0)
-        assert not (await answer(started, request())).is_current
+        informed.tables.upstreams.merge(attrs.evolve(ROW, lifecycle=lifecycle, sequence=6))
+        started = network.start(0)
+        assert not (await ask(started, request())).is_current
         nursery.start_soon(started.run)
         await trio.sleep(0.1)
-        reply = await answer(started, request())
+        reply = await ask(started, request())
         assert reply.is_current
         assert [row.lifecycle for row in reply.upstreams] == [lifecycle]
         started.announce(ROW)  # sent before the departure
-        reply = await answer(started, request())
+        reply = await ask(started, request())
         assert [row.lifecycle for row in reply.upstreams] == [lifecycle]
 
-    async def test_instances_that_do_not_answer_delay_it_only_so_long(
-        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
+    async def test_unreachable_instances_delay_the_start_only_until_the_timeout(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork, nursery: trio.Nursery
     ) -> None:
-        started = network.add(0)
+        started = network.start(0)
         network.down = set(ADDRESSES[1:])
         nursery.start_soon(started.run)
         await trio.sleep(1.2)
-        assert (await answer(started, request())).is_current
+        assert (await ask(started, request())).is_current
 
-    async def test_departure_of_an_upstream_not_known_here_is_kept(
-        self, autojump_clock: trio.testing.MockClock, network: Network
+    async def test_departure_of_an_unknown_upstream_is_recorded(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork
     ) -> None:
-        started = network.add(0)
+        started = network.start(0)
         assert started.record_departure("e")
         started.announce(ROW)
         held = started.tables.upstreams.get("e")
@@ -141,31 +141,31 @@
 
 
 class TestRepeatedRows:
-    """Covers rows that owners only repeat."""
+    """Test rows that owners repeat unchanged."""
 
-    async def test_names_keep_a_row_from_falling_silent(
-        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
+    async def test_repeated_ids_keep_a_row_from_becoming_silent(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork, nursery: trio.Nursery
     ) -> None:
-        one, two = network.add(0), network.add(1)
+        one, two = network.start(0), network.start(1)
         nursery.start_soon(one.run)
         nursery.start_soon(two.run)
         for number in range(40):
             one.announce(attrs.evolve(ROW, sequence=5 + number))
             await trio.sleep(0.4)
         assert not two.tables.upstreams.is_silent("e")
-        whole = [u for u in network.sent if u.upstreams]
-        assert len(whole) <= len([u for u in network.sent if u.repeated_upstreams]) / 4
+        full = [u for u in network.sent if u.upstreams]
+        assert len(full) <= len([u for u in network.sent if u.repeated_upstreams]) / 4
         await trio.sleep(UPSTREAM_SILENCE_MS / 1000.0 + 1.0)
         assert two.tables.upstreams.is_silent("e")
-        assert [r.lifecycle for r in (await answer(two, request())).upstreams] == [SILENT]
+        assert [r.lifecycle for r in (await ask(two, request())).upstreams] == [SILENT]
         one.announce(attrs.evolve(ROW, sequence=90))
         await trio.sleep(2 * BATCH_INTERVAL_MS / 1000.0)
         assert not two.tables.upstreams.is_silent("e")
 
-    async def test_missed_change_comes_with_the_next_whole_rows(
-        self, autojump_clock: trio.testing.MockClock, network: Network, nursery: trio.Nursery
+    async def test_missed_change_arrives_with_the_next_full_rows(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork, nursery: trio.Nursery
     ) -> None:
-        one, two = network.add(0), network.add(1)
+        one, two = network.start(0), network.start(1)
         nursery.start_soon(one.run)
         nursery.start_soon(two.run)
         one.announce(ROW)
@@ -174,39 +174,39 @@
         network.down = set()
         for number in range(5):
             one.announce(attrs.evolve(ROW, sequence=7 + number, lifecycle=DRAINING))
-            await trio.sleep(1.2)  # in step with every second batch of whole rows
+            await trio.sleep(1.2)  # in step with every second batch of full rows
         held = two.tables.upstreams.get("e")
         assert held is not None and held.lifecycle == DRAINING
 
     async def test_row_of_another_incarnation_is_not_confirmed(
-        self, autojump_clock: trio.testing.MockClock, network: Network
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork
     ) -> None:
-        one = network.add(0)
+        one = network.start(0)
         one.announce(ROW)
         assert not one.tables.upstreams.confirm("e", ROW.incarnation + 1)
         assert not one.tables.upstreams.confirm("unknown", 1)
 
 
 class TestEntryInstances:
-    """Covers what entry instances are told of each other."""
+    """Test what entry instances receive about each other."""
 
-    async def test_only_a_busy_instance_is_told_what_others_have_in_flight(
-        self, autojump_clock: trio.testing.MockClock, network: Network
+    async def test_only_a_busy_instance_receives_the_requests_in_flight_of_others(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork
     ) -> None:
-        one = network.add(0)
+        one = network.start(0)
         one.rows.is_complete = True
         busy = attrs.evolve(ENTRY, instance_id="b", carried_per_s=2.0, in_flight={"e": [4, 1]})
-        await answer(one, request(entry=busy))
+        await ask(one, request(entry=busy))
         asker = attrs.evolve(ENTRY, carried_per_s=1.0, in_flight={"e": [1, 0]})
-        assert (await answer(one, request(entry=asker))).others == {"e": [4, 1]}
-        assert (await answer(one, request())).others == {}
+        assert (await ask(one, request(entry=asker))).others == {"e": [4, 1]}
+        assert (await ask(one, request())).others == {}
 
-    async def test_rows_of_instances_travel_without_their_activity(
-        self, autojump_clock: trio.testing.MockClock, network: Network
+    async def test_rows_of_entry_instances_are_sent_without_activity(
+        self, autojump_clock: trio.testing.MockClock, network: FakeNetwork
     ) -> None:
-        one = network.add(0)
+        one = network.start(0)
         one.rows.is_complete = True
         busy = attrs.evolve(ENTRY, demand={"m": 2.0}, in_flight={"e": [4, 1]})
-        reply = await answer(one, request(entry=busy))
+        reply = await ask(one, request(entry=busy))
         assert reply.entries == [ENTRY]
         assert one.demand() == {"m": 2.0}
--- a/tests/fleet/test_reachability.py
+++ b/tests/fleet/test_reachability.py
@@ -1,4 +1,4 @@
-"""Tests for what the reports of entry instances add up to."""
+"""Tests for detecting crashed upstreams from reports of entry instances."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 def record_reports(activity: ActivityAggregator, *unreachable: bool) -> None:
-    """Take the report of one entry instance for each flag."""
+    """Record the report of one entry instance for each flag."""
     for number, flag in enumerate(unreachable):
         ids = ["e"] if flag else []
         row = attrs.evolve(ENTRY, instance_id=f"entry-{number}", unreachable=ids)
@@ -31,10 +31,10 @@
 
 
 class TestUnreachableUpstreams:
-    """Covers engines that crash, and links of entry instances that fail."""
+    """Test crashed engines and failed network links of entry instances."""
 
     @pytest.mark.parametrize(
-        ("reports", "silence_ms", "is_gone"),
+        ("reports", "silence_ms", "is_unreachable"),
         [
             ((True, True, False), MISSED_HEARTBEAT_MS + 100, True),
             ((True, False, False), MISSED_HEARTBEAT_MS + 100, False),
@@ -43,20 +43,20 @@
             ((True,), MISSED_HEARTBEAT_MS + 100, True),
         ],
     )
-    async def test_it_takes_several_reports_and_a_missed_heartbeat(
+    async def test_several_reports_and_a_missed_heartbeat_are_required(
         self,
         autojump_clock: trio.testing.MockClock,
         tables: SoftTables,
         reports: tuple[bool, ...],
         silence_ms: float,
-        is_gone: bool,
+        is_unreachable: bool,
     ) -> None:
         await trio.sleep(silence_ms / 1000.0)
         activity = ActivityAggregator("control")
         record_reports(activity, *reports)
-        assert unreachable_upstreams(tables, activity) == ({"e"} if is_gone else set())
+        assert unreachable_upstreams(tables, activity) == ({"e"} if is_unreachable else set())
 
-    async def test_unknown_upstream_is_passed_over(
+    async def test_unknown_upstream_is_ignored(
         self, autojump_clock: trio.testing.MockClock, tables: SoftTables
     ) -> None:
         activity = ActivityAggregator("control")
--- a/tests/fleet/test_table.py
+++ b/tests/fleet/test_table.py
@@ -13,10 +13,10 @@
 
 
 class TestMerge:
-    """Covers late, repeated and overtaken announcements."""
+    """Test delayed, repeated and reordered announcements."""
 
     @pytest.mark.parametrize(
-        ("change", "taken"),
+        ("change", "is_changed"),
         [
             ({"sequence": 4, "lifecycle": DRAINING}, False),
             ({"sequence": 6, "lifecycle": DRAINING}, True),
@@ -27,13 +27,13 @@
         ],
     )
     async def test_only_newer_content_changes_the_table(
-        self, change: dict[str, object], taken: bool
+        self, change: dict[str, object], is_changed: bool
     ) -> None:
         table: SoftTable[Upstream] = SoftTable()
         table.merge(ROW)
-        assert table.merge(attrs.evolve(ROW, **change)) is taken
+        assert table.merge(attrs.evolve(ROW, **change)) is is_changed
 
-    async def test_departure_is_final_until_the_next_start(self) -> None:
+    async def test_departure_is_final_within_an_incarnation(self) -> None:
         table: SoftTable[Upstream] = SoftTable()
         table.merge(attrs.evolve(ROW, lifecycle=GONE))
         assert not table.merge(attrs.evolve(ROW, sequence=50))
@@ -41,9 +41,9 @@
 
 
 class TestMarkSilent:
-    """Covers owners that stop repeating their rows."""
+    """Test owners that stop repeating their rows."""
 
-    async def test_silence_is_told_once_and_ends_with_the_next_row(
+    async def test_row_is_marked_silent_once_until_it_is_repeated(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         table: SoftTable[Upstream] = SoftTable()
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -1,4 +1,4 @@
-"""Tests for what an entry instance keeps of upstreams when control instances start again."""
+"""Tests for an entry instance's view of upstreams when control instances restart."""
 
 from __future__ import annotations
 
@@ -21,20 +21,20 @@
 
 @pytest.fixture
 async def view(autojump_clock: trio.testing.MockClock) -> FleetView:
-    found = FleetView()
-    found.apply_rows(reply(ROW, is_whole=True))
-    return found
+    view = FleetView()
+    view.apply_rows(reply(ROW, is_whole=True))
+    return view
 
 
 class TestDeparted:
-    """Covers upstreams that have left while control instances forget it."""
+    """Test departed upstreams after control instances lose the record of their departure."""
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
-    async def test_late_announcement_does_not_bring_it_back(
+    async def test_delayed_announcement_does_not_revive_it(
         self, autojump_clock: trio.testing.MockClock, view: FleetView, lifecycle: str
     ) -> None:
         view.apply_rows(reply(attrs.evolve(ROW, lifecycle=lifecycle, sequence=7)))
-        view.apply_rows(reply(is_whole=True))  # of a control instance that has just started
+        view.apply_rows(reply(is_whole=True))  # from a restarted control instance
         view.apply_rows(reply(attrs.evolve(ROW, sequence=6)))
         assert view.upstreams["e"].lifecycle == lifecycle
         await trio.sleep(DEPARTED_TTL_MS / 2000.0)
@@ -42,14 +42,14 @@
         await trio.sleep(DEPARTED_TTL_MS / 1000.0)
         assert view.expire_unlisted()
 
-    async def test_new_start_under_the_same_id_is_used(
+    async def test_restart_with_the_same_id_replaces_it(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
         view.apply_rows(reply(attrs.evolve(ROW, lifecycle=GONE)))
         view.apply_rows(reply(attrs.evolve(ROW, incarnation=11, sequence=1)))
         assert view.upstreams["e"].lifecycle == READY
 
-    async def test_silent_upstream_returns_with_its_next_row(
+    async def test_silent_upstream_becomes_ready_with_its_next_row(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
         view.apply_rows(reply(attrs.evolve(ROW, lifecycle=SILENT)))
@@ -58,7 +58,7 @@
 
 
 class TestUnlisted:
-    """Covers answers that lack upstreams."""
+    """Test replies that lack upstreams."""
 
     async def test_upstream_stays_until_its_next_heartbeat_is_due(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
@@ -69,7 +69,7 @@
         assert view.expire_unlisted()
         assert view.upstreams == {}
 
-    async def test_upstream_that_is_named_again_is_kept(
+    async def test_upstream_that_is_listed_again_is_kept(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
     ) -> None:
         view.apply_rows(reply(is_whole=True))
--- a/tests/sync/test_responder.py
+++ b/tests/sync/test_responder.py
@@ -1,4 +1,4 @@
-"""Check what a responder takes from requests, on the paused clock."""
+"""Tests for a responder's handling of requests, on a mock clock."""
 
 from __future__ import annotations
 
@@ -21,8 +21,8 @@
 _ROW = UpstreamRow("u1", "inc-1", "engine", "127.0.0.1:1", "dc-1", sequence=1)
 
 
-class _Leader:
-    """Stand for the evidence of a leader."""
+class _FakeLeader:
+    """Provide the data of a process that is the leader."""
 
     def confirmed_age_ms(self) -> float | None:
         return 0.0
@@ -38,12 +38,12 @@
 
 
 class _Link:
-    """Join an entry process's view with a responder and carry requests by hand."""
+    """Connect an entry process's view to a responder and deliver requests explicitly."""
 
     def __init__(self, *, with_load: bool = True) -> None:
         self.view = SyncedView(now_ms())
         self.digest = UpstreamDigest()
-        self.responder = Responder(self.digest, DocumentHistory(), Notifier(), _Leader())
+        self.responder = Responder(self.digest, DocumentHistory(), Notifier(), _FakeLeader())
         self.client = SyncClient(
             "entry-1",
             None,  # type: ignore[arg-type]
@@ -55,11 +55,11 @@
         )
 
     def request(self) -> Any:
-        announcing = self.view.digest.upstreams_to_forward(now_ms())
-        made = self.client._request(announcing, now_ms())
+        forwarding = self.view.digest.upstreams_to_forward(now_ms())
+        request = self.client._request(forwarding, now_ms())
         self.client._reported_digest = self.view.digest.sequence
-        self.client._announced_ids = announcing
-        return attrs.evolve(made, wait_ms=0.0)
+        self.client._announced_ids = forwarding
+        return attrs.evolve(request, wait_ms=0.0)
 
     async def sync(self) -> SyncReply:
         sent_at_ms = now_ms()
@@ -68,10 +68,10 @@
         return reply
 
 
-class TestEvidenceFromBelow:
-    """Guards against a dead upstream that relayed or late requests keep alive."""
+class TestForwardedEvidence:
+    """Test that relayed or delayed requests do not keep a dead upstream alive."""
 
-    async def test_quiet_upstream_stays_alive_without_its_row(
+    async def test_unchanged_upstream_stays_alive_without_its_row(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link(with_load=False)
@@ -85,7 +85,7 @@
             mock_clock.jump(0.5)
         assert list(link.digest.alive(now_ms())) == ["u1"]
 
-    async def test_silent_upstream_ends_within_the_bound(
+    async def test_silent_upstream_is_dropped_within_the_bound(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link()
@@ -95,7 +95,7 @@
             mock_clock.jump(0.25)
         assert link.digest.alive(now_ms()) == {}
 
-    async def test_request_that_was_under_way_for_long_is_old_evidence(
+    async def test_delayed_request_counts_as_old_evidence(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link()
@@ -106,21 +106,21 @@
         await link.responder.respond(late)
         assert link.digest.alive(now_ms()) == {}
 
-    async def test_request_overtaken_by_a_later_one_tells_nothing(
+    async def test_request_overtaken_by_a_later_one_is_ignored(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link()
         await link.sync()
         link.view.digest.observe_for_forwarding(_ROW, now_ms())
         overtaken = link.request()
-        mock_clock.jump(3.5)  # the upstream has fallen silent meanwhile
+        mock_clock.jump(3.5)  # the upstream has become silent in the meantime
         link.client._announced_ids = None
         await link.sync()
         await link.responder.respond(overtaken)
         await link.sync()
         assert link.digest.alive(now_ms()) == {}
 
-    async def test_upstream_that_moves_here_is_announced(
+    async def test_upstream_that_starts_announcing_here_is_reported(
         self, mock_clock: trio.testing.MockClock
     ) -> None:
         link = _Link(with_load=False)
--- a/tests/sync/test_sync.py
+++ b/tests/sync/test_sync.py
@@ -1,4 +1,4 @@
-"""Check leases, ages and tables on the paused clock."""
+"""Tests for leases, ages and tables with explicit times."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 class TestVersionLease:
-    """Guards against admitting under a version for longer than the lease allows."""
+    """Test that a version is not used for longer than the lease allows."""
 
     def test_lease_counts_from_the_evidence_and_older_evidence_is_ignored(self) -> None:
         lease = VersionLease()
@@ -53,14 +53,14 @@
 
 
 class TestSyncedView:
-    """Guards against a version that goes back, and against evidence that looks too fresh."""
+    """Test that versions never go back and that evidence is not counted as too recent."""
 
     def test_slow_reply_extends_the_lease_from_its_request(self) -> None:
         view = SyncedView(0.0)
         assert view.apply(_reply(confirmed_age_ms=200.0), sent_at_ms=1000.0, now_ms=5000.0)
         assert view.lease.confirmed_at_ms == 800.0
 
-    def test_older_version_is_not_taken_and_confirms_nothing(self) -> None:
+    def test_older_version_is_ignored_and_confirms_nothing(self) -> None:
         view = SyncedView(0.0)
         view.apply(_reply(version=5), 1000.0, 1000.0)
         assert not view.apply(_reply(version=4, configuration={"a": 2}), 2000.0, 2000.0)
@@ -73,7 +73,7 @@
         view.apply(_reply(confirmed_age_ms=300.0), 1300.0, 1301.0)
         assert view.lease.valid(1301.0)
 
-    def test_patch_leads_to_the_same_document(self) -> None:
+    def test_patch_produces_the_same_document(self) -> None:
         view = SyncedView(0.0)
         view.apply(_reply(), 1.0, 1.0)
         patch = {"a": None, "b": {"c": 2}}
@@ -81,7 +81,7 @@
         assert view.apply(reply, 2.0, 2.0)
         assert view.documents.document == {"b": {"c": 2}}
 
-    def test_evidence_reaches_only_upstreams_that_the_responder_lists(self) -> None:
+    def test_evidence_refreshes_only_upstreams_that_the_responder_lists(self) -> None:
         view = SyncedView(0.0)
         other = attrs.evolve(_ROW, upstream_id="direct")
         view.digest.observe(other, 0.0)
@@ -92,14 +92,14 @@
         assert sorted(view.digest.alive(6400.0)) == []
 
     @pytest.mark.parametrize("age_ms", [None, VERSION_LEASE_MS / 2, 1e9])
-    def test_responder_without_fresh_evidence_is_of_no_use(self, age_ms: float | None) -> None:
+    def test_responder_without_recent_evidence_is_rejected(self, age_ms: float | None) -> None:
         assert not SyncedView(0.0).apply(_reply(confirmed_age_ms=age_ms), 1.0, 1.0)
 
 
 class TestDocumentHistory:
-    """Guards against a patch that does not lead to the document it stands for."""
+    """Test that each patch produces its target document."""
 
-    def test_differences_apply_in_both_directions(self) -> None:
+    def test_created_patches_produce_the_new_document(self) -> None:
         documents = [{}, {"a": 1}, {"a": {"b": [1], "c": {}}}, {"a": {"c": {"d": True}}, "e": 1.5}]
         for old in documents:
             for new in documents:
@@ -115,7 +115,7 @@
 
 
 class TestUpstreamDigest:
-    """Guards against new work on an upstream whose last evidence is too old."""
+    """Test that no new requests go to an upstream whose last evidence is too old."""
 
     def test_age_of_a_relayed_row_counts_towards_silence(self) -> None:
         digest = UpstreamDigest()
@@ -123,7 +123,7 @@
         assert "u1" in digest.alive(10_999.0)
         assert "u1" not in digest.alive(8000.0 + UPSTREAM_SILENCE_MS)
 
-    def test_only_exceptions_are_named(self) -> None:
+    def test_only_stale_upstreams_are_listed(self) -> None:
         digest = UpstreamDigest()
         for number, age_ms in enumerate((0.0, 900.0, 2500.0, 9000.0)):
             digest.observe(attrs.evolve(_ROW, upstream_id=f"u{number}", age_ms=age_ms), 10_000.0)
@@ -131,7 +131,7 @@
         assert freshness.fresh_age_ms == 900.0
         assert freshness.stale_ages_ms == {"u2": 2500.0, "u3": 9000.0}
 
-    def test_forgotten_rows_are_named_until_their_record_is_dropped(self) -> None:
+    def test_forgotten_rows_are_listed_until_their_record_is_dropped(self) -> None:
         digest = UpstreamDigest()
         digest.observe(_ROW, 0.0)
         held = digest.sequence
@@ -142,7 +142,7 @@
             digest.forget(f"n{number}")
         assert digest.forgotten_since(held) is None
 
-    def test_crossed_announcements_keep_the_newest(self) -> None:
+    def test_reordered_announcements_keep_the_newest(self) -> None:
         digest = UpstreamDigest()
         leaving = attrs.evolve(_ROW, sequence=3, lifecycle="leaving")
         digest.observe(leaving, 100.0)
@@ -163,7 +163,7 @@
 
 
 class TestInstanceTable:
-    """Guards against sending callers to an instance that is silent or draining."""
+    """Test that callers are not sent to an instance that is silent or draining."""
 
     def test_silent_and_draining_instances_leave_the_list(self) -> None:
         table = InstanceTable()
@@ -177,7 +177,7 @@
         table.observe(attrs.evolve(_STATUS, lifecycle="draining"), 5001.0)
         assert table.listed(5001.0) == []
 
-    def test_late_status_does_not_bring_an_instance_back(self) -> None:
+    def test_delayed_status_does_not_list_an_instance_again(self) -> None:
         table = InstanceTable()
         table.observe(attrs.evolve(_STATUS, lifecycle="draining"), 1000.0)
         table.observe(attrs.evolve(_STATUS, age_ms=500.0), 1001.0)
