--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -72,7 +72,7 @@
         log: ReplicatedLog,
         machine: ConfigurationMachine,
         peers: PeerPool,
-        own: Address,
+        own_address: Address,
         data_centre: str = "",
     ) -> None:
         """Connect the components; :meth:`run` starts them.
@@ -80,16 +80,16 @@
         :param log: member of the consensus group.
         :param machine: its state machine.
         :param peers: connections to other instances.
-        :param own: own peer address.
+        :param own_address: own peer address.
         :param data_centre: where this instance runs.
         """
         self.log = log
         self.machine = machine
-        self.rows = RowExchange(peers, own, self._other_members)
+        self.rows = RowExchange(peers, own_address, self._other_members)
         self.tables = self.rows.tables
         self.table_id = new_id("tbl")
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
-        self._own = own
+        self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
         self._current_since_ms = float("inf")
@@ -354,4 +354,4 @@
 
     def _other_members(self) -> list[Address]:
         members = self.log.status().members
-        return list(dict.fromkeys(m.address for m in members if m.address != self._own))
+        return list(dict.fromkeys(m.address for m in members if m.address != self._own_address))
--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -33,13 +33,13 @@
     """Hold the settings of a consensus member.
 
     :param data_dir: directory for durable files.
-    :param own: own peer address.
+    :param own_address: own peer address.
     :param seeds: peer addresses of some control instances.
     :param is_first_start: whether the whole system starts for the first time.
     """
 
     data_dir: Path
-    own: Address
+    own_address: Address
     seeds: tuple[Address, ...]
     is_first_start: bool
 
@@ -66,7 +66,7 @@
     log = ReplicatedLog(
         _GROUP_ID,
         identity,
-        settings.own,
+        settings.own_address,
         storage.unwrap(),
         machine,
         lambda address, message: peers.client(address).send(message),
@@ -79,10 +79,10 @@
 
 
 def _open_identity(settings: MemberSettings) -> Result[Identity, Failure]:
-    instance_id = str(settings.own)
+    instance_id = str(settings.own_address)
     directory = settings.data_dir
     is_empty = not directory.exists() or not any(directory.iterdir())
-    if settings.is_first_start and is_empty and settings.own in settings.seeds:
+    if settings.is_first_start and is_empty and settings.own_address in settings.seeds:
         voters = {str(seed): seed for seed in settings.seeds}
         return initialise(directory, CLUSTER_ID, instance_id, voters)
     return open_identity(directory, instance_id)
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -38,15 +38,17 @@
     data centres.
     """
 
-    def __init__(self, peers: PeerPool, own: Address, others: Callable[[], list[Address]]) -> None:
+    def __init__(
+        self, peers: PeerPool, own_address: Address, others: Callable[[], list[Address]]
+    ) -> None:
         """Start with empty tables.
 
         :param peers: connections to other instances.
-        :param own: own peer address.
+        :param own_address: own peer address.
         :param others: returns the peer addresses of the other control instances.
         """
         self.tables = SoftTables()
-        self.activity = ActivityAggregator(str(own))
+        self.activity = ActivityAggregator(str(own_address))
         self.changed = Notifier()
         self.placement_inputs_changed = Notifier()
         self.is_complete = False
--- a/src/briardyke/fleet/table.py
+++ b/src/briardyke/fleet/table.py
@@ -1,4 +1,4 @@
-"""Keep soft-state rows that their owners refresh, merged by the newest evidence."""
+"""Keep soft-state rows that their owners refresh, keeping the newest version of each."""
 
 from __future__ import annotations
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -21,9 +21,9 @@
 
 @pytest.fixture
 async def view(autojump_clock: trio.testing.MockClock) -> FleetView:
-    view = FleetView()
-    view.apply_rows(reply(ROW, is_whole=True))
-    return view
+    fleet_view = FleetView()
+    fleet_view.apply_rows(reply(ROW, is_whole=True))
+    return fleet_view
 
 
 class TestDeparted:
--- a/tests/sync/test_responder.py
+++ b/tests/sync/test_responder.py
@@ -56,10 +56,10 @@
 
     def request(self) -> Any:
         forwarding = self.view.digest.upstreams_to_forward(now_ms())
-        request = self.client._request(forwarding, now_ms())
+        sync_request = self.client._request(forwarding, now_ms())
         self.client._reported_digest = self.view.digest.sequence
         self.client._announced_ids = forwarding
-        return attrs.evolve(request, wait_ms=0.0)
+        return attrs.evolve(sync_request, wait_ms=0.0)
 
     async def sync(self) -> SyncReply:
         sent_at_ms = now_ms()
