--- a/bench/shares.py
+++ b/bench/shares.py
@@ -34,33 +34,33 @@
     Refusals count only while the requests in progress and the arrival rate are below the limit.
     """
     allocator = ShareAllocator(6000.0, -10_000.0)
-    ledgers = [RequestLimiter() for _ in range(INSTANCES)]
+    limiters = [RequestLimiter() for _ in range(INSTANCES)]
     replies: list[tuple[float, int, float, list[LimitShare]]] = []
     running: list[tuple[float, int, Permit]] = []
     credit = [0.0] * INSTANCES
     admitted = refused = 0
     last_refusal_ms = BURST_AT_MS
     for now in range(END_MS):
-        for index, ledger in enumerate(ledgers):
+        for index, limiter in enumerate(limiters):
             if now % SYNC_MS == index * SYNC_MS // INSTANCES:
                 name = f"entry-{index}"
-                allocator.report(name, ledger.held_shares(now), ledger.take_demand(now), now)
+                allocator.report(name, limiter.held_shares(now), limiter.take_demand(now), now)
                 allocator.extend_lease(name, now)
                 shares = allocator.allocate({LIMIT: limit}, now, 1)[name]
                 replies.append((now + ROUND_TRIP_MS, index, now + 6000.0, shares))
         while replies and replies[0][0] <= now:
             _, index, expires_ms, shares = replies.pop(0)
-            ledgers[index].apply({LIMIT: limit}, shares, expires_ms)
+            limiters[index].apply({LIMIT: limit}, shares, expires_ms)
         while running and running[0][0] <= now:
             _, index, permit = running.pop(0)
-            ledgers[index].release(permit, 10, now)
-        for index, ledger in enumerate(ledgers):
+            limiters[index].release(permit, 10, now)
+        for index, limiter in enumerate(limiters):
             bursting = index == 0 and now >= BURST_AT_MS
             rate = burst_per_s if bursting else 0.0 if index == 0 else base_per_s
             credit[index] += rate / 1000.0
             while credit[index] >= 1.0:
                 credit[index] -= 1.0
-                result = ledger.admit(LimitRequest("x", "m", "", 10), now)
+                result = limiter.admit(LimitRequest("x", "m", "", 10), now)
                 if result.is_ok():
                     running.append((now + DURATION_MS, index, result.unwrap()))
                     admitted += bursting
--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -19,29 +19,29 @@
     from briardyke.policy.types import AdmissionRequest
 
 # Parts of the time to the deadline (or of the target between tokens) that a forecast may use. A
-# caller above its fair part is refused first, which leaves room for the callers below theirs.
-LIMIT_WITHIN_FAIR_PART = 0.8
-LIMIT_ABOVE_FAIR_PART = 0.6
+# caller above its fair share is refused first, which leaves room for the callers below theirs.
+LIMIT_WITHIN_FAIR_SHARE = 0.8
+LIMIT_ABOVE_FAIR_SHARE = 0.6
 # The limits fall by this much per part of the demand refused above the first: with demand to
 # spare, a request that would probably be late is better replaced by one that is not. Refusals of
-# callers above their fair part do not count, so that a burst does not tighten it for the others.
-OVERLOAD_ABOVE = 0.15
+# callers above their fair share do not count, so that a burst does not tighten it for the others.
+OVERLOAD_REFUSED_FRACTION = 0.15
 OVERLOAD_STEP = 0.3
 # A priority above 0 may use this much more per level, one below 0 this much less.
 PRIORITY_STEP = 0.1
 # An engine that misses the target between tokens even when idle still serves its models up to this
 # multiple of its idle time; measured against the target alone it would never get a request.
-SLOW_FACTOR = 1.5
+IDLE_GAP_FACTOR = 1.5
 # Refused callers come back after the excess of the forecast, spread so that they do not return
 # together.
 RETRY_MINIMUM_MS = 200
 RETRY_MAXIMUM_MS = 5000
-# A caller is above its fair part when it was admitted this much more than the mean by weight. It
+# A caller is above its fair share when it was admitted this much more than the mean by weight. It
 # is compared with what was admitted, not with an assumed capacity, so a caller that is alone is
 # never above.
 FAIR_TOLERANCE = 1.25
-WEIGHTS_INTERVAL_MS = 100.0
-FORGET_CALLER_BELOW_PER_SECOND = 0.01
+WEIGHT_SUM_INTERVAL_MS = 100.0
+IDLE_CALLER_TOKENS_PER_SECOND = 0.01
 
 
 @attrs.define
@@ -64,7 +64,7 @@
 
     :param callers: use by caller.
     :param admitted: rate of tokens that were admitted for all callers.
-    :param refused: rate of tokens refused to callers that were not above their fair part.
+    :param refused: rate of tokens refused to callers that were not above their fair share.
     :param weights: sum of the weights of the callers.
     :param weights_at_ms: time at which that sum was computed.
     """
@@ -75,8 +75,8 @@
     weights: float = 0.0
     weights_at_ms: float = float("-inf")
 
-    def refused_share(self, now_ms: float) -> float:
-        """Return the recent share of the demand within fair parts that was refused, 0 to 1."""
+    def refused_fraction(self, now_ms: float) -> float:
+        """Return the recent share of the demand within fair share that was refused, 0 to 1."""
         refused = self.refused.per_second(now_ms)
         return refused / max(1e-9, refused + self.admitted.per_second(now_ms))
 
@@ -107,7 +107,7 @@
         :param request: the request; without a finite deadline the first-token target counts.
         :param now_ms: current time.
         :return: ``deadline_unmeetable`` when no candidate would answer in time; ``overloaded``
-            when the caller is above its fair part and the candidates are close to their limit.
+            when the caller is above its fair share and the candidates are close to their limit.
         """
         target_ms = self._targets.first_token_ms
         remaining_ms = request.deadline_ms - now_ms
@@ -121,22 +121,22 @@
         if forecast is not None:
             first_ms = forecast.first_token_ms
             gap_target_ms = max(
-                self._targets.between_tokens_ms, SLOW_FACTOR * forecast.idle_between_tokens_ms
+                self._targets.between_tokens_ms, IDLE_GAP_FACTOR * forecast.idle_between_tokens_ms
             )
             gap_pressure = forecast.between_tokens_ms / gap_target_ms
             excess_ms = max(0.0, first_ms - remaining_ms)
             shift = PRIORITY_STEP * max(-2, min(2, request.route.priority))
             shift -= OVERLOAD_STEP * max(
-                0.0, self._models[name].refused_share(now_ms) - OVERLOAD_ABOVE
+                0.0, self._models[name].refused_fraction(now_ms) - OVERLOAD_REFUSED_FRACTION
             )
-            if max(first_ms / remaining_ms, gap_pressure) > LIMIT_WITHIN_FAIR_PART + shift:
-                if not self._above_fair_part(name, request.caller, now_ms):
+            if max(first_ms / remaining_ms, gap_pressure) > LIMIT_WITHIN_FAIR_SHARE + shift:
+                if not self._above_fair_share(name, request.caller, now_ms):
                     self._models[name].refused.add(max(1, request.estimated_tokens), now_ms)
                 late = first_ms > remaining_ms
                 kind = ErrorKind.DEADLINE_UNMEETABLE if late else ErrorKind.OVERLOADED
                 return Err(self._refuse(kind, f"{name} cannot answer within target", excess_ms))
             pressure = max(first_ms / min(remaining_ms, target_ms), gap_pressure)
-            if pressure > LIMIT_ABOVE_FAIR_PART + shift and self._above_fair_part(
+            if pressure > LIMIT_ABOVE_FAIR_SHARE + shift and self._above_fair_share(
                 name, request.caller, now_ms
             ):
                 return Err(
@@ -158,12 +158,12 @@
         use.wanted.add(max(1, request.estimated_tokens), now_ms)
         return use
 
-    def _above_fair_part(self, name: str, caller: str, now_ms: float) -> bool:
+    def _above_fair_share(self, name: str, caller: str, now_ms: float) -> bool:
         model = self._models[name]
-        if now_ms - model.weights_at_ms >= WEIGHTS_INTERVAL_MS:
+        if now_ms - model.weights_at_ms >= WEIGHT_SUM_INTERVAL_MS:
             model.weights_at_ms = now_ms
             for other, counted in list(model.callers.items()):
-                if counted.wanted.per_second(now_ms) < FORGET_CALLER_BELOW_PER_SECOND:
+                if counted.wanted.per_second(now_ms) < IDLE_CALLER_TOKENS_PER_SECOND:
                     del model.callers[other]
             model.weights = sum(counted.weight for counted in model.callers.values())
         use = model.callers.get(caller)
--- a/src/briardyke/policy/pairs.py
+++ b/src/briardyke/policy/caller_limits.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briardyke.policy.beliefs import Belief
+from briardyke.policy.share_bounds import ShareBound
 from briardyke.wire.messages import LimitShare, ShareDemand
 
 if TYPE_CHECKING:
@@ -15,102 +15,102 @@
 QUANTITIES = ("requests_per_second", "concurrent_requests", "tokens_per_second")
 # A demand that differs by less than this part from the one last used moves no shares. It is well
 # below the headroom of a grant.
-SIMILAR = 0.05
+DEMAND_TOLERANCE = 0.05
 
 
 @attrs.define
-class Pair:
+class CallerLimit:
     """Collect reports and grants of one limit for one caller.
 
-    :param beliefs: what an instance may still hold, by quantity and instance.
+    :param bounds: what an instance may still hold, by quantity and instance.
     :param demand: demand by instance, of those that have any.
     :param grants: shares last granted, by quantity that the limit sets and instance.
     """
 
-    beliefs: dict[str, dict[str, Belief]] = attrs.field(
+    bounds: dict[str, dict[str, ShareBound]] = attrs.field(
         factory=lambda: {quantity: {} for quantity in QUANTITIES}
     )
     demand: dict[str, ShareDemand] = attrs.field(factory=dict)
     grants: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
-    def copy_beliefs(self) -> Pair:
-        """Return a pair with the same beliefs, without demand and grants."""
-        beliefs = {
-            quantity: {i: belief.copy() for i, belief in known.items()}
-            for quantity, known in self.beliefs.items()
+    def copy_bounds(self) -> CallerLimit:
+        """Return a pair with the same bounds, without demand and grants."""
+        bounds = {
+            quantity: {i: bound.copy() for i, bound in known.items()}
+            for quantity, known in self.bounds.items()
         }
-        return Pair(beliefs)
+        return CallerLimit(bounds)
 
     def report_held(self, instance_id: str, share: LimitShare | None, in_use: float) -> None:
-        """Take what an instance holds; instances that never held anything need no belief."""
-        for quantity, beliefs in self.beliefs.items():
+        """Take what an instance holds; instances that never held anything need no bound."""
+        for quantity, bounds in self.bounds.items():
             value = float(getattr(share, quantity) or 0.0) if share is not None else 0.0
             used = in_use if quantity == "concurrent_requests" else 0.0
-            belief = beliefs.get(instance_id)
-            if belief is None:
+            bound = bounds.get(instance_id)
+            if bound is None:
                 if not value and not used:
                     continue
-                belief = beliefs[instance_id] = Belief()
-            belief.reported(value, used)
+                bound = bounds[instance_id] = ShareBound()
+            bound.record_report(value, used)
 
-    def report_demand(self, instance_id: str, wanted: ShareDemand) -> bool:
+    def report_demand(self, instance_id: str, demand: ShareDemand) -> bool:
         """Take an instance's demand; return whether it differs enough to move shares."""
         known = self.demand.get(instance_id)
         if known is not None and all(
-            abs(getattr(known, q) - getattr(wanted, q))
-            <= SIMILAR * max(getattr(known, q), getattr(wanted, q))
+            abs(getattr(known, q) - getattr(demand, q))
+            <= DEMAND_TOLERANCE * max(getattr(known, q), getattr(demand, q))
             for q in QUANTITIES
         ):
             return False
-        self.demand[instance_id] = wanted
+        self.demand[instance_id] = demand
         return True
 
-    def record(self, quantity: str, grants: dict[str, float], total: float) -> None:
+    def record_grants(self, quantity: str, grants: dict[str, float], total: float) -> None:
         """Record grants that answers may carry from now on.
 
         Grants are cleared when the limit changes, so an equal value was granted under this total.
         """
         previous = self.grants.get(quantity, {})
         self.grants[quantity] = grants
-        beliefs = self.beliefs[quantity]
+        bounds = self.bounds[quantity]
         for instance_id, value in grants.items():
             if previous.get(instance_id) == value:
                 continue
-            belief = beliefs.get(instance_id)
-            if belief is None:
-                belief = beliefs[instance_id] = Belief()
+            bound = bounds.get(instance_id)
+            if bound is None:
+                bound = bounds[instance_id] = ShareBound()
                 # Later reports of nothing refer to the time before this grant.
-                belief.reported(0.0, 0.0)
-            belief.granted(value, total)
+                bound.record_report(0.0, 0.0)
+            bound.record_grant(value, total)
 
-    def forget(self, instance_id: str) -> None:
+    def remove_instance(self, instance_id: str) -> None:
         """Drop an instance whose lease has ended."""
         self.demand.pop(instance_id, None)
-        for beliefs in self.beliefs.values():
-            beliefs.pop(instance_id, None)
+        for bounds in self.bounds.values():
+            bounds.pop(instance_id, None)
         for grants in self.grants.values():
             grants.pop(instance_id, None)
 
-    def values(self, instance_id: str) -> tuple[float | None, ...]:
+    def granted_values(self, instance_id: str) -> tuple[float | None, ...]:
         """Return an instance's granted share of each quantity, ``None`` where there is no limit."""
         grants = self.grants
         return tuple([grants[q].get(instance_id, 0.0) if q in grants else None for q in QUANTITIES])
 
-    def equals(self, default: Pair, instances: Iterable[str]) -> bool:
+    def matches_default(self, default: CallerLimit, instances: Iterable[str]) -> bool:
         """Return whether every instance certainly holds its default share and none has demand."""
         if self.demand:
             return False
-        nothing = Belief()
-        for quantity, beliefs in self.beliefs.items():
-            defaults = default.beliefs[quantity]
+        nothing = ShareBound()
+        for quantity, bounds in self.bounds.items():
+            defaults = default.bounds[quantity]
             for instance_id in instances:
-                value = beliefs.get(instance_id, nothing).only()
-                if value is None or value != defaults.get(instance_id, nothing).only():
+                value = bounds.get(instance_id, nothing).exact()
+                if value is None or value != defaults.get(instance_id, nothing).exact():
                     return False
         return True
 
 
-def share_of(
+def make_share(
     limit_id: str, caller: str, version: int, values: tuple[float | None, ...]
 ) -> LimitShare:
     """Return the message for granted values."""
@@ -119,7 +119,7 @@
     return LimitShare(limit_id, caller, version, rate, whole, tokens)
 
 
-def effective(
+def effective_share(
     held: Mapping[tuple[str, str], LimitShare], limit_id: str, caller: str, default: str
 ) -> LimitShare | None:
     """Return the share that an instance uses for a caller, its default share if none."""
--- a/src/briardyke/policy/division.py
+++ b/src/briardyke/policy/division.py
@@ -5,23 +5,23 @@
 import math
 from typing import TYPE_CHECKING
 
-from briardyke.policy.fairness import max_min, water_level, whole_numbers
+from briardyke.policy.fairness import max_min_level, max_min_shares, round_to_total
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from briardyke.policy.beliefs import Belief
+    from briardyke.policy.share_bounds import ShareBound
 
 # Demand is granted with this headroom, so that growth between two syncs is not refused.
-HEADROOM = 1.25
+DEMAND_HEADROOM = 1.25
 # Part of a rate that is divided evenly whatever the demand, so that an instance without demand
 # can admit a first request at once.
-RESERVE = 0.05
+RESERVED_FRACTION = 0.05
 # Rates are rounded down to this part of the limit; equal values make grants recognisable.
 RATE_STEPS = 4096
 
 
-def targets(demand: Mapping[str, float], total: float, whole: bool) -> dict[str, float]:
+def target_shares(demand: Mapping[str, float], total: float, whole: bool) -> dict[str, float]:
     """Return the shares that instances should end up with.
 
     :param demand: demand of every instance, 0 for none, in the order of their names.
@@ -29,24 +29,28 @@
     :param whole: whether shares are whole numbers.
     """
     if not whole:
-        return _rates(demand, total)
-    demands = {i: value * HEADROOM for i, value in demand.items()}
+        return _target_rates(demand, total)
+    demands = {i: value * DEMAND_HEADROOM for i, value in demand.items()}
     # One unit each while that takes at most a quarter of the limit.
     for instance_id in list(demands)[: int(total // 4)]:
         demands[instance_id] = max(1.0, demands[instance_id])
-    parts = max_min(demands, float(int(total)))
-    return {i: float(n) for i, n in whole_numbers(parts, int(total)).items()}
+    parts = max_min_shares(demands, float(int(total)))
+    return {i: float(n) for i, n in round_to_total(parts, int(total)).items()}
 
 
-def _rates(demand: Mapping[str, float], total: float) -> dict[str, float]:
+def _target_rates(demand: Mapping[str, float], total: float) -> dict[str, float]:
     """Divide a rate; the instances that need only the reserve are calculated once together."""
     step = total / RATE_STEPS
     if not demand or step <= 0.0:
         return dict.fromkeys(demand, 0.0)
-    reserve = total * RESERVE / len(demand)
-    above = {i: value * HEADROOM for i, value in demand.items() if value * HEADROOM > reserve}
+    reserve = total * RESERVED_FRACTION / len(demand)
+    above = {
+        i: value * DEMAND_HEADROOM
+        for i, value in demand.items()
+        if value * DEMAND_HEADROOM > reserve
+    }
     others = len(demand) - len(above)
-    level = water_level(
+    level = max_min_level(
         {
             **{i: (value, 1.0) for i, value in above.items()},
             **({"": (reserve * others, float(others))} if others else {}),
@@ -61,34 +65,34 @@
     return parts
 
 
-def confirm(
-    beliefs: Mapping[str, Belief], instances: Mapping[str, object], total: float, whole: bool
+def confirm_shares(
+    bounds: Mapping[str, ShareBound], instances: Mapping[str, object], total: float, whole: bool
 ) -> dict[str, float]:
     """Return the reported shares, reduced in proportion when the limit was lowered."""
-    held = {i: beliefs[i].confirmed() if i in beliefs else 0.0 for i in instances}
+    held = {i: bounds[i].last_reported() if i in bounds else 0.0 for i in instances}
     used = sum(held.values())
     if used > total:
         held = {instance_id: value * total / used for instance_id, value in held.items()}
-    return _within(beliefs, held, total, whole)
+    return _fit_limit(bounds, held, total, whole)
 
 
-def grow(
-    beliefs: Mapping[str, Belief], wanted: Mapping[str, float], total: float, whole: bool
+def move_shares(
+    bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
     """Move shares towards their targets without counting any part of the limit twice.
 
     Shares shrink at once. They grow only by what no instance can be using any more.
     """
-    largest = {instance_id: belief.largest() for instance_id, belief in beliefs.items()}
+    largest = {instance_id: bound.upper_bound() for instance_id, bound in bounds.items()}
     spare = total - sum(largest.values())
     if spare < 0.0:
         # The limit was lowered, or an instance reports more than this leader granted, such as
         # requests that outlived their lease. A report then entitles to nothing by itself.
         fitting = {
-            i: min(target, beliefs[i].entitled() if i in beliefs else 0.0)
+            i: min(target, bounds[i].largest_grant() if i in bounds else 0.0)
             for i, target in wanted.items()
         }
-        return _within(beliefs, fitting, total, whole)
+        return _fit_limit(bounds, fitting, total, whole)
     missing = {
         instance_id: target - largest.get(instance_id, 0.0)
         for instance_id, target in wanted.items()
@@ -97,7 +101,7 @@
     grants = dict(wanted)
     if not missing or sum(missing.values()) <= spare:
         return grants
-    level = max_min(missing, spare)
+    level = max_min_shares(missing, spare)
     for instance_id, want in missing.items():
         part = min(want, level[instance_id])
         grants[instance_id] = largest.get(instance_id, 0.0) + (
@@ -111,11 +115,11 @@
     return grants
 
 
-def _within(
-    beliefs: Mapping[str, Belief], wanted: Mapping[str, float], total: float, whole: bool
+def _fit_limit(
+    bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
     """Cut what is wanted so that it fits beside every grant made under the present limit."""
-    counted = {i: belief.entitled(total) for i, belief in beliefs.items()}
+    counted = {i: bound.largest_grant(total) for i, bound in bounds.items()}
     used = sum(counted.values())
     grants = {}
     for instance_id, value in wanted.items():
--- a/src/briardyke/policy/ejection.py
+++ b/src/briardyke/policy/ejection.py
@@ -5,16 +5,16 @@
 # An upstream never falls below this part of its traffic; the rest are the probes that let it back.
 MINIMUM_WEIGHT = 1.0 / 32.0
 # Failures within this time count as one step, since one broken connection fails many requests.
-STEP_MS = 50.0
+FAILURE_STEP_MS = 50.0
 # The weight doubles once in this time without failures; each new ejection doubles the time, up to
 # the limit, so that a flapping upstream returns more slowly every time.
 RECOVERY_DOUBLING_MS = 1500.0
 RECOVERY_DOUBLING_LIMIT_MS = 12000.0
 FLAP_MEMORY_MS = 60000.0
-EJECTED_BELOW = 0.5
+EJECTED_BELOW_WEIGHT = 0.5
 # Largest part of the candidates of one decision that ejection may remove, rounded down. A single
 # candidate is therefore never removed, and a fault that all upstreams share removes half at most.
-LARGEST_EJECTED_SHARE = 0.5
+MAX_EJECTED_FRACTION = 0.5
 
 
 class UpstreamHealth:
@@ -36,9 +36,9 @@
     def record_failure(self, now_ms: float) -> None:
         """Halve the weight, at most once in 50 ms."""
         current = self.weight(now_ms)
-        if current < 1.0 and now_ms - self._changed_ms < STEP_MS:
+        if current < 1.0 and now_ms - self._changed_ms < FAILURE_STEP_MS:
             return
-        if current >= EJECTED_BELOW > current / 2.0 or current == 1.0:
+        if current >= EJECTED_BELOW_WEIGHT > current / 2.0 or current == 1.0:
             self._count_flap(now_ms)
         self._weight = max(MINIMUM_WEIGHT, current / 2.0)
         self._changed_ms = now_ms
--- a/src/briardyke/policy/fairness.py
+++ b/src/briardyke/policy/fairness.py
@@ -8,7 +8,7 @@
     from collections.abc import Mapping
 
 
-def water_level(demands: Mapping[str, tuple[float, float]], capacity: float) -> float:
+def max_min_level(demands: Mapping[str, tuple[float, float]], capacity: float) -> float:
     """Return the largest part per unit of weight that nobody needs to exceed.
 
     :param demands: demand and weight by name.
@@ -26,7 +26,7 @@
     return float("inf")
 
 
-def max_min(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
+def max_min_shares(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
     """Divide a capacity by max-min fairness; what nobody wants is divided evenly.
 
     :param demands: demand by name.
@@ -34,13 +34,13 @@
     """
     if not demands:
         return {}
-    level = water_level({name: (demand, 1.0) for name, demand in demands.items()}, capacity)
+    level = max_min_level({name: (demand, 1.0) for name, demand in demands.items()}, capacity)
     parts = {name: min(demand, level) for name, demand in demands.items()}
     extra = max(0.0, capacity - sum(parts.values())) / len(parts)
     return {name: part + extra for name, part in parts.items()}
 
 
-def whole_numbers(parts: Mapping[str, float], total: int) -> dict[str, int]:
+def round_to_total(parts: Mapping[str, float], total: int) -> dict[str, int]:
     """Round parts to whole numbers with the given sum, largest remainders first.
 
     :param parts: parts whose sum is the total.
--- a/src/briardyke/policy/speed.py
+++ b/src/briardyke/policy/latency.py
@@ -22,7 +22,7 @@
 FACTOR_LIMIT = 200.0
 
 
-class LearnedFactor:
+class LatencyFactor:
     """Track the ratio between observed and nominal time as a moving geometric mean."""
 
     def __init__(self) -> None:
@@ -36,7 +36,7 @@
 
     def value(self, now_ms: float) -> float:
         """Return the factor; above 1 is slower than nominal."""
-        return math.exp(self._log * self._kept(now_ms))
+        return math.exp(self._log * self._remaining_weight(now_ms))
 
     def observe(self, ratio: float, now_ms: float) -> None:
         """Include one observation.
@@ -46,13 +46,13 @@
         """
         log = math.log(min(FACTOR_LIMIT, max(1.0 / FACTOR_LIMIT, ratio)))
         # What has been forgotten does not weigh against the new observation either.
-        kept = self._kept(now_ms)
-        self._count = self._count * kept + 1.0
+        remaining = self._remaining_weight(now_ms)
+        self._count = self._count * remaining + 1.0
         gain = max(MINIMUM_GAIN, 1.0 / self._count)
-        self._log = self._log * kept + gain * (log - self._log * kept)
+        self._log = self._log * remaining + gain * (log - self._log * remaining)
         self._updated_ms = now_ms
 
-    def _kept(self, now_ms: float) -> float:
+    def _remaining_weight(self, now_ms: float) -> float:
         idle_ms = now_ms - self._updated_ms
         if idle_ms <= FORGET_AFTER_MS:
             return 1.0
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -23,7 +23,7 @@
 
 
 @attrs.define
-class _Use:
+class _CallerUse:
     """Count what one caller uses and wants of one limit.
 
     :param requests: bucket for the request rate.
@@ -54,7 +54,7 @@
         self._by_scope: dict[tuple[str, str, str], list[str]] = {}
         self._shares: dict[tuple[str, str], LimitShare] = {}
         self._expires_at_ms = float("-inf")
-        self._uses: dict[tuple[str, str], _Use] = {}
+        self._uses: dict[tuple[str, str], _CallerUse] = {}
         self._permits: dict[int, Permit] = {}
         self._next_permit_id = 1
 
@@ -77,7 +77,7 @@
                 scope = (limit.caller, limit.model, limit.adapter)
                 self._by_scope.setdefault(scope, []).append(limit_id)
         self._shares = {
-            (share.limit_id, share.caller): _cut(share, limits[share.limit_id])
+            (share.limit_id, share.caller): _cap_share(share, limits[share.limit_id])
             for share in shares
             if share.limit_id in limits
         }
@@ -97,7 +97,7 @@
         if self._expires_at_ms == float("-inf"):
             text = "no configuration has been received yet"
             return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, text, retry_after_ms=1000))
-        limit_ids = self._matching(request)
+        limit_ids = self._matching_limits(request)
         failure: Failure | None = None
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
@@ -188,7 +188,7 @@
                 report.append(LimitShare(limit_id, caller, IN_USE_VERSION, None, use.in_use, None))
         return report
 
-    def _matching(self, request: LimitRequest) -> list[str]:
+    def _matching_limits(self, request: LimitRequest) -> list[str]:
         callers = dict.fromkeys((request.caller, ANY))
         models = dict.fromkeys((request.model, ANY))
         adapters = dict.fromkeys((request.adapter, ANY))
@@ -203,19 +203,19 @@
     def _share(self, limit_id: str, caller: str) -> LimitShare | None:
         return self._shares.get((limit_id, caller)) or self._shares.get((limit_id, ANY))
 
-    def _use(self, limit_id: str, caller: str) -> _Use:
+    def _use(self, limit_id: str, caller: str) -> _CallerUse:
         use = self._uses.get((limit_id, caller))
         if use is None:
-            use = self._uses[limit_id, caller] = _Use()
+            use = self._uses[limit_id, caller] = _CallerUse()
             self._set_rates(use, self._share(limit_id, caller))
         return use
 
     @staticmethod
-    def _set_rates(use: _Use, share: LimitShare | None) -> None:
+    def _set_rates(use: _CallerUse, share: LimitShare | None) -> None:
         use.requests.set_rate((share.requests_per_second or 0.0) if share else 0.0)
         use.tokens.set_rate((share.tokens_per_second or 0.0) if share else 0.0)
 
-    def _check(self, limit_id: str, caller: str, use: _Use, now_ms: float) -> Failure | None:
+    def _check(self, limit_id: str, caller: str, use: _CallerUse, now_ms: float) -> Failure | None:
         limit = self._limits[limit_id]
         share = self._share(limit_id, caller) if now_ms < self._expires_at_ms else None
         waits: list[int] = []
@@ -244,15 +244,15 @@
         return None
 
 
-def _cut(share: LimitShare, limit: Limit) -> LimitShare:
-    concurrent = _lower(share.concurrent_requests, limit.concurrent_requests)
+def _cap_share(share: LimitShare, limit: Limit) -> LimitShare:
+    concurrent = _minimum(share.concurrent_requests, limit.concurrent_requests)
     return attrs.evolve(
         share,
-        requests_per_second=_lower(share.requests_per_second, limit.requests_per_second),
+        requests_per_second=_minimum(share.requests_per_second, limit.requests_per_second),
         concurrent_requests=None if concurrent is None else int(concurrent),
-        tokens_per_second=_lower(share.tokens_per_second, limit.tokens_per_second),
+        tokens_per_second=_minimum(share.tokens_per_second, limit.tokens_per_second),
     )
 
 
-def _lower(share: float | None, limit: float | None) -> float | None:
+def _minimum(share: float | None, limit: float | None) -> float | None:
     return share if share is None or limit is None else min(share, limit)
--- a/src/briardyke/policy/prefixes.py
+++ b/src/briardyke/policy/prefixes.py
@@ -11,7 +11,7 @@
     from briardyke.wire.messages import CacheEvent
 
 # About 6 MB at the most, well inside the 256 MB of a process.
-CAPACITY = 20_000
+PREFIX_CAPACITY = 20_000
 HOLDERS_PER_PREFIX = 4
 # Entries from before a gap in the events may have been evicted without notice.
 CONFIDENCE_AFTER_GAP = 0.5
@@ -23,19 +23,19 @@
     :param capacity: largest number of prefixes; the least recently used one is dropped.
     """
 
-    def __init__(self, capacity: int = CAPACITY) -> None:
+    def __init__(self, capacity: int = PREFIX_CAPACITY) -> None:
         self._capacity = capacity
         self._holders: OrderedDict[int, dict[str, tuple[int, float]]] = OrderedDict()
         self._sequences: dict[str, int] = {}
         # A new number after each forgotten cache makes older entries of that upstream invalid.
         self._epochs: dict[str, int] = {}
         self._next_epoch = 0
-        self._gap_ms: dict[str, float] = {}
+        self._gap_at_ms: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._holders)
 
-    def stored(self, upstream_id: str, hashes: Sequence[int], now_ms: float) -> None:
+    def record_stored(self, upstream_id: str, hashes: Sequence[int], now_ms: float) -> None:
         """Record that an upstream holds these prefixes."""
         epoch = self._epochs.get(upstream_id)
         if epoch is None:
@@ -66,10 +66,10 @@
             if last is not None and event.sequence <= last:
                 continue
             if last is not None and event.sequence > last + 1:
-                self._gap_ms[upstream_id] = now_ms
+                self._gap_at_ms[upstream_id] = now_ms
             last = event.sequence
             if event.kind == "stored":
-                self.stored(upstream_id, (event.prefix_hash,), now_ms)
+                self.record_stored(upstream_id, (event.prefix_hash,), now_ms)
             else:
                 self._holders.get(event.prefix_hash, {}).pop(upstream_id, None)
         if last is not None:
@@ -79,9 +79,9 @@
         """Drop everything about an upstream, whose cache is gone."""
         self._epochs.pop(upstream_id, None)
         self._sequences.pop(upstream_id, None)
-        self._gap_ms.pop(upstream_id, None)
+        self._gap_at_ms.pop(upstream_id, None)
 
-    def cached_shares(self, hashes: Sequence[int]) -> dict[str, float]:
+    def cached_fractions(self, hashes: Sequence[int]) -> dict[str, float]:
         """Return the probable cached part of a prompt by upstream, 0 to 1.
 
         :param hashes: hashes of the prompt's prefixes, shortest first.
@@ -91,12 +91,12 @@
             holders = self._holders.get(hashes[position])
             if not holders:
                 continue
-            share = (position + 1) / len(hashes)
+            fraction = (position + 1) / len(hashes)
             for upstream_id, (epoch, stored_ms) in holders.items():
                 if upstream_id in found or epoch != self._epochs.get(upstream_id):
                     continue
-                confident = stored_ms > self._gap_ms.get(upstream_id, -1.0)
-                found[upstream_id] = share if confident else share * CONFIDENCE_AFTER_GAP
+                confident = stored_ms > self._gap_at_ms.get(upstream_id, -1.0)
+                found[upstream_id] = fraction if confident else fraction * CONFIDENCE_AFTER_GAP
             if len(found) >= HOLDERS_PER_PREFIX:
                 break
         return found
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -9,12 +9,18 @@
 
 from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
-from briardyke.policy.directory import Directory, Group
+from briardyke.policy.latency import nominal_between_tokens_ms
 from briardyke.policy.prefixes import PrefixMap
-from briardyke.policy.selection import REMOTE_MS, SPREAD, admit_by_health, cost, pick_by_cost
-from briardyke.policy.speed import nominal_between_tokens_ms
+from briardyke.policy.selection import (
+    COST_SPREAD,
+    REMOTE_ROUND_TRIP_MS,
+    filter_by_health,
+    forecast_cost,
+    pick_by_cost,
+)
 from briardyke.policy.types import AttemptOutcome, RoutingPolicy
-from briardyke.policy.upstreams import Attempt, Forecast, Upstream
+from briardyke.policy.upstream_index import CandidateGroup, UpstreamIndex
+from briardyke.policy.upstreams import Attempt, Forecast, UpstreamState
 
 if TYPE_CHECKING:
     import random
@@ -25,7 +31,7 @@
 UPSTREAM_SILENCE_MS = 3000.0
 # Up to this many candidates are all looked at; of more, this many are sampled, half of them from
 # the own data centre, which keeps the cost of a decision independent of the number of upstreams.
-CANDIDATES = 10
+CANDIDATE_LIMIT = 10
 # Requests of all instances per request of this one; limited because the estimate is coarse.
 OTHERS_FACTOR_LIMIT = 16.0
 # Own attempts in flight are averaged over about this part of a report each.
@@ -33,7 +39,7 @@
 OWN_MEAN_MINIMUM = 1.0
 # This part of the decisions tries a candidate that has not answered anything for a while, since a
 # request that goes elsewhere shows nothing about it.
-PROBE_PART = 0.01
+PROBE_FRACTION = 0.01
 PROBE_IDLE_MS = 5000.0
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
@@ -62,8 +68,8 @@
         self._own_data_centre = own_data_centre
         self._random = random
         self._silence_ms = upstream_silence_ms
-        self._upstreams: dict[str, Upstream] = {}
-        self._directory = Directory(own_data_centre)
+        self._upstreams: dict[str, UpstreamState] = {}
+        self._index = UpstreamIndex(own_data_centre)
         self._prefixes = PrefixMap()
         self._attempts: dict[str, Attempt] = {}
         self._by_priority: Counter[int] = Counter()
@@ -82,7 +88,7 @@
         as_of_ms = now_ms - row.age_ms
         upstream = self._upstreams.get(row.upstream_id)
         if upstream is None:
-            upstream = self._upstreams[row.upstream_id] = Upstream(row)
+            upstream = self._upstreams[row.upstream_id] = UpstreamState(row)
         elif upstream.row.incarnation != row.incarnation:
             if as_of_ms < upstream.as_of_ms:
                 return
@@ -93,14 +99,14 @@
         else:
             self._reported_total -= upstream.reported
         self._own_mean += OWN_MEAN_GAIN * (len(self._attempts) - self._own_mean)
-        upstream.accept(row, as_of_ms)
+        upstream.apply_report(row, as_of_ms)
         self._reported_total += upstream.reported
         if row.cache_events:
             self._prefixes.apply(row.upstream_id, row.cache_events, now_ms)
         if row.lifecycle == "ready" and now_ms - as_of_ms < self._silence_ms:
-            self._directory.place(row)
+            self._index.add(row)
         else:
-            self._directory.withdraw(row.upstream_id)
+            self._index.remove(row.upstream_id)
 
     def mark_alive(self, upstream_id: str, alive_ms: float) -> None:
         """Take evidence that an upstream is alive, without new load figures.
@@ -112,15 +118,15 @@
         if upstream is None or alive_ms <= upstream.alive_ms:
             return
         upstream.alive_ms = alive_ms
-        if upstream.row.lifecycle == "ready" and not self._directory.holds(upstream_id):
-            self._directory.place(upstream.row)
+        if upstream.row.lifecycle == "ready" and not self._index.contains(upstream_id):
+            self._index.add(upstream.row)
 
     def remove(self, upstream_id: str) -> None:
         """Forget an upstream; its running attempts end without effect on it."""
         upstream = self._upstreams.pop(upstream_id, None)
         if upstream is not None:
             self._reported_total -= upstream.reported
-            self._directory.withdraw(upstream_id)
+            self._index.remove(upstream_id)
             self._prefixes.forget(upstream_id)
 
     def choose(self, request: RouteRequest, now_ms: float) -> Result[str, Failure]:
@@ -140,7 +146,7 @@
             chosen = self._choose_baseline(group, request, now_ms)
             if chosen is not None:
                 return Ok(chosen)
-        return Err(self._explain(request, now_ms))
+        return Err(self._no_candidate(request, now_ms))
 
     def forecast(self, request: RouteRequest, now_ms: float) -> Forecast | None:
         """Return the best forecast among the candidates for a request, if there are any."""
@@ -149,7 +155,7 @@
         if not candidates:
             return None
         forecasts = self._forecasts(candidates, request, now_ms)
-        return min(forecasts, key=cost)
+        return min(forecasts, key=forecast_cost)
 
     def begin(
         self, attempt_id: str, upstream_id: str, request: RouteRequest, now_ms: float
@@ -166,14 +172,14 @@
             now_ms,
             forecast.first_token_ms,
             upstream.first_token.value(now_ms),
-            nominal_between_tokens_ms(upstream.load(self._others_factor()) + 1.0),
+            nominal_between_tokens_ms(upstream.estimated_load(self._others_factor()) + 1.0),
         )
         self._attempts[attempt_id] = attempt
         upstream.waiting[attempt_id] = attempt
-        upstream.count(1, now_ms)
+        upstream.count_attempt(1, now_ms)
         self._by_priority[request.priority] += 1
         if request.prefix_hashes:
-            self._prefixes.stored(upstream_id, request.prefix_hashes, now_ms)
+            self._prefixes.record_stored(upstream_id, request.prefix_hashes, now_ms)
 
     def first_token(self, attempt_id: str, now_ms: float) -> None:
         """Learn from the time to the first token of an attempt."""
@@ -185,7 +191,7 @@
         if upstream is not None:
             upstream.waiting.pop(attempt_id, None)
             ratio = max(0.1, now_ms - attempt.began_ms) / max(0.1, attempt.predicted_ms)
-            upstream.first_token.observe(attempt.first_factor * ratio, now_ms)
+            upstream.first_token.observe(attempt.first_token_factor * ratio, now_ms)
 
     def finish(self, attempt_id: str, outcome: AttemptOutcome, tokens: int, now_ms: float) -> None:
         """End an attempt and learn from its outcome.
@@ -203,15 +209,15 @@
         if upstream is None:
             return
         upstream.waiting.pop(attempt_id, None)
-        upstream.count(-1, now_ms)
+        upstream.count_attempt(-1, now_ms)
         if attempt.first_token_ms is not None and tokens > 1:
             gap_ms = max(0.1, now_ms - attempt.first_token_ms) / (tokens - 1)
             upstream.between_tokens.observe(gap_ms / attempt.nominal_gap_ms, now_ms)
         if outcome is AttemptOutcome.COMPLETED:
-            upstream.gate.record_success(now_ms)
+            upstream.health.record_success(now_ms)
             self._mean_tokens += MEAN_TOKENS_GAIN * (tokens - self._mean_tokens)
         elif outcome is not AttemptOutcome.CANCELLED:
-            upstream.gate.record_failure(now_ms)
+            upstream.health.record_failure(now_ms)
 
     def address(self, upstream_id: str) -> Address:
         """Return where an upstream listens.
@@ -224,63 +230,65 @@
         """Drop upstreams from the index whose evidence has become too old."""
         for upstream_id, upstream in self._upstreams.items():
             if now_ms - upstream.alive_ms >= self._silence_ms:
-                self._directory.withdraw(upstream_id)
+                self._index.remove(upstream_id)
 
-    def _restarted(self, upstream: Upstream, row: UpstreamRow) -> Upstream:
+    def _restarted(self, upstream: UpstreamState, row: UpstreamRow) -> UpstreamState:
         self._prefixes.forget(row.upstream_id)
-        self._directory.withdraw(row.upstream_id)
-        fresh = Upstream(row)
-        fresh.gate = upstream.gate
+        self._index.remove(row.upstream_id)
+        fresh = UpstreamState(row)
+        fresh.health = upstream.health
         self._upstreams[row.upstream_id] = fresh
         return fresh
 
-    def _current(self, attempt: Attempt) -> Upstream | None:
+    def _current(self, attempt: Attempt) -> UpstreamState | None:
         upstream = self._upstreams.get(attempt.upstream_id)
         if upstream is None or upstream.row.incarnation != attempt.incarnation:
             return None
         return upstream
 
-    def _group(self, request: RouteRequest) -> Group | None:
+    def _group(self, request: RouteRequest) -> CandidateGroup | None:
         if request.service:
-            return self._directory.by_patterns(request.patterns)
-        return self._directory.by_item(request.adapter or request.model)
+            return self._index.by_patterns(request.patterns)
+        return self._index.by_item(request.adapter or request.model)
 
     def _usable(self, upstream_id: str, now_ms: float) -> bool:
         upstream = self._upstreams[upstream_id]
         if now_ms - upstream.alive_ms < self._silence_ms:
             return True
-        self._directory.withdraw(upstream_id)
+        self._index.remove(upstream_id)
         return False
 
-    def _candidates(self, group: Group, request: RouteRequest, now_ms: float) -> list[Upstream]:
-        everywhere = group.everywhere
-        if len(everywhere) <= CANDIDATES:
-            ids = list(everywhere)
+    def _candidates(
+        self, group: CandidateGroup, request: RouteRequest, now_ms: float
+    ) -> list[UpstreamState]:
+        all_ids = group.all_ids
+        if len(all_ids) <= CANDIDATE_LIMIT:
+            ids = list(all_ids)
         else:
-            half = CANDIDATES // 2
-            holders = self._prefixes.cached_shares(request.prefix_hashes)
+            half = CANDIDATE_LIMIT // 2
+            holders = self._prefixes.cached_fractions(request.prefix_hashes)
             ids = list(
                 {
-                    **dict.fromkeys(group.local.sample(half, self._random)),
-                    **dict.fromkeys(everywhere.sample(half, self._random)),
-                    **dict.fromkeys(i for i in holders if i in everywhere),
+                    **dict.fromkeys(group.local_ids.sample(half, self._random)),
+                    **dict.fromkeys(all_ids.sample(half, self._random)),
+                    **dict.fromkeys(i for i in holders if i in all_ids),
                 }
             )
         usable = self._filter(ids, request, now_ms)
-        if not usable and len(everywhere):
+        if not usable and len(all_ids):
             # Only when every sampled candidate is silent or excluded.
-            usable = self._filter(list(everywhere), request, now_ms)[:CANDIDATES]
+            usable = self._filter(list(all_ids), request, now_ms)[:CANDIDATE_LIMIT]
         return usable
 
-    def _filter(self, ids: list[str], request: RouteRequest, now_ms: float) -> list[Upstream]:
+    def _filter(self, ids: list[str], request: RouteRequest, now_ms: float) -> list[UpstreamState]:
         return [
             self._upstreams[i] for i in ids if i not in request.excluded and self._usable(i, now_ms)
         ]
 
     def _forecasts(
-        self, candidates: list[Upstream], request: RouteRequest, now_ms: float
+        self, candidates: list[UpstreamState], request: RouteRequest, now_ms: float
     ) -> list[Forecast]:
-        cached = self._prefixes.cached_shares(request.prefix_hashes)
+        cached = self._prefixes.cached_fractions(request.prefix_hashes)
         others = self._others_factor()
         queue_share = self._queue_share(request.priority)
         return [
@@ -295,10 +303,10 @@
         ]
 
     def _choose_adaptive(
-        self, candidates: list[Upstream], request: RouteRequest, now_ms: float
+        self, candidates: list[UpstreamState], request: RouteRequest, now_ms: float
     ) -> str:
-        healthy = admit_by_health(candidates, now_ms, self._random)
-        if self._random.random() < PROBE_PART:
+        healthy = filter_by_health(candidates, now_ms, self._random)
+        if self._random.random() < PROBE_FRACTION:
             idle = [u for u in healthy if u.first_token.idle_ms(now_ms) > PROBE_IDLE_MS]
             if idle:
                 return self._random.choice(idle).row.upstream_id
@@ -308,16 +316,20 @@
         ):
             local = upstream.row.data_centre == self._own_data_centre
             if not local:
-                forecast = Forecast(forecast.first_token_ms + REMOTE_MS, forecast.between_tokens_ms)
-            costs.append((cost(forecast), local))
-        return healthy[pick_by_cost(costs, SPREAD, self._random)].row.upstream_id
-
-    def _choose_baseline(self, group: Group, request: RouteRequest, now_ms: float) -> str | None:
+                forecast = Forecast(
+                    forecast.first_token_ms + REMOTE_ROUND_TRIP_MS, forecast.between_tokens_ms
+                )
+            costs.append((forecast_cost(forecast), local))
+        return healthy[pick_by_cost(costs, COST_SPREAD, self._random)].row.upstream_id
+
+    def _choose_baseline(
+        self, group: CandidateGroup, request: RouteRequest, now_ms: float
+    ) -> str | None:
         if self._policy is RoutingPolicy.RANDOM_OF_TWO:
-            usable = self._filter(group.everywhere.sample(2, self._random), request, now_ms)
+            usable = self._filter(group.all_ids.sample(2, self._random), request, now_ms)
             if usable:
                 return min(usable, key=lambda u: max(u.own_in_flight, u.reported)).row.upstream_id
-        usable = self._filter(list(group.everywhere), request, now_ms)
+        usable = self._filter(list(group.all_ids), request, now_ms)
         if not usable:
             return None
         if self._policy is RoutingPolicy.LEAST_OUTSTANDING:
@@ -336,14 +348,14 @@
         ahead = sum(count for level, count in self._by_priority.items() if level >= priority)
         return ahead / total
 
-    def _explain(self, request: RouteRequest, now_ms: float) -> Failure:
+    def _no_candidate(self, request: RouteRequest, now_ms: float) -> Failure:
         name = request.service or request.adapter or request.model
         group = self._group(request)
-        tried = group is not None and any(self._usable(i, now_ms) for i in list(group.everywhere))
+        tried = group is not None and any(self._usable(i, now_ms) for i in list(group.all_ids))
         if (
             not request.service
             and not tried
-            and self._directory.any_engine(request.patterns, lambda i: self._usable(i, now_ms))
+            and self._index.any_engine(request.patterns, lambda i: self._usable(i, now_ms))
         ):
             return Failure(
                 ErrorKind.MODEL_LOADING,
--- a/src/briardyke/policy/selection.py
+++ b/src/briardyke/policy/selection.py
@@ -5,57 +5,57 @@
 import math
 from typing import TYPE_CHECKING
 
-from briardyke.policy.ejection import EJECTED_BELOW, LARGEST_EJECTED_SHARE
+from briardyke.policy.ejection import EJECTED_BELOW_WEIGHT, MAX_EJECTED_FRACTION
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
-    from briardyke.policy.upstreams import Forecast, Upstream
+    from briardyke.policy.upstreams import Forecast, UpstreamState
 
 FIRST_TOKEN_TARGET_MS = 640.0
 BETWEEN_TOKENS_TARGET_MS = 64.0
 # Above this part of a target the cost grows steeply, since the request is likely to miss it.
-STEEP_ABOVE = 0.7
-STEEP_FACTOR = 5.0
+STEEP_COST_ABOVE = 0.7
+STEEP_COST_FACTOR = 5.0
 # Spread of the choice: a candidate that costs this much more is chosen 1/e as often. Instances
 # that see the same reports would otherwise all pick the same upstream.
-SPREAD = 0.05
+COST_SPREAD = 0.05
 # An upstream in another data centre is chosen less often when a local one costs no more.
 REMOTE_WEIGHT = 0.25
 # Round trip between data centres.
-REMOTE_MS = 2.0
+REMOTE_ROUND_TRIP_MS = 2.0
 
 
-def cost(forecast: Forecast) -> float:
+def forecast_cost(forecast: Forecast) -> float:
     """Return how close a forecast comes to missing the targets; lower is better."""
     total = 0.0
     for part in (
         forecast.first_token_ms / FIRST_TOKEN_TARGET_MS,
         forecast.between_tokens_ms / BETWEEN_TOKENS_TARGET_MS,
     ):
-        total += part + STEEP_FACTOR * max(0.0, part - STEEP_ABOVE)
+        total += part + STEEP_COST_FACTOR * max(0.0, part - STEEP_COST_ABOVE)
     return total
 
 
-def admit_by_health(
-    candidates: Sequence[Upstream], now_ms: float, source: random.Random
-) -> list[Upstream]:
+def filter_by_health(
+    candidates: Sequence[UpstreamState], now_ms: float, source: random.Random
+) -> list[UpstreamState]:
     """Leave out ejected upstreams at random by their weight, at most half of the candidates.
 
     :param candidates: usable upstreams.
     :param now_ms: current time.
     :param source: source of randomness.
     """
-    refused: list[tuple[float, Upstream]] = []
-    kept: list[Upstream] = []
+    refused: list[tuple[float, UpstreamState]] = []
+    kept: list[UpstreamState] = []
     for upstream in candidates:
-        weight = upstream.gate.weight(now_ms)
-        if weight < EJECTED_BELOW * 2.0 and source.random() >= weight:
+        weight = upstream.health.weight(now_ms)
+        if weight < EJECTED_BELOW_WEIGHT * 2.0 and source.random() >= weight:
             refused.append((weight, upstream))
         else:
             kept.append(upstream)
-    removable = int(len(candidates) * LARGEST_EJECTED_SHARE)
+    removable = int(len(candidates) * MAX_EJECTED_FRACTION)
     if len(refused) > removable:
         refused.sort(key=lambda pair: pair[0])
         kept.extend(upstream for _, upstream in refused[removable:])
@@ -70,11 +70,11 @@
     :param source: source of randomness.
     """
     lowest = min(value for value, _ in costs)
-    local_is_free = any(local and value <= lowest + spread for value, local in costs)
+    prefer_local = any(local and value <= lowest + spread for value, local in costs)
     weights = []
     for value, local in costs:
         weight = math.exp(-(value - lowest) / spread)
-        weights.append(weight if local or not local_is_free else weight * REMOTE_WEIGHT)
+        weights.append(weight if local or not prefer_local else weight * REMOTE_WEIGHT)
     point = source.random() * sum(weights)
     for index, weight in enumerate(weights):
         point -= weight
--- a/src/briardyke/policy/beliefs.py
+++ b/src/briardyke/policy/share_bounds.py
@@ -17,7 +17,7 @@
     total: float
 
 
-class Belief:
+class ShareBound:
     """Bound one instance's share of one quantity from grants and reports.
 
     A grant that was sent may be lost, or arrive later, so until the instance's lease ends it counts
@@ -33,15 +33,15 @@
         self._reported = 0.0
         self._in_use = 0.0
 
-    def copy(self) -> Belief:
+    def copy(self) -> ShareBound:
         """Return an independent copy."""
-        other = Belief()
+        other = ShareBound()
         other._grants = list(self._grants)
         other._in_use = self._in_use
         other._reported = self._reported
         return other
 
-    def reported(self, value: float, in_use: float) -> None:
+    def record_report(self, value: float, in_use: float) -> None:
         """Take an instance's own statement of what it holds.
 
         Repeating an unchanged statement has no effect, so it may be left out.
@@ -60,17 +60,17 @@
         self._reported = value
         self._in_use = in_use
 
-    def granted(self, value: float, total: float) -> None:
+    def record_grant(self, value: float, total: float) -> None:
         """Record a grant that is about to be sent."""
         last = self._grants[-1] if self._grants else None
         if last is None or last.value != value or last.total != total:
             self._grants.append(_Granted(value, total))
 
-    def confirmed(self) -> float:
+    def last_reported(self) -> float:
         """Return the value of the last report."""
         return self._reported
 
-    def largest(self) -> float:
+    def upper_bound(self) -> float:
         """Return the largest share that the instance may use."""
         largest = self._reported
         if self._in_use > largest:
@@ -80,14 +80,14 @@
                 largest = grant.value
         return largest
 
-    def entitled(self, total: float = sys.float_info.max) -> float:
+    def largest_grant(self, total: float = sys.float_info.max) -> float:
         """Return the largest grant of this leader, whatever the instance reported.
 
         :param total: leaves out what was granted under a higher limit.
         """
         return max((g.value for g in self._grants if g.total <= total), default=0.0)
 
-    def only(self) -> float | None:
+    def exact(self) -> float | None:
         """Return the share if there is no doubt about it, otherwise ``None``."""
         values = {grant.value for grant in self._grants}
         values.update((self._reported, max(self._reported, self._in_use)))
--- a/src/briardyke/policy/directory.py
+++ b/src/briardyke/policy/upstream_index.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.agreed.configuration import may_carry
-from briardyke.policy.indexed import IndexedSet
+from briardyke.policy.indexed_set import IndexedSet
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,33 +14,33 @@
     from briardyke.wire.messages import UpstreamRow
 
 # Sets of patterns of plain services that are kept; there is one per configured service.
-PATTERN_SETS_KEPT = 256
+PATTERN_GROUP_LIMIT = 256
 
 
-class Group:
+class CandidateGroup:
     """Hold the upstreams that can serve one model, adapter or service.
 
     :param own_data_centre: data centre of this process.
     """
 
     def __init__(self) -> None:
-        self.everywhere = IndexedSet()
-        self.local = IndexedSet()
+        self.all_ids = IndexedSet()
+        self.local_ids = IndexedSet()
         self.cursor = 0
 
     def add(self, upstream_id: str, local: bool) -> None:
         """Add an upstream."""
-        self.everywhere.add(upstream_id)
+        self.all_ids.add(upstream_id)
         if local:
-            self.local.add(upstream_id)
+            self.local_ids.add(upstream_id)
 
     def discard(self, upstream_id: str) -> None:
         """Remove an upstream."""
-        self.everywhere.discard(upstream_id)
-        self.local.discard(upstream_id)
+        self.all_ids.discard(upstream_id)
+        self.local_ids.discard(upstream_id)
 
 
-class Directory:
+class UpstreamIndex:
     """Keep groups by item name and by service patterns.
 
     :param own_data_centre: data centre of this process.
@@ -48,13 +48,13 @@
 
     def __init__(self, own_data_centre: str) -> None:
         self._own_data_centre = own_data_centre
-        self._by_item: dict[str, Group] = {}
-        self._by_patterns: OrderedDict[tuple[str, ...], Group] = OrderedDict()
+        self._by_item: dict[str, CandidateGroup] = {}
+        self._by_patterns: OrderedDict[tuple[str, ...], CandidateGroup] = OrderedDict()
         self._services: dict[str, bool] = {}
         self._items: dict[str, frozenset[str]] = {}
         self.engines = IndexedSet()
 
-    def place(self, row: UpstreamRow) -> None:
+    def add(self, row: UpstreamRow) -> None:
         """Index an upstream that may receive work, by its latest report."""
         upstream_id = row.upstream_id
         local = row.data_centre == self._own_data_centre
@@ -72,36 +72,36 @@
             return
         self._items[upstream_id] = items
         for name in before - items:
-            self._leave(name, upstream_id)
+            self._remove_from_item(name, upstream_id)
         for name in items - before:
-            self._by_item.setdefault(name, Group()).add(upstream_id, local)
+            self._by_item.setdefault(name, CandidateGroup()).add(upstream_id, local)
 
-    def holds(self, upstream_id: str) -> bool:
+    def contains(self, upstream_id: str) -> bool:
         """Return whether an upstream is placed."""
         return upstream_id in self._services or upstream_id in self.engines
 
-    def withdraw(self, upstream_id: str) -> None:
+    def remove(self, upstream_id: str) -> None:
         """Remove an upstream that may not receive work."""
         if self._services.pop(upstream_id, None) is not None:
             for group in self._by_patterns.values():
                 group.discard(upstream_id)
         self.engines.discard(upstream_id)
         for name in self._items.pop(upstream_id, frozenset()):
-            self._leave(name, upstream_id)
+            self._remove_from_item(name, upstream_id)
 
-    def by_item(self, name: str) -> Group | None:
+    def by_item(self, name: str) -> CandidateGroup | None:
         """Return the engines that have an item loaded, if any."""
         return self._by_item.get(name)
 
-    def by_patterns(self, patterns: tuple[str, ...]) -> Group:
+    def by_patterns(self, patterns: tuple[str, ...]) -> CandidateGroup:
         """Return the plain services whose ids match any of the patterns."""
         group = self._by_patterns.get(patterns)
         if group is None:
-            group = self._by_patterns[patterns] = Group()
+            group = self._by_patterns[patterns] = CandidateGroup()
             for upstream_id, local in self._services.items():
                 if may_carry(patterns, upstream_id):
                     group.add(upstream_id, local)
-            if len(self._by_patterns) > PATTERN_SETS_KEPT:
+            if len(self._by_patterns) > PATTERN_GROUP_LIMIT:
                 self._by_patterns.popitem(last=False)
         else:
             self._by_patterns.move_to_end(patterns)
@@ -118,9 +118,9 @@
             for upstream_id in list(self.engines)
         )
 
-    def _leave(self, name: str, upstream_id: str) -> None:
+    def _remove_from_item(self, name: str, upstream_id: str) -> None:
         group = self._by_item.get(name)
         if group is not None:
             group.discard(upstream_id)
-            if not len(group.everywhere):
+            if not len(group.all_ids):
                 del self._by_item[name]
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -8,8 +8,8 @@
 import attrs
 
 from briardyke.policy.ejection import UpstreamHealth
-from briardyke.policy.speed import (
-    LearnedFactor,
+from briardyke.policy.latency import (
+    LatencyFactor,
     nominal_between_tokens_ms,
     nominal_first_token_ms,
 )
@@ -19,9 +19,9 @@
     from briardyke.wire.messages import UpstreamRow
 
 # Own dispatches and ends kept to correct a report; more than this within its age is not expected.
-CHANGES_KEPT = 1024
+CHANGE_LIMIT = 1024
 # An own change of this size counts half for what other instances did: small changes are chance.
-DOUBTFUL_CHANGE = 1.0
+HALF_WEIGHT_CHANGE = 1.0
 # A forecast is at most multiplied by this when an attempt waits longer than predicted.
 OVERDUE_LIMIT = 50.0
 MINIMUM_SLOTS = 4
@@ -36,7 +36,7 @@
     :param route: what the request needs.
     :param began_ms: time of dispatch.
     :param predicted_ms: predicted time to the first token.
-    :param first_factor: first-token factor used in the prediction.
+    :param first_token_factor: first-token factor used in the prediction.
     :param nominal_gap_ms: nominal time between tokens at dispatch.
     :param first_token_ms: time of the first token, once there is one.
     """
@@ -46,7 +46,7 @@
     route: RouteRequest
     began_ms: float
     predicted_ms: float
-    first_factor: float
+    first_token_factor: float
     nominal_gap_ms: float
     first_token_ms: float | None = None
 
@@ -64,7 +64,7 @@
     idle_between_tokens_ms: float = 0.0
 
 
-class Upstream:
+class UpstreamState:
     """Combine an upstream's last report with what this process sent to it.
 
     :param row: first report.
@@ -74,13 +74,13 @@
         self.row = row
         self.as_of_ms = float("-inf")  # of the load figures
         self.alive_ms = float("-inf")  # of the evidence that it is alive
-        self.gate = UpstreamHealth()
-        self.first_token = LearnedFactor()
-        self.between_tokens = LearnedFactor()
+        self.health = UpstreamHealth()
+        self.first_token = LatencyFactor()
+        self.between_tokens = LatencyFactor()
         self.own_in_flight = 0
         self.waiting: dict[str, Attempt] = {}
         self.slots: int | None = None
-        self._changes: deque[tuple[float, int]] = deque(maxlen=CHANGES_KEPT)
+        self._changes: deque[tuple[float, int]] = deque(maxlen=CHANGE_LIMIT)
         self._net_change = 0
 
     @property
@@ -88,7 +88,7 @@
         """Return the number of requests in the last report."""
         return self.row.in_flight + self.row.queued
 
-    def accept(self, row: UpstreamRow, as_of_ms: float) -> None:
+    def apply_report(self, row: UpstreamRow, as_of_ms: float) -> None:
         """Take a newer report and drop own changes that it already includes.
 
         :param row: the report.
@@ -104,15 +104,15 @@
         elif self.slots is not None and row.in_flight > self.slots:
             self.slots = row.in_flight
 
-    def count(self, change: int, now_ms: float) -> None:
+    def count_attempt(self, change: int, now_ms: float) -> None:
         """Count an own dispatch (+1) or an own end (-1)."""
         self.own_in_flight = max(0, self.own_in_flight + change)
-        if len(self._changes) == CHANGES_KEPT:
+        if len(self._changes) == CHANGE_LIMIT:
             self._net_change -= self._changes.popleft()[1]
         self._changes.append((now_ms, change))
         self._net_change += change
 
-    def load(self, others_factor: float) -> float:
+    def estimated_load(self, others_factor: float) -> float:
         """Return the estimated number of requests at the upstream now.
 
         Other instances see the same reports and behave alike, so what this instance added since
@@ -121,7 +121,7 @@
         :param others_factor: requests of all instances per request of this instance.
         """
         change = self._net_change
-        others = (others_factor - 1.0) * change * (abs(change) / (abs(change) + DOUBTFUL_CHANGE))
+        others = (others_factor - 1.0) * change * (abs(change) / (abs(change) + HALF_WEIGHT_CHANGE))
         return max(float(self.own_in_flight), self.reported + change + others)
 
     def forecast(
@@ -135,12 +135,12 @@
         """Predict the latencies of one more request.
 
         :param uncached_tokens: prompt tokens that are probably not cached.
-        :param others_factor: see :meth:`load`.
+        :param others_factor: see :meth:`estimated_load`.
         :param queue_share: part of the queue that has at least the request's priority.
         :param mean_tokens: usual number of generated tokens.
         :param now_ms: current time.
         """
-        load = self.load(others_factor)
+        load = self.estimated_load(others_factor)
         slots = self.slots
         running = load if slots is None else min(load, float(slots))
         queued = (load - running) * queue_share
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -6,7 +6,7 @@
 
 from briardyke.errors import ErrorKind
 from briardyke.policy.admission import AdmissionController
-from briardyke.policy.ejection import LARGEST_EJECTED_SHARE, MINIMUM_WEIGHT, UpstreamHealth
+from briardyke.policy.ejection import MAX_EJECTED_FRACTION, MINIMUM_WEIGHT, UpstreamHealth
 from briardyke.policy.retries import RetryBudget
 from briardyke.policy.routing import RoutingTable
 from briardyke.policy.types import AdmissionRequest, RouteRequest, RoutingPolicy
@@ -107,4 +107,4 @@
         assert flapping.weight(16_000.0) < first.weight(16_000.0)
 
     def test_the_largest_ejected_share_is_stated(self) -> None:
-        assert LARGEST_EJECTED_SHARE == 0.5
+        assert MAX_EJECTED_FRACTION == 0.5
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -16,13 +16,13 @@
 LARGEST_REQUEST_TOKENS = 3000
 
 
-class LedgerMachine(RuleBasedStateMachine):
+class LimiterMachine(RuleBasedStateMachine):
     """Guards against admissions beyond share times time plus the stated burst, in any window."""
 
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.ledger = RequestLimiter()
+        self.limiter = RequestLimiter()
         self.share = LimitShare("l", "*", 1, 0.0, 0, 0.0)
         self.expires_ms = float("-inf")
         self.open: list[Permit] = []
@@ -41,11 +41,11 @@
     def apply(self, rate: float, concurrent: int) -> None:
         self.share = LimitShare("l", "*", 1, rate, concurrent, rate * 100.0)
         self.expires_ms = self.now + 6000.0
-        self.ledger.apply(LIMITS, [self.share], self.expires_ms)
+        self.limiter.apply(LIMITS, [self.share], self.expires_ms)
 
     @rule(tokens=st.sampled_from((0, 50, 900, LARGEST_REQUEST_TOKENS)))
     def admit(self, tokens: int) -> None:
-        result = self.ledger.admit(LimitRequest("x", "m", "a", tokens), self.now)
+        result = self.limiter.admit(LimitRequest("x", "m", "a", tokens), self.now)
         if result.is_ok():
             assert self.now < self.expires_ms
             assert len(self.open) < (self.share.concurrent_requests or 0)
@@ -63,8 +63,8 @@
             permit = self.open.pop()
             used = int(permit.request.estimated_tokens * part)
             self.used[1] += used - permit.request.estimated_tokens
-            self.ledger.release(permit, used, self.now)
-            self.ledger.release(permit, used, self.now)
+            self.limiter.release(permit, used, self.now)
+            self.limiter.release(permit, used, self.now)
 
     @invariant()
     def within_share_and_burst(self) -> None:
@@ -77,29 +77,29 @@
                 self.reference[index] = min(self.reference[index], gap)
 
 
-LedgerMachine.TestCase.settings = settings(
+LimiterMachine.TestCase.settings = settings(
     derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
 )
-TestLedgerMachine = LedgerMachine.TestCase
+TestLimiterMachine = LimiterMachine.TestCase
 
 
-def ledger_with(limits: dict[str, Limit], *shares: LimitShare) -> RequestLimiter:
-    ledger = RequestLimiter()
-    ledger.apply(limits, shares, 6000.0)
-    return ledger
+def limiter_with(limits: dict[str, Limit], *shares: LimitShare) -> RequestLimiter:
+    limiter = RequestLimiter()
+    limiter.apply(limits, shares, 6000.0)
+    return limiter
 
 
-class TestLimitLedger:
+class TestRequestLimiter:
     """Guards against limits that match the wrong requests or charge them wrongly."""
 
     request = LimitRequest("x", "m", "a", 10)
 
     def test_nothing_is_admitted_without_a_valid_share(self) -> None:
         """Guards against a cut-off instance admitting beyond its lease."""
-        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 5.0, 5, 500.0))
-        assert ledger.admit(self.request, 5999.0).is_ok()
-        assert ledger.admit(self.request, 6000.0).is_err()
-        assert ledger_with(LIMITS).admit(self.request, 0.0).is_err()
+        limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 5.0, 5, 500.0))
+        assert limiter.admit(self.request, 5999.0).is_ok()
+        assert limiter.admit(self.request, 6000.0).is_err()
+        assert limiter_with(LIMITS).admit(self.request, 0.0).is_err()
 
     def test_only_matching_limits_apply(self) -> None:
         """Guards against a limit of one caller, model or adapter refusing another's request."""
@@ -108,75 +108,79 @@
             "model": Limit("*", "n", "*", 1.0),
             "adapter": Limit("*", "*", "b", 1.0),
         }
-        ledger = ledger_with(limits)
-        assert ledger.admit(self.request, 0.0).unwrap().limit_ids == ()
+        limiter = limiter_with(limits)
+        assert limiter.admit(self.request, 0.0).unwrap().limit_ids == ()
         for blocked in (("y", "m", "a"), ("x", "n", "a"), ("x", "m", "b")):
-            assert ledger.admit(LimitRequest(*blocked, 0), 0.0).is_err()
+            assert limiter.admit(LimitRequest(*blocked, 0), 0.0).is_err()
 
     def test_a_refusal_charges_no_limit(self) -> None:
         """Guards against a request that one limit refuses using up another."""
         limits = {"open": Limit("*", "*", "*", None, 1), "shut": Limit("x", "*", "*", None, 1)}
-        ledger = ledger_with(limits, LimitShare("open", "*", 1, None, 1, None))
-        assert ledger.admit(self.request, 0.0).is_err()
-        assert ledger.admit(LimitRequest("z", "m", "", 0), 0.0).is_ok()
+        limiter = limiter_with(limits, LimitShare("open", "*", 1, None, 1, None))
+        assert limiter.admit(self.request, 0.0).is_err()
+        assert limiter.admit(LimitRequest("z", "m", "", 0), 0.0).is_ok()
 
     def test_a_lowered_limit_cuts_an_older_share(self) -> None:
         """Guards against a share of an earlier version exceeding the limit in force."""
-        ledger = ledger_with({"l": Limit("*", "*", "*", None, 1)}, LimitShare("l", "x", 1, 9, 9, 9))
-        assert ledger.admit(self.request, 0.0).is_ok()
-        failure = ledger.admit(self.request, 0.0).unwrap_err()
+        limiter = limiter_with(
+            {"l": Limit("*", "*", "*", None, 1)}, LimitShare("l", "x", 1, 9, 9, 9)
+        )
+        assert limiter.admit(self.request, 0.0).is_ok()
+        failure = limiter.admit(self.request, 0.0).unwrap_err()
         assert failure.kind is ErrorKind.CONCURRENCY_LIMITED
 
     def test_retry_after_is_when_a_retry_succeeds(self) -> None:
         """Guards against callers being told to return too early or too late."""
         share = LimitShare("l", "*", 1, 2.0, 8, 2000.0)
-        ledger = ledger_with(LIMITS, share)
-        assert ledger.admit(self.request, 0.0).is_ok()
-        wait = ledger.admit(self.request, 0.0).unwrap_err().retry_after_ms
+        limiter = limiter_with(LIMITS, share)
+        assert limiter.admit(self.request, 0.0).is_ok()
+        wait = limiter.admit(self.request, 0.0).unwrap_err().retry_after_ms
         assert wait == 500
-        assert ledger.admit(self.request, wait - 2.0).is_err()
-        assert ledger.admit(self.request, float(wait)).is_ok()
+        assert limiter.admit(self.request, wait - 2.0).is_err()
+        assert limiter.admit(self.request, float(wait)).is_ok()
 
     def test_demand_counts_refused_requests(self) -> None:
         """Guards against a refused burst staying invisible to the leader."""
-        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 0.0, 0, 0.0))
+        limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 0.0, 0, 0.0))
         for _ in range(20):
-            ledger.admit(self.request, 0.0)
-        (demand,) = ledger.take_demand(0.0)
+            limiter.admit(self.request, 0.0)
+        (demand,) = limiter.take_demand(0.0)
         assert demand.requests_per_second == 10.0 and demand.caller == "x"
 
     def test_a_higher_share_gives_no_credit_for_the_time_before(self) -> None:
         """Guards against a burst when a share moves from one instance to another."""
-        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 1.0, 8, 2000.0))
-        ledger.release(ledger.admit(self.request, 0.0).unwrap(), 0, 0.0)
-        ledger.apply(LIMITS, [LimitShare("l", "*", 1, 20.0, 8, 2000.0)], 9000.0)
-        assert ledger.admit(self.request, 1000.0).is_ok()
-        assert ledger.admit(self.request, 1000.0).is_err()
+        limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 1.0, 8, 2000.0))
+        limiter.release(limiter.admit(self.request, 0.0).unwrap(), 0, 0.0)
+        limiter.apply(LIMITS, [LimitShare("l", "*", 1, 20.0, 8, 2000.0)], 9000.0)
+        assert limiter.admit(self.request, 1000.0).is_ok()
+        assert limiter.admit(self.request, 1000.0).is_err()
 
     def test_the_burst_is_one_second_of_the_share(self) -> None:
         """Guards against an idle period being saved up."""
-        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 5.0, 8, 2000.0))
+        limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 5.0, 8, 2000.0))
         admitted = 0
         for now_ms in [0.0] + [5000.0] * 20:
-            result = ledger.admit(LimitRequest("x", "m", "a", 0), now_ms)
+            result = limiter.admit(LimitRequest("x", "m", "a", 0), now_ms)
             if result.is_ok():
                 admitted += 1
-                ledger.release(result.unwrap(), 0, now_ms)
+                limiter.release(result.unwrap(), 0, now_ms)
         assert admitted == 6
 
     def test_estimated_tokens_count_until_settled_on_the_true_number(self) -> None:
         """Guards against a large request being free until it ends, or charged twice over."""
-        ledger = ledger_with(LIMITS, LimitShare("l", "*", 1, 20.0, 8, 100.0))
-        permit = ledger.admit(LimitRequest("x", "m", "a", 500), 0.0).unwrap()
-        assert ledger.admit(self.request, 2000.0).unwrap_err().retry_after_ms == 3000
-        ledger.release(permit, 100, 2000.0)
-        assert ledger.admit(self.request, 2000.0).is_ok()
+        limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 20.0, 8, 100.0))
+        permit = limiter.admit(LimitRequest("x", "m", "a", 500), 0.0).unwrap()
+        assert limiter.admit(self.request, 2000.0).unwrap_err().retry_after_ms == 3000
+        limiter.release(permit, 100, 2000.0)
+        assert limiter.admit(self.request, 2000.0).is_ok()
 
     def test_a_permit_is_settled_once(self) -> None:
         """Guards against concurrency growing because an end is reported twice."""
-        ledger = ledger_with({"l": Limit(concurrent_requests=1)}, LimitShare("l", "*", 1, 9, 1, 9))
-        permit = ledger.admit(self.request, 0.0).unwrap()
-        ledger.release(permit, 0, 0.0)
-        ledger.release(permit, 0, 0.0)
-        assert ledger.admit(self.request, 0.0).is_ok()
-        assert ledger.admit(self.request, 0.0).is_err()
+        limiter = limiter_with(
+            {"l": Limit(concurrent_requests=1)}, LimitShare("l", "*", 1, 9, 1, 9)
+        )
+        permit = limiter.admit(self.request, 0.0).unwrap()
+        limiter.release(permit, 0, 0.0)
+        limiter.release(permit, 0, 0.0)
+        assert limiter.admit(self.request, 0.0).is_ok()
+        assert limiter.admit(self.request, 0.0).is_err()
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -123,13 +123,13 @@
         upstream = table._upstreams["a"]
         for number in range(4):
             table.begin(str(number), "a", REQUEST, 10.0)
-        assert upstream.load(1.0) == 4
+        assert upstream.estimated_load(1.0) == 4
         table.observe(row("a", in_flight=4), 20.0)
-        assert upstream.load(1.0) == 4
+        assert upstream.estimated_load(1.0) == 4
         table.finish("0", AttemptOutcome.COMPLETED, 5, 30.0)
-        assert upstream.load(1.0) == 3
+        assert upstream.estimated_load(1.0) == 3
         # Others are taken to have ended attempts as well.
-        assert upstream.load(3.0) < 4
+        assert upstream.estimated_load(3.0) < 4
 
 
 class TestAdaptiveRouting:
@@ -206,13 +206,13 @@
     def test_a_lost_cache_event_lowers_confidence(self) -> None:
         """Guards against trusting entries that may have been evicted unnoticed."""
         table = table_of(row("a", cache_events=[CacheEvent(1, "stored", 5)]))
-        assert table._prefixes.cached_shares((5,)) == {"a": 1.0}
+        assert table._prefixes.cached_fractions((5,)) == {"a": 1.0}
         table.observe(row("a", cache_events=[CacheEvent(4, "stored", 6)]), 10.0)
-        assert table._prefixes.cached_shares((5,)) == {"a": 0.5}
+        assert table._prefixes.cached_fractions((5,)) == {"a": 0.5}
         table.observe(row("a", cache_events=[CacheEvent(5, "evicted", 5)]), 20.0)
-        assert table._prefixes.cached_shares((5,)) == {}
+        assert table._prefixes.cached_fractions((5,)) == {}
         table.observe(row("a", incarnation="2"), 30.0)
-        assert table._prefixes.cached_shares((6,)) == {}
+        assert table._prefixes.cached_fractions((6,)) == {}
 
     def test_a_high_priority_request_sees_a_shorter_queue(self) -> None:
         """Guards against refusing a request that engines would serve first."""
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -10,10 +10,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from briardyke.agreed.configuration import Limit
-from briardyke.policy.beliefs import Belief
-from briardyke.policy.fairness import max_min, whole_numbers
+from briardyke.policy.caller_limits import CallerLimit
+from briardyke.policy.fairness import max_min_shares, round_to_total
 from briardyke.policy.limits import RequestLimiter
-from briardyke.policy.pairs import Pair
+from briardyke.policy.share_bounds import ShareBound
 from briardyke.policy.shares import ShareAllocator
 from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.messages import LimitShare, ShareDemand
@@ -43,10 +43,10 @@
 
 
 class EntryModel:
-    """Stands for an entry process: a ledger, its lease, and replies under way."""
+    """Stands for an entry process: a limiter, its lease, and replies under way."""
 
     def __init__(self) -> None:
-        self.ledger = RequestLimiter()
+        self.limiter = RequestLimiter()
         self.expires_ms = float("-inf")
         # A relay can pass on a status before the reply to the previous one has arrived.
         self.pending: deque[tuple[float, list[LimitShare], dict[str, Limit]]] = deque()
@@ -55,7 +55,7 @@
         self.open: list[tuple[Permit, bool]] = []
 
     def share(self, caller: str) -> LimitShare | None:
-        held = {share.caller: share for share in self.ledger._shares.values()}
+        held = {share.caller: share for share in self.limiter._shares.values()}
         return held.get(caller, held.get("*"))
 
 
@@ -94,7 +94,7 @@
             if load
         ]
         self.last_number += 1
-        held = entry.ledger.held_shares(self.now)
+        held = entry.limiter.held_shares(self.now)
         entry.last_report = Report(self.last_number, self.now, held, demand)
         self.answer(name, entry.last_report)
 
@@ -119,7 +119,7 @@
         if entry.pending:
             sent_ms, shares, limits = entry.pending.popleft()
             entry.expires_ms = sent_ms + LEASE_MS
-            entry.ledger.apply(limits, shares, entry.expires_ms)
+            entry.limiter.apply(limits, shares, entry.expires_ms)
             if not limits:
                 # Requests that run while a limit is removed and set again are not counted.
                 entry.open = [(permit, True) for permit, _ in entry.open]
@@ -168,7 +168,7 @@
     @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS))
     def admit(self, name: str, caller: str) -> None:
         entry = self.entries[name]
-        result = entry.ledger.admit(LimitRequest(caller, "m", "", 10), self.now)
+        result = entry.limiter.admit(LimitRequest(caller, "m", "", 10), self.now)
         if result.is_ok():
             permit = result.unwrap()
             # An instance whose version has no limit is not bound by a share lease.
@@ -181,7 +181,7 @@
         for entry in self.entries.values():
             if entry.open:
                 permit, _ = entry.open.pop(0)
-                entry.ledger.release(permit, 5, self.now)
+                entry.limiter.release(permit, 5, self.now)
 
     @invariant()
     def shares_stay_within_the_limit(self) -> None:
@@ -285,21 +285,21 @@
 
     def test_a_report_does_not_exclude_grants_that_are_under_way(self) -> None:
         """Guards against forgetting a grant because older reports arrive after it."""
-        belief = Belief()
-        belief.reported(5.0, 0.0)
-        belief.granted(8.0, 10.0)
-        belief.granted(3.0, 10.0)
-        belief.reported(5.0, 0.0)
-        assert belief.largest() == 8.0
-        belief.reported(3.0, 0.0)
-        assert belief.largest() == 3.0
+        bound = ShareBound()
+        bound.record_report(5.0, 0.0)
+        bound.record_grant(8.0, 10.0)
+        bound.record_grant(3.0, 10.0)
+        bound.record_report(5.0, 0.0)
+        assert bound.upper_bound() == 8.0
+        bound.record_report(3.0, 0.0)
+        assert bound.upper_bound() == 3.0
 
     def test_an_expired_share_is_not_confirmed_by_a_new_leader(self) -> None:
         """Guards against a returning instance reviving a share that others have had since."""
-        ledger = RequestLimiter()
-        ledger.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
+        limiter = RequestLimiter()
+        limiter.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
         allocator = ShareAllocator(LEASE_MS, 7000.0)
-        allocator.report("a", ledger.held_shares(8000.0), [], 8000.0)
+        allocator.report("a", limiter.held_shares(8000.0), [], 8000.0)
         assert allocator.allocate(self.limits, 8000.0)["a"][0].requests_per_second == 0.0
 
     def test_a_new_leader_only_confirms_for_one_lease(self) -> None:
@@ -398,35 +398,35 @@
 
     def test_a_report_from_before_the_first_grant_excludes_nothing(self) -> None:
         """Guards against taking a report of no share for the receipt of a later grant of none."""
-        pair = Pair()
-        pair.record("concurrent_requests", {"a": 5.0}, 10.0)
-        pair.record("concurrent_requests", {"a": 0.0}, 10.0)
-        pair.report_held("a", None, 2.0)
-        assert pair.beliefs["concurrent_requests"]["a"].largest() == 5.0
+        limit_state = CallerLimit()
+        limit_state.record_grants("concurrent_requests", {"a": 5.0}, 10.0)
+        limit_state.record_grants("concurrent_requests", {"a": 0.0}, 10.0)
+        limit_state.report_held("a", None, 2.0)
+        assert limit_state.bounds["concurrent_requests"]["a"].upper_bound() == 5.0
 
     def test_small_changes_of_demand_keep_grants(self) -> None:
-        """Guards against dividing every pair again for each report of a busy instance."""
-        pair = Pair()
-        assert pair.report_demand("a", ShareDemand("l", "x", 10.0, 4.0, 100.0))
-        assert not pair.report_demand("a", ShareDemand("l", "x", 10.4, 4.0, 101.0))
-        assert pair.report_demand("a", ShareDemand("l", "x", 10.4, 5.0, 101.0))
-        assert pair.report_demand("a", ShareDemand("l", "x", 11.0, 5.0, 101.0))
+        """Guards against dividing every limit_state again for each report of a busy instance."""
+        limit_state = CallerLimit()
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 10.0, 4.0, 100.0))
+        assert not limit_state.report_demand("a", ShareDemand("l", "x", 10.4, 4.0, 101.0))
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 10.4, 5.0, 101.0))
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 11.0, 5.0, 101.0))
 
     def test_running_requests_above_a_shrunken_share_are_not_granted_twice(self) -> None:
         """Guards against granting concurrency that is still in use elsewhere."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
-        ledger = RequestLimiter()
-        ledger.apply(self.limits, leader.held["a"], 6000.0)
+        limiter = RequestLimiter()
+        limiter.apply(self.limits, leader.held["a"], 6000.0)
         shares = leader.held["a"]
         granted = next(s for s in shares if s.caller == "x").concurrent_requests
         for use in range(granted):
-            ledger._use("l", "x").requests.charge(-1.0)
-            assert ledger.admit(LimitRequest("x", "m", "", 0), 10.0 + use).is_ok()
+            limiter._use("l", "x").requests.charge(-1.0)
+            assert limiter.admit(LimitRequest("x", "m", "", 0), 10.0 + use).is_ok()
         for step in range(1, 4):
             shrunk = leader.sync(self.limits, {"a": 0.0, "b": 50.0}, step * 100.0)
-            ledger.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
-            leader.held["a"] = ledger.held_shares(step * 100.0)
+            limiter.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
+            leader.held["a"] = limiter.held_shares(step * 100.0)
             assert shrunk["b"].concurrent_requests <= 12 - granted
         leader.held["a"] = [s for s in leader.held["a"] if s.version >= 0]
         assert leader.sync(self.limits, {"a": 0.0, "b": 50.0}, 400.0)["b"].concurrent_requests == 11
@@ -436,10 +436,10 @@
     """Guards against divisions that lose or invent capacity."""
 
     def test_max_min_satisfies_small_demands_first(self) -> None:
-        assert max_min({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
+        assert max_min_shares({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
 
     def test_unwanted_capacity_is_divided_evenly(self) -> None:
-        assert max_min({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
+        assert max_min_shares({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
 
     def test_whole_numbers_keep_the_total(self) -> None:
-        assert whole_numbers({"a": 1.5, "b": 1.5, "c": 1.0}, 4) == {"a": 2, "b": 1, "c": 1}
+        assert round_to_total({"a": 1.5, "b": 1.5, "c": 1.0}, 4) == {"a": 2, "b": 1, "c": 1}
