--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -1,4 +1,4 @@
-"""Refuse requests early that would miss their deadline or cost other callers their targets."""
+"""Refuse requests early that would miss their deadline or make other callers miss targets."""
 
 from __future__ import annotations
 
@@ -18,27 +18,28 @@
     from briardyke.policy.routing import RoutingTable
     from briardyke.policy.types import AdmissionRequest
 
-# Parts of the time to the deadline (or of the target between tokens) that a forecast may use. A
-# caller above its fair share is refused first, which leaves room for the callers below theirs.
+# Fraction of the time to the deadline (or of the target between tokens) that a forecast may use.
+# Callers above their fair share are refused first, which leaves room for those below theirs.
 LIMIT_WITHIN_FAIR_SHARE = 0.8
 LIMIT_ABOVE_FAIR_SHARE = 0.6
-# The limits fall by this much per part of the demand refused above the first: with demand to
-# spare, a request that would probably be late is better replaced by one that is not. Refusals of
-# callers above their fair share do not count, so that a burst does not tighten it for the others.
+# Once the refused fraction of the demand exceeds OVERLOAD_REFUSED_FRACTION, both limits fall by
+# OVERLOAD_STEP times the excess: under overload, a request that would probably be late is better
+# replaced by one that would not. Refusals of callers above their fair share do not count, so that
+# the burst of one caller does not lower the limits for the others.
 OVERLOAD_REFUSED_FRACTION = 0.15
 OVERLOAD_STEP = 0.3
-# A priority above 0 may use this much more per level, one below 0 this much less.
+# Each priority level above 0 raises the limits by this much, each level below 0 lowers them.
 PRIORITY_STEP = 0.1
-# An engine that misses the target between tokens even when idle still serves its models up to this
-# multiple of its idle time; measured against the target alone it would never get a request.
+# An engine that misses the target between tokens even when idle is measured against this multiple
+# of its idle time between tokens; measured against the target it would never get a request.
 IDLE_GAP_FACTOR = 1.5
-# Refused callers come back after the excess of the forecast, spread so that they do not return
-# together.
+# Refused callers are told to retry after the excess of the forecast, with jitter so that they do
+# not return together.
 RETRY_MINIMUM_MS = 200
 RETRY_MAXIMUM_MS = 5000
-# A caller is above its fair share when it was admitted this much more than the mean by weight. It
-# is compared with what was admitted, not with an assumed capacity, so a caller that is alone is
-# never above.
+# A caller is above its fair share when its admitted rate exceeds the weighted mean by this factor.
+# It is compared with the admitted rates, not with an assumed capacity, so a lone caller is never
+# above its fair share.
 FAIR_TOLERANCE = 1.25
 WEIGHT_SUM_INTERVAL_MS = 100.0
 IDLE_CALLER_TOKENS_PER_SECOND = 0.01
@@ -48,9 +49,9 @@
 class _CallerUse:
     """Count one caller's traffic to one model.
 
-    :param weight: share under overload.
-    :param wanted: rate of tokens that arrived.
-    :param admitted: rate of tokens that were admitted.
+    :param weight: weight in the division under overload.
+    :param wanted: rate of requested tokens.
+    :param admitted: rate of admitted tokens.
     """
 
     weight: float
@@ -60,10 +61,10 @@
 
 @attrs.define
 class _ModelUse:
-    """Count the callers of one model.
+    """Count the traffic of all callers to one model.
 
     :param callers: use by caller.
-    :param admitted: rate of tokens that were admitted for all callers.
+    :param admitted: rate of tokens admitted for all callers.
     :param refused: rate of tokens refused to callers that were not above their fair share.
     :param weights: sum of the weights of the callers.
     :param weights_at_ms: time at which that sum was computed.
@@ -76,16 +77,16 @@
     weights_at_ms: float = float("-inf")
 
     def refused_fraction(self, now_ms: float) -> float:
-        """Return the recent share of the demand within fair share that was refused, 0 to 1."""
+        """Return the recently refused fraction of the demand within fair shares, 0 to 1."""
         refused = self.refused.per_second(now_ms)
         return refused / max(1e-9, refused + self.admitted.per_second(now_ms))
 
 
 class AdmissionController:
-    """Decide which requests are worth dispatching; one per entry process.
+    """Decide which requests to dispatch; one per entry process.
 
     :param routing: table that forecasts latencies.
-    :param random: source of randomness, which spreads the retries of refused callers.
+    :param random: source of randomness for the jitter of retry hints.
     :param targets: latency targets of the configuration in force.
     """
 
@@ -104,7 +105,7 @@
     def admit(self, request: AdmissionRequest, now_ms: float) -> Result[None, Failure]:
         """Admit or refuse a request before it is dispatched.
 
-        :param request: the request; without a finite deadline the first-token target counts.
+        :param request: the request; without a finite deadline the first-token target applies.
         :param now_ms: current time.
         :return: ``deadline_unmeetable`` when no candidate would answer in time; ``overloaded``
             when the caller is above its fair share and the candidates are close to their limit.
@@ -134,14 +135,20 @@
                     self._models[name].refused.add(max(1, request.estimated_tokens), now_ms)
                 late = first_ms > remaining_ms
                 kind = ErrorKind.DEADLINE_UNMEETABLE if late else ErrorKind.OVERLOADED
-                return Err(self._refuse(kind, f"{name} cannot answer within target", excess_ms))
+                return Err(
+                    self._refuse(
+                        kind, f"{name} cannot answer within its latency targets", excess_ms
+                    )
+                )
             pressure = max(first_ms / min(remaining_ms, target_ms), gap_pressure)
             if pressure > LIMIT_ABOVE_FAIR_SHARE + shift and self._above_fair_share(
                 name, request.caller, now_ms
             ):
                 return Err(
                     self._refuse(
-                        ErrorKind.OVERLOADED, f"{name} is busy with other callers", excess_ms
+                        ErrorKind.OVERLOADED,
+                        f"{name} is overloaded and the caller is above its fair share",
+                        excess_ms,
                     )
                 )
         use.admitted.add(max(1, request.estimated_tokens), now_ms)
--- a/src/briardyke/policy/caller_limits.py
+++ b/src/briardyke/policy/caller_limits.py
@@ -1,4 +1,4 @@
-"""Hold what the leader knows about one limit and caller."""
+"""Hold the leader's state of one limit for one caller."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
     from collections.abc import Iterable, Mapping
 
 QUANTITIES = ("requests_per_second", "concurrent_requests", "tokens_per_second")
-# A demand that differs by less than this part from the one last used moves no shares. It is well
-# below the headroom of a grant.
+# A demand that differs by at most this fraction from the one last used does not cause a new
+# division. It is well below the headroom of a grant.
 DEMAND_TOLERANCE = 0.05
 
 
@@ -22,8 +22,8 @@
 class CallerLimit:
     """Collect reports and grants of one limit for one caller.
 
-    :param bounds: what an instance may still hold, by quantity and instance.
-    :param demand: demand by instance, of those that have any.
+    :param bounds: what each instance may still hold, by quantity and instance.
+    :param demand: demand by instance, for instances that have any.
     :param grants: shares last granted, by quantity that the limit sets and instance.
     """
 
@@ -34,7 +34,7 @@
     grants: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     def copy_bounds(self) -> CallerLimit:
-        """Return a pair with the same bounds, without demand and grants."""
+        """Return a copy with the same bounds, without demand and grants."""
         bounds = {
             quantity: {i: bound.copy() for i, bound in known.items()}
             for quantity, known in self.bounds.items()
@@ -42,7 +42,7 @@
         return CallerLimit(bounds)
 
     def report_held(self, instance_id: str, share: LimitShare | None, in_use: float) -> None:
-        """Take what an instance holds; instances that never held anything need no bound."""
+        """Record what an instance holds; an instance that never held anything needs no bound."""
         for quantity, bounds in self.bounds.items():
             value = float(getattr(share, quantity) or 0.0) if share is not None else 0.0
             used = in_use if quantity == "concurrent_requests" else 0.0
@@ -54,7 +54,7 @@
             bound.record_report(value, used)
 
     def report_demand(self, instance_id: str, demand: ShareDemand) -> bool:
-        """Take an instance's demand; return whether it differs enough to move shares."""
+        """Record an instance's demand; return whether the change calls for a new division."""
         known = self.demand.get(instance_id)
         if known is not None and all(
             abs(getattr(known, q) - getattr(demand, q))
@@ -66,9 +66,10 @@
         return True
 
     def record_grants(self, quantity: str, grants: dict[str, float], total: float) -> None:
-        """Record grants that answers may carry from now on.
+        """Record the grants that replies may contain from now on.
 
-        Grants are cleared when the limit changes, so an equal value was granted under this total.
+        Grants are cleared when the limit changes, so an unchanged value was granted under the same
+        total and needs no new record.
         """
         previous = self.grants.get(quantity, {})
         self.grants[quantity] = grants
@@ -79,12 +80,12 @@
             bound = bounds.get(instance_id)
             if bound is None:
                 bound = bounds[instance_id] = ShareBound()
-                # Later reports of nothing refer to the time before this grant.
+                # A later report without a share then refers to the time before this grant.
                 bound.record_report(0.0, 0.0)
             bound.record_grant(value, total)
 
     def remove_instance(self, instance_id: str) -> None:
-        """Drop an instance whose lease has ended."""
+        """Remove an instance whose lease has ended."""
         self.demand.pop(instance_id, None)
         for bounds in self.bounds.values():
             bounds.pop(instance_id, None)
@@ -92,12 +93,12 @@
             grants.pop(instance_id, None)
 
     def granted_values(self, instance_id: str) -> tuple[float | None, ...]:
-        """Return an instance's granted share of each quantity, ``None`` where there is no limit."""
+        """Return an instance's granted share by quantity, ``None`` for unlimited quantities."""
         grants = self.grants
         return tuple([grants[q].get(instance_id, 0.0) if q in grants else None for q in QUANTITIES])
 
     def matches_default(self, default: CallerLimit, instances: Iterable[str]) -> bool:
-        """Return whether every instance certainly holds its default share and none has demand."""
+        """Return whether every instance is known to hold its default share and none has demand."""
         if self.demand:
             return False
         nothing = ShareBound()
@@ -113,7 +114,7 @@
 def make_share(
     limit_id: str, caller: str, version: int, values: tuple[float | None, ...]
 ) -> LimitShare:
-    """Return the message for granted values."""
+    """Build the message that grants these values."""
     rate, concurrent, tokens = values
     whole = None if concurrent is None else int(concurrent)
     return LimitShare(limit_id, caller, version, rate, whole, tokens)
@@ -122,5 +123,5 @@
 def effective_share(
     held: Mapping[tuple[str, str], LimitShare], limit_id: str, caller: str, default: str
 ) -> LimitShare | None:
-    """Return the share that an instance uses for a caller, its default share if none."""
+    """Return the share that an instance uses for a caller: its own one or the default share."""
     return held.get((limit_id, caller)) or held.get((limit_id, default))
--- a/src/briardyke/policy/division.py
+++ b/src/briardyke/policy/division.py
@@ -1,4 +1,4 @@
-"""Divide one quantity of a limit among instances, given what each may still believe."""
+"""Divide one quantity of a limit among instances, given what each may still hold."""
 
 from __future__ import annotations
 
@@ -12,17 +12,18 @@
 
     from briardyke.policy.share_bounds import ShareBound
 
-# Demand is granted with this headroom, so that growth between two syncs is not refused.
+# Shares exceed demand by this factor, so that growth between two syncs is not refused.
 DEMAND_HEADROOM = 1.25
-# Part of a rate that is divided evenly whatever the demand, so that an instance without demand
-# can admit a first request at once.
+# Fraction of a rate that is divided evenly regardless of demand, so that an instance without
+# demand can admit a first request at once.
 RESERVED_FRACTION = 0.05
-# Rates are rounded down to this part of the limit; equal values make grants recognisable.
+# Rates are rounded down to a multiple of the limit divided by this number, so that equal grants
+# compare equal.
 RATE_STEPS = 4096
 
 
 def target_shares(demand: Mapping[str, float], total: float, whole: bool) -> dict[str, float]:
-    """Return the shares that instances should end up with.
+    """Return the shares that instances should hold once all leases allow it.
 
     :param demand: demand of every instance, 0 for none, in the order of their names.
     :param total: the limit.
@@ -31,7 +32,7 @@
     if not whole:
         return _target_rates(demand, total)
     demands = {i: value * DEMAND_HEADROOM for i, value in demand.items()}
-    # One unit each while that takes at most a quarter of the limit.
+    # One unit for each instance, as far as that takes at most a quarter of the limit.
     for instance_id in list(demands)[: int(total // 4)]:
         demands[instance_id] = max(1.0, demands[instance_id])
     parts = max_min_shares(demands, float(int(total)))
@@ -39,7 +40,7 @@
 
 
 def _target_rates(demand: Mapping[str, float], total: float) -> dict[str, float]:
-    """Divide a rate; the instances that need only the reserve are calculated once together."""
+    """Divide a rate; instances that need only the reserve are computed together as one."""
     step = total / RATE_STEPS
     if not demand or step <= 0.0:
         return dict.fromkeys(demand, 0.0)
@@ -68,7 +69,7 @@
 def confirm_shares(
     bounds: Mapping[str, ShareBound], instances: Mapping[str, object], total: float, whole: bool
 ) -> dict[str, float]:
-    """Return the reported shares, reduced in proportion when the limit was lowered."""
+    """Return the reported shares, scaled down in proportion if they exceed the limit."""
     held = {i: bounds[i].last_reported() if i in bounds else 0.0 for i in instances}
     used = sum(held.values())
     if used > total:
@@ -79,15 +80,15 @@
 def move_shares(
     bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
-    """Move shares towards their targets without counting any part of the limit twice.
+    """Move shares towards their targets without granting any capacity twice.
 
-    Shares shrink at once. They grow only by what no instance can be using any more.
+    Shares shrink at once. They grow only by capacity that no instance can still be using.
     """
     largest = {instance_id: bound.upper_bound() for instance_id, bound in bounds.items()}
     spare = total - sum(largest.values())
     if spare < 0.0:
-        # The limit was lowered, or an instance reports more than this leader granted, such as
-        # requests that outlived their lease. A report then entitles to nothing by itself.
+        # The limit was lowered, or an instance reports more than this leader granted, for example
+        # requests that outlived their lease. A report alone then justifies no grant.
         fitting = {
             i: min(target, bounds[i].largest_grant() if i in bounds else 0.0)
             for i, target in wanted.items()
@@ -118,7 +119,7 @@
 def _fit_limit(
     bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
-    """Cut what is wanted so that it fits beside every grant made under the present limit."""
+    """Reduce shares so that they fit next to every grant made under the current limit."""
     counted = {i: bound.largest_grant(total) for i, bound in bounds.items()}
     used = sum(counted.values())
     grants = {}
--- a/src/briardyke/policy/ejection.py
+++ b/src/briardyke/policy/ejection.py
@@ -1,24 +1,24 @@
-"""Reduce the traffic of a failing upstream by steps and let it return by steps."""
+"""Reduce the traffic of a failing upstream in steps and restore it in steps."""
 
 from __future__ import annotations
 
-# An upstream never falls below this part of its traffic; the rest are the probes that let it back.
+# An upstream keeps at least this fraction of its traffic; these requests show when it recovers.
 MINIMUM_WEIGHT = 1.0 / 32.0
-# Failures within this time count as one step, since one broken connection fails many requests.
+# Failures within this time count as one, since one broken connection fails many requests.
 FAILURE_STEP_MS = 50.0
-# The weight doubles once in this time without failures; each new ejection doubles the time, up to
-# the limit, so that a flapping upstream returns more slowly every time.
+# Without failures the weight doubles once in this time. Each ejection soon after the previous one
+# doubles the time, up to the limit, so that a flapping upstream returns more slowly.
 RECOVERY_DOUBLING_MS = 1500.0
 RECOVERY_DOUBLING_LIMIT_MS = 12000.0
 FLAP_MEMORY_MS = 60000.0
 EJECTED_BELOW_WEIGHT = 0.5
-# Largest part of the candidates of one decision that ejection may remove, rounded down. A single
-# candidate is therefore never removed, and a fault that all upstreams share removes half at most.
+# Largest fraction of the candidates of one decision that ejection may remove, rounded down. A single
+# candidate is therefore never removed, and a fault that all upstreams share removes at most half.
 MAX_EJECTED_FRACTION = 0.5
 
 
 class UpstreamHealth:
-    """Hold the part of its traffic that an upstream receives, from 1/32 to 1."""
+    """Track the weight of an upstream: the fraction of its traffic that it receives, 1/32 to 1."""
 
     def __init__(self) -> None:
         self._weight = 1.0
@@ -27,7 +27,7 @@
         self._ejected_ms: float | None = None
 
     def weight(self, now_ms: float) -> float:
-        """Return the part of its traffic that the upstream receives at this time."""
+        """Return the fraction of its traffic that the upstream receives at this time."""
         if self._weight >= 1.0:
             return 1.0
         doublings = max(0.0, now_ms - self._changed_ms) / self._doubling_ms
--- a/src/briardyke/policy/fairness.py
+++ b/src/briardyke/policy/fairness.py
@@ -9,12 +9,12 @@
 
 
 def max_min_level(demands: Mapping[str, tuple[float, float]], capacity: float) -> float:
-    """Return the largest part per unit of weight that nobody needs to exceed.
+    """Return the max-min fair share per unit of weight.
 
     :param demands: demand and weight by name.
     :param capacity: amount to divide.
-    :return: level such that giving everyone the smaller of demand and level times weight uses up
-        the capacity; infinite when the capacity covers every demand.
+    :return: level at which giving each the smaller of its demand and level times weight uses up the
+        capacity; infinite when the capacity covers every demand.
     """
     remaining = capacity
     weight_left = sum(weight for _, weight in demands.values())
@@ -27,7 +27,7 @@
 
 
 def max_min_shares(demands: Mapping[str, float], capacity: float) -> dict[str, float]:
-    """Divide a capacity by max-min fairness; what nobody wants is divided evenly.
+    """Divide a capacity by max-min fairness; capacity beyond the demand is divided evenly.
 
     :param demands: demand by name.
     :param capacity: amount to divide.
--- a/src/briardyke/policy/latency.py
+++ b/src/briardyke/policy/latency.py
@@ -1,21 +1,21 @@
-"""Learn how fast an upstream answers from the outcomes of its attempts."""
+"""Model the nominal latency of an engine and learn how far an upstream deviates from it."""
 
 from __future__ import annotations
 
 import math
 
-# Shape of an engine's response time at nominal speed. Only the ratios matter: a factor per
-# upstream is learned on top, so one observation already separates upstreams that differ tenfold.
+# Latency model of an engine at nominal speed. Only the ratios matter: a factor per upstream is
+# learned on top, so a single observation already separates upstreams that differ tenfold.
 FIRST_TOKEN_BASE_MS = 40.0
 FIRST_TOKEN_PER_REQUEST_MS = 4.0
 FIRST_TOKEN_PER_PROMPT_TOKEN_MS = 0.1
 BETWEEN_TOKENS_BASE_MS = 16.0
 BETWEEN_TOKENS_PER_REQUEST_MS = 0.8
 
-# A new observation weighs at least this much, so that a change of speed is followed within a few
+# Lowest weight of a new observation, so that the estimate follows a change of speed within a few
 # requests; the first observations weigh more (1/n).
 MINIMUM_GAIN = 0.2
-# After this time without observations an estimate returns to nominal with this half-life, so that
+# After FORGET_AFTER_MS without observations an estimate decays to nominal with this half-life, so that
 # a slow upstream is tried again.
 FORGET_AFTER_MS = 1000.0
 FORGET_HALF_LIFE_MS = 8000.0
@@ -39,13 +39,13 @@
         return math.exp(self._log * self._remaining_weight(now_ms))
 
     def observe(self, ratio: float, now_ms: float) -> None:
-        """Include one observation.
+        """Add one observation.
 
         :param ratio: observed time over nominal time.
         :param now_ms: time of the observation.
         """
         log = math.log(min(FACTOR_LIMIT, max(1.0 / FACTOR_LIMIT, ratio)))
-        # What has been forgotten does not weigh against the new observation either.
+        # Observations count less against the new one to the extent that they have decayed.
         remaining = self._remaining_weight(now_ms)
         self._count = self._count * remaining + 1.0
         gain = max(MINIMUM_GAIN, 1.0 / self._count)
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -16,23 +16,24 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-# Use that has been idle this long is forgotten; its bucket would be full again anyway.
+# Use that has been idle this long is dropped; its buckets would be full again by then.
 IDLE_FORGET_MS = 30_000.0
-# Retry hint when all of a concurrent share is in use, when no usual duration is known.
+# Retry hint when a share of concurrent requests is fully in use; the time until one ends is unknown.
 CONCURRENCY_RETRY_MS = 250
 
 
 @attrs.define
 class _CallerUse:
-    """Count what one caller uses and wants of one limit.
+    """Count one caller's use of and demand for one limit.
 
     :param requests: bucket for the request rate.
     :param tokens: bucket for the token rate.
-    :param in_use: admitted requests that are not settled.
-    :param wanted: highest number wanted at one time since the last report.
-    :param refused: refusals for concurrency since the last end of a request or report.
-    :param request_demand: rate of requests that arrived.
-    :param token_demand: rate of estimated tokens that arrived.
+    :param in_use: admitted requests that are not released.
+    :param wanted: highest concurrency requested since the last report.
+    :param refused: refusals for concurrency that no ended request has made up for since the last
+        report.
+    :param request_demand: rate of arriving requests.
+    :param token_demand: rate of estimated tokens of arriving requests.
     :param touched_ms: time of the last arrival.
     """
 
@@ -47,7 +48,7 @@
 
 
 class RequestLimiter:
-    """Hold leased shares of the limits and what is in use of them; one per entry process."""
+    """Enforce leased shares of the limits; one per entry process."""
 
     def __init__(self) -> None:
         self._limits: dict[str, Limit] = {}
@@ -63,11 +64,11 @@
     ) -> None:
         """Replace limits and shares.
 
-        A share above its limit, such as one computed for an earlier version, is cut to the limit.
+        A share above its limit, such as one granted under an earlier version, is reduced to the limit.
 
         :param limits: limits of the version in force, by id.
-        :param shares: this instance's shares; caller ``*`` is the share of each caller that has
-            no share of its own.
+        :param shares: this instance's shares; caller ``*`` is the default share of each caller
+            without a share of its own.
         :param expires_at_ms: end of the share lease.
         """
         if limits != self._limits:
@@ -88,9 +89,9 @@
     def admit(self, request: LimitRequest, now_ms: float) -> Result[Permit, Failure]:
         """Admit a request against every limit that applies to it, or against none.
 
-        :param request: what the request uses; its estimated tokens are charged now.
+        :param request: the request; its estimated tokens are charged at once.
         :param now_ms: current time.
-        :return: a permit to settle later, or ``rate_limited`` or ``concurrency_limited`` with the
+        :return: a permit to release later, or ``rate_limited`` or ``concurrency_limited`` with the
             time after which a retry can succeed; ``version_unconfirmed`` before the first
             :meth:`apply`.
         """
@@ -115,7 +116,7 @@
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
             use.in_use += 1
-            # A dimension without a limit is not charged, so that setting one starts without debt.
+            # An unlimited quantity is not charged, so that a limit set later starts without debt.
             if self._limits[limit_id].requests_per_second is not None:
                 use.requests.charge(1.0)
             if self._limits[limit_id].tokens_per_second is not None:
@@ -126,10 +127,12 @@
         return Ok(permit)
 
     def release(self, permit: Permit, used_tokens: int, now_ms: float) -> None:
-        """End a permit and replace the estimated tokens by the true number; once per permit.
+        """Release a permit and replace the estimated tokens by the actual number.
+
+        Releasing a permit again has no effect.
 
         :param permit: permit of the request.
-        :param used_tokens: prompt tokens and generated tokens; 0 when the request was not run.
+        :param used_tokens: prompt and generated tokens; 0 when the request was not run.
         :param now_ms: current time.
         """
         if self._permits.pop(permit.permit_id, None) is None:
@@ -146,7 +149,7 @@
                 use.tokens.charge(used_tokens - permit.request.estimated_tokens)
 
     def take_demand(self, now_ms: float) -> list[ShareDemand]:
-        """Return what was wanted of each limit since the last call, for the next sync."""
+        """Return the demand for each limit since the last call and start a new interval."""
         report = []
         for (limit_id, caller), use in list(self._uses.items()):
             idle = now_ms - use.touched_ms > IDLE_FORGET_MS
@@ -168,14 +171,14 @@
         return report
 
     def held_shares(self, now_ms: float) -> list[LimitShare]:
-        """Return what this instance holds, for the next sync.
+        """Return the shares that this instance holds, for the next sync.
 
         Concurrency in use above the share, after the share shrank or its lease ended, is reported
-        as an additional entry of version -1 until the requests end, so that the leader does not
-        grant it to another instance meanwhile. Other parts of an expired share are not held: others
-        may have them by now.
+        as an additional item of version -1 until the requests end, so that the leader does not
+        grant it to another instance meanwhile. The rest of an expired share is not reported, since
+        other instances may hold it by now.
 
-        :param now_ms: current time, not before the send time that the next lease counts from.
+        :param now_ms: current time, not before the send time that the next lease starts from.
         """
         held = self._shares if now_ms < self._expires_at_ms else {}
         report = list(held.values())
@@ -229,7 +232,7 @@
         if any(waits):
             return Failure(
                 ErrorKind.RATE_LIMITED,
-                f"limit {limit_id} is reached",
+                f"rate limit {limit_id} is reached",
                 retry_after_ms=max(waits),
             )
         if limit.concurrent_requests is not None:
@@ -238,7 +241,7 @@
                 use.refused += 1
                 return Failure(
                     ErrorKind.CONCURRENCY_LIMITED,
-                    f"limit {limit_id} of concurrent requests is reached",
+                    f"concurrency limit {limit_id} is reached",
                     retry_after_ms=CONCURRENCY_RETRY_MS if granted else NO_SHARE_RETRY_MS,
                 )
         return None
--- a/src/briardyke/policy/prefixes.py
+++ b/src/briardyke/policy/prefixes.py
@@ -1,4 +1,4 @@
-"""Remember which upstreams probably hold which prompt prefixes in their cache."""
+"""Track which upstreams probably hold which prompt prefixes in their cache."""
 
 from __future__ import annotations
 
@@ -10,24 +10,25 @@
 
     from briardyke.wire.messages import CacheEvent
 
-# About 6 MB at the most, well inside the 256 MB of a process.
+# About 6 MB at most, well within the 256 MB of a process.
 PREFIX_CAPACITY = 20_000
 HOLDERS_PER_PREFIX = 4
-# Entries from before a gap in the events may have been evicted without notice.
+# Prefixes stored before a gap in the events may have been evicted without an event.
 CONFIDENCE_AFTER_GAP = 0.5
 
 
 class PrefixMap:
-    """Map prefix hashes to upstreams, from own dispatches and from cache events.
+    """Map prefix hashes to upstreams, from this process's dispatches and from cache events.
 
-    :param capacity: largest number of prefixes; the least recently used one is dropped.
+    :param capacity: largest number of prefixes; the least recently used one is evicted.
     """
 
     def __init__(self, capacity: int = PREFIX_CAPACITY) -> None:
         self._capacity = capacity
         self._holders: OrderedDict[int, dict[str, tuple[int, float]]] = OrderedDict()
         self._sequences: dict[str, int] = {}
-        # A new number after each forgotten cache makes older entries of that upstream invalid.
+        # Each time the cache of an upstream is lost, it gets a new epoch, which invalidates its older
+        # prefixes.
         self._epochs: dict[str, int] = {}
         self._next_epoch = 0
         self._gap_at_ms: dict[str, float] = {}
@@ -55,9 +56,9 @@
                 del holders[next(iter(holders))]
 
     def apply(self, upstream_id: str, events: Sequence[CacheEvent], now_ms: float) -> None:
-        """Apply cache events, which may repeat and may have gaps.
+        """Apply cache events, which may be repeated or lost.
 
-        :param upstream_id: upstream that they come from.
+        :param upstream_id: upstream that sent them.
         :param events: events in the order of their sequence.
         :param now_ms: time of arrival.
         """
@@ -76,13 +77,13 @@
             self._sequences[upstream_id] = last
 
     def forget(self, upstream_id: str) -> None:
-        """Drop everything about an upstream, whose cache is gone."""
+        """Discard everything about an upstream whose cache is lost."""
         self._epochs.pop(upstream_id, None)
         self._sequences.pop(upstream_id, None)
         self._gap_at_ms.pop(upstream_id, None)
 
     def cached_fractions(self, hashes: Sequence[int]) -> dict[str, float]:
-        """Return the probable cached part of a prompt by upstream, 0 to 1.
+        """Return the probably cached fraction of a prompt by upstream, 0 to 1.
 
         :param hashes: hashes of the prompt's prefixes, shortest first.
         """
--- a/src/briardyke/policy/retries.py
+++ b/src/briardyke/policy/retries.py
@@ -1,20 +1,20 @@
-"""Bound the retries of one entry process so that they cannot multiply an overload."""
+"""Bound the retries of one entry process so that they cannot amplify an overload."""
 
 from __future__ import annotations
 
 RETRY_RATIO = 0.10
 RETRIES_PER_SECOND = 3.0
-# Unused budget is kept for ten seconds of requests and one second of the fixed part, so that a
-# quiet hour does not pay for a burst of retries.
+# Unused budget accrues for at most ten seconds of requests and one second of the fixed rate, so that
+# a long idle period does not allow a burst of retries.
 RATIO_BURST_SECONDS = 10.0
 
 
 class RetryBudget:
-    """Allow retries up to a tenth of the requests plus three a second.
+    """Allow retries up to a fraction of the requests plus a fixed rate.
 
     :param ratio: retries allowed per request.
-    :param per_second: retries allowed per second without any request.
-    :param fixed_burst_s: seconds for which unused retries of the fixed part are kept.
+    :param per_second: retries allowed per second regardless of the requests.
+    :param fixed_burst_s: seconds for which unused retries of the fixed rate accrue.
     """
 
     def __init__(
@@ -32,7 +32,7 @@
         self._updated_ms: float | None = None
 
     def record_request(self, now_ms: float) -> None:
-        """Add one first attempt's part of a retry to the budget."""
+        """Count a request, which adds its ratio of a retry to the budget."""
         self._refill(now_ms)
         self._request_rate += 1.0 / RATIO_BURST_SECONDS
         ceiling = max(1.0, self._request_rate * RATIO_BURST_SECONDS * self._ratio)
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -1,4 +1,4 @@
-"""Choose an upstream for each attempt from reports and from the outcomes of earlier attempts."""
+"""Choose an upstream for each attempt from reports and the outcomes of earlier attempts."""
 
 from __future__ import annotations
 
@@ -29,32 +29,33 @@
     from briardyke.wire.messages import UpstreamRow
 
 UPSTREAM_SILENCE_MS = 3000.0
-# Up to this many candidates are all looked at; of more, this many are sampled, half of them from
+# Up to this many candidates are all considered. Of more, this many are sampled, half of them from
 # the own data centre, which keeps the cost of a decision independent of the number of upstreams.
 CANDIDATE_LIMIT = 10
-# Requests of all instances per request of this one; limited because the estimate is coarse.
+# Bounds the estimated number of requests of all instances per request of this one, which is coarse.
 OTHERS_FACTOR_LIMIT = 16.0
-# Own attempts in flight are averaged over about this part of a report each.
+# Weight of one report in the moving average of own attempts in flight, and the lowest value that the
+# average counts as.
 OWN_MEAN_GAIN = 0.03
 OWN_MEAN_MINIMUM = 1.0
-# This part of the decisions tries a candidate that has not answered anything for a while, since a
-# request that goes elsewhere shows nothing about it.
+# This fraction of the decisions picks a candidate without a recent response, since requests to
+# other upstreams show nothing about its speed.
 PROBE_FRACTION = 0.01
 PROBE_IDLE_MS = 5000.0
 INITIAL_MEAN_TOKENS = 100.0
 MEAN_TOKENS_GAIN = 0.02
-# Retry hint while an item is loading; a load takes from milliseconds (adapter) to seconds (model).
+# Retry hint while an item is loading, which takes from milliseconds (adapter) to seconds (model).
 LOADING_RETRY_MS = 500
 NO_UPSTREAM_RETRY_MS = 1000
 
 
 class RoutingTable:
-    """Decide where attempts go; one per entry process.
+    """Choose upstreams for attempts; one per entry process.
 
     :param policy: routing policy.
     :param own_data_centre: data centre of this process.
     :param random: source of randomness.
-    :param upstream_silence_ms: age of evidence from which an upstream gets no new work.
+    :param upstream_silence_ms: time without a sign of life after which an upstream gets no new work.
     """
 
     def __init__(
@@ -78,9 +79,9 @@
         self._mean_tokens = INITIAL_MEAN_TOKENS
 
     def observe(self, row: UpstreamRow, now_ms: float) -> None:
-        """Take a report about an upstream from a digest, an announcement or a probe.
+        """Apply a report about an upstream from a digest, an announcement or a probe.
 
-        A report older than the one held, or of an earlier sequence, changes nothing.
+        A report older than the last one, or of an earlier sequence, is ignored.
 
         :param row: the report; its ``age_ms`` counts back from ``now_ms``.
         :param now_ms: time of arrival, or for a relayed report the time its request was sent.
@@ -109,10 +110,10 @@
             self._index.remove(row.upstream_id)
 
     def mark_alive(self, upstream_id: str, alive_ms: float) -> None:
-        """Take evidence that an upstream is alive, without new load figures.
+        """Record that an upstream was alive at some time, without new load figures.
 
         :param upstream_id: the upstream; an unknown one is ignored.
-        :param alive_ms: moment of the evidence.
+        :param alive_ms: time at which it was alive.
         """
         upstream = self._upstreams.get(upstream_id)
         if upstream is None or alive_ms <= upstream.alive_ms:
@@ -122,7 +123,7 @@
             self._index.add(upstream.row)
 
     def remove(self, upstream_id: str) -> None:
-        """Forget an upstream; its running attempts end without effect on it."""
+        """Remove an upstream; the outcomes of its running attempts are ignored."""
         upstream = self._upstreams.pop(upstream_id, None)
         if upstream is not None:
             self._reported_total -= upstream.reported
@@ -135,7 +136,7 @@
         :param request: what the attempt needs.
         :param now_ms: current time.
         :return: an upstream id; ``model_loading`` when the request should be held until the item
-            is loaded; ``no_upstream`` when no upstream may carry it or all were excluded.
+            is loaded; ``no_upstream`` when no upstream can serve it or all were excluded.
         """
         group = self._group(request)
         if self._policy is RoutingPolicy.ADAPTIVE:
@@ -149,7 +150,7 @@
         return Err(self._no_candidate(request, now_ms))
 
     def forecast(self, request: RouteRequest, now_ms: float) -> Forecast | None:
-        """Return the best forecast among the candidates for a request, if there are any."""
+        """Return the best forecast among the candidates for a request, ``None`` without any."""
         group = self._group(request)
         candidates = self._candidates(group, request, now_ms) if group else []
         if not candidates:
@@ -160,7 +161,7 @@
     def begin(
         self, attempt_id: str, upstream_id: str, request: RouteRequest, now_ms: float
     ) -> None:
-        """Count a dispatched attempt at once, before the next decision."""
+        """Record a dispatched attempt, so that the next decision takes it into account."""
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return
@@ -182,7 +183,7 @@
             self._prefixes.record_stored(upstream_id, request.prefix_hashes, now_ms)
 
     def first_token(self, attempt_id: str, now_ms: float) -> None:
-        """Learn from the time to the first token of an attempt."""
+        """Record the first token of an attempt and update the latency estimate."""
         attempt = self._attempts.get(attempt_id)
         if attempt is None or attempt.first_token_ms is not None:
             return
@@ -194,7 +195,7 @@
             upstream.first_token.observe(attempt.first_token_factor * ratio, now_ms)
 
     def finish(self, attempt_id: str, outcome: AttemptOutcome, tokens: int, now_ms: float) -> None:
-        """End an attempt and learn from its outcome.
+        """Record the end of an attempt and update the estimates.
 
         :param attempt_id: the attempt.
         :param outcome: how it ended.
@@ -220,14 +221,14 @@
             upstream.health.record_failure(now_ms)
 
     def address(self, upstream_id: str) -> Address:
-        """Return where an upstream listens.
+        """Return the address of an upstream.
 
         :raises KeyError: when the upstream is unknown.
         """
         return parse_address(self._upstreams[upstream_id].row.address)
 
     def tick(self, now_ms: float) -> None:
-        """Drop upstreams from the index whose evidence has become too old."""
+        """Remove upstreams without a recent sign of life from the index."""
         for upstream_id, upstream in self._upstreams.items():
             if now_ms - upstream.alive_ms >= self._silence_ms:
                 self._index.remove(upstream_id)
@@ -276,7 +277,7 @@
             )
         usable = self._filter(ids, request, now_ms)
         if not usable and len(all_ids):
-            # Only when every sampled candidate is silent or excluded.
+            # Every sampled candidate is silent or excluded, so all of the group are considered.
             usable = self._filter(list(all_ids), request, now_ms)[:CANDIDATE_LIMIT]
         return usable
 
@@ -290,12 +291,12 @@
     ) -> list[Forecast]:
         cached = self._prefixes.cached_fractions(request.prefix_hashes)
         others = self._others_factor()
-        queue_share = self._queue_share(request.priority)
+        queue_fraction = self._queue_fraction(request.priority)
         return [
             upstream.forecast(
                 request.prompt_tokens * (1.0 - cached.get(upstream.row.upstream_id, 0.0)),
                 others,
-                queue_share,
+                queue_fraction,
                 self._mean_tokens,
                 now_ms,
             )
@@ -341,7 +342,7 @@
         own = max(OWN_MEAN_MINIMUM, self._own_mean)
         return min(OTHERS_FACTOR_LIMIT, max(1.0, self._reported_total / own))
 
-    def _queue_share(self, priority: int) -> float:
+    def _queue_fraction(self, priority: int) -> float:
         total = len(self._attempts)
         if total == 0:
             return 1.0
--- a/src/briardyke/policy/selection.py
+++ b/src/briardyke/policy/selection.py
@@ -1,4 +1,4 @@
-"""Select one upstream from a few candidates under each routing policy."""
+"""Filter candidates by health and pick one by its forecast cost."""
 
 from __future__ import annotations
 
@@ -15,20 +15,20 @@
 
 FIRST_TOKEN_TARGET_MS = 640.0
 BETWEEN_TOKENS_TARGET_MS = 64.0
-# Above this part of a target the cost grows steeply, since the request is likely to miss it.
+# Above this fraction of a target the cost grows more steeply, since the request will likely miss it.
 STEEP_COST_ABOVE = 0.7
 STEEP_COST_FACTOR = 5.0
-# Spread of the choice: a candidate that costs this much more is chosen 1/e as often. Instances
-# that see the same reports would otherwise all pick the same upstream.
+# A candidate that costs this much more than the cheapest is chosen 1/e as often. Without this spread,
+# instances that see the same reports would all pick the same upstream.
 COST_SPREAD = 0.05
-# An upstream in another data centre is chosen less often when a local one costs no more.
+# Weight of an upstream in another data centre when a local one is about as cheap.
 REMOTE_WEIGHT = 0.25
 # Round trip between data centres.
 REMOTE_ROUND_TRIP_MS = 2.0
 
 
 def forecast_cost(forecast: Forecast) -> float:
-    """Return how close a forecast comes to missing the targets; lower is better."""
+    """Return the cost of a forecast relative to the latency targets; lower is better."""
     total = 0.0
     for part in (
         forecast.first_token_ms / FIRST_TOKEN_TARGET_MS,
@@ -41,7 +41,7 @@
 def filter_by_health(
     candidates: Sequence[UpstreamState], now_ms: float, source: random.Random
 ) -> list[UpstreamState]:
-    """Leave out ejected upstreams at random by their weight, at most half of the candidates.
+    """Remove ejected upstreams at random by their weight, at most half of the candidates.
 
     :param candidates: usable upstreams.
     :param now_ms: current time.
@@ -65,7 +65,7 @@
 def pick_by_cost(costs: Sequence[tuple[float, bool]], spread: float, source: random.Random) -> int:
     """Return the index of a candidate, chosen at random with preference for low cost.
 
-    :param costs: cost and whether it is in the own data centre, by candidate.
+    :param costs: for each candidate its cost and whether it is in the own data centre.
     :param spread: difference in cost at which a candidate is chosen 1/e as often.
     :param source: source of randomness.
     """
--- a/src/briardyke/policy/share_bounds.py
+++ b/src/briardyke/policy/share_bounds.py
@@ -1,4 +1,4 @@
-"""Track the largest share that an instance may still believe it holds."""
+"""Bound the share that an instance may still hold, from its reports and outstanding grants."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 
 
 class _Granted(NamedTuple):
-    """Record one granted value.
+    """Describe one granted value.
 
-    :param value: the value.
+    :param value: granted share.
     :param total: limit that it was granted under; infinite for a value that was only reported.
     """
 
@@ -20,10 +20,10 @@
 class ShareBound:
     """Bound one instance's share of one quantity from grants and reports.
 
-    A grant that was sent may be lost, or arrive later, so until the instance's lease ends it counts
-    unless a report shows that the instance has moved past it. Replies are applied in order, so a
-    report of a value excludes every grant issued before the first one of that value. The lease is
-    kept by the allocator, one for all shares of an instance, since every answer may extend all.
+    A grant may be lost or delayed after it was sent. It therefore counts until the instance's lease
+    ends, unless a report shows that the instance has applied a later one. Replies are applied in
+    order, so a report of a value rules out every grant issued before the first one of that value.
+    The allocator keeps one lease for all shares of an instance, since every reply may extend all.
     """
 
     __slots__ = ("_grants", "_in_use", "_reported")
@@ -42,9 +42,9 @@
         return other
 
     def record_report(self, value: float, in_use: float) -> None:
-        """Take an instance's own statement of what it holds.
+        """Record the share that an instance reports.
 
-        Repeating an unchanged statement has no effect, so it may be left out.
+        Repeating an unchanged report has no effect, so the call may be omitted.
 
         :param value: share that it held when it sent the report.
         :param in_use: concurrency in use above the share, 0 for none.
@@ -54,8 +54,8 @@
                 del self._grants[:index]
                 break
         else:
-            # The share dates from before the grants, all of which may still be under way. Kept
-            # as the oldest entry, it is what a repeated report of the same value refers to.
+            # The share predates the grants, all of which may still be in transit. It is kept as
+            # the oldest entry, so that a repeated report of the same value matches it.
             self._grants.insert(0, _Granted(value, float("inf")))
         self._reported = value
         self._in_use = in_use
@@ -71,7 +71,7 @@
         return self._reported
 
     def upper_bound(self) -> float:
-        """Return the largest share that the instance may use."""
+        """Return the largest share that the instance may be using."""
         largest = self._reported
         if self._in_use > largest:
             largest = self._in_use
@@ -81,14 +81,14 @@
         return largest
 
     def largest_grant(self, total: float = sys.float_info.max) -> float:
-        """Return the largest grant of this leader, whatever the instance reported.
+        """Return the largest grant of this leader, regardless of what the instance reported.
 
-        :param total: leaves out what was granted under a higher limit.
+        :param total: grants made under a higher limit are ignored.
         """
         return max((g.value for g in self._grants if g.total <= total), default=0.0)
 
     def exact(self) -> float | None:
-        """Return the share if there is no doubt about it, otherwise ``None``."""
+        """Return the share if only one value is possible, otherwise ``None``."""
         values = {grant.value for grant in self._grants}
         values.update((self._reported, max(self._reported, self._in_use)))
         return values.pop() if len(values) == 1 else None
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -18,8 +18,9 @@
     from briardyke.agreed.configuration import Limit
     from briardyke.wire.messages import ShareDemand
 
-# Pairs per allocation that are divided anew only because an instance came or went. Their shares
-# are safe meanwhile, so that many instances coming at once do not delay answers.
+# Number of caller limits per allocation that are divided again only because an instance joined or
+# left. Their current shares stay safe meanwhile, and the bound keeps many instances that join at
+# once from delaying replies.
 DEFERRED_PER_ALLOCATION = 8
 
 _Key = tuple[str, str]
@@ -29,8 +30,8 @@
 class _Instance:
     """Hold an entry process's last report.
 
-    :param heard_at_ms: arrival of the last sync request whose answer may extend its lease.
-    :param held: shares that it held, by limit and caller.
+    :param heard_at_ms: arrival of the last sync request whose reply may extend its lease.
+    :param held: reported shares, by limit and caller.
     :param in_use: concurrency in use above its share, by limit and caller.
     :param wanted: limits and callers that it has demand for.
     """
@@ -42,16 +43,16 @@
 
 
 class ShareAllocator:
-    """Grant shares whose sum never exceeds the limit over all instances that may use one.
+    """Grant shares so that what all instances together may be using never exceeds the limit.
 
-    A caller_limit of limit and caller is divided anew only after a report, a limit or the set of instances
-    changed for it. Until then its last grants stay, which the bounds already count.
+    A limit is divided again for a caller only after a report, the limit or the set of instances
+    changed. Until then its last grants stay; the share bounds include them already.
 
-    :param lease_ms: share lease.
+    :param lease_ms: duration of a share lease.
     :param became_leader_at_ms: start of this leader's term; during the first lease only reported
         shares are confirmed, since the previous leader may have granted the rest.
     :param inherited: limits that an earlier leader may have granted shares of; ``None`` for all.
-        A limit that did not exist previous_held the term needs no wait.
+        A limit that did not exist before the term is granted without waiting for a lease.
     """
 
     def __init__(
@@ -69,7 +70,7 @@
         self._limits: dict[str, Limit] = {}
         self._removed: dict[str, float] = {}
         self._caller_limits: dict[str, dict[str, CallerLimit]] = {}
-        # Dictionaries instead of sets, so that the order does not depend on string hashes.
+        # Dictionaries serve as ordered sets, so that the order does not depend on string hashes.
         self._changed: dict[_Key, None] = {}
         self._deferred: dict[_Key, None] = {}
 
@@ -80,14 +81,16 @@
         demand: Sequence[ShareDemand],
         heard_at_ms: float,
     ) -> None:
-        """Take an instance's report.
+        """Record an instance's report.
+
+        Each status must be reported once only; a copy that a relay repeats says nothing about what
+        the instance holds now.
 
         :param instance_id: the instance.
         :param held: shares that it holds; concurrency in use counts as held.
-        :param demand: what it wanted since its last report.
-        :param heard_at_ms: arrival of the sync request that the next grants answer. The lease
-            that an answer gives counts from previous_held this time. A status is reported once; a copy
-            that a relay repeats says nothing about what the instance holds now.
+        :param demand: its demand since its last report.
+        :param heard_at_ms: arrival of the sync request that the next grants reply to. The lease
+            that the reply gives starts before this time.
         """
         self.extend_lease(instance_id, heard_at_ms)
         instance = self._instances.get(instance_id)
@@ -105,10 +108,10 @@
         self._report_held(instance_id, instance, previous_held, previous_in_use)
 
     def extend_lease(self, instance_id: str, heard_at_ms: float) -> None:
-        """Note that an answer may extend an instance's lease without a new report from it.
+        """Record that a reply may extend an instance's lease without a new report from it.
 
-        A relay repeats the last report of each instance in every sync of its own, and may extend
-        the instance's lease up to the evidence of that sync.
+        A relay repeats the last report of each instance in every sync of its own, and the reply to
+        that sync may extend the instance's lease.
 
         :param instance_id: the instance.
         :param heard_at_ms: arrival of the sync request.
@@ -128,21 +131,22 @@
         version: int = 0,
         instance_ids: Iterable[str] | None = None,
     ) -> dict[str, list[LimitShare]]:
-        """Divide what changed since the last call and return the shares of some instances.
+        """Divide the limits that changed since the last call and return the instances' shares.
 
         :param limits: limits of the current version, by id.
         :param now_ms: current time.
         :param version: configuration version of the limits.
-        :param instance_ids: instances that are answered; ``None`` for all known ones.
-        :return: shares by instance id. Caller ``*`` is the share of each caller without a share of
-            its own at that instance; a caller without demand there that has the same is left out.
+        :param instance_ids: instances that get a reply; ``None`` for all known ones.
+        :return: shares by instance id. Caller ``*`` is the default share of each caller without a
+            share of its own at that instance; callers without demand there whose share equals the
+            default are omitted.
         """
         self._expire(now_ms)
         self._update_limits(limits, now_ms)
         if self._confirming and now_ms >= self._confirm_until_ms:
             self._confirming = False
             self._defer_all()
-        # Default shares first, since the division for callers without demand follows them.
+        # Default shares come first, since callers without demand are granted the same.
         for key in [key for key in self._changed if key[1] == ANY]:
             self._divide(key)
         for key in list(self._changed):
@@ -169,9 +173,9 @@
             if caller_limit is not None and caller_limit.demand.pop(instance_id, None) is not None:
                 self._changed[key] = None
         instance.wanted = wanted
-        for one in demand:
-            if self._caller_limit(one.limit_id, one.caller).report_demand(instance_id, one):
-                self._changed[one.limit_id, one.caller] = None
+        for item in demand:
+            if self._caller_limit(item.limit_id, item.caller).report_demand(instance_id, item):
+                self._changed[item.limit_id, item.caller] = None
 
     def _report_held(
         self,
@@ -191,7 +195,7 @@
         keys = dict.fromkeys(changed)
         for limit_id, caller in changed:
             if caller == ANY:
-                # Callers without a share of their own use the default share.
+                # Callers without a share of their own use the default share, which has changed.
                 others = ((limit_id, other) for other in self._caller_limits[limit_id])
                 keys.update((k, None) for k in others if k not in instance.held)
         for limit_id, caller in keys:
@@ -237,7 +241,8 @@
                     caller_limit.grants = {}
                     self._changed[limit_id, caller] = None
         for limit_id, removed_ms in list(self._removed.items()):
-            # No answer since then carried shares of it, so every lease of one has ended.
+            # No reply has contained shares of the limit since its removal, so all their leases have
+            # ended.
             if now_ms >= removed_ms + self._lease_ms:
                 del self._removed[limit_id]
                 self._caller_limits.pop(limit_id, None)
@@ -263,7 +268,7 @@
         return list(by_caller) if limit.caller == ANY else [limit.caller]
 
     def _divide(self, key: _Key) -> None:
-        """Divide one limit for one caller and record the grants."""
+        """Divide one limit for one caller among the instances and record the grants."""
         self._changed.pop(key, None)
         self._deferred.pop(key, None)
         limit_id, caller = key
@@ -315,10 +320,10 @@
         return shares
 
 
-def _same_values(share: LimitShare, previous_held: LimitShare | None) -> bool:
+def _same_values(share: LimitShare, previous: LimitShare | None) -> bool:
     return (
-        previous_held is not None
-        and share.requests_per_second == previous_held.requests_per_second
-        and share.concurrent_requests == previous_held.concurrent_requests
-        and share.tokens_per_second == previous_held.tokens_per_second
+        previous is not None
+        and share.requests_per_second == previous.requests_per_second
+        and share.concurrent_requests == previous.concurrent_requests
+        and share.tokens_per_second == previous.tokens_per_second
     )
--- a/src/briardyke/policy/types.py
+++ b/src/briardyke/policy/types.py
@@ -1,4 +1,4 @@
-"""Define the data that routing, limits and admission exchange with their users."""
+"""Define the data types that routing, limits and admission share with their callers."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 
 @attrs.frozen
 class LimitRequest:
-    """Describe a request to the limits.
+    """Describe a request to be checked against the limits.
 
     :param caller: caller name.
     :param model: model name.
@@ -68,9 +68,9 @@
 
 @attrs.frozen
 class Permit:
-    """Hold what an admitted request occupies in the limits until it is settled.
+    """Identify an admitted request that counts against limits until it is released.
 
-    :param permit_id: number of the permit.
+    :param permit_id: unique number of the permit.
     :param request: the request as admitted.
     :param limit_ids: limits that it counts against.
     """
@@ -82,13 +82,14 @@
 
 @attrs.frozen
 class AdmissionRequest:
-    """Describe a request to admission control.
+    """Describe a request for admission control.
 
     :param caller: caller name.
-    :param caller_weight: share under overload, relative to other callers.
+    :param caller_weight: weight under overload, relative to other callers.
     :param route: what the request needs.
     :param estimated_tokens: tokens that may be generated.
-    :param deadline_ms: latest useful time of the first token, on the runtime's clock.
+    :param deadline_ms: latest useful time of the first token, on the runtime's clock; infinite for
+        none.
     """
 
     caller: str
--- a/src/briardyke/policy/upstream_index.py
+++ b/src/briardyke/policy/upstream_index.py
@@ -1,4 +1,4 @@
-"""Index upstreams by what they carry, so that a decision does not look at all of them."""
+"""Index upstreams by what they serve, so that a decision does not scan all of them."""
 
 from __future__ import annotations
 
@@ -13,15 +13,12 @@
 
     from briardyke.wire.messages import UpstreamRow
 
-# Sets of patterns of plain services that are kept; there is one per configured service.
+# Largest number of cached pattern groups; every configured service needs one.
 PATTERN_GROUP_LIMIT = 256
 
 
 class CandidateGroup:
-    """Hold the upstreams that can serve one model, adapter or service.
-
-    :param own_data_centre: data centre of this process.
-    """
+    """Hold the upstreams that can serve one model, adapter or service."""
 
     def __init__(self) -> None:
         self.all_ids = IndexedSet()
@@ -41,7 +38,7 @@
 
 
 class UpstreamIndex:
-    """Keep groups by item name and by service patterns.
+    """Keep candidate groups by item name and by service patterns.
 
     :param own_data_centre: data centre of this process.
     """
@@ -55,7 +52,7 @@
         self.engines = IndexedSet()
 
     def add(self, row: UpstreamRow) -> None:
-        """Index an upstream that may receive work, by its latest report."""
+        """Add or update an upstream that may receive work, from its latest report."""
         upstream_id = row.upstream_id
         local = row.data_centre == self._own_data_centre
         if row.kind == "service":
@@ -77,11 +74,11 @@
             self._by_item.setdefault(name, CandidateGroup()).add(upstream_id, local)
 
     def contains(self, upstream_id: str) -> bool:
-        """Return whether an upstream is placed."""
+        """Return whether an upstream is in the index."""
         return upstream_id in self._services or upstream_id in self.engines
 
     def remove(self, upstream_id: str) -> None:
-        """Remove an upstream that may not receive work."""
+        """Remove an upstream that must not receive work."""
         if self._services.pop(upstream_id, None) is not None:
             for group in self._by_patterns.values():
                 group.discard(upstream_id)
@@ -90,7 +87,7 @@
             self._remove_from_item(name, upstream_id)
 
     def by_item(self, name: str) -> CandidateGroup | None:
-        """Return the engines that have an item loaded, if any."""
+        """Return the engines that have a model or adapter loaded, if any."""
         return self._by_item.get(name)
 
     def by_patterns(self, patterns: tuple[str, ...]) -> CandidateGroup:
@@ -108,7 +105,7 @@
         return group
 
     def any_engine(self, patterns: tuple[str, ...], usable: Callable[[str], bool]) -> bool:
-        """Return whether some usable engine may carry an item.
+        """Return whether any usable engine is allowed to load an item.
 
         :param patterns: glob patterns over upstream ids; empty allows every engine.
         :param usable: tells whether an upstream may receive work.
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -1,4 +1,4 @@
-"""Hold what one entry process knows about one upstream, and estimate its present load."""
+"""Keep one entry process's state of one upstream and estimate its current load."""
 
 from __future__ import annotations
 
@@ -18,11 +18,13 @@
 if TYPE_CHECKING:
     from briardyke.wire.messages import UpstreamRow
 
-# Own dispatches and ends kept to correct a report; more than this within its age is not expected.
+# Largest number of own attempts begun or ended that are kept to correct a report; more are not
+# expected within the age of a report.
 CHANGE_LIMIT = 1024
-# An own change of this size counts half for what other instances did: small changes are chance.
+# A net change of this size in own attempts is scaled to other instances at half its value, since
+# small changes are mostly chance.
 HALF_WEIGHT_CHANGE = 1.0
-# A forecast is at most multiplied by this when an attempt waits longer than predicted.
+# Largest factor on a forecast when an attempt waits longer than predicted.
 OVERDUE_LIMIT = 50.0
 MINIMUM_SLOTS = 4
 
@@ -32,7 +34,7 @@
     """Record an attempt until it ends.
 
     :param upstream_id: upstream that runs it.
-    :param incarnation: process of the upstream at the time of dispatch.
+    :param incarnation: incarnation of the upstream at the time of dispatch.
     :param route: what the request needs.
     :param began_ms: time of dispatch.
     :param predicted_ms: predicted time to the first token.
@@ -53,10 +55,11 @@
 
 @attrs.frozen
 class Forecast:
-    """Predict what a request would see at an upstream.
+    """Predict the latencies of a request at an upstream.
 
     :param first_token_ms: time to the first token.
     :param between_tokens_ms: time between tokens.
+    :param idle_between_tokens_ms: time between tokens if no other request ran there.
     """
 
     first_token_ms: float
@@ -65,15 +68,15 @@
 
 
 class UpstreamState:
-    """Combine an upstream's last report with what this process sent to it.
+    """Combine an upstream's last report with the attempts of this process.
 
     :param row: first report.
     """
 
     def __init__(self, row: UpstreamRow) -> None:
         self.row = row
-        self.as_of_ms = float("-inf")  # of the load figures
-        self.alive_ms = float("-inf")  # of the evidence that it is alive
+        self.as_of_ms = float("-inf")  # time of the load figures
+        self.alive_ms = float("-inf")  # last time known to be alive
         self.health = UpstreamHealth()
         self.first_token = LatencyFactor()
         self.between_tokens = LatencyFactor()
@@ -85,14 +88,14 @@
 
     @property
     def reported(self) -> int:
-        """Return the number of requests in the last report."""
+        """Return the number of running and queued requests in the last report."""
         return self.row.in_flight + self.row.queued
 
     def apply_report(self, row: UpstreamRow, as_of_ms: float) -> None:
-        """Take a newer report and drop own changes that it already includes.
+        """Apply a newer report and discard own changes that it already includes.
 
         :param row: the report.
-        :param as_of_ms: time of its evidence on this process's clock.
+        :param as_of_ms: time that it describes, on this process's clock.
         """
         self.row = row
         self.as_of_ms = as_of_ms
@@ -105,7 +108,7 @@
             self.slots = row.in_flight
 
     def count_attempt(self, change: int, now_ms: float) -> None:
-        """Count an own dispatch (+1) or an own end (-1)."""
+        """Count the start (+1) or the end (-1) of an own attempt."""
         self.own_in_flight = max(0, self.own_in_flight + change)
         if len(self._changes) == CHANGE_LIMIT:
             self._net_change -= self._changes.popleft()[1]
@@ -115,8 +118,8 @@
     def estimated_load(self, others_factor: float) -> float:
         """Return the estimated number of requests at the upstream now.
 
-        Other instances see the same reports and behave alike, so what this instance added since
-        the report stands for what each of them added.
+        Other instances see the same reports and behave alike, so the net change of this instance
+        since the report is scaled up to all instances.
 
         :param others_factor: requests of all instances per request of this instance.
         """
@@ -128,7 +131,7 @@
         self,
         uncached_tokens: float,
         others_factor: float,
-        queue_share: float,
+        queue_fraction: float,
         mean_tokens: float,
         now_ms: float,
     ) -> Forecast:
@@ -136,14 +139,14 @@
 
         :param uncached_tokens: prompt tokens that are probably not cached.
         :param others_factor: see :meth:`estimated_load`.
-        :param queue_share: part of the queue that has at least the request's priority.
-        :param mean_tokens: usual number of generated tokens.
+        :param queue_fraction: fraction of the queue that has at least the request's priority.
+        :param mean_tokens: mean number of generated tokens.
         :param now_ms: current time.
         """
         load = self.estimated_load(others_factor)
         slots = self.slots
         running = load if slots is None else min(load, float(slots))
-        queued = (load - running) * queue_share
+        queued = (load - running) * queue_fraction
         gap_ms = self.between_tokens.value(now_ms) * nominal_between_tokens_ms(running + 1.0)
         first_ms = self.first_token.value(now_ms) * nominal_first_token_ms(running, uncached_tokens)
         if slots is not None and load >= slots:
--- a/src/briardyke/policy/water_filling.py
+++ b/src/briardyke/policy/water_filling.py
@@ -1,4 +1,4 @@
-"""Pour an amount over bins of different heights, as water would spread."""
+"""Spread an amount over bins of different heights by water-filling."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 def water_filling_level(bins: Iterable[tuple[float, float]], amount: float) -> float:
-    """Return the height that an amount reaches.
+    """Return the common level of the bins that receive a part of an amount.
 
-    :param bins: present height and width of each bin; at least one.
-    :param amount: what is poured; a bin of width 2 takes 2 for each unit of height.
+    :param bins: current height and width of each bin; at least one.
+    :param amount: amount to spread; a bin of width 2 takes 2 for each unit of height.
     """
     ascending = sorted(bins)
     width = content = 0.0
@@ -22,4 +22,4 @@
         level = (content + amount) / width
         if position == len(ascending) or level <= ascending[position][0]:
             return level
-    raise ValueError("no bin to pour into")
+    raise ValueError("water filling needs at least one bin")
