--- a/src/briardyke/policy/ejection.py
+++ b/src/briardyke/policy/ejection.py
@@ -12,8 +12,9 @@
 RECOVERY_DOUBLING_LIMIT_MS = 12000.0
 FLAP_MEMORY_MS = 60000.0
 EJECTED_BELOW_WEIGHT = 0.5
-# Largest fraction of the candidates of one decision that ejection may remove, rounded down. A single
-# candidate is therefore never removed, and a fault that all upstreams share removes at most half.
+# Largest fraction of the candidates of one decision that ejection may remove, rounded down. A
+# single candidate is therefore never removed, and a fault that all upstreams share removes at most
+# half.
 MAX_EJECTED_FRACTION = 0.5
 
 
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -18,7 +18,7 @@
 
 # Use that has been idle this long is dropped; its buckets would be full again by then.
 IDLE_FORGET_MS = 30_000.0
-# Retry hint when a share of concurrent requests is fully in use; the time until one ends is unknown.
+# Retry hint when a share of concurrent requests is fully in use; when one will end is unknown.
 CONCURRENCY_RETRY_MS = 250
 
 
@@ -64,7 +64,7 @@
     ) -> None:
         """Replace limits and shares.
 
-        A share above its limit, such as one granted under an earlier version, is reduced to the limit.
+        A share above its limit, such as one granted under an earlier version, is reduced to it.
 
         :param limits: limits of the version in force, by id.
         :param shares: this instance's shares; caller ``*`` is the default share of each caller
--- a/src/briardyke/policy/prefixes.py
+++ b/src/briardyke/policy/prefixes.py
@@ -18,7 +18,7 @@
 
 
 class PrefixMap:
-    """Map prefix hashes to upstreams, from this process's dispatches and from cache events.
+    """Map prefix hashes to upstreams, from own dispatches and from cache events.
 
     :param capacity: largest number of prefixes; the least recently used one is evicted.
     """
@@ -27,7 +27,7 @@
         self._capacity = capacity
         self._holders: OrderedDict[int, dict[str, tuple[int, float]]] = OrderedDict()
         self._sequences: dict[str, int] = {}
-        # Each time the cache of an upstream is lost, it gets a new epoch, which invalidates its older
+    """Map prefix hashes to upstreams, based on own dispatches and cache events.
         # prefixes.
         self._epochs: dict[str, int] = {}
         self._next_epoch = 0
--- a/src/briardyke/policy/retries.py
+++ b/src/briardyke/policy/retries.py
@@ -4,8 +4,8 @@
 
 RETRY_RATIO = 0.10
 RETRIES_PER_SECOND = 3.0
-# Unused budget accrues for at most ten seconds of requests and one second of the fixed rate, so that
-# a long idle period does not allow a burst of retries.
+# Unused budget accrues for at most ten seconds of requests and one second of the fixed rate, so
+# that a long idle period does not allow a burst of retries.
 RATIO_BURST_SECONDS = 10.0
 
 
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -34,8 +34,8 @@
 CANDIDATE_LIMIT = 10
 # Bounds the estimated number of requests of all instances per request of this one, which is coarse.
 OTHERS_FACTOR_LIMIT = 16.0
-# Weight of one report in the moving average of own attempts in flight, and the lowest value that the
-# average counts as.
+# Weight of one report in the moving average of own attempts in flight, and the lowest value used
+# for that average.
 OWN_MEAN_GAIN = 0.03
 OWN_MEAN_MINIMUM = 1.0
 # This fraction of the decisions picks a candidate without a recent response, since requests to
@@ -55,7 +55,8 @@
     :param policy: routing policy.
     :param own_data_centre: data centre of this process.
     :param random: source of randomness.
-    :param upstream_silence_ms: time without a sign of life after which an upstream gets no new work.
+    :param upstream_silence_ms: time without evidence of life after which an upstream gets no
+        new work.
     """
 
     def __init__(
@@ -228,7 +229,7 @@
         return parse_address(self._upstreams[upstream_id].row.address)
 
     def tick(self, now_ms: float) -> None:
-        """Remove upstreams without a recent sign of life from the index."""
+        """Remove upstreams without recent evidence of life from the index."""
         for upstream_id, upstream in self._upstreams.items():
             if now_ms - upstream.alive_ms >= self._silence_ms:
                 self._index.remove(upstream_id)
--- a/src/briardyke/policy/selection.py
+++ b/src/briardyke/policy/selection.py
@@ -15,11 +15,11 @@
 
 FIRST_TOKEN_TARGET_MS = 640.0
 BETWEEN_TOKENS_TARGET_MS = 64.0
-# Above this fraction of a target the cost grows more steeply, since the request will likely miss it.
+# Above this fraction of a target the cost grows steeply, since the request will likely miss it.
 STEEP_COST_ABOVE = 0.7
 STEEP_COST_FACTOR = 5.0
-# A candidate that costs this much more than the cheapest is chosen 1/e as often. Without this spread,
-# instances that see the same reports would all pick the same upstream.
+# A candidate that costs this much more than the cheapest is chosen 1/e as often. Without this
+# spread, instances that see the same reports would all pick the same upstream.
 COST_SPREAD = 0.05
 # Weight of an upstream in another data centre when a local one is about as cheap.
 REMOTE_WEIGHT = 0.25
--- a/src/briardyke/policy/types.py
+++ b/src/briardyke/policy/types.py
@@ -1,4 +1,4 @@
-"""Define the data types that routing, limits and admission share with their callers."""
+"""Define the data types that routing, limits and admission share with other packages."""
 
 from __future__ import annotations
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -1,4 +1,4 @@
-"""Check early refusal, fairness between callers and the retry budget."""
+"""Check admission control, the retry budget and the ejection of failing upstreams."""
 
 from __future__ import annotations
 
@@ -27,9 +27,9 @@
 
 
 class TestAdmissionController:
-    """Guards against work that cannot succeed and against one caller crowding out others."""
+    """Guards against work that cannot succeed and against one caller starving others."""
 
-    def test_a_deadline_that_cannot_be_met_is_refused_with_a_time(self) -> None:
+    def test_a_deadline_that_cannot_be_met_is_refused_with_a_retry_time(self) -> None:
         """Guards against spending accelerator time on responses that come too late."""
         failure = controller(700.0).admit(request(), 0.0).unwrap_err()
         assert failure.kind is ErrorKind.DEADLINE_UNMEETABLE
@@ -42,20 +42,20 @@
         failure = controller(100.0, gap_ms=63.0).admit(request(), 0.0).unwrap_err()
         assert failure.kind is ErrorKind.OVERLOADED
 
-    def test_a_burst_of_one_caller_does_not_refuse_the_others(self) -> None:
-        """Guards against the loudest caller taking all of a busy model."""
+    def test_a_burst_of_one_caller_does_not_cause_refusals_of_others(self) -> None:
+        """Guards against the most active caller taking all capacity of a busy model."""
         admission = controller(450.0)
-        admitted = {"loud": 0, "quiet": 0}
+        admitted = {"busy": 0, "light": 0}
         for step in range(400):
             now = step * 10.0
-            callers = ["loud"] * 10 + (["quiet"] if step % 2 else [])
+            callers = ["busy"] * 10 + (["light"] if step % 2 else [])
             for caller in callers:
                 ok = admission.admit(request(caller, now + 640.0), now).is_ok()
                 admitted[caller] += ok
-        assert admitted["quiet"] >= 195
-        assert admitted["loud"] < 1000
+        assert admitted["light"] >= 195
+        assert admitted["busy"] < 1000
 
-    def test_priority_is_refused_later(self) -> None:
+    def test_a_higher_priority_is_refused_later(self) -> None:
         """Guards against refusing urgent requests as early as others."""
         assert controller(540.0).admit(request(), 0.0).is_err()
         assert controller(540.0).admit(request(priority=1), 0.0).is_ok()
@@ -69,9 +69,9 @@
 
 
 class TestRetryBudget:
-    """Guards against retries that multiply an overload."""
+    """Guards against retries that amplify an overload."""
 
-    def test_retries_stay_within_a_tenth_and_three_a_second(self) -> None:
+    def test_retries_stay_within_a_tenth_of_the_requests_and_three_a_second(self) -> None:
         budget = RetryBudget()
         spent = 0
         for step in range(10_000):
@@ -79,17 +79,17 @@
             spent += budget.try_spend(step * 1.0) + budget.try_spend(step * 1.0)
         assert 900 <= spent <= 0.10 * 10_000 + 3 * 10 + 3
 
-    def test_unused_budget_is_not_kept_for_long(self) -> None:
+    def test_unused_budget_accrues_for_a_short_time_only(self) -> None:
         budget = RetryBudget()
         for step in range(1000):
             budget.record_request(step * 1.0)
         assert sum(budget.try_spend(120_000.0) for _ in range(100)) <= 4
 
 
-class TestHealthGate:
-    """Guards against sudden ejection and against ejection without return."""
+class TestUpstreamHealth:
+    """Guards against ejection at the first failure and against ejection without recovery."""
 
-    def test_traffic_falls_and_returns_by_steps(self) -> None:
+    def test_traffic_falls_and_recovers_in_steps(self) -> None:
         gate = UpstreamHealth()
         gate.record_failure(0.0)
         gate.record_failure(10.0)
@@ -99,12 +99,12 @@
         assert MINIMUM_WEIGHT <= gate.weight(1900.0) < 0.1
         assert gate.weight(60_000.0) == 1.0
 
-    def test_flapping_lengthens_the_return(self) -> None:
+    def test_flapping_slows_the_recovery(self) -> None:
         first, flapping = UpstreamHealth(), UpstreamHealth()
         for now in (0.0, 5000.0, 10_000.0, 15_000.0):
             flapping.record_failure(now)
         first.record_failure(15_000.0)
         assert flapping.weight(16_000.0) < first.weight(16_000.0)
 
-    def test_the_largest_ejected_share_is_stated(self) -> None:
+    def test_the_largest_ejected_fraction_is_one_half(self) -> None:
         assert MAX_EJECTED_FRACTION == 0.5
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -17,7 +17,7 @@
 
 
 class LimiterMachine(RuleBasedStateMachine):
-    """Guards against admissions beyond share times time plus the stated burst, in any window."""
+    """Guards against admissions beyond share times time plus the burst, in any window."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -57,11 +57,11 @@
             assert failure.answer.retryable
             assert (failure.retry_after_ms or 0) > 0
 
-    @rule(part=st.sampled_from((0.0, 0.5, 1.0)))
-    def settle(self, part: float) -> None:
+    @rule(fraction=st.sampled_from((0.0, 0.5, 1.0)))
+    def release(self, fraction: float) -> None:
         if self.open:
             permit = self.open.pop()
-            used = int(permit.request.estimated_tokens * part)
+            used = int(permit.request.estimated_tokens * fraction)
             self.used[1] += used - permit.request.estimated_tokens
             self.limiter.release(permit, used, self.now)
             self.limiter.release(permit, used, self.now)
@@ -72,7 +72,7 @@
         for index, burst in enumerate(bursts):
             gap = self.used[index] - self.allowed[index]
             assert gap - self.reference[index] <= burst + 1e-6
-            # Refunds lower the use later on, so windows for tokens start at zero only.
+            # A release lowers the counted tokens later, so windows for tokens start at zero only.
             if index == 0:
                 self.reference[index] = min(self.reference[index], gap)
 
@@ -90,12 +90,12 @@
 
 
 class TestRequestLimiter:
-    """Guards against limits that match the wrong requests or charge them wrongly."""
+    """Guards against limits that match the wrong requests or are charged wrongly."""
 
     request = LimitRequest("x", "m", "a", 10)
 
     def test_nothing_is_admitted_without_a_valid_share(self) -> None:
-        """Guards against a cut-off instance admitting beyond its lease."""
+        """Guards against a partitioned instance admitting beyond its lease."""
         limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 5.0, 5, 500.0))
         assert limiter.admit(self.request, 5999.0).is_ok()
         assert limiter.admit(self.request, 6000.0).is_err()
@@ -115,12 +115,12 @@
 
     def test_a_refusal_charges_no_limit(self) -> None:
         """Guards against a request that one limit refuses using up another."""
-        limits = {"open": Limit("*", "*", "*", None, 1), "shut": Limit("x", "*", "*", None, 1)}
-        limiter = limiter_with(limits, LimitShare("open", "*", 1, None, 1, None))
+        limits = {"all": Limit("*", "*", "*", None, 1), "one": Limit("x", "*", "*", None, 1)}
+        limiter = limiter_with(limits, LimitShare("all", "*", 1, None, 1, None))
         assert limiter.admit(self.request, 0.0).is_err()
         assert limiter.admit(LimitRequest("z", "m", "", 0), 0.0).is_ok()
 
-    def test_a_lowered_limit_cuts_an_older_share(self) -> None:
+    def test_a_lowered_limit_reduces_an_older_share(self) -> None:
         """Guards against a share of an earlier version exceeding the limit in force."""
         limiter = limiter_with(
             {"l": Limit("*", "*", "*", None, 1)}, LimitShare("l", "x", 1, 9, 9, 9)
@@ -140,14 +140,14 @@
         assert limiter.admit(self.request, float(wait)).is_ok()
 
     def test_demand_counts_refused_requests(self) -> None:
-        """Guards against a refused burst staying invisible to the leader."""
+        """Guards against a refused burst that the leader does not learn of."""
         limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 0.0, 0, 0.0))
         for _ in range(20):
             limiter.admit(self.request, 0.0)
         (demand,) = limiter.take_demand(0.0)
         assert demand.requests_per_second == 10.0 and demand.caller == "x"
 
-    def test_a_higher_share_gives_no_credit_for_the_time_before(self) -> None:
+    def test_a_raised_share_gives_no_credit_for_the_time_before(self) -> None:
         """Guards against a burst when a share moves from one instance to another."""
         limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 1.0, 8, 2000.0))
         limiter.release(limiter.admit(self.request, 0.0).unwrap(), 0, 0.0)
@@ -156,7 +156,7 @@
         assert limiter.admit(self.request, 1000.0).is_err()
 
     def test_the_burst_is_one_second_of_the_share(self) -> None:
-        """Guards against an idle period being saved up."""
+        """Guards against credit that accumulates while idle."""
         limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 5.0, 8, 2000.0))
         admitted = 0
         for now_ms in [0.0] + [5000.0] * 20:
@@ -166,7 +166,7 @@
                 limiter.release(result.unwrap(), 0, now_ms)
         assert admitted == 6
 
-    def test_estimated_tokens_count_until_settled_on_the_true_number(self) -> None:
+    def test_estimated_tokens_count_until_a_release_with_the_actual_number(self) -> None:
         """Guards against a large request being free until it ends, or charged twice over."""
         limiter = limiter_with(LIMITS, LimitShare("l", "*", 1, 20.0, 8, 100.0))
         permit = limiter.admit(LimitRequest("x", "m", "a", 500), 0.0).unwrap()
@@ -174,8 +174,8 @@
         limiter.release(permit, 100, 2000.0)
         assert limiter.admit(self.request, 2000.0).is_ok()
 
-    def test_a_permit_is_settled_once(self) -> None:
-        """Guards against concurrency growing because an end is reported twice."""
+    def test_a_permit_is_released_once(self) -> None:
+        """Guards against admitting too many requests because an end is reported twice."""
         limiter = limiter_with(
             {"l": Limit(concurrent_requests=1)}, LimitShare("l", "*", 1, 9, 1, 9)
         )
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -1,4 +1,4 @@
-"""Check where attempts are sent."""
+"""Check which upstreams attempts are sent to."""
 
 from __future__ import annotations
 
@@ -50,10 +50,10 @@
 
 @pytest.mark.parametrize("policy", list(RoutingPolicy))
 class TestEveryPolicy:
-    """Guards against any policy sending work where none may go."""
+    """Guards against a policy choosing an upstream that must not receive work."""
 
     def test_silent_and_leaving_upstreams_get_no_work(self, policy: RoutingPolicy) -> None:
-        """Guards against P6: work for an upstream that leaves or has not been heard of."""
+        """Guards against work for an upstream that is leaving or has sent no recent report."""
         table = table_of(
             row("old", age_ms=2999.0), row("gone", lifecycle="leaving"), row("new"), policy=policy
         )
@@ -68,7 +68,7 @@
         both = RouteRequest("m", excluded=frozenset({"a", "b"}))
         assert table.choose(both, 0.0).unwrap_err().kind is ErrorKind.NO_UPSTREAM
 
-    def test_a_model_that_is_not_loaded_is_held(self, policy: RoutingPolicy) -> None:
+    def test_a_request_for_a_model_that_is_not_loaded_is_held(self, policy: RoutingPolicy) -> None:
         """Guards against failing a request for a model that placement will load."""
         loading = row("a", loaded=[LoadedItem("m", 1, "o", "loading")])
         table = table_of(loading, policy=policy)
@@ -89,7 +89,7 @@
         table.remove("orders-1")
         assert {table.choose(request, 0.0).unwrap() for _ in range(20)} == {"orders-2"}
 
-    def test_an_adapter_is_served_where_it_is_loaded(self, policy: RoutingPolicy) -> None:
+    def test_an_adapter_is_served_only_where_it_is_loaded(self, policy: RoutingPolicy) -> None:
         """Guards against a request for an adapter on an upstream with only its model."""
         both = [LoadedItem("m", 1, "", "loaded"), LoadedItem("a", 1, "", "loaded")]
         table = table_of(row("plain"), row("adapted", loaded=both), policy=policy)
@@ -98,7 +98,7 @@
 
 
 class TestReports:
-    """Guards against late, repeated and reordered reports."""
+    """Guards against errors from late, repeated and reordered reports."""
 
     def test_an_older_report_changes_nothing(self) -> None:
         """Guards against a delayed report reviving an upstream that left."""
@@ -128,7 +128,7 @@
         assert upstream.estimated_load(1.0) == 4
         table.finish("0", AttemptOutcome.COMPLETED, 5, 30.0)
         assert upstream.estimated_load(1.0) == 3
-        # Others are taken to have ended attempts as well.
+        # Other instances are assumed to have ended attempts as well.
         assert upstream.estimated_load(3.0) < 4
 
 
@@ -146,13 +146,13 @@
             table.observe(row("slow"), float(now))
         assert serve(table, 400, {"fast": 50.0, "slow": 50.0}, now=59_500.0)["slow"] >= 100
 
-    def test_idle_upstreams_are_not_all_picked_alike(self) -> None:
+    def test_instances_spread_over_idle_upstreams(self) -> None:
         """Guards against many instances picking the same idle upstream from one report."""
         chosen = Counter(_choice_of(seed) for seed in range(200))
         assert max(chosen.values()) <= 60
 
     def test_the_own_data_centre_is_preferred_until_it_is_busy(self) -> None:
-        """Guards against needless traffic between data centres, and against insisting on it."""
+        """Guards against needless remote traffic and against overloading the local upstream."""
         table = table_of(row("near"), row("far", data_centre="d1"))
         near = sum(table.choose(REQUEST, 0.0).unwrap() == "near" for _ in range(100))
         assert near >= 70
@@ -160,7 +160,7 @@
         far = sum(table.choose(REQUEST, 1.0).unwrap() == "far" for _ in range(100))
         assert far >= 95
 
-    def test_a_cached_prefix_attracts_until_the_holder_is_busy(self) -> None:
+    def test_the_holder_of_a_cached_prefix_is_preferred_until_it_is_busy(self) -> None:
         """Guards against ignoring the cache and against overloading its holder."""
         request = RouteRequest("m", prefix_hashes=(1, 2, 3, 4), prompt_tokens=3000)
         table = table_of(*(row(f"u{i}") for i in range(30)))
@@ -170,7 +170,7 @@
         table.observe(row("u7", in_flight=16, queued=40), 3.0)
         assert sum(table.choose(request, 3.0).unwrap() == "u7" for _ in range(50)) <= 2
 
-    def test_failures_reduce_traffic_but_never_of_all(self) -> None:
+    def test_failures_reduce_traffic_but_never_eject_all(self) -> None:
         """Guards against ejecting every upstream after a fault that they share."""
         table = table_of(*(row(f"u{i}") for i in range(4)))
         for number in range(40):
@@ -186,7 +186,7 @@
                 table.finish(f"{i}/{number}", AttemptOutcome.FAILED, 0, 4000.0 + number * 60)
         assert all(table.choose(REQUEST, 6400.0).is_ok() for _ in range(50))
 
-    def test_an_unanswered_attempt_is_evidence(self) -> None:
+    def test_an_unanswered_attempt_lowers_the_preference(self) -> None:
         """Guards against sending on to an upstream that hangs without failing."""
         table = table_of(row("hangs"), row("works"))
         serve(table, 20, {"hangs": 50.0, "works": 50.0})
@@ -194,17 +194,17 @@
         chosen = Counter(table.choose(REQUEST, 1100.0).unwrap() for _ in range(100))
         assert chosen["works"] >= 90
 
-    def test_a_decision_looks_at_a_few_upstreams_only(self) -> None:
+    def test_a_decision_considers_a_few_upstreams_only(self) -> None:
         """Guards against a cost that grows with the number of upstreams."""
         table = table_of(*(row(f"u{i}") for i in range(2000)))
-        looked: list[str] = []
+        considered: list[str] = []
         usable = table._usable
-        table._usable = lambda i, now: looked.append(i) or usable(i, now)  # type: ignore
+        table._usable = lambda i, now: considered.append(i) or usable(i, now)  # type: ignore
         table.choose(REQUEST, 0.0)
-        assert len(looked) <= 14
+        assert len(considered) <= 14
 
     def test_a_lost_cache_event_lowers_confidence(self) -> None:
-        """Guards against trusting entries that may have been evicted unnoticed."""
+        """Guards against trusting prefixes that may have been evicted without an event."""
         table = table_of(row("a", cache_events=[CacheEvent(1, "stored", 5)]))
         assert table._prefixes.cached_fractions((5,)) == {"a": 1.0}
         table.observe(row("a", cache_events=[CacheEvent(4, "stored", 6)]), 10.0)
@@ -232,10 +232,10 @@
     return table.choose(REQUEST, 0.0).unwrap()
 
 
-class TestRefreshedEvidence:
-    """Guards against an upstream that stays lost, or loads that are uncounted, on mere evidence."""
+class TestMarkAlive:
+    """Guards against wrong state when an upstream is known to be alive without a new report."""
 
-    def test_upstream_returns_with_evidence_alone(self) -> None:
+    def test_a_silent_upstream_returns_once_it_is_marked_alive(self) -> None:
         table = table_of(row("e1"))
         table.tick(3100.0)
         assert table.choose(REQUEST, 3100.0).is_err()
@@ -243,7 +243,7 @@
         assert table.choose(REQUEST, 3200.0).unwrap() == "e1"
         assert table.choose(REQUEST, 5900.0).is_err()
 
-    def test_leaving_upstream_does_not_return(self) -> None:
+    def test_a_leaving_upstream_does_not_return(self) -> None:
         table = table_of(row("e1", lifecycle="leaving"))
         table.mark_alive("e1", 1000.0)
         table.mark_alive("unknown", 1000.0)
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -29,12 +29,12 @@
 
 
 # A relay repeats the last report of an instance for this long.
-PASS_ON_MS = 3000.0
+RELAY_REPEAT_MS = 3000.0
 
 
 @attrs.frozen
 class Report:
-    """Stands for the part of a status that concerns shares."""
+    """Models the part of an instance status that concerns shares."""
 
     number: int
     sent_ms: float
@@ -43,12 +43,12 @@
 
 
 class EntryModel:
-    """Stands for an entry process: a limiter, its lease, and replies under way."""
+    """Models an entry process: a limiter, its lease, and replies in transit."""
 
     def __init__(self) -> None:
         self.limiter = RequestLimiter()
         self.expires_ms = float("-inf")
-        # A relay can pass on a status before the reply to the previous one has arrived.
+        # A relay can forward a status before the reply to the previous one has arrived.
         self.pending: deque[tuple[float, list[LimitShare], dict[str, Limit]]] = deque()
         self.demand: dict[str, float] = {}
         self.last_report: Report | None = None
@@ -78,7 +78,7 @@
         self.now += ms
         for entry in self.entries.values():
             if self.now >= entry.expires_ms:
-                # Requests that outlive the lease of a cut-off instance are the stated overshoot.
+                # Requests that outlive the lease of a partitioned instance may exceed the limit.
                 entry.open = [(permit, True) for permit, _ in entry.open]
 
     @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS), load=LOAD)
@@ -101,11 +101,11 @@
     @rule(name=st.sampled_from(INSTANCES))
     def repeat_report(self, name: str) -> None:
         report = self.entries[name].last_report
-        if report is not None and self.now - report.sent_ms < PASS_ON_MS:
+        if report is not None and self.now - report.sent_ms < RELAY_REPEAT_MS:
             self.answer(name, report)
 
     def answer(self, name: str, report: Report) -> None:
-        """Do what the leader does with a status that a relay sends."""
+        """Handle a status from a relay as the leader does."""
         if report.number > self.reported.get(name, 0):
             self.reported[name] = report.number
             self.allocator.report(name, report.held, report.demand, self.now)
@@ -161,7 +161,7 @@
 
     @rule()
     def remove_limit(self) -> None:
-        # The shares of a removed limit bind while their lease runs, so its number stays in the
+        # The shares of a removed limit stay valid while their lease runs, so its value stays in the
         # history until it is set again.
         self.limits = {}
 
@@ -177,7 +177,7 @@
 
     @precondition(lambda self: any(entry.open for entry in self.entries.values()))
     @rule()
-    def settle_oldest(self) -> None:
+    def release_oldest(self) -> None:
         for entry in self.entries.values():
             if entry.open:
                 permit, _ = entry.open.pop(0)
@@ -185,8 +185,8 @@
 
     @invariant()
     def shares_stay_within_the_limit(self) -> None:
-        # A lowered limit binds everywhere only once older leases have ended, and, when the leader
-        # changed meanwhile, once the new leader has ended its first lease.
+        # A lowered limit holds at every instance only once older leases have ended and, when the
+        # leader changed meanwhile, once the first lease of the new leader has ended.
         since = self.now - LEASE_MS
         if since < self.leader_since:
             since = self.leader_since - LEASE_MS
@@ -221,7 +221,7 @@
 
 
 class Leader:
-    """Drives an allocator with instances that receive every reply."""
+    """Drives an allocator and instances that receive every reply."""
 
     def __init__(self, became_ms: float = -10_000.0) -> None:
         self.allocator = ShareAllocator(LEASE_MS, became_ms)
@@ -258,7 +258,7 @@
         assert sum(s.concurrent_requests for s in shares.values()) == 12
 
     def test_a_silent_instance_keeps_its_share_for_one_lease_only(self) -> None:
-        """Guards against reassigning a share that is in use, and against losing it for ever."""
+        """Guards against reassigning a share that is in use and against never reassigning it."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
         held = leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 100.0)["a"].requests_per_second
@@ -283,7 +283,7 @@
         share = leader.sync(self.limits, {"b": 0.0}, 300.0)["b"].requests_per_second
         assert held > 11.0 and share <= 12.0 - held + 1e-9
 
-    def test_a_report_does_not_exclude_grants_that_are_under_way(self) -> None:
+    def test_a_report_does_not_rule_out_grants_that_are_in_transit(self) -> None:
         """Guards against forgetting a grant because older reports arrive after it."""
         bound = ShareBound()
         bound.record_report(5.0, 0.0)
@@ -295,7 +295,7 @@
         assert bound.upper_bound() == 3.0
 
     def test_an_expired_share_is_not_confirmed_by_a_new_leader(self) -> None:
-        """Guards against a returning instance reviving a share that others have had since."""
+        """Guards against a returning instance reclaiming a share that others have held since."""
         limiter = RequestLimiter()
         limiter.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
         allocator = ShareAllocator(LEASE_MS, 7000.0)
@@ -320,7 +320,7 @@
         assert sum(s.requests_per_second for s in shares) <= 4.0
         assert sum(s.concurrent_requests for s in shares) <= 3
 
-    def test_a_new_leader_fits_confirmations_to_a_lowered_limit(self) -> None:
+    def test_a_new_leader_reduces_confirmed_shares_to_a_lowered_limit(self) -> None:
         """Guards against confirming one by one more than the lowered limit allows together."""
         held = [LimitShare("l", "*", 1, 4.0, 4, None)]
         lowered = {"l": Limit("*", "*", "*", 4.0, 4)}
@@ -333,8 +333,8 @@
             concurrent += share.concurrent_requests
         assert rate <= 4.0 and concurrent <= 4
 
-    def test_an_answer_to_a_repeated_report_extends_the_lease(self) -> None:
-        """Guards against reassigning a share whose lease a relay has lengthened."""
+    def test_a_reply_to_a_repeated_report_extends_the_lease(self) -> None:
+        """Guards against reassigning a share whose lease a relay has extended."""
         leader = Leader()
         held = leader.sync(self.limits, {"a": 50.0}, 0.0)["a"].requests_per_second
         leader.allocator.extend_lease("a", 5000.0)
@@ -343,7 +343,7 @@
             assert held > 11.0 and share <= 12.0 - held + 1e-9
 
     def test_a_new_instance_does_not_use_its_default_share_for_busy_callers(self) -> None:
-        """Guards against a default share on top of shares that are not divided anew yet."""
+        """Guards against a default share on top of shares that have not been divided again yet."""
         callers = [f"c{number:02}" for number in range(30)]
         demand = [ShareDemand("l", caller, 50.0, 50.0, 0.0) for caller in callers]
         allocator = ShareAllocator(LEASE_MS, -10_000.0)
@@ -373,7 +373,7 @@
         share = leader.sync(self.limits, {"b": 50.0}, 300.0)["b"].requests_per_second
         assert held > 11.0 and share <= 12.0 - held + 1e-9
 
-    def test_a_limit_that_becomes_one_callers_keeps_its_shares(self) -> None:
+    def test_a_limit_that_is_narrowed_to_one_caller_keeps_its_shares(self) -> None:
         """Guards against dropping the only caller of a limit that once applied to each caller."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0}, 0.0)
@@ -396,8 +396,8 @@
         shares = allocator.allocate(self.limits, 6100.0)["b"]
         assert [s.requests_per_second for s in shares if s.caller == "x"] == [0.0]
 
-    def test_a_report_from_before_the_first_grant_excludes_nothing(self) -> None:
-        """Guards against taking a report of no share for the receipt of a later grant of none."""
+    def test_a_report_from_before_the_first_grant_rules_out_no_grant(self) -> None:
+        """Guards against reading a report without a share as the receipt of a later zero grant."""
         limit_state = CallerLimit()
         limit_state.record_grants("concurrent_requests", {"a": 5.0}, 10.0)
         limit_state.record_grants("concurrent_requests", {"a": 0.0}, 10.0)
@@ -405,7 +405,7 @@
         assert limit_state.bounds["concurrent_requests"]["a"].upper_bound() == 5.0
 
     def test_small_changes_of_demand_keep_grants(self) -> None:
-        """Guards against dividing every limit_state again for each report of a busy instance."""
+        """Guards against dividing every limit again for each report of a busy instance."""
         limit_state = CallerLimit()
         assert limit_state.report_demand("a", ShareDemand("l", "x", 10.0, 4.0, 100.0))
         assert not limit_state.report_demand("a", ShareDemand("l", "x", 10.4, 4.0, 101.0))
@@ -433,12 +433,12 @@
 
 
 class TestFairness:
-    """Guards against divisions that lose or invent capacity."""
+    """Guards against divisions whose sum differs from the capacity."""
 
-    def test_max_min_satisfies_small_demands_first(self) -> None:
+    def test_max_min_shares_satisfy_small_demands_first(self) -> None:
         assert max_min_shares({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
 
-    def test_unwanted_capacity_is_divided_evenly(self) -> None:
+    def test_capacity_beyond_the_demand_is_divided_evenly(self) -> None:
         assert max_min_shares({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
 
     def test_whole_numbers_keep_the_total(self) -> None:
--- a/tests/policy/test_water_filling.py
+++ b/tests/policy/test_water_filling.py
@@ -1,4 +1,4 @@
-"""Tests for the level that an amount reaches."""
+"""Check the level that water-filling reaches."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 from briardyke.policy.water_filling import water_filling_level
 
-VESSELS = st.lists(st.tuples(st.floats(0.0, 50.0), st.floats(0.1, 20.0)), min_size=1, max_size=12)
+BINS = st.lists(st.tuples(st.floats(0.0, 50.0), st.floats(0.1, 20.0)), min_size=1, max_size=12)
 
 
-class TestFilledLevel:
-    """Covers bins of any height and width."""
+class TestWaterFillingLevel:
+    """Guards against a level at which the bins take more or less than the amount."""
 
     @pytest.mark.parametrize(
         ("bins", "amount", "level"),
@@ -26,8 +26,8 @@
     def test_examples(self, bins: list[tuple[float, float]], amount: float, level: float) -> None:
         assert water_filling_level(bins, amount) == pytest.approx(level)
 
-    @given(VESSELS, st.floats(0.1, 100.0))
-    def test_the_whole_amount_fits_below_the_level(
+    @given(BINS, st.floats(0.1, 100.0))
+    def test_the_bins_take_exactly_the_amount(
         self, bins: list[tuple[float, float]], amount: float
     ) -> None:
         level = water_filling_level(bins, amount)
