Reword the simulations of policy in plain terms

World becomes Simulation, Served becomes RequestRecord, Loop becomes EventLoop; faults and partitions are named as such.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,4 +1,4 @@
-"""Measure routing, admission and retries on seeded workloads and print Markdown tables.
+"""Measure routing, admission and retries on simulated workloads and print Markdown tables.
 
 Run ``PYTHONPATH=src:bench python bench/policy.py [part ...]`` with the parts
 ``workloads``, ``goodput`` and ``cost``; all of them by default.
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from policy_world import BURST_MS, USERS, WORKLOADS, Served, Workload, World
+from policy_world import BURST_MS, USERS, WORKLOADS, RequestRecord, Simulation, Workload
 
 from briardyke.policy.routing import RoutingTable
 from briardyke.policy.types import AttemptOutcome, RouteRequest, RoutingPolicy
@@ -24,45 +24,48 @@
 BIN_MS = 500.0
 
 
-def percentile(values: list[float], part: float) -> float:
+def percentile(values: list[float], fraction: float) -> float:
     """Return a percentile by nearest rank, 0 for no values."""
     ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else 0.0
 
 
-def recovery_ms(served: list[Served]) -> float:
-    """Return the time after the burst until two bins reach the attainment before it, less 5%."""
-    before = [s.good for s in served if s.arrived_ms < BURST_MS[0]]
-    wanted = sum(before) / max(1, len(before)) - 0.05
-    reached = 0
+def recovery_ms(records: list[RequestRecord]) -> float:
+    """Return the time after the burst until two consecutive bins regain the attainment before it.
+
+    The bins may fall short of it by 5 percentage points.
+    """
+    before = [r.good for r in records if r.arrived_ms < BURST_MS[0]]
+    required = sum(before) / max(1, len(before)) - 0.05
+    consecutive = 0
     for step in range(14):
         start = BURST_MS[1] + step * BIN_MS
-        inside = [s.good for s in served if start <= s.arrived_ms < start + BIN_MS]
-        reached = reached + 1 if inside and sum(inside) / len(inside) >= wanted else 0
-        if reached == 2:
+        inside = [r.good for r in records if start <= r.arrived_ms < start + BIN_MS]
+        consecutive = consecutive + 1 if inside and sum(inside) / len(inside) >= required else 0
+        if consecutive == 2:
             return (step - 1) * BIN_MS
     return float("inf")
 
 
 def measure(job: tuple[Workload, str, RoutingPolicy, int]) -> dict[str, float]:
-    """Run one workload once."""
+    """Run one workload with one seed and return its measures."""
     workload, user, policy, seed = job
-    world = World(workload, user, policy, seed)
-    served = world.run()
-    first = [s.first_ms for s in served if s.first_ms is not None]
-    others = [s.good for s in served if s.caller != 0]
-    good = sum(s.good for s in served)
+    simulation = Simulation(workload, user, policy, seed)
+    records = simulation.run()
+    first = [r.first_ms for r in records if r.first_ms is not None]
+    others = [r.good for r in records if r.caller != 0]
+    good = sum(r.good for r in records)
     return {
-        "attained": good / len(served),
-        "per_accelerator": good / len(served) / len(world.engines),
+        "attained": good / len(records),
+        "per_accelerator": good / len(records) / len(simulation.engines),
         "others": sum(others) / len(others),
         "p50": percentile(first, 0.50),
         "p95": percentile(first, 0.95),
         "p99": percentile(first, 0.99),
-        "refused": sum(s.refused for s in served) / len(served),
-        "retried": float(world.retried),
+        "refused": sum(r.refused for r in records) / len(records),
+        "retried": float(simulation.retried),
         "goodput": 1000.0 * good / (workload.until_ms - 2000.0),
-        "recovery": recovery_ms(served),
+        "recovery": recovery_ms(records),
     }
 
 
@@ -95,7 +98,7 @@
 
 
 def print_goodput(pool: multiprocessing.pool.Pool) -> None:
-    """Print goodput in requests a second at multiples of the capacity."""
+    """Print goodput in requests per second at multiples of the capacity."""
     print("\n| user | policy | " + " | ".join(f"{x:g}x" for x in OVERLOADS) + " |")
     print("|---|---|" + "---|" * len(OVERLOADS))
     for user in USERS:
@@ -108,7 +111,7 @@
 
 
 def print_cost() -> None:
-    """Print the processor time of a decision by number of upstreams."""
+    """Print the processor time of a decision in microseconds by number of upstreams."""
     print("\n| policy | " + " | ".join(f"{n} upstreams" for n in (10, 100, 1000, 10000)) + " |")
     print("|---|---|---|---|---|")
     for policy in RoutingPolicy:
@@ -137,7 +140,7 @@
 
 
 def main(parts: list[str]) -> None:
-    """Print the chosen parts."""
+    """Print the selected parts."""
     with multiprocessing.Pool(PROCESSES) as pool:
         if not parts or "workloads" in parts:
             print_workloads(pool)
--- a/bench/policy_engine.py
+++ b/bench/policy_engine.py
@@ -1,4 +1,4 @@
-"""Model an engine with continuous batching, a prefix cache, priorities and a finite speed."""
+"""Simulate an engine with continuous batching, a prefix cache, priorities and finite speed."""
 
 from __future__ import annotations
 
@@ -14,16 +14,16 @@
 
 SLOTS = 16
 ITERATION_MS = 8.0
-PER_REQUEST_MS = 0.5
-PER_PROMPT_TOKEN_MS = 0.03
-CACHED_BLOCKS = 160
+BATCH_PER_REQUEST_MS = 0.5
+PREFILL_PER_TOKEN_MS = 0.03
+CACHE_CAPACITY_BLOCKS = 160
 EVENTS_REPORTED = 24
-# Part of the cache events that a report loses, besides the ones beyond the reported number.
-EVENTS_LOST = 0.2
+# Fraction of the cache events that a report omits, besides those beyond EVENTS_REPORTED.
+EVENT_LOSS_FRACTION = 0.2
 MEAN_OUTPUT_TOKENS = 60
 
 
-class Loop:
+class EventLoop:
     """Run callbacks in the order of their simulated time."""
 
     def __init__(self) -> None:
@@ -32,19 +32,19 @@
         self._count = 0
 
     def at(self, time_ms: float, callback: Callable[..., None], *arguments: Any) -> None:
-        """Schedule a callback."""
+        """Schedule a callback at a simulated time."""
         self._count += 1
         heapq.heappush(self._events, (time_ms, self._count, callback, arguments))
 
     def run(self, until_ms: float) -> None:
-        """Run everything that is due before a time."""
+        """Run all callbacks that are due before a time."""
         while self._events and self._events[0][0] < until_ms:
             self.now_ms, _, callback, arguments = heapq.heappop(self._events)
             callback(*arguments)
 
 
 class Job:
-    """Carry one attempt inside an engine."""
+    """Describe one attempt inside an engine."""
 
     def __init__(
         self,
@@ -55,7 +55,11 @@
         first: Callable[[], None],
         done: Callable[[bool], None],
     ) -> None:
-        self.hashes, self.prompt_tokens, self.left = hashes, prompt_tokens, output_tokens
+        self.hashes, self.prompt_tokens, self.remaining_tokens = (
+            hashes,
+            prompt_tokens,
+            output_tokens,
+        )
         self.priority, self.first, self.done, self.started = priority, first, done, False
 
 
@@ -63,9 +67,9 @@
     """Serve jobs in iterations that each produce one token of every running job."""
 
     def __init__(
-        self, loop: Loop, name: str, slow: float, data_centre: str, random: random.Random
+        self, loop: EventLoop, name: str, slowdown: float, data_centre: str, random: random.Random
     ) -> None:
-        self.loop, self.name, self.slow, self.data_centre = loop, name, slow, data_centre
+        self.loop, self.name, self.slowdown, self.data_centre = loop, name, slowdown, data_centre
         self.random = random
         self.models: set[str] = set()
         self.alive = True
@@ -76,10 +80,10 @@
         """Return the requests a second that the engine can serve within the target."""
         best = 0.0
         for batch in range(1, SLOTS + 1):
-            iteration = self.slow * (ITERATION_MS + PER_REQUEST_MS * batch)
+            iteration = self.slowdown * (ITERATION_MS + BATCH_PER_REQUEST_MS * batch)
             if iteration <= 60.0:
-                whole = MEAN_OUTPUT_TOKENS * iteration + batch * self.slow * 12.0
-                best = max(best, 1000.0 * batch / whole)
+                request_ms = MEAN_OUTPUT_TOKENS * iteration + batch * self.slowdown * 12.0
+                best = max(best, 1000.0 * batch / request_ms)
         return best
 
     def submit(self, job: Job) -> None:
@@ -87,10 +91,10 @@
         self._sequence += 1
         heapq.heappush(self.queue, (-job.priority, self._sequence, job))
         if not self._busy:
-            self._iterate(self.incarnation)
+            self._start_iteration(self.incarnation)
 
-    def die(self) -> None:
-        """Break every job and stop."""
+    def crash(self) -> None:
+        """Fail every job and stop."""
         jobs = [*self.running, *(job for _, _, job in self.queue)]
         self.alive = False
         self.incarnation += 1
@@ -99,8 +103,10 @@
             job.done(False)
 
     def row(self) -> UpstreamRow:
-        """Return a report of the present state."""
-        events = [e for e in self._events[-EVENTS_REPORTED:] if self.random.random() > EVENTS_LOST]
+        """Return a report of the current state."""
+        events = [
+            e for e in self._events[-EVENTS_REPORTED:] if self.random.random() > EVENT_LOSS_FRACTION
+        ]
         return UpstreamRow(
             self.name,
             str(self.incarnation),
@@ -121,35 +127,35 @@
         self._busy = False
         self._sequence = 0
 
-    def _iterate(self, incarnation: int) -> None:
+    def _start_iteration(self, incarnation: int) -> None:
         if incarnation != self.incarnation or not self.alive:
             return
-        prefill = 0.0
+        prefill_tokens = 0.0
         while self.queue and len(self.running) < SLOTS:
             job = heapq.heappop(self.queue)[2]
-            prefill += job.prompt_tokens * (1.0 - self._look_up(job.hashes))
+            prefill_tokens += job.prompt_tokens * (1.0 - self._look_up(job.hashes))
             self.running.append(job)
         self._busy = bool(self.running)
         if self._busy:
-            batch_ms = ITERATION_MS + PER_REQUEST_MS * len(self.running)
-            duration_ms = self.slow * (batch_ms + PER_PROMPT_TOKEN_MS * prefill)
-            self.loop.at(self.loop.now_ms + duration_ms, self._emit, incarnation)
+            batch_ms = ITERATION_MS + BATCH_PER_REQUEST_MS * len(self.running)
+            duration_ms = self.slowdown * (batch_ms + PREFILL_PER_TOKEN_MS * prefill_tokens)
+            self.loop.at(self.loop.now_ms + duration_ms, self._finish_iteration, incarnation)
 
-    def _emit(self, incarnation: int) -> None:
+    def _finish_iteration(self, incarnation: int) -> None:
         if incarnation != self.incarnation or not self.alive:
             return
-        still = []
+        running = []
         for job in self.running:
             if not job.started:
                 job.started = True
                 job.first()
-            job.left -= 1
-            if job.left > 0:
-                still.append(job)
+            job.remaining_tokens -= 1
+            if job.remaining_tokens > 0:
+                running.append(job)
             else:
                 job.done(True)
-        self.running = still
-        self._iterate(incarnation)
+        self.running = running
+        self._start_iteration(incarnation)
 
     def _look_up(self, hashes: tuple[int, ...]) -> float:
         cached = 0
@@ -159,14 +165,14 @@
             cached += 1
         for prefix_hash in hashes:
             if prefix_hash not in self._cache:
-                self._event("stored", prefix_hash)
+                self._record_event("stored", prefix_hash)
             self._cache[prefix_hash] = None
             self._cache.move_to_end(prefix_hash)
-            if len(self._cache) > CACHED_BLOCKS:
-                self._event("evicted", self._cache.popitem(last=False)[0])
+            if len(self._cache) > CACHE_CAPACITY_BLOCKS:
+                self._record_event("evicted", self._cache.popitem(last=False)[0])
         return cached / max(1, len(hashes))
 
-    def _event(self, kind: str, prefix_hash: int) -> None:
+    def _record_event(self, kind: str, prefix_hash: int) -> None:
         sequence = self._events[-1].sequence + 1 if self._events else 1
         self._events.append(CacheEvent(sequence, kind, prefix_hash))
         del self._events[:-200]
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -1,4 +1,4 @@
-"""Measure limit shares: refusals of a burst at an idle instance, and what reports and grants cost.
+"""Measure limit shares: refusals of a burst at an idle instance, cost of reports and grants.
 
 Run ``python bench/shares.py burst`` or ``python bench/shares.py cost SIZE...``. The burst model is
 deterministic; times of the cost measurement are processor times.
@@ -19,19 +19,19 @@
 INSTANCES = 7
 SYNC_MS = 500
 ROUND_TRIP_MS = 10
-DURATION_MS = 200
+REQUEST_DURATION_MS = 200
 BURST_AT_MS = 10_000
 END_MS = 20_000
-# Callers in the cost measurement; each instance has four of them active.
+# Callers in the cost measurement, and how many of them are active at each instance.
 CALLERS = 200
-ACTIVE = 4
+ACTIVE_CALLERS = 4
 LIMIT = "per-caller"
 
 
 def burst(limit: Limit, base_per_s: float, burst_per_s: float) -> str:
-    """Run a steady load at all instances but one, then a burst at that one.
+    """Run a steady load at all instances but one, then add a burst at that one.
 
-    Refusals count only while the requests in progress and the arrival rate are below the limit.
+    Refusals count only while fewer requests run than the limit of concurrent requests allows.
     """
     allocator = ShareAllocator(6000.0, -10_000.0)
     limiters = [RequestLimiter() for _ in range(INSTANCES)]
@@ -62,7 +62,7 @@
                 credit[index] -= 1.0
                 result = limiter.admit(LimitRequest("x", "m", "", 10), now)
                 if result.is_ok():
-                    running.append((now + DURATION_MS, index, result.unwrap()))
+                    running.append((now + REQUEST_DURATION_MS, index, result.unwrap()))
                     admitted += bursting
                 elif bursting and len(running) < (limit.concurrent_requests or INSTANCES**9):
                     refused += 1
@@ -79,7 +79,9 @@
     held: dict[str, list[LimitShare]] = {name: [] for name in names}
 
     def demand(index: int, rate: float) -> list[ShareDemand]:
-        callers = [f"caller-{(index * ACTIVE + i) % CALLERS}" for i in range(ACTIVE)]
+        callers = [
+            f"caller-{(index * ACTIVE_CALLERS + i) % CALLERS}" for i in range(ACTIVE_CALLERS)
+        ]
         return [ShareDemand(LIMIT, c, rate, rate, rate * 300.0) for c in callers]
 
     now = 0.0
@@ -95,17 +97,17 @@
         allocator.extend_lease(name, now)
     report_us = (time.process_time_ns() - started) / len(names[:20]) / 1000.0
     times = []
-    answered = names[: max(1, count // 35)]
-    for changed in (max(1, CALLERS // 100 // ACTIVE), count):
+    replied_to = names[: max(1, count // 35)]
+    for changed in (max(1, CALLERS // 100 // ACTIVE_CALLERS), count):
         now += 100.0
         for index in range(changed):
             allocator.report(names[index], held[names[index]], demand(index, 9.0 + changed), now)
         started = time.process_time_ns()
-        _allocate(allocator, limits, now, answered)
+        _allocate(allocator, limits, now, replied_to)
         times.append((time.process_time_ns() - started) / 1e6)
     return (
         f"{count:5d} instances: report {report_us:.0f} us, allocation {times[0]:.1f} ms after one"
-        f" report, {times[1]:.1f} ms with all pairs touched, {size:.0f} bytes per instance"
+        f" report, {times[1]:.1f} ms with all callers changed, {size:.0f} bytes per instance"
     )
 
 
--- a/src/briardyke/policy/prefixes.py
+++ b/src/briardyke/policy/prefixes.py
@@ -27,8 +27,8 @@
         self._capacity = capacity
         self._holders: OrderedDict[int, dict[str, tuple[int, float]]] = OrderedDict()
         self._sequences: dict[str, int] = {}
-    """Map prefix hashes to upstreams, based on own dispatches and cache events.
-        # prefixes.
+        # Each time the cache of an upstream is lost, it gets a new epoch, which invalidates its
+        # older prefixes.
         self._epochs: dict[str, int] = {}
         self._next_epoch = 0
         self._gap_at_ms: dict[str, float] = {}
