--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -130,7 +130,7 @@
             weights = [1.0 / (1 + rank) ** 0.5 for rank in range(count)]
             for rank, weight in enumerate(weights):
                 model = f"g{group}m{rank}"
-                # Every model is on the fastest or second fastest engine of its group, so that it has
+                # Every model is on the fastest or second fastest engine of its group, so it has
                 # capacity.
                 engine_numbers = {rank % 2, *self.random.sample(range(size), 3)}
                 for number in engine_numbers:
--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -50,12 +50,12 @@
     """Count one caller's traffic to one model.
 
     :param weight: weight in the division under overload.
-    :param wanted: rate of requested tokens.
+    :param requested: rate of requested tokens.
     :param admitted: rate of admitted tokens.
     """
 
     weight: float
-    wanted: DecayingRate = attrs.field(factory=DecayingRate)
+    requested: DecayingRate = attrs.field(factory=DecayingRate)
     admitted: DecayingRate = attrs.field(factory=DecayingRate)
 
 
@@ -162,7 +162,7 @@
             use = model.callers[request.caller] = _CallerUse(request.caller_weight)
             model.weights_at_ms = float("-inf")
         use.weight = max(1e-6, request.caller_weight)
-        use.wanted.add(max(1, request.estimated_tokens), now_ms)
+        use.requested.add(max(1, request.estimated_tokens), now_ms)
         return use
 
     def _above_fair_share(self, name: str, caller: str, now_ms: float) -> bool:
@@ -170,7 +170,7 @@
         if now_ms - model.weights_at_ms >= WEIGHT_SUM_INTERVAL_MS:
             model.weights_at_ms = now_ms
             for other, counted in list(model.callers.items()):
-                if counted.wanted.per_second(now_ms) < IDLE_CALLER_TOKENS_PER_SECOND:
+                if counted.requested.per_second(now_ms) < IDLE_CALLER_TOKENS_PER_SECOND:
                     del model.callers[other]
             model.weights = sum(counted.weight for counted in model.callers.values())
         use = model.callers.get(caller)
--- a/src/briardyke/policy/division.py
+++ b/src/briardyke/policy/division.py
@@ -78,7 +78,7 @@
 
 
 def move_shares(
-    bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
+    bounds: Mapping[str, ShareBound], targets: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
     """Move shares towards their targets without granting any capacity twice.
 
@@ -91,15 +91,15 @@
         # requests that outlived their lease. A report alone then justifies no grant.
         fitting = {
             i: min(target, bounds[i].largest_grant() if i in bounds else 0.0)
-            for i, target in wanted.items()
+            for i, target in targets.items()
         }
         return _fit_limit(bounds, fitting, total, whole)
     missing = {
         instance_id: target - largest.get(instance_id, 0.0)
-        for instance_id, target in wanted.items()
+        for instance_id, target in targets.items()
         if target > largest.get(instance_id, 0.0)
     }
-    grants = dict(wanted)
+    grants = dict(targets)
     if not missing or sum(missing.values()) <= spare:
         return grants
     level = max_min_shares(missing, spare)
@@ -111,19 +111,19 @@
     if whole:
         left = int(spare + 1e-9) - sum(int(grants[i] - largest.get(i, 0.0)) for i in missing)
         for instance_id in sorted(missing, key=lambda i: (-missing[i], i))[: max(0, left)]:
-            if grants[instance_id] < wanted[instance_id]:
+            if grants[instance_id] < targets[instance_id]:
                 grants[instance_id] += 1.0
     return grants
 
 
 def _fit_limit(
-    bounds: Mapping[str, ShareBound], wanted: Mapping[str, float], total: float, whole: bool
+    bounds: Mapping[str, ShareBound], targets: Mapping[str, float], total: float, whole: bool
 ) -> dict[str, float]:
     """Reduce shares so that they fit next to every grant made under the current limit."""
     counted = {i: bound.largest_grant(total) for i, bound in bounds.items()}
     used = sum(counted.values())
     grants = {}
-    for instance_id, value in wanted.items():
+    for instance_id, value in targets.items():
         own = counted.get(instance_id, 0.0)
         value = max(0.0, min(value, total - (used - own)))
         grants[instance_id] = float(math.floor(value + 1e-9)) if whole else value
--- a/src/briardyke/policy/latency.py
+++ b/src/briardyke/policy/latency.py
@@ -15,8 +15,8 @@
 # Lowest weight of a new observation, so that the estimate follows a change of speed within a few
 # requests; the first observations weigh more (1/n).
 MINIMUM_GAIN = 0.2
-# After the first time without observations an estimate decays to nominal with the half-life, so
-# that a slow upstream is tried again.
+# After FORGET_AFTER_MS without observations an estimate decays to nominal, halving its deviation
+# every FORGET_HALF_LIFE_MS, so that a slow upstream is tried again.
 FORGET_AFTER_MS = 1000.0
 FORGET_HALF_LIFE_MS = 8000.0
 FACTOR_LIMIT = 200.0
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -29,22 +29,22 @@
     :param requests: bucket for the request rate.
     :param tokens: bucket for the token rate.
     :param in_use: admitted requests that are not released.
-    :param wanted: highest concurrency requested since the last report.
+    :param peak_demand: highest concurrency requested since the last report.
     :param refused: refusals for concurrency that no ended request has made up for since the last
         report.
     :param request_demand: rate of arriving requests.
     :param token_demand: rate of estimated tokens of arriving requests.
-    :param touched_ms: time of the last arrival.
+    :param last_arrival_ms: time of the last arrival.
     """
 
     requests: TokenBucket = attrs.field(factory=TokenBucket)
     tokens: TokenBucket = attrs.field(factory=TokenBucket)
     in_use: int = 0
-    wanted: int = 0
+    peak_demand: int = 0
     refused: int = 0
     request_demand: DecayingRate = attrs.field(factory=DecayingRate)
     token_demand: DecayingRate = attrs.field(factory=DecayingRate)
-    touched_ms: float = 0.0
+    last_arrival_ms: float = 0.0
 
 
 class RequestLimiter:
@@ -102,10 +102,10 @@
         failure: Failure | None = None
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
-            use.touched_ms = now_ms
+            use.last_arrival_ms = now_ms
             use.request_demand.add(1.0, now_ms)
             use.token_demand.add(request.estimated_tokens, now_ms)
-            use.wanted = max(use.wanted, use.in_use + use.refused + 1)
+            use.peak_demand = max(use.peak_demand, use.in_use + use.refused + 1)
             found = self._check(limit_id, request.caller, use, now_ms)
             if found is not None and (
                 failure is None or (found.retry_after_ms or 0) > (failure.retry_after_ms or 0)
@@ -116,7 +116,7 @@
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
             use.in_use += 1
-            # An unlimited quantity is not charged, so that a limit set later starts without debt.
+            # An unlimited quantity is not charged, so that a limit set later starts without a deficit.
             if self._limits[limit_id].requests_per_second is not None:
                 use.requests.charge(1.0)
             if self._limits[limit_id].tokens_per_second is not None:
@@ -152,7 +152,7 @@
         """Return the demand for each limit since the last call and start a new interval."""
         report = []
         for (limit_id, caller), use in list(self._uses.items()):
-            idle = now_ms - use.touched_ms > IDLE_FORGET_MS
+            idle = now_ms - use.last_arrival_ms > IDLE_FORGET_MS
             if (idle and not use.in_use) or limit_id not in self._limits:
                 if not use.in_use:
                     del self._uses[limit_id, caller]
@@ -162,11 +162,11 @@
                     limit_id,
                     caller,
                     use.request_demand.per_second(now_ms),
-                    float(max(use.wanted, use.in_use)),
+                    float(max(use.peak_demand, use.in_use)),
                     use.token_demand.per_second(now_ms),
                 )
             )
-            use.wanted = use.in_use
+            use.peak_demand = use.in_use
             use.refused = 0
         return report
 
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -33,13 +33,13 @@
     :param heard_at_ms: arrival of the last sync request whose reply may extend its lease.
     :param held: reported shares, by limit and caller.
     :param in_use: concurrency in use above its share, by limit and caller.
-    :param wanted: limits and callers that it has demand for.
+    :param demand_keys: limits and callers that it has demand for.
     """
 
     heard_at_ms: float
     held: dict[_Key, LimitShare] = attrs.field(factory=dict)
     in_use: dict[_Key, float] = attrs.field(factory=dict)
-    wanted: set[_Key] = attrs.field(factory=set)
+    demand_keys: set[_Key] = attrs.field(factory=set)
 
 
 class ShareAllocator:
@@ -111,7 +111,7 @@
         """Record that a reply may extend an instance's lease without a new report from it.
 
         A relay repeats the last report of each instance in every sync of its own, and the reply to
-        that sync may extend the instance's lease.
+        that sync may extend the instance's lease, counted from that sync.
 
         :param instance_id: the instance.
         :param heard_at_ms: arrival of the sync request.
@@ -167,12 +167,12 @@
     def _report_demand(
         self, instance_id: str, instance: _Instance, demand: Sequence[ShareDemand]
     ) -> None:
-        wanted = {(d.limit_id, d.caller) for d in demand}
-        for key in sorted(instance.wanted - wanted):
+        demand_keys = {(d.limit_id, d.caller) for d in demand}
+        for key in sorted(instance.demand_keys - demand_keys):
             caller_limit = self._caller_limits.get(key[0], {}).get(key[1])
             if caller_limit is not None and caller_limit.demand.pop(instance_id, None) is not None:
                 self._changed[key] = None
-        instance.wanted = wanted
+        instance.demand_keys = demand_keys
         for item in demand:
             if self._caller_limit(item.limit_id, item.caller).report_demand(instance_id, item):
                 self._changed[item.limit_id, item.caller] = None
@@ -293,8 +293,8 @@
             if inherited and self._confirming:
                 grants = confirm_shares(bounds, self._instances, total, whole)
             elif default is not None and not caller_limit.demand:
-                wanted = {i: default.grants[quantity].get(i, 0.0) for i in self._instances}
-                grants = move_shares(bounds, wanted, total, whole)
+                defaults = {i: default.grants[quantity].get(i, 0.0) for i in self._instances}
+                grants = move_shares(bounds, defaults, total, whole)
             else:
                 demand = dict.fromkeys(sorted(self._instances), 0.0)
                 demand.update((i, getattr(d, quantity)) for i, d in caller_limit.demand.items())
