--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,4 +1,4 @@
-"""Measure routing, admission and retries on simulated workloads and print Markdown tables.
+"""Measure routing, admission and retries on seeded simulations and print Markdown tables.
 
 Run ``PYTHONPATH=src:bench python bench/policy.py [part ...]`` with the parts
 ``workloads``, ``goodput`` and ``cost``; all of them by default.
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -37,7 +37,7 @@
     :param slowdown: factor by which one engine becomes slower at the fault.
     :param crash: whether one engine crashes at the fault and restarts later.
     :param lag_ms: mean lag of a report.
-    :param partitioned: whether one entry instance gets no reports and only probes itself.
+    :param partitioned: whether one entry instance gets no reports except from its own probes.
     :param until_ms: end of the arrivals.
     """
 
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -31,7 +31,8 @@
 def burst(limit: Limit, base_per_s: float, burst_per_s: float) -> str:
     """Run a steady load at all instances but one, then add a burst at that one.
 
-    Refusals count only while fewer requests run than the limit of concurrent requests allows.
+    Refusals count only while the running requests are below the limit; the arrival rate of every
+    scenario is below it as well.
     """
     allocator = ShareAllocator(6000.0, -10_000.0)
     limiters = [RequestLimiter() for _ in range(INSTANCES)]
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -355,7 +355,7 @@
             allocator.report("a", held, demand, now_ms)
             allocator.report("b", [], [], now_ms)
             shares = allocator.allocate(self.limits, now_ms)
-            # The first instance may use its previous shares until the answer arrives.
+            # The first instance may use its previous shares until the reply arrives.
             given = {share.caller: share.requests_per_second for share in held}
             held = shares["a"]
             new = {share.caller: share.requests_per_second for share in shares["b"]}
