--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -116,7 +116,7 @@
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
             use.in_use += 1
-            # Unlimited quantities are not charged, so that a limit set later starts without a deficit.
+            # Unlimited quantities are not charged, so that a limit set later starts without debt.
             if self._limits[limit_id].requests_per_second is not None:
                 use.requests.charge(1.0)
             if self._limits[limit_id].tokens_per_second is not None:
