--- a/bench/shares.py
+++ b/bench/shares.py
@@ -1,4 +1,4 @@
-"""Measure limit shares: refusals of a burst at an idle instance, and what reports and grants cost.
+"""Measure limit shares: refusals of a burst at an idle instance, cost of reports and grants.
 
 Run ``python bench/shares.py burst`` or ``python bench/shares.py cost SIZE...``. The burst model is
 deterministic; times of the cost measurement are processor times.
@@ -19,50 +19,51 @@
 INSTANCES = 7
 SYNC_MS = 500
 ROUND_TRIP_MS = 10
-DURATION_MS = 200
+REQUEST_DURATION_MS = 200
 BURST_AT_MS = 10_000
 END_MS = 20_000
-# Callers in the cost measurement; each instance has four of them active.
+# Callers in the cost measurement, and how many of them are active at each instance.
 CALLERS = 200
-ACTIVE = 4
+ACTIVE_CALLERS = 4
 LIMIT = "per-caller"
 
 
 def burst(limit: Limit, base_per_s: float, burst_per_s: float) -> str:
-    """Run a steady load at all instances but one, then a burst at that one.
+    """Run a steady load at all instances but one, then add a burst at that one.
 
-    Refusals count only while the requests in progress and the arrival rate are below the limit.
+    Refusals count only while the running requests are below the limit; the arrival rate of every
+    scenario is below it as well.
     """
     allocator = ShareAllocator(6000.0, -10_000.0)
-    ledgers = [RequestLimiter() for _ in range(INSTANCES)]
+    limiters = [RequestLimiter() for _ in range(INSTANCES)]
     replies: list[tuple[float, int, float, list[LimitShare]]] = []
     running: list[tuple[float, int, Permit]] = []
     credit = [0.0] * INSTANCES
     admitted = refused = 0
     last_refusal_ms = BURST_AT_MS
     for now in range(END_MS):
-        for index, ledger in enumerate(ledgers):
+        for index, limiter in enumerate(limiters):
             if now % SYNC_MS == index * SYNC_MS // INSTANCES:
                 name = f"entry-{index}"
-                allocator.report(name, ledger.held_shares(now), ledger.take_demand(now), now)
+                allocator.report(name, limiter.held_shares(now), limiter.take_demand(now), now)
                 allocator.extend_lease(name, now)
                 shares = allocator.allocate({LIMIT: limit}, now, 1)[name]
                 replies.append((now + ROUND_TRIP_MS, index, now + 6000.0, shares))
         while replies and replies[0][0] <= now:
             _, index, expires_ms, shares = replies.pop(0)
-            ledgers[index].apply({LIMIT: limit}, shares, expires_ms)
+            limiters[index].apply({LIMIT: limit}, shares, expires_ms)
         while running and running[0][0] <= now:
             _, index, permit = running.pop(0)
-            ledgers[index].release(permit, 10, now)
-        for index, ledger in enumerate(ledgers):
+            limiters[index].release(permit, 10, now)
+        for index, limiter in enumerate(limiters):
             bursting = index == 0 and now >= BURST_AT_MS
             rate = burst_per_s if bursting else 0.0 if index == 0 else base_per_s
             credit[index] += rate / 1000.0
             while credit[index] >= 1.0:
                 credit[index] -= 1.0
-                result = ledger.admit(LimitRequest("x", "m", "", 10), now)
+                result = limiter.admit(LimitRequest("x", "m", "", 10), now)
                 if result.is_ok():
-                    running.append((now + DURATION_MS, index, result.unwrap()))
+                    running.append((now + REQUEST_DURATION_MS, index, result.unwrap()))
                     admitted += bursting
                 elif bursting and len(running) < (limit.concurrent_requests or INSTANCES**9):
                     refused += 1
@@ -79,7 +80,9 @@
     held: dict[str, list[LimitShare]] = {name: [] for name in names}
 
     def demand(index: int, rate: float) -> list[ShareDemand]:
-        callers = [f"caller-{(index * ACTIVE + i) % CALLERS}" for i in range(ACTIVE)]
+        callers = [
+            f"caller-{(index * ACTIVE_CALLERS + i) % CALLERS}" for i in range(ACTIVE_CALLERS)
+        ]
         return [ShareDemand(LIMIT, c, rate, rate, rate * 300.0) for c in callers]
 
     now = 0.0
@@ -95,17 +98,17 @@
         allocator.extend_lease(name, now)
     report_us = (time.process_time_ns() - started) / len(names[:20]) / 1000.0
     times = []
-    answered = names[: max(1, count // 35)]
-    for changed in (max(1, CALLERS // 100 // ACTIVE), count):
+    replied_to = names[: max(1, count // 35)]
+    for changed in (max(1, CALLERS // 100 // ACTIVE_CALLERS), count):
         now += 100.0
         for index in range(changed):
             allocator.report(names[index], held[names[index]], demand(index, 9.0 + changed), now)
         started = time.process_time_ns()
-        _allocate(allocator, limits, now, answered)
+        _allocate(allocator, limits, now, replied_to)
         times.append((time.process_time_ns() - started) / 1e6)
     return (
         f"{count:5d} instances: report {report_us:.0f} us, allocation {times[0]:.1f} ms after one"
-        f" report, {times[1]:.1f} ms with all pairs touched, {size:.0f} bytes per instance"
+        f" report, {times[1]:.1f} ms with all callers changed, {size:.0f} bytes per instance"
     )
 
 
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -16,45 +16,46 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-# Use that has been idle this long is forgotten; its bucket would be full again anyway.
+# Use that has been idle this long is dropped; its buckets would be full again by then.
 IDLE_FORGET_MS = 30_000.0
-# Retry hint when all of a concurrent share is in use, when no usual duration is known.
+# Retry hint when a share of concurrent requests is fully in use; when one will end is unknown.
 CONCURRENCY_RETRY_MS = 250
 
 
 @attrs.define
-class _Use:
-    """Count what one caller uses and wants of one limit.
+class _CallerUse:
+    """Count one caller's use of and demand for one limit.
 
     :param requests: bucket for the request rate.
     :param tokens: bucket for the token rate.
-    :param in_use: admitted requests that are not settled.
-    :param wanted: highest number wanted at one time since the last report.
-    :param refused: refusals for concurrency since the last end of a request or report.
-    :param request_demand: rate of requests that arrived.
-    :param token_demand: rate of estimated tokens that arrived.
-    :param touched_ms: time of the last arrival.
+    :param in_use: admitted requests that are not released.
+    :param peak_demand: highest concurrency requested since the last report.
+    :param refused: refusals for concurrency that no ended request has made up for since the last
+        report.
+    :param request_demand: rate of arriving requests.
+    :param token_demand: rate of estimated tokens of arriving requests.
+    :param last_arrival_ms: time of the last arrival.
     """
 
     requests: TokenBucket = attrs.field(factory=TokenBucket)
     tokens: TokenBucket = attrs.field(factory=TokenBucket)
     in_use: int = 0
-    wanted: int = 0
+    peak_demand: int = 0
     refused: int = 0
     request_demand: DecayingRate = attrs.field(factory=DecayingRate)
     token_demand: DecayingRate = attrs.field(factory=DecayingRate)
-    touched_ms: float = 0.0
+    last_arrival_ms: float = 0.0
 
 
 class RequestLimiter:
-    """Hold leased shares of the limits and what is in use of them; one per entry process."""
+    """Enforce leased shares of the limits; one per entry process."""
 
     def __init__(self) -> None:
         self._limits: dict[str, Limit] = {}
         self._by_scope: dict[tuple[str, str, str], list[str]] = {}
         self._shares: dict[tuple[str, str], LimitShare] = {}
         self._expires_at_ms = float("-inf")
-        self._uses: dict[tuple[str, str], _Use] = {}
+        self._uses: dict[tuple[str, str], _CallerUse] = {}
         self._permits: dict[int, Permit] = {}
         self._next_permit_id = 1
 
@@ -63,11 +64,11 @@
     ) -> None:
         """Replace limits and shares.
 
-        A share above its limit, such as one computed for an earlier version, is cut to the limit.
+        A share above its limit, such as one granted under an earlier version, is reduced to it.
 
         :param limits: limits of the version in force, by id.
-        :param shares: this instance's shares; caller ``*`` is the share of each caller that has
-            no share of its own.
+        :param shares: this instance's shares; caller ``*`` is the default share of each caller
+            without a share of its own.
         :param expires_at_ms: end of the share lease.
         """
         if limits != self._limits:
@@ -77,7 +78,7 @@
                 scope = (limit.caller, limit.model, limit.adapter)
                 self._by_scope.setdefault(scope, []).append(limit_id)
         self._shares = {
-            (share.limit_id, share.caller): _cut(share, limits[share.limit_id])
+            (share.limit_id, share.caller): _cap_share(share, limits[share.limit_id])
             for share in shares
             if share.limit_id in limits
         }
@@ -88,23 +89,23 @@
     def admit(self, request: LimitRequest, now_ms: float) -> Result[Permit, Failure]:
         """Admit a request against every limit that applies to it, or against none.
 
-        :param request: what the request uses; its estimated tokens are charged now.
+        :param request: the request; its estimated tokens are charged at once.
         :param now_ms: current time.
-        :return: a permit to settle later, or ``rate_limited`` or ``concurrency_limited`` with the
+        :return: a permit to release later, or ``rate_limited`` or ``concurrency_limited`` with the
             time after which a retry can succeed; ``version_unconfirmed`` before the first
             :meth:`apply`.
         """
         if self._expires_at_ms == float("-inf"):
             text = "no configuration has been received yet"
             return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, text, retry_after_ms=1000))
-        limit_ids = self._matching(request)
+        limit_ids = self._matching_limits(request)
         failure: Failure | None = None
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
-            use.touched_ms = now_ms
+            use.last_arrival_ms = now_ms
             use.request_demand.add(1.0, now_ms)
             use.token_demand.add(request.estimated_tokens, now_ms)
-            use.wanted = max(use.wanted, use.in_use + use.refused + 1)
+            use.peak_demand = max(use.peak_demand, use.in_use + use.refused + 1)
             found = self._check(limit_id, request.caller, use, now_ms)
             if found is not None and (
                 failure is None or (found.retry_after_ms or 0) > (failure.retry_after_ms or 0)
@@ -115,7 +116,7 @@
         for limit_id in limit_ids:
             use = self._use(limit_id, request.caller)
             use.in_use += 1
-            # A dimension without a limit is not charged, so that setting one starts without debt.
+            # Unlimited quantities are not charged, so that a limit set later starts without debt.
             if self._limits[limit_id].requests_per_second is not None:
                 use.requests.charge(1.0)
             if self._limits[limit_id].tokens_per_second is not None:
@@ -126,10 +127,12 @@
         return Ok(permit)
 
     def release(self, permit: Permit, used_tokens: int, now_ms: float) -> None:
-        """End a permit and replace the estimated tokens by the true number; once per permit.
+        """Release a permit and replace the estimated tokens by the actual number.
+
+        Releasing a permit again has no effect.
 
         :param permit: permit of the request.
-        :param used_tokens: prompt tokens and generated tokens; 0 when the request was not run.
+        :param used_tokens: prompt and generated tokens; 0 when the request was not run.
         :param now_ms: current time.
         """
         if self._permits.pop(permit.permit_id, None) is None:
@@ -146,10 +149,10 @@
                 use.tokens.charge(used_tokens - permit.request.estimated_tokens)
 
     def take_demand(self, now_ms: float) -> list[ShareDemand]:
-        """Return what was wanted of each limit since the last call, for the next sync."""
+        """Return the demand for each limit since the last call and start a new interval."""
         report = []
         for (limit_id, caller), use in list(self._uses.items()):
-            idle = now_ms - use.touched_ms > IDLE_FORGET_MS
+            idle = now_ms - use.last_arrival_ms > IDLE_FORGET_MS
             if (idle and not use.in_use) or limit_id not in self._limits:
                 if not use.in_use:
                     del self._uses[limit_id, caller]
@@ -159,23 +162,23 @@
                     limit_id,
                     caller,
                     use.request_demand.per_second(now_ms),
-                    float(max(use.wanted, use.in_use)),
+                    float(max(use.peak_demand, use.in_use)),
                     use.token_demand.per_second(now_ms),
                 )
             )
-            use.wanted = use.in_use
+            use.peak_demand = use.in_use
             use.refused = 0
         return report
 
     def held_shares(self, now_ms: float) -> list[LimitShare]:
-        """Return what this instance holds, for the next sync.
+        """Return the shares that this instance holds, for the next sync.
 
         Concurrency in use above the share, after the share shrank or its lease ended, is reported
-        as an additional entry of version -1 until the requests end, so that the leader does not
-        grant it to another instance meanwhile. Other parts of an expired share are not held: others
-        may have them by now.
+        as an additional item of version -1 until the requests end, so that the leader does not
+        grant it to another instance meanwhile. The rest of an expired share is not reported, since
+        other instances may hold it by now.
 
-        :param now_ms: current time, not before the send time that the next lease counts from.
+        :param now_ms: current time, not before the send time that the next lease starts from.
         """
         held = self._shares if now_ms < self._expires_at_ms else {}
         report = list(held.values())
@@ -188,7 +191,7 @@
                 report.append(LimitShare(limit_id, caller, IN_USE_VERSION, None, use.in_use, None))
         return report
 
-    def _matching(self, request: LimitRequest) -> list[str]:
+    def _matching_limits(self, request: LimitRequest) -> list[str]:
         callers = dict.fromkeys((request.caller, ANY))
         models = dict.fromkeys((request.model, ANY))
         adapters = dict.fromkeys((request.adapter, ANY))
@@ -203,19 +206,19 @@
     def _share(self, limit_id: str, caller: str) -> LimitShare | None:
         return self._shares.get((limit_id, caller)) or self._shares.get((limit_id, ANY))
 
-    def _use(self, limit_id: str, caller: str) -> _Use:
+    def _use(self, limit_id: str, caller: str) -> _CallerUse:
         use = self._uses.get((limit_id, caller))
         if use is None:
-            use = self._uses[limit_id, caller] = _Use()
+            use = self._uses[limit_id, caller] = _CallerUse()
             self._set_rates(use, self._share(limit_id, caller))
         return use
 
     @staticmethod
-    def _set_rates(use: _Use, share: LimitShare | None) -> None:
+    def _set_rates(use: _CallerUse, share: LimitShare | None) -> None:
         use.requests.set_rate((share.requests_per_second or 0.0) if share else 0.0)
         use.tokens.set_rate((share.tokens_per_second or 0.0) if share else 0.0)
 
-    def _check(self, limit_id: str, caller: str, use: _Use, now_ms: float) -> Failure | None:
+    def _check(self, limit_id: str, caller: str, use: _CallerUse, now_ms: float) -> Failure | None:
         limit = self._limits[limit_id]
         share = self._share(limit_id, caller) if now_ms < self._expires_at_ms else None
         waits: list[int] = []
@@ -229,7 +232,7 @@
         if any(waits):
             return Failure(
                 ErrorKind.RATE_LIMITED,
-                f"limit {limit_id} is reached",
+                f"rate limit {limit_id} is reached",
                 retry_after_ms=max(waits),
             )
         if limit.concurrent_requests is not None:
@@ -238,21 +241,21 @@
                 use.refused += 1
                 return Failure(
                     ErrorKind.CONCURRENCY_LIMITED,
-                    f"limit {limit_id} of concurrent requests is reached",
+                    f"concurrency limit {limit_id} is reached",
                     retry_after_ms=CONCURRENCY_RETRY_MS if granted else NO_SHARE_RETRY_MS,
                 )
         return None
 
 
-def _cut(share: LimitShare, limit: Limit) -> LimitShare:
-    concurrent = _lower(share.concurrent_requests, limit.concurrent_requests)
+def _cap_share(share: LimitShare, limit: Limit) -> LimitShare:
+    concurrent = _minimum(share.concurrent_requests, limit.concurrent_requests)
     return attrs.evolve(
         share,
-        requests_per_second=_lower(share.requests_per_second, limit.requests_per_second),
+        requests_per_second=_minimum(share.requests_per_second, limit.requests_per_second),
         concurrent_requests=None if concurrent is None else int(concurrent),
-        tokens_per_second=_lower(share.tokens_per_second, limit.tokens_per_second),
+        tokens_per_second=_minimum(share.tokens_per_second, limit.tokens_per_second),
     )
 
 
-def _lower(share: float | None, limit: float | None) -> float | None:
+def _minimum(share: float | None, limit: float | None) -> float | None:
     return share if share is None or limit is None else min(share, limit)
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -10,10 +10,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from briardyke.agreed.configuration import Limit
-from briardyke.policy.beliefs import Belief
-from briardyke.policy.fairness import max_min, whole_numbers
+from briardyke.policy.caller_limits import CallerLimit
+from briardyke.policy.fairness import max_min_shares, round_to_total
 from briardyke.policy.limits import RequestLimiter
-from briardyke.policy.pairs import Pair
+from briardyke.policy.share_bounds import ShareBound
 from briardyke.policy.shares import ShareAllocator
 from briardyke.policy.types import LimitRequest, Permit
 from briardyke.wire.messages import LimitShare, ShareDemand
@@ -29,12 +29,12 @@
 
 
 # A relay repeats the last report of an instance for this long.
-PASS_ON_MS = 3000.0
+RELAY_REPEAT_MS = 3000.0
 
 
 @attrs.frozen
 class Report:
-    """Stands for the part of a status that concerns shares."""
+    """Models the part of an instance status that concerns shares."""
 
     number: int
     sent_ms: float
@@ -43,19 +43,19 @@
 
 
 class EntryModel:
-    """Stands for an entry process: a ledger, its lease, and replies under way."""
+    """Models an entry process: a limiter, its lease, and replies in transit."""
 
     def __init__(self) -> None:
-        self.ledger = RequestLimiter()
+        self.limiter = RequestLimiter()
         self.expires_ms = float("-inf")
-        # A relay can pass on a status before the reply to the previous one has arrived.
+        # A relay can forward a status before the reply to the previous one has arrived.
         self.pending: deque[tuple[float, list[LimitShare], dict[str, Limit]]] = deque()
         self.demand: dict[str, float] = {}
         self.last_report: Report | None = None
         self.open: list[tuple[Permit, bool]] = []
 
     def share(self, caller: str) -> LimitShare | None:
-        held = {share.caller: share for share in self.ledger._shares.values()}
+        held = {share.caller: share for share in self.limiter._shares.values()}
         return held.get(caller, held.get("*"))
 
 
@@ -78,7 +78,7 @@
         self.now += ms
         for entry in self.entries.values():
             if self.now >= entry.expires_ms:
-                # Requests that outlive the lease of a cut-off instance are the stated overshoot.
+                # Requests that outlive the lease of a partitioned instance may exceed the limit.
                 entry.open = [(permit, True) for permit, _ in entry.open]
 
     @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS), load=LOAD)
@@ -94,18 +94,18 @@
             if load
         ]
         self.last_number += 1
-        held = entry.ledger.held_shares(self.now)
+        held = entry.limiter.held_shares(self.now)
         entry.last_report = Report(self.last_number, self.now, held, demand)
         self.answer(name, entry.last_report)
 
     @rule(name=st.sampled_from(INSTANCES))
     def repeat_report(self, name: str) -> None:
         report = self.entries[name].last_report
-        if report is not None and self.now - report.sent_ms < PASS_ON_MS:
+        if report is not None and self.now - report.sent_ms < RELAY_REPEAT_MS:
             self.answer(name, report)
 
     def answer(self, name: str, report: Report) -> None:
-        """Do what the leader does with a status that a relay sends."""
+        """Handle a status from a relay as the leader does."""
         if report.number > self.reported.get(name, 0):
             self.reported[name] = report.number
             self.allocator.report(name, report.held, report.demand, self.now)
@@ -119,7 +119,7 @@
         if entry.pending:
             sent_ms, shares, limits = entry.pending.popleft()
             entry.expires_ms = sent_ms + LEASE_MS
-            entry.ledger.apply(limits, shares, entry.expires_ms)
+            entry.limiter.apply(limits, shares, entry.expires_ms)
             if not limits:
                 # Requests that run while a limit is removed and set again are not counted.
                 entry.open = [(permit, True) for permit, _ in entry.open]
@@ -161,14 +161,14 @@
 
     @rule()
     def remove_limit(self) -> None:
-        # The shares of a removed limit bind while their lease runs, so its number stays in the
+        # The shares of a removed limit stay valid while their lease runs, so its value stays in the
         # history until it is set again.
         self.limits = {}
 
     @rule(name=st.sampled_from(INSTANCES), caller=st.sampled_from(CALLERS))
     def admit(self, name: str, caller: str) -> None:
         entry = self.entries[name]
-        result = entry.ledger.admit(LimitRequest(caller, "m", "", 10), self.now)
+        result = entry.limiter.admit(LimitRequest(caller, "m", "", 10), self.now)
         if result.is_ok():
             permit = result.unwrap()
             # An instance whose version has no limit is not bound by a share lease.
@@ -177,16 +177,16 @@
 
     @precondition(lambda self: any(entry.open for entry in self.entries.values()))
     @rule()
-    def settle_oldest(self) -> None:
+    def release_oldest(self) -> None:
         for entry in self.entries.values():
             if entry.open:
                 permit, _ = entry.open.pop(0)
-                entry.ledger.release(permit, 5, self.now)
+                entry.limiter.release(permit, 5, self.now)
 
     @invariant()
     def shares_stay_within_the_limit(self) -> None:
-        # A lowered limit binds everywhere only once older leases have ended, and, when the leader
-        # changed meanwhile, once the new leader has ended its first lease.
+        # A lowered limit holds at every instance only once older leases have ended and, when the
+        # leader changed meanwhile, once the first lease of the new leader has ended.
         since = self.now - LEASE_MS
         if since < self.leader_since:
             since = self.leader_since - LEASE_MS
@@ -221,7 +221,7 @@
 
 
 class Leader:
-    """Drives an allocator with instances that receive every reply."""
+    """Drives an allocator and instances that receive every reply."""
 
     def __init__(self, became_ms: float = -10_000.0) -> None:
         self.allocator = ShareAllocator(LEASE_MS, became_ms)
@@ -258,7 +258,7 @@
         assert sum(s.concurrent_requests for s in shares.values()) == 12
 
     def test_a_silent_instance_keeps_its_share_for_one_lease_only(self) -> None:
-        """Guards against reassigning a share that is in use, and against losing it for ever."""
+        """Guards against reassigning a share that is in use and against never reassigning it."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
         held = leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 100.0)["a"].requests_per_second
@@ -283,23 +283,23 @@
         share = leader.sync(self.limits, {"b": 0.0}, 300.0)["b"].requests_per_second
         assert held > 11.0 and share <= 12.0 - held + 1e-9
 
-    def test_a_report_does_not_exclude_grants_that_are_under_way(self) -> None:
+    def test_a_report_does_not_rule_out_grants_that_are_in_transit(self) -> None:
         """Guards against forgetting a grant because older reports arrive after it."""
-        belief = Belief()
-        belief.reported(5.0, 0.0)
-        belief.granted(8.0, 10.0)
-        belief.granted(3.0, 10.0)
-        belief.reported(5.0, 0.0)
-        assert belief.largest() == 8.0
-        belief.reported(3.0, 0.0)
-        assert belief.largest() == 3.0
+        bound = ShareBound()
+        bound.record_report(5.0, 0.0)
+        bound.record_grant(8.0, 10.0)
+        bound.record_grant(3.0, 10.0)
+        bound.record_report(5.0, 0.0)
+        assert bound.upper_bound() == 8.0
+        bound.record_report(3.0, 0.0)
+        assert bound.upper_bound() == 3.0
 
     def test_an_expired_share_is_not_confirmed_by_a_new_leader(self) -> None:
-        """Guards against a returning instance reviving a share that others have had since."""
-        ledger = RequestLimiter()
-        ledger.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
+        """Guards against a returning instance reclaiming a share that others have held since."""
+        limiter = RequestLimiter()
+        limiter.apply(self.limits, [LimitShare("l", "*", 1, 12.0, 12, None)], 6000.0)
         allocator = ShareAllocator(LEASE_MS, 7000.0)
-        allocator.report("a", ledger.held_shares(8000.0), [], 8000.0)
+        allocator.report("a", limiter.held_shares(8000.0), [], 8000.0)
         assert allocator.allocate(self.limits, 8000.0)["a"][0].requests_per_second == 0.0
 
     def test_a_new_leader_only_confirms_for_one_lease(self) -> None:
@@ -320,7 +320,7 @@
         assert sum(s.requests_per_second for s in shares) <= 4.0
         assert sum(s.concurrent_requests for s in shares) <= 3
 
-    def test_a_new_leader_fits_confirmations_to_a_lowered_limit(self) -> None:
+    def test_a_new_leader_reduces_confirmed_shares_to_a_lowered_limit(self) -> None:
         """Guards against confirming one by one more than the lowered limit allows together."""
         held = [LimitShare("l", "*", 1, 4.0, 4, None)]
         lowered = {"l": Limit("*", "*", "*", 4.0, 4)}
@@ -333,8 +333,8 @@
             concurrent += share.concurrent_requests
         assert rate <= 4.0 and concurrent <= 4
 
-    def test_an_answer_to_a_repeated_report_extends_the_lease(self) -> None:
-        """Guards against reassigning a share whose lease a relay has lengthened."""
+    def test_a_reply_to_a_repeated_report_extends_the_lease(self) -> None:
+        """Guards against reassigning a share whose lease a relay has extended."""
         leader = Leader()
         held = leader.sync(self.limits, {"a": 50.0}, 0.0)["a"].requests_per_second
         leader.allocator.extend_lease("a", 5000.0)
@@ -343,7 +343,7 @@
             assert held > 11.0 and share <= 12.0 - held + 1e-9
 
     def test_a_new_instance_does_not_use_its_default_share_for_busy_callers(self) -> None:
-        """Guards against a default share on top of shares that are not divided anew yet."""
+        """Guards against a default share on top of shares that have not been divided again yet."""
         callers = [f"c{number:02}" for number in range(30)]
         demand = [ShareDemand("l", caller, 50.0, 50.0, 0.0) for caller in callers]
         allocator = ShareAllocator(LEASE_MS, -10_000.0)
@@ -355,7 +355,7 @@
             allocator.report("a", held, demand, now_ms)
             allocator.report("b", [], [], now_ms)
             shares = allocator.allocate(self.limits, now_ms)
-            # The first instance may use its previous shares until the answer arrives.
+            # The first instance may use its previous shares until the reply arrives.
             given = {share.caller: share.requests_per_second for share in held}
             held = shares["a"]
             new = {share.caller: share.requests_per_second for share in shares["b"]}
@@ -373,7 +373,7 @@
         share = leader.sync(self.limits, {"b": 50.0}, 300.0)["b"].requests_per_second
         assert held > 11.0 and share <= 12.0 - held + 1e-9
 
-    def test_a_limit_that_becomes_one_callers_keeps_its_shares(self) -> None:
+    def test_a_limit_that_is_narrowed_to_one_caller_keeps_its_shares(self) -> None:
         """Guards against dropping the only caller of a limit that once applied to each caller."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0}, 0.0)
@@ -396,50 +396,50 @@
         shares = allocator.allocate(self.limits, 6100.0)["b"]
         assert [s.requests_per_second for s in shares if s.caller == "x"] == [0.0]
 
-    def test_a_report_from_before_the_first_grant_excludes_nothing(self) -> None:
-        """Guards against taking a report of no share for the receipt of a later grant of none."""
-        pair = Pair()
-        pair.record("concurrent_requests", {"a": 5.0}, 10.0)
-        pair.record("concurrent_requests", {"a": 0.0}, 10.0)
-        pair.report_held("a", None, 2.0)
-        assert pair.beliefs["concurrent_requests"]["a"].largest() == 5.0
+    def test_a_report_from_before_the_first_grant_rules_out_no_grant(self) -> None:
+        """Guards against reading a report without a share as the receipt of a later zero grant."""
+        limit_state = CallerLimit()
+        limit_state.record_grants("concurrent_requests", {"a": 5.0}, 10.0)
+        limit_state.record_grants("concurrent_requests", {"a": 0.0}, 10.0)
+        limit_state.report_held("a", None, 2.0)
+        assert limit_state.bounds["concurrent_requests"]["a"].upper_bound() == 5.0
 
     def test_small_changes_of_demand_keep_grants(self) -> None:
-        """Guards against dividing every pair again for each report of a busy instance."""
-        pair = Pair()
-        assert pair.report_demand("a", ShareDemand("l", "x", 10.0, 4.0, 100.0))
-        assert not pair.report_demand("a", ShareDemand("l", "x", 10.4, 4.0, 101.0))
-        assert pair.report_demand("a", ShareDemand("l", "x", 10.4, 5.0, 101.0))
-        assert pair.report_demand("a", ShareDemand("l", "x", 11.0, 5.0, 101.0))
+        """Guards against dividing every limit again for each report of a busy instance."""
+        limit_state = CallerLimit()
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 10.0, 4.0, 100.0))
+        assert not limit_state.report_demand("a", ShareDemand("l", "x", 10.4, 4.0, 101.0))
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 10.4, 5.0, 101.0))
+        assert limit_state.report_demand("a", ShareDemand("l", "x", 11.0, 5.0, 101.0))
 
     def test_running_requests_above_a_shrunken_share_are_not_granted_twice(self) -> None:
         """Guards against granting concurrency that is still in use elsewhere."""
         leader = Leader()
         leader.sync(self.limits, {"a": 50.0, "b": 0.0}, 0.0)
-        ledger = RequestLimiter()
-        ledger.apply(self.limits, leader.held["a"], 6000.0)
+        limiter = RequestLimiter()
+        limiter.apply(self.limits, leader.held["a"], 6000.0)
         shares = leader.held["a"]
         granted = next(s for s in shares if s.caller == "x").concurrent_requests
         for use in range(granted):
-            ledger._use("l", "x").requests.charge(-1.0)
-            assert ledger.admit(LimitRequest("x", "m", "", 0), 10.0 + use).is_ok()
+            limiter._use("l", "x").requests.charge(-1.0)
+            assert limiter.admit(LimitRequest("x", "m", "", 0), 10.0 + use).is_ok()
         for step in range(1, 4):
             shrunk = leader.sync(self.limits, {"a": 0.0, "b": 50.0}, step * 100.0)
-            ledger.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
-            leader.held["a"] = ledger.held_shares(step * 100.0)
+            limiter.apply(self.limits, leader.held["a"], 6000.0 + step * 100.0)
+            leader.held["a"] = limiter.held_shares(step * 100.0)
             assert shrunk["b"].concurrent_requests <= 12 - granted
         leader.held["a"] = [s for s in leader.held["a"] if s.version >= 0]
         assert leader.sync(self.limits, {"a": 0.0, "b": 50.0}, 400.0)["b"].concurrent_requests == 11
 
 
 class TestFairness:
-    """Guards against divisions that lose or invent capacity."""
+    """Guards against divisions whose sum differs from the capacity."""
 
-    def test_max_min_satisfies_small_demands_first(self) -> None:
-        assert max_min({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
+    def test_max_min_shares_satisfy_small_demands_first(self) -> None:
+        assert max_min_shares({"a": 1.0, "b": 9.0, "c": 9.0}, 9.0) == {"a": 1.0, "b": 4.0, "c": 4.0}
 
-    def test_unwanted_capacity_is_divided_evenly(self) -> None:
-        assert max_min({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
+    def test_capacity_beyond_the_demand_is_divided_evenly(self) -> None:
+        assert max_min_shares({"a": 1.0, "b": 0.0}, 5.0) == {"a": 3.0, "b": 2.0}
 
     def test_whole_numbers_keep_the_total(self) -> None:
-        assert whole_numbers({"a": 1.5, "b": 1.5, "c": 1.0}, 4) == {"a": 2, "b": 1, "c": 1}
+        assert round_to_total({"a": 1.5, "b": 1.5, "c": 1.0}, 4) == {"a": 2, "b": 1, "c": 1}
