--- a/bench/placement_baselines.py
+++ b/bench/placement_baselines.py
@@ -25,13 +25,13 @@
         for name in draft.models
     }
     for name, number in sorted(wanted.items()):
-        loaded = sorted(draft.loaded.get(name, ()), key=lambda i: (-draft.pressure[i], i))
+        loaded = sorted(draft.loaded.get(name, ()), key=lambda i: (-draft.assigned_demand[i], i))
         for upstream_id in loaded[: max(0, len(loaded) - number)]:
             draft.unload(name, upstream_id)
     for name in sorted(wanted, key=lambda n: (-draft.demand(n), n)):
         for _ in range(wanted[name] - len(draft.replicas(name))):
             target = draft.candidates.least_busy(
-                draft.models[name].instances, lambda i, n=name: draft.can_take(n, i), 10_000
+                draft.models[name].instances, lambda i, n=name: draft.can_load(n, i), 10_000
             )
             if target is not None:
                 draft.load(name, target)
--- a/src/briardyke/models/adapters.py
+++ b/src/briardyke/models/adapters.py
@@ -1,4 +1,4 @@
-"""Load and unload adapters within the places of an engine."""
+"""Load and unload adapters within the adapter slots of an engine."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 
     from briardyke.routes.configuration import EngineSpec
 
-# An adapter arrives within 14 ms while the store is not crowded.
+# An adapter is loaded within 14 ms while the weight store is not overloaded.
 ADAPTER_ARRIVAL_MS = 15.0
-# Adapters that may be on their way to one engine at the same time.
+# Adapters that may be loading into one engine at the same time.
 _MAX_ADAPTERS_IN_TRANSIT = 4
 
 
 class AdapterLoader:
-    """Bring adapters into engines, in place of those that are not asked for."""
+    """Load adapters into engines, evicting those that are not requested."""
 
     def __init__(
         self, order: Callable[[EngineState, bool, str, str], Awaitable[OrderOutcome]]
@@ -32,73 +32,73 @@
         """Order through ``order``, which takes the engine, whether to load, model and adapter."""
         self._order = order
 
-    async def ensure(self, ledger: EngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
+    async def ensure(self, state: EngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
         """Return an empty text once the engine holds the adapter, else the reason.
 
         :param key: names of the model and the adapter.
         """
         while True:
-            while key in ledger.ready:
-                await ledger.ready[key].wait()
-            if key in ledger.leaving_adapters:
+            while key in state.ready:
+                await state.ready[key].wait()
+            if key in state.unloading_adapters:
                 return "the adapter is being unloaded"
-            if ledger.has_adapter(key):
-                ledger.adapters[key] = now_ms()
+            if state.has_adapter(key):
+                state.adapters[key] = now_ms()
                 return ""
-            if ledger.pending is not None or ledger.sequence is None:
-                return "the engine carries out another order"
-            if len(ledger.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
-                return "too many adapters are on their way"
-            is_counted = key in ledger.adapters or len(ledger.adapters) < spec.adapter_slots
-            if is_counted and _fits(ledger, spec):
-                return await self._load(ledger, key)
-            idle = ledger.idle_adapters()
+            if state.pending is not None or state.sequence is None:
+                return "the engine is executing another order"
+            if len(state.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
+                return "too many adapters are being loaded"
+            is_counted = key in state.adapters or len(state.adapters) < spec.adapter_slots
+            if is_counted and _fits(state, spec):
+                return await self._load(state, key)
+            idle = state.idle_adapters()
             if not idle:
-                return "all places for adapters are in use"
-            # Another request may load the same adapter meanwhile, so all is looked at again.
-            failure = await self._unload(ledger, idle[0])
+                return "all adapter slots are in use"
+            # Another request may load the same adapter meanwhile, so the state is checked again.
+            failure = await self._unload(state, idle[0])
             if failure:
                 return failure
 
-    async def _unload(self, ledger: EngineState, key: tuple[str, str]) -> str:
-        """Return an empty text once the adapter's place is free, else the reason."""
-        ledger.leaving_adapters.add(key)
-        outcome = await self._order(ledger, False, *key)
+    async def _unload(self, state: EngineState, key: tuple[str, str]) -> str:
+        """Return an empty text once the adapter's slot is free, else the reason."""
+        state.unloading_adapters.add(key)
+        outcome = await self._order(state, False, *key)
         if outcome is OrderOutcome.HELD_ALREADY:
-            ledger.leaving_adapters.discard(key)
-            ledger.adapters.pop(key, None)
+            state.unloading_adapters.discard(key)
+            state.adapters.pop(key, None)
             return ""
         if outcome is OrderOutcome.ACCEPTED:
-            # Requests still use it; a later report tells when its place is free.
-            ledger.review_ms = now_ms() + REPORT_LAG_MS
+            # Requests still use it; a later report shows when its slot is free.
+            state.review_ms = now_ms() + REPORT_LAG_MS
         else:
-            ledger.leaving_adapters.discard(key)
+            state.unloading_adapters.discard(key)
         return f"unload {outcome.value}"
 
-    async def _load(self, ledger: EngineState, key: tuple[str, str]) -> str:
-        event = ledger.ready[key] = trio.Event()
-        ledger.adapters[key] = now_ms()
-        ledger.doubted_adapters.discard(key)
+    async def _load(self, state: EngineState, key: tuple[str, str]) -> str:
+        event = state.ready[key] = trio.Event()
+        state.adapters[key] = now_ms()
+        state.suspect_adapters.discard(key)
         try:
-            outcome = await self._order(ledger, True, *key)
+            outcome = await self._order(state, True, *key)
             if outcome is OrderOutcome.ACCEPTED:
                 await trio.sleep(ADAPTER_ARRIVAL_MS / 1000.0)
             elif outcome is not OrderOutcome.HELD_ALREADY:
                 if outcome is not OrderOutcome.UNKNOWN:
-                    ledger.adapters.pop(key, None)
+                    state.adapters.pop(key, None)
                 return f"load {outcome.value}"
             log_limited(
                 "adapter_loaded",
                 is_routine=True,
-                upstream=ledger.row.upstream_id,
+                upstream=state.row.upstream_id,
                 adapter="/".join(key),
-                held=len(ledger.adapters),
+                held=len(state.adapters),
             )
             return ""
         finally:
             event.set()
-            del ledger.ready[key]
+            del state.ready[key]
 
 
-def _fits(ledger: EngineState, spec: EngineSpec) -> bool:
-    return committed_mb(spec, ledger.models) <= spec.weights_mb
+def _fits(state: EngineState, spec: EngineSpec) -> bool:
+    return committed_mb(spec, state.models) <= spec.weights_mb
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briardyke.gateway.demand import USUAL_DURATION_S
-from briardyke.models.balance import Balance
+from briardyke.models.load_estimate import LoadEstimate
 from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
 
 if TYPE_CHECKING:
@@ -15,22 +15,22 @@
 
     from briardyke.routes.configuration import EngineSpec
 
-# Adapters come and go beside the models; room for this many stays free where the service has any.
+# Memory for this many adapters stays free beside the models if the service has adapters.
 _SPARE_ADAPTERS = 8
 # Demand below this is the tail of requests that ended some seconds ago.
 _LEAST_DEMAND = 0.05
-# A request for a model that nothing holds waits for a load or is sent away. It counts like this
-# many requests at an engine of mean load.
+# A request for a model that no engine holds waits for a load or is refused. It counts as much as
+# this many requests at an engine with mean load.
 _MISSING_WEIGHT = 6.0
-# A model that stays missing gains this much weight each second, so that each gets its turn.
+# A model that stays missing gains this much weight each second, so that each is loaded eventually.
 _WAITING_WEIGHT_PER_S = 0.2
-# A model that rests is asked for again, at about half of its mean rate of the last seconds.
-_RESTING_SHARE = 0.5
+# An idle model is requested again at about half of its mean rate of the last seconds.
+_IDLE_SHARE = 0.5
 # Demand for a model lasts about this long; a load that ends later gains nothing.
 _HORIZON_S = 12.0
 # Part of the gain that is left for a load that takes longer than that.
 _LEAST_SHARE = 0.1
-# Announcing that a model leaves, and unloading it, take this long before a load can begin.
+# Time to announce that a model is unloaded, and to unload it, before a load can start.
 _UNLOAD_S = 0.7
 # Part of the engines that may load models of little demand from the store at the same time. The
 # others stay free for a model whose demand rises, and for adapters.
@@ -39,9 +39,9 @@
 _RARE_DEMAND = 0.5
 # A model whose engines carry this much more than the mean is a candidate for another replica.
 _HOT_LEVEL = 1.2
-# An engine with requests for up to this part of its places needs no relief, whatever the mean is:
-# tokens come hardly slower than alone.
-_EASY_SHARE = 0.15
+# An engine with requests in up to this part of its slots needs no other replica, whatever the mean
+# is: tokens are generated hardly slower than for a single request.
+_LOW_LOAD_SHARE = 0.15
 # Least gain of another replica, in parts of an engine's mean load: an order and a load.
 _LEAST_GAIN = 0.15
 # Least gain of a missing model, in requests a second at an engine of mean load.
@@ -52,7 +52,7 @@
 _ADAPTER_MISSES_SHARED = 0.02
 # An engine that is free within this time is waited for rather than left out.
 _SOON_MS = 1500.0
-# A replica is not given up for one that gains as much, since demand wavers.
+# A replica is not evicted for one with the same gain, since demand fluctuates.
 _KEEPING_FACTOR = 1.3
 # Models examined in one round; the rest wait for the next decision, a fraction of a second later.
 _MAX_MODELS = 12
@@ -65,7 +65,7 @@
 def decide(view: ModelsView) -> list[Change]:
     """Return the changes to start now, at most one for each engine.
 
-    Load: a few models carry most requests, others rise within seconds and each rare one must stay
+    A few models carry most requests, others rise within seconds and each rare one must stay
     reachable, with fewer places than models. A busy model on too few engines delays most callers,
     a missing one delays its few callers by a whole load. Both are weighed in one measure, so that
     neither starves the other: the square of each engine's load, and the demand that nothing holds.
@@ -100,13 +100,13 @@
         self._store_loads = 0
         self._engines = [e for e in view.engines if e.is_staying]
         self._ids = [e.upstream_id for e in self._engines]
-        self._taken: set[str] = set()
+        self._changed: set[str] = set()
         self._demand = {
             model: rate
             for model, rate in view.demand.items()
             if model in view.spec.models and rate >= _LEAST_DEMAND
         }
-        self._easy_load = _EASY_SHARE * view.spec.slots / USUAL_DURATION_S
+        self._low_load = _LOW_LOAD_SHARE * view.spec.slots / USUAL_DURATION_S
         self._reserve_mb = adapter_reserve_mb(view.spec)
         largest = max((m.weights_mb for m in view.spec.models.values()), default=1.0)
         # A larger model takes longer for each token.
@@ -131,7 +131,7 @@
                 rows.append((-_MISSING_WEIGHT * rate, model))
                 continue
             load = min(self._loads[i] for i in holders)
-            level = load / self._mean if self._mean and load > self._easy_load else 0.0
+            level = load / self._mean if self._mean and load > self._low_load else 0.0
             if level > _HOT_LEVEL and len(holders) < len(self._engines):
                 rows.append((-self._work[model] * (level - 1.0), model))
         return [model for _, model in sorted(rows)]
@@ -145,16 +145,16 @@
         engines = [
             e
             for e in self._engines
-            if e.upstream_id not in self._taken
+            if e.upstream_id not in self._changed
             and model not in e.held
-            and not (self._holders.get(model) and self._is_relieved_soon(e))
+            and not (self._holders.get(model) and self._frees_other_holder_soon(e))
         ]
         engines.sort(key=lambda e: (self._load_s(model, e), self._loads[e.upstream_id]))
         options = [o for e in engines[:_MAX_ENGINES] if (o := self._option(model, e)) is not None]
         best = max(options, key=lambda o: (o.gain, o.engine.upstream_id), default=None)
         if best is None or best.gain < self._least_gain(model) or not best.engine.is_free:
             return
-        self._adopt(model, best)
+        self._apply(model, best)
 
     def _load_s(self, model: str, engine: EngineView) -> float:
         """Return the time until an engine could serve a model that it has room for, in seconds."""
@@ -175,9 +175,9 @@
             return _LEAST_GAIN * self._mean
         return min(_LEAST_GAIN_RARE, _MISSING_WEIGHT * self._demand[model] / 4.0)
 
-    def _adopt(self, model: str, best: _Option) -> None:
+    def _apply(self, model: str, best: _Option) -> None:
         engine_id = best.engine.upstream_id
-        self._taken.add(engine_id)
+        self._changed.add(engine_id)
         for victim in best.victims:
             self._holders[victim].discard(engine_id)
             self.changes.append(Change(ChangeKind.UNLOAD, engine_id, victim))
@@ -213,7 +213,7 @@
             return None
         wait_s = self._load_s(model, engine) + (_UNLOAD_S if victims else 0.0)
         gain = self._placing_value(model, engine) * max(_LEAST_SHARE, 1.0 - wait_s / _HORIZON_S)
-        loss += self._disturbance(engine) * min(1.0, wait_s / _HORIZON_S)
+        loss += self._adapter_miss_cost(engine) * min(1.0, wait_s / _HORIZON_S)
         return _Option(gain - loss, engine, victims)
 
     # Values, in requests a second at an engine of mean load
@@ -235,7 +235,7 @@
         loading = {i for i in self._holders.get(victim, ()) if self._arriving[i] == victim}
         holders = self._holders.get(victim, set()) - loading - {engine.upstream_id}
         if not holders:
-            lasting = self.view.lasting.get(victim, 0.0) * _RESTING_SHARE
+            lasting = self.view.lasting.get(victim, 0.0) * _IDLE_SHARE
             rate = max(self._demand.get(victim, 0.0), lasting)
             return _MISSING_WEIGHT * rate * _KEEPING_FACTOR
         if victim not in self._demand:
@@ -243,10 +243,10 @@
         loss = self._balanced.loss_of_removing(victim, engine.upstream_id)
         return self._scaled(max(0.0, loss)) * _KEEPING_FACTOR
 
-    def _disturbance(self, engine: EngineView) -> float:
-        """Return the demand that misses an adapter while an engine takes none.
+    def _adapter_miss_cost(self, engine: EngineView) -> float:
+        """Return the demand that misses an adapter while an engine accepts no adapters.
 
-        Load: a busy model has more adapters than an engine has places, so its requests need an
+        A busy model has more adapters than an engine has places, so its requests need an
         engine that can load one; rare models should come and go where that hurts nobody.
         """
         cost = 0.0
@@ -255,10 +255,10 @@
             cost += _MISSING_WEIGHT * misses * self._demand[model]
         return cost
 
-    def _is_relieved_soon(self, engine: EngineView) -> bool:
+    def _frees_other_holder_soon(self, engine: EngineView) -> bool:
         """Return whether it alone takes adapters of a model now, but another holder will soon.
 
-        Load: a busy model can wait for its next replica until that is so.
+        A busy model can wait for its next replica until that is so.
         """
         for model, is_alone in self._adapter_models(engine):
             others = self._other_holders(model, engine)
@@ -277,7 +277,7 @@
             if spec is None or not spec.adapters or model not in self._demand:
                 continue
             others = self._other_holders(model, engine)
-            takes = [e for e in others if e.is_free and e.upstream_id not in self._taken]
+            takes = [e for e in others if e.is_free and e.upstream_id not in self._changed]
             found.append((model, not takes))
         return found
 
@@ -289,7 +289,7 @@
         ]
 
     def _balance(self) -> None:
-        self._balanced = Balance(self._work, self._holders, self._ids)
+        self._balanced = LoadEstimate(self._work, self._holders, self._ids)
         self._loads = self._balanced.loads
         self._mean = sum(self._work.values()) / max(1, len(self._ids))
 
--- a/src/briardyke/models/engine_state.py
+++ b/src/briardyke/models/engine_state.py
@@ -1,4 +1,4 @@
-"""Keep what the leader knows of each engine's memory and orders."""
+"""Track the leader's knowledge of each engine's memory and orders."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 # An order that gets no answer is in doubt. Its sequence is read again after this time, since
 # reports lag by some hundred milliseconds.
 REPORT_LAG_MS = 600.0
-# Stands for a model that an earlier leader ordered and no report names yet.
+# Placeholder for a model that an earlier leader ordered and that no report names yet.
 UNKNOWN_MODEL = ""
 
 
@@ -41,7 +41,7 @@
 
 @attrs.define(eq=False)
 class EngineState:
-    """Hold the leader's knowledge of one start of an engine.
+    """Hold the leader's knowledge of one incarnation of an engine.
 
     :param row: its latest announcement.
     :param sequence: orders that it has accepted, ``None`` before its first report and while an
@@ -54,9 +54,9 @@
     :param order_ended_ms: time at which the last order was seen to be carried out.
     :param pending_from_store: whether it loads weights from the weight store.
     :param leaving: models that are being unloaded.
-    :param leaving_adapters: adapters that are being unloaded and still take their places.
-    :param doubted_adapters: adapters that a refused request did not find. They keep their places,
-        and are ordered again when they are asked for.
+    :param unloading_adapters: adapters that are being unloaded and still occupy their slots.
+    :param suspect_adapters: adapters that a refused request did not find. They keep their slots
+        and are ordered again when they are requested.
     :param doubt_since_ms: time since which the sequence is unknown.
     :param review_ms: time at which a report is wanted, 0 for none.
     :param loaded_ms: time at which the load of each model should have ended.
@@ -74,8 +74,8 @@
     order_ended_ms: float = float("-inf")
     pending_from_store: bool = False
     leaving: set[str] = attrs.field(factory=set)
-    leaving_adapters: set[tuple[str, str]] = attrs.field(factory=set)
-    doubted_adapters: set[tuple[str, str]] = attrs.field(factory=set)
+    unloading_adapters: set[tuple[str, str]] = attrs.field(factory=set)
+    suspect_adapters: set[tuple[str, str]] = attrs.field(factory=set)
     doubt_since_ms: float = 0.0
     review_ms: float = 0.0
     lock: trio.Lock = attrs.field(factory=trio.Lock)
@@ -85,14 +85,14 @@
     def adopt_report(self, report: EngineReport) -> None:
         """Take the engine's own report of its memory."""
         self.sequence = report.sequence
-        # A model on its way is not in the report yet, but its memory is taken; an announcement may
-        # know of a model that the report, which lags, does not name.
+        # A model being loaded is not in the report yet, but its memory is in use. An announcement
+        # may name a model that the report, which lags, does not.
         self.models = set(report.models) | {held.name for held in self.row.models}
         held = {(m, a) for m, names in report.models.items() for a in names}
         held |= set(report.loading_adapters)
         self.adapters = {key: self.adapters.get(key, 0.0) for key in held}
-        self.leaving_adapters &= held
-        self.doubted_adapters &= held
+        self.unloading_adapters &= held
+        self.suspect_adapters &= held
         if not report.is_busy:
             self.pending = None
         elif self.pending is None:
@@ -103,7 +103,7 @@
             self.models.add(self.pending[0])
 
     def adopt_row(self, row: Upstream) -> None:
-        """Take a new announcement, which tells when a model has come or gone."""
+        """Apply a new announcement, which shows that a model has been loaded or unloaded."""
         self.row = row
         announced = {held.name for held in row.models}
         self.models |= announced - self.leaving
@@ -122,7 +122,7 @@
 
     def has_adapter(self, key: tuple[str, str]) -> bool:
         """Return whether an adapter is in its memory, as far as known."""
-        return key in self.adapters and key not in self.doubted_adapters
+        return key in self.adapters and key not in self.suspect_adapters
 
     def idle_adapters(self) -> list[tuple[str, str]]:
         """Return adapters that may be evicted, the least recently asked for first."""
@@ -130,7 +130,7 @@
         old = [
             key
             for key, used_ms in self.adapters.items()
-            if used_ms < limit_ms and key not in self.leaving_adapters
+            if used_ms < limit_ms and key not in self.unloading_adapters
         ]
         return sorted(old, key=lambda key: self.adapters[key])
 
--- a/src/briardyke/models/balance.py
+++ b/src/briardyke/models/load_estimate.py
@@ -9,19 +9,19 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-# Each round settles one model after the other; overlaps of three models even out within four.
+# Each round spreads one model after the other; overlaps of three models converge within four.
 _ROUNDS = 4
 
 
-class Balance:
+class LoadEstimate:
     """Spread every request over the holders of its model as evenly as overlaps allow.
 
-    Load: two busy models overlap on some engines. Entry instances then send the requests that have
+    Two busy models overlap on some engines. Entry instances then send the requests that have
     a choice to the engines whose other model is asked for less.
 
     The cost of a spread is the sum of the squares of the engines' loads. What one more or one less
     holder changes is estimated from the engines of that model alone: with 45 engines a decision
-    weighs hundreds of them, and settling all models anew for each takes a millisecond.
+    evaluates hundreds of them, and spreading all models again for each takes a millisecond.
     """
 
     def __init__(
@@ -30,7 +30,7 @@
         holders: Mapping[str, set[str]],
         engine_ids: Iterable[str],
     ) -> None:
-        """Settle all models.
+        """Compute the loads of all engines.
 
         :param demand: load of each model, in any unit.
         :param holders: ids of the engines that hold each model.
@@ -49,7 +49,7 @@
         for _ in range(_ROUNDS):
             for share in self._shares.values():
                 if len(share) > 1:
-                    self._settle(share)
+                    self._spread(share)
 
     def gain_of_adding(self, model: str, engine_id: str) -> float:
         """Return by how much the cost falls with one more holder of a model."""
@@ -72,13 +72,13 @@
         return {engine_id: self.loads[engine_id] - part for engine_id, part in share.items()}
 
     def _cost_change(self, share: dict[str, float], others: dict[str, float]) -> float:
-        """Return by how much the cost falls when a model is poured over other loads."""
+        """Return by how much the cost falls when a model is spread over other loads."""
         total = sum(share.values())
         level = filled_level(((load, 1.0) for load in others.values()), total)
         before = sum(self.loads[engine_id] ** 2 for engine_id in share.keys() | others.keys())
         return before - sum(max(level, load) ** 2 for load in others.values())
 
-    def _settle(self, share: dict[str, float]) -> None:
+    def _spread(self, share: dict[str, float]) -> None:
         """Spread one model's requests so that its holders are loaded as evenly as others allow."""
         others = self._others(share)
         total = sum(share.values())
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -13,9 +13,9 @@
 from briardyke.models.adapters import AdapterLoader
 from briardyke.models.decide import decide
 from briardyke.models.engine_state import REPORT_LAG_MS, UNKNOWN_MODEL, EngineState
-from briardyke.models.lasting import LastingDemand
 from briardyke.models.orders import Order, OrderOutcome
-from briardyke.models.store import StoreWindow
+from briardyke.models.smoothed_demand import SmoothedDemand
+from briardyke.models.store_limiter import StoreLoadLimiter
 from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
 
 if TYPE_CHECKING:
@@ -26,17 +26,17 @@
     from briardyke.routes.configuration import EngineSpec, ServingConfiguration
 
 TICK_MS = 400.0
-# News cuts a tick short, but not below this, ...
+# An announced change ends a tick early, but not before this time ...
 LEAST_TICK_MS = 100.0
-# ... nor below this many times what the last decision took. A decision over 59 engines takes a
-# tenth of a second on a third of a core, and a leader that does little else loses its office.
+# ... nor before this many times the duration of the last decision. A decision over 59 engines takes
+# a tenth of a second on a third of a core, and a leader that does little else loses its leadership.
 _REST_FACTOR = 4.0
-# Entry instances learn of a model that leaves through their control instance within this time.
+# Entry instances learn within this time, through their control instance, that a model is unloaded.
 WITHHOLD_MS = 200.0
 # When traffic starts, the first requests say little about which models are in demand: the half-life
 # of the rates that entry instances keep.
 SETTLING_MS = 2000.0
-# A model leaves when it is announced as leaving and its last requests have ended.
+# Time from an unload order until the model's last requests have ended.
 _UNLOAD_MS = 700.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
 _PENDING_CHECK_MS = 9000.0
@@ -51,7 +51,7 @@
         control: ControlInstance,
         engines: EngineClient,
         configuration: Callable[[], ServingConfiguration | None],
-        holder: str,
+        instance_id: str,
         order_lease_ms: float,
         store_window_s: float,
     ) -> None:
@@ -60,23 +60,23 @@
         :param control: this control instance.
         :param engines: reaches the engines.
         :param configuration: returns the configuration in force.
-        :param holder: name of this instance, the same for all its orders.
+        :param instance_id: name of this instance, the same for all its orders.
         :param order_lease_ms: time for which an earlier leader may still order.
         :param store_window_s: window in which loads from the store are counted.
         """
         self._control = control
         self._engines = engines
         self._configuration = configuration
-        self._holder = holder
+        self._instance_id = instance_id
         self._order_lease_ms = order_lease_ms
         self._store_window_s = store_window_s
-        self._store = StoreWindow(store_window_s)
-        self._ledgers: dict[str, EngineState] = {}
+        self._store = StoreLoadLimiter(store_window_s)
+        self._engine_states: dict[str, EngineState] = {}
         self._term = 0
         self._term_since_ms = 0.0
         self._fenced_term = 0
         self._change_sequence = 0
-        self._lasting = LastingDemand()
+        self._smoothed = SmoothedDemand()
         self._missing_since_ms: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self._decision_ms = 0.0
@@ -85,7 +85,7 @@
 
     async def run(self) -> None:
         """Decide and order until cancelled."""
-        self._term = 0  # after a defect nothing is known of the orders that were under way
+        self._term = 0  # after an internal error, the state of pending orders is unknown
         async with trio.open_nursery() as nursery:
             while True:
                 rest_ms = max(LEAST_TICK_MS, _REST_FACTOR * self._decision_ms)
@@ -105,22 +105,24 @@
             return False
         if term != self._term:
             self._term, self._term_since_ms = term, now_ms()
-            self._ledgers.clear()
-            self._store = StoreWindow(self._store_window_s)
-            self._lasting = LastingDemand()
+            self._engine_states.clear()
+            self._store = StoreLoadLimiter(self._store_window_s)
+            self._smoothed = SmoothedDemand()
             log_event("placement_leads", term=term)
         return now_ms() - self._term_since_ms >= self._order_lease_ms
 
     async def _tick(self, configuration: ServingConfiguration, nursery: trio.Nursery) -> None:
         self._follow_rows(configuration)
         self._follow_unreachable()
-        for ledger in self._ledgers.values():
-            if self._needs_report(ledger) and not ledger.lock.locked():
-                nursery.start_soon(self._refresh, ledger)
+        for state in self._engine_states.values():
+            if self._needs_report(state) and not state.lock.locked():
+                nursery.start_soon(self._refresh, state)
         demand = self._control.demand()
-        if not self._lasting.is_started:
-            self._lasting.assume({m for ledger in self._ledgers.values() for m in ledger.models})
-        self._lasting.add(demand)
+        if not self._smoothed.is_started:
+            self._smoothed.assume(
+                {m for state in self._engine_states.values() for m in state.models}
+            )
+        self._smoothed.add(demand)
         self._follow_missing(demand)
         if not demand:
             self._demand_since_ms = now_ms()
@@ -129,10 +131,10 @@
                 continue
             view = ModelsView(
                 service.engine,
-                [self._view(i, g) for i, g in self._ledgers.items() if g.row.service == name],
+                [self._view(i, g) for i, g in self._engine_states.items() if g.row.service == name],
                 demand,
                 self._store.free(service.engine.store_loads_per_s),
-                self._lasting.rates,
+                self._smoothed.rates,
                 {m: (now_ms() - since) / 1000.0 for m, since in self._missing_since_ms.items()},
                 is_settled=now_ms() - self._demand_since_ms >= SETTLING_MS,
             )
@@ -150,7 +152,7 @@
         self._unreachable = unreachable
 
     def _follow_missing(self, demand: dict[str, float]) -> None:
-        held = {m for g in self._ledgers.values() for m in g.models - g.leaving}
+        held = {m for g in self._engine_states.values() for m in g.models - g.leaving}
         missing = [model for model in demand if model not in held]
         since_ms = self._missing_since_ms
         self._missing_since_ms = {m: since_ms.get(m, now_ms()) for m in missing}
@@ -161,96 +163,96 @@
             for row in self._control.live_upstreams()
             if (spec := configuration.services.get(row.service)) and spec.engine
         }
-        for upstream_id in [i for i in self._ledgers if i not in rows]:
-            del self._ledgers[upstream_id]
+        for upstream_id in [i for i in self._engine_states if i not in rows]:
+            del self._engine_states[upstream_id]
         for upstream_id, row in rows.items():
-            ledger = self._ledgers.get(upstream_id)
-            if ledger is None or ledger.row.incarnation != row.incarnation:
-                self._ledgers[upstream_id] = EngineState(row)
+            state = self._engine_states.get(upstream_id)
+            if state is None or state.row.incarnation != row.incarnation:
+                self._engine_states[upstream_id] = EngineState(row)
             else:
-                ledger.adopt_row(row)
+                state.adopt_row(row)
 
-    def _needs_report(self, ledger: EngineState) -> bool:
-        if ledger.sequence is None:
-            return now_ms() - ledger.doubt_since_ms >= REPORT_LAG_MS
-        if ledger.review_ms and now_ms() >= ledger.review_ms:
+    def _needs_report(self, state: EngineState) -> bool:
+        if state.sequence is None:
+            return now_ms() - state.doubt_since_ms >= REPORT_LAG_MS
+        if state.review_ms and now_ms() >= state.review_ms:
             return True
-        if ledger.pending is None:
+        if state.pending is None:
             return False
-        is_unknown = ledger.pending[0] == UNKNOWN_MODEL
+        is_unknown = state.pending[0] == UNKNOWN_MODEL
         check_ms = _UNKNOWN_CHECK_MS if is_unknown else _PENDING_CHECK_MS
-        return now_ms() - ledger.pending_since_ms >= check_ms
+        return now_ms() - state.pending_since_ms >= check_ms
 
-    async def _refresh(self, ledger: EngineState) -> None:
-        async with ledger.lock:
-            report = await self._engines.fetch_report(ledger.row)
+    async def _refresh(self, state: EngineState) -> None:
+        async with state.lock:
+            report = await self._engines.fetch_report(state.row)
             if report is None:
-                ledger.doubt_since_ms = now_ms()
+                state.doubt_since_ms = now_ms()
                 return
             log_limited(
                 "engine_report_read",
                 is_routine=True,
-                upstream=ledger.row.upstream_id,
-                expected=ledger.sequence,
+                upstream=state.row.upstream_id,
+                expected=state.sequence,
                 sequence=report.sequence,
                 busy=report.is_busy,
             )
-            ledger.adopt_report(report)
-            ledger.review_ms = now_ms() + REPORT_LAG_MS if ledger.leaving_adapters else 0.0
-            ledger.pending_since_ms = now_ms()
-            if ledger.pending is None:
-                ledger.leaving.clear()
-                self._publish(ledger)
+            state.adopt_report(report)
+            state.review_ms = now_ms() + REPORT_LAG_MS if state.unloading_adapters else 0.0
+            state.pending_since_ms = now_ms()
+            if state.pending is None:
+                state.leaving.clear()
+                self._publish(state)
 
-    def _view(self, upstream_id: str, ledger: EngineState) -> EngineView:
-        held = dict.fromkeys(ledger.models, 0)
-        for model, _ in ledger.busy_adapters():
+    def _view(self, upstream_id: str, state: EngineState) -> EngineView:
+        held = dict.fromkeys(state.models, 0)
+        for model, _ in state.busy_adapters():
             held[model] = held.get(model, 0) + 1
         return EngineView(
             upstream_id,
-            ledger.row.service,
+            state.row.service,
             held,
-            frozenset(ledger.row.at_hand),
-            is_free=ledger.sequence is not None
-            and ledger.pending is None
-            and not ledger.lock.locked(),
-            is_staying=ledger.row.lifecycle == READY and upstream_id not in self._unreachable,
-            leaving=frozenset(ledger.leaving),
-            arriving=next(iter(ledger.arriving_ms()), ""),
-            recent=ledger.recent_models(),
-            free_in_ms=ledger.free_in_ms(),
-            is_loading=ledger.pending is not None and ledger.pending_from_store,
+            frozenset(state.row.at_hand),
+            is_free=state.sequence is not None
+            and state.pending is None
+            and not state.lock.locked(),
+            is_staying=state.row.lifecycle == READY and upstream_id not in self._unreachable,
+            leaving=frozenset(state.leaving),
+            arriving=next(iter(state.arriving_ms()), ""),
+            recent=state.recent_models(),
+            free_in_ms=state.free_in_ms(),
+            is_loading=state.pending is not None and state.pending_from_store,
         )
 
     # Models
 
     def _start(self, change: Change, spec: EngineSpec, nursery: trio.Nursery) -> None:
-        ledger = self._ledgers[change.upstream_id]
-        if ledger.pending is not None:
+        state = self._engine_states[change.upstream_id]
+        if state.pending is not None:
             return
         is_load = change.kind is ChangeKind.LOAD
         model = spec.models.get(change.model)
-        ledger.pending = (change.model, is_load)
-        ledger.pending_since_ms = now_ms()
-        ledger.pending_until_ms = now_ms() + _UNLOAD_MS
-        ledger.pending_from_store = change.is_from_store
+        state.pending = (change.model, is_load)
+        state.pending_since_ms = now_ms()
+        state.pending_until_ms = now_ms() + _UNLOAD_MS
+        state.pending_from_store = change.is_from_store
         if is_load:
             load_s = (model.load_s if change.is_from_store else model.disk_load_s) if model else 0.0
-            ledger.pending_until_ms = now_ms() + load_s * 1000.0
-            ledger.models.add(change.model)
-            ledger.loaded_ms[change.model] = ledger.pending_until_ms
+            state.pending_until_ms = now_ms() + load_s * 1000.0
+            state.models.add(change.model)
+            state.loaded_ms[change.model] = state.pending_until_ms
             if change.is_from_store:
                 self._store.record()
         else:
-            ledger.leaving.add(change.model)
-        self._publish(ledger)
-        nursery.start_soon(self._carry_out, ledger, change)
+            state.leaving.add(change.model)
+        self._publish(state)
+        nursery.start_soon(self._carry_out, state, change)
 
-    async def _carry_out(self, ledger: EngineState, change: Change) -> None:
+    async def _carry_out(self, state: EngineState, change: Change) -> None:
         is_load = change.kind is ChangeKind.LOAD
         if not is_load:
             await trio.sleep(WITHHOLD_MS / 1000.0)
-        outcome = await self._order(ledger, is_load, change.model, "")
+        outcome = await self._order(state, is_load, change.model, "")
         log_event(
             "model_ordered",
             upstream=change.upstream_id,
@@ -262,88 +264,90 @@
         )
         if outcome is OrderOutcome.ACCEPTED:
             return
-        ledger.pending = None
+        state.pending = None
         if not is_load:
-            ledger.leaving.discard(change.model)
-        self._publish(ledger)
+            state.leaving.discard(change.model)
+        self._publish(state)
         if outcome is OrderOutcome.HELD_ALREADY and not is_load:
-            ledger.models.discard(change.model)
+            state.models.discard(change.model)
 
     def _leads(self, term: int) -> bool:
         return term == self._term and self._control.leading_term() == term
 
     async def _order(
-        self, ledger: EngineState, is_load: bool, model: str, adapter: str
+        self, state: EngineState, is_load: bool, model: str, adapter: str
     ) -> OrderOutcome:
-        async with ledger.lock:
+        async with state.lock:
             term = self._term
-            if ledger.sequence is None or not self._leads(term):
+            if state.sequence is None or not self._leads(term):
                 return OrderOutcome.REFUSED
-            order = Order(is_load, model, adapter, ledger.sequence, self._holder, term)
-            outcome = await self._engines.send_order(ledger.row, order, lambda: self._leads(term))
+            order = Order(is_load, model, adapter, state.sequence, self._instance_id, term)
+            outcome = await self._engines.send_order(state.row, order, lambda: self._leads(term))
             if outcome is not OrderOutcome.ACCEPTED:
                 log_limited(
                     "order_not_accepted",
                     is_routine=outcome is OrderOutcome.HELD_ALREADY,
-                    upstream=ledger.row.upstream_id,
+                    upstream=state.row.upstream_id,
                     is_load=is_load,
                     model=model,
                     adapter=adapter,
                     expected=order.expected_sequence,
                     outcome=outcome.value,
-                    pending=ledger.pending,
+                    pending=state.pending,
                 )
             if outcome is OrderOutcome.ACCEPTED or (
                 outcome is OrderOutcome.HELD_ALREADY and adapter
             ):
-                ledger.sequence += 1 if self._counts(outcome, order) else 0
+                state.sequence += 1 if self._advances_sequence(outcome, order) else 0
             elif outcome is OrderOutcome.FENCED:
-                log_warning("orders_fenced", term=term, upstream=ledger.row.upstream_id)
+                log_warning("orders_fenced", term=term, upstream=state.row.upstream_id)
                 self._fenced_term = term
-            elif outcome is OrderOutcome.CONFLICT and adapter and ledger.pending is not None:
+            elif outcome is OrderOutcome.CONFLICT and adapter and state.pending is not None:
                 pass  # an engine that changes a model takes no order for an adapter
             elif outcome is not OrderOutcome.HELD_ALREADY:
-                ledger.sequence = None
-                ledger.doubt_since_ms = now_ms()
+                state.sequence = None
+                state.doubt_since_ms = now_ms()
             return outcome
 
     @staticmethod
-    def _counts(outcome: OrderOutcome, order: Order) -> bool:
+    def _advances_sequence(outcome: OrderOutcome, order: Order) -> bool:
         """Return whether the engine's sequence has moved on.
 
-        An adapter that leaves at once is answered like something that already holds.
+        An unload of an adapter that completes at once is answered with ``HELD_ALREADY``.
         """
         return outcome is OrderOutcome.ACCEPTED or not order.is_load
 
-    def _publish(self, ledger: EngineState) -> None:
+    def _publish(self, state: EngineState) -> None:
         self._change_sequence += 1
         row = ModelChanges(
-            ledger.row.upstream_id,
+            state.row.upstream_id,
             self._term,
             self._change_sequence,
-            sorted(ledger.leaving),
-            ledger.arriving_ms(),
+            sorted(state.leaving),
+            state.arriving_ms(),
         )
         self._control.rows.tell_changes(row)
 
     # Adapters
 
     async def place_adapter(self, request: AdapterRequest) -> AdapterReply:
-        """Have one of the named engines hold an adapter, one that holds it already if possible."""
+        """Load an adapter into one of the named engines, preferably one that holds it already."""
         configuration = self._configuration()
         if configuration is None or not self._may_order():
             return AdapterReply("", "this instance does not order")
         key = (request.model, request.adapter)
-        known = [(i, self._ledgers[i]) for i in request.upstream_ids if i in self._ledgers]
-        for upstream_id, ledger in known:
-            if upstream_id in request.lacking_ids and key not in ledger.ready:
-                ledger.doubted_adapters.add(key)
+        known = [
+            (i, self._engine_states[i]) for i in request.upstream_ids if i in self._engine_states
+        ]
+        for upstream_id, state in known:
+            if upstream_id in request.lacking_ids and key not in state.ready:
+                state.suspect_adapters.add(key)
         usable = [(i, g) for i, g in known if request.model in g.models - g.leaving]
         holding = [row for row in usable if row[1].has_adapter(key)]
         reason = "no engine is known"
-        for upstream_id, ledger in [*holding, *usable]:
-            spec = configuration.services[ledger.row.service].engine
-            failure = await self._adapters.ensure(ledger, spec, key) if spec else "no engine"
+        for upstream_id, state in [*holding, *usable]:
+            spec = configuration.services[state.row.service].engine
+            failure = await self._adapters.ensure(state, spec, key) if spec else "no engine"
             if not failure:
                 return AdapterReply(upstream_id)
             reason = failure
--- a/src/briardyke/models/lasting.py
+++ b/src/briardyke/models/smoothed_demand.py
@@ -1,4 +1,4 @@
-"""Average demand over a longer time than entry instances do."""
+"""Average demand over a longer period than entry instances do."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# A rare model is asked for every few seconds; over this time its pauses are no end of its demand.
+# A rare model is requested every few seconds; with this half-life a pause does not end its demand.
 HALF_LIFE_MS = 8000.0
 _FORGOTTEN_BELOW = 0.001
 # Requests a second that a new leader assumes for each model that it finds in an engine.
 ASSUMED_PER_S = 0.5
 
 
-class LastingDemand:
+class SmoothedDemand:
     """Keep slow averages of requests a second by model."""
 
     def __init__(self) -> None:
@@ -29,17 +29,17 @@
         return bool(self.rates)
 
     def assume(self, models: Iterable[str]) -> None:
-        """Take it that models which engines hold are asked for.
+        """Assume some demand for the models that engines hold.
 
-        Load: at the start of traffic, and of a leader, the first requests of a second are a few of
-        all models. Without this the others would count as unused and give way to more replicas of
-        the few.
+        At the start of traffic, and of a leader, the first requests of a second are a few of
+        all models. Without this the others would count as unused and be evicted for more replicas
+        of the few.
         """
         self.rates = dict.fromkeys(models, ASSUMED_PER_S)
         self._updated_ms = now_ms()
 
     def add(self, demand: dict[str, float]) -> None:
-        """Take the present rates."""
+        """Update the averages with the current rates."""
         now = now_ms()
         kept = 0.5 ** ((now - self._updated_ms) / HALF_LIFE_MS)
         self._updated_ms = now
--- a/src/briardyke/models/store.py
+++ b/src/briardyke/models/store_limiter.py
@@ -10,8 +10,8 @@
 _ASSUMED_AT_START = 3
 
 
-class StoreWindow:
-    """Bound the loads that begin within a window, over all engines of a service."""
+class StoreLoadLimiter:
+    """Limit the loads that start within a window, over all engines of a service."""
 
     def __init__(self, window_s: float) -> None:
         """Start with some loads assumed.
@@ -22,7 +22,7 @@
         self._starts: deque[float] = deque([now_ms()] * _ASSUMED_AT_START)
 
     def free(self, loads_per_s: float) -> int:
-        """Return how many loads may begin now."""
+        """Return how many loads may start now."""
         limit_ms = now_ms() - self._window_ms
         while self._starts and self._starts[0] < limit_ms:
             self._starts.popleft()
@@ -30,5 +30,5 @@
         return max(0, max(1, allowed) - len(self._starts))
 
     def record(self) -> None:
-        """Count a load that begins."""
+        """Count a load that starts."""
         self._starts.append(now_ms())
--- a/src/briardyke/placement/candidates.py
+++ b/src/briardyke/placement/candidates.py
@@ -1,4 +1,4 @@
-"""Index the engines that may carry an item, by how busy they are."""
+"""Index the engines that may hold an item by the demand assigned to them."""
 
 from __future__ import annotations
 
@@ -18,22 +18,22 @@
 class Candidates:
     """Find the least busy engine with enough free memory without looking at every engine.
 
-    Each distinct tuple of patterns has one heap of (pressure, upstream id). An entry whose pressure
-    is outdated is dropped when it surfaces.
+    Each distinct tuple of patterns has one heap of (assigned demand, upstream id). An entry whose
+    demand is outdated is dropped when it reaches the top of the heap.
     """
 
-    def __init__(self, upstream_ids: Iterable[str], pressure: dict[str, float]) -> None:
+    def __init__(self, upstream_ids: Iterable[str], assigned_demand: dict[str, float]) -> None:
         """Index the ids; heaps are built when they are first needed.
 
         :param upstream_ids: ids of the engines that may take loads.
-        :param pressure: current pressure by upstream id, kept up to date by the caller.
+        :param assigned_demand: current demand by upstream id, kept up to date by the caller.
         """
         self._ids = sorted(upstream_ids)
-        self._pressure = pressure
+        self._assigned_demand = assigned_demand
         self._heaps: dict[tuple[str, ...], list[tuple[float, str]]] = {}
-        self._heaps_of: dict[str, list[list[tuple[float, str]]]] = {}
+        self._heaps_by_engine: dict[str, list[list[tuple[float, str]]]] = {}
         self._matches: dict[tuple[str, ...], tuple[str, ...]] = {}
-        self._matched: dict[tuple[str, ...], frozenset[str]] = {}
+        self._match_sets: dict[tuple[str, ...], frozenset[str]] = {}
 
     def allowed(self, patterns: tuple[str, ...]) -> tuple[str, ...]:
         """Return the ids that match any pattern, sorted."""
@@ -45,15 +45,15 @@
 
     def is_allowed(self, patterns: tuple[str, ...], upstream_id: str) -> bool:
         """Return whether the id matches any pattern."""
-        found = self._matched.get(patterns)
+        found = self._match_sets.get(patterns)
         if found is None:
-            found = self._matched[patterns] = frozenset(self.allowed(patterns))
+            found = self._match_sets[patterns] = frozenset(self.allowed(patterns))
         return upstream_id in found
 
     def changed(self, upstream_id: str) -> None:
-        """Index the new pressure of an engine."""
-        for heap in self._heaps_of.get(upstream_id, ()):
-            heappush(heap, (self._pressure[upstream_id], upstream_id))
+        """Index the new assigned demand of an engine."""
+        for heap in self._heaps_by_engine.get(upstream_id, ()):
+            heappush(heap, (self._assigned_demand[upstream_id], upstream_id))
 
     def least_busy(
         self, patterns: tuple[str, ...], fits: Callable[[str], bool], limit: int
@@ -71,8 +71,8 @@
         found = None
         while heap and len(tested) < limit:
             entry = heappop(heap)
-            pressure, upstream_id = entry
-            if pressure != self._pressure[upstream_id] or upstream_id in seen:
+            demand, upstream_id = entry
+            if demand != self._assigned_demand[upstream_id] or upstream_id in seen:
                 continue
             tested.append(entry)
             seen.add(upstream_id)
@@ -86,11 +86,11 @@
     def _heap(self, patterns: tuple[str, ...]) -> list[tuple[float, str]]:
         heap = self._heaps.get(patterns)
         if heap is None:
-            heap = [(self._pressure[i], i) for i in self.allowed(patterns)]
+            heap = [(self._assigned_demand[i], i) for i in self.allowed(patterns)]
             heapify(heap)
             self._heaps[patterns] = heap
             for _, upstream_id in heap:
-                self._heaps_of.setdefault(upstream_id, []).append(heap)
+                self._heaps_by_engine.setdefault(upstream_id, []).append(heap)
         return heap
 
     def _match(self, pattern: str) -> list[str]:
--- a/src/briardyke/placement/coordinator.py
+++ b/src/briardyke/placement/coordinator.py
@@ -96,13 +96,13 @@
     def due(self, view: PlacementView, now_ms: float) -> list[Order]:
         """Return the earlier orders to reserve, send, repeat or end now, by rising token.
 
-        It is called before :meth:`accept`, so that new loads do not take every start from
-        repetitions.
+        It is called before :meth:`accept`, so that new loads do not use up the starts that
+        repeated orders need.
 
         :param view: what placement sees.
         :param now_ms: current time in milliseconds.
         """
-        work = [order for order in self._table.due(now_ms) if self._sendable(view, order, now_ms)]
+        work = [order for order in self._table.due(now_ms) if self._may_send(view, order, now_ms)]
         work += [o for o in self._table.orders() if o.state is OrderState.UNLOADED]
         return sorted(work, key=lambda order: order.fencing_token)
 
@@ -113,10 +113,10 @@
         """
         return self._table.holds(order) and view.term == self._table.term
 
-    def would_cut_off(self, order: Order, view: PlacementView) -> bool:
-        """Return whether an unload would take a model's last replica from callers now.
+    def would_remove_last_replica(self, order: Order, view: PlacementView) -> bool:
+        """Return whether an unload would now remove a model's last serving replica.
 
-        Other replicas may have died since the decision, also before a repetition.
+        Other replicas may have failed since the decision, or since the order was last sent.
         """
         step = order.step
         model = view.configuration.models.get(step.item)
@@ -174,7 +174,7 @@
         limits = view.configuration.placement
         return self._rate.may_start(_transit(step), is_adapter, limits, now_ms)
 
-    def _sendable(self, view: PlacementView, order: Order, now_ms: float) -> bool:
+    def _may_send(self, view: PlacementView, order: Order, now_ms: float) -> bool:
         row = view.upstreams.get(order.step.upstream_id)
         if row is None or order.step.kind is StepKind.UNLOAD:
             return row is not None
--- a/src/briardyke/placement/draft.py
+++ b/src/briardyke/placement/draft.py
@@ -11,32 +11,30 @@
 if TYPE_CHECKING:
     from briardyke.placement.types import PlacementView
 
-# Ten times the order timeout: an engine that announces itself but takes no orders this long is
-# cut off in one direction, and the model is placed elsewhere.
+# Ten times the order timeout. An engine that announces itself but accepts no orders for this long
+# has a one-way connection failure, so the model is placed elsewhere.
 STUCK_MS = 30_000.0
-# The target size generates 23 million tokens for 50,000 requests per second.
+# The design size generates 23 million tokens for 50,000 requests per second.
 TOKENS_PER_REQUEST = 460.0
-
-
-# A search for victims looks at every allowed engine, so few are made per decision; the most urgent
-# models come first and the next decision continues.
+# A search for items to evict examines every allowed engine, so few are made per decision. The most
+# urgent models come first, and the next decision continues with the others.
 MAX_SCANS = 4
 
 
 class Draft:
-    """Track memory, replicas and pressure while steps are added.
+    """Track memory, replicas and assigned demand while steps are added.
 
     :param engines: live engines by upstream id.
     :param steps: steps decided so far.
     :param loaded: engines with a replica that serves now and is not being unloaded, by item.
-    :param coming: engines on which a load of the item is on its way, by item.
-    :param doubtful: engines that reserve memory for the item, which may or may not be there.
-    :param leaving: bytes being unloaded by upstream id.
+    :param arriving: engines on which a load of the item is in progress, by item.
+    :param uncertain: engines with memory reserved for the item, which may or may not be loaded.
+    :param unloading_bytes: bytes being unloaded by upstream id.
     :param free: bytes that a new reservation may take, by upstream id; may fall below zero when
         memory that is being unloaded is already assigned.
     :param unloading: upstream ids and items that are being unloaded.
-    :param stuck: upstream ids and items whose load is in doubt for too long.
-    :param pressure: demand in tokens per second that falls on each engine.
+    :param stuck: upstream ids and items whose load has been in doubt for :data:`STUCK_MS`.
+    :param assigned_demand: demand in tokens per second that the replicas on each engine serve.
     """
 
     def __init__(self, view: PlacementView, now_ms: float) -> None:
@@ -49,24 +47,24 @@
         self.steps: list[Step] = []
         self._scans = 0
         self.loaded: dict[str, set[str]] = {}
-        self.coming: dict[str, set[str]] = {}
-        self.doubtful: dict[str, set[str]] = {}
-        self.leaving: dict[str, int] = {}
+        self.arriving: dict[str, set[str]] = {}
+        self.uncertain: dict[str, set[str]] = {}
+        self.unloading_bytes: dict[str, int] = {}
         self.unloading: set[tuple[str, str]] = set()
         self.stuck: set[tuple[str, str]] = set()
         self.free = {i: e.free_bytes for i, e in self.engines.items()}
-        self.pressure = dict.fromkeys(self.engines, 0.0)
+        self.assigned_demand = dict.fromkeys(self.engines, 0.0)
         ready = [i for i, e in self.engines.items() if e.ready]
-        self.candidates = Candidates(ready, self.pressure)
+        self.candidates = Candidates(ready, self.assigned_demand)
         for engine in self.engines.values():
-            self._sort_items(engine)
+            self._classify_items(engine)
         for name, adapter in self.adapters.items():
-            beside = self.loaded.get(adapter.model, set())
+            with_model = self.loaded.get(adapter.model, set())
             if name in self.loaded:
-                self.loaded[name] &= beside
+                self.loaded[name] &= with_model
         # Sorted, because the rounding of the sums depends on their order.
-        for item in sorted(self.loaded.keys() | self.coming.keys()):
-            self._press(item, 1.0)
+        for item in sorted(self.loaded.keys() | self.arriving.keys()):
+            self._add_demand(item, 1.0)
 
     def demand(self, item: str) -> float:
         """Return the demand for an item in tokens per second."""
@@ -81,13 +79,13 @@
         found = self.models.get(item) or self.adapters[item]
         return found.size_bytes
 
-    def known(self, item: str) -> bool:
+    def is_configured(self, item: str) -> bool:
         """Return whether the item is in the current version."""
         return item in self.models or item in self.adapters
 
     def replicas(self, item: str) -> set[str]:
         """Return the engines that serve the item now or after their load."""
-        return self.loaded.get(item, set()) | self.coming.get(item, set())
+        return self.loaded.get(item, set()) | self.arriving.get(item, set())
 
     def allowed(self, item: str, upstream_id: str) -> bool:
         """Return whether a ready engine may carry the item now."""
@@ -96,13 +94,13 @@
             return upstream_id in self.loaded.get(adapter.model, ())
         return self.candidates.is_allowed(self.models[item].instances, upstream_id)
 
-    def need(self, item: str, upstream_id: str) -> int:
+    def bytes_to_reserve(self, item: str, upstream_id: str) -> int:
         """Return the bytes that a load must newly reserve; 0 when they are reserved already."""
         return max(0, self.size(item) - self.engines[upstream_id].sizes.get(item, 0))
 
-    def can_take(self, item: str, upstream_id: str) -> bool:
+    def can_load(self, item: str, upstream_id: str) -> bool:
         """Return whether a load of the item can be ordered without any unload."""
-        return self.eligible(item, upstream_id) and self.need(item, upstream_id) <= max(
+        return self.eligible(item, upstream_id) and self.bytes_to_reserve(item, upstream_id) <= max(
             0, self.free[upstream_id]
         )
 
@@ -110,7 +108,7 @@
         """Return whether the engine lacks the item and did not refuse it recently."""
         return (
             upstream_id not in self.loaded.get(item, ())
-            and upstream_id not in self.coming.get(item, ())
+            and upstream_id not in self.arriving.get(item, ())
             and (upstream_id, item) not in self.view.blocked
             and (upstream_id, item) not in self.stuck
             and (upstream_id, item) not in self.unloading
@@ -118,41 +116,41 @@
 
     def load(self, item: str, upstream_id: str) -> None:
         """Add a load that fits."""
-        need = self.need(item, upstream_id)
+        to_reserve = self.bytes_to_reserve(item, upstream_id)
         engine = self.engines[upstream_id]
-        self._press(item, -1.0)
-        self.free[upstream_id] -= need
+        self._add_demand(item, -1.0)
+        self.free[upstream_id] -= to_reserve
         if (upstream_id, item) in self.unloading:
             self.unloading.discard((upstream_id, item))
-            self.leaving[upstream_id] -= engine.sizes[item]
-        engine.sizes[item] = engine.sizes.get(item, 0) + need
-        self.coming.setdefault(item, set()).add(upstream_id)
-        self.doubtful.get(item, set()).discard(upstream_id)
-        self._press(item, 1.0)
+            self.unloading_bytes[upstream_id] -= engine.sizes[item]
+        engine.sizes[item] = engine.sizes.get(item, 0) + to_reserve
+        self.arriving.setdefault(item, set()).add(upstream_id)
+        self.uncertain.get(item, set()).discard(upstream_id)
+        self._add_demand(item, 1.0)
         self._step(StepKind.LOAD, item, upstream_id, self.size(item))
 
     def unload(self, item: str, upstream_id: str) -> None:
-        """Add an unload; its memory is assignable but not free."""
-        self._press(item, -1.0)
+        """Add an unload; its memory can be assigned but is not free yet."""
+        self._add_demand(item, -1.0)
         self.loaded.get(item, set()).discard(upstream_id)
-        self.doubtful.get(item, set()).discard(upstream_id)
-        self._press(item, 1.0)
+        self.uncertain.get(item, set()).discard(upstream_id)
+        self._add_demand(item, 1.0)
         size = self.engines[upstream_id].sizes[item]
-        self.leaving[upstream_id] = self.leaving.get(upstream_id, 0) + size
+        self.unloading_bytes[upstream_id] = self.unloading_bytes.get(upstream_id, 0) + size
         self.unloading.add((upstream_id, item))
         self._step(StepKind.UNLOAD, item, upstream_id, size)
 
-    def claim(self, item: str, upstream_id: str) -> None:
+    def assign_memory(self, item: str, upstream_id: str) -> None:
         """Assign memory that is being unloaded to an item that is loaded later."""
-        need = self.need(item, upstream_id)
-        self.free[upstream_id] -= need
+        to_reserve = self.bytes_to_reserve(item, upstream_id)
+        self.free[upstream_id] -= to_reserve
 
-    def available(self, upstream_id: str) -> int:
+    def available_bytes(self, upstream_id: str) -> int:
         """Return free bytes plus those being unloaded, less what is assigned."""
-        return self.free[upstream_id] + self.leaving.get(upstream_id, 0)
+        return self.free[upstream_id] + self.unloading_bytes.get(upstream_id, 0)
 
-    def may_scan(self) -> bool:
-        """Return whether one more search over all engines may be made in this decision."""
+    def may_search_all(self) -> bool:
+        """Return whether this decision may search all engines once more, and count the search."""
         self._scans += 1
         return self._scans <= MAX_SCANS
 
@@ -160,7 +158,7 @@
         incarnation = self.engines[upstream_id].incarnation
         self.steps.append(Step(kind, upstream_id, incarnation, item, size))
 
-    def _sort_items(self, engine: Engine) -> None:
+    def _classify_items(self, engine: Engine) -> None:
         upstream_id = engine.upstream_id
         for item in engine.sizes:
             order = self.view.pending.get((upstream_id, item))
@@ -168,30 +166,32 @@
                 self.unloading.add((upstream_id, item))
                 if engine.checks_fencing:
                     size = engine.sizes[item]
-                    self.leaving[upstream_id] = self.leaving.get(upstream_id, 0) + size
+                    self.unloading_bytes[upstream_id] = (
+                        self.unloading_bytes.get(upstream_id, 0) + size
+                    )
                 continue
             model = self.models.get(item)
-            if not engine.ready or not self.known(item):
+            if not engine.ready or not self.is_configured(item):
                 continue
             if model is not None and not self.candidates.is_allowed(model.instances, upstream_id):
                 continue
             if item in engine.loaded:
                 self.loaded.setdefault(item, set()).add(upstream_id)
             elif item in engine.loading:
-                self.coming.setdefault(item, set()).add(upstream_id)
+                self.arriving.setdefault(item, set()).add(upstream_id)
             elif order is None:
-                self.doubtful.setdefault(item, set()).add(upstream_id)
+                self.uncertain.setdefault(item, set()).add(upstream_id)
             elif self.now_ms - order.since_ms < STUCK_MS:
-                self.coming.setdefault(item, set()).add(upstream_id)
+                self.arriving.setdefault(item, set()).add(upstream_id)
             else:
                 self.stuck.add((upstream_id, item))
 
-    def _press(self, item: str, sign: float) -> None:
+    def _add_demand(self, item: str, sign: float) -> None:
         replicas = self.replicas(item)
         demand = self.demand(item)
         if not replicas or not demand:
             return
         share = sign * demand / len(replicas)
         for upstream_id in replicas:
-            self.pressure[upstream_id] += share
+            self.assigned_demand[upstream_id] += share
             self.candidates.changed(upstream_id)
--- a/src/briardyke/placement/room.py
+++ b/src/briardyke/placement/eviction.py
@@ -1,4 +1,4 @@
-"""Find room on an engine by unloading what is needed least."""
+"""Choose which items an engine unloads to make room for another."""
 
 from __future__ import annotations
 
@@ -9,12 +9,13 @@
 if TYPE_CHECKING:
     from briardyke.placement.draft import Draft
 
-# A replica is given up only when the others stay below this use, and one is added above HIGH_USE
-# (plan.py). The gap keeps demand that varies by a quarter from loading and unloading in turn.
-LOW_USE = 0.65
+# A replica is unloaded only when the others stay below this utilization, and one is added above
+# HIGH_UTILIZATION (replicas.py). The gap keeps demand that varies by a quarter from alternately loading and
+# unloading.
+LOW_UTILIZATION = 0.65
 
 
-def unwanted(draft: Draft, upstream_id: str, item: str) -> bool:
+def is_unneeded(draft: Draft, upstream_id: str, item: str) -> bool:
     """Return whether an item serves nothing where it is.
 
     That is an item outside the current version, a model on an engine that its patterns no longer
@@ -29,7 +30,7 @@
     return True
 
 
-def spare(draft: Draft, upstream_id: str, item: str) -> bool:
+def is_surplus(draft: Draft, upstream_id: str, item: str) -> bool:
     """Return whether the other replicas of a model serve its demand without this one."""
     others = draft.loaded.get(item, set()) - {upstream_id}
     if not others or len(others) < draft.models[item].minimum_replicas:
@@ -39,80 +40,83 @@
         return False
     demand = draft.demand(item)
     extra = demand / (len(replicas) - 1) - demand / len(replicas)
-    limit = LOW_USE * draft.view.engine_tokens_per_second
-    return all(draft.pressure[other] + extra <= limit for other in others) or demand == 0.0
+    limit = LOW_UTILIZATION * draft.view.engine_tokens_per_second
+    return all(draft.assigned_demand[other] + extra <= limit for other in others) or demand == 0.0
 
 
-def victims(
-    draft: Draft, upstream_id: str, item: str, need: int, *, reach: bool = False
+def choose_evictions(
+    draft: Draft, upstream_id: str, item: str, need: int, *, is_unreachable: bool = False
 ) -> list[str] | None:
     """Return items whose unloading makes room, least valuable first.
 
-    An adapter gives way to a model, and to an adapter that is more in demand or has callers
-    waiting while the victim has none. A model gives way only when :func:`spare` allows, or when
-    the item is otherwise unreachable and another replica of the victim serves callers.
+    An adapter gives way to a model, and to an adapter that is in higher demand or has callers
+    waiting while the other has none. A model gives way only when :func:`is_surplus` allows it, or
+    when the item is otherwise unreachable and another replica of that model serves callers.
 
     :param draft: state of the decision.
     :param upstream_id: engine that needs room.
     :param item: item that the room is for.
     :param need: bytes that the item must reserve.
-    :param reach: whether the item is unreachable without the room.
-    :return: items to unload, empty when the room is on its way; ``None`` when there is not enough.
+    :param is_unreachable: whether the item is unreachable without the room.
+    :return: items to unload, empty when enough memory is being freed already; ``None`` when
+        there is not enough.
     """
     engine = draft.engines[upstream_id]
-    missing = need - draft.available(upstream_id)
+    missing = need - draft.available_bytes(upstream_id)
     if missing <= 0:
         return []
     if not engine.checks_fencing:
         return None
     chosen: list[str] = []
-    for _, _, size, other in removable(draft, upstream_id, item, reach):
+    for _, _, size, other in removable(draft, upstream_id, item, is_unreachable):
         if missing <= 0:
             break
         chosen.append(other)
         missing += size
     if missing > 0:
         return None
-    return _without_needless(draft, upstream_id, chosen, -missing)
+    return _without_surplus(draft, upstream_id, chosen, -missing)
 
 
 def removable(
-    draft: Draft, upstream_id: str, item: str, reach: bool
+    draft: Draft, upstream_id: str, item: str, is_unreachable: bool
 ) -> list[tuple[int, float, int, str]]:
-    """Return what may give way to an item, as (rank, demand, negative size, name), sorted."""
+    """Return the items that may be unloaded, as (rank, demand, negative size, name), sorted."""
     ranked = []
     for other, size in draft.engines[upstream_id].sizes.items():
         if other == item or (upstream_id, other) in draft.unloading:
             continue
-        rank = _rank(draft, upstream_id, other, item, reach)
+        rank = _rank(draft, upstream_id, other, item, is_unreachable)
         if rank is not None:
             ranked.append((rank, draft.demand(other), -size, other))
     return sorted(ranked)
 
 
-def _rank(draft: Draft, upstream_id: str, other: str, item: str, reach: bool) -> int | None:
+def _rank(
+    draft: Draft, upstream_id: str, other: str, item: str, is_unreachable: bool
+) -> int | None:
     if (upstream_id, other) in draft.stuck:
         return 1
     order = draft.view.pending.get((upstream_id, other))
     if order is not None and order.kind is StepKind.LOAD:
         return None
-    if unwanted(draft, upstream_id, other):
+    if is_unneeded(draft, upstream_id, other):
         return 0
-    if upstream_id in draft.coming.get(other, ()):
+    if upstream_id in draft.arriving.get(other, ()):
         return None
     if other in draft.models:
-        if upstream_id in draft.doubtful.get(other, ()):
-            # Without another replica, a new order for it costs less than an exchange.
+        if upstream_id in draft.uncertain.get(other, ()):
+            # Without another replica, a new order for it costs less than unloading it.
             return 1 if draft.replicas(other) else None
-        if spare(draft, upstream_id, other):
+        if is_surplus(draft, upstream_id, other):
             return 3
-        return 4 if reach and draft.loaded.get(other, set()) - {upstream_id} else None
+        return 4 if is_unreachable and draft.loaded.get(other, set()) - {upstream_id} else None
     if item == draft.adapters[other].model:
         return None
     if item in draft.models or draft.demand(other) == 0.0:
         return 2
     more = draft.demand(item) > draft.demand(other) * ADAPTER_MARGIN
-    blocked = _waiting(draft, item) and not _waiting(draft, other)
+    blocked = _has_waiting_requests(draft, item) and not _has_waiting_requests(draft, other)
     return 2 if more or blocked else None
 
 
@@ -121,12 +125,12 @@
 ADAPTER_MARGIN = 2.0
 
 
-def _waiting(draft: Draft, item: str) -> bool:
+def _has_waiting_requests(draft: Draft, item: str) -> bool:
     demand = draft.view.demand.get(item)
     return demand is not None and demand.waiting_requests > 0
 
 
-def _without_needless(draft: Draft, upstream_id: str, chosen: list[str], excess: int) -> list[str]:
+def _without_surplus(draft: Draft, upstream_id: str, chosen: list[str], excess: int) -> list[str]:
     sizes = draft.engines[upstream_id].sizes
     kept = []
     for other in chosen:
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -28,7 +28,7 @@
 # Announcements arrive once a second; deciding a few times in between keeps the delay after each
 # of them short.
 TICK_MS = 250.0
-# An engine answers an order before it carries it out, so a healthy one needs one round trip.
+# An engine answers before it executes an order, so a healthy one needs only one round trip.
 ORDER_CALL_TIMEOUT_MS = 2000.0
 # Bounds open connections and uncommitted ledger entries.
 MAX_CONCURRENT_ENGINES = 64
@@ -130,7 +130,7 @@
         # Committing took time, in which another leader may have been elected.
         if not self._may_act(order):
             return
-        if self._coordinator.would_cut_off(order, self._view()):
+        if self._coordinator.would_remove_last_replica(order, self._view()):
             self._coordinator.finish(order)
             return
         await self._send(order)
--- a/src/briardyke/placement/plan.py
+++ b/src/briardyke/placement/plan.py
@@ -7,19 +7,18 @@
 from typing import TYPE_CHECKING
 
 from briardyke.placement.draft import Draft
+from briardyke.placement.eviction import choose_evictions, is_unneeded, removable
 from briardyke.placement.replicas import follow_demand
-from briardyke.placement.room import removable, unwanted, victims
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from briardyke.placement.types import PlacementView, Step
 
-# The store starts a few loads per second, so a decision needs to be no longer than this; the next
-# tick decides again.
+# The weight store starts only a few loads per second, and the next tick decides again.
 MAX_STEPS = 256
 # Engines that are examined for room when none has enough free memory, least busy first.
-ROOM_PROBES = 64
+MAX_EVICTION_ENGINES = 64
 
 
 def plan(view: PlacementView, now_ms: float) -> list[Step]:
@@ -33,13 +32,13 @@
     :return: at most :data:`MAX_STEPS` steps.
     """
     draft = Draft(view, now_ms)
-    _reach_models(draft)
-    _keep_minimum(draft)
-    _reach_adapters(draft)
-    _clean(draft)
+    _place_missing_models(draft)
+    _place_minimum_replicas(draft)
+    _place_missing_adapters(draft)
+    _unload_unneeded(draft)
     if len(draft.steps) < MAX_STEPS:
         follow_demand(draft, MAX_STEPS)
-        _settle_doubt(draft)
+        _unload_uncertain(draft)
     return draft.steps[:MAX_STEPS]
 
 
@@ -48,66 +47,68 @@
     return -draft.demand(item), -model.priority, -model.minimum_replicas, item
 
 
-def _reach_models(draft: Draft) -> None:
+def _place_missing_models(draft: Draft) -> None:
     missing = [m for m in draft.models if not draft.replicas(m)]
     if not missing:
         return
     missing.sort(key=lambda m: _urgency(draft, m))
-    homes = _pack(draft, missing)
+    engines_by_item = _pack(draft, missing)
     for item in missing:
-        if item in homes:
-            draft.load(item, homes[item])
-        elif not _place(draft, item, reach=True):
-            _relocate(draft, item)
+        if item in engines_by_item:
+            draft.load(item, engines_by_item[item])
+        elif not _place(draft, item, is_unreachable=True):
+            _copy_elsewhere(draft, item)
 
 
 def _pack(draft: Draft, missing: list[str]) -> dict[str, str]:
-    """Choose homes for all items, largest first; empty when they do not all fit.
+    """Choose engines for all items, largest first; empty when they do not all fit.
 
     Placing the most demanded first could split the free memory so that a large model fits nowhere.
     """
     free = dict(draft.free)
-    taken: dict[str, float] = {}
-    homes: dict[str, str] = {}
+    added_demand: dict[str, float] = {}
+    engines_by_item: dict[str, str] = {}
     for item in sorted(missing, key=lambda m: (-draft.size(m), *_urgency(draft, m))):
         fits = _fits(draft, item, free)
-        home = _doubtful_home(draft, item)
-        home = home or draft.candidates.least_busy(
+        engine_id = _uncertain_engine(draft, item)
+        engine_id = engine_id or draft.candidates.least_busy(
             draft.models[item].instances, fits, len(draft.engines)
         )
-        if home is None:
-            _restore(draft, taken)
+        if engine_id is None:
+            _restore(draft, added_demand)
             return {}
-        homes[item] = home
-        free[home] -= draft.need(item, home)
-        taken[home] = taken.get(home, 0.0) + draft.demand(item)
-        draft.pressure[home] += draft.demand(item)
-        draft.candidates.changed(home)
-    _restore(draft, taken)
-    return homes
+        engines_by_item[item] = engine_id
+        free[engine_id] -= draft.bytes_to_reserve(item, engine_id)
+        added_demand[engine_id] = added_demand.get(engine_id, 0.0) + draft.demand(item)
+        draft.assigned_demand[engine_id] += draft.demand(item)
+        draft.candidates.changed(engine_id)
+    _restore(draft, added_demand)
+    return engines_by_item
 
 
 def _fits(draft: Draft, item: str, free: dict[str, int]) -> Callable[[str], bool]:
     def fits(upstream_id: str) -> bool:
         room = max(0, free[upstream_id])
-        return draft.need(item, upstream_id) <= room and draft.eligible(item, upstream_id)
+        return draft.bytes_to_reserve(item, upstream_id) <= room and draft.eligible(
+            item, upstream_id
+        )
 
     return fits
 
 
-def _restore(draft: Draft, taken: dict[str, float]) -> None:
-    for upstream_id, demand in taken.items():
-        draft.pressure[upstream_id] -= demand
+def _restore(draft: Draft, added_demand: dict[str, float]) -> None:
+    for upstream_id, demand in added_demand.items():
+        draft.assigned_demand[upstream_id] -= demand
         draft.candidates.changed(upstream_id)
 
 
-def _doubtful_home(draft: Draft, item: str) -> str | None:
+def _uncertain_engine(draft: Draft, item: str) -> str | None:
     """Return an engine that holds memory for the item already; a load there needs no more.
 
     It may also be an engine whose unload of the item is in doubt: the new load has a higher token
     and so prevents that unload.
     """
-    held = [i for i in draft.doubtful.get(item, ()) if draft.can_take(item, i)]
+    held = [i for i in draft.uncertain.get(item, ()) if draft.can_load(item, i)]
     if not held:
         allowed = draft.candidates.allowed(draft.models[item].instances)
         size = draft.size(item)
@@ -115,39 +116,47 @@
             i
             for i in allowed
             # Memory that is assigned to a more urgent item already is not taken back.
-            if (i, item) in draft.unloading and draft.available(i) >= size
+            if (i, item) in draft.unloading and draft.available_bytes(i) >= size
         ]
     return min(held, default=None)
 
 
-def _place(draft: Draft, item: str, *, reach: bool) -> bool:
+def _place(draft: Draft, item: str, *, is_unreachable: bool) -> bool:
     """Load the item where it fits, or make room for it; return whether that is possible."""
-    home = _doubtful_home(draft, item)
+    engine_id = _uncertain_engine(draft, item)
     patterns = draft.models[item].instances
-    if home is None:
-        home = draft.candidates.least_busy(
-            patterns, lambda i: draft.can_take(item, i), len(draft.engines)
+    if engine_id is None:
+        engine_id = draft.candidates.least_busy(
+            patterns, lambda i: draft.can_load(item, i), len(draft.engines)
         )
-    if home is not None:
-        draft.load(item, home)
+    if engine_id is not None:
+        draft.load(item, engine_id)
         return True
     allowed = draft.candidates.allowed(patterns)
-    least = heapq.nsmallest(ROOM_PROBES, allowed, key=lambda i: (draft.pressure[i], i))
-    if _make_room(draft, item, least, reach=reach):
+    least = heapq.nsmallest(
+        MAX_EVICTION_ENGINES, allowed, key=lambda i: (draft.assigned_demand[i], i)
+    )
+    if _make_room(draft, item, least, is_unreachable=is_unreachable):
         return True
-    return reach and draft.may_scan() and _make_room(draft, item, allowed, reach=True)
+    return (
+        is_unreachable
+        and draft.may_search_all()
+        and _make_room(draft, item, allowed, is_unreachable=True)
+    )
 
 
-def _make_room(draft: Draft, item: str, upstream_ids: Iterable[str], *, reach: bool) -> bool:
+def _make_room(
+    draft: Draft, item: str, upstream_ids: Iterable[str], *, is_unreachable: bool
+) -> bool:
     best: tuple[int, float, str, list[str]] | None = None
     for upstream_id in upstream_ids:
         if not draft.eligible(item, upstream_id):
             continue
-        need = draft.need(item, upstream_id)
-        chosen = victims(draft, upstream_id, item, need, reach=reach)
+        need = draft.bytes_to_reserve(item, upstream_id)
+        chosen = choose_evictions(draft, upstream_id, item, need, is_unreachable=is_unreachable)
         if chosen is None:
             continue
-        key = (len(chosen), draft.pressure[upstream_id], upstream_id, chosen)
+        key = (len(chosen), draft.assigned_demand[upstream_id], upstream_id, chosen)
         if best is None or key < best:
             best = key
     if best is None:
@@ -155,39 +164,39 @@
     _, _, upstream_id, chosen = best
     for other in chosen:
         draft.unload(other, upstream_id)
-    draft.claim(item, upstream_id)
+    draft.assign_memory(item, upstream_id)
     return True
 
 
-def _relocate(draft: Draft, item: str) -> None:
+def _copy_elsewhere(draft: Draft, item: str) -> None:
     """Copy a model to another engine, so that a later decision can unload it to make room."""
-    if not draft.may_scan():
+    if not draft.may_search_all():
         return
     options = []
     for upstream_id in draft.candidates.allowed(draft.models[item].instances):
         if draft.engines[upstream_id].checks_fencing and draft.eligible(item, upstream_id):
-            movers = _movers(draft, item, upstream_id)
-            if movers is not None:
-                options.append((len(movers), upstream_id, movers))
-    for _, _, movers in sorted(options):
-        for other in movers:
+            to_copy = _models_to_copy(draft, item, upstream_id)
+            if to_copy is not None:
+                options.append((len(to_copy), upstream_id, to_copy))
+    for _, _, to_copy in sorted(options):
+        for other in to_copy:
             target = draft.candidates.least_busy(
-                draft.models[other].instances, partial(draft.can_take, other), len(draft.engines)
+                draft.models[other].instances, partial(draft.can_load, other), len(draft.engines)
             )
             if target is not None:
                 draft.load(other, target)
                 return
-        if not movers:
+        if not to_copy:
             return
 
 
-def _movers(draft: Draft, item: str, upstream_id: str) -> list[str] | None:
+def _models_to_copy(draft: Draft, item: str, upstream_id: str) -> list[str] | None:
     """Return the models that must get another replica before the item can fit, if that suffices.
 
-    A model whose other replica is on its way counts as moved.
+    A model whose other replica is being loaded counts as moved.
     """
     sizes = draft.engines[upstream_id].sizes
-    missing = draft.need(item, upstream_id) - draft.available(upstream_id)
+    missing = draft.bytes_to_reserve(item, upstream_id) - draft.available_bytes(upstream_id)
     missing += sum(size for _, _, size, _ in removable(draft, upstream_id, item, True))
     sole = []
     for other, size in sizes.items():
@@ -198,16 +207,16 @@
             sole.append((-size, other))
         elif not elsewhere & draft.loaded.get(other, set()):
             missing -= size
-    movers = []
+    to_copy = []
     for size, other in sorted(sole):
         if missing <= 0:
             break
-        movers.append(other)
+        to_copy.append(other)
         missing += size
-    return movers if missing <= 0 else None
+    return to_copy if missing <= 0 else None
 
 
-def _keep_minimum(draft: Draft) -> None:
+def _place_minimum_replicas(draft: Draft) -> None:
     short = []
     for item, model in draft.models.items():
         if model.minimum_replicas > 1 and draft.replicas(item):
@@ -216,43 +225,45 @@
                 short.append(item)
     for item in sorted(short, key=lambda m: _urgency(draft, m)):
         for _ in range(draft.models[item].minimum_replicas - len(draft.replicas(item))):
-            if not _place(draft, item, reach=False):
+            if not _place(draft, item, is_unreachable=False):
                 break
 
 
-def _reach_adapters(draft: Draft) -> None:
+def _place_missing_adapters(draft: Draft) -> None:
     wanted = [
         a
         for a in draft.view.demand
         if a in draft.adapters and draft.demand(a) > 0 and not draft.replicas(a)
     ]
     for item in sorted(wanted, key=lambda a: (-draft.demand(a), a)):
-        beside = draft.loaded.get(draft.adapters[item].model, set())
-        fitting = [i for i in beside if draft.can_take(item, i)]
+        with_model = draft.loaded.get(draft.adapters[item].model, set())
+        fitting = [i for i in with_model if draft.can_load(item, i)]
         if fitting:
-            draft.load(item, min(fitting, key=lambda i: (draft.pressure[i], i)))
+            draft.load(item, min(fitting, key=lambda i: (draft.assigned_demand[i], i)))
         else:
-            least = sorted(beside, key=lambda i: (draft.pressure[i], i))[:ROOM_PROBES]
-            _make_room(draft, item, least, reach=False)
+            least = sorted(with_model, key=lambda i: (draft.assigned_demand[i], i))[
+                :MAX_EVICTION_ENGINES
+            ]
+            _make_room(draft, item, least, is_unreachable=False)
 
 
-def _clean(draft: Draft) -> None:
-    """Unload at once what serves nothing and has no demand left."""
+def _unload_unneeded(draft: Draft) -> None:
+    """Unload items that serve no requests and have no demand."""
     for upstream_id, engine in draft.engines.items():
         if not engine.checks_fencing or not engine.ready:
             continue
         for item in sorted(engine.sizes):
-            if (upstream_id, item) in draft.unloading or not unwanted(draft, upstream_id, item):
+            if (upstream_id, item) in draft.unloading or not is_unneeded(draft, upstream_id, item):
                 continue
             order = draft.view.pending.get((upstream_id, item))
             fresh = order is not None and (upstream_id, item) not in draft.stuck
-            if draft.demand(item) == 0.0 and not (fresh and draft.known(item)):
+            if draft.demand(item) == 0.0 and not (fresh and draft.is_configured(item)):
                 draft.unload(item, upstream_id)
 
 
-def _settle_doubt(draft: Draft) -> None:
-    """Unload what is in doubt and not needed; the unload's token prevents the earlier load."""
-    for item in sorted(draft.doubtful):
-        for upstream_id in sorted(draft.doubtful[item]):
+def _unload_uncertain(draft: Draft) -> None:
+    """Unload uncertain items that are not needed; the unload's token prevents the earlier load."""
+    for item in sorted(draft.uncertain):
+        for upstream_id in sorted(draft.uncertain[item]):
             if draft.engines[upstream_id].checks_fencing:
                 draft.unload(item, upstream_id)
--- a/src/briardyke/placement/replicas.py
+++ b/src/briardyke/placement/replicas.py
@@ -1,27 +1,27 @@
-"""Add replicas where demand exceeds what the present ones serve, if the gain pays for it."""
+"""Add replicas where demand exceeds what the present ones serve, if the gain exceeds the cost."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from briardyke.placement.room import victims
+from briardyke.placement.eviction import choose_evictions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from briardyke.placement.draft import Draft
 
-# Above this use an engine is taken to miss its targets for the excess.
-HIGH_USE = 0.9
+# Above this utilization an engine is assumed to miss its targets for the excess.
+HIGH_UTILIZATION = 0.9
 # Demand that varies tenfold within an hour changes by a fifth within this time, so the present
 # demand is a fair forecast for as long.
 HORIZON_MS = 300_000.0
 # Gain is counted in minutes of one engine's throughput served within target. A replica that is
 # fully used over the horizon gains 5, so a move weight of 1 asks for a fifth of an engine.
 GAIN_UNIT_MS = 60_000.0
-# An engine that ignores fencing tokens never frees the memory, so a load there counts double.
-PERMANENT_MOVES = 2
-_PROBES = 32
+# An engine that ignores fencing tokens never frees the memory, so a load there counts as two moves.
+PERMANENT_LOAD_MOVES = 2
+_MAX_ENGINES_TESTED = 32
 _MAX_REPLICAS_PER_DECISION = 16
 
 
@@ -38,11 +38,11 @@
     if not replicas:
         return 0.0
     share = draft.demand(item) / len(replicas)
-    limit = HIGH_USE * draft.view.engine_tokens_per_second
+    limit = HIGH_UTILIZATION * draft.view.engine_tokens_per_second
     return sum(
-        share * (1.0 - limit / draft.pressure[i])
+        share * (1.0 - limit / draft.assigned_demand[i])
         for i in sorted(replicas)
-        if draft.pressure[i] > limit
+        if draft.assigned_demand[i] > limit
     )
 
 
@@ -54,9 +54,9 @@
     :param draft: state of the decision.
     :param max_steps: number of steps at which to stop.
     """
-    limit = HIGH_USE * draft.view.engine_tokens_per_second
-    busy = {i for i, pressure in draft.pressure.items() if pressure > limit}
-    items = {item for i in busy for item in draft.engines[i].sizes if draft.known(item)}
+    limit = HIGH_UTILIZATION * draft.view.engine_tokens_per_second
+    busy = {i for i, assigned in draft.assigned_demand.items() if assigned > limit}
+    items = {item for i in busy for item in draft.engines[i].sizes if draft.is_configured(item)}
     ranked = sorted((-unserved(draft, item), item) for item in items if draft.demand(item) > 0)
     for _, item in ranked:
         for _ in range(_MAX_REPLICAS_PER_DECISION):
@@ -70,7 +70,9 @@
     if excess <= 0 or gain(draft, excess) <= weight:
         return False
     target = _least_busy(draft, item)
-    if target is not None and _pays(draft, item, target, excess, _load_moves(draft, target)):
+    if target is not None and _is_worthwhile(
+        draft, item, target, excess, _load_moves(draft, target)
+    ):
         draft.load(item, target)
         return True
     return _replace(draft, item, excess)
@@ -83,40 +85,48 @@
         tested.append(upstream_id)
         if not draft.engines[upstream_id].checks_fencing or not draft.eligible(item, upstream_id):
             return False
-        chosen = victims(draft, upstream_id, item, draft.need(item, upstream_id))
+        chosen = choose_evictions(
+            draft, upstream_id, item, draft.bytes_to_reserve(item, upstream_id)
+        )
         if chosen is None:
             return False
-        return _pays(draft, item, upstream_id, excess, 1 + len(chosen))
+        return _is_worthwhile(draft, item, upstream_id, excess, 1 + len(chosen))
 
     target = _search(draft, item, has_room)
     if target is None:
         return False
-    for other in victims(draft, target, item, draft.need(item, target)) or []:
+    for other in choose_evictions(draft, target, item, draft.bytes_to_reserve(item, target)) or []:
         draft.unload(other, target)
-    draft.claim(item, target)
+    draft.assign_memory(item, target)
     return False
 
 
 def _least_busy(draft: Draft, item: str) -> str | None:
-    doubtful = [i for i in draft.doubtful.get(item, ()) if draft.can_take(item, i)]
-    if doubtful and all(draft.allowed(item, i) for i in doubtful):
-        return min(doubtful, key=lambda i: (draft.pressure[i], i))
-    return _search(draft, item, lambda i: draft.can_take(item, i) and _headroom(draft, item, i))
+    uncertain = [i for i in draft.uncertain.get(item, ()) if draft.can_load(item, i)]
+    if uncertain and all(draft.allowed(item, i) for i in uncertain):
+        return min(uncertain, key=lambda i: (draft.assigned_demand[i], i))
+    return _search(
+        draft, item, lambda i: draft.can_load(item, i) and _keeps_room_for_largest(draft, item, i)
+    )
 
 
 def _search(draft: Draft, item: str, accepts: Callable[[str], bool]) -> str | None:
     adapter = draft.adapters.get(item)
     if adapter is None:
-        return draft.candidates.least_busy(draft.models[item].instances, accepts, _PROBES)
-    beside = draft.loaded.get(adapter.model, set())
-    for upstream_id in sorted(beside, key=lambda i: (draft.pressure[i], i))[:_PROBES]:
+        return draft.candidates.least_busy(
+            draft.models[item].instances, accepts, _MAX_ENGINES_TESTED
+        )
+    with_model = draft.loaded.get(adapter.model, set())
+    for upstream_id in sorted(with_model, key=lambda i: (draft.assigned_demand[i], i))[
+        :_MAX_ENGINES_TESTED
+    ]:
         if accepts(upstream_id):
             return upstream_id
     return None
 
 
-def _headroom(draft: Draft, item: str, upstream_id: str) -> bool:
-    """Keep room on engines that cannot free memory for the largest model that may need it."""
+def _keeps_room_for_largest(draft: Draft, item: str, upstream_id: str) -> bool:
+    """Return whether an engine that cannot free memory keeps room for the largest other model."""
     engine = draft.engines[upstream_id]
     if engine.checks_fencing or item in engine.sizes:
         return True
@@ -130,15 +140,17 @@
         ),
         default=0,
     )
-    return draft.free[upstream_id] - draft.need(item, upstream_id) >= largest
+    return draft.free[upstream_id] - draft.bytes_to_reserve(item, upstream_id) >= largest
 
 
 def _load_moves(draft: Draft, upstream_id: str) -> int:
-    return 1 if draft.engines[upstream_id].checks_fencing else PERMANENT_MOVES
+    return 1 if draft.engines[upstream_id].checks_fencing else PERMANENT_LOAD_MOVES
 
 
-def _pays(draft: Draft, item: str, upstream_id: str, excess: float, moves: int) -> bool:
-    spare = HIGH_USE * draft.view.engine_tokens_per_second - draft.pressure[upstream_id]
+def _is_worthwhile(draft: Draft, item: str, upstream_id: str, excess: float, moves: int) -> bool:
+    headroom = (
+        HIGH_UTILIZATION * draft.view.engine_tokens_per_second - draft.assigned_demand[upstream_id]
+    )
     share = draft.demand(item) / (len(draft.replicas(item)) + 1)
-    served = min(excess, spare, share)
+    served = min(excess, headroom, share)
     return gain(draft, served) > moves * draft.view.configuration.placement.move_weight
--- a/src/briardyke/placement/store_rate.py
+++ b/src/briardyke/placement/store_rate.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from briardyke.agreed.configuration import PlacementSettings
 
-# A load that is neither confirmed nor announced counts as in transit this long. It is ten times
-# the silence after which an upstream counts as dead, so a slow network rarely outlasts it.
+# A load that is neither confirmed nor announced counts as in transit for this long: ten times the
+# silence after which an upstream counts as dead, so a slow network rarely delays it any longer.
 TRANSIT_TIMEOUT_MS = 30_000.0
 
 
@@ -45,8 +45,8 @@
     ) -> bool:
         """Return whether a load may start now.
 
-        A load that counts as in transit takes no further place, but ordering or repeating it counts
-        as a start, because the earlier order may have been lost.
+        A load in transit is not counted twice towards the concurrency limit, but ordering or
+        repeating it counts as a start, because the earlier order may have been lost.
 
         :param key: upstream id, incarnation and item.
         :param is_adapter: whether the item is an adapter.
@@ -63,7 +63,7 @@
         return rate > 0 and now_ms - self._last_start_ms >= 1000.0 / rate
 
     def start(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
-        """Count a load that is ordered now; its time in transit starts again.
+        """Count a load that is ordered now and restart its transit timeout.
 
         :param key: upstream id, incarnation and item.
         :param is_adapter: whether the item is an adapter.
@@ -74,9 +74,9 @@
             self._last_start_ms = now_ms
 
     def repeat(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
-        """Count a repeated order; its time in transit goes on.
+        """Count a repeated order without restarting its transit timeout.
 
-        Otherwise an engine that takes no orders would occupy a place for ever.
+        Otherwise an engine that accepts no orders would hold one of the concurrent loads forever.
         """
         if not self.holds(key):
             self.hold(key, is_adapter, now_ms)
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -1,4 +1,4 @@
-"""Tests for the placement of models, each with the load that it answers."""
+"""Tests for the placement of models, each under a typical load."""
 
 from __future__ import annotations
 
@@ -30,14 +30,14 @@
 
 
 class TestMissingModels:
-    """Covers models that are asked for and held nowhere."""
+    """Covers requested models that no engine holds."""
 
     def test_missing_model_is_loaded_where_there_is_room(self) -> None:
         room = spec(a=40, b=40, c=40)
         engines = [engine("e1", "a", "b"), engine("e2", "a")]
         assert decide(view(room, engines, a=5, c=1)) == [Change(LOAD, "e2", "c", True)]
 
-    def test_model_that_nobody_asks_for_makes_way(self) -> None:
+    def test_model_without_requests_is_unloaded_for_a_missing_one(self) -> None:
         room = spec(a=50, b=50, c=50)
         engines = [engine("e1", "a", "b")]
         assert decide(view(room, engines, a=5, c=1)) == [Change(UNLOAD, "e1", "b")]
@@ -60,20 +60,20 @@
         assert decide(view(spec(a=50), [engine("e1", **change)], a=5)) == []
 
 
-class TestRestingModels:
+class TestIdleModels:
     """Covers rare models that pause between two requests."""
 
-    def test_resting_model_makes_way_before_a_replica_that_busy_demand_needs(self) -> None:
+    def test_idle_model_makes_way_before_a_replica_that_busy_demand_needs(self) -> None:
         room = spec(a=50, b=50, c=50)
         engines = [engine("e1", "a", "b"), engine("e2", "a", "b"), engine("e3", "a", "b")]
         engines[2] = engine("e3", "a", "b")
-        sight = attrs.evolve(view(room, engines, a=9, c=0.3), lasting={"b": 0.3})
-        assert {(c.kind, c.model) for c in decide(sight)} == {(UNLOAD, "b")}
+        state_view = attrs.evolve(view(room, engines, a=9, c=0.3), lasting={"b": 0.3})
+        assert {(c.kind, c.model) for c in decide(state_view)} == {(UNLOAD, "b")}
 
     def test_model_asked_for_lately_stays_before_one_that_was_not(self) -> None:
         room = spec(a=50, b=50, c=50)
-        sight = view(room, [engine("e1", "a", "b")], c=1)
-        found = decide(attrs.evolve(sight, lasting={"a": 0.4, "b": 0.01}))
+        state_view = view(room, [engine("e1", "a", "b")], c=1)
+        found = decide(attrs.evolve(state_view, lasting={"a": 0.4, "b": 0.01}))
         assert found == [Change(UNLOAD, "e1", "b")]
 
 
@@ -180,15 +180,17 @@
         engines = [engine("e1", "r", **loading), engine("e2", "r", **loading), engine("e3", "b")]
         assert decide(view(room, engines, a=5, b=5)) == [Change(LOAD, "e3", "a", True)]
 
-    def test_model_that_stays_missing_gets_its_turn(self) -> None:
+    def test_model_that_stays_missing_is_loaded_eventually(self) -> None:
         room = spec(weights_mb=50.0, a=40, r=40)
-        sight = attrs.evolve(view(room, [engine("e1", "a")], a=0.4, r=0.35), lasting={"a": 0.4})
-        assert decide(sight) == []
-        later = attrs.evolve(sight, missing_s={"r": 30.0})
+        state_view = attrs.evolve(
+            view(room, [engine("e1", "a")], a=0.4, r=0.35), lasting={"a": 0.4}
+        )
+        assert decide(state_view) == []
+        later = attrs.evolve(state_view, missing_s={"r": 30.0})
         assert decide(later) == [Change(UNLOAD, "e1", "a")]
 
 
-class TestReplicaOnItsWay:
+class TestReplicaBeingLoaded:
     """Covers a busy model with one replica that serves and one that is still being loaded."""
 
     def test_serving_replica_stays_until_the_other_one_serves(self) -> None:
@@ -196,14 +198,14 @@
         serving = engine("e1", "a")
         loading = engine("e2", "a", is_free=False, free_in_ms=5000.0, arriving="a")
         other = engine("e3", "b", is_free=False, free_in_ms=9000.0)
-        sight = view(room, [serving, loading, other], a=4, b=4, c=1)
-        assert decide(sight) == []
+        state_view = view(room, [serving, loading, other], a=4, b=4, c=1)
+        assert decide(state_view) == []
         arrived = attrs.evolve(loading, is_free=True, free_in_ms=0.0, arriving="")
-        found = decide(attrs.evolve(sight, engines=[serving, arrived, other]))
+        found = decide(attrs.evolve(state_view, engines=[serving, arrived, other]))
         assert [(c.kind, c.model) for c in found] == [(UNLOAD, "a")]
 
 
-class TestWaveringDemand:
+class TestFluctuatingDemand:
     """Covers demand that goes up and down around what the replicas carry."""
 
     def test_nothing_moves_while_it_stays_within_the_margins(self) -> None:
--- a/tests/models/test_engine_state.py
+++ b/tests/models/test_engine_state.py
@@ -14,46 +14,46 @@
 
 
 class TestReport:
-    """Covers reports that do not name what is on its way."""
+    """Covers reports that do not name models and adapters being loaded."""
 
     async def test_model_on_its_way_keeps_its_memory(self) -> None:
-        ledger = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
-        ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
-        assert ledger.models == {"a", "b"}
+        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
+        state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
+        assert state.models == {"a", "b"}
 
     async def test_announced_model_counts_although_the_report_lags(self) -> None:
         row = attrs.evolve(ROW, models=[HeldModel("a"), HeldModel("b")])
-        ledger = EngineState(row, 3)
-        ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=False))
-        assert ledger.models == {"a", "b"}
+        state = EngineState(row, 3)
+        state.adopt_report(EngineReport(4, {"a": []}, is_busy=False))
+        assert state.models == {"a", "b"}
 
     async def test_order_of_an_earlier_leader_keeps_the_engine_busy(self) -> None:
-        ledger = EngineState(ROW)
-        ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
-        assert ledger.pending == (UNKNOWN_MODEL, True)
-        ledger.adopt_row(attrs.evolve(ROW, sequence=2))
-        assert ledger.pending == (UNKNOWN_MODEL, True)
-        ledger.adopt_report(EngineReport(4, {"a": [], "b": []}, is_busy=False))
-        assert ledger.pending is None
-        assert ledger.models == {"a", "b"}
+        state = EngineState(ROW)
+        state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
+        assert state.pending == (UNKNOWN_MODEL, True)
+        state.adopt_row(attrs.evolve(ROW, sequence=2))
+        assert state.pending == (UNKNOWN_MODEL, True)
+        state.adopt_report(EngineReport(4, {"a": [], "b": []}, is_busy=False))
+        assert state.pending is None
+        assert state.models == {"a", "b"}
 
     async def test_adapters_on_their_way_take_places(self) -> None:
-        ledger = EngineState(ROW)
-        ledger.adopt_report(EngineReport(1, {"a": ["a1"]}, False, [("a", "a2")]))
-        assert set(ledger.adapters) == {("a", "a1"), ("a", "a2")}
+        state = EngineState(ROW)
+        state.adopt_report(EngineReport(1, {"a": ["a1"]}, False, [("a", "a2")]))
+        assert set(state.adapters) == {("a", "a1"), ("a", "a2")}
 
 
 class TestRow:
     """Covers announcements that end a pending order."""
 
     async def test_unloaded_model_frees_its_memory_once_it_is_gone(self) -> None:
-        ledger = EngineState(ROW, 3, {"a", "b"}, pending=("b", False), leaving={"b"})
-        ledger.adapters = {("b", "a1"): 0.0, ("a", "a1"): 0.0}
-        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
-        assert ledger.models == {"a", "b"}
-        ledger.adopt_row(attrs.evolve(ROW, sequence=3))
-        assert (ledger.models, ledger.pending) == ({"a"}, None)
-        assert set(ledger.adapters) == {("a", "a1")}
+        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", False), leaving={"b"})
+        state.adapters = {("b", "a1"): 0.0, ("a", "a1"): 0.0}
+        state.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
+        assert state.models == {"a", "b"}
+        state.adopt_row(attrs.evolve(ROW, sequence=3))
+        assert (state.models, state.pending) == ({"a"}, None)
+        assert set(state.adapters) == {("a", "a1")}
 
 
 class TestLateReport:
@@ -62,43 +62,43 @@
     async def test_order_that_has_just_ended_is_not_taken_for_another_one(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
-        ledger = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
-        ledger.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
-        assert ledger.pending is None
-        ledger.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
-        assert ledger.pending is None
+        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
+        state.adopt_row(attrs.evolve(ROW, sequence=2, models=[HeldModel("a"), HeldModel("b")]))
+        assert state.pending is None
+        state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
+        assert state.pending is None
         await trio.sleep(1.0)
-        ledger.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
-        assert ledger.pending == (UNKNOWN_MODEL, True)
-        assert ledger.free_in_ms() < 1000.0
-        ledger.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
-        assert ledger.models == {"a", "b"}
+        state.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
+        assert state.pending == (UNKNOWN_MODEL, True)
+        assert state.free_in_ms() < 1000.0
+        state.adopt_report(EngineReport(5, {"a": [], "b": []}, is_busy=True))
+        assert state.models == {"a", "b"}
 
 
-class TestOrderUnderWay:
+class TestPendingOrder:
     """Covers how long an engine with an order is expected to be busy."""
 
     async def test_overdue_order_is_expected_to_last_as_long_again(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
-        ledger = EngineState(ROW, 1, {"m"})
-        assert ledger.free_in_ms() == 0.0
-        ledger.pending, ledger.pending_until_ms = ("m", False), now_ms() + 700.0
-        assert ledger.free_in_ms() == pytest.approx(700.0)
+        state = EngineState(ROW, 1, {"m"})
+        assert state.free_in_ms() == 0.0
+        state.pending, state.pending_until_ms = ("m", False), now_ms() + 700.0
+        assert state.free_in_ms() == pytest.approx(700.0)
         await trio.sleep(5.7)
-        assert ledger.free_in_ms() == pytest.approx(5000.0, abs=10.0)
-
-    async def test_only_loads_are_told_as_arriving(self) -> None:
-        ledger = EngineState(ROW, 1, {"m"})
-        ledger.pending, ledger.pending_until_ms = ("n", True), now_ms() + 900.0
-        assert ledger.arriving_ms()["n"] == pytest.approx(900.0, abs=50.0)
-        ledger.pending = ("m", False)
-        assert ledger.arriving_ms() == {}
-
-    async def test_doubted_adapter_keeps_its_place_until_a_report_denies_it(self) -> None:
-        ledger = EngineState(ROW, 1, {"m"}, {("m", "a1"): 1.0})
-        ledger.doubted_adapters.add(("m", "a1"))
-        assert not ledger.has_adapter(("m", "a1"))
-        assert len(ledger.adapters) == 1
-        ledger.adopt_report(EngineReport(2, {"m": []}, False))
-        assert ledger.adapters == {} and ledger.doubted_adapters == set()
+        assert state.free_in_ms() == pytest.approx(5000.0, abs=10.0)
+
+    async def test_only_loads_are_reported_as_arriving(self) -> None:
+        state = EngineState(ROW, 1, {"m"})
+        state.pending, state.pending_until_ms = ("n", True), now_ms() + 900.0
+        assert state.arriving_ms()["n"] == pytest.approx(900.0, abs=50.0)
+        state.pending = ("m", False)
+        assert state.arriving_ms() == {}
+
+    async def test_suspect_adapter_keeps_its_place_until_a_report_denies_it(self) -> None:
+        state = EngineState(ROW, 1, {"m"}, {("m", "a1"): 1.0})
+        state.suspect_adapters.add(("m", "a1"))
+        assert not state.has_adapter(("m", "a1"))
+        assert len(state.adapters) == 1
+        state.adopt_report(EngineReport(2, {"m": []}, False))
+        assert state.adapters == {} and state.suspect_adapters == set()
--- a/tests/models/test_balance.py
+++ b/tests/models/test_load_estimate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from briardyke.models.balance import Balance
+from briardyke.models.load_estimate import LoadEstimate
 
 
 class TestLoads:
@@ -14,25 +14,25 @@
 
     def test_requests_with_a_choice_go_to_the_less_loaded_engine(self) -> None:
         holders = {"a": {"e1", "e2", "e3"}, "b": {"e3"}}
-        loads = Balance({"a": 6.0, "b": 3.0}, holders, ["e1", "e2", "e3"]).loads
+        loads = LoadEstimate({"a": 6.0, "b": 3.0}, holders, ["e1", "e2", "e3"]).loads
         assert loads == pytest.approx({"e1": 3.0, "e2": 3.0, "e3": 3.0}, rel=0.1)
 
     def test_model_without_a_choice_loads_its_engine_alone(self) -> None:
         holders = {"a": {"e1"}, "b": {"e1", "e2"}}
-        loads = Balance({"a": 8.0, "b": 2.0}, holders, ["e1", "e2"]).loads
+        loads = LoadEstimate({"a": 8.0, "b": 2.0}, holders, ["e1", "e2"]).loads
         assert loads["e1"] >= 8.0
         assert loads["e2"] == pytest.approx(2.0, rel=0.15)
 
     def test_sum_stays_the_demand_that_engines_hold(self) -> None:
         holders = {"a": {"e1", "e2"}, "b": {"e2", "e3"}, "c": {"e1", "e3"}}
         demand = {"a": 1.0, "b": 20.0, "c": 5.0, "missing": 9.0}
-        loads = Balance(demand, holders, ["e1", "e2", "e3", "e4"]).loads
+        loads = LoadEstimate(demand, holders, ["e1", "e2", "e3", "e4"]).loads
         assert sum(loads.values()) == pytest.approx(26.0)
         assert loads["e4"] == 0.0
 
     def test_nothing_to_carry_is_no_load(self) -> None:
-        assert Balance({}, {}, ["e1"]).loads == {"e1": 0.0}
-        assert Balance({"a": 1.0}, {"a": {"e1"}}, ["e1"]).loads == {"e1": 1.0}
+        assert LoadEstimate({}, {}, ["e1"]).loads == {"e1": 0.0}
+        assert LoadEstimate({"a": 1.0}, {"a": {"e1"}}, ["e1"]).loads == {"e1": 1.0}
 
 
 class TestChanges:
@@ -43,22 +43,22 @@
     ENGINES = ("e1", "e2", "e3", "e4")
 
     def cost(self, holders: dict[str, set[str]]) -> float:
-        loads = Balance(self.DEMAND, holders, self.ENGINES).loads
+        loads = LoadEstimate(self.DEMAND, holders, self.ENGINES).loads
         return sum(load * load for load in loads.values())
 
     @pytest.mark.parametrize(("model", "engine"), [("a", "e3"), ("a", "e4"), ("c", "e4")])
     def test_gain_is_close_to_settling_everything_anew(self, model: str, engine: str) -> None:
-        balance = Balance(self.DEMAND, self.HOLDERS, self.ENGINES)
+        estimate = LoadEstimate(self.DEMAND, self.HOLDERS, self.ENGINES)
         after = self.cost({**self.HOLDERS, model: self.HOLDERS[model] | {engine}})
         exact = self.cost(self.HOLDERS) - after
-        assert balance.gain_of_adding(model, engine) == pytest.approx(exact, rel=0.2)
+        assert estimate.gain_of_adding(model, engine) == pytest.approx(exact, rel=0.2)
 
     def test_loss_is_close_to_settling_everything_anew(self) -> None:
-        balance = Balance(self.DEMAND, self.HOLDERS, self.ENGINES)
+        estimate = LoadEstimate(self.DEMAND, self.HOLDERS, self.ENGINES)
         exact = self.cost({**self.HOLDERS, "a": {"e1"}}) - self.cost(self.HOLDERS)
-        assert balance.loss_of_removing("a", "e2") == pytest.approx(exact, rel=0.2)
+        assert estimate.loss_of_removing("a", "e2") == pytest.approx(exact, rel=0.2)
 
     def test_missing_model_changes_no_load(self) -> None:
-        balance = Balance({"a": 1.0}, {}, ["e1"])
-        assert balance.gain_of_adding("a", "e1") == 0.0
-        assert balance.loss_of_removing("a", "e1") == 0.0
+        estimate = LoadEstimate({"a": 1.0}, {}, ["e1"])
+        assert estimate.gain_of_adding("a", "e1") == 0.0
+        assert estimate.loss_of_removing("a", "e1") == 0.0
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -62,7 +62,7 @@
 
     runner: ModelPlacementRunner
     engines: Engines
-    ledger: EngineState
+    state: EngineState
 
     async def ask(self, adapter: str, replies: list[AdapterReply]) -> None:
         replies.append(await self.runner.place_adapter(AdapterRequest("m", adapter, ["e"])))
@@ -73,8 +73,8 @@
     engines = Engines()
     runner = ModelPlacementRunner(Control(), engines, lambda: CONFIGURATION, "i", 0.0, 5.0)  # type: ignore
     assert runner._may_order()
-    ledger = runner._ledgers["e"] = EngineState(ROW, 0, {"m"})
-    return World(runner, engines, ledger)
+    state = runner._engine_states["e"] = EngineState(ROW, 0, {"m"})
+    return World(runner, engines, state)
 
 
 class TestPlaceAdapter:
@@ -95,10 +95,10 @@
             for _ in range(6):
                 nursery.start_soon(world.ask, "a1", replies)
         assert len(replies) == 6
-        assert world.ledger.ready == {}
+        assert world.state.ready == {}
 
     async def test_two_requests_that_both_make_room_load_once(self, world: World) -> None:
-        world.ledger.adapters = {("m", "a8"): -9e9, ("m", "a9"): -9e9}
+        world.state.adapters = {("m", "a8"): -9e9, ("m", "a9"): -9e9}
         replies: list[AdapterReply] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(world.ask, "a1", replies)
@@ -117,8 +117,8 @@
         assert sequences == sorted(set(sequences))
 
     async def test_adapter_that_a_request_did_not_find_is_ordered_again(self, world: World) -> None:
-        world.ledger.adapters = {("m", "a1"): 0.0, ("m", "a2"): 0.0}
+        world.state.adapters = {("m", "a1"): 0.0, ("m", "a2"): 0.0}
         reply = await world.runner.place_adapter(AdapterRequest("m", "a1", ["e"], ["e"]))
         assert reply.upstream_id == "e"
         assert [(o.is_load, o.adapter) for o in world.engines.orders] == [(True, "a1")]
-        assert len(world.ledger.adapters) == 2
+        assert len(world.state.adapters) == 2
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_world.py
@@ -251,7 +251,7 @@
                     self.coordinator.drop(order, committed.err_value.kind, now_ms)
                     continue
                 order.reserved = True
-            if self.coordinator.would_cut_off(order, view):
+            if self.coordinator.would_remove_last_replica(order, view):
                 self.coordinator.finish(order)
                 continue
             self.coordinator.mark_sent(order, now_ms)
