--- a/src/briardyke/placement/eviction.py
+++ b/src/briardyke/placement/eviction.py
@@ -10,8 +10,8 @@
     from briardyke.placement.draft import Draft
 
 # A replica is unloaded only when the others stay below this utilization, and one is added above
-# HIGH_UTILIZATION (replicas.py). The gap keeps demand that varies by a quarter from alternately loading and
-# unloading.
+# HIGH_UTILIZATION (replicas.py). The gap prevents demand that varies by a quarter from causing
+# loads and unloads in turn.
 LOW_UTILIZATION = 0.65
 
 
