--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -36,7 +36,7 @@
 # When traffic starts, the first requests say little about which models are in demand: the half-life
 # of the rates that entry instances keep.
 SETTLING_MS = 2000.0
-# Time from an unload order until the model's last requests have ended.
+# Time to announce that a model is unloaded and for its last requests to end.
 _UNLOAD_MS = 700.0
 # An order that was accepted but shows no effect for this long is looked up in a report.
 _PENDING_CHECK_MS = 9000.0
--- a/src/briardyke/placement/eviction.py
+++ b/src/briardyke/placement/eviction.py
@@ -106,7 +106,7 @@
         return None
     if other in draft.models:
         if upstream_id in draft.uncertain.get(other, ()):
-            # Without another replica, a new order for it costs less than unloading it.
+            # Without another replica, loading it again costs less than replacing it.
             return 1 if draft.replicas(other) else None
         if is_surplus(draft, upstream_id, other):
             return 3
--- a/src/briardyke/placement/plan.py
+++ b/src/briardyke/placement/plan.py
@@ -15,7 +15,8 @@
 
     from briardyke.placement.types import PlacementView, Step
 
-# The weight store starts only a few loads per second, and the next tick decides again.
+# The weight store starts only a few loads per second, so a decision needs no more steps than this;
+# the next tick decides again.
 MAX_STEPS = 256
 # Engines that are examined for room when none has enough free memory, least busy first.
 MAX_EVICTION_ENGINES = 64
