--- a/bench/placement.py
+++ b/bench/placement.py
@@ -231,7 +231,7 @@
 
 
 def unreachable_view(engines: int, seed: int) -> PlacementView:
-    """Return a running view in which every tenth model is nowhere and no memory is free."""
+    """Return a running view in which no engine holds every tenth model and no memory is free."""
     view = large_view(engines, seed, True)
     rows = {
         name: attrs.evolve(
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -267,7 +267,7 @@
         return False
 
     def _adapter_models(self, engine: EngineView) -> list[tuple[str, bool]]:
-        """Return an engine's models that are asked for with adapters.
+        """Return an engine's models that are requested with adapters.
 
         Each comes with whether no other engine could take an adapter of it meanwhile.
         """
--- a/src/briardyke/models/engine_state.py
+++ b/src/briardyke/models/engine_state.py
@@ -8,13 +8,13 @@
 from briardyke.clock import now_ms
 from briardyke.fleet.records import Upstream
 
-# An adapter stays this long after it was last asked for; entry instances trust it for less.
+# An adapter stays this long after it was last requested; entry instances trust it for less.
 ADAPTER_KEEP_MS = 1500.0
-# An adapter that was asked for within this time counts as in use when engines are compared.
+# An adapter that was requested within this time counts as in use when engines are compared.
 ADAPTER_BUSY_MS = 5000.0
 # A model stays this long after its load should have ended, for the callers that waited for it.
 RESIDENCE_MS = 2500.0
-# Shortest time that an engine with an order under way, or one in doubt, is expected to take.
+# Shortest time that an engine with a pending order, or one in doubt, is expected to take.
 _LEAST_REST_MS = 400.0
 # An order that gets no answer is in doubt. Its sequence is read again after this time, since
 # reports lag by some hundred milliseconds.
@@ -30,7 +30,7 @@
     :param sequence: orders that it has accepted since its start.
     :param models: adapters by model in its memory.
     :param is_busy: whether it carries out an order for a model.
-    :param loading_adapters: adapters on their way to it, as model and adapter.
+    :param loading_adapters: adapters being loaded into it, as model and adapter.
     """
 
     sequence: int
@@ -47,7 +47,7 @@
     :param sequence: orders that it has accepted, ``None`` before its first report and while an
         order is in doubt.
     :param models: models that it holds or loads.
-    :param adapters: time at which each adapter was last asked for, by model and name.
+    :param adapters: time at which each adapter was last requested, by model and name.
     :param pending: model and direction of the order that it carries out.
     :param pending_since_ms: time at which that order was accepted.
     :param pending_until_ms: time at which it should have been carried out.
@@ -125,7 +125,7 @@
         return key in self.adapters and key not in self.suspect_adapters
 
     def idle_adapters(self) -> list[tuple[str, str]]:
-        """Return adapters that may be evicted, the least recently asked for first."""
+        """Return adapters that may be evicted, the least recently requested first."""
         limit_ms = now_ms() - ADAPTER_KEEP_MS
         old = [
             key
@@ -135,7 +135,7 @@
         return sorted(old, key=lambda key: self.adapters[key])
 
     def recent_models(self) -> frozenset[str]:
-        """Return the models that are on their way or arrived lately."""
+        """Return the models that are being loaded or were loaded recently."""
         limit_ms = now_ms() - RESIDENCE_MS
         return frozenset(m for m, loaded_ms in self.loaded_ms.items() if loaded_ms >= limit_ms)
 
@@ -150,12 +150,12 @@
         return _LEAST_REST_MS if self.sequence is None else 0.0
 
     def arriving_ms(self) -> dict[str, float]:
-        """Return the model on its way with the time until it should be there."""
+        """Return the model being loaded and the time until it should be loaded."""
         if self.pending is None or not self.pending[1] or self.pending[0] == UNKNOWN_MODEL:
             return {}
         return {self.pending[0]: self.pending_until_ms - now_ms()}
 
     def busy_adapters(self) -> list[tuple[str, str]]:
-        """Return adapters that were asked for recently."""
+        """Return adapters that were requested recently."""
         limit_ms = now_ms() - ADAPTER_BUSY_MS
         return [key for key, used_ms in self.adapters.items() if used_ms >= limit_ms]
--- a/src/briardyke/models/load_estimate.py
+++ b/src/briardyke/models/load_estimate.py
@@ -17,7 +17,7 @@
     """Spread every request over the holders of its model as evenly as overlaps allow.
 
     Two busy models overlap on some engines. Entry instances then send the requests that have
-    a choice to the engines whose other model is asked for less.
+    a choice to the engines whose other model is requested less.
 
     The cost of a spread is the sum of the squares of the engines' loads. What one more or one less
     holder changes is estimated from the engines of that model alone: with 45 engines a decision
--- a/src/briardyke/models/orders.py
+++ b/src/briardyke/models/orders.py
@@ -32,8 +32,8 @@
     :param is_load: whether something is loaded or unloaded.
     :param model: name of the model.
     :param adapter: name of one of its adapters, or empty for the model itself.
-    :param expected_sequence: orders that the engine has accepted before; with any other number it
-        refuses, so that an order that arrives late changes nothing.
+    :param expected_sequence: orders that the engine has accepted before; it refuses
+        any other number, so that an order that arrives late changes nothing.
     :param instance_id: name of the instance that orders.
     :param fencing_token: token of its term; a lower one than the engine has seen is refused.
     """
--- a/src/briardyke/models/types.py
+++ b/src/briardyke/models/types.py
@@ -40,10 +40,10 @@
     :param service: service that it belongs to.
     :param held: models in its memory or being loaded, with the number of their adapters.
     :param at_hand: models of which it keeps a copy.
-    :param is_free: whether it could take an order now.
+    :param is_free: whether it can accept an order now.
     :param free_in_ms: time until its present order should end, 0 for an engine that is free.
     :param is_loading: whether it loads a model from the weight store.
-    :param is_staying: whether it is ready and has not said that it leaves.
+    :param is_staying: whether it is ready and has not announced that it shuts down.
     :param leaving: models that are being unloaded.
     :param arriving: model that it is loading, or empty.
     :param recent: models whose load was ordered lately.
@@ -66,13 +66,13 @@
 class ModelsView:
     """Hold everything that placement decides from for one service.
 
-    :param spec: models and room of the service's engines.
+    :param spec: models and memory of the service's engines.
     :param engines: its engines.
     :param demand: requests a second by model.
     :param store_starts: loads that the weight store may still start now.
-    :param lasting: the same demand over a longer time, which a model that rests keeps for a while.
-    :param is_settled: whether demand has been observed for long enough to give up a model for it.
-    :param missing_s: time for which each model was asked for while nothing held it, in seconds.
+    :param lasting: the same demand averaged over a longer time, of which an idle model keeps some.
+    :param is_settled: whether demand has been observed for long enough to unload a model for it.
+    :param missing_s: time for which each model was requested while no engine held it, in seconds.
     """
 
     spec: EngineSpec
--- a/src/briardyke/placement/orders.py
+++ b/src/briardyke/placement/orders.py
@@ -46,10 +46,10 @@
     :param fencing_token: term and counter, kept when the order is repeated.
     :param step: what it changes.
     :param created_ms: time of creation.
-    :param state: where it stands.
+    :param state: current state.
     :param sent_ms: time of the last sending.
     :param reserved: whether the reservation of a load has been committed.
-    :param taken: whether the engine answered that it took the order.
+    :param taken: whether the engine answered that it accepted the order.
     """
 
     order_id: str
@@ -195,8 +195,8 @@
                 return Outcome.LOADED
             overtaken = row.highest_fencing_token > order.fencing_token
             return Outcome.FENCED if overtaken and step.item not in states else None
-        # Absence proves the unload only together with the token: a load with a lower token that
-        # is still on its way would otherwise fill the memory again.
+        # Absence of the item proves the unload only together with the token: a delayed load with
+        # a lower token could otherwise occupy the memory again.
         if order.order_id in row.ended_order_ids or (accepted and step.item not in states):
             return Outcome.UNLOADED
         overtaken = row.highest_fencing_token > order.fencing_token and not order.taken
--- a/src/briardyke/placement/types.py
+++ b/src/briardyke/placement/types.py
@@ -56,7 +56,7 @@
     since_ms: float
 
 
-# The target size of 23 million tokens per second on 10,000 workers.
+# The design size of 23 million tokens per second on 10,000 workers.
 ENGINE_TOKENS_PER_SECOND = 2300.0
 
 
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -1,4 +1,4 @@
-"""Tests for orders of adapters that several requests want at once."""
+"""Tests for adapters that several requests need at the same time."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class Engines:
-    """Answer orders as a test says and check that places are never exceeded."""
+    """Answer orders as a test configures and check that adapter slots are never exceeded."""
 
     def __init__(self) -> None:
         self.orders: list[Order] = []
--- a/tests/models/test_smoothed_demand.py
+++ b/tests/models/test_smoothed_demand.py
@@ -9,7 +9,7 @@
 
 
 class TestSmoothedDemand:
-    """Covers a model that falls silent."""
+    """Covers a model that is no longer requested."""
 
     async def test_demand_halves_in_its_half_life(
         self, autojump_clock: trio.testing.MockClock
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -29,7 +29,7 @@
 _CAPACITY = {"e1": 6, "e2": 6, "e3": 5}
 _SIZES = {"a": 2, "b": 3, "c": 2, "d": 1}
 _ADAPTERS = {"x": ("a", 1), "y": ("b", 1)}
-# Ticks for loads spaced two seconds apart, one relocation and the timeouts of orders and transits.
+# Ticks for loads spaced two seconds apart, a copied model and the timeouts of orders and transits.
 _RECOVERY_TICKS = 90
 
 _engines = st.sampled_from(sorted(_CAPACITY))
