--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -147,7 +147,7 @@
             for e in self._engines
             if e.upstream_id not in self._changed
             and model not in e.held
-            and not (self._holders.get(model) and self._frees_other_holder_soon(e))
+            and not (self._holders.get(model) and self._other_holder_free_soon(e))
         ]
         engines.sort(key=lambda e: (self._load_s(model, e), self._loads[e.upstream_id]))
         options = [o for e in engines[:_MAX_ENGINES] if (o := self._option(model, e)) is not None]
@@ -255,8 +255,8 @@
             cost += _MISSING_WEIGHT * misses * self._demand[model]
         return cost
 
-    def _frees_other_holder_soon(self, engine: EngineView) -> bool:
-        """Return whether it alone takes adapters of a model now, but another holder will soon.
+    def _other_holder_free_soon(self, engine: EngineView) -> bool:
+        """Return whether only this holder of a model accepts adapters now, but another soon will.
 
         A busy model can wait for its next replica until that is so.
         """
--- a/src/briardyke/placement/reservations.py
+++ b/src/briardyke/placement/reservations.py
@@ -47,7 +47,7 @@
     """Return the engines that are live and registered under the announced incarnation.
 
     An item holds memory when it is reserved, announced or part of a pending load. The announcement
-    alone would miss an order that is still being sent. An engine that ignores fencing tokens keeps
+    alone would miss an order that is still in transit. An engine that ignores fencing tokens keeps
     all its reservations, because the ledger ends none of them within the incarnation.
 
     :param view: what placement sees.
