Rename EntryProcess of the gateway and is_usable of the fleet rows

gateway.process.EntryProcess is now GatewayProcess, as entry.process has an EntryProcess too. fleet.records.is_usable is now is_valid_upstream, since it checks the fields of a row and not whether the upstream is ready.

--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -164,7 +164,7 @@
         return attrs.evolve(self, arriving_ms=left_ms)
 
 
-def is_usable(row: Upstream) -> bool:
+def is_valid_upstream(row: Upstream) -> bool:
     """Return whether a row has a valid address, a service and an incarnation."""
     try:
         parse_address(row.address)
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -40,7 +40,7 @@
 _DRAIN_FRACTION = 0.9
 
 
-class EntryProcess:
+class GatewayProcess:
     """Connect the components of an entry instance."""
 
     def __init__(
--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
-from briardyke.fleet.records import DRAINING, READY, LoadedModel, Upstream, is_usable
+from briardyke.fleet.records import DRAINING, READY, LoadedModel, Upstream, is_valid_upstream
 
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
@@ -25,7 +25,7 @@
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         text = f"cannot read the announcement: {type(error).__name__}: {error}"
         return Err(Failure(ErrorKind.FIELD_INVALID, text))
-    if not is_usable(row):
+    if not is_valid_upstream(row):
         return Err(Failure(ErrorKind.FIELD_INVALID, "no usable address or service"))
     return Ok(row)
 
--- a/src/briardyke/platform/entry_api.py
+++ b/src/briardyke/platform/entry_api.py
@@ -9,7 +9,7 @@
 from briardyke.gateway.directory import addresses_for
 
 if TYPE_CHECKING:
-    from briardyke.gateway.process import EntryProcess
+    from briardyke.gateway.process import GatewayProcess
     from briardyke.http.exchange import Answer, HttpRequest
 
 _READY = "/briardyke/ready"
@@ -21,9 +21,9 @@
 
 
 class EntryApi:
-    """Translate calls into questions to an :class:`EntryProcess`."""
+    """Translate calls into questions to a :class:`GatewayProcess`."""
 
-    def __init__(self, entry: EntryProcess) -> None:
+    def __init__(self, entry: GatewayProcess) -> None:
         """Serve an entry process."""
         self._entry = entry
 
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -8,7 +8,7 @@
 
 from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.gateway.directory import capacity_per_s
-from briardyke.gateway.process import EntryProcess
+from briardyke.gateway.process import GatewayProcess
 from briardyke.gateway.settings import InstanceSettings
 from briardyke.gateway.state import RetryBounds
 from briardyke.http.h11_server import H11Server
@@ -38,7 +38,7 @@
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
-        entry = EntryProcess(
+        entry = GatewayProcess(
             place, PlatformDialect(), decode_configuration, peers, follower.peer_seeds
         )
         api = EntryApi(entry)
