--- a/bench/policy_engine.py
+++ b/bench/policy_engine.py
@@ -44,7 +44,7 @@
 
 
 class Job:
-    """Describe one attempt inside an engine."""
+    """One attempt inside an engine."""
 
     def __init__(
         self,
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -28,7 +28,7 @@
 
 @attrs.define
 class Workload:
-    """Describe one workload.
+    """One workload.
 
     :param load: offered load as a fraction of the capacity.
     :param model_burst: multiple of one model's load during the burst.
@@ -99,7 +99,7 @@
 
 
 class Entry:
-    """Hold the routing table, admission control and retry budget of one entry instance."""
+    """Routing table, admission control and retry budget of one entry instance."""
 
     def __init__(self, policy: RoutingPolicy, data_centre: str, source: random.Random) -> None:
         self.table = RoutingTable(policy, data_centre, source)
--- a/src/briardyke/claims/machine.py
+++ b/src/briardyke/claims/machine.py
@@ -76,7 +76,7 @@
 
 
 class ClaimMachine:
-    """Hold the claims of one group; a state machine for the replicated log.
+    """Claims of one group; a state machine for the replicated log.
 
     The current time is the highest timestamp of all commands, so that it does not go back when the
     leader changes.
--- a/src/briardyke/entry/addresses.py
+++ b/src/briardyke/entry/addresses.py
@@ -1,4 +1,4 @@
-"""Tell callers which entry instances to use."""
+"""Build the response that lists entry instances for callers."""
 
 from __future__ import annotations
 
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -147,7 +147,7 @@
             result = await self._relay.call_service(job)
         finally:
             self._state.in_flight -= 1
-            self._state.limit_ledger.release(permit, 0, now_ms())
+            self._state.request_limiter.release(permit, 0, now_ms())
         self._duration.record(now_ms() - started_ms)
         if result.is_err():
             return self._refuse_request(result.unwrap_err(), job.request_id)
@@ -223,14 +223,14 @@
         state, now = self._state, now_ms()
         known = state.configuration.callers.get(caller)
         limit = LimitRequest(caller, route.model, route.adapter, tokens)
-        permit = state.limit_ledger.admit(limit, now)
+        permit = state.request_limiter.admit(limit, now)
         if permit.is_err():
             return Err(permit.unwrap_err())
         weight = known.weight if known else 1.0
         wanted = AdmissionRequest(caller, weight, route, tokens, deadline_ms)
         admitted = state.admission.admit(wanted, now)
         if admitted.is_err():
-            state.limit_ledger.release(permit.unwrap(), 0, now)
+            state.request_limiter.release(permit.unwrap(), 0, now)
             return Err(admitted.unwrap_err())
         return Ok(permit.unwrap())
 
@@ -244,7 +244,7 @@
         """Settle the limits and record the result of a model request."""
         now = now_ms()
         self._state.in_flight -= 1
-        self._state.limit_ledger.release(permit, tokens, now)
+        self._state.request_limiter.release(permit, tokens, now)
         self._requests.add(1, {"result": result})
         self._duration.record(now - started_ms)
         if result != "complete":
--- a/src/briardyke/entry/demand.py
+++ b/src/briardyke/entry/demand.py
@@ -27,7 +27,7 @@
 
 
 class DemandMeter:
-    """Keep exponentially decaying rates by model or adapter name."""
+    """Exponentially decaying rates by model or adapter name."""
 
     def __init__(self) -> None:
         """Start without demand."""
--- a/src/briardyke/entry/reassembly.py
+++ b/src/briardyke/entry/reassembly.py
@@ -32,7 +32,7 @@
 
 @attrs.frozen
 class CallerEvent:
-    """Hold one accepted event in the form that is sent to the caller.
+    """Accepted event in the form that is sent to the caller.
 
     :param data: JSON with the caller's completion id.
     :param offset: token offset after the event.
@@ -60,7 +60,7 @@
 
 @attrs.frozen
 class _EventTemplate:
-    """Hold the bytes around the token's text, which the events of one attempt have in common.
+    """Bytes around the token's text, which the events of one attempt have in common.
 
     An event with the same bytes has the same attempt id and no finish reason, so it needs no
     parsing; any other event is parsed.
--- a/src/briardyke/entry/relay.py
+++ b/src/briardyke/entry/relay.py
@@ -94,7 +94,7 @@
 
 
 class RelayStream:
-    """Iterate over one response, joining tokens that arrive close together into one chunk.
+    """Iterator over one response; tokens that arrive close together are joined into one chunk.
 
     :ivar failure: how the response ended; ``None`` once it is complete.
     :ivar tokens: tokens received so far.
--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -58,7 +58,7 @@
         budget: RelayRetryBudget,
         policy: RelayPolicy,
     ) -> None:
-        """Keep the tables and clients that attempts use."""
+        """Set up attempts with the routing table, client and retry budget to use."""
         self._table = table
         self._client = client
         self._budget = budget
--- a/src/briardyke/entry/relay_jobs.py
+++ b/src/briardyke/entry/relay_jobs.py
@@ -12,7 +12,7 @@
 
 @attrs.frozen
 class RelayPolicy:
-    """Hold the limits and delays of the relay; times are in milliseconds.
+    """Limits and delays of the relay; times are in milliseconds.
 
     :param attempt_limit: attempts for one request that may have run, the first included.
     :param first_token_timeout_ms: longest wait for the first event of an attempt.
@@ -47,7 +47,7 @@
 
 @attrs.frozen
 class ModelJob:
-    """Describe an admitted request to a model.
+    """Admitted request to a model.
 
     :param request_id: identity of the request; it is also the seed of the generation.
     :param path: ``/v1/chat/completions`` or ``/v1/completions``.
@@ -72,7 +72,7 @@
 
 @attrs.frozen
 class ModelResponse:
-    """Hold a complete response that was not streamed.
+    """Complete response that was not streamed.
 
     :param body: response in the OpenAI-compatible form.
     :param tokens: number of generated tokens.
@@ -84,7 +84,7 @@
 
 @attrs.frozen
 class ServiceJob:
-    """Describe an admitted call of a plain service.
+    """Admitted call of a plain service.
 
     :param request_id: identity of the request.
     :param caller: caller name.
@@ -112,7 +112,7 @@
 
 @attrs.frozen
 class ServiceResponse:
-    """Hold the response of a service.
+    """Response of a service.
 
     :param status: HTTP status code.
     :param headers: headers by lower-case name.
--- a/src/briardyke/entry/relay_outcomes.py
+++ b/src/briardyke/entry/relay_outcomes.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen
 class AttemptResult:
-    """Describe the result of an attempt.
+    """Result of an attempt.
 
     :param outcome: outcome for the routing table.
     :param failure: what went wrong; ``None`` after a complete response.
--- a/src/briardyke/entry/relay_services.py
+++ b/src/briardyke/entry/relay_services.py
@@ -63,7 +63,7 @@
         claims: RelayClaimClient,
         policy: RelayPolicy,
     ) -> None:
-        """Keep the tables and clients that calls use."""
+        """Set up calls with the routing table, clients and retry budget to use."""
         self._table = table
         self._client = client
         self._budget = budget
--- a/src/briardyke/entry/requests.py
+++ b/src/briardyke/entry/requests.py
@@ -31,7 +31,7 @@
 
 @attrs.frozen
 class ModelRequest:
-    """Hold a request to a model in the form that limits, admission and relay need.
+    """Request to a model in the form that limits, admission and relay need.
 
     :param job: the job for the relay.
     :param model: model name.
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of an entry process and update it periodically."""
+"""State of an entry process and its periodic updates."""
 
 from __future__ import annotations
 
@@ -29,14 +29,16 @@
     from briardyke.http.client import HttpClient
 
 TICK_MS = 100.0
-EVIDENCE_REFRESH_MS = 500.0
-PROBE_AGE_MS = 2000.0  # leaves time for two probes within the silence bound of 3000 ms
+LIVENESS_REFRESH_INTERVAL_MS = 500.0
+# Age of an announcement at which its upstream is probed; leaves time for two probes within the
+# silence limit of 3000 ms.
+PROBE_ANNOUNCEMENT_AGE_MS = 2000.0
 _PROBES_PER_TICK = 16
 _PROBE_TIMEOUT_MS = 500.0
 
 
 class EntryState:
-    """Hold the state that the routes and background tasks of an entry process share."""
+    """State that the routes and background tasks of an entry process share."""
 
     def __init__(self, settings: EntrySettings, address: Address) -> None:
         """Create an empty state.
@@ -53,13 +55,13 @@
         self.demand = DemandMeter()
         rng = random.Random(settings.seed) if settings.seed else random.Random()
         self.routing_table = RoutingTable(settings.routing_policy, settings.data_centre, rng)
-        self.limit_ledger = RequestLimiter()
+        self.request_limiter = RequestLimiter()
         self.admission = AdmissionController(self.routing_table, rng)
         self.retry_budget = RetryBudget()
         self._probed_ids: set[str] = set()
         self._report_number = 0
         self._routed_sequence = 0
-        self._evidence_refreshed_at_ms = 0.0
+        self._liveness_refreshed_at_ms = 0.0
 
     @property
     def configuration(self) -> Configuration:
@@ -98,8 +100,8 @@
             weight=self.settings.weight,
             lifecycle=self.lifecycle().value,
             report_number=self._next_report_number(),
-            share_demand=self.limit_ledger.take_demand(now),
-            held_shares=self.limit_ledger.held_shares(now),
+            share_demand=self.request_limiter.take_demand(now),
+            held_shares=self.request_limiter.held_shares(now),
         )
         return SyncReport([status], self.demand.rates(now))
 
@@ -128,15 +130,17 @@
 
     def _apply_shares(self) -> None:
         shares = self.view.shares.get(self.settings.instance_id, [])
-        self.limit_ledger.apply(self.configuration.limits, shares, self.view.lease.expires_at_ms())
+        self.request_limiter.apply(
+            self.configuration.limits, shares, self.view.lease.expires_at_ms()
+        )
 
     def _update_routing_table(self, now: float) -> None:
         digest = self.view.digest
         for row in digest.changes_since(self._routed_sequence, now):
             self.routing_table.observe(row, now)
         self._routed_sequence = digest.sequence
-        if now - self._evidence_refreshed_at_ms >= EVIDENCE_REFRESH_MS:
-            self._evidence_refreshed_at_ms = now
+        if now - self._liveness_refreshed_at_ms >= LIVENESS_REFRESH_INTERVAL_MS:
+            self._liveness_refreshed_at_ms = now
             for upstream_id, heard_at_ms in digest.heard_at_ms():
                 self.routing_table.mark_alive(upstream_id, heard_at_ms)
         for upstream_id in digest.forget_silent(now):
@@ -152,7 +156,7 @@
         """Probe upstreams whose last announcement is old, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                stale = self.view.digest.older_than(PROBE_AGE_MS, now_ms())
+                stale = self.view.digest.older_than(PROBE_ANNOUNCEMENT_AGE_MS, now_ms())
                 for row in stale[:_PROBES_PER_TICK]:
                     if row.upstream_id not in self._probed_ids:
                         self._probed_ids.add(row.upstream_id)
--- a/src/briardyke/fleet/activity.py
+++ b/src/briardyke/fleet/activity.py
@@ -33,7 +33,7 @@
 
 
 class ActivityAggregator:
-    """Hold reports of directly connected entry instances and sums from other control instances."""
+    """Reports of directly connected entry instances, and sums from other control instances."""
 
     def __init__(self, control: str) -> None:
         """Start empty.
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -27,25 +27,25 @@
     from briardyke.addresses import Address
     from briardyke.wire.pool import PeerPool
 
-# Long enough to limit the traffic of 191 entry instances, short enough that control instances see
-# demand within a second.
-WAIT_MS = 700.0
+# Long-poll time while idle. Long enough to limit the traffic of 191 entry instances, short enough
+# that control instances see demand within a second.
+IDLE_LONG_POLL_MS = 700.0
 # Long-poll time while requests are in flight: requests last seconds, and other entry instances
 # route by the reported load.
-BUSY_WAIT_MS = 300.0
-# Changes in quick succession are fetched together. While busy, the pause stays well below the time
-# for which a model is withheld before it is unloaded.
-BUSY_PAUSE_MS = 50.0
+BUSY_LONG_POLL_MS = 300.0
+# Pause between two polls, so that changes in quick succession are fetched together. While busy, the
+# pause stays well below the time for which a model is withheld before it is unloaded.
+BUSY_POLL_PAUSE_MS = 50.0
 # While idle, the pause leaves most of the two seconds in which a configuration change must be in
 # force.
-IDLE_PAUSE_MS = 500.0
+IDLE_POLL_PAUSE_MS = 500.0
 _CALL_MARGIN_MS = 800.0
 _RETRY_PAUSE_MS = 150.0
 # Pause before trying the next control instance when one has no contact with a leader.
-_NEXT_PAUSE_MS = 50.0
+_NEXT_CONTROL_PAUSE_MS = 50.0
 # The same while idle. After an outage of all control instances, dozens of idle entry instances
 # would otherwise poll the restarting ones many times during each election.
-_IDLE_NEXT_PAUSE_MS = 200.0
+_IDLE_NEXT_CONTROL_PAUSE_MS = 200.0
 _ADAPTER_TIMEOUT_MS = 1500.0
 _PLACE_TIMEOUT_MS = 300.0
 # Interval at which an entry instance connected to another data centre looks for a local control
@@ -55,7 +55,7 @@
 
 @attrs.frozen
 class EntryCallbacks:
-    """Define the callbacks of the entry instance that the client serves.
+    """Callbacks of the entry instance that the client serves.
 
     :param data_centre: where the instance runs.
     :param build_report: returns the entry instance's own row.
@@ -148,7 +148,7 @@
             self._apply(reply)
             if self._is_usable_without_leader(reply):
                 self.view.confirmed_ms = now_ms()
-                await trio.sleep(_NEXT_PAUSE_MS / 1000.0)
+                await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
                 continue
             if not reply.is_current:
                 log_limited(
@@ -157,7 +157,11 @@
                     control=address,
                     version=reply.version,
                 )
-                pause_ms = _NEXT_PAUSE_MS if self._callbacks.is_busy() else _IDLE_NEXT_PAUSE_MS
+                pause_ms = (
+                    _NEXT_CONTROL_PAUSE_MS
+                    if self._callbacks.is_busy()
+                    else _IDLE_NEXT_CONTROL_PAUSE_MS
+                )
                 await trio.sleep(pause_ms / 1000.0)
                 return False
             if is_first:
@@ -170,12 +174,12 @@
                 if any(self._is_local(a) for a in self.view.controls):
                     log_event("nearer_control_tried", control=address)
                     return True
-            pause_ms = BUSY_PAUSE_MS if self._callbacks.is_busy() else IDLE_PAUSE_MS
+            pause_ms = BUSY_POLL_PAUSE_MS if self._callbacks.is_busy() else IDLE_POLL_PAUSE_MS
             with trio.move_on_after(pause_ms / 1000.0):
                 await self._wake.wait()
 
     def _wait_ms(self) -> float:
-        return BUSY_WAIT_MS if self._callbacks.is_busy() else WAIT_MS
+        return BUSY_LONG_POLL_MS if self._callbacks.is_busy() else IDLE_LONG_POLL_MS
 
     def _is_usable_without_leader(self, reply: FleetReply) -> bool:
         """Return whether a reply from a control instance without a leader can be used.
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -42,30 +42,33 @@
 # A follower without contact to the leader for this long no longer replies as current. This is the
 # shortest election timeout; after it, a new leader may have committed changes.
 CONTACT_WINDOW_MS = 1000.0
-# Four missed heartbeats of an upstream at 1.2 s; heartbeats may arrive a few seconds late.
-UPSTREAM_SILENCE_MS = 5000.0
+# Time without a row after which an upstream is marked silent: four missed heartbeats at 1.2 s;
+# heartbeats may arrive a few seconds late.
+UPSTREAM_SILENT_AFTER_MS = 5000.0
 # Entry instances report at least every 0.7 s.
-ENTRY_SILENCE_MS = 2500.0
+ENTRY_SILENT_AFTER_MS = 2500.0
 # Interval for broadcasting activity sums and repeated rows. It is a fraction of the duration of a
 # request, so that entry instances can route by the load of the others.
 BATCH_INTERVAL_MS = 250.0
 # Clocks of instances differ and sometimes jump by seconds.
 _MAX_CLOCK_ERROR_MS = 5000
-# Below the shortest election timeout, so that an old leader stops sending orders before a new one
-# starts.
-LEADER_EVIDENCE_MS = 900.0
-# An election takes up to the longest election timeout plus one round; no requirement relies on an
-# instance that has been running for less than three seconds.
-STARTING_MS = 2500.0
-# During a shorter suspension of the process, no other leader can be elected.
-SUSPENSION_MS = 500.0
+# Age of majority contact up to which an instance acts as leader. It is below the shortest election
+# timeout, so that an old leader stops sending orders before a new one starts.
+MAX_LEADER_EVIDENCE_AGE_MS = 900.0
+# Time after the start during which an instance counts as starting. An election takes up to the
+# longest election timeout plus one round; no requirement relies on an instance that has been
+# running for less than three seconds.
+START_PHASE_MS = 2500.0
+# Shortest suspension of the process after which its leadership is in doubt; during a shorter one, no
+# other leader can be elected.
+MIN_SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
 _READ_TIMEOUT_MS = 900.0
 _TRANSFER_TIMEOUT_MS = 1500.0
 
 
 class ControlInstance:
-    """Hold the replicated configuration and the soft tables of one control instance."""
+    """Control instance with its replicated configuration and its soft tables."""
 
     def __init__(
         self,
@@ -142,7 +145,7 @@
         After a power failure of the whole system, entry instances and upstreams restart before an
         election can finish. The state read from disk is committed but may not be the newest.
         """
-        return now_ms() - self._started_ms < STARTING_MS
+        return now_ms() - self._started_ms < START_PHASE_MS
 
     def announce(self, row: Upstream) -> bool:
         """Record an upstream's announcement; return whether it can be acknowledged.
@@ -182,12 +185,12 @@
         A leader that was suspended may have been replaced although its clock shows no elapsed time.
         """
         suspended = suspended_ms()
-        if suspended - self._suspended_ms >= SUSPENSION_MS:
+        if suspended - self._suspended_ms >= MIN_SUSPENSION_MS:
             log_event("suspension_noticed", duration_ms=round(suspended - self._suspended_ms))
             self._suspended_ms = suspended
             self.log.distrust_evidence()
         age_ms = self.log.confirmed_age_ms()
-        is_fresh = age_ms is not None and age_ms < LEADER_EVIDENCE_MS
+        is_fresh = age_ms is not None and age_ms < MAX_LEADER_EVIDENCE_AGE_MS
         return self.log.status().term if is_fresh else None
 
     def live_upstreams(self) -> list[Upstream]:
@@ -231,11 +234,11 @@
                 ready=request.entry.is_ready,
             )
         with trio.move_on_after(request.wait_ms / 1000.0):
-            while not self._has_news(request):
+            while not self._has_changes_for(request):
                 await self.rows.changed.wait(request.wait_ms)
         return self._reply(request)
 
-    def _has_news(self, request: FleetRequest) -> bool:
+    def _has_changes_for(self, request: FleetRequest) -> bool:
         if request.table_id != self.table_id or not self._can_inform_entries:
             return True
         return (
@@ -345,10 +348,10 @@
             self.rows.changed.notify()
         if self.is_current:
             since_ms = self._current_since_ms
-            for row in self.tables.upstreams.mark_silent(UPSTREAM_SILENCE_MS, since_ms):
+            for row in self.tables.upstreams.mark_silent(UPSTREAM_SILENT_AFTER_MS, since_ms):
                 log_event("upstream_silent", upstream=row.upstream_id, service=row.service)
                 self.rows.changed.notify()
-            for entry in self.tables.entries.mark_silent(ENTRY_SILENCE_MS, since_ms):
+            for entry in self.tables.entries.mark_silent(ENTRY_SILENT_AFTER_MS, since_ms):
                 log_event("entry_silent", instance=entry.instance_id)
                 self.rows.changed.notify()
 
--- a/src/briardyke/fleet/machine.py
+++ b/src/briardyke/fleet/machine.py
@@ -8,7 +8,7 @@
 
 
 class ConfigurationMachine:
-    """Hold the document with the highest version; other commands are ignored.
+    """State machine that keeps the document with the highest version and ignores other commands.
 
     Of two documents with the same version, the first in the log is kept.
     """
--- a/src/briardyke/fleet/member.py
+++ b/src/briardyke/fleet/member.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class MemberSettings:
-    """Hold the settings of a consensus member.
+    """Settings of a consensus member.
 
     :param data_dir: directory for durable files.
     :param own_address: own peer address.
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -11,7 +11,7 @@
 @message
 @attrs.define
 class Activity:
-    """Hold the summed activity of the entry instances that report to one control instance.
+    """Summed activity of the entry instances that report to one control instance.
 
     :param control: control instance that they report to.
     :param incarnation: start of its process, in Unix milliseconds.
@@ -43,7 +43,7 @@
 @message
 @attrs.frozen
 class RowsUpdate:
-    """Send rows to another control instance; one-way.
+    """Rows sent to another control instance; one-way.
 
     :param upstreams: upstream rows.
     :param upstream_ages_ms: time since each was sent by its owner.
@@ -68,13 +68,13 @@
 @message
 @attrs.frozen
 class RowsRequest:
-    """Request all rows of a control instance; the reply is a :class:`RowsUpdate`."""
+    """Request for all rows of a control instance; the reply is a :class:`RowsUpdate`."""
 
 
 @message
 @attrs.frozen
 class PlaceRequest:
-    """Request the data centre of a control instance; the reply is a :class:`PlaceReply`."""
+    """Request for the data centre of a control instance; the reply is a :class:`PlaceReply`."""
 
 
 @message
@@ -91,7 +91,7 @@
 @message
 @attrs.frozen
 class FleetRequest:
-    """Report an entry instance's state and request all newer data than it holds.
+    """Report of an entry instance's state and request for all newer data than it holds.
 
     :param entry: the sender's own row.
     :param held_version: configuration version that it holds, 0 for none.
@@ -157,7 +157,7 @@
 @message
 @attrs.frozen
 class AdapterRequest:
-    """Request that the leader load an adapter on an upstream that holds its model.
+    """Request to the leader to load an adapter on an upstream that holds its model.
 
     :param model: name of the model.
     :param adapter: name of the adapter.
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen
 class LoadedModel:
-    """Describe a model loaded on an upstream.
+    """Model loaded on an upstream.
 
     :param name: name of the model.
     :param adapters: names of its loaded adapters.
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Upstream:
-    """Describe an upstream by its last announcement.
+    """Last announcement of an upstream.
 
     :param upstream_id: name that the upstream announces.
     :param incarnation: Unix time of its start, in milliseconds; a later start replaces an earlier.
@@ -71,7 +71,7 @@
 
 @attrs.frozen
 class EntryInstance:
-    """Describe an entry instance by its last report.
+    """Last report of an entry instance.
 
     :param instance_id: name of the instance.
     :param incarnation: Unix time of its start, in milliseconds.
@@ -129,7 +129,7 @@
 
 @attrs.frozen
 class ModelChanges:
-    """Describe the pending changes to an upstream's loaded models.
+    """Pending changes to an upstream's loaded models.
 
     :param upstream_id: the upstream.
     :param term: term of the leader that decided it.
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -31,7 +31,7 @@
 
 
 class RowExchange:
-    """Hold the soft tables of a control instance and synchronise them with the others.
+    """Soft tables of a control instance, synchronised with those of the others.
 
     Changes are sent at once. Rows that owners only repeat are sent as ids in batches, since full
     rows of dozens of upstreams and hundreds of entry instances would be most of the traffic between
--- a/src/briardyke/fleet/table.py
+++ b/src/briardyke/fleet/table.py
@@ -1,4 +1,4 @@
-"""Keep soft-state rows that their owners refresh, keeping the newest version of each."""
+"""Table of soft-state rows that their owners refresh; it keeps the newest version of each."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Row(Protocol):
-    """Define the interface of a row in a soft table."""
+    """Interface of a row in a soft table."""
 
     @property
     def key(self) -> str:
@@ -25,7 +25,7 @@
 
 
 @attrs.define
-class _Entry(Generic[R]):
+class _StoredRow(Generic[R]):
     row: R
     confirmed_ms: float
     changed_sequence: int
@@ -33,10 +33,10 @@
 
 
 class SoftTable(Generic[R]):
-    """Merge rows; each change of content increments this table's sequence."""
+    """Table of rows; each change of content increments its sequence."""
 
     def __init__(self) -> None:
-        self._entries: dict[str, _Entry[R]] = {}
+        self._stored: dict[str, _StoredRow[R]] = {}
         self.sequence = 0
 
     def merge(self, row: R, age_ms: float = 0.0) -> bool:
@@ -47,10 +47,10 @@
         :return: whether the content changed.
         """
         confirmed_ms = now_ms() - age_ms
-        held = self._entries.get(row.key)
+        held = self._stored.get(row.key)
         if held is None:
             self.sequence += 1
-            self._entries[row.key] = _Entry(row, confirmed_ms, self.sequence)
+            self._stored[row.key] = _StoredRow(row, confirmed_ms, self.sequence)
             return True
         if row.order < held.row.order:
             return False
@@ -70,7 +70,7 @@
 
         :return: whether the content changed, because the row was marked silent.
         """
-        held = self._entries.get(key)
+        held = self._stored.get(key)
         if held is None or held.row.order[0] != incarnation:
             return False  # the owner's full row arrives with a later update
         held.confirmed_ms = now_ms()
@@ -83,31 +83,31 @@
 
     def get(self, key: str) -> R | None:
         """Return a row."""
-        held = self._entries.get(key)
+        held = self._stored.get(key)
         return held.row if held else None
 
     def rows(self) -> list[R]:
         """Return all rows."""
-        return [entry.row for entry in self._entries.values()]
+        return [stored.row for stored in self._stored.values()]
 
     def changed_after(self, sequence: int) -> list[tuple[R, bool]]:
         """Return the rows that changed after a sequence, each with whether it is silent."""
-        found = self._entries.values()
-        return [(e.row, e.is_silent) for e in found if e.changed_sequence > sequence]
+        found = self._stored.values()
+        return [(s.row, s.is_silent) for s in found if s.changed_sequence > sequence]
 
     def changed_with_age(self, sequence: int) -> list[tuple[R, float]]:
         """Return the rows that changed after a sequence, each with its age in milliseconds."""
         now = now_ms()
-        found = self._entries.values()
-        return [(e.row, now - e.confirmed_ms) for e in found if e.changed_sequence > sequence]
+        found = self._stored.values()
+        return [(s.row, now - s.confirmed_ms) for s in found if s.changed_sequence > sequence]
 
     def age_ms(self, key: str) -> float:
         """Return the time since the owner of a row confirmed it."""
-        return now_ms() - self._entries[key].confirmed_ms
+        return now_ms() - self._stored[key].confirmed_ms
 
     def is_silent(self, key: str) -> bool:
         """Return whether a row is marked silent."""
-        return self._entries[key].is_silent
+        return self._stored[key].is_silent
 
     def mark_silent(self, window_ms: float, since_ms: float) -> list[R]:
         """Mark the rows that were not confirmed within a window; return those newly marked.
@@ -117,19 +117,19 @@
         """
         limit_ms = now_ms() - window_ms
         marked = []
-        for entry in self._entries.values():
-            if not entry.is_silent and max(entry.confirmed_ms, since_ms) < limit_ms:
+        for stored in self._stored.values():
+            if not stored.is_silent and max(stored.confirmed_ms, since_ms) < limit_ms:
                 self.sequence += 1
-                entry.is_silent, entry.changed_sequence = True, self.sequence
-                marked.append(entry.row)
+                stored.is_silent, stored.changed_sequence = True, self.sequence
+                marked.append(stored.row)
         return marked
 
     def confirmed_within(self, window_ms: float) -> list[tuple[R, float]]:
         """Return the rows confirmed within a window, with their ages."""
         now = now_ms()
-        found = [(e.row, now - e.confirmed_ms) for e in self._entries.values()]
+        found = [(s.row, now - s.confirmed_ms) for s in self._stored.values()]
         return [(row, age) for row, age in found if age <= window_ms]
 
     def forget(self, key: str) -> None:
         """Drop a row."""
-        self._entries.pop(key, None)
+        self._stored.pop(key, None)
--- a/src/briardyke/fleet/tables.py
+++ b/src/briardyke/fleet/tables.py
@@ -10,7 +10,7 @@
 
 @attrs.define
 class SoftTables:
-    """Hold the soft-state tables of a control instance.
+    """Soft-state tables of a control instance.
 
     :param upstreams: announced upstreams.
     :param entries: entry instances.
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -1,4 +1,4 @@
-"""Hold an entry instance's view of the fleet."""
+"""Define an entry instance's view of the fleet."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 @attrs.define
 class FleetView:
-    """Hold an entry instance's view of the fleet.
+    """An entry instance's view of the fleet.
 
     :param version: number of the configuration held, 0 for none.
     :param upstreams: upstreams by id.
--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -36,11 +36,11 @@
     def __init__(
         self,
         state: GatewayState,
-        ask: Callable[[AdapterRequest], Awaitable[AdapterReply]],
+        request_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
     ) -> None:
-        """Send adapter requests to control instances through ``ask``."""
+        """Send adapter requests to control instances through ``request_adapter``."""
         self._state = state
-        self._ask = ask
+        self._request_adapter = request_adapter
 
     async def find_upstream(
         self,
@@ -74,7 +74,7 @@
             [s.row.upstream_id for s in order],
             [s.row.upstream_id for s in lacking],
         )
-        reply = await self._ask(request)
+        reply = await self._request_adapter(request)
         chosen = self._state.upstreams.get(reply.upstream_id) if reply.upstream_id else None
         if chosen is None:
             chosen = self._announcing_upstream(metadata, candidates)
--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -23,7 +23,7 @@
 # Time in which the end of a load is announced and propagated to entry instances.
 _MIN_LOAD_REMAINING_MS = 150.0
 # A load that is overdue by more than this has failed, or is many times slower than usual.
-_OVERDUE_MS = 3000.0
+_MAX_OVERDUE_MS = 3000.0
 # Fraction of its time limit that a request may wait for an upstream, so that it can still run.
 _MAX_WAIT_FRACTION = 0.7
 # Callers abandon a stream that sends no event for the longest of two seconds, four latency
@@ -52,7 +52,7 @@
     remaining_ms = [
         max(_MIN_LOAD_REMAINING_MS, upstream.available_at_ms[model] - now_ms())
         for upstream in upstreams
-        if upstream.available_at_ms.get(model, 0.0) > now_ms() - _OVERDUE_MS
+        if upstream.available_at_ms.get(model, 0.0) > now_ms() - _MAX_OVERDUE_MS
     ]
     return min(remaining_ms, default=None)
 
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -38,7 +38,7 @@
 
 
 @attrs.define
-class Attempt:
+class AttemptResult:
     """Result of one attempt.
 
     :param ending: how it ended.
@@ -79,7 +79,7 @@
         *,
         is_retryable: bool,
         nursery: trio.Nursery,
-    ) -> Attempt:
+    ) -> AttemptResult:
         """Send the request and read the response head, and the body unless it is a stream.
 
         :param state: the upstream.
@@ -107,20 +107,20 @@
                 )
                 return attempt
             if connection is None:
-                return Attempt(Ending.NOT_CONNECTED, "no connection before the timeout")
-            return Attempt(Ending.TIMED_OUT, f"no response within {timeout_ms:.0f} ms")
+                return AttemptResult(Ending.NOT_CONNECTED, "no connection before the timeout")
+            return AttemptResult(Ending.TIMED_OUT, f"no response within {timeout_ms:.0f} ms")
         except UpstreamError as error:
             not_connected = error.fault is Fault.NOT_CONNECTED
             if connection is not None and connection.was_dropped_at_rest:
                 state.pool.rest_limit.learn(connection.rested_ms)
             ending = Ending.NOT_CONNECTED if not_connected else Ending.FAILED
-            return Attempt(ending, str(error))
+            return AttemptResult(ending, str(error))
         finally:
             if connection is not None and not keeps_open:
                 await connection.aclose()
 
     def _return_to_pool(
-        self, state: UpstreamState, connection: UpstreamConnection, attempt: Attempt
+        self, state: UpstreamState, connection: UpstreamConnection, attempt: AttemptResult
     ) -> bool:
         if attempt.head is None or not connection.finish(attempt.head):
             return False
@@ -130,7 +130,7 @@
     def _belongs_to(self, headers: Headers, request_id: str) -> bool:
         return self._dialect.read_response(0, headers).request_id in ("", request_id)
 
-    async def _read(self, connection: UpstreamConnection, request_id: str) -> Attempt:
+    async def _read(self, connection: UpstreamConnection, request_id: str) -> AttemptResult:
         head = await connection.read_head(lambda headers: self._belongs_to(headers, request_id))
         metadata = self._dialect.read_response(head.status, head.headers)
         if connection.is_reused and not metadata.request_id:
@@ -140,13 +140,13 @@
             )
         if metadata.is_refusal:
             body = await connection.read_body(MAX_BUFFERED_BYTES)
-            return Attempt(Ending.REFUSED, f"status {head.status}", head, body, metadata)
+            return AttemptResult(Ending.REFUSED, f"status {head.status}", head, body, metadata)
         if head.status < 300 and not metadata.is_signed:
             raise UpstreamError(Fault.MALFORMED, "successful response without a signature")
         if head.status < 300 and header(head.headers, b"content-encoding"):
             raise UpstreamError(Fault.MALFORMED, "response body has a content encoding")
         media_type = header(head.headers, b"content-type") or b""
         if head.status < 300 and media_type.startswith(b"text/event-stream"):
-            return Attempt(Ending.ANSWERED, "", head, b"", metadata, connection)
+            return AttemptResult(Ending.ANSWERED, "", head, b"", metadata, connection)
         body = await connection.read_body(MAX_BUFFERED_BYTES * 16)
-        return Attempt(Ending.ANSWERED, "", head, body, metadata)
+        return AttemptResult(Ending.ANSWERED, "", head, body, metadata)
--- a/src/briardyke/gateway/attempt_feedback.py
+++ b/src/briardyke/gateway/attempt_feedback.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.clock import now_ms
-from briardyke.gateway.attempt import Attempt, Ending
+from briardyke.gateway.attempt import AttemptResult, Ending
 
 if TYPE_CHECKING:
     from briardyke.gateway.request_context import RequestContext
@@ -16,7 +16,11 @@
 
 
 def record_attempt(
-    context: RequestContext, upstream: UpstreamState, attempt: Attempt, took_ms: float, load: float
+    context: RequestContext,
+    upstream: UpstreamState,
+    attempt: AttemptResult,
+    took_ms: float,
+    load: float,
 ) -> None:
     """Record an attempt in the request's context and in the upstream's state.
 
@@ -28,7 +32,7 @@
     if attempt.ending is Ending.NOT_CONNECTED:
         context.connect_failures += 1
         upstream.connect_failed()
-        upstream.gate.record_failure(now_ms())
+        upstream.health.record_failure(now_ms())
         return
     upstream.connect_failures = 0
     context.sent_attempts += 1
@@ -40,11 +44,11 @@
     if attempt.ending is Ending.ANSWERED:
         _record_response(upstream, attempt, took_ms, load)
     else:
-        upstream.gate.record_failure(now_ms())
+        upstream.health.record_failure(now_ms())
 
 
 def _record_response(
-    upstream: UpstreamState, attempt: Attempt, took_ms: float, load: float
+    upstream: UpstreamState, attempt: AttemptResult, took_ms: float, load: float
 ) -> None:
     assert attempt.head is not None
     is_sound = attempt.head.status < 500
@@ -53,7 +57,7 @@
     elif is_sound:
         upstream.observe_service_time(took_ms, _RESPONSE_WEIGHT)
     if is_sound:
-        upstream.gate.record_success(now_ms())
+        upstream.health.record_success(now_ms())
 
 
 def _record_miss(context: RequestContext, upstream: UpstreamState) -> None:
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -12,7 +12,7 @@
 
 @attrs.define
 class Counters:
-    """Hold counters by service and outcome, and a latency histogram by service.
+    """Counters by service and outcome, and a latency histogram by service.
 
     :param requests: requests by service and outcome.
     :param buckets: requests by service and latency bucket.
--- a/src/briardyke/gateway/demand.py
+++ b/src/briardyke/gateway/demand.py
@@ -14,7 +14,7 @@
 
 
 class DemandMeter:
-    """Keep exponentially decaying request rates by name, in requests per second."""
+    """Exponentially decaying request rates by name, in requests per second."""
 
     def __init__(self) -> None:
         self._rates: dict[str, tuple[float, float]] = {}
--- a/src/briardyke/gateway/directory.py
+++ b/src/briardyke/gateway/directory.py
@@ -52,7 +52,9 @@
     :param entries: ready instances.
     :param carried_per_s: requests per second by data centre of the instances that process them.
     """
-    return sorted(e.address for e in _listed(data_centre, entries, carried_per_s))[:MAX_ADDRESSES]
+    return sorted(e.address for e in _listed_for(data_centre, entries, carried_per_s))[
+        :MAX_ADDRESSES
+    ]
 
 
 def listed_instances(
@@ -60,10 +62,10 @@
 ) -> set[str]:
     """Return the ids of all instances that are listed for callers of any data centre."""
     centres = {e.data_centre for e in entries}
-    return {e.instance_id for dc in centres for e in _listed(dc, entries, carried_per_s)}
+    return {e.instance_id for dc in centres for e in _listed_for(dc, entries, carried_per_s)}
 
 
-def _listed(
+def _listed_for(
     data_centre: str, entries: Sequence[EntryInstance], carried_per_s: Mapping[str, float]
 ) -> list[EntryInstance]:
     local = [e for e in entries if e.data_centre == data_centre]
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,7 +12,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.adapters import ADAPTER_RETRY_MS
 from briardyke.gateway.admission import caller_event_timeout_ms
-from briardyke.gateway.attempt import Attempt, AttemptRunner, Ending
+from briardyke.gateway.attempt import AttemptResult, AttemptRunner, Ending
 from briardyke.gateway.attempt_feedback import record_attempt
 from briardyke.gateway.dialect import ForwardingMetadata
 from briardyke.gateway.event_stream import EventSplitter, EventTooLongError
@@ -20,7 +20,7 @@
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.trace import Trace
 from briardyke.gateway.upstream_selection import choose_upstream
-from briardyke.gateway.upstreams import CONNECT_PROBE_MS, ENGINE_RUNNING_WEIGHT
+from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
 from briardyke.http.exchange import HttpRequest, end_to_end, header
 from briardyke.http.h11_client import UpstreamError
 from briardyke.routes.matching import choose_service
@@ -139,7 +139,7 @@
 
     async def _attempt(
         self, context: RequestContext, upstream: UpstreamState, nursery: trio.Nursery
-    ) -> Attempt:
+    ) -> AttemptResult:
         upstream_id = upstream.row.upstream_id
         context.tried_upstreams.add(upstream_id)
         load = upstream.load()
@@ -191,11 +191,11 @@
         wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
         return wait_ms if wait_ms < remaining_ms * 0.6 else remaining_ms
 
-    def _should_retry_response(self, context: RequestContext, attempt: Attempt) -> bool:
+    def _should_retry_response(self, context: RequestContext, attempt: AttemptResult) -> bool:
         assert attempt.head is not None
         return attempt.head.status >= 500 and context.route.is_retryable
 
-    def _may_retry(self, context: RequestContext, attempt: Attempt) -> bool:
+    def _may_retry(self, context: RequestContext, attempt: AttemptResult) -> bool:
         """Return whether another upstream may be tried after a failed attempt.
 
         Retries must not add to the load of an overloaded or failing service, so every retry that
@@ -245,7 +245,7 @@
             if wait_ms <= 0:
                 return None
             # An unreachable upstream is tried again after a while even without a notification.
-            await state.changed.wait(min(wait_ms, context.remaining_ms, CONNECT_PROBE_MS))
+            await state.changed.wait(min(wait_ms, context.remaining_ms, CONNECT_PROBE_INTERVAL_MS))
         return None
 
     def _candidates(self, context: RequestContext) -> list[UpstreamState]:
@@ -261,7 +261,7 @@
         self,
         context: RequestContext,
         upstream: UpstreamState,
-        attempt: Attempt,
+        attempt: AttemptResult,
         answer: Answer,
         nursery: trio.Nursery,
     ) -> None:
@@ -308,7 +308,7 @@
         self,
         context: RequestContext,
         upstream: UpstreamState,
-        attempt: Attempt,
+        attempt: AttemptResult,
         answer: Answer,
         splitter: EventSplitter,
     ) -> bool:
@@ -322,7 +322,7 @@
                 upstream.pool.give_back(connection)
                 is_returned = True
             if not is_whole:
-                upstream.gate.record_failure(now_ms())
+                upstream.health.record_failure(now_ms())
                 context.trace.add_attempt(
                     upstream.row.upstream_id, "stream_broken", upstream.load()
                 )
--- a/src/briardyke/gateway/missing_models.py
+++ b/src/briardyke/gateway/missing_models.py
@@ -15,7 +15,7 @@
 
 
 class MissingModels:
-    """Report missing models to the control instances without delay.
+    """Requested models that no upstream holds, reported to the control instances without delay.
 
     A rarely used model is requested a few times per minute, and its callers wait for the load.
     Waiting for the next regular report would add to the longest wait of the service.
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -65,7 +65,7 @@
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
-        side = EntryCallbacks(
+        callbacks = EntryCallbacks(
             settings.data_centre,
             self._report,
             lambda: self.state.is_busy,
@@ -73,7 +73,7 @@
             self._on_change,
             self._on_reply,
         )
-        self.client = FleetClient(peers, seeds, side)
+        self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
             dialect, settings.data_centre, settings.retries, self.client.request_adapter
         )
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -6,7 +6,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.errors import Failure
-from briardyke.gateway.attempt import Attempt
+from briardyke.gateway.attempt import AttemptResult
 from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.trace import Trace
 from briardyke.http.exchange import HttpRequest
@@ -15,7 +15,7 @@
 
 @attrs.define
 class RequestContext:
-    """Hold the state of one request while it is processed.
+    """State of one request while it is processed.
 
     :param request: request as the caller sent it.
     :param metadata: values from its headers.
@@ -42,7 +42,7 @@
     connect_failures: int = 0
     may_have_run: bool = False
     tried_upstreams: set[str] = attrs.field(factory=set)
-    last_attempt: Attempt | None = None
+    last_attempt: AttemptResult | None = None
     refusal: Failure | None = None
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -54,14 +54,14 @@
         dialect: Dialect,
         data_centre: str,
         retries: RetryBounds,
-        ask_for_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
+        request_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
     ) -> None:
         """Start without a configuration.
 
         :param dialect: translates the headers of callers and upstreams.
         :param data_centre: data centre of this instance.
         :param retries: limits on the retries of all entry instances together.
-        :param ask_for_adapter: requests an adapter from the control instances.
+        :param request_adapter: requests an adapter from the control instances.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -71,7 +71,7 @@
         self.counters = Counters()
         self.changed = Notifier()
         self.admission = Admission()
-        self.adapters = AdapterRouter(self, ask_for_adapter)
+        self.adapters = AdapterRouter(self, request_adapter)
         self._retries = retries
         self.missing_models = MissingModels()
         self.listed_count = 1
--- a/src/briardyke/gateway/upstream_selection.py
+++ b/src/briardyke/gateway/upstream_selection.py
@@ -67,21 +67,24 @@
         penalty = 0.0 if state.row.data_centre == data_centre else _REMOTE_PENALTY
         # Number of requests that increase its cost by one.
         capacity = max(1, state.row.slots) / _slowness(state, mean_service_time_ms)
-        capacity *= state.gate.weight(now) ** 2
+        capacity *= state.health.weight(now) ** 2
         costs.append((state.load() + 1.0 + penalty) / capacity)
         capacities.append(capacity)
     fill_level = water_filling_level(
         zip(costs, capacities, strict=True), max(_MIN_UNREPORTED, unreported)
     )
-    shares = [max(0.0, fill_level - c) * w for c, w in zip(costs, capacities, strict=True)]
+    shares = [
+        max(0.0, fill_level - cost) * capacity
+        for cost, capacity in zip(costs, capacities, strict=True)
+    ]
     if not any(shares):  # a very small amount was lost to rounding
         shares = [float(cost == min(costs)) for cost in costs]
     best = random.choices(candidates, shares)[0]
     if len(request.prefix_ids) < _MIN_SHARED_PARTS:
         return best
     shared = ",".join(request.prefix_ids[:_MIN_SHARED_PARTS])
-    preferred = max(candidates, key=lambda s: _rank(shared, s.row.upstream_id))
-    if preferred.gate.weight(now) < 1.0 or preferred.load() > best.load() + AFFINITY_SLACK:
+    preferred = max(candidates, key=lambda s: _rendezvous_hash(shared, s.row.upstream_id))
+    if preferred.health.weight(now) < 1.0 or preferred.load() > best.load() + AFFINITY_SLACK:
         return best
     return (
         preferred if _slowness(preferred, mean_service_time_ms) <= _MAX_AFFINITY_SLOWNESS else best
@@ -101,5 +104,5 @@
     )
 
 
-def _rank(shared: str, upstream_id: str) -> int:
+def _rendezvous_hash(shared: str, upstream_id: str) -> int:
     return int(xxhash.xxh64_intdigest(f"{shared}|{upstream_id}".encode()))
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -20,16 +20,18 @@
 # Age of the load of other instances when it arrives through control instances: a part of the
 # intervals of the reports, of the aggregation and of the replies.
 AGGREGATED_LOAD_AGE_MS = 400.0
-# A single connection may fail because the upstream rejects connections during a burst.
-UNREACHABLE_AFTER = 2
+# Consecutive failures after which an upstream counts as unreachable. A single connection may fail
+# because the upstream rejects connections during a burst.
+UNREACHABLE_CONNECT_FAILURES = 2
 # Interval of connection attempts to an unreachable upstream; a restarted process listens again
 # within about a second.
-CONNECT_PROBE_MS = 1000.0
-# Older failures say little about the current state; requests for a rarely used model are seconds
-# apart.
-UNREACHABLE_REPORT_MS = 3000.0
-# Two heartbeats of an upstream at 1.2 s; by then it has announced its loaded models.
-MISS_MS = 2500.0
+CONNECT_PROBE_INTERVAL_MS = 1000.0
+# Time for which a failed connection is reported. Older failures say little about the current state;
+# requests for a rarely used model are seconds apart.
+UNREACHABLE_REPORT_TTL_MS = 3000.0
+# Time for which an announcement is not trusted after a miss: two heartbeats of an upstream, at
+# 1.2 s each; by then it has announced its loaded models.
+MISS_TTL_MS = 2500.0
 # Load of a running request on an engine, relative to a waiting one. Processing a prompt takes about
 # seven times as long as one running request prolongs the engine's steps over its duration.
 ENGINE_RUNNING_WEIGHT = 0.15
@@ -41,7 +43,7 @@
 
 @attrs.frozen
 class Miss:
-    """Record that an upstream rejected a request because it lacks a model or adapter.
+    """Rejection of a request by an upstream that lacks the model or adapter.
 
     :param sequence: sequence number of its announcement at that time; a newer one is trusted again.
     :param until_ms: time until which the announcement is not trusted.
@@ -57,7 +59,7 @@
 
     :param row: its latest announcement.
     :param pool: connections to it.
-    :param gate: limits the share of traffic that it receives after failures.
+    :param health: fraction of its traffic that it receives, reduced after failures.
     :param in_flight: requests of this instance that are in progress on it.
     :param pending: those of them whose response has not started.
     :param other_requests: requests of other instances at the last load report.
@@ -78,7 +80,7 @@
 
     row: Upstream
     pool: ConnectionPool
-    gate: UpstreamHealth = attrs.field(factory=UpstreamHealth)
+    health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
     in_flight: int = 0
     pending: int = 0
     other_requests: float = 0.0
@@ -103,16 +105,16 @@
     @property
     def is_reachable(self) -> bool:
         """Return whether to try a connection; an unreachable upstream is tried once per second."""
-        if self.connect_failures < UNREACHABLE_AFTER:
+        if self.connect_failures < UNREACHABLE_CONNECT_FAILURES:
             return True
-        return now_ms() - self.connect_failed_ms >= CONNECT_PROBE_MS
+        return now_ms() - self.connect_failed_ms >= CONNECT_PROBE_INTERVAL_MS
 
     @property
     def is_reported_unreachable(self) -> bool:
         """Return whether to report this upstream to the leader as unreachable."""
         return (
-            self.connect_failures >= UNREACHABLE_AFTER
-            and now_ms() - self.connect_failed_ms < UNREACHABLE_REPORT_MS
+            self.connect_failures >= UNREACHABLE_CONNECT_FAILURES
+            and now_ms() - self.connect_failed_ms < UNREACHABLE_REPORT_TTL_MS
         )
 
     def observe_first_event(self, took_ms: float, load: float) -> None:
@@ -178,12 +180,12 @@
 
     def record_model_miss(self, model: str) -> None:
         """Ignore announcements of the model up to and including the latest one."""
-        self.misses[model] = Miss(self.row.sequence, now_ms() + MISS_MS)
+        self.misses[model] = Miss(self.row.sequence, now_ms() + MISS_TTL_MS)
 
     def record_adapter_miss(self, model: str, adapter: str) -> None:
         """Treat the adapter as not loaded, whatever control or the latest announcement said."""
         self.adapters.pop((model, adapter), None)
-        self.adapter_misses[(model, adapter)] = Miss(self.row.sequence, now_ms() + MISS_MS)
+        self.adapter_misses[(model, adapter)] = Miss(self.row.sequence, now_ms() + MISS_TTL_MS)
 
     def lacks_adapter(self, model: str, adapter: str) -> bool:
         """Return whether it lacked the adapter since its last announcement."""
--- a/src/briardyke/policy/admission.py
+++ b/src/briardyke/policy/admission.py
@@ -46,8 +46,8 @@
 
 
 @attrs.define
-class _CallerUse:
-    """Count one caller's traffic to one model.
+class _CallerTraffic:
+    """Traffic of one caller to one model.
 
     :param weight: weight in the division under overload.
     :param requested: rate of requested tokens.
@@ -60,17 +60,17 @@
 
 
 @attrs.define
-class _ModelUse:
-    """Count the traffic of all callers to one model.
+class _ModelTraffic:
+    """Traffic of all callers to one model.
 
-    :param callers: use by caller.
+    :param callers: traffic by caller.
     :param admitted: rate of tokens admitted for all callers.
     :param refused: rate of tokens refused to callers that were not above their fair share.
     :param weights: sum of the weights of the callers.
     :param weights_at_ms: time at which that sum was computed.
     """
 
-    callers: dict[str, _CallerUse] = attrs.field(factory=dict)
+    callers: dict[str, _CallerTraffic] = attrs.field(factory=dict)
     admitted: DecayingRate = attrs.field(factory=DecayingRate)
     refused: DecayingRate = attrs.field(factory=DecayingRate)
     weights: float = 0.0
@@ -96,7 +96,7 @@
         self._routing = routing
         self._random = random
         self._targets = targets or Targets()
-        self._models: dict[str, _ModelUse] = {}
+        self._models: dict[str, _ModelTraffic] = {}
 
     def apply(self, targets: Targets) -> None:
         """Replace the latency targets after a change of the configuration."""
@@ -117,7 +117,7 @@
         if remaining_ms <= 0.0:
             return Err(self._refuse(ErrorKind.DEADLINE_UNMEETABLE, "the deadline has passed", 0.0))
         name = request.route.service or request.route.model
-        use = self._count(name, request, now_ms)
+        traffic = self._count_request(name, request, now_ms)
         forecast = None if request.route.service else self._routing.forecast(request.route, now_ms)
         if forecast is not None:
             first_ms = forecast.first_token_ms
@@ -151,19 +151,19 @@
                         excess_ms,
                     )
                 )
-        use.admitted.add(max(1, request.estimated_tokens), now_ms)
+        traffic.admitted.add(max(1, request.estimated_tokens), now_ms)
         self._models[name].admitted.add(max(1, request.estimated_tokens), now_ms)
         return Ok(None)
 
-    def _count(self, name: str, request: AdmissionRequest, now_ms: float) -> _CallerUse:
-        model = self._models.setdefault(name, _ModelUse())
-        use = model.callers.get(request.caller)
-        if use is None:
-            use = model.callers[request.caller] = _CallerUse(request.caller_weight)
+    def _count_request(self, name: str, request: AdmissionRequest, now_ms: float) -> _CallerTraffic:
+        model = self._models.setdefault(name, _ModelTraffic())
+        traffic = model.callers.get(request.caller)
+        if traffic is None:
+            traffic = model.callers[request.caller] = _CallerTraffic(request.caller_weight)
             model.weights_at_ms = float("-inf")
-        use.weight = max(1e-6, request.caller_weight)
-        use.requested.add(max(1, request.estimated_tokens), now_ms)
-        return use
+        traffic.weight = max(1e-6, request.caller_weight)
+        traffic.requested.add(max(1, request.estimated_tokens), now_ms)
+        return traffic
 
     def _above_fair_share(self, name: str, caller: str, now_ms: float) -> bool:
         model = self._models[name]
@@ -173,11 +173,11 @@
                 if counted.requested.per_second(now_ms) < IDLE_CALLER_TOKENS_PER_SECOND:
                     del model.callers[other]
             model.weights = sum(counted.weight for counted in model.callers.values())
-        use = model.callers.get(caller)
-        if use is None:
+        traffic = model.callers.get(caller)
+        if traffic is None:
             return False
         mean = model.admitted.per_second(now_ms) / max(1e-6, model.weights)
-        return use.admitted.per_second(now_ms) > FAIR_TOLERANCE * mean * use.weight
+        return traffic.admitted.per_second(now_ms) > FAIR_TOLERANCE * mean * traffic.weight
 
     def _refuse(self, kind: ErrorKind, message: str, excess_ms: float) -> Failure:
         wait_ms = (RETRY_MINIMUM_MS + excess_ms) * (1.0 + self._random.random())
--- a/src/briardyke/policy/caller_limits.py
+++ b/src/briardyke/policy/caller_limits.py
@@ -1,4 +1,4 @@
-"""Hold the leader's state of one limit for one caller."""
+"""Define the leader's state of one limit for one caller."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 @attrs.define
 class CallerLimit:
-    """Collect reports and grants of one limit for one caller.
+    """Reports and grants of one limit for one caller.
 
     :param bounds: what each instance may still hold, by quantity and instance.
     :param demand: demand by instance, for instances that have any.
--- a/src/briardyke/policy/indexed_set.py
+++ b/src/briardyke/policy/indexed_set.py
@@ -10,7 +10,7 @@
 
 
 class IndexedSet:
-    """Hold distinct strings with constant-time add, discard and random sampling."""
+    """Set of strings with constant-time add, discard and random sampling."""
 
     def __init__(self) -> None:
         self._items: list[str] = []
--- a/src/briardyke/policy/latency.py
+++ b/src/briardyke/policy/latency.py
@@ -15,10 +15,10 @@
 # Lowest weight of a new observation, so that the estimate follows a change of speed within a few
 # requests; the first observations weigh more (1/n).
 MINIMUM_GAIN = 0.2
-# After FORGET_AFTER_MS without observations an estimate decays to nominal, halving its deviation
-# every FORGET_HALF_LIFE_MS, so that a slow upstream is tried again.
-FORGET_AFTER_MS = 1000.0
-FORGET_HALF_LIFE_MS = 8000.0
+# After DECAY_DELAY_MS without observations an estimate decays to nominal, halving its deviation
+# every DECAY_HALF_LIFE_MS, so that a slow upstream is tried again.
+DECAY_DELAY_MS = 1000.0
+DECAY_HALF_LIFE_MS = 8000.0
 FACTOR_LIMIT = 200.0
 
 
@@ -54,9 +54,9 @@
 
     def _remaining_weight(self, now_ms: float) -> float:
         idle_ms = now_ms - self._updated_ms
-        if idle_ms <= FORGET_AFTER_MS:
+        if idle_ms <= DECAY_DELAY_MS:
             return 1.0
-        return float(0.5 ** ((idle_ms - FORGET_AFTER_MS) / FORGET_HALF_LIFE_MS))
+        return float(0.5 ** ((idle_ms - DECAY_DELAY_MS) / DECAY_HALF_LIFE_MS))
 
 
 def nominal_first_token_ms(running: float, uncached_tokens: float) -> float:
--- a/src/briardyke/policy/limits.py
+++ b/src/briardyke/policy/limits.py
@@ -24,7 +24,7 @@
 
 @attrs.define
 class _CallerUse:
-    """Count one caller's use of and demand for one limit.
+    """Use of and demand for one limit by one caller.
 
     :param requests: bucket for the request rate.
     :param tokens: bucket for the token rate.
--- a/src/briardyke/policy/prefixes.py
+++ b/src/briardyke/policy/prefixes.py
@@ -18,7 +18,7 @@
 
 
 class PrefixMap:
-    """Map prefix hashes to upstreams, from own dispatches and from cache events.
+    """Map from prefix hashes to upstreams, by own dispatches and by cache events.
 
     :param capacity: largest number of prefixes; the least recently used one is evicted.
     """
--- a/src/briardyke/policy/routing.py
+++ b/src/briardyke/policy/routing.py
@@ -20,7 +20,7 @@
 )
 from briardyke.policy.types import AttemptOutcome, RoutingPolicy
 from briardyke.policy.upstream_index import CandidateGroup, UpstreamIndex
-from briardyke.policy.upstreams import Attempt, Forecast, UpstreamState
+from briardyke.policy.upstreams import Forecast, RoutedUpstream, RunningAttempt
 
 if TYPE_CHECKING:
     import random
@@ -28,7 +28,7 @@
     from briardyke.policy.types import RouteRequest
     from briardyke.wire.messages import UpstreamRow
 
-UPSTREAM_SILENCE_MS = 3000.0
+DEFAULT_UPSTREAM_SILENCE_MS = 3000.0
 # Up to this many candidates are all considered. Of more, this many are sampled, half of them from
 # the own data centre, which keeps the cost of a decision independent of the number of upstreams.
 CANDIDATE_LIMIT = 10
@@ -64,16 +64,16 @@
         policy: RoutingPolicy,
         own_data_centre: str,
         random: random.Random,
-        upstream_silence_ms: float = UPSTREAM_SILENCE_MS,
+        upstream_silence_ms: float = DEFAULT_UPSTREAM_SILENCE_MS,
     ) -> None:
         self._policy = policy
         self._own_data_centre = own_data_centre
         self._random = random
         self._silence_ms = upstream_silence_ms
-        self._upstreams: dict[str, UpstreamState] = {}
+        self._upstreams: dict[str, RoutedUpstream] = {}
         self._index = UpstreamIndex(own_data_centre)
         self._prefixes = PrefixMap()
-        self._attempts: dict[str, Attempt] = {}
+        self._attempts: dict[str, RunningAttempt] = {}
         self._by_priority: Counter[int] = Counter()
         self._reported_total = 0
         self._own_mean = 0.0
@@ -90,7 +90,7 @@
         as_of_ms = now_ms - row.age_ms
         upstream = self._upstreams.get(row.upstream_id)
         if upstream is None:
-            upstream = self._upstreams[row.upstream_id] = UpstreamState(row)
+            upstream = self._upstreams[row.upstream_id] = RoutedUpstream(row)
         elif upstream.row.incarnation != row.incarnation:
             if as_of_ms < upstream.as_of_ms:
                 return
@@ -167,7 +167,7 @@
         if upstream is None:
             return
         (forecast,) = self._forecasts([upstream], request, now_ms)
-        attempt = Attempt(
+        attempt = RunningAttempt(
             upstream_id,
             upstream.row.incarnation,
             request,
@@ -234,15 +234,15 @@
             if now_ms - upstream.alive_ms >= self._silence_ms:
                 self._index.remove(upstream_id)
 
-    def _restarted(self, upstream: UpstreamState, row: UpstreamRow) -> UpstreamState:
+    def _restarted(self, upstream: RoutedUpstream, row: UpstreamRow) -> RoutedUpstream:
         self._prefixes.forget(row.upstream_id)
         self._index.remove(row.upstream_id)
-        fresh = UpstreamState(row)
+        fresh = RoutedUpstream(row)
         fresh.health = upstream.health
         self._upstreams[row.upstream_id] = fresh
         return fresh
 
-    def _current(self, attempt: Attempt) -> UpstreamState | None:
+    def _current(self, attempt: RunningAttempt) -> RoutedUpstream | None:
         upstream = self._upstreams.get(attempt.upstream_id)
         if upstream is None or upstream.row.incarnation != attempt.incarnation:
             return None
@@ -262,7 +262,7 @@
 
     def _candidates(
         self, group: CandidateGroup, request: RouteRequest, now_ms: float
-    ) -> list[UpstreamState]:
+    ) -> list[RoutedUpstream]:
         all_ids = group.all_ids
         if len(all_ids) <= CANDIDATE_LIMIT:
             ids = list(all_ids)
@@ -282,13 +282,13 @@
             usable = self._filter(list(all_ids), request, now_ms)[:CANDIDATE_LIMIT]
         return usable
 
-    def _filter(self, ids: list[str], request: RouteRequest, now_ms: float) -> list[UpstreamState]:
+    def _filter(self, ids: list[str], request: RouteRequest, now_ms: float) -> list[RoutedUpstream]:
         return [
             self._upstreams[i] for i in ids if i not in request.excluded and self._usable(i, now_ms)
         ]
 
     def _forecasts(
-        self, candidates: list[UpstreamState], request: RouteRequest, now_ms: float
+        self, candidates: list[RoutedUpstream], request: RouteRequest, now_ms: float
     ) -> list[Forecast]:
         cached = self._prefixes.cached_fractions(request.prefix_hashes)
         others = self._others_factor()
@@ -305,7 +305,7 @@
         ]
 
     def _choose_adaptive(
-        self, candidates: list[UpstreamState], request: RouteRequest, now_ms: float
+        self, candidates: list[RoutedUpstream], request: RouteRequest, now_ms: float
     ) -> str:
         healthy = filter_by_health(candidates, now_ms, self._random)
         if self._random.random() < PROBE_FRACTION:
--- a/src/briardyke/policy/selection.py
+++ b/src/briardyke/policy/selection.py
@@ -11,7 +11,7 @@
     import random
     from collections.abc import Sequence
 
-    from briardyke.policy.upstreams import Forecast, UpstreamState
+    from briardyke.policy.upstreams import Forecast, RoutedUpstream
 
 FIRST_TOKEN_TARGET_MS = 640.0
 BETWEEN_TOKENS_TARGET_MS = 64.0
@@ -39,16 +39,16 @@
 
 
 def filter_by_health(
-    candidates: Sequence[UpstreamState], now_ms: float, source: random.Random
-) -> list[UpstreamState]:
+    candidates: Sequence[RoutedUpstream], now_ms: float, source: random.Random
+) -> list[RoutedUpstream]:
     """Remove ejected upstreams at random by their weight, at most half of the candidates.
 
     :param candidates: usable upstreams.
     :param now_ms: current time.
     :param source: source of randomness.
     """
-    refused: list[tuple[float, UpstreamState]] = []
-    kept: list[UpstreamState] = []
+    refused: list[tuple[float, RoutedUpstream]] = []
+    kept: list[RoutedUpstream] = []
     for upstream in candidates:
         weight = upstream.health.weight(now_ms)
         if weight < EJECTED_BELOW_WEIGHT * 2.0 and source.random() >= weight:
--- a/src/briardyke/policy/share_bounds.py
+++ b/src/briardyke/policy/share_bounds.py
@@ -7,7 +7,7 @@
 
 
 class _Granted(NamedTuple):
-    """Describe one granted value.
+    """Granted value.
 
     :param value: granted share.
     :param total: limit that it was granted under; infinite for a value that was only reported.
@@ -18,7 +18,7 @@
 
 
 class ShareBound:
-    """Bound one instance's share of one quantity from grants and reports.
+    """Bound on one instance's share of one quantity, from grants and reports.
 
     A grant may be lost or delayed after it was sent. It therefore counts until the instance's lease
     ends, unless a report shows that the instance has applied a later one. Replies are applied in
--- a/src/briardyke/policy/shares.py
+++ b/src/briardyke/policy/shares.py
@@ -28,7 +28,7 @@
 
 @attrs.define
 class _Instance:
-    """Hold an entry process's last report.
+    """Last report of an entry process.
 
     :param heard_at_ms: arrival of the last sync request whose reply may extend its lease.
     :param held: reported shares, by limit and caller.
--- a/src/briardyke/policy/types.py
+++ b/src/briardyke/policy/types.py
@@ -8,7 +8,7 @@
 
 
 class RoutingPolicy(Enum):
-    """List the selectable routing policies; all but the last are baselines."""
+    """Selectable routing policy; all but the last are baselines."""
 
     ROUND_ROBIN = "round_robin"
     LEAST_OUTSTANDING = "least_outstanding"
@@ -17,7 +17,7 @@
 
 
 class AttemptOutcome(Enum):
-    """List how an attempt at an upstream can end."""
+    """How an attempt at an upstream ended."""
 
     COMPLETED = "completed"
     REFUSED = "refused"
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class RouteRequest:
-    """Describe what a request needs from an upstream.
+    """What a request needs from an upstream.
 
     :param model: model name, empty for a plain service.
     :param adapter: adapter name, empty for none.
@@ -52,7 +52,7 @@
 
 @attrs.frozen
 class LimitRequest:
-    """Describe a request to be checked against the limits.
+    """Request to be checked against the limits.
 
     :param caller: caller name.
     :param model: model name.
@@ -68,7 +68,7 @@
 
 @attrs.frozen
 class Permit:
-    """Identify an admitted request that counts against limits until it is released.
+    """Admitted request that counts against limits until it is released.
 
     :param permit_id: unique number of the permit.
     :param request: the request as admitted.
@@ -82,7 +82,7 @@
 
 @attrs.frozen
 class AdmissionRequest:
-    """Describe a request for admission control.
+    """Request to be checked by admission control.
 
     :param caller: caller name.
     :param caller_weight: weight under overload, relative to other callers.
--- a/src/briardyke/policy/upstream_index.py
+++ b/src/briardyke/policy/upstream_index.py
@@ -18,7 +18,7 @@
 
 
 class CandidateGroup:
-    """Hold the upstreams that can serve one model, adapter or service."""
+    """Upstreams that can serve one model, adapter or service."""
 
     def __init__(self) -> None:
         self.all_ids = IndexedSet()
@@ -38,7 +38,7 @@
 
 
 class UpstreamIndex:
-    """Keep candidate groups by item name and by service patterns.
+    """Candidate groups by item name and by service patterns.
 
     :param own_data_centre: data centre of this process.
     """
--- a/src/briardyke/policy/upstreams.py
+++ b/src/briardyke/policy/upstreams.py
@@ -30,8 +30,8 @@
 
 
 @attrs.define
-class Attempt:
-    """Record an attempt until it ends.
+class RunningAttempt:
+    """Attempt that has not ended.
 
     :param upstream_id: upstream that runs it.
     :param incarnation: incarnation of the upstream at the time of dispatch.
@@ -55,7 +55,7 @@
 
 @attrs.frozen
 class Forecast:
-    """Predict the latencies of a request at an upstream.
+    """Predicted latencies of a request at an upstream.
 
     :param first_token_ms: time to the first token.
     :param between_tokens_ms: time between tokens.
@@ -67,8 +67,8 @@
     idle_between_tokens_ms: float = 0.0
 
 
-class UpstreamState:
-    """Combine an upstream's last report with the attempts of this process.
+class RoutedUpstream:
+    """Upstream in the routing table: its last report and the attempts of this process.
 
     :param row: first report.
     """
@@ -81,7 +81,7 @@
         self.first_token = LatencyFactor()
         self.between_tokens = LatencyFactor()
         self.own_in_flight = 0
-        self.waiting: dict[str, Attempt] = {}
+        self.waiting: dict[str, RunningAttempt] = {}
         self.slots: int | None = None
         self._changes: deque[tuple[float, int]] = deque(maxlen=CHANGE_LIMIT)
         self._net_change = 0
--- a/src/briardyke/sync/client.py
+++ b/src/briardyke/sync/client.py
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class SyncReport:
-    """Hold what a process reports to its responder in one sync, besides announcements.
+    """What a process reports to its responder in one sync, besides announcements.
 
     :param statuses: statuses of entry instances.
     :param demand: demand by model or adapter name.
@@ -36,7 +36,7 @@
 
 
 class SyncClient:
-    """Sync with one responder at a time; switch to the next when it fails or is not current."""
+    """Client that syncs with one responder, and with the next when it fails or is not current."""
 
     def __init__(
         self,
--- a/src/briardyke/sync/demand.py
+++ b/src/briardyke/sync/demand.py
@@ -13,7 +13,7 @@
 
 
 class DemandTable:
-    """Keep the latest demand report of each sender."""
+    """Latest demand report of each sender."""
 
     def __init__(self) -> None:
         """Start empty."""
--- a/src/briardyke/sync/digest.py
+++ b/src/briardyke/sync/digest.py
@@ -16,16 +16,16 @@
 
 
 UPSTREAM_SILENCE_MS = 3000.0
-FORGET_AFTER_MS = 60_000.0
-# Upstreams announce themselves once a second, and two or three syncs add to the age. Older evidence
-# is rare and is listed for each upstream.
-FRESH_MS = 2000.0
+SILENT_ROW_TTL_MS = 60_000.0
+# Age up to which an upstream counts as recently heard. Upstreams announce themselves once a second,
+# and two or three syncs add to the age. Older evidence is rare and is listed for each upstream.
+MAX_FRESH_AGE_MS = 2000.0
 _MAX_FORGOTTEN = 1000
 
 
 @attrs.frozen
 class Freshness:
-    """Hold the time since the upstreams of a digest were last heard.
+    """Time since the upstreams of a digest were last heard.
 
     :param fresh_age_ms: largest age among the upstreams that were heard recently.
     :param stale_ages_ms: age by upstream id for all others.
@@ -36,7 +36,7 @@
 
 
 @attrs.define
-class _Entry:
+class _HeldRow:
     row: UpstreamRow
     heard_at_ms: float
     sequence: int
@@ -45,7 +45,7 @@
 
 
 class UpstreamDigest:
-    """Merge announcements that arrive over several paths, in any order.
+    """Latest announcements, merged from several paths and in any order.
 
     Each change of a row increments the digest's sequence, so that a reader that passes its last
     sequence gets only newer rows.
@@ -56,7 +56,7 @@
         self.digest_id = new_id("dig")
         self.sequence = 0
         self.lifecycle_sequence = 0
-        self._entries: dict[str, _Entry] = {}
+        self._rows: dict[str, _HeldRow] = {}
         self._forgotten: deque[tuple[int, str]] = deque(maxlen=_MAX_FORGOTTEN)
         self._forgotten_from = 0
 
@@ -68,7 +68,7 @@
         :return: whether the row's contents changed.
         """
         heard_at_ms = now_ms - row.age_ms
-        held = self._entries.get(row.upstream_id)
+        held = self._rows.get(row.upstream_id)
         if held is None:
             self._store(row, heard_at_ms, lifecycle_changed=True)
             return True
@@ -89,7 +89,7 @@
     def observe_for_forwarding(self, row: UpstreamRow, now_ms: float) -> None:
         """Merge an announcement that this process forwards towards the leader."""
         self.observe(row, now_ms)
-        self._entries[row.upstream_id].forwarding_at_ms = now_ms
+        self._rows[row.upstream_id].forwarding_at_ms = now_ms
 
     def refresh_for_forwarding(
         self, upstream_ids: Iterable[str], heard_at_ms: float, now_ms: float
@@ -98,24 +98,24 @@
         ids = list(upstream_ids)
         self.refresh(ids, heard_at_ms)
         for upstream_id in ids:
-            entry = self._entries.get(upstream_id)
-            if entry is not None:
-                entry.forwarding_at_ms = now_ms
+            held = self._rows.get(upstream_id)
+            if held is not None:
+                held.forwarding_at_ms = now_ms
 
     def upstreams_to_forward(self, now_ms: float) -> set[str]:
         """Return the upstreams that recently announced themselves through this process."""
         return {
             upstream_id
-            for upstream_id, entry in self._entries.items()
-            if now_ms - entry.forwarding_at_ms < UPSTREAM_SILENCE_MS
+            for upstream_id, held in self._rows.items()
+            if now_ms - held.forwarding_at_ms < UPSTREAM_SILENCE_MS
         }
 
     def refresh(self, upstream_ids: Iterable[str], heard_at_ms: float) -> None:
         """Record that upstreams were alive at a moment."""
         for upstream_id in upstream_ids:
-            entry = self._entries.get(upstream_id)
-            if entry is not None:
-                entry.heard_at_ms = max(entry.heard_at_ms, heard_at_ms)
+            held = self._rows.get(upstream_id)
+            if held is not None:
+                held.heard_at_ms = max(held.heard_at_ms, heard_at_ms)
 
     def changes_since(
         self,
@@ -134,11 +134,11 @@
             counts as changed only when its address, lifecycle or loaded items did.
         """
         rows = []
-        for entry in self._entries.values():
-            changed = entry.sequence if with_load else entry.structure_sequence
-            if changed > sequence and _is_included(entry.row, data_centres):
-                row = entry.row if with_load else _without_load(entry.row)
-                rows.append(attrs.evolve(row, age_ms=max(0.0, now_ms - entry.heard_at_ms)))
+        for held in self._rows.values():
+            changed = held.sequence if with_load else held.structure_sequence
+            if changed > sequence and _is_included(held.row, data_centres):
+                row = held.row if with_load else _without_load(held.row)
+                rows.append(attrs.evolve(row, age_ms=max(0.0, now_ms - held.heard_at_ms)))
         return rows
 
     def freshness(
@@ -157,13 +157,13 @@
         """
         fresh_age_ms = 0.0
         stale_ages_ms = {}
-        for upstream_id, entry in self._entries.items():
+        for upstream_id, held in self._rows.items():
             if upstream_ids is not None and upstream_id not in upstream_ids:
                 continue
-            if not _is_included(entry.row, data_centres):
+            if not _is_included(held.row, data_centres):
                 continue
-            age_ms = max(0.0, now_ms - entry.heard_at_ms)
-            if age_ms <= FRESH_MS:
+            age_ms = max(0.0, now_ms - held.heard_at_ms)
+            if age_ms <= MAX_FRESH_AGE_MS:
                 fresh_age_ms = max(fresh_age_ms, age_ms)
             else:
                 stale_ages_ms[upstream_id] = age_ms
@@ -173,37 +173,37 @@
         """Return the upstreams dropped after a sequence; ``None`` if the record is incomplete."""
         if sequence < self._forgotten_from:
             return None
-        return [i for at, i in self._forgotten if at > sequence and i not in self._entries]
+        return [i for at, i in self._forgotten if at > sequence and i not in self._rows]
 
     def alive(self, now_ms: float) -> dict[str, UpstreamRow]:
         """Return the rows that are not silent, by upstream id, as they were received."""
         return {
-            upstream_id: entry.row
-            for upstream_id, entry in self._entries.items()
-            if now_ms - entry.heard_at_ms < UPSTREAM_SILENCE_MS
+            upstream_id: held.row
+            for upstream_id, held in self._rows.items()
+            if now_ms - held.heard_at_ms < UPSTREAM_SILENCE_MS
         }
 
     def heard_at_ms(self) -> Iterator[tuple[str, float]]:
         """Yield each upstream with the time it was last heard."""
-        for upstream_id, entry in self._entries.items():
-            yield upstream_id, entry.heard_at_ms
+        for upstream_id, held in self._rows.items():
+            yield upstream_id, held.heard_at_ms
 
     def older_than(self, age_ms: float, now_ms: float) -> Sequence[UpstreamRow]:
         """Return the rows not heard for longer than an age, oldest first."""
-        stale = [e for e in self._entries.values() if now_ms - e.heard_at_ms > age_ms]
-        return [e.row for e in sorted(stale, key=lambda e: e.heard_at_ms)]
+        stale = [held for held in self._rows.values() if now_ms - held.heard_at_ms > age_ms]
+        return [held.row for held in sorted(stale, key=lambda held: held.heard_at_ms)]
 
     def forget_silent(self, now_ms: float) -> list[str]:
-        """Drop rows that have been silent for :data:`FORGET_AFTER_MS` and return their ids."""
-        limit_ms = now_ms - FORGET_AFTER_MS
-        gone = [i for i, entry in self._entries.items() if entry.heard_at_ms < limit_ms]
+        """Drop rows that have been silent for :data:`SILENT_ROW_TTL_MS` and return their ids."""
+        limit_ms = now_ms - SILENT_ROW_TTL_MS
+        gone = [i for i, held in self._rows.items() if held.heard_at_ms < limit_ms]
         for upstream_id in gone:
             self.forget(upstream_id)
         return gone
 
     def forget(self, upstream_id: str) -> None:
         """Drop one row, if it is held, and remember that it was dropped."""
-        if self._entries.pop(upstream_id, None) is None:
+        if self._rows.pop(upstream_id, None) is None:
             return
         self.sequence += 1
         if len(self._forgotten) == _MAX_FORGOTTEN:
@@ -214,12 +214,12 @@
         self.sequence += 1
         if lifecycle_changed:
             self.lifecycle_sequence = self.sequence
-        held = self._entries.get(row.upstream_id)
+        held = self._rows.get(row.upstream_id)
         structure_sequence = self.sequence
         if held is not None and _structure(held.row) == _structure(row):
             structure_sequence = held.structure_sequence
         forwarding_at_ms = held.forwarding_at_ms if held else -math.inf
-        self._entries[row.upstream_id] = _Entry(
+        self._rows[row.upstream_id] = _HeldRow(
             row, heard_at_ms, self.sequence, structure_sequence, forwarding_at_ms
         )
 
--- a/src/briardyke/sync/documents.py
+++ b/src/briardyke/sync/documents.py
@@ -9,7 +9,7 @@
 
 
 class DocumentHistory:
-    """Hold the documents of the latest versions; version numbers only increase."""
+    """Documents of the latest versions; version numbers only increase."""
 
     def __init__(self) -> None:
         """Start without any version."""
--- a/src/briardyke/sync/lease.py
+++ b/src/briardyke/sync/lease.py
@@ -9,7 +9,7 @@
 
 @attrs.define
 class VersionLease:
-    """Track until when new requests may be admitted under the held version.
+    """Lease during which new requests may be admitted under the held version.
 
     The leader may commit another version at any time after the confirmed moment. The bound on the
     time until a version is in force everywhere relies on the expiry of this lease.
--- a/src/briardyke/sync/notifier.py
+++ b/src/briardyke/sync/notifier.py
@@ -6,7 +6,7 @@
 
 
 class Notifier:
-    """Let any number of tasks wait for the next change."""
+    """Notification of a change to any number of waiting tasks."""
 
     def __init__(self) -> None:
         """Start with no change pending."""
--- a/src/briardyke/sync/responder.py
+++ b/src/briardyke/sync/responder.py
@@ -22,7 +22,7 @@
 
 
 class LeadershipView(Protocol):
-    """Provide the data that depends on whether this process is the leader."""
+    """Source of the data that depends on whether this process is the leader."""
 
     def confirmed_age_ms(self) -> float | None:
         """Return the time since the held version was confirmed as current."""
@@ -38,21 +38,21 @@
 
 
 class Responder:
-    """Process the reports of senders and return the data that they do not have yet."""
+    """Responder that applies the reports of senders and returns the data that they lack."""
 
     def __init__(
         self,
         digest: UpstreamDigest,
         documents: DocumentHistory,
         changed: Notifier,
-        evidence: LeadershipView,
+        leadership: LeadershipView,
     ) -> None:
         """Set up the responder with the given tables.
 
         :param digest: upstreams.
         :param documents: configuration versions.
         :param changed: wakes delayed replies.
-        :param evidence: data that depends on leadership.
+        :param leadership: data that depends on leadership.
         """
         self.instances = InstanceTable()
         self.demand = DemandTable()
@@ -61,14 +61,14 @@
         self._digest = digest
         self._documents = documents
         self._changed = changed
-        self._evidence = evidence
+        self._leadership = leadership
 
     async def respond(self, request: SyncRequest) -> SyncReply:
         """Process a request and reply at once, or within ``wait_ms`` when nothing is new."""
         if request.request_number > self._latest_request.get(request.sender_id, 0):
             self._latest_request[request.sender_id] = request.request_number
             self._observe(request)
-        if not self._has_news(request):
+        if not self._has_changes_for(request):
             await self._changed.wait(min(request.wait_ms, MAX_WAIT_MS))
         return self._reply(request)
 
@@ -102,12 +102,12 @@
         for upstream_id, age_ms in request.stale_ages_ms.items():
             self._digest.refresh((upstream_id,), now - transit_ms - age_ms)
 
-    def _has_news(self, request: SyncRequest) -> bool:
+    def _has_changes_for(self, request: SyncRequest) -> bool:
         return (
             request.held_version != self._documents.version
             or request.digest_id != self._digest.digest_id
             or request.held_digest < self._digest.lifecycle_sequence
-            or request.held_instances != self._evidence.instances()[0]
+            or request.held_instances != self._leadership.instances()[0]
         )
 
     def _reply(self, request: SyncRequest) -> SyncReply:
@@ -117,11 +117,11 @@
             forgotten = self._digest.forgotten_since(request.held_digest)
         since = 0 if forgotten is None else request.held_digest
         freshness = self._digest.freshness(now, request.data_centres)
-        tag, instances = self._evidence.instances()
+        tag, instances = self._leadership.instances()
         whole, patch = self._document_for(request.held_version)
         return SyncReply(
             replied_at_ms=now,
-            confirmed_age_ms=self._evidence.confirmed_age_ms(),
+            confirmed_age_ms=self._leadership.confirmed_age_ms(),
             version=self._documents.version,
             configuration=whole,
             configuration_patch=patch,
@@ -136,8 +136,8 @@
             stale_ages_ms=freshness.stale_ages_ms,
             instances_tag=tag,
             instances=None if request.held_instances == tag else instances,
-            shares=self._evidence.shares(request.statuses),
-            leader_hint=self._evidence.leader_hint(),
+            shares=self._leadership.shares(request.statuses),
+            leader_hint=self._leadership.leader_hint(),
         )
 
     def _document_for(
--- a/src/briardyke/sync/view.py
+++ b/src/briardyke/sync/view.py
@@ -1,4 +1,4 @@
-"""Hold the state that a process received through sync, and apply replies to it."""
+"""Define the state that a process receives through sync, and apply replies to it."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class SyncedView:
-    """Hold the local copy of replicated and soft state, with the evidence of its age.
+    """Local copy of replicated and soft state, with the evidence of its age.
 
     :ivar lease: how long the held version may be treated as current.
     :ivar documents: held configuration versions.
--- a/tests/entry/relay_support.py
+++ b/tests/entry/relay_support.py
@@ -83,7 +83,7 @@
 
 
 class FakeClaims:
-    """Keep claims in memory."""
+    """Claims in memory."""
 
     def __init__(self) -> None:
         self.claims: dict[int, tuple[ClaimRequest, str, bytes | None]] = {}
@@ -111,7 +111,7 @@
 
 @attrs.define
 class RelayTestbed:
-    """Hold a relay, its fakes and the stand-ins that it forwards to."""
+    """Relay with its fakes and the stand-ins that it forwards to."""
 
     relay: Relay
     table: FakeTable
@@ -208,7 +208,7 @@
 
 @attrs.define
 class Received:
-    """Hold the events that a caller received."""
+    """Events that a caller received."""
 
     events: list[ServerSentEvent]
 
--- a/tests/entry/test_relay_services.py
+++ b/tests/entry/test_relay_services.py
@@ -19,7 +19,7 @@
 
 
 class TestAtMostOnce:
-    """A non-idempotent call runs at most once."""
+    """Checks that a non-idempotent call runs at most once."""
 
     @pytest.mark.parametrize("key", ["", "k1"])
     @pytest.mark.parametrize(
--- a/tests/entry/test_relay_streams.py
+++ b/tests/entry/test_relay_streams.py
@@ -107,7 +107,7 @@
 
 
 class TestNotRun:
-    """The relay reports "not run" only when no attempt can have run."""
+    """Covers failures that are reported as "not run": only those where no attempt can have run."""
 
     async def test_unreachable_upstream_is_not_run(self) -> None:
         """Guards against a needless "unknown", after which a caller does not retry."""
--- a/tests/fleet/test_activity.py
+++ b/tests/fleet/test_activity.py
@@ -24,7 +24,7 @@
 
 
 class TestSums:
-    """Test sums over the entry instances of two control instances."""
+    """Covers sums over the entry instances of two control instances."""
 
     async def test_each_instance_counts_once(
         self,
@@ -91,7 +91,7 @@
 
 
 class TestMessageSize:
-    """Test deployments with hundreds of entry instances."""
+    """Covers deployments with hundreds of entry instances."""
 
     async def test_sum_does_not_grow_with_the_number_of_entry_instances(
         self,
--- a/tests/fleet/test_compression.py
+++ b/tests/fleet/test_compression.py
@@ -36,7 +36,7 @@
 
 
 class TestCompression:
-    """Test configurations with hundreds of routes, and bytes that are not valid documents."""
+    """Covers configurations with hundreds of routes, and bytes that are not valid documents."""
 
     def test_large_configuration_fits_a_slow_link(self) -> None:
         large = document(2000)
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -14,7 +14,7 @@
 from briardyke.consensus.members import Member
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind, Failure
-from briardyke.fleet.control import BATCH_INTERVAL_MS, UPSTREAM_SILENCE_MS, ControlInstance
+from briardyke.fleet.control import BATCH_INTERVAL_MS, UPSTREAM_SILENT_AFTER_MS, ControlInstance
 from briardyke.fleet.machine import ConfigurationMachine
 from briardyke.fleet.messages import FleetReply, FleetRequest, RowsUpdate
 from briardyke.fleet.records import DRAINING, GONE, READY, SILENT, EntryInstance, Upstream
@@ -97,7 +97,7 @@
 
 
 class TestRestart:
-    """Test a control instance that restarts while others run."""
+    """Covers a control instance that restarts while others run."""
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
     async def test_departure_is_fetched_before_replying_as_current(
@@ -141,7 +141,7 @@
 
 
 class TestRepeatedRows:
-    """Test rows that owners repeat unchanged."""
+    """Covers rows that owners repeat unchanged."""
 
     async def test_repeated_ids_keep_a_row_from_becoming_silent(
         self, autojump_clock: trio.testing.MockClock, network: FakeNetwork, nursery: trio.Nursery
@@ -155,7 +155,7 @@
         assert not two.tables.upstreams.is_silent("e")
         full = [u for u in network.sent if u.upstreams]
         assert len(full) <= len([u for u in network.sent if u.repeated_upstreams]) / 4
-        await trio.sleep(UPSTREAM_SILENCE_MS / 1000.0 + 1.0)
+        await trio.sleep(UPSTREAM_SILENT_AFTER_MS / 1000.0 + 1.0)
         assert two.tables.upstreams.is_silent("e")
         assert [r.lifecycle for r in (await ask(two, request())).upstreams] == [SILENT]
         one.announce(attrs.evolve(ROW, sequence=90))
@@ -188,7 +188,7 @@
 
 
 class TestEntryInstances:
-    """Test what entry instances receive about each other."""
+    """Covers what entry instances receive about each other."""
 
     async def test_only_a_busy_instance_receives_the_requests_in_flight_of_others(
         self, autojump_clock: trio.testing.MockClock, network: FakeNetwork
--- a/tests/fleet/test_reachability.py
+++ b/tests/fleet/test_reachability.py
@@ -31,7 +31,7 @@
 
 
 class TestUnreachableUpstreams:
-    """Test crashed engines and failed network links of entry instances."""
+    """Covers crashed engines and failed network links of entry instances."""
 
     @pytest.mark.parametrize(
         ("reports", "silence_ms", "is_unreachable"),
--- a/tests/fleet/test_table.py
+++ b/tests/fleet/test_table.py
@@ -13,7 +13,7 @@
 
 
 class TestMerge:
-    """Test delayed, repeated and reordered announcements."""
+    """Covers delayed, repeated and reordered announcements."""
 
     @pytest.mark.parametrize(
         ("change", "is_changed"),
@@ -41,7 +41,7 @@
 
 
 class TestMarkSilent:
-    """Test owners that stop repeating their rows."""
+    """Covers owners that stop repeating their rows."""
 
     async def test_row_is_marked_silent_once_until_it_is_repeated(
         self, autojump_clock: trio.testing.MockClock
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -27,7 +27,7 @@
 
 
 class TestDeparted:
-    """Test departed upstreams after control instances lose the record of their departure."""
+    """Covers departed upstreams after control instances lose the record of their departure."""
 
     @pytest.mark.parametrize("lifecycle", [DRAINING, GONE])
     async def test_delayed_announcement_does_not_revive_it(
@@ -58,7 +58,7 @@
 
 
 class TestUnlisted:
-    """Test replies that lack upstreams."""
+    """Covers replies that lack upstreams."""
 
     async def test_upstream_stays_until_its_next_heartbeat_is_due(
         self, autojump_clock: trio.testing.MockClock, view: FleetView
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -15,7 +15,11 @@
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.state import GatewayState, RetryBounds
 from briardyke.gateway.trace import Trace
-from briardyke.gateway.upstreams import CONNECT_PROBE_MS, UNREACHABLE_REPORT_MS, UpstreamState
+from briardyke.gateway.upstreams import (
+    CONNECT_PROBE_INTERVAL_MS,
+    UNREACHABLE_REPORT_TTL_MS,
+    UpstreamState,
+)
 from briardyke.http.exchange import HttpRequest
 from briardyke.http.h11_client import ConnectionPool
 from briardyke.routes.configuration import (
@@ -164,9 +168,9 @@
         assert state.is_reachable and not state.is_reported_unreachable
         state.connect_failed()
         assert not state.is_reachable and state.is_reported_unreachable
-        await trio.sleep(CONNECT_PROBE_MS / 1000.0)
+        await trio.sleep(CONNECT_PROBE_INTERVAL_MS / 1000.0)
         assert state.is_reachable and state.is_reported_unreachable
-        await trio.sleep(UNREACHABLE_REPORT_MS / 1000.0)
+        await trio.sleep(UNREACHABLE_REPORT_TTL_MS / 1000.0)
         assert not state.is_reported_unreachable
 
     async def test_request_for_its_model_is_rejected_until_another_engine_can_load_it(
--- a/tests/gateway/test_upstream_selection.py
+++ b/tests/gateway/test_upstream_selection.py
@@ -55,7 +55,7 @@
     async def test_failing_upstream_gets_few_requests(self) -> None:
         healthy, failing = state("1"), state("2")
         for step in range(4):
-            failing.gate.record_failure(now_ms() + step * 100.0)
+            failing.health.record_failure(now_ms() + step * 100.0)
         assert spread([healthy, failing], 8)["1"] >= 7
 
     async def test_upstream_in_own_data_centre_is_preferred_while_idle(self) -> None:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -90,14 +90,14 @@
     """Guards against ejection at the first failure and against ejection without recovery."""
 
     def test_traffic_falls_and_recovers_in_steps(self) -> None:
-        gate = UpstreamHealth()
-        gate.record_failure(0.0)
-        gate.record_failure(10.0)
-        assert gate.weight(10.0) >= 0.5
+        health = UpstreamHealth()
+        health.record_failure(0.0)
+        health.record_failure(10.0)
+        assert health.weight(10.0) >= 0.5
         for now in range(100, 2000, 100):
-            gate.record_failure(float(now))
-        assert MINIMUM_WEIGHT <= gate.weight(1900.0) < 0.1
-        assert gate.weight(60_000.0) == 1.0
+            health.record_failure(float(now))
+        assert MINIMUM_WEIGHT <= health.weight(1900.0) < 0.1
+        assert health.weight(60_000.0) == 1.0
 
     def test_flapping_slows_the_recovery(self) -> None:
         first, flapping = UpstreamHealth(), UpstreamHealth()
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class Report:
-    """Models the part of an instance status that concerns shares."""
+    """Part of an instance status that concerns shares."""
 
     number: int
     sent_ms: float
@@ -43,7 +43,7 @@
 
 
 class EntryModel:
-    """Models an entry process: a limiter, its lease, and replies in transit."""
+    """Model of an entry process: a limiter, its lease, and replies in transit."""
 
     def __init__(self) -> None:
         self.limiter = RequestLimiter()
--- a/tests/sync/test_responder.py
+++ b/tests/sync/test_responder.py
@@ -69,7 +69,7 @@
 
 
 class TestForwardedEvidence:
-    """Test that relayed or delayed requests do not keep a dead upstream alive."""
+    """Checks that relayed or delayed requests do not keep a dead upstream alive."""
 
     async def test_unchanged_upstream_stays_alive_without_its_row(
         self, mock_clock: trio.testing.MockClock
--- a/tests/sync/test_sync.py
+++ b/tests/sync/test_sync.py
@@ -8,7 +8,7 @@
 import pytest
 
 from briardyke.agreed.merge_patch import merge_patch
-from briardyke.sync.digest import FORGET_AFTER_MS, UPSTREAM_SILENCE_MS, UpstreamDigest
+from briardyke.sync.digest import SILENT_ROW_TTL_MS, UPSTREAM_SILENCE_MS, UpstreamDigest
 from briardyke.sync.documents import DocumentHistory, create_merge_patch
 from briardyke.sync.instances import INSTANCE_SILENCE_MS, InstanceTable
 from briardyke.sync.lease import VERSION_LEASE_MS, VersionLease
@@ -41,7 +41,7 @@
 
 
 class TestVersionLease:
-    """Test that a version is not used for longer than the lease allows."""
+    """Checks that a version is not used for longer than the lease allows."""
 
     def test_lease_counts_from_the_evidence_and_older_evidence_is_ignored(self) -> None:
         lease = VersionLease()
@@ -53,7 +53,7 @@
 
 
 class TestSyncedView:
-    """Test that versions never go back and that evidence is not counted as too recent."""
+    """Checks that versions never go back and that evidence is not counted as too recent."""
 
     def test_slow_reply_extends_the_lease_from_its_request(self) -> None:
         view = SyncedView(0.0)
@@ -97,7 +97,7 @@
 
 
 class TestDocumentHistory:
-    """Test that each patch produces its target document."""
+    """Checks that each patch produces its target document."""
 
     def test_created_patches_produce_the_new_document(self) -> None:
         documents = [{}, {"a": 1}, {"a": {"b": [1], "c": {}}}, {"a": {"c": {"d": True}}, "e": 1.5}]
@@ -115,7 +115,7 @@
 
 
 class TestUpstreamDigest:
-    """Test that no new requests go to an upstream whose last evidence is too old."""
+    """Checks that no new requests go to an upstream whose last evidence is too old."""
 
     def test_age_of_a_relayed_row_counts_towards_silence(self) -> None:
         digest = UpstreamDigest()
@@ -135,7 +135,7 @@
         digest = UpstreamDigest()
         digest.observe(_ROW, 0.0)
         held = digest.sequence
-        assert digest.forget_silent(FORGET_AFTER_MS + 1) == ["u1"]
+        assert digest.forget_silent(SILENT_ROW_TTL_MS + 1) == ["u1"]
         assert digest.forgotten_since(held) == ["u1"]
         for number in range(1000):
             digest.observe(attrs.evolve(_ROW, upstream_id=f"n{number}"), 0.0)
@@ -163,7 +163,7 @@
 
 
 class TestInstanceTable:
-    """Test that callers are not sent to an instance that is silent or draining."""
+    """Checks that callers are not sent to an instance that is silent or draining."""
 
     def test_silent_and_draining_instances_leave_the_list(self) -> None:
         table = InstanceTable()
