--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -59,7 +59,7 @@
 # longest election timeout plus one round; no requirement relies on an instance that has been
 # running for less than three seconds.
 START_PHASE_MS = 2500.0
-# Shortest suspension of the process after which its leadership is in doubt; during a shorter one, no
+# Shortest suspension of the process that puts its leadership in doubt; during a shorter one, no
 # other leader can be elected.
 MIN_SUSPENSION_MS = 500.0
 _PROPOSE_TIMEOUT_MS = 2500.0
--- a/src/briardyke/gateway/upstream_selection.py
+++ b/src/briardyke/gateway/upstream_selection.py
@@ -74,8 +74,8 @@
         zip(costs, capacities, strict=True), max(_MIN_UNREPORTED, unreported)
     )
     shares = [
-        max(0.0, fill_level - cost) * capacity
-        for cost, capacity in zip(costs, capacities, strict=True)
+        max(0.0, fill_level - own_cost) * own_capacity
+        for own_cost, own_capacity in zip(costs, capacities, strict=True)
     ]
     if not any(shares):  # a very small amount was lost to rounding
         shares = [float(cost == min(costs)) for cost in costs]
