Name the contact and lock functions of the replicated log plainly

hears_leader becomes has_leader_contact, distrust_evidence becomes expire_confirmation and FolderLock.take becomes acquire: the new names say what is checked, expired and locked.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -207,14 +207,14 @@
             return None
         return self._node.confirmed_age_ms(now_ms())
 
-    def hears_leader(self, window_ms: float) -> bool:
+    def has_leader_contact(self, window_ms: float) -> bool:
         """Return whether a majority or its leader was heard within a window, in milliseconds."""
         state = self._node.state
         if state.role is Role.LEADER:
             return state.commit_confirmed and now_ms() - state.evidence_ms < window_ms
         return state.leader_address is not None and now_ms() - state.leader_contact_ms < window_ms
 
-    def distrust_evidence(self) -> None:
+    def expire_confirmation(self) -> None:
         """Step down at the next tick: the evidence of leadership is older than the clock says."""
         state = self._node.state
         state.evidence_ms = now_ms() - state.settings.election_min_ms
--- a/src/briardyke/consensus/folder_lock.py
+++ b/src/briardyke/consensus/folder_lock.py
@@ -28,7 +28,7 @@
         self._descriptor = descriptor
 
     @staticmethod
-    def take(directory: Path) -> Result[FolderLock, Failure]:
+    def acquire(directory: Path) -> Result[FolderLock, Failure]:
         """Lock a folder beside which the lock file is kept.
 
         :param directory: data folder; its parent must be writable, since the folder itself must
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -241,7 +241,7 @@
         data folder cannot be used.
     :raises OSError: when an address cannot be bound.
     """
-    lock = FolderLock.take(settings.data_dir)
+    lock = FolderLock.acquire(settings.data_dir)
     if lock.is_err():
         return Err(lock.unwrap_err())
     identity = open_identity(settings.data_dir, settings.instance_id)
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -123,7 +123,7 @@
 
     def _not_leader(self) -> Failure:
         status = self.log.status()
-        if status.leader_address is None or not self.log.hears_leader(CONTACT_WINDOW_MS):
+        if status.leader_address is None or not self.log.has_leader_contact(CONTACT_WINDOW_MS):
             return Failure(ErrorKind.NO_MAJORITY, "no leader is known")
         leader = str(status.leader_address)
         return Failure(ErrorKind.NOT_LEADER, "this instance is not the leader", leader)
@@ -133,7 +133,7 @@
     @property
     def is_current(self) -> bool:
         """Return whether this instance has recent contact with a leader."""
-        return self.log.hears_leader(CONTACT_WINDOW_MS)
+        return self.log.has_leader_contact(CONTACT_WINDOW_MS)
 
     @property
     def is_starting(self) -> bool:
@@ -185,7 +185,7 @@
         if suspended - self._suspended_ms >= SUSPENSION_MS:
             log_event("suspension_noticed", duration_ms=round(suspended - self._suspended_ms))
             self._suspended_ms = suspended
-            self.log.distrust_evidence()
+            self.log.expire_confirmation()
         age_ms = self.log.confirmed_age_ms()
         is_fresh = age_ms is not None and age_ms < LEADER_EVIDENCE_MS
         return self.log.status().term if is_fresh else None
--- a/tests/consensus/test_folder_lock.py
+++ b/tests/consensus/test_folder_lock.py
@@ -16,9 +16,9 @@
 
     def test_second_user_is_refused_until_the_first_is_gone(self, tmp_path: Path) -> None:
         folder = tmp_path / "data"
-        first = FolderLock.take(folder).unwrap()
+        first = FolderLock.acquire(folder).unwrap()
         assert not folder.exists()  # the folder has to stay empty for a new identity
-        refused = FolderLock.take(folder).unwrap_err()
+        refused = FolderLock.acquire(folder).unwrap_err()
         assert (refused.kind, refused.field) == (ErrorKind.STORAGE_FAILED, "data_dir")
         first.release()
-        assert FolderLock.take(folder).is_ok()
+        assert FolderLock.acquire(folder).is_ok()
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -34,7 +34,7 @@
         if index > 1:
             await trio.sleep_forever()
 
-    def hears_leader(self, window_ms: float) -> bool:
+    def has_leader_contact(self, window_ms: float) -> bool:
         return True
 
     def status(self) -> LogStatus:
