--- a/bench/consensus_commit.py
+++ b/bench/consensus_commit.py
@@ -1,7 +1,7 @@
-"""Measure proposals per second and latency of three local members with real disk syncs.
+"""Measure throughput and latency of proposals to three members in one process, with disk syncs.
 
-Run with ``PYTHONPATH=src python bench/consensus_commit.py [directory]``. Messages are encoded and
-decoded with the wire codec but passed within the process, so the figures exclude the network.
+Run with ``PYTHONPATH=src python bench/consensus_commit.py [directory]``. Messages pass
+through the wire codec but stay within the process, so the figures exclude the network.
 """
 
 from __future__ import annotations
@@ -44,7 +44,7 @@
 
 
 class _Network:
-    """Deliver messages in order, one task per member."""
+    """Deliver messages in order, with one receiving task per member."""
 
     def __init__(self) -> None:
         self._queues: dict[Address, trio.MemorySendChannel[bytes]] = {}
@@ -103,7 +103,7 @@
 
 
 def main() -> None:
-    """Run the benchmark in a temporary directory below the given one."""
+    """Run the benchmark in a temporary directory, created in the given one if any."""
     logging.set_verbosity("error")
     parent = sys.argv[1] if len(sys.argv) > 1 else None
     with tempfile.TemporaryDirectory(dir=parent) as directory:
--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -1,4 +1,4 @@
-"""Run one member of a log group: disk, network, timers, state machine and callers."""
+"""Run a group member: connect its node to disk, network, timers, state machine and proposers."""
 
 from __future__ import annotations
 
@@ -38,8 +38,8 @@
 
 
 @attrs.define(eq=False)
-class _Waiter:
-    """Wait for one proposal; ``term`` is 0 until it is in the log."""
+class _Proposal:
+    """Hold a proposal until its outcome is known; ``term`` is 0 until it is in the log."""
 
     command: bytes | MemberChange
     term: int = 0
@@ -47,7 +47,7 @@
     outcome: Result[Applied, Failure] | None = None
 
     def finish(self, outcome: Result[Applied, Failure]) -> None:
-        """Hand the outcome to the proposer."""
+        """Set the outcome and wake the proposer."""
         self.outcome = outcome
         self.event.set()
 
@@ -76,10 +76,10 @@
         :param identity: identity of this process.
         :param own_address: own peer address.
         :param storage: result of :meth:`Identity.open_group`.
-        :param machine: state machine in its initial state; a snapshot is restored into it here.
-        :param send: queues a message to an address without waiting; it may be lost.
+        :param machine: state machine in its initial state; a stored snapshot is restored into it.
+        :param send: queues a message for an address without waiting; the message may be lost.
         :param random: source of election timeouts.
-        :param seeds: addresses that an unlisted member asks to join.
+        :param seeds: peer addresses that a process which is not a member asks to join.
         :param settings: intervals and limits.
         :param snapshot_entries: applied entries after which a snapshot is written.
         :param run_blocking: runs a blocking function outside the event loop.
@@ -95,7 +95,7 @@
             "own_id": identity.member_id,
             "own_address": own_address,
             "recovered": recovered,
-            "founding": identity.founding,
+            "initial_membership": identity.initial_membership,
             "random": random,
             "seeds": seeds,
             "settings": settings,
@@ -103,13 +103,13 @@
         self._node = Node(**self._node_arguments, now_ms=0.0)
         self._is_running = False
         self._pending: deque[Effects] = deque()
-        self._queue: deque[_Waiter] = deque()
-        self._waiters: dict[int, _Waiter] = {}
-        self._work = trio.Event()
-        self._progress = trio.Event()
+        self._queued_proposals: deque[_Proposal] = deque()
+        self._open_proposals: dict[int, _Proposal] = {}
+        self._work_available = trio.Event()
+        self._progressed = trio.Event()
         self._applied_index = self._applied_term = 0
         self._snapshot_index = 0
-        self._written: Snapshot | None = None
+        self._written_snapshot: Snapshot | None = None
         self._snapshot_requests, self._snapshot_queue = trio.open_memory_channel[Snapshot](1)
         if recovered.snapshot is not None:
             self._restore(recovered.snapshot)
@@ -118,7 +118,7 @@
         """Take part in the group until cancelled.
 
         :raises ExceptionGroup: with an ``OSError`` when the disk fails, or an error of the state
-            machine. The process must stop, since what was written or applied is unknown.
+            machine. The process must stop, because it is unknown what was written or applied.
         """
         self._node = Node(**self._node_arguments, now_ms=now_ms())
         self._is_running = True
@@ -126,25 +126,25 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._write_snapshots)
-                nursery.start_soon(self._work_through)
+                nursery.start_soon(self._process_work)
                 task_status.started()
         finally:
             self._is_running = False
             unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, "the member stopped")
-            for waiter in [*self._waiters.values(), *self._queue]:
-                waiter.finish(Err(unknown))
-            self._waiters.clear()
-            self._queue.clear()
+            for proposal in [*self._open_proposals.values(), *self._queued_proposals]:
+                proposal.finish(Err(unknown))
+            self._open_proposals.clear()
+            self._queued_proposals.clear()
 
     async def propose(self, command: bytes, timeout_ms: float) -> Result[Applied, Failure]:
         """Replicate a command and return the state machine's result.
 
         :param command: the command; all members apply it in the same order.
-        :param timeout_ms: longest wait, in milliseconds.
+        :param timeout_ms: maximum wait, in milliseconds.
         :return: ``not_leader`` (field: address of the leader) or ``no_majority`` when nothing was
             proposed; ``outcome_unknown`` when the command may still be applied.
         """
-        return await self._submit(_Waiter(command), timeout_ms)
+        return await self._submit(_Proposal(command), timeout_ms)
 
     async def change_member(
         self, change: MemberChange, timeout_ms: float
@@ -152,33 +152,33 @@
         """Change the membership by one member.
 
         :param change: the change.
-        :param timeout_ms: longest wait, in milliseconds.
-        :return: as :meth:`propose`, or ``member_change_refused``.
+        :param timeout_ms: maximum wait, in milliseconds.
+        :return: as for :meth:`propose`, or ``member_change_refused``.
         """
-        return await self._submit(_Waiter(change), timeout_ms)
+        return await self._submit(_Proposal(change), timeout_ms)
 
     async def transfer_leadership(self, timeout_ms: float) -> bool:
-        """Hand leadership to another voter before a planned stop.
+        """Transfer leadership to another voter before a planned stop.
 
-        :param timeout_ms: longest wait, in milliseconds.
+        :param timeout_ms: maximum wait, in milliseconds.
         :return: whether this member no longer leads.
         """
-        self._absorb(self._node.transfer(now_ms()))
+        self._enqueue(self._node.transfer(now_ms()))
         with trio.move_on_after(timeout_ms / 1000.0):
-            await self._progress.wait()
+            await self._progressed.wait()
             while self._node.state.role is Role.LEADER or self._pending:
-                await self._progress.wait()
+                await self._progressed.wait()
         return self._node.state.role is not Role.LEADER
 
     async def wait_applied(self, index: int) -> None:
         """Wait until an entry is applied here."""
         while self._applied_index < index:
-            await self._progress.wait()
+            await self._progressed.wait()
 
     async def handle(self, message: GroupMessage) -> None:
-        """Handle a message from another member; answers go through ``send``."""
+        """Handle a message from another member; replies go through ``send``."""
         if self._is_running:
-            self._absorb(self._node.step(message, now_ms()))
+            self._enqueue(self._node.step(message, now_ms()))
         await trio.lowlevel.checkpoint()
 
     def status(self) -> LogStatus:
@@ -198,7 +198,7 @@
         )
 
     def confirmed_age_ms(self) -> float | None:
-        """Return the age of the evidence that the state applied here is current.
+        """Return how long ago the state applied here was last confirmed to be current.
 
         :return: milliseconds; ``None`` when this member does not lead or has not yet applied
             everything that earlier leaders acknowledged.
@@ -208,100 +208,105 @@
         return self._node.confirmed_age_ms(now_ms())
 
     def has_leader_contact(self, window_ms: float) -> bool:
-        """Return whether a majority or its leader was heard within a window, in milliseconds."""
+        """Return whether this member had contact with its leader, or as leader with a majority.
+
+        :param window_ms: maximum age of the contact, in milliseconds.
+        """
         state = self._node.state
         if state.role is Role.LEADER:
-            return state.commit_confirmed and now_ms() - state.evidence_ms < window_ms
+            return state.commit_confirmed and now_ms() - state.confirmed_at_ms < window_ms
         return state.leader_address is not None and now_ms() - state.leader_contact_ms < window_ms
 
     def expire_confirmation(self) -> None:
-        """Step down at the next tick: the evidence of leadership is older than the clock says."""
+        """Step down at the next tick, because the clock stopped while the process was suspended."""
         state = self._node.state
-        state.evidence_ms = now_ms() - state.settings.election_min_ms
+        state.confirmed_at_ms = now_ms() - state.settings.election_min_ms
 
     async def confirm_read(self, timeout_ms: float) -> bool:
-        """Wait until the state applied here is proved to be current at the time of the call.
+        """Wait until this member has applied every entry committed before the call.
 
-        The proof is a round of acknowledgements that began after the call. A clock is not enough:
-        the steady clock of a suspended machine stands still.
+        This requires a heartbeat round that starts after the call and that a majority acknowledges.
+        A clock is not sufficient, because the monotonic clock stops while a machine is suspended.
 
-        :param timeout_ms: longest wait, in milliseconds.
-        :return: whether it was proved; never for a member that does not lead.
+        :param timeout_ms: maximum wait, in milliseconds.
+        :return: whether the state was confirmed; always ``False`` on a member that does not lead.
         """
-        self._absorb(self._node.start_read(now_ms()))
+        self._enqueue(self._node.start_read_round(now_ms()))
         state = self._node.state
-        term, number = state.term, state.round_number
+        term, round_number = state.term, state.round_number
         with trio.move_on_after(timeout_ms / 1000.0):
             while state.role is Role.LEADER and state.term == term:
-                if state.evidence_round >= number and state.commit_confirmed:
+                if state.confirmed_round >= round_number and state.commit_confirmed:
                     await self.wait_applied(state.commit_index)
                     return True
-                await self._progress.wait()
+                await self._progressed.wait()
         return False
 
-    async def _submit(self, waiter: _Waiter, timeout_ms: float) -> Result[Applied, Failure]:
-        self._queue.append(waiter)
-        self._work.set()
+    async def _submit(self, proposal: _Proposal, timeout_ms: float) -> Result[Applied, Failure]:
+        self._queued_proposals.append(proposal)
+        self._work_available.set()
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
-                await waiter.event.wait()
+                await proposal.event.wait()
         finally:
-            if waiter in self._queue:
-                self._queue.remove(waiter)
-        if waiter.outcome is not None:
-            return waiter.outcome
-        if waiter.term == 0:
+            if proposal in self._queued_proposals:
+                self._queued_proposals.remove(proposal)
+        if proposal.outcome is not None:
+            return proposal.outcome
+        if proposal.term == 0:
             return Err(Failure(ErrorKind.NO_MAJORITY, "nothing was proposed before the timeout"))
-        return Err(Failure(ErrorKind.OUTCOME_UNKNOWN, "not applied before the timeout"))
+        return Err(
+            Failure(ErrorKind.OUTCOME_UNKNOWN, "the entry was not applied before the timeout")
+        )
 
     async def _tick(self) -> None:
         while True:
-            self._absorb(self._node.tick(now_ms()))
+            self._enqueue(self._node.tick(now_ms()))
             await trio.sleep(TICK_MS / 1000.0)
 
-    def _absorb(self, effects: Effects) -> None:
+    def _enqueue(self, effects: Effects) -> None:
         self._pending.append(effects)
-        self._work.set()
+        self._work_available.set()
 
-    async def _work_through(self) -> None:
+    async def _process_work(self) -> None:
         while True:
-            await self._work.wait()
-            self._work = trio.Event()
-            while self._pending or self._queue or self._written:
+            await self._work_available.wait()
+            self._work_available = trio.Event()
+            while self._pending or self._queued_proposals or self._written_snapshot:
                 self._propose_queued()
                 await self._compact()
-                await self._carry_out(self._next_batch())
+                await self._execute(self._next_batch())
 
     def _propose_queued(self) -> None:
-        while self._queue:
-            first = self._queue[0].command
+        while self._queued_proposals:
+            first = self._queued_proposals[0].command
             if not isinstance(first, bytes):
-                self._start([self._queue.popleft()], self._node.propose_change(first))
+                self._register([self._queued_proposals.popleft()], self._node.propose_change(first))
                 continue
-            batch: list[_Waiter] = []
+            batch: list[_Proposal] = []
             commands: list[bytes] = []
-            while self._queue and len(batch) < _MAX_BATCH_COMMANDS:
-                command = self._queue[0].command
+            while self._queued_proposals and len(batch) < _MAX_BATCH_COMMANDS:
+                command = self._queued_proposals[0].command
                 if not isinstance(command, bytes):
                     break
                 commands.append(command)
-                batch.append(self._queue.popleft())
-            self._start(batch, self._node.propose(commands))
+                batch.append(self._queued_proposals.popleft())
+            self._register(batch, self._node.propose(commands))
 
-    def _start(self, batch: Sequence[_Waiter], effects: Effects) -> None:
+    def _register(self, batch: Sequence[_Proposal], effects: Effects) -> None:
         if effects.refused is not None:
-            for waiter in batch:
-                waiter.finish(Err(effects.refused))
-        for waiter, (index, term) in zip(batch, effects.proposed, strict=False):
-            waiter.term = term
-            replaced = self._waiters.pop(index, None)
+            for proposal in batch:
+                proposal.finish(Err(effects.refused))
+        for proposal, (index, term) in zip(batch, effects.proposed, strict=False):
+            proposal.term = term
+            replaced = self._open_proposals.pop(index, None)
             if replaced is not None:
-                replaced.finish(Err(_lost_leadership()))
-            self._waiters[index] = waiter
+                replaced.finish(Err(_leadership_lost()))
+            self._open_proposals[index] = proposal
         self._pending.append(effects)
 
     def _next_batch(self) -> list[Effects]:
-        """Take all pending effects up to a received snapshot, which is handled by itself."""
+        """Take pending effects; those with a received snapshot form a batch of their own."""
         batch: list[Effects] = []
         while self._pending:
             if self._pending[0].snapshot is not None:
@@ -309,7 +314,7 @@
             batch.append(self._pending.popleft())
         return batch
 
-    async def _carry_out(self, batch: Sequence[Effects]) -> None:
+    async def _execute(self, batch: Sequence[Effects]) -> None:
         hard_state = next((e.hard_state for e in reversed(batch) if e.hard_state), None)
         entries = [entry for effects in batch for entry in effects.entries]
         snapshot = batch[0].snapshot if batch else None
@@ -326,15 +331,15 @@
             for outgoing in effects.messages:
                 self._send(outgoing.address, outgoing.message)
         if entries:
-            self._absorb(self._node.synced(entries[-1].index, entries[-1].term))
+            self._enqueue(self._node.synced(entries[-1].index, entries[-1].term))
         for effects in batch:
             for entry in effects.committed:
                 self._apply(entry)
         self._fail_lost_proposals()
         self._request_snapshot()
         if batch:
-            self._progress.set()
-            self._progress = trio.Event()
+            self._progressed.set()
+            self._progressed = trio.Event()
             await trio.lowlevel.checkpoint()
 
     def _apply(self, entry: Entry) -> None:
@@ -342,20 +347,20 @@
         if entry.kind is EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
         self._applied_index, self._applied_term = entry.index, entry.term
-        waiter = self._waiters.pop(entry.index, None)
-        if waiter is None:
+        proposal = self._open_proposals.pop(entry.index, None)
+        if proposal is None:
             return
-        if waiter.term == entry.term:
-            waiter.finish(Ok(Applied(entry.index, entry.term, result)))
+        if proposal.term == entry.term:
+            proposal.finish(Ok(Applied(entry.index, entry.term, result)))
         else:
-            waiter.finish(Err(_lost_leadership()))
+            proposal.finish(Err(_leadership_lost()))
 
     def _fail_lost_proposals(self) -> None:
         state = self._node.state
-        leading_term = state.term if state.role is Role.LEADER else 0
-        lost = [i for i, waiter in self._waiters.items() if waiter.term != leading_term]
+        leader_term = state.term if state.role is Role.LEADER else 0
+        lost = [i for i, proposal in self._open_proposals.items() if proposal.term != leader_term]
         for index in lost:
-            self._waiters.pop(index).finish(Err(_lost_leadership()))
+            self._open_proposals.pop(index).finish(Err(_leadership_lost()))
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._machine.restore(snapshot.data)
@@ -377,16 +382,16 @@
     async def _write_snapshots(self) -> None:
         async for snapshot in self._snapshot_queue:
             await self._run_blocking(self._storage.save_snapshot, snapshot)
-            self._written = snapshot
-            self._work.set()
+            self._written_snapshot = snapshot
+            self._work_available.set()
 
     async def _compact(self) -> None:
-        if self._written is not None:
-            snapshot, self._written = self._written, None
+        if self._written_snapshot is not None:
+            snapshot, self._written_snapshot = self._written_snapshot, None
             self._node.compact(snapshot)
-            await self._run_blocking(self._storage.drop_until, snapshot.index)
+            await self._run_blocking(self._storage.delete_segments_before, snapshot.index)
             log_event("log_compacted", index=snapshot.index, bytes=len(snapshot.data))
 
 
-def _lost_leadership() -> Failure:
+def _leadership_lost() -> Failure:
     return Failure(ErrorKind.OUTCOME_UNKNOWN, "leadership was lost before the entry was applied")
--- a/src/briardyke/consensus/election.py
+++ b/src/briardyke/consensus/election.py
@@ -1,4 +1,4 @@
-"""Elect a leader: pre-vote, vote, and hand-over on a planned stop."""
+"""Elect a leader: pre-vote, vote, and leadership transfer on a planned stop."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 def start_pre_vote(state: NodeState) -> None:
     """Ask the other voters whether an election could succeed.
 
-    A member that was partitioned must not raise the term of a working group on its return.
+    This keeps a member that returns from a partition from raising the term of a working group.
     """
     state.role = Role.PRE_CANDIDATE
     state.leader_id, state.leader_address = "", None
@@ -46,7 +46,7 @@
 def start_election(state: NodeState, transfer: bool) -> None:
     """Enter a new term and ask the other voters for their votes.
 
-    :param transfer: whether the previous leader asked for this election.
+    :param transfer: whether the leader requested this election to transfer leadership.
     """
     state.role = Role.CANDIDATE
     state.leader_id, state.leader_address = "", None
@@ -68,7 +68,7 @@
 
 
 def on_pre_vote_request(state: NodeState, message: PreVoteRequest) -> None:
-    """Answer a pre-vote without changing any state."""
+    """Answer a pre-vote request without changing any state."""
     granted = message.term > state.term and _is_electable(state, message)
     term = message.term if granted else state.term
     state.reply(PreVoteReply, message, term=term, granted=granted)
@@ -87,17 +87,17 @@
 
 
 def on_vote_request(state: NodeState, message: VoteRequest) -> None:
-    """Vote at most once a term, for a member whose log is at least as complete.
+    """Vote at most once per term, for a member whose log is at least as complete as the own log.
 
     A learner answers too: a candidate asks only the voters of its own membership, so a learner
-    that is asked was promoted and has not received that entry yet. Votes of members that the
-    candidate lists as learners are neither requested nor counted.
+    that is asked was promoted by an entry that it has not received yet. A candidate neither
+    requests nor counts the votes of members that it lists as learners.
     """
     if message.term < state.term:
         state.reply(VoteReply, message, granted=False)
         return
     if not _is_electable(state, message, message.transfer):
-        # The term is not raised either: the current leader is still in contact.
+        # While a leader is in contact, the term stays unchanged and the request is not answered.
         if message.term == state.term or not _has_current_leader(state):
             if message.term > state.term:
                 state.become_follower(message.term)
@@ -123,16 +123,16 @@
 
 
 def on_timeout_now(state: NodeState, message: TimeoutNow) -> None:
-    """Start an election at once, because the leader is about to stop."""
+    """Start an election at once, because the leader transfers its leadership."""
     if message.term == state.term and state.is_voter and state.role is Role.FOLLOWER:
         start_election(state, transfer=True)
 
 
 def continue_transfer(state: NodeState) -> None:
-    """Hand over once the target has all entries and all of them are committed.
+    """Complete a transfer once the target has all entries and all of them are committed.
 
-    The leader steps down when it sends the request, so that it gives no evidence of leadership
-    while another member may already lead.
+    The leader steps down when it sends the request, so that it does not count as confirmed while
+    another member may already lead.
     """
     target = state.membership.get(state.transfer_target)
     progress = state.progress.get(state.transfer_target)
@@ -156,10 +156,10 @@
         for member in state.membership.members
         if member.member_id != state.own_id
     }
-    state.round_number = state.evidence_round = 0
+    state.round_number = state.confirmed_round = 0
     state.round_sent_ms.clear()
-    # Grace period of check-quorum; evidence for others exists only from the first round on.
-    state.evidence_ms = state.now_ms
+    # Starts the check-quorum timeout only: confirmed_age_ms() needs an acknowledged round.
+    state.confirmed_at_ms = state.now_ms
     state.term_start_index = state.append(EntryKind.NO_OP, b"").index
     replication.start_round(state)
 
@@ -171,7 +171,7 @@
 def _has_current_leader(state: NodeState) -> bool:
     window_ms = state.settings.election_min_ms
     if state.role is Role.LEADER:
-        return state.now_ms - state.evidence_ms < window_ms
+        return state.now_ms - state.confirmed_at_ms < window_ms
     return state.now_ms - state.leader_contact_ms < window_ms
 
 
--- a/src/briardyke/consensus/folder_lock.py
+++ b/src/briardyke/consensus/folder_lock.py
@@ -1,4 +1,4 @@
-"""Keep a second process out of a data folder."""
+"""Lock a data folder against use by a second process."""
 
 from __future__ import annotations
 
@@ -13,29 +13,29 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-_FILE = "lock"
+_SUFFIX = "lock"
 
 
 class FolderLock:
     """Hold an exclusive lock on a data folder until the process ends.
 
-    Two processes with one identity would both vote and both write the log. The kernel drops the
-    lock when the process dies, so a crash leaves nothing to clean up.
+    Two processes with the same identity would both vote and both write the log. The kernel
+    releases the lock when the process ends, so no stale lock remains after a crash.
     """
 
     def __init__(self, descriptor: int) -> None:
-        """Keep the descriptor that holds the lock."""
+        """Hold the file descriptor of a locked file; use :meth:`acquire` instead."""
         self._descriptor = descriptor
 
     @staticmethod
     def acquire(directory: Path) -> Result[FolderLock, Failure]:
-        """Lock a folder beside which the lock file is kept.
+        """Lock a data folder by a lock file next to it.
 
-        :param directory: data folder; its parent must be writable, since the folder itself must
-            be empty before an identity is created in it.
+        :param directory: data folder; its parent must be writable. The lock file is not in the
+            folder itself, because that must be empty when an identity is created in it.
         :return: ``storage_failed`` when another process holds the lock.
         """
-        path = directory.parent / f"{directory.name}.{_FILE}"
+        path = directory.parent / f"{directory.name}.{_SUFFIX}"
         try:
             directory.parent.mkdir(parents=True, exist_ok=True)
             descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -50,5 +50,5 @@
         return Ok(FolderLock(descriptor))
 
     def release(self) -> None:
-        """Drop the lock."""
+        """Release the lock."""
         os.close(self._descriptor)
--- a/src/briardyke/consensus/identity.py
+++ b/src/briardyke/consensus/identity.py
@@ -1,7 +1,7 @@
-"""Keep a process's identity as a log member.
+"""Store a process's identity as a member of log groups.
 
-The storage id belongs to the storage, not to the process. A vote is only worth something while
-the disk that recorded it exists; a process with new storage therefore gets a new member id.
+The storage id belongs to the storage, not to the process. A vote is valid only as long as the disk
+that recorded it exists, so a process with new storage gets a new member id.
 """
 
 from __future__ import annotations
@@ -30,19 +30,19 @@
 
 @attrs.define
 class Identity:
-    """Describe this process as a member.
+    """Hold the identity of this process as a member.
 
     :param directory: directory that holds the identity and one directory per group.
     :param instance_id: name of the instance.
-    :param storage_id: name of the storage.
-    :param founding: members of a new group; empty for a process that joins.
+    :param storage_id: id of the storage.
+    :param initial_membership: members of a new group; empty for a process that joins.
     :param groups: groups whose storage was created under this identity.
     """
 
     directory: Path
     instance_id: str
     storage_id: str
-    founding: Membership
+    initial_membership: Membership
     groups: tuple[str, ...] = ()
 
     @property
@@ -51,10 +51,10 @@
         return f"{self.instance_id}{ID_SEPARATOR}{self.storage_id}"
 
     def open_group(self, group_id: str) -> Result[tuple[GroupStorage, Recovered], Failure]:
-        """Open a group's storage, creating it the first time.
+        """Open a group's storage, and create it on the first call.
 
-        :return: ``log_corrupt`` when the group existed and its directory is missing: continuing
-            with an empty log under the same identity could lose acknowledged entries.
+        :return: ``log_corrupt`` when the group was created earlier and its directory is missing:
+            an empty log under the same identity could lose acknowledged entries.
         """
         directory = self.directory / group_id
         if group_id in self.groups and not directory.exists():
@@ -68,7 +68,7 @@
 
 
 def initial_storage_id(cluster_id: str, instance_id: str) -> str:
-    """Return the storage id of an initial voter, on which all initial voters agree."""
+    """Return the storage id of an initial voter, which every initial voter can derive."""
     digest = hashlib.sha256(f"{cluster_id}\0{instance_id}".encode()).hexdigest()
     return f"st-{digest[:24]}"
 
@@ -78,8 +78,8 @@
 ) -> Result[Identity, Failure]:
     """Create the identity of an initial voter; run once per cluster on each of them.
 
-    It must not be used to bring an instance back after its disk was lost: the storage id would
-    be the old one. Such a process is started on the empty directory instead.
+    This must not be used to restore an instance whose disk was lost, because it would get its old
+    storage id again. Such an instance is started with an empty directory instead.
 
     :param directory: empty or missing directory.
     :param cluster_id: name of the deployment.
@@ -103,7 +103,7 @@
 
 
 def open_identity(directory: Path, instance_id: str) -> Result[Identity, Failure]:
-    """Read the identity; an empty directory gets a new one that has to join as a learner.
+    """Read the identity; an empty directory gets a new one, which must join as a learner.
 
     :param directory: directory of the identity; created when missing.
     :param instance_id: own instance id.
@@ -148,7 +148,7 @@
     stored = {
         "instance_id": identity.instance_id,
         "storage_id": identity.storage_id,
-        "founding": identity.founding.encode().hex(),
+        "founding": identity.initial_membership.encode().hex(),
         "groups": list(identity.groups),
     }
     replace_file(identity.directory / _FILE, json.dumps(stored).encode())
--- a/src/briardyke/consensus/interface.py
+++ b/src/briardyke/consensus/interface.py
@@ -1,4 +1,4 @@
-"""Define what a replicated log asks of a state machine and reports to its users."""
+"""Define the state machine interface of a replicated log and the data that the log returns."""
 
 from __future__ import annotations
 
@@ -15,18 +15,18 @@
     """Apply the commands of a group in log order."""
 
     def apply(self, index: int, command: bytes) -> bytes:
-        """Apply one command and return the result for its proposer."""
+        """Apply one command and return the result for the proposer."""
 
     def snapshot(self) -> bytes:
         """Return the complete state."""
 
     def restore(self, data: bytes) -> None:
-        """Replace the complete state."""
+        """Replace the complete state by the output of :meth:`snapshot`."""
 
 
 @attrs.frozen
 class Applied:
-    """Report an entry that was committed and applied.
+    """Describe an entry that was committed and applied.
 
     :param index: position in the log.
     :param term: term of the entry.
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class LogStatus:
-    """Describe a member at one moment.
+    """Describe the current status of a member.
 
     :param member_id: own member id.
     :param role: role in the group.
@@ -50,8 +50,8 @@
     :param commit_index: last committed entry known here.
     :param applied_index: last applied entry.
     :param members: members, voters and learners.
-    :param ready: whether everything that the leader had committed at the first contact after the
-        start is applied.
+    :param ready: whether this member has applied everything that the leader had committed at the
+        first contact after the start.
     """
 
     member_id: str
--- a/src/briardyke/consensus/log.py
+++ b/src/briardyke/consensus/log.py
@@ -1,4 +1,4 @@
-"""Hold the part of the replicated log that follows the last compaction, in memory."""
+"""Define log entries and snapshots, and keep the uncompacted part of the log in memory."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class EntryKind(Enum):
-    """List what a log entry can hold."""
+    """List the kinds of log entries."""
 
     NO_OP = "no_op"
     COMMAND = "command"
@@ -21,8 +21,8 @@
 
     :param index: position in the log, from 1.
     :param term: term of the leader that created it.
-    :param kind: what ``data`` holds.
-    :param data: a command, an encoded membership, or nothing.
+    :param kind: kind of ``data``.
+    :param data: a command, an encoded membership, or empty.
     """
 
     index: int
@@ -33,7 +33,7 @@
 
 @attrs.frozen
 class Snapshot:
-    """Hold the state after all entries up to an index.
+    """Hold the state after all entries up to an index have been applied.
 
     :param index: last entry included.
     :param term: term of that entry.
@@ -49,7 +49,7 @@
 
 @attrs.frozen
 class HardState:
-    """Hold what a member must never forget.
+    """Hold the election state that must survive restarts.
 
     :param term: highest term seen.
     :param vote: member id that received the vote in that term, or empty.
@@ -61,7 +61,7 @@
 
 @attrs.frozen
 class Recovered:
-    """Hold the durable state that storage found at start.
+    """Hold the state that was read from disk at the start.
 
     :param hard_state: term and vote.
     :param snapshot: latest snapshot, if any.
@@ -74,10 +74,10 @@
 
 
 class MemoryLog:
-    """Keep consecutive entries after a base index."""
+    """Hold the consecutive entries after a base index."""
 
     def __init__(self, base_index: int, base_term: int, entries: tuple[Entry, ...] = ()) -> None:
-        """Start after the base.
+        """Create a log that continues after the base.
 
         :param base_index: index of the last entry that is not held.
         :param base_term: term of that entry.
@@ -113,8 +113,8 @@
         """Return entries for one message.
 
         :param first: index of the first entry.
-        :param max_entries: highest number of entries.
-        :param max_bytes: highest sum of data sizes; a single larger entry is still returned.
+        :param max_entries: maximum number of entries.
+        :param max_bytes: maximum total size of their data; a single larger entry is still returned.
         """
         chosen: list[Entry] = []
         size_bytes = 0
@@ -131,7 +131,7 @@
         self._entries.append(entry)
 
     def truncate_after(self, index: int) -> None:
-        """Drop all entries after an index."""
+        """Remove all entries after an index."""
         del self._entries[max(0, index - self.base_index) :]
 
     def first_index_of_term(self, index: int) -> int:
@@ -142,7 +142,7 @@
         return index
 
     def compact(self, index: int) -> None:
-        """Drop all entries up to an index that is held."""
+        """Remove all entries up to an index, whose entry must be held."""
         if index <= self.base_index:
             return
         term = self.term_at(index)
@@ -151,6 +151,6 @@
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
-        """Drop everything and start after an installed snapshot."""
+        """Remove all entries and continue after an installed snapshot."""
         self._entries.clear()
         self.base_index, self.base_term = index, term
--- a/src/briardyke/consensus/members.py
+++ b/src/briardyke/consensus/members.py
@@ -1,4 +1,4 @@
-"""Describe the members of a log group and the changes that are allowed to them."""
+"""Define the membership of a log group and the allowed membership changes."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
     from collections.abc import Callable, Iterable
 
 ID_SEPARATOR = "#"
-# Each membership entry carries the removed ids. 1,000 of them take less than 64 KiB.
+# Each membership entry contains the removed ids; 1,000 of them take less than 64 KiB.
 MAX_REMOVED_IDS = 1000
-# Automatic removal keeps as many voters as the first start has, which bears the loss of one.
+# Automatic removal keeps at least the initial number of voters, which tolerates the loss of one.
 MIN_VOTERS = 3
 
 
-def instance_of(member_id: str) -> str:
-    """Return the instance id in a member id."""
+def instance_id_of(member_id: str) -> str:
+    """Return the instance id that a member id contains."""
     return member_id.rpartition(ID_SEPARATOR)[0]
 
 
@@ -44,18 +44,18 @@
 
 @attrs.frozen
 class MemberChange:
-    """Ask for one change of the membership.
+    """Describe one change of the membership.
 
-    :param action: what to do; ``add`` adds a learner.
+    :param action: kind of change; ``add`` adds a learner.
     :param member_id: member that is added, promoted or removed.
     :param address: peer address, for ``add`` only.
-    :param successor_id: learner that takes the place of a removed member, or empty.
+    :param successor_id: learner that replaces a removed member, or empty.
     """
 
     action: Literal["add", "promote", "remove"]
     member_id: str
     address: Address | None = None
-    successor_id: str = ""
+    replacement_id: str = ""
 
 
 @attrs.frozen
@@ -63,7 +63,7 @@
     """Hold the members of a group in the order in which they were added.
 
     :param members: voters and learners.
-    :param removed: ids that must not return, oldest first.
+    :param removed: ids of removed members, which cannot join again; oldest first.
     """
 
     members: tuple[Member, ...] = ()
@@ -84,21 +84,21 @@
         return member is not None and member.voter
 
     def has_majority(self, member_ids: Iterable[str]) -> bool:
-        """Return whether the given members include a majority of the voters."""
+        """Return whether the given member ids include a majority of the voters."""
         agreeing = {m.member_id for m in self.voters} & set(member_ids)
         return len(agreeing) > len(self.voters) // 2
 
     def majority_value(self, value: Callable[[str], int]) -> int:
         """Return the highest value that a majority of the voters has reached.
 
-        :param value: returns the value that a voter, named by its id, has reached.
+        :param value: returns the value that the voter with a given id has reached.
         :return: 0 when there are no voters.
         """
         values = sorted((value(member.member_id) for member in self.voters), reverse=True)
         return values[len(values) // 2] if values else 0
 
     def encode(self) -> bytes:
-        """Return the form that is stored in log entries and snapshots."""
+        """Return the encoding that log entries and snapshots hold."""
         rows = [
             [m.member_id, m.address.host, m.address.port, m.voter, m.replaces_voter]
             for m in self.members
@@ -107,19 +107,19 @@
 
     @staticmethod
     def decode(data: bytes) -> Membership:
-        """Read the output of :meth:`encode`."""
+        """Decode the output of :meth:`encode`."""
         rows, removed = msgpack.unpackb(data)
         members = tuple(Member(row[0], Address(row[1], row[2]), row[3], row[4]) for row in rows)
         return Membership(members, tuple(removed))
 
-    def changed(self, change: MemberChange) -> Result[Membership, Failure]:
+    def with_change(self, change: MemberChange) -> Result[Membership, Failure]:
         """Return the membership after a change.
 
         :return: ``member_change_refused`` when the change does not fit the current members.
         """
         member = self.get(change.member_id)
         if change.action == "add":
-            return self._added(change, member)
+            return self._with_added(change, member)
         if member is None:
             return _refused(f"{change.member_id} is not a member")
         if change.action == "promote":
@@ -130,25 +130,29 @@
             return Ok(attrs.evolve(self, members=rows))
         if member.voter and len(self.voters) == 1:
             return _refused(f"{change.member_id} is the last voter")
-        return Ok(self._without(member, change.successor_id))
+        return Ok(self._with_removed(member, change.replacement_id))
 
-    def _added(self, change: MemberChange, member: Member | None) -> Result[Membership, Failure]:
+    def _with_added(
+        self, change: MemberChange, member: Member | None
+    ) -> Result[Membership, Failure]:
         if member is not None:
             return _refused(f"{change.member_id} is already a member")
         if change.member_id in self.removed:
             return _refused(f"{change.member_id} was removed and must use new storage")
-        if change.address is None or not instance_of(change.member_id):
-            return _refused("a new member needs an address and an id with a storage id")
+        if change.address is None or not instance_id_of(change.member_id):
+            return _refused(
+                "a new member needs an address and a member id that contains a storage id"
+            )
         return Ok(
             attrs.evolve(self, members=(*self.members, Member(change.member_id, change.address)))
         )
 
-    def _without(self, member: Member, successor_id: str) -> Membership:
+    def _with_removed(self, member: Member, replacement_id: str) -> Membership:
         becomes_voter = member.voter or member.replaces_voter
         rows = tuple(
             (
                 attrs.evolve(m, replaces_voter=m.replaces_voter or becomes_voter)
-                if m.member_id == successor_id and not m.voter
+                if m.member_id == replacement_id and not m.voter
                 else m
             )
             for m in self.members
@@ -163,28 +167,29 @@
 
 def next_replacement(
     membership: Membership,
-    caught_up: Callable[[str], bool],
-    silent: Callable[[str], bool],
+    is_caught_up: Callable[[str], bool],
+    is_silent: Callable[[str], bool],
 ) -> MemberChange | None:
-    """Return the next step in replacing members that lost their storage.
+    """Return the next change that replaces a member which lost its storage.
 
     A learner replaces an older member of the same instance: the older member is removed first,
-    then the learner is promoted if the older one was a voter. Learners of other instances stay
-    learners.
+    then the learner is promoted if the older one was a voter. Learners of other instances are
+    not promoted.
 
     :param membership: current members.
-    :param caught_up: returns whether a learner holds nearly all entries.
-    :param silent: returns whether a member has not been heard for an election timeout. A member
-        that still answers is not replaced, since two live processes must share its instance id.
-    :return: one change, or ``None`` when nothing is to be done.
+    :param is_caught_up: returns whether a learner holds nearly all entries.
+    :param is_silent: returns whether a member has not replied for an election timeout. A member
+        that still replies is not replaced, because then two running processes have the same
+        instance id.
+    :return: one change, or ``None`` when no change is needed.
     """
     for position, learner in enumerate(membership.members):
-        if learner.voter or not caught_up(learner.member_id):
+        if learner.voter or not is_caught_up(learner.member_id):
             continue
-        instance_id = instance_of(learner.member_id)
+        instance_id = instance_id_of(learner.member_id)
         earlier = membership.members[:position]
-        older = [m for m in earlier if instance_of(m.member_id) == instance_id]
-        if older and silent(older[0].member_id):
+        older = [m for m in earlier if instance_id_of(m.member_id) == instance_id]
+        if older and is_silent(older[0].member_id):
             return MemberChange("remove", older[0].member_id, None, learner.member_id)
         if not older and learner.replaces_voter:
             return MemberChange("promote", learner.member_id)
@@ -193,39 +198,39 @@
 
 def next_automatic_change(
     membership: Membership,
-    caught_up: Callable[[str], bool],
-    silent: Callable[[str], bool],
-    departed: Callable[[str], bool],
+    is_caught_up: Callable[[str], bool],
+    is_silent: Callable[[str], bool],
+    is_departed: Callable[[str], bool],
 ) -> MemberChange | None:
-    """Return the next change where every control instance is to vote.
+    """Return the next change for a group in which every control instance becomes a voter.
 
-    Nobody is told how many control instances there are, so each learner that has caught up is
-    promoted. An instance that is gone for good leaves once the voters that answer are a majority
-    without it; see ``departed`` of the leader's settings.
+    The number of control instances is not configured, so each learner that has caught up is
+    promoted. An instance that has been silent for ``NodeSettings.removal_silence_ms`` is removed
+    once the voters that reply are a majority without it.
 
     :param membership: current members.
-    :param caught_up: returns whether a learner holds nearly all entries.
-    :param silent: returns whether a member has not been heard for an election timeout.
-    :param departed: returns whether a member has been silent for so long that it counts as gone.
-    :return: one change, or ``None`` when nothing is to be done.
+    :param is_caught_up: returns whether a learner holds nearly all entries.
+    :param is_silent: returns whether a member has not replied for an election timeout.
+    :param is_departed: returns whether a member has been silent for so long that it is removed.
+    :return: one change, or ``None`` when no change is needed.
     """
-    replacement = next_replacement(membership, caught_up, silent)
+    replacement = next_replacement(membership, is_caught_up, is_silent)
     if replacement is not None:
         return replacement
     for learner in membership.members:
-        if learner.voter or not caught_up(learner.member_id):
+        if learner.voter or not is_caught_up(learner.member_id):
             continue
-        if _older_of(membership, learner):
-            continue  # the older member of the instance is removed first
+        if _older_members(membership, learner):
+            continue  # the older member of the same instance is removed first
         return MemberChange("promote", learner.member_id)
     for member in membership.members:
         voters = len(membership.voters)
-        if departed(member.member_id) and (not member.voter or voters > MIN_VOTERS):
+        if is_departed(member.member_id) and (not member.voter or voters > MIN_VOTERS):
             return MemberChange("remove", member.member_id)
     return None
 
 
-def _older_of(membership: Membership, learner: Member) -> list[Member]:
+def _older_members(membership: Membership, learner: Member) -> list[Member]:
     position = membership.members.index(learner)
-    instance_id = instance_of(learner.member_id)
-    return [m for m in membership.members[:position] if instance_of(m.member_id) == instance_id]
+    instance_id = instance_id_of(learner.member_id)
+    return [m for m in membership.members[:position] if instance_id_of(m.member_id) == instance_id]
--- a/src/briardyke/consensus/messages.py
+++ b/src/briardyke/consensus/messages.py
@@ -11,13 +11,13 @@
 
 @attrs.frozen(kw_only=True)
 class GroupMessage:
-    """Carry the fields of every message.
+    """Hold the fields that all messages share.
 
-    :param group_id: log group, so that several groups share a connection.
+    :param group_id: log group; several groups share one connection.
     :param sender_id: member id of the sender.
-    :param sender_address: where replies are sent; a new learner knows no members yet.
-    :param recipient_id: member id of the recipient. A process that returned with new storage at
-        the same address ignores messages to its former id.
+    :param sender_address: peer address for replies; a new learner knows no member addresses yet.
+    :param recipient_id: member id of the recipient. A process that restarted with new storage at
+        the same address ignores messages to its previous id.
     :param term: the sender's term.
     """
 
@@ -31,7 +31,7 @@
 @message
 @attrs.frozen(kw_only=True)
 class PreVoteRequest(GroupMessage):
-    """Ask whether an election in ``term`` could succeed, without starting it.
+    """Ask whether the recipient would vote for the sender in ``term``, without an election.
 
     :param last_index: last entry of the sender's log.
     :param last_term: term of that entry.
@@ -44,7 +44,7 @@
 @message
 @attrs.frozen(kw_only=True)
 class PreVoteReply(GroupMessage):
-    """Answer a pre-vote; ``term`` repeats the requested term when granted.
+    """Answer a pre-vote request; ``term`` is the requested term when granted.
 
     :param granted: whether the sender would vote for the recipient.
     """
@@ -55,11 +55,11 @@
 @message
 @attrs.frozen(kw_only=True)
 class VoteRequest(GroupMessage):
-    """Ask for the vote in ``term``.
+    """Ask for the recipient's vote in ``term``.
 
     :param last_index: last entry of the sender's log.
     :param last_term: term of that entry.
-    :param transfer: whether the leader itself asked for this election.
+    :param transfer: whether the leader requested this election in order to transfer leadership.
     """
 
     last_index: int
@@ -81,9 +81,9 @@
 @message
 @attrs.frozen(kw_only=True)
 class AppendRequest(GroupMessage):
-    """Send entries, or none as a heartbeat.
+    """Send log entries; a message without entries is a heartbeat.
 
-    :param previous_index: entry before the first one sent.
+    :param previous_index: index of the entry before the first one sent.
     :param previous_term: term of that entry.
     :param entries: consecutive entries.
     :param commit_index: the leader's commit index.
@@ -103,12 +103,12 @@
 @message
 @attrs.frozen(kw_only=True)
 class AppendReply(GroupMessage):
-    """Answer an append or the last chunk of a snapshot.
+    """Answer an append request or the last chunk of a snapshot.
 
     :param success: whether the log matched at ``previous_index``.
     :param match_index: last index known to match; after a mismatch, the index to continue from.
     :param rejected_index: ``previous_index`` of the rejected request.
-    :param round_number: round of the request.
+    :param round_number: heartbeat round of the request.
     """
 
     success: bool
@@ -120,14 +120,14 @@
 @message
 @attrs.frozen(kw_only=True)
 class SnapshotChunk(GroupMessage):
-    """Send a part of a snapshot.
+    """Send one chunk of a snapshot.
 
     :param index: last entry that the snapshot includes.
     :param index_term: term of that entry.
     :param members: encoded membership.
     :param offset_bytes: position of ``data`` in the snapshot.
-    :param data: the part.
-    :param done: whether this is the last part.
+    :param data: bytes of the chunk.
+    :param done: whether this is the last chunk.
     :param round_number: number of the leader's latest heartbeat round.
     """
 
@@ -146,8 +146,8 @@
     """Report how much of a snapshot has arrived.
 
     :param index: last entry that the snapshot includes.
-    :param received_bytes: offset that is expected next.
-    :param round_number: round of the chunk.
+    :param received_bytes: bytes received so far, which is the offset of the next chunk.
+    :param round_number: heartbeat round of the chunk.
     """
 
     index: int
@@ -158,7 +158,7 @@
 @message
 @attrs.frozen(kw_only=True)
 class TimeoutNow(GroupMessage):
-    """Ask the recipient to start an election at once, because the leader stops."""
+    """Ask the recipient to start an election at once; sent to transfer leadership."""
 
 
 @message
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -1,4 +1,4 @@
-"""Run one member of a log group as a pure function of time and messages."""
+"""Implement one member of a log group as a state machine driven by time and messages."""
 
 from __future__ import annotations
 
@@ -43,10 +43,10 @@
 
 
 class Node:
-    """Take part in a group; performs no I/O and reads no clock.
+    """Implement a group member without I/O and without reading a clock.
 
-    Every call returns :class:`Effects`. They must be carried out in order: persist and sync, then
-    send, then apply; afterwards :meth:`synced` reports what is on disk.
+    Most calls return :class:`Effects`, which the caller must perform in this order: persist and
+    sync, send, apply. The caller then reports by :meth:`synced` which entries are on disk.
     """
 
     def __init__(
@@ -55,31 +55,31 @@
         own_id: str,
         own_address: Address,
         recovered: Recovered,
-        founding: Membership,
+        initial_membership: Membership,
         random: random.Random,
         now_ms: float,
         seeds: Sequence[Address] = (),
         settings: NodeSettings = _DEFAULT_SETTINGS,
     ) -> None:
-        """Start from what storage holds.
+        """Create a member from its stored state.
 
         :param group_id: log group.
         :param own_id: own member id.
         :param own_address: own peer address.
-        :param recovered: durable state.
-        :param founding: members before the first entry; empty for a process that joins.
+        :param recovered: state that was read from disk.
+        :param initial_membership: members before the first entry; empty for a process that joins.
         :param random: source of election timeouts.
         :param now_ms: current time.
-        :param seeds: addresses that an unlisted member asks to join.
+        :param seeds: peer addresses that a process which is not a member asks to join.
         :param settings: intervals and limits.
         """
         snapshot = recovered.snapshot
         base = (snapshot.index, snapshot.term) if snapshot else (0, 0)
-        members = Membership.decode(snapshot.members) if snapshot else founding
-        configs = [(base[0], members)]
+        members = Membership.decode(snapshot.members) if snapshot else initial_membership
+        memberships = [(base[0], members)]
         for entry in recovered.entries:
             if entry.kind is EntryKind.MEMBERS:
-                configs.append((entry.index, Membership.decode(entry.data)))
+                memberships.append((entry.index, Membership.decode(entry.data)))
         log = MemoryLog(*base, recovered.entries)
         self.state = NodeState(
             group_id=group_id,
@@ -91,7 +91,7 @@
             hard_state=recovered.hard_state,
             log=log,
             snapshot=snapshot,
-            configs=configs,
+            memberships=memberships,
             now_ms=now_ms,
             commit_index=base[0],
             delivered_index=base[0],
@@ -100,7 +100,7 @@
         self.state.reset_election_deadline()
 
     def tick(self, now_ms: float) -> Effects:
-        """Handle timeouts; to be called several times per heartbeat interval."""
+        """Handle timeouts; must be called several times per heartbeat interval."""
         state = self.state
         state.now_ms = now_ms
         if state.role is Role.LEADER:
@@ -113,11 +113,11 @@
         return self._take_effects()
 
     def step(self, message: GroupMessage, now_ms: float) -> Effects:
-        """Handle a message; those for another group or member id are ignored."""
+        """Handle a message; messages for another group or member id are ignored."""
         state = self.state
         state.now_ms = now_ms
-        addressed = message.recipient_id == state.own_id or isinstance(message, JoinRequest)
-        if message.group_id == state.group_id and addressed:
+        is_addressed = message.recipient_id == state.own_id or isinstance(message, JoinRequest)
+        if message.group_id == state.group_id and is_addressed:
             _handle(message, state)
         return self._take_effects()
 
@@ -145,16 +145,16 @@
         state = self.state
         failure = self._refusal()
         if failure is None:
-            failure = _change(state, change).err()
+            failure = _append_change(state, change).err()
         if failure is None:
             state.effects.proposed.append((state.log.last_index, state.term))
         state.effects.refused = failure
         return self._take_effects()
 
     def transfer(self, now_ms: float) -> Effects:
-        """Hand leadership to the most complete other voter, before a planned stop.
+        """Transfer leadership to the other voter with the most complete log, before a planned stop.
 
-        New commands are refused until the transfer has happened or an election timeout has passed.
+        New commands are refused until the transfer is done or an election timeout has passed.
         """
         state = self.state
         state.now_ms = now_ms
@@ -171,7 +171,7 @@
         """Report that entries up to an index are on disk.
 
         :param index: last entry of the synced batch.
-        :param term: its term; ignored when the entry was replaced in the meantime.
+        :param term: its term; the report is ignored if the entry has been replaced since.
         """
         state = self.state
         if state.log.term_at(index) == term and index > state.synced_index:
@@ -183,32 +183,33 @@
         return self._take_effects()
 
     def compact(self, snapshot: Snapshot) -> None:
-        """Drop entries that a snapshot on disk covers, except the latest few."""
+        """Remove entries that a snapshot on disk includes, except the last ``kept_entries``."""
         state = self.state
         if state.snapshot is not None and snapshot.index <= state.snapshot.index:
             return
         state.snapshot = snapshot
         state.log.compact(max(state.log.base_index, snapshot.index - state.settings.kept_entries))
-        position = max(i for i, row in enumerate(state.configs) if row[0] <= snapshot.index)
-        del state.configs[:position]
+        position = max(i for i, row in enumerate(state.memberships) if row[0] <= snapshot.index)
+        del state.memberships[:position]
 
     def membership_at(self, index: int) -> Membership:
-        """Return the membership in force after an index that is not below the snapshot."""
-        return next(members for at, members in reversed(self.state.configs) if at <= index)
+        """Return the membership in force at an index that is not below the snapshot's."""
+        return next(members for at, members in reversed(self.state.memberships) if at <= index)
 
     def confirmed_age_ms(self, now_ms: float) -> float | None:
-        """Return the age of the evidence of leadership, by the age rule of the design.
+        """Return how long ago a majority last confirmed that this member leads.
 
-        :return: time since the last heartbeat round that a majority of voters acknowledged was
-            sent; ``None`` when this member does not lead or has not committed in its term.
+        :return: time since the send time of the latest heartbeat round that a majority of the
+            voters acknowledged; ``None`` when this member does not lead or has not committed an
+            entry in its term.
         """
         state = self.state
-        if not state.commit_confirmed or not state.evidence_round:
+        if not state.commit_confirmed or not state.confirmed_round:
             return None
-        return now_ms - state.evidence_ms
+        return now_ms - state.confirmed_at_ms
 
-    def start_read(self, now_ms: float) -> Effects:
-        """Start a round whose acknowledgements prove that this member led when a read began."""
+    def start_read_round(self, now_ms: float) -> Effects:
+        """Start a heartbeat round; its acknowledgements prove leadership at the start of a read."""
         self.state.now_ms = now_ms
         if self.state.role is Role.LEADER:
             replication.start_round(self.state)
@@ -216,7 +217,7 @@
 
     def _tick_leader(self) -> None:
         state = self.state
-        if state.now_ms - state.evidence_ms >= state.settings.election_min_ms:
+        if state.now_ms - state.confirmed_at_ms >= state.settings.election_min_ms:
             log_warning("leader_without_majority", group=state.group_id, term=state.term)
             state.become_follower(state.term)
             return
@@ -224,37 +225,39 @@
             state.transfer_target = ""
         if state.now_ms >= state.next_heartbeat_ms:
             replication.start_round(state)
-            step = self._next_change()
-            if step is not None:
-                _change(state, step)
+            change = self._next_change()
+            if change is not None:
+                _append_change(state, change)
 
     def _next_change(self) -> MemberChange | None:
         members = self.state.membership
         if not self.state.settings.promotes_learners:
-            return next_replacement(members, self._caught_up, self._silent)
-        return next_automatic_change(members, self._caught_up, self._silent, self._departed)
+            return next_replacement(members, self._is_caught_up, self._is_silent)
+        return next_automatic_change(
+            members, self._is_caught_up, self._is_silent, self._is_departed
+        )
 
-    def _departed(self, member_id: str) -> bool:
+    def _is_departed(self, member_id: str) -> bool:
         progress = self.state.progress.get(member_id)
-        silence_ms = self.state.now_ms - progress.heard_ms if progress else 0.0
-        return silence_ms >= self.state.settings.departed_ms
+        silence_ms = self.state.now_ms - progress.last_reply_ms if progress else 0.0
+        return silence_ms >= self.state.settings.removal_silence_ms
 
-    def _caught_up(self, member_id: str) -> bool:
+    def _is_caught_up(self, member_id: str) -> bool:
         progress = self.state.progress.get(member_id)
-        if progress is None or progress.probing or self._silent(member_id):
+        if progress is None or progress.probing or self._is_silent(member_id):
             return False
         lag = self.state.log.last_index - progress.match_index
         return progress.match_index > 0 and lag <= self.state.settings.caught_up_entries
 
-    def _silent(self, member_id: str) -> bool:
+    def _is_silent(self, member_id: str) -> bool:
         progress = self.state.progress.get(member_id)
         if progress is None:
             return False
-        return self.state.now_ms - progress.heard_ms >= self.state.settings.election_min_ms
+        return self.state.now_ms - progress.last_reply_ms >= self.state.settings.election_min_ms
 
     def _ask_to_join(self) -> None:
         state = self.state
-        removed = state.expelled or state.own_id in state.membership.removed
+        removed = state.join_refused or state.own_id in state.membership.removed
         if removed or state.now_ms < state.next_join_ms:
             return
         state.next_join_ms = state.now_ms + state.settings.join_interval_ms
@@ -281,34 +284,36 @@
         return effects
 
 
-def _change(state: NodeState, change: MemberChange) -> Result[None, Failure]:
-    """Append a membership change if no other one is open.
+def _append_change(state: NodeState, change: MemberChange) -> Result[None, Failure]:
+    """Append a membership change unless an earlier one is still uncommitted.
 
-    A change before the leader has committed in its own term could overlap with an uncommitted
-    change of an earlier leader; two such changes can produce two disjoint majorities.
+    Until the leader has committed an entry of its own term, an earlier leader's change may be
+    uncommitted too; two such changes can produce two disjoint majorities.
     """
-    if not state.commit_confirmed or state.configs[-1][0] > state.commit_index:
-        text = "an earlier change or the start of the term is not committed yet"
+    if not state.commit_confirmed or state.memberships[-1][0] > state.commit_index:
+        text = "an earlier change or the first entry of the term is not committed yet"
         return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text))
     if change.action == "remove" and change.member_id == state.own_id:
         text = "the leader cannot be removed; transfer leadership first"
         return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text, "member_id"))
-    changed = state.membership.changed(change)
-    if changed.is_err():
-        return Err(changed.unwrap_err())
-    # A change that leaves no answering majority could never be committed nor undone.
-    if not changed.unwrap().has_majority(_answering(state)):
-        text = "the changed group would have no majority of answering voters"
+    result = state.membership.with_change(change)
+    if result.is_err():
+        return Err(result.unwrap_err())
+    # Without a majority of voters that reply, the change could be neither committed nor undone.
+    if not result.unwrap().has_majority(_responding_members(state)):
+        text = "after the change, no majority of the voters would reply"
         return Err(Failure(ErrorKind.MEMBER_CHANGE_REFUSED, text, "member_id"))
     reason = f"{change.action} {change.member_id}"
-    replication.propose_members(state, changed.unwrap().encode(), reason)
+    replication.propose_members(state, result.unwrap().encode(), reason)
     return Ok(None)
 
 
-def _answering(state: NodeState) -> set[str]:
+def _responding_members(state: NodeState) -> set[str]:
     oldest_ms = state.now_ms - state.settings.election_min_ms
-    heard = {i for i, row in state.progress.items() if row.match_index and row.heard_ms > oldest_ms}
-    return heard | {state.own_id}
+    responding = {
+        i for i, row in state.progress.items() if row.match_index and row.last_reply_ms > oldest_ms
+    }
+    return responding | {state.own_id}
 
 
 @singledispatch
@@ -377,11 +382,11 @@
     if message.sender_id in state.membership.removed:
         state.reply(JoinRefused, message)
     elif state.membership.get(message.sender_id) is None:
-        _change(state, MemberChange("add", message.sender_id, message.sender_address))
+        _append_change(state, MemberChange("add", message.sender_id, message.sender_address))
 
 
 @_handle.register
 def _(message: JoinRefused, state: NodeState) -> None:
-    if state.membership.get(state.own_id) is None and not state.expelled:
+    if state.membership.get(state.own_id) is None and not state.join_refused:
         log_error("member_was_removed", group=state.group_id, member=state.own_id)
-        state.expelled = True
+        state.join_refused = True
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -16,18 +16,18 @@
 
 
 def start_round(state: NodeState) -> None:
-    """Start a heartbeat round; its send time becomes evidence once a majority has answered."""
+    """Start a heartbeat round; it confirms the leadership once a majority has acknowledged it."""
     state.round_number += 1
     state.round_sent_ms[state.round_number] = state.now_ms
     state.next_heartbeat_ms = state.now_ms + state.settings.heartbeat_ms
     broadcast(state, heartbeat=True)
-    _update_evidence(state)
+    _update_confirmation(state)
 
 
 def broadcast(state: NodeState, heartbeat: bool) -> None:
-    """Send every other member what it lacks.
+    """Send every other member the entries that it lacks.
 
-    :param heartbeat: whether members that lack nothing are sent an empty append.
+    :param heartbeat: whether members that lack no entries receive an empty append request.
     """
     for member in state.membership.members:
         if member.member_id != state.own_id:
@@ -35,9 +35,9 @@
 
 
 def send_append(state: NodeState, member: Member, heartbeat: bool) -> None:
-    """Send a member its next entries or the next part of a snapshot."""
-    fresh = Progress(state.log.last_index + 1, state.now_ms)
-    progress = state.progress.setdefault(member.member_id, fresh)
+    """Send a member its next entries or the next chunk of a snapshot."""
+    initial = Progress(state.log.last_index + 1, state.now_ms)
+    progress = state.progress.setdefault(member.member_id, initial)
     previous_index = progress.next_index - 1
     previous_term = state.log.term_at(previous_index)
     if progress.snapshot is not None or previous_term is None:
@@ -88,8 +88,8 @@
     )
 
 
-def _acknowledge(state: NodeState, message: AppendReply | SnapshotReply) -> Progress | None:
-    """Record contact; return ``None`` when the reply is not for this leader's term."""
+def _record_reply(state: NodeState, message: AppendReply | SnapshotReply) -> Progress | None:
+    """Record a reply; return ``None`` unless this member leads in the term of the reply."""
     if message.term > state.term:
         state.become_follower(message.term)
         return None
@@ -98,29 +98,29 @@
     progress = state.progress.get(message.sender_id)
     if progress is None:
         return None
-    progress.heard_ms = state.now_ms
+    progress.last_reply_ms = state.now_ms
     progress.acked_round = max(progress.acked_round, message.round_number)
-    _update_evidence(state)
+    _update_confirmation(state)
     return progress
 
 
-def _update_evidence(state: NodeState) -> None:
+def _update_confirmation(state: NodeState) -> None:
     def acked_round(member_id: str) -> int:
         if member_id == state.own_id:
             return state.round_number
         progress = state.progress.get(member_id)
         return progress.acked_round if progress else 0
 
-    number = state.membership.majority_value(acked_round)
-    if number > state.evidence_round:
-        state.evidence_round = number
-        state.evidence_ms = state.round_sent_ms[number]
-        state.round_sent_ms = {n: t for n, t in state.round_sent_ms.items() if n >= number}
+    confirmed = state.membership.majority_value(acked_round)
+    if confirmed > state.confirmed_round:
+        state.confirmed_round = confirmed
+        state.confirmed_at_ms = state.round_sent_ms[confirmed]
+        state.round_sent_ms = {n: t for n, t in state.round_sent_ms.items() if n >= confirmed}
 
 
 def on_append_reply(state: NodeState, message: AppendReply) -> None:
-    """Update what the sender holds, commit, and send what follows."""
-    progress = _acknowledge(state, message)
+    """Update the sender's progress, advance the commit index, and send the next entries."""
+    progress = _record_reply(state, message)
     member = state.membership.get(message.sender_id)
     if progress is None or member is None:
         return
@@ -150,32 +150,32 @@
 
 
 def advance_commit(state: NodeState) -> None:
-    """Commit what a majority of the voters holds on disk.
+    """Commit the entries that a majority of the voters holds on disk.
 
-    Only an entry of the current term is committed by counting: an older entry on a majority can
-    still be replaced by a leader whose log ends in a higher term.
+    Only an entry of the current term is committed by counting copies: an older entry can still be
+    replaced, although a majority holds it, by a leader whose log ends in a higher term.
     """
 
-    def match(member_id: str) -> int:
+    def stored_index(member_id: str) -> int:
         if member_id == state.own_id:
             return state.synced_index
         progress = state.progress.get(member_id)
         return progress.match_index if progress else 0
 
-    index = state.membership.majority_value(match)
+    index = state.membership.majority_value(stored_index)
     if index <= state.commit_index or state.log.term_at(index) != state.term:
         return
     state.commit_index = index
     if state.ready_index is None:
         state.ready_index = state.term_start_index
     if index == state.log.last_index:
-        broadcast(state, heartbeat=True)  # members learn of the commit before the next round
+        broadcast(state, heartbeat=True)  # announces the commit before the next round
 
 
 def on_append_request(state: NodeState, message: AppendRequest) -> None:
-    """Store a leader's entries as follower."""
+    """Store the leader's entries as a follower."""
     if message.term < state.term:
-        _reply(state, message, False, 0)  # the higher term makes the old leader step down
+        _reply_append(state, message, False, 0)  # the higher term makes the old leader step down
         return
     state.follow(message)
     if message.commit_confirmed and state.ready_index is None:
@@ -184,14 +184,14 @@
     if previous < state.commit_index:
         last = previous + len(message.entries)
         if last <= state.commit_index:
-            _reply(state, message, True, state.commit_index)
+            _reply_append(state, message, True, state.commit_index)
             return
     elif log.term_at(previous) != message.previous_term:
         if previous > log.last_index:
-            hint = log.last_index
+            continue_after = log.last_index
         else:
-            hint = max(state.commit_index, log.first_index_of_term(previous) - 1)
-        _reply(state, message, False, hint)
+            continue_after = max(state.commit_index, log.first_index_of_term(previous) - 1)
+        _reply_append(state, message, False, continue_after)
         return
     for entry in message.entries:
         if entry.index <= state.commit_index:
@@ -200,86 +200,86 @@
         if held == entry.term:
             continue
         if held is not None:
-            _truncate(state, entry.index - 1)
+            _truncate_log(state, entry.index - 1)
         state.store(entry)
     last = previous + len(message.entries)
     state.commit_index = max(state.commit_index, min(message.commit_index, last))
-    _reply(state, message, True, last)
+    _reply_append(state, message, True, last)
 
 
-def _truncate(state: NodeState, index: int) -> None:
+def _truncate_log(state: NodeState, index: int) -> None:
     state.log.truncate_after(index)
     state.synced_index = min(state.synced_index, index)
-    state.configs = [row for row in state.configs if row[0] <= index]
+    state.memberships = [row for row in state.memberships if row[0] <= index]
 
 
-def _reply(
-    state: NodeState, message: AppendRequest | SnapshotChunk, success: bool, match: int
+def _reply_append(
+    state: NodeState, message: AppendRequest | SnapshotChunk, success: bool, match_index: int
 ) -> None:
     rejected = message.previous_index if isinstance(message, AppendRequest) else 0
     state.reply(
         AppendReply,
         message,
         success=success,
-        match_index=match,
+        match_index=match_index,
         rejected_index=rejected,
         round_number=message.round_number,
     )
 
 
 def on_snapshot_chunk(state: NodeState, message: SnapshotChunk) -> None:
-    """Collect the parts of a snapshot; install it after the last one."""
+    """Collect the chunks of a snapshot and install it after the last one."""
     if message.term < state.term:
-        _reply(state, message, False, 0)
+        _reply_append(state, message, False, 0)
         return
     state.follow(message)
     if message.index <= state.commit_index:
-        state.incoming = None
-        state.incoming_data.clear()
-        _reply(state, message, True, state.commit_index)
+        state.incoming_snapshot_key = None
+        state.incoming_snapshot_data.clear()
+        _reply_append(state, message, True, state.commit_index)
         return
     key = (message.index, message.index_term, message.sender_id)
-    if state.incoming != key:
-        state.incoming = key
-        state.incoming_data.clear()
-    if message.offset_bytes == len(state.incoming_data):
-        state.incoming_data += message.data
+    if state.incoming_snapshot_key != key:
+        state.incoming_snapshot_key = key
+        state.incoming_snapshot_data.clear()
+    if message.offset_bytes == len(state.incoming_snapshot_data):
+        state.incoming_snapshot_data += message.data
         if message.done:
-            _install(state, message)
-            _reply(state, message, True, message.index)
+            _install_snapshot(state, message)
+            _reply_append(state, message, True, message.index)
             return
     state.reply(
         SnapshotReply,
         message,
         index=message.index,
-        received_bytes=len(state.incoming_data),
+        received_bytes=len(state.incoming_snapshot_data),
         round_number=message.round_number,
     )
 
 
-def _install(state: NodeState, message: SnapshotChunk) -> None:
-    data = bytes(state.incoming_data)
-    state.incoming = None
-    state.incoming_data.clear()
+def _install_snapshot(state: NodeState, message: SnapshotChunk) -> None:
+    data = bytes(state.incoming_snapshot_data)
+    state.incoming_snapshot_key = None
+    state.incoming_snapshot_data.clear()
     snapshot = Snapshot(message.index, message.index_term, message.members, data)
     log_event("snapshot_received", group=state.group_id, index=message.index, bytes=len(data))
     state.snapshot = state.effects.snapshot = snapshot
     if state.log.term_at(message.index) == message.index_term:
-        kept = [row for row in state.configs if row[0] > message.index]
+        kept = [row for row in state.memberships if row[0] > message.index]
         state.effects.snapshot_keeps_log = True
         state.log.compact(message.index)
     else:
         kept = []
         state.log.reset(message.index, message.index_term)
         state.synced_index = message.index
-    state.configs = [(message.index, Membership.decode(message.members)), *kept]
+    state.memberships = [(message.index, Membership.decode(message.members)), *kept]
     state.synced_index = max(state.synced_index, message.index)
     state.commit_index = state.delivered_index = message.index
 
 
 def on_snapshot_reply(state: NodeState, message: SnapshotReply) -> None:
-    """Send the part that the member expects next."""
-    progress = _acknowledge(state, message)
+    """Send the chunk that the member expects next."""
+    progress = _record_reply(state, message)
     member = state.membership.get(message.sender_id)
     if progress is None or member is None or progress.snapshot is None:
         return
@@ -293,8 +293,8 @@
 def propose_members(state: NodeState, encoded: bytes, reason: str) -> None:
     """Append a membership as leader and replicate it.
 
-    :param encoded: the new membership.
-    :param reason: text for the log line.
+    :param encoded: the encoded new membership.
+    :param reason: description of the change for the log line.
     """
     entry = state.append(EntryKind.MEMBERS, encoded)
     log_event("members_changed", group=state.group_id, index=entry.index, change=reason)
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -1,4 +1,4 @@
-"""Hold the state of a node and the helpers that elections and replication share."""
+"""Hold the state of a node and the operations that elections and replication share."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class Role(Enum):
-    """List the roles of a member; learners and members without contact are followers."""
+    """List the roles of a member; learners and members without a leader are followers."""
 
     FOLLOWER = "follower"
     PRE_CANDIDATE = "pre_candidate"
@@ -31,19 +31,20 @@
     """Hold the intervals and limits of a node.
 
     :param heartbeat_ms: interval of heartbeat rounds.
-    :param election_min_ms: shortest election timeout. Longer than the 900 ms for which orders
-        rely on the leader's evidence, so that no other leader exists while they do.
-    :param election_max_ms: longest election timeout.
-    :param join_interval_ms: interval at which an unlisted member asks to join.
-    :param caught_up_entries: a learner that lacks fewer entries counts as caught up.
-    :param max_append_entries: highest number of entries in one message.
-    :param max_append_bytes: highest size of the entries of one message.
-    :param max_in_flight_entries: highest number of unacknowledged entries of a member.
-    :param snapshot_chunk_bytes: size of snapshot parts.
-    :param kept_entries: entries kept in memory before a snapshot, so that a slow member does not
-        need the snapshot.
+    :param election_min_ms: minimum election timeout. Orders rely on a leader for up to 900 ms after
+        a majority confirmed it; the longer timeout rules out a second leader in that time.
+    :param election_max_ms: maximum election timeout.
+    :param join_interval_ms: interval at which a process that is not a member asks to join.
+    :param caught_up_entries: a learner that lacks at most this many entries counts as caught up.
+    :param max_append_entries: maximum number of entries in one message.
+    :param max_append_bytes: maximum total size of the entries in one message.
+    :param max_in_flight_entries: maximum number of entries sent to a member and not acknowledged.
+    :param snapshot_chunk_bytes: size of snapshot chunks.
+    :param kept_entries: number of entries before a snapshot that stay in memory, so that a slow
+        member can catch up without the snapshot.
     :param promotes_learners: whether every learner that has caught up becomes a voter.
-    :param departed_ms: silence after which a member is removed, where learners are promoted.
+    :param removal_silence_ms: time without a reply after which a member is removed; used only with
+        ``promotes_learners``.
     """
 
     heartbeat_ms: float = 150.0
@@ -57,24 +58,25 @@
     snapshot_chunk_bytes: int = 256 * 1024
     kept_entries: int = 1000
     promotes_learners: bool = False
-    departed_ms: float = 20_000.0
+    removal_silence_ms: float = 20_000.0
 
 
 @attrs.define
 class Progress:
-    """Track what the leader knows about another member.
+    """Track the replication progress of another member, as known to the leader.
 
     :param next_index: next entry to send.
-    :param heard_ms: time of the last reply.
+    :param last_reply_ms: time of the last reply.
     :param match_index: last entry known to be on the member's disk.
     :param acked_round: latest heartbeat round that it acknowledged.
-    :param probing: whether the match is unknown; then ``next_index`` moves only on replies.
-    :param snapshot: snapshot being sent.
-    :param snapshot_offset_bytes: offset of the next part.
+    :param probing: whether the matching index is unknown; ``next_index`` then changes only on
+        replies.
+    :param snapshot: snapshot being sent, if any.
+    :param snapshot_offset_bytes: offset of the next chunk.
     """
 
     next_index: int
-    heard_ms: float
+    last_reply_ms: float
     match_index: int = 0
     acked_round: int = 0
     probing: bool = True
@@ -84,7 +86,7 @@
 
 @attrs.frozen
 class Outgoing:
-    """Pair a message with the address that it goes to.
+    """Pair a message with its destination address.
 
     :param address: peer address.
     :param message: the message.
@@ -96,16 +98,17 @@
 
 @attrs.define
 class Effects:
-    """Collect what a node wants done, in this order: persist, sync, send, apply.
+    """Collect the actions that a node requires, in this order: persist, sync, send, apply.
 
     :param hard_state: term and vote to persist, if changed.
     :param snapshot: received snapshot to persist and restore.
-    :param snapshot_keeps_log: whether the entries after that snapshot stay valid.
-    :param entries: entries to persist; one at a known index replaces it and all after it.
-    :param messages: messages to send once everything above is synced.
+    :param snapshot_keeps_log: whether the log entries after that snapshot stay valid.
+    :param entries: entries to persist; an entry at a stored index replaces the stored entry and
+        all that follow it.
+    :param messages: messages to send once all of the above is synced.
     :param committed: entries to apply.
     :param proposed: index and term of each accepted command.
-    :param refused: why commands were not accepted.
+    :param refused: reason for which the proposal was not accepted.
     """
 
     hard_state: HardState | None = None
@@ -125,16 +128,16 @@
     :param group_id: log group.
     :param own_id: own member id.
     :param own_address: own peer address.
-    :param seeds: addresses that an unlisted member asks to join.
+    :param seeds: peer addresses that a process which is not a member asks to join.
     :param settings: intervals and limits.
     :param random: source of election timeouts.
     :param hard_state: term and vote.
     :param log: entries in memory.
     :param snapshot: latest snapshot.
-    :param configs: memberships by the index of their entry; the last one is in force.
+    :param memberships: index of the entry and membership, in log order; the last one is in force.
     :param now_ms: time of the latest call.
     :param commit_index: last entry known to be committed.
-    :param delivered_index: last entry handed out for applying.
+    :param delivered_index: last entry returned in ``Effects.committed``.
     :param synced_index: last own entry known to be on disk.
     """
 
@@ -147,7 +150,7 @@
     hard_state: HardState
     log: MemoryLog
     snapshot: Snapshot | None
-    configs: list[tuple[int, Membership]]
+    memberships: list[tuple[int, Membership]]
     now_ms: float
     commit_index: int
     delivered_index: int
@@ -155,8 +158,8 @@
     role: Role = Role.FOLLOWER
     leader_id: str = ""
     leader_address: Address | None = None
-    # A member that acknowledged a heartbeat right before a restart must still honour it, so a
-    # start counts as contact with a leader.
+    # A member that acknowledged a heartbeat right before a restart must not vote for another
+    # leader too early, so a start counts as contact with a leader.
     leader_contact_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.now_ms, takes_self=True)
     )
@@ -167,15 +170,15 @@
     next_heartbeat_ms: float = 0.0
     round_number: int = 0
     round_sent_ms: dict[int, float] = attrs.field(factory=dict)
-    evidence_round: int = 0
-    evidence_ms: float = 0.0
+    confirmed_round: int = 0
+    confirmed_at_ms: float = 0.0
     transfer_target: str = ""
     transfer_deadline_ms: float = 0.0
     next_join_ms: float = 0.0
-    expelled: bool = False
+    join_refused: bool = False
     ready_index: int | None = None
-    incoming: tuple[int, int, str] | None = None
-    incoming_data: bytearray = attrs.field(factory=bytearray)
+    incoming_snapshot_key: tuple[int, int, str] | None = None
+    incoming_snapshot_data: bytearray = attrs.field(factory=bytearray)
     effects: Effects = attrs.field(factory=Effects)
 
     @property
@@ -186,7 +189,7 @@
     @property
     def membership(self) -> Membership:
         """Return the membership in force, which is the latest in the log, committed or not."""
-        return self.configs[-1][1]
+        return self.memberships[-1][1]
 
     @property
     def is_voter(self) -> bool:
@@ -199,11 +202,11 @@
         return self.role is Role.LEADER and self.commit_index >= self.term_start_index
 
     def set_hard_state(self, term: int, vote: str) -> None:
-        """Change term and vote, to be persisted with the effects."""
+        """Change term and vote, and add them to the effects to be persisted."""
         self.hard_state = self.effects.hard_state = HardState(term, vote)
 
     def append(self, kind: EntryKind, data: bytes) -> Entry:
-        """Append an entry of the current term as leader."""
+        """Append a new entry in the current term as leader."""
         entry = Entry(self.log.last_index + 1, self.term, kind, data)
         self.store(entry)
         return entry
@@ -213,31 +216,31 @@
         self.log.append(entry)
         self.effects.entries.append(entry)
         if entry.kind is EntryKind.MEMBERS:
-            self.configs.append((entry.index, Membership.decode(entry.data)))
+            self.memberships.append((entry.index, Membership.decode(entry.data)))
 
     def send(self, cls: type[M], recipient_id: str, address: Address, **fields: Any) -> None:
-        """Queue a message; ``fields`` may override the envelope."""
-        envelope: dict[str, Any] = {
+        """Queue a message; ``fields`` may override the common fields."""
+        common_fields: dict[str, Any] = {
             "group_id": self.group_id,
             "sender_id": self.own_id,
             "sender_address": self.own_address,
             "recipient_id": recipient_id,
             "term": self.term,
         }
-        built = cls(**(envelope | fields))
-        self.effects.messages.append(Outgoing(address, built))
+        message = cls(**(common_fields | fields))
+        self.effects.messages.append(Outgoing(address, message))
 
     def reply(self, cls: type[M], request: GroupMessage, **fields: Any) -> None:
-        """Queue an answer to a message."""
+        """Queue a reply to a message."""
         self.send(cls, request.sender_id, request.sender_address, **fields)
 
     def reset_election_deadline(self) -> None:
-        """Choose a new random election deadline."""
+        """Choose a random election deadline between the minimum and maximum timeout from now."""
         low, high = self.settings.election_min_ms, self.settings.election_max_ms
         self.election_deadline_ms = self.now_ms + self.random.uniform(low, high)
 
     def become_follower(self, term: int) -> None:
-        """Give up any other role and enter a term that is not lower than the current one."""
+        """Become a follower in a term that is not lower than the current one."""
         if term > self.term:
             self.set_hard_state(term, "")
             self.leader_id, self.leader_address = "", None
@@ -250,7 +253,7 @@
         self.reset_election_deadline()
 
     def follow(self, message: GroupMessage) -> None:
-        """Accept the sender of a current append or snapshot as leader."""
+        """Accept the sender of an append or snapshot of the current or a later term as leader."""
         if message.term > self.term or self.role is not Role.FOLLOWER:
             self.become_follower(message.term)
         self.leader_id, self.leader_address = message.sender_id, message.sender_address
--- a/src/briardyke/consensus/storage.py
+++ b/src/briardyke/consensus/storage.py
@@ -1,8 +1,8 @@
 """Store one group's log, term, vote and snapshot in a directory.
 
-A segment file holds records of length, crc32 and payload. All entries that are synced together
-form one record, so a torn write affects the last record only. An entry whose index is already
-present replaces that entry and everything after it.
+A segment file consists of records: length, CRC-32 and payload. All entries that are synced together
+form one record, so an incomplete write damages only the last record. An entry whose index is
+already stored replaces the stored entry and all that follow it.
 """
 
 from __future__ import annotations
@@ -29,21 +29,20 @@
 _HEADER = struct.Struct("<II")
 _HARD_STATE = "hard_state"
 _SNAPSHOT = "snapshot"
-_PREFIX = "segment-"
-# Every payload starts with these bytes, which makes it possible to find a record behind a
-# damaged one.
-_MARK = b"\x93\xa7entries"
+_SEGMENT_PREFIX = "segment-"
+# Every payload starts with these bytes, so that records after a damaged one can be found.
+_PAYLOAD_PREFIX = b"\x93\xa7entries"
 
 
 class CorruptLogError(Exception):
-    """Report stored bytes that cannot be what was written."""
+    """Signal that a stored file is damaged or missing."""
 
     def __init__(self, path: Path, offset_bytes: int, reason: str) -> None:
-        """Name the place.
+        """Describe the damage.
 
-        :param path: damaged file.
-        :param offset_bytes: position of the damaged record.
-        :param reason: what is wrong with it.
+        :param path: damaged or missing file.
+        :param offset_bytes: offset of the damaged record.
+        :param reason: kind of damage.
         """
         text = f"{reason} in {path} at offset {offset_bytes}"
         self.failure = Failure(ErrorKind.LOG_CORRUPT, text, str(path))
@@ -58,7 +57,7 @@
 
 
 def sync_directory(directory: Path) -> None:
-    """Make created, renamed and deleted names of a directory durable."""
+    """Sync a directory, so that created, renamed and deleted files in it survive a crash."""
     descriptor = os.open(directory, os.O_RDONLY)
     try:
         os.fsync(descriptor)
@@ -67,7 +66,7 @@
 
 
 def replace_file(path: Path, data: bytes) -> None:
-    """Write a file so that a crash leaves either the old or the new content."""
+    """Replace a file atomically: after a crash it has either the old or the new content."""
     temporary = path.with_name(path.name + ".tmp")
     with temporary.open("wb") as file:
         file.write(data)
@@ -77,14 +76,14 @@
     sync_directory(path.parent)
 
 
-def write_checked(path: Path, value: Any) -> None:
-    """Replace a file by a single record that holds ``value`` as msgpack."""
+def write_checksummed(path: Path, value: Any) -> None:
+    """Replace a file by a single record with the msgpack encoding of ``value``."""
     payload = msgpack.packb(value)
     replace_file(path, _HEADER.pack(len(payload), zlib.crc32(payload)) + payload)
 
 
-def read_checked(path: Path) -> Any:
-    """Read a file of :func:`write_checked`.
+def read_checksummed(path: Path) -> Any:
+    """Read a file written by :func:`write_checksummed`.
 
     :raises CorruptLogError: when the file is damaged.
     """
@@ -96,7 +95,7 @@
 
 
 class GroupStorage:
-    """Keep one group's durable state; all methods block and run in a worker thread."""
+    """Store one group's state on disk; the methods block and must run in a worker thread."""
 
     def __init__(self, directory: Path, segments: list[_Segment], segment_bytes: int) -> None:
         """Use :meth:`open` instead."""
@@ -111,12 +110,12 @@
     def open(
         directory: Path, segment_bytes: int = SEGMENT_BYTES
     ) -> Result[tuple[GroupStorage, Recovered], Failure]:
-        """Open a group's directory and read its state; a missing directory is created.
+        """Open a group's directory and read its state; create the directory if it is missing.
 
         :param directory: the group's own directory.
         :param segment_bytes: size after which a new segment is started.
-        :return: the storage and what it holds; ``log_corrupt`` when records before the tail are
-            damaged or missing.
+        :return: the storage and the state it holds; ``log_corrupt`` when records before the last
+            one are damaged or missing.
         """
         try:
             if not directory.exists():
@@ -128,15 +127,15 @@
             return Err(Failure(ErrorKind.STORAGE_FAILED, f"cannot open {directory}: {error}"))
 
     def save(self, hard_state: HardState | None, entries: Sequence[Entry]) -> None:
-        """Persist and sync; entries are synced once for the whole batch.
+        """Write and sync state; all entries are written with a single sync.
 
         :param hard_state: new term and vote, if changed.
         :param entries: entries in the order in which they were appended.
-        :raises OSError: when the disk refuses; the state on disk is then unknown, so the process
-            must stop and not try again.
+        :raises OSError: when a write or sync fails; the state on disk is then unknown, so the
+            process must stop and must not retry.
         """
         if hard_state is not None:
-            write_checked(self._directory / _HARD_STATE, [hard_state.term, hard_state.vote])
+            write_checksummed(self._directory / _HARD_STATE, [hard_state.term, hard_state.vote])
         if entries:
             rows = [[e.index, e.term, e.kind.value, e.data] for e in entries]
             self._write(["entries", rows, None])
@@ -145,11 +144,11 @@
             )
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the stored snapshot, unless a later one is stored already."""
+        """Replace the stored snapshot unless it is as recent or newer."""
         with self._snapshot_lock:
             if snapshot.index > self._snapshot_index:
                 row = [snapshot.index, snapshot.term, snapshot.members, snapshot.data]
-                write_checked(self._directory / _SNAPSHOT, row)
+                write_checksummed(self._directory / _SNAPSHOT, row)
                 self._snapshot_index = snapshot.index
 
     def install(self, snapshot: Snapshot, keeps_log: bool) -> None:
@@ -164,14 +163,14 @@
             self.reset(snapshot.index, snapshot.term)
 
     def reset(self, index: int, term: int) -> None:
-        """Discard all entries; the log continues after ``index``."""
-        self._roll()
+        """Discard all entries and continue the log after ``index``."""
+        self._start_segment()
         self._write(["entries", [], [index, term]])
         self._segments[-1].last_index = index
         self._delete(len(self._segments) - 1)
 
-    def drop_until(self, index: int) -> None:
-        """Delete segments that hold only entries before ``index``, oldest first."""
+    def delete_segments_before(self, index: int) -> None:
+        """Delete the oldest segments, as long as all their entries are before ``index``."""
         count = 0
         for segment in self._segments[:-1]:
             if segment.last_index >= index:
@@ -192,7 +191,7 @@
 
     def _write(self, value: Any) -> None:
         if os.fstat(self._file).st_size >= self._segment_bytes:
-            self._roll()
+            self._start_segment()
         payload = msgpack.packb(value)
         record = _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
         view = memoryview(record)
@@ -200,7 +199,7 @@
             view = view[os.write(self._file, view) :]
         os.fsync(self._file)
 
-    def _roll(self) -> None:
+    def _start_segment(self) -> None:
         sequence = self._segments[-1].sequence + 1
         path = _segment_path(self._directory, sequence)
         file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL, 0o644)
@@ -211,28 +210,28 @@
 
 
 def _segment_path(directory: Path, sequence: int) -> Path:
-    return directory / f"{_PREFIX}{sequence:010d}"
+    return directory / f"{_SEGMENT_PREFIX}{sequence:010d}"
 
 
 def _create(directory: Path) -> None:
-    # The directory appears under its name only once it is complete.
+    # The directory gets its final name only once it is complete.
     temporary = directory.with_name(directory.name + ".new")
     temporary.mkdir(parents=True, exist_ok=True)
-    write_checked(temporary / _HARD_STATE, [0, ""])
+    write_checksummed(temporary / _HARD_STATE, [0, ""])
     replace_file(_segment_path(temporary, 1), b"")
     temporary.rename(directory)
     sync_directory(directory.parent)
 
 
 def _recover(directory: Path, segment_bytes: int) -> tuple[GroupStorage, Recovered]:
-    for leftover in directory.glob("*.tmp"):
-        leftover.unlink()
+    for temporary in directory.glob("*.tmp"):
+        temporary.unlink()
     if not (directory / _HARD_STATE).exists():
         raise CorruptLogError(directory / _HARD_STATE, 0, "missing file")
-    hard_state = HardState(*read_checked(directory / _HARD_STATE))
+    hard_state = HardState(*read_checksummed(directory / _HARD_STATE))
     snapshot = None
     if (directory / _SNAPSHOT).exists():
-        snapshot = Snapshot(*read_checked(directory / _SNAPSHOT))
+        snapshot = Snapshot(*read_checksummed(directory / _SNAPSHOT))
     replay = _Replay()
     segments = replay.read_all(directory)
     storage = GroupStorage(directory, segments, segment_bytes)
@@ -247,7 +246,7 @@
 
 
 class _Replay:
-    """Rebuild the log from all records."""
+    """Rebuild the log from the records of all segments."""
 
     def __init__(self) -> None:
         self.base: tuple[int, int] | None = None
@@ -256,17 +255,17 @@
         self._offset = 0
 
     def read_all(self, directory: Path) -> list[_Segment]:
-        paths = sorted(directory.glob(_PREFIX + "*"))
+        paths = sorted(directory.glob(_SEGMENT_PREFIX + "*"))
         if not paths:
             raise CorruptLogError(_segment_path(directory, 1), 0, "missing file")
-        segments = [_Segment(path, int(path.name.removeprefix(_PREFIX))) for path in paths]
+        segments = [_Segment(path, int(path.name.removeprefix(_SEGMENT_PREFIX))) for path in paths]
         if segments[0].sequence == 1:
             self.base = (0, 0)
-        for segment, follower in zip(segments, [*segments[1:], None], strict=True):
-            if follower is not None and follower.sequence != segment.sequence + 1:
+        for segment, next_segment in zip(segments, [*segments[1:], None], strict=True):
+            if next_segment is not None and next_segment.sequence != segment.sequence + 1:
                 missing = _segment_path(directory, segment.sequence + 1)
                 raise CorruptLogError(missing, 0, "missing file")
-            for value in self._records(segment, follower is None):
+            for value in self._records(segment, next_segment is None):
                 self._apply(segment, value)
         return segments
 
@@ -279,7 +278,7 @@
             if payload is None:
                 if not is_last or _has_record_after(data, offset):
                     raise CorruptLogError(segment.path, offset, "damaged record")
-                _cut(segment.path, offset, len(data))
+                _truncate_tail(segment.path, offset, len(data))
                 return
             yield msgpack.unpackb(payload)
             offset += _HEADER.size + len(payload)
@@ -306,15 +305,19 @@
         if self.base == (index, term):
             return self.entries
         if not self.entries:
-            return None if self.base is not None and self.base[0] < index else self._gap(index)
+            return (
+                None
+                if self.base is not None and self.base[0] < index
+                else self._raise_missing(index)
+            )
         position = index - self.entries[0].index
         if position < 0:
-            return self._gap(index)
+            return self._raise_missing(index)
         if position >= len(self.entries) or self.entries[position].term != term:
             return None
         return self.entries[position + 1 :]
 
-    def _gap(self, index: int) -> list[Entry]:
+    def _raise_missing(self, index: int) -> list[Entry]:
         raise CorruptLogError(self._path, 0, f"entries after snapshot index {index} are missing")
 
 
@@ -324,21 +327,25 @@
         return None
     length, checksum = _HEADER.unpack_from(data, offset)
     payload = data[start : start + length]
-    valid = length >= len(_MARK) and len(payload) == length and zlib.crc32(payload) == checksum
+    valid = (
+        length >= len(_PAYLOAD_PREFIX)
+        and len(payload) == length
+        and zlib.crc32(payload) == checksum
+    )
     return payload if valid else None
 
 
 def _has_record_after(data: bytes, offset: int) -> bool:
-    # A damaged length makes a record look incomplete, so the rest is searched for valid records.
-    found = data.find(_MARK, offset + _HEADER.size + 1)
-    while found >= 0:
-        if _payload_at(data, found - _HEADER.size) is not None:
+    # A damaged length can make a record look incomplete, so the search covers all following bytes.
+    position = data.find(_PAYLOAD_PREFIX, offset + _HEADER.size + 1)
+    while position >= 0:
+        if _payload_at(data, position - _HEADER.size) is not None:
             return True
-        found = data.find(_MARK, found + 1)
+        position = data.find(_PAYLOAD_PREFIX, position + 1)
     return False
 
 
-def _cut(path: Path, offset: int, size: int) -> None:
+def _truncate_tail(path: Path, offset: int, size: int) -> None:
     log_warning("log_tail_cut", file=path, offset=offset, dropped_bytes=size - offset)
     with path.open("r+b") as file:
         file.truncate(offset)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -1,4 +1,4 @@
-"""Run pure nodes over simulated disks and a simulated network, and check Raft's guarantees."""
+"""Run nodes on simulated disks and a simulated network, and check Raft's guarantees."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class Disk:
-    """Hold what was synced; everything else is lost in a crash."""
+    """Hold the synced state, which is all that survives a crash."""
 
     def __init__(self) -> None:
         self.hard_state, self.snapshot = HardState(), None
@@ -53,26 +53,26 @@
 
 @attrs.define(eq=False)
 class Host:
-    """Hold one instance; ``node`` is ``None`` while its process is down."""
+    """Hold one instance; ``node`` is ``None`` while its process does not run."""
 
     name: str
     address: Address
     member_id: str
-    founding: Membership
+    initial_membership: Membership
     disk: Disk = attrs.field(factory=Disk)
     node: Node | None = None
     pending: deque[Effects] = attrs.field(factory=deque)
     applied: list[bytes] = attrs.field(factory=list)
     applied_index: int = 0
     own_proposals: dict[int, int] = attrs.field(factory=dict)
-    frozen_until: float = 0.0
+    suspended_until: float = 0.0
 
 
 class Cluster:
-    """Simulate several instances and check every guarantee after each event."""
+    """Simulate several instances and check the guarantees after each event."""
 
     def __init__(
-        self, voters: int = 3, extra: int = 0, seed: int = 0, sync_ms: float = 0.0
+        self, voters: int = 3, learners: int = 0, seed: int = 0, sync_ms: float = 0.0
     ) -> None:
         self.random = random.Random(seed)
         self.now, self.sync_ms = 0.0, sync_ms
@@ -81,33 +81,34 @@
         self.settings = NodeSettings(
             snapshot_chunk_bytes=64, kept_entries=3, max_append_entries=4, caught_up_entries=4
         )
-        self.groups: list[set[str]] = []
-        self.blocked: Callable[[str, str, Any], bool] = lambda sender, receiver, message: False
+        self.partitions: list[set[str]] = []
+        self.is_dropped: Callable[[str, str, Any], bool] = lambda sender, receiver, message: False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._storage_ids = itertools.count()
-        names = [chr(ord("a") + i) for i in range(voters + extra)]
+        names = [chr(ord("a") + i) for i in range(voters + learners)]
         addresses = {name: Address("127.0.0.1", 1 + i) for i, name in enumerate(names)}
-        self.founding = Membership(
+        self.initial_membership = Membership(
             tuple(Member(f"{name}#0", addresses[name], True) for name in names[:voters])
         )
         self.hosts = {
-            name: Host(name, addresses[name], f"{name}#0", self.founding) for name in names
+            name: Host(name, addresses[name], f"{name}#0", self.initial_membership)
+            for name in names
         }
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, Entry] = {}
         self.acknowledged: list[Entry] = []
         self.disks: dict[str, Disk | None] = {h.member_id: h.disk for h in self.hosts.values()}
         for host in self.hosts.values():
-            if not self.founding.get(host.member_id):
-                host.founding = Membership()
+            if not self.initial_membership.get(host.member_id):
+                host.initial_membership = Membership()
             self.start(host)
             self._tick(host)
 
-    # Control of instances
+    # Operations on instances
 
     def start(self, host: Host) -> None:
-        """Start a process from its synced disk."""
+        """Start a process with the synced state of its disk."""
         host.pending.clear()
         host.own_proposals.clear()
         recovered = host.disk.recovered()
@@ -119,7 +120,7 @@
             host.member_id,
             host.address,
             recovered,
-            host.founding,
+            host.initial_membership,
             random.Random(self.random.random()),
             self.now,
             [other.address for other in self.hosts.values()],
@@ -127,30 +128,30 @@
         )
 
     def crash(self, host: Host) -> None:
-        """End a process; unsynced effects are lost."""
+        """Kill a process; effects that are not synced are lost."""
         host.node = None
         host.pending.clear()
 
     def lose_disk(self, host: Host, keep_id: bool = False) -> None:
-        """Empty a disk; the process returns as a new member that has to join."""
+        """Replace a disk by an empty one and restart the process, which must join with a new id."""
         self.crash(host)
         self.disks[host.member_id] = None
         host.disk = Disk()
         if not keep_id:
             host.member_id = f"{host.name}#{next(self._storage_ids) + 1}"
-            host.founding = Membership()
+            host.initial_membership = Membership()
         self.disks[host.member_id] = host.disk
         self.start(host)
 
-    def may_lose_disk(self, host: Host) -> bool:
+    def can_lose_disk(self, host: Host) -> bool:
         """Return whether the group can tolerate the loss of this disk."""
         return self.has_intact_majority(without=host.member_id)
 
     def has_intact_majority(self, without: str = "") -> bool:
-        """Return whether every membership in use keeps a majority of intact disks."""
+        """Return whether every membership in use has a majority of voters with intact disks."""
         changes = [e for e in self.committed.values() if e.kind is EntryKind.MEMBERS]
         latest = max(changes, key=lambda entry: entry.index, default=None)
-        memberships = [Membership.decode(latest.data) if latest else self.founding]
+        memberships = [Membership.decode(latest.data) if latest else self.initial_membership]
         for other in self.hosts.values():
             entries = other.disk.entries
             if other.node is not None:
@@ -168,9 +169,9 @@
             for members in memberships
         )
 
-    def freeze(self, host: Host, duration_ms: float) -> None:
-        """Suspend a process; its messages wait and its clock goes on."""
-        host.frozen_until = self.now + duration_ms
+    def suspend(self, host: Host, duration_ms: float) -> None:
+        """Suspend a process; its messages are delayed while time passes."""
+        host.suspended_until = self.now + duration_ms
 
     def compact(self, host: Host) -> None:
         """Write a snapshot of everything applied."""
@@ -191,18 +192,18 @@
         effects = host.node.propose([command])
         for index, term in effects.proposed:
             host.own_proposals[index] = term
-        self._carry_out(host, effects)
+        self._execute(host, effects)
         return bool(effects.proposed)
 
     def change(self, host: Host, change: MemberChange) -> Effects:
         """Propose a membership change."""
         effects = host.node.propose_change(change)
-        self._carry_out(host, effects)
+        self._execute(host, effects)
         return effects
 
     def transfer(self, host: Host) -> None:
-        """Hand over leadership."""
-        self._carry_out(host, host.node.transfer(self.now))
+        """Transfer leadership to another voter."""
+        self._execute(host, host.node.transfer(self.now))
 
     @property
     def running(self) -> list[Host]:
@@ -214,11 +215,11 @@
         return max(leading, key=lambda host: host.node.state.term, default=None)
 
     def heal(self) -> None:
-        """End all faults and start all processes."""
+        """End all faults and start the processes that do not run."""
         self.loss = self.duplication = 0.0
-        self.delay_ms, self.groups = (1.0, 1.0), []
+        self.delay_ms, self.partitions = (1.0, 1.0), []
         for host in self.hosts.values():
-            host.frozen_until = 0.0
+            host.suspended_until = 0.0
             if host.node is None:
                 self.start(host)
 
@@ -249,29 +250,29 @@
             action()
         self.now = end
 
-    def _at(self, at: float, action: Callable[[], None]) -> None:
+    def _schedule(self, at: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at, next(self._numbers), action))
 
     def _tick(self, host: Host) -> None:
-        if host.node is not None and self.now >= host.frozen_until:
-            self._carry_out(host, host.node.tick(self.now))
-        self._at(max(self.now + TICK_MS, host.frozen_until), lambda: self._tick(host))
+        if host.node is not None and self.now >= host.suspended_until:
+            self._execute(host, host.node.tick(self.now))
+        self._schedule(max(self.now + TICK_MS, host.suspended_until), lambda: self._tick(host))
 
-    def _carry_out(self, host: Host, effects: Effects) -> None:
+    def _execute(self, host: Host, effects: Effects) -> None:
         self._check_leaders()
         host.pending.append(effects)
         if self.sync_ms:
             node = host.node
             delay = self.random.uniform(0, self.sync_ms)
-            self._at(self.now + delay, lambda: self._flush(host, node))
+            self._schedule(self.now + delay, lambda: self._flush(host, node))
         else:
             self._flush(host, host.node)
 
     def _flush(self, host: Host, node: Node | None) -> None:
         if host.node is not node or node is None:
             return
-        if self.now < host.frozen_until:
-            self._at(host.frozen_until, lambda: self._flush(host, node))
+        if self.now < host.suspended_until:
+            self._schedule(host.suspended_until, lambda: self._flush(host, node))
             return
         while host.pending:
             effects = host.pending.popleft()
@@ -292,23 +293,25 @@
         for _ in range(copies):
             if self.random.random() >= self.loss:
                 at = self.now + self.random.uniform(*self.delay_ms)
-                self._at(at, lambda: self._deliver(host, receiver, message))
+                self._schedule(at, lambda: self._deliver(host, receiver, message))
 
     def _deliver(self, sender: Host, receiver: Host, message: Any) -> None:
-        for group in self.groups:
+        for group in self.partitions:
             if (sender.name in group) != (receiver.name in group):
                 return
-        if self.blocked(sender.name, receiver.name, message):
+        if self.is_dropped(sender.name, receiver.name, message):
             return
-        if self.now < receiver.frozen_until:
-            self._at(receiver.frozen_until, lambda: self._deliver(sender, receiver, message))
+        if self.now < receiver.suspended_until:
+            self._schedule(
+                receiver.suspended_until, lambda: self._deliver(sender, receiver, message)
+            )
         elif receiver.node is not None:
-            self._carry_out(receiver, receiver.node.step(message, self.now))
+            self._execute(receiver, receiver.node.step(message, self.now))
 
     # Checks
 
     def _check_leaders(self) -> None:
-        fresh = []
+        fresh_terms = []
         for host in self.running:
             state = host.node.state
             if state.role is Role.LEADER:
@@ -316,8 +319,8 @@
                 assert first == host.member_id, f"two leaders in term {state.term}"
                 age = host.node.confirmed_age_ms(self.now)
                 if age is not None and age < 900:
-                    fresh.append(state.term)
-        assert len(fresh) <= 1, f"two leaders with fresh evidence: terms {fresh}"
+                    fresh_terms.append(state.term)
+        assert len(fresh_terms) <= 1, f"two recently confirmed leaders: terms {fresh_terms}"
 
     def _apply(self, host: Host, entry: Entry) -> None:
         known = self.committed.setdefault(entry.index, entry)
@@ -346,10 +349,10 @@
         host.applied, host.applied_index = commands, snapshot.index
 
     def check_durable(self) -> None:
-        """Check that the leader has applied every acknowledged command.
+        """Check that no acknowledged command is lost.
 
-        A learner can lose its disk within the second before it is promoted; two voters then
-        cannot make progress, but everything acknowledged must still be on an intact disk.
+        If a learner loses its disk in the second before its promotion, the two other voters cannot
+        make progress, but every acknowledged entry must still be on an intact disk.
         """
         self.advance(3000)
         if self.has_intact_majority():
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -1,4 +1,4 @@
-"""Check the driver: disk, callers, restarts and several members together, on a paused clock."""
+"""Test the driver with disks, proposers, restarts and several members, on a simulated clock."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class _Machine:
-    """Record commands and answer with their number."""
+    """Record commands and return how many there are."""
 
     def __init__(self) -> None:
         self.commands: list[bytes] = []
@@ -42,13 +42,13 @@
 
 
 async def _run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
-    """Run in place: the paused clock would jump ahead while a worker thread works."""
+    """Run in the event loop: the simulated clock would jump ahead while a worker thread runs."""
     await trio.lowlevel.checkpoint()
     return function(*arguments)
 
 
 class _Group:
-    """Run drivers that exchange messages with 1 ms latency."""
+    """Run several drivers that exchange messages with a latency of 1 ms."""
 
     def __init__(self, directory: Path, nursery: trio.Nursery) -> None:
         self.directory, self.nursery = directory, nursery
@@ -116,7 +116,7 @@
 
 
 async def test_proposals_are_applied_everywhere(autojump_clock: Any, tmp_path: Path) -> None:
-    """Guards against results that reach the wrong proposer and members that diverge."""
+    """Guards against results for the wrong proposer and against members that diverge."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
@@ -143,41 +143,41 @@
 
 
 async def test_nothing_is_sent_before_the_sync(autojump_clock: Any, tmp_path: Path) -> None:
-    """Guards against acknowledging entries that a power failure removes: while the syncs of the
-    followers hang, the leader holds the only copy and must not acknowledge; and nothing is sent
-    for entries whose sync on the leader hangs."""
+    """Guards against acknowledging entries that a power failure can remove: while the syncs of the
+    followers hang, only the leader holds the entry and must not acknowledge it; while the sync of
+    the leader hangs, it must not send the entry."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
-        stuck = trio.Event()
+        syncs_released = trio.Event()
 
-        async def hang(function: Callable[..., Any], *arguments: Any) -> Any:
-            await stuck.wait()
+        async def wait_for_release(function: Callable[..., Any], *arguments: Any) -> Any:
+            await syncs_released.wait()
             return await _run_inline(function, *arguments)
 
         for name, log in group.logs.items():
             if name != leader:
-                log._run_blocking = hang
+                log._run_blocking = wait_for_release
         outcome = await group.logs[leader].propose(b"x", 300)
         assert outcome.unwrap_err().kind is ErrorKind.OUTCOME_UNKNOWN
         assert all(machine.commands == [] for machine in group.machines.values())
-        stuck.set()
+        syncs_released.set()
         await trio.sleep(3)
         assert group.machines[await group.leader()].commands in ([b"x"], [])
         sent: list[Any] = []
         leader = await group.leader()
-        stuck = trio.Event()
+        syncs_released = trio.Event()
         group.logs[leader]._send = lambda address, message: sent.append(message)
-        group.logs[leader]._run_blocking = hang
+        group.logs[leader]._run_blocking = wait_for_release
         assert (await group.logs[leader].propose(b"y", 100)).is_err()
         assert not any(entry.data == b"y" for m in sent for entry in getattr(m, "entries", ()))
         nursery.cancel_scope.cancel()
 
 
-async def test_proposal_that_lost_its_leader_is_unknown(
+async def test_outcome_is_unknown_after_lost_leadership(
     autojump_clock: Any, tmp_path: Path
 ) -> None:
-    """Guards against "not run" for a command that the next leader may still commit."""
+    """Guards against reporting a command as not run that the next leader may still commit."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
@@ -192,8 +192,8 @@
 async def test_restart_reads_the_disk_and_waits_until_ready(
     autojump_clock: Any, tmp_path: Path
 ) -> None:
-    """Guards against serving old state after a restart, and against replaying truncated entries
-    or applying an entry twice after a snapshot."""
+    """Guards against serving outdated state after a restart, and against applying entries again
+    that the snapshot includes."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         group.snapshot_entries = 20
@@ -213,9 +213,9 @@
         nursery.cancel_scope.cancel()
 
 
-async def test_lost_disk_returns_as_replacement(autojump_clock: Any, tmp_path: Path) -> None:
-    """Guards against a repair that needs an operator; a relay meanwhile stays a learner until it
-    is promoted explicitly."""
+async def test_instance_with_lost_disk_is_replaced(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against a repair that needs an operator, and against promoting a learner of another
+    instance without an explicit request."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
@@ -229,16 +229,16 @@
         voters = {member.member_id for member in status.members if member.voter}
         assert returned.status().member_id in voters and len(voters) == 3
         assert group.machines[lost].commands == [b"x"]
-        relay = group.logs["d"].status()
-        assert relay.ready and relay.member_id not in voters
-        change = MemberChange("promote", relay.member_id)
+        learner = group.logs["d"].status()
+        assert learner.ready and learner.member_id not in voters
+        change = MemberChange("promote", learner.member_id)
         assert (await group.logs[leader].change_member(change, 1000)).is_ok()
         assert sum(member.voter for member in group.logs[leader].status().members) == 4
         nursery.cancel_scope.cancel()
 
 
-async def test_planned_stop_hands_leadership_over(autojump_clock: Any, tmp_path: Path) -> None:
-    """Guards against an election timeout without leader at every planned stop."""
+async def test_planned_stop_transfers_leadership(autojump_clock: Any, tmp_path: Path) -> None:
+    """Guards against an election timeout without a leader at each planned stop."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         leader = await group.started()
@@ -252,8 +252,8 @@
 
 
 async def test_sync_does_not_block_other_tasks(tmp_path: Path) -> None:
-    """Guards against streams that stall while the disk syncs: the write runs in another thread,
-    and the event loop runs while that thread waits."""
+    """Guards against tasks that stall during a disk sync: the write runs in another thread, and the
+    event loop continues while that thread waits."""
     async with trio.open_nursery() as nursery:
         group = _Group(tmp_path, nursery)
         initialise(tmp_path / "a", "k", "a", {"a": ADDRESSES["a"]}).unwrap()
@@ -271,11 +271,11 @@
 
         log._storage.save = slow_save
 
-        async def run_beside() -> None:
+        async def run_concurrently() -> None:
             await entered.wait()
             event_loop_ran.set()
 
-        nursery.start_soon(run_beside)
+        nursery.start_soon(run_concurrently)
         assert (await log.propose(b"x", 15_000)).is_ok()
         assert threads[0] != threading.get_ident()
         nursery.cancel_scope.cancel()
--- a/tests/consensus/test_folder_lock.py
+++ b/tests/consensus/test_folder_lock.py
@@ -1,4 +1,4 @@
-"""Check that a data folder has one user."""
+"""Test the lock on data folders."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 
 class TestFolderLock:
-    """Guards against two processes that vote and write under one identity."""
+    """Guards against two processes that vote and write under the same identity."""
 
-    def test_second_user_is_refused_until_the_first_is_gone(self, tmp_path: Path) -> None:
+    def test_second_lock_is_refused_until_the_first_is_released(self, tmp_path: Path) -> None:
         folder = tmp_path / "data"
         first = FolderLock.acquire(folder).unwrap()
-        assert not folder.exists()  # the folder has to stay empty for a new identity
+        assert not folder.exists()  # a new identity requires an empty folder
         refused = FolderLock.acquire(folder).unwrap_err()
         assert (refused.kind, refused.field) == (ErrorKind.STORAGE_FAILED, "data_dir")
         first.release()
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -1,4 +1,4 @@
-"""Check Raft's guarantees under random faults, with the checks of :mod:`.cluster`."""
+"""Test Raft's guarantees under random faults; :mod:`.cluster` checks them."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class Group(RuleBasedStateMachine):
-    """Guards against lost or changed committed entries and two leaders, whatever the faults.
+    """Guards against lost or changed committed entries and against two leaders, under any faults.
 
     ``a``, ``b`` and ``c`` are the initial voters; ``d`` and ``e`` join as learners.
     """
@@ -40,7 +40,7 @@
 
     @rule(count=st.integers(1, 8), pause_ms=st.sampled_from([0, 5, 60]))
     def propose(self, count: int, pause_ms: int) -> None:
-        """Propose at every member that believes to lead, including a deposed one."""
+        """Propose to every member in the leader role, including leaders that have been replaced."""
         for _ in range(count):
             for host in self.cluster.running:
                 if host.node.state.role is Role.LEADER:
@@ -61,20 +61,20 @@
     @rule(name=names)
     def lose_disk(self, name: str) -> None:
         host = self.cluster.hosts[name]
-        if self.cluster.may_lose_disk(host):
+        if self.cluster.can_lose_disk(host):
             self.cluster.lose_disk(host)
 
     @rule(name=names, duration_ms=st.sampled_from([300, 1500, 6000]))
-    def freeze(self, name: str, duration_ms: int) -> None:
-        self.cluster.freeze(self.cluster.hosts[name], duration_ms)
+    def suspend(self, name: str, duration_ms: int) -> None:
+        self.cluster.suspend(self.cluster.hosts[name], duration_ms)
 
     @rule(group=st.sets(names, min_size=1, max_size=3))
     def partition(self, group: set[str]) -> None:
-        self.cluster.groups = [group]
+        self.cluster.partitions = [group]
 
     @rule()
     def end_partition(self) -> None:
-        self.cluster.groups = []
+        self.cluster.partitions = []
 
     @rule(
         loss=st.sampled_from([0.0, 0.05, 0.3]),
@@ -95,7 +95,7 @@
         leader = self.cluster.leader()
         if action == "remove" and effects.proposed and leader is not None:
             membership = leader.node.state.membership
-            if membership.get(host.member_id) is None and self.cluster.may_lose_disk(host):
+            if membership.get(host.member_id) is None and self.cluster.can_lose_disk(host):
                 self.cluster.lose_disk(host)
 
     @precondition(lambda self: self.cluster.leader() is not None)
@@ -110,7 +110,7 @@
             self.cluster.compact(host)
 
     def teardown(self) -> None:
-        """Check that the group recovers and that nothing acknowledged is missing."""
+        """Check that the group recovers and that no acknowledged command is lost."""
         self.cluster.heal()
         self.cluster.check_durable()
 
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,4 +1,4 @@
-"""Check storage and identity on real files."""
+"""Test storage and identity with files on disk."""
 
 from __future__ import annotations
 
@@ -38,10 +38,10 @@
 
 
 class TestGroupStorage:
-    """Guards against lost, invented or silently damaged entries."""
+    """Guards against lost, wrong or silently damaged entries."""
 
     def test_state_survives_a_restart(self, tmp_path: Path) -> None:
-        """Guards against a forgotten vote, term or entry."""
+        """Guards against losing a vote, term or entry."""
         storage, _ = GroupStorage.open(tmp_path / "g").unwrap()
         storage.save(HardState(3, "a#1"), [_entry(1), _entry(2)])
         storage.close()
@@ -50,12 +50,12 @@
         assert recovered.entries == (_entry(1), _entry(2))
 
     def test_replaced_suffix_stays_replaced(self, tmp_path: Path) -> None:
-        """Guards against the return of entries that the leader had overwritten."""
+        """Guards against reading entries that the leader has replaced."""
         _write(tmp_path / "g", [[_entry(1), _entry(2), _entry(3)], [_entry(2, 2)]])
         assert _read(tmp_path / "g").entries == (_entry(1), _entry(2, 2))
 
-    def test_every_torn_tail_is_cut(self, tmp_path: Path) -> None:
-        """Guards against a process that cannot start after a crash in the middle of a write."""
+    def test_incomplete_last_record_is_truncated(self, tmp_path: Path) -> None:
+        """Guards against a process that cannot start after a crash during a write."""
         _write(tmp_path / "g", [[_entry(1)]])
         segment = next((tmp_path / "g").glob("segment-*"))
         whole = segment.read_bytes()
@@ -68,9 +68,9 @@
         segment.write_bytes(longer[:-1] + bytes([longer[-1] ^ 1]))
         assert _read(tmp_path / "g").entries == (_entry(1),)
 
-    def test_damage_before_the_tail_is_an_error(self, tmp_path: Path) -> None:
-        """Guards against cutting acknowledged entries, also when the damaged byte belongs to a
-        length, which makes the record look incomplete."""
+    def test_damage_before_the_last_record_is_an_error(self, tmp_path: Path) -> None:
+        """Guards against truncating acknowledged entries, also when the damaged byte is in the
+        length of a record, which makes the record look incomplete."""
         _write(tmp_path / "g", [[_entry(1)], [_entry(2)], [_entry(3)]])
         segment = next((tmp_path / "g").glob("segment-*"))
         whole = segment.read_bytes()
@@ -95,14 +95,14 @@
         assert len(_read(directory).entries) == 5
 
     def test_snapshot_truncates_the_log(self, tmp_path: Path) -> None:
-        """Guards against a log that grows for ever, and against losing entries after the
+        """Guards against a log that grows without bound, and against losing entries after the
         snapshot."""
         directory = tmp_path / "g"
         _write(directory, [[_entry(i)] for i in range(1, 9)], segment_bytes=1)
         storage, _ = GroupStorage.open(directory).unwrap()
         storage.save_snapshot(Snapshot(5, 1, b"members", b"state"))
         storage.save_snapshot(Snapshot(4, 1, b"members", b"older"))
-        storage.drop_until(5)
+        storage.delete_segments_before(5)
         storage.close()
         assert len(list(directory.glob("segment-*"))) <= 5
         recovered = _read(directory)
@@ -110,8 +110,8 @@
         assert recovered.entries == (_entry(6), _entry(7), _entry(8))
 
     def test_installed_snapshot_discards_a_different_log(self, tmp_path: Path) -> None:
-        """Guards against old entries behind a received snapshot, also when the process ended
-        between the two writes."""
+        """Guards against keeping old entries after a received snapshot, also when the process stops
+        between the writes of the snapshot and of the log."""
         directory = tmp_path / "g"
         _write(directory, [[_entry(i) for i in range(1, 9)]])
         snapshot = Snapshot(6, 4, b"members", b"state")
@@ -126,8 +126,8 @@
         assert _read(directory).entries == (_entry(21, 5),)
 
     def test_every_save_is_synced(self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-        """Guards against acknowledged entries that only the page cache holds; a batch costs one
-        sync."""
+        """Guards against acknowledging entries that are only in the page cache, and against more
+        than one sync per batch."""
         storage, _ = GroupStorage.open(tmp_path / "g").unwrap()
         calls: list[int] = []
         monkeypatch.setattr(storage_module.os, "fsync", calls.append)
@@ -140,30 +140,30 @@
 
 
 class TestIdentity:
-    """Guards against votes under an identity whose memory is gone."""
+    """Guards against voting under an identity whose stored votes are lost."""
 
-    def test_initial_voters_agree(self, tmp_path: Path) -> None:
-        """Guards against initial voters that do not recognise one another."""
+    def test_initial_voters_create_the_same_membership(self, tmp_path: Path) -> None:
+        """Guards against initial voters that do not accept one another as members."""
         created = [initialise(tmp_path / n, "k", n, VOTERS).unwrap() for n in VOTERS]
-        assert len({identity.founding for identity in created}) == 1
+        assert len({identity.initial_membership for identity in created}) == 1
         for identity in created:
-            assert identity.founding.is_voter(identity.member_id)
+            assert identity.initial_membership.is_voter(identity.member_id)
             reopened = open_identity(identity.directory, identity.instance_id).unwrap()
             assert reopened == identity
 
     def test_empty_directory_gets_a_new_identity(self, tmp_path: Path) -> None:
-        """Guards against a second vote in a term: a process that lost its disk has forgotten its
+        """Guards against a second vote in a term: a process that lost its disk no longer knows its
         votes and must not vote under the old id."""
         first = initialise(tmp_path / "a", "k", "a", VOTERS).unwrap()
         ids = {open_identity(tmp_path / f"empty-{i}", "a").unwrap().member_id for i in range(3)}
         assert len(ids) == 3 and first.member_id not in ids
         joining = open_identity(tmp_path / "empty-0", "a").unwrap()
-        assert joining.founding.members == ()
+        assert joining.initial_membership.members == ()
         assert joining.member_id in ids
 
     def test_directory_in_use_is_refused(self, tmp_path: Path) -> None:
-        """Guards against an operator who repeats ``init`` on a running member, starts another
-        instance on its disk, or loses only the identity."""
+        """Guards against an operator who repeats ``init`` on an existing member, starts another
+        instance with its directory, or deletes only the identity file."""
         initialise(tmp_path, "k", "a", VOTERS).unwrap()
         assert initialise(tmp_path, "k", "a", VOTERS).unwrap_err().field == "directory"
         assert open_identity(tmp_path, "b").unwrap_err().field == "instance_id"
@@ -172,7 +172,7 @@
         assert open_identity(tmp_path, "a").unwrap_err().kind is ErrorKind.LOG_CORRUPT
 
     def test_lost_group_directory_is_an_error(self, tmp_path: Path) -> None:
-        """Guards against an empty log under an identity that already voted in the group."""
+        """Guards against an empty log under an identity that has already voted in the group."""
         identity = initialise(tmp_path / "a", "k", "a", VOTERS).unwrap()
         identity.open_group("control").unwrap()[0].close()
         (tmp_path / "a" / "control").rename(tmp_path / "elsewhere")
