--- a/src/briardyke/consensus/election.py
+++ b/src/briardyke/consensus/election.py
@@ -97,7 +97,7 @@
         state.reply(VoteReply, message, granted=False)
         return
     if not _is_electable(state, message, message.transfer):
-        # While a leader is in contact, the term stays unchanged and the request is not answered.
+        # While a leader is in contact, a request with a higher term is ignored and raises no term.
         if message.term == state.term or not _has_current_leader(state):
             if message.term > state.term:
                 state.become_follower(message.term)
--- a/src/briardyke/consensus/storage.py
+++ b/src/briardyke/consensus/storage.py
@@ -305,19 +305,15 @@
         if self.base == (index, term):
             return self.entries
         if not self.entries:
-            return (
-                None
-                if self.base is not None and self.base[0] < index
-                else self._raise_missing(index)
-            )
+            return None if self.base is not None and self.base[0] < index else self._fail(index)
         position = index - self.entries[0].index
         if position < 0:
-            return self._raise_missing(index)
+            return self._fail(index)
         if position >= len(self.entries) or self.entries[position].term != term:
             return None
         return self.entries[position + 1 :]
 
-    def _raise_missing(self, index: int) -> list[Entry]:
+    def _fail(self, index: int) -> list[Entry]:
         raise CorruptLogError(self._path, 0, f"entries after snapshot index {index} are missing")
 
 
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -311,7 +311,7 @@
     # Checks
 
     def _check_leaders(self) -> None:
-        fresh_terms = []
+        confirmed_terms = []
         for host in self.running:
             state = host.node.state
             if state.role is Role.LEADER:
@@ -319,8 +319,8 @@
                 assert first == host.member_id, f"two leaders in term {state.term}"
                 age = host.node.confirmed_age_ms(self.now)
                 if age is not None and age < 900:
-                    fresh_terms.append(state.term)
-        assert len(fresh_terms) <= 1, f"two recently confirmed leaders: terms {fresh_terms}"
+                    confirmed_terms.append(state.term)
+        assert len(confirmed_terms) <= 1, f"two recently confirmed leaders: terms {confirmed_terms}"
 
     def _apply(self, host: Host, entry: Entry) -> None:
         known = self.committed.setdefault(entry.index, entry)
--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -65,7 +65,7 @@
             self.cluster.lose_disk(host)
 
     @rule(name=names, duration_ms=st.sampled_from([300, 1500, 6000]))
-    def suspend(self, name: str, duration_ms: int) -> None:
+    def freeze(self, name: str, duration_ms: int) -> None:
         self.cluster.suspend(self.cluster.hosts[name], duration_ms)
 
     @rule(group=st.sets(names, min_size=1, max_size=3))
