Rename functions of the replicated state that other packages use

Name them after what they do: matches_any_pattern for the glob check, decode_outcome for the result of a command, replace_wall_time for the leader's timestamp, exceeds_max_depth for the nesting check. The page limit of audit records gets its unit.

--- a/src/briardyke/agreed/commands.py
+++ b/src/briardyke/agreed/commands.py
@@ -160,7 +160,7 @@
     return CommandRefused(kind.value, text, field)
 
 
-def read_outcome(data: bytes) -> Result[Any, Failure]:
+def decode_outcome(data: bytes) -> Result[Any, Failure]:
     """Read the bytes that ``apply`` returned.
 
     :param data: result of an applied command.
@@ -175,7 +175,7 @@
     return Ok(outcome)
 
 
-def restamp(command: bytes, wall_unix_ms: int) -> bytes:
+def replace_wall_time(command: bytes, wall_unix_ms: int) -> bytes:
     """Return a command with the leader's wall time instead of the sender's.
 
     :param command: encoded command; one without a time is returned unchanged.
--- a/src/briardyke/agreed/configuration.py
+++ b/src/briardyke/agreed/configuration.py
@@ -133,6 +133,6 @@
     targets: Targets = attrs.field(factory=Targets)
 
 
-def may_carry(patterns: tuple[str, ...], upstream_id: str) -> bool:
+def matches_any_pattern(patterns: tuple[str, ...], upstream_id: str) -> bool:
     """Return whether any glob pattern matches the upstream id."""
     return any(fnmatchcase(upstream_id, pattern) for pattern in patterns)
--- a/src/briardyke/agreed/history.py
+++ b/src/briardyke/agreed/history.py
@@ -15,7 +15,7 @@
     PatchConfiguration,
     refuse,
 )
-from briardyke.agreed.merge_patch import MAX_DEPTH, content_digest, merge_patch, too_deep
+from briardyke.agreed.merge_patch import MAX_DEPTH, content_digest, exceeds_max_depth, merge_patch
 from briardyke.agreed.validation import check_document
 from briardyke.errors import ErrorKind
 from briardyke.wire.codec import encode
@@ -104,7 +104,7 @@
         """
         self._wall_ms = max(self._wall_ms, command.wall_unix_ms)
         self._expire_outcomes()
-        if too_deep(command.patch):
+        if exceeds_max_depth(command.patch):
             text = f"patch is nested deeper than {MAX_DEPTH} levels"
             return encode(refuse(ErrorKind.MALFORMED_REQUEST, text, "patch"))
         if not 0 < len(command.request_id) <= MAX_REQUEST_ID_LENGTH:
--- a/src/briardyke/agreed/machine.py
+++ b/src/briardyke/agreed/machine.py
@@ -28,7 +28,7 @@
 
     from briardyke.agreed.audit import AuditRecord
 
-MAX_AUDIT_PAGE = 1000
+MAX_AUDIT_PAGE_RECORDS = 1000
 
 
 @attrs.define
@@ -124,7 +124,7 @@
     def audit_records(self, limit: int, before: int | None = None) -> list[AuditRecord]:
         """Return audit records in the state, newest first.
 
-        :param limit: largest number of records, at most :data:`MAX_AUDIT_PAGE`.
+        :param limit: largest number of records, at most :data:`MAX_AUDIT_PAGE_RECORDS`.
         :param before: only records with a lower number.
         """
         audit = self._state.history.audit
@@ -132,7 +132,7 @@
             return []
         first, last = next(iter(audit)), next(reversed(audit))
         newest = last if before is None else min(last, before - 1)
-        oldest = max(first, newest - min(limit, MAX_AUDIT_PAGE) + 1)
+        oldest = max(first, newest - min(limit, MAX_AUDIT_PAGE_RECORDS) + 1)
         return [unpack_record(audit[number]) for number in range(newest, oldest - 1, -1)]
 
     def held_bytes(self, upstream_id: str) -> int:
--- a/src/briardyke/agreed/merge_patch.py
+++ b/src/briardyke/agreed/merge_patch.py
@@ -29,7 +29,7 @@
     return merged
 
 
-def too_deep(value: Any) -> bool:
+def exceeds_max_depth(value: Any) -> bool:
     """Return whether a JSON value is nested deeper than :data:`MAX_DEPTH`."""
     level = [value]
     for _ in range(MAX_DEPTH):
--- a/src/briardyke/control/ledger.py
+++ b/src/briardyke/control/ledger.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from briardyke.agreed.commands import EndReservation, ReserveMemory, read_outcome
+from briardyke.agreed.commands import EndReservation, ReserveMemory, decode_outcome
 from briardyke.wire.codec import encode
 
 if TYPE_CHECKING:
@@ -39,5 +39,5 @@
 
     async def _commit(self, command: bytes) -> Result[None, Failure]:
         applied = await self._proposer.propose_here(command, _TIMEOUT_MS)
-        outcome = applied.and_then(read_outcome)
+        outcome = applied.and_then(decode_outcome)
         return Err(outcome.unwrap_err()) if outcome.is_err() else Ok(None)
--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -11,8 +11,8 @@
 
 from briardyke.addresses import Address, parse_address
 from briardyke.agreed.commands import CommandRefused, PatchAccepted, PatchConfiguration
-from briardyke.agreed.machine import MAX_AUDIT_PAGE
-from briardyke.agreed.merge_patch import MAX_DEPTH, too_deep
+from briardyke.agreed.machine import MAX_AUDIT_PAGE_RECORDS
+from briardyke.agreed.merge_patch import MAX_DEPTH, exceeds_max_depth
 from briardyke.clock import wall_unix_ms
 from briardyke.errors import ErrorKind, Failure, Ran
 from briardyke.http.app import error_body, error_response, json_response
@@ -43,7 +43,7 @@
         """Return the outcome of the applied command.
 
         :param command: encoded command, stamped with this process's wall time; the leader may
-            put its own in its place with :func:`briardyke.agreed.commands.restamp`.
+            put its own in its place with :func:`briardyke.agreed.commands.replace_wall_time`.
         :param timeout_ms: longest wait.
         """
 
@@ -274,7 +274,7 @@
         return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
     if not isinstance(value, dict):
         return Err(Failure(ErrorKind.MALFORMED_REQUEST, "body is not a JSON object", "body"))
-    if too_deep(value):
+    if exceeds_max_depth(value):
         text = f"patch is nested deeper than {MAX_DEPTH} levels"
         return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
     return Ok(value)
@@ -299,8 +299,10 @@
         return Ok(default)
     if re.fullmatch(r"[0-9]{1,18}", text) is None or int(text) < 1:
         return Err(Failure(ErrorKind.FIELD_INVALID, "expected a positive integer", name))
-    if name == "limit" and int(text) > MAX_AUDIT_PAGE:
-        return Err(Failure(ErrorKind.FIELD_INVALID, f"must be at most {MAX_AUDIT_PAGE}", name))
+    if name == "limit" and int(text) > MAX_AUDIT_PAGE_RECORDS:
+        return Err(
+            Failure(ErrorKind.FIELD_INVALID, f"must be at most {MAX_AUDIT_PAGE_RECORDS}", name)
+        )
     return Ok(int(text))
 
 
--- a/src/briardyke/control/proposer.py
+++ b/src/briardyke/control/proposer.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from briardyke.agreed.commands import restamp
+from briardyke.agreed.commands import replace_wall_time
 from briardyke.clock import now_ms, sleep_ms, wall_unix_ms
 from briardyke.consensus.state import Role
 from briardyke.control.messages import CommandResult, ForwardCommand
@@ -62,7 +62,7 @@
         Records carry the leader's wall time, so that they do not depend on the clock of the
         instance that an operator or caller happened to reach.
         """
-        stamped = restamp(command, wall_unix_ms())
+        stamped = replace_wall_time(command, wall_unix_ms())
         applied = await self._log.propose(stamped, timeout_ms)
         return applied.map(lambda a: a.result)
 
--- a/src/briardyke/control/registration.py
+++ b/src/briardyke/control/registration.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.agreed.commands import RegisterUpstream, ReserveMemory, read_outcome
+from briardyke.agreed.commands import RegisterUpstream, ReserveMemory, decode_outcome
 from briardyke.logs import log_event, log_warning
 from briardyke.wire.codec import encode
 
@@ -46,7 +46,7 @@
             row.upstream_id, row.incarnation, row.kind, row.capacity_bytes, row.checks_fencing
         )
         applied = await self._proposer.propose_here(encode(command), _TIMEOUT_MS)
-        outcome = applied.and_then(read_outcome)
+        outcome = applied.and_then(decode_outcome)
         if outcome.is_ok():
             log_event("upstream_registered", upstream=row.upstream_id, incarnation=row.incarnation)
         else:
@@ -65,7 +65,7 @@
             fencing_token=row.highest_fencing_token,
         )
         applied = await self._proposer.propose_here(encode(command), _TIMEOUT_MS)
-        outcome = applied.and_then(read_outcome)
+        outcome = applied.and_then(decode_outcome)
         if outcome.is_err():
             log_warning(
                 "loaded_item_not_reserved",
--- a/src/briardyke/placement/coordinator.py
+++ b/src/briardyke/placement/coordinator.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from briardyke.agreed.configuration import may_carry
+from briardyke.agreed.configuration import matches_any_pattern
 from briardyke.agreed.records import Reservation
 from briardyke.errors import ErrorKind
 from briardyke.placement.orders import Order, OrderState, OrderTable, Outcome
@@ -124,12 +124,12 @@
             return False
         if not is_loaded(view, step.upstream_id, step.item):
             return False
-        if not may_carry(model.instances, step.upstream_id):
+        if not matches_any_pattern(model.instances, step.upstream_id):
             return False
         return not any(
             other != step.upstream_id
             and row.lifecycle == "ready"
-            and may_carry(model.instances, other)
+            and matches_any_pattern(model.instances, other)
             and is_loaded(view, other, step.item)
             for other, row in view.upstreams.items()
         )
--- a/src/briardyke/policy/upstream_index.py
+++ b/src/briardyke/policy/upstream_index.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-from briardyke.agreed.configuration import may_carry
+from briardyke.agreed.configuration import matches_any_pattern
 from briardyke.policy.indexed_set import IndexedSet
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
             if upstream_id not in self._services:
                 self._services[upstream_id] = local
                 for patterns, group in self._by_patterns.items():
-                    if may_carry(patterns, upstream_id):
+                    if matches_any_pattern(patterns, upstream_id):
                         group.add(upstream_id, local)
             return
         self.engines.add(upstream_id)
@@ -96,7 +96,7 @@
         if group is None:
             group = self._by_patterns[patterns] = CandidateGroup()
             for upstream_id, local in self._services.items():
-                if may_carry(patterns, upstream_id):
+                if matches_any_pattern(patterns, upstream_id):
                     group.add(upstream_id, local)
             if len(self._by_patterns) > PATTERN_GROUP_LIMIT:
                 self._by_patterns.popitem(last=False)
@@ -111,7 +111,7 @@
         :param usable: tells whether an upstream may receive work.
         """
         return any(
-            usable(upstream_id) and (not patterns or may_carry(patterns, upstream_id))
+            usable(upstream_id) and (not patterns or matches_any_pattern(patterns, upstream_id))
             for upstream_id in list(self.engines)
         )
 
--- a/tests/agreed/test_control_machine.py
+++ b/tests/agreed/test_control_machine.py
@@ -18,7 +18,7 @@
     RegisterUpstream,
     ReservationEnded,
     ReserveMemory,
-    restamp,
+    replace_wall_time,
 )
 from briardyke.agreed.history import DAY_MS, Retention
 from briardyke.agreed.machine import ControlMachine
@@ -114,8 +114,10 @@
 
     def test_the_leader_replaces_the_senders_wall_time(self) -> None:
         command = PatchConfiguration("r", "ada", 0, {}, 1)
-        assert decode(restamp(encode(command), 7)).unwrap() == attrs.evolve(command, wall_unix_ms=7)
-        assert restamp(encode(engine("i1")), 7) == encode(engine("i1"))
+        assert decode(replace_wall_time(encode(command), 7)).unwrap() == attrs.evolve(
+            command, wall_unix_ms=7
+        )
+        assert replace_wall_time(encode(engine("i1")), 7) == encode(engine("i1"))
 
     @pytest.mark.parametrize(
         ("target", "patch", "expected"),
