--- a/features/configuration_patches.feature
+++ b/features/configuration_patches.feature
@@ -1,12 +1,12 @@
 Feature: Configuration patches
-  Operators change one numbered configuration. A patch names the version that it was written
-  against and carries a request id, so that no change is lost or applied twice.
+  Operators change one versioned configuration. A patch names the version that it was written
+  against and has a request id, so that no change is lost or applied twice.
 
   Background:
     Given an engine "sorting-1" with 100 bytes that checks fencing tokens
     And a caller "shop" in version 1
 
-  Scenario Outline: Racing patches
+  Scenario Outline: Concurrent patches
     When "ada" patches version <base> as "r2" setting the weight of "shop" to <weight>
     Then the outcome is <outcome>
     And the current version is <version>
@@ -21,7 +21,7 @@
   Scenario Outline: Resent patches get their first outcome
     When "ada" patches version <base> as "r2" setting the weight of "shop" to <weight>
     And "bob" patches version 1 as "r3" setting the weight of "shop" to 5
-    And the machine restarts from a snapshot
+    And the state machine restarts from a snapshot
     And "ada" patches version <base> as "r2" setting the weight of "shop" to <weight>
     Then the outcome is the first outcome of "r2"
     And the current version is 2
@@ -32,7 +32,7 @@
       | 1    | -1     |
       | 0    | 2      |
 
-  Scenario: A refusal gives all reasons with their fields
+  Scenario: A refusal lists all reasons with their fields
     When "ada" sends this patch against version 1 as "r2":
       """
       {"models": {"m1": {"size_bytes": 101, "instances": ["sorting-*"]},
--- a/features/steps/agreed_steps.py
+++ b/features/steps/agreed_steps.py
@@ -1,4 +1,4 @@
-"""Implement the steps about the agreed state."""
+"""Implement the steps about the replicated state of the control group."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 def apply(context: Any, command: Any) -> None:
     if not hasattr(context, "machine"):
-        context.machine, context.index, context.first = ControlMachine(), 0, {}
+        context.machine, context.index, context.first_outcomes = ControlMachine(), 0, {}
     context.index += 1
     context.outcome = decode(context.machine.apply(context.index, encode(command))).unwrap()
 
 
 def patch(context: Any, operator: str, base: int, request_id: str, document: Any) -> None:
     apply(context, PatchConfiguration(request_id, operator, base, document, 0))
-    context.first.setdefault(request_id, context.outcome)
+    context.first_outcomes.setdefault(request_id, context.outcome)
 
 
 @given('an engine "{name}" with {capacity:d} bytes that {support} fencing tokens')
@@ -53,15 +53,15 @@
 
 
 @when('"{operator}" sends this patch against version {base:d} as "{request_id}":')
-def patch_text(context: Any, operator: str, base: int, request_id: str) -> None:
+def patch_document(context: Any, operator: str, base: int, request_id: str) -> None:
     patch(context, operator, base, request_id, json.loads(context.text))
 
 
-@when("the machine restarts from a snapshot")
+@when("the state machine restarts from a snapshot")
 def restart(context: Any) -> None:
-    data = context.machine.snapshot()
+    snapshot = context.machine.snapshot()
     context.machine = ControlMachine()
-    context.machine.restore(data)
+    context.machine.restore(snapshot)
 
 
 @given('{size:d} bytes of "{name}" are reserved for "{item}" with token {token:d}')
@@ -76,13 +76,13 @@
 
 
 @when('"{name}" returns as a new incarnation')
-def new_incarnation(context: Any, name: str) -> None:
+def register_new_incarnation(context: Any, name: str) -> None:
     apply(context, attrs.evolve(context.engine, incarnation="i2"))
 
 
 @then('the outcome is the first outcome of "{request_id}"')
 def check_first_outcome(context: Any, request_id: str) -> None:
-    assert context.outcome == context.first[request_id], context.outcome
+    assert context.outcome == context.first_outcomes[request_id], context.outcome
 
 
 @then("the outcome is {expected:w}")
@@ -109,6 +109,6 @@
     assert record.reasons == context.outcome.reasons
 
 
-@then('{held:d} bytes of "{name}" are held')
-def check_held(context: Any, held: int, name: str) -> None:
-    assert context.machine.held_bytes(name) == held
+@then('{reserved:d} bytes of "{name}" are reserved')
+def check_reserved_bytes(context: Any, reserved: int, name: str) -> None:
+    assert context.machine.reserved_bytes(name) == reserved
--- a/src/briardyke/agreed/__init__.py
+++ b/src/briardyke/agreed/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the state that a majority of voters agrees on."""
+"""Define the replicated state of the control group and the commands that change it."""
--- a/src/briardyke/agreed/commands.py
+++ b/src/briardyke/agreed/commands.py
@@ -16,8 +16,8 @@
 class PatchConfiguration:
     """Change the configuration.
 
-    :param request_id: identity of the operator's request; a resend carries the same one.
-    :param operator: who asks.
+    :param request_id: id of the operator's request; a retry carries the same id.
+    :param operator: operator that sends the patch.
     :param base_version: version that the patch was written against.
     :param patch: JSON Merge Patch.
     :param wall_unix_ms: wall time at the proposer, in milliseconds since the Unix epoch.
@@ -33,10 +33,10 @@
 @message
 @attrs.frozen
 class RegisterUpstream:
-    """Record an upstream that has announced itself; a new incarnation replaces the old one.
+    """Register an upstream that has announced itself; a new incarnation replaces the old one.
 
-    :param upstream_id: name that the upstream gave itself.
-    :param incarnation: identity of its current process.
+    :param upstream_id: id that the upstream announced.
+    :param incarnation: id of its current process.
     :param kind: ``engine`` or ``service``.
     :param capacity_bytes: accelerator memory for models and adapters.
     :param checks_fencing: whether it refuses orders with an old fencing token.
@@ -52,10 +52,10 @@
 @message
 @attrs.frozen
 class ForgetUpstream:
-    """Remove an upstream that is not coming back.
+    """Remove the registration of an upstream that is not expected to return.
 
-    :param upstream_id: name of the upstream.
-    :param incarnation: incarnation that is meant.
+    :param upstream_id: id of the upstream.
+    :param incarnation: incarnation to remove; refused when another one is registered.
     """
 
     upstream_id: str
@@ -65,14 +65,14 @@
 @message
 @attrs.frozen
 class ReserveMemory:
-    """Commit accelerator memory before a load order is sent.
+    """Reserve accelerator memory before a load order is sent.
 
     :param upstream_id: upstream that will load the item.
     :param incarnation: incarnation that the order is meant for.
     :param item: model or adapter name.
     :param size_bytes: memory of the item.
-    :param order_id: load order.
-    :param fencing_token: token of that order.
+    :param order_id: id of the load order.
+    :param fencing_token: fencing token of that order.
     """
 
     upstream_id: str
@@ -89,9 +89,9 @@
     """Record that an upstream confirmed the unload of an item.
 
     :param upstream_id: upstream that unloaded the item.
-    :param incarnation: incarnation that confirmed.
+    :param incarnation: incarnation that confirmed the unload.
     :param item: model or adapter name.
-    :param fencing_token: token of the unload order.
+    :param fencing_token: fencing token of the unload order.
     """
 
     upstream_id: str
@@ -114,7 +114,7 @@
 @message
 @attrs.frozen
 class CommandAccepted:
-    """Report that a registration, its removal or a reservation is in the agreed state."""
+    """Report that a registration, its removal or a reservation is in the replicated state."""
 
 
 @message
@@ -122,7 +122,8 @@
 class ReservationEnded:
     """Report the end of a reservation.
 
-    :param freed: whether its memory is free; it stays held on an engine that ignores fencing.
+    :param freed: whether its memory was freed; it stays reserved on an engine that ignores
+        fencing tokens.
     """
 
     freed: bool
@@ -134,10 +135,10 @@
     """Report that a command changed nothing.
 
     :param kind: value of an :class:`~briardyke.errors.ErrorKind`.
-    :param message: one sentence for the reader.
+    :param message: one sentence that explains the refusal.
     :param field: offending field, empty when none applies.
     :param reasons: all reasons, each with the path of its field.
-    :param current_version: configuration version at that time.
+    :param current_version: configuration version when a patch was refused; 0 when none applies.
     """
 
     kind: str
@@ -156,15 +157,15 @@
 
 
 def refuse(kind: ErrorKind, text: str, field: str = "") -> CommandRefused:
-    """Return a refusal without further reasons."""
+    """Return a refusal that has a message only, without a list of reasons."""
     return CommandRefused(kind.value, text, field)
 
 
 def decode_outcome(data: bytes) -> Result[Any, Failure]:
-    """Read the bytes that ``apply`` returned.
+    """Decode the result of an applied command.
 
-    :param data: result of an applied command.
-    :return: the accepted outcome, or the refusal as a failure.
+    :param data: bytes that the state machine's ``apply`` returned.
+    :return: the outcome, or a refusal as a failure.
     """
     decoded = decode(data)
     if decoded.is_err():
@@ -176,9 +177,9 @@
 
 
 def replace_wall_time(command: bytes, wall_unix_ms: int) -> bytes:
-    """Return a command with the leader's wall time instead of the sender's.
+    """Return a command with the leader's wall time in place of the sender's.
 
-    :param command: encoded command; one without a time is returned unchanged.
+    :param command: encoded command; a command without a wall time is returned unchanged.
     :param wall_unix_ms: the leader's wall time, in milliseconds since the Unix epoch.
     """
     value: Any = decode(command).unwrap_or(None)
--- a/src/briardyke/agreed/configuration.py
+++ b/src/briardyke/agreed/configuration.py
@@ -1,4 +1,4 @@
-"""Define the serving configuration that operators version."""
+"""Define the serving configuration, which operators change in numbered versions."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     """Describe a model.
 
     :param size_bytes: accelerator memory of its weights.
-    :param instances: glob patterns over the ids of upstreams that may carry it.
+    :param instances: glob patterns over the ids of upstreams that may serve it.
     :param minimum_replicas: number of upstreams that must have it loaded.
     :param priority: higher values are placed first.
     """
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class Service:
-    """Describe a plain service.
+    """Describe a plain service, which is called without a model.
 
     :param instances: glob patterns over the ids of upstreams that provide it.
     :param non_idempotent_paths: path prefixes of calls that must not be repeated.
@@ -63,13 +63,13 @@
 
 @attrs.frozen
 class Limit:
-    """Limit the use of models over all instances together.
+    """Limit requests to models over all entry instances together.
 
     :param caller: caller name; ``*`` applies the limit to each caller separately.
     :param model: model name or ``*``.
     :param adapter: adapter name or ``*``.
     :param requests_per_second: rate of requests; ``None`` sets no limit.
-    :param concurrent_requests: requests at one time; ``None`` sets no limit.
+    :param concurrent_requests: number of requests in progress; ``None`` sets no limit.
     :param tokens_per_second: rate of prompt and generated tokens; ``None`` sets no limit.
     """
 
@@ -83,13 +83,14 @@
 
 @attrs.frozen
 class PlacementSettings:
-    """Set how placement weighs attainment against moves, and the weight store's limits.
+    """Configure how placement weighs attainment against moves, and the weight store's limits.
 
-    :param attainment_weight: weight of requests served within target.
+    :param attainment_weight: weight of requests served within their latency targets.
     :param move_weight: weight of each load, unload or role change.
     :param store_loads_per_second: rate at which the store starts loads.
-    :param store_concurrent_loads: loads at one time at full speed.
-    :param adapters_in_transit: adapters loading at one time over all upstreams at full speed.
+    :param store_concurrent_loads: number of loads that can run concurrently at full speed.
+    :param adapters_in_transit: number of adapters that can load concurrently at full speed, on all
+        upstreams together.
     """
 
     attainment_weight: float = 1.0
@@ -101,7 +102,7 @@
 
 @attrs.frozen
 class Targets:
-    """Set the latency targets that attainment is measured against.
+    """Define the latency targets that attainment is measured against.
 
     :param first_token_ms: time to the first token, in milliseconds.
     :param between_tokens_ms: time between tokens, in milliseconds.
@@ -116,7 +117,7 @@
     """Hold one version of the serving configuration.
 
     :param models: models by name.
-    :param adapters: adapters by name; names do not overlap with models.
+    :param adapters: adapters by name; an adapter and a model cannot have the same name.
     :param services: plain services by name.
     :param callers: callers by name.
     :param limits: limits by id.
--- a/src/briardyke/agreed/history.py
+++ b/src/briardyke/agreed/history.py
@@ -1,4 +1,4 @@
-"""Keep the configuration versions, the outcomes of operator requests and the audit trail."""
+"""Keep configuration versions, the outcomes of operator requests and audit records."""
 
 from __future__ import annotations
 
@@ -24,10 +24,10 @@
     from collections.abc import Callable, Sequence
 
     from briardyke.agreed.configuration import Configuration
-    from briardyke.agreed.places import PlaceChecker
+    from briardyke.agreed.feasibility import FeasibilityChecker
 
 DAY_MS = 24 * 60 * 60 * 1000
-# The document travels in one frame (16 MiB) and 64 versions of it are kept in memory.
+# A document is sent in one frame (at most 16 MiB), and 64 versions of it are kept in memory.
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 MAX_REASONS = 200
 MAX_REQUEST_ID_LENGTH = 128
@@ -35,24 +35,24 @@
 
 @attrs.frozen
 class Retention:
-    """Bound what is kept; all members of a group must use the same values.
-
-    :param versions: configuration versions kept in full.
-    :param requests: operator request ids.
-    :param request_age_ms: time for which a request id is kept.
-    :param request_bytes: total size of the kept outcomes.
-    :param audit_records: audit records in the state.
-    :param audit_bytes: total size of these records.
-    :param audit_batch: records that are moved to the audit log with one sync.
+    """Limit what the history keeps; all members of a group must use the same values.
+
+    :param max_versions: configuration versions kept in full.
+    :param max_outcomes: operator requests whose outcome is kept.
+    :param max_outcome_age_ms: time for which an outcome is kept, in milliseconds.
+    :param max_outcome_bytes: total size of the kept outcomes.
+    :param max_audit_records: audit records in the replicated state.
+    :param max_audit_bytes: total size of these records.
+    :param audit_batch_records: records that are moved to the audit log with one sync to disk.
     """
 
-    versions: int = 64
-    requests: int = 200_000
-    request_age_ms: int = DAY_MS
-    request_bytes: int = 64 * 1024 * 1024
-    audit_records: int = 100_000
-    audit_bytes: int = 64 * 1024 * 1024
-    audit_batch: int = 100
+    max_versions: int = 64
+    max_outcomes: int = 200_000
+    max_outcome_age_ms: int = DAY_MS
+    max_outcome_bytes: int = 64 * 1024 * 1024
+    max_audit_records: int = 100_000
+    max_audit_bytes: int = 64 * 1024 * 1024
+    audit_batch_records: int = 100
 
 
 @attrs.frozen
@@ -61,7 +61,7 @@
 
     :param digest: hash of the base version and the patch.
     :param outcome: encoded outcome.
-    :param wall_ms: when it was decided.
+    :param wall_ms: wall time when it was decided, in milliseconds since the Unix epoch.
     """
 
     digest: str
@@ -69,8 +69,8 @@
     wall_ms: int
 
 
-class History:
-    """Apply patches and keep their traces."""
+class ConfigurationHistory:
+    """Apply patches, and keep the versions, outcomes and audit records that they produce."""
 
     def __init__(
         self,
@@ -79,30 +79,30 @@
     ) -> None:
         """Start at version 0 with an empty document.
 
-        :param retention: bounds.
-        :param audit_sink: takes records that leave the state.
+        :param retention: limits on what is kept.
+        :param audit_sink: receives audit records that are evicted from the replicated state.
         """
         self.version = 0
         self.versions: dict[int, dict[str, Any]] = {0: {}}
         self.configuration: Configuration | None = None
         self.audit: dict[int, bytes] = {}
-        self._next_audit = 1
+        self._next_audit_number = 1
         self._audit_bytes = 0
         self._outcomes: dict[str, KeptOutcome] = {}
         self._outcome_bytes = 0
-        # Leaders' clocks differ; the highest stamp keeps the time of the state from going back.
-        self._wall_ms = 0
+        # Leaders' clocks differ; keeping the latest timestamp prevents time from going backwards.
+        self._latest_wall_ms = 0
         self._retention = retention
         self._audit_sink = audit_sink
 
-    def patch(self, command: PatchConfiguration, places: PlaceChecker) -> bytes:
-        """Apply a patch, or return the first outcome of a resent one.
+    def patch(self, command: PatchConfiguration, feasibility: FeasibilityChecker) -> bytes:
+        """Apply a patch, or return the first outcome if the request is a retry.
 
         :param command: the command.
-        :param places: checks against the registered upstreams.
+        :param feasibility: checker against the registered upstreams.
         :return: the encoded outcome.
         """
-        self._wall_ms = max(self._wall_ms, command.wall_unix_ms)
+        self._latest_wall_ms = max(self._latest_wall_ms, command.wall_unix_ms)
         self._expire_outcomes()
         if exceeds_max_depth(command.patch):
             text = f"patch is nested deeper than {MAX_DEPTH} levels"
@@ -117,60 +117,62 @@
                 return kept.outcome
             text = "request id was used for a different patch"
             return encode(refuse(ErrorKind.KEY_REUSED, text, "request_id"))
-        result = self._evaluate(command, places)
+        result = self._apply_patch(command, feasibility)
         outcome = encode(result.unwrap_or_else(lambda refusal: refusal))
-        self._keep_outcome(command.request_id, KeptOutcome(digest, outcome, self._wall_ms))
-        self._record(command, result)
+        self._keep_outcome(command.request_id, KeptOutcome(digest, outcome, self._latest_wall_ms))
+        self._append_audit_record(command, result)
         return outcome
 
-    def _evaluate(
-        self, command: PatchConfiguration, places: PlaceChecker
+    def _apply_patch(
+        self, command: PatchConfiguration, feasibility: FeasibilityChecker
     ) -> Result[PatchAccepted, CommandRefused]:
         if command.base_version != self.version:
             text = f"version {command.base_version} is not current; {self.version} is"
             refusal = refuse(ErrorKind.VERSION_CONFLICT, text, "base_version")
             return Err(attrs.evolve(refusal, current_version=self.version))
         document = merge_patch(self.versions[self.version], command.patch)
-        checked = check_document(document, places)
-        reasons = checked.err() or ()
+        validated = check_document(document, feasibility)
+        reasons = validated.err() or ()
         if not reasons and len(msgpack.packb(document)) > MAX_DOCUMENT_BYTES:
             reasons = (f"document: is over {MAX_DOCUMENT_BYTES} bytes",)
         if reasons:
             text = f"{len(reasons)} reason(s): {reasons[0]}"
             refusal = refuse(ErrorKind.CONFIGURATION_INVALID, text, reasons[0].partition(":")[0])
-            return Err(attrs.evolve(refusal, reasons=_bound(reasons), current_version=self.version))
+            return Err(
+                attrs.evolve(refusal, reasons=_truncate(reasons), current_version=self.version)
+            )
         self.version += 1
-        self.configuration = checked.unwrap()
+        self.configuration = validated.unwrap()
         self.versions[self.version] = document
-        self.versions.pop(self.version - self._retention.versions, None)
+        self.versions.pop(self.version - self._retention.max_versions, None)
         return Ok(PatchAccepted(self.version))
 
     def _keep_outcome(self, request_id: str, kept: KeptOutcome) -> None:
         self._outcomes[request_id] = kept
         self._outcome_bytes += len(kept.outcome)
         while (
-            len(self._outcomes) > self._retention.requests
-            or self._outcome_bytes > self._retention.request_bytes
+            len(self._outcomes) > self._retention.max_outcomes
+            or self._outcome_bytes > self._retention.max_outcome_bytes
         ):
             self._drop_oldest_outcome()
 
     def _expire_outcomes(self) -> None:
-        limit = self._wall_ms - self._retention.request_age_ms
-        while self._outcomes and next(iter(self._outcomes.values())).wall_ms <= limit:
+        cutoff_ms = self._latest_wall_ms - self._retention.max_outcome_age_ms
+        while self._outcomes and next(iter(self._outcomes.values())).wall_ms <= cutoff_ms:
             self._drop_oldest_outcome()
 
     def _drop_oldest_outcome(self) -> None:
         kept = self._outcomes.pop(next(iter(self._outcomes)))
         self._outcome_bytes -= len(kept.outcome)
 
-    def _record(
+    def _append_audit_record(
         self,
         command: PatchConfiguration,
         result: Result[PatchAccepted, CommandRefused],
     ) -> None:
         refusal = result.err()
         record = AuditRecord(
-            number=self._next_audit,
+            number=self._next_audit_number,
             request_id=command.request_id,
             operator=command.operator,
             wall_unix_ms=command.wall_unix_ms,
@@ -180,27 +182,28 @@
             refused=refusal.kind if refusal else "",
             reasons=(refusal.reasons or [refusal.message]) if refusal else [],
         )
-        self._next_audit += 1
+        self._next_audit_number += 1
         packed = pack_record(record)
         self.audit[record.number] = packed
         self._audit_bytes += len(packed)
         if (
-            len(self.audit) >= self._retention.audit_records + self._retention.audit_batch
-            or self._audit_bytes > self._retention.audit_bytes
+            len(self.audit)
+            >= self._retention.max_audit_records + self._retention.audit_batch_records
+            or self._audit_bytes > self._retention.max_audit_bytes
         ):
-            self._move_audit()
+            self._evict_audit_records()
 
-    def _move_audit(self) -> None:
-        moved = []
+    def _evict_audit_records(self) -> None:
+        evicted = []
         while (
-            len(self.audit) > self._retention.audit_records
-            or self._audit_bytes > self._retention.audit_bytes
+            len(self.audit) > self._retention.max_audit_records
+            or self._audit_bytes > self._retention.max_audit_bytes
         ):
             packed = self.audit.pop(next(iter(self.audit)))
             self._audit_bytes -= len(packed)
-            moved.append(unpack_record(packed))
+            evicted.append(unpack_record(packed))
         if self._audit_sink is not None:
-            self._audit_sink(moved)
+            self._audit_sink(evicted)
 
     def dump(self) -> dict[str, Any]:
         """Return the history as plain values for a snapshot."""
@@ -208,26 +211,26 @@
             "version": self.version,
             "versions": self.versions,
             "audit": list(self.audit.values()),
-            "next_audit": self._next_audit,
+            "next_audit": self._next_audit_number,
             "outcomes": {i: [k.digest, k.outcome, k.wall_ms] for i, k in self._outcomes.items()},
-            "wall_ms": self._wall_ms,
+            "wall_ms": self._latest_wall_ms,
         }
 
     def load(self, values: dict[str, Any]) -> None:
-        """Replace the history by :meth:`dump`'s values."""
+        """Replace the history with the output of :meth:`dump`."""
         self.version = values["version"]
         self.configuration = None
         self.versions = values["versions"]
-        self._next_audit = values["next_audit"]
-        first = self._next_audit - len(values["audit"])
-        self.audit = dict(enumerate(values["audit"], first))
+        self._next_audit_number = values["next_audit"]
+        first_number = self._next_audit_number - len(values["audit"])
+        self.audit = dict(enumerate(values["audit"], first_number))
         self._audit_bytes = sum(map(len, values["audit"]))
         self._outcomes = {i: KeptOutcome(*kept) for i, kept in values["outcomes"].items()}
         self._outcome_bytes = sum(len(k.outcome) for k in self._outcomes.values())
-        self._wall_ms = values["wall_ms"]
+        self._latest_wall_ms = values["wall_ms"]
 
 
-def _bound(reasons: tuple[str, ...]) -> list[str]:
+def _truncate(reasons: tuple[str, ...]) -> list[str]:
     if len(reasons) <= MAX_REASONS:
         return list(reasons)
     return [*reasons[:MAX_REASONS], f"and {len(reasons) - MAX_REASONS} more"]
--- a/src/briardyke/agreed/machine.py
+++ b/src/briardyke/agreed/machine.py
@@ -1,4 +1,4 @@
-"""Apply the control group's commands to the agreed state."""
+"""Apply the control group's commands to its replicated state."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
     ReserveMemory,
     refuse,
 )
-from briardyke.agreed.history import History, Retention
-from briardyke.agreed.memory import MemoryTable
+from briardyke.agreed.history import ConfigurationHistory, Retention
+from briardyke.agreed.memory import UpstreamMemoryTable
 from briardyke.agreed.projection import SCHEMA, Projection
 from briardyke.errors import ErrorKind
 from briardyke.wire.codec import decode, encode
@@ -33,15 +33,15 @@
 
 @attrs.define
 class _State:
-    history: History
-    memory: MemoryTable
+    history: ConfigurationHistory
+    memory: UpstreamMemoryTable
 
 
 class ControlMachine:
-    """Hold configuration versions, registrations and reservations; a consensus state machine.
+    """Hold configuration versions, registrations and reservations as a replicated state machine.
 
-    Every member applies the same commands in the same order and must reach the same bytes:
-    nothing here reads a clock, draws a random number or depends on the order of a set.
+    Every member applies the same commands in the same order and must compute the same bytes, so
+    nothing here reads a clock, uses random numbers or depends on the iteration order of a set.
     """
 
     def __init__(
@@ -51,13 +51,15 @@
     ) -> None:
         """Start at version 0.
 
-        :param audit_sink: takes audit records that leave the state; see
+        :param audit_sink: receives audit records that are evicted from the state; see
             :class:`~briardyke.agreed.audit.AuditLog`.
-        :param retention: bounds, the same on all members.
+        :param retention: limits on the history, the same on all members.
         """
-        self._state = _State(History(retention or Retention(), audit_sink), MemoryTable())
+        self._state = _State(
+            ConfigurationHistory(retention or Retention(), audit_sink), UpstreamMemoryTable()
+        )
         self.projection = Projection()
-        self._follow()
+        self._set_projection_tables()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply a committed command.
@@ -80,7 +82,7 @@
         return outcome if isinstance(outcome, bytes) else encode(outcome)
 
     def snapshot(self) -> bytes:
-        """Return the whole state; equal states give equal bytes."""
+        """Return the encoded state; equal states have equal encodings."""
         return msgpack.packb(
             {
                 "schema": SCHEMA,
@@ -99,21 +101,21 @@
         values = msgpack.unpackb(data, strict_map_key=False)
         if values["schema"] != SCHEMA:
             raise ValueError(f"snapshot has schema {values['schema']}, expected {SCHEMA}")
-        memory = MemoryTable.load(values["memory"])
+        memory = UpstreamMemoryTable.load(values["memory"])
         history = self._state.history
         history.load(values["history"])
         self._state.memory = memory
-        current = Projection()
-        current.accept(history.version, history.versions[history.version]).unwrap()
-        # Readers hold this object, so it is updated in place.
+        restored = Projection()
+        restored.accept(history.version, history.versions[history.version]).unwrap()
+        # Readers keep a reference to this projection, so it is updated in place.
         self.projection.version = history.version
-        self.projection.document = current.document
-        self.projection.configuration = current.configuration
+        self.projection.document = restored.document
+        self.projection.configuration = restored.configuration
         self.projection.applied_index = values["applied_index"]
-        self._follow()
+        self._set_projection_tables()
 
     def document(self, version: int) -> Mapping[str, Any] | None:
-        """Return a version's document, or ``None`` when it is not kept."""
+        """Return the document of a version, or ``None`` when that version is not kept."""
         return self._state.history.versions.get(version)
 
     def kept_limit_ids(self) -> frozenset[str]:
@@ -122,10 +124,10 @@
         return frozenset(name for document in documents for name in document.get("limits", {}))
 
     def audit_records(self, limit: int, before: int | None = None) -> list[AuditRecord]:
-        """Return audit records in the state, newest first.
+        """Return the audit records that are still in the state, newest first.
 
-        :param limit: largest number of records, at most :data:`MAX_AUDIT_PAGE_RECORDS`.
-        :param before: only records with a lower number.
+        :param limit: maximum number of records, at most :data:`MAX_AUDIT_PAGE_RECORDS`.
+        :param before: return only records with a lower number.
         """
         audit = self._state.history.audit
         if not audit:
@@ -135,40 +137,42 @@
         oldest = max(first, newest - min(limit, MAX_AUDIT_PAGE_RECORDS) + 1)
         return [unpack_record(audit[number]) for number in range(newest, oldest - 1, -1)]
 
-    def held_bytes(self, upstream_id: str) -> int:
+    def reserved_bytes(self, upstream_id: str) -> int:
         """Return the memory that is reserved on an upstream's current incarnation."""
-        return self._state.memory.held_bytes(upstream_id)
+        return self._state.memory.reserved_bytes(upstream_id)
 
-    def _follow(self) -> None:
-        self.projection.follow(self._state.memory.upstreams, self._state.memory.reservations)
+    def _set_projection_tables(self) -> None:
+        self.projection.set_tables(
+            self._state.memory.registrations, self._state.memory.reservations
+        )
 
 
 @singledispatch
 def _execute(command: Any, state: _State) -> Any:
-    text = f"{type(command).__name__} is not a command of this group"
+    text = f"{type(command).__name__} is not a command of the control group"
     return refuse(ErrorKind.PROTOCOL_VIOLATION, text)
 
 
 @_execute.register
-def _patch(command: PatchConfiguration, state: _State) -> Any:
-    return state.history.patch(command, state.memory.places)
+def _apply_patch(command: PatchConfiguration, state: _State) -> Any:
+    return state.history.patch(command, state.memory.feasibility)
 
 
 @_execute.register
-def _register(command: RegisterUpstream, state: _State) -> Any:
+def _apply_registration(command: RegisterUpstream, state: _State) -> Any:
     return state.memory.register(command)
 
 
 @_execute.register
-def _forget(command: ForgetUpstream, state: _State) -> Any:
+def _apply_removal(command: ForgetUpstream, state: _State) -> Any:
     return state.memory.forget(command)
 
 
 @_execute.register
-def _reserve(command: ReserveMemory, state: _State) -> Any:
+def _apply_reservation(command: ReserveMemory, state: _State) -> Any:
     return state.memory.reserve(command)
 
 
 @_execute.register
-def _end(command: EndReservation, state: _State) -> Any:
+def _apply_reservation_end(command: EndReservation, state: _State) -> Any:
     return state.memory.end(command)
--- a/src/briardyke/agreed/merge_patch.py
+++ b/src/briardyke/agreed/merge_patch.py
@@ -6,8 +6,9 @@
 import json
 from typing import Any
 
-# The configuration document has four levels; the bound keeps recursion far from the
-# interpreter's limit, whose distance depends on the caller and would differ between members.
+# The configuration document has four levels. The bound keeps recursion well within the
+# interpreter's limit: how much of that limit is left depends on the depth of the call stack, so
+# members could otherwise disagree on whether a patch applies.
 MAX_DEPTH = 16
 
 
@@ -15,7 +16,7 @@
     """Return the target with the patch applied; neither argument is changed.
 
     :param target: JSON value.
-    :param patch: JSON value; ``null`` inside an object removes the member.
+    :param patch: JSON value; ``null`` as the value of a member removes that member.
     :return: the new JSON value, which may share unchanged parts with the target.
     """
     if not isinstance(patch, dict):
--- a/src/briardyke/agreed/projection.py
+++ b/src/briardyke/agreed/projection.py
@@ -1,4 +1,4 @@
-"""Hold the part of the agreed state that processes read locally."""
+"""Hold the part of the replicated state that processes read locally."""
 
 from __future__ import annotations
 
@@ -20,16 +20,16 @@
 
 
 class Projection:
-    """Read the current configuration, registrations and reservations.
+    """Provide the current configuration, registrations and reservations.
 
-    A control process reads the one that its state machine maintains; an entry process feeds one
-    from the replies of its sync. The configuration is parsed once for each version.
+    In a control process the state machine updates it; an entry process updates its own from sync
+    replies. The configuration is parsed once per version.
     """
 
     schema = SCHEMA
 
     def __init__(self) -> None:
-        """Start at version 0 with nothing."""
+        """Start at version 0 with an empty configuration."""
         self.version = 0
         self.document: Mapping[str, Any] = {}
         self.configuration = Configuration()
@@ -43,13 +43,13 @@
         document: Mapping[str, Any],
         configuration: Configuration | None = None,
     ) -> Result[bool, Failure]:
-        """Take a version of the configuration.
+        """Adopt a version of the configuration if it is newer.
 
-        :param version: its number; one that is not newer is ignored.
-        :param document: its document.
+        :param version: number of the version; it is ignored unless it is newer.
+        :param document: configuration document of the version.
         :param configuration: the parsed document, if it has been parsed already.
         :return: whether the version is new, or ``protocol_mismatch`` when this process cannot read
-            the document; the held version stays in force then.
+            the document, in which case the current version stays in force.
         """
         if version <= self.version:
             return Ok(False)
@@ -63,11 +63,11 @@
         self.configuration = configuration
         return Ok(True)
 
-    def follow(
+    def set_tables(
         self,
         upstreams: dict[str, UpstreamRegistration],
         reservations: dict[tuple[str, str], Reservation],
     ) -> None:
-        """Show the tables of a state machine, read-only and always current."""
+        """Provide read-only views of a state machine's tables, which reflect later changes."""
         self.upstreams = MappingProxyType(upstreams)
         self.reservations = MappingProxyType(reservations)
--- a/src/briardyke/agreed/records.py
+++ b/src/briardyke/agreed/records.py
@@ -1,4 +1,4 @@
-"""Define the agreed records about upstreams and their accelerator memory."""
+"""Define the replicated records of upstreams and their accelerator memory."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 class UpstreamRegistration:
     """Record an upstream that has announced itself.
 
-    :param upstream_id: name that the upstream gave itself.
-    :param incarnation: identity of its current process.
+    :param upstream_id: id that the upstream announced.
+    :param incarnation: id of its current process.
     :param kind: ``engine`` or ``service``.
     :param capacity_bytes: accelerator memory for models and adapters.
     :param checks_fencing: whether it refuses orders with an old fencing token.
@@ -25,14 +25,14 @@
 
 @attrs.frozen
 class Reservation:
-    """Record memory that is committed to one item on one upstream incarnation.
+    """Record memory that is reserved for one item on one upstream incarnation.
 
-    :param upstream_id: upstream that the memory belongs to.
+    :param upstream_id: upstream that has the memory.
     :param incarnation: incarnation that the order was meant for.
     :param item: model or adapter name.
     :param size_bytes: reserved memory.
-    :param order_id: latest load order for the item.
-    :param fencing_token: token of that order.
+    :param order_id: id of the latest load order for the item.
+    :param fencing_token: fencing token of that order.
     """
 
     upstream_id: str
--- a/tests/agreed/test_control_machine.py
+++ b/tests/agreed/test_control_machine.py
@@ -32,7 +32,7 @@
 
 
 class Driver:
-    """Apply commands with consecutive indexes."""
+    """Apply commands to a state machine with consecutive log indexes."""
 
     def __init__(self, **arguments: Any) -> None:
         self.machine = ControlMachine(**arguments)
@@ -42,8 +42,8 @@
         self.index += 1
         return decode(self.machine.apply(self.index, encode(command))).unwrap()
 
-    def patch(self, request_id: str, base: int, patch: dict[str, Any], wall: int = 0) -> Any:
-        return self.apply(PatchConfiguration(request_id, "ada", base, patch, wall))
+    def patch(self, request_id: str, base: int, patch: dict[str, Any], wall_ms: int = 0) -> Any:
+        return self.apply(PatchConfiguration(request_id, "ada", base, patch, wall_ms))
 
 
 def caller(weight: float) -> dict[str, Any]:
@@ -59,40 +59,44 @@
 
 
 class TestPatches:
-    """Guards against lost updates, patches applied twice and changed answers to resends."""
+    """Guards against lost updates, patches applied twice and retries with a different outcome."""
 
-    def test_only_a_patch_against_the_current_version_wins(self) -> None:
+    def test_only_a_patch_against_the_current_version_is_accepted(self) -> None:
         driver = Driver()
         assert driver.patch("r1", 0, caller(1)) == PatchAccepted(1)
         refused = driver.patch("r2", 0, caller(2))
         assert (refused.kind, refused.current_version) == ("version_conflict", 1)
         assert driver.machine.projection.configuration.callers["shop"].weight == 1
 
-    def test_a_resend_gets_the_first_outcome_even_after_its_reason_has_gone(self) -> None:
+    def test_a_retry_gets_the_first_outcome_even_when_it_would_now_be_accepted(self) -> None:
         driver = Driver()
         patch = {"services": {"s": {"instances": ["s-*"]}}}
         refused = driver.patch("r1", 0, patch)
         driver.apply(RegisterUpstream("s-1", "i", "service", 0, True))
-        assert driver.patch("r1", 0, patch, wall=DAY_MS - 1) == refused
+        assert driver.patch("r1", 0, patch, wall_ms=DAY_MS - 1) == refused
         assert driver.patch("r2", 0, patch) == PatchAccepted(1)
 
-    def test_a_request_id_cannot_carry_a_second_patch(self) -> None:
+    def test_a_request_id_cannot_be_reused_for_another_patch(self) -> None:
         driver = Driver()
         driver.patch("r1", 0, caller(1))
         assert driver.patch("r1", 1, caller(2)).kind == "key_reused"
         assert driver.machine.projection.version == 1
 
     @pytest.mark.parametrize(
-        ("retention", "wall"),
-        [(Retention(), DAY_MS), (Retention(requests=1), 0), (Retention(request_bytes=1), 0)],
+        ("retention", "wall_ms"),
+        [
+            (Retention(), DAY_MS),
+            (Retention(max_outcomes=1), 0),
+            (Retention(max_outcome_bytes=1), 0),
+        ],
     )
-    def test_request_ids_are_forgotten_by_age_count_and_size(
-        self, retention: Retention, wall: int
+    def test_outcomes_are_dropped_by_age_count_and_size(
+        self, retention: Retention, wall_ms: int
     ) -> None:
         driver = Driver(retention=retention)
         driver.patch("r1", 0, caller(1))
-        driver.patch("r2", 1, caller(2), wall)
-        assert driver.patch("r1", 0, caller(1), wall).kind == "version_conflict"
+        driver.patch("r2", 1, caller(2), wall_ms)
+        assert driver.patch("r1", 0, caller(1), wall_ms).kind == "version_conflict"
 
     def test_old_versions_are_dropped(self) -> None:
         driver = Driver()
@@ -103,10 +107,10 @@
 
     def test_a_deeply_nested_patch_and_an_unreadable_command_change_nothing(self) -> None:
         driver = Driver()
-        deep: dict[str, Any] = {}
+        nested: dict[str, Any] = {}
         for _ in range(200):
-            deep = {"models": deep}
-        assert driver.patch("r1", 0, deep).kind == "malformed_request"
+            nested = {"models": nested}
+        assert driver.patch("r1", 0, nested).kind == "malformed_request"
         for command in (b"", b"\xff\xff", encode(ClaimReply("full"))):
             outcome = decode(driver.machine.apply(9, command)).unwrap()
             assert outcome.kind == "protocol_violation"
@@ -133,9 +137,9 @@
 
 
 class TestUpstreamsAndPatches:
-    """Guards against a remembered check that outlives the upstreams it was made for."""
+    """Guards against a cached feasibility check that is used after the upstreams have changed."""
 
-    def test_a_patch_is_checked_against_the_present_upstreams(self) -> None:
+    def test_a_patch_is_checked_against_the_current_upstreams(self) -> None:
         driver = Driver()
         models = {"models": {"m": {"size_bytes": 60, "instances": ["e*"]}}}
         steps: list[tuple[Any, str]] = [
@@ -149,17 +153,17 @@
         ]
         for number, (command, expected) in enumerate(steps):
             driver.apply(command)
-            other = ControlMachine()
-            other.restore(driver.machine.snapshot())
+            restored = ControlMachine()
+            restored.restore(driver.machine.snapshot())
             base = driver.machine.projection.version
             outcome = driver.patch(f"r{number}", base, models)
             assert getattr(outcome, "kind", "") == expected
-            last = encode(PatchConfiguration(f"r{number}", "ada", base, models, 0))
-            assert decode(other.apply(driver.index, last)).unwrap() == outcome
+            command_bytes = encode(PatchConfiguration(f"r{number}", "ada", base, models, 0))
+            assert decode(restored.apply(driver.index, command_bytes)).unwrap() == outcome
 
 
 class TestMemory:
-    """Guards against accelerator memory that is committed beyond its capacity."""
+    """Guards against reservations beyond the capacity of an engine."""
 
     def test_reserved_memory_never_exceeds_the_capacity(self) -> None:
         driver = Driver()
@@ -173,30 +177,30 @@
         driver.apply(engine("i1"))
         for size, token in ((60, 1), (100, 2), (10, 3)):
             driver.apply(reserve("m1", size, token))
-        assert driver.machine.held_bytes("e1") == 100
-        row = driver.machine.projection.reservations["e1", "m1"]
-        assert (row.order_id, row.fencing_token) == ("o3", 3)
+        assert driver.machine.reserved_bytes("e1") == 100
+        reservation = driver.machine.projection.reservations["e1", "m1"]
+        assert (reservation.order_id, reservation.fencing_token) == ("o3", 3)
         assert driver.apply(reserve("m1", 10, 2)).kind == "fenced"
 
     @pytest.mark.parametrize(
         ("fencing", "token", "expected"), [(True, 6, 0), (True, 5, 60), (False, 6, 60)]
     )
-    def test_memory_is_freed_only_if_no_old_order_can_run(
+    def test_memory_is_freed_only_if_no_earlier_order_can_be_executed(
         self, fencing: bool, token: int, expected: int
     ) -> None:
         driver = Driver()
         driver.apply(engine("i1", fencing))
         driver.apply(reserve("m1", 60, 5))
         outcome = driver.apply(EndReservation("e1", "i1", "m1", token))
-        assert driver.machine.held_bytes("e1") == expected
+        assert driver.machine.reserved_bytes("e1") == expected
         assert (outcome == ReservationEnded(True)) == (expected == 0)
 
-    def test_a_new_incarnation_clears_and_fences_the_old_one(self) -> None:
+    def test_a_new_incarnation_ends_reservations_of_the_old_one_and_fences_it(self) -> None:
         driver = Driver()
         driver.apply(engine("i1", fencing=False))
         driver.apply(reserve("m1", 60, 1))
         driver.apply(engine("i2", fencing=False))
-        assert driver.machine.held_bytes("e1") == 0
+        assert driver.machine.reserved_bytes("e1") == 0
         for late in (
             reserve("m1", 1, 9),
             EndReservation("e1", "i1", "m1", 9),
@@ -206,7 +210,7 @@
             assert driver.apply(late).kind == "fenced"
         assert driver.machine.projection.upstreams["e1"].incarnation == "i2"
 
-    def test_a_forgotten_incarnation_returns_with_its_reservations(self) -> None:
+    def test_a_removed_incarnation_gets_its_reservations_back_when_it_registers_again(self) -> None:
         driver = Driver()
         driver.apply(engine("i1", fencing=False))
         driver.apply(reserve("m1", 60, 1))
@@ -214,7 +218,7 @@
         assert not driver.machine.projection.upstreams
         driver.machine.restore(driver.machine.snapshot())
         driver.apply(engine("i1", fencing=False))
-        assert driver.machine.held_bytes("e1") == 60
+        assert driver.machine.reserved_bytes("e1") == 60
 
     @pytest.mark.parametrize(
         "command",
@@ -236,9 +240,9 @@
 
 
 class TestSnapshots:
-    """Guards against members whose states differ after a restart."""
+    """Guards against members whose states differ after one has restarted."""
 
-    def test_a_restored_machine_is_equal_and_goes_on(self) -> None:
+    def test_a_restored_machine_has_an_equal_state_and_applies_commands_alike(self) -> None:
         driver, other = Driver(), ControlMachine()
         driver.apply(engine("i1"))
         driver.apply(reserve("m1", 60, 1))
@@ -256,12 +260,12 @@
 
 
 class TestAudit:
-    """Guards against changes without a trace, also after many changes and restarts."""
+    """Guards against patches without an audit record, also after many patches and restarts."""
 
     def test_accepted_and_refused_patches_are_recorded(self) -> None:
         driver = Driver()
-        driver.patch("r1", 0, caller(1), wall=5)
-        driver.patch("r2", 1, {"callers": {"shop": {"weight": -1}}}, wall=6)
+        driver.patch("r1", 0, caller(1), wall_ms=5)
+        driver.patch("r2", 1, {"callers": {"shop": {"weight": -1}}}, wall_ms=6)
         refused, accepted = driver.machine.audit_records(10)
         assert (accepted.operator, accepted.wall_unix_ms) == ("ada", 5)
         assert (accepted.from_version, accepted.to_version, accepted.patch) == (0, 1, caller(1))
@@ -269,58 +273,60 @@
         assert refused.reasons == ["callers.shop.weight: must not be negative"]
         assert driver.machine.audit_records(10, before=2) == [accepted]
 
-    def test_old_records_move_to_the_file_once_across_restarts(self, tmp_path: Any) -> None:
-        retention = Retention(audit_records=3, audit_batch=2)
-        first = AuditLog(tmp_path)
-        driver = Driver(audit_sink=first.append, retention=retention)
-        start = driver.machine.snapshot()
-        log = [PatchConfiguration(f"r{n}", "ada", n, caller(n + 1), n) for n in range(10)]
-        for command in log:
+    def test_old_records_are_moved_to_the_file_exactly_once_across_restarts(
+        self, tmp_path: Any
+    ) -> None:
+        retention = Retention(max_audit_records=3, audit_batch_records=2)
+        audit_log = AuditLog(tmp_path)
+        driver = Driver(audit_sink=audit_log.append, retention=retention)
+        initial = driver.machine.snapshot()
+        commands = [PatchConfiguration(f"r{n}", "ada", n, caller(n + 1), n) for n in range(10)]
+        for command in commands:
             driver.apply(command)
-        first.close()
-        with first.path.open("ab") as file:
-            file.write(b'{"number": 99')  # the tail that a crash during a write leaves
-        again = AuditLog(tmp_path)
-        replay = Driver(audit_sink=again.append, retention=retention)
-        replay.machine.restore(start)
-        for command in log:
+        audit_log.close()
+        with audit_log.path.open("ab") as file:
+            file.write(b'{"number": 99')  # incomplete line, as a crash during a write leaves it
+        reopened = AuditLog(tmp_path)
+        replay = Driver(audit_sink=reopened.append, retention=retention)
+        replay.machine.restore(initial)
+        for command in commands:
             replay.apply(command)
-        again.close()
-        numbers = [int(line.split(b":")[1].split(b",")[0]) for line in first.path.open("rb")]
+        reopened.close()
+        numbers = [int(line.split(b":")[1].split(b",")[0]) for line in audit_log.path.open("rb")]
         kept = [record.number for record in replay.machine.audit_records(10)]
         assert numbers + kept[::-1] == list(range(1, 11))
 
     def test_the_size_of_the_records_in_the_state_is_bounded(self) -> None:
-        moved: list[AuditRecord] = []
-        driver = Driver(audit_sink=moved.extend, retention=Retention(audit_bytes=400))
+        evicted: list[AuditRecord] = []
+        driver = Driver(audit_sink=evicted.extend, retention=Retention(max_audit_bytes=400))
         for base in range(10):
             driver.patch(f"r{base}", base, caller(1))
         kept = driver.machine.audit_records(10)
         assert sum(len(pack_record(record)) for record in kept) <= 400
-        assert kept and moved
-        assert len(kept) + len(moved) == 10
+        assert kept and evicted
+        assert len(kept) + len(evicted) == 10
 
-    def test_records_are_on_disk_before_the_state_has_dropped_them(
+    def test_append_syncs_records_to_disk_before_it_returns(
         self, tmp_path: Any, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         log = AuditLog(tmp_path)
-        synced: list[int] = []
-        monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_size))
+        synced_sizes: list[int] = []
+        monkeypatch.setattr(os, "fsync", lambda fd: synced_sizes.append(os.fstat(fd).st_size))
         log.append([AuditRecord(1, "r1", "ada", 0, 0, 1, {})])
-        assert synced == [log.path.stat().st_size]
+        assert synced_sizes == [log.path.stat().st_size]
         log.close()
 
 
 class TestProjection:
-    """Guards against a version that reverts or is replaced by one that cannot be read."""
+    """Guards against going back to an older version or adopting an unreadable one."""
 
-    def test_versions_are_taken_once_and_only_forwards(self) -> None:
+    def test_only_newer_readable_versions_are_adopted(self) -> None:
         projection = Projection()
         assert projection.accept(2, caller(2)).unwrap() is True
-        held = projection.configuration
+        adopted = projection.configuration
         assert projection.accept(2, caller(2)).unwrap() is False
         assert projection.accept(1, caller(1)).unwrap() is False
-        assert projection.configuration is held
+        assert projection.configuration is adopted
         failure = projection.accept(3, {"later": {}}).unwrap_err()
         assert failure.kind is ErrorKind.PROTOCOL_MISMATCH
-        assert (projection.version, projection.configuration) == (2, held)
+        assert (projection.version, projection.configuration) == (2, adopted)
--- a/tests/agreed/test_true_memory.py
+++ b/tests/agreed/test_memory_accounting.py
@@ -1,4 +1,4 @@
-"""Check the memory rules against engines that run orders late, twice and out of order."""
+"""Check reservations against engines that execute orders late, twice and out of order."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Order:
-    """An order that has been sent; the network may deliver it at any time, any number of times."""
+    """A sent order, which the network may deliver at any time and any number of times."""
 
     item: str
     size: int
@@ -28,7 +28,7 @@
 
 @attrs.define
 class Engine:
-    """Count the true memory of one engine process."""
+    """Track the memory that one engine process actually uses."""
 
     fencing: bool
     incarnation: int = 0
@@ -36,7 +36,7 @@
     loaded: dict[str, int] = attrs.field(factory=dict)
     sent: list[Order] = attrs.field(factory=list)
 
-    def run(self, order: Order) -> bool:
+    def execute(self, order: Order) -> bool:
         if self.fencing and order.token < self.highest_token:
             return False
         self.highest_token = max(self.highest_token, order.token)
@@ -47,8 +47,11 @@
         return True
 
 
-class TrueMemory(RuleBasedStateMachine):
-    """Guards against reservations that allow more true memory than an engine has."""
+class MemoryAccounting(RuleBasedStateMachine):
+    """Guards against reservations that let an engine load more than its memory holds.
+
+    This happens when memory is freed while an earlier load order can still be executed.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -73,50 +76,50 @@
 
     @rule(name=ENGINES, item=ITEMS, sizes=st.lists(st.integers(0, 7), min_size=1, max_size=3))
     def order(self, name: str, item: str, sizes: list[int]) -> None:
-        """Order loads of these sizes; 0 orders an unload."""
+        """Send load orders of these sizes; size 0 sends an unload order."""
         engine = self.engines[name]
         for size in sizes:
             self.token += 1
-            reserve = ReserveMemory(
+            reservation = ReserveMemory(
                 name, str(engine.incarnation), item, size, f"o{self.token}", self.token
             )
-            if size == 0 or self.apply(reserve) == "":
+            if size == 0 or self.apply(reservation) == "":
                 engine.sent.append(Order(item, size, self.token, unload=size == 0))
 
-    @rule(picks=st.lists(st.integers(0, 5), min_size=1, max_size=6))
-    def deliver(self, picks: list[int]) -> None:
-        for pick in picks:
+    @rule(offsets=st.lists(st.integers(0, 5), min_size=1, max_size=6))
+    def deliver(self, offsets: list[int]) -> None:
+        for offset in offsets:
             for name, engine in self.engines.items():
-                self.deliver_one(name, engine, pick)
+                self.deliver_one(name, engine, offset)
 
-    def deliver_one(self, name: str, engine: Engine, pick: int) -> None:
-        if pick < len(engine.sent):
-            order = engine.sent[-1 - pick]
-            if engine.run(order) and order.unload:
+    def deliver_one(self, name: str, engine: Engine, offset: int) -> None:
+        if offset < len(engine.sent):
+            order = engine.sent[-1 - offset]
+            if engine.execute(order) and order.unload:
                 self.apply(EndReservation(name, str(engine.incarnation), order.item, order.token))
-            self.true_memory_fits()
+            self.used_memory_is_reserved()
 
     @precondition(lambda self: any(len(e.sent) > 5 for e in self.engines.values()))
     @rule()
-    def replace_the_busiest_process(self) -> None:
-        # A process that has received few orders is kept: replacing it would tell nothing.
+    def replace_engine_with_most_orders(self) -> None:
+        # Replacing a process that was sent few orders would not exercise late orders.
         name = max(self.engines, key=lambda n: (len(self.engines[n].sent), n))
         engine = self.engines[name]
         self.engines[name] = Engine(engine.fencing, engine.incarnation + 1)
         self.register(name)
-        assert self.machine.held_bytes(name) == 0
+        assert self.machine.reserved_bytes(name) == 0
 
     @precondition(lambda self: any(e.incarnation for e in self.engines.values()))
     @rule(name=ENGINES, item=ITEMS, end=st.booleans())
-    def late_command_of_an_old_incarnation(self, name: str, item: str, end: bool) -> None:
+    def late_command_of_old_incarnation(self, name: str, item: str, end: bool) -> None:
         engine = self.engines[name]
         if engine.incarnation == 0:
             return
-        old, held = str(engine.incarnation - 1), self.machine.held_bytes(name)
+        old, reserved = str(engine.incarnation - 1), self.machine.reserved_bytes(name)
         token = self.token + 1
         late = ReserveMemory(name, old, item, 1, "late", token)
         assert self.apply(EndReservation(name, old, item, token) if end else late) == "fenced"
-        assert self.machine.held_bytes(name) == held
+        assert self.machine.reserved_bytes(name) == reserved
 
     @rule()
     def restart_control(self) -> None:
@@ -125,13 +128,13 @@
         self.machine = restarted
 
     @invariant()
-    def true_memory_fits(self) -> None:
+    def used_memory_is_reserved(self) -> None:
         for name, engine in self.engines.items():
             assert sum(engine.loaded.values()) <= CAPACITY
-            assert sum(engine.loaded.values()) <= self.machine.held_bytes(name) <= CAPACITY
+            assert sum(engine.loaded.values()) <= self.machine.reserved_bytes(name) <= CAPACITY
 
 
-TestTrueMemory = TrueMemory.TestCase
-TestTrueMemory.settings = settings(
+TestMemoryAccounting = MemoryAccounting.TestCase
+TestMemoryAccounting.settings = settings(
     derandomize=True, deadline=None, max_examples=300, stateful_step_count=30
 )
--- a/tests/agreed/test_patch_races.py
+++ b/tests/agreed/test_patch_races.py
@@ -1,4 +1,4 @@
-"""Check racing patches, resends and restarts against a simple oracle."""
+"""Check concurrent patches, resent patches and restarts against a simple model."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 from briardyke.agreed.machine import ControlMachine
 from briardyke.wire.codec import decode, encode
 
-NAMES = st.sampled_from(["shop", "club", "farm"])
+CALLERS = st.sampled_from(["shop", "club", "farm"])
 KEYS = {"shop": "0" * 64, "club": "1" * 64, "farm": "2" * 64}
 
 
 class PatchRaces(RuleBasedStateMachine):
     """Guards against lost updates, double application and versions that go back.
 
-    The oracle keeps one weight for each caller, the current number, and what each request id was
-    first told.
+    The model keeps the weight of each caller, the current version, and the first outcome of each
+    request id.
     """
 
     def __init__(self) -> None:
@@ -28,27 +28,37 @@
         self.machine = ControlMachine()
         self.log: list[bytes] = []
         self.snapshot, self.snapshot_index = self.machine.snapshot(), 0
-        self.wall = 0
+        self.wall_ms = 0
         self.version = 0
         self.weights: dict[str, float] = {}
-        self.first: dict[str, tuple[PatchConfiguration, bytes, int]] = {}
+        self.first_outcomes: dict[str, tuple[PatchConfiguration, bytes, int]] = {}
 
     def submit(self, command: PatchConfiguration) -> bytes:
         self.log.append(encode(command))
         return self.machine.apply(len(self.log), self.log[-1])
 
-    @rule(name=NAMES, weight=st.sampled_from([None, -1.0, 0.0, 1.0, 2.0]), lag=st.integers(-1, 2))
-    def patch(self, name: str, weight: float | None, lag: int) -> None:
+    @rule(
+        name=CALLERS,
+        weight=st.sampled_from([None, -1.0, 0.0, 1.0, 2.0]),
+        versions_behind=st.integers(-1, 2),
+    )
+    def patch(self, name: str, weight: float | None, versions_behind: int) -> None:
         fields = None if weight is None else {"api_key_sha256": KEYS[name], "weight": weight}
         request_id = f"r{len(self.log)}"
         command = PatchConfiguration(
-            request_id, "ada", self.version - lag, {"callers": {name: fields}}, self.wall
+            request_id,
+            "ada",
+            self.version - versions_behind,
+            {"callers": {name: fields}},
+            self.wall_ms,
         )
-        self.decide(command, name, weight)
+        self.submit_and_check(command, name, weight)
 
-    def decide(self, command: PatchConfiguration, name: str, weight: float | None) -> None:
-        raw = self.submit(command)
-        outcome = decode(raw).unwrap()
+    def submit_and_check(
+        self, command: PatchConfiguration, name: str, weight: float | None
+    ) -> None:
+        encoded = self.submit(command)
+        outcome = decode(encoded).unwrap()
         if command.base_version != self.version:
             assert outcome.kind == "version_conflict"
             assert outcome.current_version == self.version
@@ -60,23 +70,23 @@
             self.weights.pop(name, None)
             if weight is not None:
                 self.weights[name] = weight
-        self.first[command.request_id] = (command, raw, self.wall)
+        self.first_outcomes[command.request_id] = (command, encoded, self.wall_ms)
 
-    @precondition(lambda self: self.first)
+    @precondition(lambda self: self.first_outcomes)
     @rule(data=st.data())
     def resend(self, data: st.DataObject) -> None:
-        request_id = data.draw(st.sampled_from(sorted(self.first)))
-        command, raw, decided = self.first[request_id]
-        command = attrs.evolve(command, wall_unix_ms=self.wall)
-        if self.wall - decided < DAY_MS:
-            assert self.submit(command) == raw
+        request_id = data.draw(st.sampled_from(sorted(self.first_outcomes)))
+        command, first_outcome, decided_ms = self.first_outcomes[request_id]
+        command = attrs.evolve(command, wall_unix_ms=self.wall_ms)
+        if self.wall_ms - decided_ms < DAY_MS:
+            assert self.submit(command) == first_outcome
             return
         ((name, fields),) = command.patch["callers"].items()
-        self.decide(command, name, fields and fields["weight"])
+        self.submit_and_check(command, name, fields and fields["weight"])
 
     @rule(hours=st.sampled_from([1, 13, 24]))
     def wait(self, hours: int) -> None:
-        self.wall += hours * DAY_MS // 24
+        self.wall_ms += hours * DAY_MS // 24
 
     @rule()
     def take_snapshot(self) -> None:
@@ -92,7 +102,7 @@
         self.machine = restarted
 
     @invariant()
-    def state_is_as_the_oracle_says(self) -> None:
+    def state_equals_the_model(self) -> None:
         projection = self.machine.projection
         assert projection.version == self.version
         callers = projection.configuration.callers
--- a/tests/agreed/test_validation.py
+++ b/tests/agreed/test_validation.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from briardyke.agreed.places import PlaceChecker
+from briardyke.agreed.feasibility import FeasibilityChecker
 from briardyke.agreed.records import UpstreamRegistration
 from briardyke.agreed.validation import check_document
 
@@ -28,11 +28,11 @@
 
 
 def reasons(document: Any) -> list[str]:
-    return list(check_document(document, PlaceChecker(UPSTREAMS)).err() or ())
+    return list(check_document(document, FeasibilityChecker(UPSTREAMS)).err() or ())
 
 
 class TestParsing:
-    """Guards against documents that mean something else than the operator wrote."""
+    """Guards against documents that are read differently from what the operator meant."""
 
     @pytest.mark.parametrize(
         ("document", "reason"),
@@ -82,7 +82,7 @@
     def test_each_error_names_its_field(self, document: Any, reason: str) -> None:
         assert reasons(document) == [reason]
 
-    def test_the_document_of_the_design_page_is_read_in_full(self) -> None:
+    def test_every_section_of_a_document_is_read(self) -> None:
         document = {
             "models": {"m1": model(1, minimum_replicas=2, priority=3)},
             "adapters": {"a1": {"model": "m1", "size_bytes": 1}},
@@ -92,7 +92,7 @@
             "placement": {"move_weight": 0},
             "targets": {"first_token_ms": 600},
         }
-        configuration = check_document(document, PlaceChecker(UPSTREAMS)).unwrap()
+        configuration = check_document(document, FeasibilityChecker(UPSTREAMS)).unwrap()
         assert configuration.models["m1"].instances == ("a-*",)
         assert configuration.services["o"].non_idempotent_paths == ("/bookings",)
         assert configuration.limits["l1"].requests_per_second == 0.0
@@ -103,8 +103,8 @@
         )
 
 
-class TestChecks:
-    """Guards against versions with models that no caller can reach."""
+class TestFeasibility:
+    """Guards against accepting versions with models that cannot be served."""
 
     def test_all_reasons_are_returned_at_once(self) -> None:
         document = {
@@ -133,7 +133,7 @@
         ]
 
     @pytest.mark.parametrize(
-        ("sizes", "adapters", "reason"),
+        ("models", "adapter_sizes", "reason"),
         [
             ({"m": model(101)}, [], "models.m.size_bytes: 101 exceeds the largest matching"),
             ({"m": model(10, minimum_replicas=3)}, [], "models.m.minimum_replicas: 3 replicas"),
@@ -147,12 +147,14 @@
             ({"m": model(100, minimum_replicas=0), "n": model(100)}, [], ""),
         ],
     )
-    def test_models_and_adapters_need_a_place(
-        self, sizes: dict[str, Any], adapters: list[int], reason: str
+    def test_models_and_adapters_must_fit_on_engines(
+        self, models: dict[str, Any], adapter_sizes: list[int], reason: str
     ) -> None:
         document = {
-            "models": sizes,
-            "adapters": {f"m-{n}": {"model": "m", "size_bytes": s} for n, s in enumerate(adapters)},
+            "models": models,
+            "adapters": {
+                f"m-{n}": {"model": "m", "size_bytes": s} for n, s in enumerate(adapter_sizes)
+            },
         }
         found = reasons(document)
         assert len(found) == bool(reason)
@@ -161,14 +163,14 @@
     @settings(derandomize=True, deadline=None, max_examples=60)
     @given(
         capacities=st.lists(st.integers(5, 12), min_size=130, max_size=200),
-        sizes=st.lists(
+        model_parameters=st.lists(
             st.tuples(st.integers(1, 12), st.sampled_from(["e*", "e1*"]), st.integers(0, 60)),
             min_size=1,
             max_size=12,
         ),
     )
-    def test_the_search_in_blocks_equals_a_plain_first_fit(
-        self, capacities: list[int], sizes: list[tuple[int, str, int]]
+    def test_the_search_in_blocks_equals_a_simple_first_fit(
+        self, capacities: list[int], model_parameters: list[tuple[int, str, int]]
     ) -> None:
         ids = [f"e{n:03d}" for n in range(len(capacities))]
         upstreams = {
@@ -177,19 +179,19 @@
         }
         models = {
             f"m{n:02d}": model(size, pattern, minimum_replicas=count)
-            for n, (size, pattern, count) in enumerate(sizes)
+            for n, (size, pattern, count) in enumerate(model_parameters)
         }
-        free = dict(zip(ids, capacities, strict=True))
+        free_bytes = dict(zip(ids, capacities, strict=True))
         expected = []
         for name in sorted(models, key=lambda n: (-models[n]["size_bytes"], n)):
             size, count = models[name]["size_bytes"], models[name]["minimum_replicas"]
             matching = [i for i in ids if i.startswith(models[name]["instances"][0][:-1])]
             if size > max(upstreams[i].capacity_bytes for i in matching) or count > len(matching):
                 continue
-            chosen = [i for i in matching if free[i] >= size][:count]
+            chosen = [i for i in matching if free_bytes[i] >= size][:count]
             for i in chosen:
-                free[i] -= size
+                free_bytes[i] -= size
             if len(chosen) < count:
                 expected.append(f"models.{name}: only {len(chosen)} of {count}")
-        found = check_document({"models": models}, PlaceChecker(upstreams)).err() or ()
+        found = check_document({"models": models}, FeasibilityChecker(upstreams)).err() or ()
         assert [r.split(" replicas")[0] for r in found if ": only" in r] == expected
