--- a/src/briardyke/agreed/feasibility.py
+++ b/src/briardyke/agreed/feasibility.py
@@ -66,7 +66,7 @@
     def _check_individually(
         self, models: dict[str, Model], adapters: dict[str, Adapter]
     ) -> tuple[dict[str, int], list[str]]:
-        """Check each item without regard to other models.
+        """Check each model on its own, and each adapter beside its model.
 
         :return: for each model that fits alone, the memory that its largest adapter needs; and
             the reasons against the other items.
@@ -111,7 +111,7 @@
     def _first_fit_decreasing(
         self, models: dict[str, Model], adapter_bytes: dict[str, int]
     ) -> list[str]:
-        """Place replicas of all models, largest models first; return a reason for each misfit."""
+        """Place replicas, largest models first; return a reason for each model without space."""
         bins = {i: _Bin(u.capacity_bytes) for i, u in self._upstreams.items() if u.kind == "engine"}
         candidates: dict[tuple[str, ...], _CandidateBins] = {}
         reasons = []
@@ -184,18 +184,18 @@
         self._upstreams = upstreams
         self._kind = kind
         self._ids: list[str] | None = None
-        self._matching_ids: dict[tuple[str, ...], list[str]] = {}
+        self._ids_by_patterns: dict[tuple[str, ...], list[str]] = {}
 
     def matching_ids(self, patterns: tuple[str, ...]) -> list[str]:
         """Return the matching upstream ids, sorted."""
-        if patterns not in self._matching_ids:
+        if patterns not in self._ids_by_patterns:
             if len(patterns) == 1:
-                self._matching_ids[patterns] = self._match(patterns[0])
+                self._ids_by_patterns[patterns] = self._match(patterns[0])
             else:
-                self._matching_ids[patterns] = sorted(
+                self._ids_by_patterns[patterns] = sorted(
                     {i for p in patterns for i in self.matching_ids((p,))}
                 )
-        return self._matching_ids[patterns]
+        return self._ids_by_patterns[patterns]
 
     def _match(self, pattern: str) -> list[str]:
         if self._ids is None:
--- a/src/briardyke/agreed/validation.py
+++ b/src/briardyke/agreed/validation.py
@@ -35,7 +35,7 @@
 
 
 def _declared_names(parsed: Parsed, table: str) -> set[str]:
-    """Return all names in a table; a reference to an invalid item is no further error."""
+    """Return the names in a table; invalid items count, so references to them are no errors."""
     valid = set(getattr(parsed.configuration, table))
     prefix = table + "."
     return valid | {p.removeprefix(prefix) for p in parsed.invalid_paths if p.startswith(prefix)}
