Name the control process's parts by what they do

The modules evidence and ledger become leadership and reservations. The "systems" that run on the leader are a registrar and a granter, and the log groups are consensus groups, as elsewhere. PeerPool.send_all, which sends one message to several peers, becomes broadcast: trio's send_all sends all bytes.

--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class Group:
+class ConsensusGroup:
     """Hold one log group's parts.
 
     :param log: this process's member of the group.
@@ -41,7 +41,7 @@
 
 def open_groups(
     settings: ControlSettings, identity: Identity, own_address: Address, peers: PeerPool
-) -> Result[dict[str, Group], Failure]:
+) -> Result[dict[str, ConsensusGroup], Failure]:
     """Open the control group and all claim groups from the data folder.
 
     :return: groups by id, or a failure of kind ``log_corrupt`` or ``storage_failed``.
@@ -50,7 +50,7 @@
     machines: dict[str, StateMachine] = {CONTROL_GROUP: ControlMachine(audit.append)}
     for index in range(settings.claim_shards):
         machines[shard_group_id(index)] = ClaimMachine()
-    groups: dict[str, Group] = {}
+    groups: dict[str, ConsensusGroup] = {}
     for group_id, machine in machines.items():
         opened = identity.open_group(group_id)
         if opened.is_err():
@@ -65,5 +65,5 @@
             random.Random(),
             seeds=settings.control_addresses,
         )
-        groups[group_id] = Group(log, machine, GroupProposer(group_id, log, peers))
+        groups[group_id] = ConsensusGroup(log, machine, GroupProposer(group_id, log, peers))
     return Ok(groups)
--- a/src/briardyke/control/handlers.py
+++ b/src/briardyke/control/handlers.py
@@ -12,7 +12,7 @@
 from briardyke.claims.shards import shard_for_key, shard_group_id
 from briardyke.clock import wall_unix_ms
 from briardyke.consensus.messages import GroupMessage
-from briardyke.control.groups import Group
+from briardyke.control.groups import ConsensusGroup
 from briardyke.control.messages import CommandResult, ForwardCommand
 from briardyke.errors import ErrorKind, Failure
 from briardyke.sync.responder import Responder
@@ -32,7 +32,7 @@
     :param responder: answers sync requests.
     """
 
-    groups: Mapping[str, Group]
+    groups: Mapping[str, ConsensusGroup]
     claim_shards: int
     responder: Responder
 
@@ -61,7 +61,7 @@
     group = context.groups.get(message.group_id)
     if group is None:
         return refusal(Failure(ErrorKind.FIELD_INVALID, "no such group", "group_id"))
-    applied = await group.proposer.propose_here(message.command, message.timeout_ms)
+    applied = await group.proposer.propose_as_leader(message.command, message.timeout_ms)
     if applied.is_err():
         return refusal(applied.unwrap_err())
     return CommandResult(0, applied.unwrap())
--- a/src/briardyke/control/evidence.py
+++ b/src/briardyke/control/leadership.py
@@ -9,16 +9,16 @@
 
 if TYPE_CHECKING:
     from briardyke.consensus.driver import ReplicatedLog
-    from briardyke.control.shares import ShareSystem
+    from briardyke.control.shares import ShareGranter
     from briardyke.sync.instances import InstanceTable
     from briardyke.sync.view import SyncedView
     from briardyke.wire.messages import InstanceStatus, LimitShare
 
 
-class ControlEvidence:
+class ControlLeadershipView:
     """Use the log's own evidence while leading, else what came through the uplink."""
 
-    def __init__(self, log: ReplicatedLog, view: SyncedView, shares: ShareSystem) -> None:
+    def __init__(self, log: ReplicatedLog, view: SyncedView, shares: ShareGranter) -> None:
         """Use the control group's log, the uplink's view and the leader's share system."""
         self._log = log
         self._view = view
--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -36,7 +36,7 @@
 _RESEND = "outcome unknown; resend with the same X-Request-Id"
 
 
-class Proposer(Protocol):
+class CommandProposer(Protocol):
     """Commit commands to the control group, through its leader."""
 
     async def propose(self, command: bytes, timeout_ms: int) -> Result[bytes, Failure]:
@@ -49,7 +49,7 @@
 
 
 @attrs.frozen
-class Member:
+class MemberInfo:
     """Describe a member of the control group.
 
     :param member_id: ``<instance_id>#<storage_id>``.
@@ -65,7 +65,7 @@
 class MemberService(Protocol):
     """List and change the members of the control group."""
 
-    def members(self) -> list[Member]:
+    def members(self) -> list[MemberInfo]:
         """Return the members that this process knows."""
 
     async def change(
@@ -82,7 +82,7 @@
 
 def register_operator_routes(
     app: HttpApp,
-    proposer: Proposer,
+    proposer: CommandProposer,
     machine: ControlMachine,
     members: MemberService,
     status: Callable[[], Mapping[str, Any]],
@@ -110,7 +110,7 @@
 
     def __init__(
         self,
-        proposer: Proposer,
+        proposer: CommandProposer,
         machine: ControlMachine,
         members: MemberService,
         status: Callable[[], Mapping[str, Any]],
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -12,13 +12,13 @@
 from briardyke.consensus.identity import open_identity
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.state import Role
-from briardyke.control.evidence import ControlEvidence
-from briardyke.control.groups import CONTROL_GROUP, Group, open_groups
+from briardyke.control.groups import CONTROL_GROUP, ConsensusGroup, open_groups
 from briardyke.control.handlers import HandlerContext, handle
-from briardyke.control.ledger import AgreedLedger
-from briardyke.control.operator_api import Member, register_operator_routes
-from briardyke.control.registration import RegistrationSystem
-from briardyke.control.shares import ShareSystem
+from briardyke.control.leadership import ControlLeadershipView
+from briardyke.control.operator_api import MemberInfo, register_operator_routes
+from briardyke.control.registration import UpstreamRegistrar
+from briardyke.control.reservations import ReservationProposer
+from briardyke.control.shares import ShareGranter
 from briardyke.http.app import HttpApp, Response, json_response, serve_http
 from briardyke.http.client import HttpClient
 from briardyke.logs import log_event
@@ -50,7 +50,7 @@
     """Run agreed state, sync responder, leader systems and operator API."""
 
     def __init__(
-        self, settings: ControlSettings, groups: dict[str, Group], peers: PeerPool
+        self, settings: ControlSettings, groups: dict[str, ConsensusGroup], peers: PeerPool
     ) -> None:
         """Wire the parts.
 
@@ -65,17 +65,17 @@
         self._machine: ControlMachine = self._control.machine  # type: ignore[assignment]
         self._projection = self._machine.projection
         self.view = SyncedView(now_ms())
-        self._shares = ShareSystem(self._projection, self._machine.kept_limit_ids)
-        self._evidence = ControlEvidence(self._control.log, self.view, self._shares)
+        self._shares = ShareGranter(self._projection, self._machine.kept_limit_ids)
+        self._evidence = ControlLeadershipView(self._control.log, self.view, self._shares)
         self.responder = Responder(
             self.view.digest, self.view.documents, self.view.changed, self._evidence
         )
         self._evidence.table = self.responder.instances
         self._context = HandlerContext(groups, settings.claim_shards, self.responder)
         self._client = HttpClient()
-        self._registration = RegistrationSystem(self._projection, self._control.proposer)
+        self._registration = UpstreamRegistrar(self._projection, self._control.proposer)
         self._placement = PlacementRunner(
-            AgreedLedger(self._control.proposer),
+            ReservationProposer(self._control.proposer),
             self._placement_view,
             self._may_order,
             self._client,
@@ -144,7 +144,7 @@
             self.responder.instances.forget(now - self.view.lease.lease_ms * 2)
             self.view.digest.forget_silent(now)
             if self._evidence.leads():
-                await self._registration.run_once(self.view.digest.alive(now).values())
+                await self._registration.propose_missing(self.view.digest.alive(now).values())
             await self._wait_for_change()
 
     async def _wait_for_change(self) -> None:
@@ -211,14 +211,14 @@
 class _Members:
     """Offer the control group's membership to the operator API."""
 
-    def __init__(self, group: Group) -> None:
+    def __init__(self, group: ConsensusGroup) -> None:
         self._log = group.log
 
-    def members(self) -> list[Member]:
+    def members(self) -> list[MemberInfo]:
         status = self._log.status()
         roles = {True: "voter", False: "learner"}
         return [
-            Member(
+            MemberInfo(
                 m.member_id,
                 str(m.address),
                 "leader" if m.member_id == status.leader_id else roles[m.voter],
--- a/src/briardyke/control/proposer.py
+++ b/src/briardyke/control/proposer.py
@@ -56,7 +56,7 @@
         text = "no leader accepted the command in time"
         return Err(Failure(ErrorKind.NOT_LEADER, text, retry_after_ms=1000))
 
-    async def propose_here(self, command: bytes, timeout_ms: float) -> Result[bytes, Failure]:
+    async def propose_as_leader(self, command: bytes, timeout_ms: float) -> Result[bytes, Failure]:
         """Commit a command only if this process leads the group.
 
         Records carry the leader's wall time, so that they do not depend on the clock of the
@@ -69,7 +69,7 @@
     async def _try_once(self, command: bytes, left_ms: float) -> Result[bytes, Failure]:
         status = self._log.status()
         if status.role is Role.LEADER:
-            return await self.propose_here(command, left_ms)
+            return await self.propose_as_leader(command, left_ms)
         address = status.leader_address
         if address is None:
             return Err(Failure(ErrorKind.NOT_LEADER, "no leader is known"))
--- a/src/briardyke/control/registration.py
+++ b/src/briardyke/control/registration.py
@@ -18,7 +18,7 @@
 _TIMEOUT_MS = 2000
 
 
-class RegistrationSystem:
+class UpstreamRegistrar:
     """Register new incarnations and reserve the memory of items that nobody ordered.
 
     An engine may start with items in its memory. They take memory like any other item, so they
@@ -30,7 +30,7 @@
         self._projection = projection
         self._proposer = proposer
 
-    async def run_once(self, rows: Iterable[UpstreamRow]) -> None:
+    async def propose_missing(self, rows: Iterable[UpstreamRow]) -> None:
         """Propose what is missing for the given live upstreams."""
         for row in rows:
             known = self._projection.upstreams.get(row.upstream_id)
@@ -45,7 +45,7 @@
         command = RegisterUpstream(
             row.upstream_id, row.incarnation, row.kind, row.capacity_bytes, row.checks_fencing
         )
-        applied = await self._proposer.propose_here(encode(command), _TIMEOUT_MS)
+        applied = await self._proposer.propose_as_leader(encode(command), _TIMEOUT_MS)
         outcome = applied.and_then(read_outcome)
         if outcome.is_ok():
             log_event("upstream_registered", upstream=row.upstream_id, incarnation=row.incarnation)
@@ -64,7 +64,7 @@
             order_id=item.order_id or "adopted",
             fencing_token=row.highest_fencing_token,
         )
-        applied = await self._proposer.propose_here(encode(command), _TIMEOUT_MS)
+        applied = await self._proposer.propose_as_leader(encode(command), _TIMEOUT_MS)
         outcome = applied.and_then(read_outcome)
         if outcome.is_err():
             log_warning(
--- a/src/briardyke/control/ledger.py
+++ b/src/briardyke/control/reservations.py
@@ -18,7 +18,7 @@
 _TIMEOUT_MS = 2000
 
 
-class AgreedLedger:
+class ReservationProposer:
     """Propose reservations while this process leads the control group."""
 
     def __init__(self, proposer: GroupProposer) -> None:
@@ -38,6 +38,6 @@
         return await self._commit(encode(command))
 
     async def _commit(self, command: bytes) -> Result[None, Failure]:
-        applied = await self._proposer.propose_here(command, _TIMEOUT_MS)
+        applied = await self._proposer.propose_as_leader(command, _TIMEOUT_MS)
         outcome = applied.and_then(read_outcome)
         return Err(outcome.unwrap_err()) if outcome.is_err() else Ok(None)
--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -15,7 +15,7 @@
     from briardyke.wire.messages import InstanceStatus, LimitShare
 
 
-class ShareSystem:
+class ShareGranter:
     """Run the share allocator of one term of leadership.
 
     Shares are soft state: a new leader knows none of its predecessor's grants, so it starts a new
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -175,7 +175,7 @@
         )
 
     def _broadcast(self, update: RowsUpdate) -> None:
-        self._peers.send_all(self._others(), update)
+        self._peers.broadcast(self._others(), update)
 
     def _merge_upstream(self, row: Upstream, age_ms: float) -> bool:
         held = self.tables.upstreams.get(row.upstream_id)
--- a/src/briardyke/operator/client.py
+++ b/src/briardyke/operator/client.py
@@ -19,8 +19,8 @@
     from briardyke.http.client import HttpClient, WholeResponse
 
 # A leader election takes up to 3 s; the rounds and the pauses between them last longer.
-ROUNDS = 5
-PAUSE_MS = 1000.0
+MAX_ROUNDS = 5
+ROUND_PAUSE_MS = 1000.0
 
 
 def _required_addresses(text: str) -> tuple[Address, ...]:
@@ -30,7 +30,7 @@
     return addresses
 
 
-def header_text(text: str) -> str:
+def parse_header_value(text: str) -> str:
     """Return text that can stand in an HTTP header.
 
     :raises ValueError: when it has characters other than printable ASCII.
@@ -49,7 +49,7 @@
         parse=_required_addresses,
     )
     operator: str = setting(
-        "Name recorded in the audit trail; needed to patch.", default="", parse=header_text
+        "Name recorded in the audit trail; needed to patch.", default="", parse=parse_header_value
     )
     timeout_ms: int = setting(
         "Longest silence of one call.",
@@ -65,7 +65,7 @@
     """Send requests to the first control instance that gives a definite response."""
 
     def __init__(
-        self, http: HttpClient, settings: OperatorSettings, pause_ms: float = PAUSE_MS
+        self, http: HttpClient, settings: OperatorSettings, pause_ms: float = ROUND_PAUSE_MS
     ) -> None:
         """Set where and how to send.
 
@@ -100,7 +100,7 @@
             "x-operator": self._settings.operator,
         }
         return await self._send(
-            "PATCH", "/v1/configuration", patch, headers, rounds=ROUNDS, resend=True
+            "PATCH", "/v1/configuration", patch, headers, rounds=MAX_ROUNDS, resend=True
         )
 
     async def change_member(self, change: Mapping[str, str]) -> Result[Any, Failure]:
--- a/src/briardyke/operator/main.py
+++ b/src/briardyke/operator/main.py
@@ -17,7 +17,7 @@
 from briardyke.exit_codes import ExitCode
 from briardyke.http.client import HttpClient
 from briardyke.ids import new_id
-from briardyke.operator.client import OperatorClient, OperatorSettings, header_text
+from briardyke.operator.client import OperatorClient, OperatorSettings, parse_header_value
 from briardyke.settings import ENVIRONMENT_PREFIX, load_settings
 
 Call = Callable[[OperatorClient], Awaitable[Result[Any, Failure]]]
@@ -93,7 +93,7 @@
     if not settings.operator:
         _fail("--operator: is required to patch", ExitCode.SETTINGS_INVALID)
     try:
-        identity = header_text(request_id or new_id("req"))
+        identity = parse_header_value(request_id or new_id("req"))
     except ValueError as error:
         _fail(f"--request-id: {error}", ExitCode.SETTINGS_INVALID)
     content = _read_file(file)
--- a/src/briardyke/wire/codec.py
+++ b/src/briardyke/wire/codec.py
@@ -11,7 +11,7 @@
 from briardyke.errors import ErrorKind, Failure
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
-LENGTH_BYTES = 4
+LENGTH_PREFIX_BYTES = 4
 T = TypeVar("T")
 
 _converter = make_converter()
--- a/src/briardyke/wire/connection.py
+++ b/src/briardyke/wire/connection.py
@@ -76,14 +76,16 @@
         """
         payload = msgpack.packb([correlation_id, is_reply, body])
         async with self._write_lock:
-            await self._stream.send_all(len(payload).to_bytes(codec.LENGTH_BYTES, "big") + payload)
+            await self._stream.send_all(
+                len(payload).to_bytes(codec.LENGTH_PREFIX_BYTES, "big") + payload
+            )
 
     async def receive(self) -> tuple[int, bool, bytes] | None:
         """Read one frame, or return ``None`` at the end of the stream.
 
         :raises ValueError: when the bytes are no frame.
         """
-        head = await self._read(codec.LENGTH_BYTES)
+        head = await self._read(codec.LENGTH_PREFIX_BYTES)
         if head is None:
             return None
         length = int.from_bytes(head, "big")
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -36,7 +36,7 @@
             self._nursery.start_soon(client.run)
         return client
 
-    def send_all(self, addresses: Iterable[Address], message: Any) -> None:
+    def broadcast(self, addresses: Iterable[Address], message: Any) -> None:
         """Queue a one-way message to several peers, encoded once."""
         body = codec.encode(message)
         for address in addresses:
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -11,7 +11,7 @@
 
 from briardyke.addresses import Address, parse_address
 from briardyke.agreed.machine import ControlMachine
-from briardyke.control.operator_api import Member, register_operator_routes
+from briardyke.control.operator_api import MemberInfo, register_operator_routes
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.app import HttpApp, serve_http
 from briardyke.http.client import HttpClient, WholeResponse
@@ -43,8 +43,8 @@
         outcome = self.machine.apply(self.index, command)
         return Ok(outcome) if self.fail_after is None else Err(self.fail_after)
 
-    def members(self) -> list[Member]:
-        return [Member("c1#s1", "127.0.0.1:1", "leader")]
+    def members(self) -> list[MemberInfo]:
+        return [MemberInfo("c1#s1", "127.0.0.1:1", "leader")]
 
     async def change(
         self, action: str, member_id: str, address: Address | None, timeout_ms: int
--- a/tests/control/test_share_system.py
+++ b/tests/control/test_share_granter.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.agreed.configuration import Limit
-from briardyke.control.shares import ShareSystem
+from briardyke.control.shares import ShareGranter
 from briardyke.wire.messages import InstanceStatus, LimitShare, ShareDemand
 
 if TYPE_CHECKING:
@@ -21,13 +21,13 @@
     return InstanceStatus(name, "dc", address, 1.0, "ready", 0.0, number, demand, held)
 
 
-class TestShareSystem:
+class TestShareGranter:
     """Guards against granting again what an instance still holds."""
 
     async def test_a_repeated_older_report_is_not_taken(self, autojump_clock: MockClock) -> None:
         """Guards against an older report passing for the receipt of a share under way."""
         configuration = SimpleNamespace(limits={"l": Limit("*", "*", "*", 12.0, None)})
-        system = ShareSystem(SimpleNamespace(configuration=configuration, version=1), frozenset)
+        system = ShareGranter(SimpleNamespace(configuration=configuration, version=1), frozenset)
         system.start_term(1)
         system.grant([status("a", 1, 6.0)])
         system.grant([status("a", 2, 12.0), status("b", 1, 0.0)])
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -53,7 +53,7 @@
     def client(self, address: Address) -> _Client:
         return _Client(self, address)
 
-    def send_all(self, addresses: Iterable[Address], update: RowsUpdate) -> None:
+    def broadcast(self, addresses: Iterable[Address], update: RowsUpdate) -> None:
         self.sent.append(update)
         for address in addresses:
             if address in self.instances and address not in self.down:
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -13,7 +13,7 @@
 
 from briardyke.addresses import Address
 from briardyke.agreed.machine import ControlMachine
-from briardyke.control.operator_api import Member, register_operator_routes
+from briardyke.control.operator_api import MemberInfo, register_operator_routes
 from briardyke.exit_codes import ExitCode
 from briardyke.http.app import HttpApp, serve_http
 from briardyke.http.client import WholeResponse
@@ -43,8 +43,8 @@
         self.index += 1
         return Ok(self.machine.apply(self.index, command))
 
-    def members(self) -> list[Member]:
-        return [Member("c1#s1", "127.0.0.1:1", "leader")]
+    def members(self) -> list[MemberInfo]:
+        return [MemberInfo("c1#s1", "127.0.0.1:1", "leader")]
 
     async def change(self, action: str, member_id: str, address: Any, timeout_ms: int) -> Any:
         self.added.append(f"{action} {member_id}")
@@ -151,7 +151,7 @@
         assert patched.exit_code == ExitCode.REQUEST_FAILED
         assert "outcome_unknown" in patched.stderr
         assert "--request-id r7" in patched.stderr
-        assert instances.index == client.ROUNDS
+        assert instances.index == client.MAX_ROUNDS
         change = call(",".join(instances.addresses), "members", "remove", "c1#s1")
         assert "members list" in change.stderr
         assert instances.added == ["remove c1#s1"]
