--- a/src/briardyke/control/__init__.py
+++ b/src/briardyke/control/__init__.py
@@ -1,1 +1,1 @@
-"""Run a control process: agreed state, sync responder, leader systems and operator API."""
+"""Run a control process: agreed state, sync responder, leader tasks and operator API."""
--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -1,4 +1,4 @@
-"""Open the log groups of a control process."""
+"""Open the consensus groups that a control process is a member of."""
 
 from __future__ import annotations
 
@@ -27,11 +27,11 @@
 
 @attrs.frozen
 class ConsensusGroup:
-    """Hold one log group's parts.
+    """Hold this process's parts of one consensus group.
 
     :param log: this process's member of the group.
     :param machine: local state machine.
-    :param proposer: proposes commands from here.
+    :param proposer: commits commands, through the leader where another process leads.
     """
 
     log: ReplicatedLog
@@ -42,7 +42,7 @@
 def open_groups(
     settings: ControlSettings, identity: Identity, own_address: Address, peers: PeerPool
 ) -> Result[dict[str, ConsensusGroup], Failure]:
-    """Open the control group and all claim groups from the data folder.
+    """Open the control group and all claim groups from the data directory.
 
     :return: groups by id, or a failure of kind ``log_corrupt`` or ``storage_failed``.
     """
--- a/src/briardyke/control/handlers.py
+++ b/src/briardyke/control/handlers.py
@@ -25,9 +25,9 @@
 
 @attrs.frozen
 class HandlerContext:
-    """Hold what the handlers act on.
+    """Hold the objects that the message handlers use.
 
-    :param groups: log groups by id.
+    :param groups: consensus groups by id.
     :param claim_shards: number of claim groups.
     :param responder: answers sync requests.
     """
@@ -40,7 +40,7 @@
 @singledispatch
 async def handle(message: Any, context: HandlerContext, peer_id: str) -> Any:
     """Return the reply to a message, or ``None`` when it has none."""
-    text = f"message {type(message).__name__} is not accepted here"
+    text = f"message {type(message).__name__} is not accepted by a control process"
     return refusal(Failure(ErrorKind.PROTOCOL_VIOLATION, text))
 
 
@@ -60,7 +60,7 @@
 async def _forward(message: ForwardCommand, context: HandlerContext, peer_id: str) -> Any:
     group = context.groups.get(message.group_id)
     if group is None:
-        return refusal(Failure(ErrorKind.FIELD_INVALID, "no such group", "group_id"))
+        return refusal(Failure(ErrorKind.FIELD_INVALID, "unknown consensus group", "group_id"))
     applied = await group.proposer.propose_as_leader(message.command, message.timeout_ms)
     if applied.is_err():
         return refusal(applied.unwrap_err())
--- a/src/briardyke/control/leadership.py
+++ b/src/briardyke/control/leadership.py
@@ -1,4 +1,4 @@
-"""Provide the responder with what depends on whether this process leads."""
+"""Provide the sync responder with the data that depends on whether this process leads."""
 
 from __future__ import annotations
 
@@ -16,34 +16,34 @@
 
 
 class ControlLeadershipView:
-    """Use the log's own evidence while leading, else what came through the uplink."""
+    """Read from the control group's log while leading, else from the synced view."""
 
     def __init__(self, log: ReplicatedLog, view: SyncedView, shares: ShareGranter) -> None:
-        """Use the control group's log, the uplink's view and the leader's share system."""
+        """Use the control group's log, the synced view and the leader's share granter."""
         self._log = log
         self._view = view
         self._shares = shares
-        self.table: InstanceTable | None = None
+        self.instance_table: InstanceTable | None = None
 
     def leads(self) -> bool:
-        """Return whether this process leads the control group with fresh evidence."""
+        """Return whether this process leads, as a majority has confirmed recently."""
         status = self._log.status()
         return status.role is Role.LEADER and status.ready
 
     def confirmed_age_ms(self) -> float | None:
-        """Return the age of the evidence that the held version is current."""
+        """Return the time since the held version was confirmed as current."""
         if not self.leads():
             return self._view.lease.age_ms(now_ms())
         status = self._log.status()
         if status.applied_index < status.commit_index:
-            return None  # a committed version may not have reached the documents yet
+            return None  # a committed version may not be in the document history yet
         return self._log.confirmed_age_ms()
 
     def instances(self) -> tuple[str, list[InstanceStatus]]:
         """Return the instance list with a tag that changes whenever the list does."""
-        if self.leads() and self.table is not None:
-            listed = self.table.listed(now_ms())
-            return f"leader:{self.table.sequence}", listed
+        if self.leads() and self.instance_table is not None:
+            listed = self.instance_table.listed(now_ms())
+            return f"leader:{self.instance_table.sequence}", listed
         return f"relay:{self._view.listed_sequence}", self._view.listed
 
     def shares(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
@@ -51,8 +51,10 @@
         if self.leads():
             self._shares.start_term(self._log.status().term)
             return self._shares.grant(statuses)
-        known = self._view.shares
-        return {s.instance_id: known[s.instance_id] for s in statuses if s.instance_id in known}
+        received = self._view.shares
+        return {
+            s.instance_id: received[s.instance_id] for s in statuses if s.instance_id in received
+        }
 
     def leader_hint(self) -> str:
         """Return the leader's peer address, empty when unknown."""
--- a/src/briardyke/control/messages.py
+++ b/src/briardyke/control/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages between control processes, besides those of the replicated log."""
+"""Define the messages between control processes, other than those of the consensus protocol."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 class ForwardCommand:
     """Ask the leader of a group to propose a command.
 
-    :param group_id: group of the replicated log.
+    :param group_id: consensus group.
     :param command: encoded command.
     :param timeout_ms: longest wait for the commit.
     """
@@ -25,7 +25,7 @@
 @message
 @attrs.frozen
 class CommandResult:
-    """Answer a :class:`ForwardCommand`.
+    """Reply to a :class:`ForwardCommand`.
 
     :param index: log index of the command.
     :param result: what the state machine returned.
--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -43,7 +43,7 @@
         """Return the outcome of the applied command.
 
         :param command: encoded command, stamped with this process's wall time; the leader may
-            put its own in its place with :func:`briardyke.agreed.commands.restamp`.
+            replace the stamp with its own by :func:`briardyke.agreed.commands.restamp`.
         :param timeout_ms: longest wait.
         """
 
@@ -91,7 +91,7 @@
 
     :param app: application that serves them.
     :param proposer: commits patches.
-    :param machine: local state machine; reads are answered from it.
+    :param machine: local state machine, which all reads use.
     :param members: lists and changes members.
     :param status: returns the process's own fields of ``GET /v1/status``.
     """
@@ -149,13 +149,15 @@
         proposed = await self.proposer.propose(command.unwrap(), PROPOSE_TIMEOUT_MS)
         decoded = proposed.and_then(decode)
         if decoded.is_err():
-            return _failed(decoded.unwrap_err(), request_id)
+            return _failure_response(decoded.unwrap_err(), request_id)
         outcome = decoded.unwrap()
         if isinstance(outcome, CommandRefused):
-            return _refused(outcome, request_id)
+            return _refusal_response(outcome, request_id)
         if not isinstance(outcome, PatchAccepted):
-            failure = Failure(ErrorKind.INTERNAL, f"unexpected {type(outcome).__name__}")
-            return _failed(failure, request_id)
+            failure = Failure(
+                ErrorKind.INTERNAL, f"unexpected command outcome {type(outcome).__name__}"
+            )
+            return _failure_response(failure, request_id)
         log_event("patch_accepted", version=outcome.version, request_id=request_id)
         body = {"version": outcome.version, "request_id": request_id}
         return json_response(body, 200, _version_tag(outcome.version))
@@ -167,9 +169,9 @@
             if parsed.is_err():
                 return error_response(parsed.unwrap_err())
         records = self.machine.audit_records(limit.unwrap() or 0, before.unwrap())
-        following = records[-1].number if records and records[-1].number > 1 else None
+        next_before = records[-1].number if records and records[-1].number > 1 else None
         return json_response(
-            {"records": [unstructure(r) for r in records], "next_before": following}
+            {"records": [unstructure(r) for r in records], "next_before": next_before}
         )
 
     async def get_status(self, request: Request) -> Response:
@@ -196,27 +198,27 @@
         if result.is_err():
             failure = result.unwrap_err()
             if failure.answer.ran is not Ran.NO:
-                text = f"{failure.message}; outcome unknown; list the members before repeating"
+                text = f"{failure.message}; outcome unknown; list the members before retrying"
                 failure = attrs.evolve(failure, message=text)
             return error_response(failure)
         return json_response({"action": action, "member_id": member_id})
 
 
-def _failed(failure: Failure, request_id: str) -> Response:
+def _failure_response(failure: Failure, request_id: str) -> Response:
     if failure.answer.ran is not Ran.NO:
-        known = failure.kind is ErrorKind.OUTCOME_UNKNOWN
-        text = _RESEND if known else f"{failure.message}; {_RESEND}"
+        is_unknown = failure.kind is ErrorKind.OUTCOME_UNKNOWN
+        text = _RESEND if is_unknown else f"{failure.message}; {_RESEND}"
         failure = attrs.evolve(failure, message=text)
     log_event("patch_failed", kind=failure.kind.value, request_id=request_id)
     return error_response(failure, request_id)
 
 
-def _refused(outcome: CommandRefused, request_id: str) -> Response:
+def _refusal_response(outcome: CommandRefused, request_id: str) -> Response:
     failure = outcome.failure()
     log_event("patch_refused", kind=outcome.kind, request_id=request_id)
     if failure.kind is not ErrorKind.VERSION_CONFLICT:
         return error_response(failure, request_id)
-    # The number comes from the outcome: this member may not have applied that version yet.
+    # Taken from the outcome, because this member may not have applied that version yet.
     current = outcome.current_version
     body = {**error_body(failure, request_id), "current_version": current}
     return json_response(body, failure.answer.http_status, _version_tag(current))
@@ -234,7 +236,7 @@
 def _read_patch(request: Request) -> Result[bytes, Failure]:
     tag = request.headers.get("if-match")
     if tag is None:
-        text = 'If-Match: "N" names the version that the patch was written against'
+        text = 'If-Match: "N" is required; N is the version that the patch was written against'
         return Err(Failure(ErrorKind.VERSION_MISSING, text, "if-match"))
     match = _VERSION_TAG.fullmatch(tag.strip())
     if match is None:
@@ -246,7 +248,7 @@
     if len(request.body) > MAX_PATCH_BYTES:
         text = f"patch is over {MAX_PATCH_BYTES} bytes"
         return Err(Failure(ErrorKind.BODY_TOO_LARGE, text, "body"))
-    patch = _read_unique(request.body)
+    patch = _parse_json_object(request.body)
     if patch.is_err():
         return Err(patch.unwrap_err())
     headers = request.headers
@@ -265,10 +267,12 @@
         return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
 
 
-def _read_unique(body: bytes) -> Result[dict[str, Any], Failure]:
-    """Parse a JSON object; a name that stands twice is an error, not the last one's win."""
+def _parse_json_object(body: bytes) -> Result[dict[str, Any], Failure]:
+    """Parse a JSON object and reject duplicate names, of which json keeps only the last."""
     try:
-        value = json.loads(body, object_pairs_hook=_unique_object, parse_constant=_no_constant)
+        value = json.loads(
+            body, object_pairs_hook=_reject_duplicate_names, parse_constant=_reject_constant
+        )
     except (ValueError, RecursionError) as error:
         text = f"body is not valid JSON: {error}"
         return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
@@ -280,16 +284,16 @@
     return Ok(value)
 
 
-def _unique_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+def _reject_duplicate_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     value = dict(pairs)
     if len(value) != len(pairs):
         names = [name for name, _ in pairs]
-        twice = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"name {twice!r} stands twice in one object")
+        duplicate = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"duplicate name {duplicate!r} in an object")
     return value
 
 
-def _no_constant(text: str) -> Any:
+def _reject_constant(text: str) -> Any:
     raise ValueError(f"{text} is not a JSON number")
 
 
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -1,4 +1,4 @@
-"""Wire the parts of a control process together."""
+"""Assemble and run a control process."""
 
 from __future__ import annotations
 
@@ -40,22 +40,22 @@
     from briardyke.errors import Failure
     from briardyke.http.app import Request
 
-# Below the shortest election timeout, so that an old leader stops ordering before a new one starts.
+# Below the shortest election timeout: a former leader stops sending orders before a new one starts.
 LEADER_LEASE_MS = 900.0
-_TICK_MS = 100.0
+_TASK_INTERVAL_MS = 100.0
 _TRANSFER_TIMEOUT_MS = 2000.0
 
 
 class ControlProcess:
-    """Run agreed state, sync responder, leader systems and operator API."""
+    """Run the agreed state, the sync responder, the leader tasks and the operator API."""
 
     def __init__(
         self, settings: ControlSettings, groups: dict[str, ConsensusGroup], peers: PeerPool
     ) -> None:
-        """Wire the parts.
+        """Create the parts without starting them.
 
         :param settings: settings of the process.
-        :param groups: opened log groups.
+        :param groups: opened consensus groups.
         :param peers: connections to other processes.
         """
         self.settings = settings
@@ -66,14 +66,14 @@
         self._projection = self._machine.projection
         self.view = SyncedView(now_ms())
         self._shares = ShareGranter(self._projection, self._machine.kept_limit_ids)
-        self._evidence = ControlLeadershipView(self._control.log, self.view, self._shares)
+        self._leadership = ControlLeadershipView(self._control.log, self.view, self._shares)
         self.responder = Responder(
-            self.view.digest, self.view.documents, self.view.changed, self._evidence
+            self.view.digest, self.view.documents, self.view.changed, self._leadership
         )
-        self._evidence.table = self.responder.instances
+        self._leadership.instance_table = self.responder.instances
         self._context = HandlerContext(groups, settings.claim_shards, self.responder)
         self._client = HttpClient()
-        self._registration = UpstreamRegistrar(self._projection, self._control.proposer)
+        self._registrar = UpstreamRegistrar(self._projection, self._control.proposer)
         self._placement = PlacementRunner(
             ReservationProposer(self._control.proposer),
             self._placement_view,
@@ -82,7 +82,7 @@
         )
 
     async def run(self, stop: trio.Event) -> None:
-        """Run until ``stop`` is set, then hand over leadership and end.
+        """Run until ``stop`` is set, then transfer leadership and stop.
 
         :raises OSError: when an address cannot be bound or the disk fails.
         """
@@ -95,8 +95,8 @@
             await nursery.start(
                 serve_http, self._http_app(), self.settings.http_listen, http_stop, 5.0
             )
-            nursery.start_soon(self._run_systems)
-            nursery.start_soon(self._uplink().run)
+            nursery.start_soon(self._run_periodic_tasks)
+            nursery.start_soon(self._sync_client().run)
             if self.settings.placement:
                 nursery.start_soon(self._placement.run)
             log_event(
@@ -115,7 +115,7 @@
     async def _handle(self, peer_id: str, message: Any) -> Any:
         return await handle(message, self._context, peer_id)
 
-    def _uplink(self) -> SyncClient:
+    def _sync_client(self) -> SyncClient:
         return SyncClient(
             self.settings.instance_id,
             self._peers,
@@ -137,29 +137,29 @@
         statuses = self.responder.instances.statuses_to_forward(now)
         return SyncReport(statuses, self.responder.demand.total(now))
 
-    async def _run_systems(self) -> None:
+    async def _run_periodic_tasks(self) -> None:
         while True:
-            self._adopt_version()
+            self._publish_version()
             now = now_ms()
             self.responder.instances.forget(now - self.view.lease.lease_ms * 2)
             self.view.digest.forget_silent(now)
-            if self._evidence.leads():
-                await self._registration.propose_missing(self.view.digest.alive(now).values())
+            if self._leadership.leads():
+                await self._registrar.propose_missing(self.view.digest.alive(now).values())
             await self._wait_for_change()
 
     async def _wait_for_change(self) -> None:
-        """Wait one tick, but not longer than until the next entry is applied."""
-        with trio.move_on_after(_TICK_MS / 1000.0):
+        """Wait until the next log entry is applied, for one task interval at most."""
+        with trio.move_on_after(_TASK_INTERVAL_MS / 1000.0):
             await self._control.log.wait_applied(self._control.log.status().applied_index + 1)
 
-    def _adopt_version(self) -> None:
+    def _publish_version(self) -> None:
         if self._projection.version > self.view.documents.version:
             self.view.documents.append(self._projection.version, dict(self._projection.document))
             self.view.changed.notify()
 
     def _may_order(self) -> bool:
         age_ms = self._control.log.confirmed_age_ms()
-        return self._evidence.leads() and age_ms is not None and age_ms < LEADER_LEASE_MS
+        return self._leadership.leads() and age_ms is not None and age_ms < LEADER_LEASE_MS
 
     def _placement_view(self) -> PlacementView:
         now = now_ms()
@@ -175,7 +175,7 @@
 
     def _http_app(self) -> HttpApp:
         app = HttpApp()
-        members = _Members(self._control)
+        members = _GroupMembership(self._control)
         register_operator_routes(app, self._control.proposer, self._machine, members, self._status)
         app.route("GET", "/health", self._get_health)
         app.route("GET", "/ready", self._get_ready)
@@ -192,9 +192,9 @@
             "leader_id": status.leader_id,
             "commit_index": status.commit_index,
             "ready": status.ready,
-            "confirmed_age_ms": self._evidence.confirmed_age_ms(),
+            "confirmed_age_ms": self._leadership.confirmed_age_ms(),
             "live_upstreams": len(self.view.digest.alive(now_ms())),
-            "listed_instances": [s.instance_id for s in self._evidence.instances()[1]],
+            "listed_instances": [s.instance_id for s in self._leadership.instances()[1]],
         }
 
     async def _get_health(self, request: Request) -> Response:
@@ -208,8 +208,8 @@
         return Response(200, prometheus_page(), {"content-type": PAGE_CONTENT_TYPE})
 
 
-class _Members:
-    """Offer the control group's membership to the operator API."""
+class _GroupMembership:
+    """Adapt the control group's membership to the operator API."""
 
     def __init__(self, group: ConsensusGroup) -> None:
         self._log = group.log
@@ -238,7 +238,7 @@
     """Run a control process until ``stop`` is set.
 
     :return: a failure of kind ``log_corrupt``, ``settings_invalid`` or ``storage_failed`` when the
-        data folder cannot be used.
+        data directory cannot be used.
     :raises OSError: when an address cannot be bound.
     """
     lock = FolderLock.take(settings.data_dir)
--- a/src/briardyke/control/registration.py
+++ b/src/briardyke/control/registration.py
@@ -1,4 +1,4 @@
-"""Bring announced upstreams and what they had loaded into the agreed state."""
+"""Register announced upstreams, and the items they started with, in the agreed state."""
 
 from __future__ import annotations
 
@@ -19,27 +19,27 @@
 
 
 class UpstreamRegistrar:
-    """Register new incarnations and reserve the memory of items that nobody ordered.
+    """Register new incarnations and reserve memory for items that were loaded without an order.
 
     An engine may start with items in its memory. They take memory like any other item, so they
-    are reserved before placement may use what is left.
+    are reserved before placement may use the remaining memory.
     """
 
     def __init__(self, projection: Projection, proposer: GroupProposer) -> None:
-        """Use the agreed state and the way to change it."""
+        """Use the agreed state and the control group's proposer."""
         self._projection = projection
         self._proposer = proposer
 
     async def propose_missing(self, rows: Iterable[UpstreamRow]) -> None:
-        """Propose what is missing for the given live upstreams."""
+        """Propose missing registrations and reservations for the given live upstreams."""
         for row in rows:
-            known = self._projection.upstreams.get(row.upstream_id)
-            if known is None or known.incarnation != row.incarnation:
+            registration = self._projection.upstreams.get(row.upstream_id)
+            if registration is None or registration.incarnation != row.incarnation:
                 await self._register(row)
             else:
                 for item in row.loaded:
                     if (row.upstream_id, item.name) not in self._projection.reservations:
-                        await self._adopt(row, item)
+                        await self._reserve_loaded(row, item)
 
     async def _register(self, row: UpstreamRow) -> None:
         command = RegisterUpstream(
@@ -55,7 +55,7 @@
                 "upstream_not_registered", upstream=row.upstream_id, kind=failure.kind.value
             )
 
-    async def _adopt(self, row: UpstreamRow, item: LoadedItem) -> None:
+    async def _reserve_loaded(self, row: UpstreamRow, item: LoadedItem) -> None:
         command = ReserveMemory(
             upstream_id=row.upstream_id,
             incarnation=row.incarnation,
--- a/src/briardyke/control/reservations.py
+++ b/src/briardyke/control/reservations.py
@@ -19,7 +19,7 @@
 
 
 class ReservationProposer:
-    """Propose reservations while this process leads the control group."""
+    """Commit reservations; they are refused unless this process leads the control group."""
 
     def __init__(self, proposer: GroupProposer) -> None:
         """Use the control group's proposer."""
--- a/src/briardyke/control/settings.py
+++ b/src/briardyke/control/settings.py
@@ -27,12 +27,12 @@
 
 
 def _data_dir() -> Path:
-    return setting("Folder for the state of this process; it must be on a disk.", parse=Path)
+    return setting("Directory for the state of this process; it must be on a disk.", parse=Path)
 
 
 def _claim_shards() -> int:
     return setting(
-        "Number of log groups that claims are spread over; the same on all instances.",
+        "Number of consensus groups that claims are spread over; the same on all instances.",
         default="1",
         parse=int,
         minimum=1,
@@ -42,7 +42,7 @@
 
 @attrs.frozen
 class InitSettings:
-    """Prepare an empty data folder of one of the first voters."""
+    """Prepare an empty data directory of one of the first voters."""
 
     instance_id: str = _instance_id()
     cluster_id: str = cluster_id_setting()
--- a/src/briardyke/control/shares.py
+++ b/src/briardyke/control/shares.py
@@ -16,10 +16,10 @@
 
 
 class ShareGranter:
-    """Run the share allocator of one term of leadership.
+    """Run one share allocator in each term of leadership.
 
-    Shares are soft state: a new leader knows none of its predecessor's grants, so it starts a new
-    allocator, which only confirms reported shares until every older grant has expired.
+    Shares are not replicated: a new leader knows none of its predecessor's grants, so it starts a
+    new allocator, which only confirms reported shares until every older grant has expired.
     """
 
     def __init__(
@@ -34,25 +34,25 @@
         self._earlier_limit_ids = earlier_limit_ids
         self._term = 0
         self._allocator = ShareAllocator(VERSION_LEASE_MS, 0.0)
-        self._reported: dict[str, int] = {}
+        self._last_report_numbers: dict[str, int] = {}
 
     def start_term(self, term: int) -> None:
-        """Begin with an empty allocator when this process starts to lead a term."""
+        """Start an empty allocator if this process has not led this term before."""
         if term != self._term:
             self._term = term
             self._allocator = ShareAllocator(VERSION_LEASE_MS, now_ms(), self._earlier_limit_ids())
-            self._reported = {}
+            self._last_report_numbers = {}
 
     def grant(self, statuses: list[InstanceStatus]) -> dict[str, list[LimitShare]]:
-        """Take in the statuses of one sync and return the shares of their instances."""
+        """Process the statuses of one sync request and return the shares of their instances."""
         now = now_ms()
         for status in statuses:
-            if status.report_number > self._reported.get(status.instance_id, 0):
-                self._reported[status.instance_id] = status.report_number
+            if status.report_number > self._last_report_numbers.get(status.instance_id, 0):
+                self._last_report_numbers[status.instance_id] = status.report_number
                 self._allocator.report(
                     status.instance_id, status.held_shares, status.share_demand, now
                 )
-            # The answer extends the lease of whatever was granted before.
+            # The reply extends the lease of all earlier grants.
             self._allocator.extend_lease(status.instance_id, now)
         return self._allocator.allocate(
             self._projection.configuration.limits,
--- a/src/briardyke/operator/client.py
+++ b/src/briardyke/operator/client.py
@@ -1,4 +1,4 @@
-"""Call the operator interface and move to the next control instance when one fails."""
+"""Call the operator interface and fail over to the next control instance."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
     from briardyke.http.client import HttpClient, WholeResponse
 
-# A leader election takes up to 3 s; the rounds and the pauses between them last longer.
+# A leader election takes up to 3 s; all rounds with their pauses take longer.
 MAX_ROUNDS = 5
 ROUND_PAUSE_MS = 1000.0
 
@@ -31,9 +31,9 @@
 
 
 def parse_header_value(text: str) -> str:
-    """Return text that can stand in an HTTP header.
+    """Return the text unchanged if it is valid as an HTTP header value.
 
-    :raises ValueError: when it has characters other than printable ASCII.
+    :raises ValueError: unless it is printable ASCII without leading or trailing spaces.
     """
     if not (text.isascii() and text.isprintable()) or text != text.strip():
         raise ValueError("expected printable ASCII characters")
@@ -67,10 +67,10 @@
     def __init__(
         self, http: HttpClient, settings: OperatorSettings, pause_ms: float = ROUND_PAUSE_MS
     ) -> None:
-        """Set where and how to send.
+        """Create a client without connecting.
 
-        :param http: connections.
-        :param settings: addresses and timeout.
+        :param http: HTTP client to send with.
+        :param settings: addresses, operator name and timeout.
         :param pause_ms: pause before the addresses are tried again, in milliseconds.
         """
         self._http = http
@@ -104,7 +104,7 @@
         )
 
     async def change_member(self, change: Mapping[str, str]) -> Result[Any, Failure]:
-        """Send a member change; it is not repeated once it may have been carried out.
+        """Send a member change; it is not resent once it may have been carried out.
 
         :param change: ``action``, ``member_id`` and ``address``.
         """
@@ -123,7 +123,7 @@
         resend: bool,
     ) -> Result[Any, Failure]:
         may_have_run = False
-        last = Failure(ErrorKind.PEER_UNREACHABLE, "no control instance")
+        last = Failure(ErrorKind.PEER_UNREACHABLE, "no control instance was tried")
         for round_number in range(rounds):
             if round_number:
                 await sleep_ms(self._pause_ms)
@@ -136,24 +136,24 @@
                     headers=headers,
                     timeout_ms=self._settings.timeout_ms,
                 )
-                answer = called.and_then(_read)
-                if answer.is_ok():
-                    return answer
-                failure = answer.unwrap_err()
+                result = called.and_then(_read_response)
+                if result.is_ok():
+                    return result
+                failure = result.unwrap_err()
                 if failure.answer.ran is Ran.NO and not failure.answer.retryable:
-                    return answer
+                    return result
                 last = attrs.evolve(failure, message=f"{address}: {failure.message}")
                 may_have_run = may_have_run or failure.answer.ran is not Ran.NO
                 if may_have_run and not resend:
-                    return Err(_unknown(last))
-        return Err(_unknown(last) if may_have_run and method != "GET" else last)
+                    return Err(_outcome_unknown(last))
+        return Err(_outcome_unknown(last) if may_have_run and method != "GET" else last)
 
 
-def _unknown(last: Failure) -> Failure:
+def _outcome_unknown(last: Failure) -> Failure:
     return Failure(ErrorKind.OUTCOME_UNKNOWN, f"last error: {last.message}")
 
 
-def _read(response: WholeResponse) -> Result[Any, Failure]:
+def _read_response(response: WholeResponse) -> Result[Any, Failure]:
     try:
         body = response.json()
         if response.status == 200:
--- a/src/briardyke/operator/main.py
+++ b/src/briardyke/operator/main.py
@@ -98,7 +98,7 @@
         _fail(f"--request-id: {error}", ExitCode.SETTINGS_INVALID)
     content = _read_file(file)
     typer.echo(f"request_id={identity}")
-    sys.stdout.flush()  # the id must be known even if this process dies during the request
+    sys.stdout.flush()  # the operator needs the id to resend if this process dies mid-request
     body = _request(
         context,
         lambda client: client.patch(content, base, identity),
@@ -148,7 +148,7 @@
     address: Annotated[str, typer.Argument(help="<ip>:<port> of its peer port.")],
 ) -> None:
     """Add a member as a learner."""
-    _change(context, {"action": "add", "member_id": member_id, "address": address})
+    _change_member(context, {"action": "add", "member_id": member_id, "address": address})
 
 
 @members.command("promote")
@@ -157,7 +157,7 @@
     member_id: Annotated[str, typer.Argument(help="<instance_id>#<storage_id>.")],
 ) -> None:
     """Make a learner a voter."""
-    _change(context, {"action": "promote", "member_id": member_id})
+    _change_member(context, {"action": "promote", "member_id": member_id})
 
 
 @members.command("remove")
@@ -166,14 +166,14 @@
     member_id: Annotated[str, typer.Argument(help="<instance_id>#<storage_id>.")],
 ) -> None:
     """Remove a member."""
-    _change(context, {"action": "remove", "member_id": member_id})
+    _change_member(context, {"action": "remove", "member_id": member_id})
 
 
-def _change(context: typer.Context, change: dict[str, str]) -> None:
+def _change_member(context: typer.Context, change: dict[str, str]) -> None:
     body = _request(
         context,
         lambda client: client.change_member(change),
-        "run `members list` before repeating it",
+        "run `members list` before retrying",
     )
     typer.echo(f"done {body['action']} {body['member_id']}")
 
@@ -187,7 +187,7 @@
     return loaded.unwrap()
 
 
-def _request(context: typer.Context, call: Call, if_unknown: str = "") -> Any:
+def _request(context: typer.Context, call: Call, unknown_hint: str = "") -> Any:
     settings = _settings(context)
 
     async def send() -> Result[Any, Failure]:
@@ -205,8 +205,8 @@
     if len(failure.reasons) > 1:
         for reason in failure.reasons:
             typer.echo(f"reason: {reason}", err=True)
-    if failure.kind is ErrorKind.OUTCOME_UNKNOWN and if_unknown:
-        text += f"; {if_unknown}"
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN and unknown_hint:
+        text += f"; {unknown_hint}"
     return _fail(text, ExitCode.REQUEST_FAILED)
 
 
--- a/src/briardyke/wire/__init__.py
+++ b/src/briardyke/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Carry messages between the system's own processes as msgpack over TCP."""
+"""Exchange msgpack messages between briardyke processes over TCP."""
--- a/src/briardyke/wire/codec.py
+++ b/src/briardyke/wire/codec.py
@@ -1,4 +1,4 @@
-"""Encode registered attrs messages as msgpack frames and decode them again."""
+"""Encode registered attrs classes as msgpack and decode them."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def message(cls: type[T]) -> type[T]:
-    """Register an attrs class as a message; its class name is the name on the wire."""
+    """Register an attrs class as a message; its class name is its name on the wire."""
     if cls.__name__ in _classes:
         raise TypeError(f"message name {cls.__name__} is registered twice")
     _classes[cls.__name__] = cls
--- a/src/briardyke/wire/connection.py
+++ b/src/briardyke/wire/connection.py
@@ -21,10 +21,10 @@
 PROTOCOL_VERSION = 1
 HANDSHAKE_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
-_NO_REPLY = 0  # correlation id of a one-way message
+_ONE_WAY_ID = 0  # correlation id of a message without a reply
 _MAX_QUEUED_FRAMES = 1024
-# Messages that wait for one peer. Members of a group send whole configurations several times a
-# second to a peer that does not take them; the largest one alone is half a megabyte.
+# Limit of messages queued for one peer. Members of a consensus group keep sending whole
+# configurations, up to half a megabyte each, several times a second to a peer that reads nothing.
 MAX_QUEUED_BYTES = 2 * 1024 * 1024
 
 Handler = Callable[[str, Any], Awaitable[Any | None]]
@@ -33,7 +33,7 @@
 @codec.message
 @attrs.frozen
 class Hello:
-    """Open a connection.
+    """Handshake message; the client sends it first and the server replies with its own.
 
     :param protocol_version: version of the framing and the messages.
     :param cluster_id: name of the deployment; peers of another one are refused.
@@ -48,7 +48,7 @@
 @codec.message
 @attrs.frozen
 class Refused:
-    """Report a failure in place of a reply.
+    """Report a failure instead of a reply.
 
     :param kind: value of an :class:`~briardyke.errors.ErrorKind`.
     :param message: one sentence.
@@ -83,14 +83,14 @@
     async def receive(self) -> tuple[int, bool, bytes] | None:
         """Read one frame, or return ``None`` at the end of the stream.
 
-        :raises ValueError: when the bytes are no frame.
+        :raises ValueError: when the bytes are not a valid frame.
         """
         head = await self._read(codec.LENGTH_PREFIX_BYTES)
         if head is None:
             return None
         length = int.from_bytes(head, "big")
         if length > codec.MAX_FRAME_BYTES:
-            raise ValueError(f"frame of {length} bytes is over the limit")
+            raise ValueError(f"frame of {length} bytes exceeds the limit")
         payload = await self._read(length)
         if payload is None:
             return None
@@ -100,7 +100,7 @@
             raise ValueError("frame is not msgpack") from error
         valid = isinstance(correlation_id, int) and isinstance(is_reply, bool)
         if not valid or not isinstance(body, bytes):
-            raise ValueError("frame has wrong fields")
+            raise ValueError("frame has fields of a wrong type")
         return correlation_id, is_reply, body
 
     async def _read(self, count: int) -> bytes | None:
@@ -128,7 +128,7 @@
     """Accept peer connections until cancelled.
 
     :param address: where to listen; port 0 picks a free port.
-    :param hello: this process's own greeting.
+    :param hello: handshake message of this process.
     :param handler: takes the peer's id and a message; returns the reply or ``None``.
     :param task_status: reports the port once the socket listens.
     :raises OSError: when the address cannot be bound.
@@ -161,7 +161,7 @@
     with trio.fail_after(HANDSHAKE_TIMEOUT_S):
         accepted = _check_hello(await frames.receive(), hello)
         reply = hello if accepted.is_ok() else refusal(accepted.unwrap_err())
-        await frames.send(_NO_REPLY, True, codec.encode(reply))
+        await frames.send(_ONE_WAY_ID, True, codec.encode(reply))
     if accepted.is_err():
         log_warning("peer_refused", reason=accepted.unwrap_err().message)
     return accepted.ok()
@@ -182,26 +182,30 @@
     reply = refusal(decoded.unwrap_err()) if decoded.is_err() else None
     if decoded.is_ok():
         reply = await handler(peer_id, decoded.unwrap())
-    if correlation_id != _NO_REPLY:
+    if correlation_id != _ONE_WAY_ID:
         if reply is None:
-            reply = Refused(ErrorKind.PROTOCOL_VIOLATION.value, "message has no reply")
+            reply = Refused(ErrorKind.PROTOCOL_VIOLATION.value, "message type has no reply")
         await frames.send(correlation_id, True, codec.encode(reply))
 
 
 def _check_hello(frame: tuple[int, bool, bytes] | None, own: Hello) -> Result[str, Failure]:
     if frame is None:
-        return Err(Failure(ErrorKind.PROTOCOL_VIOLATION, "peer closed before its greeting"))
+        return Err(
+            Failure(ErrorKind.PROTOCOL_VIOLATION, "peer closed the connection before the handshake")
+        )
     decoded = codec.decode(frame[2])
     if decoded.is_err() or not isinstance(decoded.unwrap(), Hello):
-        return Err(Failure(ErrorKind.PROTOCOL_VIOLATION, "first message is no greeting"))
-    theirs: Hello = decoded.unwrap()
-    if theirs.protocol_version != own.protocol_version:
-        text = f"peer speaks protocol {theirs.protocol_version}, not {own.protocol_version}"
+        return Err(Failure(ErrorKind.PROTOCOL_VIOLATION, "first message is not a Hello"))
+    peer_hello: Hello = decoded.unwrap()
+    if peer_hello.protocol_version != own.protocol_version:
+        text = (
+            f"peer uses protocol version {peer_hello.protocol_version}, not {own.protocol_version}"
+        )
         return Err(Failure(ErrorKind.PROTOCOL_MISMATCH, text, "protocol_version"))
-    if theirs.cluster_id != own.cluster_id:
-        text = f"peer belongs to cluster {theirs.cluster_id!r}, not {own.cluster_id!r}"
+    if peer_hello.cluster_id != own.cluster_id:
+        text = f"peer belongs to cluster {peer_hello.cluster_id!r}, not {own.cluster_id!r}"
         return Err(Failure(ErrorKind.PROTOCOL_MISMATCH, text, "cluster_id"))
-    return Ok(theirs.sender_id)
+    return Ok(peer_hello.sender_id)
 
 
 def refusal(failure: Failure) -> Refused:
@@ -222,10 +226,10 @@
     """
 
     def __init__(self, address: Address, hello: Hello) -> None:
-        """Name the peer.
+        """Create a client without connecting.
 
         :param address: the peer's listening address.
-        :param hello: this process's own greeting.
+        :param hello: handshake message of this process.
         """
         self.address = address
         self._hello = hello
@@ -237,12 +241,12 @@
         self._queued_bytes = 0
 
     async def run(self) -> None:
-        """Connect when a message waits, send it and dispatch replies, until cancelled."""
+        """Connect once a message is queued, then send and dispatch replies, until cancelled."""
         while True:
             correlation_id, body = await self._next_frame()
             opened = await self._open()
             if opened.is_err():
-                # What waits is out of date by the time at which the peer is back.
+                # Queued messages would be out of date once the peer is reachable again.
                 self._drop_queued()
                 self._fail_all(opened.unwrap_err())
                 continue
@@ -257,7 +261,7 @@
                 pass
             finally:
                 await frames.aclose()
-            # Whatever was sent may have been handled by the peer, so its outcome is open.
+            # The peer may have handled messages that were sent, so their outcome is unknown.
             self._fail_all(Failure(ErrorKind.PEER_TIMEOUT, f"lost connection to {self.address}"))
 
     async def call(self, message: Any, timeout_ms: float) -> Result[Any, Failure]:
@@ -292,22 +296,22 @@
         return Ok(pending.reply)
 
     def send(self, message: Any) -> None:
-        """Queue a one-way message; it is dropped when the queue is full or the peer is gone."""
+        """Queue a one-way message; it is dropped when the queue is full or the peer unreachable."""
         self.send_encoded(codec.encode(message))
 
     def send_encoded(self, body: bytes) -> None:
         """Queue the encoded form of a one-way message, like :meth:`send`."""
         if self._queued_bytes and self._queued_bytes + len(body) > MAX_QUEUED_BYTES:
-            self._note_dropped(body)
+            self._log_dropped(body)
             return
         try:
-            self._send_queue.send_nowait((_NO_REPLY, body))
+            self._send_queue.send_nowait((_ONE_WAY_ID, body))
         except trio.WouldBlock:
-            self._note_dropped(body)
+            self._log_dropped(body)
             return
         self._queued_bytes += len(body)
 
-    def _note_dropped(self, body: bytes) -> None:
+    def _log_dropped(self, body: bytes) -> None:
         log_limited(
             "peer_message_dropped",
             is_routine=True,
@@ -339,7 +343,7 @@
         frames = FrameStream(stream)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                await frames.send(_NO_REPLY, False, codec.encode(self._hello))
+                await frames.send(_ONE_WAY_ID, False, codec.encode(self._hello))
                 first = await frames.receive()
         except (OSError, trio.BrokenResourceError, trio.TooSlowError, ValueError):
             await frames.aclose()
--- a/src/briardyke/wire/messages.py
+++ b/src/briardyke/wire/messages.py
@@ -15,7 +15,7 @@
 
     :param name: name of the model or adapter.
     :param size_bytes: memory that it occupies.
-    :param order_id: order that loaded it, empty when it was there at the start.
+    :param order_id: order that loaded it, empty when it was loaded at the start.
     :param state: ``loading``, ``loaded`` or ``unloading``.
     """
 
@@ -44,7 +44,7 @@
 class UpstreamRow:
     """Describe an upstream as last announced.
 
-    :param upstream_id: name that the upstream gave itself.
+    :param upstream_id: name that the upstream announces.
     :param incarnation: identity of the upstream's current process.
     :param kind: ``engine`` or ``service``.
     :param address: ``ip:port`` of its HTTP interface.
@@ -52,7 +52,7 @@
     :param lifecycle: ``ready`` or ``leaving``.
     :param loaded: items in its memory.
     :param in_flight: requests that it is running.
-    :param queued: requests that wait in it.
+    :param queued: requests in its queue.
     :param tokens_per_second: recent generation speed, 0 when unknown.
     :param capacity_bytes: accelerator memory for models and adapters.
     :param committed_bytes: memory in use.
@@ -134,7 +134,7 @@
     :param lifecycle: ``starting``, ``ready`` or ``draining``.
     :param age_ms: age of this evidence when the message was sent.
     :param report_number: number of the report; rises with each one, restarts included. A relay
-        repeats a report with its number until it hears the next one.
+        repeats a report with its number until it receives the next one.
     :param share_demand: use of the limits.
     :param held_shares: shares that the instance held when it sent the report, and, with version
         -1, concurrency in use above a share.
@@ -157,7 +157,7 @@
 
     :param requests_per_second: arrival rate.
     :param tokens_per_second: rate of prompt and generated tokens.
-    :param waiting_requests: requests held because nothing has it loaded.
+    :param waiting_requests: requests held because no upstream has it loaded.
     """
 
     requests_per_second: float
@@ -168,11 +168,11 @@
 @message
 @attrs.frozen
 class SyncRequest:
-    """Report upwards and ask for everything newer than what the sender holds.
+    """Send reports to the responder and ask for everything newer than what the sender holds.
 
     :param sender_id: instance id of the sender.
-    :param request_number: rises with each request, restarts included; one that arrives after a
-        later one tells nothing.
+    :param request_number: rises with each request, restarts included; the reports in one that
+        arrives after a later one are ignored.
     :param held_version: configuration version that the sender holds, 0 for none.
     :param digest_id: identity of the responder's tables, empty for none.
     :param held_digest: sequence of the upstream digest that the sender holds, 0 for none.
@@ -181,7 +181,7 @@
     :param with_load: whether load figures and cache events of upstreams are wanted and sent.
     :param wait_ms: longest time to hold the reply when nothing is new.
     :param echo_ms: ``replied_at_ms`` of the last reply, 0 for none. The request was sent after
-        that moment on the responder's clock, which bounds how long it was under way.
+        that moment on the responder's clock, which bounds how long it was in transit.
     :param statuses: the sender's own status, or those of all entry processes behind a relay.
     :param announcements: upstreams that announce through the sender, where changed.
     :param whole_announcements: whether ``announcements`` holds all of them.
@@ -213,7 +213,7 @@
 @message
 @attrs.frozen
 class SyncReply:
-    """Answer a :class:`SyncRequest`.
+    """Reply to a :class:`SyncRequest`.
 
     :param replied_at_ms: the responder's clock, for ``echo_ms`` of the next request.
     :param confirmed_age_ms: age of the responder's evidence that the version is current; ``None``
@@ -274,7 +274,7 @@
 @message
 @attrs.frozen
 class ClaimReply:
-    """Answer a :class:`ClaimRequest` or :class:`ClaimEnd`.
+    """Reply to a :class:`ClaimRequest` or :class:`ClaimEnd`.
 
     :param state: ``granted``, ``running``, ``completed``, ``unknown``, ``key_reused``, ``full`` or
         ``ended``.
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -19,10 +19,10 @@
     """Create a :class:`PeerClient` for each address on first use."""
 
     def __init__(self, nursery: trio.Nursery, hello: Hello) -> None:
-        """Run the connections in a nursery.
+        """Create an empty pool.
 
-        :param nursery: outlives every call.
-        :param hello: this process's greeting.
+        :param nursery: runs the connections; must outlive every call.
+        :param hello: handshake message of this process.
         """
         self._nursery = nursery
         self._hello = hello
--- a/tests/control/test_operator_api.py
+++ b/tests/control/test_operator_api.py
@@ -20,8 +20,8 @@
     from collections.abc import AsyncIterator
 
 
-class Control:
-    """Stand in for a control process: one member that commits at once."""
+class FakeControl:
+    """Fake control process with one member that commits immediately."""
 
     def __init__(self) -> None:
         self.machine = ControlMachine()
@@ -54,8 +54,8 @@
 
 
 @pytest.fixture
-async def control(nursery: trio.Nursery) -> AsyncIterator[Control]:
-    control = Control()
+async def control(nursery: trio.Nursery) -> AsyncIterator[FakeControl]:
+    control = FakeControl()
     stop = trio.Event()
     bound = await nursery.start(serve_http, control.app, Address("127.0.0.1", 0), stop, 0.1)
     control.address = parse_address(bound)
@@ -98,9 +98,11 @@
 
 
 class TestPatch:
-    """Guards against patches without version, name or id, and against unclear outcomes."""
+    """Guards against patches without version, name or id, and unclear reports of the outcome."""
 
-    async def test_an_accepted_patch_is_shown_and_resent_safely(self, control: Any) -> None:
+    async def test_an_accepted_patch_is_shown_and_applied_once_when_resent(
+        self, control: Any
+    ) -> None:
         accepted = (200, {"version": 1, "request_id": "r1"}, '"1"')
         assert await patch(control, CALLER) == accepted
         assert await patch(control, CALLER) == accepted
@@ -111,7 +113,7 @@
             status, _, _ = await send(control, "GET", f"/v1/configuration/{version}")
             assert status == 404
 
-    async def test_a_conflict_names_the_current_number(self, control: Any) -> None:
+    async def test_a_conflict_returns_the_current_version(self, control: Any) -> None:
         await patch(control, CALLER)
         status, body, tag = await patch(control, CALLER, request_id="r2")
         assert (status, body["error"]["kind"], tag) == (412, "version_conflict", '"1"')
@@ -187,7 +189,7 @@
 
 
 class TestMembers:
-    """Guards against member changes that the operator did not spell out."""
+    """Guards against member changes that the operator did not state in full."""
 
     async def test_members_are_listed_and_changed(self, control: Any) -> None:
         _, body, _ = await send(control, "GET", "/v1/members")
--- a/tests/control/test_share_granter.py
+++ b/tests/control/test_share_granter.py
@@ -22,16 +22,16 @@
 
 
 class TestShareGranter:
-    """Guards against granting again what an instance still holds."""
+    """Guards against granting shares that another instance still holds."""
 
-    async def test_a_repeated_older_report_is_not_taken(self, autojump_clock: MockClock) -> None:
-        """Guards against an older report passing for the receipt of a share under way."""
+    async def test_a_repeated_older_report_is_ignored(self, autojump_clock: MockClock) -> None:
+        """Guards against an older report that is taken as confirmation of a share in transit."""
         configuration = SimpleNamespace(limits={"l": Limit("*", "*", "*", 12.0, None)})
-        system = ShareGranter(SimpleNamespace(configuration=configuration, version=1), frozenset)
-        system.start_term(1)
-        system.grant([status("a", 1, 6.0)])
-        system.grant([status("a", 2, 12.0), status("b", 1, 0.0)])
+        granter = ShareGranter(SimpleNamespace(configuration=configuration, version=1), frozenset)
+        granter.start_term(1)
+        granter.grant([status("a", 1, 6.0)])
+        granter.grant([status("a", 2, 12.0), status("b", 1, 0.0)])
         for _ in range(3):
-            shares = system.grant([status("a", 1, 6.0), status("b", 1, 0.0)])
+            shares = granter.grant([status("a", 1, 6.0), status("b", 1, 0.0)])
             assert set(shares) == {"a", "b"}
             assert all(share.requests_per_second == 0.0 for share in shares["b"])
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -1,4 +1,4 @@
-"""Check the operator binary against control instances on loopback."""
+"""Check the operator program against control instances on loopback."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 CALLER = {"callers": {"shop": {"api_key_sha256": "0" * 64}}}
 
 
-class Instances:
+class ControlInstances:
     """Serve a control instance directly and through a relay that can lose its replies.
 
     ``addresses`` holds the relay first, so that a client tries it first.
@@ -51,7 +51,7 @@
         return Ok(None)
 
     async def relay(self, caller: trio.SocketStream) -> None:
-        """Pass requests on; close the connection instead of replying when replies are lost."""
+        """Forward requests; close the connection instead of replying when replies are lost."""
         host, port = self.addresses[1].split(":")
         async with (
             caller,
@@ -93,8 +93,8 @@
 
 
 @pytest.fixture
-def instances() -> Iterator[Instances]:
-    instances = Instances()
+def instances() -> Iterator[ControlInstances]:
+    instances = ControlInstances()
     started, stopping = threading.Event(), threading.Event()
     thread = threading.Thread(target=instances.serve, args=(started, stopping))
     thread.start()
@@ -139,7 +139,7 @@
         assert (instances.index, instances.machine.projection.version) == (2, 1)
         assert len(instances.machine.audit_records(10)) == 1
 
-    def test_resends_are_bounded_and_end_with_the_id(
+    def test_resends_are_bounded_and_the_error_names_the_request_id(
         self, instances: Any, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         monkeypatch.setattr(client.OperatorClient.__init__, "__defaults__", (0.0,))
@@ -189,6 +189,6 @@
 
 
 def test_an_unreadable_answer_to_a_patch_leaves_the_outcome_unknown() -> None:
-    """Guards against a refusal that is reported although a proxy or a defect answered."""
+    """Guards against reporting a refusal when a proxy or a defect sent the response."""
     response = WholeResponse(500, {}, b"<html>")
-    assert client._read(response).unwrap_err().answer.ran.value == "unknown"
+    assert client._read_response(response).unwrap_err().answer.ran.value == "unknown"
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -1,4 +1,4 @@
-"""Check calls between processes, and what happens to faulty peers."""
+"""Check calls between processes and the handling of faulty peers."""
 
 from __future__ import annotations
 
@@ -55,7 +55,7 @@
 
 
 class TestCalls:
-    """Guards against lost, crossed or hanging replies."""
+    """Guards against lost or hanging replies and replies to another call."""
 
     async def test_concurrent_calls_get_their_own_replies(self) -> None:
         async with _server() as address, _client(address, Hello(1, "cluster", "me")) as client:
@@ -108,7 +108,9 @@
             (Hello(PROTOCOL_VERSION, "other", "me"), "cluster_id"),
         ],
     )
-    async def test_wrong_greeting_is_refused_with_its_field(self, hello: Hello, field: str) -> None:
+    async def test_mismatched_hello_is_refused_with_its_field(
+        self, hello: Hello, field: str
+    ) -> None:
         async with _server() as address, _client(address, hello) as client:
             failure = (await client.call(_REQUEST, 1000)).unwrap_err()
             assert (failure.kind, failure.field) == (ErrorKind.PROTOCOL_MISMATCH, field)
@@ -123,7 +125,7 @@
             b"",
         ],
     )
-    async def test_garbage_closes_only_its_own_connection(self, data: bytes) -> None:
+    async def test_invalid_bytes_close_only_their_own_connection(self, data: bytes) -> None:
         async with _server() as address:
             stream = await trio.open_tcp_stream(address.host, address.port)
             await stream.send_all(data)
@@ -139,7 +141,7 @@
 
 
 class TestCodec:
-    """Guards against messages that change on the way, and against decoding errors that escape."""
+    """Guards against messages that change in transit, and against decoding errors that escape."""
 
     @pytest.mark.parametrize("value", [_REQUEST, ClaimReply("completed", b"\x00\xff"), _HELLO])
     def test_messages_survive_the_round_trip(self, value: Any) -> None:
@@ -156,8 +158,8 @@
         )
 
 
-class TestPeerThatTakesNothing:
-    """Covers the memory and the age of what waits for a peer that is gone."""
+class TestUnreachablePeer:
+    """Guards against queued messages that use unbounded memory or are sent once out of date."""
 
     async def test_large_messages_are_dropped_beyond_a_bound(self) -> None:
         client = PeerClient(Address("127.0.0.1", 1), Hello(1, "cluster", "me"))
@@ -167,12 +169,12 @@
         waiting = client._receive_queue.statistics().current_buffer_used
         assert waiting * 500_000 <= MAX_QUEUED_BYTES
 
-    async def test_message_larger_than_the_bound_still_goes(self) -> None:
+    async def test_message_larger_than_the_bound_is_queued_when_alone(self) -> None:
         client = PeerClient(Address("127.0.0.1", 1), Hello(1, "cluster", "me"))
         client.send(ClaimReply("granted", b"x" * (MAX_QUEUED_BYTES + 1)))
         assert client._receive_queue.statistics().current_buffer_used == 1
 
-    async def test_what_waited_during_a_failed_connection_is_not_sent_later(self) -> None:
+    async def test_messages_queued_during_a_failed_connection_are_dropped(self) -> None:
         received = []
 
         async def handler(peer_id: str, message: Any) -> Any:
