--- a/src/briardyke/control/groups.py
+++ b/src/briardyke/control/groups.py
@@ -1,4 +1,4 @@
-"""Open the log groups of a control process."""
+"""Open the consensus groups that a control process is a member of."""
 
 from __future__ import annotations
 
@@ -26,12 +26,12 @@
 
 
 @attrs.frozen
-class Group:
-    """Hold one log group's parts.
+class ConsensusGroup:
+    """Hold this process's parts of one consensus group.
 
     :param log: this process's member of the group.
     :param machine: local state machine.
-    :param proposer: proposes commands from here.
+    :param proposer: commits commands, through the leader where another process leads.
     """
 
     log: ReplicatedLog
@@ -41,8 +41,8 @@
 
 def open_groups(
     settings: ControlSettings, identity: Identity, own_address: Address, peers: PeerPool
-) -> Result[dict[str, Group], Failure]:
-    """Open the control group and all claim groups from the data folder.
+) -> Result[dict[str, ConsensusGroup], Failure]:
+    """Open the control group and all claim groups from the data directory.
 
     :return: groups by id, or a failure of kind ``log_corrupt`` or ``storage_failed``.
     """
@@ -50,7 +50,7 @@
     machines: dict[str, StateMachine] = {CONTROL_GROUP: ControlMachine(audit.append)}
     for index in range(settings.claim_shards):
         machines[shard_group_id(index)] = ClaimMachine()
-    groups: dict[str, Group] = {}
+    groups: dict[str, ConsensusGroup] = {}
     for group_id, machine in machines.items():
         opened = identity.open_group(group_id)
         if opened.is_err():
@@ -65,5 +65,5 @@
             random.Random(),
             seeds=settings.control_addresses,
         )
-        groups[group_id] = Group(log, machine, GroupProposer(group_id, log, peers))
+        groups[group_id] = ConsensusGroup(log, machine, GroupProposer(group_id, log, peers))
     return Ok(groups)
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -19,10 +19,10 @@
     """Create a :class:`PeerClient` for each address on first use."""
 
     def __init__(self, nursery: trio.Nursery, hello: Hello) -> None:
-        """Run the connections in a nursery.
+        """Create an empty pool.
 
-        :param nursery: outlives every call.
-        :param hello: this process's greeting.
+        :param nursery: runs the connections; must outlive every call.
+        :param hello: handshake message of this process.
         """
         self._nursery = nursery
         self._hello = hello
@@ -36,7 +36,7 @@
             self._nursery.start_soon(client.run)
         return client
 
-    def send_all(self, addresses: Iterable[Address], message: Any) -> None:
+    def broadcast(self, addresses: Iterable[Address], message: Any) -> None:
         """Queue a one-way message to several peers, encoded once."""
         body = codec.encode(message)
         for address in addresses:
--- a/tests/operator/test_operator_main.py
+++ b/tests/operator/test_operator_main.py
@@ -1,4 +1,4 @@
-"""Check the operator binary against control instances on loopback."""
+"""Check the operator program against control instances on loopback."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 from briardyke.addresses import Address
 from briardyke.agreed.machine import ControlMachine
-from briardyke.control.operator_api import Member, register_operator_routes
+from briardyke.control.operator_api import MemberInfo, register_operator_routes
 from briardyke.exit_codes import ExitCode
 from briardyke.http.app import HttpApp, serve_http
 from briardyke.http.client import WholeResponse
@@ -27,7 +27,7 @@
 CALLER = {"callers": {"shop": {"api_key_sha256": "0" * 64}}}
 
 
-class Instances:
+class ControlInstances:
     """Serve a control instance directly and through a relay that can lose its replies.
 
     ``addresses`` holds the relay first, so that a client tries it first.
@@ -43,15 +43,15 @@
         self.index += 1
         return Ok(self.machine.apply(self.index, command))
 
-    def members(self) -> list[Member]:
-        return [Member("c1#s1", "127.0.0.1:1", "leader")]
+    def members(self) -> list[MemberInfo]:
+        return [MemberInfo("c1#s1", "127.0.0.1:1", "leader")]
 
     async def change(self, action: str, member_id: str, address: Any, timeout_ms: int) -> Any:
         self.added.append(f"{action} {member_id}")
         return Ok(None)
 
     async def relay(self, caller: trio.SocketStream) -> None:
-        """Pass requests on; close the connection instead of replying when replies are lost."""
+        """Forward requests; close the connection instead of replying when replies are lost."""
         host, port = self.addresses[1].split(":")
         async with (
             caller,
@@ -93,8 +93,8 @@
 
 
 @pytest.fixture
-def instances() -> Iterator[Instances]:
-    instances = Instances()
+def instances() -> Iterator[ControlInstances]:
+    instances = ControlInstances()
     started, stopping = threading.Event(), threading.Event()
     thread = threading.Thread(target=instances.serve, args=(started, stopping))
     thread.start()
@@ -139,7 +139,7 @@
         assert (instances.index, instances.machine.projection.version) == (2, 1)
         assert len(instances.machine.audit_records(10)) == 1
 
-    def test_resends_are_bounded_and_end_with_the_id(
+    def test_resends_are_bounded_and_the_error_names_the_request_id(
         self, instances: Any, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         monkeypatch.setattr(client.OperatorClient.__init__, "__defaults__", (0.0,))
@@ -151,7 +151,7 @@
         assert patched.exit_code == ExitCode.REQUEST_FAILED
         assert "outcome_unknown" in patched.stderr
         assert "--request-id r7" in patched.stderr
-        assert instances.index == client.ROUNDS
+        assert instances.index == client.MAX_ROUNDS
         change = call(",".join(instances.addresses), "members", "remove", "c1#s1")
         assert "members list" in change.stderr
         assert instances.added == ["remove c1#s1"]
@@ -189,6 +189,6 @@
 
 
 def test_an_unreadable_answer_to_a_patch_leaves_the_outcome_unknown() -> None:
-    """Guards against a refusal that is reported although a proxy or a defect answered."""
+    """Guards against reporting a refusal when a proxy or a defect sent the response."""
     response = WholeResponse(500, {}, b"<html>")
-    assert client._read(response).unwrap_err().answer.ran.value == "unknown"
+    assert client._read_response(response).unwrap_err().answer.ran.value == "unknown"
