Name the orders of the models package EngineOrder

placement.orders has an Order of its own, which also holds the progress of the order; models.orders.Order is only what is sent to an engine.

--- a/src/briardyke/models/orders.py
+++ b/src/briardyke/models/orders.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen
-class Order:
+class EngineOrder:
     """Describe an order.
 
     :param is_load: whether something is loaded or unloaded.
@@ -50,7 +50,7 @@
     """Reach engines."""
 
     async def send_order(
-        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+        self, row: Upstream, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         """Send an order; ``UNKNOWN`` when it may be carried out now or later.
 
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -13,7 +13,7 @@
 from briardyke.models.adapters import AdapterLoader
 from briardyke.models.decide import decide
 from briardyke.models.engine_state import REPORT_LAG_MS, UNKNOWN_MODEL, EngineState
-from briardyke.models.orders import Order, OrderOutcome
+from briardyke.models.orders import EngineOrder, OrderOutcome
 from briardyke.models.smoothed_demand import SmoothedDemand
 from briardyke.models.store_limiter import StoreLoadLimiter
 from briardyke.models.types import Change, ChangeKind, EngineView, ModelsView
@@ -281,7 +281,7 @@
             term = self._term
             if state.sequence is None or not self._leads(term):
                 return OrderOutcome.REFUSED
-            order = Order(is_load, model, adapter, state.sequence, self._instance_id, term)
+            order = EngineOrder(is_load, model, adapter, state.sequence, self._instance_id, term)
             outcome = await self._engines.send_order(state.row, order, lambda: self._leads(term))
             if outcome is not OrderOutcome.ACCEPTED:
                 log_limited(
@@ -310,7 +310,7 @@
             return outcome
 
     @staticmethod
-    def _advances_sequence(outcome: OrderOutcome, order: Order) -> bool:
+    def _advances_sequence(outcome: OrderOutcome, order: EngineOrder) -> bool:
         """Return whether the engine's sequence has moved on.
 
         An unload of an adapter that completes at once is answered with ``HELD_ALREADY``.
--- a/src/briardyke/platform/engines.py
+++ b/src/briardyke/platform/engines.py
@@ -13,7 +13,7 @@
 from briardyke.ids import new_id
 from briardyke.logs import log_limited
 from briardyke.models.engine_state import EngineReport
-from briardyke.models.orders import Order, OrderOutcome
+from briardyke.models.orders import EngineOrder, OrderOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,7 +50,7 @@
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
     async def send_order(
-        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+        self, row: Upstream, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         """Send an order unless the permission has run out."""
         body: dict[str, Any] = {
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -11,7 +11,7 @@
 from briardyke.fleet.messages import AdapterReply, AdapterRequest
 from briardyke.fleet.records import READY, LoadedModel, Upstream
 from briardyke.models.engine_state import EngineReport, EngineState
-from briardyke.models.orders import Order, OrderOutcome
+from briardyke.models.orders import EngineOrder, OrderOutcome
 from briardyke.models.runner import ModelPlacementRunner
 from briardyke.routes.configuration import EngineSpec, ModelSpec, ServiceSpec, ServingConfiguration
 
@@ -34,12 +34,12 @@
     """Answer orders as a test configures and check that adapter slots are never exceeded."""
 
     def __init__(self) -> None:
-        self.orders: list[Order] = []
+        self.orders: list[EngineOrder] = []
         self.outcomes: list[OrderOutcome] = []
         self.held: set[str] = set()
 
     async def send_order(
-        self, row: Upstream, order: Order, may_send: Callable[[], bool]
+        self, row: Upstream, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderOutcome:
         self.orders.append(order)
         await trio.sleep(0.005)
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -9,13 +9,13 @@
 import trio
 
 from briardyke.fleet.records import READY, Upstream
-from briardyke.models.orders import Order, OrderOutcome
+from briardyke.models.orders import EngineOrder, OrderOutcome
 from briardyke.platform.engines import PlatformEngines
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-ORDER = Order(True, "m", "", 4, "control-1", 7)
+ORDER = EngineOrder(True, "m", "", 4, "control-1", 7)
 
 
 class Engine:
