Reword the models package and its tests

Rename vague names (room, settled, lasting, leaving, arriving, places) to the terms of the field, name the leader's view of an engine KnownEngineState to tell it from the engine stand-in's own EngineState, and give constants a unit. Name test cases after the behavior that they check.

--- a/src/briardyke/models/adapters.py
+++ b/src/briardyke/models/adapters.py
@@ -9,7 +9,7 @@
 from briardyke.clock import now_ms
 from briardyke.logs import log_limited
 from briardyke.models.decide import committed_mb
-from briardyke.models.engine_state import REPORT_LAG_MS, EngineState
+from briardyke.models.engine_state import REPORT_LAG_MS, KnownEngineState
 from briardyke.models.orders import OrderOutcome
 
 if TYPE_CHECKING:
@@ -17,29 +17,32 @@
 
     from briardyke.routes.configuration import EngineSpec
 
-# An adapter is loaded within 14 ms while the weight store is not overloaded.
-ADAPTER_ARRIVAL_MS = 15.0
-# Adapters that may be loading into one engine at the same time.
-_MAX_ADAPTERS_IN_TRANSIT = 4
+# Loading an adapter takes up to 14 ms while the weight store is not overloaded.
+ADAPTER_LOAD_MS = 15.0
+# Maximum number of concurrent adapter loads per engine.
+_MAX_CONCURRENT_ADAPTER_LOADS = 4
 
 
 class AdapterLoader:
-    """Load adapters into engines, evicting those that are not requested."""
+    """Load adapters into engines, evicting those that were not requested recently."""
 
     def __init__(
-        self, order: Callable[[EngineState, bool, str, str], Awaitable[OrderOutcome]]
+        self, order: Callable[[KnownEngineState, bool, str, str], Awaitable[OrderOutcome]]
     ) -> None:
-        """Order through ``order``, which takes the engine, whether to load, model and adapter."""
+        """Create a loader.
+
+        :param order: sends an order, given the engine, whether to load, the model and the adapter.
+        """
         self._order = order
 
-    async def ensure(self, state: EngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
-        """Return an empty text once the engine holds the adapter, else the reason.
+    async def ensure(self, state: KnownEngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
+        """Load an adapter; return an empty string once the engine holds it, else the reason.
 
         :param key: names of the model and the adapter.
         """
         while True:
-            while key in state.ready:
-                await state.ready[key].wait()
+            while key in state.adapter_load_ended:
+                await state.adapter_load_ended[key].wait()
             if key in state.unloading_adapters:
                 return "the adapter is being unloaded"
             if state.has_adapter(key):
@@ -47,10 +50,10 @@
                 return ""
             if state.pending is not None or state.sequence is None:
                 return "the engine is executing another order"
-            if len(state.ready) >= _MAX_ADAPTERS_IN_TRANSIT:
-                return "too many adapters are being loaded"
-            is_counted = key in state.adapters or len(state.adapters) < spec.adapter_slots
-            if is_counted and _fits(state, spec):
+            if len(state.adapter_load_ended) >= _MAX_CONCURRENT_ADAPTER_LOADS:
+                return "the engine is already loading the maximum number of adapters"
+            has_slot = key in state.adapters or len(state.adapters) < spec.adapter_slots
+            if has_slot and _models_fit(state, spec):
                 return await self._load(state, key)
             idle = state.idle_adapters()
             if not idle:
@@ -60,8 +63,8 @@
             if failure:
                 return failure
 
-    async def _unload(self, state: EngineState, key: tuple[str, str]) -> str:
-        """Return an empty text once the adapter's slot is free, else the reason."""
+    async def _unload(self, state: KnownEngineState, key: tuple[str, str]) -> str:
+        """Unload an adapter; return an empty string once its slot is free, else the reason."""
         state.unloading_adapters.add(key)
         outcome = await self._order(state, False, *key)
         if outcome is OrderOutcome.HELD_ALREADY:
@@ -69,24 +72,24 @@
             state.adapters.pop(key, None)
             return ""
         if outcome is OrderOutcome.ACCEPTED:
-            # Requests still use it; a later report shows when its slot is free.
-            state.review_ms = now_ms() + REPORT_LAG_MS
+            # Requests still use the adapter; a later report shows when its slot is free.
+            state.report_due_ms = now_ms() + REPORT_LAG_MS
         else:
             state.unloading_adapters.discard(key)
-        return f"unload {outcome.value}"
+        return f"outcome of the unload order: {outcome.value}"
 
-    async def _load(self, state: EngineState, key: tuple[str, str]) -> str:
-        event = state.ready[key] = trio.Event()
+    async def _load(self, state: KnownEngineState, key: tuple[str, str]) -> str:
+        event = state.adapter_load_ended[key] = trio.Event()
         state.adapters[key] = now_ms()
         state.suspect_adapters.discard(key)
         try:
             outcome = await self._order(state, True, *key)
             if outcome is OrderOutcome.ACCEPTED:
-                await trio.sleep(ADAPTER_ARRIVAL_MS / 1000.0)
+                await trio.sleep(ADAPTER_LOAD_MS / 1000.0)
             elif outcome is not OrderOutcome.HELD_ALREADY:
                 if outcome is not OrderOutcome.UNKNOWN:
                     state.adapters.pop(key, None)
-                return f"load {outcome.value}"
+                return f"outcome of the load order: {outcome.value}"
             log_limited(
                 "adapter_loaded",
                 is_routine=True,
@@ -97,8 +100,8 @@
             return ""
         finally:
             event.set()
-            del state.ready[key]
+            del state.adapter_load_ended[key]
 
 
-def _fits(state: EngineState, spec: EngineSpec) -> bool:
+def _models_fit(state: KnownEngineState, spec: EngineSpec) -> bool:
     return committed_mb(spec, state.models) <= spec.weights_mb
--- a/src/briardyke/models/orders.py
+++ b/src/briardyke/models/orders.py
@@ -1,4 +1,4 @@
-"""Define the orders that engines take and how they answer."""
+"""Define the orders that engines accept and the outcomes that they answer."""
 
 from __future__ import annotations
 
@@ -15,7 +15,11 @@
 
 
 class OrderOutcome(Enum):
-    """List how an engine answers an order."""
+    """List the outcomes of an order.
+
+    ``HELD_ALREADY`` means that the order needs no further work: what it loads is held already, or
+    what it unloads is gone.
+    """
 
     ACCEPTED = "accepted"
     HELD_ALREADY = "held_already"
@@ -27,15 +31,15 @@
 
 @attrs.frozen
 class EngineOrder:
-    """Describe an order.
+    """Describe an order to load or unload a model or an adapter.
 
-    :param is_load: whether something is loaded or unloaded.
+    :param is_load: whether the engine loads or unloads.
     :param model: name of the model.
     :param adapter: name of one of its adapters, or empty for the model itself.
-    :param expected_sequence: orders that the engine has accepted before; it refuses
-        any other number, so that an order that arrives late changes nothing.
-    :param instance_id: name of the instance that orders.
-    :param fencing_token: token of its term; a lower one than the engine has seen is refused.
+    :param expected_sequence: number of orders that the engine has accepted before. The engine
+        refuses any other number, so that an order that arrives late changes nothing.
+    :param instance_id: name of the control instance that sends the order.
+    :param fencing_token: term of the leader; the engine refuses a lower one than it has seen.
     """
 
     is_load: bool
@@ -47,15 +51,15 @@
 
 
 class EngineClient(Protocol):
-    """Reach engines."""
+    """Send orders to engines and read their reports."""
 
     async def send_order(
         self, row: Upstream, order: EngineOrder, may_send: Callable[[], bool]
     ) -> OrderOutcome:
-        """Send an order; ``UNKNOWN`` when it may be carried out now or later.
+        """Send an order; return ``UNKNOWN`` when the engine may still execute it.
 
-        :param may_send: asked right before the order leaves, since the permission to order can run
-            out while a connection is opened; ``REFUSED`` when it has.
+        :param may_send: called right before the order is sent, since leadership can be lost while a
+            connection is opened; the outcome is then ``REFUSED``.
         """
 
     async def fetch_report(self, row: Upstream) -> EngineReport | None:
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -12,7 +12,7 @@
 from briardyke.logs import log_event, log_limited, log_warning
 from briardyke.models.adapters import AdapterLoader
 from briardyke.models.decide import decide
-from briardyke.models.engine_state import REPORT_LAG_MS, UNKNOWN_MODEL, EngineState
+from briardyke.models.engine_state import REPORT_LAG_MS, UNKNOWN_MODEL, KnownEngineState
 from briardyke.models.orders import EngineOrder, OrderOutcome
 from briardyke.models.smoothed_demand import SmoothedDemand
 from briardyke.models.store_limiter import StoreLoadLimiter
@@ -26,25 +26,28 @@
     from briardyke.routes.configuration import EngineSpec, ServingConfiguration
 
 TICK_MS = 400.0
-# An announced change ends a tick early, but not before this time ...
-LEAST_TICK_MS = 100.0
-# ... nor before this many times the duration of the last decision. A decision over 59 engines takes
-# a tenth of a second on a third of a core, and a leader that does little else loses its leadership.
-_REST_FACTOR = 4.0
-# Entry instances learn within this time, through their control instance, that a model is unloaded.
-WITHHOLD_MS = 200.0
-# When traffic starts, the first requests say little about which models are in demand: the half-life
-# of the rates that entry instances keep.
-SETTLING_MS = 2000.0
-# Time to announce that a model is unloaded and for its last requests to end.
-_UNLOAD_MS = 700.0
-# An order that was accepted but shows no effect for this long is looked up in a report.
+# A change in the announcements ends a tick early, but not before this time ...
+MIN_TICK_MS = 100.0
+# ... nor before this many times the duration of the last decision. A decision for 59 engines takes
+# a tenth of a second on a third of a core, and a leader that is kept busy by decisions loses its
+# leadership.
+_DECISION_PAUSE_FACTOR = 4.0
+# Within this time, entry instances learn through their control instance that a model is about to be
+# unloaded and stop sending requests for it.
+ANNOUNCE_UNLOAD_MS = 200.0
+# When traffic starts, the first requests say little about which models are in demand. This is the
+# half-life of the averages that entry instances keep.
+DEMAND_SETTLING_MS = 2000.0
+# Time to announce that a model will be unloaded, and for its last requests to end.
+_UNLOAD_DURATION_MS = 700.0
+# An accepted order that shows no effect for this long is checked against a new report.
 _PENDING_CHECK_MS = 9000.0
+# The same for an order of an earlier leader, whose model is unknown.
 _UNKNOWN_CHECK_MS = 1500.0
 
 
 class ModelPlacementRunner:
-    """Carry out placement for all services that run models."""
+    """Place the models of all services on their engines while this instance leads."""
 
     def __init__(
         self,
@@ -55,14 +58,15 @@
         order_lease_ms: float,
         store_window_s: float,
     ) -> None:
-        """Prepare; :meth:`run` starts it.
+        """Create a runner; :meth:`run` starts it.
 
         :param control: this control instance.
-        :param engines: reaches the engines.
+        :param engines: sends orders to engines and reads their reports.
         :param configuration: returns the configuration in force.
-        :param instance_id: name of this instance, the same for all its orders.
-        :param order_lease_ms: time for which an earlier leader may still order.
-        :param store_window_s: window in which loads from the store are counted.
+        :param instance_id: name of this instance, sent with all its orders.
+        :param order_lease_ms: time for which an earlier leader may still send orders.
+        :param store_window_s: length in seconds of the window in which loads from the store are
+            counted.
         """
         self._control = control
         self._engines = engines
@@ -70,13 +74,13 @@
         self._instance_id = instance_id
         self._order_lease_ms = order_lease_ms
         self._store_window_s = store_window_s
-        self._store = StoreLoadLimiter(store_window_s)
-        self._engine_states: dict[str, EngineState] = {}
+        self._store_limiter = StoreLoadLimiter(store_window_s)
+        self._engine_states: dict[str, KnownEngineState] = {}
         self._term = 0
         self._term_since_ms = 0.0
         self._fenced_term = 0
         self._change_sequence = 0
-        self._smoothed = SmoothedDemand()
+        self._smoothed_demand = SmoothedDemand()
         self._missing_since_ms: dict[str, float] = {}
         self._unreachable: set[str] = set()
         self._decision_ms = 0.0
@@ -84,13 +88,15 @@
         self._adapters = AdapterLoader(self._order)
 
     async def run(self) -> None:
-        """Decide and order until cancelled."""
-        self._term = 0  # after an internal error, the state of pending orders is unknown
+        """Decide and send orders until cancelled."""
+        self._term = 0  # After an internal error, the outcome of pending orders is unknown.
         async with trio.open_nursery() as nursery:
             while True:
-                rest_ms = max(LEAST_TICK_MS, _REST_FACTOR * self._decision_ms)
-                await trio.sleep(rest_ms / 1000.0)
-                await self._control.rows.placement_inputs_changed.wait(max(0.0, TICK_MS - rest_ms))
+                min_tick_ms = max(MIN_TICK_MS, _DECISION_PAUSE_FACTOR * self._decision_ms)
+                await trio.sleep(min_tick_ms / 1000.0)
+                await self._control.rows.placement_inputs_changed.wait(
+                    max(0.0, TICK_MS - min_tick_ms)
+                )
                 if not self._may_order():
                     continue
                 configuration = self._configuration()
@@ -106,24 +112,24 @@
         if term != self._term:
             self._term, self._term_since_ms = term, now_ms()
             self._engine_states.clear()
-            self._store = StoreLoadLimiter(self._store_window_s)
-            self._smoothed = SmoothedDemand()
+            self._store_limiter = StoreLoadLimiter(self._store_window_s)
+            self._smoothed_demand = SmoothedDemand()
             log_event("placement_leads", term=term)
         return now_ms() - self._term_since_ms >= self._order_lease_ms
 
     async def _tick(self, configuration: ServingConfiguration, nursery: trio.Nursery) -> None:
-        self._follow_rows(configuration)
-        self._follow_unreachable()
+        self._update_engine_states(configuration)
+        self._update_unreachable()
         for state in self._engine_states.values():
             if self._needs_report(state) and not state.lock.locked():
                 nursery.start_soon(self._refresh, state)
         demand = self._control.demand()
-        if not self._smoothed.is_started:
-            self._smoothed.assume(
+        if not self._smoothed_demand.is_started:
+            self._smoothed_demand.assume(
                 {m for state in self._engine_states.values() for m in state.models}
             )
-        self._smoothed.add(demand)
-        self._follow_missing(demand)
+        self._smoothed_demand.add(demand)
+        self._update_missing(demand)
         if not demand:
             self._demand_since_ms = now_ms()
         for name, service in configuration.services.items():
@@ -131,17 +137,21 @@
                 continue
             view = ModelsView(
                 service.engine,
-                [self._view(i, g) for i, g in self._engine_states.items() if g.row.service == name],
+                [
+                    self._view(i, state)
+                    for i, state in self._engine_states.items()
+                    if state.row.service == name
+                ],
                 demand,
-                self._store.free(service.engine.store_loads_per_s),
-                self._smoothed.rates,
+                self._store_limiter.free(service.engine.store_loads_per_s),
+                self._smoothed_demand.rates,
                 {m: (now_ms() - since) / 1000.0 for m, since in self._missing_since_ms.items()},
-                is_settled=now_ms() - self._demand_since_ms >= SETTLING_MS,
+                is_demand_settled=now_ms() - self._demand_since_ms >= DEMAND_SETTLING_MS,
             )
             for change in decide(view):
                 self._start(change, service.engine, nursery)
 
-    def _follow_unreachable(self) -> None:
+    def _update_unreachable(self) -> None:
         unreachable = self._control.unreachable_upstreams()
         for upstream_id in unreachable ^ self._unreachable:
             log_event(
@@ -151,13 +161,17 @@
             )
         self._unreachable = unreachable
 
-    def _follow_missing(self, demand: dict[str, float]) -> None:
-        held = {m for g in self._engine_states.values() for m in g.models - g.leaving}
+    def _update_missing(self, demand: dict[str, float]) -> None:
+        held = {
+            m
+            for state in self._engine_states.values()
+            for m in state.models - state.unloading_models
+        }
         missing = [model for model in demand if model not in held]
         since_ms = self._missing_since_ms
         self._missing_since_ms = {m: since_ms.get(m, now_ms()) for m in missing}
 
-    def _follow_rows(self, configuration: ServingConfiguration) -> None:
+    def _update_engine_states(self, configuration: ServingConfiguration) -> None:
         rows = {
             row.upstream_id: row
             for row in self._control.live_upstreams()
@@ -168,14 +182,14 @@
         for upstream_id, row in rows.items():
             state = self._engine_states.get(upstream_id)
             if state is None or state.row.incarnation != row.incarnation:
-                self._engine_states[upstream_id] = EngineState(row)
+                self._engine_states[upstream_id] = KnownEngineState(row)
             else:
                 state.adopt_row(row)
 
-    def _needs_report(self, state: EngineState) -> bool:
+    def _needs_report(self, state: KnownEngineState) -> bool:
         if state.sequence is None:
-            return now_ms() - state.doubt_since_ms >= REPORT_LAG_MS
-        if state.review_ms and now_ms() >= state.review_ms:
+            return now_ms() - state.sequence_unknown_since_ms >= REPORT_LAG_MS
+        if state.report_due_ms and now_ms() >= state.report_due_ms:
             return True
         if state.pending is None:
             return False
@@ -183,11 +197,11 @@
         check_ms = _UNKNOWN_CHECK_MS if is_unknown else _PENDING_CHECK_MS
         return now_ms() - state.pending_since_ms >= check_ms
 
-    async def _refresh(self, state: EngineState) -> None:
+    async def _refresh(self, state: KnownEngineState) -> None:
         async with state.lock:
             report = await self._engines.fetch_report(state.row)
             if report is None:
-                state.doubt_since_ms = now_ms()
+                state.sequence_unknown_since_ms = now_ms()
                 return
             log_limited(
                 "engine_report_read",
@@ -198,13 +212,13 @@
                 busy=report.is_busy,
             )
             state.adopt_report(report)
-            state.review_ms = now_ms() + REPORT_LAG_MS if state.unloading_adapters else 0.0
+            state.report_due_ms = now_ms() + REPORT_LAG_MS if state.unloading_adapters else 0.0
             state.pending_since_ms = now_ms()
             if state.pending is None:
-                state.leaving.clear()
+                state.unloading_models.clear()
                 self._publish(state)
 
-    def _view(self, upstream_id: str, state: EngineState) -> EngineView:
+    def _view(self, upstream_id: str, state: KnownEngineState) -> EngineView:
         held = dict.fromkeys(state.models, 0)
         for model, _ in state.busy_adapters():
             held[model] = held.get(model, 0) + 1
@@ -216,12 +230,12 @@
             is_free=state.sequence is not None
             and state.pending is None
             and not state.lock.locked(),
-            is_staying=state.row.lifecycle == READY and upstream_id not in self._unreachable,
-            leaving=frozenset(state.leaving),
-            arriving=next(iter(state.arriving_ms()), ""),
-            recent=state.recent_models(),
+            is_available=state.row.lifecycle == READY and upstream_id not in self._unreachable,
+            unloading=frozenset(state.unloading_models),
+            loading=next(iter(state.arriving_ms()), ""),
+            recently_loaded=state.recently_loaded_models(),
             free_in_ms=state.free_in_ms(),
-            is_loading=state.pending is not None and state.pending_from_store,
+            is_loading_from_store=state.pending is not None and state.pending_from_store,
         )
 
     # Models
@@ -234,24 +248,24 @@
         model = spec.models.get(change.model)
         state.pending = (change.model, is_load)
         state.pending_since_ms = now_ms()
-        state.pending_until_ms = now_ms() + _UNLOAD_MS
+        state.pending_expected_end_ms = now_ms() + _UNLOAD_DURATION_MS
         state.pending_from_store = change.is_from_store
         if is_load:
             load_s = (model.load_s if change.is_from_store else model.disk_load_s) if model else 0.0
-            state.pending_until_ms = now_ms() + load_s * 1000.0
+            state.pending_expected_end_ms = now_ms() + load_s * 1000.0
             state.models.add(change.model)
-            state.loaded_ms[change.model] = state.pending_until_ms
+            state.load_end_ms[change.model] = state.pending_expected_end_ms
             if change.is_from_store:
-                self._store.record()
+                self._store_limiter.record()
         else:
-            state.leaving.add(change.model)
+            state.unloading_models.add(change.model)
         self._publish(state)
-        nursery.start_soon(self._carry_out, state, change)
+        nursery.start_soon(self._execute, state, change)
 
-    async def _carry_out(self, state: EngineState, change: Change) -> None:
+    async def _execute(self, state: KnownEngineState, change: Change) -> None:
         is_load = change.kind is ChangeKind.LOAD
         if not is_load:
-            await trio.sleep(WITHHOLD_MS / 1000.0)
+            await trio.sleep(ANNOUNCE_UNLOAD_MS / 1000.0)
         outcome = await self._order(state, is_load, change.model, "")
         log_event(
             "model_ordered",
@@ -266,7 +280,7 @@
             return
         state.pending = None
         if not is_load:
-            state.leaving.discard(change.model)
+            state.unloading_models.discard(change.model)
         self._publish(state)
         if outcome is OrderOutcome.HELD_ALREADY and not is_load:
             state.models.discard(change.model)
@@ -275,7 +289,7 @@
         return term == self._term and self._control.leading_term() == term
 
     async def _order(
-        self, state: EngineState, is_load: bool, model: str, adapter: str
+        self, state: KnownEngineState, is_load: bool, model: str, adapter: str
     ) -> OrderOutcome:
         async with state.lock:
             term = self._term
@@ -303,27 +317,27 @@
                 log_warning("orders_fenced", term=term, upstream=state.row.upstream_id)
                 self._fenced_term = term
             elif outcome is OrderOutcome.CONFLICT and adapter and state.pending is not None:
-                pass  # an engine that changes a model takes no order for an adapter
+                pass  # An engine that loads or unloads a model accepts no order for an adapter.
             elif outcome is not OrderOutcome.HELD_ALREADY:
                 state.sequence = None
-                state.doubt_since_ms = now_ms()
+                state.sequence_unknown_since_ms = now_ms()
             return outcome
 
     @staticmethod
     def _advances_sequence(outcome: OrderOutcome, order: EngineOrder) -> bool:
-        """Return whether the engine's sequence has moved on.
+        """Return whether the engine has counted the order in its sequence.
 
-        An unload of an adapter that completes at once is answered with ``HELD_ALREADY``.
+        It counts an unload of an adapter that completes at once, and answers ``HELD_ALREADY``.
         """
         return outcome is OrderOutcome.ACCEPTED or not order.is_load
 
-    def _publish(self, state: EngineState) -> None:
+    def _publish(self, state: KnownEngineState) -> None:
         self._change_sequence += 1
         row = ModelChanges(
             state.row.upstream_id,
             self._term,
             self._change_sequence,
-            sorted(state.leaving),
+            sorted(state.unloading_models),
             state.arriving_ms(),
         )
         self._control.rows.publish_model_changes(row)
@@ -331,23 +345,31 @@
     # Adapters
 
     async def place_adapter(self, request: AdapterRequest) -> AdapterReply:
-        """Load an adapter into one of the named engines, preferably one that holds it already."""
+        """Load an adapter into one of the named engines, preferably one that already holds it."""
         configuration = self._configuration()
         if configuration is None or not self._may_order():
-            return AdapterReply("", "this instance does not order")
+            return AdapterReply("", "this control instance may not send orders")
         key = (request.model, request.adapter)
         known = [
             (i, self._engine_states[i]) for i in request.upstream_ids if i in self._engine_states
         ]
         for upstream_id, state in known:
-            if upstream_id in request.lacking_ids and key not in state.ready:
+            if upstream_id in request.lacking_ids and key not in state.adapter_load_ended:
                 state.suspect_adapters.add(key)
-        usable = [(i, g) for i, g in known if request.model in g.models - g.leaving]
+        usable = [
+            (i, state)
+            for i, state in known
+            if request.model in state.models - state.unloading_models
+        ]
         holding = [row for row in usable if row[1].has_adapter(key)]
-        reason = "no engine is known"
+        reason = "none of the named engines holds the model"
         for upstream_id, state in [*holding, *usable]:
             spec = configuration.services[state.row.service].engine
-            failure = await self._adapters.ensure(state, spec, key) if spec else "no engine"
+            failure = (
+                await self._adapters.ensure(state, spec, key)
+                if spec
+                else "the service has no engines"
+            )
             if not failure:
                 return AdapterReply(upstream_id)
             reason = failure
--- a/src/briardyke/models/smoothed_demand.py
+++ b/src/briardyke/models/smoothed_demand.py
@@ -1,4 +1,4 @@
-"""Average demand over a longer period than entry instances do."""
+"""Average demand over a longer period than the entry instances do."""
 
 from __future__ import annotations
 
@@ -9,15 +9,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# A rare model is requested every few seconds; with this half-life a pause does not end its demand.
+# Rarely requested models get a request every few seconds. With this half-life, their demand does
+# not drop to zero in between.
 HALF_LIFE_MS = 8000.0
-_FORGOTTEN_BELOW = 0.001
-# Requests a second that a new leader assumes for each model that it finds in an engine.
+_MIN_KEPT_PER_S = 0.001
+# Requests per second that a new leader assumes for each model that it finds in an engine.
 ASSUMED_PER_S = 0.5
 
 
 class SmoothedDemand:
-    """Keep slow averages of requests a second by model."""
+    """Keep long-term averages of requests per second by model."""
 
     def __init__(self) -> None:
         self.rates: dict[str, float] = {}
@@ -25,15 +26,15 @@
 
     @property
     def is_started(self) -> bool:
-        """Return whether any model is known."""
+        """Return whether there is an average for any model."""
         return bool(self.rates)
 
     def assume(self, models: Iterable[str]) -> None:
         """Assume some demand for the models that engines hold.
 
-        At the start of traffic, and of a leader, the first requests of a second are a few of
-        all models. Without this the others would count as unused and be evicted for more replicas
-        of the few.
+        When traffic starts, or a new leader, the requests of the first second are for only a few
+        of the models. Without this assumption, the others would count as unused and be evicted for
+        more replicas of those few.
         """
         self.rates = dict.fromkeys(models, ASSUMED_PER_S)
         self._updated_ms = now_ms()
@@ -41,10 +42,10 @@
     def add(self, demand: dict[str, float]) -> None:
         """Update the averages with the current rates."""
         now = now_ms()
-        kept = 0.5 ** ((now - self._updated_ms) / HALF_LIFE_MS)
+        weight = 0.5 ** ((now - self._updated_ms) / HALF_LIFE_MS)
         self._updated_ms = now
         rates = {
-            name: self.rates.get(name, 0.0) * kept + demand.get(name, 0.0) * (1.0 - kept)
+            name: self.rates.get(name, 0.0) * weight + demand.get(name, 0.0) * (1.0 - weight)
             for name in self.rates.keys() | demand.keys()
         }
-        self.rates = {name: rate for name, rate in rates.items() if rate >= _FORGOTTEN_BELOW}
+        self.rates = {name: rate for name, rate in rates.items() if rate >= _MIN_KEPT_PER_S}
--- a/src/briardyke/models/store_limiter.py
+++ b/src/briardyke/models/store_limiter.py
@@ -1,4 +1,4 @@
-"""Count loads from the weight store in a sliding window."""
+"""Limit the loads from the weight store in a sliding window."""
 
 from __future__ import annotations
 
@@ -6,23 +6,23 @@
 
 from briardyke.clock import now_ms
 
-# A new leader doesn't know what the one before it started within the window.
-_ASSUMED_AT_START = 3
+# A new leader does not know how many loads the previous leader started within the window.
+_ASSUMED_LOADS = 3
 
 
 class StoreLoadLimiter:
-    """Limit the loads that start within a window, over all engines of a service."""
+    """Limit the number of loads that start within a window, over all engines."""
 
     def __init__(self, window_s: float) -> None:
-        """Start with some loads assumed.
+        """Start as if the previous leader had just started some loads.
 
         :param window_s: length of the window, in seconds.
         """
         self._window_ms = window_s * 1000.0
-        self._starts: deque[float] = deque([now_ms()] * _ASSUMED_AT_START)
+        self._starts: deque[float] = deque([now_ms()] * _ASSUMED_LOADS)
 
     def free(self, loads_per_s: float) -> int:
-        """Return how many loads may start now."""
+        """Return the number of loads that may start now, with at least one per window."""
         limit_ms = now_ms() - self._window_ms
         while self._starts and self._starts[0] < limit_ms:
             self._starts.popleft()
--- a/src/briardyke/models/types.py
+++ b/src/briardyke/models/types.py
@@ -1,4 +1,4 @@
-"""Define what placement sees of engines and demand, and what it decides."""
+"""Define the inputs and the results of placement decisions."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class ChangeKind(Enum):
-    """List the changes of an engine's memory."""
+    """List the kinds of changes to an engine's memory."""
 
     LOAD = "load"
     UNLOAD = "unload"
@@ -18,12 +18,12 @@
 
 @attrs.frozen
 class Change:
-    """Describe one change of an engine's memory.
+    """Describe one change to an engine's memory.
 
     :param kind: load or unload.
     :param upstream_id: the engine.
     :param model: name of the model.
-    :param is_from_store: whether a load takes the weight store's bandwidth.
+    :param is_from_store: whether a load reads from the weight store rather than from a local copy.
     """
 
     kind: ChangeKind
@@ -34,19 +34,20 @@
 
 @attrs.frozen
 class EngineView:
-    """Describe an engine as placement sees it.
+    """Describe an engine as an input of placement.
 
     :param upstream_id: the engine.
     :param service: service that it belongs to.
-    :param held: models in its memory or being loaded, with the number of their adapters.
-    :param at_hand: models of which it keeps a copy.
-    :param is_free: whether it can accept an order now.
-    :param free_in_ms: time until its present order should end, 0 for an engine that is free.
-    :param is_loading: whether it loads a model from the weight store.
-    :param is_staying: whether it is ready and has not announced that it shuts down.
-    :param leaving: models that are being unloaded.
-    :param arriving: model that it is loading, or empty.
-    :param recent: models whose load was ordered lately.
+    :param held: models in its memory or being loaded, with the number of their adapters that were
+        requested recently.
+    :param at_hand: models of which it keeps a local copy.
+    :param is_free: whether it can accept an order for a model now.
+    :param free_in_ms: time until its current order should end, 0 for an engine that is free.
+    :param is_loading_from_store: whether it loads a model from the weight store.
+    :param is_available: whether it is ready, reachable and has not announced that it shuts down.
+    :param unloading: models that are being unloaded.
+    :param loading: model that it is loading, or empty.
+    :param recently_loaded: models that are being loaded or were loaded recently.
     """
 
     upstream_id: str
@@ -54,31 +55,33 @@
     held: dict[str, int]
     at_hand: frozenset[str]
     is_free: bool
-    is_staying: bool
-    leaving: frozenset[str] = frozenset()
-    recent: frozenset[str] = frozenset()
-    arriving: str = ""
+    is_available: bool
+    unloading: frozenset[str] = frozenset()
+    recently_loaded: frozenset[str] = frozenset()
+    loading: str = ""
     free_in_ms: float = 0.0
-    is_loading: bool = False
+    is_loading_from_store: bool = False
 
 
 @attrs.frozen
 class ModelsView:
-    """Hold everything that placement decides from for one service.
+    """Hold the inputs of a placement decision for one service.
 
     :param spec: models and memory of the service's engines.
     :param engines: its engines.
-    :param demand: requests a second by model.
-    :param store_starts: loads that the weight store may still start now.
-    :param lasting: the same demand averaged over a longer time, of which an idle model keeps some.
-    :param is_settled: whether demand has been observed for long enough to unload a model for it.
-    :param missing_s: time for which each model was requested while no engine held it, in seconds.
+    :param demand: requests per second by model.
+    :param store_loads_left: number of loads from the weight store that may start now.
+    :param long_term_demand: demand averaged over a longer time, so that an idle model keeps some.
+    :param is_demand_settled: whether demand has been observed for long enough to unload models
+        because of it.
+    :param missing_s: time in seconds for which each model has been requested while no engine held
+        it.
     """
 
     spec: EngineSpec
     engines: list[EngineView]
     demand: dict[str, float]
-    store_starts: int
-    lasting: dict[str, float] = attrs.field(factory=dict)
+    store_loads_left: int
+    long_term_demand: dict[str, float] = attrs.field(factory=dict)
     missing_s: dict[str, float] = attrs.field(factory=dict)
-    is_settled: bool = True
+    is_demand_settled: bool = True
--- a/tests/models/test_engine_state.py
+++ b/tests/models/test_engine_state.py
@@ -1,4 +1,4 @@
-"""Tests for the leader's knowledge of an engine's memory."""
+"""Tests for what the leader knows of an engine's memory and orders."""
 
 from __future__ import annotations
 
@@ -8,27 +8,27 @@
 
 from briardyke.clock import now_ms
 from briardyke.fleet.records import READY, LoadedModel, Upstream
-from briardyke.models.engine_state import UNKNOWN_MODEL, EngineReport, EngineState
+from briardyke.models.engine_state import UNKNOWN_MODEL, EngineReport, KnownEngineState
 
 ROW = Upstream("e", 1, 1, "s", "10.0.0.1:80", "dc", READY, 8, [LoadedModel("a")])
 
 
 class TestReport:
-    """Covers reports that do not name models and adapters being loaded."""
+    """Covers reports that lack a model or include an adapter that is being loaded."""
 
-    async def test_model_on_its_way_keeps_its_memory(self) -> None:
-        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
+    async def test_model_being_loaded_counts_although_the_report_lacks_it(self) -> None:
+        state = KnownEngineState(ROW, 3, {"a", "b"}, pending=("b", True))
         state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
         assert state.models == {"a", "b"}
 
-    async def test_announced_model_counts_although_the_report_lags(self) -> None:
+    async def test_announced_model_counts_although_the_report_lacks_it(self) -> None:
         row = attrs.evolve(ROW, models=[LoadedModel("a"), LoadedModel("b")])
-        state = EngineState(row, 3)
+        state = KnownEngineState(row, 3)
         state.adopt_report(EngineReport(4, {"a": []}, is_busy=False))
         assert state.models == {"a", "b"}
 
     async def test_order_of_an_earlier_leader_keeps_the_engine_busy(self) -> None:
-        state = EngineState(ROW)
+        state = KnownEngineState(ROW)
         state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
         assert state.pending == (UNKNOWN_MODEL, True)
         state.adopt_row(attrs.evolve(ROW, sequence=2))
@@ -37,17 +37,17 @@
         assert state.pending is None
         assert state.models == {"a", "b"}
 
-    async def test_adapters_on_their_way_take_places(self) -> None:
-        state = EngineState(ROW)
+    async def test_adapters_being_loaded_use_slots(self) -> None:
+        state = KnownEngineState(ROW)
         state.adopt_report(EngineReport(1, {"a": ["a1"]}, False, [("a", "a2")]))
         assert set(state.adapters) == {("a", "a1"), ("a", "a2")}
 
 
 class TestRow:
-    """Covers announcements that end a pending order."""
+    """Covers announcements that show that a pending order is complete."""
 
-    async def test_unloaded_model_frees_its_memory_once_it_is_gone(self) -> None:
-        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", False), leaving={"b"})
+    async def test_unloaded_model_is_held_until_an_announcement_lacks_it(self) -> None:
+        state = KnownEngineState(ROW, 3, {"a", "b"}, pending=("b", False), unloading_models={"b"})
         state.adapters = {("b", "a1"): 0.0, ("a", "a1"): 0.0}
         state.adopt_row(attrs.evolve(ROW, sequence=2, models=[LoadedModel("a"), LoadedModel("b")]))
         assert state.models == {"a", "b"}
@@ -57,12 +57,12 @@
 
 
 class TestLateReport:
-    """Covers reports that still name an order which has ended."""
+    """Covers reports that lag and still show an engine as busy after its order has ended."""
 
-    async def test_order_that_has_just_ended_is_not_taken_for_another_one(
+    async def test_order_that_has_just_ended_is_not_mistaken_for_another_one(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
-        state = EngineState(ROW, 3, {"a", "b"}, pending=("b", True))
+        state = KnownEngineState(ROW, 3, {"a", "b"}, pending=("b", True))
         state.adopt_row(attrs.evolve(ROW, sequence=2, models=[LoadedModel("a"), LoadedModel("b")]))
         assert state.pending is None
         state.adopt_report(EngineReport(4, {"a": []}, is_busy=True))
@@ -76,27 +76,27 @@
 
 
 class TestPendingOrder:
-    """Covers how long an engine with an order is expected to be busy."""
+    """Covers the expected duration of orders, and adapters that a request did not find."""
 
     async def test_overdue_order_is_expected_to_last_as_long_again(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
-        state = EngineState(ROW, 1, {"m"})
+        state = KnownEngineState(ROW, 1, {"m"})
         assert state.free_in_ms() == 0.0
-        state.pending, state.pending_until_ms = ("m", False), now_ms() + 700.0
+        state.pending, state.pending_expected_end_ms = ("m", False), now_ms() + 700.0
         assert state.free_in_ms() == pytest.approx(700.0)
         await trio.sleep(5.7)
         assert state.free_in_ms() == pytest.approx(5000.0, abs=10.0)
 
     async def test_only_loads_are_reported_as_arriving(self) -> None:
-        state = EngineState(ROW, 1, {"m"})
-        state.pending, state.pending_until_ms = ("n", True), now_ms() + 900.0
+        state = KnownEngineState(ROW, 1, {"m"})
+        state.pending, state.pending_expected_end_ms = ("n", True), now_ms() + 900.0
         assert state.arriving_ms()["n"] == pytest.approx(900.0, abs=50.0)
         state.pending = ("m", False)
         assert state.arriving_ms() == {}
 
-    async def test_suspect_adapter_keeps_its_place_until_a_report_denies_it(self) -> None:
-        state = EngineState(ROW, 1, {"m"}, {("m", "a1"): 1.0})
+    async def test_suspect_adapter_keeps_its_slot_until_a_report_lacks_it(self) -> None:
+        state = KnownEngineState(ROW, 1, {"m"}, {("m", "a1"): 1.0})
         state.suspect_adapters.add(("m", "a1"))
         assert not state.has_adapter(("m", "a1"))
         assert len(state.adapters) == 1
--- a/tests/models/test_load_estimate.py
+++ b/tests/models/test_load_estimate.py
@@ -1,4 +1,4 @@
-"""Tests for the spread of requests over engines."""
+"""Tests for the estimated load of engines."""
 
 from __future__ import annotations
 
@@ -12,31 +12,31 @@
 class TestLoads:
     """Covers models that share engines."""
 
-    def test_requests_with_a_choice_go_to_the_less_loaded_engine(self) -> None:
+    def test_requests_go_to_the_less_loaded_holders(self) -> None:
         holders = {"a": {"e1", "e2", "e3"}, "b": {"e3"}}
         loads = LoadEstimate({"a": 6.0, "b": 3.0}, holders, ["e1", "e2", "e3"]).loads
         assert loads == pytest.approx({"e1": 3.0, "e2": 3.0, "e3": 3.0}, rel=0.1)
 
-    def test_model_without_a_choice_loads_its_engine_alone(self) -> None:
+    def test_only_holder_gets_all_requests_for_its_model(self) -> None:
         holders = {"a": {"e1"}, "b": {"e1", "e2"}}
         loads = LoadEstimate({"a": 8.0, "b": 2.0}, holders, ["e1", "e2"]).loads
         assert loads["e1"] >= 8.0
         assert loads["e2"] == pytest.approx(2.0, rel=0.15)
 
-    def test_sum_stays_the_demand_that_engines_hold(self) -> None:
+    def test_sum_of_loads_is_the_demand_for_held_models(self) -> None:
         holders = {"a": {"e1", "e2"}, "b": {"e2", "e3"}, "c": {"e1", "e3"}}
         demand = {"a": 1.0, "b": 20.0, "c": 5.0, "missing": 9.0}
         loads = LoadEstimate(demand, holders, ["e1", "e2", "e3", "e4"]).loads
         assert sum(loads.values()) == pytest.approx(26.0)
         assert loads["e4"] == 0.0
 
-    def test_nothing_to_carry_is_no_load(self) -> None:
+    def test_load_of_a_single_engine_is_its_demand(self) -> None:
         assert LoadEstimate({}, {}, ["e1"]).loads == {"e1": 0.0}
         assert LoadEstimate({"a": 1.0}, {"a": {"e1"}}, ["e1"]).loads == {"e1": 1.0}
 
 
 class TestChanges:
-    """Covers what one more or one less holder of a model changes."""
+    """Covers the estimated effect of one more or one fewer holder of a model."""
 
     HOLDERS: ClassVar = {"a": {"e1", "e2"}, "b": {"e2"}, "c": {"e3"}}
     DEMAND: ClassVar = {"a": 6.0, "b": 2.0, "c": 1.0}
@@ -47,13 +47,13 @@
         return sum(load * load for load in loads.values())
 
     @pytest.mark.parametrize(("model", "engine"), [("a", "e3"), ("a", "e4"), ("c", "e4")])
-    def test_gain_is_close_to_settling_everything_anew(self, model: str, engine: str) -> None:
+    def test_gain_is_close_to_a_full_estimate(self, model: str, engine: str) -> None:
         estimate = LoadEstimate(self.DEMAND, self.HOLDERS, self.ENGINES)
         after = self.cost({**self.HOLDERS, model: self.HOLDERS[model] | {engine}})
         exact = self.cost(self.HOLDERS) - after
         assert estimate.gain_of_adding(model, engine) == pytest.approx(exact, rel=0.2)
 
-    def test_loss_is_close_to_settling_everything_anew(self) -> None:
+    def test_loss_is_close_to_a_full_estimate(self) -> None:
         estimate = LoadEstimate(self.DEMAND, self.HOLDERS, self.ENGINES)
         exact = self.cost({**self.HOLDERS, "a": {"e1"}}) - self.cost(self.HOLDERS)
         assert estimate.loss_of_removing("a", "e2") == pytest.approx(exact, rel=0.2)
--- a/tests/models/test_smoothed_demand.py
+++ b/tests/models/test_smoothed_demand.py
@@ -1,4 +1,4 @@
-"""Tests for the slow average of demand."""
+"""Tests for the long-term averages of demand."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 
 class TestSmoothedDemand:
-    """Covers a model that is no longer requested."""
+    """Covers models that are not requested any more, or not yet."""
 
-    async def test_demand_halves_in_its_half_life(
+    async def test_demand_halves_within_the_half_life(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         demand = SmoothedDemand()
@@ -22,7 +22,7 @@
         demand.add({})
         assert demand.rates["m"] == pytest.approx(1.0)
 
-    async def test_forgotten_models_are_dropped(
+    async def test_models_with_negligible_demand_are_dropped(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         demand = SmoothedDemand()
@@ -32,7 +32,7 @@
         demand.add({})
         assert demand.rates == {}
 
-    async def test_models_that_a_new_leader_finds_count_for_some_seconds(
+    async def test_new_leader_assumes_demand_for_the_models_that_it_finds(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         demand = SmoothedDemand()
