--- a/src/briardyke/placement/candidates.py
+++ b/src/briardyke/placement/candidates.py
@@ -1,4 +1,4 @@
-"""Index the engines that may hold an item by the demand assigned to them."""
+"""Index engines by their assigned demand and by the patterns that match their ids."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 class Candidates:
     """Find the least busy engine with enough free memory without looking at every engine.
 
-    Each distinct tuple of patterns has one heap of (assigned demand, upstream id). An entry whose
-    demand is outdated is dropped when it reaches the top of the heap.
+    Each distinct tuple of patterns has one heap of (assigned demand, upstream id). An outdated
+    entry is dropped when it reaches the top of the heap.
     """
 
     def __init__(self, upstream_ids: Iterable[str], assigned_demand: dict[str, float]) -> None:
@@ -51,14 +51,14 @@
         return upstream_id in found
 
     def changed(self, upstream_id: str) -> None:
-        """Index the new assigned demand of an engine."""
+        """Update the index after the assigned demand of an engine has changed."""
         for heap in self._heaps_by_engine.get(upstream_id, ()):
             heappush(heap, (self._assigned_demand[upstream_id], upstream_id))
 
     def least_busy(
         self, patterns: tuple[str, ...], fits: Callable[[str], bool], limit: int
     ) -> str | None:
-        """Return the least busy engine that fits.
+        """Return the engine with the least assigned demand that fits.
 
         :param patterns: glob patterns over upstream ids.
         :param fits: tells whether an engine can take the item.
@@ -94,8 +94,8 @@
         return heap
 
     def _match(self, pattern: str) -> list[str]:
-        cut = next((i for i, c in enumerate(pattern) if c in _WILDCARDS), len(pattern))
-        prefix = pattern[:cut]
+        prefix_length = next((i for i, c in enumerate(pattern) if c in _WILDCARDS), len(pattern))
+        prefix = pattern[:prefix_length]
         first = bisect_left(self._ids, prefix)
         last = bisect_left(self._ids, prefix + "\U0010ffff") if prefix else len(self._ids)
         if pattern == prefix:
--- a/src/briardyke/placement/draft.py
+++ b/src/briardyke/placement/draft.py
@@ -5,35 +5,37 @@
 from typing import TYPE_CHECKING
 
 from briardyke.placement.candidates import Candidates
-from briardyke.placement.reservations import Engine, live_engines
+from briardyke.placement.reservations import EngineMemory, live_engines
 from briardyke.placement.types import Step, StepKind
 
 if TYPE_CHECKING:
     from briardyke.placement.types import PlacementView
 
-# Ten times the order timeout. An engine that announces itself but accepts no orders for this long
+# Ten times the order timeout. An engine that announces itself but accepts no order for this long
 # has a one-way connection failure, so the model is placed elsewhere.
 STUCK_MS = 30_000.0
-# The design size generates 23 million tokens for 50,000 requests per second.
+# The largest supported deployment generates 23 million tokens per second for 50,000 requests per
+# second.
 TOKENS_PER_REQUEST = 460.0
-# A search for items to evict examines every allowed engine, so few are made per decision. The most
-# urgent models come first, and the next decision continues with the others.
-MAX_SCANS = 4
+# A search of all allowed engines for items to evict is slow, so only a few are made per decision.
+# The most urgent models come first, and the next decision continues with the others.
+MAX_FULL_SEARCHES = 4
 
 
 class Draft:
-    """Track memory, replicas and assigned demand while steps are added.
+    """Track the memory, replicas and assigned demand that result from the steps chosen so far.
 
     :param engines: live engines by upstream id.
     :param steps: steps decided so far.
     :param loaded: engines with a replica that serves now and is not being unloaded, by item.
     :param arriving: engines on which a load of the item is in progress, by item.
-    :param uncertain: engines with memory reserved for the item, which may or may not be loaded.
+    :param uncertain: engines that hold memory for the item but neither announce it nor have a
+        pending order for it, so that it may or may not be loaded, by item.
     :param unloading_bytes: bytes being unloaded by upstream id.
     :param free: bytes that a new reservation may take, by upstream id; may fall below zero when
         memory that is being unloaded is already assigned.
     :param unloading: upstream ids and items that are being unloaded.
-    :param stuck: upstream ids and items whose load has been in doubt for :data:`STUCK_MS`.
+    :param stuck: upstream ids and items whose load has been unconfirmed for :data:`STUCK_MS`.
     :param assigned_demand: demand in tokens per second that the replicas on each engine serve.
     """
 
@@ -45,7 +47,7 @@
         self.adapters = view.configuration.adapters
         self.engines = live_engines(view)
         self.steps: list[Step] = []
-        self._scans = 0
+        self._full_searches = 0
         self.loaded: dict[str, set[str]] = {}
         self.arriving: dict[str, set[str]] = {}
         self.uncertain: dict[str, set[str]] = {}
@@ -75,12 +77,12 @@
         return demand.tokens_per_second or requested
 
     def size(self, item: str) -> int:
-        """Return the memory of an item of the current version in bytes."""
+        """Return the memory in bytes of an item of the current configuration."""
         found = self.models.get(item) or self.adapters[item]
         return found.size_bytes
 
     def is_configured(self, item: str) -> bool:
-        """Return whether the item is in the current version."""
+        """Return whether the item is in the current configuration."""
         return item in self.models or item in self.adapters
 
     def replicas(self, item: str) -> set[str]:
@@ -88,14 +90,14 @@
         return self.loaded.get(item, set()) | self.arriving.get(item, set())
 
     def allowed(self, item: str, upstream_id: str) -> bool:
-        """Return whether a ready engine may carry the item now."""
+        """Return whether a ready engine may hold the item now."""
         adapter = self.adapters.get(item)
         if adapter is not None:
             return upstream_id in self.loaded.get(adapter.model, ())
         return self.candidates.is_allowed(self.models[item].instances, upstream_id)
 
     def bytes_to_reserve(self, item: str, upstream_id: str) -> int:
-        """Return the bytes that a load must newly reserve; 0 when they are reserved already."""
+        """Return the bytes that a load must reserve in addition to those that are held already."""
         return max(0, self.size(item) - self.engines[upstream_id].sizes.get(item, 0))
 
     def can_load(self, item: str, upstream_id: str) -> bool:
@@ -105,7 +107,7 @@
         )
 
     def eligible(self, item: str, upstream_id: str) -> bool:
-        """Return whether the engine lacks the item and did not refuse it recently."""
+        """Return whether the engine neither has the item in any state nor refused it recently."""
         return (
             upstream_id not in self.loaded.get(item, ())
             and upstream_id not in self.arriving.get(item, ())
@@ -115,7 +117,7 @@
         )
 
     def load(self, item: str, upstream_id: str) -> None:
-        """Add a load that fits."""
+        """Add a load whose memory is free."""
         to_reserve = self.bytes_to_reserve(item, upstream_id)
         engine = self.engines[upstream_id]
         self._add_demand(item, -1.0)
@@ -127,7 +129,7 @@
         self.arriving.setdefault(item, set()).add(upstream_id)
         self.uncertain.get(item, set()).discard(upstream_id)
         self._add_demand(item, 1.0)
-        self._step(StepKind.LOAD, item, upstream_id, self.size(item))
+        self._add_step(StepKind.LOAD, item, upstream_id, self.size(item))
 
     def unload(self, item: str, upstream_id: str) -> None:
         """Add an unload; its memory can be assigned but is not free yet."""
@@ -138,27 +140,27 @@
         size = self.engines[upstream_id].sizes[item]
         self.unloading_bytes[upstream_id] = self.unloading_bytes.get(upstream_id, 0) + size
         self.unloading.add((upstream_id, item))
-        self._step(StepKind.UNLOAD, item, upstream_id, size)
+        self._add_step(StepKind.UNLOAD, item, upstream_id, size)
 
     def assign_memory(self, item: str, upstream_id: str) -> None:
-        """Assign memory that is being unloaded to an item that is loaded later."""
+        """Set memory that is being freed aside for an item that a later decision loads."""
         to_reserve = self.bytes_to_reserve(item, upstream_id)
         self.free[upstream_id] -= to_reserve
 
     def available_bytes(self, upstream_id: str) -> int:
-        """Return free bytes plus those being unloaded, less what is assigned."""
+        """Return the free bytes plus those being unloaded, minus those already assigned."""
         return self.free[upstream_id] + self.unloading_bytes.get(upstream_id, 0)
 
     def may_search_all(self) -> bool:
         """Return whether this decision may search all engines once more, and count the search."""
-        self._scans += 1
-        return self._scans <= MAX_SCANS
+        self._full_searches += 1
+        return self._full_searches <= MAX_FULL_SEARCHES
 
-    def _step(self, kind: StepKind, item: str, upstream_id: str, size: int) -> None:
+    def _add_step(self, kind: StepKind, item: str, upstream_id: str, size: int) -> None:
         incarnation = self.engines[upstream_id].incarnation
         self.steps.append(Step(kind, upstream_id, incarnation, item, size))
 
-    def _classify_items(self, engine: Engine) -> None:
+    def _classify_items(self, engine: EngineMemory) -> None:
         upstream_id = engine.upstream_id
         for item in engine.sizes:
             order = self.view.pending.get((upstream_id, item))
--- a/src/briardyke/placement/eviction.py
+++ b/src/briardyke/placement/eviction.py
@@ -1,4 +1,4 @@
-"""Choose which items an engine unloads to make room for another."""
+"""Choose which items an engine unloads to free memory for another."""
 
 from __future__ import annotations
 
@@ -10,16 +10,17 @@
     from briardyke.placement.draft import Draft
 
 # A replica is unloaded only when the others stay below this utilization, and one is added above
-# HIGH_UTILIZATION (replicas.py). The gap prevents demand that varies by a quarter from causing
-# loads and unloads in turn.
+# HIGH_UTILIZATION (replicas.py). The gap prevents alternating loads and unloads while demand varies
+# by a quarter.
 LOW_UTILIZATION = 0.65
 
 
 def is_unneeded(draft: Draft, upstream_id: str, item: str) -> bool:
-    """Return whether an item serves nothing where it is.
+    """Return whether an item is not needed on an engine.
 
-    That is an item outside the current version, a model on an engine that its patterns no longer
-    match once an allowed engine serves it, and an adapter on an engine without its model.
+    This holds for an item that is not in the current configuration, for a model on an engine that
+    its patterns do not match if an allowed engine serves it, and for an adapter on an engine
+    without its model.
     """
     if item in draft.models:
         allowed = draft.candidates.is_allowed(draft.models[item].instances, upstream_id)
@@ -31,7 +32,7 @@
 
 
 def is_surplus(draft: Draft, upstream_id: str, item: str) -> bool:
-    """Return whether the other replicas of a model serve its demand without this one."""
+    """Return whether the other replicas of a model can serve its demand without this one."""
     others = draft.loaded.get(item, set()) - {upstream_id}
     if not others or len(others) < draft.models[item].minimum_replicas:
         return False
@@ -45,37 +46,38 @@
 
 
 def choose_evictions(
-    draft: Draft, upstream_id: str, item: str, need: int, *, is_unreachable: bool = False
+    draft: Draft, upstream_id: str, item: str, needed_bytes: int, *, is_unreachable: bool = False
 ) -> list[str] | None:
-    """Return items whose unloading makes room, least valuable first.
+    """Return items to unload so that another item fits, least valuable first.
 
-    An adapter gives way to a model, and to an adapter that is in higher demand or has callers
-    waiting while the other has none. A model gives way only when :func:`is_surplus` allows it, or
-    when the item is otherwise unreachable and another replica of that model serves callers.
+    An adapter is evicted for a model, for an adapter with higher demand, and for an adapter with
+    waiting callers if it has none itself. A model is evicted only when :func:`is_surplus` allows
+    it, or when the new item is unreachable otherwise and another replica of the evicted model
+    serves callers.
 
     :param draft: state of the decision.
-    :param upstream_id: engine that needs room.
-    :param item: item that the room is for.
-    :param need: bytes that the item must reserve.
-    :param is_unreachable: whether the item is unreachable without the room.
-    :return: items to unload, empty when enough memory is being freed already; ``None`` when
-        there is not enough.
+    :param upstream_id: engine that needs free memory.
+    :param item: item that needs the memory.
+    :param needed_bytes: bytes that the item must reserve.
+    :param is_unreachable: whether no caller can reach the item otherwise.
+    :return: items to unload, empty when enough memory is being freed already; ``None`` when not
+        enough can be freed.
     """
     engine = draft.engines[upstream_id]
-    missing = need - draft.available_bytes(upstream_id)
-    if missing <= 0:
+    missing_bytes = needed_bytes - draft.available_bytes(upstream_id)
+    if missing_bytes <= 0:
         return []
     if not engine.checks_fencing:
         return None
     chosen: list[str] = []
     for _, _, size, other in removable(draft, upstream_id, item, is_unreachable):
-        if missing <= 0:
+        if missing_bytes <= 0:
             break
         chosen.append(other)
-        missing += size
-    if missing > 0:
+        missing_bytes += size
+    if missing_bytes > 0:
         return None
-    return _without_surplus(draft, upstream_id, chosen, -missing)
+    return _drop_unneeded(draft, upstream_id, chosen, -missing_bytes)
 
 
 def removable(
@@ -106,7 +108,7 @@
         return None
     if other in draft.models:
         if upstream_id in draft.uncertain.get(other, ()):
-            # Without another replica, loading it again costs less than replacing it.
+            # If it has no other replica, loading it again here costs less than placing it anew.
             return 1 if draft.replicas(other) else None
         if is_surplus(draft, upstream_id, other):
             return 3
@@ -115,14 +117,16 @@
         return None
     if item in draft.models or draft.demand(other) == 0.0:
         return 2
-    more = draft.demand(item) > draft.demand(other) * ADAPTER_MARGIN
-    blocked = _has_waiting_requests(draft, item) and not _has_waiting_requests(draft, other)
-    return 2 if more or blocked else None
+    has_more_demand = draft.demand(item) > draft.demand(other) * ADAPTER_DEMAND_RATIO
+    is_only_one_waiting = _has_waiting_requests(draft, item) and not _has_waiting_requests(
+        draft, other
+    )
+    return 2 if has_more_demand or is_only_one_waiting else None
 
 
-# An adapter replaces one whose demand is at most half of its own, so that two adapters with
-# similar demand do not replace each other in turn.
-ADAPTER_MARGIN = 2.0
+# An adapter replaces another only if its demand is more than this many times as high, so that two
+# adapters with similar demand do not replace each other in turn.
+ADAPTER_DEMAND_RATIO = 2.0
 
 
 def _has_waiting_requests(draft: Draft, item: str) -> bool:
@@ -130,12 +134,14 @@
     return demand is not None and demand.waiting_requests > 0
 
 
-def _without_surplus(draft: Draft, upstream_id: str, chosen: list[str], excess: int) -> list[str]:
+def _drop_unneeded(
+    draft: Draft, upstream_id: str, chosen: list[str], excess_bytes: int
+) -> list[str]:
     sizes = draft.engines[upstream_id].sizes
     kept = []
     for other in chosen:
-        if sizes[other] <= excess:
-            excess -= sizes[other]
+        if sizes[other] <= excess_bytes:
+            excess_bytes -= sizes[other]
         else:
             kept.append(other)
     return kept
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -1,4 +1,4 @@
-"""Carry out placement decisions while this process leads."""
+"""Execute placement decisions while this process is the leader."""
 
 from __future__ import annotations
 
@@ -25,23 +25,23 @@
     from briardyke.http.client import HttpClient
     from briardyke.placement.types import MemoryLedger, PlacementView
 
-# Announcements arrive once a second; deciding a few times in between keeps the delay after each
-# of them short.
+# Announcements arrive once a second. A few decisions per second keep the delay after each short.
 TICK_MS = 250.0
-# An engine answers before it executes an order, so a healthy one needs only one round trip.
+# An engine answers before it executes an order, so a healthy one answers within one round trip.
 ORDER_CALL_TIMEOUT_MS = 2000.0
-# Bounds open connections and uncommitted ledger entries.
+# Limits the open connections and uncommitted ledger entries.
 MAX_CONCURRENT_ENGINES = 64
-# Above this size a decision could delay the heartbeats of the log, which run on the same thread.
-THREAD_FROM_ENGINES = 500
-# A decision for 10,000 engines takes a quarter of a second (docs/placement.md), which at this
-# interval is an eighth of a core.
-LARGE_TICK_MS = 2000.0
+# Above this number, a decision runs on a thread of its own, since it could delay the heartbeats of
+# the consensus log.
+LARGE_POOL_ENGINES = 500
+# A decision for 10,000 engines takes a quarter of a second (docs/placement.md), so at this interval
+# it uses an eighth of a core.
+LARGE_POOL_TICK_MS = 2000.0
 _ORDERS_TARGET = "/v1/orders"
 
 
 class PlacementRunner:
-    """Plan, reserve and order once per tick while this process leads."""
+    """Plan, reserve memory and send orders once per tick while this process is the leader."""
 
     def __init__(
         self,
@@ -50,11 +50,11 @@
         leads: Callable[[], bool],
         client: HttpClient,
     ) -> None:
-        """Keep the parts; nothing runs before :meth:`run`.
+        """Create a runner; :meth:`run` starts it.
 
         :param ledger: commits reservations to the agreed state.
-        :param view: returns what placement sees now; a returned view is not changed afterwards.
-        :param leads: tells whether this process holds the leader lease now.
+        :param view: returns the current inputs of placement, which are not modified afterwards.
+        :param leads: returns whether this process holds the leader lease now.
         :param client: sends the orders.
         """
         self._ledger = ledger
@@ -62,63 +62,63 @@
         self._leads = leads
         self._client = client
         self._coordinator = Coordinator()
-        self._busy: set[str] = set()
+        self._busy_engines: set[str] = set()
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_ENGINES)
-        self._moves = counter("placement_moves", "Confirmed loads and unloads.")
-        self._refusals = counter("placement_refusals", "Orders that an engine refused.")
+        self._move_counter = counter("placement_moves", "Confirmed loads and unloads.")
+        self._refusal_counter = counter("placement_refusals", "Orders that an engine refused.")
 
     async def run(self) -> None:
-        """Run until cancelled; without leadership, nothing is planned, reserved or sent."""
+        """Run until cancelled; only the leader plans, reserves and sends."""
         async with trio.open_nursery() as nursery:
             while True:
-                large = self._leads() and await self._tick(nursery)
-                await sleep_ms(LARGE_TICK_MS if large else TICK_MS)
+                is_large = self._leads() and await self._tick(nursery)
+                await sleep_ms(LARGE_POOL_TICK_MS if is_large else TICK_MS)
 
     async def _tick(self, nursery: trio.Nursery) -> bool:
-        """Decide once and start the work; return whether the pool is large."""
+        """Decide once and start tasks for the orders; return whether there are many engines."""
         view, now = self._view(), now_ms()
-        asked, outcomes = self._coordinator.observe(view, now)
+        planning_view, outcomes = self._coordinator.observe(view, now)
         for order, outcome in outcomes:
             self._log_outcome(order, outcome)
-        large = len(view.upstreams) > THREAD_FROM_ENGINES
-        if large:
-            steps = await trio.to_thread.run_sync(plan, asked, now)
+        is_large = len(view.upstreams) > LARGE_POOL_ENGINES
+        if is_large:
+            steps = await trio.to_thread.run_sync(plan, planning_view, now)
         else:
-            steps = plan(asked, now)
+            steps = plan(planning_view, now)
         due = self._coordinator.due(view, now)
         created = self._coordinator.accept(view, steps, now)
         for order in created:
             log_event(
                 "placement_order",
-                **_names(order),
+                **_log_fields(order),
                 kind=order.step.kind.value,
                 size_bytes=order.step.size_bytes,
             )
-        work: dict[str, list[Order]] = defaultdict(list)
+        orders_by_engine: dict[str, list[Order]] = defaultdict(list)
         for order in [*due, *created]:
-            work[order.step.upstream_id].append(order)
-        for upstream_id, orders in work.items():
-            if upstream_id not in self._busy:
-                self._busy.add(upstream_id)
-                nursery.start_soon(self._serve, upstream_id, orders)
-        return large
-
-    async def _serve(self, upstream_id: str, orders: Sequence[Order]) -> None:
-        """Work through one engine's orders by rising token, so that none overtakes another."""
+            orders_by_engine[order.step.upstream_id].append(order)
+        for upstream_id, orders in orders_by_engine.items():
+            if upstream_id not in self._busy_engines:
+                self._busy_engines.add(upstream_id)
+                nursery.start_soon(self._process_orders, upstream_id, orders)
+        return is_large
+
+    async def _process_orders(self, upstream_id: str, orders: Sequence[Order]) -> None:
+        """Execute one engine's orders by rising token, so that none is fenced by a later one."""
         try:
             async with self._limiter:
                 for order in orders:
-                    if self._may_act(order):
-                        await self._advance(order)
+                    if self._may_execute(order):
+                        await self._execute(order)
         finally:
-            self._busy.discard(upstream_id)
+            self._busy_engines.discard(upstream_id)
 
-    def _may_act(self, order: Order) -> bool:
+    def _may_execute(self, order: Order) -> bool:
         return self._leads() and self._coordinator.is_current(order, self._view())
 
-    async def _advance(self, order: Order) -> None:
+    async def _execute(self, order: Order) -> None:
         if order.state is OrderState.UNLOADED:
-            await self._end(order)
+            await self._end_reservation(order)
             return
         if order.step.kind is StepKind.LOAD and not order.reserved:
             match await self._ledger.reserve(reservation_of(order)):
@@ -127,19 +127,19 @@
                 case Err(failure):
                     self._refuse(order, failure.kind, failure.message)
                     return
-        # Committing took time, in which another leader may have been elected.
-        if not self._may_act(order):
+        # Another leader may have been elected while the reservation was committed.
+        if not self._may_execute(order):
             return
         if self._coordinator.would_remove_last_replica(order, self._view()):
             self._coordinator.finish(order)
             return
         await self._send(order)
 
-    async def _end(self, order: Order) -> None:
+    async def _end_reservation(self, order: Order) -> None:
         step = order.step
         held = self._view().reservations.get(order.key)
         if held is None or held.incarnation != step.incarnation:
-            # The engine had the item from its start, or an earlier attempt to end it succeeded.
+            # The engine had the item from its start, or an earlier attempt ended the reservation.
             self._coordinator.finish(order)
             return
         match await self._ledger.end(
@@ -164,15 +164,15 @@
             "POST",
             address,
             _ORDERS_TARGET,
-            body=_body(order),
+            body=_order_body(order),
             headers={"content-type": "application/json"},
             timeout_ms=ORDER_CALL_TIMEOUT_MS,
         )
         match answer:
             case Ok(response) if response.status == 200:
-                order.taken = True
+                order.accepted = True
             case Ok(response) if response.status == 409:
-                self._refuse(order, _refusal_kind(response.body), "engine refused the order")
+                self._refuse(order, _refusal_kind(response.body), "the engine refused the order")
             case Ok(response):
                 self._log_failure(order, "unexpected_status", str(response.status))
             case Err(failure):
@@ -180,26 +180,26 @@
 
     def _refuse(self, order: Order, kind: ErrorKind, message: str) -> None:
         self._coordinator.drop(order, kind, now_ms())
-        self._refusals.add(1, {"kind": kind.value})
+        self._refusal_counter.add(1, {"kind": kind.value})
         self._log_failure(order, kind.value, message)
 
     def _log_outcome(self, order: Order, outcome: Outcome) -> None:
         kind = order.step.kind.value
-        log_event("placement_confirmation", **_names(order), kind=kind, outcome=outcome.value)
+        log_event("placement_confirmation", **_log_fields(order), kind=kind, outcome=outcome.value)
         if outcome in (Outcome.LOADED, Outcome.UNLOADED):
-            self._moves.add(1, {"kind": kind})
+            self._move_counter.add(1, {"kind": kind})
 
     @staticmethod
     def _log_failure(order: Order, kind: str, message: str) -> None:
-        log_warning("placement_refusal", **_names(order), error=kind, message=message)
+        log_warning("placement_refusal", **_log_fields(order), error=kind, message=message)
 
 
-def _names(order: Order) -> dict[str, str]:
+def _log_fields(order: Order) -> dict[str, str]:
     step = order.step
     return {"order": order.order_id, "upstream": step.upstream_id, "item": step.item}
 
 
-def _body(order: Order) -> bytes:
+def _order_body(order: Order) -> bytes:
     step = order.step
     fields = {
         "order_id": order.order_id,
--- a/src/briardyke/placement/orders.py
+++ b/src/briardyke/placement/orders.py
@@ -14,10 +14,10 @@
 
     from briardyke.wire.messages import UpstreamRow
 
-# An unconfirmed order is in doubt after the silence that makes an upstream count as dead: by then
-# three announcements should have arrived.
+# An unconfirmed order is in doubt after this time, the silence after which an upstream counts as
+# dead: three announcements should have arrived by then.
 ORDER_TIMEOUT_MS = 3000.0
-_COUNTER_BITS = 32
+_TOKEN_COUNTER_BITS = 32
 
 
 class OrderState(Enum):
@@ -30,7 +30,7 @@
 
 
 class Outcome(Enum):
-    """List how an order leaves the table or changes its state."""
+    """List the outcomes of an order that announcements and registrations show."""
 
     LOADED = "loaded"
     UNLOADED = "unloaded"
@@ -40,16 +40,16 @@
 
 @attrs.define
 class Order:
-    """Hold one order.
+    """Hold an order to an engine and its progress.
 
-    :param order_id: identity, kept when the order is repeated.
-    :param fencing_token: term and counter, kept when the order is repeated.
-    :param step: what it changes.
+    :param order_id: id, the same when the order is repeated.
+    :param fencing_token: term and counter, the same when the order is repeated.
+    :param step: change that it orders.
     :param created_ms: time of creation.
     :param state: current state.
-    :param sent_ms: time of the last sending.
+    :param sent_ms: time at which it was last sent.
     :param reserved: whether the reservation of a load has been committed.
-    :param taken: whether the engine answered that it accepted the order.
+    :param accepted: whether the engine has answered that it accepts the order.
     """
 
     order_id: str
@@ -59,25 +59,26 @@
     state: OrderState = OrderState.NEW
     sent_ms: float = 0.0
     reserved: bool = False
-    taken: bool = False
+    accepted: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
-        """Return upstream id and item."""
+        """Return the upstream id and the item."""
         return self.step.upstream_id, self.step.item
 
 
 class OrderTable:
     """Hold the orders of one term, at most one per engine and item.
 
-    Tokens rise over the whole table, so an engine that has accepted a later order refuses every
-    earlier one. A table is kept as long as its term and is never created twice for one term.
+    Each order has a higher token than all earlier ones, so an engine that has accepted a later
+    order refuses every earlier one. There is only one table per term, since a second one would
+    create the same tokens again.
     """
 
     def __init__(self, term: int) -> None:
         """Start without orders.
 
-        :param term: leader's term, the high half of all tokens.
+        :param term: term of the leader, the upper half of all tokens.
         """
         self.term = term
         self._counter = 0
@@ -89,26 +90,26 @@
         return len(self._orders)
 
     def orders(self) -> list[Order]:
-        """Return all orders in the order of their tokens."""
+        """Return all orders by rising token."""
         return sorted(self._orders.values(), key=lambda order: order.fencing_token)
 
     def find(self, upstream_id: str, item: str) -> Order | None:
         """Return the order for an engine and item."""
         return self._orders.get((upstream_id, item))
 
-    def holds(self, order: Order) -> bool:
+    def contains(self, order: Order) -> bool:
         """Return whether the order is still in the table."""
         return self._orders.get(order.key) is order
 
     def create(self, step: Step, now_ms: float) -> Order:
-        """Create an order; it supersedes an earlier one for the same engine and item.
+        """Create an order, which replaces an earlier one for the same engine and item.
 
         :param step: what to change.
         :param now_ms: current time in milliseconds.
         :return: the order, with a token above all earlier ones.
         """
         self._counter += 1
-        token = (self.term << _COUNTER_BITS) + self._counter
+        token = (self.term << _TOKEN_COUNTER_BITS) + self._counter
         order = Order(f"order-{self.term}-{self._counter}", token, step, now_ms)
         self._orders[order.key] = order
         return order
@@ -120,19 +121,19 @@
             order.state = OrderState.SENT
 
     def remove(self, order: Order) -> None:
-        """Remove an order that is refused, superseded or done."""
-        if self.holds(order):
+        """Remove an order that is refused, superseded or complete."""
+        if self.contains(order):
             del self._orders[order.key]
 
     def pending(self) -> dict[tuple[str, str], PendingOrder]:
-        """Return what planning needs to know about the orders."""
+        """Return the orders in the form that planning needs."""
         return {
             key: PendingOrder(order.step.kind, order.step.size_bytes, order.created_ms)
             for key, order in self._orders.items()
         }
 
     def due(self, now_ms: float) -> list[Order]:
-        """Return the orders to send now and mark overdue ones as in doubt.
+        """Return the orders to send now, and mark overdue ones as in doubt.
 
         An order in doubt is repeated with its own id and token after each timeout.
 
@@ -174,7 +175,7 @@
             else:
                 self.remove(order)
             outcomes.append((order, outcome))
-        self._remember(rows.values())
+        self._record_sequences(rows.values())
         return outcomes
 
     def _outcome(
@@ -189,23 +190,23 @@
         if row.sequence < self._sequences.get((step.upstream_id, row.incarnation), 0):
             return None
         states = {item.name: item.state for item in row.loaded}
-        accepted = row.highest_fencing_token >= order.fencing_token
+        token_seen = row.highest_fencing_token >= order.fencing_token
         if step.kind is StepKind.LOAD:
-            if states.get(step.item) == "loaded" and (accepted or not row.checks_fencing):
+            if states.get(step.item) == "loaded" and (token_seen or not row.checks_fencing):
                 return Outcome.LOADED
-            overtaken = row.highest_fencing_token > order.fencing_token
-            return Outcome.FENCED if overtaken and step.item not in states else None
-        # Absence of the item proves the unload only together with the token: a delayed load with
-        # a lower token could otherwise occupy the memory again.
-        if order.order_id in row.ended_order_ids or (accepted and step.item not in states):
+            is_superseded = row.highest_fencing_token > order.fencing_token
+            return Outcome.FENCED if is_superseded and step.item not in states else None
+        # The absence of the item confirms the unload only together with the token. Otherwise a
+        # delayed load with a lower token could use the memory again.
+        if order.order_id in row.ended_order_ids or (token_seen and step.item not in states):
             return Outcome.UNLOADED
-        overtaken = row.highest_fencing_token > order.fencing_token and not order.taken
-        return Outcome.FENCED if overtaken else None
+        is_superseded = row.highest_fencing_token > order.fencing_token and not order.accepted
+        return Outcome.FENCED if is_superseded else None
 
-    def _remember(self, rows: Iterable[UpstreamRow]) -> None:
-        before = self._sequences
+    def _record_sequences(self, rows: Iterable[UpstreamRow]) -> None:
+        earlier = self._sequences
         self._sequences = {
-            key: max(row.sequence, before.get(key, 0))
+            key: max(row.sequence, earlier.get(key, 0))
             for row in rows
             for key in [(row.upstream_id, row.incarnation)]
         }
--- a/src/briardyke/placement/plan.py
+++ b/src/briardyke/placement/plan.py
@@ -1,4 +1,4 @@
-"""Decide which engine loads or unloads what."""
+"""Decide which models and adapters each engine loads and unloads."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from briardyke.placement.draft import Draft
 from briardyke.placement.eviction import choose_evictions, is_unneeded, removable
-from briardyke.placement.replicas import follow_demand
+from briardyke.placement.replicas import add_replicas
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -18,7 +18,8 @@
 # The weight store starts only a few loads per second, so a decision needs no more steps than this;
 # the next tick decides again.
 MAX_STEPS = 256
-# Engines that are examined for room when none has enough free memory, least busy first.
+# When no engine has enough free memory, this many are searched for items to evict, those with the
+# least assigned demand first.
 MAX_EVICTION_ENGINES = 64
 
 
@@ -28,7 +29,7 @@
     A load is returned only when its memory is free already. Memory that an unload frees is
     assigned in a later call, once the engine has confirmed it.
 
-    :param view: what placement sees.
+    :param view: inputs of the decision.
     :param now_ms: current time in milliseconds.
     :return: at most :data:`MAX_STEPS` steps.
     """
@@ -38,7 +39,7 @@
     _place_missing_adapters(draft)
     _unload_unneeded(draft)
     if len(draft.steps) < MAX_STEPS:
-        follow_demand(draft, MAX_STEPS)
+        add_replicas(draft, MAX_STEPS)
         _unload_uncertain(draft)
     return draft.steps[:MAX_STEPS]
 
@@ -62,32 +63,33 @@
 
 
 def _pack(draft: Draft, missing: list[str]) -> dict[str, str]:
-    """Choose engines for all items, largest first; empty when they do not all fit.
+    """Choose an engine for each item, largest item first; return nothing unless all items fit.
 
-    Placing the most demanded first could split the free memory so that a large model fits nowhere.
+    Placing the items with the highest demand first could split the free memory so that a large
+    model fits nowhere.
     """
     free = dict(draft.free)
     added_demand: dict[str, float] = {}
     engines_by_item: dict[str, str] = {}
     for item in sorted(missing, key=lambda m: (-draft.size(m), *_urgency(draft, m))):
-        fits = _fits(draft, item, free)
+        fits = _fits_free_memory(draft, item, free)
         engine_id = _uncertain_engine(draft, item)
         engine_id = engine_id or draft.candidates.least_busy(
             draft.models[item].instances, fits, len(draft.engines)
         )
         if engine_id is None:
-            _restore(draft, added_demand)
+            _restore_assigned_demand(draft, added_demand)
             return {}
         engines_by_item[item] = engine_id
         free[engine_id] -= draft.bytes_to_reserve(item, engine_id)
         added_demand[engine_id] = added_demand.get(engine_id, 0.0) + draft.demand(item)
         draft.assigned_demand[engine_id] += draft.demand(item)
         draft.candidates.changed(engine_id)
-    _restore(draft, added_demand)
+    _restore_assigned_demand(draft, added_demand)
     return engines_by_item
 
 
-def _fits(draft: Draft, item: str, free: dict[str, int]) -> Callable[[str], bool]:
+def _fits_free_memory(draft: Draft, item: str, free: dict[str, int]) -> Callable[[str], bool]:
     def fits(upstream_id: str) -> bool:
         room = max(0, free[upstream_id])
         return draft.bytes_to_reserve(item, upstream_id) <= room and draft.eligible(
@@ -97,33 +99,33 @@
     return fits
 
 
-def _restore(draft: Draft, added_demand: dict[str, float]) -> None:
+def _restore_assigned_demand(draft: Draft, added_demand: dict[str, float]) -> None:
     for upstream_id, demand in added_demand.items():
         draft.assigned_demand[upstream_id] -= demand
         draft.candidates.changed(upstream_id)
 
 
 def _uncertain_engine(draft: Draft, item: str) -> str | None:
-    """Return an engine that holds memory for the item already; a load there needs no more.
+    """Return an engine that already holds memory for the item, so that a load there needs no more.
 
-    It may also be an engine whose unload of the item is in doubt: the new load has a higher token
-    and so prevents that unload.
+    This includes an engine whose unload of the item is not confirmed: the new load has a higher
+    fencing token and so prevents that unload.
     """
-    held = [i for i in draft.uncertain.get(item, ()) if draft.can_load(item, i)]
-    if not held:
+    holders = [i for i in draft.uncertain.get(item, ()) if draft.can_load(item, i)]
+    if not holders:
         allowed = draft.candidates.allowed(draft.models[item].instances)
         size = draft.size(item)
-        held = [
+        holders = [
             i
             for i in allowed
-            # Memory that is assigned to a more urgent item already is not taken back.
+            # Memory that is already assigned to a more urgent item is not taken back.
             if (i, item) in draft.unloading and draft.available_bytes(i) >= size
         ]
-    return min(held, default=None)
+    return min(holders, default=None)
 
 
 def _place(draft: Draft, item: str, *, is_unreachable: bool) -> bool:
-    """Load the item where it fits, or make room for it; return whether that is possible."""
+    """Load the item where it fits, or unload others for it; return whether that is possible."""
     engine_id = _uncertain_engine(draft, item)
     patterns = draft.models[item].instances
     if engine_id is None:
@@ -134,36 +136,38 @@
         draft.load(item, engine_id)
         return True
     allowed = draft.candidates.allowed(patterns)
-    least = heapq.nsmallest(
+    least_busy = heapq.nsmallest(
         MAX_EVICTION_ENGINES, allowed, key=lambda i: (draft.assigned_demand[i], i)
     )
-    if _make_room(draft, item, least, is_unreachable=is_unreachable):
+    if _evict_for(draft, item, least_busy, is_unreachable=is_unreachable):
         return True
     return (
         is_unreachable
         and draft.may_search_all()
-        and _make_room(draft, item, allowed, is_unreachable=True)
+        and _evict_for(draft, item, allowed, is_unreachable=True)
     )
 
 
-def _make_room(
+def _evict_for(
     draft: Draft, item: str, upstream_ids: Iterable[str], *, is_unreachable: bool
 ) -> bool:
     best: tuple[int, float, str, list[str]] | None = None
     for upstream_id in upstream_ids:
         if not draft.eligible(item, upstream_id):
             continue
-        need = draft.bytes_to_reserve(item, upstream_id)
-        chosen = choose_evictions(draft, upstream_id, item, need, is_unreachable=is_unreachable)
-        if chosen is None:
+        needed_bytes = draft.bytes_to_reserve(item, upstream_id)
+        evictions = choose_evictions(
+            draft, upstream_id, item, needed_bytes, is_unreachable=is_unreachable
+        )
+        if evictions is None:
             continue
-        key = (len(chosen), draft.assigned_demand[upstream_id], upstream_id, chosen)
+        key = (len(evictions), draft.assigned_demand[upstream_id], upstream_id, evictions)
         if best is None or key < best:
             best = key
     if best is None:
         return False
-    _, _, upstream_id, chosen = best
-    for other in chosen:
+    _, _, upstream_id, evictions = best
+    for other in evictions:
         draft.unload(other, upstream_id)
     draft.assign_memory(item, upstream_id)
     return True
@@ -192,13 +196,13 @@
 
 
 def _models_to_copy(draft: Draft, item: str, upstream_id: str) -> list[str] | None:
-    """Return the models that must get another replica before the item can fit, if that suffices.
+    """Return the models to copy elsewhere before the item can fit, or ``None`` if it cannot.
 
-    A model whose other replica is being loaded counts as moved.
+    A model whose other replica is being loaded counts as copied.
     """
     sizes = draft.engines[upstream_id].sizes
-    missing = draft.bytes_to_reserve(item, upstream_id) - draft.available_bytes(upstream_id)
-    missing += sum(size for _, _, size, _ in removable(draft, upstream_id, item, True))
+    missing_bytes = draft.bytes_to_reserve(item, upstream_id) - draft.available_bytes(upstream_id)
+    missing_bytes += sum(size for _, _, size, _ in removable(draft, upstream_id, item, True))
     sole = []
     for other, size in sizes.items():
         if other not in draft.models or upstream_id not in draft.loaded.get(other, ()):
@@ -207,49 +211,49 @@
         if not elsewhere:
             sole.append((-size, other))
         elif not elsewhere & draft.loaded.get(other, set()):
-            missing -= size
+            missing_bytes -= size
     to_copy = []
     for size, other in sorted(sole):
-        if missing <= 0:
+        if missing_bytes <= 0:
             break
         to_copy.append(other)
-        missing += size
-    return to_copy if missing <= 0 else None
+        missing_bytes += size
+    return to_copy if missing_bytes <= 0 else None
 
 
 def _place_minimum_replicas(draft: Draft) -> None:
-    short = []
+    below_minimum = []
     for item, model in draft.models.items():
         if model.minimum_replicas > 1 and draft.replicas(item):
             allowed = len(draft.candidates.allowed(model.instances))
             if len(draft.replicas(item)) < min(model.minimum_replicas, allowed):
-                short.append(item)
-    for item in sorted(short, key=lambda m: _urgency(draft, m)):
+                below_minimum.append(item)
+    for item in sorted(below_minimum, key=lambda m: _urgency(draft, m)):
         for _ in range(draft.models[item].minimum_replicas - len(draft.replicas(item))):
             if not _place(draft, item, is_unreachable=False):
                 break
 
 
 def _place_missing_adapters(draft: Draft) -> None:
-    wanted = [
+    demanded = [
         a
         for a in draft.view.demand
         if a in draft.adapters and draft.demand(a) > 0 and not draft.replicas(a)
     ]
-    for item in sorted(wanted, key=lambda a: (-draft.demand(a), a)):
+    for item in sorted(demanded, key=lambda a: (-draft.demand(a), a)):
         with_model = draft.loaded.get(draft.adapters[item].model, set())
         fitting = [i for i in with_model if draft.can_load(item, i)]
         if fitting:
             draft.load(item, min(fitting, key=lambda i: (draft.assigned_demand[i], i)))
         else:
-            least = sorted(with_model, key=lambda i: (draft.assigned_demand[i], i))[
+            least_busy = sorted(with_model, key=lambda i: (draft.assigned_demand[i], i))[
                 :MAX_EVICTION_ENGINES
             ]
-            _make_room(draft, item, least, is_unreachable=False)
+            _evict_for(draft, item, least_busy, is_unreachable=False)
 
 
 def _unload_unneeded(draft: Draft) -> None:
-    """Unload items that serve no requests and have no demand."""
+    """Unload items that are not needed where they are and have no demand."""
     for upstream_id, engine in draft.engines.items():
         if not engine.checks_fencing or not engine.ready:
             continue
@@ -257,13 +261,16 @@
             if (upstream_id, item) in draft.unloading or not is_unneeded(draft, upstream_id, item):
                 continue
             order = draft.view.pending.get((upstream_id, item))
-            fresh = order is not None and (upstream_id, item) not in draft.stuck
-            if draft.demand(item) == 0.0 and not (fresh and draft.is_configured(item)):
+            is_in_progress = order is not None and (upstream_id, item) not in draft.stuck
+            if draft.demand(item) == 0.0 and not (is_in_progress and draft.is_configured(item)):
                 draft.unload(item, upstream_id)
 
 
 def _unload_uncertain(draft: Draft) -> None:
-    """Unload uncertain items that are not needed; the unload's token prevents the earlier load."""
+    """Unload uncertain items that are not needed.
+
+    The higher fencing token of the unload prevents the earlier load.
+    """
     for item in sorted(draft.uncertain):
         for upstream_id in sorted(draft.uncertain[item]):
             if draft.engines[upstream_id].checks_fencing:
--- a/src/briardyke/placement/replicas.py
+++ b/src/briardyke/placement/replicas.py
@@ -1,4 +1,4 @@
-"""Add replicas where demand exceeds what the present ones serve, if the gain exceeds the cost."""
+"""Add replicas where demand exceeds the present capacity, if the gain exceeds the cost."""
 
 from __future__ import annotations
 
@@ -11,28 +11,29 @@
 
     from briardyke.placement.draft import Draft
 
-# Above this utilization an engine is assumed to miss its targets for the excess.
+# Demand above this utilization of an engine is assumed to miss the latency targets.
 HIGH_UTILIZATION = 0.9
 # Demand that varies tenfold within an hour changes by a fifth within this time, so the present
-# demand is a fair forecast for as long.
+# demand is a good enough forecast for this long.
 HORIZON_MS = 300_000.0
-# Gain is counted in minutes of one engine's throughput served within target. A replica that is
-# fully used over the horizon gains 5, so a move weight of 1 asks for a fifth of an engine.
+# Gain is counted in minutes of one engine's throughput served within the targets. A replica that is
+# fully used over the horizon gains 5, so a move weight of 1 requires a fifth of an engine.
 GAIN_UNIT_MS = 60_000.0
-# An engine that ignores fencing tokens never frees the memory, so a load there counts as two moves.
+# An engine that ignores fencing tokens never frees the memory, so a load there has the cost of two
+# moves.
 PERMANENT_LOAD_MOVES = 2
 _MAX_ENGINES_TESTED = 32
 _MAX_REPLICAS_PER_DECISION = 16
 
 
 def gain(draft: Draft, served_tokens_per_second: float) -> float:
-    """Return the weighted gain of serving more demand over the horizon."""
+    """Return the weighted gain of serving this much more demand over the horizon."""
     engines = served_tokens_per_second / draft.view.engine_tokens_per_second
     weight = draft.view.configuration.placement.attainment_weight
     return weight * engines * HORIZON_MS / GAIN_UNIT_MS
 
 
-def unserved(draft: Draft, item: str) -> float:
+def unserved_demand(draft: Draft, item: str) -> float:
     """Return the item's demand beyond the capacity of its replicas, in tokens per second."""
     replicas = draft.replicas(item)
     if not replicas:
@@ -46,7 +47,7 @@
     )
 
 
-def follow_demand(draft: Draft, max_steps: int) -> None:
+def add_replicas(draft: Draft, max_steps: int) -> None:
     """Add replicas for items on overloaded engines, the largest excess first.
 
     Only items that have a replica on an overloaded engine are examined.
@@ -55,9 +56,13 @@
     :param max_steps: number of steps at which to stop.
     """
     limit = HIGH_UTILIZATION * draft.view.engine_tokens_per_second
-    busy = {i for i, assigned in draft.assigned_demand.items() if assigned > limit}
-    items = {item for i in busy for item in draft.engines[i].sizes if draft.is_configured(item)}
-    ranked = sorted((-unserved(draft, item), item) for item in items if draft.demand(item) > 0)
+    overloaded = {i for i, assigned in draft.assigned_demand.items() if assigned > limit}
+    items = {
+        item for i in overloaded for item in draft.engines[i].sizes if draft.is_configured(item)
+    }
+    ranked = sorted(
+        (-unserved_demand(draft, item), item) for item in items if draft.demand(item) > 0
+    )
     for _, item in ranked:
         for _ in range(_MAX_REPLICAS_PER_DECISION):
             if len(draft.steps) >= max_steps or not _add_replica(draft, item):
@@ -65,20 +70,21 @@
 
 
 def _add_replica(draft: Draft, item: str) -> bool:
-    excess = unserved(draft, item)
+    excess = unserved_demand(draft, item)
     weight = draft.view.configuration.placement.move_weight
     if excess <= 0 or gain(draft, excess) <= weight:
         return False
     target = _least_busy(draft, item)
     if target is not None and _is_worthwhile(
-        draft, item, target, excess, _load_moves(draft, target)
+        draft, item, target, excess, _moves_per_load(draft, target)
     ):
         draft.load(item, target)
         return True
-    return _replace(draft, item, excess)
+    return _evict_for_replica(draft, item, excess)
 
 
-def _replace(draft: Draft, item: str, excess: float) -> bool:
+def _evict_for_replica(draft: Draft, item: str, excess: float) -> bool:
+    """Unload items for a replica; return ``False``, as the load waits for a later decision."""
     tested: list[str] = []
 
     def has_room(upstream_id: str) -> bool:
@@ -143,7 +149,7 @@
     return draft.free[upstream_id] - draft.bytes_to_reserve(item, upstream_id) >= largest
 
 
-def _load_moves(draft: Draft, upstream_id: str) -> int:
+def _moves_per_load(draft: Draft, upstream_id: str) -> int:
     return 1 if draft.engines[upstream_id].checks_fencing else PERMANENT_LOAD_MOVES
 
 
--- a/src/briardyke/placement/reservations.py
+++ b/src/briardyke/placement/reservations.py
@@ -1,4 +1,4 @@
-"""Derive each engine's held memory from reservations, announcements and pending orders."""
+"""Compute the held memory of each engine from reservations, announcements and pending orders."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 
 @attrs.define
-class Engine:
-    """Hold what is known about one live engine incarnation.
+class EngineMemory:
+    """Describe the memory of a live engine in its current incarnation.
 
     :param upstream_id: id of the engine.
     :param incarnation: its current incarnation.
     :param capacity_bytes: memory for models and adapters.
     :param checks_fencing: whether an unload can free memory.
-    :param ready: whether it takes new work.
+    :param ready: whether it accepts new work.
     :param sizes: size in bytes of every item that holds memory, by name.
     :param loaded: items announced as loaded.
     :param loading: items announced as loading.
@@ -43,30 +43,34 @@
         return self.capacity_bytes - self.held_bytes
 
 
-def live_engines(view: PlacementView) -> dict[str, Engine]:
+def live_engines(view: PlacementView) -> dict[str, EngineMemory]:
     """Return the engines that are live and registered under the announced incarnation.
 
-    An item holds memory when it is reserved, announced or part of a pending load. The announcement
+    An item holds memory when it is reserved, announced or part of a pending load. Announcements
     alone would miss an order that is still in transit. An engine that ignores fencing tokens keeps
-    all its reservations, because the ledger ends none of them within the incarnation.
+    all its reservations until it restarts, because the ledger ends none of them earlier.
 
-    :param view: what placement sees.
+    :param view: inputs of placement.
     :return: engines by upstream id, in the order of their ids.
     """
-    engines: dict[str, Engine] = {}
+    engines: dict[str, EngineMemory] = {}
     for upstream_id in sorted(view.upstreams):
         row = view.upstreams[upstream_id]
-        known = view.registrations.get(upstream_id)
-        if known is None or row.kind != "engine" or known.incarnation != row.incarnation:
+        registration = view.registrations.get(upstream_id)
+        if (
+            registration is None
+            or row.kind != "engine"
+            or registration.incarnation != row.incarnation
+        ):
             continue
-        capacity = known.capacity_bytes
+        capacity = registration.capacity_bytes
         if 0 < row.capacity_bytes < capacity:
             capacity = row.capacity_bytes
-        engines[upstream_id] = Engine(
+        engines[upstream_id] = EngineMemory(
             upstream_id,
             row.incarnation,
             capacity,
-            known.checks_fencing and row.checks_fencing,
+            registration.checks_fencing and row.checks_fencing,
             row.lifecycle == "ready",
             {item.name: item.size_bytes for item in row.loaded},
             {item.name for item in row.loaded if item.state == "loaded"},
--- a/src/briardyke/placement/store_rate.py
+++ b/src/briardyke/placement/store_rate.py
@@ -1,4 +1,4 @@
-"""Limit how fast loads are started, so that the weight store stays at full speed."""
+"""Limit the rate and number of loads, so that the weight store is not overloaded."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     from briardyke.agreed.configuration import PlacementSettings
 
 # A load that is neither confirmed nor announced counts as in transit for this long: ten times the
-# silence after which an upstream counts as dead, so a slow network rarely delays it any longer.
+# silence after which an upstream counts as dead. A slow network rarely delays an order for longer.
 TRANSIT_TIMEOUT_MS = 30_000.0
 
 
@@ -23,18 +23,18 @@
 class StoreRate:
     """Count loads in transit and the time since the last start.
 
-    Rate and concurrency of the store apply to models. Adapters have a limit of their own, because
-    they take milliseconds and would otherwise wait behind models at one start per second.
+    The limits on rate and concurrency apply to models. Adapters have a separate limit, because they
+    load in milliseconds and would otherwise wait behind models at one start per second.
     """
 
     def __init__(self, now_ms: float) -> None:
-        """Start as if a load had just started: the previous leader may have started one.
+        """Assume that a load has just started, since the previous leader may have started one.
 
         :param now_ms: current time in milliseconds.
         """
         self._transits: dict[tuple[str, str, str], _Transit] = {}
         self._last_start_ms = now_ms
-        self._adapters = 0
+        self._adapter_count = 0
 
     def may_start(
         self,
@@ -50,17 +50,20 @@
 
         :param key: upstream id, incarnation and item.
         :param is_adapter: whether the item is an adapter.
-        :param settings: limits in force.
+        :param settings: current limits.
         :param now_ms: current time in milliseconds.
         """
         self._expire(now_ms)
-        held = key in self._transits
+        is_counted = key in self._transits
         if is_adapter:
-            return held or self._adapters < settings.adapters_in_transit
-        if not held and len(self._transits) - self._adapters >= settings.store_concurrent_loads:
+            return is_counted or self._adapter_count < settings.adapters_in_transit
+        if (
+            not is_counted
+            and len(self._transits) - self._adapter_count >= settings.store_concurrent_loads
+        ):
             return False
-        rate = settings.store_loads_per_second
-        return rate > 0 and now_ms - self._last_start_ms >= 1000.0 / rate
+        loads_per_second = settings.store_loads_per_second
+        return loads_per_second > 0 and now_ms - self._last_start_ms >= 1000.0 / loads_per_second
 
     def start(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
         """Count a load that is ordered now and restart its transit timeout.
@@ -69,37 +72,38 @@
         :param is_adapter: whether the item is an adapter.
         :param now_ms: current time in milliseconds.
         """
-        self.hold(key, is_adapter, now_ms)
+        self.add_in_transit(key, is_adapter, now_ms)
         if not is_adapter:
             self._last_start_ms = now_ms
 
     def repeat(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
         """Count a repeated order without restarting its transit timeout.
 
-        Otherwise an engine that accepts no orders would hold one of the concurrent loads forever.
+        Restarting it would let an engine that accepts no orders use one of the concurrent loads
+        forever.
         """
-        if not self.holds(key):
-            self.hold(key, is_adapter, now_ms)
+        if not self.is_in_transit(key):
+            self.add_in_transit(key, is_adapter, now_ms)
         if not is_adapter:
             self._last_start_ms = now_ms
 
-    def hold(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
-        """Count a load as in transit from now, such as one announced or left by another leader."""
+    def add_in_transit(self, key: tuple[str, str, str], is_adapter: bool, now_ms: float) -> None:
+        """Count a load as in transit from now on, such as one that an earlier leader ordered."""
         self.finish(key)
         self._transits[key] = _Transit(is_adapter, now_ms + TRANSIT_TIMEOUT_MS)
-        self._adapters += is_adapter
+        self._adapter_count += is_adapter
 
     def finish(self, key: tuple[str, str, str]) -> None:
-        """Stop counting a load that is confirmed or cannot run any more."""
+        """Stop counting a load that is complete or can no longer happen."""
         transit = self._transits.pop(key, None)
         if transit is not None:
-            self._adapters -= transit.is_adapter
+            self._adapter_count -= transit.is_adapter
 
     def in_transit(self) -> set[tuple[str, str, str]]:
         """Return the keys of all loads that count as in transit."""
         return set(self._transits)
 
-    def holds(self, key: tuple[str, str, str]) -> bool:
+    def is_in_transit(self, key: tuple[str, str, str]) -> bool:
         """Return whether a load counts as in transit."""
         return key in self._transits
 
--- a/src/briardyke/placement/types.py
+++ b/src/briardyke/placement/types.py
@@ -1,4 +1,4 @@
-"""Define what placement sees and what it decides."""
+"""Define the inputs and results of placement decisions, and its interface to the ledger."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class Step:
-    """Describe one change of an upstream's memory.
+    """Describe one change to an upstream's memory.
 
     :param kind: load or unload.
     :param upstream_id: upstream that the step changes.
@@ -48,7 +48,7 @@
 
     :param kind: load or unload.
     :param size_bytes: memory of the item, held even before its reservation is visible.
-    :param since_ms: time at which the order was created, on the runtime's clock.
+    :param since_ms: time at which the order was created, by :func:`briardyke.clock.now_ms`.
     """
 
     kind: StepKind
@@ -56,24 +56,25 @@
     since_ms: float
 
 
-# The design size of 23 million tokens per second on 10,000 workers.
+# The largest supported deployment generates 23 million tokens per second on 10,000 engines.
 ENGINE_TOKENS_PER_SECOND = 2300.0
 
 
 @attrs.frozen
 class PlacementView:
-    """Hold everything that placement decides from.
+    """Hold the inputs of a placement decision.
 
     :param version: number of the configuration.
     :param configuration: configuration in force.
     :param registrations: agreed registrations by upstream id.
     :param reservations: agreed reservations by upstream id and item.
-    :param upstreams: live upstreams by id; one that is silent is absent.
+    :param upstreams: latest announcements by id, of live upstreams only.
     :param demand: demand over all entry instances, by model or adapter name.
-    :param term: leader's term, the first half of new fencing tokens.
-    :param pending: unconfirmed orders of this leader by upstream id and item; the runner sets it.
-    :param blocked: upstream ids and items that were refused recently; the runner sets it.
-    :param engine_tokens_per_second: demand that one engine serves within the targets.
+    :param term: term of the leader, the upper half of new fencing tokens.
+    :param pending: unconfirmed orders of this leader by upstream id and item; set by the
+        coordinator.
+    :param blocked: upstream ids and items that were refused recently; set by the coordinator.
+    :param engine_tokens_per_second: throughput of one engine within the latency targets.
     """
 
     version: int
--- a/tests/placement/placement_world.py
+++ b/tests/placement/placement_support.py
@@ -260,6 +260,6 @@
     def answer(self, order: Order, text: str, now_ms: float) -> None:
         """Feed an engine's answer back."""
         if text == "taken":
-            order.taken = True
+            order.accepted = True
         else:
             self.coordinator.drop(order, ErrorKind.FENCED, now_ms)
--- a/tests/placement/test_executor.py
+++ b/tests/placement/test_executor.py
@@ -7,7 +7,7 @@
 
 import attrs
 import trio
-from placement_world import FakeEngine, ReferenceLedger, configuration
+from placement_support import FakeEngine, ReferenceLedger, configuration
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
--- a/tests/placement/test_orders.py
+++ b/tests/placement/test_orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import attrs
-from placement_world import FakeEngine
+from placement_support import FakeEngine
 
 from briardyke.placement.orders import ORDER_TIMEOUT_MS, Order, OrderState, OrderTable, Outcome
 from briardyke.placement.types import Step, StepKind
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from placement_world import FakeEngine, Leader, ReferenceLedger, configuration
+from placement_support import FakeEngine, Leader, ReferenceLedger, configuration
 
 from briardyke.agreed.configuration import Configuration, Model, PlacementSettings
 from briardyke.placement.store_rate import TRANSIT_TIMEOUT_MS
@@ -198,7 +198,7 @@
             if order.order_id not in self.sent_ids or key not in self.starts:
                 self.starts[key] = self.now_ms
             self.sent_ids.add(order.order_id)
-            if step.item not in _ADAPTERS and not order.taken:
+            if step.item not in _ADAPTERS and not order.accepted:
                 self.start_times.append(self.now_ms)
         models = [key for key in self.starts if key[2] not in _ADAPTERS]
         assert len(models) <= _LIMITS.store_concurrent_loads
--- a/tests/placement/test_plan.py
+++ b/tests/placement/test_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import attrs
-from placement_world import World, configuration, demand, steps_of
+from placement_support import World, configuration, demand, steps_of
 
 from briardyke.agreed.configuration import Model
 from briardyke.placement.types import PendingOrder, StepKind
--- a/tests/placement/test_store_rate.py
+++ b/tests/placement/test_store_rate.py
@@ -29,7 +29,7 @@
         assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 9_000.0)
         rate.finish(("e", "i", "a"))
         assert rate.may_start(("e", "i", "new"), False, _LIMITS, 9_000.0)
-        rate.hold(("e", "i", "c"), False, 9_000.0)
+        rate.add_in_transit(("e", "i", "c"), False, 9_000.0)
         assert not rate.may_start(
             ("e", "i", "new"), False, _LIMITS, 1000.0 + TRANSIT_TIMEOUT_MS - 1
         )
@@ -52,4 +52,4 @@
         rate.repeat(key, False, 1000.0)
         assert not rate.may_start(("e", "i", "b"), False, _LIMITS, 1499.0)
         rate.may_start(key, False, _LIMITS, 500.0 + TRANSIT_TIMEOUT_MS)
-        assert not rate.holds(key)
+        assert not rate.is_in_transit(key)
