--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,4 +1,4 @@
-"""Measure attainment, accelerators and moves of placement, and the time of a decision.
+"""Measure the attainment, accelerators and moves of placement, and the duration of a decision.
 
 Run from the root of the tree: ``PYTHONPATH=src python bench/placement.py [compare|weights|time]``.
 """
@@ -28,52 +28,58 @@
 SEEDS = (1, 2, 3, 4, 5)
 TICK_MS = 5_000.0
 TICKS = 360  # half an hour
-CAPACITY = 80
-LOAD_UNIT = 0.1  # mean demand of a model in engines
+CAPACITY_BYTES = 80
+# Multiplied by 0.5 to 4, the mean demand of a model as a fraction of one engine's throughput.
+MEAN_DEMAND_UNIT = 0.1
 
 
 @attrs.frozen
-class User:
-    """Describe one current user by the sizes of the design page."""
+class Deployment:
+    """Describe the engines, models and settings of one user, with the sizes of the design page."""
 
     pools: dict[str, int]
     models: int
     settings: PlacementSettings
 
 
-USERS = {
-    "Pecos": User({"sorting": 5, "sales": 4}, 13, PlacementSettings(1.0, 2.0, 1.0, 5, 40)),
-    "Dala": User({"member": 6, "ordering": 3}, 15, PlacementSettings(2.0, 1.0, 1.5, 8, 65)),
+DEPLOYMENTS = {
+    "Pecos": Deployment({"sorting": 5, "sales": 4}, 13, PlacementSettings(1.0, 2.0, 1.0, 5, 40)),
+    "Dala": Deployment({"member": 6, "ordering": 3}, 15, PlacementSettings(2.0, 1.0, 1.5, 8, 65)),
 }
 
 
 class Simulation:
-    """Run one policy on engines that load within one tick and obey every order."""
+    """Run one policy on engines that load within one tick and execute every order."""
 
-    def __init__(self, user: User, seed: int, policy: Policy) -> None:
+    def __init__(self, deployment: Deployment, seed: int, policy: Policy) -> None:
         self.random = random.Random(seed)
         self.policy = policy
-        pools = [pool for pool, number in user.pools.items() for _ in range(number)]
+        pools = [
+            pool for pool, engine_count in deployment.pools.items() for _ in range(engine_count)
+        ]
         models = {
             f"m{i:02}": Model(self.random.randint(10, 30), (f"{pools[i % len(pools)]}-*",))
-            for i in range(user.models)
+            for i in range(deployment.models)
         }
-        self.config = Configuration(models=models, placement=user.settings)
+        self.config = Configuration(models=models, placement=deployment.settings)
         self.engines: dict[str, dict[str, LoadedItem]] = {
-            f"{pool}-{i}": {} for pool, number in user.pools.items() for i in range(number)
+            f"{pool}-{i}": {}
+            for pool, engine_count in deployment.pools.items()
+            for i in range(engine_count)
         }
-        self.base = {
-            m: LOAD_UNIT * ENGINE_TOKENS_PER_SECOND * self.random.uniform(0.5, 4.0) for m in models
+        self.mean_demand = {
+            m: MEAN_DEMAND_UNIT * ENGINE_TOKENS_PER_SECOND * self.random.uniform(0.5, 4.0)
+            for m in models
         }
-        self.tokens = dict.fromkeys(self.engines, 0)
+        self.fencing_tokens = dict.fromkeys(self.engines, 0)
         self.reservations: dict[tuple[str, str], Reservation] = {}
         self.coordinator = Coordinator()
         self.now_ms = 0.0
         self.moves = 0
 
     def view(self, rates: dict[str, float]) -> PlacementView:
-        """Return the view with the given demand."""
-        rows, known = {}, {}
+        """Return the inputs of a decision with the given demand."""
+        rows, registrations = {}, {}
         for name, items in self.engines.items():
             rows[name] = UpstreamRow(
                 name,
@@ -82,24 +88,26 @@
                 "127.0.0.1:1",
                 "dc",
                 loaded=list(items.values()),
-                capacity_bytes=CAPACITY,
-                highest_fencing_token=self.tokens[name],
+                capacity_bytes=CAPACITY_BYTES,
+                highest_fencing_token=self.fencing_tokens[name],
             )
-            known[name] = UpstreamRegistration(name, "1", "engine", CAPACITY, True)
+            registrations[name] = UpstreamRegistration(name, "1", "engine", CAPACITY_BYTES, True)
         demand = {m: ModelDemand(rate / 460.0, rate) for m, rate in rates.items()}
-        return PlacementView(1, self.config, known, dict(self.reservations), rows, demand, 1)
+        return PlacementView(
+            1, self.config, registrations, dict(self.reservations), rows, demand, 1
+        )
 
     def tick(self, rates: dict[str, float], policy: Policy) -> None:
-        """Decide once and carry out what the store admits."""
+        """Decide once and execute the orders that the limits of the weight store allow."""
         self.now_ms += TICK_MS
         for items in self.engines.values():
             for name, item in items.items():
                 items[name] = attrs.evolve(item, state="loaded")
         view = self.view(rates)
-        asked, outcomes = self.coordinator.observe(view, self.now_ms)
+        planning_view, outcomes = self.coordinator.observe(view, self.now_ms)
         self.moves += len(outcomes)
         due = self.coordinator.due(view, self.now_ms)
-        steps = policy(asked, self.now_ms)
+        steps = policy(planning_view, self.now_ms)
         for order in [*due, *self.coordinator.accept(view, steps, self.now_ms)]:
             step = order.step
             if not self.coordinator.is_current(order, view):
@@ -114,51 +122,53 @@
                 self.engines[step.upstream_id][step.item] = item
             else:
                 self.engines[step.upstream_id].pop(step.item, None)
-            held = self.engines[step.upstream_id].values()
-            assert sum(i.size_bytes for i in held) <= CAPACITY
-            self.tokens[step.upstream_id] = order.fencing_token
+            loaded = self.engines[step.upstream_id].values()
+            assert sum(i.size_bytes for i in loaded) <= CAPACITY_BYTES
+            self.fencing_tokens[step.upstream_id] = order.fencing_token
             self.coordinator.mark_sent(order, self.now_ms)
 
-    def served(self, rates: dict[str, float]) -> float:
-        """Return the share of demand served; engines split their throughput by demand."""
+    def served_share(self, rates: dict[str, float]) -> float:
+        """Return the share of demand served when engines split their throughput by demand."""
         holders = {
             m: [e for e, items in self.engines.items() if m in items and items[m].state == "loaded"]
             for m in rates
         }
-        pressure = dict.fromkeys(self.engines, 0.0)
+        assigned_demand = dict.fromkeys(self.engines, 0.0)
         for m, rate in rates.items():
             for e in holders[m]:
-                pressure[e] += rate / len(holders[m])
-        done = 0.0
+                assigned_demand[e] += rate / len(holders[m])
+        served = 0.0
         for m, rate in rates.items():
             for e in holders[m]:
-                done += rate / len(holders[m]) * min(1.0, ENGINE_TOKENS_PER_SECOND / pressure[e])
-        return done / sum(rates.values())
+                served += (
+                    rate / len(holders[m]) * min(1.0, ENGINE_TOKENS_PER_SECOND / assigned_demand[e])
+                )
+        return served / sum(rates.values())
 
     def run(self, workload: str) -> tuple[float, float, int]:
         """Return attainment, accelerators used and moves after the initial placement."""
         for _ in range(100):
-            self.tick(self.base, plan)
+            self.tick(self.mean_demand, plan)
         self.moves = 0
-        names = sorted(self.base)
-        attained, used = [], []
-        for number in range(TICKS):
-            if workload == "dead worker" and number == 60:
+        names = sorted(self.mean_demand)
+        attainments, engines_used = [], []
+        for tick in range(TICKS):
+            if workload == "dead worker" and tick == 60:
                 dead = max(self.engines, key=lambda e: (len(self.engines[e]), e))
                 del self.engines[dead]
                 self.reservations = {k: r for k, r in self.reservations.items() if k[0] != dead}
             rates = {
-                m: rate * WORKLOADS[workload](names.index(m), number) * self.random.gauss(1.0, 0.1)
-                for m, rate in self.base.items()
+                m: rate * WORKLOADS[workload](names.index(m), tick) * self.random.gauss(1.0, 0.1)
+                for m, rate in self.mean_demand.items()
             }
             rates = {m: max(1.0, rate) for m, rate in rates.items()}
             self.tick(rates, self.policy)
-            attained.append(self.served(rates))
-            used.append(sum(1 for items in self.engines.values() if items))
-        return statistics.mean(attained), statistics.mean(used), self.moves
+            attainments.append(self.served_share(rates))
+            engines_used.append(sum(1 for items in self.engines.values() if items))
+        return statistics.mean(attainments), statistics.mean(engines_used), self.moves
 
 
-# Factor of demand by number of the model and of the tick.
+# Factors of the mean demand, by the numbers of the model and the tick.
 WORKLOADS: dict[str, Callable[[int, int], float]] = {
     "steady": lambda model, tick: 1.0,
     "tenfold burst": lambda model, tick: 10.0 if model == 3 and 60 <= tick < 240 else 1.0,
@@ -168,89 +178,94 @@
 }
 
 
-def median_of(user: User, workload: str, policy: Policy) -> tuple[float, float, float]:
+def median_of(deployment: Deployment, workload: str, policy: Policy) -> tuple[float, float, float]:
     """Return the medians over all seeds."""
-    results = [Simulation(user, seed, policy).run(workload) for seed in SEEDS]
-    attained, used, moves = (statistics.median(column) for column in zip(*results, strict=True))
-    return attained, used, moves
+    results = [Simulation(deployment, seed, policy).run(workload) for seed in SEEDS]
+    attainment, engines, moves = (
+        statistics.median(column) for column in zip(*results, strict=True)
+    )
+    return attainment, engines, moves
 
 
 def compare() -> None:
-    """Print all policies on all workloads."""
+    """Print the results of all policies on all workloads."""
     print("| user | workload | policy | attainment | accelerators | per accelerator | moves |")
     print("|---|---|---|---|---|---|---|")
-    for user_name, user in USERS.items():
+    for user_name, deployment in DEPLOYMENTS.items():
         for workload in WORKLOADS:
             for name, policy in POLICIES.items():
-                attained, used, moves = median_of(user, workload, policy)
-                row = f"{attained:.3f} | {used:.1f} | {attained / used:.4f} | {moves:.0f}"
+                attainment, engines, moves = median_of(deployment, workload, policy)
+                row = f"{attainment:.3f} | {engines:.1f} | {attainment / engines:.4f} | {moves:.0f}"
                 print(f"| {user_name} | {workload} | {name} | {row} |", flush=True)
 
 
 def weights() -> None:
     """Print the effect of the move weight on rotating demand."""
     print("| user | move_weight | attainment | accelerators | moves |\n|---|---|---|---|---|")
-    for user_name, user in USERS.items():
+    for user_name, deployment in DEPLOYMENTS.items():
         for weight in (0.1, 0.3, 1.0, 3.0, 10.0):
-            settings = attrs.evolve(user.settings, move_weight=weight)
-            changed = attrs.evolve(user, settings=settings)
-            attained, used, moves = median_of(changed, "rotating", plan)
-            print(f"| {user_name} | {weight} | {attained:.3f} | {used:.1f} | {moves:.0f} |")
+            settings = attrs.evolve(deployment.settings, move_weight=weight)
+            changed = attrs.evolve(deployment, settings=settings)
+            attainment, engines, moves = median_of(changed, "rotating", plan)
+            print(f"| {user_name} | {weight} | {attainment:.3f} | {engines:.1f} | {moves:.0f} |")
 
 
 def large_view(engines: int, seed: int, loaded: bool) -> PlacementView:
     """Return a view with 25 data centres, up to 950 models and four items per engine."""
-    rng = random.Random(seed)
-    number = min(950, engines * 2)
-    centres = min(25, engines)
+    generator = random.Random(seed)
+    model_count = min(950, engines * 2)
+    data_centres = min(25, engines)
     models = {
-        f"m{i:03}": Model(rng.randint(10, 30), (f"dc{i % centres:02}-*",)) for i in range(number)
+        f"m{i:03}": Model(generator.randint(10, 30), (f"dc{i % data_centres:02}-*",))
+        for i in range(model_count)
     }
-    adapters = {f"a{i}": Adapter(f"m{i % number:03}", 1) for i in range(4 * number)}
-    rows, known, held = {}, {}, {}
+    adapters = {f"a{i}": Adapter(f"m{i % model_count:03}", 1) for i in range(4 * model_count)}
+    rows, registrations, reservations = {}, {}, {}
     for i in range(engines):
-        name = f"dc{i % centres:02}-{i:05}"
+        name = f"dc{i % data_centres:02}-{i:05}"
         items = []
-        local = [f"m{j:03}" for j in range(i % centres, number, centres)]
+        local = [f"m{j:03}" for j in range(i % data_centres, model_count, data_centres)]
         for item in (
-            {local[(i // centres * 2 + k) % len(local)] for k in range(2)} if loaded else ()
+            {local[(i // data_centres * 2 + k) % len(local)] for k in range(2)} if loaded else ()
         ):
             size = models[item].size_bytes
             items.append(LoadedItem(item, size, "o", "loaded"))
-            held[name, item] = Reservation(name, "1", item, size, "o", 1)
+            reservations[name, item] = Reservation(name, "1", item, size, "o", 1)
         rows[name] = UpstreamRow(
-            name, "1", "engine", "127.0.0.1:1", "dc", loaded=items, capacity_bytes=CAPACITY
+            name, "1", "engine", "127.0.0.1:1", "dc", loaded=items, capacity_bytes=CAPACITY_BYTES
         )
-        known[name] = UpstreamRegistration(name, "1", "engine", CAPACITY, True)
+        registrations[name] = UpstreamRegistration(name, "1", "engine", CAPACITY_BYTES, True)
     total = 0.5 * engines * ENGINE_TOKENS_PER_SECOND
-    parts = {m: rng.expovariate(1.0) for m in models}
+    parts = {m: generator.expovariate(1.0) for m in models}
     whole = sum(parts.values())
     demand = {m: ModelDemand(0.0, part / whole * total) for m, part in parts.items()}
     config = Configuration(models=models, adapters=adapters)
-    return PlacementView(1, config, known, held, rows, demand, 1)
+    return PlacementView(1, config, registrations, reservations, rows, demand, 1)
 
 
 def unreachable_view(engines: int, seed: int) -> PlacementView:
-    """Return a running view in which no engine holds every tenth model and no memory is free."""
+    """Return a view in which no engine holds every tenth model and no memory is free."""
     view = large_view(engines, seed, True)
     rows = {
         name: attrs.evolve(
             row,
-            capacity_bytes=sum(item.size_bytes for item in row.loaded if not _lost(item.name)),
-            loaded=[item for item in row.loaded if not _lost(item.name)],
+            capacity_bytes=sum(
+                item.size_bytes for item in row.loaded if not _is_removed(item.name)
+            ),
+            loaded=[item for item in row.loaded if not _is_removed(item.name)],
         )
         for name, row in view.upstreams.items()
     }
-    held = {key: r for key, r in view.reservations.items() if not _lost(key[1])}
-    return attrs.evolve(view, upstreams=rows, reservations=held)
+    reservations = {key: r for key, r in view.reservations.items() if not _is_removed(key[1])}
+    return attrs.evolve(view, upstreams=rows, reservations=reservations)
 
 
-def _lost(item: str) -> bool:
+def _is_removed(item: str) -> bool:
     return item.endswith("0")
 
 
 def decision_time() -> None:
-    """Print the time of a decision for growing numbers of engines, the median over seeds."""
+    """Print the duration of a decision by number of engines, as the median over all seeds."""
     print("| engines | models | cold start ms | running ms | full memory ms | steps when running |")
     print("|---|---|---|---|---|---|")
     for engines in (10, 100, 1000, 10_000):
--- a/tests/placement/test_orders.py
+++ b/tests/placement/test_orders.py
@@ -1,4 +1,4 @@
-"""Check orders and their confirmation."""
+"""Tests for orders and their confirmation."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class TestOrderTable:
-    """Guards against orders that are lost, confirmed too early or run too late."""
+    """Guards against orders that are lost, confirmed too early or executed too late."""
 
     def setup_method(self) -> None:
         """Create a table and an engine."""
@@ -25,13 +25,13 @@
         return self.table.observe({"e1": self.engine.row()}, {"e1": "e1-1"})
 
     def test_tokens_rise_within_and_across_terms(self) -> None:
-        """Guards against an old leader's order that passes the fence."""
+        """Guards against an engine that accepts an order of an earlier leader."""
         tokens = [self.table.create(_step(item=i), 0.0).fencing_token for i in "abc"]
         assert tokens == sorted(set(tokens))
         assert OrderTable(4).create(_step(), 0.0).fencing_token > tokens[-1]
 
     def test_unconfirmed_order_is_repeated_unchanged(self) -> None:
-        """Guards against a lost order, and against a second one that runs twice."""
+        """Guards against a lost order, and against one that is executed twice."""
         order = self.table.create(_step(), 0.0)
         token = order.fencing_token
         self.table.mark_sent(order, 0.0)
@@ -40,35 +40,35 @@
         assert (order.state, order.fencing_token) == (OrderState.IN_DOUBT, token)
 
     def test_load_is_confirmed_only_when_loaded_under_its_token(self) -> None:
-        """Guards against an announcement from before the order."""
+        """Guards against confirmation by an announcement from before the order."""
         order = self.table.create(_step(), 0.0)
         self.table.mark_sent(order, 0.0)
-        self.engine.take(attrs.evolve(order, fencing_token=1))
+        self.engine.execute(attrs.evolve(order, fencing_token=1))
         self.engine.finish_loads()
         assert self._observe() == []
-        self.engine.take(order)
+        self.engine.execute(order)
         assert self._observe() == [(order, Outcome.LOADED)]
         assert len(self.table) == 0
 
     def test_absence_confirms_an_unload_only_together_with_its_token(self) -> None:
-        """Guards against freeing memory that a load still on its way fills again."""
+        """Guards against freeing memory that a delayed load uses again."""
         order = self.table.create(_step(StepKind.UNLOAD), 0.0)
         self.table.mark_sent(order, 0.0)
         assert self._observe() == []
-        self.engine.take(order)
+        self.engine.execute(order)
         assert self._observe() == [(order, Outcome.UNLOADED)]
         assert order.state is OrderState.UNLOADED
         assert self.table.due(99_999.0) == []
 
-    def test_overtaken_order_is_dropped(self) -> None:
-        """Guards against repeating an order that the engine refuses for ever."""
+    def test_superseded_order_is_dropped(self) -> None:
+        """Guards against repeating an order that the engine always refuses."""
         order = self.table.create(_step(), 0.0)
         later = self.table.create(_step(item="b"), 0.0)
-        self.engine.take(later)
+        self.engine.execute(later)
         assert (order, Outcome.FENCED) in self._observe()
 
     def test_new_incarnation_drops_orders(self) -> None:
-        """Guards against repeating orders to a process that is gone."""
+        """Guards against repeating orders to a process that has ended."""
         order = self.table.create(_step(), 0.0)
         outcomes = self.table.observe({}, {"e1": "e1-2"})
         assert outcomes == [(order, Outcome.INCARNATION_GONE)]
--- a/tests/placement/test_placement_machine.py
+++ b/tests/placement/test_placement_machine.py
@@ -1,4 +1,4 @@
-"""Check placement against engines, networks and leaders that fail in any order."""
+"""Tests for placement with engines, networks and leaders that fail in any order."""
 
 from __future__ import annotations
 
@@ -24,27 +24,27 @@
 _LIMITS = PlacementSettings(
     store_loads_per_second=0.5, store_concurrent_loads=3, adapters_in_transit=2
 )
-# Every model may use the checking engines, which are large enough for all models of one version
-# at once; e3 ignores fencing tokens and may be full of old items for ever.
+# e1 and e2 check fencing tokens, are allowed for every model and are large enough for all models of
+# one configuration. e3 ignores fencing tokens and may be filled with old items forever.
 _CAPACITY = {"e1": 6, "e2": 6, "e3": 5}
 _SIZES = {"a": 2, "b": 3, "c": 2, "d": 1}
 _ADAPTERS = {"x": ("a", 1), "y": ("b", 1)}
-# Ticks for loads spaced two seconds apart, a copied model and the timeouts of orders and transits.
+# Enough ticks for loads two seconds apart, a copied model, and the timeouts of orders and transits.
 _RECOVERY_TICKS = 90
 
 _engines = st.sampled_from(sorted(_CAPACITY))
 
 
-def _version(names: frozenset[str]) -> Configuration:
-    adapters = {name: beside for name, beside in _ADAPTERS.items() if beside[0] in names}
-    some = Model(2, ("e[12]",), minimum_replicas=2)
+def _configuration_with(names: frozenset[str]) -> Configuration:
+    adapters = {name: adapter for name, adapter in _ADAPTERS.items() if adapter[0] in names}
+    restricted = Model(2, ("e[12]",), minimum_replicas=2)
     models = {name: size for name, size in _SIZES.items() if name in names and name != "c"}
-    extra = {"c": some} if "c" in names else {}
-    return configuration(models, adapters, _LIMITS, **extra)
+    overrides = {"c": restricted} if "c" in names else {}
+    return configuration(models, adapters, _LIMITS, **overrides)
 
 
 class PlacementMachine(RuleBasedStateMachine):
-    """Run leaders against engines over a network that loses, delays, repeats and reorders.
+    """Run leaders and engines over a network that loses, delays, repeats and reorders orders.
 
     Guards against overcommitted memory at any step, loads beyond the store's limits, unloads of
     last replicas and models that stay unreachable after the faults have ended.
@@ -59,38 +59,38 @@
         }
         self.ledger = ReferenceLedger()
         self.rows: dict[str, UpstreamRow] = {}
-        self.config = _version(frozenset("abcd"))
+        self.config = _configuration_with(frozenset("abcd"))
         self.demand: dict[str, float] = {}
         self.leader = Leader(self.ledger, 1)
         self.network: list[tuple[Leader, Order]] = []
-        self.starts: dict[tuple[str, str, str], float] = {}
-        self.start_times: list[float] = []
-        self.sent_ids: set[str] = set()
+        self.transits: dict[tuple[str, str, str], float] = {}
+        self.model_start_times: list[float] = []
+        self.sent_order_ids: set[str] = set()
         for name in self.engines:
             self._announce(name)
 
     @initialize(names=st.frozensets(st.sampled_from(sorted(_SIZES)), min_size=1))
-    def choose_version(self, names: frozenset[str]) -> None:
-        """Start from any version."""
-        self.config = _version(names)
+    def choose_configuration(self, names: frozenset[str]) -> None:
+        """Start with any configuration."""
+        self.config = _configuration_with(names)
 
     @rule()
     def tick(self) -> None:
-        """Let the leader decide and put its orders on the network."""
+        """Let the leader decide and send its orders to the network."""
         self.now_ms += _TICK_MS
-        self._lead(self.leader, self._view(self.leader))
+        self._run_leader(self.leader, self._view(self.leader))
 
     @rule()
     def pass_time(self) -> None:
         """Let orders and transits time out."""
         self.now_ms += 4 * _TICK_MS
 
-    @rule(data=st.data(), keep=st.booleans(), answered=st.booleans())
+    @rule(data=st.data(), is_repeated=st.booleans(), is_answered=st.booleans())
     @precondition(lambda self: bool(self.network))
-    def deliver(self, data: st.DataObject, keep: bool, answered: bool) -> None:
-        """Deliver any order, also one of a past leader, possibly again, with or without answer."""
+    def deliver(self, data: st.DataObject, is_repeated: bool, is_answered: bool) -> None:
+        """Deliver any order, also of a past leader, once or repeatedly, answered or not."""
         index = data.draw(st.integers(0, len(self.network) - 1))
-        self._deliver(index, keep, answered)
+        self._deliver(index, is_repeated, is_answered)
 
     @rule(data=st.data())
     @precondition(lambda self: bool(self.network))
@@ -100,23 +100,23 @@
 
     @rule(name=_engines)
     def announce(self, name: str) -> None:
-        """Let an engine finish its loads and announce itself."""
+        """Complete the loads of an engine and announce it."""
         self.engines[name].finish_loads()
         self._announce(name)
 
     @rule(name=_engines)
     def announce_loading(self, name: str) -> None:
-        """Let an engine announce itself while it is loading."""
+        """Announce an engine without completing its loads."""
         self._announce(name)
 
     @rule(name=_engines)
     def silence(self, name: str) -> None:
-        """Remove an engine from the view, as after a partition."""
+        """Remove an engine from the view, as a network partition does."""
         self.rows.pop(name, None)
 
     @rule(name=_engines)
     def restart(self, name: str) -> None:
-        """Restart an engine empty."""
+        """Restart an engine without its items."""
         self.engines[name].restart()
 
     @rule()
@@ -125,31 +125,31 @@
         self.leader = Leader(self.ledger, self.leader.term + 1)
 
     @rule(names=st.frozensets(st.sampled_from(sorted(_SIZES)), min_size=1))
-    def change_version(self, names: frozenset[str]) -> None:
-        """Put another version in force."""
-        self.config = _version(names)
+    def change_configuration(self, names: frozenset[str]) -> None:
+        """Change the configuration."""
+        self.config = _configuration_with(names)
 
     @rule(item=st.sampled_from([*_SIZES, *_ADAPTERS]), rate=st.sampled_from([0.0, 500.0, 5000.0]))
     def change_demand(self, item: str, rate: float) -> None:
-        """Shift demand."""
+        """Change the demand for an item."""
         self.demand[item] = rate
 
     @invariant()
     def memory_is_never_overcommitted(self) -> None:
-        """Compare the true memory in the engines with their capacity."""
+        """Compare the actual memory use of the engines with their capacity."""
         for engine in self.engines.values():
-            assert engine.used <= engine.capacity, (engine.upstream_id, engine.items)
+            assert engine.used_bytes <= engine.capacity_bytes, (engine.upstream_id, engine.items)
 
     @invariant()
     def loads_are_reserved(self) -> None:
-        """Require a reservation for everything that occupies memory in a known incarnation."""
+        """Require a reservation for every item that a registered incarnation holds."""
         for name, engine in self.engines.items():
             if self.ledger.registrations[name].incarnation == engine.incarnation:
                 for item in engine.items:
                     assert (name, item) in self.ledger.reservations
 
     def teardown(self) -> None:
-        """End the faults and require that every model becomes reachable."""
+        """Stop the faults and require that every model becomes reachable."""
         while self.network:
             self._deliver(0, False, True)
         for _ in range(_RECOVERY_TICKS):
@@ -159,17 +159,17 @@
             while self.network:
                 self._deliver(0, False, True)
             self.memory_is_never_overcommitted()
-        wanted = set(self.config.models)
+        models = set(self.config.models)
         reachable = {n for e in self.engines.values() for n in e.items}
-        assert wanted <= reachable, (sorted(wanted - reachable), self.engines)
+        assert models <= reachable, (sorted(models - reachable), self.engines)
 
-    def _deliver(self, index: int, keep: bool, answered: bool) -> None:
+    def _deliver(self, index: int, is_repeated: bool, is_answered: bool) -> None:
         leader, order = self.network[index]
-        if not keep:
+        if not is_repeated:
             del self.network[index]
-        answer = self.engines[order.step.upstream_id].take(order)
-        if answered and leader is self.leader:
-            leader.answer(order, answer, self.now_ms)
+        outcome = self.engines[order.step.upstream_id].execute(order)
+        if is_answered and leader is self.leader:
+            leader.answer(order, outcome, self.now_ms)
         self.memory_is_never_overcommitted()
 
     def _announce(self, name: str) -> None:
@@ -179,49 +179,49 @@
     def _view(self, leader: Leader) -> PlacementView:
         return self.ledger.view(self.config, self.rows, leader.term, **self.demand)
 
-    def _lead(self, leader: Leader, view: PlacementView) -> None:
+    def _run_leader(self, leader: Leader, view: PlacementView) -> None:
         leader.tick(view, self.now_ms)
-        sent, leader.outbox = leader.outbox, []
+        sent, leader.sent_orders = leader.sent_orders, []
         for order in sent:
             self._check_unload(view, order)
             self.network.append((leader, attrs.evolve(order)))
-        self._check_store(view, sent)
+        self._check_store_limits(view, sent)
 
-    def _check_store(self, view: PlacementView, sent: list[Order]) -> None:
-        """Count starts and loads in transit independently of the code under test."""
+    def _check_store_limits(self, view: PlacementView, sent: list[Order]) -> None:
+        """Check the starts and the loads in transit independently of the code under test."""
         self._expire(view)
         for order in sent:
             step = order.step
             key = (step.upstream_id, step.incarnation, step.item)
             if step.kind is not StepKind.LOAD:
                 continue
-            if order.order_id not in self.sent_ids or key not in self.starts:
-                self.starts[key] = self.now_ms
-            self.sent_ids.add(order.order_id)
+            if order.order_id not in self.sent_order_ids or key not in self.transits:
+                self.transits[key] = self.now_ms
+            self.sent_order_ids.add(order.order_id)
             if step.item not in _ADAPTERS and not order.accepted:
-                self.start_times.append(self.now_ms)
-        models = [key for key in self.starts if key[2] not in _ADAPTERS]
+                self.model_start_times.append(self.now_ms)
+        models = [key for key in self.transits if key[2] not in _ADAPTERS]
         assert len(models) <= _LIMITS.store_concurrent_loads
-        assert len(self.starts) - len(models) <= _LIMITS.adapters_in_transit
-        for earlier, later in zip(self.start_times, self.start_times[1:], strict=False):
+        assert len(self.transits) - len(models) <= _LIMITS.adapters_in_transit
+        for earlier, later in zip(self.model_start_times, self.model_start_times[1:], strict=False):
             assert later - earlier >= 1000.0 / _LIMITS.store_loads_per_second
 
     def _expire(self, view: PlacementView) -> None:
         for row in view.upstreams.values():
             for item in row.loaded:
                 if item.state == "loading":
-                    self.starts[row.upstream_id, row.incarnation, item.name] = self.now_ms
-        for key, started in list(self.starts.items()):
+                    self.transits[row.upstream_id, row.incarnation, item.name] = self.now_ms
+        for key, started in list(self.transits.items()):
             row = view.upstreams.get(key[0])
             loaded = row is not None and any(
                 i.name == key[2] and i.state == "loaded" for i in row.loaded
             )
-            gone = view.registrations[key[0]].incarnation != key[1]
-            if loaded or gone or self.now_ms - started >= TRANSIT_TIMEOUT_MS:
-                del self.starts[key]
+            is_gone = view.registrations[key[0]].incarnation != key[1]
+            if loaded or is_gone or self.now_ms - started >= TRANSIT_TIMEOUT_MS:
+                del self.transits[key]
 
     def _check_unload(self, view: PlacementView, order: Order) -> None:
-        """Require another announced replica for each unload of a current model."""
+        """Require another announced replica for each unload of a configured model."""
         step = order.step
         if step.kind is not StepKind.UNLOAD or step.item not in view.configuration.models:
             return
@@ -247,8 +247,8 @@
 TestPlacementMachine.settings = _SETTINGS
 
 
-class _Pool:
-    """Run one leader against engines whose orders are all kept for a second delivery."""
+class _Simulation:
+    """Run one leader and keep all its orders, so that a test can deliver them again."""
 
     def __init__(self, engines: list[FakeEngine], config: Configuration) -> None:
         self.engines = {engine.upstream_id: engine for engine in engines}
@@ -266,45 +266,45 @@
     def run(self, ticks: int, *, deliver: bool = True) -> None:
         for _ in range(ticks):
             self.now_ms += 4000.0
-            done = len(self.leader.outbox)
+            done = len(self.leader.sent_orders)
             self.leader.tick(self.view(), self.now_ms)
-            for order in self.leader.outbox[done:] if deliver else ():
+            for order in self.leader.sent_orders[done:] if deliver else ():
                 engine = self.engines[order.step.upstream_id]
-                self.leader.answer(order, engine.take(order), self.now_ms)
+                self.leader.answer(order, engine.execute(order), self.now_ms)
                 engine.finish_loads()
 
 
 class TestLateOrders:
-    """Guards against orders that run long after they were sent."""
+    """Guards against orders that are executed long after they were sent."""
 
     @pytest.mark.parametrize("checks_fencing", [True, False])
-    def test_repeated_old_orders_never_overcommit(self, checks_fencing: bool) -> None:
-        """Guards against reusing memory that an old load can fill again."""
+    def test_old_orders_delivered_again_never_overcommit(self, checks_fencing: bool) -> None:
+        """Guards against reusing memory that an old load can use again."""
         engine = FakeEngine("e1", 4, checks_fencing)
-        pool = _Pool([engine], configuration({"a": 3}))
-        pool.run(2)
+        simulation = _Simulation([engine], configuration({"a": 3}))
+        simulation.run(2)
         assert set(engine.items) == {"a"}
-        pool.config = configuration({"b": 3})
-        pool.run(6)
-        for order in list(pool.leader.outbox):
-            engine.take(order)
-            assert engine.used <= engine.capacity
+        simulation.config = configuration({"b": 3})
+        simulation.run(6)
+        for order in list(simulation.leader.sent_orders):
+            engine.execute(order)
+            assert engine.used_bytes <= engine.capacity_bytes
         assert set(engine.items) == ({"b"} if checks_fencing else {"a"})
         if not checks_fencing:
             engine.restart()
-            pool.run(3)
+            simulation.run(3)
             assert set(engine.items) == {"b"}
 
-    def test_unload_is_not_repeated_once_the_other_replica_died(self) -> None:
-        """Guards against a repetition that removes the replica that became the last one."""
+    def test_unload_is_not_repeated_after_the_other_replica_failed(self) -> None:
+        """Guards against a repeated unload of what has become the last replica."""
         engines = [FakeEngine("e1", 4, True), FakeEngine("e2", 4, True)]
-        pool = _Pool(engines, configuration({}, a=Model(3, ("*",), minimum_replicas=2)))
-        pool.run(3)
-        pool.config = configuration({"a": 3}, b=Model(3, ("e1",), priority=1))
-        pool.run(1, deliver=False)
-        unload = pool.leader.outbox[-1].step
+        simulation = _Simulation(engines, configuration({}, a=Model(3, ("*",), minimum_replicas=2)))
+        simulation.run(3)
+        simulation.config = configuration({"a": 3}, b=Model(3, ("e1",), priority=1))
+        simulation.run(1, deliver=False)
+        unload = simulation.leader.sent_orders[-1].step
         assert (unload.kind, unload.upstream_id) == (StepKind.UNLOAD, "e1")
         engines[1].restart()
-        sent = len(pool.leader.outbox)
-        pool.run(8, deliver=False)
-        assert all(o.step.kind is StepKind.LOAD for o in pool.leader.outbox[sent:])
+        sent = len(simulation.leader.sent_orders)
+        simulation.run(8, deliver=False)
+        assert all(o.step.kind is StepKind.LOAD for o in simulation.leader.sent_orders[sent:])
--- a/tests/placement/test_store_rate.py
+++ b/tests/placement/test_store_rate.py
@@ -1,4 +1,4 @@
-"""Check the weight store's limits."""
+"""Tests for the limits on loads from the weight store."""
 
 from __future__ import annotations
 
@@ -11,18 +11,18 @@
 
 
 class TestStoreRate:
-    """Guards against loads that slow the whole store down."""
+    """Guards against loads that overload the weight store."""
 
     def test_starts_are_spaced(self) -> None:
-        """Guards against bursts, also right after another leader's last start."""
+        """Guards against bursts, also right after the last start of an earlier leader."""
         rate = StoreRate(0.0)
         assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 499.0)
         assert rate.may_start(("e", "i", "new"), False, _LIMITS, 500.0)
         rate.start(("e", "i", "a"), False, 500.0)
         assert not rate.may_start(("e", "i", "new"), False, _LIMITS, 999.0)
 
-    def test_concurrency_counts_loads_in_doubt_until_their_timeout(self) -> None:
-        """Guards against more loads at once than the store serves at full speed."""
+    def test_unconfirmed_loads_count_as_concurrent_until_their_timeout(self) -> None:
+        """Guards against more concurrent loads than the store serves at full speed."""
         rate = StoreRate(0.0)
         rate.start(("e", "i", "a"), False, 500.0)
         rate.start(("e", "i", "b"), False, 1000.0)
@@ -45,7 +45,7 @@
         assert rate.may_start(("e", "i", "new"), False, _LIMITS, 500.0)
 
     def test_repeated_order_counts_as_a_start_but_keeps_its_timeout(self) -> None:
-        """Guards against repetitions at any rate, and a dead end that occupies a place for ever."""
+        """Guards against unlimited repetition, and orders that count as concurrent forever."""
         rate, key = StoreRate(0.0), ("e", "i", "a")
         rate.start(key, False, 500.0)
         assert not rate.may_start(key, False, _LIMITS, 999.0)
