--- a/src/briardyke/models/adapters.py
+++ b/src/briardyke/models/adapters.py
@@ -27,13 +27,14 @@
     """Load adapters into engines, evicting those that were not requested recently."""
 
     def __init__(
-        self, order: Callable[[KnownEngineState, bool, str, str], Awaitable[OrderOutcome]]
+        self, send_order: Callable[[KnownEngineState, bool, str, str], Awaitable[OrderOutcome]]
     ) -> None:
         """Create a loader.
 
-        :param order: sends an order, given the engine, whether to load, the model and the adapter.
+        :param send_order: sends an order for the given engine, direction (whether to load), model
+            and adapter.
         """
-        self._order = order
+        self._send_order = send_order
 
     async def ensure(self, state: KnownEngineState, spec: EngineSpec, key: tuple[str, str]) -> str:
         """Load an adapter; return an empty string once the engine holds it, else the reason.
@@ -66,7 +67,7 @@
     async def _unload(self, state: KnownEngineState, key: tuple[str, str]) -> str:
         """Unload an adapter; return an empty string once its slot is free, else the reason."""
         state.unloading_adapters.add(key)
-        outcome = await self._order(state, False, *key)
+        outcome = await self._send_order(state, False, *key)
         if outcome is OrderOutcome.HELD_ALREADY:
             state.unloading_adapters.discard(key)
             state.adapters.pop(key, None)
@@ -83,7 +84,7 @@
         state.adapters[key] = now_ms()
         state.suspect_adapters.discard(key)
         try:
-            outcome = await self._order(state, True, *key)
+            outcome = await self._send_order(state, True, *key)
             if outcome is OrderOutcome.ACCEPTED:
                 await trio.sleep(ADAPTER_LOAD_MS / 1000.0)
             elif outcome is not OrderOutcome.HELD_ALREADY:
--- a/src/briardyke/models/load_estimate.py
+++ b/src/briardyke/models/load_estimate.py
@@ -52,7 +52,7 @@
                     self._spread(share)
 
     def gain_of_adding(self, model: str, engine_id: str) -> float:
-        """Return by how much the cost falls when one engine more holds the model."""
+        """Return by how much the cost falls when one more engine holds the model."""
         share = self._shares.get(model)
         if not share:
             return 0.0
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -85,7 +85,7 @@
         self._unreachable: set[str] = set()
         self._decision_ms = 0.0
         self._demand_since_ms = float("-inf")
-        self._adapters = AdapterLoader(self._order)
+        self._adapters = AdapterLoader(self._send_order)
 
     async def run(self) -> None:
         """Decide and send orders until cancelled."""
@@ -122,7 +122,7 @@
         self._update_unreachable()
         for state in self._engine_states.values():
             if self._needs_report(state) and not state.lock.locked():
-                nursery.start_soon(self._refresh, state)
+                nursery.start_soon(self._read_report, state)
         demand = self._control.demand()
         if not self._smoothed_demand.is_started:
             self._smoothed_demand.assume(
@@ -138,7 +138,7 @@
             view = ModelsView(
                 service.engine,
                 [
-                    self._view(i, state)
+                    self._engine_view(i, state)
                     for i, state in self._engine_states.items()
                     if state.row.service == name
                 ],
@@ -149,7 +149,7 @@
                 is_demand_settled=now_ms() - self._demand_since_ms >= DEMAND_SETTLING_MS,
             )
             for change in decide(view):
-                self._start(change, service.engine, nursery)
+                self._start_change(change, service.engine, nursery)
 
     def _update_unreachable(self) -> None:
         unreachable = self._control.unreachable_upstreams()
@@ -197,7 +197,7 @@
         check_ms = _UNKNOWN_CHECK_MS if is_unknown else _PENDING_CHECK_MS
         return now_ms() - state.pending_since_ms >= check_ms
 
-    async def _refresh(self, state: KnownEngineState) -> None:
+    async def _read_report(self, state: KnownEngineState) -> None:
         async with state.lock:
             report = await self._engines.fetch_report(state.row)
             if report is None:
@@ -218,7 +218,7 @@
                 state.unloading_models.clear()
                 self._publish(state)
 
-    def _view(self, upstream_id: str, state: KnownEngineState) -> EngineView:
+    def _engine_view(self, upstream_id: str, state: KnownEngineState) -> EngineView:
         held = dict.fromkeys(state.models, 0)
         for model, _ in state.busy_adapters():
             held[model] = held.get(model, 0) + 1
@@ -240,7 +240,7 @@
 
     # Models
 
-    def _start(self, change: Change, spec: EngineSpec, nursery: trio.Nursery) -> None:
+    def _start_change(self, change: Change, spec: EngineSpec, nursery: trio.Nursery) -> None:
         state = self._engine_states[change.upstream_id]
         if state.pending is not None:
             return
@@ -260,13 +260,13 @@
         else:
             state.unloading_models.add(change.model)
         self._publish(state)
-        nursery.start_soon(self._execute, state, change)
+        nursery.start_soon(self._execute_change, state, change)
 
-    async def _execute(self, state: KnownEngineState, change: Change) -> None:
+    async def _execute_change(self, state: KnownEngineState, change: Change) -> None:
         is_load = change.kind is ChangeKind.LOAD
         if not is_load:
             await trio.sleep(ANNOUNCE_UNLOAD_MS / 1000.0)
-        outcome = await self._order(state, is_load, change.model, "")
+        outcome = await self._send_order(state, is_load, change.model, "")
         log_event(
             "model_ordered",
             upstream=change.upstream_id,
@@ -288,7 +288,7 @@
     def _leads(self, term: int) -> bool:
         return term == self._term and self._control.leading_term() == term
 
-    async def _order(
+    async def _send_order(
         self, state: KnownEngineState, is_load: bool, model: str, adapter: str
     ) -> OrderOutcome:
         async with state.lock:
@@ -361,7 +361,7 @@
             for i, state in known
             if request.model in state.models - state.unloading_models
         ]
-        holding = [row for row in usable if row[1].has_adapter(key)]
+        holding = [pair for pair in usable if pair[1].has_adapter(key)]
         reason = "none of the named engines holds the model"
         for upstream_id, state in [*holding, *usable]:
             spec = configuration.services[state.row.service].engine
--- a/src/briardyke/models/smoothed_demand.py
+++ b/src/briardyke/models/smoothed_demand.py
@@ -32,8 +32,8 @@
     def assume(self, models: Iterable[str]) -> None:
         """Assume some demand for the models that engines hold.
 
-        When traffic starts, or a new leader, the requests of the first second are for only a few
-        of the models. Without this assumption, the others would count as unused and be evicted for
+        When traffic or a new leader starts, the requests of the first second are for only a few of
+        the models. Without this assumption, the others would count as unused and be evicted for
         more replicas of those few.
         """
         self.rates = dict.fromkeys(models, ASSUMED_PER_S)
@@ -42,10 +42,11 @@
     def add(self, demand: dict[str, float]) -> None:
         """Update the averages with the current rates."""
         now = now_ms()
-        weight = 0.5 ** ((now - self._updated_ms) / HALF_LIFE_MS)
+        old_weight = 0.5 ** ((now - self._updated_ms) / HALF_LIFE_MS)
         self._updated_ms = now
         rates = {
-            name: self.rates.get(name, 0.0) * weight + demand.get(name, 0.0) * (1.0 - weight)
+            name: self.rates.get(name, 0.0) * old_weight
+            + demand.get(name, 0.0) * (1.0 - old_weight)
             for name in self.rates.keys() | demand.keys()
         }
         self.rates = {name: rate for name, rate in rates.items() if rate >= _MIN_KEPT_PER_S}
--- a/src/briardyke/placement/eviction.py
+++ b/src/briardyke/placement/eviction.py
@@ -70,11 +70,11 @@
     if not engine.checks_fencing:
         return None
     chosen: list[str] = []
-    for _, _, size, other in removable(draft, upstream_id, item, is_unreachable):
+    for _, _, negative_size, other in removable(draft, upstream_id, item, is_unreachable):
         if missing_bytes <= 0:
             break
         chosen.append(other)
-        missing_bytes += size
+        missing_bytes += negative_size
     if missing_bytes > 0:
         return None
     return _drop_unneeded(draft, upstream_id, chosen, -missing_bytes)
@@ -83,7 +83,10 @@
 def removable(
     draft: Draft, upstream_id: str, item: str, is_unreachable: bool
 ) -> list[tuple[int, float, int, str]]:
-    """Return the items that may be unloaded, as (rank, demand, negative size, name), sorted."""
+    """Return the items that may be unloaded, as sorted (rank, demand, negative size, name).
+
+    Items of a lower rank are unloaded first.
+    """
     ranked = []
     for other, size in draft.engines[upstream_id].sizes.items():
         if other == item or (upstream_id, other) in draft.unloading:
--- a/src/briardyke/placement/plan.py
+++ b/src/briardyke/placement/plan.py
@@ -91,8 +91,8 @@
 
 def _fits_free_memory(draft: Draft, item: str, free: dict[str, int]) -> Callable[[str], bool]:
     def fits(upstream_id: str) -> bool:
-        room = max(0, free[upstream_id])
-        return draft.bytes_to_reserve(item, upstream_id) <= room and draft.eligible(
+        free_bytes = max(0, free[upstream_id])
+        return draft.bytes_to_reserve(item, upstream_id) <= free_bytes and draft.eligible(
             item, upstream_id
         )
 
@@ -151,6 +151,7 @@
 def _evict_for(
     draft: Draft, item: str, upstream_ids: Iterable[str], *, is_unreachable: bool
 ) -> bool:
+    """Unload items from the engine with the fewest evictions, and assign its memory to the item."""
     best: tuple[int, float, str, list[str]] | None = None
     for upstream_id in upstream_ids:
         if not draft.eligible(item, upstream_id):
@@ -174,7 +175,7 @@
 
 
 def _copy_elsewhere(draft: Draft, item: str) -> None:
-    """Copy a model to another engine, so that a later decision can unload it to make room."""
+    """Copy a model to another engine, so that a later decision can free its memory here."""
     if not draft.may_search_all():
         return
     options = []
@@ -202,22 +203,24 @@
     """
     sizes = draft.engines[upstream_id].sizes
     missing_bytes = draft.bytes_to_reserve(item, upstream_id) - draft.available_bytes(upstream_id)
-    missing_bytes += sum(size for _, _, size, _ in removable(draft, upstream_id, item, True))
-    sole = []
+    missing_bytes += sum(
+        negative_size for _, _, negative_size, _ in removable(draft, upstream_id, item, True)
+    )
+    sole_replicas = []
     for other, size in sizes.items():
         if other not in draft.models or upstream_id not in draft.loaded.get(other, ()):
             continue
         elsewhere = draft.replicas(other) - {upstream_id}
         if not elsewhere:
-            sole.append((-size, other))
+            sole_replicas.append((-size, other))
         elif not elsewhere & draft.loaded.get(other, set()):
             missing_bytes -= size
     to_copy = []
-    for size, other in sorted(sole):
+    for negative_size, other in sorted(sole_replicas):
         if missing_bytes <= 0:
             break
         to_copy.append(other)
-        missing_bytes += size
+        missing_bytes += negative_size
     return to_copy if missing_bytes <= 0 else None
 
 
--- a/src/briardyke/placement/types.py
+++ b/src/briardyke/placement/types.py
@@ -1,4 +1,4 @@
-"""Define the inputs and results of placement decisions, and its interface to the ledger."""
+"""Define the inputs and results of placement decisions, and the interface of the ledger."""
 
 from __future__ import annotations
 
