--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -31,8 +31,8 @@
 ORDER_CALL_TIMEOUT_MS = 2000.0
 # Limits the open connections and uncommitted ledger entries.
 MAX_CONCURRENT_ENGINES = 64
-# Above this number, a decision runs on a thread of its own, since it could delay the heartbeats of
-# the consensus log.
+# Above this number, a decision runs on a thread of its own. On the main thread it could delay the
+# heartbeats of the consensus log.
 LARGE_POOL_ENGINES = 500
 # A decision for 10,000 engines takes a quarter of a second (docs/placement.md), so at this interval
 # it uses an eighth of a core.
--- a/src/briardyke/placement/replicas.py
+++ b/src/briardyke/placement/replicas.py
@@ -87,18 +87,18 @@
     """Unload items for a replica; return ``False``, as the load waits for a later decision."""
     tested: list[str] = []
 
-    def has_room(upstream_id: str) -> bool:
+    def is_worth_evicting(upstream_id: str) -> bool:
         tested.append(upstream_id)
         if not draft.engines[upstream_id].checks_fencing or not draft.eligible(item, upstream_id):
             return False
-        chosen = choose_evictions(
+        evictions = choose_evictions(
             draft, upstream_id, item, draft.bytes_to_reserve(item, upstream_id)
         )
-        if chosen is None:
+        if evictions is None:
             return False
-        return _is_worthwhile(draft, item, upstream_id, excess, 1 + len(chosen))
+        return _is_worthwhile(draft, item, upstream_id, excess, 1 + len(evictions))
 
-    target = _search(draft, item, has_room)
+    target = _search(draft, item, is_worth_evicting)
     if target is None:
         return False
     for other in choose_evictions(draft, target, item, draft.bytes_to_reserve(item, target)) or []:
@@ -112,7 +112,7 @@
     if uncertain and all(draft.allowed(item, i) for i in uncertain):
         return min(uncertain, key=lambda i: (draft.assigned_demand[i], i))
     return _search(
-        draft, item, lambda i: draft.can_load(item, i) and _keeps_room_for_largest(draft, item, i)
+        draft, item, lambda i: draft.can_load(item, i) and _keeps_memory_for_largest(draft, item, i)
     )
 
 
@@ -131,8 +131,8 @@
     return None
 
 
-def _keeps_room_for_largest(draft: Draft, item: str, upstream_id: str) -> bool:
-    """Return whether an engine that cannot free memory keeps room for the largest other model."""
+def _keeps_memory_for_largest(draft: Draft, item: str, upstream_id: str) -> bool:
+    """Return whether an engine that cannot free memory keeps enough for the largest other model."""
     engine = draft.engines[upstream_id]
     if engine.checks_fencing or item in engine.sizes:
         return True
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -21,9 +21,9 @@
 
 
 def view(
-    engine_spec: EngineSpec, engines: list[EngineView], starts: int = 9, **demand: float
+    engine_spec: EngineSpec, engines: list[EngineView], store_loads_left: int = 9, **demand: float
 ) -> ModelsView:
-    return ModelsView(engine_spec, engines, demand, starts)
+    return ModelsView(engine_spec, engines, demand, store_loads_left)
 
 
 LOAD, UNLOAD = ChangeKind.LOAD, ChangeKind.UNLOAD
@@ -49,11 +49,11 @@
     def test_engine_with_a_local_copy_is_preferred_and_needs_no_store(self) -> None:
         engine_spec = spec(a=50, c=50)
         engines = [engine("e1", "a"), engine("e2", "a", at_hand=frozenset({"c"}))]
-        found = decide(view(engine_spec, engines, starts=0, a=5, c=1))
+        found = decide(view(engine_spec, engines, store_loads_left=0, a=5, c=1))
         assert found == [Change(LOAD, "e2", "c", False)]
 
     def test_no_load_starts_beyond_the_limit_of_the_store(self) -> None:
-        assert decide(view(spec(a=50), [engine("e1")], starts=0, a=5)) == []
+        assert decide(view(spec(a=50), [engine("e1")], store_loads_left=0, a=5)) == []
 
     @pytest.mark.parametrize("change", [{"is_free": False}, {"is_available": False}])
     def test_engine_that_is_busy_or_unavailable_gets_no_order(
