--- a/src/briardyke/control/ledger.py
+++ b/src/briardyke/control/reservations.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from briardyke.agreed.commands import EndReservation, ReserveMemory, read_outcome
+from briardyke.agreed.commands import EndReservation, ReserveMemory, decode_outcome
 from briardyke.wire.codec import encode
 
 if TYPE_CHECKING:
@@ -18,8 +18,8 @@
 _TIMEOUT_MS = 2000
 
 
-class AgreedLedger:
-    """Propose reservations while this process leads the control group."""
+class ReservationProposer:
+    """Commit reservations; they are refused unless this process leads the control group."""
 
     def __init__(self, proposer: GroupProposer) -> None:
         """Use the control group's proposer."""
@@ -38,6 +38,6 @@
         return await self._commit(encode(command))
 
     async def _commit(self, command: bytes) -> Result[None, Failure]:
-        applied = await self._proposer.propose_here(command, _TIMEOUT_MS)
-        outcome = applied.and_then(read_outcome)
+        applied = await self._proposer.propose_as_leader(command, _TIMEOUT_MS)
+        outcome = applied.and_then(decode_outcome)
         return Err(outcome.unwrap_err()) if outcome.is_err() else Ok(None)
--- a/tests/control/test_share_system.py
+++ b/tests/control/test_share_granter.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.agreed.configuration import Limit
-from briardyke.control.shares import ShareSystem
+from briardyke.control.shares import ShareGranter
 from briardyke.wire.messages import InstanceStatus, LimitShare, ShareDemand
 
 if TYPE_CHECKING:
@@ -21,17 +21,17 @@
     return InstanceStatus(name, "dc", address, 1.0, "ready", 0.0, number, demand, held)
 
 
-class TestShareSystem:
-    """Guards against granting again what an instance still holds."""
+class TestShareGranter:
+    """Guards against granting shares that another instance still holds."""
 
-    async def test_a_repeated_older_report_is_not_taken(self, autojump_clock: MockClock) -> None:
-        """Guards against an older report passing for the receipt of a share under way."""
+    async def test_a_repeated_older_report_is_ignored(self, autojump_clock: MockClock) -> None:
+        """Guards against an older report that is taken as confirmation of a share in transit."""
         configuration = SimpleNamespace(limits={"l": Limit("*", "*", "*", 12.0, None)})
-        system = ShareSystem(SimpleNamespace(configuration=configuration, version=1), frozenset)
-        system.start_term(1)
-        system.grant([status("a", 1, 6.0)])
-        system.grant([status("a", 2, 12.0), status("b", 1, 0.0)])
+        granter = ShareGranter(SimpleNamespace(configuration=configuration, version=1), frozenset)
+        granter.start_term(1)
+        granter.grant([status("a", 1, 6.0)])
+        granter.grant([status("a", 2, 12.0), status("b", 1, 0.0)])
         for _ in range(3):
-            shares = system.grant([status("a", 1, 6.0), status("b", 1, 0.0)])
+            shares = granter.grant([status("a", 1, 6.0), status("b", 1, 0.0)])
             assert set(shares) == {"a", "b"}
             assert all(share.requests_per_second == 0.0 for share in shares["b"])
