Log the crash of an upstream with the parts of the prompts that were waiting on it

Callers saw engines crash one after the other. The logs could not tell a part of a prompt from a failing engine, model, caller or adapter: request_finished names no part, and nothing said which requests had no response yet when a connection ended.

A connection that ends before the first response of its request is now checked by one connection attempt: only a process that is gone refuses it. Each request that was waiting is logged with its model, adapter and the parts of its prompt that others may share. No request is treated differently.

--- /dev/null
+++ b/src/briardyke/gateway/crash_detection.py
@@ -0,0 +1,104 @@
+"""Detect crashes of upstreams and the requests that were waiting on them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from briardyke.addresses import parse_address
+from briardyke.clock import now_ms
+from briardyke.http.h11_client import is_refusing_connections
+from briardyke.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from briardyke.addresses import Address
+    from briardyke.fleet.records import Upstream
+    from briardyke.gateway.dialect import RequestMetadata
+
+# Crashes older than this are no longer reported; by then control instances know them.
+REPORTED_MS = 10_000.0
+
+
+@attrs.define
+class ObservedCrash:
+    """Crash of an upstream and the requests of this instance that were waiting on it.
+
+    :param upstream_id: the upstream.
+    :param incarnation: start of its process, in Unix milliseconds.
+    :param at_ms: time at which the first connection ended.
+    :param parts: shared parts of the prompts of requests without any response.
+    """
+
+    upstream_id: str
+    incarnation: int
+    at_ms: float
+    parts: set[str] = attrs.field(factory=set)
+
+
+class CrashDetector:
+    """Tell the crash of an upstream from the loss of a single connection.
+
+    A connection also ends because it was idle, reset on its way or because the upstream failed one
+    request. Only a process that is gone also refuses new connections.
+    """
+
+    def __init__(
+        self, is_refusing: Callable[[Address], Awaitable[bool]] = is_refusing_connections
+    ) -> None:
+        """Check upstreams with a function that returns whether an address refuses connections."""
+        self._is_refusing = is_refusing
+        self._checks: dict[tuple[str, int], trio.Event] = {}
+        self._crashes: dict[tuple[str, int], ObservedCrash] = {}
+        self.on_crash: Callable[[], None] | None = None
+
+    async def investigate(self, row: Upstream, request: RequestMetadata) -> bool:
+        """Return whether an upstream crashed whose connection ended before its first response.
+
+        :param row: announcement of the upstream.
+        :param request: request that was waiting for the response.
+        """
+        key = (row.upstream_id, row.incarnation)
+        crash = self._crashes.get(key)
+        if crash is None:
+            lost_ms = now_ms()
+            if not await self._has_crashed(key, row):
+                return False
+            crash = self._crashes.setdefault(
+                key, ObservedCrash(row.upstream_id, row.incarnation, lost_ms)
+            )
+        crash.parts.update(request.shared_prefix_ids)
+        log_event(
+            "upstream_crashed",
+            upstream=row.upstream_id,
+            incarnation=row.incarnation,
+            request=request.request_id,
+            model=request.model,
+            adapter=request.adapter,
+            parts=",".join(request.shared_prefix_ids),
+        )
+        if self.on_crash is not None:
+            self.on_crash()
+        return True
+
+    async def _has_crashed(self, key: tuple[str, int], row: Upstream) -> bool:
+        """Check an upstream once for all requests that lose their connections together."""
+        running = self._checks.get(key)
+        if running is not None:
+            await running.wait()
+            return key in self._crashes
+        self._checks[key] = done = trio.Event()
+        try:
+            return await self._is_refusing(parse_address(row.address))
+        finally:
+            del self._checks[key]
+            done.set()
+
+    def recent(self) -> Iterable[ObservedCrash]:
+        """Return the crashes to report, and forget older ones."""
+        limit_ms = now_ms() - REPORTED_MS
+        self._crashes = {key: c for key, c in self._crashes.items() if c.at_ms >= limit_ms}
+        return self._crashes.values()
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -33,6 +33,11 @@
     max_output_tokens: int = 0
     last_event_id: str = ""
 
+    @property
+    def shared_prefix_ids(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may have in common with this one."""
+        return self.prefix_ids[:-1]
+
 
 @attrs.frozen
 class LoadReport:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -174,6 +174,8 @@
                 upstream.in_flight -= 1
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
+        if attempt.ending is Ending.FAILED and is_engine:
+            await self._state.crashes.investigate(upstream.row, context.metadata)
         return attempt
 
     def _attempt_timeout_ms(self, context: RequestContext, load: float) -> float:
@@ -319,6 +321,7 @@
         connection = attempt.connection
         assert connection is not None and attempt.head is not None
         is_returned = False
+        count = splitter.count
         try:
             is_whole = await self._relay_events(context, upstream, connection, answer, splitter)
             if is_whole and connection.finish(attempt.head):
@@ -329,6 +332,8 @@
                 context.trace.add_attempt(
                     upstream.row.upstream_id, "stream_broken", upstream.load()
                 )
+                if splitter.count == count and self._state.is_engine(context.service):
+                    await self._state.crashes.investigate(upstream.row, context.metadata)
             return is_whole
         finally:
             upstream.in_flight -= 1
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -9,6 +9,7 @@
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
 from briardyke.gateway.counters import Counters
+from briardyke.gateway.crash_detection import CrashDetector
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.missing_models import MissingModels
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
@@ -69,6 +70,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
+        self.crashes = CrashDetector()
         self.changed = Notifier()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -21,6 +21,8 @@
     from briardyke.addresses import Address
 
 CONNECT_TIMEOUT_S = 1.0
+# A host whose process has ended refuses a connection within a round trip.
+_REFUSAL_TIMEOUT_S = 0.25
 _READ_BYTES = 65536
 # A kept connection is given up this long before the upstream would close it, which covers the
 # way of a request and a slow turn of the event loop.
@@ -239,6 +241,21 @@
     return head.status in (204, 304) or bool(names & {b"content-length", b"transfer-encoding"})
 
 
+async def is_refusing_connections(address: Address) -> bool:
+    """Return whether no process listens at an address; a host that does not reply may still run."""
+    try:
+        with trio.fail_after(_REFUSAL_TIMEOUT_S):
+            stream = await trio.open_tcp_stream(address.host, address.port)
+    except trio.TooSlowError:
+        return False
+    except OSError as error:
+        # Other errors, such as a lack of descriptors, say nothing about the process there.
+        causes = error.__cause__
+        return isinstance(causes, ExceptionGroup) and bool(causes.subgroup(ConnectionError))
+    await trio.aclose_forcefully(stream)
+    return False
+
+
 class RestLimit:
     """Learn how long upstreams keep a connection that rests.
 
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -154,10 +154,11 @@
         self.state.upstreams.update(self.rows, {})
         return upstream
 
-    async def send(self, path: str, request_id: str, model: str = "") -> Reply:
+    async def send(self, path: str, request_id: str, model: str = "", prefix: str = "") -> Reply:
         """Send one request on a new connection and read the response until the connection ends."""
         headers = [("Host", "h"), ("Request-Id", request_id), ("Connection", "close")]
         headers += [("Model", model)] if model else []
+        headers += [("Prompt-Prefix", prefix)] if prefix else []
         protocol = h11.Connection(h11.CLIENT)
         stream = await trio.open_tcp_stream("127.0.0.1", self.port)
         request = h11.Request(method="GET", target=path, headers=headers)
