Quarantine parts of prompts that crash engines

What callers saw: one kind of request crashed engines one after the other.

Cause: nothing between callers and engines knows that a request, or any part of it, was waiting on an engine when it ended. The request is sent to a second engine at once, and its caller repeats it under a new id at another instance.

Change: entry instances report each crash with the shared parts of the prompts that had no response yet, and the time of the last response to each part. All control instances collect the reports, so that a new leader continues the count; the leader blames as few parts as explain the crashes: three crashes at different times since the last response, while other prompts get responses. Verdicts reach every entry instance with its next reply; entry instances give them back to control instances that all restarted. Without contact an entry instance decides from its own observations. A quarantined part is tested by one request at a time, which the leader grants after 5 or 30 s and then ever more rarely; any response clears a part. A request that crashed an engine is not repeated while one of its parts is suspected.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -67,6 +67,7 @@
     _K.DRAINING: "Reserved for refusals during a planned stop; no code path reports it today.",
     _K.NO_UPSTREAM: "No ready upstream can serve the model or service.",
     _K.MODEL_LOADING: "No upstream had the model or adapter loaded before the deadline.",
+    _K.PROMPT_QUARANTINED: "A part of the prompt crashed the engines that responded to it.",
     _K.UPSTREAM_UNREACHABLE: "The connection failed before any byte can have been sent.",
     _K.UPSTREAM_REFUSED: "The upstream itself stated that it did not run the request.",
     _K.UPSTREAM_FAILED: "The upstream failed or went silent after it may have got the request.",
--- a/src/briardyke/errors.py
+++ b/src/briardyke/errors.py
@@ -43,6 +43,7 @@
     DRAINING = "draining"
     NO_UPSTREAM = "no_upstream"
     MODEL_LOADING = "model_loading"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_FAILED = "upstream_failed"
@@ -102,6 +103,7 @@
     ErrorKind.DRAINING: Answer(503, True, Ran.NO),
     ErrorKind.NO_UPSTREAM: Answer(503, True, Ran.NO),
     ErrorKind.MODEL_LOADING: Answer(503, True, Ran.NO),
+    ErrorKind.PROMPT_QUARANTINED: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_REFUSED: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_FAILED: Answer(502, False, Ran.UNKNOWN),
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -18,6 +18,8 @@
     FleetRequest,
     PlaceReply,
     PlaceRequest,
+    TrialReply,
+    TrialRequest,
 )
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.view import FleetView
@@ -47,6 +49,7 @@
 # would otherwise poll the restarting ones many times during each election.
 _IDLE_NEXT_CONTROL_PAUSE_MS = 200.0
 _ADAPTER_TIMEOUT_MS = 1500.0
+_TRIAL_TIMEOUT_MS = 500.0
 _PLACE_TIMEOUT_MS = 300.0
 # Interval at which an entry instance connected to another data centre looks for a local control
 # instance.
@@ -93,6 +96,7 @@
         self._held_upstreams = 0
         self._held_entries = 0
         self._held_changes = 0
+        self._held_verdicts = 0
         self._wake = trio.Event()
         self._was_current = False
         self._locations: dict[Address, str] = {}
@@ -199,6 +203,8 @@
             self._held_entries,
             self._held_changes,
             wait_ms,
+            self._held_verdicts,
+            [row.aged(now_ms()) for row in self.view.unlisted_verdicts],
         )
         reply = None
         async with trio.open_nursery() as nursery:
@@ -230,6 +236,7 @@
         self._held_upstreams = reply.upstream_sequence
         self._held_entries = reply.entry_sequence
         self._held_changes = reply.change_sequence
+        self._held_verdicts = reply.verdict_sequence
         has_dropped = view.expire_unlisted()
         if has_dropped or reply.upstreams or reply.changes or reply.entries is not None:
             self._callbacks.on_change()
@@ -256,3 +263,11 @@
             return reply.unwrap()
         failure = reply.err()
         return AdapterReply("", failure.message if failure else "unexpected reply")
+
+    async def request_trial(self, part: str) -> bool:
+        """Ask the leader whether one request may test a quarantined part of its prompt."""
+        if self.view.leader is None:
+            return False
+        client = self._peers.client(self.view.leader)
+        reply = (await client.call(TrialRequest(part), _TRIAL_TIMEOUT_MS)).ok()
+        return isinstance(reply, TrialReply) and reply.is_granted
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -24,6 +24,8 @@
     PlaceRequest,
     RowsRequest,
     RowsUpdate,
+    TrialReply,
+    TrialRequest,
 )
 from briardyke.fleet.reachability import unreachable_upstreams
 from briardyke.fleet.records import GONE, SILENT, Upstream
@@ -92,6 +94,7 @@
         self.tables = self.rows.tables
         self.table_id = new_id("tbl")
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
+        self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -230,11 +233,15 @@
             return await self._answer_entry(message)
         if isinstance(message, AdapterRequest) and self.load_adapter is not None:
             return await self.load_adapter(message)
+        if isinstance(message, TrialRequest) and self.answer_trial is not None:
+            return await self.answer_trial(message)
         return None
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
         before = self.tables.entries.get(request.entry.instance_id)
         is_changed = self.rows.record_report(request.entry)
+        for verdict in request.unlisted_verdicts:
+            self.rows.publish_verdict(verdict)
         if is_changed and (before is None or before.is_ready != request.entry.is_ready):
             log_event(
                 "entry_changed",
@@ -254,6 +261,7 @@
             or self.tables.upstreams.sequence > request.held_upstreams
             or self.tables.entries.sequence > request.held_entries
             or self.tables.changes.sequence > request.held_changes
+            or self.tables.verdicts.sequence > request.held_verdicts
         )
 
     @property
@@ -304,6 +312,13 @@
                 else {}
             ),
             carried_per_s=self.rows.activity.carried_per_s(),
+            verdicts=[
+                row.aged(age_ms)
+                for row, age_ms in self.tables.verdicts.changed_with_age(
+                    request.held_verdicts if is_known else 0
+                )
+            ],
+            verdict_sequence=self.tables.verdicts.sequence,
         )
 
     def _compressed_document(self) -> bytes | None:
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
+from briardyke.quarantine.records import CrashReport, PartVerdict
 from briardyke.wire.codec import message
 
 
@@ -56,6 +57,9 @@
     :param repeated_upstreams: incarnations by id of upstreams that repeated an unchanged row.
     :param repeated_entries: the same for entry instances.
     :param activity: activity sum of the sender's entry instances.
+    :param crashes: crashes of upstreams that entry instances reported to the sender.
+    :param sound_ages_ms: time since the last response to a prompt with each suspected part.
+    :param verdicts: verdicts on parts of prompts.
     """
 
     upstreams: list[Upstream]
@@ -66,6 +70,9 @@
     repeated_upstreams: dict[str, int] = attrs.field(factory=dict)
     repeated_entries: dict[str, int] = attrs.field(factory=dict)
     activity: Activity | None = None
+    crashes: list[CrashReport] = attrs.field(factory=list)
+    sound_ages_ms: dict[str, float] = attrs.field(factory=dict)
+    verdicts: list[PartVerdict] = attrs.field(factory=list)
 
 
 @message
@@ -103,6 +110,8 @@
     :param held_entries: sequence of the entry table that it holds.
     :param held_changes: sequence of the table of model changes that it holds.
     :param wait_ms: longest time to hold the reply while nothing is new.
+    :param held_verdicts: sequence of the table of verdicts that it holds.
+    :param unlisted_verdicts: verdicts that it holds and the last whole reply did not list.
     """
 
     entry: EntryInstance
@@ -112,6 +121,8 @@
     held_entries: int
     held_changes: int
     wait_ms: float
+    held_verdicts: int = 0
+    unlisted_verdicts: list[PartVerdict] = attrs.field(factory=list)
 
 
 @message
@@ -137,6 +148,8 @@
     :param others: requests of other entry instances by upstream: all, and those whose response has
         not begun.
     :param carried_per_s: requests per second that entry instances serve, by their data centre.
+    :param verdicts: verdicts on parts of prompts that are new to the sender.
+    :param verdict_sequence: sequence of the table of verdicts.
     """
 
     is_current: bool
@@ -155,6 +168,30 @@
     is_whole: bool
     others: dict[str, list[int]] = attrs.field(factory=dict)
     carried_per_s: dict[str, float] = attrs.field(factory=dict)
+    verdicts: list[PartVerdict] = attrs.field(factory=list)
+    verdict_sequence: int = 0
+
+
+@message
+@attrs.frozen
+class TrialRequest:
+    """Request to the leader to let one request test a quarantined part of its prompt.
+
+    :param part: id of the part.
+    """
+
+    part: str
+
+
+@message
+@attrs.frozen
+class TrialReply:
+    """Reply to a :class:`TrialRequest`.
+
+    :param is_granted: whether the request may be sent to an upstream.
+    """
+
+    is_granted: bool
 
 
 @message
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -5,6 +5,7 @@
 import attrs
 
 from briardyke.addresses import parse_address
+from briardyke.quarantine.records import CrashReport
 
 READY = "ready"
 DRAINING = "draining"
@@ -87,6 +88,8 @@
     :param in_flight: its requests by upstream: all, and those whose response has not begun.
     :param wanted: models that its requests wait for and that no upstream has loaded or is loading.
     :param event_interval_ms: shortest usual time between two events of a stream, by upstream.
+    :param crashes: recent crashes of upstreams while its requests were waiting on them.
+    :param sound_ages_ms: time since the last response to a prompt with each suspected part.
     """
 
     instance_id: str
@@ -102,6 +105,8 @@
     in_flight: dict[str, list[int]] = attrs.field(factory=dict)
     wanted: list[str] = attrs.field(factory=list)
     event_interval_ms: dict[str, float] = attrs.field(factory=dict)
+    crashes: list[CrashReport] = attrs.field(factory=list)
+    sound_ages_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def key(self) -> str:
@@ -132,6 +137,8 @@
             wanted=[],
             carried_per_s=0.0,
             event_interval_ms={},
+            crashes=[],
+            sound_ages_ms={},
         )
 
 
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -11,6 +11,7 @@
 from briardyke.fleet.messages import RowsRequest, RowsUpdate
 from briardyke.fleet.tables import SoftTables
 from briardyke.logs import log_event
+from briardyke.quarantine.evidence import CrashEvidence
 from briardyke.sync.notifier import Notifier
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 
     from briardyke.addresses import Address
     from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
+    from briardyke.quarantine.records import PartVerdict
     from briardyke.wire.pool import PeerPool
 
 # Number of batches after which the rows repeated in the meantime are sent in full, for control
@@ -26,6 +28,8 @@
 # How long a starting control instance waits for the rows of the others before it replies to entry
 # instances as current. When all control instances start at once, no rows exist to wait for.
 _ROWS_TIMEOUT_MS = 500.0
+# Crashes younger than this are sent again in full batches; each batch may be lost.
+_REPEATED_CRASHES_MS = 10_000.0
 # Rows of departed owners are kept so that delayed announcements do not revive them.
 _ROW_TTL_MS = 120_000.0
 
@@ -51,6 +55,8 @@
         self.activity = ActivityAggregator(str(own_address))
         self.changed = Notifier()
         self.placement_inputs_changed = Notifier()
+        self.evidence = CrashEvidence()
+        self.crashes_changed = Notifier()
         self.is_complete = False
         self._peers = peers
         self._others = others
@@ -59,6 +65,7 @@
         self._repeated_entries: set[str] = set()
         self._pending_full_upstreams: set[str] = set()
         self._pending_full_entries: set[str] = set()
+        self._reported_sound: set[str] = set()
 
     # From owners
 
@@ -74,6 +81,7 @@
         if self.activity.record_report(entry):
             self.placement_inputs_changed.notify()
             self._broadcast(RowsUpdate([], [], [], [], activity=self.activity.local_sum()))
+        self._record_crashes(entry)
         row = entry.without_activity()
         if not self.tables.entries.merge(row):
             return False
@@ -87,6 +95,28 @@
             self.changed.notify()
             self._broadcast(RowsUpdate([], [], [], [], [row]))
 
+    def _record_crashes(self, entry: EntryInstance) -> None:
+        """Store what an entry instance reports of crashes, and broadcast new crashes."""
+        self.evidence.merge_sound_ages(entry.sound_ages_ms)
+        self._reported_sound.update(entry.sound_ages_ms)
+        new = [report for report in entry.crashes if self.evidence.merge(report)]
+        if new:
+            self.crashes_changed.notify()
+            self._broadcast(RowsUpdate([], [], [], [], crashes=new))
+
+    def publish_verdict(self, row: PartVerdict) -> None:
+        """Store and broadcast a verdict on a part of prompts."""
+        if self._merge_verdict(row):
+            self.changed.notify()
+            self._broadcast(RowsUpdate([], [], [], [], verdicts=[row]))
+
+    def _merge_verdict(self, row: PartVerdict) -> bool:
+        """Store a verdict unless it is held already, which tells better when it was made."""
+        held = self.tables.verdicts.get(row.part)
+        if held is not None and row.order <= held.order:
+            return False
+        return self.tables.verdicts.merge(row)
+
     # From other control instances
 
     def apply_update(self, update: RowsUpdate) -> None:
@@ -102,8 +132,14 @@
             is_changed |= self.tables.upstreams.confirm(upstream_id, incarnation)
         for instance_id, incarnation in update.repeated_entries.items():
             is_changed |= self.tables.entries.confirm(instance_id, incarnation)
+        for verdict in update.verdicts:
+            is_changed |= self._merge_verdict(verdict)
         if is_changed:
             self.changed.notify()
+        self.evidence.merge_sound_ages(update.sound_ages_ms)
+        new_crashes = [report for report in update.crashes if self.evidence.merge(report)]
+        if new_crashes:
+            self.crashes_changed.notify()
         if update.activity is not None and self.activity.merge_sum(update.activity):
             self.placement_inputs_changed.notify()
 
@@ -117,6 +153,9 @@
             [row for row, _ in entries],
             [age for _, age in entries],
             [row.aged(age_ms) for row, age_ms in self.tables.changes.changed_with_age(0)],
+            crashes=self.evidence.reports(),
+            sound_ages_ms=self.evidence.sound_ages_ms(),
+            verdicts=self._aged_verdicts(),
         )
 
     async def fetch_all(self) -> None:
@@ -161,7 +200,12 @@
             )
         self._repeated_upstreams.clear()
         self._repeated_entries.clear()
-        self._broadcast(attrs.evolve(update, activity=self.activity.local_sum()))
+        ages_ms = self.evidence.sound_ages_ms()
+        sound = {part: ages_ms[part] for part in self._reported_sound if part in ages_ms}
+        self._reported_sound.clear()
+        self._broadcast(
+            attrs.evolve(update, activity=self.activity.local_sum(), sound_ages_ms=sound)
+        )
 
     def _full_rows(self) -> RowsUpdate:
         tables = self.tables
@@ -172,8 +216,13 @@
             [tables.upstreams.age_ms(row.key) for row in upstreams],
             entries,
             [tables.entries.age_ms(row.key) for row in entries],
+            crashes=[r for r in self.evidence.reports() if r.age_ms < _REPEATED_CRASHES_MS],
+            verdicts=self._aged_verdicts(),
         )
 
+    def _aged_verdicts(self) -> list[PartVerdict]:
+        return [row.aged(age_ms) for row, age_ms in self.tables.verdicts.changed_with_age(0)]
+
     def _broadcast(self, update: RowsUpdate) -> None:
         self._peers.broadcast(self._others(), update)
 
--- a/src/briardyke/fleet/tables.py
+++ b/src/briardyke/fleet/tables.py
@@ -6,6 +6,7 @@
 
 from briardyke.fleet.records import EntryInstance, ModelChanges, Upstream
 from briardyke.fleet.table import SoftTable
+from briardyke.quarantine.records import PartVerdict
 
 
 @attrs.define
@@ -15,8 +16,10 @@
     :param upstreams: announced upstreams.
     :param entries: entry instances.
     :param changes: pending changes to the loaded models of upstreams, caused by orders.
+    :param verdicts: parts of prompts that are suspected to crash engines.
     """
 
     upstreams: SoftTable[Upstream] = attrs.field(factory=SoftTable)
     entries: SoftTable[EntryInstance] = attrs.field(factory=SoftTable)
     changes: SoftTable[ModelChanges] = attrs.field(factory=SoftTable)
+    verdicts: SoftTable[PartVerdict] = attrs.field(factory=SoftTable)
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -10,6 +10,7 @@
 from briardyke.clock import now_ms
 from briardyke.fleet.records import DRAINING, GONE, EntryInstance, ModelChanges, Upstream
 from briardyke.logs import log_limited
+from briardyke.quarantine.records import PartState, PartVerdict
 
 if TYPE_CHECKING:
     from briardyke.fleet.messages import FleetReply
@@ -31,6 +32,8 @@
     :param entries: entry instances that may be advertised to callers.
     :param changes: pending changes to loaded models by upstream id, with load completion times on
         the runtime's clock.
+    :param verdicts: verdicts on parts of prompts, with the times of trials on the runtime's clock.
+    :param unlisted_verdicts: verdicts held that the last whole reply did not list.
     :param leader: peer address of the leader of the control instances.
     :param controls: peer addresses of the control instances.
     :param confirmed_ms: time of the last current answer.
@@ -40,6 +43,8 @@
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     entries: list[EntryInstance] = attrs.field(factory=list)
     changes: dict[str, ModelChanges] = attrs.field(factory=dict)
+    verdicts: dict[str, PartVerdict] = attrs.field(factory=dict)
+    unlisted_verdicts: list[PartVerdict] = attrs.field(factory=list)
     leader: Address | None = None
     controls: list[Address] = attrs.field(factory=list)
     confirmed_ms: float = float("-inf")
@@ -75,6 +80,26 @@
             self.changes[changes.upstream_id] = changes.aged(-now_ms())
         if reply.entries is not None:
             self.entries = reply.entries
+        self._apply_verdicts(reply)
+
+    def _apply_verdicts(self, reply: FleetReply) -> None:
+        """Apply the verdicts of a reply.
+
+        Control instances that all restarted at once know no verdicts; they learn them again from
+        the entry instances, so that the count of crashes does not start anew.
+        """
+        for row in reply.verdicts:
+            held = self.verdicts.get(row.part)
+            if held is None or row.order >= held.order:
+                self.verdicts[row.part] = row.aged(-now_ms())
+        if reply.is_whole:
+            listed = {row.part for row in reply.verdicts}
+            self.unlisted_verdicts = [r for p, r in self.verdicts.items() if p not in listed]
+        else:
+            self.unlisted_verdicts = []
+        cleared = [p for p, r in self.verdicts.items() if r.state is PartState.CLEARED]
+        for part in cleared:
+            del self.verdicts[part]
 
     def _apply_row(self, row: Upstream) -> None:
         held = self.upstreams.get(row.upstream_id)
--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -30,13 +30,14 @@
     :param upstream_id: the upstream.
     :param incarnation: start of its process, in Unix milliseconds.
     :param at_ms: time at which the first connection ended.
-    :param parts: shared parts of the prompts of requests without any response.
+    :param depths: shared parts of the prompts of requests without any response, each with the
+        number of parts before it.
     """
 
     upstream_id: str
     incarnation: int
     at_ms: float
-    parts: set[str] = attrs.field(factory=set)
+    depths: dict[str, int] = attrs.field(factory=dict)
 
 
 class CrashDetector:
@@ -53,10 +54,9 @@
         self._is_refusing = is_refusing
         self._checks: dict[tuple[str, int], trio.Event] = {}
         self._crashes: dict[tuple[str, int], ObservedCrash] = {}
-        self.on_crash: Callable[[], None] | None = None
 
-    async def investigate(self, row: Upstream, request: RequestMetadata) -> bool:
-        """Return whether an upstream crashed whose connection ended before its first response.
+    async def investigate(self, row: Upstream, request: RequestMetadata) -> ObservedCrash | None:
+        """Return the crash of an upstream whose connection ended, ``None`` if it still runs.
 
         :param row: announcement of the upstream.
         :param request: request that was waiting for the response.
@@ -66,11 +66,11 @@
         if crash is None:
             lost_ms = now_ms()
             if not await self._has_crashed(key, row):
-                return False
+                return None
             crash = self._crashes.setdefault(
                 key, ObservedCrash(row.upstream_id, row.incarnation, lost_ms)
             )
-        crash.parts.update(request.shared_prefix_ids)
+        crash.depths.update({part: n for n, part in enumerate(request.shared_prefix_ids)})
         log_event(
             "upstream_crashed",
             upstream=row.upstream_id,
@@ -80,9 +80,7 @@
             adapter=request.adapter,
             parts=",".join(request.shared_prefix_ids),
         )
-        if self.on_crash is not None:
-            self.on_crash()
-        return True
+        return crash
 
     async def _has_crashed(self, key: tuple[str, int], row: Upstream) -> bool:
         """Check an upstream once for all requests that lose their connections together."""
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -89,8 +89,7 @@
         deadline_ms = request.received_ms + timeout_ms
         context = RequestContext(request, metadata, route, service, deadline_ms, trace)
         state.budget(service).record_request(now_ms())
-        state.demand.record(metadata.model or service)
-        refusal = state.admission.refusal(context, state)
+        refusal = await self._admission_refusal(context)
         if refusal is not None:
             await self._send_failure(answer, trace, refusal)
             return
@@ -102,6 +101,19 @@
             if not trace.is_finished:
                 trace.finish(state.counters, 0, "caller_gone")
 
+    async def _admission_refusal(self, context: RequestContext) -> Failure | None:
+        """Return the reason to reject a new request, or ``None``."""
+        state = self._state
+        part = state.quarantine.quarantined_part(context.metadata)
+        if part is not None and not state.quarantine.is_trial_due(part):
+            return state.quarantine.failure(part)
+        state.demand.record(context.metadata.model or context.service)
+        refusal = state.admission.refusal(context, state)
+        if refusal is None and part is not None:
+            context.is_trial = await state.quarantine.request_trial(part)
+            return None if context.is_trial else state.quarantine.failure(part)
+        return refusal
+
     async def _await_configuration(self, metadata: RequestMetadata) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
 
@@ -123,7 +135,9 @@
         """Try upstreams until one responds or no further attempt is allowed."""
         async with trio.open_nursery() as nursery:
             while (upstream := await self._next_upstream(context)) is not None:
-                context.refusal = self._state.admission.late_start_refusal(context, upstream)
+                context.refusal = self._quarantine_refusal(
+                    context
+                ) or self._state.admission.late_start_refusal(context, upstream)
                 if context.refusal is not None:
                     break
                 attempt = await self._attempt(context, upstream, nursery)
@@ -139,6 +153,12 @@
             nursery.cancel_scope.cancel()
         await self._finish_unserved(context, answer)
 
+    def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
+        """Return the reason not to send a request whose part was quarantined while it waited."""
+        gate = self._state.quarantine
+        part = None if context.is_trial else gate.quarantined_part(context.metadata)
+        return gate.failure(part) if part is not None else None
+
     async def _attempt(
         self, context: RequestContext, upstream: UpstreamState, nursery: trio.Nursery
     ) -> AttemptResult:
@@ -175,7 +195,7 @@
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
         if attempt.ending is Ending.FAILED and is_engine:
-            await self._state.crashes.investigate(upstream.row, context.metadata)
+            await self._state.quarantine.record_loss(upstream.row, context.metadata)
         return attempt
 
     def _attempt_timeout_ms(self, context: RequestContext, load: float) -> float:
@@ -212,6 +232,8 @@
             return context.connect_failures <= _MAX_CONNECT_FAILURES
         if attempt.may_have_run and not context.route.is_retryable:
             return False
+        if attempt.ending is Ending.FAILED and self._state.quarantine.holds_back(context.metadata):
+            return False
         if context.sent_attempts >= context.route.max_attempts:
             return False
         return self._spend_retry(context, "repeated")
@@ -281,6 +303,8 @@
             )
             return
         if attempt.connection is None:
+            if status < 300:
+                self._state.quarantine.record_response(context.metadata)
             await answer.send_whole(status, headers, attempt.body)
             outcome = "served" if status < 500 else "upstream_failed"
             context.trace.finish(self._state.counters, status, outcome)
@@ -307,6 +331,8 @@
             return False
         if context.sent_attempts >= context.route.max_attempts:
             return False
+        if not context.trace.events and self._state.quarantine.holds_back(context.metadata):
+            return False
         return self._spend_retry(context, "resumed")
 
     async def _relay(
@@ -333,7 +359,7 @@
                     upstream.row.upstream_id, "stream_broken", upstream.load()
                 )
                 if splitter.count == count and self._state.is_engine(context.service):
-                    await self._state.crashes.investigate(upstream.row, context.metadata)
+                    await self._state.quarantine.record_loss(upstream.row, context.metadata)
             return is_whole
         finally:
             upstream.in_flight -= 1
@@ -375,6 +401,8 @@
                     upstream.observe_service_time(took_ms / new, _EVENT_WEIGHT)
                 if context.trace.events and new:
                     upstream.observe_event_interval(took_ms / new)
+                if new and not count:
+                    self._state.quarantine.record_response(context.metadata)
                 context.trace.add_events(new, took_ms)
                 context.last_progress_ms = last_ms = now_ms()
                 count = splitter.count
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -11,6 +11,7 @@
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.forward import Forwarder
+from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import LAST_REQUEST_S, H11Server, ServerLimits
 from briardyke.logs import log_event
@@ -75,9 +76,14 @@
         )
         self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
-            dialect, settings.data_centre, settings.retries, self.client.request_adapter
+            dialect,
+            settings.data_centre,
+            settings.retries,
+            self.client.request_adapter,
+            QuarantineGate(settings.instance_id, self._shared_verdicts, self.client.request_trial),
         )
         self.state.missing_models.report_now = self.client.report_now
+        self.state.quarantine.on_crash = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
         self.server = H11Server(self._forwarder.handle, self._limits)
@@ -148,8 +154,14 @@
             self.state.upstreams.in_flight(),
             self.state.missing_models.names(),
             self.state.upstreams.event_intervals_ms(),
+            self.state.quarantine.crash_reports(),
+            self.state.quarantine.sound_ages_ms(),
         )
 
+    def _shared_verdicts(self) -> SharedVerdicts:
+        view = self.client.view
+        return SharedVerdicts(view.verdicts, view.confirmed_ms)
+
     def _apply_configuration(self, version: int, document: bytes) -> bool:
         decoded = self._decode(document)
         if decoded.is_err():
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -9,9 +9,9 @@
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
 from briardyke.gateway.counters import Counters
-from briardyke.gateway.crash_detection import CrashDetector
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.missing_models import MissingModels
+from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
 from briardyke.policy.retries import RetryBudget
 from briardyke.sync.notifier import Notifier
@@ -56,6 +56,7 @@
         data_centre: str,
         retries: RetryBounds,
         request_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
+        quarantine: QuarantineGate | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -63,6 +64,8 @@
         :param data_centre: data centre of this instance.
         :param retries: limits on the retries of all entry instances together.
         :param request_adapter: requests an adapter from the control instances.
+        :param quarantine: stops requests that crash engines; by default from the crashes that this
+            instance observes alone.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -70,7 +73,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
-        self.crashes = CrashDetector()
+        self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.changed = Notifier()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
@@ -138,3 +141,7 @@
         """Return a model of a service."""
         spec = self.routes.configuration.services.get(service) if self.routes else None
         return spec.engine.models.get(name) if spec and spec.engine else None
+
+
+async def _deny_trial(part: str) -> bool:
+    return False
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -18,6 +18,7 @@
 from briardyke.platform.engines import PlatformEngines
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
+from briardyke.quarantine.runner import QuarantineRunner
 from briardyke.supervision import keep_running
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
@@ -77,8 +78,11 @@
             engines_check_fencing=settings.engines_check_fencing,
         )
         control.load_adapter = models.place_adapter
+        quarantine = QuarantineRunner(control)
+        control.answer_trial = quarantine.answer_trial
         nursery.start_soon(control.run)
         nursery.start_soon(keep_running, "placement", models.run)
+        nursery.start_soon(keep_running, "quarantine", quarantine.run)
         log_event("control_started", member=log.status().member_id, version=machine.version)
         await stop.wait()
         await control.stop()
--- /dev/null
+++ b/src/briardyke/quarantine/attribution.py
@@ -0,0 +1,112 @@
+"""Attribute crashes of engines to parts of prompts."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
+# Crashes without any response in between after which a part is quarantined. Engines also crash for
+# other reasons while a sound part happens to wait on them; three times in a row is improbable.
+QUARANTINE_CRASHES = 3
+# Crashes after which responses to prompts with the part are watched.
+SUSPICION_CRASHES = 2
+# Crashes within this time count as one: a rack or a zone that loses power ends many engines at the
+# same moment, and a part common to most requests waits on all of them.
+SIMULTANEOUS_MS = 40.0
+# Error of the times of crashes and responses that different instances observed.
+CLOCK_ERROR_MS = 100.0
+NEVER_MS = float("-inf")
+
+
+@attrs.frozen
+class Crash:
+    """Crash of one process of an upstream, from the reports of all entry instances.
+
+    :param at_ms: time of the crash, on the clock of the instance that attributes it.
+    :param depths: parts of the prompts that were waiting, each with the number of parts before it.
+    """
+
+    at_ms: float
+    depths: Mapping[str, int]
+
+
+@attrs.frozen
+class Attribution:
+    """Known crashes and responses, and the parts to blame for the crashes.
+
+    A part that crashes engines gets no response anywhere, whatever else its prompts contain. A
+    sound part gets one soon, since most of its requests wait on engines that do not crash.
+
+    :param crashes: crashes known, in any order.
+    :param sound_ms: time of the last response to a prompt with each part.
+    :param any_sound_ms: time of the last response to any prompt.
+    """
+
+    crashes: Sequence[Crash]
+    sound_ms: Mapping[str, float]
+    any_sound_ms: float
+
+    def counts(self, explained_by: AbstractSet[str]) -> dict[str, int]:
+        """Return for each part the crashes since the last response to a prompt with it.
+
+        :param explained_by: quarantined parts; their crashes are not counted for other parts.
+        """
+        blamed_ms: dict[str, list[float]] = defaultdict(list)
+        for crash in sorted(self.crashes, key=lambda c: c.at_ms):
+            if not explained_by.isdisjoint(crash.depths):
+                continue
+            for part in crash.depths:
+                times_ms = blamed_ms[part]
+                is_simultaneous = bool(times_ms) and crash.at_ms - times_ms[-1] < SIMULTANEOUS_MS
+                if not self._is_sound_since(part, crash.at_ms) and not is_simultaneous:
+                    times_ms.append(crash.at_ms)
+        # While no prompt at all gets a response, nothing tells a part from the others.
+        return {
+            part: len(times_ms)
+            for part, times_ms in blamed_ms.items()
+            if times_ms and self.any_sound_ms > times_ms[0]
+        }
+
+    def parts_to_quarantine(self, quarantined: AbstractSet[str]) -> list[str]:
+        """Return the parts to quarantine in addition, as few as explain the crashes.
+
+        Parts that most requests share wait in the same crashes as the one that causes them. Of
+        parts in equally many crashes, the one with the oldest response and most parts before it is
+        blamed, since its quarantine affects the fewest requests.
+
+        :param quarantined: parts in quarantine already.
+        """
+        found: list[str] = []
+        while True:
+            counts = self.counts({*quarantined, *found})
+            blamed = [part for part, count in counts.items() if count >= QUARANTINE_CRASHES]
+            if not blamed:
+                return found
+            found.append(
+                min(
+                    blamed,
+                    key=lambda part: (
+                        -counts[part],
+                        self.sound_ms.get(part, NEVER_MS),
+                        -self._depth(part),
+                        part,
+                    ),
+                )
+            )
+
+    def suspected_parts(self, quarantined: AbstractSet[str]) -> set[str]:
+        """Return the parts of which one more crash may lead to a quarantine."""
+        counts = self.counts(quarantined)
+        return {part for part, count in counts.items() if count >= SUSPICION_CRASHES}
+
+    def _is_sound_since(self, part: str, at_ms: float) -> bool:
+        return self.sound_ms.get(part, NEVER_MS) >= at_ms + CLOCK_ERROR_MS
+
+    def _depth(self, part: str) -> int:
+        return max(c.depths.get(part, 0) for c in self.crashes)
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -46,7 +46,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(detector.investigate, ROW, REQUEST)
             nursery.start_soon(detector.investigate, ROW, other)
-        assert [c.parts for c in detector.recent()] == [{"first", "second", "third"}]
+        assert [c.depths for c in detector.recent()] == [{"first": 0, "second": 1, "third": 1}]
         assert check.calls == 1
 
     async def test_lost_connection_of_a_running_upstream_is_no_crash(
@@ -88,8 +88,8 @@
                 await stream.send_all(event(1))
             await trio.aclose_forcefully(stream)
 
-        gateway.state.crashes = detector = CrashDetector(FakeCheck(True))
+        gateway.state.quarantine.detector = detector = CrashDetector(FakeCheck(True))
         await gateway.add("pool", crash)
         await gateway.send("/chat/x", "s-1", "m", prefix="first:9,known:9,own:9")
         await gateway.send("/chat/x", "s-2", "m", prefix="first:9,other:9,own:9")
-        assert [c.parts for c in detector.recent()] == [{"first", "other"}]
+        assert [c.depths for c in detector.recent()] == [{"first": 0, "other": 1}]
