Keep quarantined parts on disk on every control instance

After a loss of power of all instances at once, nobody would remember a quarantined part, and the count of crashes would start anew. Each control instance now writes its quarantined parts to a file of its own when they change and merges them at its start; the newest verdict of a part wins, so the files need no agreement. Test: test_quarantine_is_in_force_after_all_instances_lost_power.

--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -19,6 +19,7 @@
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
 from briardyke.quarantine.runner import QuarantineRunner
+from briardyke.quarantine.store import VerdictStore
 from briardyke.supervision import keep_running
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
@@ -78,7 +79,7 @@
             engines_check_fencing=settings.engines_check_fencing,
         )
         control.load_adapter = models.place_adapter
-        quarantine = QuarantineRunner(control)
+        quarantine = QuarantineRunner(control, VerdictStore(settings.data_dir))
         control.answer_trial = quarantine.answer_trial
         nursery.start_soon(control.run)
         nursery.start_soon(keep_running, "placement", models.run)
--- a/src/briardyke/quarantine/runner.py
+++ b/src/briardyke/quarantine/runner.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from briardyke.fleet.control import ControlInstance
+    from briardyke.quarantine.store import VerdictStore
 
 # Responses that clear a part arrive with the regular reports of entry instances.
 TICK_MS = 250.0
@@ -22,12 +23,16 @@
 class QuarantineRunner:
     """Decide on parts of prompts from the crashes that all entry instances report."""
 
-    def __init__(self, control: ControlInstance) -> None:
-        """Create a runner; :meth:`run` starts it.
+    def __init__(self, control: ControlInstance, store: VerdictStore) -> None:
+        """Load the stored verdicts; :meth:`run` starts the runner.
 
         :param control: this control instance.
+        :param store: keeps quarantined parts on disk.
         """
         self._control = control
+        self._store = store
+        for row in store.load():
+            control.tables.verdicts.merge(row)
         self._sequence = 0
         self._term = 0
 
@@ -39,6 +44,7 @@
             term = self._control.leading_term()
             if term is not None and self._has_work():
                 self._tick(term)
+            await self._store.save(self._control.tables.verdicts.rows())
 
     def _has_work(self) -> bool:
         tables = self._control.tables
--- a/tests/quarantine/test_runner.py
+++ b/tests/quarantine/test_runner.py
@@ -12,13 +12,15 @@
 from briardyke.fleet.messages import RowsUpdate, TrialRequest
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.rows import RowExchange
-from briardyke.quarantine.records import CrashReport, PartState, WaitingPart
+from briardyke.quarantine.records import CrashReport, PartState, PartVerdict, WaitingPart
 from briardyke.quarantine.runner import QuarantineRunner
+from briardyke.quarantine.store import VerdictStore
 from briardyke.quarantine.verdicts import NEW_PART_TRIAL_MS
 from briardyke.wire.codec import decode, encode
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from pathlib import Path
 
 ENTRY = EntryInstance("entry-1", 1, 1, "10.0.1.1:80", "dc", True)
 
@@ -74,9 +76,23 @@
     return FakeGroup()
 
 
-async def start(control: FakeControl, nursery: trio.Nursery) -> QuarantineRunner:
+class NoStore:
+    """Replace the file, whose thread the paused clock does not wait for."""
+
+    def load(self) -> list[PartVerdict]:
+        return []
+
+    async def save(self, rows: Iterable[PartVerdict]) -> None:
+        await trio.lowlevel.checkpoint()
+
+
+def no_store() -> Any:
+    return NoStore()
+
+
+async def start(control: FakeControl, nursery: trio.Nursery, store: Any = None) -> QuarantineRunner:
     leader: Any = control
-    runner = QuarantineRunner(leader)
+    runner = QuarantineRunner(leader, store or no_store())
     nursery.start_soon(runner.run)
     await trio.sleep(0.3)
     return runner
@@ -86,7 +102,11 @@
     """Covers the count over several entry and control instances."""
 
     async def test_crashes_seen_by_different_entry_instances_are_counted_together(
-        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
     ) -> None:
         leader, follower = group.add(), group.add()
         leader.term = 3
@@ -100,7 +120,11 @@
         assert state_of(follower, "first") is not PartState.QUARANTINED
 
     async def test_new_leader_continues_the_count(
-        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
     ) -> None:
         former, successor = group.add(), group.add()
         former.term = 3
@@ -115,7 +139,11 @@
         assert state_of(successor) is PartState.QUARANTINED
 
     async def test_lost_broadcasts_are_repeated(
-        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
     ) -> None:
         leader, follower = group.add(), group.add()
         leader.term = 3
@@ -131,7 +159,11 @@
         assert state_of(leader) is PartState.QUARANTINED
 
     async def test_response_to_a_suspected_part_clears_it(
-        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
     ) -> None:
         leader, follower = group.add(), group.add()
         leader.term = 3
@@ -146,11 +178,38 @@
         assert state_of(follower) is PartState.CLEARED
 
 
+class TestRestart:
+    """Guards against a count that starts anew after all instances lost power."""
+
+    async def test_quarantine_is_in_force_after_all_instances_lost_power(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
+    ) -> None:
+        autojump_clock.autojump_threshold = 0.05  # lets the thread that writes the file end
+        leader = group.add()
+        leader.term = 3
+        await start(leader, nursery, VerdictStore(tmp_path))
+        for number in (1, 2, 3):
+            leader.rows.record_report(report(number))
+            await trio.sleep(0.2)
+        await trio.sleep(0.5)
+        restarted = FakeGroup().add()
+        await start(restarted, nursery, VerdictStore(tmp_path))
+        assert state_of(restarted) is PartState.QUARANTINED
+
+
 class TestTrials:
     """Covers requests that test a quarantined part."""
 
     async def test_one_entry_instance_may_test_a_part_at_a_time(
-        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+        self,
+        autojump_clock: trio.testing.MockClock,
+        group: FakeGroup,
+        nursery: trio.Nursery,
+        tmp_path: Path,
     ) -> None:
         leader = group.add()
         leader.term = 3
@@ -170,5 +229,5 @@
         self, autojump_clock: trio.testing.MockClock, group: FakeGroup
     ) -> None:
         follower: Any = group.add()
-        reply = await QuarantineRunner(follower).answer_trial(TrialRequest("deadly"))
+        reply = await QuarantineRunner(follower, no_store()).answer_trial(TrialRequest("deadly"))
         assert not reply.is_granted
