Treat a stream that ends within an event as broken off

What callers saw: the first part of an event as the last bytes of a stream that was marked as complete. Cause: at the end of an upstream's body, whatever its framing, the bytes after the last event were forwarded and the stream was called whole. Change: an event ends with a blank line. If anything but line ends follows the last one, the splitter raises UnfinishedEventError; nothing of it is forwarded, and the stream is resumed or its answer is left without an end. Conclusion: a stream is complete only at an event's end, for chunked, sized and unframed bodies.

--- a/src/briardyke/gateway/event_stream.py
+++ b/src/briardyke/gateway/event_stream.py
@@ -12,10 +12,18 @@
 _ID_LINE = re.compile(rb"^id:[ \t]*([^\r\n]*)", re.MULTILINE)
 
 
-class EventTooLongError(Exception):
+class EventStreamError(Exception):
+    """Raised for a stream that cannot be forwarded as it is."""
+
+
+class EventTooLongError(EventStreamError):
     """Raised for an event without a terminator within the size limit."""
 
 
+class UnfinishedEventError(EventStreamError):
+    """Raised for a stream that ends within an event."""
+
+
 class EventSplitter:
     """Return complete events and remember the id of the last one."""
 
@@ -50,6 +58,11 @@
         self._partial = b""
 
     def take_remainder(self) -> bytes:
-        """Return the data after the last complete event when the stream has ended normally."""
+        """Return the line ends after the last event when the stream has ended.
+
+        :raises UnfinishedEventError: when the stream has ended before the blank line of an event.
+        """
         remainder, self._partial = self._partial, b""
+        if remainder.strip(b"\r\n"):
+            raise UnfinishedEventError(f"the stream ended {len(remainder)} bytes into an event")
         return remainder
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -15,7 +15,7 @@
 from briardyke.gateway.attempt import AttemptResult, AttemptRunner, Ending
 from briardyke.gateway.attempt_feedback import record_attempt
 from briardyke.gateway.dialect import ForwardingMetadata
-from briardyke.gateway.event_stream import EventSplitter, EventTooLongError
+from briardyke.gateway.event_stream import EventSplitter, EventStreamError
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.trace import Trace
@@ -360,7 +360,7 @@
                 if scope.cancelled_caught:
                     continue
                 whole = splitter.take_remainder() if part is None else splitter.feed(part)
-            except (UpstreamError, EventTooLongError) as error:
+            except (UpstreamError, EventStreamError) as error:
                 context.trace.add_attempt(upstream.row.upstream_id, str(error), upstream.load())
                 return False
             if whole:
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -62,6 +64,13 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+async def close(stream: trio.SocketStream, *, is_reset: bool = False) -> None:
+    """Close a connection properly or by a reset."""
+    if is_reset:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await trio.aclose_forcefully(stream)
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream as a chunk."""
     return chunk(b"id: %d\ndata: t\n\n" % number)
--- /dev/null
+++ b/tests/gateway/test_response_ends.py
@@ -0,0 +1,76 @@
+"""Tests of responses that end early, and of those that end with their connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from gateway_support import chunk, close
+
+if TYPE_CHECKING:
+    import trio
+    from gateway_support import Gateway, Script, ScriptedUpstream
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+STREAM = HEAD + b"Content-Type: text/event-stream\r\n"
+EVENTS = [b"id: %d\ndata: t\n\n" % number for number in range(1, 4)]
+FRAMINGS = ["chunked", "length", "connection"]
+
+
+def framed(head: bytes, body: bytes, framing: str) -> bytes:
+    """Return a response whose body ends by its last chunk, its length or its connection."""
+    if framing == "chunked":
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + b"0\r\n\r\n"
+    if framing == "length":
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    return head + b"\r\n" + body
+
+
+def respond(head: bytes, body: bytes, framing: str, *, is_reset: bool = False) -> Script:
+    """Return a script that sends one response and closes the connection."""
+
+    async def script(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        await stream.send_all(framed(head % request_id, body, framing))
+        await close(stream, is_reset=is_reset)
+
+    return script
+
+
+class TestEndOfStream:
+    """Covers streams that end with or within an event."""
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("last", [b"i", b"id: 2", b"id: 2\ndata: t", b"id: 2\ndata: t\n", b":"])
+    async def test_stream_that_ends_within_an_event_is_not_complete(
+        self, gateway: Gateway, last: bytes, framing: str
+    ) -> None:
+        await gateway.add("pool", respond(STREAM, EVENTS[0] + last, framing))
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (EVENTS[0], False)
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_stream_that_ends_within_an_event_is_resumed(
+        self, gateway: Gateway, framing: str
+    ) -> None:
+        async def cut_then_rest(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            is_first = sum(len(u.requests) for u in upstreams) == 1
+            body = EVENTS[0] + b"id: 2\ndata" if is_first else EVENTS[1] + EVENTS[2]
+            await stream.send_all(framed(STREAM % request_id, body, framing))
+            await close(stream)
+
+        upstreams = [await gateway.add("pool", cut_then_rest) for _ in range(2)]
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (b"".join(EVENTS), True)
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("extra", [b"", b"\n", b"\r\n"])
+    async def test_line_ends_after_the_last_event_are_no_event(
+        self, gateway: Gateway, extra: bytes, framing: str
+    ) -> None:
+        await gateway.add("pool", respond(STREAM, b"".join(EVENTS) + extra, framing))
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (b"".join(EVENTS) + extra, True)
