Fail an unframed response whose connection is reset while the request is sent

What callers saw: a response without a length, cut off by a reset, as complete. Cause: a long body is written beside the reading of the response. The kernel reports a reset once. If the writing task met it, the error was dropped, and the reading task then read the end of the connection, which ends an unframed body properly. Change: the writing task records its failure, and the end of such a connection is a broken one. Evidence: the new test in http/test_h11_client.py (an 8 MB body, a response of four bytes without a length, then a reset) failed in three of three runs before: the body was returned as complete. Conclusion: framed responses were not concerned; an upstream that closes with unread data resets too, so such an unframed response is now a failure, as it was where the reading task met the reset first.

--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -87,6 +87,7 @@
         self._has_received = False
         self._keep_ms = _DEFAULT_KEEP_MS
         self._may_keep = True
+        self._is_reset = False
 
     @property
     def was_dropped_at_rest(self) -> bool:
@@ -120,7 +121,8 @@
             await self._send_all(data)
             self._may_keep = True
         except UpstreamError:
-            pass  # the reading side sees the same failure and reports it
+            # The kernel reports a reset once; the reading side would take it for a proper close.
+            self._is_reset = True
 
     async def _send_all(self, data: bytes) -> None:
         try:
@@ -216,6 +218,8 @@
                 data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise UpstreamError(Fault.BROKEN, f"connection reset: {error}") from error
+            if not data and self._is_reset:
+                raise UpstreamError(Fault.BROKEN, "connection reset while sending")
             self._has_received = self._has_received or bool(data)
             self._protocol.receive_data(data)
 
--- a/tests/http/test_h11_client.py
+++ b/tests/http/test_h11_client.py
@@ -184,6 +184,21 @@
             assert not connection.finish(head)
             nursery.cancel_scope.cancel()
 
+    async def test_reset_that_the_writing_side_meets_first_is_no_proper_close(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(b"HTTP/1.1 200 OK\r\n\r\n", b"part", reset=True)
+        connection = await pool.take(5000.0)
+        body = b"x" * 8_000_000
+        headers = [(b"host", b"u"), (b"content-length", b"%d" % len(body))]
+        async with trio.open_nursery() as nursery:
+            await connection.send("POST", "/x", headers, body, nursery)
+            await connection.read_head(is_own)
+            await trio.sleep(0.2)  # the reset ends the writing
+            with pytest.raises(UpstreamError):
+                await connection.read_body(100)
+            nursery.cancel_scope.cancel()
+
 
 class TestPool:
     """Covers connections that cannot be opened or have rested too long."""
