Show that a response is complete only by its framing or a proper close

The fault could not be shown here: plain responses are held until they are whole, and trio tells a reset from a proper close. The tests cut plain responses with a length or in chunks at every byte of their bodies, and end streams and plain responses without either by a close and by a reset, for requests that may be repeated and those that may not.

--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -38,6 +38,18 @@
     return script
 
 
+def cut(whole: bytes, size: int, *, is_reset: bool = False) -> Script:
+    """Return a script that sends the first bytes of a response and closes the connection."""
+
+    async def script(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        await stream.send_all(whole[:size])
+        await close(stream, is_reset=is_reset)
+
+    return script
+
+
 class TestEndOfStream:
     """Covers streams that end with or within an event."""
 
@@ -74,3 +86,44 @@
         await gateway.add("pool", respond(STREAM, b"".join(EVENTS) + extra, framing))
         reply = await gateway.send("/chat/x", "s-1", "m")
         assert (reply.body, reply.is_complete) == (b"".join(EVENTS) + extra, True)
+
+    async def test_stream_that_ends_with_its_connection_is_complete_only_at_a_proper_close(
+        self, gateway: Gateway
+    ) -> None:
+        upstream = await gateway.add("pool", respond(STREAM, EVENTS[0], "connection"))
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (EVENTS[0], True)
+        upstream.script = respond(STREAM, EVENTS[0], "connection", is_reset=True)
+        reply = await gateway.send("/chat/x", "s-2", "m")
+        assert (reply.body, reply.is_complete) == (EVENTS[0], False)
+
+
+class TestEndOfResponse:
+    """Covers responses other than streams that end early or with their connection."""
+
+    @pytest.mark.parametrize("kind", ["see", "buy"])
+    async def test_unframed_response_is_complete_only_at_a_proper_close(
+        self, gateway: Gateway, kind: str
+    ) -> None:
+        upstreams = [
+            await gateway.add("app", respond(HEAD, b"all", "connection")) for _ in range(2)
+        ]
+        reply = await gateway.send(f"/{kind}/x", "p-1")
+        assert (reply.status, reply.body, reply.is_complete) == (200, b"all", True)
+        for upstream in upstreams:
+            upstream.script = respond(HEAD, b"all", "connection", is_reset=True)
+        reply = await gateway.send(f"/{kind}/x", "p-2")
+        assert (reply.status, reply.body) == (502, b"")
+
+    @pytest.mark.parametrize("framing", ["chunked", "length"])
+    @pytest.mark.parametrize("kind", ["see", "buy"])
+    async def test_framed_response_cut_at_any_byte_is_a_failure(
+        self, gateway: Gateway, kind: str, framing: str
+    ) -> None:
+        whole = framed(HEAD % b"p-1", b"all of it", framing)
+        upstreams = [await gateway.add("app", cut(whole, 0)) for _ in range(2)]
+        for size in range(whole.index(b"\r\n\r\n") + 4, len(whole)):
+            for upstream in upstreams:
+                upstream.script = cut(whole, size)
+            reply = await gateway.send(f"/{kind}/x", "p-1")
+            assert (reply.status, reply.body) == (502, b"")
