Show that the head of a response that is cut off is never passed on

Operators of similar systems saw a 200 with an empty or short body where an upstream had closed within the head of its response. The fault could not be shown here: h11 reports a close before the blank line as an error. The tests cut the heads of plain responses and of streams at every byte, by a close and by a reset. A request that may be repeated is then served by another upstream, any other gets a 502 and reaches one upstream only.

--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -50,6 +50,19 @@
     return script
 
 
+def cut_next(whole: bytes, sizes: list[int], *, is_reset: bool) -> Script:
+    """Return a script that pops the size to which it cuts a response; a whole one is not reset."""
+
+    async def script(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        size = sizes.pop()
+        is_reset_now = is_reset and size < len(whole)
+        await cut(whole, size, is_reset=is_reset_now)(upstream, stream, request_id)
+
+    return script
+
+
 class TestEndOfStream:
     """Covers streams that end with or within an event."""
 
@@ -127,3 +140,39 @@
                 upstream.script = cut(whole, size)
             reply = await gateway.send(f"/{kind}/x", "p-1")
             assert (reply.status, reply.body) == (502, b"")
+
+
+class TestCutHead:
+    """Covers upstreams that stop within the head of a response and close."""
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("kind", ["see", "buy", "chat"])
+    async def test_cut_head_is_never_passed_on_as_a_success(
+        self, gateway: Gateway, kind: str, is_reset: bool
+    ) -> None:
+        service, head, model = ("pool", STREAM, "m") if kind == "chat" else ("app", HEAD, "")
+        whole = head % b"h-1" + b"Content-Length: 17\r\n\r\n"
+        upstreams = [await gateway.add(service, cut(whole, 0)) for _ in range(2)]
+        for size in range(len(whole)):
+            for upstream in upstreams:
+                upstream.script = cut(whole, size, is_reset=is_reset)
+            reply = await gateway.send(f"/{kind}/x", "h-1", model)
+            assert (reply.status, reply.body) == (502, b"")
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("kind", ["see", "buy", "chat"])
+    async def test_only_retryable_requests_are_sent_to_another_upstream(
+        self, gateway: Gateway, kind: str, is_reset: bool
+    ) -> None:
+        service, head, model = ("pool", STREAM, "m") if kind == "chat" else ("app", HEAD, "")
+        whole = framed(head % b"h-1", EVENTS[0], "length")
+        upstreams = [await gateway.add(service, cut(whole, 0)) for _ in range(2)]
+        for size in range(whole.index(b"\r\n\r\n") + 4):
+            sizes = [len(whole), size]  # popped from its end
+            for upstream in upstreams:
+                upstream.requests.clear()
+                upstream.script = cut_next(whole, sizes, is_reset=is_reset)
+            reply = await gateway.send(f"/{kind}/x", "h-1", model)
+            expected = (502, b"", 1) if kind == "buy" else (200, EVENTS[0], 2)
+            requests = sum(len(u.requests) for u in upstreams)
+            assert (reply.status, reply.body, requests) == expected
