Never send a request on a connection on which it was refused

What callers saw: "not run" for a request that an upstream was running, or a request that ran twice. Cause: an upstream that lacks the model, or is not the intended process, refuses a request, and may be selected for it again. The request then had the same id on the same kept connection, so that a late copy of the first refusal counted as the refusal of the second attempt. The same holds for a stream that is resumed at an upstream that refused it before. Change: a connection remembers the ids that were refused on it, and the pool takes another connection for them or opens one. A connection with more than 256 of them is not kept, which bounds the memory. Conclusion: with the comparison of ids, a copy on a kept connection can no longer match the request that waits on it.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -96,7 +96,7 @@
         keeps_open = False
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
-                connection = await state.pool.take(max_idle_ms)
+                connection = await state.pool.take(max_idle_ms, request_id)
                 headers = self._dialect.upstream_headers(request, call)
                 await connection.send(
                     request.method, request.target, headers, request.body, nursery
@@ -139,6 +139,7 @@
                 Fault.MALFORMED, "response without a request id on a reused connection"
             )
         if metadata.is_refusal:
+            connection.record_refusal(request_id)
             body = await connection.read_body(MAX_BUFFERED_BYTES)
             return AttemptResult(Ending.REFUSED, f"status {head.status}", head, body, metadata)
         if head.status < 300 and not metadata.is_signed:
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -38,6 +38,8 @@
 _MAX_INTERIM_ANSWERS = 8
 # Answers of earlier requests are short; a longer one is given up with its connection.
 _MAX_FOREIGN_BYTES = 1024 * 1024
+# Refused requests that a connection remembers before it is replaced, which bounds its memory.
+_MAX_REFUSED_IDS = 256
 # Bodies up to this size fit a socket's buffer, so that writing them cannot block the answer.
 _INLINE_BODY_BYTES = 16 * 1024
 
@@ -88,6 +90,7 @@
         self._keep_ms = _DEFAULT_KEEP_MS
         self._may_keep = True
         self._is_reset = False
+        self._refused_ids: set[str] = set()
 
     @property
     def was_dropped_at_rest(self) -> bool:
@@ -152,6 +155,14 @@
             await self._skip_foreign()
         raise UpstreamError(Fault.MALFORMED, "answers of other requests")
 
+    def record_refusal(self, request_id: str) -> None:
+        """Remember a request that the upstream refused on this connection."""
+        self._refused_ids.add(request_id)
+
+    def has_refused(self, request_id: str) -> bool:
+        """Return whether the upstream may send a copy of an earlier refusal of the request."""
+        return request_id in self._refused_ids
+
     async def read_part(self) -> bytes | None:
         """Read a part of the body, or return ``None`` at its proper end.
 
@@ -180,6 +191,8 @@
         """Prepare for the next request; return whether the connection can be kept."""
         if not self._may_keep or self._protocol.trailing_data[0] or not _is_framed(head):
             return False
+        if len(self._refused_ids) > _MAX_REFUSED_IDS:
+            return False
         if self._protocol.our_state is not h11.DONE or self._protocol.their_state is not h11.DONE:
             return False
         for part in (header(head.headers, b"keep-alive") or b"").split(b","):
@@ -279,21 +292,33 @@
         self._idle: deque[UpstreamConnection] = deque()
         self.opened = 0
 
-    async def take(self, longest_rest_ms: float) -> UpstreamConnection:
+    async def take(self, longest_rest_ms: float, request_id: str = "") -> UpstreamConnection:
         """Return a kept connection that is usable, or a new one.
 
         :param longest_rest_ms: longest rest of a kept connection.
+        :param request_id: request to send; connections on which it was refused are not used.
         :raises UpstreamError: when no connection can be opened; the request has not been sent.
         """
         longest_rest_ms = min(longest_rest_ms, self.rest_limit.limit_ms())
-        while self._idle:
-            connection = self._idle.pop()
+        while (connection := self._pop_idle(request_id)) is not None:
             if connection.is_usable(longest_rest_ms):
                 connection.rested_ms = now_ms() - connection.idle_since_ms
                 return connection
             await connection.aclose()
         return await self._open()
 
+    def _pop_idle(self, request_id: str) -> UpstreamConnection | None:
+        """Remove and return the kept connection that was used last and has not refused a request.
+
+        A late copy of the refusal would have the id of the request and count as its response.
+        """
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
+            if not connection.has_refused(request_id):
+                del self._idle[index]
+                return connection
+        return None
+
     def give_back(self, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request."""
         self._idle.append(connection)
--- a/tests/http/test_h11_client.py
+++ b/tests/http/test_h11_client.py
@@ -246,3 +246,23 @@
             nursery.start_soon(exchange, pool)
             nursery.start_soon(pool.sweep)
         assert upstream.connections == 4
+
+    async def test_connection_on_which_a_request_was_refused_is_kept_for_others(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(OWN, hold=True)
+        head, _, connection = await exchange(pool)
+        connection.record_refusal("r-1")
+        assert connection.finish(head)
+        pool.give_back(connection)
+        assert await pool.take(5000.0, "r-1") is not connection
+        assert await pool.take(5000.0, "r-2") is connection
+
+    async def test_connection_remembers_a_limited_number_of_refusals(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(OWN, hold=True)
+        head, _, connection = await exchange(pool)
+        for number in range(1000):
+            connection.record_refusal(f"r-{number}")
+        assert not connection.finish(head)
