Join a resumed stream only where its first event follows the last one

What callers saw: events twice, or the text of another answer, within a stream that was marked as complete. Cause: whatever a second upstream sent as an event stream was appended. It could start over, or hold text without ids. A stream whose events have no ids was resumed without a position, so that the second one started over in any case. Change: the first event after a resumption must have an id above the last forwarded one (another id, if they are not numbers); else the attempt counts as broken. A stream is resumed, or left when it stalls, only if its last forwarded event has an id. Comments are passed on as before. Answers with a status of 404, 500 and 503, a 200 that is no event stream, and upstreams that break at once were handled rightly before, as the other cases show. Conclusion: a second run can no longer repeat what was forwarded. A gap between the ids is not noticed, since ids need not be consecutive.

--- a/src/briardyke/gateway/event_stream.py
+++ b/src/briardyke/gateway/event_stream.py
@@ -9,6 +9,9 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 # The longest terminator without its last byte; this many bytes are searched again.
 _TERMINATOR_OVERLAP_BYTES = len(b"\r\n\r\n") - 1
+# Lines other than comments and empty lines.
+_FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+_NUMBER = re.compile(r"[0-9]{1,18}")
 _ID_LINE = re.compile(rb"^id:[ \t]*([^\r\n]*)", re.MULTILINE)
 
 
@@ -24,6 +27,10 @@
     """Raised for a stream that ends within an event."""
 
 
+class EventOrderError(EventStreamError):
+    """Raised for a resumed stream that does not go on after the last forwarded event."""
+
+
 class EventSplitter:
     """Return complete events and remember the id of the last one."""
 
@@ -32,20 +39,28 @@
         self.last_event_id = last_event_id
         self.count = 0
         self._partial = b""
+        self._has_events = False
+        self._is_resumed = False
+        self._is_position_known = True
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether the last event id tells which events have been forwarded."""
+        return self._is_position_known
 
     def feed(self, data: bytes) -> bytes:
         """Add data from the upstream and return the events that are now complete.
 
         :raises EventTooLongError: when an incomplete event exceeds :data:`MAX_EVENT_BYTES`.
+        :raises EventOrderError: when the first event after a resumption has no later id.
         """
         searched = max(0, len(self._partial) - _TERMINATOR_OVERLAP_BYTES)
         self._partial += data
         end = 0
         for match in _EVENT_END.finditer(self._partial, searched):
             event = self._partial[end : match.end()]
-            found = _ID_LINE.search(event)
-            if found:
-                self.last_event_id = found.group(1).decode("latin-1").strip()
+            if _FIELD_LINE.search(event):
+                self._record_event(event)
             self.count += 1
             end = match.end()
         whole, self._partial = self._partial[:end], self._partial[end:]
@@ -53,9 +68,21 @@
             raise EventTooLongError(f"{len(self._partial)} bytes without an event terminator")
         return whole
 
+    def _record_event(self, event: bytes) -> None:
+        found = _ID_LINE.search(event)
+        event_id = found.group(1).decode("latin-1").strip() if found else ""
+        if self._is_resumed and not _is_later(event_id, self.last_event_id):
+            raise EventOrderError(f"event {event_id!r} follows event {self.last_event_id!r}")
+        self._has_events = True
+        self._is_resumed = False
+        self._is_position_known = bool(event_id)
+        if event_id:
+            self.last_event_id = event_id
+
     def drop_partial(self) -> None:
         """Discard an incomplete event that its upstream will not finish."""
         self._partial = b""
+        self._is_resumed = self._has_events
 
     def take_remainder(self) -> bytes:
         """Return the line ends after the last event when the stream has ended.
@@ -66,3 +93,10 @@
         if remainder.strip(b"\r\n"):
             raise UnfinishedEventError(f"the stream ended {len(remainder)} bytes into an event")
         return remainder
+
+
+def _is_later(event_id: str, last_event_id: str) -> bool:
+    """Return whether an event can follow another; ids that are not numbers need only differ."""
+    if _NUMBER.fullmatch(event_id) and _NUMBER.fullmatch(last_event_id):
+        return int(event_id) > int(last_event_id)
+    return event_id not in ("", last_event_id)
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -301,7 +301,9 @@
         context.trace.finish(self._state.counters, status, outcome)
 
     def _may_resume(self, context: RequestContext, splitter: EventSplitter) -> bool:
-        if not context.route.is_resumable or context.remaining_ms < _MIN_ATTEMPT_MS:
+        if not context.route.is_resumable or not splitter.is_resumable:
+            return False
+        if context.remaining_ms < _MIN_ATTEMPT_MS:
             return False
         if context.sent_attempts >= context.route.max_attempts:
             return False
@@ -350,7 +352,7 @@
             part: bytes | None = b""
             # Only complete events are progress: a stalled upstream may still send single bytes.
             stall_left_ms = last_ms + stall_timeout_ms - now_ms()
-            if stall_left_ms <= 0 and self._has_alternative(context):
+            if stall_left_ms <= 0 and splitter.is_resumable and self._has_alternative(context):
                 return False
             # Without an alternative, the stream goes on until the deadline.
             wait_ms = stall_left_ms if stall_left_ms > 0 else stall_timeout_ms
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -110,6 +110,19 @@
         reply = await gateway.send("/chat/x", "s-2", "m")
         assert (reply.body, reply.is_complete) == (EVENTS[0], False)
 
+    @pytest.mark.parametrize("framing", ["chunked", "length"])
+    async def test_framed_stream_cut_at_any_byte_is_not_complete(
+        self, gateway: Gateway, framing: str
+    ) -> None:
+        whole = framed(STREAM % b"s-1", b"".join(EVENTS), framing)
+        upstreams = [await gateway.add("pool", cut(whole, 0)) for _ in range(2)]
+        for size in range(whole.index(b"\r\n\r\n") + 4, len(whole)):
+            for upstream in upstreams:
+                upstream.script = cut(whole, size)
+            reply = await gateway.send("/chat/x", "s-1", "m")
+            assert not reply.is_complete
+            assert reply.body in [b"".join(EVENTS[:count]) for count in range(4)]
+
 
 class TestEndOfResponse:
     """Covers responses other than streams that end early or with their connection."""
