Break off a stream that contains the head of a response

What callers saw: the head of an error in the middle of a stream that was marked as complete. Cause: in a stream without a length or chunks, the head of another response ends with an empty line, as an event does, and was passed on as one. Change: a status line at the start of a line, which no field of an event can be, ends the stream as broken off; the events before it are passed on. Evidence: test_error_head_within_a_stream_ends_it failed before: the body ended with the head of a 503 and is_complete was true. Conclusion: a head that follows an unfinished line directly isn't told from data, since data may contain such text.

--- a/src/briardyke/gateway/event_stream.py
+++ b/src/briardyke/gateway/event_stream.py
@@ -11,6 +11,7 @@
 _TERMINATOR_OVERLAP_BYTES = len(b"\r\n\r\n") - 1
 # Lines other than comments and empty lines.
 _FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] [0-9]{3}\b", re.MULTILINE)
 _NUMBER = re.compile(r"[0-9]{1,18}")
 _ID_LINE = re.compile(rb"^id:[ \t]*([^\r\n]*)", re.MULTILINE)
 
@@ -31,6 +32,10 @@
     """Raised for a resumed stream that does not go on after the last forwarded event."""
 
 
+class StrayResponseError(EventStreamError):
+    """Raised for the head of another response within a stream."""
+
+
 class EventSplitter:
     """Return complete events and remember the id of the last one."""
 
@@ -52,6 +57,7 @@
         """Add data from the upstream and return the events that are now complete.
 
         :raises EventTooLongError: when an incomplete event exceeds :data:`MAX_EVENT_BYTES`.
+        :raises StrayResponseError: when a response head follows the events returned last.
         :raises EventOrderError: when the first event after a resumption has no later id.
         """
         searched = max(0, len(self._partial) - _TERMINATOR_OVERLAP_BYTES)
@@ -59,6 +65,10 @@
         end = 0
         for match in _EVENT_END.finditer(self._partial, searched):
             event = self._partial[end : match.end()]
+            if _STATUS_LINE.search(event):
+                if end:
+                    break  # the events before it are whole; the rest is judged at the next call
+                raise StrayResponseError("a response head within the stream")
             if _FIELD_LINE.search(event):
                 self._record_event(event)
             self.count += 1
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from briardyke.gateway.event_stream import EventSplitter, UnfinishedEventError
+from briardyke.gateway.event_stream import EventSplitter, StrayResponseError, UnfinishedEventError
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n"
 
@@ -42,3 +42,13 @@
         with pytest.raises(UnfinishedEventError):
             splitter.take_remainder()
         assert splitter.last_event_id == "7"
+
+    @pytest.mark.parametrize("size", [1, 3, 1000])
+    def test_events_before_the_head_of_a_response_are_returned(self, size: int) -> None:
+        data, splitter, received = EVENTS + b"HTTP/1.1 503 X\r\n\r\n" + b"\n", EventSplitter(), b""
+        with pytest.raises((StrayResponseError, UnfinishedEventError)):
+            for start in range(0, len(data), size):
+                received += splitter.feed(data[start : start + size])
+            splitter.take_remainder()
+        assert received == EVENTS
+        assert splitter.last_event_id == "3"
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -64,6 +64,13 @@
         reply = await gateway.send("/chat/x", "s-1", "m")
         assert (reply.status, reply.body, reply.is_complete) == (200, FIRST, False)
 
+    async def test_error_head_within_a_stream_ends_it(self, gateway: Gateway) -> None:
+        unframed = STREAM_HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"") % b"s-1"
+        error = ERROR % (503, b"text/plain") + b"\r\n"
+        await add_upstreams(gateway, Relay(unframed + FIRST + error, start_over()).script)
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.body, reply.is_complete) == (200, FIRST, False)
+
     async def test_error_of_the_first_upstream_is_no_stream(self, gateway: Gateway) -> None:
         error = ERROR % (500, b"text/event-stream") + b"Content-Length: 8\r\n\r\nfailed\n\n"
         await add_upstreams(gateway, Relay(error, error).script)
