Take no refusal without an id after a response to another request

What callers saw: "not run" for a request that an upstream was running. Cause: a response without a request id proves nothing on a kept connection, but it counted on a new one, even where a response to another request had come first. Such a connection is out of step too. Change: a connection that has carried a foreign response accepts only responses with an id. Evidence: test_refusal_without_an_id_after_a_foreign_response_is_no_proof failed before: 503 instead of 502. Conclusion: a refusal without an id counts only as the first response on a new connection, where no earlier one exists.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -133,10 +133,10 @@
     async def _read(self, connection: UpstreamConnection, request_id: str) -> AttemptResult:
         head = await connection.read_head(lambda headers: self._belongs_to(headers, request_id))
         metadata = self._dialect.read_response(head.status, head.headers)
-        if connection.is_reused and not metadata.request_id:
+        if connection.needs_ids and not metadata.request_id:
             # It may be a duplicate of an earlier response, so it proves nothing about this request.
             raise UpstreamError(
-                Fault.MALFORMED, "response without a request id on a reused connection"
+                Fault.MALFORMED, "response without a request id after other responses"
             )
         if metadata.is_refusal:
             connection.record_refusal(request_id)
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -91,12 +91,18 @@
         self._may_keep = True
         self._is_reset = False
         self._refused_ids: set[str] = set()
+        self._has_foreign = False
 
     @property
     def was_dropped_at_rest(self) -> bool:
         """Return whether a kept connection has given nothing since its last request was sent."""
         return self.is_reused and not self._has_received
 
+    @property
+    def needs_ids(self) -> bool:
+        """Return whether a response without a request id may belong to another request."""
+        return self.is_reused or self._has_foreign
+
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes, nursery: trio.Nursery
     ) -> None:
@@ -237,6 +243,7 @@
             self._protocol.receive_data(data)
 
     async def _skip_foreign(self) -> None:
+        self._has_foreign = True
         await self.read_body(_MAX_FOREIGN_BYTES)
         rest, _ = self._protocol.trailing_data
         protocol = h11.Connection(h11.CLIENT)
--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -79,3 +79,17 @@
             reply = await gateway.send("/buy/x", f"b-{number}")
             assert reply.status in (200, 502)
         assert len(repeating.runs) == len(set(repeating.runs))
+
+    async def test_refusal_without_an_id_after_a_foreign_response_is_no_proof(
+        self, gateway: Gateway
+    ) -> None:
+        async def run_after_copies(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            nameless = REFUSAL.replace(b"Request-Id: %s\r\n", b"")
+            await stream.send_all(REFUSAL % b"b-0" + nameless + ANSWER % request_id)
+
+        upstream = await gateway.add("app", run_after_copies)
+        reply = await gateway.send("/buy/x", "b-1")
+        assert reply.status == 502
+        assert upstream.requests == [b"b-1"]
