Show that bytes waiting on a kept connection are no response

The fault could not be shown here: the pool polls a connection before each use and closes one with waiting bytes. The test sends a copy of a refusal between two requests.

--- a/tests/gateway/test_repeated_refusals.py
+++ b/tests/gateway/test_repeated_refusals.py
@@ -6,13 +6,13 @@
 
 import attrs
 import pytest
+import trio
 from gateway_support import ROUTES
 
 from briardyke.routes.configuration import ServingConfiguration
 from briardyke.routes.matching import RouteTable
 
 if TYPE_CHECKING:
-    import trio
     from gateway_support import Gateway, ScriptedUpstream
 
 REFUSAL = b"HTTP/1.1 421 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -93,3 +93,20 @@
         reply = await gateway.send("/buy/x", "b-1")
         assert reply.status == 502
         assert upstream.requests == [b"b-1"]
+
+    async def test_copy_that_follows_a_response_is_not_read_by_the_next_request(
+        self, gateway: Gateway
+    ) -> None:
+        async def copy_later(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(ANSWER % request_id)
+            await trio.sleep(0.02)
+            await stream.send_all(REFUSAL.replace(b"Request-Id: %s\r\n", b""))
+
+        upstream = await gateway.add("app", copy_later)
+        for number in range(3):
+            reply = await gateway.send("/buy/x", f"b-{number}")
+            assert (reply.status, reply.body) == (200, b"ran")
+            await trio.sleep(0.05)
+        assert upstream.connections == 3
