--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -96,7 +96,7 @@
         keeps_open = False
         try:
             with trio.move_on_after(timeout_ms / 1000.0):
-                connection = await state.pool.take(max_idle_ms)
+                connection = await state.pool.take(max_idle_ms, request_id)
                 headers = self._dialect.upstream_headers(request, call)
                 await connection.send(
                     request.method, request.target, headers, request.body, nursery
@@ -133,12 +133,13 @@
     async def _read(self, connection: UpstreamConnection, request_id: str) -> AttemptResult:
         head = await connection.read_head(lambda headers: self._belongs_to(headers, request_id))
         metadata = self._dialect.read_response(head.status, head.headers)
-        if connection.is_reused and not metadata.request_id:
+        if connection.needs_ids and not metadata.request_id:
             # It may be a duplicate of an earlier response, so it proves nothing about this request.
             raise UpstreamError(
-                Fault.MALFORMED, "response without a request id on a reused connection"
+                Fault.MALFORMED, "response without a request id after other responses"
             )
         if metadata.is_refusal:
+            connection.record_refusal(request_id)
             body = await connection.read_body(MAX_BUFFERED_BYTES)
             return AttemptResult(Ending.REFUSED, f"status {head.status}", head, body, metadata)
         if head.status < 300 and not metadata.is_signed:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -15,7 +15,7 @@
 from briardyke.gateway.attempt import AttemptResult, AttemptRunner, Ending
 from briardyke.gateway.attempt_feedback import record_attempt
 from briardyke.gateway.dialect import ForwardingMetadata
-from briardyke.gateway.event_stream import EventSplitter, EventTooLongError
+from briardyke.gateway.event_stream import EventSplitter, EventStreamError
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.trace import Trace
@@ -327,7 +327,9 @@
         context.trace.finish(self._state.counters, status, outcome)
 
     def _may_resume(self, context: RequestContext, splitter: EventSplitter) -> bool:
-        if not context.route.is_resumable or context.remaining_ms < _MIN_ATTEMPT_MS:
+        if not context.route.is_resumable or not splitter.is_resumable:
+            return False
+        if context.remaining_ms < _MIN_ATTEMPT_MS:
             return False
         if context.sent_attempts >= context.route.max_attempts:
             return False
@@ -381,7 +383,7 @@
             part: bytes | None = b""
             # Only complete events are progress: a stalled upstream may still send single bytes.
             stall_left_ms = last_ms + stall_timeout_ms - now_ms()
-            if stall_left_ms <= 0 and self._has_alternative(context):
+            if stall_left_ms <= 0 and splitter.is_resumable and self._has_alternative(context):
                 return False
             # Without an alternative, the stream goes on until the deadline.
             wait_ms = stall_left_ms if stall_left_ms > 0 else stall_timeout_ms
@@ -391,7 +393,7 @@
                 if scope.cancelled_caught:
                     continue
                 whole = splitter.take_remainder() if part is None else splitter.feed(part)
-            except (UpstreamError, EventTooLongError) as error:
+            except (UpstreamError, EventStreamError) as error:
                 context.trace.add_attempt(upstream.row.upstream_id, str(error), upstream.load())
                 return False
             if whole:
--- a/tests/http/test_h11_client.py
+++ b/tests/http/test_h11_client.py
@@ -184,6 +184,21 @@
             assert not connection.finish(head)
             nursery.cancel_scope.cancel()
 
+    async def test_reset_that_the_writing_side_meets_first_is_no_proper_close(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(b"HTTP/1.1 200 OK\r\n\r\n", b"part", reset=True)
+        connection = await pool.take(5000.0)
+        body = b"x" * 8_000_000
+        headers = [(b"host", b"u"), (b"content-length", b"%d" % len(body))]
+        async with trio.open_nursery() as nursery:
+            await connection.send("POST", "/x", headers, body, nursery)
+            await connection.read_head(is_own)
+            await trio.sleep(0.2)  # the reset ends the writing
+            with pytest.raises(UpstreamError):
+                await connection.read_body(100)
+            nursery.cancel_scope.cancel()
+
 
 class TestPool:
     """Covers connections that cannot be opened or have rested too long."""
@@ -231,3 +246,23 @@
             nursery.start_soon(exchange, pool)
             nursery.start_soon(pool.sweep)
         assert upstream.connections == 4
+
+    async def test_connection_on_which_a_request_was_refused_is_kept_for_others(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(OWN, hold=True)
+        head, _, connection = await exchange(pool)
+        connection.record_refusal("r-1")
+        assert connection.finish(head)
+        pool.give_back(connection)
+        assert await pool.take(5000.0, "r-1") is not connection
+        assert await pool.take(5000.0, "r-2") is connection
+
+    async def test_connection_remembers_a_limited_number_of_refusals(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        upstream.script = upstream.answer(OWN, hold=True)
+        head, _, connection = await exchange(pool)
+        for number in range(1000):
+            connection.record_refusal(f"r-{number}")
+        assert not connection.finish(head)
