Log what ended a request whose answer stayed incomplete

Callers saw requests that ended without an answer. The log could not tell why: a caller that left, a stop and a defect all had the outcome caller_gone, and stream_broken stood for an upstream that broke off as well as for the deadline. A failure was logged as sent before it was.

request_finished now has ended_by (caller, upstream, deadline, stop, defect) and sent_bytes, and the record begins before the wait for the first configuration. No decision changes.

--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -164,6 +164,8 @@
     :param last_ms: time of the last event.
     :param longest_pause_ms: longest time between two events.
     :param is_complete: whether the answer has ended normally.
+    :param is_caller_gone: whether the caller has left.
+    :param sent_bytes: size of the events received.
     """
 
     status: int = 0
@@ -172,6 +174,8 @@
     last_ms: float = 0.0
     longest_pause_ms: float = 0.0
     is_complete: bool = False
+    is_caller_gone: bool = True  # an emulated request is interrupted only by its caller
+    sent_bytes: int = 0
     progressed: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -186,6 +190,7 @@
         else:
             self.longest_pause_ms = max(self.longest_pause_ms, now - self.last_ms)
         self.last_ms = now
+        self.sent_bytes += len(data)
         self.progressed.set()
 
     async def finish(self) -> None:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -18,7 +18,7 @@
 from briardyke.gateway.event_stream import EventSplitter, EventTooLongError
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.request_context import RequestContext
-from briardyke.gateway.trace import Trace
+from briardyke.gateway.trace import EndedBy, Trace, interruption
 from briardyke.gateway.upstream_selection import choose_upstream
 from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
 from briardyke.http.exchange import HttpRequest, end_to_end, header
@@ -71,11 +71,24 @@
 
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Handle one request of a caller."""
+        metadata = self._state.dialect.read_request(request)
+        trace = Trace(metadata.request_id, request.received_ms, self._state.version)
+        trace.model = metadata.model
+        try:
+            await self._handle(request, metadata, trace, answer)
+        except BaseException as error:
+            if not trace.is_finished:
+                ended_by = interruption(error, answer)
+                outcome = "caller_gone" if ended_by is EndedBy.CALLER else "interrupted"
+                trace.finish(self._state.counters, 0, outcome, ended_by, answer.sent_bytes)
+            raise
+
+    async def _handle(
+        self, request: HttpRequest, metadata: RequestMetadata, trace: Trace, answer: Answer
+    ) -> None:
         state = self._state
-        metadata = state.dialect.read_request(request)
         await self._await_configuration(metadata)
-        trace = Trace(metadata.request_id, request.received_ms, state.version)
-        trace.model = metadata.model
+        trace.version = state.version
         route = self._route(request)
         if route is None:
             kind = ErrorKind.NOT_FOUND if state.version else ErrorKind.VERSION_UNCONFIRMED
@@ -99,8 +112,6 @@
             await self._forward(context, answer)
         finally:
             state.demand.request_finished(metadata.model or service)
-            if not trace.is_finished:
-                trace.finish(state.counters, 0, "caller_gone")
 
     async def _await_configuration(self, metadata: RequestMetadata) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
@@ -297,8 +308,13 @@
             is_whole = await self._relay(context, next_upstream, attempt, answer, splitter)
         if is_whole:
             await answer.finish()
-        outcome = "served" if is_whole else "stream_broken"
-        context.trace.finish(self._state.counters, status, outcome)
+            context.trace.finish(self._state.counters, status, "served")
+            return
+        is_late = context.remaining_ms < _MIN_ATTEMPT_MS
+        ended_by = EndedBy.DEADLINE if is_late else EndedBy.UPSTREAM
+        context.trace.finish(
+            self._state.counters, status, "stream_broken", ended_by, answer.sent_bytes
+        )
 
     def _may_resume(self, context: RequestContext, splitter: EventSplitter) -> bool:
         if not context.route.is_resumable or context.remaining_ms < _MIN_ATTEMPT_MS:
@@ -412,5 +428,5 @@
         status = failure.answer.http_status
         headers = refusal_headers(trace.request_id, failure, retry_after_s(failure, self._random))
         trace.attempts.append(failure.message)
-        trace.finish(self._state.counters, status, failure.kind.value)
         await answer.send_whole(status, headers)
+        trace.finish(self._state.counters, status, failure.kind.value)
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -2,15 +2,39 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 from briardyke.clock import now_ms
 from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     from briardyke.gateway.counters import Counters
+    from briardyke.http.exchange import Answer
+
+
+class EndedBy(Enum):
+    """What ended a request before its answer was complete."""
+
+    CALLER = "caller"
+    UPSTREAM = "upstream"
+    DEADLINE = "deadline"
+    STOP = "stop"
+    DEFECT = "defect"
+
+
+def interruption(error: BaseException, answer: Answer) -> EndedBy:
+    """Return what ended a request whose handler was left by an exception."""
+    if answer.is_caller_gone:
+        return EndedBy.CALLER
+    rest: BaseException | None = error
+    if isinstance(error, BaseExceptionGroup):
+        rest = error.split(trio.Cancelled)[1]
+    is_cancelled = rest is None or isinstance(rest, trio.Cancelled)
+    return EndedBy.STOP if is_cancelled else EndedBy.DEFECT
 
 
 @attrs.define
@@ -65,8 +89,19 @@
         elapsed = now_ms() - self.started_ms
         self.attempts.append(f"{upstream_id}@{elapsed:.0f}ms:load={load:.1f}:{outcome}")
 
-    def finish(self, counters: Counters, status: int, outcome: str) -> None:
-        """Write the log line of the request and count it."""
+    def finish(
+        self,
+        counters: Counters,
+        status: int,
+        outcome: str,
+        ended_by: EndedBy | None = None,
+        sent_bytes: int | None = None,
+    ) -> None:
+        """Write the log line of the request and count it.
+
+        :param ended_by: what ended the request, unless its answer is complete.
+        :param sent_bytes: bytes of an incomplete answer that were sent.
+        """
         self.is_finished = True
         duration_ms = now_ms() - self.started_ms
         counters.record(self.service, outcome, duration_ms)
@@ -80,6 +115,8 @@
             version=self.version,
             status=status,
             outcome=outcome,
+            ended_by=ended_by.value if ended_by else "",
+            sent_bytes="" if sent_bytes is None else sent_bytes,
             duration_ms=round(duration_ms),
             waited_ms=round(self.waited_ms),
             holders=self.holders,
--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -93,6 +93,8 @@
         self._is_last = is_last
         self.is_started = False
         self.is_complete = False
+        self.is_caller_gone = False
+        self.sent_bytes = 0
         self.closes_connection = False
 
     async def send_whole(self, status: int, headers: Headers, body: bytes = b"") -> None:
@@ -131,6 +133,12 @@
             parts += [self._connection.send(event) for event in events if event is not None]
         except h11.LocalProtocolError as error:
             raise CallerGoneError(str(error)) from error
-        await self._send(b"".join([part for part in parts if part]))
+        data = b"".join([part for part in parts if part])
+        try:
+            await self._send(data)
+        except CallerGoneError:
+            self.is_caller_gone = True
+            raise
+        self.sent_bytes += len(data)
 
     _head: h11.Response | None = None
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -238,12 +238,12 @@
         """Run the handler beside a watch for the caller's close; return whether to go on."""
         answer = Answer(self._protocol, self._send, lambda: self._server.is_closing)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, nursery.cancel_scope)
+            nursery.start_soon(self._watch, answer, nursery.cancel_scope)
             await self._server.handle(request, answer)
             nursery.cancel_scope.cancel()
         return answer.is_complete and not answer.closes_connection
 
-    async def _watch(self, scope: trio.CancelScope) -> None:
+    async def _watch(self, answer: Answer, scope: trio.CancelScope) -> None:
         early = 0
         while early < _MAX_EARLY_BYTES:
             try:
@@ -251,6 +251,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
+                answer.is_caller_gone = True
                 scope.cancel()
                 return
             early += len(data)
