Move the attempts and the relaying of streams out of forward.py

The selection of an upstream and the sending to it go to upstream_attempts.py, the streams to stream_relay.py.

--- a/src/briardyke/emulator/fleet.py
+++ b/src/briardyke/emulator/fleet.py
@@ -127,7 +127,7 @@
         )
         self.state.routes = routes
         self.forwarder = Forwarder(self.state)
-        self.forwarder._runner = attempts
+        self.forwarder.attempts.runner = attempts
         self._control = control
         self._sequence = 0
 
--- /dev/null
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -0,0 +1,144 @@
+"""Select an upstream for a request and send the request to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.gateway.adapters import ADAPTER_RETRY_MS
+from briardyke.gateway.attempt import AttemptResult, AttemptRunner
+from briardyke.gateway.attempt_feedback import record_attempt
+from briardyke.gateway.dialect import ForwardingMetadata
+from briardyke.gateway.upstream_selection import choose_upstream
+from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
+
+if TYPE_CHECKING:
+    import random
+
+    from briardyke.gateway.request_context import RequestContext
+    from briardyke.gateway.state import GatewayState
+    from briardyke.gateway.upstreams import UpstreamState
+
+# Time reserved for returning the response, since an upstream may respond right at its deadline.
+_RESPONSE_MARGIN_MS = 60.0
+# Shortest time in which an attempt can still succeed.
+MIN_ATTEMPT_MS = 25.0
+# A retryable request is sent to another upstream after this many latency objectives without a
+# response, but not before _MIN_ATTEMPT_TIMEOUT_MS.
+_ATTEMPT_TIMEOUT_OBJECTIVES = 3.0
+_MIN_ATTEMPT_TIMEOUT_MS = 800.0
+# Another upstream counts as less loaded when its load is below this fraction of the current one's.
+_LESS_LOADED_FRACTION = 0.5
+# A shorter wait is none: one of less than the clock's resolution would be repeated without end.
+_MIN_WAIT_MS = 1.0
+
+
+class UpstreamAttempts:
+    """Attempts of requests at the upstreams of their services."""
+
+    def __init__(self, state: GatewayState, random: random.Random) -> None:
+        """Use the state of an entry instance."""
+        self._state = state
+        self._random = random
+        self.runner = AttemptRunner(state.dialect)
+
+    async def next_upstream(self, context: RequestContext) -> UpstreamState | None:
+        """Select an upstream, waiting for a model or adapter that is being loaded."""
+        state = self._state
+        while context.remaining_ms > MIN_ATTEMPT_MS:
+            candidates = self.candidates(context)
+            if candidates:
+                name = context.metadata.model or context.service
+                chosen = choose_upstream(
+                    candidates,
+                    context.metadata,
+                    state.data_centre,
+                    self._random,
+                    state.unreported_requests(name),
+                )
+                if chosen is None or not context.metadata.adapter:
+                    return chosen
+                held = await state.adapters.find_upstream(context.metadata, candidates, chosen)
+                if held is not None:
+                    return held
+                wait_ms = min(ADAPTER_RETRY_MS, state.admission.remaining_wait_ms(context, state))
+                if wait_ms < _MIN_WAIT_MS:
+                    return None
+                await trio.sleep(wait_ms / 1000.0)
+                continue
+            wait_ms = state.admission.remaining_wait_ms(context, state)
+            if wait_ms < _MIN_WAIT_MS:
+                return None
+            # An unreachable upstream is tried again after a while even without a notification.
+            await state.changed.wait(min(wait_ms, context.remaining_ms, CONNECT_PROBE_INTERVAL_MS))
+        return None
+
+    def candidates(self, context: RequestContext) -> list[UpstreamState]:
+        usable = self._state.upstreams.reachable(context.service)
+        model = context.metadata.model
+        if model and self._state.is_engine(context.service):
+            usable = [s for s in usable if s.holds(model)]
+        return [s for s in usable if s.row.upstream_id not in context.tried_upstreams]
+
+    async def run(
+        self, context: RequestContext, upstream: UpstreamState, nursery: trio.Nursery
+    ) -> AttemptResult:
+        upstream_id = upstream.row.upstream_id
+        context.tried_upstreams.add(upstream_id)
+        load = upstream.load()
+        context.trace.start_attempt(len(self.candidates(context)) + 1)
+        call = ForwardingMetadata(
+            upstream_id,
+            max(1.0, context.remaining_ms - _RESPONSE_MARGIN_MS / 2),
+            context.route.priority,
+            context.metadata.last_event_id,
+        )
+        is_engine = self._state.is_engine(context.service)
+        upstream.running_weight = ENGINE_RUNNING_WEIGHT if is_engine else 1.0
+        upstream.in_flight += 1
+        upstream.pending += 1
+        started_ms = now_ms()
+        attempt = None
+        try:
+            attempt = await self.runner.run(
+                upstream,
+                context.request,
+                context.metadata.request_id,
+                call,
+                self._attempt_timeout_ms(context, load),
+                is_retryable=context.route.is_retryable,
+                nursery=nursery,
+            )
+        finally:
+            upstream.pending -= 1
+            if attempt is None or attempt.connection is None:
+                upstream.in_flight -= 1
+        record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
+        context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
+        return attempt
+
+    def _attempt_timeout_ms(self, context: RequestContext, load: float) -> float:
+        """Return how long to wait for a response before another upstream is tried.
+
+        If every other candidate is as loaded, trying a second one adds to the overload and loses
+        the place in the first one's queue.
+        """
+        remaining_ms = context.remaining_ms
+        if (
+            not context.route.is_retryable
+            or context.sent_attempts + 1 >= context.route.max_attempts
+        ):
+            return remaining_ms
+        if not any(s.load() < load * _LESS_LOADED_FRACTION for s in self.candidates(context)):
+            return remaining_ms  # it would wait as long elsewhere
+        objective_ms = context.route.latency_objective_ms
+        wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
+        return wait_ms if wait_ms < remaining_ms * 0.6 else remaining_ms
+
+    def spend_retry(self, context: RequestContext, event: str) -> bool:
+        """Charge a retry to the budget of the service; return whether the budget allows it."""
+        is_allowed = self._state.budget(context.service).try_spend(now_ms())
+        self._state.counters.count(event if is_allowed else "budget_exhausted")
+        return is_allowed
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -286,4 +286,4 @@
         monkeypatch.setattr(state.admission, "remaining_wait_ms", lambda *_: 1e-13)
         await trio.sleep(100.0)  # the clock no longer resolves the rest of the wait
         waiting = context()
-        assert await Forwarder(state)._next_upstream(waiting) is None
+        assert await Forwarder(state).attempts.next_upstream(waiting) is None
