Keep a silent stream's connection until another upstream can go on

Callers saw resumable streams end incomplete although their engine was only silent for a second or so. After 65% of the caller's event timeout the connection was closed, and only then was it asked whether the retry budget, the attempts and another upstream allowed a resumption.

The relay now chooses the other upstream and spends the retry first, and reads the silent one until the other has received the request. If that one refuses, fails at once or can't be connected, the stream goes on where it was. The silent connection is closed when the other upstream answers with a stream, and at the latest 0.25 s after it received the request, since two upstreams may work on one request for 400 ms only.

Conclusion: giving up one source before the next is known to exist is the class of this fault.

--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -20,7 +20,7 @@
 from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from briardyke.gateway.upstreams import UpstreamState
     from briardyke.http.exchange import Headers, HttpRequest
@@ -120,6 +120,7 @@
         *,
         is_retryable: bool,
         nursery: trio.Nursery,
+        on_sent: Callable[[], None] | None = None,
     ) -> AttemptResult:
         """Submit the request and wait for its first event."""
         await sleep_ms(_HOP_MS)
@@ -129,6 +130,8 @@
         asked = self._calls[request_id]
         job = Job(asked.model, asked.prompt_tokens, asked.events, call.priority)
         status = engine.submit(job)
+        if on_sent is not None:
+            on_sent()
         load = LoadReport(len(engine.running), len(engine.waiting), state.row.slots)
         if status != 200:
             refused = ResponseMetadata(request_id, True, True, status == 421, load)
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -13,6 +13,8 @@
 from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardyke.gateway.dialect import Dialect, ForwardingMetadata
     from briardyke.gateway.upstreams import UpstreamState
     from briardyke.http.exchange import Headers, HttpRequest
@@ -79,6 +81,7 @@
         *,
         is_retryable: bool,
         nursery: trio.Nursery,
+        on_sent: Callable[[], None] | None = None,
     ) -> AttemptResult:
         """Send the request and read the response head, and the body unless it is a stream.
 
@@ -90,6 +93,7 @@
             buffered body.
         :param is_retryable: whether a request with unknown outcome can be sent again.
         :param nursery: runs the task that writes a long body.
+        :param on_sent: called once the upstream may start to work on the request.
         """
         max_idle_ms = MAX_IDLE_MS if is_retryable else MAX_IDLE_NOT_RETRYABLE_MS
         connection = None
@@ -101,6 +105,8 @@
                 await connection.send(
                     request.method, request.target, headers, request.body, nursery
                 )
+                if on_sent is not None:
+                    on_sent()
                 attempt = await self._read(connection, request_id)
                 keeps_open = attempt.connection is not None or self._return_to_pool(
                     state, connection, attempt
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,28 +11,61 @@
 from briardyke.clock import now_ms
 from briardyke.gateway.admission import caller_event_timeout_ms
 from briardyke.gateway.event_stream import EventSplitter, EventTooLongError
+from briardyke.gateway.request_context import RequestContext
+from briardyke.gateway.stream_source import Events, StreamSource
 from briardyke.gateway.trace import EndedBy
 from briardyke.gateway.upstream_attempts import MIN_ATTEMPT_MS
-from briardyke.http.exchange import end_to_end
+from briardyke.http.exchange import Answer, end_to_end
 from briardyke.http.h11_client import UpstreamError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briardyke.gateway.attempt import AttemptResult
-    from briardyke.gateway.request_context import RequestContext
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.upstream_attempts import UpstreamAttempts
     from briardyke.gateway.upstreams import UpstreamState
-    from briardyke.http.exchange import Answer
-    from briardyke.http.h11_client import UpstreamConnection
 
 # Fraction of the caller's event timeout after which a stalled stream is resumed on another
 # upstream, in time for that one to send an event.
 _STALL_TIMEOUT_FRACTION = 0.65
+# Interval at which a stalled stream without an alternative looks for one again.
+_ALTERNATIVE_INTERVAL_MS = 250.0
+# Longest time for which a stalled upstream keeps a request that another one has received. Two
+# upstreams may work on it for 400 ms, which includes the way of the close.
+_MAX_OVERLAP_S = 0.25
 # Weight of one event in an upstream's mean service time; the mean covers the events of about one
 # second.
 _EVENT_WEIGHT = 0.03
 
 
+@attrs.define
+class _Relay:
+    """One stream on its way to the caller.
+
+    :param context: state of its request.
+    :param answer: answer to the caller.
+    :param splitter: splits the stream into events.
+    :param nursery: runs the tasks that write long bodies.
+    :param source: upstream that sends it.
+    :param progress_ms: time of the last complete event, or of the start at this source.
+    """
+
+    context: RequestContext
+    answer: Answer
+    splitter: EventSplitter
+    nursery: trio.Nursery
+    source: StreamSource
+    progress_ms: float = attrs.field(factory=now_ms)
+
+    async def switch(self, source: StreamSource) -> None:
+        """Continue with another upstream."""
+        former, self.source = self.source, source
+        self.progress_ms = now_ms()
+        self.splitter.drop_partial()
+        await former.aclose()
+
+
 class StreamRelay:
     """Relay streams from upstreams to callers."""
 
@@ -49,20 +83,24 @@
         nursery: trio.Nursery,
     ) -> None:
         """Forward a stream until its end, resuming it on other upstreams."""
-        assert attempt.head is not None
+        assert attempt.head is not None and attempt.connection is not None
         status, headers = attempt.head.status, end_to_end(attempt.head.headers)
-        await answer.start(status, headers)
+        source = StreamSource(upstream, attempt.connection, attempt.head)
         splitter = EventSplitter(context.metadata.last_event_id)
-        is_whole = await self._relay(context, upstream, attempt, answer, splitter)
-        while not is_whole and self._may_resume(context, splitter):
-            next_upstream = await self._attempts.next_upstream(context)
-            if next_upstream is None:
-                break
-            context.metadata = attrs.evolve(context.metadata, last_event_id=splitter.last_event_id)
-            attempt = await self._attempts.run(context, next_upstream, nursery)
-            if attempt.connection is None:
-                continue
-            is_whole = await self._relay(context, next_upstream, attempt, answer, splitter)
+        relay = _Relay(context, answer, splitter, nursery, source)
+        try:
+            await answer.start(status, headers)
+            is_whole = await self._relay_events(relay)
+            while not is_whole and self._may_resume(context):
+                next_upstream = await self._attempts.next_upstream(context)
+                if next_upstream is None or not self._attempts.spend_retry(context, "resumed"):
+                    break
+                successor = await self._resume(relay, next_upstream)
+                if successor is not None:
+                    await relay.switch(successor)
+                    is_whole = await self._relay_events(relay)
+        finally:
+            await relay.source.aclose()
         if is_whole:
             await answer.finish()
             context.trace.finish(self._state.counters, status, "served")
@@ -73,85 +111,123 @@
             self._state.counters, status, "stream_broken", ended_by, answer.sent_bytes
         )
 
-    def _may_resume(self, context: RequestContext, splitter: EventSplitter) -> bool:
-        if not context.route.is_resumable or context.remaining_ms < MIN_ATTEMPT_MS:
-            return False
-        if context.sent_attempts >= context.route.max_attempts:
-            return False
-        return self._attempts.spend_retry(context, "resumed")
+    def _may_resume(self, context: RequestContext) -> bool:
+        return (
+            context.route.is_resumable
+            and context.remaining_ms >= MIN_ATTEMPT_MS
+            and context.sent_attempts < context.route.max_attempts
+        )
 
-    async def _relay(
-        self,
-        context: RequestContext,
-        upstream: UpstreamState,
-        attempt: AttemptResult,
-        answer: Answer,
-        splitter: EventSplitter,
-    ) -> bool:
+    async def _resume(
+        self, relay: _Relay, upstream: UpstreamState, on_sent: Callable[[], None] | None = None
+    ) -> StreamSource | None:
+        """Return the rest of the stream from another upstream, or ``None`` when it has none."""
+        context = relay.context
+        context.metadata = attrs.evolve(
+            context.metadata, last_event_id=relay.splitter.last_event_id
+        )
+        attempt = await self._attempts.run(context, upstream, relay.nursery, on_sent)
+        if attempt.connection is None or attempt.head is None:
+            return None
+        return StreamSource(upstream, attempt.connection, attempt.head)
+
+    async def _relay_events(self, relay: _Relay) -> bool:
         """Forward events as they arrive; return whether the stream ended normally."""
-        connection = attempt.connection
-        assert connection is not None and attempt.head is not None
-        is_returned = False
+        context = relay.context
         try:
-            is_whole = await self._relay_events(context, upstream, connection, answer, splitter)
-            if is_whole and connection.finish(attempt.head):
-                upstream.pool.give_back(connection)
-                is_returned = True
-            if not is_whole:
-                upstream.health.record_failure(now_ms())
-                context.trace.add_attempt(
-                    upstream.row.upstream_id, "stream_broken", upstream.load()
-                )
-            return is_whole
-        finally:
-            upstream.in_flight -= 1
-            splitter.drop_partial()
-            if not is_returned:
-                await connection.aclose()
-
-    async def _relay_events(
-        self,
-        context: RequestContext,
-        upstream: UpstreamState,
-        connection: UpstreamConnection,
-        answer: Answer,
-        splitter: EventSplitter,
-    ) -> bool:
-        last_ms, count = now_ms(), splitter.count
-        stall_timeout_ms = caller_event_timeout_ms(context.route) * _STALL_TIMEOUT_FRACTION
-        while (left_ms := context.remaining_ms) > 0:
-            part: bytes | None = b""
-            # Only complete events are progress: a stalled upstream may still send single bytes.
-            stall_left_ms = last_ms + stall_timeout_ms - now_ms()
-            if stall_left_ms <= 0 and self._has_alternative(context):
-                return False
-            # Without an alternative, the stream goes on until the deadline.
-            wait_ms = stall_left_ms if stall_left_ms > 0 else stall_timeout_ms
-            try:
-                with trio.move_on_after(min(wait_ms, left_ms) / 1000.0) as scope:
-                    part = await connection.read_part()
-                if scope.cancelled_caught:
+            while context.remaining_ms > 0:
+                events = await self._next_events(relay)
+                if events is None:
                     continue
-                whole = splitter.take_remainder() if part is None else splitter.feed(part)
-            except (UpstreamError, EventTooLongError) as error:
-                context.trace.add_attempt(upstream.row.upstream_id, str(error), upstream.load())
-                return False
-            if whole:
-                await answer.send_part(whole)
-                new, took_ms = splitter.count - count, now_ms() - last_ms
-                for _ in range(new):
-                    upstream.observe_service_time(took_ms / new, _EVENT_WEIGHT)
-                if context.trace.events and new:
-                    upstream.observe_event_interval(took_ms / new)
-                context.trace.add_events(new, took_ms)
-                context.last_progress_ms = last_ms = now_ms()
-                count = splitter.count
-            if part is None:
-                return True
+                await self._forward(relay, events)
+                if events.is_last:
+                    relay.source.keep_connection()
+                    return True
+            reason = "stream_broken"
+        except (UpstreamError, EventTooLongError) as error:
+            reason = str(error)
+        self._record_failure(relay, reason)
+        await relay.source.aclose()
+        relay.splitter.drop_partial()
         return False
 
-    def _has_alternative(self, context: RequestContext) -> bool:
-        """Return whether a stalled stream could resume on another upstream now."""
-        if not context.route.is_resumable or context.sent_attempts >= context.route.max_attempts:
-            return False
-        return bool(self._attempts.candidates(context))
+    def _record_failure(self, relay: _Relay, reason: str) -> None:
+        upstream = relay.source.upstream
+        upstream.health.record_failure(now_ms())
+        relay.context.trace.add_attempt(upstream.row.upstream_id, reason, upstream.load())
+
+    async def _next_events(self, relay: _Relay) -> Events | None:
+        """Return the next events, or ``None`` when none arrived in time.
+
+        Only complete events are progress: a stalled upstream may still send single bytes. Without
+        an alternative, the stream goes on until the deadline.
+        """
+        stall_timeout_ms = caller_event_timeout_ms(relay.context.route) * _STALL_TIMEOUT_FRACTION
+        stall_left_ms = relay.progress_ms + stall_timeout_ms - now_ms()
+        wait_ms = stall_left_ms if stall_left_ms > 0 else _ALTERNATIVE_INTERVAL_MS
+        with trio.move_on_after(min(wait_ms, relay.context.remaining_ms) / 1000.0):
+            return await relay.source.next_events(relay.splitter)
+        if self._may_resume(relay.context) and self._attempts.candidates(relay.context):
+            return await self._replace_source(relay)
+        return None
+
+    async def _replace_source(self, relay: _Relay) -> Events | None:
+        """Resume a stalled stream elsewhere, unless its upstream goes on before.
+
+        The stalled upstream is read until another one has received the request. Its connection
+        stays open a little longer, so that the stream can still go on there when the other
+        upstream refuses the request or fails at once.
+        """
+        context, source = relay.context, relay.source
+        upstream: UpstreamState | None = None
+        successor: StreamSource | None = None
+        events: Events | None = None
+        sent = trio.Event()
+        reading = trio.CancelScope()
+
+        async def read() -> None:
+            nonlocal events
+            # The next reader meets the same failure again.
+            with reading, contextlib.suppress(UpstreamError, EventTooLongError):
+                events = await source.next_events(relay.splitter)
+                nursery.cancel_scope.cancel()
+
+        async def limit_overlap() -> None:
+            await sent.wait()
+            await trio.sleep(_MAX_OVERLAP_S)
+            await source.aclose()
+
+        def on_sent() -> None:
+            reading.cancel()
+            sent.set()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                nursery.start_soon(limit_overlap)
+                upstream = await self._attempts.next_upstream(context)
+                if upstream is not None and self._attempts.spend_retry(context, "resumed"):
+                    successor = await self._resume(relay, upstream, on_sent)
+                nursery.cancel_scope.cancel()
+        finally:
+            if events is None and successor is not None:
+                self._record_failure(relay, "stalled")
+                await relay.switch(successor)
+            elif successor is not None:
+                await successor.aclose()
+        if events is not None and upstream is not None and not sent.is_set():
+            context.tried_upstreams.discard(upstream.row.upstream_id)
+        return events
+
+    async def _forward(self, relay: _Relay, events: Events) -> None:
+        context, upstream = relay.context, relay.source.upstream
+        if not events.data:
+            return
+        await relay.answer.send_part(events.data)
+        took_ms = now_ms() - relay.progress_ms
+        for _ in range(events.count):
+            upstream.observe_service_time(took_ms / events.count, _EVENT_WEIGHT)
+        if context.trace.events and events.count:
+            upstream.observe_event_interval(took_ms / events.count)
+        context.trace.add_events(events.count, took_ms)
+        context.last_progress_ms = relay.progress_ms = now_ms()
--- /dev/null
+++ b/src/briardyke/gateway/stream_source.py
@@ -0,0 +1,73 @@
+"""Read the events of a stream from one upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from briardyke.gateway.upstreams import UpstreamState
+from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
+
+if TYPE_CHECKING:
+    from briardyke.gateway.event_stream import EventSplitter
+
+
+@attrs.frozen
+class Events:
+    """Complete events that arrived together.
+
+    :param data: their bytes.
+    :param count: their number.
+    :param is_last: whether the stream has ended normally after them.
+    """
+
+    data: bytes
+    count: int
+    is_last: bool
+
+
+@attrs.define
+class StreamSource:
+    """Connection on which an upstream sends a stream.
+
+    :param upstream: the upstream, which counts the request as in flight.
+    :param connection: its connection.
+    :param head: head of its response.
+    """
+
+    upstream: UpstreamState
+    connection: UpstreamConnection
+    head: UpstreamHead
+    _is_released: bool = False
+
+    async def next_events(self, splitter: EventSplitter) -> Events:
+        """Wait for complete events or the end of the stream.
+
+        :raises UpstreamError: when the connection ends before, or was closed.
+        :raises EventTooLongError: when an event does not end.
+        """
+        if self._is_released:
+            raise UpstreamError(Fault.BROKEN, "closed for another upstream")
+        count = splitter.count
+        while True:
+            part = await self.connection.read_part()
+            data = splitter.take_remainder() if part is None else splitter.feed(part)
+            if data or part is None:
+                return Events(data, splitter.count - count, part is None)
+
+    def keep_connection(self) -> None:
+        """Return the connection of a stream that ended normally to its pool, if it can be kept."""
+        if self.connection.finish(self.head):
+            self._release()
+            self.upstream.pool.give_back(self.connection)
+
+    async def aclose(self) -> None:
+        """Close the connection, unless it was closed or kept."""
+        if not self._is_released:
+            self._release()
+            await self.connection.aclose()
+
+    def _release(self) -> None:
+        self._is_released = True
+        self.upstream.in_flight -= 1
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from briardyke.gateway.request_context import RequestContext
     from briardyke.gateway.state import GatewayState
@@ -83,8 +84,17 @@
         return [s for s in usable if s.row.upstream_id not in context.tried_upstreams]
 
     async def run(
-        self, context: RequestContext, upstream: UpstreamState, nursery: trio.Nursery
+        self,
+        context: RequestContext,
+        upstream: UpstreamState,
+        nursery: trio.Nursery,
+        on_sent: Callable[[], None] | None = None,
     ) -> AttemptResult:
+        """Send a request to an upstream and record the outcome.
+
+        :param nursery: runs the task that writes a long body.
+        :param on_sent: called once the upstream may start to work on the request.
+        """
         upstream_id = upstream.row.upstream_id
         context.tried_upstreams.add(upstream_id)
         load = upstream.load()
@@ -110,6 +120,7 @@
                 self._attempt_timeout_ms(context, load),
                 is_retryable=context.route.is_retryable,
                 nursery=nursery,
+                on_sent=on_sent,
             )
         finally:
             upstream.pending -= 1
--- a/tests/gateway/test_incomplete_answers.py
+++ b/tests/gateway/test_incomplete_answers.py
@@ -6,12 +6,14 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, Gateway, event, wait_until
+from gateway_support import STREAM_HEAD, Gateway, Reply, event, wait_until
 
 import briardyke.gateway.trace
+from briardyke.gateway.state import RetryBounds
+from briardyke.http.h11_client import Fault, UpstreamError
 
 if TYPE_CHECKING:
-    from gateway_support import ScriptedUpstream
+    from gateway_support import Script, ScriptedUpstream
 
 
 async def silent(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
@@ -93,3 +95,130 @@
         assert (await gateway.send("/chat/x", "s-5", "m")).status == 500
         assert (finished[0]["outcome"], finished[0]["ended_by"]) == ("interrupted", "defect")
         assert finished[0]["sent_bytes"] == 0
+
+
+PAUSE_S = 1.6  # longer than the time after which another upstream is tried
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+WHOLE = b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
+
+
+async def pausing(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Send two events with a pause between them."""
+    await stream.send_all(STREAM_HEAD % request_id + event(1))
+    await trio.sleep(PAUSE_S)
+    await stream.send_all(event(2) + b"0\r\n\r\n")
+
+
+async def remainder(
+    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+) -> None:
+    """Send the second event."""
+    await stream.send_all(STREAM_HEAD % request_id + event(2) + b"0\r\n\r\n")
+
+
+async def refusing(
+    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+) -> None:
+    """Refuse the request as not executed."""
+    await stream.send_all(REFUSAL % request_id)
+
+
+async def stream_with_alternative(gateway: Gateway, first: Script, second: Script) -> Reply:
+    """Send a request to one upstream and add another one when it has arrived."""
+    replies = []
+
+    async def send() -> None:
+        replies.append(await gateway.send("/chat/x", "s-1", "m"))
+
+    async with trio.open_nursery() as nursery:
+        upstream = await gateway.add("pool", first)
+        nursery.start_soon(send)
+        await wait_until(lambda: bool(upstream.requests))
+        await gateway.add("pool", second)
+    return replies[0]
+
+
+class TestSilentStream:
+    """Guards against streams that are cut although their silent upstream would have gone on."""
+
+    @pytest.fixture(autouse=True)
+    def virtual_time(self, autojump_clock: trio.testing.MockClock) -> None:
+        autojump_clock.autojump_threshold = 0.05  # gives the kernel time to deliver socket data
+
+    async def test_exhausted_retry_budget(self, gateway: Gateway) -> None:
+        gateway.state._retries = RetryBounds(0.0, 0.0, 1.0)
+        reply = await stream_with_alternative(gateway, pausing, remainder)
+        assert (reply.body, reply.is_complete) == (WHOLE, True)
+
+    async def test_other_upstream_refuses(self, gateway: Gateway) -> None:
+        reply = await stream_with_alternative(gateway, pausing, refusing)
+        assert (reply.body, reply.is_complete) == (WHOLE, True)
+
+    async def test_other_upstream_is_unreachable(
+        self, gateway: Gateway, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def fail(max_idle_ms: float) -> None:
+            raise UpstreamError(Fault.NOT_CONNECTED, "refused")
+
+        async def add_unreachable(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await gateway.add("pool", remainder)
+            other = gateway.state.upstreams.get("u1")
+            assert other is not None
+            monkeypatch.setattr(other.pool, "take", fail)
+            await pausing(upstream, stream, request_id)
+
+        await gateway.add("pool", add_unreachable)
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (WHOLE, True)
+
+    async def test_upstream_goes_on_while_the_other_is_being_connected(
+        self, gateway: Gateway, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def add_slow_to_connect(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            other = await gateway.add("pool", remainder)
+            others.append(other)
+            state = gateway.state.upstreams.get("u1")
+            assert state is not None
+
+            async def wait(max_idle_ms: float) -> None:
+                await trio.sleep(0.9)
+                raise UpstreamError(Fault.NOT_CONNECTED, "too slow")
+
+            monkeypatch.setattr(state.pool, "take", wait)
+            await pausing(upstream, stream, request_id)
+
+        others: list[ScriptedUpstream] = []
+        await gateway.add("pool", add_slow_to_connect)
+        started = trio.current_time()
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.body, reply.is_complete) == (WHOLE, True)
+        assert trio.current_time() - started < PAUSE_S + 0.3
+        assert others[0].requests == []
+
+    async def test_two_upstreams_do_not_work_on_it_for_long(self, gateway: Gateway) -> None:
+        times = []
+
+        async def hanging(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + event(1))
+            await stream.receive_some()
+            times.append(trio.current_time())
+
+        async def slow(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            times.append(trio.current_time())
+            await trio.sleep(1.0)
+            await remainder(upstream, stream, request_id)
+
+        reply = await stream_with_alternative(gateway, hanging, slow)
+        assert (reply.body, reply.is_complete) == (WHOLE, True)
+        assert 0.0 <= times[1] - times[0] < 0.4
