Answer a stream that ends before its first event with a failure

Callers of a stream whose upstream broke off or fell silent after its head, but before its first event, saw their connection close without a word: the head of an answer is only stored until the first part of the body, and nothing was written when no part came.

When nothing was sent, the forwarder now answers 502, or 504 at the deadline, without the upstream's headers. Neither status promises that the request was not run.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -171,6 +171,11 @@
             context.trace.finish(self._state.counters, status, outcome)
             return
         await self._streams.deliver(context, upstream, attempt, answer, nursery)
+        if not context.trace.is_finished:
+            is_late = context.remaining_ms <= MIN_ATTEMPT_MS
+            kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.UPSTREAM_FAILED
+            failure = Failure(kind, "the stream ended before its first event")
+            await self._send_failure(answer, context.trace, failure)
 
     async def _finish_unserved(self, context: RequestContext, answer: Answer) -> None:
         """Respond to a request that no upstream has served."""
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -82,7 +82,10 @@
         answer: Answer,
         nursery: trio.Nursery,
     ) -> None:
-        """Forward a stream until its end, resuming it on other upstreams."""
+        """Forward a stream until its end, resuming it on other upstreams.
+
+        Nothing is sent to the caller of a stream that ends before its first event.
+        """
         assert attempt.head is not None and attempt.connection is not None
         status, headers = attempt.head.status, end_to_end(attempt.head.headers)
         source = StreamSource(upstream, attempt.connection, attempt.head)
@@ -105,6 +108,8 @@
             await answer.finish()
             context.trace.finish(self._state.counters, status, "served")
             return
+        if not answer.sent_bytes:
+            return
         is_late = context.remaining_ms < MIN_ATTEMPT_MS
         ended_by = EndedBy.DEADLINE if is_late else EndedBy.UPSTREAM
         context.trace.finish(
--- a/tests/gateway/test_incomplete_answers.py
+++ b/tests/gateway/test_incomplete_answers.py
@@ -222,3 +222,37 @@
         reply = await stream_with_alternative(gateway, hanging, slow)
         assert (reply.body, reply.is_complete) == (WHOLE, True)
         assert 0.0 <= times[1] - times[0] < 0.4
+
+
+class TestStreamWithoutEvents:
+    """Guards against a connection that is closed without an answer when no event has arrived."""
+
+    async def test_broken_before_the_first_event(
+        self, gateway: Gateway, finished: list[dict[str, Any]]
+    ) -> None:
+        async def head_only(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id + b"5\r\nid: 1")
+            await stream.aclose()
+
+        await gateway.add("pool", head_only)
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.body, reply.is_complete) == (502, b"", True)
+        assert b"server-stamp" not in reply.headers
+        assert (finished[0]["status"], finished[0]["outcome"]) == (502, "upstream_failed")
+
+    async def test_silent_until_the_deadline(
+        self, gateway: Gateway, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        autojump_clock.autojump_threshold = 0.05  # gives the kernel time to deliver socket data
+
+        async def head_only(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(STREAM_HEAD % request_id)
+            await trio.sleep_forever()
+
+        await gateway.add("pool", head_only)
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.is_complete) == (504, True)
