Answer defects with 500 as long as no byte of an answer was sent

A caller could see its connection close without a word after a defect: the 500 was sent only when no answer had been started, though a start sends nothing, headers that h11 rejects came after that mark, and a rejected body was taken for a caller that had left, with a line at level debug only. A handler that returned without an answer closed the connection as well.

The server now asks how many bytes were sent, and writes the 500 itself, because h11 sends nothing more after it has rejected something. h11's rejections are logged as the defects that they are.

Evidence: four cases of test_defect_before_the_first_byte_is_logged_and_answered failed before with no bytes at all, and test_defect_within_an_answer_is_logged with an empty log. Tests of http and of incomplete answers passed.

--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -24,6 +24,9 @@
         b"upgrade",
     }
 )
+_INTERNAL_ERROR = (
+    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 def end_to_end(headers: Sequence[tuple[bytes, bytes]]) -> Headers:
@@ -91,7 +94,6 @@
         self._connection = connection
         self._send = send
         self._is_last = is_last
-        self.is_started = False
         self.is_complete = False
         self.is_caller_gone = False
         self.sent_bytes = 0
@@ -112,7 +114,6 @@
         self.closes_connection = self.closes_connection or self._is_last()
         if self.closes_connection:
             headers = [*headers, (b"connection", b"close")]
-        self.is_started = True
         self._head = h11.Response(status_code=status, headers=headers)
 
     async def send_part(self, data: bytes) -> None:
@@ -124,16 +125,23 @@
         await self._write(h11.EndOfMessage())
         self.is_complete = True
 
+    async def send_internal_error(self) -> None:
+        """Answer with 500 and close; only for an answer of which nothing was sent."""
+        self.closes_connection = True
+        # h11 accepts no other answer after a rejected one.
+        await self._transmit(_INTERNAL_ERROR)
+
     async def _write(self, *events: h11.Event | None) -> None:
+        if self.is_caller_gone:
+            raise CallerGoneError("the caller has left")
         parts: list[bytes | None] = []
-        try:
-            if self._head is not None:
-                parts.append(self._connection.send(self._head))
-                self._head = None
-            parts += [self._connection.send(event) for event in events if event is not None]
-        except h11.LocalProtocolError as error:
-            raise CallerGoneError(str(error)) from error
-        data = b"".join([part for part in parts if part])
+        if self._head is not None:
+            parts.append(self._connection.send(self._head))
+            self._head = None
+        parts += [self._connection.send(event) for event in events if event is not None]
+        await self._transmit(b"".join([part for part in parts if part]))
+
+    async def _transmit(self, data: bytes) -> None:
         try:
             await self._send(data)
         except CallerGoneError:
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -133,6 +133,8 @@
         failed = False
         try:
             await self._handler(request, answer)
+            if not answer.is_complete and not answer.sent_bytes:
+                raise RuntimeError("the handler sent no answer")
         except* CallerGoneError as group:
             log_debug("caller_gone", reason=repr(group.exceptions[0]))
         except* Exception as group:
@@ -140,8 +142,8 @@
             failed = True
         finally:
             self.in_flight -= 1
-        if failed and not answer.is_started:
-            await answer.send_whole(500, [])
+        if failed and not answer.sent_bytes and not answer.is_caller_gone:
+            await answer.send_internal_error()
 
 
 class _Connection:
--- a/tests/http/test_h11_server.py
+++ b/tests/http/test_h11_server.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+import briardyke.http.h11_server
 from briardyke.addresses import Address
 from briardyke.http.exchange import Answer, CallerGoneError, HttpRequest
 from briardyke.http.h11_server import H11Server, ServerLimits
@@ -39,6 +40,20 @@
             await answer.start(200, [])
             await answer.send_part(b"half")
             return
+        if self.mode == "bad header":
+            await answer.send_whole(200, [(b"bad name", b"x")], b"ok")
+        if self.mode == "bad start":
+            await answer.start(200, [(b"content-length", b"2")])
+            await answer.send_part(b"too long")
+        if self.mode == "defect after start":
+            await answer.start(200, [])
+            raise KeyError("defect")
+        if self.mode == "late part":
+            await answer.start(200, [(b"content-length", b"2")])
+            await answer.send_part(b"h")
+            await answer.send_part(b"too long")
+        if self.mode == "no answer":
+            return
         if self.mode == "gone":
             async with trio.open_nursery():
                 raise CallerGoneError("closed")
@@ -131,6 +146,37 @@
         assert b"half" in data
         assert not data.endswith(b"0\r\n\r\n")
 
+    @pytest.mark.parametrize("mode", ["bad header", "bad start", "defect after start", "no answer"])
+    async def test_defect_before_the_first_byte_is_logged_and_answered(
+        self, opened: Open, handler: Handler, monkeypatch: pytest.MonkeyPatch, mode: str
+    ) -> None:
+        logged: list[str] = []
+        monkeypatch.setattr(
+            briardyke.http.h11_server, "log_error", lambda name, **fields: logged.append(name)
+        )
+        handler.mode = mode
+        stream = await opened()
+        await stream.send_all(GET)
+        data = await read_all(stream)
+        assert data.split()[1:2] == [b"500"]
+        assert data.endswith(b"\r\n\r\n")
+        assert logged == ["request_handler_failed"]
+
+    async def test_defect_within_an_answer_is_logged(
+        self, opened: Open, handler: Handler, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        logged: list[str] = []
+        monkeypatch.setattr(
+            briardyke.http.h11_server, "log_error", lambda name, **fields: logged.append(name)
+        )
+        handler.mode = "late part"
+        stream = await opened()
+        await stream.send_all(GET)
+        data = await read_all(stream)
+        assert data.count(b"HTTP/1.1") == 1
+        assert data.endswith(b"h")
+        assert logged == ["request_handler_failed"]
+
     @pytest.mark.parametrize("mode", ["gone", "defect", "late defect"])
     async def test_failing_handler_leaves_the_server_up(
         self, opened: Open, handler: Handler, mode: str
