Answer or refuse every request that is read in a planned stop

Callers that came to a stopping entry instance between 6.0 and 7.2 s of 8 s of grace had their requests read, passed on to an upstream and cut: connections were accepted until 90% of the grace period, and what was in flight had a quarter of a second left, while a plain request may take 1.5 s.

Connections are now accepted until 75% of the grace period, which covers the callers that switch late, and requests in flight may take until 95%. A request whose deadline lies behind that end is refused as not executed, also when it came on a connection that was accepted before.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -76,9 +76,10 @@
 
         Loading a model that no upstream holds takes seconds. A request without that much time
         left is rejected at once, so that its caller can retry in time. The same applies to a
-        stream that would start late in a planned shutdown and be truncated by it.
+        request that would start late in a planned shutdown and could be truncated by it.
         """
-        if state.is_stopping and context.route.kind is RequestKind.STREAMING:
+        is_stream = context.route.kind is RequestKind.STREAMING
+        if state.is_stopping and (is_stream or context.deadline_ms > state.stop_ms):
             return Failure(ErrorKind.DRAINING, "this instance is shutting down")
         model = context.metadata.model
         if not model or not state.is_engine(context.service):
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -12,7 +12,7 @@
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.state import GatewayState
-from briardyke.http.h11_server import LAST_REQUEST_S, H11Server, ServerLimits
+from briardyke.http.h11_server import H11Server, ServerLimits
 from briardyke.logs import log_event
 from briardyke.routes.matching import RouteTable
 from briardyke.supervision import keep_running
@@ -32,12 +32,15 @@
     from briardyke.wire.pool import PeerPool
 
 _SWEEP_INTERVAL_S = 1.0
-# Fraction of the grace period during which new requests are accepted. Most callers switch to a new
-# address within two seconds and the rest within six; a stream that starts in the first third can
-# still end within the grace period.
-_ACCEPT_FRACTION = 0.35
-# Fraction of the grace period after which requests in progress are no longer waited for.
-_DRAIN_FRACTION = 0.9
+# Fractions of the grace period after which new streams are refused, no connection is accepted, and
+# requests in progress are no longer waited for. Most callers switch to a new address within two
+# seconds and the rest within six; a stream that starts in the first third can still end within the
+# grace period.
+_STREAM_FRACTION = 0.35
+_ACCEPT_FRACTION = 0.75
+_DRAIN_FRACTION = 0.95
+# Time in which the last responses are sent.
+_RESPONSE_MARGIN_MS = 50.0
 
 
 class GatewayProcess:
@@ -104,21 +107,25 @@
             nursery.cancel_scope.cancel()
 
     async def _drain(self) -> None:
-        """Withdraw the address, then reject streams, then close idle connections, then stop."""
+        """Withdraw the address, then reject streams, then close idle connections, then stop.
+
+        A request that is read so late that it could not end in time is rejected as well.
+        """
         self._is_stopping = True
         self._stopping_since_ms = now_ms()
         self.client.report_now()
         grace_s = self._settings.grace_s
+        self.state.stop_ms = now_ms() + grace_s * 1000.0 * _DRAIN_FRACTION - _RESPONSE_MARGIN_MS
         log_event("entry_draining", in_flight=self.server.in_flight)
-        await trio.sleep(grace_s * _ACCEPT_FRACTION)
+        await trio.sleep(grace_s * _STREAM_FRACTION)
         # Requests that still wait for an upstream could no longer finish in time.
         self.state.is_stopping = True
         self.state.changed.notify()
         self.server.close_idle()
-        with trio.move_on_after(grace_s * (_DRAIN_FRACTION - _ACCEPT_FRACTION)):
+        with trio.move_on_after(grace_s * (_ACCEPT_FRACTION - _STREAM_FRACTION)):
             await self.server.wait_closed()
         self.server.stop_accepting()
-        with trio.move_on_after(LAST_REQUEST_S):
+        with trio.move_on_after(grace_s * (_DRAIN_FRACTION - _ACCEPT_FRACTION)):
             await self.server.wait_closed()
 
     def _limits(self) -> ServerLimits:
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -78,6 +78,7 @@
         self.is_listed = False
         self.fixed_budget_share = 1.0
         self.is_stopping = False
+        self.stop_ms = float("inf")
         self._budgets: dict[str, RetryBudget] = {}
 
     @property
