--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -20,7 +20,7 @@
 from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from briardyke.gateway.upstreams import UpstreamState
     from briardyke.http.exchange import Headers, HttpRequest
@@ -120,6 +120,7 @@
         *,
         is_retryable: bool,
         nursery: trio.Nursery,
+        on_sent: Callable[[], None] | None = None,
     ) -> AttemptResult:
         """Submit the request and wait for its first event."""
         await sleep_ms(_HOP_MS)
@@ -129,6 +130,8 @@
         asked = self._calls[request_id]
         job = Job(asked.model, asked.prompt_tokens, asked.events, call.priority)
         status = engine.submit(job)
+        if on_sent is not None:
+            on_sent()
         load = LoadReport(len(engine.running), len(engine.waiting), state.row.slots)
         if status != 200:
             refused = ResponseMetadata(request_id, True, True, status == 421, load)
@@ -164,6 +167,8 @@
     :param last_ms: time of the last event.
     :param longest_pause_ms: longest time between two events.
     :param is_complete: whether the answer has ended normally.
+    :param is_caller_gone: whether the caller has left.
+    :param sent_bytes: size of the events received.
     """
 
     status: int = 0
@@ -172,6 +177,8 @@
     last_ms: float = 0.0
     longest_pause_ms: float = 0.0
     is_complete: bool = False
+    is_caller_gone: bool = True  # an emulated request is interrupted only by its caller
+    sent_bytes: int = 0
     progressed: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -186,6 +193,7 @@
         else:
             self.longest_pause_ms = max(self.longest_pause_ms, now - self.last_ms)
         self.last_ms = now
+        self.sent_bytes += len(data)
         self.progressed.set()
 
     async def finish(self) -> None:
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -133,6 +133,8 @@
         failed = False
         try:
             await self._handler(request, answer)
+            if not answer.is_complete and not answer.sent_bytes:
+                raise RuntimeError("the handler sent no answer")
         except* CallerGoneError as group:
             log_debug("caller_gone", reason=repr(group.exceptions[0]))
         except* Exception as group:
@@ -140,8 +142,8 @@
             failed = True
         finally:
             self.in_flight -= 1
-        if failed and not answer.is_started:
-            await answer.send_whole(500, [])
+        if failed and not answer.sent_bytes and not answer.is_caller_gone:
+            await answer.send_internal_error()
 
 
 class _Connection:
@@ -238,12 +240,12 @@
         """Run the handler beside a watch for the caller's close; return whether to go on."""
         answer = Answer(self._protocol, self._send, lambda: self._server.is_closing)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, nursery.cancel_scope)
+            nursery.start_soon(self._watch, answer, nursery.cancel_scope)
             await self._server.handle(request, answer)
             nursery.cancel_scope.cancel()
         return answer.is_complete and not answer.closes_connection
 
-    async def _watch(self, scope: trio.CancelScope) -> None:
+    async def _watch(self, answer: Answer, scope: trio.CancelScope) -> None:
         early = 0
         while early < _MAX_EARLY_BYTES:
             try:
@@ -251,6 +253,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
+                answer.is_caller_gone = True
                 scope.cancel()
                 return
             early += len(data)
