Apply a longer idle timeout to connections that rest already

Callers reuse a connection up to four fifths of the idle timeout in force. After a change to a longer one they met connections that were closed by the shorter one, because the wait was fixed when the rest began. A request that arrived just as the wait ended was reset unread.

The end of a rest is now compared with the timeout in force, and the socket is asked once more before the connection is closed.

--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -183,21 +184,30 @@
         """Wait between requests; return whether another one begins."""
         if self._protocol.trailing_data[0]:
             return True
-        # Callers reuse a connection up to four fifths of the advertised rest, so the whole of it
-        # plus a quarter leaves them the time that a request needs on its way.
-        idle_s = self._server.limits().idle_timeout_ms * 1.25 / 1000.0
-        if not self._server.is_closing:
-            with trio.move_on_after(idle_s) as scope:
+        idle_since = trio.current_time()
+        while not self._server.is_closing:
+            # Callers reuse a connection up to four fifths of the advertised rest, so the whole of
+            # it plus a quarter leaves them the time that a request needs on its way. The limit may
+            # have become longer while the connection rested.
+            idle_s = self._server.limits().idle_timeout_ms * 1.25 / 1000.0
+            left_s = idle_since + idle_s - trio.current_time()
+            if left_s <= 0:
+                return self._is_readable() and await self._receive_first()
+            with trio.move_on_after(left_s) as scope:
                 self._server._idle.add(scope)
                 try:
                     return await self._receive_first()
                 finally:
                     self._server._idle.discard(scope)
-        if self._server.is_closing:
-            with trio.move_on_after(LAST_REQUEST_S):
-                return await self._receive_first()
+        with trio.move_on_after(LAST_REQUEST_S):
+            return await self._receive_first()
         return False
 
+    def _is_readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def _receive_first(self) -> bool:
         data = await self._stream.receive_some(_READ_BYTES)
         self._protocol.receive_data(data)
--- a/tests/http/test_h11_server.py
+++ b/tests/http/test_h11_server.py
@@ -207,6 +207,51 @@
         assert b"200" in await read_all(stream)
 
 
+class TestIdleTimeout:
+    """Covers kept connections whose rest ends."""
+
+    async def test_longer_timeout_applies_to_resting_connections(self, handler: Handler) -> None:
+        limits = ServerLimits(idle_timeout_ms=200.0)
+        server = H11Server(handler, lambda: limits)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, Address("127.0.0.1", 0))
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(GET)
+            assert b"200" in await stream.receive_some()
+            await trio.sleep(0.1)
+            limits = ServerLimits(idle_timeout_ms=2000.0)
+            await trio.sleep(0.4)
+            await stream.send_all(GET)
+            with trio.fail_after(1.0):
+                assert b"200" in await stream.receive_some()
+            nursery.cancel_scope.cancel()
+
+    async def test_request_that_arrives_when_the_rest_ends_is_answered(
+        self, handler: Handler
+    ) -> None:
+        calls = 0
+
+        def limits() -> ServerLimits:
+            nonlocal calls
+            calls += 1
+            if calls == calls_before_the_end + 1:
+                os.write(stream.socket.fileno(), GET)
+            return ServerLimits(idle_timeout_ms=200.0)
+
+        calls_before_the_end = 1000
+        server = H11Server(handler, limits)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, Address("127.0.0.1", 0))
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(GET)
+            assert b"200" in await stream.receive_some()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            calls_before_the_end = calls
+            with trio.fail_after(1.0):
+                assert b"200" in await stream.receive_some()
+            nursery.cancel_scope.cancel()
+
+
 class TestStop:
     """Covers requests that meet a planned stop."""
 
