Apply a larger header limit to connections that are kept

A caller whose connection was opened under a smaller limit of header bytes got 431 for a head that the configuration in force allows, when the head came in more than one read: h11 fixes its bound for an incomplete head when its connection object is made.

The object is now made anew for each request, with the bytes that have arrived already.

Evidence: test_larger_head_is_accepted_on_a_resting_connection failed before with 431; it and the other tests of http passed.

--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -153,8 +153,7 @@
     def __init__(self, server: H11Server, stream: trio.SocketStream) -> None:
         self._server = server
         self._stream = stream
-        limit = server.limits().max_header_bytes
-        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limit + 1024)
+        self._protocol = _protocol(server.limits())
 
     async def run(self) -> None:
         while True:
@@ -171,6 +170,11 @@
         if not await self._await_first_byte():
             return None
         limits = self._server.limits()
+        # The limit may have changed since the connection was opened, and h11 cannot change it.
+        received, _ = self._protocol.trailing_data
+        self._protocol = _protocol(limits)
+        if received:
+            self._protocol.receive_data(received)
         with trio.move_on_after(limits.header_timeout_ms / 1000.0) as scope:
             try:
                 return await self._read_request(limits)
@@ -282,6 +286,12 @@
             await answer.send_whole(status, [])
 
 
+def _protocol(limits: ServerLimits) -> h11.Connection:
+    """Return the state of a connection between two requests."""
+    size = limits.max_header_bytes + 1024
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head; h11 itself bounds only one that is not complete."""
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
--- a/tests/http/test_h11_server.py
+++ b/tests/http/test_h11_server.py
@@ -207,6 +207,26 @@
         assert b"200" in await read_all(stream)
 
 
+class TestLargerHead:
+    """Guards against refusals of heads that a newer configuration allows on a kept connection."""
+
+    async def test_larger_head_is_accepted_on_a_resting_connection(self, handler: Handler) -> None:
+        limits = ServerLimits(max_header_bytes=1000)
+        server = H11Server(handler, lambda: limits)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.serve, Address("127.0.0.1", 0))
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(GET)
+            assert b"200" in await stream.receive_some()
+            limits = ServerLimits(max_header_bytes=8000)
+            await stream.send_all(b"GET /x HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 4000)
+            await trio.sleep(0.05)
+            await stream.send_all(b"\r\n\r\n")
+            with trio.fail_after(1.0):
+                assert b"200" in await stream.receive_some()
+            nursery.cancel_scope.cancel()
+
+
 class TestIdleTimeout:
     """Covers kept connections whose rest ends."""
 
