--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import select
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -152,8 +153,7 @@
     def __init__(self, server: H11Server, stream: trio.SocketStream) -> None:
         self._server = server
         self._stream = stream
-        limit = server.limits().max_header_bytes
-        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limit + 1024)
+        self._protocol = _protocol(server.limits())
 
     async def run(self) -> None:
         while True:
@@ -170,6 +170,11 @@
         if not await self._await_first_byte():
             return None
         limits = self._server.limits()
+        # The limit may have changed since the connection was opened, and h11 cannot change it.
+        received, _ = self._protocol.trailing_data
+        self._protocol = _protocol(limits)
+        if received:
+            self._protocol.receive_data(received)
         with trio.move_on_after(limits.header_timeout_ms / 1000.0) as scope:
             try:
                 return await self._read_request(limits)
@@ -183,21 +188,30 @@
         """Wait between requests; return whether another one begins."""
         if self._protocol.trailing_data[0]:
             return True
-        # Callers reuse a connection up to four fifths of the advertised rest, so the whole of it
-        # plus a quarter leaves them the time that a request needs on its way.
-        idle_s = self._server.limits().idle_timeout_ms * 1.25 / 1000.0
-        if not self._server.is_closing:
-            with trio.move_on_after(idle_s) as scope:
+        idle_since = trio.current_time()
+        while not self._server.is_closing:
+            # Callers reuse a connection up to four fifths of the advertised rest, so the whole of
+            # it plus a quarter leaves them the time that a request needs on its way. The limit may
+            # have become longer while the connection rested.
+            idle_s = self._server.limits().idle_timeout_ms * 1.25 / 1000.0
+            left_s = idle_since + idle_s - trio.current_time()
+            if left_s <= 0:
+                return self._is_readable() and await self._receive_first()
+            with trio.move_on_after(left_s) as scope:
                 self._server._idle.add(scope)
                 try:
                     return await self._receive_first()
                 finally:
                     self._server._idle.discard(scope)
-        if self._server.is_closing:
-            with trio.move_on_after(LAST_REQUEST_S):
-                return await self._receive_first()
+        with trio.move_on_after(LAST_REQUEST_S):
+            return await self._receive_first()
         return False
 
+    def _is_readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def _receive_first(self) -> bool:
         data = await self._stream.receive_some(_READ_BYTES)
         self._protocol.receive_data(data)
@@ -272,6 +286,12 @@
             await answer.send_whole(status, [])
 
 
+def _protocol(limits: ServerLimits) -> h11.Connection:
+    """Return the state of a connection between two requests."""
+    size = limits.max_header_bytes + 1024
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+
+
 def _head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head; h11 itself bounds only one that is not complete."""
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
