Ask the retry budget before a request without a response is given up

What callers saw: a retryable request whose upstream was slow got a 502 after three latency objectives, although its sound upstream still worked on it.

Cause: the time limit of an attempt was fixed at its start from the load of other upstreams, and the retry budget was asked only after the attempt had been ended.

Change: the attempt goes on until its deadline, and is ended earlier only at a moment when another upstream is less loaded and the budget has paid for the retry. Test: test_retry_budget_is_asked_before_the_attempt_ends, which got 502 on the code before when the budget was exhausted.

--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -121,6 +121,7 @@
         is_retryable: bool,
         nursery: trio.Nursery,
         on_sent: Callable[[], None] | None = None,
+        scope: trio.CancelScope | None = None,
     ) -> AttemptResult:
         """Submit the request and wait for its first event."""
         await sleep_ms(_HOP_MS)
@@ -138,7 +139,8 @@
             return AttemptResult(Ending.REFUSED, f"status {status}", metadata=refused)
         is_kept = False
         try:
-            with trio.move_on_after(timeout_ms / 1000.0):
+            with scope or trio.CancelScope() as limit:
+                limit.deadline = trio.current_time() + timeout_ms / 1000.0
                 while not job.ready and not job.is_over:
                     await job.changed.wait()
                 if job.is_broken:
@@ -151,7 +153,7 @@
                     metadata=ResponseMetadata(request_id, False, True, load=load),
                     connection=EmulatedStream(engine, job),
                 )
-            return AttemptResult(Ending.TIMED_OUT, f"no response within {timeout_ms:.0f} ms")
+            return AttemptResult(Ending.TIMED_OUT, "no response in time")
         finally:
             if not is_kept:
                 engine.cancel(job)
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -82,6 +82,7 @@
         is_retryable: bool,
         nursery: trio.Nursery,
         on_sent: Callable[[], None] | None = None,
+        scope: trio.CancelScope | None = None,
     ) -> AttemptResult:
         """Send the request and read the response head, and the body unless it is a stream.
 
@@ -94,12 +95,14 @@
         :param is_retryable: whether a request with unknown outcome can be sent again.
         :param nursery: runs the task that writes a long body.
         :param on_sent: called once the upstream may start to work on the request.
+        :param scope: ends the attempt when it is cancelled.
         """
         max_idle_ms = MAX_IDLE_MS if is_retryable else MAX_IDLE_NOT_RETRYABLE_MS
         connection = None
         keeps_open = False
         try:
-            with trio.move_on_after(timeout_ms / 1000.0):
+            with scope or trio.CancelScope() as limit:
+                limit.deadline = trio.current_time() + timeout_ms / 1000.0
                 connection = await state.pool.take(max_idle_ms, request_id)
                 headers = self._dialect.upstream_headers(request, call)
                 await connection.send(
@@ -114,7 +117,7 @@
                 return attempt
             if connection is None:
                 return AttemptResult(Ending.NOT_CONNECTED, "no connection before the timeout")
-            return AttemptResult(Ending.TIMED_OUT, f"no response within {timeout_ms:.0f} ms")
+            return AttemptResult(Ending.TIMED_OUT, "no response in time")
         except UpstreamError as error:
             not_connected = error.fault is Fault.NOT_CONNECTED
             if connection is not None and connection.was_dropped_at_rest:
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -29,6 +29,7 @@
     :param tried_upstreams: ids of upstreams that are not selected again.
     :param last_attempt: last attempt that was not delivered.
     :param refusal: reason to reject the request, if one was found.
+    :param has_paid_retry: whether the next attempt is charged to the retry budget already.
     :param is_trial: whether it tests a quarantined part of its prompt.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
@@ -45,6 +46,7 @@
     tried_upstreams: set[str] = attrs.field(factory=set)
     last_attempt: AttemptResult | None = None
     refusal: Failure | None = None
+    has_paid_retry: bool = False
     is_trial: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -30,6 +30,10 @@
 # response, but not before _MIN_ATTEMPT_TIMEOUT_MS.
 _ATTEMPT_TIMEOUT_OBJECTIVES = 3.0
 _MIN_ATTEMPT_TIMEOUT_MS = 800.0
+# Share of the time left that a second attempt needs.
+_MIN_RETRY_TIME_FRACTION = 0.4
+# Interval at which an attempt without a response looks for a better upstream again.
+_ALTERNATIVE_INTERVAL_MS = 250.0
 # Another upstream counts as less loaded when its load is below this fraction of the current one's.
 _LESS_LOADED_FRACTION = 0.5
 # A shorter wait is none: one of less than the clock's resolution would be repeated without end.
@@ -111,17 +115,22 @@
         upstream.pending += 1
         started_ms = now_ms()
         attempt = None
+        scope = trio.CancelScope()
         try:
-            attempt = await self.runner.run(
-                upstream,
-                context.request,
-                context.metadata.request_id,
-                call,
-                self._attempt_timeout_ms(context, load),
-                is_retryable=context.route.is_retryable,
-                nursery=nursery,
-                on_sent=on_sent,
-            )
+            async with trio.open_nursery() as watch:
+                watch.start_soon(self._give_up_when_late, context, upstream, scope)
+                attempt = await self.runner.run(
+                    upstream,
+                    context.request,
+                    context.metadata.request_id,
+                    call,
+                    context.remaining_ms,
+                    is_retryable=context.route.is_retryable,
+                    nursery=nursery,
+                    on_sent=on_sent,
+                    scope=scope,
+                )
+                watch.cancel_scope.cancel()
         finally:
             upstream.pending -= 1
             if attempt is None or attempt.connection is None:
@@ -132,26 +141,38 @@
             await self._state.quarantine.record_loss(upstream.row, context.metadata)
         return attempt
 
-    def _attempt_timeout_ms(self, context: RequestContext, load: float) -> float:
-        """Return how long to wait for a response before another upstream is tried.
+    async def _give_up_when_late(
+        self, context: RequestContext, upstream: UpstreamState, scope: trio.CancelScope
+    ) -> None:
+        """End an attempt without a response once another upstream may be tried.
 
         If every other candidate is as loaded, trying a second one adds to the overload and loses
-        the place in the first one's queue.
+        the place in the first one's queue. Without a retry in the budget, the upstream that has
+        the request is the only one that can still respond.
         """
-        remaining_ms = context.remaining_ms
-        if (
-            not context.route.is_retryable
-            or context.sent_attempts + 1 >= context.route.max_attempts
-        ):
-            return remaining_ms
-        if not any(s.load() < load * _LESS_LOADED_FRACTION for s in self.candidates(context)):
-            return remaining_ms  # it would wait as long elsewhere
         objective_ms = context.route.latency_objective_ms
         wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
-        return wait_ms if wait_ms < remaining_ms * 0.6 else remaining_ms
+        may_retry = context.sent_attempts + 1 < context.route.max_attempts
+        if not context.route.is_retryable or not may_retry:
+            return
+        limit_ms = context.deadline_ms - context.remaining_ms * _MIN_RETRY_TIME_FRACTION
+        while now_ms() + wait_ms < limit_ms:
+            await trio.sleep(wait_ms / 1000.0)
+            wait_ms = _ALTERNATIVE_INTERVAL_MS
+            load = upstream.load() - 1.0  # without this request
+            is_less_loaded = any(
+                s.load() < load * _LESS_LOADED_FRACTION for s in self.candidates(context)
+            )
+            if is_less_loaded and self.spend_retry(context, "repeated"):
+                context.has_paid_retry = True
+                scope.cancel()
+                return
 
     def spend_retry(self, context: RequestContext, event: str) -> bool:
         """Charge a retry to the budget of the service; return whether the budget allows it."""
+        if context.has_paid_retry:
+            context.has_paid_retry = False
+            return True
         is_allowed = self._state.budget(context.service).try_spend(now_ms())
         self._state.counters.count(event if is_allowed else "budget_exhausted")
         return is_allowed
--- a/tests/gateway/test_incomplete_answers.py
+++ b/tests/gateway/test_incomplete_answers.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import pytest
 import trio
 from gateway_support import STREAM_HEAD, Gateway, Reply, event, wait_until
 
 import briardyke.gateway.trace
+from briardyke.gateway.dialect import LoadReport
 from briardyke.gateway.state import RetryBounds
 from briardyke.http.h11_client import Fault, UpstreamError
 
@@ -271,3 +273,46 @@
         await gateway.add("pool", head_only)
         reply = await gateway.send("/chat/x", "s-1", "m")
         assert (reply.status, reply.is_complete) == (504, True)
+
+
+class TestSlowResponse:
+    """Guards against a request that is given up at its upstream although no other may be tried."""
+
+    @pytest.mark.parametrize(
+        ("bounds", "expected"),
+        [
+            (RetryBounds(0.0, 0.0, 1.0), [b"p-1"]),
+            (RetryBounds(1.0, 1000.0, 1.0), [b"p-1", b"p-1"]),
+        ],
+        ids=["exhausted", "sufficient"],
+    )
+    async def test_retry_budget_is_asked_before_the_attempt_ends(
+        self,
+        gateway: Gateway,
+        autojump_clock: trio.testing.MockClock,
+        bounds: RetryBounds,
+        expected: list[bytes],
+    ) -> None:
+        autojump_clock.autojump_threshold = 0.05  # gives the kernel time to deliver socket data
+        requests: list[bytes] = []
+
+        async def slow_at_first(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            requests.append(request_id)
+            await trio.sleep(1.5 if len(requests) == 1 else 0.01)
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n" % request_id
+            await stream.send_all(head + b"Content-Length: 2\r\n\r\nok")
+
+        gateway.state._retries = bounds
+        for _ in range(2):
+            await gateway.add("app", slow_at_first)
+        # The larger upstream is selected first, although the other one is idle.
+        gateway.rows["u1"] = attrs.evolve(gateway.rows["u1"], slots=1)
+        gateway.state.upstreams.update(gateway.rows, {})
+        larger = gateway.state.upstreams.get("u0")
+        assert larger is not None
+        larger.update_from_report(LoadReport(4, 0, 8))
+        reply = await gateway.send("/see/x", "p-1")
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert requests == expected
