--- a/tests/gateway/test_quarantine_review.py
+++ b/tests/gateway/test_quarantine_review.py
@@ -11,6 +11,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.gateway.crash_detection import CrashDetector
+from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.quarantine.records import PartState, PartVerdict
 
@@ -147,3 +148,54 @@
     with trio.fail_after(9):
         await gateway.send("/chat/x", "s-1", "m", prefix=BOTH)
     assert checks == []
+
+
+async def test_stream_with_events_is_not_resumed_on_another_upstream_once_its_part_is_quarantined(
+    gateway: Gateway, control: FakeControl
+) -> None:
+    """Guards against streams that began before a part crashed engines and crash another one."""
+
+    async def break_off(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        await stream.send_all(STREAM_HEAD % request_id + event(1))
+        await trio.sleep(0.3)
+        await trio.aclose_forcefully(stream)
+
+    upstreams = [await gateway.add("pool", break_off) for _ in range(2)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gateway.send, "/chat/x", "d-1", "m", BOTH)
+        await trio.sleep(0.15)
+        control.publish(deadly=60_000.0)
+    assert sum(len(upstream.requests) for upstream in upstreams) == 1
+
+
+async def test_crash_is_noticed_when_the_request_that_checks_for_it_is_cancelled(
+    gateway: Gateway, control: FakeControl
+) -> None:
+    """Guards against a caller that leaves during the check and hides the crash from others."""
+    await gateway.add("pool", respond)
+    (row,) = gateway.rows.values()
+
+    async def check(address: Address) -> bool:
+        await trio.sleep(0.05)
+        return True
+
+    detector = CrashDetector(check)
+    first, second = (
+        RequestMetadata("r-1", None),
+        RequestMetadata("r-2", None, prefix_ids=("deadly", "own")),
+    )
+    async with trio.open_nursery() as nursery:
+        leaving = trio.CancelScope()
+
+        async def leave() -> None:
+            with leaving:
+                await detector.investigate(row, first)
+
+        nursery.start_soon(leave)
+        await trio.sleep(0.02)
+        nursery.start_soon(detector.investigate, row, second)
+        await trio.sleep(0.01)
+        leaving.cancel()
+    assert [crash.depths for crash in detector.recent()] == [{"deadly": 0}]
