Close the gaps that the review of the quarantine found

What could have happened, each shown by a test that failed before: a broken stream that waited for its model was resumed after its part had been quarantined; a trial of one part let a second quarantined part through; a response within 100 ms of a trial's grant went unnoticed for three minutes; a part stayed in quarantine when a response between its crashes became known later, or another part explained them; a verdict of a later term made every trial granted; a suspected part was never quarantined by an instance without control; a stream at its deadline waited for a check of its engine; a caller that left during the check hid the crash.

Changes: the quarantine is asked again after each wait, for all parts but the one on trial; refuted parts are cleared; decisions replace verdicts of later terms; crashes are looked for only when a connection ended, after it was closed, within 0.1 s; the disk is written beside the decisions.

--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -104,11 +104,13 @@
             self.crashes_changed.notify()
             self._broadcast(RowsUpdate([], [], [], [], crashes=new))
 
-    def publish_verdict(self, row: PartVerdict) -> None:
-        """Store and broadcast a verdict on a part of prompts."""
-        if self._merge_verdict(row):
-            self.changed.notify()
-            self._broadcast(RowsUpdate([], [], [], [], verdicts=[row]))
+    def publish_verdict(self, row: PartVerdict) -> bool:
+        """Store and broadcast a verdict on a part of prompts; return whether it is a newer one."""
+        if not self._merge_verdict(row):
+            return False
+        self.changed.notify()
+        self._broadcast(RowsUpdate([], [], [], [], verdicts=[row]))
+        return True
 
     def _merge_verdict(self, row: PartVerdict) -> bool:
         """Store a verdict unless it is held already, which tells better when it was made."""
--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -40,6 +40,14 @@
     depths: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.define
+class _Check:
+    """Check of an upstream; without a result, its request was cancelled."""
+
+    is_refusing: bool | None = None
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+
 class CrashDetector:
     """Tell the crash of an upstream from the loss of a single connection.
 
@@ -52,7 +60,7 @@
     ) -> None:
         """Check upstreams with a function that returns whether an address refuses connections."""
         self._is_refusing = is_refusing
-        self._checks: dict[tuple[str, int], trio.Event] = {}
+        self._checks: dict[tuple[str, int], _Check] = {}
         self._crashes: dict[tuple[str, int], ObservedCrash] = {}
 
     async def investigate(self, row: Upstream, request: RequestMetadata) -> ObservedCrash | None:
@@ -84,16 +92,17 @@
 
     async def _has_crashed(self, key: tuple[str, int], row: Upstream) -> bool:
         """Check an upstream once for all requests that lose their connections together."""
-        running = self._checks.get(key)
-        if running is not None:
-            await running.wait()
-            return key in self._crashes
-        self._checks[key] = done = trio.Event()
+        while (running := self._checks.get(key)) is not None:
+            await running.ended.wait()
+            if running.is_refusing is not None:
+                return running.is_refusing
+        self._checks[key] = check = _Check()
         try:
-            return await self._is_refusing(parse_address(row.address))
+            check.is_refusing = await self._is_refusing(parse_address(row.address))
+            return check.is_refusing
         finally:
             del self._checks[key]
-            done.set()
+            check.ended.set()
 
     def recent(self) -> Iterable[ObservedCrash]:
         """Return the crashes to report, and forget older ones."""
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -95,10 +95,13 @@
             return state.quarantine.failure(part)
         state.demand.record(context.metadata.model or context.service)
         refusal = state.admission.refusal(context, state)
-        if refusal is None and part is not None:
-            context.is_trial = await state.quarantine.request_trial(part)
-            return None if context.is_trial else state.quarantine.failure(part)
-        return refusal
+        if refusal is not None or part is None:
+            return refusal
+        other = state.quarantine.quarantined_part(context.metadata, part)
+        if other is None and await state.quarantine.request_trial(part):
+            context.trial_part = part
+            return None
+        return state.quarantine.failure(other or part)
 
     async def _await_configuration(self, metadata: RequestMetadata) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
@@ -142,7 +145,7 @@
     def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
         """Return the reason not to send a request whose part was quarantined while it waited."""
         gate = self._state.quarantine
-        part = None if context.is_trial else gate.quarantined_part(context.metadata)
+        part = gate.quarantined_part(context.metadata, context.trial_part)
         return gate.failure(part) if part is not None else None
 
     def _should_retry_response(self, context: RequestContext, attempt: AttemptResult) -> bool:
@@ -161,6 +164,8 @@
             return context.connect_failures <= _MAX_CONNECT_FAILURES
         if attempt.may_have_run and not context.route.is_retryable:
             return False
+        if attempt.may_have_run and context.trial_part:
+            return False
         if attempt.ending is Ending.FAILED and self._state.quarantine.holds_back(context.metadata):
             return False
         if context.sent_attempts >= context.route.max_attempts:
--- a/src/briardyke/gateway/quarantine.py
+++ b/src/briardyke/gateway/quarantine.py
@@ -85,7 +85,9 @@
 
     def _next_trial_ms(self, part: str) -> float:
         verdict = self._shared().verdicts.get(part)
-        return verdict.next_trial_ms - now_ms() if verdict else _MIN_RETRY_AFTER_MS
+        if verdict is None or verdict.state is not PartState.QUARANTINED:
+            return _MIN_RETRY_AFTER_MS
+        return verdict.next_trial_ms - now_ms()
 
     def holds_back(self, request: RequestMetadata) -> bool:
         """Return whether a request that was waiting on a crashed upstream must not be repeated."""
@@ -94,26 +96,33 @@
             return True
         return self.quarantined_part(request) is not None
 
-    def quarantined_part(self, request: RequestMetadata) -> str | None:
-        """Return a quarantined part of a request's prompt, or ``None``."""
+    def quarantined_part(self, request: RequestMetadata, trial_part: str = "") -> str | None:
+        """Return a quarantined part of a request's prompt, or ``None``.
+
+        :param trial_part: part that the request tests, which does not count.
+        """
+        quarantined = self._quarantined()
+        return next(
+            (p for p in request.shared_prefix_ids if p in quarantined and p != trial_part), None
+        )
+
+    def _quarantined(self) -> set[str]:
         shared = self._shared()
-        for part in request.shared_prefix_ids:
-            verdict = shared.verdicts.get(part)
-            if verdict is not None and verdict.state is PartState.QUARANTINED:
-                return part
-        if now_ms() - shared.confirmed_ms < CONTROL_LOST_MS or not self._own_evidence.has_crashes:
-            return None
-        own = self._own_quarantine(shared.verdicts)
-        return next((part for part in request.shared_prefix_ids if part in own), None)
-
-    def _own_quarantine(self, verdicts: Mapping[str, PartVerdict]) -> set[str]:
+        quarantined = {
+            p for p, row in shared.verdicts.items() if row.state is PartState.QUARANTINED
+        }
+        if now_ms() - shared.confirmed_ms >= CONTROL_LOST_MS and self._own_evidence.has_crashes:
+            quarantined |= self._own_quarantine(quarantined)
+        return quarantined
+
+    def _own_quarantine(self, quarantined: set[str]) -> set[str]:
         """Return the parts to quarantine by the observations of this instance alone."""
         evidence = self._own_evidence
         sound = {part: self._history.sound_ms(part) for part in evidence.parts()}
         evidence.merge_sound_ages(
             {part: now_ms() - ms for part, ms in sound.items() if ms is not None}
         )
-        return set(evidence.attribution().parts_to_quarantine(verdicts.keys()))
+        return set(evidence.attribution().parts_to_quarantine(quarantined))
 
     # Observations
 
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -30,7 +30,7 @@
     :param last_attempt: last attempt that was not delivered.
     :param refusal: reason to reject the request, if one was found.
     :param has_paid_retry: whether the next attempt is charged to the retry budget already.
-    :param is_trial: whether it tests a quarantined part of its prompt.
+    :param trial_part: quarantined part of its prompt that it tests, or empty.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -47,7 +47,7 @@
     last_attempt: AttemptResult | None = None
     refusal: Failure | None = None
     has_paid_retry: bool = False
-    is_trial: bool = False
+    trial_part: str = ""
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -99,7 +99,7 @@
             is_whole = await self._relay_events(relay)
             while not is_whole and self._may_resume(relay):
                 next_upstream = await self._attempts.next_upstream(context)
-                if next_upstream is None or not self._attempts.spend_retry(context, "resumed"):
+                if next_upstream is None or not self._may_send(relay):
                     break
                 successor = await self._resume(relay, next_upstream)
                 if successor is not None:
@@ -130,6 +130,13 @@
             and context.sent_attempts < context.route.max_attempts
         )
 
+    def _may_send(self, relay: _Relay) -> bool:
+        """Return whether the rest may be requested now; it may have waited for an upstream."""
+        context, gate = relay.context, self._state.quarantine
+        if gate.quarantined_part(context.metadata, context.trial_part) is not None:
+            return False
+        return self._attempts.spend_retry(context, "resumed")
+
     async def _resume(
         self, relay: _Relay, upstream: UpstreamState, on_sent: Callable[[], None] | None = None
     ) -> StreamSource | None:
@@ -146,6 +153,7 @@
     async def _relay_events(self, relay: _Relay) -> bool:
         """Forward events as they arrive; return whether the stream ended normally."""
         context = relay.context
+        is_lost = False
         try:
             while context.remaining_ms > 0:
                 events = await self._next_events(relay)
@@ -156,12 +164,15 @@
                     relay.source.keep_connection()
                     return True
             reason = "stream_broken"
-        except (UpstreamError, EventStreamError) as error:
+        except EventStreamError as error:
+            reason = str(error)
+        except UpstreamError as error:
             reason = str(error)
+            is_lost = not relay.has_events
         self._record_failure(relay, reason)
-        if not relay.has_events and self._state.is_engine(context.service):
-            await self._state.quarantine.record_loss(relay.source.upstream.row, context.metadata)
         await relay.source.aclose()
+        if is_lost and self._state.is_engine(context.service):
+            await self._state.quarantine.record_loss(relay.source.upstream.row, context.metadata)
         relay.splitter.drop_partial()
         return False
 
@@ -220,7 +231,7 @@
                 nursery.start_soon(read)
                 nursery.start_soon(limit_overlap)
                 upstream = await self._attempts.next_upstream(context)
-                if upstream is not None and self._attempts.spend_retry(context, "resumed"):
+                if upstream is not None and self._may_send(relay):
                     successor = await self._resume(relay, upstream, on_sent)
                 nursery.cancel_scope.cancel()
         finally:
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -22,7 +22,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 # A host whose process has ended refuses a connection within a round trip.
-_REFUSAL_TIMEOUT_S = 0.25
+_REFUSAL_TIMEOUT_S = 0.1
 _READ_BYTES = 65536
 # A kept connection is given up this long before the upstream would close it, which covers the
 # way of a request and a slow turn of the event loop.
--- a/src/briardyke/quarantine/attribution.py
+++ b/src/briardyke/quarantine/attribution.py
@@ -88,17 +88,27 @@
             blamed = [part for part, count in counts.items() if count >= QUARANTINE_CRASHES]
             if not blamed:
                 return found
-            found.append(
-                min(
-                    blamed,
-                    key=lambda part: (
-                        -counts[part],
-                        self.sound_ms.get(part, NEVER_MS),
-                        -self._depth(part),
-                        part,
-                    ),
-                )
-            )
+            found.append(min(blamed, key=lambda part: (-counts[part], *self._innocence(part))))
+
+    def refuted_parts(self, quarantined: AbstractSet[str]) -> list[str]:
+        """Return the quarantined parts whose known crashes no longer speak against them.
+
+        A response before one of the crashes may be reported later than the crashes, and another
+        part may explain them. Parts whose crashes are forgotten stay in quarantine.
+
+        :param quarantined: parts in quarantine.
+        """
+        kept = set(quarantined)
+        for part in sorted(quarantined, key=self._innocence, reverse=True):
+            known = sum(part in crash.depths for crash in self.crashes)
+            count = self.counts(kept - {part}).get(part, 0)
+            if known >= QUARANTINE_CRASHES > count:
+                kept.discard(part)
+        return sorted(quarantined - kept)
+
+    def _innocence(self, part: str) -> tuple[float, int, str]:
+        """Return the sort key of parts in equally many crashes, the one to blame first."""
+        return (self.sound_ms.get(part, NEVER_MS), -self._depth(part), part)
 
     def suspected_parts(self, quarantined: AbstractSet[str]) -> set[str]:
         """Return the parts of which one more crash may lead to a quarantine."""
@@ -109,4 +119,4 @@
         return self.sound_ms.get(part, NEVER_MS) >= at_ms + CLOCK_ERROR_MS
 
     def _depth(self, part: str) -> int:
-        return max(c.depths.get(part, 0) for c in self.crashes)
+        return max((c.depths.get(part, 0) for c in self.crashes), default=0)
--- a/src/briardyke/quarantine/records.py
+++ b/src/briardyke/quarantine/records.py
@@ -61,7 +61,7 @@
 
     :param part: id of the part.
     :param term: term of the leader that decided.
-    :param sequence: number of the decision within the term.
+    :param sequence: number of the decision on this part within the term.
     :param state: a suspected part is served and watched, a quarantined one is rejected.
     :param trials: requests that have tested the part since its quarantine began.
     :param next_trial_ms: time until another request may test it, negative when one may.
--- a/src/briardyke/quarantine/runner.py
+++ b/src/briardyke/quarantine/runner.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from briardyke.clock import now_ms
 from briardyke.fleet.messages import TrialReply, TrialRequest
 from briardyke.logs import log_event
@@ -33,18 +35,27 @@
         self._store = store
         for row in store.load():
             control.tables.verdicts.merge(row)
-        self._sequence = 0
-        self._term = 0
 
     async def run(self) -> None:
-        """Decide after each report of a crash, and regularly, until cancelled."""
+        """Decide and save verdicts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._save_forever)
+            await self._decide_forever()
+
+    async def _save_forever(self) -> None:
+        """Save changed verdicts; a faulty disk must not delay decisions."""
+        while True:
+            await self._store.save(self._control.tables.verdicts.rows())
+            await trio.sleep(TICK_MS / 1000.0)
+
+    async def _decide_forever(self) -> None:
+        """Decide after each report of a crash, and regularly."""
         while True:
             await self._control.rows.crashes_changed.wait(TICK_MS)
             self._forget_cleared()
             term = self._control.leading_term()
             if term is not None and self._has_work():
                 self._tick(term)
-            await self._store.save(self._control.tables.verdicts.rows())
 
     def _has_work(self) -> bool:
         tables = self._control.tables
@@ -71,8 +82,9 @@
         decision = grant_trial(held.verdict.aged(now_ms() - held.at_ms)) if held else None
         if term is None or decision is None:
             return TrialReply(False)
+        if not self._publish(term, decision):
+            return TrialReply(False)
         log_event("part_trial_granted", part=request.part, trials=decision.trials)
-        self._publish(term, decision)
         return TrialReply(True)
 
     def _held(self) -> dict[str, TimedVerdict]:
@@ -80,15 +92,21 @@
         rows = self._control.tables.verdicts.changed_with_age(0)
         return {row.part: TimedVerdict(row, now - age_ms) for row, age_ms in rows}
 
-    def _publish(self, term: int, decision: Decision) -> None:
-        if term != self._term:
-            self._term, self._sequence = term, 0
-        self._sequence += 1
-        self._control.rows.publish_verdict(
+    def _publish(self, term: int, decision: Decision) -> bool:
+        """Replace the verdict on a part; return whether it is in force.
+
+        Terms start anew when all control instances lose their disks, while entry instances still
+        hold verdicts of later terms.
+        """
+        held = self._control.tables.verdicts.get(decision.part)
+        sequence = 1
+        if held is not None and held.term >= term:
+            term, sequence = held.term, held.sequence + 1
+        return self._control.rows.publish_verdict(
             PartVerdict(
                 decision.part,
                 term,
-                self._sequence,
+                sequence,
                 decision.state,
                 decision.trials,
                 decision.next_trial_ms,
--- a/src/briardyke/quarantine/verdicts.py
+++ b/src/briardyke/quarantine/verdicts.py
@@ -59,8 +59,11 @@
     :param held: verdicts in force, by part.
     """
     quarantined = {p for p, h in held.items() if h.verdict.state is PartState.QUARANTINED}
-    cleared = {p for p in quarantined if _is_sound_since(attribution, p, held[p].at_ms)}
+    cleared = {p for p in quarantined if _is_sound_since(attribution, p, held[p])}
     quarantined -= cleared
+    refuted = attribution.refuted_parts(quarantined)
+    cleared.update(refuted)
+    quarantined.difference_update(refuted)
     added = attribution.parts_to_quarantine(quarantined)
     quarantined.update(added)
     suspected = attribution.suspected_parts(quarantined) - quarantined
@@ -87,5 +90,10 @@
     return Decision(verdict.part, PartState.QUARANTINED, trials, next_ms)
 
 
-def _is_sound_since(attribution: Attribution, part: str, at_ms: float) -> bool:
-    return attribution.sound_ms.get(part, NEVER_MS) >= at_ms + CLOCK_ERROR_MS
+def _is_sound_since(attribution: Attribution, part: str, held: TimedVerdict) -> bool:
+    """Return whether a part had a response after its quarantine, or after the grant of a trial.
+
+    No request with the part is under way when a trial is granted, so any later response is its.
+    """
+    error_ms = 0.0 if held.verdict.trials else CLOCK_ERROR_MS
+    return attribution.sound_ms.get(part, NEVER_MS) >= held.at_ms + error_ms
--- a/tests/quarantine/test_runner_review.py
+++ b/tests/quarantine/test_runner_review.py
@@ -6,7 +6,7 @@
 
 import attrs
 import trio
-from test_runner import ENTRY, FakeGroup, report, start, state_of
+from test_quarantine_runner import ENTRY, FakeGroup, report, start, state_of
 
 from briardyke.fleet.messages import TrialRequest
 from briardyke.quarantine.records import PartState, PartVerdict
