Report only responses that followed the verdict on their part

What could have happened: a report of a response before a quarantine, delayed on a lossy link or by a suspended control instance, counted as a response after it, since its age counts from its arrival. The part was cleared and the count of crashes began anew.

--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -33,6 +33,7 @@
     :param changes: pending changes to loaded models by upstream id, with load completion times on
         the runtime's clock.
     :param verdicts: verdicts on parts of prompts, with the times of trials on the runtime's clock.
+    :param verdicts_since_ms: time since which each part is known to be in its state.
     :param unlisted_verdicts: verdicts held that the last whole reply did not list.
     :param leader: peer address of the leader of the control instances.
     :param controls: peer addresses of the control instances.
@@ -44,6 +45,7 @@
     entries: list[EntryInstance] = attrs.field(factory=list)
     changes: dict[str, ModelChanges] = attrs.field(factory=dict)
     verdicts: dict[str, PartVerdict] = attrs.field(factory=dict)
+    verdicts_since_ms: dict[str, float] = attrs.field(factory=dict)
     unlisted_verdicts: list[PartVerdict] = attrs.field(factory=list)
     leader: Address | None = None
     controls: list[Address] = attrs.field(factory=list)
@@ -92,6 +94,8 @@
             held = self.verdicts.get(row.part)
             if held is None or row.order >= held.order:
                 self.verdicts[row.part] = row.aged(-now_ms())
+            if held is None or held.state is not row.state:
+                self.verdicts_since_ms[row.part] = now_ms()
         if reply.is_whole:
             listed = {row.part for row in reply.verdicts}
             self.unlisted_verdicts = [r for p, r in self.verdicts.items() if p not in listed]
@@ -99,7 +103,7 @@
             self.unlisted_verdicts = []
         cleared = [p for p, r in self.verdicts.items() if r.state is PartState.CLEARED]
         for part in cleared:
-            del self.verdicts[part]
+            del self.verdicts[part], self.verdicts_since_ms[part]
 
     def _apply_row(self, row: Upstream) -> None:
         held = self.upstreams.get(row.upstream_id)
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -167,7 +167,7 @@
 
     def _shared_verdicts(self) -> SharedVerdicts:
         view = self.client.view
-        return SharedVerdicts(view.verdicts, view.confirmed_ms)
+        return SharedVerdicts(view.verdicts, view.confirmed_ms, view.verdicts_since_ms)
 
     def _apply_configuration(self, version: int, document: bytes) -> bool:
         decoded = self._decode(document)
--- a/src/briardyke/gateway/quarantine.py
+++ b/src/briardyke/gateway/quarantine.py
@@ -33,10 +33,12 @@
 
     :param verdicts: verdicts by part, with the times of trials on the runtime's clock.
     :param confirmed_ms: time of the last current reply.
+    :param since_ms: time since which each part is known to be in its state.
     """
 
     verdicts: Mapping[str, PartVerdict] = attrs.field(factory=dict)
     confirmed_ms: float = float("-inf")
+    since_ms: Mapping[str, float] = attrs.field(factory=dict)
 
 
 class QuarantineGate:
@@ -143,9 +145,18 @@
         return [self._report(crash) for crash in self.detector.recent()]
 
     def sound_ages_ms(self) -> dict[str, float]:
-        """Return the time since the last response by suspected or quarantined part."""
-        sound_ms = {part: self._history.sound_ms(part) for part in self._shared().verdicts}
-        return {part: now_ms() - ms for part, ms in sound_ms.items() if ms is not None}
+        """Return the time since the last response by suspected or quarantined part.
+
+        Only responses after the verdict became known here are reported. A report may be delayed on
+        its way, and an earlier response would then look like one after the verdict.
+        """
+        shared = self._shared()
+        sound_ms = {part: self._history.sound_ms(part) for part in shared.verdicts}
+        return {
+            part: now_ms() - ms
+            for part, ms in sound_ms.items()
+            if ms is not None and ms >= shared.since_ms.get(part, 0.0)
+        }
 
     def _report(self, crash: ObservedCrash) -> CrashReport:
         waiting = [
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -159,6 +159,19 @@
         assert ages["deadly"] is None
         assert gateway.state.quarantine.sound_ages_ms() == {}
 
+    async def test_response_before_a_verdict_is_not_reported_as_a_response_to_it(
+        self, gateway: Gateway, control: FakeControl
+    ) -> None:
+        """A report that is delayed on its way would end the quarantine."""
+        await gateway.add("pool", respond)
+        await gateway.send("/chat/x", "s-1", "m", prefix=DEADLY % 1)
+        control.publish(PartState.QUARANTINED, next_trial_ms=-1.0)
+        control.shared = attrs.evolve(control.shared, since_ms={"deadly": now_ms()})
+        assert gateway.state.quarantine.sound_ages_ms() == {}
+        control.grants = 1
+        assert (await gateway.send("/chat/x", "s-2", "m", prefix=DEADLY % 2)).is_complete
+        assert gateway.state.quarantine.sound_ages_ms().keys() == {"deadly"}
+
     async def test_own_observations_do_not_count_while_control_is_reached(
         self, gateway: Gateway, control: FakeControl
     ) -> None:
--- a/tests/quarantine/test_quarantine_runner.py
+++ b/tests/quarantine/test_quarantine_runner.py
@@ -231,3 +231,31 @@
         follower: Any = group.add()
         reply = await QuarantineRunner(follower, no_store()).answer_trial(TrialRequest("deadly"))
         assert not reply.is_granted
+
+    async def test_first_event_soon_after_the_grant_clears_the_part(
+        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+    ) -> None:
+        """Guards against a successful trial that is taken for a response before the trial."""
+        leader = group.add()
+        leader.term = 3
+        runner = await start(leader, nursery)
+        for number in (1, 2, 3):
+            leader.rows.record_report(report(number))
+            await trio.sleep(0.2)
+        await trio.sleep(NEW_PART_TRIAL_MS / 1000.0)
+        assert (await runner.answer_trial(TrialRequest("deadly"))).is_granted
+        await trio.sleep(0.06)
+        leader.rows.record_report(attrs.evolve(ENTRY, sequence=9, sound_ages_ms={"deadly": 0.0}))
+        await trio.sleep(0.6)
+        assert state_of(leader) is PartState.CLEARED
+
+    async def test_leader_of_a_lower_term_than_a_verdict_grants_one_trial(
+        self, autojump_clock: trio.testing.MockClock, group: FakeGroup, nursery: trio.Nursery
+    ) -> None:
+        """Guards against unlimited trials of a part whose verdict outlasted the count of terms."""
+        leader = group.add()
+        leader.term = 1
+        runner = await start(leader, nursery)
+        leader.rows.publish_verdict(PartVerdict("deadly", 5, 1, PartState.QUARANTINED, 0, 0.0))
+        granted = [(await runner.answer_trial(TrialRequest("deadly"))).is_granted for _ in range(5)]
+        assert granted == [True, False, False, False, False]
--- a/tests/quarantine/test_verdicts.py
+++ b/tests/quarantine/test_verdicts.py
@@ -20,6 +20,13 @@
 QUARANTINED = PartVerdict("deadly", 1, 1, PartState.QUARANTINED, 0, -1.0)
 CRASHES = [Crash(at_ms, {"deadly": 1}) for at_ms in (1000.0, 1500.0, 2000.0)]
 
+# One engine crashed for another reason while a request with the first part waited on it.
+MIXED_CRASHES = [
+    Crash(1000.0, {"first": 0}),
+    Crash(3000.0, {"first": 0, "deadly": 1}),
+    Crash(3400.0, {"first": 0, "deadly": 1}),
+]
+
 
 class TestDecisions:
     """Covers the change of verdicts."""
@@ -52,6 +59,22 @@
         assert decide_verdicts(Attribution([], {"deadly": 500.0}, 9000.0), held) == []
 
 
+class TestRefutedVerdicts:
+    """Covers verdicts whose evidence is refuted later."""
+
+    def test_quarantine_ends_when_an_earlier_response_becomes_known(self) -> None:
+        """Guards against a sound part that stays quarantined although its crashes do not count."""
+        before = Attribution(MIXED_CRASHES, {}, 3100.0)
+        assert Decision("first", PartState.QUARANTINED, 0, 30_000.0) in decide_verdicts(before, {})
+        row = PartVerdict("first", 1, 1, PartState.QUARANTINED, 0, 30_000.0)
+        # Another entry instance reports a response between the first two crashes.
+        after = Attribution(MIXED_CRASHES, {"first": 2500.0}, 3100.0)
+        assert after.counts(frozenset())["first"] == 2
+        decisions = decide_verdicts(after, {"first": TimedVerdict(row, 3450.0)})
+        assert PartState.QUARANTINED not in [d.state for d in decisions]
+        assert "first" in [d.part for d in decisions]
+
+
 class TestTrials:
     """Covers the requests that test a quarantined part."""
 
