Log the limits that upstreams state, and each request to one with a limit

What callers saw: upstreams that name a limit receive more requests than that. No log line or metric could tell whether the limit is unknown, kept by each instance alone, or passed by repeated and resumed requests.

The platform's adapter now decodes the limit, the notice of a shutdown and the pause after a refusal, the gateway logs each change, and each request to an upstream with a limit is logged and counted with its attempt. No decision uses them yet.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -110,7 +110,7 @@
                 )
                 if on_sent is not None:
                     on_sent()
-                attempt = await self._read(connection, request_id)
+                attempt = await self._read(state, connection, request_id)
                 keeps_open = attempt.connection is not None or self._return_to_pool(
                     state, connection, attempt
                 )
@@ -139,7 +139,9 @@
     def _belongs_to(self, headers: Headers, request_id: str) -> bool:
         return self._dialect.read_response(0, headers).request_id in ("", request_id)
 
-    async def _read(self, connection: UpstreamConnection, request_id: str) -> AttemptResult:
+    async def _read(
+        self, state: UpstreamState, connection: UpstreamConnection, request_id: str
+    ) -> AttemptResult:
         head = await connection.read_head(lambda headers: self._belongs_to(headers, request_id))
         metadata = self._dialect.read_response(head.status, head.headers)
         if connection.needs_ids and not metadata.request_id:
@@ -147,6 +149,7 @@
             raise UpstreamError(
                 Fault.MALFORMED, "response without a request id after other responses"
             )
+        state.statements.record(state.row, metadata)
         if metadata.is_refusal:
             connection.record_refusal(request_id)
             body = await connection.read_body(MAX_BUFFERED_BYTES)
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -79,6 +79,10 @@
         memory, or because it is not the intended process.
     :param is_signed: whether the response has the upstream's signature.
     :param load: its load, or ``None`` if not stated.
+    :param limit_per_s: requests per second that it accepts from all instances together, or ``None``
+        if it states no limit.
+    :param is_leaving: whether it states that it is shutting down.
+    :param retry_after_ms: time for which it wants no request from this instance, or ``None``.
     """
 
     request_id: str
@@ -86,6 +90,9 @@
     is_signed: bool
     lacks_model: bool = False
     load: LoadReport | None = None
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    retry_after_ms: float | None = None
 
 
 class Dialect(Protocol):
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -13,6 +13,7 @@
 from briardyke.gateway.dialect import ForwardingMetadata
 from briardyke.gateway.upstream_selection import choose_upstream
 from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
+from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     import random
@@ -109,6 +110,7 @@
             context.route.priority,
             context.metadata.last_event_id,
         )
+        self._log_limited_send(context, upstream)
         is_engine = self._state.is_engine(context.service)
         upstream.running_weight = ENGINE_RUNNING_WEIGHT if is_engine else 1.0
         upstream.in_flight += 1
@@ -141,6 +143,21 @@
             await self._state.quarantine.record_loss(upstream.row, context.metadata)
         return attempt
 
+    def _log_limited_send(self, context: RequestContext, upstream: UpstreamState) -> None:
+        limit_per_s = upstream.statements.limit_per_s
+        if limit_per_s is None:
+            return
+        self._state.counters.count("limited_upstream_send")
+        log_limited(
+            "limited_upstream_send",
+            is_routine=True,
+            request=context.metadata.request_id,
+            upstream=upstream.row.upstream_id,
+            limit_per_s=limit_per_s,
+            attempt=context.sent_attempts + 1,
+            resumed=bool(context.metadata.last_event_id),
+        )
+
     async def _give_up_when_late(
         self, context: RequestContext, upstream: UpstreamState, scope: trio.CancelScope
     ) -> None:
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -9,6 +9,7 @@
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
 from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
+from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.http.h11_client import ConnectionPool, RestLimit
 from briardyke.policy.ejection import UpstreamHealth
 
@@ -88,6 +89,7 @@
     :param refused_until_ms: time until which each model that it refused gets no requests.
     :param adapters: time until which each adapter is assumed to be loaded, by model and name.
     :param adapter_misses: adapters that it turned out not to have loaded.
+    :param statements: what it has stated about itself in its responses.
     """
 
     row: Upstream
@@ -111,6 +113,7 @@
     refused_until_ms: dict[str, float] = attrs.field(factory=dict)
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
     adapter_misses: dict[tuple[str, str], Miss] = attrs.field(factory=dict)
+    statements: UpstreamStatements = attrs.field(factory=UpstreamStatements)
 
     def connect_failed(self) -> None:
         """Record a failure to open a connection."""
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -27,7 +27,11 @@
 # Signature of the upstream that answered.
 _SIGNATURE = b"server-stamp"
 _LOAD = b"instance-load"
+_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
 # Headers that only the system may set; a caller's are dropped.
 _RESERVED = frozenset(
@@ -91,6 +95,9 @@
             lacks_model=status == _MISDIRECTED,
             is_signed=header(headers, _SIGNATURE) is not None,
             load=_load(_text(headers, _LOAD)),
+            limit_per_s=_number(_text(headers, _LIMIT)),
+            is_leaving=_text(headers, _LEAVING) == "1",
+            retry_after_ms=_pause_ms(headers) if status == _UNAVAILABLE else None,
         )
 
 
@@ -106,6 +113,11 @@
     return value if 0 <= value < 1e9 else None
 
 
+def _pause_ms(headers: Headers) -> float | None:
+    pause_s = _number(_text(headers, _RETRY_AFTER))
+    return None if pause_s is None else pause_s * 1000.0
+
+
 def _load(text: str) -> LoadReport | None:
     parts = text.split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
