Show upstreams that receive more requests than their limit

Two tests of real processes on the platform's protocol, with a stand-in that names a limit of 1 request a second. A third test, that a limit ends when it is no longer named, passes.

The site of control and entry processes moves from test_platform_path.py to modules that both files use; its tests are unchanged and pass.

--- a/tests/platform/platform_worker.py
+++ b/tests/platform/platform_worker.py
@@ -13,7 +13,7 @@
 from briardyke.http.h11_server import H11Server
 
 if TYPE_CHECKING:
-    from briardyke.http.exchange import Answer
+    from briardyke.http.exchange import Answer, Headers
 
 
 @attrs.define
@@ -30,6 +30,8 @@
     :param is_full: whether it refuses every request.
     :param takes_orders: whether it carries out orders; otherwise it is busy with another one.
     :param status: status of its answers to plain requests.
+    :param limit_per_s: requests per second that it names as its limit, or ``None``.
+    :param arrivals_s: time of each request that reached it, beside reports and orders.
     """
 
     upstream_id: str
@@ -48,6 +50,8 @@
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     ran: list[str] = attrs.field(factory=list)
     given_up: list[str] = attrs.field(factory=list)
+    limit_per_s: float | None = None
+    arrivals_s: list[float] = attrs.field(factory=list)
 
     async def serve(self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
         """Listen until cancelled."""
@@ -83,10 +87,15 @@
             await answer.send_whole(200, [], json.dumps(report).encode())
         elif request.path == "/briardyke/order":
             await self._take_order(json.loads(request.body), answer)
-        elif self.is_full:
-            await answer.send_whole(503, [(b"not-executed", b"1")])
         else:
-            await self._run(request, answer)
+            self.arrivals_s.append(trio.current_time())
+            if self.is_full:
+                await answer.send_whole(503, [(b"not-executed", b"1"), *self._statements()])
+            else:
+                await self._run(request, answer)
+
+    def _statements(self) -> Headers:
+        return [(b"server-limit", b"%g" % self.limit_per_s)] if self.limit_per_s else []
 
     async def _take_order(self, order: dict[str, Any], answer: Answer) -> None:
         if not self.takes_orders or order.get("expected", self.sequence) != self.sequence:
@@ -107,6 +116,7 @@
         request_id = (header(request.headers, b"request-id") or b"").decode()
         self.ran.append(request_id)
         headers = [(b"request-id", request_id.encode()), (b"server-stamp", b"stamp")]
+        headers += self._statements()
         model = (header(request.headers, b"model") or b"").decode()
         if not model:
             await answer.send_whole(self.status, headers, request.body[::-1])
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -2,114 +2,25 @@
 
 from __future__ import annotations
 
-import itertools
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
 import trio
-from platform_cluster import DIRECTORY_PORT, READY_PORT, Cluster, Reply, call
-from platform_worker import PlatformWorker
+from platform_cluster import DIRECTORY_PORT, READY_PORT, Reply, call
+from platform_site import configuration
 
-from briardyke.addresses import Address
 from briardyke.http.exchange import header
 from briardyke.http.h11_client import UpstreamConnection
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-    from pathlib import Path
+    from platform_cluster import Cluster
+    from platform_site import Site
 
 pytestmark = pytest.mark.process
-_NUMBERS = itertools.count(1)
 EVENTS = b"".join(b"id: %d\ndata: token-%d\n\n" % (i, i) for i in range(1, 6))
 
 
-def configuration(version: int, **changes: Any) -> bytes:
-    """Return a configuration with a stream, a purchase and a look-up."""
-    common = {"host": "h.example", "timeout_ms": 3000, "target_latency_ms": 400, "priority": 1}
-    document = {
-        "version": version,
-        "routes": [
-            common
-            | {"name": "chat", "path_prefix": "/chat/", "kind": "streaming", "service": "pool"}
-            | {"max_attempts": 2, "resumable": True, "gap_target_ms": 250, "timeout_ms": 8000},
-            common
-            | {"name": "slow", "path_prefix": "/slow/", "kind": "streaming", "service": "pool"}
-            | {"timeout_ms": 8000, "target_latency_ms": 5000},
-            common
-            | {"name": "buy", "path_prefix": "/buy/", "kind": "non_idempotent", "service": "app"},
-            common
-            | {"name": "see", "path_prefix": "/see/", "kind": "idempotent", "service": "app"}
-            | {"max_attempts": 2},
-        ],
-        "services": [
-            {
-                "name": "pool",
-                "max_conns": 100,
-                "engine": {
-                    "slots": 8,
-                    "weights_mb": 100.0,
-                    "adapter_slots": 4,
-                    "loads_per_s": 2,
-                    "models": [
-                        {"name": "m", "weights_mb": 40.0, "load_s": 1.0, "adapters": 3}
-                        | {"adapter_mb": 1.0},
-                        {"name": "n", "weights_mb": 40.0, "load_s": 1.0},
-                    ],
-                },
-            },
-            {"name": "app", "max_conns": 100},
-        ],
-    }
-    return json.dumps(document | changes).encode()
-
-
-class Site:
-    """Hold a cluster with two engines and two plain upstreams."""
-
-    def __init__(self, cluster: Cluster) -> None:
-        host = f"127.1.{cluster.number}"
-        self.cluster = cluster
-        self.engines = [
-            PlatformWorker(f"e{i}", "pool", Address(f"{host}.{200 + i}", 9001), {"m": []})
-            for i in (1, 2)
-        ]
-        self.apps = [
-            PlatformWorker(f"a{i}", "app", Address(f"{host}.{210 + i}", 9001)) for i in (1, 2)
-        ]
-
-    async def send(
-        self, path: str, request_id: str, model: str = "", entry: int = 1, body: bytes = b"abc"
-    ) -> Reply:
-        """Send one request as a caller."""
-        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "8000"}
-        if model:
-            headers["Model"] = model
-        return await call(self.cluster.entry(entry), "POST", path, headers, body)
-
-
-@pytest.fixture
-async def site(tmp_path: Path) -> AsyncIterator[Site]:
-    """Start three control and two entry instances and wait until they serve."""
-    cluster = Cluster(tmp_path, next(_NUMBERS))
-    found = Site(cluster)
-    try:
-        async with trio.open_nursery() as nursery:
-            for worker in [*found.engines, *found.apps]:
-                await nursery.start(worker.serve)
-                nursery.start_soon(cluster.announce, worker)
-            for name in ("control-1", "control-2", "control-3", "entry-1", "entry-2"):
-                cluster.start(name)
-            await cluster.put(configuration(5))
-            await cluster.wait_ready(1)
-            await cluster.wait_ready(2)
-            await trio.sleep(1.0)
-            yield found
-            nursery.cancel_scope.cancel()
-    finally:
-        cluster.stop()
-
-
 class TestCalmDay:
     """Covers each kind of request and the operator's calls without faults."""
 
@@ -281,10 +192,9 @@
 class TestBadSettings:
     """Covers settings that cannot be used."""
 
-    async def test_one_clear_line_and_its_exit_code(self, tmp_path: Path) -> None:
-        cluster = Cluster(tmp_path, next(_NUMBERS))
+    async def test_one_clear_line_and_its_exit_code(self, cluster: Cluster) -> None:
         cluster.start("entry-1", settings="{}")
         cluster.processes["entry-1"].wait(timeout=10)
         assert cluster.processes["entry-1"].returncode == 2
-        lines = (tmp_path / "entry-1.log").read_text(encoding="utf-8").splitlines()
+        lines = (cluster.folder / "entry-1.log").read_text(encoding="utf-8").splitlines()
         assert len([line for line in lines if "event=settings_invalid" in line]) == 1
