Count an engine that states a limit as slow in placement

What callers saw: an engine in need that holds the only replica of a model now refuses most of its callers, for as long as the need lasts, since placement takes it for an engine with little load.

Cause: placement weighs engines by their speed alone. Change: an engine whose limit is below its part of the demand counts as slower in proportion, so its models look overloaded and get replicas elsewhere, and no busy model is loaded there.

Figures: tests/models/test_decide.py, a model with a third of the demand on an engine with a limit of 1 a second gets one more replica (none before); without a limit nothing changes.

--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -7,6 +7,7 @@
 import attrs
 
 from briardyke.gateway.demand import TYPICAL_REQUEST_DURATION_S
+from briardyke.models.engine_speed import effective_speeds
 from briardyke.models.load_estimate import LoadEstimate
 from briardyke.models.types import Change, ChangeKind, EngineView, Evidence, ModelsView
 
@@ -103,13 +104,13 @@
         self._store_loads_left = view.store_loads_left
         self._store_loads_started = 0
         self._engines = [e for e in view.engines if e.is_available]
-        self._speeds = {e.upstream_id: e.speed for e in self._engines}
         self._changed_engines: set[str] = set()
         self._demand = {
             model: rate
             for model, rate in view.demand.items()
             if model in view.spec.models and rate >= _MIN_DEMAND_PER_S
         }
+        self._speeds = effective_speeds(self._engines, sum(self._demand.values()))
         self._low_load = _LOW_LOAD_SHARE * view.spec.slots / TYPICAL_REQUEST_DURATION_S
         self._adapter_reserve_mb = adapter_reserve_mb(view.spec)
         largest = max((m.weights_mb for m in view.spec.models.values()), default=1.0)
--- a/src/briardyke/models/engine_speed.py
+++ b/src/briardyke/models/engine_speed.py
@@ -6,10 +6,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
+
+    from briardyke.models.types import EngineView
 
 # Beyond this factor, the pace says more about a disruption than about the engine's hardware.
 _MAX_SPEED_RATIO = 4.0
+# Speed of an engine that accepts nothing.
+_MIN_SPEED = 0.01
 
 
 def relative_speeds(intervals_ms: Mapping[str, float]) -> dict[str, float]:
@@ -29,5 +33,22 @@
     }
 
 
+def effective_speeds(engines: Sequence[EngineView], demand_per_s: float) -> dict[str, float]:
+    """Return the speed of each engine, reduced where it accepts fewer requests than its part.
+
+    An engine in need that keeps the only replica of a model refuses most of its callers. With a
+    speed in proportion to what it accepts, its models look overloaded and are loaded elsewhere.
+
+    :param demand_per_s: requests per second for all engines together.
+    """
+    speeds = {engine.upstream_id: engine.speed for engine in engines}
+    mean_per_s = demand_per_s / max(1.0, sum(speeds.values()))
+    for engine in engines:
+        if engine.limit_per_s is not None and engine.limit_per_s < mean_per_s * engine.speed:
+            accepted = max(_MIN_SPEED, engine.limit_per_s / mean_per_s)
+            speeds[engine.upstream_id] = min(engine.speed, accepted)
+    return speeds
+
+
 def _clamped(ratio: float) -> float:
     return min(_MAX_SPEED_RATIO, max(1.0 / _MAX_SPEED_RATIO, ratio))
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -262,6 +262,7 @@
             free_in_ms=state.free_in_ms(),
             is_loading_from_store=state.pending is not None and state.pending_from_store,
             speed=speed,
+            limit_per_s=self._control.rows.limits.limit_per_s(upstream_id, state.row.incarnation),
         )
 
     # Models
--- a/src/briardyke/models/types.py
+++ b/src/briardyke/models/types.py
@@ -78,6 +78,7 @@
     :param free_in_ms: time until its current order should end, 0 for an engine that is free.
     :param is_loading_from_store: whether it loads a model from the weight store.
     :param speed: its speed relative to a typical engine of its service.
+    :param limit_per_s: requests per second that it accepts, or ``None`` if it has stated no limit.
     :param is_available: whether it is ready, reachable and has not announced that it shuts down.
     :param unloading: models that are being unloaded.
     :param loading: model that it is loading, or empty.
@@ -96,6 +97,7 @@
     free_in_ms: float = 0.0
     is_loading_from_store: bool = False
     speed: float = 1.0
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -237,3 +237,27 @@
         engine_spec = spec(a=50, b=50, c=50)
         held = engine("e1", "a", "b", recently_loaded=frozenset({"b"}))
         assert decide(view(engine_spec, [held], a=5, c=1)) == []
+
+
+class TestLimitedEngine:
+    """Covers an engine that accepts fewer requests than its models receive."""
+
+    def test_only_replica_on_a_limited_engine_gets_another_one(self) -> None:
+        engine_spec = spec(a=40, b=40, c=40)
+        limited = engine("e1", "a", limit_per_s=1.0)
+        engines = [limited, engine("e2", "b"), engine("e3", "c")]
+        found = decide(view(engine_spec, engines, a=4, b=4, c=4))
+        assert [(c.kind, c.model) for c in found] == [(LOAD, "a")]
+        assert found[0].upstream_id != "e1"
+
+    def test_same_engine_without_a_limit_is_left_alone(self) -> None:
+        engine_spec = spec(a=40, b=40, c=40)
+        engines = [engine("e1", "a"), engine("e2", "b"), engine("e3", "c")]
+        assert decide(view(engine_spec, engines, a=4, b=4, c=4)) == []
+
+    def test_limited_engine_gets_no_replica_of_a_busy_model(self) -> None:
+        engine_spec = spec(a=40, b=40)
+        limited = engine("e1", "b", limit_per_s=0.5)
+        engines = [limited, engine("e2", "a"), engine("e3", "b")]
+        found = decide(view(engine_spec, engines, a=12, b=1))
+        assert [(c.upstream_id, c.model) for c in found] == [("e3", "a")]
