--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -100,8 +100,11 @@
 
     async def _take_slot(self, context: RequestContext, upstream: UpstreamState) -> bool:
         """Wait for a slot if the upstream has a limit; return whether the request may be sent."""
-        others = self._able(context)
-        wait_ms = await self._state.limits.take_slot(upstream.row, others)
+        limits = self._state.limits
+        if limits.limit_per_s(upstream.row) is None:
+            # Without a task switch, so that requests released together see each other's choices.
+            return True
+        wait_ms = await limits.take_slot(upstream.row, self._able(context))
         if wait_ms is None:
             return False
         await trio.sleep(wait_ms / 1000.0)
