Log crashes of plain upstreams, with a fingerprint of each waiting request

What callers saw: requests that come again crash upstream after upstream. Nothing was logged of crashes of plain upstreams, and the line for engines names no id that two requests with the same path and body have in common.

A lost connection is now investigated for every service, and upstream_crashed names the fingerprint: a digest of method, host, target, model, prompt and body. Verdicts still use the shared parts of prompts alone.

--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -87,6 +87,7 @@
             model=request.model,
             adapter=request.adapter,
             parts=",".join(request.shared_prefix_ids),
+            fingerprint=request.fingerprint,
         )
         return crash
 
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -22,6 +22,7 @@
     :param prompt_tokens: tokens of the prompt, 0 when unknown.
     :param max_output_tokens: largest number of tokens in the response, 0 when unknown.
     :param last_event_id: id of the last event that the caller received, or empty.
+    :param fingerprint: id of what the request asks for, or empty when it was not computed.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     last_event_id: str = ""
+    fingerprint: str = ""
 
     @property
     def shared_prefix_ids(self) -> tuple[str, ...]:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -5,11 +5,13 @@
 import random
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
+from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.stream_relay import StreamRelay
@@ -47,6 +49,7 @@
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Handle one request of a caller."""
         metadata = self._state.dialect.read_request(request)
+        metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         trace = Trace(metadata.request_id, request.received_ms, self._state.version)
         trace.model = metadata.model
         try:
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -178,7 +178,7 @@
                 upstream.in_flight -= 1
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
-        if attempt.ending is Ending.FAILED and is_engine:
+        if attempt.ending is Ending.FAILED:
             await self._state.quarantine.record_loss(upstream.row, context.metadata)
         return attempt
 
--- a/src/briardyke/quarantine/records.py
+++ b/src/briardyke/quarantine/records.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+# Start of the id of a whole request, beside the ids of parts of prompts.
+FINGERPRINT_PREFIX = "request:"
+
 
 @attrs.frozen
 class WaitingPart:
