Blame a request that comes again for the upstreams that it crashes

Cause: crashes are attributed to the shared parts of prompts alone, and only those of engines were noticed. Class of fault: a poisonous input that is retried, known only by a part of what it asks for.

Change: the fingerprint of a request is one more thing to blame, as its deepest part. A quarantined request explains its crashes until a part of its prompt waits in another one, since a part that crashes engines may first come in one request that is repeated. A sound request that is often repeated is cleared by its responses.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -68,6 +68,7 @@
     _K.NO_UPSTREAM: "No ready upstream can serve the model or service.",
     _K.MODEL_LOADING: "No upstream had the model or adapter loaded before the deadline.",
     _K.PROMPT_QUARANTINED: "A part of the prompt crashed the engines that responded to it.",
+    _K.REQUEST_QUARANTINED: "The same request crashed the upstreams that ran it.",
     _K.UPSTREAM_UNREACHABLE: "The connection failed before any byte can have been sent.",
     _K.UPSTREAM_REFUSED: "The upstream itself stated that it did not run the request.",
     _K.UPSTREAM_LIMITED: "All upstreams that could run it receive as many requests as they accept.",
--- a/src/briardyke/errors.py
+++ b/src/briardyke/errors.py
@@ -44,6 +44,7 @@
     NO_UPSTREAM = "no_upstream"
     MODEL_LOADING = "model_loading"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_LIMITED = "upstream_limited"
@@ -105,6 +106,7 @@
     ErrorKind.NO_UPSTREAM: Answer(503, True, Ran.NO),
     ErrorKind.MODEL_LOADING: Answer(503, True, Ran.NO),
     ErrorKind.PROMPT_QUARANTINED: Answer(503, True, Ran.NO),
+    ErrorKind.REQUEST_QUARANTINED: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_REFUSED: Answer(503, True, Ran.NO),
     ErrorKind.UPSTREAM_LIMITED: Answer(503, True, Ran.NO),
--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -30,8 +30,8 @@
     :param upstream_id: the upstream.
     :param incarnation: start of its process, in Unix milliseconds.
     :param at_ms: time at which the first connection ended.
-    :param depths: shared parts of the prompts of requests without any response, each with the
-        number of parts before it.
+    :param depths: shared parts of the prompts of requests without any response, and fingerprints of
+        these requests, each with the number of parts before it.
     """
 
     upstream_id: str
@@ -78,7 +78,7 @@
             crash = self._crashes.setdefault(
                 key, ObservedCrash(row.upstream_id, row.incarnation, lost_ms)
             )
-        crash.depths.update({part: n for n, part in enumerate(request.shared_prefix_ids)})
+        crash.depths.update({part: n for n, part in enumerate(request.blamable_ids)})
         log_event(
             "upstream_crashed",
             upstream=row.upstream_id,
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -40,6 +40,11 @@
         """Return the parts of the prompt that other requests may have in common with this one."""
         return self.prefix_ids[:-1]
 
+    @property
+    def blamable_ids(self) -> tuple[str, ...]:
+        """Return what may be blamed for a crash: shared parts of the prompt, and the request."""
+        return (*self.shared_prefix_ids, *((self.fingerprint,) if self.fingerprint else ()))
+
 
 @attrs.frozen
 class LoadReport:
--- a/src/briardyke/gateway/quarantine.py
+++ b/src/briardyke/gateway/quarantine.py
@@ -1,4 +1,4 @@
-"""Reject requests whose prompts contain a part that crashes engines."""
+"""Reject requests that crash upstreams, by a part of their prompt or by themselves."""
 
 from __future__ import annotations
 
@@ -12,7 +12,13 @@
 from briardyke.gateway.crash_detection import CrashDetector
 from briardyke.quarantine.evidence import CrashEvidence
 from briardyke.quarantine.history import PartHistory
-from briardyke.quarantine.records import CrashReport, PartState, PartVerdict, WaitingPart
+from briardyke.quarantine.records import (
+    CrashReport,
+    PartState,
+    PartVerdict,
+    WaitingPart,
+    is_fingerprint,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -46,7 +52,8 @@
 
     Load: one kind of request in twenty crashes every engine that responds to it. Each crash breaks
     dozens of streams of other callers and unloads the engine's models, so a few of them per second
-    stop the whole service.
+    stop the whole service. A single request that its caller sends again and again has the same
+    effect, also on plain services; it is blamed by its fingerprint, as one more part.
     """
 
     def __init__(
@@ -71,9 +78,10 @@
 
     def failure(self, part: str) -> Failure:
         """Return the failure of a request with a quarantined part."""
+        is_request = is_fingerprint(part)
         return Failure(
-            ErrorKind.PROMPT_QUARANTINED,
-            f"part {part} of the prompt crashes engines",
+            ErrorKind.REQUEST_QUARANTINED if is_request else ErrorKind.PROMPT_QUARANTINED,
+            f"{part} crashes upstreams" if is_request else f"part {part} crashes engines",
             retry_after_ms=round(max(_MIN_RETRY_AFTER_MS, self._next_trial_ms(part))),
         )
 
@@ -94,7 +102,7 @@
     def holds_back(self, request: RequestMetadata) -> bool:
         """Return whether a request that was waiting on a crashed upstream must not be repeated."""
         verdicts = self._shared().verdicts
-        if any(part in verdicts for part in request.shared_prefix_ids):
+        if any(part in verdicts for part in request.blamable_ids):
             return True
         return self.quarantined_part(request) is not None
 
@@ -104,9 +112,7 @@
         :param trial_part: part that the request tests, which does not count.
         """
         quarantined = self._quarantined()
-        return next(
-            (p for p in request.shared_prefix_ids if p in quarantined and p != trial_part), None
-        )
+        return next((p for p in request.blamable_ids if p in quarantined and p != trial_part), None)
 
     def _quarantined(self) -> set[str]:
         shared = self._shared()
@@ -138,7 +144,7 @@
 
     def record_response(self, request: RequestMetadata) -> None:
         """Record the first event, or the whole response, of an upstream."""
-        self._history.record_response(request.shared_prefix_ids)
+        self._history.record_response(request.blamable_ids)
 
     def crash_reports(self) -> list[CrashReport]:
         """Return the recent crashes for the control instances."""
--- a/src/briardyke/quarantine/attribution.py
+++ b/src/briardyke/quarantine/attribution.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from briardyke.quarantine.records import is_fingerprint
+
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
 
@@ -29,7 +31,8 @@
     """Crash of one process of an upstream, from the reports of all entry instances.
 
     :param at_ms: time of the crash, on the clock of the instance that attributes it.
-    :param depths: parts of the prompts that were waiting, each with the number of parts before it.
+    :param depths: parts of the prompts that were waiting, and fingerprints of their requests, each
+        with the number of parts before it.
     """
 
     at_ms: float
@@ -55,22 +58,30 @@
     def counts(self, explained_by: AbstractSet[str]) -> dict[str, int]:
         """Return for each part the crashes since the last response to a prompt with it.
 
+        A quarantined request explains its crashes only until a part of its prompt waits in another
+        one: a part that crashes engines may first have come in one request that was repeated.
+
         :param explained_by: quarantined parts; their crashes are not counted for other parts.
         """
         blamed_ms: dict[str, list[float]] = defaultdict(list)
+        unexplained: set[str] = set()
         for crash in sorted(self.crashes, key=lambda c: c.at_ms):
-            if not explained_by.isdisjoint(crash.depths):
+            explaining = explained_by & crash.depths.keys()
+            if not all(is_fingerprint(part) for part in explaining):
                 continue
             for part in crash.depths:
+                if self._is_sound_since(part, crash.at_ms) or (explaining and is_fingerprint(part)):
+                    continue
+                if not explaining:
+                    unexplained.add(part)
                 times_ms = blamed_ms[part]
-                is_simultaneous = bool(times_ms) and crash.at_ms - times_ms[-1] < SIMULTANEOUS_MS
-                if not self._is_sound_since(part, crash.at_ms) and not is_simultaneous:
+                if not times_ms or crash.at_ms - times_ms[-1] >= SIMULTANEOUS_MS:
                     times_ms.append(crash.at_ms)
         # While no prompt at all gets a response, nothing tells a part from the others.
         return {
             part: len(times_ms)
             for part, times_ms in blamed_ms.items()
-            if times_ms and self.any_sound_ms > times_ms[0]
+            if part in unexplained and self.any_sound_ms > times_ms[0]
         }
 
     def parts_to_quarantine(self, quarantined: AbstractSet[str]) -> list[str]:
--- a/src/briardyke/quarantine/records.py
+++ b/src/briardyke/quarantine/records.py
@@ -10,6 +10,11 @@
 FINGERPRINT_PREFIX = "request:"
 
 
+def is_fingerprint(part: str) -> bool:
+    """Return whether an id stands for a whole request rather than a part of a prompt."""
+    return part.startswith(FINGERPRINT_PREFIX)
+
+
 @attrs.frozen
 class WaitingPart:
     """Part of a prompt that was waiting for its first response when an upstream crashed.
--- a/tests/quarantine/test_attribution.py
+++ b/tests/quarantine/test_attribution.py
@@ -54,6 +54,34 @@
         assert known.suspected_parts({"deadly"}) == set()
 
 
+class TestRequests:
+    """Covers requests that come again, blamed by their fingerprints."""
+
+    def test_request_is_blamed_before_the_parts_of_its_prompt(self) -> None:
+        waiting = {"first": 0, "session": 1, "request:a": 2}
+        known = Attribution(crashes(1000, 1500, 2000, depths=waiting), {}, 2500.0)
+        assert known.parts_to_quarantine(frozenset()) == ["request:a"]
+
+    def test_part_that_waits_in_another_crash_is_blamed_for_all_of_them(self) -> None:
+        again = crashes(1000, 1500, 2000, depths={"deadly": 0, "request:a": 1})
+        other = crashes(2500, depths={"deadly": 0, "request:b": 1})
+        known = Attribution([*again, *other], {}, 3000.0)
+        assert known.parts_to_quarantine({"request:a"}) == ["deadly"]
+        assert known.refuted_parts({"request:a", "deadly"}) == ["request:a"]
+
+    def test_sound_part_of_a_quarantined_request_is_not_blamed(self) -> None:
+        again = crashes(1000, 1500, 2000, depths={"sound": 0, "request:a": 1})
+        other = crashes(2500, depths={"sound": 0, "request:b": 1})
+        known = Attribution([*again, *other], {"sound": 2700.0}, 3000.0)
+        assert known.parts_to_quarantine({"request:a"}) == []
+
+    def test_other_request_in_the_same_crashes_is_not_blamed(self) -> None:
+        again = crashes(1000, 1500, 2000, depths={"request:a": 0, "request:b": 0})
+        known = Attribution(again, {}, 3000.0)
+        assert known.parts_to_quarantine(frozenset()) == ["request:a"]
+        assert known.parts_to_quarantine({"request:a"}) == []
+
+
 class TestSoundParts:
     """Covers engines that crash for other reasons."""
 
