Refuse announcements that no process can pass on

What operators of similar systems saw: one odd entry among the announcements, deeply nested, with a number too large or a port out of range, after which the processes that read the list ended again and again or stopped following it.

It can happen here. Shown by tests that failed before: numbers beyond 64 bits in born, sequence and slots were accepted, and the row could not be packed into any message afterwards; so was a lone surrogate in a name and port 0; nesting of 100,000 levels and a duration of 400 digits raised errors that nothing caught (500 to the caller). The same held for a configuration's version and for reports of engines.

Cause: JSON allows values that the messages between instances do not. Class of fault: input that is valid where it enters and fails where it is passed on. Change: parse_json refuses what has no msgpack form; announcements are checked for ranges as well. All readers of JSON from outside on the platform's path use it, and the product's own announcements.

--- a/src/briardyke/entry/announcements.py
+++ b/src/briardyke/entry/announcements.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 import attrs
@@ -10,6 +9,7 @@
 
 from briardyke.addresses import parse_address
 from briardyke.errors import ErrorKind, Failure
+from briardyke.strict_json import parse_json
 from briardyke.wire.codec import structure
 from briardyke.wire.messages import UpstreamRow
 
@@ -25,8 +25,8 @@
     :return: the row, or a failure that names the field.
     """
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError):
+        value = parse_json(body)
+    except ValueError:
         return _invalid("announcement is not valid JSON", "body", ErrorKind.MALFORMED_REQUEST)
     if not isinstance(value, dict):
         return _invalid("announcement is not a JSON object", "body", ErrorKind.MALFORMED_REQUEST)
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -186,7 +186,7 @@
 def is_valid_upstream(row: Upstream) -> bool:
     """Return whether a row has a valid address, a service and an incarnation."""
     try:
-        parse_address(row.address)
+        address = parse_address(row.address)
     except ValueError:
         return False
-    return bool(row.service) and row.incarnation > 0
+    return address.port > 0 and bool(row.service) and row.incarnation > 0
--- a/src/briardyke/placement/executor.py
+++ b/src/briardyke/placement/executor.py
@@ -18,6 +18,7 @@
 from briardyke.placement.orders import Order, OrderState, Outcome
 from briardyke.placement.plan import plan
 from briardyke.placement.types import StepKind
+from briardyke.strict_json import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -214,6 +215,6 @@
 
 def _refusal_kind(body: bytes) -> ErrorKind:
     try:
-        return ErrorKind(json.loads(body)["error"]["kind"])
+        return ErrorKind(parse_json(body)["error"]["kind"])
     except (ValueError, KeyError, TypeError):
         return ErrorKind.UPSTREAM_REFUSED
--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
 from briardyke.fleet.records import DRAINING, READY, LoadedModel, Upstream, is_valid_upstream
+from briardyke.strict_json import parse_json
 
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
+# The largest whole number that every writer of JSON represents exactly.
+_MAX_WHOLE = 2**53
+_MAX_SLOTS = 1_000_000
 
 
 def decode_announcement(upstream_id: str, body: bytes) -> Result[Upstream, Failure]:
@@ -21,7 +24,7 @@
     :return: ``field_invalid`` when it names no upstream that can be used.
     """
     try:
-        row = _upstream(upstream_id, json.loads(body))
+        row = _upstream(upstream_id, parse_json(body))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         text = f"cannot read the announcement: {type(error).__name__}: {error}"
         return Err(Failure(ErrorKind.FIELD_INVALID, text))
@@ -41,12 +44,12 @@
         address=_text(value["address"]),
         data_centre=_text(value["zone"]),
         lifecycle=_STATES[value["state"]],
-        slots=max(1, _whole(value.get("slots", 1))),
+        slots=max(1, _whole(value.get("slots", 1), _MAX_SLOTS)),
         models=[_held(row) for row in value.get("models") or ()],
         at_hand=sorted(
             {_name(row) for key in ("in_memory", "on_disk") for row in copies.get(key) or ()}
         ),
-        leaves_in_ms=float(value.get("remaining_ms") or 0.0),
+        leaves_in_ms=_duration_ms(value.get("remaining_ms") or 0.0),
     )
 
 
@@ -61,12 +64,18 @@
     return _text(value["name"] if isinstance(value, dict) else value)
 
 
-def _whole(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"expected a whole number, got {value!r}")
+def _whole(value: Any, maximum: int = _MAX_WHOLE) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= maximum:
+        raise ValueError(f"expected a whole number up to {maximum}, got {value!r}")
     return value
 
 
+def _duration_ms(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < _MAX_WHOLE:
+        raise ValueError(f"expected a duration, got {value!r}")
+    return float(value)
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected text, got {value!r}")
--- a/src/briardyke/platform/configuration.py
+++ b/src/briardyke/platform/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
@@ -19,6 +18,7 @@
     Target,
 )
 from briardyke.routes.validation import configuration_errors
+from briardyke.strict_json import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,7 +31,7 @@
     :return: ``configuration_invalid`` with all reasons when it cannot be accepted.
     """
     try:
-        configuration = _configuration(json.loads(body))
+        configuration = _configuration(parse_json(body))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         text = f"cannot read the configuration: {type(error).__name__}: {error}"
         return Err(Failure(ErrorKind.CONFIGURATION_INVALID, text))
--- a/src/briardyke/platform/engines.py
+++ b/src/briardyke/platform/engines.py
@@ -14,6 +14,7 @@
 from briardyke.logs import log_limited
 from briardyke.models.engine_state import EngineReport
 from briardyke.models.orders import EngineOrder, OrderOutcome
+from briardyke.strict_json import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +79,7 @@
         if answer is None or answer[0] != 200:
             return None
         try:
-            return _report(json.loads(answer[1]))
+            return _report(parse_json(answer[1]))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             log_limited(
                 "report_unreadable", is_routine=False, upstream=row.upstream_id, reason=repr(error)
--- a/src/briardyke/platform/settings.py
+++ b/src/briardyke/platform/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 from pathlib import Path
 from typing import Any
@@ -12,6 +11,7 @@
 
 from briardyke.addresses import Address, parse_address
 from briardyke.errors import ErrorKind, Failure
+from briardyke.strict_json import parse_json
 
 FILE_VARIABLE = "BRIARDYKE_NODE_FILE"
 
@@ -88,8 +88,8 @@
     if not path:
         return Err(Failure(ErrorKind.SETTINGS_INVALID, f"{FILE_VARIABLE} is not set"))
     try:
-        return Ok(decode_settings(json.loads(Path(path).read_bytes())))
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        return Ok(decode_settings(parse_json(Path(path).read_bytes())))
+    except (OSError, ValueError, LookupError, TypeError, AttributeError) as error:
         text = f"cannot use the settings in {path}: {type(error).__name__}: {error}"
         return Err(Failure(ErrorKind.SETTINGS_INVALID, text, path))
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -8,8 +8,10 @@
 import pytest
 
 from briardyke.errors import ErrorKind
+from briardyke.fleet.messages import RowsUpdate
 from briardyke.fleet.records import DRAINING, READY
 from briardyke.platform.announcements import decode_announcement
+from briardyke.wire.codec import decode, encode
 
 BODY: dict[str, Any] = {
     "service": "huvo11a",
@@ -66,3 +68,33 @@
     @pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"{", b'"text"', b"null"])
     def test_unreadable_bytes_are_refused(self, body: bytes) -> None:
         assert decode_announcement("i-1", body).is_err()
+
+
+class TestOddEntries:
+    """Covers entries of another writer that no process could pass on or use."""
+
+    @pytest.mark.parametrize("number", [10**30, 2**64, 10**400, float("inf"), float("nan"), -1])
+    @pytest.mark.parametrize("field", ["born", "sequence", "slots", "remaining_ms"])
+    def test_number_out_of_range_is_refused(self, field: str, number: float) -> None:
+        body = json.dumps(BODY | {field: number}).encode()
+        assert decode_announcement("i-1", body).unwrap_err().kind is ErrorKind.FIELD_INVALID
+
+    @pytest.mark.parametrize("port", ["0", "65536", "99999", "-1", "", "8080" * 2000])
+    def test_port_out_of_range_is_refused(self, port: str) -> None:
+        body = json.dumps(BODY | {"address": f"10.128.0.9:{port}"}).encode()
+        assert decode_announcement("i-1", body).unwrap_err().kind is ErrorKind.FIELD_INVALID
+
+    def test_deeply_nested_entry_is_refused(self) -> None:
+        nested = b"[" * 100_000 + b"]" * 100_000
+        body = json.dumps(BODY).encode()[:-1] + b', "extra": ' + nested + b"}"
+        assert decode_announcement("i-1", body).unwrap_err().kind is ErrorKind.FIELD_INVALID
+
+    def test_text_without_a_utf_8_form_is_refused(self) -> None:
+        body = json.dumps(BODY | {"service": "\ud800"}).encode()
+        assert decode_announcement("i-1", body).unwrap_err().kind is ErrorKind.FIELD_INVALID
+
+    @pytest.mark.parametrize("slots", [1, 1_000_000])
+    def test_accepted_entry_can_be_passed_on(self, slots: int) -> None:
+        row = decode_announcement("i-1", json.dumps(BODY | {"slots": slots}).encode()).unwrap()
+        update = RowsUpdate([row], [0.0], [], [])
+        assert decode(encode(update)).unwrap() == update
