Refuse streams that may outlast a stop, however long the grace period is

What operators of similar systems saw: in a planned stop of one entry instance in calm, requests that came late in the grace period were taken, passed on and cut at its end without an answer.

It can happen here with a grace period of more than eight seconds: streams were taken for 35% of it, whatever their deadline. With eight seconds the same share ends after 2.8 s. Plain requests were refused by their deadline already.

Change: after 2.8 s, or 35% of a shorter grace period, every request is refused whose deadline is after the end of the stop; others are served, streams included, and may wait for an upstream as before. Kept connections are closed at 35% as before.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -78,8 +78,7 @@
         left is rejected at once, so that its caller can retry in time. The same applies to a
         request that would start late in a planned shutdown and could be truncated by it.
         """
-        is_stream = context.route.kind is RequestKind.STREAMING
-        if state.is_stopping and (is_stream or context.deadline_ms > state.stop_ms):
+        if state.is_stopping and context.deadline_ms > state.stop_ms:
             return Failure(ErrorKind.DRAINING, "this instance is shutting down")
         model = context.metadata.model
         if not model or not state.is_engine(context.service):
@@ -206,7 +205,7 @@
             return 0.0
         if context.sent_attempts >= context.route.max_attempts:
             return 0.0
-        if state.is_stopping:
+        if state.is_stopping and context.deadline_ms > state.stop_ms:
             context.refusal = Failure(ErrorKind.DRAINING, "this instance is shutting down")
             return 0.0
         waited_ms = now_ms() - context.last_progress_ms
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -33,13 +33,15 @@
     from briardyke.wire.pool import PeerPool
 
 _SWEEP_INTERVAL_S = 1.0
-# Fractions of the grace period after which new streams are refused, no connection is accepted, and
-# requests in progress are no longer waited for. Most callers switch to a new address within two
-# seconds and the rest within six; a stream that starts in the first third can still end within the
-# grace period.
-_STREAM_FRACTION = 0.35
+# Fractions of the grace period after which kept connections are closed, no connection is accepted,
+# and requests in progress are no longer waited for. Most callers switch to a new address within two
+# seconds and the rest within six.
+_KEEP_FRACTION = 0.35
 _ACCEPT_FRACTION = 0.75
 _DRAIN_FRACTION = 0.95
+# Longest time for which streams are accepted whose deadlines are after the end of the stop. Most of
+# them end long before, and their callers have not switched yet.
+_MAX_STREAM_PHASE_S = 2.8
 # Time in which the last responses are sent.
 _RESPONSE_MARGIN_MS = 50.0
 
@@ -125,12 +127,15 @@
         grace_s = self._settings.grace_s
         self.state.stop_ms = now_ms() + grace_s * 1000.0 * _DRAIN_FRACTION - _RESPONSE_MARGIN_MS
         log_event("entry_draining", in_flight=self.server.in_flight)
-        await trio.sleep(grace_s * _STREAM_FRACTION)
-        # Requests that still wait for an upstream could no longer finish in time.
+        keep_s = grace_s * _KEEP_FRACTION
+        stream_s = min(keep_s, _MAX_STREAM_PHASE_S)
+        await trio.sleep(stream_s)
+        # Requests that still wait for an upstream may no longer finish in time.
         self.state.is_stopping = True
         self.state.changed.notify()
+        await trio.sleep(keep_s - stream_s)
         self.server.close_idle()
-        with trio.move_on_after(grace_s * (_ACCEPT_FRACTION - _STREAM_FRACTION)):
+        with trio.move_on_after(grace_s * (_ACCEPT_FRACTION - _KEEP_FRACTION)):
             await self.server.wait_closed()
         self.server.stop_accepting()
         with trio.move_on_after(grace_s * (_DRAIN_FRACTION - _ACCEPT_FRACTION)):
