Blame a request that never got a response for two crashes, or for its copies

Change: two crashes are enough for a request that never got a response anywhere, and three copies lost in one crash count as two. A request that got a response before needs three crashes, as do parts of prompts, so one that is often repeated is not held off for crashes beside it. An instance without control also counts its own later responses.

--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -32,12 +32,20 @@
     :param at_ms: time at which the first connection ended.
     :param depths: shared parts of the prompts of requests without any response, and fingerprints of
         these requests, each with the number of parts before it.
+    :param copies: number of these requests by part and fingerprint.
     """
 
     upstream_id: str
     incarnation: int
     at_ms: float
     depths: dict[str, int] = attrs.field(factory=dict)
+    copies: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, request: RequestMetadata) -> None:
+        """Add a request that was waiting."""
+        for depth, part in enumerate(request.blamable_ids):
+            self.depths[part] = depth
+            self.copies[part] = self.copies.get(part, 0) + 1
 
 
 @attrs.define
@@ -78,7 +86,7 @@
             crash = self._crashes.setdefault(
                 key, ObservedCrash(row.upstream_id, row.incarnation, lost_ms)
             )
-        crash.depths.update({part: n for n, part in enumerate(request.blamable_ids)})
+        crash.add(request)
         log_event(
             "upstream_crashed",
             upstream=row.upstream_id,
--- a/src/briardyke/gateway/quarantine.py
+++ b/src/briardyke/gateway/quarantine.py
@@ -126,6 +126,8 @@
     def _own_quarantine(self, quarantined: set[str]) -> set[str]:
         """Return the parts to quarantine by the observations of this instance alone."""
         evidence = self._own_evidence
+        if self._history.last_sound_ms is not None:
+            evidence.record_any_sound(self._history.last_sound_ms)
         sound = {part: self._history.sound_ms(part) for part in evidence.parts()}
         evidence.merge_sound_ages(
             {part: now_ms() - ms for part, ms in sound.items() if ms is not None}
@@ -166,7 +168,12 @@
 
     def _report(self, crash: ObservedCrash) -> CrashReport:
         waiting = [
-            WaitingPart(part, depth, self._age_at(crash, self._history.sound_ms(part)))
+            WaitingPart(
+                part,
+                depth,
+                self._age_at(crash, self._history.sound_ms(part)),
+                crash.copies.get(part, 1),
+            )
             for part, depth in crash.depths.items()
         ]
         return CrashReport(
--- a/src/briardyke/quarantine/attribution.py
+++ b/src/briardyke/quarantine/attribution.py
@@ -16,6 +16,10 @@
 # Crashes without any response in between after which a part is quarantined. Engines also crash for
 # other reasons while a sound part happens to wait on them; three times in a row is improbable.
 QUARANTINE_CRASHES = 3
+# The same for a request that never got a response anywhere. Nobody else is held off with it.
+UNKNOWN_REQUEST_CRASHES = 2
+# Copies of such a request that wait in one crash count as much.
+COPIES_BLAMED = 3
 # Crashes after which responses to prompts with the part are watched.
 SUSPICION_CRASHES = 2
 # Crashes within this time count as one: a rack or a zone that loses power ends many engines at the
@@ -33,10 +37,12 @@
     :param at_ms: time of the crash, on the clock of the instance that attributes it.
     :param depths: parts of the prompts that were waiting, and fingerprints of their requests, each
         with the number of parts before it.
+    :param copies: number of these requests by part and fingerprint; 1 where it is not named.
     """
 
     at_ms: float
     depths: Mapping[str, int]
+    copies: Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -77,6 +83,8 @@
                 times_ms = blamed_ms[part]
                 if not times_ms or crash.at_ms - times_ms[-1] >= SIMULTANEOUS_MS:
                     times_ms.append(crash.at_ms)
+                if self._is_unknown_request(part) and crash.copies.get(part, 1) >= COPIES_BLAMED:
+                    times_ms.append(crash.at_ms)
         # While no prompt at all gets a response, nothing tells a part from the others.
         return {
             part: len(times_ms)
@@ -96,7 +104,7 @@
         found: list[str] = []
         while True:
             counts = self.counts({*quarantined, *found})
-            blamed = [part for part, count in counts.items() if count >= QUARANTINE_CRASHES]
+            blamed = [part for part, count in counts.items() if count >= self._threshold(part)]
             if not blamed:
                 return found
             found.append(min(blamed, key=lambda part: (-counts[part], *self._innocence(part))))
@@ -113,7 +121,7 @@
         for part in sorted(quarantined, key=self._innocence, reverse=True):
             known = sum(part in crash.depths for crash in self.crashes)
             count = self.counts(kept - {part}).get(part, 0)
-            if known >= QUARANTINE_CRASHES > count:
+            if known >= self._threshold(part) > count:
                 kept.discard(part)
         return sorted(quarantined - kept)
 
@@ -126,6 +134,13 @@
         counts = self.counts(quarantined)
         return {part for part, count in counts.items() if count >= SUSPICION_CRASHES}
 
+    def _threshold(self, part: str) -> int:
+        unknown = self._is_unknown_request(part)
+        return UNKNOWN_REQUEST_CRASHES if unknown else QUARANTINE_CRASHES
+
+    def _is_unknown_request(self, part: str) -> bool:
+        return is_fingerprint(part) and part not in self.sound_ms
+
     def _is_sound_since(self, part: str, at_ms: float) -> bool:
         return self.sound_ms.get(part, NEVER_MS) >= at_ms + CLOCK_ERROR_MS
 
--- a/src/briardyke/quarantine/evidence.py
+++ b/src/briardyke/quarantine/evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -53,7 +54,7 @@
             if waiting.sound_age_ms is not None:
                 self._raise_sound(waiting.part, at_ms - waiting.sound_age_ms)
         if report.sound_age_ms is not None:
-            self._any_sound_ms = max(self._any_sound_ms, at_ms - report.sound_age_ms)
+            self.record_any_sound(at_ms - report.sound_age_ms)
         return held is None or any(waiting.part not in known for waiting in report.parts)
 
     @property
@@ -61,6 +62,10 @@
         """Return whether any crash is known."""
         return bool(self._stored)
 
+    def record_any_sound(self, sound_ms: float) -> None:
+        """Record a response to any request."""
+        self._any_sound_ms = max(self._any_sound_ms, sound_ms)
+
     def merge_sound_ages(self, ages_ms: dict[str, float]) -> None:
         """Record responses to prompts with some parts.
 
@@ -91,16 +96,18 @@
         for stored in self._recent():
             key = stored.report.key[1:]
             depths = {waiting.part: waiting.depth for waiting in stored.report.parts}
+            copies = Counter({waiting.part: waiting.copies for waiting in stored.report.parts})
             held = crashes.get(key)
             if held is not None:
                 depths = {**held.depths, **depths}
+                copies.update(held.copies)
             at_ms = min(stored.at_ms, held.at_ms) if held else stored.at_ms
-            crashes[key] = Crash(at_ms, depths)
+            crashes[key] = Crash(at_ms, depths, copies)
         return Attribution(list(crashes.values()), dict(self._sound_ms), self._any_sound_ms)
 
     def _raise_sound(self, part: str, sound_ms: float) -> None:
         self._sound_ms[part] = max(self._sound_ms.get(part, NEVER_MS), sound_ms)
-        self._any_sound_ms = max(self._any_sound_ms, sound_ms)
+        self.record_any_sound(sound_ms)
 
     def _recent(self) -> Iterable[_StoredReport]:
         limit_ms = now_ms() - CRASH_MEMORY_MS
--- a/src/briardyke/quarantine/records.py
+++ b/src/briardyke/quarantine/records.py
@@ -23,11 +23,13 @@
     :param depth: number of parts before it in the prompt.
     :param sound_age_ms: time from the last response to a prompt with it to the crash, negative for
         a later response, ``None`` if the reporting instance knows of none.
+    :param copies: number of requests with it that were waiting.
     """
 
     part: str
     depth: int
     sound_age_ms: float | None = None
+    copies: int = 1
 
 
 @attrs.frozen
--- a/src/briardyke/quarantine/verdicts.py
+++ b/src/briardyke/quarantine/verdicts.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briardyke.quarantine.attribution import CLOCK_ERROR_MS, NEVER_MS
-from briardyke.quarantine.records import PartState, PartVerdict
+from briardyke.quarantine.records import PartState, PartVerdict, is_fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -73,7 +73,9 @@
     decisions += [Decision(part, PartState.SUSPECTED) for part in suspected - before]
     for part in added:
         is_known = attribution.sound_ms.get(part, NEVER_MS) > NEVER_MS
-        first_ms = KNOWN_PART_TRIAL_MS if is_known else NEW_PART_TRIAL_MS
+        # A request is blamed on less evidence, and tested at the cost of one crash at most.
+        is_tested_soon = is_known or is_fingerprint(part)
+        first_ms = KNOWN_PART_TRIAL_MS if is_tested_soon else NEW_PART_TRIAL_MS
         decisions.append(Decision(part, PartState.QUARANTINED, 0, first_ms))
     return sorted(decisions, key=lambda d: d.part)
 
--- a/tests/gateway/test_repeated_crashes.py
+++ b/tests/gateway/test_repeated_crashes.py
@@ -17,9 +17,8 @@
     from briardyke.addresses import Address
 
 WHOLE = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
-# Retries of a request that may reach upstreams after it has crashed the third one.
-MAX_RETRIES = 3
-MAX_CRASHES = 3 + MAX_RETRIES
+# Crashes after which a request that comes again may reach no further upstream.
+MAX_CRASHES = 3
 
 
 async def is_crashed(address: Address) -> bool:
@@ -100,6 +99,23 @@
             await site.restart_upstreams()
         assert len(site.crashes) <= MAX_CRASHES
 
+    async def test_copies_sent_together_are_held_off_after_the_crash_that_ended_them(
+        self, gateway: Gateway
+    ) -> None:
+        site = Site(gateway, "/buy/")
+        await site.start("app", 1)
+        await site.send("sound", 0)
+        async with trio.open_nursery() as nursery:
+            for number in range(5):
+                nursery.start_soon(site.send, "deadly", number)
+        first = len(site.crashes)
+        await site.restart_upstreams()
+        assert (await site.send("sound", 1)).status == 200
+        async with trio.open_nursery() as nursery:
+            for number in range(5, 10):
+                nursery.start_soon(site.send, "deadly", number)
+        assert len(site.crashes) == first
+
     async def test_sound_request_that_is_often_repeated_is_not_held_off(
         self, gateway: Gateway
     ) -> None:
--- a/tests/quarantine/test_attribution.py
+++ b/tests/quarantine/test_attribution.py
@@ -7,6 +7,7 @@
 
 from briardyke.quarantine.attribution import (
     CLOCK_ERROR_MS,
+    COPIES_BLAMED,
     QUARANTINE_CRASHES,
     SIMULTANEOUS_MS,
     SUSPICION_CRASHES,
@@ -62,6 +63,25 @@
         known = Attribution(crashes(1000, 1500, 2000, depths=waiting), {}, 2500.0)
         assert known.parts_to_quarantine(frozenset()) == ["request:a"]
 
+    def test_request_that_never_got_a_response_is_blamed_for_two_crashes(self) -> None:
+        waiting = {"first": 0, "request:a": 1}
+        known = Attribution(crashes(1000, 1500, depths=waiting), {"first": 900.0}, 2500.0)
+        assert known.parts_to_quarantine(frozenset()) == ["request:a"]
+
+    def test_request_that_got_a_response_before_is_blamed_for_three(self) -> None:
+        waiting = {"request:a": 0}
+        two = Attribution(crashes(1000, 1500, depths=waiting), {"request:a": 900.0}, 2500.0)
+        three = Attribution(crashes(1000, 1500, 2000, depths=waiting), {"request:a": 900.0}, 2500.0)
+        assert two.parts_to_quarantine(frozenset()) == []
+        assert three.parts_to_quarantine(frozenset()) == ["request:a"]
+
+    def test_copies_that_wait_in_one_crash_are_blamed_unless_one_got_a_response(self) -> None:
+        crash = [Crash(1000.0, {"request:a": 0}, {"request:a": COPIES_BLAMED})]
+        new = Attribution(crash, {}, 2500.0)
+        known = Attribution(crash, {"request:a": 900.0}, 2500.0)
+        assert new.parts_to_quarantine(frozenset()) == ["request:a"]
+        assert known.parts_to_quarantine(frozenset()) == []
+
     def test_part_that_waits_in_another_crash_is_blamed_for_all_of_them(self) -> None:
         again = crashes(1000, 1500, 2000, depths={"deadly": 0, "request:a": 1})
         other = crashes(2500, depths={"deadly": 0, "request:b": 1})
