Send nothing more to an upstream that states that it shuts down

What callers saw: nothing yet.

Cause: the statement was logged only. Change: an upstream that has stated it is no longer selected, also not as the last one of its service, from the moment at which the head of the response is read. The statement belongs to the process: it outlasts a missing announcement and ends with a new start.

--- a/src/briardyke/gateway/upstream_statements.py
+++ b/src/briardyke/gateway/upstream_statements.py
@@ -6,12 +6,16 @@
 
 import attrs
 
+from briardyke.clock import now_ms
 from briardyke.logs import log_event
 
 if TYPE_CHECKING:
     from briardyke.fleet.records import Upstream
     from briardyke.gateway.dialect import ResponseMetadata
 
+# Announcements of departed processes may be delayed as long.
+_KEPT_MS = 120_000.0
+
 
 @attrs.define
 class UpstreamStatements:
@@ -27,3 +31,25 @@
         if response.is_leaving and not self.is_leaving:
             log_event("upstream_leaving_stated", upstream=row.upstream_id)
             self.is_leaving = True
+
+
+class FormerStatements:
+    """Statements of processes that are not announced at present.
+
+    A control instance that has just started may not know a process until its next announcement, and
+    its address stays in use meanwhile.
+    """
+
+    def __init__(self) -> None:
+        self._kept: dict[tuple[str, int], tuple[UpstreamStatements, float]] = {}
+
+    def keep(self, row: Upstream, statements: UpstreamStatements) -> None:
+        """Keep the statements of a process, and forget old ones."""
+        limit_ms = now_ms() - _KEPT_MS
+        self._kept = {key: kept for key, kept in self._kept.items() if kept[1] >= limit_ms}
+        self._kept[row.upstream_id, row.incarnation] = (statements, now_ms())
+
+    def restore(self, row: Upstream) -> UpstreamStatements:
+        """Return the statements of a process that is announced again, or empty ones."""
+        kept = self._kept.pop((row.upstream_id, row.incarnation), None)
+        return kept[0] if kept else UpstreamStatements()
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -9,7 +9,7 @@
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
 from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
-from briardyke.gateway.upstream_statements import UpstreamStatements
+from briardyke.gateway.upstream_statements import FormerStatements, UpstreamStatements
 from briardyke.http.h11_client import ConnectionPool, RestLimit
 from briardyke.policy.ejection import UpstreamHealth
 
@@ -253,6 +253,7 @@
     def __init__(self) -> None:
         self._states: dict[str, UpstreamState] = {}
         self._rest_limit = RestLimit()
+        self._former = FormerStatements()
 
     def update(
         self, rows: dict[str, Upstream], changes: dict[str, ModelChanges]
@@ -262,14 +263,15 @@
         :return: connection pools of upstreams that are no longer used."""
         retired = []
         for upstream_id in [i for i in self._states if i not in rows]:
-            retired.append(self._states.pop(upstream_id).pool)
+            retired.append(self._retire(upstream_id))
         for upstream_id, row in rows.items():
             state = self._states.get(upstream_id)
             if state is None or _is_different_process(state.row, row):
                 if state is not None:
-                    retired.append(state.pool)
+                    retired.append(self._retire(upstream_id))
                 pool = ConnectionPool(parse_address(row.address), self._rest_limit)
-                self._states[upstream_id] = UpstreamState(row, pool)
+                statements = self._former.restore(row)
+                self._states[upstream_id] = UpstreamState(row, pool, statements=statements)
             else:
                 state.row = row
             if upstream_id in changes:
@@ -277,9 +279,18 @@
                 self._states[upstream_id].available_at_ms = changes[upstream_id].arriving_ms
         return retired
 
+    def _retire(self, upstream_id: str) -> ConnectionPool:
+        state = self._states.pop(upstream_id)
+        self._former.keep(state.row, state.statements)
+        return state.pool
+
     def usable(self, service: str) -> list[UpstreamState]:
         """Return the ready upstreams of a service, or else those that are not leaving."""
-        rows = [s for s in self._states.values() if s.row.service == service]
+        rows = [
+            state
+            for state in self._states.values()
+            if state.row.service == service and not state.statements.is_leaving
+        ]
         ready = [s for s in rows if s.row.lifecycle == READY]
         return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
 
--- a/tests/gateway/test_upstream_statements.py
+++ b/tests/gateway/test_upstream_statements.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import attrs
+
 from briardyke.fleet.records import READY, Upstream
 from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.platform.headers import PlatformDialect
 
+if TYPE_CHECKING:
+    import trio
+    from gateway_support import Gateway, Script, ScriptedUpstream
+
 ROW = Upstream("u0", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
 
 
@@ -36,3 +44,52 @@
         statements.record(ROW, dialect.read_response(200, [(b"server-leaving", b"1")]))
         statements.record(ROW, dialect.read_response(200, []))
         assert statements.is_leaving
+
+
+def answering(*headers: bytes, status: bytes = b"200 OK") -> Script:
+    """Return a script that responds with some headers."""
+
+    async def respond(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        head = [b"HTTP/1.1 " + status, b"Request-Id: " + request_id, b"Server-Stamp: s"]
+        lines = [*head, *headers, b"Content-Length: 2", b"", b"ok"]
+        await stream.send_all(b"\r\n".join(lines))
+
+    return respond
+
+
+class TestLeaving:
+    """Covers an upstream that shuts down and says so only in its responses."""
+
+    async def test_it_receives_no_further_request(self, gateway: Gateway) -> None:
+        leaving = await gateway.add("app", answering(b"Server-Leaving: 1"))
+        other = await gateway.add("app", answering())
+        for number in range(20):
+            assert (await gateway.send("/see/x", f"l-{number}")).status == 200
+        assert len(leaving.requests) <= 1
+        assert len(other.requests) == 20 - len(leaving.requests)
+
+    async def test_it_receives_none_when_it_is_the_only_one(self, gateway: Gateway) -> None:
+        leaving = await gateway.add("app", answering(b"Server-Leaving: 1"))
+        statuses = [(await gateway.send("/buy/x", f"l-{n}")).status for n in range(3)]
+        assert statuses == [200, 503, 503]
+        assert len(leaving.requests) == 1
+
+    async def test_it_is_not_used_again_after_its_announcement_was_missing(
+        self, gateway: Gateway
+    ) -> None:
+        leaving = await gateway.add("app", answering(b"Server-Leaving: 1"))
+        await gateway.send("/buy/x", "l-1")
+        gateway.state.upstreams.update({}, {})
+        gateway.state.upstreams.update(gateway.rows, {})
+        await gateway.send("/buy/x", "l-2")
+        assert len(leaving.requests) == 1
+
+    async def test_new_process_is_used(self, gateway: Gateway) -> None:
+        upstream = await gateway.add("app", answering(b"Server-Leaving: 1"))
+        await gateway.send("/buy/x", "l-1")
+        restarted = {i: attrs.evolve(r, incarnation=2) for i, r in gateway.rows.items()}
+        gateway.state.upstreams.update(restarted, {})
+        assert (await gateway.send("/buy/x", "l-2")).status == 200
+        assert len(upstream.requests) == 2
