Keep to the pause that an upstream asks for with a refusal

What callers saw: nothing yet.

Change: from the moment at which it is read the upstream gets no request from this instance until the time has passed, nor as a repeat or a resumed stream; others are used, or the request is refused at once with the time that is left. A caller whose request was refused gets that time as well, unless another upstream has room. The pause belongs to the process of the upstream.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -164,35 +164,44 @@
         return Failure(ErrorKind.OVERLOADED, reason, retry_after_ms=round(retry_after_ms))
 
     def limit_refusal(
-        self, context: RequestContext, state: GatewayState, slot_wait_ms: float
+        self, context: RequestContext, state: GatewayState, closed_ms: float
     ) -> Failure:
-        """Return the answer to a request whose upstreams all receive what their limits allow.
+        """Return the answer to a request whose upstreams all accept no more requests now.
 
-        :param slot_wait_ms: time until one of them has a slot.
+        :param closed_ms: time until one of them accepts another one.
         """
         upstreams = state.upstreams.reachable(context.service)
         load_left_ms = load_remaining_ms(context.metadata.model, upstreams)
-        wait_ms = slot_wait_ms if load_left_ms is None else min(load_left_ms, slot_wait_ms)
+        wait_ms = closed_ms if load_left_ms is None else min(load_left_ms, closed_ms)
         retry_after_ms = min(wait_ms, context.remaining_ms * _MAX_RETRY_AFTER_FRACTION)
         return Failure(
             ErrorKind.UPSTREAM_LIMITED,
-            "every upstream receives as many requests as it accepts",
+            "every upstream receives as many requests as it accepts now",
             retry_after_ms=round(retry_after_ms),
         )
 
     def upstream_refusal(
-        self, context: RequestContext, reason: str, others: Sequence[UpstreamState]
+        self,
+        context: RequestContext,
+        reason: str,
+        others: Sequence[UpstreamState],
+        pause_ms: float | None = None,
     ) -> Failure:
         """Return the answer to a request that an upstream refused and that may not be sent again.
 
         Its caller should return at once when another upstream has room, since it can still be
         served within its latency objective.
+
+        :param pause_ms: time for which the upstream wants no request, or ``None``.
         """
         has_room = any(
             u.has_free_slot and u.expected_first_ms() < context.route.latency_objective_ms
             for u in others
         )
         retry_after_ms = _RETRY_ELSEWHERE_MS if has_room else None
+        if not has_room and pause_ms is not None:
+            longest_ms = context.remaining_ms * _MAX_RETRY_AFTER_FRACTION
+            retry_after_ms = round(min(pause_ms, longest_ms))
         return Failure(ErrorKind.UPSTREAM_REFUSED, reason, retry_after_ms=retry_after_ms)
 
     def remaining_wait_ms(self, context: RequestContext, state: GatewayState) -> float:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -222,7 +222,10 @@
             kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.UPSTREAM_FAILED
         elif last is not None and last.ending is Ending.REFUSED:
             failure = self._state.admission.upstream_refusal(
-                context, last.reason, self.attempts.candidates(context)
+                context,
+                last.reason,
+                self.attempts.candidates(context),
+                last.metadata.retry_after_ms if last.metadata else None,
             )
             await self._send_failure(answer, context.trace, failure)
             return
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -68,13 +68,13 @@
                 await trio.sleep(wait_ms / 1000.0)
                 continue
             wait_ms = state.admission.remaining_wait_ms(context, state)
-            slot_wait_ms = self._slot_wait_ms(context)
-            if slot_wait_ms is not None:
+            closed_ms = self._closed_ms(context)
+            if closed_ms is not None:
                 # What has run already can only go on; anything else can come back.
-                if not context.may_have_run or wait_ms < slot_wait_ms:
-                    context.refusal = state.admission.limit_refusal(context, state, slot_wait_ms)
+                if not context.may_have_run or wait_ms < closed_ms:
+                    context.refusal = state.admission.limit_refusal(context, state, closed_ms)
                     return None
-                await state.changed.wait(max(_MIN_WAIT_MS, slot_wait_ms))
+                await state.changed.wait(max(_MIN_WAIT_MS, closed_ms))
                 continue
             if wait_ms < _MIN_WAIT_MS:
                 return None
@@ -104,20 +104,27 @@
         if limits.limit_per_s(upstream.row) is None:
             # Without a task switch, so that requests released together see each other's choices.
             return True
-        wait_ms = await limits.take_slot(upstream.row, self._able(context))
+        wait_ms = await limits.take_slot(upstream.row, self._open(context))
         if wait_ms is None:
             return False
         await trio.sleep(wait_ms / 1000.0)
         return True
 
-    def _slot_wait_ms(self, context: RequestContext) -> float | None:
-        """Return the time until an upstream has a slot, ``None`` if no limit is in the way."""
-        waits_ms = [self._state.limits.next_slot_ms(s.row) for s in self._able(context)]
+    def _closed_ms(self, context: RequestContext) -> float | None:
+        """Return the time until an upstream accepts the request, ``None`` if none could run it."""
+        limits = self._state.limits
+        waits_ms = [
+            max(limits.next_slot_ms(s.row), s.statements.pause_left_ms) for s in self._able(context)
+        ]
         return min(waits_ms, default=None)
 
     def candidates(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams to which the request may be sent now."""
-        return self._state.limits.admitted(self._able(context))
+        return self._state.limits.admitted(self._open(context))
+
+    def _open(self, context: RequestContext) -> list[UpstreamState]:
+        """Return the upstreams that could run the request and have not asked for a pause."""
+        return [s for s in self._able(context) if not s.statements.pause_left_ms]
 
     def _able(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request."""
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -230,6 +230,12 @@
         failure = Admission().upstream_refusal(context(), "status 503", [other])
         assert failure.retry_after_ms is None
 
+    async def test_caller_returns_after_the_pause_that_the_upstream_asked_for(self) -> None:
+        failure = Admission().upstream_refusal(context(), "status 503", [], 700.0)
+        assert failure.retry_after_ms == 700
+        failure = Admission().upstream_refusal(context(), "status 503", [], 60_000.0)
+        assert failure.retry_after_ms == pytest.approx(context().remaining_ms / 3.0, abs=50.0)
+
 
 class TestPlannedShutdown:
     """Covers requests that reach an instance in the last phase of its shutdown."""
--- a/tests/gateway/test_upstream_statements.py
+++ b/tests/gateway/test_upstream_statements.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
+from briardyke.clock import now_ms
 from briardyke.fleet.records import READY, Upstream
 from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.platform.headers import PlatformDialect
 
 if TYPE_CHECKING:
-    import trio
     from gateway_support import Gateway, Script, ScriptedUpstream
 
 ROW = Upstream("u0", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
@@ -93,3 +94,57 @@
         gateway.state.upstreams.update(restarted, {})
         assert (await gateway.send("/buy/x", "l-2")).status == 200
         assert len(upstream.requests) == 2
+
+
+FULL = {"status": b"503 Service Unavailable"}
+
+
+class TestPause:
+    """Covers an upstream that refuses a request and names a time for which it wants no other."""
+
+    async def test_it_receives_nothing_meanwhile(self, gateway: Gateway) -> None:
+        refusing = await gateway.add(
+            "app", answering(b"Not-Executed: 1", b"Retry-After: 0.8", **FULL)
+        )
+        started_ms = now_ms()
+        replies = [await gateway.send("/buy/x", f"p-{n}") for n in range(10)]
+        assert now_ms() - started_ms < 800
+        assert len(refusing.requests) == 1
+        assert {reply.status for reply in replies} == {503}
+        assert all(0.2 <= float(r.headers[b"retry-after"]) <= 1.2 for r in replies)
+
+    async def test_it_is_used_again_afterwards(self, gateway: Gateway) -> None:
+        refusing = await gateway.add(
+            "app", answering(b"Not-Executed: 1", b"Retry-After: 0.3", **FULL)
+        )
+        await gateway.send("/buy/x", "p-1")
+        await trio.sleep(0.35)
+        await gateway.send("/buy/x", "p-2")
+        assert refusing.requests == [b"p-1", b"p-2"]
+
+    async def test_other_upstream_is_used_meanwhile(self, gateway: Gateway) -> None:
+        refusing = await gateway.add(
+            "app", answering(b"Not-Executed: 1", b"Retry-After: 5", **FULL)
+        )
+        await gateway.add("app", answering())
+        statuses = [(await gateway.send("/see/x", f"p-{n}")).status for n in range(10)]
+        assert len(refusing.requests) <= 1
+        assert statuses == [200] * 10
+
+    async def test_503_without_a_statement_that_it_was_not_run_counts_too(
+        self, gateway: Gateway
+    ) -> None:
+        refusing = await gateway.add("app", answering(b"Retry-After: 5", **FULL))
+        for number in range(5):
+            await gateway.send("/buy/x", f"p-{number}")
+        assert len(refusing.requests) == 1
+
+    async def test_new_process_is_used(self, gateway: Gateway) -> None:
+        refusing = await gateway.add(
+            "app", answering(b"Not-Executed: 1", b"Retry-After: 60", **FULL)
+        )
+        await gateway.send("/buy/x", "p-1")
+        restarted = {i: attrs.evolve(r, incarnation=2) for i, r in gateway.rows.items()}
+        gateway.state.upstreams.update(restarted, {})
+        await gateway.send("/buy/x", "p-2")
+        assert len(refusing.requests) == 2
