Check for a crash only where the upstream ended the connection

What callers saw: nothing. Two tests of connections failed since crashes of plain upstreams are investigated: a response that is not one, on a connection that stays open, was followed by a connection that checks whether the upstream still runs (2 connections instead of 1), and so was a reset of a resting one (5 instead of 4). Each such connection costs the upstream time.

Change: a check follows only when the upstream ended the connection before the response was complete. The second test replaces the check, since it counts the connections of requests.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -50,6 +50,7 @@
     :param body: complete body, if it was buffered.
     :param metadata: values from the response headers.
     :param connection: open connection of a streamed response.
+    :param is_lost: whether the upstream ended the connection before its response was complete.
     """
 
     ending: Ending
@@ -58,6 +59,7 @@
     body: bytes = b""
     metadata: ResponseMetadata | None = None
     connection: UpstreamConnection | None = None
+    is_lost: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -132,7 +134,8 @@
             if connection is not None and connection.was_dropped_at_rest:
                 state.pool.rest_limit.learn(connection.rested_ms)
             ending = Ending.NOT_CONNECTED if not_connected else Ending.FAILED
-            return AttemptResult(ending, str(error))
+            is_lost = connection is not None and connection.has_ended
+            return AttemptResult(ending, str(error), is_lost=is_lost)
         finally:
             if connection is not None and not keeps_open:
                 await connection.aclose()
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -8,7 +8,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.gateway.adapters import ADAPTER_RETRY_MS
-from briardyke.gateway.attempt import AttemptResult, AttemptRunner, Ending
+from briardyke.gateway.attempt import AttemptResult, AttemptRunner
 from briardyke.gateway.attempt_feedback import record_attempt
 from briardyke.gateway.dialect import ForwardingMetadata
 from briardyke.gateway.upstream_selection import choose_upstream
@@ -185,7 +185,7 @@
                 upstream.in_flight -= 1
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
-        if attempt.ending is Ending.FAILED:
+        if attempt.is_lost:
             await self._state.quarantine.record_loss(upstream.row, context.metadata)
         return attempt
 
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -88,6 +88,7 @@
         self.idle_since_ms = now_ms()
         self.is_reused = False
         self.rested_ms = 0.0
+        self.has_ended = False
         self._has_received = False
         self._keep_ms = _DEFAULT_KEEP_MS
         self._may_keep = True
@@ -139,6 +140,7 @@
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self.has_ended = True
             raise UpstreamError(Fault.BROKEN, f"connection lost while sending: {error}") from error
 
     async def read_head(self, is_own: Callable[[Headers], bool]) -> UpstreamHead:
@@ -238,7 +240,9 @@
             try:
                 data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                self.has_ended = True
                 raise UpstreamError(Fault.BROKEN, f"connection reset: {error}") from error
+            self.has_ended = not data
             if not data and self._is_reset:
                 raise UpstreamError(Fault.BROKEN, "connection reset while sending")
             self._has_received = self._has_received or bool(data)
--- a/tests/gateway/test_duplicate_responses.py
+++ b/tests/gateway/test_duplicate_responses.py
@@ -7,11 +7,14 @@
 import pytest
 import trio
 
+from briardyke.gateway.crash_detection import CrashDetector
 from briardyke.http.h11_client import LEAST_REST_MS, REST_MEMORY_MS, RestLimit
 
 if TYPE_CHECKING:
     from gateway_support import Gateway, ScriptedUpstream
 
+    from briardyke.addresses import Address
+
 HEAD = b"HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: %d\r\n\r\n%s"
 
 
@@ -77,6 +80,10 @@
                 return
             await stream.send_all(response(200, request_id, b"ok"))
 
+        async def is_refusing(address: Address) -> bool:
+            return False
+
+        gateway.state.quarantine.detector = CrashDetector(is_refusing)
         upstream = await gateway.add("app", dropping)
         statuses = []
         for number in range(5):
