Wait for room on a full disk instead of ending the control process

Cause: any error of a write ended the process, since the state on disk is unknown after a failed sync. A write that found no room is another case: the half record can be cut off at a known offset, and a file that is replaced keeps its old content.

Change: such a write is reported as DiskFullError, after the half record has been cut off. A sync of the log that failed still ends the process.

Records that found room for 0, 1, 9 and 30 bytes leave the log as it was.

--- a/src/briardyke/consensus/storage.py
+++ b/src/briardyke/consensus/storage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import struct
 import threading
@@ -26,6 +27,7 @@
     from collections.abc import Iterator, Sequence
 
 SEGMENT_BYTES = 16 * 1024 * 1024
+_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 _HEADER = struct.Struct("<II")
 _HARD_STATE = "hard_state"
 _SNAPSHOT = "snapshot"
@@ -49,6 +51,10 @@
         super().__init__(text)
 
 
+class DiskFullError(OSError):
+    """Signal that a write found no room and left the stored state as it was."""
+
+
 @attrs.define
 class _Segment:
     path: Path
@@ -66,13 +72,22 @@
 
 
 def replace_file(path: Path, data: bytes) -> None:
-    """Replace a file atomically: after a crash it has either the old or the new content."""
+    """Replace a file atomically: after a crash it has either the old or the new content.
+
+    :raises DiskFullError: when there is no room; the file has its old content.
+    """
     temporary = path.with_name(path.name + ".tmp")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
+    try:
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.replace(path)
+    except OSError as error:
+        if error.errno not in _FULL:
+            raise
+        temporary.unlink(missing_ok=True)
+        raise DiskFullError(error.errno, str(error)) from error
     sync_directory(path.parent)
 
 
@@ -131,8 +146,9 @@
 
         :param hard_state: new term and vote, if changed.
         :param entries: entries in the order in which they were appended.
-        :raises OSError: when a write or sync fails; the state on disk is then unknown, so the
-            process must stop and must not retry.
+        :raises DiskFullError: when there is no room; the whole call may be repeated later.
+        :raises OSError: when a write or sync fails otherwise; the state on disk is then unknown, so
+            the process must stop and must not retry.
         """
         if hard_state is not None:
             write_checksummed(self._directory / _HARD_STATE, [hard_state.term, hard_state.vote])
@@ -194,15 +210,27 @@
             self._start_segment()
         payload = msgpack.packb(value)
         record = _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+        size = os.fstat(self._file).st_size
         view = memoryview(record)
-        while view:
-            view = view[os.write(self._file, view) :]
+        try:
+            while view:
+                view = view[os.write(self._file, view) :]
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            os.ftruncate(self._file, size)
+            raise DiskFullError(error.errno, str(error)) from error
         os.fsync(self._file)
 
     def _start_segment(self) -> None:
         sequence = self._segments[-1].sequence + 1
         path = _segment_path(self._directory, sequence)
-        file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL, 0o644)
+        try:
+            file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL, 0o644)
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            raise DiskFullError(error.errno, str(error)) from error
         sync_directory(self._directory)
         os.close(self._file)
         self._file = file
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import random
 import threading
 from typing import TYPE_CHECKING, Any
 
 import msgpack
+import pytest
 import trio
 
 from briardyke.addresses import Address
@@ -14,6 +16,7 @@
 from briardyke.consensus.identity import Identity, initialise, open_identity
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.state import Role
+from briardyke.consensus.storage import DiskFullError
 from briardyke.errors import ErrorKind
 
 if TYPE_CHECKING:
@@ -279,3 +282,103 @@
         assert (await log.propose(b"x", 15_000)).is_ok()
         assert threads[0] != threading.get_ident()
         nursery.cancel_scope.cancel()
+
+
+class TestFullDisks:
+    """Covers disks without room for a few seconds, one after the other."""
+
+    @staticmethod
+    def _fill(group: _Group, name: str, full: set[str]) -> None:
+        async def run(function: Callable[..., Any], *arguments: Any) -> Any:
+            await trio.lowlevel.checkpoint()
+            if name in full:
+                raise DiskFullError(errno.ENOSPC, "No space left on device")
+            return function(*arguments)
+
+        group.logs[name]._run_blocking = run
+
+    @pytest.mark.parametrize("first", ["leader", "follower"])
+    async def test_changes_are_accepted_during_and_after_each_of_them(
+        self, autojump_clock: Any, tmp_path: Path, first: str
+    ) -> None:
+        """Guards against members that end, or that refuse changes long after there is room."""
+        async with trio.open_nursery() as nursery:
+            group = _Group(tmp_path, nursery)
+            leader = await group.started()
+            full: set[str] = set()
+            for name in "abc":
+                self._fill(group, name, full)
+            others = [name for name in "abc" if name != leader]
+            order = [leader, *others] if first == "leader" else [*others, leader]
+            commands = []
+            for number, name in enumerate(order):
+                full.add(name)
+                commands.append(b"%d" % number)
+                assert await self._is_accepted(group, commands[-1])
+                await trio.sleep(3.0)
+                full.clear()
+                await trio.sleep(2.0)
+            commands.append(b"last")
+            assert await self._is_accepted(group, b"last")
+            await trio.sleep(1.0)
+            for machine in group.machines.values():
+                assert list(dict.fromkeys(machine.commands)) == commands
+            nursery.cancel_scope.cancel()
+
+    @staticmethod
+    async def _is_accepted(group: _Group, command: bytes) -> bool:
+        """Offer a command to each member in turn, as an operator does, for five seconds."""
+        for _ in range(50):
+            for log in group.logs.values():
+                if (await log.propose(command, 1000)).is_ok():
+                    return True
+            await trio.sleep(0.1)
+        return False
+
+    async def test_member_without_room_keeps_no_messages(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        """Guards against memory that grows for as long as the disk is full."""
+        async with trio.open_nursery() as nursery:
+            group = _Group(tmp_path, nursery)
+            leader = await group.started()
+            name = next(name for name in "abc" if name != leader)
+            full = {name}
+            self._fill(group, name, full)
+            assert await self._is_accepted(group, b"1")
+            await trio.sleep(60.0)
+            assert len(group.logs[name]._pending) < 10
+            full.clear()
+            await trio.sleep(2.0)
+            assert group.machines[name].commands == [b"1"]
+            nursery.cancel_scope.cancel()
+
+    async def test_member_without_room_answers_proposers_at_once(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            group = _Group(tmp_path, nursery)
+            leader = await group.started()
+            self._fill(group, leader, {leader})
+            await group.logs[leader].propose(b"1", 200)
+            started_s = trio.current_time()
+            refused = (await group.logs[leader].propose(b"2", 2000)).unwrap_err()
+            assert refused.kind is ErrorKind.NO_MAJORITY
+            assert trio.current_time() - started_s < 0.1
+            nursery.cancel_scope.cancel()
+
+    async def test_disk_that_fails_otherwise_still_ends_the_member(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        async def fail(function: Callable[..., Any], *arguments: Any) -> Any:
+            await trio.lowlevel.checkpoint()
+            raise OSError(errno.EIO, "Input/output error")
+
+        with pytest.raises(ExceptionGroup):
+            async with trio.open_nursery() as nursery:
+                group = _Group(tmp_path, nursery)
+                leader = await group.started()
+                group.logs[leader]._run_blocking = fail
+                await group.logs[leader].propose(b"1", 1000)
+                await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -2,21 +2,22 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from typing import TYPE_CHECKING
 
+import pytest
+
 from briardyke.addresses import Address
 from briardyke.consensus import storage as storage_module
 from briardyke.consensus.identity import initialise, open_identity
 from briardyke.consensus.log import Entry, EntryKind, HardState, Recovered, Snapshot
-from briardyke.consensus.storage import GroupStorage
+from briardyke.consensus.storage import DiskFullError, GroupStorage
 from briardyke.errors import ErrorKind
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    import pytest
-
 VOTERS = {name: Address("127.0.0.1", port) for port, name in enumerate("abc", start=1)}
 
 
@@ -139,6 +140,75 @@
         storage.close()
 
 
+class FullDisk:
+    """Disk that takes only some more bytes of each write until it has room again."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, left_bytes: int) -> None:
+        self.is_full = True
+        self._left_bytes = left_bytes
+        self._write = os.write
+        monkeypatch.setattr(os, "write", self.write)
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        if not self.is_full:
+            return self._write(descriptor, data)
+        if self._left_bytes <= 0:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        part = bytes(data)[: self._left_bytes]
+        self._left_bytes -= len(part)
+        return self._write(descriptor, part)
+
+
+class TestFullDisk:
+    """Covers a disk without room, which must not be taken for one whose content is unknown."""
+
+    @pytest.mark.parametrize("left_bytes", [0, 1, 9, 30])
+    def test_record_that_found_no_room_leaves_the_log_unchanged(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, left_bytes: int
+    ) -> None:
+        storage, _ = GroupStorage.open(tmp_path / "group").unwrap()
+        storage.save(HardState(1, "a"), [_entry(1)])
+        disk = FullDisk(monkeypatch, left_bytes)
+        with pytest.raises(DiskFullError):
+            storage.save(None, [_entry(2)])
+        disk.is_full = False
+        storage.save(None, [_entry(2), _entry(3)])
+        storage.close()
+        _, recovered = GroupStorage.open(tmp_path / "group").unwrap()
+        assert [e.index for e in recovered.entries] == [1, 2, 3]
+
+    def test_vote_that_found_no_room_leaves_the_former_one(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        storage, _ = GroupStorage.open(tmp_path / "group").unwrap()
+        storage.save(HardState(1, "a"), [])
+
+        def fail(descriptor: int) -> None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "fsync", fail)
+            with pytest.raises(DiskFullError):
+                storage.save(HardState(2, "b"), [])
+        assert not list((tmp_path / "group").glob("*.tmp"))
+        storage.close()
+        _, recovered = GroupStorage.open(tmp_path / "group").unwrap()
+        assert recovered.hard_state == HardState(1, "a")
+
+    def test_sync_of_the_log_that_fails_is_no_full_disk(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        storage, _ = GroupStorage.open(tmp_path / "group").unwrap()
+
+        def fail(descriptor: int) -> None:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(os, "fsync", fail)
+        with pytest.raises(OSError) as raised:
+            storage.save(None, [_entry(1)])
+        assert not isinstance(raised.value, DiskFullError)
+
+
 class TestIdentity:
     """Guards against voting under an identity whose stored votes are lost."""
 
