Ask for a trial of a quarantined part only when an upstream is there

What callers saw: a request, or all prompts with a part, refused for three minutes longer although nothing was tested.

Cause, listed in docs/incidents/crashing-requests.md as open: the leader was asked for the trial when the request arrived. One that found no upstream, or was refused for its late start, had used it up, and the next is six times further away. It matters more since requests are blamed too.

Change: the leader is asked right before the request is sent. Figures: tests/gateway/test_quarantine_enforcement.py, one trial used by a request without an upstream before, none now.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -101,10 +101,10 @@
         if refusal is not None or part is None:
             return refusal
         other = state.quarantine.quarantined_part(context.metadata, part)
-        if other is None and await state.quarantine.request_trial(part):
-            context.trial_part = part
-            return None
-        return state.quarantine.failure(other or part)
+        if other is not None:
+            return state.quarantine.failure(other)
+        context.trial_part = part
+        return None
 
     async def _await_configuration(self, metadata: RequestMetadata) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
@@ -127,9 +127,9 @@
         """Try upstreams until one responds or no further attempt is allowed."""
         async with trio.open_nursery() as nursery:
             while (upstream := await self.attempts.next_upstream(context)) is not None:
-                context.refusal = self._quarantine_refusal(
-                    context
-                ) or self._state.admission.late_start_refusal(context, upstream)
+                context.refusal = self._state.admission.late_start_refusal(
+                    context, upstream
+                ) or await self._quarantine_refusal(context)
                 if context.refusal is not None:
                     break
                 attempt = await self.attempts.run(context, upstream, nursery)
@@ -145,11 +145,21 @@
             nursery.cancel_scope.cancel()
         await self._finish_unserved(context, answer)
 
-    def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
-        """Return the reason not to send a request whose part was quarantined while it waited."""
+    async def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
+        """Return the reason not to send a request, or ``None``.
+
+        A part may have been quarantined while the request waited. The leader is asked for a trial
+        only now: one whose request finds no upstream would put off the next one by minutes.
+        """
         gate = self._state.quarantine
         part = gate.quarantined_part(context.metadata, context.trial_part)
-        return gate.failure(part) if part is not None else None
+        if part is not None:
+            return gate.failure(part)
+        part = gate.quarantined_part(context.metadata)
+        if part is not None and not context.has_trial:
+            context.has_trial = await gate.request_trial(part)
+            return None if context.has_trial else gate.failure(part)
+        return None
 
     def _should_retry_response(self, context: RequestContext, attempt: AttemptResult) -> bool:
         assert attempt.head is not None
@@ -167,7 +177,7 @@
             return context.connect_failures <= _MAX_CONNECT_FAILURES
         if attempt.may_have_run and not context.route.is_retryable:
             return False
-        if attempt.may_have_run and context.trial_part:
+        if attempt.may_have_run and context.has_trial:
             return False
         if attempt.ending is Ending.FAILED and self._state.quarantine.holds_back(context.metadata):
             return False
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -30,7 +30,8 @@
     :param last_attempt: last attempt that was not delivered.
     :param refusal: reason to reject the request, if one was found.
     :param has_paid_retry: whether the next attempt is charged to the retry budget already.
-    :param trial_part: quarantined part of its prompt that it tests, or empty.
+    :param trial_part: quarantined part of its prompt that it may test, or empty.
+    :param has_trial: whether the leader has granted that.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -48,6 +49,7 @@
     refusal: Failure | None = None
     has_paid_retry: bool = False
     trial_part: str = ""
+    has_trial: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
--- a/tests/gateway/test_quarantine_enforcement.py
+++ b/tests/gateway/test_quarantine_enforcement.py
@@ -28,12 +28,14 @@
     """Verdicts of control instances, which grant every trial."""
 
     shared: SharedVerdicts = attrs.field(factory=SharedVerdicts)
+    trials: int = 0
 
     def current(self) -> SharedVerdicts:
         return self.shared
 
     async def request_trial(self, part: str) -> bool:
         await trio.lowlevel.checkpoint()
+        self.trials += 1
         return True
 
     def publish(self, **next_trial_ms: float) -> None:
@@ -73,6 +75,21 @@
     return control
 
 
+class TestTrial:
+    """Covers requests that may test a quarantined part."""
+
+    async def test_request_without_an_upstream_does_not_use_up_the_trial(
+        self, gateway: Gateway, control: FakeControl
+    ) -> None:
+        """Guards against the next trial being minutes away although none took place."""
+        control.publish(deadly=-1.0)
+        assert (await gateway.send("/chat/x", "d-1", "m", prefix=BOTH)).status == 503
+        assert control.trials == 0
+        await gateway.add("pool", respond)
+        assert (await gateway.send("/chat/x", "d-2", "m", prefix=BOTH)).status == 200
+        assert control.trials == 1
+
+
 class TestBypass:
     """Guards against requests that reach an engine although their part is quarantined."""
 
