--- a/tests/platform/test_upstream_limits.py
+++ b/tests/platform/test_upstream_limits.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import signal
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 
 from briardyke.http.exchange import header
+from briardyke.http.h11_client import UpstreamError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -56,7 +58,10 @@
     async def _send(self, number: int) -> None:
         started_s = trio.current_time()
         name = f"{self._path.strip('/')}-{number}"
-        reply = await self._site.send(self._path + "1", name, self._model, 1 + number % 2)
+        try:
+            reply = await self._site.send(self._path + "1", name, self._model, 1 + number % 2)
+        except (OSError, UpstreamError):
+            return  # its entry instance was starting
         self.replies.append((trio.current_time() - started_s, reply))
 
 
@@ -104,3 +109,31 @@
         await load.send_for(2.0, 10)
         assert len(limited.arrivals_s) - before == 20
         assert {reply.status for _, reply in load.replies} == {200}
+
+
+class TestDisturbances:
+    """Covers a limit that holds while the processes that keep it end and start."""
+
+    @pytest.mark.parametrize("service", ["app", "pool"])
+    async def test_limit_holds_while_leaders_are_killed_and_an_instance_restarts(
+        self, site: Site, service: str
+    ) -> None:
+        limited = site.apps[0] if service == "app" else site.engines[0]
+        limited.limit_per_s = 2.0
+        load = Load(site, "/see/") if service == "app" else Load(site, "/chat/", "m")
+        await load.send_for(NOTICE_S, 10)
+        since_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load.send_for, 12.0, 10)
+            for index in (1, 2, 3):
+                await trio.sleep(2.0)
+                site.cluster.kill(f"control-{index}")
+                site.cluster.processes[f"control-{index}"].wait()
+                await trio.sleep(0.5)
+                site.cluster.start(f"control-{index}", is_first_start=False)
+            site.cluster.kill("entry-2", signal.SIGTERM)
+            site.cluster.processes["entry-2"].wait()
+            site.cluster.start("entry-2", is_first_start=False)
+        assert most_in_window(limited.arrivals_s, since_s) <= allowed(2.0)
+        served = sum(reply.status == 200 for _, reply in load.replies)
+        assert served >= 0.6 * len(load.replies)
