Do not give up a slow upstream for one without a slot, and forget old limits

What callers saw: an idempotent request on a slow upstream could be ended to be repeated at an upstream with a limit, find no slot there and fail (502), found by reading the change.

Cause: the search for a less loaded upstream took one with a limit for an alternative before the leader was asked. Change: only upstreams without a limit count there. An entry instance also forgets limits and slots of upstreams that have gone.

--- a/src/briardyke/gateway/limited_upstreams.py
+++ b/src/briardyke/gateway/limited_upstreams.py
@@ -81,9 +81,12 @@
                 self.on_change()
 
     def adopt(self, statements: Sequence[LimitStatement]) -> None:
-        """Adopt statements that other entry instances received."""
+        """Adopt statements that other entry instances received, and forget old ones."""
         for statement in statements:
             self._known.merge(statement)
+        self._known.forget_old()
+        now = now_ms()
+        self._next_slots = {i: slot for i, slot in self._next_slots.items() if slot.at_ms > now}
 
     def reported(self) -> list[LimitStatement]:
         """Return the statements that this instance received recently, for control instances."""
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -216,8 +216,9 @@
         """End an attempt without a response once another upstream may be tried.
 
         If every other candidate is as loaded, trying a second one adds to the overload and loses
-        the place in the first one's queue. Without a retry in the budget, the upstream that has
-        the request is the only one that can still respond.
+        the place in the first one's queue. One with a limit may have no slot for it. Without a
+        retry in the budget, the upstream that has the request is the only one that can still
+        respond.
         """
         objective_ms = context.route.latency_objective_ms
         wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
@@ -230,7 +231,9 @@
             wait_ms = _ALTERNATIVE_INTERVAL_MS
             load = upstream.load() - 1.0  # without this request
             is_less_loaded = any(
-                s.load() < load * _LESS_LOADED_FRACTION for s in self.candidates(context)
+                s.load() < load * _LESS_LOADED_FRACTION
+                for s in self.candidates(context)
+                if self._state.limits.limit_per_s(s.row) is None
             )
             if is_less_loaded and self.spend_retry(context, "repeated"):
                 context.has_paid_retry = True
--- a/src/briardyke/upstream_limits/statements.py
+++ b/src/briardyke/upstream_limits/statements.py
@@ -91,8 +91,8 @@
 
     def statements(self, max_age_ms: float = UNCONFIRMED_TTL_MS) -> list[LimitStatement]:
         """Return the statements held whose responses were received within a time."""
+        self.forget_old()
         now = now_ms()
-        self._held = {i: h for i, h in self._held.items() if now - h.received_ms < _ttl_ms(h)}
         return [
             LimitStatement(
                 upstream_id,
@@ -105,6 +105,11 @@
             if now - held.received_ms < max_age_ms
         ]
 
+    def forget_old(self) -> None:
+        """Drop limits that ended, and those that no response has confirmed for long."""
+        now = now_ms()
+        self._held = {i: h for i, h in self._held.items() if now - h.received_ms < _ttl_ms(h)}
+
 
 def _ttl_ms(held: _Held) -> float:
     return ENDED_TTL_MS if held.limit_per_s is None else UNCONFIRMED_TTL_MS
--- a/tests/gateway/test_limited_upstreams.py
+++ b/tests/gateway/test_limited_upstreams.py
@@ -14,9 +14,11 @@
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
 from briardyke.upstream_limits.granter import SlotGranter
-from briardyke.upstream_limits.statements import KnownLimits
+from briardyke.upstream_limits.statements import UNCONFIRMED_TTL_MS, KnownLimits
 
 if TYPE_CHECKING:
+    from gateway_support import Gateway, ScriptedUpstream
+
     from briardyke.fleet.messages import SlotReply, SlotRequest
 
 ROW = Upstream("u", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
@@ -189,3 +191,37 @@
     async def test_restarted_upstream_has_no_limit(self) -> None:
         told = instances(Leader(), 1)[0]
         assert told.limit_per_s(attrs.evolve(ROW, incarnation=2)) is None
+
+
+class TestSlowUpstream:
+    """Covers a request that waits on a slow upstream beside one with a limit."""
+
+    async def test_it_is_not_given_up_for_an_upstream_without_a_slot(
+        self, gateway: Gateway
+    ) -> None:
+        async def slow(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await trio.sleep(1.5)
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n" % request_id
+            await stream.send_all(head + b"Content-Length: 2\r\n\r\nok")
+
+        await gateway.add("app", slow)
+        for _ in range(4):  # in flight elsewhere, so that the other upstream has the smaller load
+            gateway.state.upstreams.usable("app")[0].in_flight += 1
+        limited = await gateway.add("app", slow)
+        row = gateway.rows["u1"]
+        gateway.state.limits.record(row, 1.0, now_ms())
+        reply = await gateway.send("/see/x", "r-1")
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert limited.requests == []
+
+
+class TestMemory:
+    """Covers limits of upstreams that have gone."""
+
+    async def test_old_limits_are_forgotten(self, autojump_clock: trio.testing.MockClock) -> None:
+        instance = instances(Leader(), 1)[0]
+        await trio.sleep(UNCONFIRMED_TTL_MS / 1000.0)
+        instance.adopt([])
+        assert instance.limit_per_s(ROW) is None
