Pass on only the limits that own entry instances received

What callers saw: nothing yet, found by reading the change. A control instance passed on the newest statement that it held of an upstream that its own entry instances reported too, also where it came from another control instance. Its age leaves out the way, so it looked newer with each passage, by up to the delay of the link, and could outlast the end of the limit.

Change: statements of own entry instances are held apart. Figures: tests/fleet/test_control_rows.py, a statement received 1,000 ms ago was passed on with the age of another one (0 ms) before, with 1,000 ms now.

--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -68,7 +68,8 @@
         self._pending_full_upstreams: set[str] = set()
         self._pending_full_entries: set[str] = set()
         self._reported_sound: set[str] = set()
-        self._reported_limits: dict[str, LimitStatement] = {}
+        self._own_limits = KnownLimits()
+        self._reported_limits: set[str] = set()
 
     # From owners
 
@@ -237,7 +238,9 @@
         Only statements that own entry instances received are sent. A statement that control
         instances passed on to each other would look newer with each passage.
         """
-        self._reported_limits.update({s.upstream_id: s for s in entry.limits})
+        for statement in entry.limits:
+            self._own_limits.merge(statement)
+            self._reported_limits.add(statement.upstream_id)
         if self._merge_limits(entry.limits):
             limits = self._take_reported_limits()
             self._broadcast(RowsUpdate(*([], [], [], []), limits=limits))
@@ -256,9 +259,8 @@
         return bool(changed)
 
     def _take_reported_limits(self) -> list[LimitStatement]:
-        reported, self._reported_limits = self._reported_limits, {}
-        held = {s.upstream_id: s for s in self.limits.statements()}
-        return [held[upstream_id] for upstream_id in reported if upstream_id in held]
+        reported, self._reported_limits = self._reported_limits, set()
+        return [s for s in self._own_limits.statements() if s.upstream_id in reported]
 
     def _broadcast(self, update: RowsUpdate) -> None:
         self._peers.broadcast(self._others(), update)
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -18,6 +18,7 @@
 from briardyke.fleet.machine import ConfigurationMachine
 from briardyke.fleet.messages import FleetReply, FleetRequest, RowsUpdate
 from briardyke.fleet.records import DRAINING, GONE, READY, SILENT, EntryInstance, Upstream
+from briardyke.upstream_limits.statements import LimitStatement
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -238,3 +239,28 @@
         reply = await ask(one, request(entry=busy))
         assert reply.entries == [ENTRY]
         assert one.demand() == {"m": 2.0}
+
+
+class TestUpstreamLimits:
+    """Covers limits of upstreams that entry instances of several control instances report."""
+
+    async def test_only_statements_of_own_entry_instances_are_passed_on(self) -> None:
+        """Guards against statements that look newer with each passage between control instances."""
+        network = FakeNetwork()
+        control = network.start(0)
+        own = LimitStatement("u", 1, 2.0, 2000.0, 1000.0)
+        newer = attrs.evolve(own, sent_age_ms=100.0, received_age_ms=0.0)
+        control.rows.record_report(attrs.evolve(ENTRY, limits=[own]))
+        control.rows.apply_update(RowsUpdate(*([], [], [], []), limits=[newer]))
+        control.rows.record_report(attrs.evolve(ENTRY, sequence=2, limits=[own]))
+        control.rows.broadcast_batch()
+        (passed_on,) = network.sent[-1].limits
+        assert passed_on.received_age_ms == pytest.approx(1000.0, abs=50.0)
+
+    async def test_new_limit_reaches_the_other_instances_and_their_entries_at_once(self) -> None:
+        network = FakeNetwork()
+        control, other = network.start(0), network.start(1)
+        stated = LimitStatement("u", 1, 2.0, 100.0, 0.0)
+        control.rows.record_report(attrs.evolve(ENTRY, limits=[stated]))
+        assert other.rows.limits.limit_per_s("u", 1) == 2.0
+        assert other.rows.limits.sequence == 1
