Report the end of a limit also where it was learned from others

What callers saw: nothing yet, found by reading the change. An upstream that no longer names a limit would go on to receive no more than its limit until every single entry instance had seen a response without one: with 191 instances and one request a second, for three minutes.

Cause: the end of a limit was stored, and so reported, only by an instance that had itself received a statement of the limit. Change: an instance, and its control instance, also keeps the end of a limit that it learned from others.

Figures: tests/gateway/test_limited_upstreams.py and tests/fleet/test_control_rows.py, one case each: the limit was still in force at a third instance before, it has ended now. tests/platform/test_upstream_limits.py passes.

--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -68,7 +68,7 @@
         self._pending_full_upstreams: set[str] = set()
         self._pending_full_entries: set[str] = set()
         self._reported_sound: set[str] = set()
-        self._own_limits = KnownLimits()
+        self._own_limits = KnownLimits(keeps_unknown_ends=True)
         self._reported_limits: set[str] = set()
 
     # From owners
--- a/src/briardyke/gateway/limited_upstreams.py
+++ b/src/briardyke/gateway/limited_upstreams.py
@@ -52,7 +52,7 @@
         self._request_slot = request_slot
         self._counters = counters
         self._known = KnownLimits()
-        self._observed = KnownLimits()
+        self._observed = KnownLimits(keeps_unknown_ends=True)
         self._next_slots: dict[str, _NextSlot] = {}
 
     # Statements
@@ -67,8 +67,9 @@
             row.upstream_id, row.incarnation, limit_per_s, now_ms() - sent_ms, 0.0
         )
         before = self.limit_per_s(row)
-        self._known.merge(statement)
-        self._observed.merge(statement)
+        if limit_per_s is not None or before is not None:
+            self._known.merge(statement)
+            self._observed.merge(statement)
         after = self.limit_per_s(row)
         if after != before:
             log_event(
--- a/src/briardyke/upstream_limits/statements.py
+++ b/src/briardyke/upstream_limits/statements.py
@@ -48,7 +48,13 @@
 class KnownLimits:
     """Newest limit of each upstream; a process that never stated one is not stored."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_unknown_ends: bool = False) -> None:
+        """Start empty.
+
+        :param keeps_unknown_ends: whether to store the end of a limit that is not held, because
+            others hold it.
+        """
+        self._keeps_unknown_ends = keeps_unknown_ends
         self._held: dict[str, _Held] = {}
         self.sequence = 0
 
@@ -66,7 +72,7 @@
         held = self._held.get(statement.upstream_id)
         if held is not None and held.incarnation < statement.incarnation:
             held = None
-        if held is None and statement.limit_per_s is None:
+        if held is None and statement.limit_per_s is None and not self._keeps_unknown_ends:
             return False
         new = _Held(
             statement.incarnation,
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -257,6 +257,18 @@
         (passed_on,) = network.sent[-1].limits
         assert passed_on.received_age_ms == pytest.approx(1000.0, abs=50.0)
 
+    async def test_end_of_a_limit_that_others_reported_is_passed_on(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        network = FakeNetwork()
+        control, other = network.start(0), network.start(1)
+        stated = LimitStatement("u", 1, 2.0, 100.0, 0.0)
+        control.rows.record_report(attrs.evolve(ENTRY, limits=[stated]))
+        await trio.sleep(1.0)
+        ended = attrs.evolve(stated, limit_per_s=None)
+        other.rows.record_report(attrs.evolve(ENTRY, instance_id="entry-2", limits=[ended]))
+        assert control.rows.limits.limit_per_s("u", 1) is None
+
     async def test_new_limit_reaches_the_other_instances_and_their_entries_at_once(self) -> None:
         network = FakeNetwork()
         control, other = network.start(0), network.start(1)
--- a/tests/gateway/test_limited_upstreams.py
+++ b/tests/gateway/test_limited_upstreams.py
@@ -188,6 +188,20 @@
         assert other.limit_per_s(ROW) == 1.0
         assert other.reported() == []
 
+    async def test_end_of_a_limit_is_reported_by_an_instance_that_was_never_told_of_it(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """Guards against a limit that each of hundreds of instances has to see ended."""
+        leader = Leader()
+        told, other, third = (LimitedUpstreams(leader.request_slot, Counters()) for _ in range(3))
+        told.record(ROW, 1.0, now_ms())
+        other.adopt(told.reported())
+        third.adopt(told.reported())
+        await trio.sleep(1.0)
+        other.record(ROW, None, now_ms())
+        third.adopt(other.reported())
+        assert third.limit_per_s(ROW) is None
+
     async def test_restarted_upstream_has_no_limit(self) -> None:
         told = instances(Leader(), 1)[0]
         assert told.limit_per_s(attrs.evolve(ROW, incarnation=2)) is None
