Call the leave to send a request to a limited upstream a permit

No behaviour changes. "Slot" already names a request that an upstream runs at the same time; the usual term of rate limiters is permit.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -16,17 +16,17 @@
     AdapterRequest,
     FleetReply,
     FleetRequest,
+    PermitReply,
+    PermitRequest,
     PlaceReply,
     PlaceRequest,
-    SlotReply,
-    SlotRequest,
     TrialReply,
     TrialRequest,
 )
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.view import FleetView
 from briardyke.logs import log_event, log_limited, log_warning
-from briardyke.upstream_limits.granter import SLOT_TIMEOUT_MS
+from briardyke.upstream_limits.granter import PERMIT_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
@@ -278,13 +278,13 @@
         reply = (await client.call(TrialRequest(part), _TRIAL_TIMEOUT_MS)).ok()
         return isinstance(reply, TrialReply) and reply.is_granted
 
-    async def request_slot(self, request: SlotRequest) -> SlotReply | None:
-        """Ask the leader for a slot at an upstream with a limit.
+    async def request_permit(self, request: PermitRequest) -> PermitReply | None:
+        """Ask the leader for a permit at an upstream with a limit.
 
         :return: ``None`` when the leader cannot be reached in time.
         """
         if self.view.leader is None:
             return None
         client = self._peers.client(self.view.leader)
-        reply = (await client.call(request, SLOT_TIMEOUT_MS)).ok()
-        return reply if isinstance(reply, SlotReply) else None
+        reply = (await client.call(request, PERMIT_TIMEOUT_MS)).ok()
+        return reply if isinstance(reply, PermitReply) else None
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -20,12 +20,12 @@
     AdapterRequest,
     FleetReply,
     FleetRequest,
+    PermitReply,
+    PermitRequest,
     PlaceReply,
     PlaceRequest,
     RowsRequest,
     RowsUpdate,
-    SlotReply,
-    SlotRequest,
     TrialReply,
     TrialRequest,
 )
@@ -97,7 +97,7 @@
         self.table_id = new_id("tbl")
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
         self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
-        self.grant_slot: Callable[[SlotRequest], Awaitable[SlotReply]] | None = None
+        self.grant_permit: Callable[[PermitRequest], Awaitable[PermitReply]] | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -238,8 +238,8 @@
             return await self.load_adapter(message)
         if isinstance(message, TrialRequest) and self.answer_trial is not None:
             return await self.answer_trial(message)
-        if isinstance(message, SlotRequest) and self.grant_slot is not None:
-            return await self.grant_slot(message)
+        if isinstance(message, PermitRequest) and self.grant_permit is not None:
+            return await self.grant_permit(message)
         return None
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -205,13 +205,13 @@
 
 @message
 @attrs.frozen
-class SlotRequest:
-    """Request to the leader for a slot at an upstream that has stated a limit.
+class PermitRequest:
+    """Request to the leader for a permit at an upstream that has stated a limit.
 
     :param upstream_id: the upstream.
     :param incarnation: start of its process, in Unix milliseconds.
     :param limit_per_s: its limit in requests per second, as far as the sender knows.
-    :param max_wait_ms: longest time that the request can wait for the slot.
+    :param max_wait_ms: longest time that the request can wait for the permit.
     """
 
     upstream_id: str
@@ -222,11 +222,11 @@
 
 @message
 @attrs.frozen
-class SlotReply:
-    """Reply to a :class:`SlotRequest`.
+class PermitReply:
+    """Reply to a :class:`PermitRequest`.
 
     :param is_granted: whether one request may be sent, after the wait.
-    :param wait_ms: time until the slot begins; without a grant, until the next one begins.
+    :param wait_ms: time until the permit is valid; without a grant, until the next one is.
     """
 
     is_granted: bool
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -86,7 +86,7 @@
             settings.retries,
             self.client.request_adapter,
             QuarantineGate(settings.instance_id, self._shared_verdicts, self.client.request_trial),
-            self.client.request_slot,
+            self.client.request_permit,
         )
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from briardyke.fleet.messages import AdapterReply, AdapterRequest, SlotReply, SlotRequest
+    from briardyke.fleet.messages import AdapterReply, AdapterRequest, PermitReply, PermitRequest
     from briardyke.gateway.dialect import Dialect
-    from briardyke.gateway.limited_upstreams import RequestSlot
+    from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
@@ -59,7 +59,7 @@
         retries: RetryBounds,
         request_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]],
         quarantine: QuarantineGate | None = None,
-        request_slot: RequestSlot | None = None,
+        request_permit: RequestPermit | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -69,8 +69,8 @@
         :param request_adapter: requests an adapter from the control instances.
         :param quarantine: stops requests that crash engines; by default from the crashes that this
             instance observes alone.
-        :param request_slot: asks the leader for a slot at an upstream with a limit; by default none
-            is granted.
+        :param request_permit: asks the leader for a permit for a request to an upstream with a
+            limit; by default none is granted.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -78,7 +78,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
-        self.limits = LimitedUpstreams(request_slot or _deny_slot, self.counters)
+        self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.changed = Notifier()
         self.admission = Admission()
@@ -150,7 +150,7 @@
         return spec.engine.models.get(name) if spec and spec.engine else None
 
 
-async def _deny_slot(request: SlotRequest) -> SlotReply | None:
+async def _deny_permit(request: PermitRequest) -> PermitReply | None:
     return None
 
 
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -59,7 +59,7 @@
             if candidates:
                 chosen = await self._choose(context, candidates)
                 if chosen is not None:
-                    if await self._take_slot(context, chosen):
+                    if await self._take_permit(context, chosen):
                         return chosen
                     continue
                 wait_ms = min(ADAPTER_RETRY_MS, state.admission.remaining_wait_ms(context, state))
@@ -98,13 +98,13 @@
             return chosen
         return await state.adapters.find_upstream(metadata, candidates, chosen)
 
-    async def _take_slot(self, context: RequestContext, upstream: UpstreamState) -> bool:
-        """Wait for a slot if the upstream has a limit; return whether the request may be sent."""
+    async def _take_permit(self, context: RequestContext, upstream: UpstreamState) -> bool:
+        """Wait for a permit if the upstream has a limit; return whether the request may be sent."""
         limits = self._state.limits
         if limits.limit_per_s(upstream.row) is None:
             # Without a task switch, so that requests released together see each other's choices.
             return True
-        wait_ms = await limits.take_slot(upstream.row, self._open(context))
+        wait_ms = await limits.take_permit(upstream.row, self._open(context))
         if wait_ms is None:
             return False
         await trio.sleep(wait_ms / 1000.0)
@@ -114,7 +114,8 @@
         """Return the time until an upstream accepts the request, ``None`` if none could run it."""
         limits = self._state.limits
         waits_ms = [
-            max(limits.next_slot_ms(s.row), s.statements.pause_left_ms) for s in self._able(context)
+            max(limits.next_permit_ms(s.row), s.statements.pause_left_ms)
+            for s in self._able(context)
         ]
         return min(waits_ms, default=None)
 
@@ -216,7 +217,7 @@
         """End an attempt without a response once another upstream may be tried.
 
         If every other candidate is as loaded, trying a second one adds to the overload and loses
-        the place in the first one's queue. One with a limit may have no slot for it. Without a
+        the place in the first one's queue. One with a limit may have no permit for it. Without a
         retry in the budget, the upstream that has the request is the only one that can still
         respond.
         """
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -21,7 +21,7 @@
 from briardyke.quarantine.runner import QuarantineRunner
 from briardyke.quarantine.store import VerdictStore
 from briardyke.supervision import keep_running
-from briardyke.upstream_limits.granter import SlotGranter
+from briardyke.upstream_limits.granter import PermitGranter
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
 
@@ -82,7 +82,7 @@
         control.load_adapter = models.place_adapter
         quarantine = QuarantineRunner(control, VerdictStore(settings.data_dir))
         control.answer_trial = quarantine.answer_trial
-        control.grant_slot = SlotGranter(control).grant
+        control.grant_permit = PermitGranter(control).grant
         nursery.start_soon(control.run)
         nursery.start_soon(keep_running, "placement", models.run)
         nursery.start_soon(keep_running, "quarantine", quarantine.run)
--- a/tests/gateway/test_limited_upstreams.py
+++ b/tests/gateway/test_limited_upstreams.py
@@ -1,4 +1,4 @@
-"""Tests for the slots of many entry instances at an upstream with a limit."""
+"""Tests for the permits of many entry instances at an upstream with a limit."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 from briardyke.fleet.records import READY, Upstream
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
-from briardyke.upstream_limits.granter import SlotGranter
+from briardyke.upstream_limits.granter import PermitGranter
 from briardyke.upstream_limits.statements import UNCONFIRMED_TTL_MS, KnownLimits
 
 if TYPE_CHECKING:
     from gateway_support import Gateway, ScriptedUpstream
 
-    from briardyke.fleet.messages import SlotReply, SlotRequest
+    from briardyke.fleet.messages import PermitReply, PermitRequest
 
 ROW = Upstream("u", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
 OTHER = Upstream("o", 1, 1, "app", "127.0.0.1:2", "dc", READY, 8)
@@ -41,11 +41,11 @@
     delay_s: float = 0.002
     limits: KnownLimits = attrs.field(factory=KnownLimits)
     asked: int = 0
-    granter: SlotGranter = attrs.field(init=False)
+    granter: PermitGranter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         control: Any = self
-        self.granter = SlotGranter(control)
+        self.granter = PermitGranter(control)
 
     @property
     def rows(self) -> Any:
@@ -54,7 +54,7 @@
     def leading_term(self) -> int | None:
         return self.term
 
-    async def request_slot(self, request: SlotRequest) -> SlotReply | None:
+    async def request_permit(self, request: PermitRequest) -> PermitReply | None:
         self.asked += 1
         await trio.sleep(self.delay_s)
         if not self.is_reachable:
@@ -89,7 +89,7 @@
         able: list[Any] = [State(ROW), *self.others]
         if all(c.row is not ROW for c in instance.admitted(able)):
             return
-        wait_ms = await instance.take_slot(ROW, able)
+        wait_ms = await instance.take_permit(ROW, able)
         if wait_ms is None:
             return
         await trio.sleep(wait_ms / 1000.0)
@@ -105,7 +105,7 @@
 
 def instances(leader: Leader, count: int) -> list[LimitedUpstreams]:
     """Return entry instances that have received a response with a limit of 1 a second."""
-    found = [LimitedUpstreams(leader.request_slot, Counters()) for _ in range(count)]
+    found = [LimitedUpstreams(leader.request_permit, Counters()) for _ in range(count)]
     for instance in found:
         instance.record(ROW, 1.0, now_ms())
     return found
@@ -145,7 +145,7 @@
 
 
 class TestLeaderChange:
-    """Covers slots while no leader can be asked, and after another one was elected."""
+    """Covers permits while no leader can be asked, and after another one was elected."""
 
     @pytest.mark.parametrize("seed", range(5))
     async def test_changing_leaders_grant_no_more_than_the_limit(
@@ -183,7 +183,7 @@
 
     async def test_statement_of_another_instance_binds_as_well(self) -> None:
         leader = Leader()
-        told, other = instances(leader, 1)[0], LimitedUpstreams(leader.request_slot, Counters())
+        told, other = instances(leader, 1)[0], LimitedUpstreams(leader.request_permit, Counters())
         other.adopt(told.reported())
         assert other.limit_per_s(ROW) == 1.0
         assert other.reported() == []
@@ -193,7 +193,7 @@
     ) -> None:
         """Guards against a limit that each of hundreds of instances has to see ended."""
         leader = Leader()
-        told, other, third = (LimitedUpstreams(leader.request_slot, Counters()) for _ in range(3))
+        told, other, third = (LimitedUpstreams(leader.request_permit, Counters()) for _ in range(3))
         told.record(ROW, 1.0, now_ms())
         other.adopt(told.reported())
         third.adopt(told.reported())
--- a/tests/upstream_limits/test_granter.py
+++ b/tests/upstream_limits/test_granter.py
@@ -1,4 +1,4 @@
-"""Tests for the grants of slots by the leader."""
+"""Tests for the grants of permits by the leader."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 import attrs
 import trio
 
-from briardyke.fleet.messages import SlotRequest
-from briardyke.upstream_limits.granter import MAX_SLOT_WAIT_MS, SLOT_TIMEOUT_MS, SlotGranter
+from briardyke.fleet.messages import PermitRequest
+from briardyke.upstream_limits.granter import MAX_PERMIT_WAIT_MS, PERMIT_TIMEOUT_MS, PermitGranter
 from briardyke.upstream_limits.statements import KnownLimits, LimitStatement
 
-REQUEST = SlotRequest("u", 1, 2.0, 0.0)
+REQUEST = PermitRequest("u", 1, 2.0, 0.0)
 
 
 @attrs.define
@@ -29,7 +29,7 @@
         return self.term
 
 
-async def granted_in(granter: SlotGranter, duration_s: float, request: SlotRequest) -> int:
+async def granted_in(granter: PermitGranter, duration_s: float, request: PermitRequest) -> int:
     """Ask a hundred times a second and return the number of grants."""
     count = 0
     for _ in range(int(duration_s * 100)):
@@ -43,16 +43,16 @@
 
     async def test_instance_that_does_not_lead_grants_nothing(self) -> None:
         control: Any = FakeControl(None)
-        assert not (await SlotGranter(control).grant(REQUEST)).is_granted
+        assert not (await PermitGranter(control).grant(REQUEST)).is_granted
 
     async def test_new_leader_waits_until_the_slots_of_the_former_one_are_used(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         control: Any = FakeControl()
-        granter = SlotGranter(control)
+        granter = PermitGranter(control)
         assert await granted_in(granter, 10.0, REQUEST) >= 18
         control.term = 2
-        lifetime_s = (MAX_SLOT_WAIT_MS + SLOT_TIMEOUT_MS) / 1000.0
+        lifetime_s = (MAX_PERMIT_WAIT_MS + PERMIT_TIMEOUT_MS) / 1000.0
         assert await granted_in(granter, lifetime_s, REQUEST) == 0
         assert await granted_in(granter, 10.0, REQUEST) >= 18
 
@@ -65,13 +65,13 @@
     ) -> None:
         control: Any = FakeControl()
         control.limits.merge(LimitStatement("u", 1, 1.0, 0.0, 0.0))
-        assert 9 <= await granted_in(SlotGranter(control), 11.0, REQUEST) <= 12
+        assert 9 <= await granted_in(PermitGranter(control), 11.0, REQUEST) <= 12
 
     async def test_new_process_of_an_upstream_has_a_schedule_of_its_own(
         self, autojump_clock: trio.testing.MockClock
     ) -> None:
         control: Any = FakeControl()
-        granter = SlotGranter(control)
+        granter = PermitGranter(control)
         await granted_in(granter, 5.0, REQUEST)
         restarted = attrs.evolve(REQUEST, incarnation=2, limit_per_s=20.0)
         assert await granted_in(granter, 5.0, restarted) >= 90
--- a/tests/upstream_limits/test_schedule.py
+++ b/tests/upstream_limits/test_schedule.py
@@ -5,11 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardyke.upstream_limits.schedule import SlotSchedule
+from briardyke.upstream_limits.schedule import PermitSchedule
 
 
 class TestBound:
-    """Covers the number of slots in any span of time."""
+    """Covers the number of permits in any span of time."""
 
     @given(
         st.floats(0.3, 40.0),
@@ -19,7 +19,7 @@
     def test_no_window_has_more_slots_than_the_limit_and_one_second_of_it(
         self, limit_per_s: float, pauses_ms: list[float], max_wait_ms: float
     ) -> None:
-        schedule = SlotSchedule.starting_at(0.0)
+        schedule = PermitSchedule.starting_at(0.0)
         at_ms, starts_ms = 0.0, []
         for pause_ms in pauses_ms:
             at_ms += pause_ms
@@ -32,21 +32,21 @@
             assert in_window <= limit_per_s * 5.0 + 1.0 + 1e-6
 
     def test_steady_demand_receives_the_whole_limit(self) -> None:
-        schedule = SlotSchedule.starting_at(0.0)
+        schedule = PermitSchedule.starting_at(0.0)
         taken = sum(schedule.take(2.0, at_ms, 0.0)[0] for at_ms in range(0, 10_000, 10))
         assert 18 <= taken <= 20
 
     def test_upstream_that_accepts_nothing_is_asked_now_and_then(self) -> None:
-        schedule = SlotSchedule.starting_at(0.0)
+        schedule = PermitSchedule.starting_at(0.0)
         taken = sum(schedule.take(0.0, at_ms, 0.0)[0] for at_ms in range(0, 60_000, 100))
         assert 5 <= taken <= 6
 
 
 class TestWait:
-    """Covers requests that can wait for their slot."""
+    """Covers requests that can wait for their permit."""
 
     def test_slot_is_taken_ahead_of_its_time(self) -> None:
-        schedule = SlotSchedule(0.0)
+        schedule = PermitSchedule(0.0)
         assert schedule.take(1.0, 0.0, 300.0) == (True, 0.0)
         assert schedule.take(1.0, 750.0, 300.0) == (True, 250.0)
         assert schedule.take(1.0, 760.0, 300.0) == (False, 1240.0)
