--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -11,14 +11,14 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
+from briardyke.consensus.disk_writer import DiskWriter
 from briardyke.consensus.interface import Applied, LogStatus, StateMachine
 from briardyke.consensus.log import EntryKind, Recovered, Snapshot
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.node import Node
 from briardyke.consensus.state import Effects, NodeSettings, Role
-from briardyke.consensus.storage import DiskFullError
 from briardyke.errors import ErrorKind, Failure
-from briardyke.logs import log_error, log_event, log_warning
+from briardyke.logs import log_error, log_event
 
 if TYPE_CHECKING:
     import random as random_module
@@ -32,8 +32,6 @@
 __all__ = ["Applied", "LogStatus", "ReplicatedLog", "StateMachine"]
 TICK_MS = 50.0
 SNAPSHOT_ENTRIES = 10_000
-# Pause between two attempts to write to a full disk.
-_DISK_FULL_PAUSE_MS = 100.0
 _MAX_BATCH_COMMANDS = 512
 _DEFAULT_SETTINGS = NodeSettings()
 Sender = Callable[["Address", "GroupMessage"], None]
@@ -105,7 +103,7 @@
         }
         self._node = Node(**self._node_arguments, now_ms=0.0)
         self._is_running = False
-        self._is_disk_full = False
+        self._disk = DiskWriter(group_id, lambda *call: self._run_blocking(*call))
         self._pending: deque[Effects] = deque()
         self._queued_proposals: deque[_Proposal] = deque()
         self._open_proposals: dict[int, _Proposal] = {}
@@ -181,7 +179,8 @@
 
     async def handle(self, message: GroupMessage) -> None:
         """Handle a message from another member; replies go through ``send``."""
-        if self._is_running and not self._is_disk_full:
+        # Kept while the disk is full, messages would fill the memory; the group bears their loss.
+        if self._is_running and not self._disk.is_full:
             self._enqueue(self._node.step(message, now_ms()))
         await trio.lowlevel.checkpoint()
 
@@ -251,7 +250,7 @@
         return False
 
     async def _submit(self, proposal: _Proposal, timeout_ms: float) -> Result[Applied, Failure]:
-        if self._is_disk_full:
+        if self._disk.is_full:
             return Err(Failure(ErrorKind.NO_MAJORITY, "the disk of this member is full"))
         self._queued_proposals.append(proposal)
         self._work_available.set()
@@ -271,7 +270,7 @@
 
     async def _tick(self) -> None:
         while True:
-            if not self._is_disk_full:
+            if not self._disk.is_full:
                 self._enqueue(self._node.tick(now_ms()))
             await trio.sleep(TICK_MS / 1000.0)
 
@@ -331,12 +330,12 @@
         snapshot = batch[0].snapshot if batch else None
         if hard_state is not None or entries:
             try:
-                await self._write(self._storage.save, hard_state, entries)
+                await self._disk.write(self._storage.save, hard_state, entries)
             except OSError as error:
                 log_error("storage_failed", group=self._node.state.group_id, reason=error)
                 raise
         if snapshot is not None:
-            await self._write(self._storage.install, snapshot, batch[0].snapshot_keeps_log)
+            await self._disk.write(self._storage.install, snapshot, batch[0].snapshot_keeps_log)
             self._restore(snapshot)
         for effects in batch:
             for outgoing in effects.messages:
@@ -353,29 +352,6 @@
             self._progressed = trio.Event()
             await trio.lowlevel.checkpoint()
 
-    async def _write(self, function: Callable[..., Any], *arguments: Any) -> None:
-        """Write until the disk has room; meanwhile this member takes no part in the group.
-
-        Messages that arrive are lost, as on the network: kept for as long as the disk is full, they
-        would fill the memory instead.
-        """
-        while not await self._try_to_write(function, *arguments):
-            if not self._is_disk_full:
-                log_warning("disk_full", group=self._node.state.group_id)
-                self._is_disk_full = True
-            await trio.sleep(_DISK_FULL_PAUSE_MS / 1000.0)
-        if self._is_disk_full:
-            log_event("disk_has_room", group=self._node.state.group_id)
-            self._is_disk_full = False
-
-    async def _try_to_write(self, function: Callable[..., Any], *arguments: Any) -> bool:
-        """Write; return whether there was room."""
-        try:
-            await self._run_blocking(function, *arguments)
-        except DiskFullError:
-            return False
-        return True
-
     def _apply(self, entry: Entry) -> None:
         result = b""
         if entry.kind is EntryKind.COMMAND:
@@ -415,7 +391,7 @@
 
     async def _write_snapshots(self) -> None:
         async for snapshot in self._snapshot_queue:
-            if not await self._try_to_write(self._storage.save_snapshot, snapshot):
+            if not await self._disk.try_to_write(self._storage.save_snapshot, snapshot):
                 self._snapshot_index = 0  # the next entry asks for a snapshot again
                 continue
             self._written_snapshot = snapshot
