--- a/src/briardyke/emulator/fleet.py
+++ b/src/briardyke/emulator/fleet.py
@@ -13,6 +13,7 @@
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.state import GatewayState, RetryBounds
 from briardyke.sync.notifier import Notifier
+from briardyke.upstream_limits.statements import KnownLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,6 +42,7 @@
     def __init__(self) -> None:
         """Start without rows."""
         self.activity = ActivityAggregator("control")
+        self.limits = KnownLimits()
         self.placement_inputs_changed = Notifier()
         self.upstreams: dict[str, Upstream] = {}
         self.changes: dict[str, ModelChanges] = {}
