Log when committed changes wait at a control instance

A control instance that hears of a committed change and holds it back looked like a current one in every log. Control instances now log when a change that they know to be committed has not been applied for 0.25 s (commits_delayed), entry instances which control instance a configuration came from and how long a silent one was waited for. No decision changes.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
+from briardyke.consensus.commit_lag import CommitLag
 from briardyke.consensus.disk_writer import DiskWriter
 from briardyke.consensus.interface import Applied, LogStatus, StateMachine
 from briardyke.consensus.log import EntryKind, Recovered, Snapshot
@@ -110,6 +111,7 @@
         self._work_available = trio.Event()
         self._progressed = trio.Event()
         self._applied_index = self._applied_term = 0
+        self._lag = CommitLag()
         self._snapshot_index = 0
         self._written_snapshot: Snapshot | None = None
         self._snapshot_requests, self._snapshot_queue = trio.open_memory_channel[Snapshot](1)
@@ -195,6 +197,7 @@
             state.leader_id,
             state.leader_address,
             state.commit_index,
+            state.known_commit_index,
             self._applied_index,
             state.membership.members,
             ready,
@@ -220,6 +223,13 @@
             return state.commit_confirmed and now_ms() - state.confirmed_at_ms < window_ms
         return state.leader_address is not None and now_ms() - state.leader_contact_ms < window_ms
 
+    def commit_lag_ms(self) -> float:
+        """Return for how long this member has known of a committed entry that it has not applied.
+
+        :return: milliseconds; infinite while the disk is full, since no message is heard then.
+        """
+        return float("inf") if self._disk.is_full else self._lag.age_ms(now_ms())
+
     def is_former_leader_silent(self) -> bool:
         """Return whether the leader of the term before has answered nothing in this one."""
         return self._node.state.is_former_leader_silent
@@ -275,6 +285,7 @@
             await trio.sleep(TICK_MS / 1000.0)
 
     def _enqueue(self, effects: Effects) -> None:
+        self._lag.record_known(self._node.state.known_commit_index, now_ms())
         self._pending.append(effects)
         self._work_available.set()
 
@@ -357,6 +368,7 @@
         if entry.kind is EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
         self._applied_index, self._applied_term = entry.index, entry.term
+        self._lag.record_applied(entry.index)
         proposal = self._open_proposals.pop(entry.index, None)
         if proposal is None:
             return
@@ -375,6 +387,7 @@
     def _restore(self, snapshot: Snapshot) -> None:
         self._machine.restore(snapshot.data)
         self._applied_index, self._applied_term = snapshot.index, snapshot.term
+        self._lag.record_applied(snapshot.index)
         self._snapshot_index = snapshot.index
 
     def _request_snapshot(self) -> None:
--- a/src/briardyke/consensus/interface.py
+++ b/src/briardyke/consensus/interface.py
@@ -48,6 +48,7 @@
     :param leader_id: member id of the known leader, or empty.
     :param leader_address: peer address of the known leader.
     :param commit_index: last committed entry known here.
+    :param known_commit_index: newest entry known to be committed, held here or not.
     :param applied_index: last applied entry.
     :param members: members, voters and learners.
     :param ready: whether this member has applied everything that the leader had committed at the
@@ -60,6 +61,7 @@
     leader_id: str
     leader_address: Address | None
     commit_index: int
+    known_commit_index: int
     applied_index: int
     members: tuple[Member, ...]
     ready: bool
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -177,7 +177,7 @@
     if message.term < state.term:
         _reply_append(state, message, False, 0)  # the higher term makes the old leader step down
         return
-    state.follow(message)
+    state.follow(message, message.commit_index)
     if message.commit_confirmed and state.ready_index is None:
         state.ready_index = message.commit_index
     previous, log = message.previous_index, state.log
@@ -232,7 +232,7 @@
     if message.term < state.term:
         _reply_append(state, message, False, 0)
         return
-    state.follow(message)
+    state.follow(message, message.index)
     if message.index <= state.commit_index:
         state.incoming_snapshot_key = None
         state.incoming_snapshot_data.clear()
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -180,6 +180,8 @@
     next_join_ms: float = 0.0
     join_refused: bool = False
     ready_index: int | None = None
+    # Newest entry that a leader has called committed; this member may not hold it.
+    heard_commit_index: int = 0
     incoming_snapshot_key: tuple[int, int, str] | None = None
     incoming_snapshot_data: bytearray = attrs.field(factory=bytearray)
     effects: Effects = attrs.field(factory=Effects)
@@ -199,6 +201,11 @@
         """Return whether this member votes under the membership in force."""
         return self.membership.is_voter(self.own_id)
 
+    @property
+    def known_commit_index(self) -> int:
+        """Return the newest entry known to be committed, whether this member holds it or not."""
+        return max(self.commit_index, self.heard_commit_index)
+
     @property
     def commit_confirmed(self) -> bool:
         """Return whether this leader has committed an entry of its own term."""
@@ -266,8 +273,12 @@
         self.transfer_target = ""
         self.reset_election_deadline()
 
-    def follow(self, message: GroupMessage) -> None:
-        """Accept the sender of an append or snapshot of the current or a later term as leader."""
+    def follow(self, message: GroupMessage, commit_index: int) -> None:
+        """Accept the sender of an append or snapshot of the current or a later term as leader.
+
+        :param commit_index: newest entry that the message shows to be committed.
+        """
+        self.heard_commit_index = max(self.heard_commit_index, commit_index)
         if message.term > self.term or self.role is not Role.FOLLOWER:
             self.become_follower(message.term)
         self.leader_id, self.leader_address = message.sender_id, message.sender_address
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -148,12 +148,13 @@
         is_first = True
         since_ms = now_ms()
         while True:
+            asked_ms = now_ms()
             reply = await self._ask(address, 0.0 if is_first else self._wait_ms())
             if reply is None:
-                if not is_first:
-                    log_warning("control_lost", control=address)
+                waited_ms = round(now_ms() - asked_ms)
+                log_warning("control_lost", control=address, waited_ms=waited_ms)
                 return False
-            self._apply(reply)
+            self._apply(reply, address)
             if self._is_usable_without_leader(reply):
                 self.view.confirmed_ms = now_ms()
                 await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
@@ -228,9 +229,15 @@
                 nursery.start_soon(call)
         return reply if isinstance(reply, FleetReply) else None
 
-    def _apply(self, reply: FleetReply) -> None:
+    def _apply(self, reply: FleetReply, control: Address) -> None:
         view = self.view
         if reply.configuration is not None and reply.version > view.version:
+            log_event(
+                "configuration_received",
+                control=control,
+                version=reply.version,
+                held=view.version,
+            )
             self._apply_configuration(reply.version, reply.configuration)
         view.apply_members(reply)
         if not reply.is_current and not self._is_usable_without_leader(reply):
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -46,6 +46,10 @@
 # A follower without contact to the leader for this long no longer replies as current. This is the
 # shortest election timeout; after it, a new leader may have committed changes.
 CONTACT_WINDOW_MS = 1000.0
+# Time for which an instance may know of a committed change and not have applied it. It is far above
+# a sync of the disk and leaves entry instances most of the two seconds in which a change must be in
+# force.
+MAX_COMMIT_LAG_MS = 250.0
 # Time without a row after which an upstream is marked silent: four missed heartbeats at 1.2 s;
 # heartbeats may arrive a few seconds late.
 UPSTREAM_SILENT_AFTER_MS = 5000.0
@@ -102,6 +106,7 @@
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
         self._current_since_ms = float("inf")
+        self._is_behind = False
         self._suspended_ms = suspended_ms()
         self._started_ms = now_ms()
 
@@ -362,11 +367,29 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(BATCH_INTERVAL_MS / 1000.0)
+                self._check_lag()
                 if self._check_contact():
                     # Rows that others sent before the connections were open again were lost.
                     nursery.start_soon(self.rows.fetch_all)
                 self.rows.broadcast_batch()
 
+    def _check_lag(self) -> None:
+        """Log when committed changes begin to wait here, and when they no longer do."""
+        lag_ms = self.log.commit_lag_ms()
+        is_behind = lag_ms >= MAX_COMMIT_LAG_MS
+        if is_behind == self._is_behind:
+            return
+        self._is_behind = is_behind
+        status = self.log.status()
+        log_event(
+            "commits_delayed",
+            is_behind=is_behind,
+            lag_ms=lag_ms,
+            version=self.machine.version,
+            applied=status.applied_index,
+            known=status.known_commit_index,
+        )
+
     def _check_contact(self) -> bool:
         """Log gained and lost contact, mark silent rows; return whether contact was regained."""
         was_current = self._current_since_ms < float("inf")
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -41,9 +41,12 @@
     def has_leader_contact(self, window_ms: float) -> bool:
         return self.has_contact
 
+    def commit_lag_ms(self) -> float:
+        return 0.0
+
     def status(self) -> LogStatus:
         members = [Member(f"m{n}", a, True) for n, a in enumerate(ADDRESSES)]
-        return LogStatus("m0", Role.FOLLOWER, 3, "m1", ADDRESSES[1], 1, 1, members, True)
+        return LogStatus("m0", Role.FOLLOWER, 3, "m1", ADDRESSES[1], 1, 1, 1, members, True)
 
 
 @attrs.define
