--- /dev/null
+++ b/tests/fleet/test_configuration_in_force.py
@@ -0,0 +1,44 @@
+"""Tests that a committed configuration is in force at entry instances in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import trio
+from control_group import ADDRESSES, ControlGroup
+
+from briardyke.clock import now_ms
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+# Time in which a confirmed change must be in force at every entry instance.
+BOUND_MS = 2000.0
+
+
+class TestControlInstanceThatIsBehind:
+    """Covers a control instance that hears its leader and does not hold what was committed."""
+
+    @pytest.mark.parametrize("fault", ["has_stalled_disk", "has_full_disk", "loses_entries"])
+    @pytest.mark.parametrize("is_busy", [False, True])
+    async def test_change_committed_elsewhere_is_in_force_in_time(
+        self, autojump_clock: Any, tmp_path: Path, nursery: trio.Nursery, fault: str, is_busy: bool
+    ) -> None:
+        group = ControlGroup(tmp_path, nursery)
+        leader = await group.start()
+        entries = {name: group.add_entry(name, is_busy) for name in ADDRESSES}
+        (await group.controls[leader].propose_configuration(1, b"{}")).unwrap()
+        await trio.sleep(5)
+        assert all(entry.client.view.version == 1 for entry in entries.values())
+        follower = next(name for name in ADDRESSES if name != leader)
+        setattr(group.faults[follower], fault, True)
+        for version in range(2, 10):
+            await trio.sleep(0.47)
+            (await group.controls[leader].propose_configuration(version, b"{}")).unwrap()
+            acknowledged_ms = now_ms()
+            with trio.move_on_after(BOUND_MS / 1000.0):
+                while any(version not in entry.in_force_ms for entry in entries.values()):
+                    await trio.sleep(0.01)
+            late = [name for name, entry in entries.items() if version not in entry.in_force_ms]
+            assert not late, f"version {version} is not in force {now_ms() - acknowledged_ms} ms on"
