Leave a silent control instance while a change can still be in time

Callers saw: a change not in force 2 s after its acknowledgement (CONFIG), when several disturbances met. Cause: an idle entry instance pauses 0.5 s, waits 0.7 s for a change and waited 0.8 s more for a reply, so one silent control instance took all of the 2 s, and each further one 0.8 s more, asked one after another. Change: while idle a reply may be 0.3 s late. To find another control instance, the next one is asked beside a silent one after 0.15 s; the delay doubles, so that slow control instances are not asked for whole tables by everyone at once. The one just left is asked last.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -44,7 +44,14 @@
 # While idle, the pause leaves most of the two seconds in which a configuration change must be in
 # force.
 IDLE_POLL_PAUSE_MS = 500.0
-_CALL_MARGIN_MS = 800.0
+# Time beyond the long poll after which a control instance counts as silent. While idle, pause, long
+# poll and margin leave a quarter of the two seconds for finding another one.
+_BUSY_CALL_MARGIN_MS = 800.0
+_IDLE_CALL_MARGIN_MS = 300.0
+_FIRST_CALL_TIMEOUT_MS = 800.0
+# Time without a reply after which the next control instance is asked as well. It doubles with each,
+# so that slow control instances are not asked for whole tables by all entry instances at once.
+_NEXT_CALL_DELAY_MS = 150.0
 _RETRY_PAUSE_MS = 150.0
 # Pause before trying the next control instance when one has no contact with a leader.
 _NEXT_CONTROL_PAUSE_MS = 50.0
@@ -104,15 +111,19 @@
         self._wake = trio.Event()
         self._was_current = False
         self._locations: dict[Address, str] = {}
+        self._left: Address | None = None
 
     async def run(self) -> None:
         """Poll a control instance while it is current, else try the next."""
         while True:
             await self._fetch_locations()
-            for address in self._candidates():
-                if await self._follow(address):
-                    break
-            await trio.sleep(_RETRY_PAUSE_MS / 1000.0)
+            found = await self._find_control()
+            if found is None:
+                self._left = None
+                await trio.sleep(_RETRY_PAUSE_MS / 1000.0)
+                continue
+            self._left, reply = found
+            await self._follow(self._left, reply)
 
     def report_now(self) -> None:
         """Report the changed own row without waiting for the current poll to end."""
@@ -138,41 +149,67 @@
         """Return the control instances, those of the own data centre first.
 
         The leader comes last within its group: it has the highest load, but is never out of date.
+        The one that was just left comes last of all.
         """
         listed = list({*self._seeds(), *self.view.controls})
         random.shuffle(listed)
-        return sorted(listed, key=lambda a: (not self._is_local(a), a == self.view.leader))
+        return sorted(
+            listed, key=lambda a: (a == self._left, not self._is_local(a), a == self.view.leader)
+        )
+
+    async def _find_control(self) -> tuple[Address, FleetReply] | None:
+        """Return a control instance that can be followed, with its reply.
 
-    async def _follow(self, address: Address) -> bool:
-        """Poll a control instance; return whether it was left for a local one, not on failure."""
+        A silent one delays the search only until the next one is asked beside it.
+        """
+        found: tuple[Address, FleetReply] | None = None
+
+        async def ask(address: Address, answered: trio.Event) -> None:
+            nonlocal found
+            reply = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
+            if reply is not None and found is None:
+                if reply.is_current or self._is_usable_without_leader(reply):
+                    found = address, reply
+                    nursery.cancel_scope.cancel()
+                    return
+                self._apply(reply, address)
+                await self._pause_after_refusal(address, reply)
+            answered.set()
+
+        async with trio.open_nursery() as nursery:
+            delay_ms = _NEXT_CALL_DELAY_MS
+            for address in self._candidates():
+                answered = trio.Event()
+                nursery.start_soon(ask, address, answered)
+                with trio.move_on_after(delay_ms / 1000.0) as scope:
+                    await answered.wait()
+                if scope.cancelled_caught:
+                    delay_ms *= 2.0
+        return found
+
+    async def _pause_after_refusal(self, address: Address, reply: FleetReply) -> None:
+        log_limited("control_not_current", is_routine=True, control=address, version=reply.version)
+        is_busy = self._callbacks.is_busy()
+        pause_ms = _NEXT_CONTROL_PAUSE_MS if is_busy else _IDLE_NEXT_CONTROL_PAUSE_MS
+        await trio.sleep(pause_ms / 1000.0)
+
+    async def _follow(self, address: Address, first_reply: FleetReply) -> None:
+        """Poll a control instance until it fails or is left for a local one."""
+        reply: FleetReply | None = first_reply
         is_first = True
         since_ms = now_ms()
         while True:
-            asked_ms = now_ms()
-            reply = await self._ask(address, 0.0 if is_first else self._wait_ms())
             if reply is None:
-                waited_ms = round(now_ms() - asked_ms)
-                log_warning("control_lost", control=address, waited_ms=waited_ms)
-                return False
+                return
             self._apply(reply, address)
             if self._is_usable_without_leader(reply):
                 self.view.confirmed_ms = now_ms()
                 await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
+                reply = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
                 continue
             if not reply.is_current:
-                log_limited(
-                    "control_not_current",
-                    is_routine=True,
-                    control=address,
-                    version=reply.version,
-                )
-                pause_ms = (
-                    _NEXT_CONTROL_PAUSE_MS
-                    if self._callbacks.is_busy()
-                    else _IDLE_NEXT_CONTROL_PAUSE_MS
-                )
-                await trio.sleep(pause_ms / 1000.0)
-                return False
+                await self._pause_after_refusal(address, reply)
+                return
             if is_first:
                 log_event("control_followed", control=address, version=reply.version)
             is_first = False
@@ -182,13 +219,19 @@
                 await self._fetch_locations()
                 if any(self._is_local(a) for a in self.view.controls):
                     log_event("nearer_control_tried", control=address)
-                    return True
+                    return
             pause_ms = BUSY_POLL_PAUSE_MS if self._callbacks.is_busy() else IDLE_POLL_PAUSE_MS
             with trio.move_on_after(pause_ms / 1000.0):
                 await self._wake.wait()
+            reply = await self._poll(address)
 
-    def _wait_ms(self) -> float:
-        return BUSY_LONG_POLL_MS if self._callbacks.is_busy() else IDLE_LONG_POLL_MS
+    async def _poll(self, address: Address) -> FleetReply | None:
+        """Ask the followed control instance, which may wait for a change."""
+        if self._callbacks.is_busy():
+            wait_ms, margin_ms = BUSY_LONG_POLL_MS, _BUSY_CALL_MARGIN_MS
+        else:
+            wait_ms, margin_ms = IDLE_LONG_POLL_MS, _IDLE_CALL_MARGIN_MS
+        return await self._ask(address, wait_ms, wait_ms + margin_ms)
 
     def _is_usable_without_leader(self, reply: FleetReply) -> bool:
         """Return whether a reply from a control instance without a leader can be used.
@@ -198,7 +241,7 @@
         """
         return reply.is_starting and not reply.is_current and not self._was_current
 
-    async def _ask(self, address: Address, wait_ms: float) -> FleetReply | None:
+    async def _ask(self, address: Address, wait_ms: float, timeout_ms: float) -> FleetReply | None:
         self._wake = trio.Event()
         request = FleetRequest(
             self._callbacks.build_report(),
@@ -213,11 +256,11 @@
             self._held_limits,
         )
         reply = None
+        asked_ms = now_ms()
         async with trio.open_nursery() as nursery:
 
             async def call() -> None:
                 nonlocal reply
-                timeout_ms = wait_ms + _CALL_MARGIN_MS
                 result = await self._peers.client(address).call(request, timeout_ms)
                 reply = result.ok()
                 nursery.cancel_scope.cancel()
@@ -227,7 +270,11 @@
                 await self._wake.wait()
                 request = attrs.evolve(request, entry=self._callbacks.build_report(), wait_ms=0.0)
                 nursery.start_soon(call)
-        return reply if isinstance(reply, FleetReply) else None
+        if isinstance(reply, FleetReply):
+            return reply
+        waited_ms = round(now_ms() - asked_ms)
+        log_limited("control_lost", is_routine=False, control=address, waited_ms=waited_ms)
+        return None
 
     def _apply(self, reply: FleetReply, control: Address) -> None:
         view = self.view
--- a/tests/fleet/test_configuration_in_force.py
+++ b/tests/fleet/test_configuration_in_force.py
@@ -39,3 +39,24 @@
                     await entry.wait_in_force(version)
             late = [name for name, entry in entries.items() if version not in entry.in_force_ms]
             assert not late, f"version {version} is not in force in time"
+
+
+class TestSilentControlInstance:
+    """Covers control instances that take calls of entry instances and do not reply."""
+
+    @pytest.mark.parametrize("silent", [1, 2])
+    @pytest.mark.parametrize("phase_ms", range(0, 1200, 200))
+    async def test_change_is_in_force_in_time_beside_silent_control_instances(
+        self, autojump_clock: Any, tmp_path: Path, nursery: trio.Nursery, silent: int, phase_ms: int
+    ) -> None:
+        group = ControlGroup(tmp_path, nursery)
+        leader = await group.start()
+        followers = [name for name in ADDRESSES if name != leader]
+        entry = group.add_entry(followers[0])
+        (await group.controls[leader].propose_configuration(1, b"{}")).unwrap()
+        await trio.sleep(5 + phase_ms / 1000.0)
+        for name in followers[:silent]:
+            group.faults[name].is_silent = True
+        (await group.controls[leader].propose_configuration(2, b"{}")).unwrap()
+        with trio.fail_after(BOUND_MS / 1000.0):
+            await entry.wait_in_force(2)
