Refuse configurations that cannot be read in one way or put in force

Callers saw (users' report, CONFIG): an invalid configuration was taken. Found by reading the check; which one they met is not known. Accepted were: names twice in an object (readers keep different values), UTF-16, two services or models of one name, fractions as priority, text and 10^300 as slots, negative times and sizes, text for true or false ("false" counted as true), and limits of 0 or below, which put in force would refuse every request or close every connection at once. Change: numbers are checked by type and range, names for uniqueness, text for UTF-8. The operator API's check for duplicate names is the shared one now.

--- a/src/briardyke/control/operator_api.py
+++ b/src/briardyke/control/operator_api.py
@@ -17,6 +17,7 @@
 from briardyke.errors import ErrorKind, Failure, Ran
 from briardyke.http.app import error_body, error_response, json_response
 from briardyke.logs import log_event
+from briardyke.strict_json import reject_duplicate_names
 from briardyke.sync.lease import VERSION_LEASE_MS
 from briardyke.wire.codec import decode, encode, unstructure
 
@@ -271,7 +272,7 @@
     """Parse a JSON object and reject duplicate names, of which json keeps only the last."""
     try:
         value = json.loads(
-            body, object_pairs_hook=_reject_duplicate_names, parse_constant=_reject_constant
+            body, object_pairs_hook=reject_duplicate_names, parse_constant=_reject_constant
         )
     except (ValueError, RecursionError) as error:
         text = f"body is not valid JSON: {error}"
@@ -284,15 +285,6 @@
     return Ok(value)
 
 
-def _reject_duplicate_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    value = dict(pairs)
-    if len(value) != len(pairs):
-        names = [name for name, _ in pairs]
-        duplicate = next(name for name in names if names.count(name) > 1)
-        raise ValueError(f"duplicate name {duplicate!r} in an object")
-    return value
-
-
 def _reject_constant(text: str) -> Any:
     raise ValueError(f"{text} is not a JSON number")
 
--- a/src/briardyke/platform/configuration.py
+++ b/src/briardyke/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -23,6 +23,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+# The largest whole number that every writer of JSON represents exactly.
+_MAX_WHOLE = 2**53
+R = TypeVar("R", ServiceSpec, ModelSpec)
+
 
 def decode_configuration(body: bytes) -> Result[ServingConfiguration, Failure]:
     """Read and check a document.
@@ -43,19 +47,16 @@
 
 
 def _configuration(value: dict[str, Any]) -> ServingConfiguration:
-    version = value["version"]
-    if type(version) is not int or version < 0:
-        raise ValueError("version must be a whole number")
     limits = value.get("limits") or {}
-    services = [_service(row) for row in value["services"]]
     defaults = CallerLimits()
+    services = [_service(row) for row in value["services"]]
     return ServingConfiguration(
-        version,
+        _whole(value["version"]),
         tuple(_route(row) for row in value["routes"]),
-        {service.name: service for service in services},
+        _by_name(services, "two services are named {}"),
         CallerLimits(
-            int(limits.get("max_header_bytes", defaults.max_header_bytes)),
-            int(limits.get("max_body_bytes", defaults.max_body_bytes)),
+            _whole(limits.get("max_header_bytes", defaults.max_header_bytes)),
+            _whole(limits.get("max_body_bytes", defaults.max_body_bytes)),
             _number(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
             _number(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
         ),
@@ -70,10 +71,10 @@
         kind=RequestKind(row["kind"]),
         timeout_ms=_number(row["timeout_ms"]),
         latency_objective_ms=_number(row.get("target_latency_ms", row["timeout_ms"])),
-        priority=int(row.get("priority", 5)),
+        priority=_whole(row.get("priority", 5)),
         targets=tuple(_targets(row)),
-        max_attempts=max(1, int(row.get("max_attempts", 1))),
-        is_resumable=bool(row.get("resumable", False)),
+        max_attempts=max(1, _whole(row.get("max_attempts", 1))),
+        is_resumable=_flag(row.get("resumable", False)),
         event_gap_objective_ms=_number(row.get("gap_target_ms", 0)),
     )
 
@@ -91,20 +92,20 @@
     engine = row.get("engine")
     return ServiceSpec(
         _text(row["name"]),
-        int(row.get("max_conns", 0)),
-        _engine(engine) if engine else None,
+        _whole(row.get("max_conns", 0)),
+        _engine(row["name"], engine) if engine else None,
     )
 
 
-def _engine(row: dict[str, Any]) -> EngineSpec:
+def _engine(service: str, row: dict[str, Any]) -> EngineSpec:
     models = [_model(model) for model in row.get("models", ())]
     return EngineSpec(
-        slots=int(row["slots"]),
+        slots=_whole(row["slots"], minimum=1),
         weights_mb=_number(row.get("weights_mb", 0)),
-        adapter_slots=int(row.get("adapter_slots", 0)),
+        adapter_slots=_whole(row.get("adapter_slots", 0)),
         store_loads_per_s=_number(row.get("loads_per_s", 0)),
-        cache_tokens=int(row.get("kv_capacity", 0)),
-        models={model.name: model for model in models},
+        cache_tokens=_whole(row.get("kv_capacity", 0)),
+        models=_by_name(models, f"two models of service {service} are named {{}}"),
     )
 
 
@@ -116,11 +117,19 @@
         load_s=load_s,
         disk_load_s=_number(row.get("disk_s", load_s)),
         memory_load_s=_number(row.get("warm_s", load_s)),
-        adapters=int(row.get("adapters", 0)),
+        adapters=_whole(row.get("adapters", 0)),
         adapter_mb=_number(row.get("adapter_mb", 0)),
     )
 
 
+def _by_name(rows: list[R], reason: str) -> dict[str, R]:
+    named: dict[str, R] = {}
+    for row in rows:
+        if named.setdefault(row.name, row) is not row:
+            raise ValueError(reason.format(row.name))
+    return named
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"expected text, got {value!r}")
@@ -128,6 +137,19 @@
 
 
 def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f"expected a number, got {value!r}")
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError(f"expected a number from 0, got {value!r}")
     return float(value)
+
+
+def _whole(value: Any, minimum: int = 0) -> int:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or value != int(value) or not minimum <= value <= _MAX_WHOLE:
+        raise ValueError(f"expected a whole number from {minimum}, got {value!r}")
+    return int(value)
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"expected true or false, got {value!r}")
+    return value
--- a/src/briardyke/routes/validation.py
+++ b/src/briardyke/routes/validation.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 if TYPE_CHECKING:
     from briardyke.routes.configuration import Route, ServingConfiguration
 
@@ -20,6 +22,9 @@
                 f"routes {names_by_prefix[prefix]} and {route.name} share host and prefix"
             )
         names_by_prefix[prefix] = route.name
+    for name, value in attrs.asdict(configuration.limits).items():
+        if value <= 0:
+            errors.append(f"limit {name} must be above 0")
     return errors
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -75,6 +75,8 @@
     },
 }
 
+MODEL: dict[str, Any] = DOCUMENT["services"][0]["engine"]["models"][0]
+
 
 def changed(path: list[Any], value: Any) -> bytes:
     """Return the document with one field replaced."""
@@ -121,6 +123,25 @@
             (changed(["routes", 0, "timeout_ms"], 0), "no timeout"),
             (changed(["routes", 0, "kind"], "sometimes"), "cannot read"),
             (changed(["services", 0], {"health_path": "/"}), "cannot read"),
+            (json.dumps(DOCUMENT).encode("utf-16"), "cannot read"),
+            (json.dumps(DOCUMENT).encode()[:-1] + b', "version": 8}', "duplicate name"),
+            (changed(["routes", 0, "priority"], 1.5), "whole number"),
+            (changed(["routes", 0, "max_attempts"], "2"), "whole number"),
+            (changed(["routes", 0, "target_latency_ms"], -1), "a number from 0"),
+            (changed(["routes", 0, "resumable"], "false"), "true or false"),
+            (changed(["services", 0, "max_conns"], -1), "whole number"),
+            (changed(["services", 0, "engine", "slots"], "64"), "whole number"),
+            (changed(["services", 0, "engine", "slots"], 1e300), "whole number"),
+            (changed(["services", 0, "engine", "slots"], 0), "whole number"),
+            (changed(["services", 0, "engine", "models", 0, "load_s"], -1), "a number from 0"),
+            (changed(["services", 1, "name"], "pool"), "two services are named pool"),
+            (
+                changed(["services", 0, "engine", "models"], [{**MODEL}, {**MODEL}]),
+                "two models of service pool are named m",
+            ),
+            (changed(["limits", "idle_timeout_ms"], -1), "a number from 0"),
+            (changed(["limits", "idle_timeout_ms"], 0), "limit idle_timeout_ms"),
+            (changed(["limits", "max_body_bytes"], 0), "limit max_body_bytes"),
         ],
     )
     def test_invalid_document_is_refused_with_its_reason(self, body: bytes, reason: str) -> None:
--- a/tests/test_strict_json.py
+++ b/tests/test_strict_json.py
@@ -21,6 +21,8 @@
     "infinity": b"-Infinity",
     "lone surrogate": rb'{"a": "\ud800"}',
     "not UTF-8": b'"\xff"',
+    "UTF-16": '{"a": 1}'.encode("utf-16"),
+    "name that comes twice": b'{"a": 1, "b": {"c": 1, "c": 2}}',
     "cut off": b'{"a": 1',
     "empty": b"",
 }
