Put a first configuration with version 0 in force

Callers saw: nothing served after a configuration with number 0, though it was acknowledged. Cause: 0 stood for "no configuration" in entry and control instances, so no entry instance took it. Evidence: test_it_is_in_force_whatever_its_number[0] failed before and passes; 1 and 7 passed before too.

--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -304,7 +304,7 @@
                 for row, is_silent in self.tables.entries.changed_after(0)
                 if not is_silent and row.is_ready
             ]
-        is_newer = self.machine.version > request.held_version or request.held_version == 0
+        is_newer = self.machine.version > request.held_version
         leader = self.log.status().leader_address
         return FleetReply(
             is_current=self._can_inform_entries,
--- a/src/briardyke/fleet/machine.py
+++ b/src/briardyke/fleet/machine.py
@@ -5,6 +5,7 @@
 import msgpack
 
 from briardyke.logs import log_event
+from briardyke.routes.configuration import NO_VERSION
 
 
 class ConfigurationMachine:
@@ -14,7 +15,7 @@
     """
 
     def __init__(self) -> None:
-        self.version = 0
+        self.version = NO_VERSION
         self.document: bytes | None = None
 
     @staticmethod
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -107,7 +107,7 @@
     """Report of an entry instance's state and request for all newer data than it holds.
 
     :param entry: the sender's own row.
-    :param held_version: configuration version that it holds, 0 for none.
+    :param held_version: configuration version that it holds, -1 for none.
     :param table_id: identity of the replying control process in the last reply, or empty.
     :param held_upstreams: sequence of the upstream table that it holds.
     :param held_entries: sequence of the entry table that it holds.
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -11,6 +11,7 @@
 from briardyke.fleet.records import DRAINING, GONE, EntryInstance, ModelChanges, Upstream
 from briardyke.logs import log_limited
 from briardyke.quarantine.records import PartState, PartVerdict
+from briardyke.routes.configuration import NO_VERSION
 
 if TYPE_CHECKING:
     from briardyke.fleet.messages import FleetReply
@@ -27,7 +28,7 @@
 class FleetView:
     """An entry instance's view of the fleet.
 
-    :param version: number of the configuration held, 0 for none.
+    :param version: number of the configuration held, ``NO_VERSION`` for none.
     :param upstreams: upstreams by id.
     :param entries: entry instances that may be advertised to callers.
     :param changes: pending changes to loaded models by upstream id, with load completion times on
@@ -40,7 +41,7 @@
     :param confirmed_ms: time of the last current answer.
     """
 
-    version: int = 0
+    version: int = NO_VERSION
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     entries: list[EntryInstance] = attrs.field(factory=list)
     changes: dict[str, ModelChanges] = attrs.field(factory=dict)
@@ -55,7 +56,7 @@
     @property
     def is_synced(self) -> bool:
         """Return whether a configuration and a confirmed reply have been received."""
-        return self.version > 0 and self.confirmed_ms > float("-inf")
+        return self.version > NO_VERSION and self.confirmed_ms > float("-inf")
 
     def apply_members(self, reply: FleetReply) -> None:
         """Apply the addresses of the control instances in a reply."""
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -69,7 +69,7 @@
         trace.version = state.version
         route = self._route(request)
         if route is None:
-            kind = ErrorKind.NOT_FOUND if state.version else ErrorKind.VERSION_UNCONFIRMED
+            kind = ErrorKind.NOT_FOUND if state.routes else ErrorKind.VERSION_UNCONFIRMED
             await self._send_failure(answer, trace, Failure(kind, "no route"))
             return
         trace.route = route.name
@@ -116,7 +116,7 @@
         until_ms = now_ms() + min(
             _CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_FRACTION
         )
-        while not self._state.version and (left_ms := until_ms - now_ms()) > 0:
+        while self._state.routes is None and (left_ms := until_ms - now_ms()) > 0:
             await self._state.changed.wait(left_ms)
 
     def _route(self, request: HttpRequest) -> Route | None:
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -15,6 +15,7 @@
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
 from briardyke.policy.retries import RetryBudget
+from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
 
 if TYPE_CHECKING:
@@ -94,8 +95,8 @@
 
     @property
     def version(self) -> int:
-        """Return the version of the configuration in force, 0 for none."""
-        return self.routes.configuration.version if self.routes else 0
+        """Return the version of the configuration in force, ``NO_VERSION`` for none."""
+        return self.routes.configuration.version if self.routes else NO_VERSION
 
     @property
     def is_busy(self) -> bool:
--- a/src/briardyke/routes/configuration.py
+++ b/src/briardyke/routes/configuration.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+# Held version of a process without a configuration; the first one may have any number from 0.
+NO_VERSION = -1
+
 
 class RequestKind(Enum):
     """Which requests may be retried."""
--- a/tests/fleet/test_configuration_in_force.py
+++ b/tests/fleet/test_configuration_in_force.py
@@ -60,3 +60,21 @@
         (await group.controls[leader].propose_configuration(2, b"{}")).unwrap()
         with trio.fail_after(BOUND_MS / 1000.0):
             await entry.wait_in_force(2)
+
+
+class TestFirstConfiguration:
+    """Covers the first configuration of a system."""
+
+    @pytest.mark.parametrize("version", [0, 1, 7])
+    async def test_it_is_in_force_whatever_its_number(
+        self, autojump_clock: Any, tmp_path: Path, nursery: trio.Nursery, version: int
+    ) -> None:
+        group = ControlGroup(tmp_path, nursery)
+        leader = await group.start()
+        entry = group.add_entry(leader)
+        await trio.sleep(2)
+        assert not entry.client.view.is_synced
+        (await group.controls[leader].propose_configuration(version, b"{}")).unwrap()
+        with trio.fail_after(BOUND_MS / 1000.0):
+            await entry.wait_in_force(version)
+        assert entry.client.view.is_synced
