Read the software version of upstreams and the stream that a request resumes

The logs could not tell streams that one response joined from two versions from those that callers took up again: request_finished named neither. It now names both (resumes, software_versions). No selection changes.

--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -42,6 +42,7 @@
     :param models: models loaded in its memory.
     :param at_hand: models that it has on local disk or in host memory.
     :param leaves_in_ms: time until it is scheduled to stop, 0 when unknown.
+    :param software_version: version of its software, not of its weights; versions have no order.
     """
 
     upstream_id: str
@@ -55,6 +56,7 @@
     models: list[LoadedModel] = attrs.field(factory=list)
     at_hand: list[str] = attrs.field(factory=list)
     leaves_in_ms: float = 0.0
+    software_version: str = ""
 
     @property
     def key(self) -> str:
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -22,6 +22,8 @@
     :param prompt_tokens: tokens of the prompt, 0 when unknown.
     :param max_output_tokens: largest number of tokens in the response, 0 when unknown.
     :param last_event_id: id of the last event that the caller received, or empty.
+    :param resumed_request_id: id of the caller's attempt that received the first event of the
+        stream that this one continues, or empty.
     :param fingerprint: id of what the request asks for, or empty when it was not computed.
     """
 
@@ -33,6 +35,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     last_event_id: str = ""
+    resumed_request_id: str = ""
     fingerprint: str = ""
 
     @property
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -51,7 +51,7 @@
         metadata = self._state.dialect.read_request(request)
         metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         trace = Trace(metadata.request_id, request.received_ms, self._state.version)
-        trace.model = metadata.model
+        trace.model, trace.resumes = metadata.model, metadata.resumed_request_id
         try:
             await self._handle(request, metadata, trace, answer)
         except BaseException as error:
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -257,5 +257,5 @@
         if events.count and not relay.has_events:
             relay.has_events = True
             self._state.quarantine.record_response(context.metadata)
-        context.trace.add_events(events.count, took_ms)
+        context.trace.add_events(events.count, took_ms, upstream.row.software_version)
         context.last_progress_ms = relay.progress_ms = now_ms()
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -51,6 +51,8 @@
     :param longest_pause_ms: longest time between two events of a stream, 0 without events.
     :param attempts: description of each attempt, and of a failure.
     :param events: number of events forwarded.
+    :param resumes: id of the caller's attempt that began the stream which this one continues.
+    :param software_versions: software versions of the upstreams that sent events.
     """
 
     request_id: str
@@ -65,6 +67,8 @@
     first_event_ms: float = 0.0
     longest_pause_ms: float = 0.0
     events: int = 0
+    resumes: str = ""
+    software_versions: list[str] = attrs.field(factory=list)
     is_finished: bool = False
 
     def start_attempt(self, holders: int) -> None:
@@ -73,11 +77,14 @@
             self.waited_ms = now_ms() - self.started_ms
             self.holders = holders
 
-    def add_events(self, count: int, pause_ms: float) -> None:
+    def add_events(self, count: int, pause_ms: float, software_version: str = "") -> None:
         """Count forwarded events.
 
         :param pause_ms: time since the events before them.
+        :param software_version: version of the upstream that sent them.
         """
+        if count and software_version not in self.software_versions:
+            self.software_versions.append(software_version)
         if not self.events:
             self.first_event_ms = now_ms() - self.started_ms
         else:
@@ -123,5 +130,7 @@
             first_event_ms=round(self.first_event_ms),
             events=self.events,
             longest_pause_ms=round(self.longest_pause_ms),
+            resumes=self.resumes,
+            software_versions=",".join(self.software_versions),
             attempts=";".join(self.attempts),
         )
--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -50,6 +50,7 @@
             {_name(row) for key in ("in_memory", "on_disk") for row in copies.get(key) or ()}
         ),
         leaves_in_ms=_duration_ms(value.get("remaining_ms") or 0.0),
+        software_version=_text(value["version"]),
     )
 
 
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -21,6 +21,7 @@
 _TOKENS = b"token-usage"
 _PREFIX = b"prompt-prefix"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _EXPECT_UPSTREAM = b"expect-instance"
 _PRIORITY = b"priority-class"
 _REFUSAL = b"not-executed"
@@ -66,6 +67,7 @@
             prompt_tokens=int(_number(prompt) or 0),
             max_output_tokens=int(_number(output) or 0),
             last_event_id=_text(headers, _LAST_EVENT),
+            resumed_request_id=_text(headers, _RESUMES),
         )
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TYPE_CHECKING
 
 import attrs
@@ -153,19 +153,32 @@
         """Start to listen on a free port."""
         self.port = await self._nursery.start(self.server.serve, Address("127.0.0.1", 0))
 
-    async def add(self, service: str, script: Script) -> ScriptedUpstream:
+    async def add(
+        self, service: str, script: Script, software_version: str = ""
+    ) -> ScriptedUpstream:
         """Start an upstream and add it to the gateway's announced upstreams."""
         upstream = ScriptedUpstream(script)
         await self._nursery.start(upstream.serve)
         name = f"u{len(self.rows)}"
         held = [LoadedModel("m")] if service == "pool" else []
-        self.rows[name] = Upstream(name, 1, 1, service, str(upstream.address), "dc", READY, 8, held)
+        self.rows[name] = Upstream(
+            *(name, 1, 1, service, str(upstream.address), "dc", READY, 8, held),
+            software_version=software_version,
+        )
         self.state.upstreams.update(self.rows, {})
         return upstream
 
-    async def send(self, path: str, request_id: str, model: str = "", prefix: str = "") -> Reply:
+    async def send(
+        self,
+        path: str,
+        request_id: str,
+        model: str = "",
+        prefix: str = "",
+        more_headers: Sequence[tuple[str, str]] = (),
+    ) -> Reply:
         """Send one request on a new connection and read the response until the connection ends."""
         headers = [("Host", "h"), ("Request-Id", request_id), ("Connection", "close")]
+        headers += more_headers
         headers += [("Model", model)] if model else []
         headers += [("Prompt-Prefix", prefix)] if prefix else []
         protocol = h11.Connection(h11.CLIENT)
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -17,7 +17,7 @@
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "almaty-a",
-    "version": "v1",
+    "version": "v1.2",
     "slots": 64,
     "state": "ready",
     "cold_remaining_ms": 0,
@@ -38,6 +38,7 @@
         assert (row.lifecycle, row.data_centre, row.slots) == (READY, "almaty-a", 64)
         assert [(m.name, m.adapters) for m in row.models] == [("daka", ["a1"])]
         assert row.at_hand == ["daka", "rada"]
+        assert row.software_version == "v1.2"
 
     def test_short_notice_is_kept(self) -> None:
         body = json.dumps(BODY | {"state": "draining", "remaining_ms": 2000}).encode()
@@ -59,6 +60,8 @@
             {"models": "daka"},
             {"models": [3]},
             {"zone": ""},
+            {"version": None},
+            {"version": 2},
         ],
     )
     def test_forged_announcement_names_no_upstream(self, change: dict[str, Any]) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -12,6 +12,7 @@
     (b"host", b"ficu95.example"),
     (b"request-id", b"9c41"),
     (b"last-event-id", b"12"),
+    (b"resumes", b"7f00"),
     (b"model", b"daka/a3"),
     (b"token-usage", b"1460,80"),
     (b"prompt-prefix", b"5c1e07a2:800,91bd3f06:410"),
@@ -39,7 +40,7 @@
         assert (caller.model, caller.adapter) == ("daka", "a3")
         assert (caller.prompt_tokens, caller.max_output_tokens) == (1460, 80)
         assert caller.prefix_ids == ("5c1e07a2", "91bd3f06")
-        assert caller.last_event_id == "12"
+        assert (caller.last_event_id, caller.resumed_request_id) == ("12", "7f00")
 
     @pytest.mark.parametrize("value", [b"soon", b"-5", b"nan", b"1e99", b""])
     def test_unreadable_deadline_counts_as_absent(self, value: bytes) -> None:
