Continue a stream only at the software version that began it

Cause: nothing read the version, so the entry instance resumed a stream at any upstream with its model; so did the second attempt of a stalled one. Change: with the first forwarded event the request is bound to the version of its upstream; selection, the wait for a model and the search for a replacement see only that version's upstreams. When none serves, the stream ends at once as broken off. Without an event any version may begin it.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -86,7 +86,7 @@
         spec = state.model(context.service, model)
         if spec is None:
             return None
-        usable = state.upstreams.reachable(context.service)
+        usable = state.upstreams.reachable(context.service, context.software_version)
         if not usable or self._is_model_held(context, state):
             return None  # without any upstream, this instance may have just started
         if load_remaining_ms(model, usable) is None:
@@ -108,7 +108,7 @@
         """
         model = context.metadata.model
         spec = state.model(context.service, model)
-        usable = state.upstreams.reachable(context.service)
+        usable = state.upstreams.reachable(context.service, context.software_version)
         is_missing = not self._is_model_held(context, state)
         load_left_ms = load_remaining_ms(model, usable) if is_missing else None
         if left_ms > 0 and (load_left_ms is None or load_left_ms < left_ms):
@@ -124,7 +124,10 @@
     def _is_model_held(context: RequestContext, state: GatewayState) -> bool:
         """Return whether a reachable upstream has loaded the request's model."""
         model = context.metadata.model
-        return any(u.holds(model) for u in state.upstreams.reachable(context.service))
+        return any(
+            u.holds(model)
+            for u in state.upstreams.reachable(context.service, context.software_version)
+        )
 
     @staticmethod
     def _max_wait_ms(context: RequestContext) -> float:
@@ -170,7 +173,7 @@
 
         :param closed_ms: time until one of them accepts another one.
         """
-        upstreams = state.upstreams.reachable(context.service)
+        upstreams = state.upstreams.reachable(context.service, context.software_version)
         load_left_ms = load_remaining_ms(context.metadata.model, upstreams)
         wait_ms = closed_ms if load_left_ms is None else min(load_left_ms, closed_ms)
         retry_after_ms = min(wait_ms, context.remaining_ms * _MAX_RETRY_AFTER_FRACTION)
@@ -217,6 +220,10 @@
         if state.is_stopping and context.deadline_ms > state.stop_ms:
             context.refusal = Failure(ErrorKind.DRAINING, "this instance is shutting down")
             return 0.0
+        if context.software_version is not None and not state.upstreams.serves(
+            context.service, context.software_version
+        ):
+            return 0.0  # a version does not return within the wait for an upstream
         waited_ms = now_ms() - context.last_progress_ms
         max_wait_ms = self._max_wait_ms(context)
         is_for_model = bool(context.metadata.model) and state.is_engine(context.service)
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -32,6 +32,8 @@
     :param has_paid_retry: whether the next attempt is charged to the retry budget already.
     :param trial_part: quarantined part of its prompt that it may test, or empty.
     :param has_trial: whether the leader has granted that.
+    :param software_version: version of the upstream that sent the stream's first event; only this
+        version can continue it. ``None`` while there is no event.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -50,6 +52,7 @@
     has_paid_retry: bool = False
     trial_part: str = ""
     has_trial: bool = False
+    software_version: str | None = None
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -248,6 +248,8 @@
         context, upstream = relay.context, relay.source.upstream
         if not events.data:
             return
+        if events.count and context.software_version is None:
+            context.software_version = upstream.row.software_version
         await relay.answer.send_part(events.data)
         took_ms = now_ms() - relay.progress_ms
         for _ in range(events.count):
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -129,7 +129,7 @@
 
     def _able(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request."""
-        usable = self._state.upstreams.reachable(context.service)
+        usable = self._state.upstreams.reachable(context.service, context.software_version)
         model = context.metadata.model
         if model and self._state.is_engine(context.service):
             usable = [s for s in usable if s.holds(model)]
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -294,9 +294,20 @@
         ready = [s for s in rows if s.row.lifecycle == READY]
         return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
 
-    def reachable(self, service: str) -> list[UpstreamState]:
-        """Return the usable upstreams of a service to which a connection may be tried."""
-        return [state for state in self.usable(service) if state.is_reachable]
+    def reachable(self, service: str, software_version: str | None = None) -> list[UpstreamState]:
+        """Return the usable upstreams of a service to which a connection may be tried.
+
+        :param software_version: only those of this version.
+        """
+        return [
+            state
+            for state in self.usable(service)
+            if state.is_reachable and software_version in (None, state.row.software_version)
+        ]
+
+    def serves(self, service: str, software_version: str) -> bool:
+        """Return whether a usable upstream of a service has a software version."""
+        return any(s.row.software_version == software_version for s in self.usable(service))
 
     def update_other_load(self, other_requests: dict[str, list[int]]) -> None:
         """Update the load of other entry instances by upstream; it is zero for those not listed."""
