--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -93,6 +93,19 @@
             effects = node.step(_message_from(AppendReply, name, 3, match_index=2, **reply), 5002.0)
         assert [entry.index for entry in effects.committed] == [1, 2]
 
+    @pytest.mark.parametrize("is_snapshot", [False, True])
+    def test_follower_knows_of_commits_that_it_does_not_hold(self, is_snapshot: bool) -> None:
+        """Guards against a follower that takes contact with its leader for knowledge of its log."""
+        node = _node(Recovered(HardState(2, ""), None, ()))
+        if is_snapshot:
+            fields = {"index_term": 2, "members": b"", "offset_bytes": 0, "data": b"x"}
+            fields |= {"index": 9, "done": False, "round_number": 1}
+            message = _message_from(SnapshotChunk, "b", 2, **fields)
+        else:
+            message = attrs.evolve(_append("b", 2, 8, 2, []), commit_index=9)
+        node.step(message, 10.0)
+        assert (node.state.known_commit_index, node.state.commit_index) == (9, 0)
+
     def test_leader_counts_itself_only_after_its_own_sync(self) -> None:
         """Guards against acknowledging an entry that only one follower of three voters has on disk,
         so that crashes of two machines can lose it."""
