Give a busy model two engines of one software version

Cause: the busiest model had one engine of v1 and one of v1.1; when the first crashed, three engines of v1 served without the model, so 16 take-ups were refused until a load of two seconds would end. Change: with several versions among the engines, placement values a replica that makes a pair of one version by half of the requests at one holder, in gains and in losses. With one version nothing changes. Evidence: two of the three cases of TestSoftwareVersions fail with a value of 0 and pass.

--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -54,6 +55,8 @@
 _ADAPTER_MISS_SHARE = 0.2
 # The same fraction when another engine could load the adapter.
 _SHARED_ADAPTER_MISS_SHARE = 0.02
+# Value of a second engine that could continue a stream, relative to that of serving a request.
+_CONTINUATION_WEIGHT = 0.5
 # An engine that is free within this time is worth waiting for.
 _FREE_SOON_MS = 1500.0
 # A replica is evicted only for a gain that exceeds the loss by this factor, since demand
@@ -110,6 +113,8 @@
             for model, rate in view.demand.items()
             if model in view.spec.models and rate >= _MIN_DEMAND_PER_S
         }
+        self._versions = {e.upstream_id: e.software_version for e in self._engines}
+        self._engines_by_version = Counter(self._versions.values())
         self._speeds = effective_speeds(self._engines, sum(self._demand.values()))
         self._low_load = _LOW_LOAD_SHARE * view.spec.slots / TYPICAL_REQUEST_DURATION_S
         self._adapter_reserve_mb = adapter_reserve_mb(view.spec)
@@ -143,8 +148,11 @@
             load_ratio = (
                 load / self._mean_load if self._mean_load and load > self._low_load else 0.0
             )
-            if load_ratio > _OVERLOAD_FACTOR and len(holders) < len(self._engines):
-                candidates.append((-self._load_by_model[model] * (load_ratio - 1.0), model))
+            gain = self._load_by_model[model] * (load_ratio - 1.0)
+            if load_ratio <= _OVERLOAD_FACTOR:
+                gain = self._continuation_value(model) if self._lacks_partner(model) else 0.0
+            if gain > 0.0 and len(holders) < len(self._engines):
+                candidates.append((-gain, model))
         return [model for _, model in sorted(candidates)]
 
     def place_replica(self, model: str) -> None:
@@ -260,9 +268,31 @@
         if not holders:
             waiting = 1.0 + _MISSING_GROWTH_PER_S * self.view.missing_s.get(model, 0.0)
             return _MISSING_MODEL_WEIGHT * self._demand[model] * waiting
-        return self._as_requests_per_s(
+        gain = self._as_requests_per_s(
             self._load_estimate.gain_of_adding(model, engine.upstream_id)
         )
+        return gain + self._continuation_value(model) * self._is_only_partner(model, engine)
+
+    def _continuation_value(self, model: str) -> float:
+        """Return the value of a second engine for the streams that one of a model's engines runs.
+
+        With several versions in service, a model may have many replicas and none that could
+        continue the streams of another.
+        """
+        if len(self._engines_by_version) < 2:
+            return 0.0
+        holders = self._holders.get(model, ())
+        return _CONTINUATION_WEIGHT * self._demand.get(model, 0.0) / max(1, len(holders))
+
+    def _is_only_partner(self, model: str, engine: EngineView) -> bool:
+        """Return whether an engine is the only one that could continue another one's streams."""
+        others = self._holders.get(model, set()) - {engine.upstream_id}
+        return sum(self._versions[i] == engine.software_version for i in others) == 1
+
+    def _lacks_partner(self, model: str) -> bool:
+        """Return whether a holder of a model has no partner of its version that could have it."""
+        holders = Counter(self._versions[i] for i in self._holders[model])
+        return any(n == 1 and self._engines_by_version[v] > 1 for v, n in holders.items())
 
     def _loss_of_evicting(self, victim: str, engine: EngineView) -> float:
         """Return the loss when an engine unloads a model.
@@ -279,7 +309,9 @@
         if victim not in self._demand:
             return 0.0
         loss = self._serving_estimate.loss_of_removing(victim, engine.upstream_id)
-        return self._as_requests_per_s(max(0.0, loss)) * _HYSTERESIS_FACTOR
+        loss = self._as_requests_per_s(max(0.0, loss))
+        loss += self._continuation_value(victim) * self._is_only_partner(victim, engine)
+        return loss * _HYSTERESIS_FACTOR
 
     def _adapter_miss_cost(self, engine: EngineView) -> float:
         """Return the weighted demand that misses an adapter while an engine accepts no adapters.
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -263,6 +263,7 @@
             is_loading_from_store=state.pending is not None and state.pending_from_store,
             speed=speed,
             limit_per_s=self._control.rows.limits.limit_per_s(upstream_id, state.row.incarnation),
+            software_version=state.row.software_version,
         )
 
     # Models
--- a/src/briardyke/models/types.py
+++ b/src/briardyke/models/types.py
@@ -78,6 +78,8 @@
     :param free_in_ms: time until its current order should end, 0 for an engine that is free.
     :param is_loading_from_store: whether it loads a model from the weight store.
     :param speed: its speed relative to a typical engine of its service.
+    :param software_version: version of its software; only engines of one version continue each
+        other's streams.
     :param limit_per_s: requests per second that it accepts, or ``None`` if it has stated no limit.
     :param is_available: whether it is ready, reachable and has not announced that it shuts down.
     :param unloading: models that are being unloaded.
@@ -98,6 +100,7 @@
     is_loading_from_store: bool = False
     speed: float = 1.0
     limit_per_s: float | None = None
+    software_version: str = ""
 
 
 @attrs.frozen
--- a/tests/models/test_decide.py
+++ b/tests/models/test_decide.py
@@ -261,3 +261,30 @@
         engines = [limited, engine("e2", "a"), engine("e3", "b")]
         found = decide(view(engine_spec, engines, a=12, b=1))
         assert [(c.upstream_id, c.model) for c in found] == [("e3", "a")]
+
+
+class TestSoftwareVersions:
+    """Covers services with upstreams of two software versions."""
+
+    ENGINES = (
+        engine("e1", "a", software_version="v1"),
+        engine("e2", "a", software_version="v2"),
+        engine("e3", "b", software_version="v2"),
+        engine("e4", "b", software_version="v1"),
+    )
+
+    def test_broken_streams_of_a_busy_model_can_go_on_at_their_version(self) -> None:
+        found = decide(view(spec(a=50, b=50), list(self.ENGINES), a=4, b=3.6))
+        held = {(c.upstream_id, c.model) for c in found if c.kind is LOAD}
+        assert {("e3", "a"), ("e4", "a")} & held
+
+    def test_one_version_needs_no_second_replica(self) -> None:
+        engines = [attrs.evolve(e, software_version="v1") for e in self.ENGINES]
+        assert decide(view(spec(a=50, b=50), engines, a=4, b=3.6)) == []
+
+    def test_pair_of_a_version_outlasts_another_replica(self) -> None:
+        engine_spec = spec(a=50, b=50, c=50)
+        pair = [engine(f"e{n}", "a", "b", software_version="v1") for n in (2, 3)]
+        engines = [*pair, engine("e1", "a", "b", software_version="v2")]
+        found = decide(view(engine_spec, engines, a=6, b=6, c=2))
+        assert {c.upstream_id for c in found} == {"e1"}
