Refuse at once a take-up that names no request beside several versions

It asked three control instances for an empty id first. Evidence: test_stream_of_unknown_version_is_refused_beside_two_versions, both cases.

--- a/src/briardyke/gateway/stream_versions.py
+++ b/src/briardyke/gateway/stream_versions.py
@@ -95,6 +95,8 @@
         if began is not None and began.row.service == service:
             return Ok(began.row.software_version)
         versions = self._versions(service)
+        if len(versions) > 1 and not request_id:
+            return _unknown("it does not name the request that began it")
         if len(versions) > 1 or not self._is_informed():
             reply = None
             if self._directory is not None:
