Build replies to entry instances in a module of their own

Code is moved; the contact of a control instance is named contact, and the delay of commits is logged in whole milliseconds. No behaviour changes.

--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -14,6 +14,7 @@
 from briardyke.consensus.state import Role
 from briardyke.errors import ErrorKind, Failure
 from briardyke.fleet.compression import compress_document
+from briardyke.fleet.entry_reply import build_reply
 from briardyke.fleet.machine import ConfigurationMachine
 from briardyke.fleet.messages import (
     AdapterReply,
@@ -34,7 +35,7 @@
     TrialRequest,
 )
 from briardyke.fleet.reachability import unreachable_upstreams
-from briardyke.fleet.records import GONE, SILENT, Upstream
+from briardyke.fleet.records import GONE, Upstream
 from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
@@ -111,7 +112,7 @@
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
-        self._current_since_ms = float("inf")
+        self._contact_since_ms = float("inf")
         self._is_behind = False
         self._suspended_ms = suspended_ms()
         self._started_ms = now_ms()
@@ -271,7 +272,7 @@
         return StreamReply(
             self.streams.find(request.request_id, request.service),
             self.rows.versions.by_service().get(request.service, []),
-            self._can_inform_entries,
+            self.can_inform_entries,
         )
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
@@ -288,10 +289,10 @@
         with trio.move_on_after(request.wait_ms / 1000.0):
             while not self._has_changes_for(request):
                 await self.rows.changed.wait(request.wait_ms)
-        return self._reply(request)
+        return build_reply(self, request)
 
     def _has_changes_for(self, request: FleetRequest) -> bool:
-        if request.table_id != self.table_id or not self._can_inform_entries:
+        if request.table_id != self.table_id or not self.can_inform_entries:
             return True
         return (
             self.machine.version > request.held_version
@@ -303,66 +304,12 @@
         )
 
     @property
-    def _can_inform_entries(self) -> bool:
+    def can_inform_entries(self) -> bool:
         """Return whether this instance's state is current and complete for entry instances."""
         return self.is_current and self.rows.is_complete
 
-    def _reply(self, request: FleetRequest) -> FleetReply:
-        is_known = request.table_id == self.table_id
-        upstreams = [
-            attrs.evolve(row, lifecycle=SILENT) if is_silent and row.lifecycle != GONE else row
-            for row, is_silent in self.tables.upstreams.changed_after(
-                request.held_upstreams if is_known else 0
-            )
-        ]
-        entries = None
-        if not is_known or self.tables.entries.sequence > request.held_entries:
-            entries = [
-                row
-                for row, is_silent in self.tables.entries.changed_after(0)
-                if not is_silent and row.is_ready
-            ]
-        is_newer = self.machine.version > request.held_version
-        leader = self.log.status().leader_address
-        return FleetReply(
-            is_current=self._can_inform_entries,
-            is_starting=self.is_starting,
-            version=self.machine.version,
-            configuration=self._compressed_document() if is_newer else None,
-            table_id=self.table_id,
-            upstreams=upstreams,
-            upstream_sequence=self.tables.upstreams.sequence,
-            entries=entries,
-            entry_sequence=self.tables.entries.sequence,
-            leader=str(leader or ""),
-            controls=[str(m.address) for m in self.log.status().members],
-            changes=[
-                row.aged(age_ms)
-                for row, age_ms in self.tables.changes.changed_with_age(
-                    request.held_changes if is_known else 0
-                )
-            ],
-            change_sequence=self.tables.changes.sequence,
-            is_whole=not is_known,
-            others=(
-                self.rows.activity.in_flight_of_others(request.entry.instance_id)
-                if request.entry.carried_per_s
-                else {}
-            ),
-            carried_per_s=self.rows.activity.carried_per_s(),
-            verdicts=[
-                row.aged(age_ms)
-                for row, age_ms in self.tables.verdicts.changed_with_age(
-                    request.held_verdicts if is_known else 0
-                )
-            ],
-            verdict_sequence=self.tables.verdicts.sequence,
-            limits=self.rows.limits.statements(),
-            limit_sequence=self.rows.limits.sequence,
-            service_versions=self.rows.versions.by_service(),
-        )
-
-    def _compressed_document(self) -> bytes | None:
+    def compressed_document(self) -> bytes | None:
+        """Return the compressed document in force."""
         if self.machine.document is None:
             return None
         if self._compressed is None or self._compressed[0] != self.machine.version:
@@ -413,7 +360,7 @@
         log_event(
             "commits_delayed",
             is_behind=is_behind,
-            lag_ms=lag_ms,
+            lag_ms=f"{lag_ms:.0f}",
             version=self.machine.version,
             applied=status.applied_index,
             known=status.known_commit_index,
@@ -421,9 +368,9 @@
 
     def _check_contact(self) -> bool:
         """Log gained and lost contact, mark silent rows; return whether contact was regained."""
-        was_current = self._current_since_ms < float("inf")
-        if self.has_contact != was_current:
-            self._current_since_ms = now_ms() if self.has_contact else float("inf")
+        had_contact = self._contact_since_ms < float("inf")
+        if self.has_contact != had_contact:
+            self._contact_since_ms = now_ms() if self.has_contact else float("inf")
             status = self.log.status()
             log_event(
                 "majority_contact",
@@ -434,14 +381,14 @@
             )
             self.rows.changed.notify()
         if self.has_contact:
-            since_ms = self._current_since_ms
+            since_ms = self._contact_since_ms
             for row in self.tables.upstreams.mark_silent(UPSTREAM_SILENT_AFTER_MS, since_ms):
                 log_event("upstream_silent", upstream=row.upstream_id, service=row.service)
                 self.rows.changed.notify()
             for entry in self.tables.entries.mark_silent(ENTRY_SILENT_AFTER_MS, since_ms):
                 log_event("entry_silent", instance=entry.instance_id)
                 self.rows.changed.notify()
-        return self.has_contact and not was_current
+        return self.has_contact and not had_contact
 
     def _other_members(self) -> list[Address]:
         members = self.log.status().members
