Share the readers of texts and whole numbers, and look up software versions at once

Two modules of the adapter had the same reader of texts and the same largest number. Entry instances went over all upstreams for each stream that begins; the versions of a service are now computed when rows change.

--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -254,6 +254,7 @@
         self._states: dict[str, UpstreamState] = {}
         self._rest_limit = RestLimit()
         self._former = FormerStatements()
+        self._software_versions: dict[str, set[str]] = {}
 
     def update(
         self, rows: dict[str, Upstream], changes: dict[str, ModelChanges]
@@ -261,6 +262,9 @@
         """Apply announced rows and the model changes that are in progress.
 
         :return: connection pools of upstreams that are no longer used."""
+        self._software_versions = {}
+        for row in rows.values():
+            self._software_versions.setdefault(row.service, set()).add(row.software_version)
         retired = []
         for upstream_id in [i for i in self._states if i not in rows]:
             retired.append(self._retire(upstream_id))
@@ -311,8 +315,7 @@
 
     def software_versions(self, service: str) -> set[str]:
         """Return the software versions of all known upstreams of a service."""
-        rows = (state.row for state in self._states.values())
-        return {row.software_version for row in rows if row.service == service}
+        return self._software_versions.get(service, set())
 
     def update_other_load(self, other_requests: dict[str, list[int]]) -> None:
         """Update the load of other entry instances by upstream; it is zero for those not listed."""
--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -8,12 +8,11 @@
 
 from briardyke.errors import ErrorKind, Failure
 from briardyke.fleet.records import DRAINING, READY, LoadedModel, Upstream, is_valid_upstream
+from briardyke.platform.fields import MAX_WHOLE, read_text
 from briardyke.strict_json import parse_json
 
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
-# The largest whole number that every writer of JSON represents exactly.
-_MAX_WHOLE = 2**53
 _MAX_SLOTS = 1_000_000
 
 
@@ -40,9 +39,9 @@
         # The page's "born" is the start of the process, the same in every announcement of it.
         incarnation=_whole(value["born"]),
         sequence=_whole(value["sequence"]),
-        service=_text(value["service"]),
-        address=_text(value["address"]),
-        data_centre=_text(value["zone"]),
+        service=read_text(value["service"]),
+        address=read_text(value["address"]),
+        data_centre=read_text(value["zone"]),
         lifecycle=_STATES[value["state"]],
         slots=max(1, _whole(value.get("slots", 1), _MAX_SLOTS)),
         models=[_held(row) for row in value.get("models") or ()],
@@ -50,34 +49,28 @@
             {_name(row) for key in ("in_memory", "on_disk") for row in copies.get(key) or ()}
         ),
         leaves_in_ms=_duration_ms(value.get("remaining_ms") or 0.0),
-        software_version=_text(value["version"]),
+        software_version=read_text(value["version"]),
     )
 
 
 def _held(row: dict[str, Any]) -> LoadedModel:
     return LoadedModel(
-        _text(row["name"]), [_name(adapter) for adapter in row.get("adapters") or ()]
+        read_text(row["name"]), [_name(adapter) for adapter in row.get("adapters") or ()]
     )
 
 
 def _name(value: Any) -> str:
     """Return the name in an entry that is a name or an object with one."""
-    return _text(value["name"] if isinstance(value, dict) else value)
+    return read_text(value["name"] if isinstance(value, dict) else value)
 
 
-def _whole(value: Any, maximum: int = _MAX_WHOLE) -> int:
+def _whole(value: Any, maximum: int = MAX_WHOLE) -> int:
     if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value <= maximum:
         raise ValueError(f"expected a whole number up to {maximum}, got {value!r}")
     return value
 
 
 def _duration_ms(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < _MAX_WHOLE:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < MAX_WHOLE:
         raise ValueError(f"expected a duration, got {value!r}")
     return float(value)
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected text, got {value!r}")
-    return value
--- a/src/briardyke/platform/configuration.py
+++ b/src/briardyke/platform/configuration.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
+from briardyke.platform.fields import MAX_WHOLE, read_text
 from briardyke.routes.configuration import (
     CallerLimits,
     EngineSpec,
@@ -23,8 +24,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# The largest whole number that every writer of JSON represents exactly.
-_MAX_WHOLE = 2**53
 R = TypeVar("R", ServiceSpec, ModelSpec)
 
 
@@ -47,11 +46,14 @@
 
 
 def _configuration(value: dict[str, Any]) -> ServingConfiguration:
+    version = value["version"]
+    if type(version) is not int:
+        raise ValueError("version must be a whole number")
     limits = value.get("limits") or {}
     defaults = CallerLimits()
     services = [_service(row) for row in value["services"]]
     return ServingConfiguration(
-        _whole(value["version"]),
+        _whole(version),
         tuple(_route(row) for row in value["routes"]),
         _by_name(services, "two services are named {}"),
         CallerLimits(
@@ -65,9 +67,9 @@
 
 def _route(row: dict[str, Any]) -> Route:
     return Route(
-        name=_text(row["name"]),
-        host=_text(row["host"]).lower(),
-        path_prefix=_text(row["path_prefix"]),
+        name=read_text(row["name"]),
+        host=read_text(row["host"]).lower(),
+        path_prefix=read_text(row["path_prefix"]),
         kind=RequestKind(row["kind"]),
         timeout_ms=_number(row["timeout_ms"]),
         latency_objective_ms=_number(row.get("target_latency_ms", row["timeout_ms"])),
@@ -83,15 +85,15 @@
     split = row.get("split")
     if split:
         for part in split:
-            yield Target(_text(part["service"]), _number(part["weight"]))
+            yield Target(read_text(part["service"]), _number(part["weight"]))
     else:
-        yield Target(_text(row["service"]))
+        yield Target(read_text(row["service"]))
 
 
 def _service(row: dict[str, Any]) -> ServiceSpec:
     engine = row.get("engine")
     return ServiceSpec(
-        _text(row["name"]),
+        read_text(row["name"]),
         _whole(row.get("max_conns", 0)),
         _engine(row["name"], engine) if engine else None,
     )
@@ -112,7 +114,7 @@
 def _model(row: dict[str, Any]) -> ModelSpec:
     load_s = _number(row["load_s"])
     return ModelSpec(
-        name=_text(row["name"]),
+        name=read_text(row["name"]),
         weights_mb=_number(row["weights_mb"]),
         load_s=load_s,
         disk_load_s=_number(row.get("disk_s", load_s)),
@@ -130,12 +132,6 @@
     return named
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected text, got {value!r}")
-    return value
-
-
 def _number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
         raise ValueError(f"expected a number from 0, got {value!r}")
@@ -144,7 +140,7 @@
 
 def _whole(value: Any, minimum: int = 0) -> int:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or value != int(value) or not minimum <= value <= _MAX_WHOLE:
+    if not is_number or value != int(value) or not minimum <= value <= MAX_WHOLE:
         raise ValueError(f"expected a whole number from {minimum}, got {value!r}")
     return int(value)
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -112,6 +112,8 @@
             (b"\xff\xfe", "cannot read"),
             (changed(["version"], "7"), "whole number"),
             (changed(["version"], True), "whole number"),
+            (changed(["version"], 7.0), "whole number"),
+            (changed(["version"], -1), "whole number"),
             (changed(["version"], 10**30), "cannot read"),
             (changed(["routes", 0, "timeout_ms"], float("inf")), "cannot read"),
             (changed(["routes", 0, "priority"], 10**400), "cannot read"),
