Wait for the first upstream of a stream's version after a restart

Callers would have seen: streams taken up in the second after a restart of all processes refused, though their only version was about to announce itself. Cause: a version without a usable upstream counted as replaced, also when no upstream was known at all. Change: a take-up, or a stream in progress, is given up at once only beside usable upstreams of other versions; without any it waits as other requests do. Evidence: test_stream_waits_for_the_first_upstream_after_a_restart failed before and passes. Versions of services are observed once a second, since that goes over all upstreams. Own streams of an entry instance are called so.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -220,10 +220,10 @@
         if state.is_stopping and context.deadline_ms > state.stop_ms:
             context.refusal = Failure(ErrorKind.DRAINING, "this instance is shutting down")
             return 0.0
-        if context.software_version is not None and not state.upstreams.serves(
+        if context.software_version is not None and state.upstreams.serves_only_others(
             context.service, context.software_version
         ):
-            return 0.0  # a version does not return within the wait for an upstream
+            return 0.0  # a version that has been replaced does not return within the wait
         waited_ms = now_ms() - context.last_progress_ms
         max_wait_ms = self._max_wait_ms(context)
         is_for_model = bool(context.metadata.model) and state.is_engine(context.service)
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -122,7 +122,7 @@
         if found.is_err():
             return found.unwrap_err()
         context.software_version = found.unwrap()
-        if state.upstreams.serves(context.service, context.software_version):
+        if not state.upstreams.serves_only_others(context.service, context.software_version):
             return None
         reason = f"no upstream of version {context.software_version} serves"
         return Failure(ErrorKind.STREAM_NOT_RESUMABLE, reason)
--- a/src/briardyke/gateway/stream_versions.py
+++ b/src/briardyke/gateway/stream_versions.py
@@ -35,7 +35,7 @@
 
 
 @attrs.define
-class _Began:
+class _OwnStream:
     """Stream that began here.
 
     :param row: its version.
@@ -71,19 +71,19 @@
         self._directory = directory
         self._versions = versions
         self._is_informed = is_informed
-        self._began: dict[str, _Began] = {}
+        self._own: dict[str, _OwnStream] = {}
 
     async def begin(self, request_id: str, service: str, software_version: str) -> None:
         """Record a stream before its first event is forwarded."""
-        stream = _Began(StreamVersion(request_id, service, software_version))
-        self._began[request_id] = stream
+        stream = _OwnStream(StreamVersion(request_id, service, software_version))
+        self._own[request_id] = stream
         if self._directory is not None and len(self._versions(service)) > 1:
             stream.reported_ms = now_ms()
             await self._directory.report([stream.row])
 
     def finish(self, request_id: str) -> None:
         """Forget a stream that its caller has received whole."""
-        self._began.pop(request_id, None)
+        self._own.pop(request_id, None)
 
     async def version_of(self, metadata: RequestMetadata, service: str) -> Result[str, Failure]:
         """Return the version at which a stream must go on.
@@ -91,9 +91,9 @@
         :return: ``stream_not_resumable`` when it is not known.
         """
         request_id = metadata.resumed_request_id
-        began = self._began.get(request_id)
-        if began is not None and began.row.service == service:
-            return Ok(began.row.software_version)
+        own = self._own.get(request_id)
+        if own is not None and own.row.service == service:
+            return Ok(own.row.software_version)
         versions = self._versions(service)
         if len(versions) > 1 and not request_id:
             return _unknown("it does not name the request that began it")
@@ -116,7 +116,7 @@
             await trio.sleep(_CHECK_INTERVAL_MS / 1000.0)
             self._forget_old()
             due_ms = now_ms() - _REPEAT_INTERVAL_MS
-            due = [s for s in self._began.values() if s.reported_ms < due_ms]
+            due = [s for s in self._own.values() if s.reported_ms < due_ms]
             mixed = {s.row.service for s in due if len(self._versions(s.row.service)) > 1}
             due = [stream for stream in due if stream.row.service in mixed]
             if due and self._directory is not None:
@@ -126,8 +126,8 @@
 
     def _forget_old(self) -> None:
         limit_ms = now_ms() - LIFETIME_MS
-        for request_id in [i for i, s in self._began.items() if s.began_ms < limit_ms]:
-            del self._began[request_id]
+        for request_id in [i for i, s in self._own.items() if s.began_ms < limit_ms]:
+            del self._own[request_id]
 
 
 def _unknown(reason: str) -> Result[str, Failure]:
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -309,9 +309,10 @@
             if state.is_reachable and software_version in (None, state.row.software_version)
         ]
 
-    def serves(self, service: str, software_version: str) -> bool:
-        """Return whether a usable upstream of a service has a software version."""
-        return any(s.row.software_version == software_version for s in self.usable(service))
+    def serves_only_others(self, service: str, software_version: str) -> bool:
+        """Return whether a service has usable upstreams, none of them of a software version."""
+        usable = self.usable(service)
+        return bool(usable) and all(s.row.software_version != software_version for s in usable)
 
     def software_versions(self, service: str) -> set[str]:
         """Return the software versions of all known upstreams of a service."""
--- a/src/briardyke/software_versions/runner.py
+++ b/src/briardyke/software_versions/runner.py
@@ -14,7 +14,7 @@
 
     from briardyke.fleet.control import ControlInstance
 
-TICK_MS = 250.0
+TICK_MS = 1000.0
 _FILE = "software-versions"
 
 
--- a/tests/gateway/test_joined_versions.py
+++ b/tests/gateway/test_joined_versions.py
@@ -91,6 +91,16 @@
         reply = await gateway.send("/chat/x", "s-1", "m", more_headers=headers)
         assert (reply.status, reply.is_complete) == (200, True)
 
+    async def test_stream_waits_for_the_first_upstream_after_a_restart(
+        self, gateway: Gateway
+    ) -> None:
+        gateway.state.service_versions = {"pool": ["v1"]}
+        headers = [("Last-Event-Id", "1"), ("Resumes", "s-0")]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_add_later, gateway, go_on, "v1")
+            reply = await gateway.send("/chat/x", "s-1", "m", more_headers=headers)
+        assert (reply.status, reply.is_complete) == (200, True)
+
 
 async def _add_later(gateway: Gateway, script: Script, *software_versions: str) -> None:
     """Add upstreams once the first one has the request, so that the others cannot begin it."""
