Decode large configurations beside the event loop

Entry instances decoded on their event loop, so each change paused all streams, now beyond the 250 ms that a pause may last; a leader on a third of a core could miss heartbeats of its term. An entry instance puts versions in force one after another, so that an older one decoded late never replaces a newer one.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -82,7 +82,7 @@
     data_centre: str
     build_report: Callable[[], EntryInstance]
     is_busy: Callable[[], bool]
-    apply_configuration: Callable[[int, bytes], bool]
+    apply_configuration: Callable[[int, bytes], Awaitable[bool]]
     on_change: Callable[[], None]
     on_reply: Callable[[FleetReply], None]
 
@@ -114,6 +114,8 @@
         self._was_current = False
         self._locations: dict[Address, str] = {}
         self._left: Address | None = None
+        # While a configuration is decoded, another control instance may send an older one.
+        self._applying = trio.Lock()
 
     async def run(self) -> None:
         """Poll a control instance while it is current, else try the next."""
@@ -174,7 +176,7 @@
                     found = address, reply
                     nursery.cancel_scope.cancel()
                     return
-                self._apply(reply, address)
+                await self._apply(reply, address)
                 await self._pause_after_refusal(address, reply)
             answered.set()
 
@@ -203,7 +205,7 @@
         while True:
             if reply is None:
                 return
-            self._apply(reply, address)
+            await self._apply(reply, address)
             if self._is_usable_without_leader(reply):
                 self.view.confirmed_ms = now_ms()
                 await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
@@ -278,16 +280,10 @@
         log_limited("control_lost", is_routine=False, control=address, waited_ms=waited_ms)
         return None
 
-    def _apply(self, reply: FleetReply, control: Address) -> None:
+    async def _apply(self, reply: FleetReply, control: Address) -> None:
         view = self.view
-        if reply.configuration is not None and reply.version > view.version:
-            log_event(
-                "configuration_received",
-                control=control,
-                version=reply.version,
-                held=view.version,
-            )
-            self._apply_configuration(reply.version, reply.configuration)
+        if reply.configuration is not None:
+            await self._apply_configuration(reply.version, reply.configuration, control)
         view.apply_members(reply)
         if not reply.is_current and not self._is_usable_without_leader(reply):
             return
@@ -304,13 +300,19 @@
             self._callbacks.on_change()
         self._callbacks.on_reply(reply)
 
-    def _apply_configuration(self, version: int, compressed: bytes) -> None:
-        document = decompress_document(compressed)
-        if document.is_err():
-            reason = document.unwrap_err().message
-            log_warning("configuration_unreadable", version=version, reason=reason)
-        elif self._callbacks.apply_configuration(version, document.unwrap()):
-            self.view.version = version
+    async def _apply_configuration(self, version: int, compressed: bytes, control: Address) -> None:
+        async with self._applying:
+            if version <= self.view.version:
+                return
+            log_event(
+                "configuration_received", control=control, version=version, held=self.view.version
+            )
+            document = decompress_document(compressed)
+            if document.is_err():
+                reason = document.unwrap_err().message
+                log_warning("configuration_unreadable", version=version, reason=reason)
+            elif await self._callbacks.apply_configuration(version, document.unwrap()):
+                self.view.version = version
 
     async def request_adapter(self, request: AdapterRequest) -> AdapterReply:
         """Ask the leader to load an adapter.
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -15,6 +15,7 @@
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import H11Server, ServerLimits
 from briardyke.logs import log_event
+from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.routes.matching import RouteTable
 from briardyke.supervision import keep_running
 
@@ -186,8 +187,8 @@
     def _is_informed(self) -> bool:
         return now_ms() - self.client.view.confirmed_ms < _INFORMED_MS
 
-    def _apply_configuration(self, version: int, document: bytes) -> bool:
-        decoded = self._decode(document)
+    async def _apply_configuration(self, version: int, document: bytes) -> bool:
+        decoded = await decode_configuration_beside(self._decode, document)
         if decoded.is_err():
             log_event("configuration_unreadable", version=version, reason=decoded.unwrap_err())
             return False
--- a/src/briardyke/platform/control_api.py
+++ b/src/briardyke/platform/control_api.py
@@ -10,6 +10,7 @@
 from briardyke.logs import log_event, log_limited
 from briardyke.platform.announcements import decode_announcement
 from briardyke.platform.configuration import decode_configuration
+from briardyke.routes.decoding import decode_configuration_beside
 
 if TYPE_CHECKING:
     from briardyke.fleet.control import ControlInstance
@@ -63,7 +64,7 @@
         await answer.send_whole(200 if taken else _TRY_ANOTHER, _JSON, b"{}" if taken else b"")
 
     async def _put(self, request: HttpRequest, answer: Answer) -> None:
-        decoded = decode_configuration(request.body)
+        decoded = await decode_configuration_beside(decode_configuration, request.body)
         if decoded.is_err():
             failure = decoded.unwrap_err()
             log_event("configuration_refused", reason=failure.message)
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -20,6 +20,7 @@
 from briardyke.platform.starting import start
 from briardyke.quarantine.runner import QuarantineRunner
 from briardyke.quarantine.store import VerdictStore
+from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.software_versions.runner import ServiceVersionsRunner
 from briardyke.supervision import keep_running
 from briardyke.upstream_limits.granter import PermitGranter
@@ -27,6 +28,7 @@
 from briardyke.wire.pool import PeerPool
 
 if TYPE_CHECKING:
+    from briardyke.consensus.driver import ReplicatedLog
     from briardyke.fleet.machine import ConfigurationMachine
     from briardyke.platform.settings import PlatformSettings
     from briardyke.routes.configuration import ServingConfiguration
@@ -35,20 +37,27 @@
 class DecodedConfiguration:
     """Read the agreed document once for each version."""
 
-    def __init__(self, machine: ConfigurationMachine) -> None:
-        """Follow the agreed state."""
+    def __init__(self, log: ReplicatedLog, machine: ConfigurationMachine) -> None:
+        """Follow the agreed state; :meth:`run` starts it."""
+        self._log = log
         self._machine = machine
         self._decoded: ServingConfiguration | None = None
 
     def current(self) -> ServingConfiguration | None:
-        """Return the configuration in force, or ``None`` before the first."""
-        machine = self._machine
-        if machine.document is None:
-            return None
-        if self._decoded is None or self._decoded.version != machine.version:
-            self._decoded = decode_configuration(machine.document).ok()
+        """Return the newest decoded configuration, or ``None`` before the first."""
         return self._decoded
 
+    async def run(self) -> None:
+        """Decode each configuration once, until cancelled."""
+        while True:
+            applied_index = self._log.status().applied_index
+            version, document = self._machine.version, self._machine.document
+            is_new = self._decoded is None or self._decoded.version != version
+            if document is not None and is_new:
+                decoded = await decode_configuration_beside(decode_configuration, document)
+                self._decoded = decoded.ok()
+            await self._log.wait_applied(applied_index + 1)
+
 
 async def _run(settings: PlatformSettings, stop: trio.Event) -> None:
     assert settings.control_listen is not None and settings.data_dir is not None
@@ -71,10 +80,11 @@
         api = ControlApi(control, settings.control_listen.port)
         await nursery.start(H11Server(api.handle).serve, settings.control_listen)
         nursery.start_soon(keep_running, "settings", follower.run)
+        configuration = DecodedConfiguration(log, machine)
         models = ModelPlacementRunner(
             control,
             PlatformEngines(),
-            DecodedConfiguration(machine).current,
+            configuration.current,
             settings.instance_id,
             settings.order_lease_ms,
             settings.store_window_s,
@@ -86,6 +96,7 @@
         control.grant_permit = PermitGranter(control).grant
         versions = ServiceVersionsRunner(control, settings.data_dir)
         nursery.start_soon(control.run)
+        nursery.start_soon(keep_running, "configuration", configuration.run)
         nursery.start_soon(keep_running, "placement", models.run)
         nursery.start_soon(keep_running, "quarantine", quarantine.run)
         nursery.start_soon(keep_running, "software_versions", versions.run)
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -147,7 +147,7 @@
         """Start an entry instance."""
         entry: Entry
 
-        def apply(version: int, document: bytes) -> bool:
+        async def apply(version: int, document: bytes) -> bool:
             entry.in_force_ms[version] = now_ms()
             entry.changed.notify()
             return True
