Count partners of a version only where several versions serve

Found by reading the change: with one version in service, placement counted the versions of the holders for each model and each option, and multiplied the result by zero. It now asks for the value first.

--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -150,7 +150,9 @@
             )
             gain = self._load_by_model[model] * (load_ratio - 1.0)
             if load_ratio <= _OVERLOAD_FACTOR:
-                gain = self._continuation_value(model) if self._lacks_partner(model) else 0.0
+                gain = self._continuation_value(model)
+                if gain > 0.0 and not self._lacks_partner(model):
+                    gain = 0.0
             if gain > 0.0 and len(holders) < len(self._engines):
                 candidates.append((-gain, model))
         return [model for _, model in sorted(candidates)]
@@ -271,7 +273,12 @@
         gain = self._as_requests_per_s(
             self._load_estimate.gain_of_adding(model, engine.upstream_id)
         )
-        return gain + self._continuation_value(model) * self._is_only_partner(model, engine)
+        return gain + self._continuation_gain(model, engine)
+
+    def _continuation_gain(self, model: str, engine: EngineView) -> float:
+        """Return the continuation value where an engine is the only one to provide it."""
+        value = self._continuation_value(model)
+        return value if value > 0.0 and self._is_only_partner(model, engine) else 0.0
 
     def _continuation_value(self, model: str) -> float:
         """Return the value of a second engine for the streams that one of a model's engines runs.
@@ -310,7 +317,7 @@
             return 0.0
         loss = self._serving_estimate.loss_of_removing(victim, engine.upstream_id)
         loss = self._as_requests_per_s(max(0.0, loss))
-        loss += self._continuation_value(victim) * self._is_only_partner(victim, engine)
+        loss += self._continuation_gain(victim, engine)
         return loss * _HYSTERESIS_FACTOR
 
     def _adapter_miss_cost(self, engine: EngineView) -> float:
