Share the hash that ranks the members of a set for a key

The keepers of a stream were ranked by a copy of what the selection of upstreams and the homes of adapters had already; the three places now call policy/rendezvous.py. The same values (1,000 keys compared); 220 tests of what uses it pass, with formatter, linter and type checker.

--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from briardyke.clock import now_ms
 from briardyke.fleet.messages import AdapterRequest
 from briardyke.gateway.upstream_selection import AFFINITY_SLACK
 from briardyke.logs import log_limited
+from briardyke.policy.rendezvous import rendezvous_hash
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -57,7 +56,7 @@
         name = f"{metadata.model}/{metadata.adapter}"
         ranked = sorted(
             candidates,
-            key=lambda s: xxhash.xxh64_intdigest(f"{name}|{s.row.upstream_id}".encode()),
+            key=lambda s: rendezvous_hash(name, s.row.upstream_id),
             reverse=True,
         )
         held = [s for s in candidates if s.holds_adapter(metadata.model, metadata.adapter)]
--- a/src/briardyke/gateway/upstream_selection.py
+++ b/src/briardyke/gateway/upstream_selection.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from briardyke.clock import now_ms
+from briardyke.policy.rendezvous import rendezvous_hash
 from briardyke.policy.water_filling import water_filling_level
 
 if TYPE_CHECKING:
@@ -83,7 +82,7 @@
     if len(request.prefix_ids) < _MIN_SHARED_PARTS:
         return best
     shared = ",".join(request.prefix_ids[:_MIN_SHARED_PARTS])
-    preferred = max(candidates, key=lambda s: _rendezvous_hash(shared, s.row.upstream_id))
+    preferred = max(candidates, key=lambda s: rendezvous_hash(shared, s.row.upstream_id))
     if preferred.health.weight(now) < 1.0 or preferred.load() > best.load() + AFFINITY_SLACK:
         return best
     return (
@@ -102,7 +101,3 @@
     return min(
         _MAX_SLOWNESS, max(1.0 / _MAX_SLOWNESS, state.service_time_ms / mean_service_time_ms)
     )
-
-
-def _rendezvous_hash(shared: str, upstream_id: str) -> int:
-    return int(xxhash.xxh64_intdigest(f"{shared}|{upstream_id}".encode()))
--- a/src/briardyke/software_versions/directory.py
+++ b/src/briardyke/software_versions/directory.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 import trio
-import xxhash
 
 from briardyke.fleet.messages import StreamReply, StreamReport, StreamReportReply, StreamRequest
+from briardyke.policy.rendezvous import rendezvous_hash
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -98,8 +98,4 @@
 
     def _ranked(self, request_id: str) -> list[Address]:
         """Return the control instances in the order in which they keep a stream."""
-        return sorted(self._controls(), key=lambda a: _rank(request_id, a))
-
-
-def _rank(request_id: str, address: Address) -> int:
-    return int(xxhash.xxh64_intdigest(f"{request_id}|{address}".encode()))
+        return sorted(self._controls(), key=lambda a: rendezvous_hash(request_id, str(a)))
