--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,4 +1,4 @@
-"""All processes are killed while one server is leaving; requests are counted after the recovery."""
+"""All processes are killed while two servers leave; requests are counted after the recovery."""
 
 from __future__ import annotations
 
@@ -64,8 +64,8 @@
 async def case(site: Site) -> int:
     """Return whether less than a quarter is served after the recovery."""
     site.start_all()
-    apps = [Server(site, "app", n) for n in range(1, 5)]
-    engines = [Server(site, "pool", n, models={"m1": [], "m2": []}) for n in (1, 2)]
+    apps = [Server(site, "app", n) for n in range(1, 4)]
+    engines = [Server(site, "pool", n, models={"m1": [], "m2": []}) for n in (1, 2, 3)]
     await asyncio.sleep(3.0)
     for server in (*apps, *engines):
         await server.start()
@@ -75,14 +75,15 @@
     tally = Tally()
     traffic = asyncio.create_task(send_requests(site, tally))
     await asyncio.sleep(6.0)
-    departure = asyncio.create_task(apps[0].drain(2.5))
+    leaving = (apps[0], engines[1])
+    drains = [asyncio.create_task(server.drain(2.5)) for server in leaving]
     await asyncio.sleep(2.0)
     fault = site.record.now
     before = tally.share(fault - 8.0, fault - 3.0)
     await site.put(config(2))
     back = await kill_all(site) if TROUBLE else site.record.now
-    await departure
-    await apps[0].depart()
+    await asyncio.gather(*drains)
+    await asyncio.gather(*(server.depart() for server in leaving))
     since = back + BOUNDS["recovery_s"]
     await asyncio.sleep(since + COUNTED_S + 3.0 - site.record.now)
     traffic.cancel()
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -12,9 +12,11 @@
 
 FOLDER = Path(__file__).resolve().parent
 # Streams of the small deployment, in requests a second over all entry machines.
-RATE_PER_S = 30.5
+RATE_PER_S = 41.8
 ADAPTERS = [f"a{n}" for n in range(1, 9)]
 FREEZE_S = 4.0
+# Time from the freeze to the first refusal of the server.
+REFUSES_AFTER_S = 0.8
 PAUSE_S = 6.0
 ALLOWED = 2
 
@@ -78,10 +80,10 @@
     site.record.write("leader", machine=leader)
     if TROUBLE:
         site.signal(leader, signal.SIGSTOP)
-    await asyncio.sleep(1.3)
+    await asyncio.sleep(REFUSES_AFTER_S)
     held.refusal = {"Retry-After": f"{PAUSE_S:g}"}
     site.record.write("server_refuses", server=held.id, retry_after_s=PAUSE_S)
-    await asyncio.sleep(FREEZE_S - 1.3)
+    await asyncio.sleep(FREEZE_S - REFUSES_AFTER_S)
     if TROUBLE:
         site.signal(leader, signal.SIGCONT)
     await asyncio.sleep(PAUSE_S)
@@ -93,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    main(case, FOLDER)
+    main(case, FOLDER, entries=7)
--- a/review/standins.py
+++ b/review/standins.py
@@ -27,7 +27,9 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT, PEER_PORT = 8144, 8143, 8149, 8141, 7380
-WORKER_PORT = 9001
+WORKER_PORT, GUARD_PORT = 9001, 8140
+# Last byte of the first address of each kind.
+FIRST_HOST = {"core": 1, "edge": 41, "pool": 81, "app": 121}
 HOST = "ficu95.example"
 HEARTBEAT_S = 1.2
 BOUNDS: dict[str, Any] = {
@@ -151,13 +153,17 @@
     return answer
 
 
-def free_network() -> str:
-    """Return the first two bytes of loopback addresses that nothing listens on."""
+def free_network() -> tuple[str, socket.socket]:
+    """Return the first three bytes of free loopback addresses and a socket that reserves them."""
     for _ in range(100):
-        prefix = f"127.{random.randint(10, 250)}"
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind((f"{prefix}.1.1", CONTROL_PORT))
-            return prefix
+        prefix = f"127.{random.randint(10, 250)}.{random.randint(0, 250)}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{prefix}.254", GUARD_PORT))
+            guard.listen()
+            return prefix, guard
+        except OSError:
+            guard.close()
     raise OSError("no free loopback addresses")
 
 
@@ -167,7 +173,7 @@
     def __init__(self, folder: Path, controls: int = 5, entries: int = 6) -> None:
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self.network = free_network()
+        self.network, self._guard = free_network()
         self.controls = [f"core-{n}" for n in range(1, controls + 1)]
         self.entries = [f"edge-{n}" for n in range(1, entries + 1)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -182,7 +188,7 @@
     def ip(self, name: str) -> str:
         """Return the address of a machine."""
         role, _, number = name.partition("-")
-        return f"{self.network}.{1 if role == 'core' else 2}.{number}"
+        return f"{self.network}.{FIRST_HOST[role] + int(number) - 1}"
 
     def zone(self, name: str) -> str:
         """Return the zone of a machine."""
@@ -297,8 +303,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        if "KEEP" not in os.environ:
-            shutil.rmtree(self.folder, ignore_errors=True)
+        self._guard.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     # The operator
 
@@ -359,7 +365,7 @@
     def __init__(self, site: Site, service: str, number: int, **fields: Any) -> None:
         self.site, self.service, self.number = site, service, number
         self.id = f"i-{service}-{number}"
-        self.address = f"{site.network}.{3 if service == 'pool' else 4}.{number}:{WORKER_PORT}"
+        self.address = f"{site.network}.{FIRST_HOST[service] + number - 1}:{WORKER_PORT}"
         self.zone = f"zone-{(number - 1) % 3 + 1}"
         self.version = "v1"
         self.slots = 8
@@ -378,7 +384,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._listener: asyncio.Server | None = None
-        self._next_control = 0
+        self._next_control = number
         for name, value in fields.items():
             setattr(self, name, value)
 
