Let a new control instance take the place of one that is gone

What callers saw: after three replacements of control instances and one lost disk, one at a time and each caught up, no instance led although five of five ran and reached each other.

Cause: each learner became a voter beside the voter that it replaced, and a departed voter was removed only after 20 s of silence, counted anew by each leader. Three replacements made eight voters of whom five ran; the next loss took the majority away.

Change: while a voter is silent, a learner of another instance takes its place instead of adding one. Heartbeats carry how long members have been silent, so that the next leader continues the count. A member without a leader asks to join, and one that was removed while it was only cut off is admitted again with its disk; before, it was refused for good.

Why it works: the number of voters no longer grows with replacements, so each tolerated loss finds the group as it was before the first.

--- a/src/briardyke/consensus/election.py
+++ b/src/briardyke/consensus/election.py
@@ -152,7 +152,9 @@
     state.leader_id, state.leader_address = state.own_id, state.own_address
     state.transfer_target = ""
     state.progress = {
-        member.member_id: Progress(state.log.last_index + 1, state.now_ms)
+        member.member_id: Progress(
+            state.log.last_index + 1, state.now_ms, _earlier_silence_ms(state, member.member_id)
+        )
         for member in state.membership.members
         if member.member_id != state.own_id
     }
@@ -164,6 +166,12 @@
     replication.start_round(state)
 
 
+def _earlier_silence_ms(state: NodeState, member_id: str) -> float:
+    if member_id == state.followed_id:
+        return state.now_ms - state.leader_contact_ms
+    return state.reported_silence_ms.get(member_id, 0.0)
+
+
 def _other_voters(state: NodeState) -> list[Member]:
     return [m for m in state.membership.voters if m.member_id != state.own_id]
 
--- a/src/briardyke/consensus/members.py
+++ b/src/briardyke/consensus/members.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from briardyke.consensus.state import NodeSettings
+
 ID_SEPARATOR = "#"
 # Each membership entry contains the removed ids; 1,000 of them take less than 64 KiB.
 MAX_REMOVED_IDS = 1000
@@ -21,6 +23,22 @@
 MIN_VOTERS = 3
 
 
+@attrs.frozen
+class Observation:
+    """Describe what the leader knows of a member.
+
+    :param is_caught_up: whether the member holds nearly all entries.
+    :param is_silent: whether it has not replied to this leader for an election timeout.
+    :param silence_ms: how long it has not replied to this or earlier leaders.
+    :param observed_ms: how long this leader has sent it messages.
+    """
+
+    is_caught_up: bool = True
+    is_silent: bool = False
+    silence_ms: float = 0.0
+    observed_ms: float = 0.0
+
+
 def instance_id_of(member_id: str) -> str:
     """Return the instance id that a member id contains."""
     return member_id.rpartition(ID_SEPARATOR)[0]
@@ -46,13 +64,13 @@
 class MemberChange:
     """Describe one change of the membership.
 
-    :param action: kind of change; ``add`` adds a learner.
+    :param action: kind of change; ``add`` adds a learner, ``readmit`` adds a removed member as one.
     :param member_id: member that is added, promoted or removed.
-    :param address: peer address, for ``add`` only.
-    :param successor_id: learner that replaces a removed member, or empty.
+    :param address: peer address, for ``add`` and ``readmit`` only.
+    :param replacement_id: learner that replaces a removed member, or empty.
     """
 
-    action: Literal["add", "promote", "remove"]
+    action: Literal["add", "readmit", "promote", "remove"]
     member_id: str
     address: Address | None = None
     replacement_id: str = ""
@@ -120,6 +138,9 @@
         member = self.get(change.member_id)
         if change.action == "add":
             return self._with_added(change, member)
+        if change.action == "readmit":
+            others = tuple(i for i in self.removed if i != change.member_id)
+            return attrs.evolve(self, removed=others)._with_added(change, member)
         if member is None:
             return _refused(f"{change.member_id} is not a member")
         if change.action == "promote":
@@ -197,36 +218,46 @@
 
 
 def next_automatic_change(
-    membership: Membership,
-    is_caught_up: Callable[[str], bool],
-    is_silent: Callable[[str], bool],
-    is_departed: Callable[[str], bool],
+    membership: Membership, observe: Callable[[str], Observation], settings: NodeSettings
 ) -> MemberChange | None:
     """Return the next change for a group in which every control instance becomes a voter.
 
     The number of control instances is not configured, so each learner that has caught up is
-    promoted. An instance that has been silent for ``NodeSettings.removal_silence_ms`` is removed
-    once the voters that reply are a majority without it.
+    promoted. While a voter is silent, the learner takes its place instead: otherwise each instance
+    that is replaced by another one would leave the group with one voter more, and the loss of one
+    of the instances that remain could take the majority away. A member that no other instance
+    replaces is removed after a longer silence.
 
     :param membership: current members.
-    :param is_caught_up: returns whether a learner holds nearly all entries.
-    :param is_silent: returns whether a member has not replied for an election timeout.
-    :param is_departed: returns whether a member has been silent for so long that it is removed.
+    :param observe: returns what the leader knows of a member.
+    :param settings: how long a member may be silent.
     :return: one change, or ``None`` when no change is needed.
     """
-    replacement = next_replacement(membership, is_caught_up, is_silent)
+    observed = {member.member_id: observe(member.member_id) for member in membership.members}
+    replacement = next_replacement(
+        membership, lambda i: observed[i].is_caught_up, lambda i: observed[i].is_silent
+    )
     if replacement is not None:
         return replacement
+    silent = [i for i, observation in observed.items() if observation.is_silent]
+    silent.sort(key=lambda i: observed[i].silence_ms, reverse=True)
+    silent_voter = next(filter(membership.is_voter, silent), None)
     for learner in membership.members:
-        if learner.voter or not is_caught_up(learner.member_id):
+        observation = observed[learner.member_id]
+        # A voter that was lost before the learner joined has to be known as silent by then.
+        is_ready = observation.is_caught_up and observation.observed_ms > settings.election_max_ms
+        if learner.voter or not is_ready or _older_members(membership, learner):
             continue
-        if _older_members(membership, learner):
-            continue  # the older member of the same instance is removed first
-        return MemberChange("promote", learner.member_id)
-    for member in membership.members:
-        voters = len(membership.voters)
-        if is_departed(member.member_id) and (not member.voter or voters > MIN_VOTERS):
-            return MemberChange("remove", member.member_id)
+        if silent_voter is None:
+            return MemberChange("promote", learner.member_id)
+        if observed[silent_voter].silence_ms >= settings.replacement_silence_ms:
+            return MemberChange("remove", silent_voter, None, learner.member_id)
+    may_lose_voter = len(membership.voters) > MIN_VOTERS
+    for member_id in silent:
+        if observed[member_id].silence_ms >= settings.removal_silence_ms and (
+            may_lose_voter or not membership.is_voter(member_id)
+        ):
+            return MemberChange("remove", member_id)
     return None
 
 
--- a/src/briardyke/consensus/messages.py
+++ b/src/briardyke/consensus/messages.py
@@ -90,6 +90,8 @@
     :param commit_confirmed: whether the leader has committed an entry of its own term, so that
         its commit index covers everything that earlier leaders acknowledged.
     :param round_number: number of the leader's latest heartbeat round.
+    :param silence_ms: members that have not replied for an election timeout, and for how long, so
+        that the next leader does not count anew.
     """
 
     previous_index: int
@@ -98,6 +100,7 @@
     commit_index: int
     commit_confirmed: bool
     round_number: int
+    silence_ms: dict[str, float] = attrs.field(factory=dict)
 
 
 @message
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -12,6 +12,7 @@
 from briardyke.consensus.members import (
     MemberChange,
     Membership,
+    Observation,
     next_automatic_change,
     next_replacement,
 )
@@ -105,10 +106,10 @@
         state.now_ms = now_ms
         if state.role is Role.LEADER:
             self._tick_leader()
-        elif state.is_voter:
-            if now_ms >= state.election_deadline_ms:
-                election.start_pre_vote(state)
-        elif state.membership.get(state.own_id) is None:
+            return self._take_effects()
+        if state.is_voter and now_ms >= state.election_deadline_ms:
+            election.start_pre_vote(state)
+        if self._may_need_to_join():
             self._ask_to_join()
         return self._take_effects()
 
@@ -233,14 +234,18 @@
         members = self.state.membership
         if not self.state.settings.promotes_learners:
             return next_replacement(members, self._is_caught_up, self._is_silent)
-        return next_automatic_change(
-            members, self._is_caught_up, self._is_silent, self._is_departed
-        )
+        return next_automatic_change(members, self._observe, self.state.settings)
 
-    def _is_departed(self, member_id: str) -> bool:
+    def _observe(self, member_id: str) -> Observation:
         progress = self.state.progress.get(member_id)
-        silence_ms = self.state.now_ms - progress.last_reply_ms if progress else 0.0
-        return silence_ms >= self.state.settings.removal_silence_ms
+        if progress is None:
+            return Observation()
+        return Observation(
+            self._is_caught_up(member_id),
+            self._is_silent(member_id),
+            self.state.silence_ms(member_id),
+            self.state.now_ms - progress.created_ms,
+        )
 
     def _is_caught_up(self, member_id: str) -> bool:
         progress = self.state.progress.get(member_id)
@@ -255,10 +260,21 @@
             return False
         return self.state.now_ms - progress.last_reply_ms >= self.state.settings.election_min_ms
 
+    def _may_need_to_join(self) -> bool:
+        """Return whether this process is not a member, or may have been removed unnoticed.
+
+        A member that was cut off does not receive the entry that removes it. Leaders ignore the
+        request of a member that they list.
+        """
+        state = self.state
+        if state.settings.promotes_learners:
+            silence_ms = state.now_ms - state.leader_contact_ms
+            return not state.is_member or silence_ms >= state.settings.election_max_ms
+        return not (state.is_member or state.join_refused or state.is_removed)
+
     def _ask_to_join(self) -> None:
         state = self.state
-        removed = state.join_refused or state.own_id in state.membership.removed
-        if removed or state.now_ms < state.next_join_ms:
+        if state.now_ms < state.next_join_ms:
             return
         state.next_join_ms = state.now_ms + state.settings.join_interval_ms
         listed = [member.address for member in state.membership.members]
@@ -379,14 +395,18 @@
                 sender_address=message.sender_address,
             )
         return
-    if message.sender_id in state.membership.removed:
-        state.reply(JoinRefused, message)
-    elif state.membership.get(message.sender_id) is None:
+    if state.membership.get(message.sender_id) is not None:
+        return
+    if message.sender_id not in state.membership.removed:
         _append_change(state, MemberChange("add", message.sender_id, message.sender_address))
+    elif state.settings.promotes_learners:
+        _append_change(state, MemberChange("readmit", message.sender_id, message.sender_address))
+    else:
+        state.reply(JoinRefused, message)
 
 
 @_handle.register
 def _(message: JoinRefused, state: NodeState) -> None:
-    if state.membership.get(state.own_id) is None and not state.join_refused:
+    if not state.is_member and not state.join_refused:
         log_error("member_was_removed", group=state.group_id, member=state.own_id)
         state.join_refused = True
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -20,6 +20,11 @@
     state.round_number += 1
     state.round_sent_ms[state.round_number] = state.now_ms
     state.next_heartbeat_ms = state.now_ms + state.settings.heartbeat_ms
+    state.reported_silence_ms = {
+        i: ms
+        for i in state.progress
+        if (ms := state.silence_ms(i)) >= state.settings.election_min_ms
+    }
     broadcast(state, heartbeat=True)
     _update_confirmation(state)
 
@@ -65,6 +70,7 @@
         commit_index=state.commit_index,
         commit_confirmed=state.commit_confirmed,
         round_number=state.round_number,
+        silence_ms=state.reported_silence_ms,
     )
 
 
@@ -98,7 +104,7 @@
     progress = state.progress.get(message.sender_id)
     if progress is None:
         return None
-    progress.last_reply_ms = state.now_ms
+    progress.last_reply_ms, progress.earlier_silence_ms = state.now_ms, 0.0
     progress.acked_round = max(progress.acked_round, message.round_number)
     _update_confirmation(state)
     return progress
@@ -178,6 +184,7 @@
         _reply_append(state, message, False, 0)  # the higher term makes the old leader step down
         return
     state.follow(message, message.commit_index)
+    state.reported_silence_ms = message.silence_ms
     if message.commit_confirmed and state.ready_index is None:
         state.ready_index = message.commit_index
     previous, log = message.previous_index, state.log
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -43,8 +43,10 @@
     :param kept_entries: number of entries before a snapshot that stay in memory, so that a slow
         member can catch up without the snapshot.
     :param promotes_learners: whether every learner that has caught up becomes a voter.
-    :param removal_silence_ms: time without a reply after which a member is removed; used only with
-        ``promotes_learners``.
+    :param replacement_silence_ms: time without a reply after which a learner of another instance
+        takes the place of a voter; used only with ``promotes_learners``.
+    :param removal_silence_ms: time without a reply after which a member is removed although no
+        other instance takes its place; used only with ``promotes_learners``.
     """
 
     heartbeat_ms: float = 150.0
@@ -58,6 +60,7 @@
     snapshot_chunk_bytes: int = 256 * 1024
     kept_entries: int = 1000
     promotes_learners: bool = False
+    replacement_silence_ms: float = 3000.0
     removal_silence_ms: float = 20_000.0
 
 
@@ -66,7 +69,10 @@
     """Track the replication progress of another member, as known to the leader.
 
     :param next_index: next entry to send.
-    :param last_reply_ms: time of the last reply.
+    :param created_ms: time since when this leader sends the member messages.
+    :param last_reply_ms: time of the last reply to this leader, or ``created_ms``.
+    :param earlier_silence_ms: how long the member had not replied when this leader was elected;
+        0 once it has replied.
     :param match_index: last entry known to be on the member's disk.
     :param acked_round: latest heartbeat round that it acknowledged.
     :param probing: whether the matching index is unknown; ``next_index`` then changes only on
@@ -76,7 +82,11 @@
     """
 
     next_index: int
-    last_reply_ms: float
+    created_ms: float
+    earlier_silence_ms: float = 0.0
+    last_reply_ms: float = attrs.field(
+        default=attrs.Factory(lambda self: self.created_ms, takes_self=True)
+    )
     match_index: int = 0
     acked_round: int = 0
     probing: bool = True
@@ -180,6 +190,8 @@
     next_join_ms: float = 0.0
     join_refused: bool = False
     ready_index: int | None = None
+    # Members that did not reply to the last leader that this member followed, and for how long.
+    reported_silence_ms: dict[str, float] = attrs.field(factory=dict)
     # Newest entry that a leader has called committed; this member may not hold it.
     heard_commit_index: int = 0
     incoming_snapshot_key: tuple[int, int, str] | None = None
@@ -201,6 +213,16 @@
         """Return whether this member votes under the membership in force."""
         return self.membership.is_voter(self.own_id)
 
+    @property
+    def is_member(self) -> bool:
+        """Return whether this process is listed under the membership in force."""
+        return self.membership.get(self.own_id) is not None
+
+    @property
+    def is_removed(self) -> bool:
+        """Return whether this process was a member and has been removed."""
+        return self.own_id in self.membership.removed
+
     @property
     def known_commit_index(self) -> int:
         """Return the newest entry known to be committed, whether this member holds it or not."""
@@ -222,6 +244,13 @@
         progress = self.progress.get(self.followed_id)
         return progress is not None and progress.acked_round == 0
 
+    def silence_ms(self, member_id: str) -> float:
+        """Return how long a member has not replied to this or earlier leaders, as known here."""
+        progress = self.progress.get(member_id)
+        if progress is None:
+            return 0.0
+        return self.now_ms - progress.last_reply_ms + progress.earlier_silence_ms
+
     def set_hard_state(self, term: int, vote: str) -> None:
         """Change term and vote, and add them to the effects to be persisted."""
         self.hard_state = self.effects.hard_state = HardState(term, vote)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -72,14 +72,23 @@
     """Simulate several instances and check the guarantees after each event."""
 
     def __init__(
-        self, voters: int = 3, learners: int = 0, seed: int = 0, sync_ms: float = 0.0
+        self,
+        voters: int = 3,
+        learners: int = 0,
+        seed: int = 0,
+        sync_ms: float = 0.0,
+        promotes_learners: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.now, self.sync_ms = 0.0, sync_ms
         self.loss = self.duplication = 0.0
         self.delay_ms = (1.0, 1.0)
         self.settings = NodeSettings(
-            snapshot_chunk_bytes=64, kept_entries=3, max_append_entries=4, caught_up_entries=4
+            snapshot_chunk_bytes=64,
+            kept_entries=3,
+            max_append_entries=4,
+            caught_up_entries=4,
+            promotes_learners=promotes_learners,
         )
         self.partitions: list[set[str]] = []
         self.is_dropped: Callable[[str, str, Any], bool] = lambda sender, receiver, message: False
@@ -127,6 +136,15 @@
             self.settings,
         )
 
+    def add_host(self, name: str) -> Host:
+        """Start an instance with an empty disk at a new address."""
+        address = Address("127.0.0.1", len(self.hosts) + 1)
+        host = self.hosts[name] = Host(name, address, f"{name}#0", Membership())
+        self.disks[host.member_id] = host.disk
+        self.start(host)
+        self._tick(host)
+        return host
+
     def crash(self, host: Host) -> None:
         """Kill a process; effects that are not synced are lost."""
         host.node = None
