Apply all upstreams although one has departed unknown

Cause: a control process that does not know an upstream which departs keeps a row with its id alone. `UpstreamTable.update` parsed the missing address, raised ValueError and left out all rows after it, at each update.

Change: a row without a usable address is left out and the others are applied.

Why it works: no row can end the update of the others any more.

--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -8,9 +8,17 @@
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
-from briardyke.fleet.records import DRAINING, GONE, READY, ModelChanges, Upstream
+from briardyke.fleet.records import (
+    DRAINING,
+    GONE,
+    READY,
+    ModelChanges,
+    Upstream,
+    is_valid_upstream,
+)
 from briardyke.gateway.upstream_statements import FormerStatements, UpstreamStatements
 from briardyke.http.h11_client import ConnectionPool, RestLimit
+from briardyke.logs import log_limited
 from briardyke.policy.ejection import UpstreamHealth
 
 if TYPE_CHECKING:
@@ -261,7 +269,11 @@
     ) -> list[ConnectionPool]:
         """Apply announced rows and the model changes that are in progress.
 
-        :return: connection pools of upstreams that are no longer used."""
+        A row without a usable address is left out, and the other rows are applied all the same:
+        control instances that have restarted know only the id of an upstream that departs.
+
+        :return: connection pools of upstreams that are no longer used.
+        """
         self._software_versions = {}
         for row in rows.values():
             self._software_versions.setdefault(row.service, set()).add(row.software_version)
@@ -273,6 +285,8 @@
             if state is None or _is_different_process(state.row, row):
                 if state is not None:
                     retired.append(self._retire(upstream_id))
+                if not _has_address(row):
+                    continue
                 pool = ConnectionPool(parse_address(row.address), self._rest_limit)
                 statements = self._former.restore(row)
                 self._states[upstream_id] = UpstreamState(row, pool, statements=statements)
@@ -350,5 +364,13 @@
         return [state.pool for state in self._states.values()]
 
 
+def _has_address(row: Upstream) -> bool:
+    if is_valid_upstream(row):
+        return True
+    if row.lifecycle != GONE:
+        log_limited("upstream_unusable", is_routine=False, upstream=row.upstream_id)
+    return False
+
+
 def _is_different_process(known: Upstream, row: Upstream) -> bool:
     return (known.incarnation, known.address) != (row.incarnation, row.address)
