Refuse one message that meets a defect instead of ending the process

Cause: `place_adapter` looked up the service of an engine that is known until the next tick, and raised KeyError; any unforeseen error in the handling of a message from another process ended the process.

Change: `place_adapter` refuses such engines. A message that meets a defect is refused with `internal`, logged with its place and counted; connection and process go on. Messages between members of a group are the exception: their state may have changed in part, so the member ends (docs/design.md, section 7).

Why it works: the look-up can't fail, and no other one like it can end the process.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -104,6 +104,7 @@
         }
         self._node = Node(**self._node_arguments, now_ms=0.0)
         self._is_running = False
+        self._defect: Exception | None = None
         self._disk = DiskWriter(group_id, lambda *call: self._run_blocking(*call))
         self._pending: deque[Effects] = deque()
         self._queued_proposals: deque[_Proposal] = deque()
@@ -121,8 +122,9 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Take part in the group until cancelled.
 
-        :raises ExceptionGroup: with an ``OSError`` when the disk fails, or an error of the state
-            machine. The process must stop, because it is unknown what was written or applied.
+        :raises ExceptionGroup: with an ``OSError`` when the disk fails, an error of the state
+            machine, or a defect met by a message. The process must stop, because it is unknown
+            what was written, applied or changed.
         """
         self._node = Node(**self._node_arguments, now_ms=now_ms())
         self._is_running = True
@@ -183,7 +185,13 @@
         """Handle a message from another member; replies go through ``send``."""
         # Kept while the disk is full, messages would fill the memory; the group bears their loss.
         if self._is_running and not self._disk.is_full:
-            self._enqueue(self._node.step(message, now_ms()))
+            try:
+                self._enqueue(self._node.step(message, now_ms()))
+            except Exception as error:
+                # The state may have changed in part, so this member must not go on with it.
+                self._defect = error
+                self._work_available.set()
+                raise
         await trio.lowlevel.checkpoint()
 
     def status(self) -> LogStatus:
@@ -292,6 +300,8 @@
     async def _process_work(self) -> None:
         while True:
             await self._work_available.wait()
+            if self._defect is not None:
+                raise self._defect
             self._work_available = trio.Event()
             while self._pending or self._queued_proposals or self._written_snapshot:
                 self._propose_queued()
--- a/src/briardyke/control/process.py
+++ b/src/briardyke/control/process.py
@@ -22,7 +22,7 @@
 from briardyke.http.app import HttpApp, Response, json_response, serve_http
 from briardyke.http.client import HttpClient
 from briardyke.logs import log_event
-from briardyke.metrics import PAGE_CONTENT_TYPE, prometheus_page
+from briardyke.metrics import PAGE_CONTENT_TYPE, page_of
 from briardyke.placement.executor import PlacementRunner
 from briardyke.placement.types import PlacementView
 from briardyke.sync.client import SyncClient, SyncReport
@@ -30,6 +30,7 @@
 from briardyke.sync.view import SyncedView
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello, serve_peers
 from briardyke.wire.pool import PeerPool
+from briardyke.wire.statistics import STATISTICS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -205,7 +206,8 @@
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _get_metrics(self, request: Request) -> Response:
-        return Response(200, prometheus_page(), {"content-type": PAGE_CONTENT_TYPE})
+        page = page_of(STATISTICS.figures())
+        return Response(200, page, {"content-type": PAGE_CONTENT_TYPE})
 
 
 class _GroupMembership:
--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -16,10 +16,11 @@
 from briardyke.http.app import HttpApp, Request, Response, json_response, serve_http
 from briardyke.http.client import HttpClient
 from briardyke.logs import log_event, log_warning
-from briardyke.metrics import PAGE_CONTENT_TYPE, prometheus_page
+from briardyke.metrics import PAGE_CONTENT_TYPE, page_of
 from briardyke.sync.client import SyncClient
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello
 from briardyke.wire.pool import PeerPool
+from briardyke.wire.statistics import STATISTICS
 
 if TYPE_CHECKING:
     from briardyke.entry.settings import EntrySettings
@@ -139,7 +140,8 @@
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _get_metrics(self, request: Request) -> Response:
-        return Response(200, prometheus_page(), {"content-type": PAGE_CONTENT_TYPE})
+        page = page_of(STATISTICS.figures())
+        return Response(200, page, {"content-type": PAGE_CONTENT_TYPE})
 
 
 async def run_entry(settings: EntrySettings, stop: trio.Event) -> None:
--- a/src/briardyke/logs.py
+++ b/src/briardyke/logs.py
@@ -5,6 +5,8 @@
 import logging as standard_logging
 import sys
 import time
+import traceback
+from pathlib import Path
 from typing import Any, TextIO
 
 from absl import flags, logging
@@ -116,6 +118,17 @@
     logging.error("%s", _line(event, fields))
 
 
+def place_of(error: BaseException) -> str:
+    """Return the module, line and function in which an error was raised, for a log line."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    last = frames[-1]
+    return f"{Path(last.filename).name}:{last.lineno} {last.name}"
+
+
 def _line(event: str, fields: dict[str, Any]) -> str:
     return " ".join([f"event={event}", *(f"{k}={_quote(str(v))}" for k, v in fields.items())])
 
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -393,13 +393,12 @@
         holding = [pair for pair in usable if pair[1].has_adapter(key)]
         reason = "none of the named engines holds the model"
         for upstream_id, state in [*holding, *usable]:
-            spec = configuration.services[state.row.service].engine
-            failure = (
-                await self._adapters.ensure(state, spec, key)
-                if spec
-                else "the service has no engines"
-            )
-            if not failure:
+            # Engines of a service that left the configuration are known until the next tick.
+            service = configuration.services.get(state.row.service)
+            if service is None or service.engine is None:
+                reason = "the service has no engines"
+                continue
+            reason = await self._adapters.ensure(state, service.engine, key)
+            if not reason:
                 return AdapterReply(upstream_id)
-            reason = failure
         return AdapterReply("", reason)
--- a/src/briardyke/supervision.py
+++ b/src/briardyke/supervision.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from briardyke.logs import log_error
+from briardyke.logs import log_error, place_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -28,7 +28,7 @@
         try:
             await run()
         except Exception as error:
-            log_error("background_task_failed", task=name, reason=repr(error))
+            log_error("background_task_failed", task=name, reason=repr(error), at=place_of(error))
             await trio.sleep(RESTART_MS / 1000.0)
         else:
             return
--- a/src/briardyke/wire/connection.py
+++ b/src/briardyke/wire/connection.py
@@ -12,8 +12,9 @@
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
-from briardyke.logs import log_debug, log_limited, log_warning
+from briardyke.logs import log_debug, log_error, log_limited, log_warning, place_of
 from briardyke.wire import codec
+from briardyke.wire.statistics import STATISTICS
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
@@ -153,6 +154,8 @@
     except* (ValueError, trio.TooSlowError) as group:
         reason = str(group.exceptions[0]) or "handshake timed out"
         log_warning("peer_protocol_violation", reason=reason)
+    except* Exception as group:
+        log_error("peer_connection_failed", reason=repr(group.exceptions))
     finally:
         await frames.aclose()
 
@@ -181,13 +184,32 @@
     decoded = codec.decode(body)
     reply = refusal(decoded.unwrap_err()) if decoded.is_err() else None
     if decoded.is_ok():
-        reply = await handler(peer_id, decoded.unwrap())
+        reply = await _handle(handler, peer_id, decoded.unwrap())
     if correlation_id != _ONE_WAY_ID:
         if reply is None:
             reply = Refused(ErrorKind.PROTOCOL_VIOLATION.value, "message type has no reply")
         await frames.send(correlation_id, True, codec.encode(reply))
 
 
+async def _handle(handler: Handler, peer_id: str, message: Any) -> Any | None:
+    """Return the handler's reply; a defect met by one message ends neither the connection nor the
+    process."""
+    try:
+        return await handler(peer_id, message)
+    except Exception as error:
+        name = type(message).__name__
+        STATISTICS.failed_messages[name] += 1
+        log_error(
+            "peer_message_failed",
+            peer=peer_id,
+            type=name,
+            count=STATISTICS.failed_messages[name],
+            reason=repr(error),
+            at=place_of(error),
+        )
+        return refusal(Failure(ErrorKind.INTERNAL, f"a defect was met by this {name}"))
+
+
 def _check_hello(frame: tuple[int, bool, bytes] | None, own: Hello) -> Result[str, Failure]:
     if frame is None:
         return Err(
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -382,3 +382,25 @@
                 await group.logs[leader].propose(b"1", 1000)
                 await trio.sleep(5.0)
                 nursery.cancel_scope.cancel()
+
+
+class TestDefects:
+    """Guards against a member that goes on with a state that was changed in part."""
+
+    async def test_defect_met_by_a_message_ends_the_member(
+        self, autojump_clock: Any, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(message: Any, now_ms: float) -> None:
+            raise KeyError("defect")
+
+        with pytest.raises(ExceptionGroup):
+            async with trio.open_nursery() as nursery:
+                group = _Group(tmp_path, nursery)
+                leader = await group.started()
+                group.isolated.add(leader)
+                monkeypatch.setattr(group.logs[leader]._node, "step", fail)
+                message: Any = object()
+                with pytest.raises(KeyError):
+                    await group.logs[leader].handle(message)
+                await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
--- a/tests/models/test_runner.py
+++ b/tests/models/test_runner.py
@@ -96,6 +96,16 @@
         assert {reply.upstream_id for reply in replies} == {"e"}
         assert len(leader.engines.orders) == 1
 
+    async def test_engine_of_a_service_that_left_the_configuration_is_refused(
+        self, leader: RunnerFixture
+    ) -> None:
+        """Guards against a leader that ends by itself when a configuration drops a service."""
+        without_service = attrs.evolve(CONFIGURATION, version=2, services={})
+        leader.runner._configuration = lambda: without_service
+        reply = await leader.runner.place_adapter(AdapterRequest("m", "a1", ["e"]))
+        assert reply == AdapterReply("", "the service has no engines")
+        assert leader.engines.orders == []
+
     async def test_waiting_requests_retry_a_failed_load(self, leader: RunnerFixture) -> None:
         leader.engines.outcomes = [OrderOutcome.REFUSED]
         replies: list[AdapterReply] = []
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -14,6 +14,7 @@
 from briardyke.wire.connection import (
     MAX_QUEUED_BYTES,
     PROTOCOL_VERSION,
+    Handler,
     Hello,
     PeerClient,
     Refused,
@@ -21,6 +22,7 @@
     serve_peers,
 )
 from briardyke.wire.messages import ClaimReply, ClaimRequest
+from briardyke.wire.statistics import STATISTICS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -38,9 +40,9 @@
 
 
 @asynccontextmanager
-async def _server() -> AsyncIterator[Address]:
+async def _server(handler: Handler = _handler) -> AsyncIterator[Address]:
     async with trio.open_nursery() as nursery:
-        port = await nursery.start(serve_peers, Address("127.0.0.1", 0), _HELLO, _handler)
+        port = await nursery.start(serve_peers, Address("127.0.0.1", 0), _HELLO, handler)
         yield Address("127.0.0.1", port)
         nursery.cancel_scope.cancel()
 
@@ -140,6 +142,36 @@
                 assert (await client.call(_REQUEST, 1000)).is_ok()
 
 
+class TestDefects:
+    """Guards against a defect in the handling of one message that ends the process of the peer."""
+
+    async def test_defect_met_by_one_message_is_refused_and_the_connection_goes_on(self) -> None:
+        """Guards against a leader that ends because a request names a service that has gone."""
+
+        async def handler(peer_id: str, message: Any) -> Any:
+            if message.attempt_id == "defect":
+                raise KeyError("pool")
+            return await _handler(peer_id, message)
+
+        before = STATISTICS.failed_messages["ClaimRequest"]
+        async with _server(handler) as address, _client(address, Hello(1, "cluster", "me")) as c:
+            for _ in range(3):
+                failed = await c.call(ClaimRequest(1, "c", "d", "defect"), 1000)
+                assert failed.unwrap_err().kind is ErrorKind.INTERNAL
+                assert (await c.call(_REQUEST, 1000)).is_ok()
+        assert STATISTICS.failed_messages["ClaimRequest"] == before + 3
+
+    async def test_defect_met_by_a_one_way_message_does_not_end_the_server(self) -> None:
+        async def handler(peer_id: str, message: Any) -> Any:
+            if message.attempt_id == "defect":
+                raise ExceptionGroup("several", [KeyError("pool")])
+            return await _handler(peer_id, message)
+
+        async with _server(handler) as address, _client(address, Hello(1, "cluster", "me")) as c:
+            c.send(ClaimRequest(1, "c", "d", "defect"))
+            assert (await c.call(_REQUEST, 1000)).is_ok()
+
+
 class TestCodec:
     """Guards against messages that change in transit, and against decoding errors that escape."""
 
