Replace connections between processes that have gone silent

With the connections of control instances silent one after the other, no control instance knew a leader any more.

Cause: a connection was left only after an error of the socket or at its end, so every later call and one-way message went to the same silent one. Kernel options show nothing where something between the processes acknowledges the bytes.

Change: what is unanswered for 250 ms is probed, and a connection without any byte for 550 ms replaced; slow peers, large messages and the own pauses get more time. All connections of a process are probed once one is silent. Polls are repeated on the new connection. Logs and metrics tell silent, gone and slow apart.

Why it works: each end finds out by itself, within the time in which a change must be in force and a member must be heard.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -87,6 +87,7 @@
     _K.MEMBER_CHANGE_REFUSED: "A member change is invalid or another one is still in progress.",
     _K.PEER_UNREACHABLE: "No connection to the peer process could be opened.",
     _K.PEER_TIMEOUT: "The peer gave no reply in time, or the connection to it was lost.",
+    _K.PEER_SILENT: "The connection to the peer turned out to carry nothing any more.",
     _K.PROTOCOL_MISMATCH: "The peer has another protocol version, cluster id or schema.",
     _K.PROTOCOL_VIOLATION: "A peer sent a message that is not valid at this point.",
     _K.LOG_CORRUPT: "The stored log or identity is damaged or incomplete.",
--- a/src/briardyke/errors.py
+++ b/src/briardyke/errors.py
@@ -62,6 +62,7 @@
     MEMBER_CHANGE_REFUSED = "member_change_refused"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_TIMEOUT = "peer_timeout"
+    PEER_SILENT = "peer_silent"
     PROTOCOL_MISMATCH = "protocol_mismatch"
     PROTOCOL_VIOLATION = "protocol_violation"
     LOG_CORRUPT = "log_corrupt"
@@ -125,6 +126,7 @@
     ErrorKind.MEMBER_CHANGE_REFUSED: Answer(409, False, Ran.NO),
     ErrorKind.PEER_UNREACHABLE: Answer(503, True, Ran.NO),
     ErrorKind.PEER_TIMEOUT: Answer(504, True, Ran.UNKNOWN),
+    ErrorKind.PEER_SILENT: Answer(504, True, Ran.UNKNOWN),
     ErrorKind.PROTOCOL_MISMATCH: Answer(400, False, Ran.NO),
     ErrorKind.PROTOCOL_VIOLATION: Answer(400, False, Ran.NO),
     ErrorKind.LOG_CORRUPT: Answer(500, False, Ran.NO),
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -31,6 +31,7 @@
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
+    from briardyke.errors import Failure
     from briardyke.wire.pool import PeerPool
 
 # Long-poll time while idle. Long enough to limit the traffic of 191 entry instances, short enough
@@ -137,7 +138,9 @@
         """Fetch the data centre of each control instance that is not known yet."""
 
         async def ask(address: Address) -> None:
-            result = await self._peers.client(address).call(PlaceRequest(), _PLACE_TIMEOUT_MS)
+            result = await self._peers.client(address).call(
+                PlaceRequest(), _PLACE_TIMEOUT_MS, is_repeatable=True
+            )
             reply = result.ok()
             if isinstance(reply, PlaceReply):
                 self._locations[address] = reply.data_centre
@@ -260,13 +263,16 @@
             self._held_limits,
         )
         reply = None
+        failure: Failure | None = None
         asked_ms = now_ms()
         async with trio.open_nursery() as nursery:
 
             async def call() -> None:
-                nonlocal reply
-                result = await self._peers.client(address).call(request, timeout_ms)
-                reply = result.ok()
+                nonlocal reply, failure
+                result = await self._peers.client(address).call(
+                    request, timeout_ms, is_repeatable=True
+                )
+                reply, failure = result.ok(), result.err()
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(call)
@@ -277,7 +283,13 @@
         if isinstance(reply, FleetReply):
             return reply
         waited_ms = round(now_ms() - asked_ms)
-        log_limited("control_lost", is_routine=False, control=address, waited_ms=waited_ms)
+        log_limited(
+            "control_lost",
+            is_routine=False,
+            control=address,
+            waited_ms=waited_ms,
+            reason=failure.kind.value if failure else "unexpected_reply",
+        )
         return None
 
     async def _apply(self, reply: FleetReply, control: Address) -> None:
@@ -322,7 +334,7 @@
         if self.view.leader is None:
             return AdapterReply("", "no leader is known")
         client = self._peers.client(self.view.leader)
-        reply = await client.call(request, _ADAPTER_TIMEOUT_MS)
+        reply = await client.call(request, _ADAPTER_TIMEOUT_MS, is_repeatable=True)
         if reply.is_ok() and isinstance(reply.unwrap(), AdapterReply):
             return reply.unwrap()
         failure = reply.err()
--- a/src/briardyke/fleet/rows.py
+++ b/src/briardyke/fleet/rows.py
@@ -179,7 +179,9 @@
         """
 
         async def ask(address: Address) -> None:
-            reply = await self._peers.client(address).call(RowsRequest(), _ROWS_TIMEOUT_MS)
+            reply = await self._peers.client(address).call(
+                RowsRequest(), _ROWS_TIMEOUT_MS, is_repeatable=True
+            )
             if reply.is_ok() and isinstance(reply.unwrap(), RowsUpdate):
                 self.apply_update(reply.unwrap())
 
--- a/src/briardyke/software_versions/directory.py
+++ b/src/briardyke/software_versions/directory.py
@@ -54,7 +54,7 @@
 
         async def send(address: Address, part: list[StreamVersion]) -> None:
             client = self._peers.client(address)
-            reply = await client.call(StreamReport(part), REPORT_TIMEOUT_MS)
+            reply = await client.call(StreamReport(part), REPORT_TIMEOUT_MS, is_repeatable=True)
             if isinstance(reply.ok(), StreamReportReply):
                 missing.difference_update(row.request_id for row in part)
                 if not missing:
@@ -78,7 +78,9 @@
             nonlocal found
             client = self._peers.client(address)
             reply = (
-                await client.call(StreamRequest(request_id, service), _REQUEST_TIMEOUT_MS)
+                await client.call(
+                    StreamRequest(request_id, service), _REQUEST_TIMEOUT_MS, is_repeatable=True
+                )
             ).ok()
             if not isinstance(reply, StreamReply):
                 return
--- a/src/briardyke/wire/pool.py
+++ b/src/briardyke/wire/pool.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from briardyke.wire import codec
-from briardyke.wire.connection import Hello, PeerClient
+from briardyke.wire.client import PeerClient
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -13,6 +13,7 @@
     import trio
 
     from briardyke.addresses import Address
+    from briardyke.wire.connection import Hello
 
 
 class PeerPool:
@@ -32,10 +33,17 @@
         """Return the client for an address."""
         client = self._clients.get(address)
         if client is None:
-            client = self._clients[address] = PeerClient(address, self._hello)
+            client = self._clients[address] = PeerClient(
+                address, self._hello, on_silent=self._probe_all
+            )
             self._nursery.start_soon(client.run)
         return client
 
+    def _probe_all(self) -> None:
+        """Look at all connections when one is silent, since several may be at once."""
+        for client in self._clients.values():
+            client.probe()
+
     def broadcast(self, addresses: Iterable[Address], message: Any) -> None:
         """Queue a one-way message to several peers, encoded once."""
         body = codec.encode(message)
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -180,7 +180,9 @@
     group: ControlGroup
     name: str
 
-    async def call(self, message: Any, timeout_ms: float) -> Result[Any, Failure]:
+    async def call(
+        self, message: Any, timeout_ms: float, *, is_repeatable: bool = False
+    ) -> Result[Any, Failure]:
         with trio.move_on_after(timeout_ms / 1000.0):
             await trio.sleep(LATENCY_S)
             if self.group.faults[self.name].is_silent or self.name not in self.group.controls:
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -80,7 +80,9 @@
     network: FakeNetwork
     address: Address
 
-    async def call(self, message: Any, timeout_ms: float) -> Result[Any, Failure]:
+    async def call(
+        self, message: Any, timeout_ms: float, *, is_repeatable: bool = False
+    ) -> Result[Any, Failure]:
         await trio.sleep(0.01)
         if self.address in self.network.down or self.address not in self.network.instances:
             await trio.sleep(timeout_ms / 1000.0)
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -11,12 +11,11 @@
 from briardyke.addresses import Address
 from briardyke.errors import ErrorKind, Failure
 from briardyke.wire import codec
+from briardyke.wire.client import MAX_QUEUED_BYTES, PeerClient
 from briardyke.wire.connection import (
-    MAX_QUEUED_BYTES,
     PROTOCOL_VERSION,
     Handler,
     Hello,
-    PeerClient,
     Refused,
     refusal,
     serve_peers,
