Bound what all responses of a process buffer together

What callers saw elsewhere: an upstream that sends without an end fills the memory of the process that called it, and the requests of all its callers end with it.

Cause: each response was bounded by itself, their sum was not. In the product's own client, interim responses without an end were read for ever, and an event without an end was kept whole.

Change: one budget for buffered responses, with 64 KB guaranteed to each; responses to other requests are not kept; the product's client limits the time to a response and the size of an event.

Why it works: the sum of the buffers no longer depends on the number of faulty upstreams.

--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable, Mapping
 
     from briardyke.gateway.upstreams import UpstreamState
+    from briardyke.http.buffers import ResponseBuffer
     from briardyke.http.exchange import Headers, HttpRequest
 
 # Time of a message between an entry instance and an engine.
@@ -119,6 +120,7 @@
         timeout_ms: float,
         *,
         is_retryable: bool,
+        buffer: ResponseBuffer,
         nursery: trio.Nursery,
         on_sent: Callable[[], None] | None = None,
         scope: trio.CancelScope | None = None,
--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -20,7 +20,7 @@
 from briardyke.entry.relay_selection import select_upstream
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import CallError, HttpClient, OpenResponse
-from briardyke.http.sse import EventParser
+from briardyke.http.sse import EventParser, EventTooLongError
 from briardyke.ids import new_id
 from briardyke.logs import log_event
 from briardyke.policy.types import AttemptOutcome
@@ -177,6 +177,8 @@
                 return await self._read(response, attempt_id, assembler, sink, timeout_at_ms)
         except CallError as error:
             return interrupted_result(error.failure)
+        except EventTooLongError as error:
+            return interrupted_result(Failure(ErrorKind.UPSTREAM_FAILED, str(error)))
 
     async def _error_body(self, response: OpenResponse) -> bytes:
         body = bytearray()
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -18,6 +18,7 @@
 
     from briardyke.gateway.dialect import Dialect, ForwardingMetadata
     from briardyke.gateway.upstreams import UpstreamState
+    from briardyke.http.buffers import ResponseBuffer
     from briardyke.http.exchange import Headers, HttpRequest
 
 # Largest body of a refusal. The body of any other response that is not an event stream is buffered
@@ -90,6 +91,7 @@
         timeout_ms: float,
         *,
         is_retryable: bool,
+        buffer: ResponseBuffer,
         nursery: trio.Nursery,
         on_sent: Callable[[], None] | None = None,
         scope: trio.CancelScope | None = None,
@@ -103,6 +105,7 @@
         :param timeout_ms: time limit for the attempt up to the response head, or to the end of a
             buffered body.
         :param is_retryable: whether a request with unknown outcome can be sent again.
+        :param buffer: share of the request in what the process may buffer.
         :param nursery: runs the task that writes a long body.
         :param on_sent: called once the upstream may start to work on the request.
         :param scope: ends the attempt when it is cancelled.
@@ -121,7 +124,7 @@
                 )
                 if on_sent is not None:
                     on_sent()
-                attempt = await self._read(state, connection, request_id, sent_ms)
+                attempt = await self._read(state, connection, request_id, sent_ms, buffer)
                 keeps_open = attempt.connection is not None or self._return_to_pool(
                     state, connection, attempt
                 )
@@ -157,6 +160,7 @@
         connection: UpstreamConnection,
         request_id: str,
         sent_ms: float,
+        buffer: ResponseBuffer,
     ) -> AttemptResult:
         head = await connection.read_head(lambda headers: self._belongs_to(headers, request_id))
         metadata = self._dialect.read_response(head.status, head.headers)
@@ -168,7 +172,7 @@
         self._on_head(state, metadata, sent_ms)
         if metadata.is_refusal:
             connection.record_refusal(request_id)
-            body = await connection.read_body(MAX_BUFFERED_BYTES)
+            body = await connection.read_body(MAX_BUFFERED_BYTES, buffer)
             return AttemptResult(Ending.REFUSED, f"status {head.status}", head, body, metadata)
         if head.status < 300 and not metadata.is_signed:
             raise UpstreamError(Fault.MALFORMED, "successful response without a signature")
@@ -177,5 +181,5 @@
         media_type = header(head.headers, b"content-type") or b""
         if head.status < 300 and media_type.startswith(b"text/event-stream"):
             return AttemptResult(Ending.ANSWERED, "", head, b"", metadata, connection)
-        body = await connection.read_body(MAX_BUFFERED_BYTES * 16)
+        body = await connection.read_body(MAX_BUFFERED_BYTES * 16, buffer)
         return AttemptResult(Ending.ANSWERED, "", head, body, metadata)
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -79,7 +79,8 @@
         trace.service = service
         timeout_ms = min(metadata.deadline_ms or route.timeout_ms, route.timeout_ms)
         deadline_ms = request.received_ms + timeout_ms
-        context = RequestContext(request, metadata, route, service, deadline_ms, trace)
+        buffer = state.response_buffers.open()
+        context = RequestContext(request, metadata, route, service, deadline_ms, trace, buffer)
         state.budget(service).record_request(now_ms())
         refusal = await self._admission_refusal(context)
         if refusal is not None:
@@ -89,6 +90,7 @@
         try:
             await self._forward(context, answer)
         finally:
+            buffer.release()
             state.demand.request_finished(metadata.model or service)
 
     async def _admission_refusal(self, context: RequestContext) -> Failure | None:
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -9,6 +9,7 @@
 from briardyke.gateway.attempt import AttemptResult
 from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.trace import Trace
+from briardyke.http.buffers import ResponseBuffer
 from briardyke.http.exchange import HttpRequest
 from briardyke.routes.configuration import Route
 
@@ -23,6 +24,7 @@
     :param service: name of the selected service.
     :param deadline_ms: time by which the response is due, on the runtime's clock.
     :param trace: record for the log and the counters.
+    :param buffer: share in what the process may buffer of responses.
     :param sent_attempts: attempts that an upstream received, refused ones included.
     :param connect_failures: attempts for which no connection could be opened.
     :param may_have_run: whether an upstream may have worked on the request.
@@ -43,6 +45,7 @@
     service: str
     deadline_ms: float
     trace: Trace
+    buffer: ResponseBuffer
     sent_attempts: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -15,6 +15,7 @@
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.stream_versions import StreamVersions
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
+from briardyke.http.buffers import BufferBudget
 from briardyke.policy.retries import RetryBudget
 from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
@@ -85,6 +86,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
+        self.response_buffers = BufferBudget()
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -175,6 +175,7 @@
                     call,
                     context.remaining_ms,
                     is_retryable=context.route.is_retryable,
+                    buffer=context.buffer,
                     nursery=nursery,
                     on_sent=on_sent,
                     scope=scope,
--- a/src/briardyke/http/client.py
+++ b/src/briardyke/http/client.py
@@ -9,9 +9,11 @@
 
 import attrs
 import httpcore
+import trio
 from result import Err, Ok, Result
 
 from briardyke.errors import ErrorKind, Failure
+from briardyke.http.buffers import BufferBudget
 from briardyke.http.paced import PacedStream
 from briardyke.http.pool import ConnectionPool
 
@@ -20,6 +22,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# All responses that are being read together.
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# Interim responses without an end break the silence, so the time to a response is limited as well.
+_HEAD_TIMEOUTS = 2.0
 _MAX_CONNECTIONS = 2000
 _MAX_IDLE_CONNECTIONS = 200
 _IDLE_EXPIRY_S = 10.0
@@ -101,6 +107,7 @@
 
     def __init__(self) -> None:
         """Create the pool; connections open on demand."""
+        self._buffers = BufferBudget(_MAX_BUFFERED_BYTES)
         self._pool = ConnectionPool(_MAX_CONNECTIONS, _MAX_IDLE_CONNECTIONS, _IDLE_EXPIRY_S)
 
     @asynccontextmanager
@@ -152,8 +159,9 @@
             raise CallError(_failure(error, bytes_sent=False)) from error
         try:
             try:
-                response = await connection.handle_async_request(request)
-            except _BROKEN as error:
+                with trio.fail_after(_HEAD_TIMEOUTS * timeout_s):
+                    response = await connection.handle_async_request(request)
+            except (*_BROKEN, trio.TooSlowError) as error:
                 raise CallError(_failure(error, sent.bytes_sent)) from error
             received = {
                 k.decode("latin-1").lower(): v.decode("latin-1") for k, v in response.headers
@@ -178,6 +186,7 @@
         timeout_ms: float,
     ) -> Result[WholeResponse, Failure]:
         """Send a request and read the whole response; parameters as for :meth:`open`."""
+        buffer = self._buffers.open()
         try:
             async with self.open(
                 method, address, target, body=body, headers=headers, timeout_ms=timeout_ms
@@ -185,12 +194,17 @@
                 received = bytearray()
                 async for chunk in opened.chunks():
                     received += chunk
+                    if not buffer.grow(len(chunk)):
+                        text = "no memory is left for long responses"
+                        return Err(Failure(ErrorKind.UPSTREAM_FAILED, text))
                     if len(received) > MAX_RESPONSE_BYTES:
                         text = f"response is over {MAX_RESPONSE_BYTES} bytes"
                         return Err(Failure(ErrorKind.UPSTREAM_FAILED, text))
                 return Ok(WholeResponse(opened.status, opened.headers, bytes(received)))
         except CallError as error:
             return Err(error.failure)
+        finally:
+            buffer.release()
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from briardyke.addresses import Address
+    from briardyke.http.buffers import ResponseBuffer
 
 CONNECT_TIMEOUT_S = 1.0
 # A host whose process has ended refuses a connection within a round trip.
@@ -185,18 +186,29 @@
             return None
         raise UpstreamError(Fault.BROKEN, "connection closed within the answer")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(self, limit_bytes: int, buffer: ResponseBuffer | None = None) -> bytes:
         """Read the rest of the body.
 
+        :param limit_bytes: largest size of the body.
+        :param buffer: share of the request in what the process may buffer.
         :raises UpstreamError: when it does not end properly or is longer than the limit.
         """
         body = bytearray()
         while (part := await self.read_part()) is not None:
-            body += part
-            if len(body) > limit_bytes:
+            if len(body) + len(part) > limit_bytes:
                 raise UpstreamError(Fault.MALFORMED, "the answer is too long")
+            if buffer is not None and not buffer.grow(len(part)):
+                raise UpstreamError(Fault.MALFORMED, "no memory is left for long answers")
+            body += part
         return bytes(body)
 
+    async def _skip_body(self, limit_bytes: int) -> None:
+        skipped = 0
+        while (part := await self.read_part()) is not None:
+            skipped += len(part)
+            if skipped > limit_bytes:
+                raise UpstreamError(Fault.MALFORMED, "the answer to another request is too long")
+
     def finish(self, head: UpstreamHead) -> bool:
         """Prepare for the next request; return whether the connection can be kept."""
         if not self._may_keep or self._protocol.trailing_data[0] or not _is_framed(head):
@@ -250,7 +262,7 @@
 
     async def _skip_foreign(self) -> None:
         self._has_foreign = True
-        await self.read_body(_MAX_FOREIGN_BYTES)
+        await self._skip_body(_MAX_FOREIGN_BYTES)
         rest, _ = self._protocol.trailing_data
         protocol = h11.Connection(h11.CLIENT)
         protocol.send(self._request)  # already on the wire; this only sets the state
--- a/src/briardyke/http/sse.py
+++ b/src/briardyke/http/sse.py
@@ -5,6 +5,8 @@
 import attrs
 
 DONE = "[DONE]"
+# Events contain a few tokens; longer data without an end is no event.
+MAX_EVENT_BYTES = 256 * 1024
 STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
 
 
@@ -28,6 +30,10 @@
         return f"{head}data: {self.data}\n\n".encode()
 
 
+class EventTooLongError(ValueError):
+    """Raised for an event without an end within the size limit."""
+
+
 class EventParser:
     """Cut a byte stream into events."""
 
@@ -36,9 +42,14 @@
         self._buffer = b""
 
     def feed(self, chunk: bytes) -> list[ServerSentEvent]:
-        """Take the next bytes and return the events that they complete."""
+        """Take the next bytes and return the events that they complete.
+
+        :raises EventTooLongError: when the rest exceeds :data:`MAX_EVENT_BYTES`.
+        """
         self._buffer += chunk
         *blocks, self._buffer = self._buffer.replace(b"\r\n", b"\n").split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"{len(self._buffer)} bytes without the end of an event")
         return [_parse(block.decode("utf-8", "replace")) for block in blocks if block.strip()]
 
 
--- a/src/briardyke/loadtool/callers.py
+++ b/src/briardyke/loadtool/callers.py
@@ -11,7 +11,8 @@
 from briardyke.clock import now_ms, sleep_ms
 from briardyke.errors import ErrorKind
 from briardyke.http.client import CallError, HttpClient, OpenResponse
-from briardyke.http.sse import EventParser
+from briardyke.http.sse import EventParser, EventTooLongError
+from briardyke.logs import log_limited
 from briardyke.loadtool.summary import Outcome, RequestResult
 from briardyke.loadtool.verification import ResponseVerifier
 
@@ -108,7 +109,12 @@
             if not chunk:
                 return
             arrived_ms = now_ms()
-            for event in parser.feed(chunk):
+            try:
+                events = parser.feed(chunk)
+            except EventTooLongError as error:
+                log_limited("event_too_long", is_routine=False, reason=error)
+                return
+            for event in events:
                 if verifier.take(event):
                     result.token_times_ms.append(arrived_ms)
             if verifier.wrong:
--- a/tests/gateway/test_gateway_admission.py
+++ b/tests/gateway/test_gateway_admission.py
@@ -22,6 +22,7 @@
     UNREACHABLE_REPORT_TTL_MS,
     UpstreamState,
 )
+from briardyke.http.buffers import BufferBudget
 from briardyke.http.exchange import HttpRequest
 from briardyke.http.h11_client import ConnectionPool
 from briardyke.routes.configuration import (
@@ -58,7 +59,8 @@
     request = HttpRequest("POST", "/x", [], b"", now_ms())
     deadline_ms = now_ms() + route.timeout_ms
     metadata = RequestMetadata("q", route.timeout_ms, "m")
-    return RequestContext(request, metadata, route, "s", deadline_ms, Trace("q", now_ms(), 1))
+    trace = Trace("q", now_ms(), 1)
+    return RequestContext(request, metadata, route, "s", deadline_ms, trace, BufferBudget().open())
 
 
 class TestModelArrival:
