Count the age of a reply from when it was made

Cause: the age of what an entry instance knows was counted from when it read a reply. A reply that had waited in the socket while the process stood still made it seem informed for another 1.5 s, so it did not ask for the version of a stream.

Change: replies tell how long their request was held, and the entry instance counts from the request plus that time, on a clock that includes suspension of the machine.

After: the test passes; the instance asks the control instances and finds the version. Why it works: no pause of the process can make a reply look younger than it is.

--- a/src/briardyke/clock.py
+++ b/src/briardyke/clock.py
@@ -26,6 +26,11 @@
     return (boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) / 1e6
 
 
+def boot_ms() -> float:
+    """Return :func:`now_ms` with the time in which this machine was suspended."""
+    return now_ms() + suspended_ms()
+
+
 async def sleep_ms(duration_ms: float) -> None:
     """Suspend the current task.
 
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from briardyke.clock import now_ms
+from briardyke.clock import boot_ms, now_ms
 from briardyke.fleet.compression import decompress_document
 from briardyke.fleet.messages import (
     AdapterReply,
@@ -88,6 +88,18 @@
     on_reply: Callable[[FleetReply], None]
 
 
+@attrs.frozen
+class _Polled:
+    """Reply of a control instance.
+
+    :param reply: the reply.
+    :param as_of_ms: time at which it was made or earlier, on the clock of :func:`boot_ms`.
+    """
+
+    reply: FleetReply
+    as_of_ms: float
+
+
 class FleetClient:
     """Poll one control instance at a time for changes; configuration versions never go back."""
 
@@ -127,8 +139,8 @@
                 self._left = None
                 await trio.sleep(_RETRY_PAUSE_MS / 1000.0)
                 continue
-            self._left, reply = found
-            await self._follow(self._left, reply)
+            self._left, polled = found
+            await self._follow(self._left, polled)
 
     def report_now(self) -> None:
         """Report the changed own row without waiting for the current poll to end."""
@@ -164,19 +176,20 @@
             listed, key=lambda a: (a == self._left, not self._is_local(a), a == self.view.leader)
         )
 
-    async def _find_control(self) -> tuple[Address, FleetReply] | None:
+    async def _find_control(self) -> tuple[Address, _Polled] | None:
         """Return a control instance that can be followed, with its reply.
 
         A silent one delays the search only until the next one is asked beside it.
         """
-        found: tuple[Address, FleetReply] | None = None
+        found: tuple[Address, _Polled] | None = None
 
         async def ask(address: Address, answered: trio.Event) -> None:
             nonlocal found
-            reply = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
-            if reply is not None and found is None:
+            polled = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
+            if polled is not None and found is None:
+                reply = polled.reply
                 if reply.is_current or self._is_usable_without_leader(reply):
-                    found = address, reply
+                    found = address, polled
                     nursery.cancel_scope.cancel()
                     return
                 await self._apply(reply, address)
@@ -200,19 +213,20 @@
         pause_ms = _NEXT_CONTROL_PAUSE_MS if is_busy else _IDLE_NEXT_CONTROL_PAUSE_MS
         await trio.sleep(pause_ms / 1000.0)
 
-    async def _follow(self, address: Address, first_reply: FleetReply) -> None:
+    async def _follow(self, address: Address, first: _Polled) -> None:
         """Poll a control instance until it fails or is left for a local one."""
-        reply: FleetReply | None = first_reply
+        polled: _Polled | None = first
         is_first = True
         since_ms = now_ms()
         while True:
-            if reply is None:
+            if polled is None:
                 return
+            reply = polled.reply
             await self._apply(reply, address)
             if self._is_usable_without_leader(reply):
-                self.view.confirmed_ms = now_ms()
+                self.view.confirm(polled.as_of_ms)
                 await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
-                reply = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
+                polled = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
                 continue
             if not reply.is_current:
                 await self._pause_after_refusal(address, reply)
@@ -220,7 +234,7 @@
             if is_first:
                 log_event("control_followed", control=address, version=reply.version)
             is_first = False
-            self.view.confirmed_ms = now_ms()
+            self.view.confirm(polled.as_of_ms)
             if not self._is_local(address) and now_ms() - since_ms >= _LOCAL_CHECK_INTERVAL_MS:
                 since_ms = now_ms()
                 await self._fetch_locations()
@@ -230,9 +244,9 @@
             pause_ms = BUSY_POLL_PAUSE_MS if self._callbacks.is_busy() else IDLE_POLL_PAUSE_MS
             with trio.move_on_after(pause_ms / 1000.0):
                 await self._wake.wait()
-            reply = await self._poll(address)
+            polled = await self._poll(address)
 
-    async def _poll(self, address: Address) -> FleetReply | None:
+    async def _poll(self, address: Address) -> _Polled | None:
         """Ask the followed control instance, which may wait for a change."""
         if self._callbacks.is_busy():
             wait_ms, margin_ms = BUSY_LONG_POLL_MS, _BUSY_CALL_MARGIN_MS
@@ -248,7 +262,7 @@
         """
         return reply.is_starting and not reply.is_current and not self._was_current
 
-    async def _ask(self, address: Address, wait_ms: float, timeout_ms: float) -> FleetReply | None:
+    async def _ask(self, address: Address, wait_ms: float, timeout_ms: float) -> _Polled | None:
         self._wake = trio.Event()
         request = FleetRequest(
             self._callbacks.build_report(),
@@ -263,16 +277,20 @@
             self._held_limits,
         )
         reply = None
+        as_of_ms = 0.0
         failure: Failure | None = None
         asked_ms = now_ms()
         async with trio.open_nursery() as nursery:
 
             async def call() -> None:
-                nonlocal reply, failure
+                nonlocal reply, failure, as_of_ms
+                sent_ms = boot_ms()
                 result = await self._peers.client(address).call(
                     request, timeout_ms, is_repeatable=True
                 )
                 reply, failure = result.ok(), result.err()
+                if isinstance(reply, FleetReply):
+                    as_of_ms = sent_ms + reply.waited_ms
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(call)
@@ -281,7 +299,7 @@
                 request = attrs.evolve(request, entry=self._callbacks.build_report(), wait_ms=0.0)
                 nursery.start_soon(call)
         if isinstance(reply, FleetReply):
-            return reply
+            return _Polled(reply, as_of_ms)
         waited_ms = round(now_ms() - asked_ms)
         log_limited(
             "control_lost",
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -276,6 +276,7 @@
         )
 
     async def _answer_entry(self, request: FleetRequest) -> FleetReply:
+        arrived_ms = now_ms()
         before = self.tables.entries.get(request.entry.instance_id)
         is_changed = self.rows.record_report(request.entry)
         for verdict in request.unlisted_verdicts:
@@ -289,7 +290,7 @@
         with trio.move_on_after(request.wait_ms / 1000.0):
             while not self._has_changes_for(request):
                 await self.rows.changed.wait(request.wait_ms)
-        return build_reply(self, request)
+        return attrs.evolve(build_reply(self, request), waited_ms=now_ms() - arrived_ms)
 
     def _has_changes_for(self, request: FleetRequest) -> bool:
         if request.table_id != self.table_id or not self.can_inform_entries:
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -161,6 +161,7 @@
     :param limits: newest statements of upstreams of their limits.
     :param limit_sequence: sequence of the limits.
     :param service_versions: software versions that may have begun a stream, by service.
+    :param waited_ms: time from the arrival of the request to this reply.
     """
 
     is_current: bool
@@ -184,6 +185,7 @@
     limits: list[LimitStatement] = attrs.field(factory=list)
     limit_sequence: int = 0
     service_versions: dict[str, list[str]] = attrs.field(factory=dict)
+    waited_ms: float = 0.0
 
 
 @message
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -40,6 +40,8 @@
     :param controls: peer addresses of the control instances.
     :param service_versions: software versions that may have begun a stream, by service.
     :param confirmed_ms: time of the last current answer.
+    :param as_of_ms: time at which that answer was made or earlier, with the time in which this
+        machine was suspended. An answer may have waited here while the process stood still.
     """
 
     version: int = NO_VERSION
@@ -53,6 +55,7 @@
     controls: list[Address] = attrs.field(factory=list)
     service_versions: dict[str, list[str]] = attrs.field(factory=dict)
     confirmed_ms: float = float("-inf")
+    as_of_ms: float = float("-inf")
     _unlisted_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -60,6 +63,11 @@
         """Return whether a configuration and a confirmed reply have been received."""
         return self.version > NO_VERSION and self.confirmed_ms > float("-inf")
 
+    def confirm(self, as_of_ms: float) -> None:
+        """Record a current answer."""
+        self.confirmed_ms = now_ms()
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
+
     def apply_members(self, reply: FleetReply) -> None:
         """Apply the addresses of the control instances in a reply."""
         if reply.leader:
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from briardyke.clock import now_ms, wall_unix_ms
+from briardyke.clock import boot_ms, now_ms, wall_unix_ms
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.directory import listed_instances
@@ -43,8 +43,8 @@
 # Longest time for which streams are accepted whose deadlines are after the end of the stop. Most of
 # them end long before, and their callers have not switched yet.
 _MAX_STREAM_PHASE_S = 2.8
-# Age of the last reply of a control instance up to which the software versions in service count as
-# known; an idle instance has one every 1.2 s.
+# Age of the last reply of a control instance, from when it was made, up to which the software
+# versions in service count as known; an idle instance has one every 1.2 s.
 _INFORMED_MS = 1500.0
 # Time in which the last responses are sent.
 _RESPONSE_MARGIN_MS = 50.0
@@ -185,7 +185,7 @@
         return SharedVerdicts(view.verdicts, view.confirmed_ms, view.verdicts_since_ms)
 
     def _is_informed(self) -> bool:
-        return now_ms() - self.client.view.confirmed_ms < _INFORMED_MS
+        return boot_ms() - self.client.view.as_of_ms < _INFORMED_MS
 
     async def _apply_configuration(self, version: int, document: bytes) -> bool:
         decoded = await decode_configuration_beside(self._decode, document)
--- a/src/briardyke/loadtool/callers.py
+++ b/src/briardyke/loadtool/callers.py
@@ -12,9 +12,9 @@
 from briardyke.errors import ErrorKind
 from briardyke.http.client import CallError, HttpClient, OpenResponse
 from briardyke.http.sse import EventParser, EventTooLongError
-from briardyke.logs import log_limited
 from briardyke.loadtool.summary import Outcome, RequestResult
 from briardyke.loadtool.verification import ResponseVerifier
+from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     from briardyke.loadtool.addresses import AddressBook
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -41,12 +41,14 @@
     :param has_full_disk: whether writes find no room.
     :param loses_entries: whether messages with entries of the log are lost on their way to it.
     :param is_silent: whether calls of entry instances get no reply.
+    :param reply_delay_s: time for which replies wait at an entry instance that stands still.
     """
 
     has_stalled_disk: bool = False
     has_full_disk: bool = False
     loses_entries: bool = False
     is_silent: bool = False
+    reply_delay_s: float = 0.0
     repaired: Notifier = attrs.field(factory=Notifier)
 
     async def run_blocking(self, function: Callable[..., Any], *arguments: Any) -> Any:
@@ -188,7 +190,8 @@
             if self.group.faults[self.name].is_silent or self.name not in self.group.controls:
                 await trio.sleep_forever()
             reply = await self.group.controls[self.name].handle("peer", message)
-            await trio.sleep(LATENCY_S)
+            with trio.CancelScope(shield=True):
+                await trio.sleep(LATENCY_S + self.group.faults[self.name].reply_delay_s)
             return Ok(reply)
         return Err(Failure(ErrorKind.PEER_TIMEOUT, "silent"))
 
--- a/tests/fleet/test_stream_versions.py
+++ b/tests/fleet/test_stream_versions.py
@@ -9,6 +9,7 @@
 import trio
 from control_group import ADDRESSES, ControlGroup
 
+from briardyke.clock import boot_ms, now_ms
 from briardyke.errors import ErrorKind
 from briardyke.fleet.records import GONE, READY, Upstream
 from briardyke.gateway.dialect import RequestMetadata
@@ -160,3 +161,29 @@
             fault.is_silent = True
         cut_off = StreamVersions(client.streams, lambda service: {"v1"}, lambda: False)
         assert set((await fleet.known(cut_off)).values()) == {None}
+
+    async def test_it_does_not_go_on_at_an_instance_that_stood_still(
+        self, autojump_clock: Any, fleet: Fleet
+    ) -> None:
+        """Guards against a reply that was made before a version joined and waited in the meantime,
+        so that the instance seemed informed and continued a stream at another version."""
+        await fleet.add(OLD)
+        client = fleet.group.add_entry("a", is_busy=True).client
+        still = StreamVersions(
+            client.streams,
+            lambda service: set(client.view.service_versions.get(service, ())),
+            lambda: boot_ms() - client.view.as_of_ms < 1500.0,
+        )
+        other = await fleet.start_entry()
+        for fault in fleet.group.faults.values():
+            fault.reply_delay_s = 6.0
+        await trio.sleep(0.5)
+        fleet.rows[NEW.upstream_id] = NEW
+        await trio.sleep(6.0)
+        assert now_ms() - client.view.confirmed_ms < 1000.0
+        assert client.view.service_versions == {"pool": ["v1"]}
+        for fault in fleet.group.faults.values():
+            fault.reply_delay_s = 0.0
+        other._versions = lambda service: {"v1", "v1.1"}
+        await begin(other, "v1.1")
+        assert set((await fleet.known(still)).values()) == {"v1.1"}
