Look at an upstream again after a request has waited

Cause: the upstream was selected before the wait for the leader and not looked at again; the waits for a permit and for a trial had the same fault.

Change: after each wait the upstream must still be one that may get the request, else another one is selected.

Why it works: nothing can happen between the last look and the sending but the opening of a connection.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -155,6 +155,8 @@
                 ) or await self._quarantine_refusal(context)
                 if context.refusal is not None:
                     break
+                if not self.attempts.may_send(context, upstream):
+                    continue
                 attempt = await self.attempts.run(context, upstream, nursery)
                 if attempt.ending is Ending.ANSWERED and not self._should_retry_response(
                     context, attempt
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -59,7 +59,9 @@
             if candidates:
                 chosen = await self._choose(context, candidates)
                 if chosen is not None:
-                    if await self._take_permit(context, chosen):
+                    if not self.may_send(context, chosen):
+                        continue
+                    if await self._take_permit(context, chosen) and self.may_send(context, chosen):
                         return chosen
                     continue
                 wait_ms = min(ADAPTER_RETRY_MS, state.admission.remaining_wait_ms(context, state))
@@ -123,6 +125,13 @@
         """Return the upstreams to which the request may be sent now."""
         return self._state.limits.admitted(self._open(context))
 
+    def may_send(self, context: RequestContext, upstream: UpstreamState) -> bool:
+        """Return whether a request may still be sent to an upstream that was selected earlier.
+
+        It may have left, restarted or asked for a pause while the request waited.
+        """
+        return any(state is upstream for state in self._open(context))
+
     def _open(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request and have not asked for a pause."""
         return [s for s in self._able(context) if not s.statements.pause_left_ms]
--- a/tests/gateway/test_upstream_statements.py
+++ b/tests/gateway/test_upstream_statements.py
@@ -5,16 +5,21 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import pytest
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.fleet.messages import AdapterReply
 from briardyke.fleet.records import READY, Upstream
+from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.platform.headers import PlatformDialect
 
 if TYPE_CHECKING:
     from gateway_support import Gateway, Script, ScriptedUpstream
 
+    from briardyke.fleet.messages import AdapterRequest
+
 ROW = Upstream("u0", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
 
 
@@ -148,3 +153,39 @@
         gateway.state.upstreams.update(restarted, {})
         await gateway.send("/buy/x", "p-2")
         assert len(refusing.requests) == 2
+
+
+class TestWaitingForAnAdapter:
+    """Guards against a request that is sent to an upstream which has asked for a pause, has left
+    or has restarted while the request waited for a reply of the leader."""
+
+    @pytest.mark.parametrize("change", ["pause", "leave", "restart"])
+    async def test_upstream_that_changed_meanwhile_is_not_used(
+        self, gateway: Gateway, change: str
+    ) -> None:
+        changed = await gateway.add("pool", answering())
+        other = await gateway.add("pool", answering())
+        asked: list[list[str]] = []
+
+        async def reply_late(request: AdapterRequest) -> AdapterReply:
+            asked.append(request.upstream_ids)
+            if len(asked) > 1:
+                return AdapterReply(request.upstream_ids[0])
+            await trio.sleep(0.1)
+            state = gateway.state.upstreams.get("u0")
+            assert state is not None
+            if change == "pause":
+                state.statements.paused_until_ms = now_ms() + 6000.0
+            elif change == "leave":
+                state.statements.is_leaving = True
+            else:
+                gateway.rows["u0"] = attrs.evolve(gateway.rows["u0"], models=[], incarnation=2)
+                gateway.state.upstreams.update(gateway.rows, {})
+            return AdapterReply("u0")
+
+        gateway.state.adapters = AdapterRouter(gateway.state, reply_late)
+        reply = await gateway.send("/chat/x", "s-1", "m/a")
+        assert reply.status == 200
+        assert changed.requests == []
+        assert other.requests == [b"s-1"]
+        assert asked[1] == ["u1"]
