Simulate groups that change their members by themselves

Cause: the random simulation of Raft's guarantees played only groups whose members operators change. Since removed members are admitted again under their old id, the guarantees have to be checked for groups that add, replace and admit members by themselves.

Change: the same random faults, with instances that join later, on a group with `promotes_learners`.

No source has changed.

--- a/tests/consensus/test_simulation.py
+++ b/tests/consensus/test_simulation.py
@@ -20,6 +20,8 @@
     ``a``, ``b`` and ``c`` are the initial voters; ``d`` and ``e`` join as learners.
     """
 
+    promotes_learners = False
+
     def __init__(self) -> None:
         super().__init__()
         self.cluster = Cluster(3, 2)
@@ -27,7 +29,7 @@
 
     @initialize(seed=st.integers(0, 2**32), sync_ms=st.sampled_from([0.0, 30.0]))
     def build(self, seed: int, sync_ms: float) -> None:
-        self.cluster = Cluster(3, 2, seed, sync_ms)
+        self.cluster = Cluster(3, 2, seed, sync_ms, self.promotes_learners)
         self.cluster.advance(4000)
 
     def _running(self, name: str) -> Host | None:
@@ -115,7 +117,21 @@
         self.cluster.check_durable()
 
 
-Group.TestCase.settings = settings(
+class AutomaticGroup(Group):
+    """Guards against the same where members are added, replaced and admitted again by themselves.
+
+    Instances that join later may take the place of voters that are only cut off.
+    """
+
+    promotes_learners = True
+
+    @precondition(lambda self: len(self.cluster.hosts) < 8)
+    @rule()
+    def add(self) -> None:
+        self.cluster.add_host(f"s{len(self.cluster.hosts)}")
+
+
+_SETTINGS = settings(
     derandomize=True,
     max_examples=250,
     stateful_step_count=40,
@@ -124,4 +140,7 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
+Group.TestCase.settings = _SETTINGS
+AutomaticGroup.TestCase.settings = settings(_SETTINGS, max_examples=100)
 TestGroup = Group.TestCase
+TestAutomaticGroup = AutomaticGroup.TestCase
