Log what is known of all upstreams when a stream stalls

Callers saw streams cut beside silent upstreams. No line told why a stream left its upstream, and whether the one that it went to was alive: that tells "a sound upstream is left for one that fails" from the other hypotheses of docs/incidents/silent-upstreams.md.

Each upstream now keeps the time of its last sign of life (head or event) and since when it owes one; stream_stalled has them, and the counter stream_stalled goes with it. No decision uses them yet.

--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -17,6 +17,7 @@
 from briardyke.gateway.upstream_attempts import MIN_ATTEMPT_MS
 from briardyke.http.exchange import Answer, end_to_end
 from briardyke.http.h11_client import UpstreamError
+from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -195,10 +196,27 @@
         wait_ms = stall_left_ms if stall_left_ms > 0 else _ALTERNATIVE_INTERVAL_MS
         with trio.move_on_after(min(wait_ms, relay.context.remaining_ms) / 1000.0):
             return await relay.source.next_events(relay.splitter)
-        if self._may_resume(relay) and self._attempts.candidates(relay.context):
+        candidates = self._attempts.candidates(relay.context) if self._may_resume(relay) else []
+        if candidates:
+            self._log_stall(relay, candidates)
             return await self._replace_source(relay)
         return None
 
+    def _log_stall(self, relay: _Relay, candidates: list[UpstreamState]) -> None:
+        self._state.counters.count("stream_stalled")
+        log_limited(
+            "stream_stalled",
+            is_routine=True,
+            request=relay.context.metadata.request_id,
+            upstream=relay.source.upstream.row.upstream_id,
+            stalled_ms=round(now_ms() - relay.progress_ms),
+            upstream_silent_ms=_rounded(relay.source.upstream.silent_ms),
+            others_silent_ms=",".join(
+                f"{s.row.upstream_id}:{_rounded(s.silent_ms)}" for s in candidates
+            ),
+            version=self._state.version,
+        )
+
     async def _replace_source(self, relay: _Relay) -> Events | None:
         """Resume a stalled stream elsewhere, unless its upstream goes on before.
 
@@ -268,3 +286,7 @@
             self._state.quarantine.record_response(context.metadata)
         context.trace.add_events(events.count, took_ms, upstream.row.software_version)
         context.last_progress_ms = relay.progress_ms = now_ms()
+
+
+def _rounded(silent_ms: float | None) -> str:
+    return "unknown" if silent_ms is None else str(round(silent_ms))
--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -54,6 +54,7 @@
             part = await self.connection.read_part()
             data = splitter.take_remainder() if part is None else splitter.feed(part)
             if data or part is None:
+                self.upstream.record_sign()
                 return Events(data, splitter.count - count, part is None)
 
     def keep_connection(self) -> None:
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -169,8 +169,7 @@
         self._log_limited_send(context, upstream)
         is_engine = self._state.is_engine(context.service)
         upstream.running_weight = ENGINE_RUNNING_WEIGHT if is_engine else 1.0
-        upstream.in_flight += 1
-        upstream.pending += 1
+        upstream.begin_request()
         started_ms = now_ms()
         attempt = None
         scope = trio.CancelScope()
@@ -203,6 +202,7 @@
     def _record_head(
         self, upstream: UpstreamState, response: ResponseMetadata, sent_ms: float
     ) -> None:
+        upstream.record_sign()
         upstream.statements.record(upstream.row, response)
         self._state.limits.record(upstream.row, response.limit_per_s, sent_ms)
 
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -80,6 +80,8 @@
     :param health: fraction of its traffic that it receives, reduced after failures.
     :param in_flight: requests of this instance that are in progress on it.
     :param pending: those of them whose response has not started.
+    :param busy_since_ms: time since when it has had requests of this instance in progress.
+    :param sign_ms: time of its last sign of life: the head of a response or an event of a stream.
     :param other_requests: requests of other instances at the last load report.
     :param other_waiting: those of them that were not yet running.
     :param running_weight: load of a running request, relative to a waiting one.
@@ -105,6 +107,8 @@
     health: UpstreamHealth = attrs.field(factory=UpstreamHealth)
     in_flight: int = 0
     pending: int = 0
+    busy_since_ms: float = 0.0
+    sign_ms: float = 0.0
     other_requests: float = 0.0
     other_waiting: float = 0.0
     running_weight: float = 1.0
@@ -148,6 +152,27 @@
         """Return whether it runs fewer requests than it has slots, as far as known."""
         return self.other_requests + self.in_flight < self.row.slots
 
+    def begin_request(self) -> None:
+        """Count a request that is about to be sent as in progress."""
+        if not self.in_flight:
+            self.busy_since_ms = now_ms()
+        self.in_flight += 1
+        self.pending += 1
+
+    def record_sign(self) -> None:
+        """Record a sign of life."""
+        self.sign_ms = now_ms()
+
+    @property
+    def silent_ms(self) -> float | None:
+        """Return the time without a sign of life while requests are in progress.
+
+        ``None`` without requests, since nothing is expected from it then.
+        """
+        if not self.in_flight:
+            return None
+        return now_ms() - max(self.sign_ms, self.busy_since_ms)
+
     def observe_first_event(self, took_ms: float, load: float) -> None:
         """Add the time to the first event of a stream to the mean.
 
