Keep the way back to a silent upstream open until another one has sent an event

Callers saw streams closed without the rest beside sound upstreams that were silent for a second.

Cause: a stream left its silent upstream after 1.3 s and closed the connection 0.25 s after another one had received the request, without any sign that that one was alive. When it refused, reset or stayed silent, no attempt was left and the stream ended. Class: something that works is given up before what replaces it has shown that it works.

Change: - the first complete event decides: the stalled upstream is read until another one has sent an event or both have kept the request for 0.25 s (a head was enough before, and nothing was read after sending); - a stream that has left an upstream may return to it, without taking an attempt; - a stream leaves only for an upstream with a sign of life since about the middle of its stall, or for one that is not known to be silent; where all are silent together it stays; - an attempt without a response is given up for such an upstream only; - the close of the own connection is no loss by the upstream; an attempt that this instance cancels after it was sent counts as one.

--- a/src/briardyke/gateway/attempt_feedback.py
+++ b/src/briardyke/gateway/attempt_feedback.py
@@ -49,6 +49,12 @@
         upstream.health.record_failure(now_ms())
 
 
+def record_own_close(context: RequestContext) -> None:
+    """Record an attempt that this instance has ended while an upstream had the request."""
+    context.sent_attempts += 1
+    context.may_have_run = True
+
+
 def _record_response(
     upstream: UpstreamState, attempt: AttemptResult, took_ms: float, load: float
 ) -> None:
--- a/src/briardyke/gateway/event_stream.py
+++ b/src/briardyke/gateway/event_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import re
 
 # Events contain a few tokens; longer data without a terminator is treated as invalid.
@@ -94,6 +95,12 @@
         self._partial = b""
         self._is_resumed = self._has_events
 
+    def fork(self) -> EventSplitter:
+        """Return a splitter for the rest of the stream as another upstream sends it."""
+        other = copy.copy(self)
+        other.drop_partial()
+        return other
+
     def take_remainder(self) -> bytes:
         """Return the line ends after the last event when the stream has ended.
 
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -29,6 +29,8 @@
     :param connect_failures: attempts for which no connection could be opened.
     :param may_have_run: whether an upstream may have worked on the request.
     :param tried_upstreams: ids of upstreams that are not selected again.
+    :param left_upstreams: ids of those that it left while they were silent. They may go on, so it
+        may return to them, also without an attempt left.
     :param last_attempt: last attempt that was not delivered.
     :param refusal: reason to reject the request, if one was found.
     :param has_paid_retry: whether the next attempt is charged to the retry budget already.
@@ -50,6 +52,7 @@
     connect_failures: int = 0
     may_have_run: bool = False
     tried_upstreams: set[str] = attrs.field(factory=set)
+    left_upstreams: set[str] = attrs.field(factory=set)
     last_attempt: AttemptResult | None = None
     refusal: Failure | None = None
     has_paid_retry: bool = False
@@ -60,6 +63,19 @@
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
 
+    @property
+    def has_attempt(self) -> bool:
+        """Return whether the request may be sent to another upstream or return to one."""
+        return self.sent_attempts < self.route.max_attempts or bool(self.left_upstreams)
+
+    def may_use(self, upstream_id: str) -> bool:
+        """Return whether the request may be sent to an upstream."""
+        if upstream_id in self.left_upstreams:
+            return True
+        if self.left_upstreams and self.sent_attempts >= self.route.max_attempts:
+            return False
+        return upstream_id not in self.tried_upstreams
+
     @property
     def remaining_ms(self) -> float:
         """Return the time left until the deadline."""
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,6 +11,7 @@
 from briardyke.gateway.admission import caller_event_timeout_ms
 from briardyke.gateway.event_stream import EventSplitter, EventStreamError
 from briardyke.gateway.request_context import RequestContext
+from briardyke.gateway.stream_handover import hand_over
 from briardyke.gateway.stream_source import Events, StreamSource
 from briardyke.gateway.trace import EndedBy
 from briardyke.gateway.upstream_attempts import MIN_ATTEMPT_MS
@@ -32,9 +32,6 @@
 _STALL_TIMEOUT_FRACTION = 0.65
 # Interval at which a stalled stream without an alternative looks for one again.
 _ALTERNATIVE_INTERVAL_MS = 250.0
-# Longest time for which a stalled upstream keeps a request that another one has received. Two
-# upstreams may work on it for 400 ms, which includes the way of the close.
-_MAX_OVERLAP_S = 0.25
 # Weight of one event in an upstream's mean service time; the mean covers the events of about one
 # second.
 _EVENT_WEIGHT = 0.03
@@ -61,12 +58,12 @@
     progress_ms: float = attrs.field(factory=now_ms)
     has_events: bool = False
 
-    async def switch(self, source: StreamSource) -> None:
+    async def switch(self, source: StreamSource, splitter: EventSplitter) -> None:
         """Continue with another upstream."""
         former, self.source = self.source, source
         self.progress_ms = now_ms()
         self.has_events = False
-        self.splitter.drop_partial()
+        self.splitter = splitter
         await former.aclose()
 
 
@@ -104,7 +101,7 @@
                     break
                 successor = await self._resume(relay, next_upstream)
                 if successor is not None:
-                    await relay.switch(successor)
+                    await relay.switch(successor, relay.splitter.fork())
                     is_whole = await self._relay_events(relay)
         finally:
             await relay.source.aclose()
@@ -131,7 +128,7 @@
             context.route.is_resumable
             and relay.splitter.is_resumable
             and context.remaining_ms >= MIN_ATTEMPT_MS
-            and context.sent_attempts < context.route.max_attempts
+            and context.has_attempt
         )
 
     def _may_send(self, relay: _Relay) -> bool:
@@ -161,6 +158,8 @@
         try:
             while context.remaining_ms > 0:
                 events = await self._next_events(relay)
+                if relay.source.is_closed:
+                    return False
                 if events is None:
                     continue
                 await self._forward(relay, events)
@@ -173,17 +172,23 @@
         except UpstreamError as error:
             reason = str(error)
             is_lost = not relay.has_events
-        self._record_failure(relay, reason)
+        await self._record_failure(relay, relay.source, reason, is_lost=is_lost)
         await relay.source.aclose()
-        if is_lost and self._state.is_engine(context.service):
-            await self._state.quarantine.record_loss(relay.source.upstream.row, context.metadata)
         relay.splitter.drop_partial()
         return False
 
-    def _record_failure(self, relay: _Relay, reason: str) -> None:
-        upstream = relay.source.upstream
+    async def _record_failure(
+        self, relay: _Relay, source: StreamSource, reason: str, *, is_lost: bool
+    ) -> None:
+        """Record that an upstream has not sent the rest of a stream.
+
+        :param is_lost: whether it ended the connection before its first event.
+        """
+        context, upstream = relay.context, source.upstream
         upstream.health.record_failure(now_ms())
-        relay.context.trace.add_attempt(upstream.row.upstream_id, reason, upstream.load())
+        context.trace.add_attempt(upstream.row.upstream_id, reason, upstream.load())
+        if is_lost and self._state.is_engine(context.service):
+            await self._state.quarantine.record_loss(upstream.row, context.metadata)
 
     async def _next_events(self, relay: _Relay) -> Events | None:
         """Return the next events, or ``None`` when none arrived in time.
@@ -196,75 +201,65 @@
         wait_ms = stall_left_ms if stall_left_ms > 0 else _ALTERNATIVE_INTERVAL_MS
         with trio.move_on_after(min(wait_ms, relay.context.remaining_ms) / 1000.0):
             return await relay.source.next_events(relay.splitter)
-        candidates = self._attempts.candidates(relay.context) if self._may_resume(relay) else []
-        if candidates:
-            self._log_stall(relay, candidates)
-            return await self._replace_source(relay)
-        return None
+        if not self._may_resume(relay):
+            return None
+        self._log_stall(relay)
+        if not self._alternatives(relay):
+            return None
+        continuation = await hand_over(relay.source, relay.splitter, _Replacement(self, relay))
+        if continuation is None:
+            return None
+        if continuation.source is not relay.source:
+            await self.leave_source(relay)
+            await relay.switch(continuation.source, continuation.splitter)
+        return continuation.events
+
+    def _alternatives(self, relay: _Relay) -> list[UpstreamState]:
+        stalled_ms = now_ms() - relay.progress_ms
+        return self._attempts.alternatives(relay.context, relay.source.upstream, stalled_ms)
+
+    async def request_rest(self, relay: _Relay, on_sent: Callable[[], None]) -> StreamSource | None:
+        """Return an upstream that has responded with the rest of a stalled stream, if any."""
+        upstream = await self._attempts.next_upstream(
+            relay.context, lambda: self._alternatives(relay)
+        )
+        if upstream is None or not self._may_send(relay):
+            return None
+        return await self._resume(relay, upstream, on_sent)
+
+    async def record_loss(self, relay: _Relay, source: StreamSource, error: Exception) -> None:
+        """Record that an upstream has failed before it sent an event of the rest."""
+        is_lost = isinstance(error, UpstreamError)
+        await self._record_failure(relay, source, str(error), is_lost=is_lost)
 
-    def _log_stall(self, relay: _Relay, candidates: list[UpstreamState]) -> None:
+    async def leave_source(self, relay: _Relay) -> None:
+        """Close the connection to a stalled upstream, to which the stream may return."""
+        if relay.source.is_closed:
+            return
+        upstream_id = relay.source.upstream.row.upstream_id
+        await self._record_failure(relay, relay.source, "stalled", is_lost=False)
+        self._state.counters.count("stream_left")
+        relay.context.left_upstreams.add(upstream_id)
+        relay.splitter.drop_partial()
+        await relay.source.aclose()
+
+    def _log_stall(self, relay: _Relay) -> None:
+        source = relay.source.upstream
         self._state.counters.count("stream_stalled")
         log_limited(
             "stream_stalled",
             is_routine=True,
             request=relay.context.metadata.request_id,
-            upstream=relay.source.upstream.row.upstream_id,
+            upstream=source.row.upstream_id,
             stalled_ms=round(now_ms() - relay.progress_ms),
-            upstream_silent_ms=_rounded(relay.source.upstream.silent_ms),
+            upstream_silent_ms=_rounded(source.silent_ms),
             others_silent_ms=",".join(
-                f"{s.row.upstream_id}:{_rounded(s.silent_ms)}" for s in candidates
+                f"{s.row.upstream_id}:{_rounded(s.silent_ms)}"
+                for s in self._attempts.candidates(relay.context)
             ),
             version=self._state.version,
         )
 
-    async def _replace_source(self, relay: _Relay) -> Events | None:
-        """Resume a stalled stream elsewhere, unless its upstream goes on before.
-
-        The stalled upstream is read until another one has received the request. Its connection
-        stays open a little longer, so that the stream can still go on there when the other
-        upstream refuses the request or fails at once.
-        """
-        context, source = relay.context, relay.source
-        upstream: UpstreamState | None = None
-        successor: StreamSource | None = None
-        events: Events | None = None
-        sent = trio.Event()
-        reading = trio.CancelScope()
-
-        async def read() -> None:
-            nonlocal events
-            # The next reader meets the same failure again.
-            with reading, contextlib.suppress(UpstreamError, EventStreamError):
-                events = await source.next_events(relay.splitter)
-                nursery.cancel_scope.cancel()
-
-        async def limit_overlap() -> None:
-            await sent.wait()
-            await trio.sleep(_MAX_OVERLAP_S)
-            await source.aclose()
-
-        def on_sent() -> None:
-            reading.cancel()
-            sent.set()
-
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(read)
-                nursery.start_soon(limit_overlap)
-                upstream = await self._attempts.next_upstream(context)
-                if upstream is not None and self._may_send(relay):
-                    successor = await self._resume(relay, upstream, on_sent)
-                nursery.cancel_scope.cancel()
-        finally:
-            if events is None and successor is not None:
-                self._record_failure(relay, "stalled")
-                await relay.switch(successor)
-            elif successor is not None:
-                await successor.aclose()
-        if events is not None and upstream is not None and not sent.is_set():
-            context.tried_upstreams.discard(upstream.row.upstream_id)
-        return events
-
     async def _forward(self, relay: _Relay, events: Events) -> None:
         context, upstream = relay.context, relay.source.upstream
         if not events.data:
@@ -290,3 +285,20 @@
 
 def _rounded(silent_ms: float | None) -> str:
     return "unknown" if silent_ms is None else str(round(silent_ms))
+
+
+@attrs.frozen
+class _Replacement:
+    """Requests of a relay to the upstream that may replace a stalled one."""
+
+    streams: StreamRelay
+    relay: _Relay
+
+    async def request_rest(self, on_sent: Callable[[], None]) -> StreamSource | None:
+        return await self.streams.request_rest(self.relay, on_sent)
+
+    async def record_loss(self, source: StreamSource, error: Exception) -> None:
+        await self.streams.record_loss(self.relay, source, error)
+
+    async def leave_source(self) -> None:
+        await self.streams.leave_source(self.relay)
--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -7,7 +7,7 @@
 import attrs
 
 from briardyke.gateway.upstreams import UpstreamState
-from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
+from briardyke.http.h11_client import UpstreamConnection, UpstreamHead
 
 if TYPE_CHECKING:
     from briardyke.gateway.event_stream import EventSplitter
@@ -44,11 +44,9 @@
     async def next_events(self, splitter: EventSplitter) -> Events:
         """Wait for complete events or the end of the stream.
 
-        :raises UpstreamError: when the connection ends before, or was closed.
+        :raises UpstreamError: when the connection ends before.
         :raises EventStreamError: when its events cannot be forwarded.
         """
-        if self._is_released:
-            raise UpstreamError(Fault.BROKEN, "closed for another upstream")
         count = splitter.count
         while True:
             part = await self.connection.read_part()
@@ -57,6 +55,11 @@
                 self.upstream.record_sign()
                 return Events(data, splitter.count - count, part is None)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection was closed or kept."""
+        return self._is_released
+
     def keep_connection(self) -> None:
         """Return the connection of a stream that ended normally to its pool, if it can be kept."""
         if self.connection.finish(self.head):
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -9,8 +9,9 @@
 from briardyke.clock import now_ms
 from briardyke.gateway.adapters import ADAPTER_RETRY_MS
 from briardyke.gateway.attempt import AttemptResult, AttemptRunner
-from briardyke.gateway.attempt_feedback import record_attempt
+from briardyke.gateway.attempt_feedback import record_attempt, record_own_close
 from briardyke.gateway.dialect import ForwardingMetadata
+from briardyke.gateway.silence import ALIVE_FRACTION, live_alternatives
 from briardyke.gateway.upstream_selection import choose_upstream
 from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
 from briardyke.logs import log_limited
@@ -51,11 +52,18 @@
         self._random = random
         self.runner = AttemptRunner(state.dialect, self._record_head)
 
-    async def next_upstream(self, context: RequestContext) -> UpstreamState | None:
-        """Select an upstream, waiting for a model or adapter that is being loaded."""
+    async def next_upstream(
+        self, context: RequestContext, select: Callable[[], list[UpstreamState]] | None = None
+    ) -> UpstreamState | None:
+        """Select an upstream, waiting for a model or adapter that is being loaded.
+
+        :param select: returns the upstreams to select from; without any, none is waited for.
+        """
         state = self._state
         while context.remaining_ms > MIN_ATTEMPT_MS:
-            candidates = self.candidates(context)
+            candidates = select() if select is not None else self.candidates(context)
+            if select is not None and not candidates:
+                return None
             if candidates:
                 chosen = await self._choose(context, candidates)
                 if chosen is not None:
@@ -142,7 +150,17 @@
         model = context.metadata.model
         if model and self._state.is_engine(context.service):
             usable = [s for s in usable if s.holds(model)]
-        return [s for s in usable if s.row.upstream_id not in context.tried_upstreams]
+        return [s for s in usable if context.may_use(s.row.upstream_id)]
+
+    def alternatives(
+        self, context: RequestContext, current: UpstreamState, silent_ms: float
+    ) -> list[UpstreamState]:
+        """Return the upstreams to which a request may move from one that is silent to it.
+
+        :param silent_ms: time for which it has received nothing.
+        """
+        upstreams = self._state.upstreams.usable(context.service)
+        return live_alternatives(silent_ms, current, self.candidates(context), upstreams)
 
     async def run(
         self,
@@ -158,6 +176,8 @@
         """
         upstream_id = upstream.row.upstream_id
         context.tried_upstreams.add(upstream_id)
+        was_left = upstream_id in context.left_upstreams
+        context.left_upstreams.discard(upstream_id)
         load = upstream.load()
         context.trace.start_attempt(len(self.candidates(context)) + 1)
         call = ForwardingMetadata(
@@ -173,6 +193,14 @@
         started_ms = now_ms()
         attempt = None
         scope = trio.CancelScope()
+        is_sent = False
+
+        def record_sent() -> None:
+            nonlocal is_sent
+            is_sent = True
+            if on_sent is not None:
+                on_sent()
+
         try:
             async with trio.open_nursery() as watch:
                 watch.start_soon(self._give_up_when_late, context, upstream, scope)
@@ -185,14 +213,24 @@
                     is_retryable=context.route.is_retryable,
                     buffer=context.buffer,
                     nursery=nursery,
-                    on_sent=on_sent,
+                    on_sent=record_sent,
                     scope=scope,
                 )
                 watch.cancel_scope.cancel()
+        except BaseException:
+            if attempt is not None and attempt.connection is not None:
+                await attempt.connection.aclose()
+            upstream.in_flight -= 1
+            if is_sent:
+                record_own_close(context)
+            else:
+                context.tried_upstreams.discard(upstream_id)
+                context.left_upstreams.update({upstream_id} if was_left else ())
+            raise
         finally:
             upstream.pending -= 1
-            if attempt is None or attempt.connection is None:
-                upstream.in_flight -= 1
+        if attempt.connection is None:
+            upstream.in_flight -= 1
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
         if attempt.is_lost:
@@ -226,31 +264,49 @@
     ) -> None:
         """End an attempt without a response once another upstream may be tried.
 
-        If every other candidate is as loaded, trying a second one adds to the overload and loses
-        the place in the first one's queue. One with a limit may have no permit for it. Without a
-        retry in the budget, the upstream that has the request is the only one that can still
-        respond.
+        Without a retry in the budget, the upstream that has the request is the only one that can
+        still respond.
         """
         objective_ms = context.route.latency_objective_ms
         wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
-        may_retry = context.sent_attempts + 1 < context.route.max_attempts
-        if not context.route.is_retryable or not may_retry:
+        if not context.route.is_retryable:
             return
+        started_ms = now_ms()
         limit_ms = context.deadline_ms - context.remaining_ms * _MIN_RETRY_TIME_FRACTION
         while now_ms() + wait_ms < limit_ms:
             await trio.sleep(wait_ms / 1000.0)
             wait_ms = _ALTERNATIVE_INTERVAL_MS
-            load = upstream.load() - 1.0  # without this request
-            is_less_loaded = any(
-                s.load() < load * _LESS_LOADED_FRACTION
-                for s in self.candidates(context)
-                if self._state.limits.limit_per_s(s.row) is None
-            )
-            if is_less_loaded and self.spend_retry(context, "repeated"):
+            is_last = context.sent_attempts + 1 >= context.route.max_attempts
+            if is_last and not context.left_upstreams:
+                continue
+            is_better = self._has_better_upstream(context, upstream, now_ms() - started_ms)
+            if is_better and self.spend_retry(context, "repeated"):
                 context.has_paid_retry = True
                 scope.cancel()
                 return
 
+    def _has_better_upstream(
+        self, context: RequestContext, upstream: UpstreamState, waited_ms: float
+    ) -> bool:
+        """Return whether another upstream may respond sooner than the one that has the request.
+
+        If every other one is as loaded, trying a second one adds to the overload and loses the
+        place in the first one's queue. One with a limit may have no permit for it.
+        """
+        others = [
+            s
+            for s in self.alternatives(context, upstream, waited_ms)
+            if self._state.limits.limit_per_s(s.row) is None
+        ]
+        load = upstream.load() - 1.0  # without this request
+        if any(s.load() < load * _LESS_LOADED_FRACTION for s in others):
+            return True
+        limit_ms = waited_ms * ALIVE_FRACTION
+        return upstream.is_silent_for(limit_ms) and any(
+            s.has_sign_within(limit_ms) or s.row.upstream_id in context.left_upstreams
+            for s in others
+        )
+
     def spend_retry(self, context: RequestContext, event: str) -> bool:
         """Charge a retry to the budget of the service; return whether the budget allows it."""
         if context.has_paid_retry:
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -108,7 +108,7 @@
     in_flight: int = 0
     pending: int = 0
     busy_since_ms: float = 0.0
-    sign_ms: float = 0.0
+    sign_ms: float = float("-inf")
     other_requests: float = 0.0
     other_waiting: float = 0.0
     running_weight: float = 1.0
@@ -173,6 +173,14 @@
             return None
         return now_ms() - max(self.sign_ms, self.busy_since_ms)
 
+    def is_silent_for(self, silent_ms: float) -> bool:
+        """Return whether it has given no sign of life for longer while requests are in progress."""
+        return self.silent_ms is not None and self.silent_ms > silent_ms
+
+    def has_sign_within(self, last_ms: float) -> bool:
+        """Return whether it has given a sign of life in the last milliseconds."""
+        return now_ms() - self.sign_ms <= last_ms
+
     def observe_first_event(self, took_ms: float, load: float) -> None:
         """Add the time to the first event of a stream to the mean.
 
