Let a late upstream keep its request until another one has responded

Callers got 502 or a cut stream although the upstream that had their request would have answered: an attempt without a response was ended before another upstream had said that it takes the request. When that one refused or failed, no attempt was left. Same class as the streams that leave their upstream.

Change: a late request is hedged. The first upstream keeps it until a second one has responded with success; a stream, which two engines may work on for a moment only, returns to the first one when the second one fails after that. Seen by the same rule: only an upstream with a sign of life, or one less loaded, gets the request; not beside a trial of a quarantined part or a suspected one.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,6 +12,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
 from briardyke.gateway.fingerprint import request_fingerprint
+from briardyke.gateway.hedged_attempts import HedgedAttempts
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.stream_relay import StreamRelay
@@ -45,7 +46,8 @@
         self._state = state
         self._random = random.Random()
         self.attempts = UpstreamAttempts(state, self._random)
-        self._streams = StreamRelay(state, self.attempts)
+        self._hedged = HedgedAttempts(state, self.attempts)
+        self._streams = StreamRelay(state, self.attempts, self._hedged)
 
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Handle one request of a caller."""
@@ -157,7 +159,7 @@
                     break
                 if not self.attempts.may_send(context, upstream):
                     continue
-                attempt = await self.attempts.run(context, upstream, nursery)
+                upstream, attempt = await self._hedged.run(context, upstream, nursery)
                 if attempt.ending is Ending.ANSWERED and not self._should_retry_response(
                     context, attempt
                 ):
@@ -206,7 +208,7 @@
             return False
         if attempt.ending is Ending.FAILED and self._state.quarantine.holds_back(context.metadata):
             return False
-        if context.sent_attempts >= context.route.max_attempts:
+        if not context.has_attempt:
             return False
         return self.attempts.spend_retry(context, "repeated")
 
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -33,7 +33,6 @@
         may return to them, also without an attempt left.
     :param last_attempt: last attempt that was not delivered.
     :param refusal: reason to reject the request, if one was found.
-    :param has_paid_retry: whether the next attempt is charged to the retry budget already.
     :param trial_part: quarantined part of its prompt that it may test, or empty.
     :param has_trial: whether the leader has granted that.
     :param software_version: version of the upstream that sent the stream's first event; only this
@@ -55,7 +54,6 @@
     left_upstreams: set[str] = attrs.field(factory=set)
     last_attempt: AttemptResult | None = None
     refusal: Failure | None = None
-    has_paid_retry: bool = False
     trial_part: str = ""
     has_trial: bool = False
     software_version: str | None = None
--- a/src/briardyke/gateway/stream_handover.py
+++ b/src/briardyke/gateway/stream_handover.py
@@ -17,7 +17,7 @@
 
 # Longest time for which two upstreams keep a request. They may both work on it for 400 ms, which
 # includes the way of the close.
-_MAX_OVERLAP_S = 0.25
+MAX_OVERLAP_S = 0.25
 
 
 @attrs.define
@@ -78,7 +78,7 @@
 
     async def limit_overlap() -> None:
         await sent.wait()
-        await trio.sleep(_MAX_OVERLAP_S)
+        await trio.sleep(MAX_OVERLAP_S)
         overlap.cancel()
         awaiting_events.cancel()
         await replacement.leave_source()
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from briardyke.gateway.attempt import AttemptResult
+    from briardyke.gateway.hedged_attempts import HedgedAttempts
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.upstream_attempts import UpstreamAttempts
     from briardyke.gateway.upstreams import UpstreamState
@@ -70,10 +71,13 @@
 class StreamRelay:
     """Relay streams from upstreams to callers."""
 
-    def __init__(self, state: GatewayState, attempts: UpstreamAttempts) -> None:
+    def __init__(
+        self, state: GatewayState, attempts: UpstreamAttempts, hedged: HedgedAttempts
+    ) -> None:
         """Resume streams with further attempts."""
         self._state = state
         self._attempts = attempts
+        self._hedged = hedged
 
     async def deliver(
         self,
@@ -146,7 +150,7 @@
         context.metadata = attrs.evolve(
             context.metadata, last_event_id=relay.splitter.last_event_id
         )
-        attempt = await self._attempts.run(context, upstream, relay.nursery, on_sent)
+        upstream, attempt = await self._hedged.run(context, upstream, relay.nursery, on_sent)
         if attempt.connection is None or attempt.head is None:
             return None
         return StreamSource(upstream, attempt.connection, attempt.head)
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -11,7 +11,7 @@
 from briardyke.gateway.attempt import AttemptResult, AttemptRunner
 from briardyke.gateway.attempt_feedback import record_attempt, record_own_close
 from briardyke.gateway.dialect import ForwardingMetadata
-from briardyke.gateway.silence import ALIVE_FRACTION, live_alternatives
+from briardyke.gateway.silence import live_alternatives
 from briardyke.gateway.upstream_selection import choose_upstream
 from briardyke.gateway.upstreams import CONNECT_PROBE_INTERVAL_MS, ENGINE_RUNNING_WEIGHT
 from briardyke.logs import log_limited
@@ -29,16 +29,6 @@
 _RESPONSE_MARGIN_MS = 60.0
 # Shortest time in which an attempt can still succeed.
 MIN_ATTEMPT_MS = 25.0
-# A retryable request is sent to another upstream after this many latency objectives without a
-# response, but not before _MIN_ATTEMPT_TIMEOUT_MS.
-_ATTEMPT_TIMEOUT_OBJECTIVES = 3.0
-_MIN_ATTEMPT_TIMEOUT_MS = 800.0
-# Share of the time left that a second attempt needs.
-_MIN_RETRY_TIME_FRACTION = 0.4
-# Interval at which an attempt without a response looks for a better upstream again.
-_ALTERNATIVE_INTERVAL_MS = 250.0
-# Another upstream counts as less loaded when its load is below this fraction of the current one's.
-_LESS_LOADED_FRACTION = 0.5
 # A shorter wait is none: one of less than the clock's resolution would be repeated without end.
 _MIN_WAIT_MS = 1.0
 
@@ -168,11 +158,13 @@
         upstream: UpstreamState,
         nursery: trio.Nursery,
         on_sent: Callable[[], None] | None = None,
+        scope: trio.CancelScope | None = None,
     ) -> AttemptResult:
         """Send a request to an upstream and record the outcome.
 
         :param nursery: runs the task that writes a long body.
         :param on_sent: called once the upstream may start to work on the request.
+        :param scope: ends the attempt as late when it is cancelled.
         """
         upstream_id = upstream.row.upstream_id
         context.tried_upstreams.add(upstream_id)
@@ -191,8 +183,6 @@
         upstream.running_weight = ENGINE_RUNNING_WEIGHT if is_engine else 1.0
         upstream.begin_request()
         started_ms = now_ms()
-        attempt = None
-        scope = trio.CancelScope()
         is_sent = False
 
         def record_sent() -> None:
@@ -202,24 +192,19 @@
                 on_sent()
 
         try:
-            async with trio.open_nursery() as watch:
-                watch.start_soon(self._give_up_when_late, context, upstream, scope)
-                attempt = await self.runner.run(
-                    upstream,
-                    context.request,
-                    context.metadata.request_id,
-                    call,
-                    context.remaining_ms,
-                    is_retryable=context.route.is_retryable,
-                    buffer=context.buffer,
-                    nursery=nursery,
-                    on_sent=record_sent,
-                    scope=scope,
-                )
-                watch.cancel_scope.cancel()
+            attempt = await self.runner.run(
+                upstream,
+                context.request,
+                context.metadata.request_id,
+                call,
+                context.remaining_ms,
+                is_retryable=context.route.is_retryable,
+                buffer=context.buffer,
+                nursery=nursery,
+                on_sent=record_sent,
+                scope=scope,
+            )
         except BaseException:
-            if attempt is not None and attempt.connection is not None:
-                await attempt.connection.aclose()
             upstream.in_flight -= 1
             if is_sent:
                 record_own_close(context)
@@ -259,59 +244,8 @@
             resumed=bool(context.metadata.last_event_id),
         )
 
-    async def _give_up_when_late(
-        self, context: RequestContext, upstream: UpstreamState, scope: trio.CancelScope
-    ) -> None:
-        """End an attempt without a response once another upstream may be tried.
-
-        Without a retry in the budget, the upstream that has the request is the only one that can
-        still respond.
-        """
-        objective_ms = context.route.latency_objective_ms
-        wait_ms = max(_MIN_ATTEMPT_TIMEOUT_MS, _ATTEMPT_TIMEOUT_OBJECTIVES * objective_ms)
-        if not context.route.is_retryable:
-            return
-        started_ms = now_ms()
-        limit_ms = context.deadline_ms - context.remaining_ms * _MIN_RETRY_TIME_FRACTION
-        while now_ms() + wait_ms < limit_ms:
-            await trio.sleep(wait_ms / 1000.0)
-            wait_ms = _ALTERNATIVE_INTERVAL_MS
-            is_last = context.sent_attempts + 1 >= context.route.max_attempts
-            if is_last and not context.left_upstreams:
-                continue
-            is_better = self._has_better_upstream(context, upstream, now_ms() - started_ms)
-            if is_better and self.spend_retry(context, "repeated"):
-                context.has_paid_retry = True
-                scope.cancel()
-                return
-
-    def _has_better_upstream(
-        self, context: RequestContext, upstream: UpstreamState, waited_ms: float
-    ) -> bool:
-        """Return whether another upstream may respond sooner than the one that has the request.
-
-        If every other one is as loaded, trying a second one adds to the overload and loses the
-        place in the first one's queue. One with a limit may have no permit for it.
-        """
-        others = [
-            s
-            for s in self.alternatives(context, upstream, waited_ms)
-            if self._state.limits.limit_per_s(s.row) is None
-        ]
-        load = upstream.load() - 1.0  # without this request
-        if any(s.load() < load * _LESS_LOADED_FRACTION for s in others):
-            return True
-        limit_ms = waited_ms * ALIVE_FRACTION
-        return upstream.is_silent_for(limit_ms) and any(
-            s.has_sign_within(limit_ms) or s.row.upstream_id in context.left_upstreams
-            for s in others
-        )
-
     def spend_retry(self, context: RequestContext, event: str) -> bool:
         """Charge a retry to the budget of the service; return whether the budget allows it."""
-        if context.has_paid_retry:
-            context.has_paid_retry = False
-            return True
         is_allowed = self._state.budget(context.service).try_spend(now_ms())
         self._state.counters.count(event if is_allowed else "budget_exhausted")
         return is_allowed
--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -9,6 +9,8 @@
 import trio
 from gateway_support import STREAM_HEAD, Gateway, Reply, chunk, close, event, wait_until
 
+from briardyke.gateway.dialect import LoadReport
+
 if TYPE_CHECKING:
     from gateway_support import Script, ScriptedUpstream
 
@@ -248,3 +250,52 @@
         assert (replies[0].body, replies[0].is_complete) == (WHOLE, True)
         assert ended[0] - started < 2.0
         assert upstreams[1].requests == [b"s-1"]
+
+
+class TestLateResponse:
+    """Guards against requests that are given up before another upstream has responded."""
+
+    async def test_first_upstream_responds_although_the_other_refuses(
+        self, gateway: Gateway
+    ) -> None:
+        async def late(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await trio.sleep(PAUSE_S)
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n" % request_id
+            await stream.send_all(head + b"Content-Length: 2\r\n\r\nok")
+
+        upstreams = [
+            await gateway.add("app", late),
+            await gateway.add("app", Failing(last=REFUSAL, wait_s=0.0)),
+        ]
+        prefer_first(gateway)
+        reply = await gateway.send("/see/x", "p-1")
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert [u.requests for u in upstreams] == [[b"p-1"], [b"p-1"]]
+
+    @pytest.mark.parametrize("wait_s", [0.0, LATE_S], ids=["at once", "late"])
+    async def test_stream_goes_on_at_the_first_upstream_although_the_other_refuses(
+        self, gateway: Gateway, wait_s: float
+    ) -> None:
+        async def late(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            if upstream.requests.count(request_id) == 1:
+                await trio.sleep(PAUSE_S + 0.05)
+            await stream.send_all(STREAM_HEAD % request_id + event(1) + event(2) + END)
+
+        await gateway.add("pool", late)
+        await gateway.add("pool", Failing(last=REFUSAL, wait_s=wait_s))
+        prefer_first(gateway)
+        reply = await gateway.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.body, reply.is_complete) == (200, WHOLE, True)
+
+
+def prefer_first(gateway: Gateway) -> None:
+    """Let the larger of two upstreams be selected first, although the other one is idle."""
+    gateway.rows["u1"] = attrs.evolve(gateway.rows["u1"], slots=1)
+    gateway.state.upstreams.update(gateway.rows, {})
+    larger = gateway.state.upstreams.get("u0")
+    assert larger is not None
+    larger.update_from_report(LoadReport(4, 0, 8))
