Keep streams at upstreams that have just revived

Change: an upstream counts as alive only if it was alive throughout the last half of the stall; one that has just ended a long silence shares it, and a stream stays where the own upstream has just revived.

--- a/src/briardyke/gateway/hedged_attempts.py
+++ b/src/briardyke/gateway/hedged_attempts.py
@@ -198,7 +198,7 @@
         return [
             s
             for s in others
-            if s.has_sign_within(limit_ms) or s.row.upstream_id in context.left_upstreams
+            if s.is_alive_for(limit_ms) or s.row.upstream_id in context.left_upstreams
         ]
 
 
--- a/src/briardyke/gateway/silence.py
+++ b/src/briardyke/gateway/silence.py
@@ -9,7 +9,7 @@
 
     from briardyke.gateway.upstreams import UpstreamState
 
-# An upstream with a sign of life in this last fraction of another one's silence does not share it.
+# An upstream that was alive in this last fraction of a silence does not share it.
 ALIVE_FRACTION = 0.5
 
 
@@ -23,11 +23,12 @@
 
     Load: all engines of a service fall silent for a second. Every entry instance has tens of
     streams on each of them; moved at the same moment, they would start over on engines that are as
-    silent, and all prompts would be read twice when the engines go on.
+    silent, and all prompts would be read twice when the engines go on. They go on one after the
+    other, so an upstream that has just revived shows that the others will.
 
-    Candidates that have sent something meanwhile come first. Without any, one that has no requests
-    of this instance, of which nothing is known, is accepted unless every upstream that is known to
-    have requests is silent.
+    Candidates that were alive meanwhile come first. Without any, one that has no requests of this
+    instance, of which nothing is known, is accepted unless every upstream that is known to have
+    requests shares the silence.
 
     :param silent_ms: time for which the request has received nothing.
     :param current: the upstream that has the request.
@@ -35,10 +36,16 @@
     :param upstreams: all usable upstreams of the service.
     """
     limit_ms = silent_ms * ALIVE_FRACTION
-    alive = [c for c in candidates if c.has_sign_within(limit_ms)]
+    if current.has_revived_within(limit_ms):
+        return []
+    alive = [c for c in candidates if c.is_alive_for(limit_ms)]
     if alive:
         return alive
-    is_shared = any(u.is_silent_for(limit_ms) for u in upstreams if u is not current)
-    if is_shared and not any(u.has_sign_within(limit_ms) for u in upstreams):
+    is_shared = any(_shares_silence(u, limit_ms) for u in upstreams if u is not current)
+    if is_shared and not any(u.is_alive_for(limit_ms) for u in upstreams):
         return []
-    return [c for c in candidates if not c.is_silent_for(limit_ms)]
+    return [c for c in candidates if not _shares_silence(c, limit_ms)]
+
+
+def _shares_silence(upstream: UpstreamState, limit_ms: float) -> bool:
+    return upstream.is_silent_for(limit_ms) or upstream.has_revived_within(limit_ms)
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -55,6 +55,8 @@
 _LONGER_INTERVAL_WEIGHT = 0.005
 # Time after the last event for which the interval is reported.
 _EVENT_INTERVAL_TTL_MS = 10_000.0
+# Engines send events several times in this time, also while they read long prompts.
+_LONG_SILENCE_MS = 400.0
 # Upper limit of one observation, so that a single stalled stream does not dominate the mean.
 _MAX_FIRST_EVENT_MS_PER_LOAD = 500.0
 
@@ -82,6 +84,8 @@
     :param pending: those of them whose response has not started.
     :param busy_since_ms: time since when it has had requests of this instance in progress.
     :param sign_ms: time of its last sign of life: the head of a response or an event of a stream.
+    :param long_silence_ms: length of its last long silence that has ended.
+    :param long_silence_end_ms: time of the sign of life that ended it.
     :param other_requests: requests of other instances at the last load report.
     :param other_waiting: those of them that were not yet running.
     :param running_weight: load of a running request, relative to a waiting one.
@@ -109,6 +113,8 @@
     pending: int = 0
     busy_since_ms: float = 0.0
     sign_ms: float = float("-inf")
+    long_silence_ms: float = 0.0
+    long_silence_end_ms: float = float("-inf")
     other_requests: float = 0.0
     other_waiting: float = 0.0
     running_weight: float = 1.0
@@ -161,7 +167,10 @@
 
     def record_sign(self) -> None:
         """Record a sign of life."""
-        self.sign_ms = now_ms()
+        now, silent_ms = now_ms(), self.silent_ms
+        if silent_ms is not None and silent_ms >= _LONG_SILENCE_MS:
+            self.long_silence_ms, self.long_silence_end_ms = silent_ms, now
+        self.sign_ms = now
 
     @property
     def silent_ms(self) -> float | None:
@@ -173,13 +182,18 @@
             return None
         return now_ms() - max(self.sign_ms, self.busy_since_ms)
 
-    def is_silent_for(self, silent_ms: float) -> bool:
+    def is_silent_for(self, last_ms: float) -> bool:
         """Return whether it has given no sign of life for longer while requests are in progress."""
-        return self.silent_ms is not None and self.silent_ms > silent_ms
+        return self.silent_ms is not None and self.silent_ms > last_ms
 
-    def has_sign_within(self, last_ms: float) -> bool:
-        """Return whether it has given a sign of life in the last milliseconds."""
-        return now_ms() - self.sign_ms <= last_ms
+    def has_revived_within(self, last_ms: float) -> bool:
+        """Return whether a silence of more than this time ended within this time."""
+        ended_ms = now_ms() - self.long_silence_end_ms
+        return self.long_silence_ms > last_ms >= ended_ms
+
+    def is_alive_for(self, last_ms: float) -> bool:
+        """Return whether it has given signs of life, and was not silent for longer."""
+        return now_ms() - self.sign_ms <= last_ms and not self.has_revived_within(last_ms)
 
     def observe_first_event(self, took_ms: float, load: float) -> None:
         """Add the time to the first event of a stream to the mean.
