Stay at a silent upstream while most of the others are silent too

Change: a request stays where more of the other upstreams share the silence than were alive. Moving the load of most upstreams to the few others would overload them; ejection has the same bound of a half. stream_stalled names all upstreams of the service with their silence, not only those that could continue.

--- a/src/briardyke/gateway/silence.py
+++ b/src/briardyke/gateway/silence.py
@@ -1,4 +1,4 @@
-"""Tell an upstream that is silent alone from a silence that all upstreams share."""
+"""Tell an upstream that is silent alone from a silence that most upstreams share."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 ) -> list[UpstreamState]:
     """Return the candidates to which a request may move from an upstream that is silent to it.
 
-    Load: all engines of a service fall silent for a second. Every entry instance has tens of
+    Load: most engines of a service fall silent for a second. Every entry instance has tens of
     streams on each of them; moved at the same moment, they would start over on engines that are as
-    silent, and all prompts would be read twice when the engines go on. They go on one after the
-    other, so an upstream that has just revived shows that the others will.
+    silent or overload the few others, and all prompts would be read twice when the engines go on.
+    They go on one after the other, so one that has just revived shows that the others will.
 
-    Candidates that were alive meanwhile come first. Without any, one that has no requests of this
-    instance, of which nothing is known, is accepted unless every upstream that is known to have
-    requests shares the silence.
+    While more of the other upstreams share the silence than were alive meanwhile, no candidate is
+    accepted. Otherwise those that were alive come first, then those that have no requests of this
+    instance, of which nothing is known.
 
     :param silent_ms: time for which the request has received nothing.
     :param current: the upstream that has the request.
@@ -38,13 +38,12 @@
     limit_ms = silent_ms * ALIVE_FRACTION
     if current.has_revived_within(limit_ms):
         return []
-    alive = [c for c in candidates if c.is_alive_for(limit_ms)]
-    if alive:
-        return alive
-    is_shared = any(_shares_silence(u, limit_ms) for u in upstreams if u is not current)
-    if is_shared and not any(u.is_alive_for(limit_ms) for u in upstreams):
+    others = [u for u in upstreams if u is not current]
+    silent_count = sum(_shares_silence(u, limit_ms) for u in others)
+    if silent_count > sum(u.is_alive_for(limit_ms) for u in others):
         return []
-    return [c for c in candidates if not _shares_silence(c, limit_ms)]
+    alive = [c for c in candidates if c.is_alive_for(limit_ms)]
+    return alive or [c for c in candidates if not _shares_silence(c, limit_ms)]
 
 
 def _shares_silence(upstream: UpstreamState, limit_ms: float) -> bool:
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -257,9 +257,9 @@
             upstream=source.row.upstream_id,
             stalled_ms=round(now_ms() - relay.progress_ms),
             upstream_silent_ms=_rounded(source.silent_ms),
-            others_silent_ms=",".join(
-                f"{s.row.upstream_id}:{_rounded(s.silent_ms)}"
-                for s in self._attempts.candidates(relay.context)
+            others=",".join(
+                f"{s.row.upstream_id}:{_rounded(s.silent_ms)}:{_rounded(s.sign_age_ms)}"
+                for s in self._state.upstreams.usable(relay.context.service)
             ),
             version=self._state.version,
         )
@@ -287,8 +287,8 @@
         context.last_progress_ms = relay.progress_ms = now_ms()
 
 
-def _rounded(silent_ms: float | None) -> str:
-    return "unknown" if silent_ms is None else str(round(silent_ms))
+def _rounded(time_ms: float | None) -> str:
+    return "unknown" if time_ms is None else f"{time_ms:.0f}"
 
 
 @attrs.frozen
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -172,6 +172,11 @@
             self.long_silence_ms, self.long_silence_end_ms = silent_ms, now
         self.sign_ms = now
 
+    @property
+    def sign_age_ms(self) -> float:
+        """Return the time since the last sign of life, infinite without one."""
+        return now_ms() - self.sign_ms
+
     @property
     def silent_ms(self) -> float | None:
         """Return the time without a sign of life while requests are in progress.
@@ -193,7 +198,7 @@
 
     def is_alive_for(self, last_ms: float) -> bool:
         """Return whether it has given signs of life, and was not silent for longer."""
-        return now_ms() - self.sign_ms <= last_ms and not self.has_revived_within(last_ms)
+        return self.sign_age_ms <= last_ms and not self.has_revived_within(last_ms)
 
     def observe_first_event(self, took_ms: float, load: float) -> None:
         """Add the time to the first event of a stream to the mean.
