End a silent attempt of the product's own path only when the next one may start

Callers of the product's own interface got answer_truncated from an upstream that was silent for 1.6 s and would have gone on: the attempt was ended after 1.5 s, and only then the retry budget was asked. Same class as the streams cut on the users' platform, found by looking for it.

Change: at the time-out the next attempt is reserved first (the free resumption or a retry); without one the upstream keeps the request, until 10 s of silence or the deadline before the first token.

--- a/src/briardyke/entry/relay_attempts.py
+++ b/src/briardyke/entry/relay_attempts.py
@@ -4,6 +4,7 @@
 
 import json
 from contextlib import AsyncExitStack, aclosing
+from functools import partial
 from typing import TYPE_CHECKING, Protocol, cast
 
 import trio
@@ -18,6 +19,7 @@
 )
 from briardyke.entry.relay_retries import RetryController
 from briardyke.entry.relay_selection import select_upstream
+from briardyke.entry.relay_silence import SilenceLimit
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.client import CallError, HttpClient, OpenResponse
 from briardyke.http.sse import EventParser, EventTooLongError
@@ -93,7 +95,14 @@
                 break
             if not await retries.wait_to_start(resumes=resumes, deadline_ms=deadline_ms):
                 break
-            result = await self._attempt(job, selected.unwrap(), assembler, sink, deadline_ms)
+            limit = SilenceLimit(
+                partial(self._may_leave, job, assembler, retries),
+                self._policy.retry_delay_ms,
+                min(self._policy.idle_timeout_ms, self._policy.first_token_timeout_ms),
+            )
+            result = await self._attempt(
+                job, selected.unwrap(), assembler, sink, deadline_ms, limit
+            )
             if result.failure is None:
                 return None
             failure, may_have_run = result.failure, may_have_run or result.may_have_run
@@ -107,6 +116,10 @@
         tokens = assembler.offset - job.offset_tokens
         return final_failure(failure, may_have_run=may_have_run, tokens=tokens)
 
+    @staticmethod
+    def _may_leave(job: ModelJob, assembler: ResponseAssembler, retries: RetryController) -> bool:
+        return retries.reserve(resumes=assembler.offset > job.offset_tokens)
+
     async def _attempt(
         self,
         job: ModelJob,
@@ -114,15 +127,19 @@
         assembler: ResponseAssembler,
         sink: CallerEventSink,
         deadline_ms: float,
+        limit: SilenceLimit,
     ) -> AttemptResult:
         attempt_id = new_id("att")
         assembler.begin(attempt_id)
         offset, outcome = assembler.offset, AttemptOutcome.CANCELLED
         self._table.begin(attempt_id, upstream_id, job.route, now_ms())
         try:
-            result = await self._exchange(
-                job, upstream_id, attempt_id, assembler, sink, deadline_ms
-            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(limit.watch)
+                result = await self._exchange(
+                    job, upstream_id, attempt_id, assembler, sink, deadline_ms, limit
+                )
+                nursery.cancel_scope.cancel()
             outcome = result.outcome
         finally:
             self._table.finish(attempt_id, outcome, assembler.offset - offset, now_ms())
@@ -146,9 +163,11 @@
         assembler: ResponseAssembler,
         sink: CallerEventSink,
         deadline_ms: float,
+        limit: SilenceLimit,
     ) -> AttemptResult:
         policy = self._policy
-        timeout_at_ms = min(now_ms() + policy.first_token_timeout_ms, deadline_ms)
+        first_until_ms = min(now_ms() + policy.first_token_timeout_ms, deadline_ms)
+        longest_wait_ms = max(deadline_ms - now_ms(), policy.resume_timeout_ms)
         headers = {
             "content-type": "application/json",
             "x-request-id": job.request_id,
@@ -159,7 +178,7 @@
         try:
             async with AsyncExitStack() as stack:
                 response: OpenResponse | None = None
-                with trio.move_on_at(timeout_at_ms / 1000.0):
+                with limit.wait(first_until_ms, deadline_ms):
                     response = await stack.enter_async_context(
                         self._client.open(
                             "POST",
@@ -167,14 +186,16 @@
                             job.path,
                             body=json.dumps({**job.body, "stream": True}).encode(),
                             headers=headers,
-                            timeout_ms=max(policy.first_token_timeout_ms, policy.idle_timeout_ms),
+                            timeout_ms=longest_wait_ms,
                         )
                     )
                 if response is None:
                     return interrupted_result(_STALLED)
                 if response.status != 200:
                     return error_status_result(response.status, await self._error_body(response))
-                return await self._read(response, attempt_id, assembler, sink, timeout_at_ms)
+                return await self._read(
+                    response, attempt_id, assembler, sink, limit, (first_until_ms, deadline_ms)
+                )
         except CallError as error:
             return interrupted_result(error.failure)
         except EventTooLongError as error:
@@ -196,14 +217,15 @@
         attempt_id: str,
         assembler: ResponseAssembler,
         sink: CallerEventSink,
-        timeout_at_ms: float,
+        limit: SilenceLimit,
+        wait_ms: tuple[float, float],
     ) -> AttemptResult:
-        parser = EventParser()
+        policy, parser = self._policy, EventParser()
         first = True
         async with aclosing(_chunks(response)) as chunks:
             while True:
                 chunk: bytes | None = None
-                with trio.move_on_at(timeout_at_ms / 1000.0):
+                with limit.wait(*wait_ms):
                     chunk = await anext(chunks, b"")
                 if chunk is None:
                     return interrupted_result(_STALLED)
@@ -214,7 +236,7 @@
                     if caller_event is not None:
                         if first:
                             self._table.first_token(attempt_id, now_ms())
-                            response.pace_reads(self._policy.coalesce_ms)
+                            response.pace_reads(policy.coalesce_ms)
                             first = False
                         sink.put(caller_event)
                     if progress is Progress.COMPLETE:
@@ -223,7 +245,8 @@
                     if progress is Progress.BROKEN:
                         return interrupted_result(_TRUNCATED)
                 await sink.wait_for_room()
-                timeout_at_ms = now_ms() + self._policy.idle_timeout_ms
+                now = now_ms()
+                wait_ms = now + policy.idle_timeout_ms, now + policy.resume_timeout_ms
 
 
 async def _read_to_end(chunks: AsyncGenerator[bytes, None]) -> None:
--- a/src/briardyke/entry/relay_retries.py
+++ b/src/briardyke/entry/relay_retries.py
@@ -32,6 +32,7 @@
         self._resumed = False
         self._last_may_have_run = False
         self._delay_ms = 0.0
+        self._is_reserved = False
 
     def record_failure(self, *, may_have_run: bool) -> None:
         """Record that an attempt failed."""
@@ -43,6 +44,24 @@
             doubled = max(self._policy.retry_delay_ms, self._delay_ms * 2.0)
             self._delay_ms = min(self._policy.max_retry_delay_ms, doubled)
 
+    def reserve(self, *, resumes: bool) -> bool:
+        """Take what the next attempt needs now; return whether it may start.
+
+        :param resumes: whether tokens have been delivered already.
+        """
+        if self._is_reserved or self._attempts_that_may_have_run + 1 >= self._policy.attempt_limit:
+            return self._is_reserved
+        self._is_reserved = self._take_free_resumption(resumes=resumes) or self._budget.try_spend(
+            now_ms()
+        )
+        return self._is_reserved
+
+    def _take_free_resumption(self, *, resumes: bool) -> bool:
+        if not resumes or self._resumed:
+            return False
+        self._resumed = True
+        return True
+
     async def wait_to_start(self, *, resumes: bool, deadline_ms: float) -> bool:
         """Wait until the next attempt may start.
 
@@ -60,8 +79,10 @@
         if self._attempts_that_may_have_run >= self._policy.attempt_limit:
             return False
         await sleep_ms(min(self._delay_ms, deadline_ms - now_ms()))
-        if resumes and not self._resumed:
-            self._resumed = True
+        if self._is_reserved:
+            self._is_reserved = False
+            return now_ms() < deadline_ms
+        if self._take_free_resumption(resumes=resumes):
             return True
         # The budget limits the rate of retries; waiting for it adds no load to upstreams.
         give_up_at_ms = deadline_ms
