Do not let a silent upstream look idle

What an upstream reported of its load lost half its weight in every 1.5 s, also while it was silent and finished nothing, so that new requests and those that left others preferred it the longer it was silent; while control cannot be reached, nothing else corrects that.

Change: the report ages only until the upstream falls silent.

Evidence: test_silent_upstream_does_not_look_idle_after_a_while fails before (load 4.5 instead of 8 after 1.5 s of silence, the silent one is chosen) and passes now.

--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -240,8 +240,9 @@
 
         An engine processes prompts one after the other and generates tokens for many requests in
         parallel. A new request waits for unprocessed prompts, and hardly for running requests.
+        What was reported ages only until the upstream falls silent: it finishes nothing then.
         """
-        age_ms = now_ms() - self.reported_ms
+        age_ms = max(0.0, now_ms() - (self.silent_ms or 0.0) - self.reported_ms)
         fresh = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
         waiting = self.pending + self.other_waiting * fresh
         running = self.in_flight - self.pending + (self.other_requests - self.other_waiting) * fresh
--- a/tests/gateway/test_upstream_selection.py
+++ b/tests/gateway/test_upstream_selection.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import pytest
+import trio
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
@@ -52,6 +53,20 @@
         busy.update_from_report(LoadReport(6, 2, 8))
         assert spread([busy, idle], 4) == {"2": 4}
 
+    async def test_silent_upstream_does_not_look_idle_after_a_while(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        silent, alive = state("1"), state("2")
+        for upstream in (silent, alive):
+            upstream.begin_request()
+            upstream.update_from_report(LoadReport(6, 2, 8))
+        for _ in range(15):
+            await trio.sleep(0.1)
+            alive.record_sign()
+        assert silent.load() == 8.0
+        assert alive.load() == pytest.approx(1.0 + 7.0 / 2)
+        assert spread([silent, alive], 3) == {"2": 3}
+
     async def test_failing_upstream_gets_few_requests(self) -> None:
         healthy, failing = state("1"), state("2")
         for step in range(4):
