Return to a late upstream only when its attempt has ended as late

It is listed only when its attempt has timed out. stream_stalled is written once a stall instead of at each look for an alternative.

--- a/src/briardyke/gateway/hedged_attempts.py
+++ b/src/briardyke/gateway/hedged_attempts.py
@@ -97,6 +97,8 @@
                 if context.route.is_retryable:
                     exchange.nursery.start_soon(self._run_second, context, exchange, first, nursery)
                 result = await self._attempts.run(context, upstream, nursery, on_sent, first)
+                if first.cancel_called and result.ending is Ending.TIMED_OUT:
+                    context.left_upstreams.add(upstream.row.upstream_id)
                 await exchange.settle(upstream, result)
         except BaseException:
             await exchange.abandon()
@@ -127,7 +129,6 @@
             with overlap:
                 await sent.wait()
                 await trio.sleep(MAX_OVERLAP_S)
-                context.left_upstreams.add(late.row.upstream_id)
                 first.cancel()
 
         if context.route.kind is RequestKind.STREAMING:
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -207,7 +207,8 @@
             return await relay.source.next_events(relay.splitter)
         if not self._may_resume(relay):
             return None
-        self._log_stall(relay)
+        if stall_left_ms > 0:
+            self._log_stall(relay)
         if not self._alternatives(relay):
             return None
         continuation = await hand_over(relay.source, relay.splitter, _Replacement(self, relay))
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pytest
 import trio
 
 from briardyke.addresses import Address
@@ -32,22 +31,21 @@
     return [state.row.upstream_id for state in found]
 
 
-@pytest.fixture(autouse=True)
-def paused_clock(autojump_clock: trio.testing.MockClock) -> None:
-    """Advance the clock when nothing happens."""
-
-
 class TestSilenceOfOne:
     """Covers a request whose upstream alone is silent."""
 
-    async def test_upstreams_that_were_alive_meanwhile_come_first(self) -> None:
+    async def test_upstreams_that_were_alive_meanwhile_come_first(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, alive, unknown = upstream("a"), upstream("b"), upstream("c", in_flight=0)
         for _ in range(13):
             await trio.sleep(STALL_S / 13)
             alive.record_sign()
         assert chosen(current, alive, unknown) == ["b"]
 
-    async def test_silent_one_is_left_out_beside_an_unknown_one(self) -> None:
+    async def test_silent_one_is_left_out_beside_an_unknown_one(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, alive = upstream("a"), upstream("b")
         silent, unknown = upstream("c"), upstream("d", in_flight=0)
         for _ in range(13):
@@ -58,12 +56,16 @@
         )
         assert [s.row.upstream_id for s in found] == ["d"]
 
-    async def test_upstream_without_requests_is_accepted_when_nothing_else_is_known(self) -> None:
+    async def test_upstream_without_requests_is_accepted_when_nothing_else_is_known(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, unknown = upstream("a"), upstream("b", in_flight=0)
         await trio.sleep(STALL_S)
         assert chosen(current, unknown) == ["b"]
 
-    async def test_upstream_that_is_silent_to_one_request_only_may_be_left(self) -> None:
+    async def test_upstream_that_is_silent_to_one_request_only_may_be_left(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, alive = upstream("a"), upstream("b")
         for _ in range(13):
             await trio.sleep(STALL_S / 13)
@@ -75,12 +77,14 @@
 class TestSharedSilence:
     """Covers a request whose upstream is silent together with others."""
 
-    async def test_no_upstream_is_accepted(self) -> None:
+    async def test_no_upstream_is_accepted(self, autojump_clock: trio.testing.MockClock) -> None:
         current, silent, unknown = upstream("a"), upstream("b"), upstream("c", in_flight=0)
         await trio.sleep(STALL_S)
         assert chosen(current, silent, unknown) == []
 
-    async def test_few_others_are_not_overloaded(self) -> None:
+    async def test_few_others_are_not_overloaded(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, alive = upstream("a"), upstream("b")
         silent = [upstream(name) for name in "cd"]
         for _ in range(13):
@@ -88,13 +92,17 @@
             alive.record_sign()
         assert chosen(current, alive, *silent) == []
 
-    async def test_no_upstream_is_accepted_while_they_revive(self) -> None:
+    async def test_no_upstream_is_accepted_while_they_revive(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, revived, unknown = upstream("a"), upstream("b"), upstream("c", in_flight=0)
         await trio.sleep(STALL_S)
         revived.record_sign()
         assert chosen(current, revived, unknown) == []
 
-    async def test_current_upstream_that_has_revived_is_kept(self) -> None:
+    async def test_current_upstream_that_has_revived_is_kept(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, alive = upstream("a"), upstream("b")
         for _ in range(13):
             await trio.sleep(STALL_S / 13)
@@ -102,7 +110,9 @@
         current.record_sign()
         assert chosen(current, alive) == []
 
-    async def test_revived_upstream_is_accepted_when_the_silence_of_the_other_goes_on(self) -> None:
+    async def test_revived_upstream_is_accepted_when_the_silence_of_the_other_goes_on(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
         current, revived = upstream("a"), upstream("b")
         await trio.sleep(STALL_S)
         revived.record_sign()
--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -163,12 +163,14 @@
         ],
     )
     async def test_stream_goes_on_at_the_first_upstream(
-        self, gateway: Gateway, successor: Failing
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway, successor: Failing
     ) -> None:
         reply = await stream_with_alternative(gateway, Pausing(), successor)
         assert (reply.body, reply.is_complete) == (WHOLE, True)
 
-    async def test_stream_returns_to_the_first_upstream_alone(self, gateway: Gateway) -> None:
+    async def test_stream_returns_to_the_first_upstream_alone(
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway
+    ) -> None:
         others = []
 
         async def add_third(
@@ -186,7 +188,7 @@
     """Guards against what a first upstream sends being dropped while another has the request."""
 
     async def test_first_upstream_goes_on_before_the_other_has_sent_an_event(
-        self, gateway: Gateway
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway
     ) -> None:
         closed = []
 
@@ -205,7 +207,10 @@
         await wait_until(lambda: bool(closed))
 
     async def test_own_close_of_a_stream_without_events_is_no_crash(
-        self, gateway: Gateway, monkeypatch: pytest.MonkeyPatch
+        self,
+        autojump_clock: trio.testing.MockClock,
+        gateway: Gateway,
+        monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         losses: list[str] = []
 
@@ -226,7 +231,9 @@
 class TestSilenceOfAll:
     """Guards against streams that leave for an upstream that is as silent as their own."""
 
-    async def test_no_stream_leaves_its_upstream(self, gateway: Gateway) -> None:
+    async def test_no_stream_leaves_its_upstream(
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway
+    ) -> None:
         upstreams, replies = await send_to_each(gateway, Pausing(), Pausing(), Pausing())
         assert [u.requests for u in upstreams] == [[b"s-0"], [b"s-1"], [b"s-2"]]
         assert [(r.body, r.is_complete) for r in replies] == [(WHOLE, True)] * 3
@@ -235,7 +242,9 @@
 class TestSilenceOfOne:
     """Covers an upstream that falls silent while others go on: its streams leave it in time."""
 
-    async def test_stream_goes_on_where_events_are_sent(self, gateway: Gateway) -> None:
+    async def test_stream_goes_on_where_events_are_sent(
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway
+    ) -> None:
         started = trio.current_time()
         ended = []
 
@@ -256,7 +265,7 @@
     """Guards against requests that are given up before another upstream has responded."""
 
     async def test_first_upstream_responds_although_the_other_refuses(
-        self, gateway: Gateway
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway
     ) -> None:
         async def late(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
@@ -276,7 +285,7 @@
 
     @pytest.mark.parametrize("wait_s", [0.0, LATE_S], ids=["at once", "late"])
     async def test_stream_goes_on_at_the_first_upstream_although_the_other_refuses(
-        self, gateway: Gateway, wait_s: float
+        self, autojump_clock: trio.testing.MockClock, gateway: Gateway, wait_s: float
     ) -> None:
         async def late(
             upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
