--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -14,7 +14,8 @@
 from briardyke.gateway.missing_models import MissingModels
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.stream_versions import StreamVersions
-from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS, UpstreamTable
+from briardyke.gateway.upstream_table import UpstreamTable
+from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS
 from briardyke.http.buffers import BufferBudget
 from briardyke.policy.retries import RetryBudget
 from briardyke.routes.configuration import NO_VERSION
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -36,6 +36,10 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
 ENGINE = EngineSpec(8, 100.0, 8, 1.0, 1000, {"m": ModelSpec("m", 40.0, 6.0, 1.2, 0.6, 0, 0.0)})
 ROUTES = (
     Route("see", "h", "/see/", RequestKind.IDEMPOTENT, 3000.0, 300.0, 1, (Target("app", 1),), 2),
@@ -208,3 +212,25 @@
     @staticmethod
     async def _no_adapter(request: AdapterRequest) -> AdapterReply:
         return AdapterReply("", "none")
+
+
+async def remainder(
+    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+) -> None:
+    """Send the second event."""
+    await stream.send_all(STREAM_HEAD % request_id + event(2) + b"0\r\n\r\n")
+
+
+async def stream_with_alternative(gateway: Gateway, first: Script, second: Script) -> Reply:
+    """Send a request to one upstream and add another one when it has arrived."""
+    replies = []
+
+    async def send() -> None:
+        replies.append(await gateway.send("/chat/x", "s-1", "m"))
+
+    async with trio.open_nursery() as nursery:
+        upstream = await gateway.add("pool", first)
+        nursery.start_soon(send)
+        await wait_until(lambda: bool(upstream.requests))
+        await gateway.add("pool", second)
+    return replies[0]
--- a/tests/gateway/test_departed_upstreams.py
+++ b/tests/gateway/test_departed_upstreams.py
@@ -8,7 +8,7 @@
 from briardyke.fleet.messages import FleetReply
 from briardyke.fleet.records import GONE, READY, Upstream
 from briardyke.fleet.view import FleetView
-from briardyke.gateway.upstreams import UpstreamTable
+from briardyke.gateway.upstream_table import UpstreamTable
 
 SERVICE = "s"
 STARTED_MS = 1_000_000
--- a/tests/gateway/test_incomplete_answers.py
+++ b/tests/gateway/test_incomplete_answers.py
@@ -7,7 +7,15 @@
 import attrs
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, Gateway, Reply, event, wait_until
+from gateway_support import (
+    REFUSAL,
+    STREAM_HEAD,
+    Gateway,
+    event,
+    remainder,
+    stream_with_alternative,
+    wait_until,
+)
 
 import briardyke.gateway.trace
 from briardyke.gateway.dialect import LoadReport
@@ -15,7 +23,7 @@
 from briardyke.http.h11_client import Fault, UpstreamError
 
 if TYPE_CHECKING:
-    from gateway_support import Script, ScriptedUpstream
+    from gateway_support import ScriptedUpstream
 
 
 async def silent(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
@@ -100,10 +108,6 @@
 
 
 PAUSE_S = 1.6  # longer than the time after which another upstream is tried
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
 WHOLE = b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
 
 
@@ -114,13 +118,6 @@
     await stream.send_all(event(2) + b"0\r\n\r\n")
 
 
-async def remainder(
-    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-) -> None:
-    """Send the second event."""
-    await stream.send_all(STREAM_HEAD % request_id + event(2) + b"0\r\n\r\n")
-
-
 async def refusing(
     upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
 ) -> None:
@@ -128,21 +125,6 @@
     await stream.send_all(REFUSAL % request_id)
 
 
-async def stream_with_alternative(gateway: Gateway, first: Script, second: Script) -> Reply:
-    """Send a request to one upstream and add another one when it has arrived."""
-    replies = []
-
-    async def send() -> None:
-        replies.append(await gateway.send("/chat/x", "s-1", "m"))
-
-    async with trio.open_nursery() as nursery:
-        upstream = await gateway.add("pool", first)
-        nursery.start_soon(send)
-        await wait_until(lambda: bool(upstream.requests))
-        await gateway.add("pool", second)
-    return replies[0]
-
-
 class TestSilentStream:
     """Guards against streams that are cut although their silent upstream would have gone on."""
 
--- a/tests/gateway/test_silent_upstreams.py
+++ b/tests/gateway/test_silent_upstreams.py
@@ -7,7 +7,18 @@
 import attrs
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, Gateway, Reply, chunk, close, event, wait_until
+from gateway_support import (
+    REFUSAL,
+    STREAM_HEAD,
+    Gateway,
+    Reply,
+    chunk,
+    close,
+    event,
+    remainder,
+    stream_with_alternative,
+    wait_until,
+)
 
 from briardyke.gateway.dialect import LoadReport
 
@@ -16,10 +27,6 @@
 
 END = b"0\r\n\r\n"
 WHOLE = b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
-REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
 # Longer than the time after which another upstream is tried.
 PAUSE_S = 1.6
 # Longer than two upstreams may work on one request.
@@ -73,13 +80,6 @@
         await close(stream, is_reset=not self.last)
 
 
-async def remainder(
-    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-) -> None:
-    """Send the second event."""
-    await stream.send_all(STREAM_HEAD % request_id + event(2) + END)
-
-
 async def hanging(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
     """Send one event and nothing more."""
     await stream.send_all(STREAM_HEAD % request_id + event(1))
@@ -123,21 +123,6 @@
     return upstreams, replies
 
 
-async def stream_with_alternative(gateway: Gateway, first: Script, second: Script) -> Reply:
-    """Send a request to one upstream and add another one when it has arrived."""
-    replies = []
-
-    async def send() -> None:
-        replies.append(await gateway.send("/chat/x", "s-0", "m"))
-
-    async with trio.open_nursery() as nursery:
-        upstream = await gateway.add("pool", first)
-        nursery.start_soon(send)
-        await wait_until(lambda: bool(upstream.requests))
-        await gateway.add("pool", second)
-    return replies[0]
-
-
 class TestSuccessorThatFails:
     """Guards against streams that end with the upstream that should replace a sound one."""
 
