Compare loads without regard to silence while an upstream sends something

Suspected, not proved: a late request whose queue is long, and not its upstream silent, moved to a less loaded upstream only if that one was alive by the rule for silence; so queues grew after the loss, and placement followed them.

Change: the rule for silence applies only where the upstream that has the request is silent.

--- a/src/briardyke/gateway/hedged_attempts.py
+++ b/src/briardyke/gateway/hedged_attempts.py
@@ -187,14 +187,18 @@
         """
         others = [
             s
-            for s in self._attempts.alternatives(context, upstream, waited_ms)
+            for s in self._attempts.candidates(context)
             if self._state.limits.limit_per_s(s.row) is None
             and self._state.admission.late_start_refusal(context, s) is None
         ]
+        limit_ms = waited_ms * ALIVE_FRACTION
+        is_silent = upstream.is_silent_for(limit_ms)
+        if is_silent:
+            live = self._attempts.alternatives(context, upstream, waited_ms)
+            others = [s for s in others if s in live]
         load = upstream.load() - 1.0  # without this request
         less_loaded = [s for s in others if s.load() < load * _LESS_LOADED_FRACTION]
-        limit_ms = waited_ms * ALIVE_FRACTION
-        if less_loaded or not upstream.is_silent_for(limit_ms):
+        if less_loaded or not is_silent:
             return less_loaded
         return [
             s
