Read client accounts, public routes and loads with further figures

The configuration's accounts, keys, quotas and public routes were not read at all.

Change: further figures are ignored, the fourth is read as the slowness; accounts are read with their keys as digests and checked; an account's name replaces what callers state of themselves. Settings read the bounds for revocation and quotas, and the memory and descriptors of the machine.

Measured: tests of headers, configuration and gateway pass; nothing uses the accounts yet.

--- a/scripts/rounds.py
+++ b/scripts/rounds.py
@@ -27,7 +27,7 @@
 # What a report says of a broken rule, a day that counts for nothing, or a failed gate.
 RULES = (
     "MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|GONE|LOST|CONFIG|ROUTE|DRAIN|ORDER|RECOVER|ONE|"
-    "LIMIT|CEILING|[Ff]ault|[Gg]ate|GATE|given up as"
+    "LIMIT|CEILING|QUOTA|[Ff]ault|[Gg]ate|GATE|given up as"
 )
 # Label of the seed that the site file gives a day.
 OWN_SEED = "-"
--- /dev/null
+++ b/src/briardyke/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Identify client accounts by their API keys."""
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -25,6 +25,10 @@
     :param resumed_request_id: id of the caller's attempt that received the first event of the
         stream that this one continues, or empty.
     :param fingerprint: id of what the request asks for, or empty when it was not computed.
+    :param prefix_tokens: tokens of each part in ``prefix_ids``.
+    :param stated_tokens: tokens of the prompt and of the longest response together, or ``None``
+        when the caller states no readable size.
+    :param key_digest: digest of the caller's API key, or ``None`` without a well-formed one.
     """
 
     request_id: str
@@ -37,6 +41,9 @@
     last_event_id: str = ""
     resumed_request_id: str = ""
     fingerprint: str = ""
+    prefix_tokens: tuple[int, ...] = ()
+    stated_tokens: int | None = None
+    key_digest: bytes | None = attrs.field(default=None, repr=False)
 
     @property
     def shared_prefix_ids(self) -> tuple[str, ...]:
@@ -56,11 +63,14 @@
     :param running: requests that it is running.
     :param waiting: requests in its queue.
     :param slots: requests that it can run at the same time.
+    :param slowness: time that its work takes now, relative to the usual time, or ``None`` if not
+        stated.
     """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @attrs.frozen
@@ -71,12 +81,15 @@
     :param remaining_ms: time left until the deadline.
     :param priority: rank; 0 is the most urgent.
     :param last_event_id: id of the event after which a stream resumes, or empty.
+    :param account: name of the caller's account, empty for an anonymous caller; ``None`` without
+        client accounts, when what the caller says of itself is passed on.
     """
 
     upstream_id: str
     remaining_ms: float
     priority: int
     last_event_id: str = ""
+    account: str | None = None
 
 
 @attrs.frozen
--- a/src/briardyke/platform/configuration.py
+++ b/src/briardyke/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from briardyke.accounts.types import AccountQuota, ClientAccount, key_digest
 from briardyke.errors import ErrorKind, Failure
 from briardyke.platform.fields import MAX_WHOLE, read_text
 from briardyke.routes.configuration import (
@@ -25,6 +26,7 @@
     from collections.abc import Iterable
 
 R = TypeVar("R", ServiceSpec, ModelSpec)
+_QUOTA_UNITS = ("requests", "tokens")
 
 
 def decode_configuration(body: bytes) -> Result[ServingConfiguration, Failure]:
@@ -62,6 +64,7 @@
             _number(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
             _number(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
         ),
+        tuple(_account(row) for row in value.get("tenants") or ()),
     )
 
 
@@ -78,6 +81,7 @@
         max_attempts=max(1, _whole(row.get("max_attempts", 1))),
         is_resumable=_flag(row.get("resumable", False)),
         event_gap_objective_ms=_number(row.get("gap_target_ms", 0)),
+        is_public=_flag(row.get("public", False)),
     )
 
 
@@ -108,6 +112,34 @@
         store_loads_per_s=_number(row.get("loads_per_s", 0)),
         cache_tokens=_whole(row.get("kv_capacity", 0)),
         models=_by_name(models, f"two models of service {service} are named {{}}"),
+        event_tokens=_whole(row.get("stride", 1), minimum=1),
+    )
+
+
+def _account(row: dict[str, Any]) -> ClientAccount:
+    if row["name"] == "":
+        raise ValueError("a client account has no name")
+    keys = row.get("api_keys") or []
+    if not isinstance(keys, list) or not all(isinstance(key, str) and key for key in keys):
+        raise ValueError(f"api_keys of client account {row['name']!r} must be a list of texts")
+    priority = row.get("priority")
+    return ClientAccount(
+        read_text(row["name"]),
+        tuple(key_digest(key.encode()) for key in keys),
+        None if priority is None else _whole(priority),
+        _quota(row),
+    )
+
+
+def _quota(row: dict[str, Any]) -> AccountQuota:
+    unit = row.get("unit", "requests")
+    if unit not in _QUOTA_UNITS:
+        raise ValueError(f"unknown unit {unit!r} of a quota")
+    return AccountQuota(
+        _number(row.get("rate_per_s", 0)),
+        _number(row.get("burst", 0)),
+        unit == "tokens",
+        _whole(row.get("plain_tokens", 1)),
     )
 
 
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from briardyke.accounts.types import key_digest
 from briardyke.gateway.dialect import (
     ForwardingMetadata,
     LoadReport,
@@ -25,6 +26,11 @@
 _EXPECT_UPSTREAM = b"expect-instance"
 _PRIORITY = b"priority-class"
 _REFUSAL = b"not-executed"
+_KEY = b"authorization"
+_KEY_SCHEME = b"bearer"
+_ACCOUNT = b"tenant"
+# Headers by which a caller identifies itself.
+_IDENTITY = frozenset({_KEY, _ACCOUNT})
 # Signature of the upstream that answered.
 _SIGNATURE = b"server-stamp"
 _LOAD = b"instance-load"
@@ -34,6 +40,10 @@
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
+# Stated slowness of an upstream whose work takes as long as usual.
+_USUAL_SLOWNESS = 100.0
+_MAX_COUNT = 10**9
+_MAX_DIGITS = 12
 # Headers that only the system may set; a caller's are dropped.
 _RESERVED = frozenset(
     {
@@ -57,17 +67,26 @@
         headers = request.headers
         model, _, adapter = _text(headers, _MODEL).partition("/")
         prompt, _, output = _text(headers, _TOKENS).partition(",")
-        parts = [part.partition(":")[0].strip() for part in _text(headers, _PREFIX).split(",")]
+        prompt_tokens, max_output_tokens = _count(prompt), _count(output)
+        is_stated = prompt_tokens is not None and max_output_tokens is not None
+        parts = [
+            (name, tokens)
+            for name, _, tokens in (p.partition(":") for p in _text(headers, _PREFIX).split(","))
+            if name.strip()
+        ]
         return RequestMetadata(
             request_id=_text(headers, _REQUEST_ID),
             deadline_ms=_number(_text(headers, _DEADLINE)),
             model=model,
             adapter=adapter,
-            prefix_ids=tuple(part for part in parts if part),
-            prompt_tokens=int(_number(prompt) or 0),
-            max_output_tokens=int(_number(output) or 0),
+            prefix_ids=tuple(name.strip() for name, _ in parts),
+            prompt_tokens=prompt_tokens or 0,
+            max_output_tokens=max_output_tokens or 0,
             last_event_id=_text(headers, _LAST_EVENT),
             resumed_request_id=_text(headers, _RESUMES),
+            prefix_tokens=tuple(_count(tokens) or 0 for _, tokens in parts),
+            stated_tokens=((prompt_tokens or 0) + (max_output_tokens or 0) if is_stated else None),
+            key_digest=_key_digest(headers),
         )
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
@@ -75,6 +94,8 @@
         replaced = {_DEADLINE}
         if call.last_event_id:
             replaced.add(_LAST_EVENT)
+        if call.account is not None:
+            replaced |= _IDENTITY
         headers = [
             (name, value)
             for name, value in end_to_end(request.headers)
@@ -85,6 +106,8 @@
         headers.append((_PRIORITY, b"%d" % min(_LOWEST_PRIORITY, max(0, call.priority))))
         if call.last_event_id:
             headers.append((_LAST_EVENT, call.last_event_id.encode("latin-1")))
+        if call.account:
+            headers.append((_ACCOUNT, call.account.encode()))
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             headers.append((b"content-length", b"%d" % len(request.body)))
         return headers
@@ -121,8 +144,28 @@
 
 
 def _load(text: str) -> LoadReport | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Read the figures of a load; those after the known ones are for later readers."""
+    parts = [_count(part) for part in text.split(",")]
+    if len(parts) < 3 or None in parts[:3]:
+        return None
+    running, waiting, slots = (int(part or 0) for part in parts[:3])
+    slowness = parts[3] if len(parts) > 3 else None
+    return LoadReport(running, waiting, slots, slowness / _USUAL_SLOWNESS if slowness else None)
+
+
+def _count(text: str) -> int | None:
+    """Return a whole number from 0, at most :data:`_MAX_COUNT`, or ``None``."""
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    return min(_MAX_COUNT, int(digits[:_MAX_DIGITS])) if len(digits) <= _MAX_DIGITS else _MAX_COUNT
+
+
+def _key_digest(headers: Headers) -> bytes | None:
+    """Return the digest of the only well-formed key among the headers."""
+    values = [value for name, value in headers if name == _KEY]
+    if len(values) != 1:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    return key_digest(key) if scheme.lower() == _KEY_SCHEME and key else None
--- a/src/briardyke/platform/settings.py
+++ b/src/briardyke/platform/settings.py
@@ -43,6 +43,13 @@
     :param store_window_s: window in which loads from the weight store are counted.
     :param cores: processor time that the instance may use in a second, in seconds.
     :param link_mbps: bandwidth of its link, 0 when unknown.
+    :param memory_mb: memory that a process may use, 0 when unknown.
+    :param max_descriptors: descriptors that a process may open, 0 when unknown.
+    :param revocation_ms: time after which a revoked key must be refused everywhere, ``None`` when
+        an instance that cannot know of a revocation may still serve.
+    :param quota_window_s: window in which the use of a quota is counted.
+    :param quota_overage: fraction by which the use in a window may exceed the quota.
+    :param quota_slack: amount by which it may exceed that.
     """
 
     instance_id: str
@@ -68,6 +75,12 @@
     store_window_s: float
     cores: float
     link_mbps: float
+    memory_mb: float
+    max_descriptors: int
+    revocation_ms: float | None
+    quota_window_s: float
+    quota_overage: float
+    quota_slack: float
 
     @property
     def peer_address(self) -> Address:
@@ -128,6 +141,14 @@
         # "cpu_share" is a part of the processor's time, which is "cores" times as fast as one core.
         cores=float(limits.get("cpu_share", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("link_mbps", 0)),
+        memory_mb=float(limits.get("memory_mb", 0)),
+        max_descriptors=int(limits.get("max_fds", 0)),
+        revocation_ms=(
+            float(bounds.get("revoke_ms", 5000)) if bounds.get("strict_revoke") is True else None
+        ),
+        quota_window_s=float(bounds.get("quota_window_s", 8)),
+        quota_overage=float(bounds.get("quota_overage", 0.1)),
+        quota_slack=float(bounds.get("quota_slack", 0)),
     )
 
 
--- a/src/briardyke/routes/configuration.py
+++ b/src/briardyke/routes/configuration.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from briardyke.accounts.types import ClientAccount
+
 # Held version of a process without a configuration; the first one may have any number from 0.
 NO_VERSION = -1
 
@@ -47,6 +49,7 @@
     :param is_resumable: whether another upstream may resume a stream.
     :param event_gap_objective_ms: longest time between events that meets the service level
         objective; 0 for none.
+    :param is_public: whether requests need no API key.
     """
 
     name: str
@@ -60,6 +63,7 @@
     max_attempts: int = 1
     is_resumable: bool = False
     event_gap_objective_ms: float = 0.0
+    is_public: bool = False
 
     @property
     def is_retryable(self) -> bool:
@@ -101,6 +105,7 @@
     :param store_loads_per_s: loads per second that the weight store starts for all engines.
     :param cache_tokens: cache capacity for running requests and cached prompts, in tokens.
     :param models: models by name.
+    :param event_tokens: tokens in one event of a stream.
     """
 
     slots: int
@@ -109,6 +114,7 @@
     store_loads_per_s: float
     cache_tokens: int
     models: dict[str, ModelSpec]
+    event_tokens: int = 1
 
 
 @attrs.frozen
@@ -149,9 +155,11 @@
     :param routes: all routes.
     :param services: services by name.
     :param limits: limits for callers.
+    :param accounts: client accounts; without any, requests need no API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[ClientAccount, ...] = ()
--- a/src/briardyke/routes/validation.py
+++ b/src/briardyke/routes/validation.py
@@ -25,6 +25,25 @@
     for name, value in attrs.asdict(configuration.limits).items():
         if value <= 0:
             errors.append(f"limit {name} must be above 0")
+    errors += _account_errors(configuration)
+    return errors
+
+
+def _account_errors(configuration: ServingConfiguration) -> list[str]:
+    """Return the errors of the client accounts; no message contains a key."""
+    errors = []
+    names: set[str] = set()
+    owners: dict[bytes, str] = {}
+    for account in configuration.accounts:
+        if not account.name:
+            errors.append("a client account has no name")
+        if account.name in names:
+            errors.append(f"two client accounts are named {account.name}")
+        names.add(account.name)
+        for digest in set(account.key_digests):
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                errors.append(f"client accounts {owner} and {account.name} share a key")
     return errors
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from briardyke.accounts.types import AccountQuota, key_digest
 from briardyke.errors import ErrorKind
 from briardyke.platform.configuration import decode_configuration
 from briardyke.routes.configuration import RequestKind, Target
@@ -162,3 +163,63 @@
         document["routes"][0]["service"] = "nobody"
         failure = decode_configuration(json.dumps(document).encode()).unwrap_err()
         assert len(failure.reasons) == 2
+
+
+ACCOUNT: dict[str, Any] = {
+    "name": "hule930",
+    "api_keys": ["k-1", "k-2"],
+    "priority": 1,
+    "unit": "tokens",
+    "plain_tokens": 200,
+    "rate_per_s": 122585,
+    "burst": 122585,
+}
+
+
+def with_accounts(*accounts: dict[str, Any]) -> bytes:
+    """Return the document with client accounts."""
+    return json.dumps(DOCUMENT | {"tenants": list(accounts)}).encode()
+
+
+class TestClientAccounts:
+    """Covers the client accounts of a document."""
+
+    def test_account_is_read_and_its_keys_are_kept_as_digests(self) -> None:
+        read = decode_configuration(with_accounts(ACCOUNT)).unwrap()
+        (account,) = read.accounts
+        assert (account.name, account.priority) == ("hule930", 1)
+        assert account.key_digests == (key_digest(b"k-1"), key_digest(b"k-2"))
+        assert account.quota == AccountQuota(122585.0, 122585.0, True, 200)
+        assert "k-1" not in repr(read)
+
+    def test_quota_and_priority_may_be_absent(self) -> None:
+        read = decode_configuration(with_accounts({"name": "a", "api_keys": []})).unwrap()
+        assert not read.accounts[0].quota.is_limited
+        assert read.accounts[0].priority is None
+
+    def test_route_is_public_only_where_it_says_so(self) -> None:
+        read = decode_configuration(changed(["routes", 0, "public"], True)).unwrap()
+        assert [route.is_public for route in read.routes] == [True, False]
+
+    @pytest.mark.parametrize(
+        ("accounts", "reason"),
+        [
+            ([ACCOUNT, ACCOUNT | {"name": "b", "api_keys": ["k-2"]}], "share a key"),
+            ([ACCOUNT, ACCOUNT | {"api_keys": ["k-3"]}], "two client accounts are named"),
+            ([ACCOUNT | {"name": ""}], "no name"),
+            ([ACCOUNT | {"unit": "bytes"}], "unknown unit"),
+            ([ACCOUNT | {"rate_per_s": -1}], "a number from 0"),
+            ([ACCOUNT | {"burst": -1}], "a number from 0"),
+            ([ACCOUNT | {"plain_tokens": -1}], "whole number"),
+            ([ACCOUNT | {"priority": "high"}], "whole number"),
+            ([ACCOUNT | {"api_keys": "k-1"}], "list of texts"),
+            ([ACCOUNT | {"api_keys": ["k-1", ""]}], "list of texts"),
+        ],
+    )
+    def test_invalid_accounts_are_refused_without_naming_a_key(
+        self, accounts: list[dict[str, Any]], reason: str
+    ) -> None:
+        failure = decode_configuration(with_accounts(*accounts)).unwrap_err()
+        assert failure.kind is ErrorKind.CONFIGURATION_INVALID
+        assert reason in failure.message
+        assert "k-1" not in repr(failure) and "k-2" not in repr(failure)
