--- /dev/null
+++ b/src/briardyke/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Choose engines for streams with knowledge of all dispatches of a service."""
