Authorize requests of client accounts at the gateway

Cause: the configuration's accounts were read, but entry instances served requests without a key and passed on whatever callers stated of themselves.

Change: one table from key digest to account is built with the routes of a configuration version, in the worker thread that decodes large documents. A request without a known key on a route that is not public is rejected before it is hashed, counted as demand or sent anywhere. Upstreams receive the account's name and never the key; the account's priority goes before the route's. Without accounts nothing changes.

Measured: tests of accounts, routes, headers, authorization, admission, fingerprint, quarantine and the start of entry instances pass; formatter, linter and type checker pass.

--- /dev/null
+++ b/src/briardyke/gateway/authorization.py
@@ -0,0 +1,56 @@
+"""Decide whether a request may run, from its API key and the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from result import Err, Ok, Result
+
+from briardyke.accounts.types import AccountQuota
+from briardyke.errors import ErrorKind, Failure
+
+if TYPE_CHECKING:
+    from briardyke.routes.configuration import Route
+    from briardyke.routes.matching import RouteTable
+
+
+@attrs.frozen
+class Identity:
+    """Who sends a request.
+
+    :param account: name of the account, empty for an anonymous caller; ``None`` without client
+        accounts, when what the caller says of itself is passed on.
+    :param priority: rank of the account's requests, ``None`` for that of the route.
+    :param quota: limit on what the account may run.
+    """
+
+    account: str | None = None
+    priority: int | None = None
+    quota: AccountQuota = AccountQuota()
+
+
+_UNRESTRICTED = Identity()
+_ANONYMOUS = Identity("")
+
+
+def authorize(
+    routes: RouteTable, route: Route, key_digest: bytes | None
+) -> Result[Identity, Failure]:
+    """Return who sends a request, or the reason to reject it.
+
+    Load: clients that nobody controls send keys of any form to any route.
+
+    :param routes: the configuration in force.
+    :param route: route of the request.
+    :param key_digest: digest of its key, or ``None`` without a well-formed key.
+    """
+    if not routes.configuration.accounts:
+        return Ok(_UNRESTRICTED)
+    account = routes.keys.find(key_digest) if key_digest is not None else None
+    if account is not None:
+        return Ok(Identity(account.name, account.priority, account.quota))
+    if route.is_public:
+        return Ok(_ANONYMOUS)
+    text = "no client account has this API key" if key_digest else "no well-formed API key"
+    return Err(Failure(ErrorKind.UNAUTHENTICATED, text, "authorization"))
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -11,6 +11,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
+from briardyke.gateway.authorization import authorize
 from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.hedged_attempts import HedgedAttempts
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
@@ -52,7 +53,6 @@
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Handle one request of a caller."""
         metadata = self._state.dialect.read_request(request)
-        metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         trace = Trace(metadata.request_id, request.received_ms, self._state.version)
         trace.model, trace.resumes = metadata.model, metadata.resumed_request_id
         try:
@@ -76,13 +76,22 @@
             await self._send_failure(answer, trace, Failure(kind, "no route"))
             return
         trace.route = route.name
+        assert state.routes is not None
+        authorized = authorize(state.routes, route, metadata.key_digest)
+        if authorized.is_err():
+            await self._send_failure(answer, trace, authorized.unwrap_err())
+            return
+        identity = authorized.unwrap()
+        metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
         service = choose_service(route, usable, self._random)
         trace.service = service
         timeout_ms = min(metadata.deadline_ms or route.timeout_ms, route.timeout_ms)
         deadline_ms = request.received_ms + timeout_ms
         buffer = state.response_buffers.open()
-        context = RequestContext(request, metadata, route, service, deadline_ms, trace, buffer)
+        context = RequestContext(
+            request, metadata, route, service, deadline_ms, trace, buffer, identity=identity
+        )
         state.budget(service).record_request(now_ms())
         refusal = await self._admission_refusal(context)
         if refusal is not None:
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -188,12 +188,14 @@
         return boot_ms() - self.client.view.as_of_ms < _INFORMED_MS
 
     async def _apply_configuration(self, version: int, document: bytes) -> bool:
-        decoded = await decode_configuration_beside(self._decode, document)
+        decoded = await decode_configuration_beside(
+            lambda body: self._decode(body).map(RouteTable), document
+        )
         if decoded.is_err():
             log_event("configuration_unreadable", version=version, reason=decoded.unwrap_err())
             return False
         before = self.state.version
-        self.state.routes = RouteTable(decoded.unwrap())
+        self.state.routes = decoded.unwrap()
         log_event("configuration_in_force", version=version, before=before)
         self.state.changed.notify()
         return True
--- a/src/briardyke/gateway/refusals.py
+++ b/src/briardyke/gateway/refusals.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.errors import Ran
+from briardyke.errors import ErrorKind, Ran
 
 if TYPE_CHECKING:
     import random
@@ -33,6 +33,8 @@
 def refusal_headers(request_id: str, failure: Failure, wait_s: float | None) -> Headers:
     """Return the headers of a response that the gateway generates."""
     headers = [(b"x-error-kind", failure.kind.value.encode("ascii"))]
+    if failure.kind is ErrorKind.UNAUTHENTICATED:
+        headers.append((b"www-authenticate", b"Bearer"))
     if wait_s is not None:
         headers.append((b"retry-after", b"%.3f" % wait_s))
     return headers
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -7,6 +7,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import Failure
 from briardyke.gateway.attempt import AttemptResult
+from briardyke.gateway.authorization import Identity
 from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.trace import Trace
 from briardyke.http.buffers import ResponseBuffer
@@ -37,6 +38,7 @@
     :param has_trial: whether the leader has granted that.
     :param software_version: version of the upstream that sent the stream's first event; only this
         version can continue it. ``None`` while there is no event.
+    :param identity: who sends it.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -57,10 +59,22 @@
     trial_part: str = ""
     has_trial: bool = False
     software_version: str | None = None
+    identity: Identity = Identity()
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
 
+    @property
+    def account(self) -> str | None:
+        """Return the account's name, empty for an anonymous caller, ``None`` without accounts."""
+        return self.identity.account
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request: that of its account where it has one."""
+        rank = self.identity.priority
+        return self.route.priority if rank is None else rank
+
     @property
     def has_attempt(self) -> bool:
         """Return whether the request may be sent to another upstream or return to one."""
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -175,8 +175,9 @@
         call = ForwardingMetadata(
             upstream_id,
             max(1.0, context.remaining_ms - _RESPONSE_MARGIN_MS / 2),
-            context.route.priority,
+            context.priority,
             context.metadata.last_event_id,
+            context.account,
         )
         self._log_limited_send(context, upstream)
         is_engine = self._state.is_engine(context.service)
--- a/src/briardyke/routes/decoding.py
+++ b/src/briardyke/routes/decoding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import trio
 
@@ -12,15 +12,16 @@
     from result import Result
 
     from briardyke.errors import Failure
-    from briardyke.routes.configuration import ServingConfiguration
+
+T = TypeVar("T")
 
 # A smaller document is decoded within a few milliseconds, and a thread takes memory.
 _INLINE_BYTES = 64 * 1024
 
 
 async def decode_configuration_beside(
-    decode: Callable[[bytes], Result[ServingConfiguration, Failure]], document: bytes
-) -> Result[ServingConfiguration, Failure]:
+    decode: Callable[[bytes], Result[T, Failure]], document: bytes
+) -> Result[T, Failure]:
     """Decode a document, a large one in a worker thread.
 
     Load: thousands of routes take a tenth of a second of a whole core. Streams would pause for that
--- a/src/briardyke/routes/matching.py
+++ b/src/briardyke/routes/matching.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from briardyke.accounts.key_table import KeyTable
+
 if TYPE_CHECKING:
     import random
 
@@ -11,11 +13,16 @@
 
 
 class RouteTable:
-    """Find routes by host and longest path prefix, in time linear in the number of segments."""
+    """Find routes by host and longest path prefix, in time linear in the number of segments.
+
+    The client accounts of the same configuration are in :attr:`keys`, so that a request never sees
+    the routes of one version and the keys of another.
+    """
 
     def __init__(self, configuration: ServingConfiguration) -> None:
-        """Index the routes of a configuration."""
+        """Index the routes and keys of a configuration."""
         self.configuration = configuration
+        self.keys = KeyTable(configuration.accounts)
         self._routes = {(r.host, r.path_prefix): r for r in configuration.routes}
 
     def find(self, host: str, path: str) -> Route | None:
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -86,6 +86,7 @@
 
     :param script: called with the upstream, the stream and the id of each request.
     :param requests: ids of the requests received, in order.
+    :param heads: headers of these requests.
     :param connections: number of accepted connections.
     :param closed: number of closed connections.
     """
@@ -93,6 +94,7 @@
     script: Script
     address: Address = Address("127.0.0.1", 0)
     requests: list[bytes] = attrs.field(factory=list)
+    heads: list[list[tuple[bytes, bytes]]] = attrs.field(factory=list)
     connections: int = 0
     closed: int = 0
 
@@ -113,6 +115,7 @@
                     protocol.receive_data(await stream.receive_some(65536))
                 elif isinstance(event, h11.Request):
                     request_id = dict(event.headers)[b"request-id"]
+                    self.heads.append(list(event.headers))
                 elif isinstance(event, h11.EndOfMessage):
                     self.requests.append(request_id)
                     await self.script(self, stream, request_id)
--- /dev/null
+++ b/tests/gateway/test_authorization.py
@@ -0,0 +1,57 @@
+"""Tests for the decision whether a request may run, from its key and the configuration."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from briardyke.accounts.types import AccountQuota, ClientAccount, key_digest
+from briardyke.errors import ErrorKind
+from briardyke.gateway.authorization import Identity, authorize
+from briardyke.routes.configuration import RequestKind, Route, ServingConfiguration, Target
+from briardyke.routes.matching import RouteTable
+
+QUOTA = AccountQuota(100.0, 50.0, is_in_tokens=True, plain_tokens=200)
+ACCOUNTS = (
+    ClientAccount("hule930", (key_digest(b"k1"), key_digest(b"k2")), 1, QUOTA),
+    ClientAccount("plain", (key_digest(b"k3"),)),
+)
+ROUTE = Route("r", "h", "/", RequestKind.IDEMPOTENT, 3000.0, 300.0, 4, (Target("s"),))
+PUBLIC = attrs.evolve(ROUTE, name="p", path_prefix="/p/", is_public=True)
+ROUTES = RouteTable(ServingConfiguration(3, (ROUTE, PUBLIC), {}, accounts=ACCOUNTS))
+OPEN_ROUTES = RouteTable(ServingConfiguration(3, (ROUTE, PUBLIC), {}))
+
+
+class TestAuthorize:
+    """Covers who a request is attributed to."""
+
+    @pytest.mark.parametrize("key", [b"k1", b"k2"])
+    @pytest.mark.parametrize("route", [ROUTE, PUBLIC])
+    def test_known_key_names_its_account(self, route: Route, key: bytes) -> None:
+        """Guards against a key of an account that does not count, on a public route too."""
+        found = authorize(ROUTES, route, key_digest(key))
+        assert found.unwrap() == Identity("hule930", 1, QUOTA)
+
+    def test_account_without_priority_leaves_that_of_the_route(self) -> None:
+        """Guards against rank 0, the most urgent one, for accounts that state none."""
+        assert authorize(ROUTES, ROUTE, key_digest(b"k3")).unwrap().priority is None
+
+    @pytest.mark.parametrize("digest", [None, key_digest(b"other"), b"", bytes(32)])
+    def test_anything_else_is_rejected(self, digest: bytes | None) -> None:
+        """Guards against a request without a valid key that runs."""
+        failure = authorize(ROUTES, ROUTE, digest).unwrap_err()
+        assert failure.kind is ErrorKind.UNAUTHENTICATED
+        assert failure.answer.http_status == 401
+
+    @pytest.mark.parametrize("digest", [None, key_digest(b"other")])
+    def test_public_route_is_anonymous_without_a_known_key(self, digest: bytes | None) -> None:
+        """Guards against a public route that asks for keys."""
+        assert authorize(ROUTES, PUBLIC, digest).unwrap() == Identity("")
+
+    @pytest.mark.parametrize("digest", [None, key_digest(b"k1")])
+    @pytest.mark.parametrize("route", [ROUTE, PUBLIC])
+    def test_without_accounts_nothing_is_asked_or_set(
+        self, route: Route, digest: bytes | None
+    ) -> None:
+        """Guards against changed requests in deployments without client accounts."""
+        assert authorize(OPEN_ROUTES, route, digest).unwrap() == Identity()
