--- a/src/briardyke/emulator/fleet.py
+++ b/src/briardyke/emulator/fleet.py
@@ -83,10 +83,6 @@
         """Return the reported pace of engines."""
         return self.activity.event_intervals_ms()
 
-    def model_intervals_ms(self) -> dict[str, float]:
-        """Return the shortest usual time between two events of a stream, by model."""
-        return self.activity.model_intervals_ms()
-
 
 class EmulatedOrders:
     """Send the leader's orders to emulated engines."""
--- a/src/briardyke/fleet/activity.py
+++ b/src/briardyke/fleet/activity.py
@@ -101,11 +101,8 @@
 
     def event_intervals_ms(self) -> dict[str, float]:
         """Return the shortest usual time between two events of a stream, by upstream."""
-        return _means(self._sum_of_all().event_interval_ms)
-
-    def model_intervals_ms(self) -> dict[str, float]:
-        """Return the shortest usual time between two events of a stream, by model."""
-        return _means(self._sum_of_all().model_interval_ms)
+        observed = self._sum_of_all().event_interval_ms
+        return {upstream_id: total / count for upstream_id, (total, count) in observed.items()}
 
     def _sum_of_all(self) -> Activity:
         """Return the sum over all control instances, cached for :data:`TOTAL_CACHE_MS`."""
@@ -140,7 +137,6 @@
         entry.in_flight,
         entry.wanted,
         {upstream_id: [ms, 1] for upstream_id, ms in entry.event_interval_ms.items()},
-        {model: [ms, 1] for model, ms in entry.model_interval_ms.items()},
     )
     _add_activity(total, own)
 
@@ -154,20 +150,11 @@
         held = total.in_flight.setdefault(upstream_id, [0, 0])
         held[0] += count
         held[1] += pending
-    _add_observed(total.event_interval_ms, part.event_interval_ms)
-    _add_observed(total.model_interval_ms, part.model_interval_ms)
-    total.wanted.extend(model for model in part.wanted if model not in total.wanted)
-
-
-def _add_observed(total: dict[str, list[float]], part: dict[str, list[float]]) -> None:
-    for name, (interval_ms, observers) in part.items():
-        sums = total.setdefault(name, [0.0, 0])
+    for upstream_id, (interval_ms, observers) in part.event_interval_ms.items():
+        sums = total.event_interval_ms.setdefault(upstream_id, [0.0, 0])
         sums[0] += interval_ms
         sums[1] += observers
-
-
-def _means(observed: dict[str, list[float]]) -> dict[str, float]:
-    return {name: total / count for name, (total, count) in observed.items()}
+    total.wanted.extend(model for model in part.wanted if model not in total.wanted)
 
 
 def _add(total: dict[str, float] | dict[str, int], part: dict[str, float] | dict[str, int]) -> None:
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -241,10 +241,6 @@
         """Return the shortest usual time between two events of a stream, by upstream."""
         return self.rows.activity.event_intervals_ms()
 
-    def model_intervals_ms(self) -> dict[str, float]:
-        """Return the shortest usual time between two events of a stream, by model."""
-        return self.rows.activity.model_intervals_ms()
-
     # Entry instances and peers
 
     async def handle(self, peer_id: str, message: Any) -> Any:
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -27,7 +27,6 @@
     :param wanted: models that requests wait for and that no upstream has loaded or is loading.
     :param event_interval_ms: sum of the shortest usual times between two events of a stream, and
         the number of entry instances that observed one, by upstream.
-    :param model_interval_ms: the same by model.
     """
 
     control: str
@@ -40,7 +39,6 @@
     in_flight: dict[str, list[int]] = attrs.field(factory=dict)
     wanted: list[str] = attrs.field(factory=list)
     event_interval_ms: dict[str, list[float]] = attrs.field(factory=dict)
-    model_interval_ms: dict[str, list[float]] = attrs.field(factory=dict)
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -94,7 +94,6 @@
     :param crashes: recent crashes of upstreams while its requests were waiting on them.
     :param sound_ages_ms: time since the last response to a prompt with each suspected part.
     :param limits: recent statements of upstreams, in responses that it received, of their limits.
-    :param model_interval_ms: shortest usual time between two events of a stream, by model.
     """
 
     instance_id: str
@@ -113,7 +112,6 @@
     crashes: list[CrashReport] = attrs.field(factory=list)
     sound_ages_ms: dict[str, float] = attrs.field(factory=dict)
     limits: list[LimitStatement] = attrs.field(factory=list)
-    model_interval_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def key(self) -> str:
@@ -147,7 +145,6 @@
             crashes=[],
             sound_ages_ms={},
             limits=[],
-            model_interval_ms={},
         )
 
 
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -178,7 +178,6 @@
             self.state.quarantine.crash_reports(),
             self.state.quarantine.sound_ages_ms(),
             self.state.limits.reported(),
-            self.state.model_intervals.intervals_ms(),
         )
 
     def _shared_verdicts(self) -> SharedVerdicts:
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -12,7 +12,6 @@
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
 from briardyke.gateway.missing_models import MissingModels
-from briardyke.gateway.model_intervals import ModelIntervals
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.stream_versions import StreamVersions
 from briardyke.gateway.upstream_table import UpstreamTable
@@ -98,7 +97,6 @@
         self.adapters = AdapterRouter(self, request_adapter)
         self._retries = retries
         self.missing_models = MissingModels()
-        self.model_intervals = ModelIntervals()
         self.listed_count = 1
         self.is_listed = False
         self.fixed_budget_share = 1.0
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -281,7 +281,6 @@
             upstream.observe_service_time(took_ms / events.count, _EVENT_WEIGHT)
         if context.trace.events and events.count:
             upstream.observe_event_interval(took_ms / events.count)
-            self._state.model_intervals.observe(context.metadata.model, took_ms / events.count)
         if events.count and not relay.has_events:
             relay.has_events = True
             self._state.quarantine.record_response(context.metadata)
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -8,7 +8,6 @@
 
 from briardyke.clock import now_ms
 from briardyke.fleet.records import Upstream
-from briardyke.gateway.model_intervals import shortest_usual
 from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.http.h11_client import ConnectionPool
 from briardyke.policy.ejection import UpstreamHealth
@@ -41,6 +40,10 @@
 ENGINE_RUNNING_WEIGHT = 0.15
 # Weight of one stream in the mean, which covers about six streams.
 _FIRST_EVENT_WEIGHT = 0.15
+# Weights of one event in the interval between events: a shorter one counts more, so that the mean
+# stays near the interval of an engine that reads no prompts, which tells its speed.
+_SHORTER_INTERVAL_WEIGHT = 0.05
+_LONGER_INTERVAL_WEIGHT = 0.005
 # Engines send events several times in this time, also while they read long prompts.
 _LONG_SILENCE_MS = 400.0
 # Upper limit of one observation, so that a single stalled stream does not dominate the mean.
@@ -214,7 +217,11 @@
 
     def observe_event_interval(self, interval_ms: float) -> None:
         """Add the time between two events of a stream to the shortest usual interval."""
-        self.event_interval_ms = shortest_usual(self.event_interval_ms, interval_ms)
+        if self.event_interval_ms == 0.0:
+            self.event_interval_ms = interval_ms
+        is_shorter = interval_ms < self.event_interval_ms
+        weight = _SHORTER_INTERVAL_WEIGHT if is_shorter else _LONGER_INTERVAL_WEIGHT
+        self.event_interval_ms += weight * (interval_ms - self.event_interval_ms)
         self.event_ms = now_ms()
 
     def load(self) -> float:
--- a/src/briardyke/models/decide.py
+++ b/src/briardyke/models/decide.py
@@ -10,7 +10,6 @@
 from briardyke.gateway.demand import TYPICAL_REQUEST_DURATION_S
 from briardyke.models.engine_speed import effective_speeds
 from briardyke.models.load_estimate import LoadEstimate
-from briardyke.models.model_cost import relative_costs
 from briardyke.models.types import Change, ChangeKind, EngineView, Evidence, ModelsView
 
 if TYPE_CHECKING:
@@ -119,8 +118,12 @@
         self._speeds = effective_speeds(self._engines, sum(self._demand.values()))
         self._low_load = _LOW_LOAD_SHARE * view.spec.slots / TYPICAL_REQUEST_DURATION_S
         self._adapter_reserve_mb = adapter_reserve_mb(view.spec)
-        costs = relative_costs(view.spec.models, view.model_intervals_ms)
-        self._load_by_model = {model: rate * costs[model] for model, rate in self._demand.items()}
+        largest = max((m.weights_mb for m in view.spec.models.values()), default=1.0)
+        # Requests per second, scaled by size: a larger model takes longer for each token.
+        self._load_by_model = {
+            model: rate * view.spec.models[model].weights_mb / largest
+            for model, rate in self._demand.items()
+        }
         # Engines that hold a model or will, and those of them that can serve it now.
         self._holders: dict[str, set[str]] = {}
         self._serving: dict[str, set[str]] = {}
--- a/src/briardyke/models/runner.py
+++ b/src/briardyke/models/runner.py
@@ -157,7 +157,6 @@
         if not demand:
             self._demand_since_ms = now_ms()
         intervals_ms = self._control.event_intervals_ms()
-        model_intervals_ms = self._control.model_intervals_ms()
         for name, service in configuration.services.items():
             if service.engine is None:
                 continue
@@ -171,7 +170,6 @@
                 self._smoothed_demand.rates,
                 {m: (now_ms() - since) / 1000.0 for m, since in self._missing_since_ms.items()},
                 is_demand_settled=now_ms() - self._demand_since_ms >= DEMAND_SETTLING_MS,
-                model_intervals_ms=model_intervals_ms,
             )
             for change in decide(view):
                 self._start_change(change, service.engine, nursery)
--- a/src/briardyke/models/types.py
+++ b/src/briardyke/models/types.py
@@ -116,8 +116,6 @@
         because of it.
     :param missing_s: time in seconds for which each model has been requested while no engine held
         it.
-    :param model_intervals_ms: usual time between two events of a stream of each model, as far as
-        observed.
     """
 
     spec: EngineSpec
@@ -127,4 +125,3 @@
     long_term_demand: dict[str, float] = attrs.field(factory=dict)
     missing_s: dict[str, float] = attrs.field(factory=dict)
     is_demand_settled: bool = True
-    model_intervals_ms: dict[str, float] = attrs.field(factory=dict)
