Rank requests by the priority of their account, then by that of their route

Cause: the account's priority replaced the route's, so with accounts of one priority the batch requests of a service were as urgent to its engines as the live ones.

--- a/src/briardyke/gateway/authorization.py
+++ b/src/briardyke/gateway/authorization.py
@@ -21,7 +21,8 @@
 
     :param account: name of the account, empty for an anonymous caller; ``None`` without client
         accounts, when what the caller says of itself is passed on.
-    :param priority: rank of the account's requests, ``None`` for that of the route.
+    :param priority: class of the request from the priorities of its account and its route,
+        ``None`` for that of the route.
     :param quota: limit on what the account may run.
     """
 
@@ -49,7 +50,8 @@
         return Ok(_UNRESTRICTED)
     account = routes.keys.find(key_digest) if key_digest is not None else None
     if account is not None:
-        return Ok(Identity(account.name, account.priority, account.quota))
+        priority = routes.ranks.priority_class(account.priority, route.priority)
+        return Ok(Identity(account.name, priority, account.quota))
     if route.is_public:
         return Ok(_ANONYMOUS)
     text = "no client account has this API key" if key_digest else "no well-formed API key"
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -71,7 +71,7 @@
 
     @property
     def priority(self) -> int:
-        """Return the rank of the request: that of its account where it has one."""
+        """Return the priority class: by its account and its route where it has an account."""
         rank = self.identity.priority
         return self.route.priority if rank is None else rank
 
--- a/src/briardyke/routes/matching.py
+++ b/src/briardyke/routes/matching.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.accounts.key_table import KeyTable
+from briardyke.accounts.ranks import PriorityRanks
 
 if TYPE_CHECKING:
     import random
@@ -23,6 +24,9 @@
         """Index the routes and keys of a configuration."""
         self.configuration = configuration
         self.keys = KeyTable(configuration.accounts)
+        self.ranks = PriorityRanks(
+            configuration.accounts, [route.priority for route in configuration.routes]
+        )
         self._routes = {(r.host, r.path_prefix): r for r in configuration.routes}
 
     def find(self, host: str, path: str) -> Route | None:
