--- a/src/briardyke/accounts/ranks.py
+++ b/src/briardyke/accounts/ranks.py
@@ -23,7 +23,7 @@
     def __init__(self, accounts: Iterable[ClientAccount], route_priorities: Iterable[int]) -> None:
         """Rank all pairs; without a stated account priority, routes keep their own."""
         priorities = {account.priority for account in accounts}
-        levels: list[int | None] = sorted(p for p in priorities if p is not None)
+        levels: list[int | None] = [*sorted(p for p in priorities if p is not None)]
         self._are_stated = bool(levels)
         levels += [None] if None in priorities else []
         pairs = [(account, route) for account in levels for route in sorted(set(route_priorities))]
