Accept keys only under a configuration that is provably recent

Cause: with a strict bound on revocation, an instance that is cut off, frozen, restarted or served by a control instance that is cut off went on to accept a key that had been taken away.

Change: the leader returns to each member the newest reading of that member's own clock, less the age of the leader's confirmation by a majority. A member that has applied the commit index of such a message knows as of when its state includes everything confirmed to operators. Entry instances subtract the age of that proof from the time of their poll, on a clock that counts suspensions. Ages add up, and no clocks are compared. A request with a known key waits for the proof for a fraction of its time, then gets 503. Public routes and unknown keys need none. Nothing is required where the settings set no strict bound. The time for which a control instance held a reply is now read before the reply is built, so that it cannot count a standstill in between as time before the reply.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -10,7 +10,7 @@
 import trio
 from result import Err, Ok, Result
 
-from briardyke.clock import now_ms
+from briardyke.clock import boot_ms, now_ms
 from briardyke.consensus.commit_lag import CommitLag
 from briardyke.consensus.disk_writer import DiskWriter
 from briardyke.consensus.interface import Applied, LogStatus, StateMachine
@@ -186,7 +186,7 @@
         # Kept while the disk is full, messages would fill the memory; the group bears their loss.
         if self._is_running and not self._disk.is_full:
             try:
-                self._enqueue(self._node.step(message, now_ms()))
+                self._enqueue(self._node.step(message, now_ms(), boot_ms()))
             except Exception as error:
                 # The state may have changed in part, so this member must not go on with it.
                 self._defect = error
@@ -221,6 +221,17 @@
             return None
         return self._node.confirmed_age_ms(now_ms())
 
+    def proof_age_ms(self) -> float | None:
+        """Return the age of the proof that the state applied here is current.
+
+        The state includes everything that was acknowledged to operators up to that long ago. Unlike
+        :meth:`confirmed_age_ms`, this holds on every member, and over suspensions of any machine.
+
+        :return: milliseconds; ``None`` without proof, as after a start.
+        """
+        as_of_ms = self._node.state.proof.advance(self._applied_index)
+        return None if as_of_ms is None else max(0.0, boot_ms() - as_of_ms)
+
     def has_leader_contact(self, window_ms: float) -> bool:
         """Return whether this member had contact with its leader, or as leader with a majority.
 
@@ -256,7 +267,7 @@
         :param timeout_ms: maximum wait, in milliseconds.
         :return: whether the state was confirmed; always ``False`` on a member that does not lead.
         """
-        self._enqueue(self._node.start_read_round(now_ms()))
+        self._enqueue(self._node.start_read_round(now_ms(), boot_ms()))
         state = self._node.state
         term, round_number = state.term, state.round_number
         with trio.move_on_after(timeout_ms / 1000.0):
@@ -289,7 +300,7 @@
     async def _tick(self) -> None:
         while True:
             if not self._disk.is_full:
-                self._enqueue(self._node.tick(now_ms()))
+                self._enqueue(self._node.tick(now_ms(), boot_ms()))
             await trio.sleep(TICK_MS / 1000.0)
 
     def _enqueue(self, effects: Effects) -> None:
--- a/src/briardyke/consensus/election.py
+++ b/src/briardyke/consensus/election.py
@@ -160,6 +160,8 @@
     }
     state.round_number = state.confirmed_round = 0
     state.round_sent_ms.clear()
+    state.round_boot_ms.clear()
+    state.confirmed_boot_ms = None
     # Starts the check-quorum timeout only: confirmed_age_ms() needs an acknowledged round.
     state.confirmed_at_ms = state.now_ms
     state.term_start_index = state.append(EntryKind.NO_OP, b"").index
--- a/src/briardyke/consensus/messages.py
+++ b/src/briardyke/consensus/messages.py
@@ -92,6 +92,11 @@
     :param round_number: number of the leader's latest heartbeat round.
     :param silence_ms: members that have not replied for an election timeout, and for how long, so
         that the next leader does not count anew.
+    :param clock_id: clock of the recipient to which ``proven_as_of_ms`` belongs.
+    :param proven_as_of_ms: time on that clock up to which ``commit_index`` covers everything that
+        was acknowledged to operators, ``None`` without proof. It is the recipient's newest reading
+        that has arrived at the leader, less the age of the leader's confirmation by a majority, so
+        a delayed message does not look newer than it is.
     """
 
     previous_index: int
@@ -101,6 +106,8 @@
     commit_confirmed: bool
     round_number: int
     silence_ms: dict[str, float] = attrs.field(factory=dict)
+    clock_id: str = ""
+    proven_as_of_ms: float | None = None
 
 
 @message
@@ -112,12 +119,16 @@
     :param match_index: last index known to match; after a mismatch, the index to continue from.
     :param rejected_index: ``previous_index`` of the rejected request.
     :param round_number: heartbeat round of the request.
+    :param clock_id: clock of the sender; another process or start has another one.
+    :param boot_ms: the sender's reading of it when it received the request.
     """
 
     success: bool
     match_index: int
     rejected_index: int
     round_number: int
+    clock_id: str = ""
+    boot_ms: float = 0.0
 
 
 @message
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -100,10 +100,14 @@
         )
         self.state.reset_election_deadline()
 
-    def tick(self, now_ms: float) -> Effects:
-        """Handle timeouts; must be called several times per heartbeat interval."""
+    def tick(self, now_ms: float, boot_ms: float | None = None) -> Effects:
+        """Handle timeouts; must be called several times per heartbeat interval.
+
+        :param now_ms: current time.
+        :param boot_ms: the same with the time in which the machine was suspended.
+        """
         state = self.state
-        state.now_ms = now_ms
+        state.set_time(now_ms, boot_ms)
         if state.role is Role.LEADER:
             self._tick_leader()
             return self._take_effects()
@@ -113,10 +117,15 @@
             self._ask_to_join()
         return self._take_effects()
 
-    def step(self, message: GroupMessage, now_ms: float) -> Effects:
-        """Handle a message; messages for another group or member id are ignored."""
+    def step(self, message: GroupMessage, now_ms: float, boot_ms: float | None = None) -> Effects:
+        """Handle a message; messages for another group or member id are ignored.
+
+        :param message: the message.
+        :param now_ms: time at which it was at hand, or later.
+        :param boot_ms: the same with the time in which the machine was suspended.
+        """
         state = self.state
-        state.now_ms = now_ms
+        state.set_time(now_ms, boot_ms)
         is_addressed = message.recipient_id == state.own_id or isinstance(message, JoinRequest)
         if message.group_id == state.group_id and is_addressed:
             _handle(message, state)
@@ -209,9 +218,9 @@
             return None
         return now_ms - state.confirmed_at_ms
 
-    def start_read_round(self, now_ms: float) -> Effects:
+    def start_read_round(self, now_ms: float, boot_ms: float | None = None) -> Effects:
         """Start a heartbeat round; its acknowledgements prove leadership at the start of a read."""
-        self.state.now_ms = now_ms
+        self.state.set_time(now_ms, boot_ms)
         if self.state.role is Role.LEADER:
             replication.start_round(self.state)
         return self._take_effects()
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -19,6 +19,7 @@
     """Start a heartbeat round; it confirms the leadership once a majority has acknowledged it."""
     state.round_number += 1
     state.round_sent_ms[state.round_number] = state.now_ms
+    state.round_boot_ms[state.round_number] = state.boot_ms
     state.next_heartbeat_ms = state.now_ms + state.settings.heartbeat_ms
     state.reported_silence_ms = {
         i: ms
@@ -60,6 +61,7 @@
         return
     if not progress.probing:
         progress.next_index += len(entries)
+    age_ms = state.confirmation_age_ms
     state.send(
         AppendRequest,
         member.member_id,
@@ -71,6 +73,10 @@
         commit_confirmed=state.commit_confirmed,
         round_number=state.round_number,
         silence_ms=state.reported_silence_ms,
+        clock_id=progress.clock_id,
+        proven_as_of_ms=(
+            progress.reading_ms - age_ms if progress.clock_id and age_ms is not None else None
+        ),
     )
 
 
@@ -106,6 +112,8 @@
         return None
     progress.last_reply_ms, progress.earlier_silence_ms = state.now_ms, 0.0
     progress.acked_round = max(progress.acked_round, message.round_number)
+    if isinstance(message, AppendReply):
+        progress.record_reading(message.clock_id, message.boot_ms)
     _update_confirmation(state)
     return progress
 
@@ -122,6 +130,9 @@
         state.confirmed_round = confirmed
         state.confirmed_at_ms = state.round_sent_ms[confirmed]
         state.round_sent_ms = {n: t for n, t in state.round_sent_ms.items() if n >= confirmed}
+        state.confirmed_boot_ms = state.round_boot_ms[confirmed]
+        state.round_boot_ms = {n: t for n, t in state.round_boot_ms.items() if n >= confirmed}
+        state.record_own_proof()
 
 
 def on_append_reply(state: NodeState, message: AppendReply) -> None:
@@ -174,6 +185,7 @@
     state.commit_index = index
     if state.ready_index is None:
         state.ready_index = state.term_start_index
+    state.record_own_proof()
     if index == state.log.last_index:
         broadcast(state, heartbeat=True)  # announces the commit before the next round
 
@@ -187,6 +199,8 @@
     state.reported_silence_ms = message.silence_ms
     if message.commit_confirmed and state.ready_index is None:
         state.ready_index = message.commit_index
+    if message.proven_as_of_ms is not None and message.clock_id == state.clock_id:
+        state.proof.add(message.commit_index, message.proven_as_of_ms)
     previous, log = message.previous_index, state.log
     if previous < state.commit_index:
         last = previous + len(message.entries)
@@ -231,6 +245,8 @@
         match_index=match_index,
         rejected_index=rejected,
         round_number=message.round_number,
+        clock_id=state.clock_id,
+        boot_ms=state.boot_ms,
     )
 
 
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -12,7 +12,9 @@
 from briardyke.consensus.log import Entry, EntryKind, HardState, MemoryLog, Snapshot
 from briardyke.consensus.members import Membership
 from briardyke.consensus.messages import GroupMessage
+from briardyke.consensus.proof import StateProof
 from briardyke.errors import Failure
+from briardyke.ids import new_id
 
 M = TypeVar("M", bound=GroupMessage)
 
@@ -79,6 +81,8 @@
         replies.
     :param snapshot: snapshot being sent, if any.
     :param snapshot_offset_bytes: offset of the next chunk.
+    :param clock_id: clock of the member's process, empty when not known.
+    :param reading_ms: the member's newest reading of it that has arrived here.
     """
 
     next_index: int
@@ -92,6 +96,14 @@
     probing: bool = True
     snapshot: Snapshot | None = None
     snapshot_offset_bytes: int = 0
+    clock_id: str = ""
+    reading_ms: float = 0.0
+
+    def record_reading(self, clock_id: str, reading_ms: float) -> None:
+        """Record a reading of the member's clock; a restarted process has another clock."""
+        if clock_id == self.clock_id:
+            reading_ms = max(self.reading_ms, reading_ms)
+        self.clock_id, self.reading_ms = clock_id, reading_ms
 
 
 @attrs.frozen
@@ -146,6 +158,10 @@
     :param snapshot: latest snapshot.
     :param memberships: index of the entry and membership, in log order; the last one is in force.
     :param now_ms: time of the latest call.
+    :param boot_ms: the same on a clock that also counts suspensions of the machine.
+    :param clock_id: identifies that clock to the leader. A reading that was taken before a restart
+        of the machine means another time after it.
+    :param proof: as of when the applied state is proven to be current, on that clock.
     :param commit_index: last entry known to be committed.
     :param delivered_index: last entry returned in ``Effects.committed``.
     :param synced_index: last own entry known to be on disk.
@@ -185,6 +201,12 @@
     round_sent_ms: dict[int, float] = attrs.field(factory=dict)
     confirmed_round: int = 0
     confirmed_at_ms: float = 0.0
+    # Send times of unconfirmed rounds, and of the confirmed one, on the clock of ``boot_ms``.
+    round_boot_ms: dict[int, float] = attrs.field(factory=dict)
+    confirmed_boot_ms: float | None = None
+    boot_ms: float = attrs.field(default=attrs.Factory(lambda self: self.now_ms, takes_self=True))
+    clock_id: str = attrs.field(factory=lambda: new_id("clk"))
+    proof: StateProof = attrs.field(factory=StateProof)
     transfer_target: str = ""
     transfer_deadline_ms: float = 0.0
     next_join_ms: float = 0.0
@@ -251,6 +273,31 @@
             return 0.0
         return self.now_ms - progress.last_reply_ms + progress.earlier_silence_ms
 
+    @property
+    def confirmation_age_ms(self) -> float | None:
+        """Return the age of this leader's confirmation at the time of the latest call.
+
+        ``None`` without an entry committed in its term: until then, it may lack the knowledge of
+        what earlier leaders acknowledged.
+        """
+        if not self.commit_confirmed or self.confirmed_boot_ms is None:
+            return None
+        return self.boot_ms - self.confirmed_boot_ms
+
+    def set_time(self, now_ms: float, boot_ms: float | None) -> None:
+        """Set the time of a call, ``boot_ms`` by default for a machine that is never suspended."""
+        self.now_ms = now_ms
+        self.boot_ms = now_ms if boot_ms is None else boot_ms
+
+    def record_own_proof(self) -> None:
+        """Record that a majority has confirmed this leader.
+
+        No other leader had been elected when the confirmed round was sent, so what was acknowledged
+        before that time is committed here.
+        """
+        if self.commit_confirmed and self.confirmed_boot_ms is not None:
+            self.proof.add(self.commit_index, self.confirmed_boot_ms)
+
     def set_hard_state(self, term: int, vote: str) -> None:
         """Change term and vote, and add them to the effects to be persisted."""
         self.hard_state = self.effects.hard_state = HardState(term, vote)
--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -78,6 +78,7 @@
     :param apply_configuration: puts a configuration in force; returns whether it was readable.
     :param on_change: called after each change of upstreams or entries.
     :param on_reply: called after each applied reply.
+    :param on_proof: called when the configuration held is proven to be more recent.
     """
 
     data_centre: str
@@ -86,6 +87,7 @@
     apply_configuration: Callable[[int, bytes], Awaitable[bool]]
     on_change: Callable[[], None]
     on_reply: Callable[[FleetReply], None]
+    on_proof: Callable[[], None] = lambda: None
 
 
 @attrs.frozen
@@ -192,7 +194,7 @@
                     found = address, polled
                     nursery.cancel_scope.cancel()
                     return
-                await self._apply(reply, address)
+                await self._apply(polled, address)
                 await self._pause_after_refusal(address, reply)
             answered.set()
 
@@ -222,7 +224,7 @@
             if polled is None:
                 return
             reply = polled.reply
-            await self._apply(reply, address)
+            await self._apply(polled, address)
             if self._is_usable_without_leader(reply):
                 self.view.confirm(polled.as_of_ms)
                 await trio.sleep(_NEXT_CONTROL_PAUSE_MS / 1000.0)
@@ -310,10 +312,12 @@
         )
         return None
 
-    async def _apply(self, reply: FleetReply, control: Address) -> None:
-        view = self.view
+    async def _apply(self, polled: _Polled, control: Address) -> None:
+        view, reply = self.view, polled.reply
         if reply.configuration is not None:
             await self._apply_configuration(reply.version, reply.configuration, control)
+        if view.prove(reply, polled.as_of_ms):
+            self._callbacks.on_proof()
         view.apply_members(reply)
         if not reply.is_current and not self._is_usable_without_leader(reply):
             return
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -290,7 +290,10 @@
         with trio.move_on_after(request.wait_ms / 1000.0):
             while not self._has_changes_for(request):
                 await self.rows.changed.wait(request.wait_ms)
-        return attrs.evolve(build_reply(self, request), waited_ms=now_ms() - arrived_ms)
+        # Read first: if the process stands still in between, the ages in the reply count from
+        # before that time.
+        waited_ms = now_ms() - arrived_ms
+        return attrs.evolve(build_reply(self, request), waited_ms=waited_ms)
 
     def _has_changes_for(self, request: FleetRequest) -> bool:
         if request.table_id != self.table_id or not self.can_inform_entries:
--- a/src/briardyke/fleet/entry_reply.py
+++ b/src/briardyke/fleet/entry_reply.py
@@ -68,4 +68,5 @@
         limits=rows.limits.statements(),
         limit_sequence=rows.limits.sequence,
         service_versions=rows.versions.by_service(),
+        proof_age_ms=control.log.proof_age_ms(),
     )
--- a/src/briardyke/fleet/messages.py
+++ b/src/briardyke/fleet/messages.py
@@ -161,7 +161,9 @@
     :param limits: newest statements of upstreams of their limits.
     :param limit_sequence: sequence of the limits.
     :param service_versions: software versions that may have begun a stream, by service.
-    :param waited_ms: time from the arrival of the request to this reply.
+    :param waited_ms: time from the arrival of the request to this reply, or less.
+    :param proof_age_ms: age of the proof that this control instance's configuration is current,
+        ``None`` without proof.
     """
 
     is_current: bool
@@ -186,6 +188,7 @@
     limit_sequence: int = 0
     service_versions: dict[str, list[str]] = attrs.field(factory=dict)
     waited_ms: float = 0.0
+    proof_age_ms: float | None = None
 
 
 @message
--- a/src/briardyke/fleet/view.py
+++ b/src/briardyke/fleet/view.py
@@ -42,6 +42,8 @@
     :param confirmed_ms: time of the last current answer.
     :param as_of_ms: time at which that answer was made or earlier, with the time in which this
         machine was suspended. An answer may have waited here while the process stood still.
+    :param proven_as_of_ms: time up to which the configuration held includes every change that was
+        confirmed to operators, on the same clock.
     """
 
     version: int = NO_VERSION
@@ -56,6 +58,7 @@
     service_versions: dict[str, list[str]] = attrs.field(factory=dict)
     confirmed_ms: float = float("-inf")
     as_of_ms: float = float("-inf")
+    proven_as_of_ms: float = float("-inf")
     _unlisted_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
@@ -68,6 +71,19 @@
         self.confirmed_ms = now_ms()
         self.as_of_ms = max(self.as_of_ms, as_of_ms)
 
+    def prove(self, reply: FleetReply, as_of_ms: float) -> bool:
+        """Record the proof in a reply whose configuration is held; return whether it is newer.
+
+        A configuration that could not be read leaves the version below that of the reply.
+
+        :param as_of_ms: time at which the reply was made or earlier.
+        """
+        if reply.proof_age_ms is None or self.version < reply.version:
+            return False
+        before_ms = self.proven_as_of_ms
+        self.proven_as_of_ms = max(before_ms, as_of_ms - max(0.0, reply.proof_age_ms))
+        return self.proven_as_of_ms > before_ms
+
     def apply_members(self, reply: FleetReply) -> None:
         """Apply the addresses of the control instances in a reply."""
         if reply.leader:
--- a/src/briardyke/gateway/authorization.py
+++ b/src/briardyke/gateway/authorization.py
@@ -35,22 +35,28 @@
 
 
 def authorize(
-    routes: RouteTable, route: Route, key_digest: bytes | None
+    routes: RouteTable, route: Route, key_digest: bytes | None, *, is_proven: bool
 ) -> Result[Identity, Failure]:
     """Return who sends a request, or the reason to reject it.
 
-    Load: clients that nobody controls send keys of any form to any route.
+    Load: clients that nobody controls send keys of any form to any route, and go on to send a key
+    after it has leaked and was revoked, to instances that are cut off from the control instances.
 
     :param routes: the configuration in force.
     :param route: route of the request.
     :param key_digest: digest of its key, or ``None`` without a well-formed key.
+    :param is_proven: whether no key of the configuration can have been revoked too long ago.
+    :return: ``unauthenticated``, or ``version_unconfirmed`` for a known key without the proof.
     """
     if not routes.configuration.accounts:
         return Ok(_UNRESTRICTED)
     account = routes.keys.find(key_digest) if key_digest is not None else None
-    if account is not None:
+    if account is not None and is_proven:
         return Ok(Identity(account.name, account.priority, account.quota))
     if route.is_public:
         return Ok(_ANONYMOUS)
+    if account is not None:
+        text = "it is not proven that no key has been revoked"
+        return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, text))
     text = "no client account has this API key" if key_digest else "no well-formed API key"
     return Err(Failure(ErrorKind.UNAUTHENTICATED, text, "authorization"))
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -7,6 +7,7 @@
 
 import attrs
 import trio
+from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
@@ -24,6 +25,7 @@
 from briardyke.routes.matching import choose_service
 
 if TYPE_CHECKING:
+    from briardyke.gateway.authorization import Identity
     from briardyke.gateway.dialect import RequestMetadata
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.upstreams import UpstreamState
@@ -68,20 +70,16 @@
         self, request: HttpRequest, metadata: RequestMetadata, trace: Trace, answer: Answer
     ) -> None:
         state = self._state
-        await self._await_configuration(metadata)
-        trace.version = state.version
-        route = self._route(request)
-        if route is None:
-            kind = ErrorKind.NOT_FOUND if state.routes else ErrorKind.VERSION_UNCONFIRMED
-            await self._send_failure(answer, trace, Failure(kind, "no route"))
-            return
-        trace.route = route.name
-        assert state.routes is not None
-        authorized = authorize(state.routes, route, metadata.key_digest)
-        if authorized.is_err():
-            await self._send_failure(answer, trace, authorized.unwrap_err())
+        deadline_ms = metadata.deadline_ms or _CONFIGURATION_WAIT_MS
+        until_ms = now_ms() + min(
+            _CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_FRACTION
+        )
+        await self._await_configuration(until_ms)
+        found = await self._authorize(request, metadata, trace, until_ms)
+        if found.is_err():
+            await self._send_failure(answer, trace, found.unwrap_err())
             return
-        identity = authorized.unwrap()
+        route, identity = found.unwrap()
         metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
         service = choose_service(route, usable, self._random)
@@ -140,16 +138,40 @@
         reason = f"no upstream of version {context.software_version} serves"
         return Failure(ErrorKind.STREAM_NOT_RESUMABLE, reason)
 
-    async def _await_configuration(self, metadata: RequestMetadata) -> None:
+    async def _authorize(
+        self, request: HttpRequest, metadata: RequestMetadata, trace: Trace, until_ms: float
+    ) -> Result[tuple[Route, Identity], Failure]:
+        """Return the route and the sender of a request, or the reason to reject it.
+
+        The proof of a configuration's age may return within a fraction of the caller's time, as
+        after a change of the leader. What is in force may have changed then.
+        """
+        state = self._state
+        while True:
+            trace.version = state.version
+            if state.routes is None:
+                return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, "no configuration is known"))
+            route = self._route(request)
+            if route is None:
+                return Err(Failure(ErrorKind.NOT_FOUND, "no route"))
+            trace.route = route.name
+            authorized = authorize(
+                state.routes, route, metadata.key_digest, is_proven=state.proof.is_valid
+            )
+            left_ms = until_ms - now_ms()
+            if authorized.is_ok():
+                return Ok((route, authorized.unwrap()))
+            failure = authorized.unwrap_err()
+            if failure.kind is not ErrorKind.VERSION_UNCONFIRMED or left_ms <= 0:
+                return Err(failure)
+            await state.proof.wait(left_ms)
+
+    async def _await_configuration(self, until_ms: float) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
 
         After a power failure callers still know the addresses and send requests before a
         configuration is available, which takes about a second. Most of them can wait that long.
         """
-        deadline_ms = metadata.deadline_ms or _CONFIGURATION_WAIT_MS
-        until_ms = now_ms() + min(
-            _CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_FRACTION
-        )
         while self._state.routes is None and (left_ms := until_ms - now_ms()) > 0:
             await self._state.changed.wait(left_ms)
 
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -9,6 +9,7 @@
 from briardyke.clock import boot_ms, now_ms, wall_unix_ms
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
+from briardyke.gateway.configuration_proof import ConfigurationProof
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
@@ -82,6 +83,7 @@
             self._apply_configuration,
             self._on_change,
             self._on_reply,
+            lambda: self.state.proof.renewed.notify(),
         )
         self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
@@ -93,6 +95,11 @@
             self.client.request_permit,
             self.client.streams,
             self._is_informed,
+            ConfigurationProof(
+                settings.revocation_ms,
+                lambda: self.client.view.proven_as_of_ms,
+                self.client.report_now,
+            ),
         )
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -18,6 +18,8 @@
     :param grace_s: time between a stop request and the forced stop, in seconds.
     :param retries: limits on the retries of all entry instances together.
     :param capacity_per_s: requests per second that it could process.
+    :param revocation_ms: time after which a revoked key must be refused, ``None`` when keys are
+        accepted under a configuration of any age.
     """
 
     instance_id: str
@@ -26,3 +28,4 @@
     grace_s: float
     retries: RetryBounds
     capacity_per_s: float = 0.0
+    revocation_ms: float | None = None
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -8,6 +8,7 @@
 
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
+from briardyke.gateway.configuration_proof import ConfigurationProof
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
@@ -67,6 +68,7 @@
         request_permit: RequestPermit | None = None,
         stream_directory: Directory | None = None,
         is_informed: Callable[[], bool] = lambda: True,
+        proof: ConfigurationProof | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -80,6 +82,7 @@
             limit; by default none is granted.
         :param stream_directory: control instances that know the software versions of streams.
         :param is_informed: returns whether the known upstreams are as of now.
+        :param proof: age of the configuration; by default one of any age may be used.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -93,6 +96,7 @@
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.changed = Notifier()
+        self.proof = proof or ConfigurationProof()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
         self._retries = retries
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -53,7 +53,11 @@
 
 @attrs.define(eq=False)
 class Host:
-    """Hold one instance; ``node`` is ``None`` while its process does not run."""
+    """Hold one instance; ``node`` is ``None`` while its process does not run.
+
+    :param clock_offset_ms: reading of its own clock at time 0.
+    :param stopped_ms: time for which its clock without suspensions has stood still.
+    """
 
     name: str
     address: Address
@@ -66,6 +70,12 @@
     applied_index: int = 0
     own_proposals: dict[int, int] = attrs.field(factory=dict)
     suspended_until: float = 0.0
+    clock_offset_ms: float = 0.0
+    stopped_ms: float = 0.0
+
+    def clocks(self, now: float) -> tuple[float, float]:
+        """Return the readings of both clocks, without and with suspensions."""
+        return now - self.stopped_ms, now + self.clock_offset_ms
 
 
 class Cluster:
@@ -95,6 +105,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._storage_ids = itertools.count()
+        self._clock_random = random.Random(f"clocks of {seed}")
         names = [chr(ord("a") + i) for i in range(voters + learners)]
         addresses = {name: Address("127.0.0.1", 1 + i) for i, name in enumerate(names)}
         self.initial_membership = Membership(
@@ -107,6 +118,7 @@
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, Entry] = {}
         self.acknowledged: list[Entry] = []
+        self.acknowledged_ms: list[tuple[float, int]] = []
         self.disks: dict[str, Disk | None] = {h.member_id: h.disk for h in self.hosts.values()}
         for host in self.hosts.values():
             if not self.initial_membership.get(host.member_id):
@@ -120,6 +132,11 @@
         """Start a process with the synced state of its disk."""
         host.pending.clear()
         host.own_proposals.clear()
+        # The process alone was restarted, or its machine, whose clock then begins anew.
+        restarted_ms, other_ms = -self.now, self._clock_random.uniform(0.0, 1e7)
+        host.clock_offset_ms = self._clock_random.choice(
+            [host.clock_offset_ms, restarted_ms, other_ms]
+        )
         recovered = host.disk.recovered()
         host.applied, host.applied_index = [], 0
         if recovered.snapshot:
@@ -273,7 +290,7 @@
 
     def _tick(self, host: Host) -> None:
         if host.node is not None and self.now >= host.suspended_until:
-            self._execute(host, host.node.tick(self.now))
+            self._execute(host, host.node.tick(*host.clocks(self.now)))
         self._schedule(max(self.now + TICK_MS, host.suspended_until), lambda: self._tick(host))
 
     def _execute(self, host: Host, effects: Effects) -> None:
@@ -307,6 +324,7 @@
                 host.pending.append(following)
             for entry in effects.committed:
                 self._apply(host, entry)
+        self.proof_age_ms(host)
 
     def _send(self, host: Host, address: Address, message: Any) -> None:
         receiver = next(h for h in self.hosts.values() if h.address == address)
@@ -327,10 +345,25 @@
                 receiver.suspended_until, lambda: self._deliver(sender, receiver, message)
             )
         elif receiver.node is not None:
-            self._execute(receiver, receiver.node.step(message, self.now))
+            self._execute(receiver, receiver.node.step(message, *receiver.clocks(self.now)))
 
     # Checks
 
+    def proof_age_ms(self, host: Host) -> float | None:
+        """Return the age of a running member's proof; check that the member's state bears it out.
+
+        Whatever was acknowledged up to the time of the proof must be applied.
+        """
+        assert host.node is not None
+        as_of_ms = host.node.state.proof.advance(host.applied_index)
+        if as_of_ms is None:
+            return None
+        as_of = as_of_ms - host.clock_offset_ms
+        assert as_of <= self.now, "proof as of a later time"
+        due = max((index for at, index in self.acknowledged_ms if at < as_of), default=0)
+        assert host.applied_index >= due, f"acknowledged before the proof and not applied: {due}"
+        return self.now - as_of
+
     def _check_leaders(self) -> None:
         confirmed_terms = []
         for host in self.running:
@@ -365,6 +398,7 @@
             host.applied.append(entry.data)
         if host.own_proposals.pop(entry.index, None) == entry.term:
             self.acknowledged.append(entry)
+            self.acknowledged_ms.append((self.now, entry.index))
 
     def _restore(self, host: Host, snapshot: Snapshot) -> None:
         commands = msgpack.unpackb(snapshot.data)
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -40,6 +40,7 @@
     :param has_stalled_disk: whether writes wait.
     :param has_full_disk: whether writes find no room.
     :param loses_entries: whether messages with entries of the log are lost on their way to it.
+    :param is_cut_off: whether it exchanges no message with other control instances.
     :param is_silent: whether calls of entry instances get no reply.
     :param reply_delay_s: time for which replies wait at an entry instance that stands still.
     """
@@ -47,6 +48,7 @@
     has_stalled_disk: bool = False
     has_full_disk: bool = False
     loses_entries: bool = False
+    is_cut_off: bool = False
     is_silent: bool = False
     reply_delay_s: float = 0.0
     repaired: Notifier = attrs.field(factory=Notifier)
@@ -68,10 +70,14 @@
 
 @attrs.define
 class Entry:
-    """Entry instance without callers: what it has put in force, and when."""
+    """Entry instance without callers: what it has put in force, and when.
+
+    :param unreadable: versions that it cannot read.
+    """
 
     client: FleetClient
     in_force_ms: dict[int, float] = attrs.field(factory=dict)
+    unreadable: set[int] = attrs.field(factory=set)
     changed: Notifier = attrs.field(factory=Notifier)
 
     async def wait_in_force(self, version: int) -> None:
@@ -139,9 +145,18 @@
         for name in names:
             await self._start(name)
 
+    def stop(self, name: str) -> None:
+        """Kill a control instance."""
+        self._scopes[name].cancel()
+        del self.controls[name]
+
     async def _deliver(self, address: Address, message: GroupMessage) -> None:
+        sender = _name(message.sender_address)
+        is_lost = self.faults[sender].is_cut_off
         await trio.sleep(LATENCY_S)
         name = _name(address)
+        if is_lost or self.faults[name].is_cut_off:
+            return
         if name in self.controls and not self.faults[name].loses(message):
             await self.controls[name].log.handle(message)
 
@@ -150,6 +165,8 @@
         entry: Entry
 
         async def apply(version: int, document: bytes) -> bool:
+            if version in entry.unreadable:
+                return False
             entry.in_force_ms[version] = now_ms()
             entry.changed.notify()
             return True
--- a/tests/fleet/test_control_rows.py
+++ b/tests/fleet/test_control_rows.py
@@ -44,6 +44,9 @@
     def commit_lag_ms(self) -> float:
         return 0.0
 
+    def proof_age_ms(self) -> float | None:
+        return 0.0
+
     def status(self) -> LogStatus:
         members = [Member(f"m{n}", a, True) for n, a in enumerate(ADDRESSES)]
         return LogStatus("m0", Role.FOLLOWER, 3, "m1", ADDRESSES[1], 1, 1, 1, members, True)
