Coordinate the engines of a service on a control instance

Cause: 88 entry instances see about two requests a second each, so none of them knows the load of an engine, and summed reports are 0.4 s old while the prefill of a prompt takes 0.08 s.

Change: a control instance keeps one dispatcher per service, answers requests for an engine, holds queued ones for up to 150 ms, feeds rows, engine specs and summed in-flight counts, and ends the requests of silent entry instances. Requests that return after a rejection are recognised by the unique part of their prompt. Nothing sends these messages yet.

--- /dev/null
+++ b/src/briardyke/dispatch/coordinator.py
@@ -0,0 +1,315 @@
+"""Coordinate the engines of services for all entry instances, on a control instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.dispatch.messages import DispatchReply, ObservationKind, Outcome
+from briardyke.dispatch.request_records import PlacedRequests, ReturningRequests
+from briardyke.fleet.records import READY
+from briardyke.logs import log_event
+from briardyke.routes.configuration import EngineSpec
+from briardyke.sync.notifier import Notifier
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from briardyke.dispatch.messages import DispatchReport, DispatchRequest, Observation
+    from briardyke.fleet.control import ControlInstance
+    from briardyke.fleet.records import Upstream
+    from briardyke.routes.configuration import ServingConfiguration
+
+# Longest time for which a queued request is held before it is answered "queued". Entry instances
+# wait 100 ms longer, so that a silent coordinator costs a request a quarter of a second.
+HOLD_MS = 150.0
+# Shortest time between two decisions on the queue of a service. Hundreds of observations arrive per
+# second; a decision after each of them would cost more than the requests themselves.
+MIN_ADVANCE_INTERVAL_MS = 5.0
+# Interval of the checks against rows and summed in-flight counts, as often as the sums change.
+_CHECK_INTERVAL_MS = 250.0
+# Age of the summed in-flight counts: a part of the intervals of the reports of entry instances and
+# of the exchange between control instances.
+IN_FLIGHT_AGE_MS = 400.0
+# Time without a stated slowness after which the engines of a service count as not stating it. At
+# the lowest loads, an engine of a service answers every few seconds.
+UNSTATED_TTL_MS = 30_000.0
+
+
+class ServiceDispatcher(Protocol):
+    """Decide on the requests of one service; :class:`~briardyke.dispatch.dispatcher.Dispatcher`."""
+
+    def update_engines(self, rows: list[Upstream], spec: EngineSpec, now_ms: float) -> None:
+        """Take the ready engines of the service."""
+
+    def submit(self, request: DispatchRequest, now_ms: float) -> DispatchReply:
+        """Place, queue or reject a request; return the decision on a repeated one."""
+
+    def observe(self, instance_id: str, observation: Observation, now_ms: float) -> None:
+        """Take what an entry instance has observed."""
+
+    def cancel(self, request_id: str, now_ms: float) -> None:
+        """Forget a request."""
+
+    def advance(self, now_ms: float) -> list[str]:
+        """Decide on queued requests; return the ids of those that were decided."""
+
+    def next_change_ms(self, now_ms: float) -> float | None:
+        """Return the time until :meth:`advance` can decide something."""
+
+    def update_in_flight(self, counts: dict[str, list[int]], age_ms: float, now_ms: float) -> None:
+        """Take the summed in-flight counts of all entry instances."""
+
+
+@attrs.define
+class _Held:
+    """Queued request whose reply is held.
+
+    :param decided: set when it is decided or cancelled.
+    :param is_cancelled: whether its caller has left.
+    """
+
+    decided: trio.Event = attrs.field(factory=trio.Event)
+    is_cancelled: bool = False
+
+
+@attrs.define
+class _Service:
+    """One coordinated service.
+
+    :param dispatcher: its decisions.
+    :param spec: its engines, as last given to the dispatcher.
+    :param row_sequence: sequence of the upstream table, as last given to it.
+    :param upstream_ids: its ready engines.
+    :param stated_ms: time of the last stated slowness, or of its first request.
+    :param held: held requests by id.
+    :param advanced_ms: time of the last decision on its queue.
+    :param due_ms: time of the next one.
+    """
+
+    dispatcher: ServiceDispatcher
+    stated_ms: float
+    spec: EngineSpec | None = None
+    row_sequence: int = -1
+    upstream_ids: frozenset[str] = frozenset()
+    held: dict[str, _Held] = attrs.field(factory=dict)
+    advanced_ms: float = float("-inf")
+    due_ms: float = float("inf")
+
+
+class DispatchCoordinator:
+    """Answer the requests of entry instances for an engine.
+
+    Load: 88 entry instances see about two requests a second each, and the prompts of bursts reach
+    an engine within less time than any summed report takes. The coordinator of a service knows all
+    dispatches at once.
+    """
+
+    def __init__(
+        self,
+        control: ControlInstance,
+        configuration: Callable[[], ServingConfiguration | None],
+        create_dispatcher: Callable[[], ServiceDispatcher],
+    ) -> None:
+        """Use the rows of a control instance; :meth:`run` decides on queued requests.
+
+        :param configuration: returns the decoded configuration in force.
+        :param create_dispatcher: creates the dispatcher of one service.
+        """
+        self._control = control
+        self._configuration = configuration
+        self._create_dispatcher = create_dispatcher
+        self._services: dict[str, _Service] = {}
+        self._placed = PlacedRequests()
+        self._returning = ReturningRequests()
+        self._queued = Notifier()
+
+    # Messages
+
+    async def answer(self, request: DispatchRequest) -> DispatchReply | None:
+        """Place or reject a request, or hold it while it is queued.
+
+        :return: ``None`` when this instance cannot coordinate the service: its engines are not
+            known here yet. The entry instance then asks the next one at once.
+        """
+        service = self._service_of(request)
+        if service is None:
+            return None
+        self._observe(service, request.instance_id, request.observations)
+        request = attrs.evolve(request, observations=[])
+        if not request.has_returned and self._returning.is_returning(request, now_ms()):
+            request = attrs.evolve(request, has_returned=True)
+        reply = self._submit(service, request)
+        if reply.outcome == Outcome.QUEUED.value:
+            held = await self._hold(service, request.request_id)
+            # A cancelled request that is submitted again would return to the queue.
+            if not held.is_cancelled:
+                reply = self._submit(service, request)
+        return reply
+
+    def record(self, report: DispatchReport) -> None:
+        """Take observations and cancelled requests."""
+        service = self._services.get(report.service)
+        if service is None:
+            return
+        self._observe(service, report.instance_id, report.observations)
+        for request_id in report.cancelled_ids:
+            self._forget(service, request_id)
+
+    def _submit(self, service: _Service, request: DispatchRequest) -> DispatchReply:
+        if service.held:
+            # A submission may decide other requests as well, and does not name them.
+            self._advance(service)
+        now = now_ms()
+        reply = service.dispatcher.submit(request, now)
+        if reply.outcome == Outcome.PLACED.value:
+            self._placed.add(request, reply.upstream_id, now)
+        elif reply.outcome == Outcome.REJECTED.value:
+            self._returning.add(request, now)
+        else:
+            self._schedule(service)
+        return reply
+
+    async def _hold(self, service: _Service, request_id: str) -> _Held:
+        """Wait until a queued request is decided, at most for :data:`HOLD_MS`."""
+        held = service.held.setdefault(request_id, _Held())
+        with trio.move_on_after(HOLD_MS / 1000.0):
+            await held.decided.wait()
+        if service.held.get(request_id) is held:
+            del service.held[request_id]
+        return held
+
+    def _observe(
+        self, service: _Service, instance_id: str, observations: Iterable[Observation]
+    ) -> None:
+        now = now_ms()
+        has_any = False
+        for observation in observations:
+            has_any = True
+            if observation.kind == ObservationKind.LOAD.value and observation.slowness > 0:
+                service.stated_ms = now
+            elif observation.kind == ObservationKind.ENDED.value:
+                self._placed.remove(observation.request_id)
+            service.dispatcher.observe(instance_id, observation, now)
+        if has_any and service.held:
+            self._schedule(service)
+
+    def _forget(self, service: _Service, request_id: str) -> None:
+        self._placed.remove(request_id)
+        service.dispatcher.cancel(request_id, now_ms())
+        held = service.held.pop(request_id, None)
+        if held is not None:
+            held.is_cancelled = True
+            held.decided.set()
+
+    # Services
+
+    def _service_of(self, request: DispatchRequest) -> _Service | None:
+        """Return the service of a request with its current engines, ``None`` if none is known."""
+        spec = self._engine_spec(request.service)
+        if spec is None or not self._control.rows.is_complete:
+            return None
+        service = self._services.get(request.service)
+        if service is None:
+            service = _Service(self._create_dispatcher(), now_ms())
+            log_event("dispatch_started", service=request.service)
+        self._refresh(request.service, service, spec)
+        if service.upstream_ids.isdisjoint(request.upstream_ids):
+            return None
+        self._services[request.service] = service
+        return service
+
+    def _engine_spec(self, name: str) -> EngineSpec | None:
+        configuration = self._configuration()
+        spec = configuration.services.get(name) if configuration is not None else None
+        return spec.engine if spec is not None else None
+
+    def _refresh(self, name: str, service: _Service, spec: EngineSpec) -> None:
+        """Give the dispatcher the engines of its service, if anything has changed."""
+        sequence = self._control.tables.upstreams.sequence
+        if service.row_sequence == sequence and service.spec is spec:
+            return
+        is_new = service.spec is None
+        rows = [
+            row
+            for row in self._control.live_upstreams()
+            if row.service == name and row.lifecycle == READY
+        ]
+        service.row_sequence, service.spec = sequence, spec
+        service.upstream_ids = frozenset(row.upstream_id for row in rows)
+        service.dispatcher.update_engines(rows, spec, now_ms())
+        if is_new:
+            self._update_in_flight(service)
+        elif service.held:
+            self._schedule(service)
+
+    def _update_in_flight(self, service: _Service) -> None:
+        in_flight = self._control.rows.activity.in_flight()
+        counts = {i: in_flight[i] for i in service.upstream_ids if i in in_flight}
+        service.dispatcher.update_in_flight(counts, IN_FLIGHT_AGE_MS, now_ms())
+
+    # Tasks
+
+    async def run(self) -> None:
+        """Decide on queued requests and check the counts until cancelled."""
+        check_ms = now_ms()
+        while True:
+            now = now_ms()
+            if now >= check_ms:
+                self._check()
+                check_ms = now + _CHECK_INTERVAL_MS
+            for service in list(self._services.values()):
+                if service.due_ms <= now:
+                    self._advance(service)
+            due_ms = min((s.due_ms for s in self._services.values()), default=check_ms)
+            await self._queued.wait(max(1.0, min(due_ms, check_ms) - now_ms()))
+
+    def _schedule(self, service: _Service) -> None:
+        """Decide on the queue of a service soon, since something has changed."""
+        due_ms = max(now_ms(), service.advanced_ms + MIN_ADVANCE_INTERVAL_MS)
+        if due_ms < service.due_ms:
+            service.due_ms = due_ms
+            self._queued.notify()
+
+    def _advance(self, service: _Service) -> None:
+        now = now_ms()
+        service.advanced_ms = now
+        for request_id in service.dispatcher.advance(now):
+            held = service.held.pop(request_id, None)
+            if held is not None:
+                held.decided.set()
+        change_ms = service.dispatcher.next_change_ms(now)
+        service.due_ms = (
+            float("inf") if change_ms is None else now + max(MIN_ADVANCE_INTERVAL_MS, change_ms)
+        )
+
+    def _check(self) -> None:
+        """Give the dispatchers rows and counts; drop services and instances that are gone."""
+        now = now_ms()
+        for name, service in list(self._services.items()):
+            spec = self._engine_spec(name)
+            if spec is None or now - service.stated_ms >= UNSTATED_TTL_MS:
+                self._drop(name)
+                continue
+            self._refresh(name, service, spec)
+            self._update_in_flight(service)
+        entries = self._control.tables.entries
+        for placed in self._placed.take_lost(
+            now, lambda i: entries.get(i) is not None and entries.is_silent(i)
+        ):
+            service_of_placed = self._services.get(placed.service)
+            if service_of_placed is not None:
+                self._forget(service_of_placed, placed.request_id)
+                log_event(
+                    "dispatch_forgotten", instance=placed.instance_id, upstream=placed.upstream_id
+                )
+
+    def _drop(self, name: str) -> None:
+        """Forget a service; its held requests are submitted to a new dispatcher or refused."""
+        service = self._services.pop(name)
+        log_event("dispatch_ended", service=name)
+        for held in service.held.values():
+            held.decided.set()
--- a/src/briardyke/fleet/activity.py
+++ b/src/briardyke/fleet/activity.py
@@ -99,6 +99,13 @@
                 total[upstream_id] = [max(0, held[0] - count), max(0, held[1] - pending)]
         return total
 
+    def in_flight(self) -> dict[str, list[int]]:
+        """Return the requests in flight by upstream of all entry instances.
+
+        All of them, and those whose response has not begun.
+        """
+        return self._sum_of_all().in_flight
+
     def event_intervals_ms(self) -> dict[str, float]:
         """Return the shortest usual time between two events of a stream, by upstream."""
         observed = self._sum_of_all().event_interval_ms
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -12,6 +12,7 @@
 from briardyke.clock import now_ms, suspended_ms, wall_unix_ms
 from briardyke.consensus.messages import GroupMessage
 from briardyke.consensus.state import Role
+from briardyke.dispatch.messages import DispatchReport, DispatchRequest
 from briardyke.errors import ErrorKind, Failure
 from briardyke.fleet.compression import compress_document
 from briardyke.fleet.entry_reply import build_reply
@@ -47,6 +48,7 @@
 
     from briardyke.addresses import Address
     from briardyke.consensus.driver import ReplicatedLog
+    from briardyke.dispatch.coordinator import DispatchCoordinator
     from briardyke.wire.pool import PeerPool
 
 # Age up to which contact with the leader counts. This is the shortest election timeout; after it, a
@@ -109,6 +111,7 @@
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
         self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
         self.grant_permit: Callable[[PermitRequest], Awaitable[PermitReply]] | None = None
+        self.dispatch: DispatchCoordinator | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -266,6 +269,10 @@
             return await self.answer_trial(message)
         if isinstance(message, PermitRequest) and self.grant_permit is not None:
             return await self.grant_permit(message)
+        if isinstance(message, DispatchRequest) and self.dispatch is not None:
+            return await self.dispatch.answer(message)
+        if isinstance(message, DispatchReport) and self.dispatch is not None:
+            self.dispatch.record(message)
         return None
 
     def _stream_reply(self, request: StreamRequest) -> StreamReply:
