Start the coordinator on control instances

Change: the coordinator uses the dispatcher of the dispatch decisions and runs beside the placement.

Measured: tests of dispatch pass. tests/fleet/test_stream_versions.py::TestUnknownStream failed once beside other work on this machine and passed in three further runs.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.dispatch.dispatcher import Dispatcher
 from briardyke.dispatch.messages import DispatchReply, ObservationKind, Outcome
 from briardyke.dispatch.request_records import PlacedRequests, ReturningRequests
 from briardyke.fleet.records import READY
@@ -20,7 +21,6 @@
 
     from briardyke.dispatch.messages import DispatchReport, DispatchRequest, Observation
     from briardyke.fleet.control import ControlInstance
-    from briardyke.fleet.records import Upstream
     from briardyke.routes.configuration import ServingConfiguration
 
 # Longest time for which a queued request is held before it is answered "queued". Entry instances
@@ -39,31 +39,6 @@
 UNSTATED_TTL_MS = 30_000.0
 
 
-class ServiceDispatcher(Protocol):
-    """Decide on the requests of one service; :class:`~briardyke.dispatch.dispatcher.Dispatcher`."""
-
-    def update_engines(self, rows: list[Upstream], spec: EngineSpec, now_ms: float) -> None:
-        """Take the ready engines of the service."""
-
-    def submit(self, request: DispatchRequest, now_ms: float) -> DispatchReply:
-        """Place, queue or reject a request; return the decision on a repeated one."""
-
-    def observe(self, instance_id: str, observation: Observation, now_ms: float) -> None:
-        """Take what an entry instance has observed."""
-
-    def cancel(self, request_id: str, now_ms: float) -> None:
-        """Forget a request."""
-
-    def advance(self, now_ms: float) -> list[str]:
-        """Decide on queued requests; return the ids of those that were decided."""
-
-    def next_change_ms(self, now_ms: float) -> float | None:
-        """Return the time until :meth:`advance` can decide something."""
-
-    def update_in_flight(self, counts: dict[str, list[int]], age_ms: float, now_ms: float) -> None:
-        """Take the summed in-flight counts of all entry instances."""
-
-
 @attrs.define
 class _Held:
     """Queued request whose reply is held.
@@ -90,7 +65,7 @@
     :param due_ms: time of the next one.
     """
 
-    dispatcher: ServiceDispatcher
+    dispatcher: Dispatcher
     stated_ms: float
     spec: EngineSpec | None = None
     row_sequence: int = -1
@@ -112,7 +87,7 @@
         self,
         control: ControlInstance,
         configuration: Callable[[], ServingConfiguration | None],
-        create_dispatcher: Callable[[], ServiceDispatcher],
+        create_dispatcher: Callable[[], Dispatcher] = Dispatcher,
     ) -> None:
         """Use the rows of a control instance; :meth:`run` decides on queued requests.
 
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from briardyke.dispatch.coordinator import DispatchCoordinator
 from briardyke.exit_codes import ExitCode
 from briardyke.fleet.cluster import CLUSTER_ID
 from briardyke.fleet.control import ControlInstance
@@ -94,11 +95,13 @@
         quarantine = QuarantineRunner(control, VerdictStore(settings.data_dir))
         control.answer_trial = quarantine.answer_trial
         control.grant_permit = PermitGranter(control).grant
+        control.dispatch = DispatchCoordinator(control, configuration.current)
         versions = ServiceVersionsRunner(control, settings.data_dir)
         nursery.start_soon(control.run)
         nursery.start_soon(keep_running, "configuration", configuration.run)
         nursery.start_soon(keep_running, "placement", models.run)
         nursery.start_soon(keep_running, "quarantine", quarantine.run)
+        nursery.start_soon(keep_running, "dispatch", control.dispatch.run)
         nursery.start_soon(keep_running, "software_versions", versions.run)
         log_event("control_started", member=log.status().member_id, version=machine.version)
         await stop.wait()
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -39,8 +39,9 @@
 
     def __attrs_post_init__(self) -> None:
         control: Any = self.control
+        create: Any = self._create
         self.control.add_engine("e-1", slots=1)
-        self.coordinator = DispatchCoordinator(control, lambda: self.configuration, self._create)
+        self.coordinator = DispatchCoordinator(control, lambda: self.configuration, create)
 
     def _create(self) -> FakeDispatcher:
         self.dispatchers.append(FakeDispatcher())
