--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -114,6 +114,8 @@
         if service is None:
             return None
         self._observe(service, request.instance_id, request.observations)
+        if service.upstream_ids.isdisjoint(request.upstream_ids):
+            return None
         request = attrs.evolve(request, observations=[])
         if not request.has_returned and self._returning.is_returning(request, now_ms()):
             request = attrs.evolve(request, has_returned=True)
@@ -183,7 +185,7 @@
     # Services
 
     def _service_of(self, request: DispatchRequest) -> _Service | None:
-        """Return the service of a request with its current engines, ``None`` if none is known."""
+        """Return the service of a request with its current engines, ``None`` if it is not known."""
         spec = self._engine_spec(request.service)
         if spec is None or not self._control.rows.is_complete:
             return None
@@ -192,9 +194,8 @@
             service = _Service(self._create_dispatcher(), now_ms())
             log_event("dispatch_started", service=request.service)
         self._refresh(request.service, service, spec)
-        if service.upstream_ids.isdisjoint(request.upstream_ids):
-            return None
-        self._services[request.service] = service
+        if service.upstream_ids:
+            self._services[request.service] = service
         return service
 
     def _engine_spec(self, name: str) -> EngineSpec | None:
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 import trio
-from dispatch_support import (
+from coordinator_fakes import (
     PLACED,
     QUEUED,
     REJECTED,
