Give streams the engines that the coordinator of their service chooses

Cause: an entry instance that sees two requests a second chooses by load that is older than a prefill; the busiest engine gets 1.9 to 2.75 times the mean load.

Change: a stream on a service whose engines state their slowness asks the coordinator for its engine, waits there while it is queued, and is rejected with the coordinator's time to come back. Every further attempt is a request of its own; hedges do not wait; the placed engine loads a missing adapter. The end of a placed stream is reported together with the end of its in-flight count, also when its caller leaves. Without a coordinator the choice is local. The local choice divides load by the stated speed, which fades over 600 ms. Services whose engines do not state their slowness cause no message.

--- a/src/briardyke/gateway/adapters.py
+++ b/src/briardyke/gateway/adapters.py
@@ -54,18 +54,29 @@
         :param fallback: the best of them regardless of the adapter.
         """
         name = f"{metadata.model}/{metadata.adapter}"
-        ranked = sorted(
-            candidates,
-            key=lambda s: rendezvous_hash(name, s.row.upstream_id),
-            reverse=True,
-        )
+        ranked = _ranked(name, candidates)
         held = [s for s in candidates if s.holds_adapter(metadata.model, metadata.adapter)]
         limit = fallback.load() + AFFINITY_SLACK * 2
         available = [s for s in held if s.load() <= limit]
         if available:
             return min(available, key=lambda s: s.load())
-        order = [ranked[0] if ranked[0].load() <= limit else fallback]
-        order += [s for s in ranked if s not in order]
+        first = ranked[0] if ranked[0].load() <= limit else fallback
+        return await self.load_on(metadata, candidates, first)
+
+    async def load_on(
+        self,
+        metadata: RequestMetadata,
+        candidates: Sequence[UpstreamState],
+        first: UpstreamState,
+    ) -> UpstreamState | None:
+        """Request a load of the adapter; return the upstream that has it, or ``None``.
+
+        :param candidates: upstreams that have the model loaded.
+        :param first: the one that should load it.
+        """
+        name = f"{metadata.model}/{metadata.adapter}"
+        order = [first]
+        order += [s for s in _ranked(name, candidates) if s is not first]
         lacking = [s for s in order if s.lacks_adapter(metadata.model, metadata.adapter)]
         request = AdapterRequest(
             metadata.model,
@@ -101,3 +112,7 @@
         """
         holding = [s for s in candidates if s.announces_adapter(metadata.model, metadata.adapter)]
         return min(holding, key=lambda s: s.load(), default=None)
+
+
+def _ranked(name: str, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
+    return sorted(candidates, key=lambda s: rendezvous_hash(name, s.row.upstream_id), reverse=True)
--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -10,6 +10,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.gateway.dialect import ResponseMetadata
+from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.http.exchange import header
 from briardyke.http.h11_client import Fault, UpstreamConnection, UpstreamError, UpstreamHead
 
@@ -52,6 +53,7 @@
     :param metadata: values from the response headers.
     :param connection: open connection of a streamed response.
     :param is_lost: whether the upstream ended the connection before its response was complete.
+    :param dispatch: place of a streamed response on its engine, if the coordinator assigned it.
     """
 
     ending: Ending
@@ -61,6 +63,7 @@
     metadata: ResponseMetadata | None = None
     connection: UpstreamConnection | None = None
     is_lost: bool = False
+    dispatch: Dispatch | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -33,9 +33,9 @@
         row[sum(duration_ms > bound for bound in BOUNDS_MS)] += 1
         self.sums_ms[service] = self.sums_ms.get(service, 0.0) + duration_ms
 
-    def count(self, event: str) -> None:
-        """Count an event."""
-        self.events[event] = self.events.get(event, 0) + 1
+    def count(self, event: str, amount: int = 1) -> None:
+        """Count an event, or add an amount to a sum."""
+        self.events[event] = self.events.get(event, 0) + amount
 
     def prometheus_text(self) -> bytes:
         """Return all counters in the Prometheus text format."""
--- a/src/briardyke/gateway/dispatch_client.py
+++ b/src/briardyke/gateway/dispatch_client.py
@@ -30,9 +30,10 @@
 # Time beyond the longest hold after which a coordinator counts as silent.
 REPLY_MARGIN_MS = 100.0
 CALL_TIMEOUT_MS = HOLD_MS + REPLY_MARGIN_MS
-# Coordinators that one request asks in turn. Two control instances may be lost at once, and a third
-# silent one leaves a live stream no time.
+# Coordinators that one request asks in turn: two control instances may be lost at once. Two silent
+# ones take as long as a live stream may take to its first event.
 _MAX_COORDINATORS = 3
+_MAX_ASK_MS = 2 * CALL_TIMEOUT_MS
 
 
 class Peer(Protocol):
@@ -135,7 +136,8 @@
         :param max_wait_ms: longest time that the request may still wait.
         :return: the first reply and its sender, ``None`` without one.
         """
-        until_ms = now_ms() + max_wait_ms
+        # A rejection at the end of its wait is still on its way then.
+        until_ms = now_ms() + min(max_wait_ms + REPLY_MARGIN_MS, _MAX_ASK_MS)
         order = self._coordinators.order(request.service, self._controls(), now_ms())
         for address in order[:_MAX_COORDINATORS]:
             left_ms = until_ms - now_ms()
@@ -167,7 +169,7 @@
         is_declined = failure is not None and failure.kind is ErrorKind.PROTOCOL_VIOLATION
         if isinstance(reply, DispatchReply) or is_declined:
             self._coordinators.record_answer(address, service)
-        elif waited_ms < timeout_ms or timeout_ms >= CALL_TIMEOUT_MS:
+        elif waited_ms < timeout_ms - 1.0 or timeout_ms >= CALL_TIMEOUT_MS - 1.0:
             # A shorter time-out than usual says nothing about the instance.
             self._coordinators.record_silence(address, service, now_ms())
         if isinstance(reply, DispatchReply):
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -93,6 +93,7 @@
             await self._forward(context, answer)
         finally:
             buffer.release()
+            context.end_unsent_dispatches()
             state.demand.request_finished(metadata.model or service)
 
     async def _admission_refusal(self, context: RequestContext) -> Failure | None:
@@ -152,7 +153,7 @@
         """Try upstreams until one responds or no further attempt is allowed."""
         async with trio.open_nursery() as nursery:
             while (upstream := await self.attempts.next_upstream(context)) is not None:
-                context.refusal = self._state.admission.late_start_refusal(
+                context.refusal = self.attempts.late_start_refusal(
                     context, upstream
                 ) or await self._quarantine_refusal(context)
                 if context.refusal is not None:
@@ -257,7 +258,7 @@
         if context.may_have_run:
             is_late = context.remaining_ms <= MIN_ATTEMPT_MS
             kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.UPSTREAM_FAILED
-        elif last is not None and last.ending is Ending.REFUSED:
+        elif last is not None and last.ending is Ending.REFUSED and not context.is_overloaded:
             failure = self._state.admission.upstream_refusal(
                 context,
                 last.reason,
--- a/src/briardyke/gateway/hedged_attempts.py
+++ b/src/briardyke/gateway/hedged_attempts.py
@@ -164,6 +164,7 @@
             )
             if second is not None and self._attempts.spend_retry(context, "repeated"):
                 return second
+            context.end_unsent_dispatches()
         return None
 
     def _may_hedge(self, context: RequestContext) -> bool:
@@ -187,7 +188,7 @@
             s
             for s in self._attempts.candidates(context)
             if self._state.limits.limit_per_s(s.row) is None
-            and self._state.admission.late_start_refusal(context, s) is None
+            and self._attempts.late_start_refusal(context, s) is None
         ]
         limit_ms = waited_ms * ALIVE_FRACTION
         is_silent = upstream.is_silent_for(limit_ms)
@@ -216,4 +217,6 @@
 async def _discard(upstream: UpstreamState, result: AttemptResult) -> None:
     if result.connection is not None:
         upstream.in_flight -= 1
+        if result.dispatch is not None:
+            result.dispatch.end()
         await result.connection.aclose()
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -10,6 +10,7 @@
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.directory import listed_instances
+from briardyke.gateway.dispatch_client import DispatchClient
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.state import GatewayState
@@ -94,6 +95,12 @@
             self.client.streams,
             self._is_informed,
         )
+        self._dispatch = self.state.dispatch = DispatchClient(
+            settings.instance_id,
+            peers,
+            lambda: self.client.view.controls,
+            self.state.counters,
+        )
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
         self.state.limits.on_change = self.client.report_now
@@ -114,6 +121,7 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_running, "fleet_client", self.client.run)
+            nursery.start_soon(keep_running, "dispatch_reports", self._dispatch.run)
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             nursery.start_soon(keep_running, "stream_versions", self.state.streams.run)
             await nursery.start(self.server.serve, self._settings.listen)
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -8,6 +8,7 @@
 from briardyke.errors import Failure
 from briardyke.gateway.attempt import AttemptResult
 from briardyke.gateway.dialect import RequestMetadata
+from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.gateway.trace import Trace
 from briardyke.http.buffers import ResponseBuffer
 from briardyke.http.exchange import HttpRequest
@@ -37,6 +38,8 @@
     :param has_trial: whether the leader has granted that.
     :param software_version: version of the upstream that sent the stream's first event; only this
         version can continue it. ``None`` while there is no event.
+    :param unsent_dispatches: its places on engines that it has not been sent to, by upstream id.
+    :param is_overloaded: whether the coordinator of its service has rejected it.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -57,6 +60,8 @@
     trial_part: str = ""
     has_trial: bool = False
     software_version: str | None = None
+    unsent_dispatches: dict[str, Dispatch] = attrs.field(factory=dict)
+    is_overloaded: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
@@ -74,6 +79,11 @@
             return False
         return upstream_id not in self.tried_upstreams
 
+    def end_unsent_dispatches(self) -> None:
+        """Give up the places on engines that the request has not been sent to."""
+        while self.unsent_dispatches:
+            self.unsent_dispatches.popitem()[1].end()
+
     @property
     def remaining_ms(self) -> float:
         """Return the time left until the deadline."""
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -26,6 +26,7 @@
 
     from briardyke.fleet.messages import AdapterReply, AdapterRequest, PermitReply, PermitRequest
     from briardyke.gateway.dialect import Dialect
+    from briardyke.gateway.dispatch_client import DispatchClient
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
     from briardyke.routes.configuration import ModelSpec
@@ -95,6 +96,7 @@
         self.changed = Notifier()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
+        self.dispatch: DispatchClient | None = None
         self._retries = retries
         self.missing_models = MissingModels()
         self.listed_count = 1
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -93,7 +93,7 @@
         """
         assert attempt.head is not None and attempt.connection is not None
         status, headers = attempt.head.status, end_to_end(attempt.head.headers)
-        source = StreamSource(upstream, attempt.connection, attempt.head)
+        source = StreamSource(upstream, attempt.connection, attempt.head, attempt.dispatch)
         splitter = EventSplitter(context.metadata.last_event_id)
         relay = _Relay(context, answer, splitter, nursery, source)
         try:
@@ -153,7 +153,7 @@
         upstream, attempt = await self._hedged.run(context, upstream, relay.nursery, on_sent)
         if attempt.connection is None or attempt.head is None:
             return None
-        return StreamSource(upstream, attempt.connection, attempt.head)
+        return StreamSource(upstream, attempt.connection, attempt.head, attempt.dispatch)
 
     async def _relay_events(self, relay: _Relay) -> bool:
         """Forward events as they arrive; return whether the stream ended normally."""
@@ -281,7 +281,15 @@
             upstream.observe_service_time(took_ms / events.count, _EVENT_WEIGHT)
         if context.trace.events and events.count:
             upstream.observe_event_interval(took_ms / events.count)
+        dispatch = relay.source.dispatch
+        if dispatch is not None and events.count and relay.has_events:
+            upstream_id = upstream.row.upstream_id
+            dispatch.client.report_interval(context.service, upstream_id, took_ms / events.count)
         if events.count and not relay.has_events:
+            if dispatch is not None:
+                context.trace.add_first_event(
+                    dispatch.expected_first_ms, dispatch.record_first_event()
+                )
             relay.has_events = True
             self._state.quarantine.record_response(context.metadata)
         context.trace.add_events(events.count, took_ms, upstream.row.software_version)
--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.gateway.upstreams import UpstreamState
 from briardyke.http.h11_client import UpstreamConnection, UpstreamHead
 
@@ -34,11 +35,13 @@
     :param upstream: the upstream, which counts the request as in flight.
     :param connection: its connection.
     :param head: head of its response.
+    :param dispatch: place of the stream on its engine, if the coordinator assigned it.
     """
 
     upstream: UpstreamState
     connection: UpstreamConnection
     head: UpstreamHead
+    dispatch: Dispatch | None = None
     _is_released: bool = False
 
     async def next_events(self, splitter: EventSplitter) -> Events:
@@ -75,3 +78,5 @@
     def _release(self) -> None:
         self._is_released = True
         self.upstream.in_flight -= 1
+        if self.dispatch is not None:
+            self.dispatch.end()
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -52,6 +52,10 @@
     :param attempts: description of each attempt, and of a failure.
     :param events: number of events forwarded.
     :param resumes: id of the caller's attempt that began the stream which this one continues.
+    :param dispatch_wait_ms: time for which it waited for the coordinator of its service.
+    :param expected_first_ms: time from its place on an engine to its first event there, as the
+        coordinator expected it; the last one counts.
+    :param placed_first_ms: the true time, 0 without a coordinator.
     :param software_versions: software versions of the upstreams that sent events.
     """
 
@@ -68,6 +72,9 @@
     longest_pause_ms: float = 0.0
     events: int = 0
     resumes: str = ""
+    dispatch_wait_ms: float = 0.0
+    expected_first_ms: float = 0.0
+    placed_first_ms: float = 0.0
     software_versions: list[str] = attrs.field(factory=list)
     is_finished: bool = False
 
@@ -77,6 +84,10 @@
             self.waited_ms = now_ms() - self.started_ms
             self.holders = holders
 
+    def add_first_event(self, expected_ms: float, true_ms: float) -> None:
+        """Record when the first event of a placed request was expected and when it arrived."""
+        self.expected_first_ms, self.placed_first_ms = expected_ms, true_ms
+
     def add_events(self, count: int, pause_ms: float, software_version: str = "") -> None:
         """Count forwarded events.
 
@@ -130,6 +141,9 @@
             first_event_ms=round(self.first_event_ms),
             events=self.events,
             longest_pause_ms=round(self.longest_pause_ms),
+            dispatch_wait_ms=round(self.dispatch_wait_ms),
+            expected_first_ms=round(self.expected_first_ms),
+            placed_first_ms=round(self.placed_first_ms),
             resumes=self.resumes,
             software_versions=",".join(self.software_versions),
             attempts=";".join(self.attempts),
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -10,6 +10,7 @@
 from briardyke.gateway.adapters import ADAPTER_RETRY_MS
 from briardyke.gateway.attempt import AttemptResult, AttemptRunner
 from briardyke.gateway.attempt_feedback import record_attempt, record_own_close
+from briardyke.gateway.coordinated_choice import CoordinatedChoice, Decision
 from briardyke.gateway.dialect import ForwardingMetadata
 from briardyke.gateway.silence import live_alternatives
 from briardyke.gateway.upstream_selection import choose_upstream
@@ -20,6 +21,7 @@
     import random
     from collections.abc import Callable, Sequence
 
+    from briardyke.errors import Failure
     from briardyke.gateway.dialect import ResponseMetadata
     from briardyke.gateway.request_context import RequestContext
     from briardyke.gateway.state import GatewayState
@@ -47,15 +49,34 @@
     ) -> UpstreamState | None:
         """Select an upstream, waiting for a model or adapter that is being loaded.
 
+        A stream on engines that state their slowness is given one by the coordinator of its
+        service, and also waits for a place there.
+
         :param select: returns the upstreams to select from; without any, none is waited for.
         """
+        context.end_unsent_dispatches()
+        with CoordinatedChoice(self._state, context, may_wait=select is None) as choice:
+            return await self._search(context, select, choice)
+
+    async def _search(
+        self,
+        context: RequestContext,
+        select: Callable[[], list[UpstreamState]] | None,
+        choice: CoordinatedChoice,
+    ) -> UpstreamState | None:
         state = self._state
         while context.remaining_ms > MIN_ATTEMPT_MS:
             candidates = select() if select is not None else self.candidates(context)
             if select is not None and not candidates:
                 return None
             if candidates:
-                chosen = await self._choose(context, candidates)
+                decision, chosen = await choice.choose(candidates)
+                if decision is Decision.REJECTED:
+                    return None
+                if decision is Decision.UNDECIDED:
+                    continue
+                if decision is Decision.LOCAL:
+                    chosen = await self._choose(context, candidates)
                 if chosen is not None:
                     if not self.may_send(context, chosen):
                         continue
@@ -98,6 +119,17 @@
             return chosen
         return await state.adapters.find_upstream(metadata, candidates, chosen)
 
+    def late_start_refusal(
+        self, context: RequestContext, upstream: UpstreamState
+    ) -> Failure | None:
+        """Return the reason not to start a stream on the selected upstream, or ``None``.
+
+        The coordinator that gave it a place there knows better than this instance.
+        """
+        if upstream.row.upstream_id in context.unsent_dispatches:
+            return None
+        return self._state.admission.late_start_refusal(context, upstream)
+
     async def _take_permit(self, context: RequestContext, upstream: UpstreamState) -> bool:
         """Wait for a permit if the upstream has a limit; return whether the request may be sent."""
         limits = self._state.limits
@@ -167,6 +199,7 @@
         :param scope: ends the attempt as late when it is cancelled.
         """
         upstream_id = upstream.row.upstream_id
+        dispatch = context.unsent_dispatches.pop(upstream_id, None)
         context.tried_upstreams.add(upstream_id)
         was_left = upstream_id in context.left_upstreams
         context.left_upstreams.discard(upstream_id)
@@ -206,6 +239,8 @@
             )
         except BaseException:
             upstream.in_flight -= 1
+            if dispatch is not None:
+                dispatch.end()
             if is_sent:
                 record_own_close(context)
             else:
@@ -216,6 +251,9 @@
             upstream.pending -= 1
         if attempt.connection is None:
             upstream.in_flight -= 1
+            if dispatch is not None:
+                dispatch.end()
+        attempt.dispatch = dispatch
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
         if attempt.is_lost:
@@ -228,6 +266,9 @@
         upstream.record_sign()
         upstream.statements.record(upstream.row, response)
         self._state.limits.record(upstream.row, response.limit_per_s, sent_ms)
+        dispatch, service = self._state.dispatch, upstream.row.service
+        if dispatch is not None and response.load is not None and self._state.is_engine(service):
+            dispatch.report_load(service, upstream.row.upstream_id, response.load)
 
     def _log_limited_send(self, context: RequestContext, upstream: UpstreamState) -> None:
         limit_per_s = self._state.limits.limit_per_s(upstream.row)
--- a/src/briardyke/gateway/upstream_selection.py
+++ b/src/briardyke/gateway/upstream_selection.py
@@ -25,6 +25,8 @@
 _MAX_SLOWNESS = 4.0
 # An upstream that is slower than the mean by more than this factor is not selected for affinity.
 _MAX_AFFINITY_SLOWNESS = 1.5
+# A stated slowness far below the usual one is an error of the upstream.
+_MIN_STATED_SLOWNESS = 0.25
 # Load added to upstreams in other data centres, to avoid traffic between data centres.
 _REMOTE_PENALTY = 0.5
 # With this little, only the least loaded candidate, or one of several equal ones, is selected.
@@ -66,6 +68,8 @@
         penalty = 0.0 if state.row.data_centre == data_centre else _REMOTE_PENALTY
         # Number of requests that increase its cost by one.
         capacity = max(1, state.row.slots) / _slowness(state, mean_service_time_ms)
+        # A spell of slowness is too short to show in the mean service time.
+        capacity /= max(_MIN_STATED_SLOWNESS, state.current_slowness())
         capacity *= state.health.weight(now) ** 2
         costs.append((state.load() + 1.0 + penalty) / capacity)
         capacities.append(capacity)
@@ -85,9 +89,8 @@
     preferred = max(candidates, key=lambda s: rendezvous_hash(shared, s.row.upstream_id))
     if preferred.health.weight(now) < 1.0 or preferred.load() > best.load() + AFFINITY_SLACK:
         return best
-    return (
-        preferred if _slowness(preferred, mean_service_time_ms) <= _MAX_AFFINITY_SLOWNESS else best
-    )
+    slowness = _slowness(preferred, mean_service_time_ms) * preferred.current_slowness()
+    return preferred if slowness <= _MAX_AFFINITY_SLOWNESS else best
 
 
 def _slowness(state: UpstreamState, mean_service_time_ms: float) -> float:
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -46,6 +47,9 @@
 _LONGER_INTERVAL_WEIGHT = 0.005
 # Engines send events several times in this time, also while they read long prompts.
 _LONG_SILENCE_MS = 400.0
+# Spells in which the work of an upstream takes longer last about this long, so a stated slowness
+# holds with this time constant. The next response states it again.
+SLOWNESS_DECAY_MS = 600.0
 # Upper limit of one observation, so that a single stalled stream does not dominate the mean.
 _MAX_FIRST_EVENT_MS_PER_LOAD = 500.0
 
@@ -84,6 +88,9 @@
         when unknown.
     :param event_interval_ms: shortest usual time between two events of a stream, 0 when unknown.
     :param event_ms: time of the last event.
+    :param slowness: time that its work takes, relative to the usual time, as last stated; ``None``
+        if its last load report did not state it.
+    :param slowness_ms: time of that statement.
     :param connect_failures: consecutive failures to open a connection.
     :param connect_failed_ms: time of the last of them.
     :param withheld: loaded models that get no new requests.
@@ -112,6 +119,8 @@
     service_time_ms: float = 0.0
     event_interval_ms: float = 0.0
     event_ms: float = 0.0
+    slowness: float | None = None
+    slowness_ms: float = 0.0
     connect_failures: int = 0
     connect_failed_ms: float = 0.0
     withheld: frozenset[str] = frozenset()
@@ -253,6 +262,14 @@
         self.other_requests = max(0.0, load.running + load.waiting - self.in_flight)
         self.other_waiting = min(self.other_requests, max(0.0, load.waiting - self.pending))
         self.reported_ms = now_ms()
+        self.slowness, self.slowness_ms = load.slowness, now_ms()
+
+    def current_slowness(self) -> float:
+        """Return the stated slowness, believed at once and decaying to 1, the usual one."""
+        if self.slowness is None:
+            return 1.0
+        age_ms = now_ms() - self.slowness_ms
+        return 1.0 + (self.slowness - 1.0) * math.exp(-age_ms / SLOWNESS_DECAY_MS)
 
     def holds(self, model: str) -> bool:
         """Return whether the model is loaded and accepts requests."""
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -347,6 +347,11 @@
             await connection.aclose()
         return await self._open()
 
+    @property
+    def has_idle(self) -> bool:
+        """Return whether a connection is kept."""
+        return bool(self._idle)
+
     def _pop_idle(self, request_id: str) -> UpstreamConnection | None:
         """Remove and return the kept connection that was used last and has not refused a request.
 
--- a/tests/gateway/test_upstream_selection.py
+++ b/tests/gateway/test_upstream_selection.py
@@ -168,3 +168,45 @@
         for candidate in states:
             candidate.other_requests, candidate.reported_ms = 1e18, now_ms()
         assert choose_upstream(states, PLAIN, "dc-1", random.Random(1)) in states
+
+
+class TestStatedSlowness:
+    """Covers upstreams that state how long their work takes now, in spells of 600 ms."""
+
+    async def test_load_counts_by_the_speed(self, autojump_clock: trio.testing.MockClock) -> None:
+        """Guards against plain requests that are late on an upstream with a slow spell."""
+        usual, slow = state("1"), state("2")
+        usual.update_from_report(LoadReport(0, 0, 8, 1.0))
+        slow.update_from_report(LoadReport(0, 0, 8, 2.5))
+        taken = spread([usual, slow], 35)
+        assert taken["1"] == pytest.approx(25, abs=2)
+
+    async def test_statement_is_believed_at_once_and_fades(
+        self, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """Guards against upstreams that are avoided long after a spell has ended."""
+        upstream = state("1")
+        assert upstream.current_slowness() == 1.0
+        upstream.update_from_report(LoadReport(0, 0, 8, 1.0))
+        upstream.update_from_report(LoadReport(0, 0, 8, 2.5))
+        assert upstream.current_slowness() == pytest.approx(2.5, abs=0.01)
+        await trio.sleep(0.6)
+        assert upstream.current_slowness() == pytest.approx(1.55, abs=0.01)
+        await trio.sleep(3.0)
+        assert upstream.current_slowness() == pytest.approx(1.0, abs=0.01)
+
+    async def test_report_without_it_ends_it(self) -> None:
+        upstream = state("1")
+        upstream.update_from_report(LoadReport(0, 0, 8, 2.5))
+        upstream.update_from_report(LoadReport(0, 0, 8))
+        assert (upstream.slowness, upstream.current_slowness()) == (None, 1.0)
+
+    async def test_slow_upstream_is_not_preferred_for_a_cached_prompt(self) -> None:
+        request = RequestMetadata("r-1", 1000.0, prefix_ids=("a", "b", "c"))
+        states = [state("1"), state("2")]
+        (preferred,) = spread(states, 1, request)
+        for upstream in states:
+            upstream.in_flight = 0
+            is_preferred = upstream.row.upstream_id == preferred
+            upstream.update_from_report(LoadReport(0, 0, 8, 2.5 if is_preferred else 1.0))
+        assert preferred not in spread(states, 1, request)
