--- /dev/null
+++ b/src/briardyke/dispatch/drain.py
@@ -0,0 +1,126 @@
+"""Estimate when the queue before a request will have been served."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from briardyke.dispatch.engine_load import EngineLoad
+    from briardyke.dispatch.pace import PaceTable
+
+# Fraction of its time that an engine can read prompts within the objective for pauses.
+_READING_FRACTION = 0.75
+# Largest fraction of the capacity that requests which overtake a waiting one are assumed to take.
+_MAX_OVERTAKING = 0.9
+
+
+@attrs.define(eq=False)
+class _Group:
+    """Engines that hold one model.
+
+    :param engines: their power, by id, relative to a typical engine without slowness.
+    :param power: sum of their power.
+    :param free_slots: their free slots.
+    :param slots_per_ms: slots that become free, per ms.
+    :param level_ms: time until the prompts that they have, and the queued ones, are read.
+    """
+
+    engines: dict[str, float]
+    power: float
+    free_slots: float
+    slots_per_ms: float
+    level_ms: float
+
+
+class DrainEstimate:
+    """Walk through the queue in its order and tell when each request can start."""
+
+    def __init__(
+        self,
+        paces: PaceTable,
+        engines_of: Callable[[str], Sequence[EngineLoad]],
+        request_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Start at the head of the queue.
+
+        :param engines_of: returns the engines that may run a waiting request.
+        :param request_ms: mean time of a request from its dispatch to its end.
+        """
+        self._paces, self._engines_of = paces, engines_of
+        self._request_ms, self._now_ms = request_ms, now_ms
+        self._groups: dict[str, _Group] = {}
+        self._shares: dict[tuple[str, str], float] = {}
+
+    def start_ms(self, model: str, request_id: str, overtaking: float = 0.0) -> float:
+        """Return the expected time until a request's turn comes.
+
+        :param overtaking: fraction of the capacity that more urgent requests take.
+        """
+        group = self._group(model, request_id)
+        if not group.power:
+            return math.inf
+        start_ms = group.level_ms
+        if group.free_slots < 1.0:
+            slot_ms = (1.0 - group.free_slots) / max(1e-6, group.slots_per_ms)
+            start_ms = max(start_ms, slot_ms)
+        return start_ms / (1.0 - min(_MAX_OVERTAKING, overtaking))
+
+    def add(self, model: str, request_id: str, tokens: int) -> None:
+        """Count a request as ahead of the following ones."""
+        group = self._group(model, request_id)
+        if not group.power:
+            return
+        work_ms = reference_ms(self._paces, model, tokens)
+        for name, other in self._groups.items():
+            share = self._share(model, name)
+            other.level_ms += work_ms * share / other.power if other.power else 0.0
+            other.free_slots -= share
+
+    def work_ms(self, model: str, request_id: str, tokens: int) -> float:
+        """Return the time that all engines of a model together take for a prompt."""
+        group = self._group(model, request_id)
+        return reference_ms(self._paces, model, tokens) / max(0.1, group.power)
+
+    def _group(self, model: str, request_id: str) -> _Group:
+        group = self._groups.get(model)
+        if group is None:
+            group = self._groups[model] = self._new_group(self._engines_of(request_id))
+        return group
+
+    def _new_group(self, engines: Sequence[EngineLoad]) -> _Group:
+        now_ms = self._now_ms
+        powers = {engine.upstream_id: power(engine, now_ms) for engine in engines}
+        total = sum(powers.values())
+        backlog_ms = sum(powers[e.upstream_id] * e.backlog_ms(now_ms) for e in engines)
+        return _Group(
+            powers,
+            total,
+            float(sum(engine.free_slots(now_ms) for engine in engines)),
+            sum(len(engine.dispatches) for engine in engines) / max(1.0, self._request_ms),
+            backlog_ms / total if total else 0.0,
+        )
+
+    def _share(self, model: str, other: str) -> float:
+        """Return the part of a model's work that engines of another model do."""
+        share = self._shares.get((model, other))
+        if share is None:
+            own, others = self._groups[model], self._groups[other].engines
+            common = sum(value for i, value in own.engines.items() if i in others)
+            share = self._shares[(model, other)] = common / own.power
+        return share
+
+
+def reference_ms(paces: PaceTable, model: str, tokens: int) -> float:
+    """Return the time of a prompt on a typical engine without slowness."""
+    return tokens * paces.ms_per_token * paces.model(model).value
+
+
+def power(engine: EngineLoad, now_ms: float) -> float:
+    """Return the prompt work per time of an engine, relative to a typical one."""
+    return _READING_FRACTION / (engine.speed.value * engine.slowness.at(now_ms))
