--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -137,10 +137,10 @@
             self._forget(service, request_id)
 
     def _submit(self, service: _Service, request: DispatchRequest) -> DispatchReply:
-        if service.held:
+        now = now_ms()
+        if service.held and service.dispatcher.next_change_ms(now) == 0.0:
             # A submission may decide other requests as well, and does not name them.
             self._advance(service)
-        now = now_ms()
         reply = service.dispatcher.submit(request, now)
         if reply.outcome == Outcome.PLACED.value:
             self._placed.add(request, reply.upstream_id, now)
@@ -239,7 +239,7 @@
                 check_ms = now + _CHECK_INTERVAL_MS
             for service in list(self._services.values()):
                 if service.due_ms <= now:
-                    self._advance(service)
+                    self._advance_if_possible(service)
             due_ms = min((s.due_ms for s in self._services.values()), default=check_ms)
             await self._queued.wait(max(1.0, min(due_ms, check_ms) - now_ms()))
 
@@ -250,6 +250,15 @@
             service.due_ms = due_ms
             self._queued.notify()
 
+    def _advance_if_possible(self, service: _Service) -> None:
+        """Decide on a queue, unless the dispatcher spaces its decisions by their cost."""
+        now = now_ms()
+        change_ms = service.dispatcher.next_change_ms(now)
+        if change_ms is None or change_ms <= 0:
+            self._advance(service)
+        else:
+            service.due_ms = now + max(1.0, change_ms)
+
     def _advance(self, service: _Service) -> None:
         now = now_ms()
         service.advanced_ms = now
--- a/src/briardyke/gateway/dispatch_client.py
+++ b/src/briardyke/gateway/dispatch_client.py
@@ -84,11 +84,26 @@
             self._report(ObservationKind.FIRST_EVENT, took_ms)
         return took_ms
 
-    def end(self) -> None:
-        """Report that the engine no longer has the request."""
-        if not self._has_ended:
-            self._has_ended = True
+    def record_interval(self, interval_ms: float) -> None:
+        """Report the time between two events, at a limited rate for each engine."""
+        if self.client.takes_interval(self.upstream_id):
+            self._report(ObservationKind.EVENT_INTERVAL, interval_ms)
+
+    def end(self, *, has_failed: bool = False) -> None:
+        """Report that the engine no longer has the request.
+
+        A request that ends before its first event and was neither refused nor lost says nothing
+        about the engine, which is avoided after a few failures.
+
+        :param has_failed: whether the engine refused it, lost it or could not be reached.
+        """
+        if self._has_ended:
+            return
+        self._has_ended = True
+        if self._has_event or has_failed:
             self._report(ObservationKind.ENDED, 0.0)
+        else:
+            self.client.cancel(self.coordinator, self.service, self.request_id)
 
     def _report(self, kind: ObservationKind, took_ms: float) -> None:
         seen = Observation(kind.value, self.upstream_id, 0.0, self.request_id, took_ms)
@@ -227,15 +242,9 @@
             )
             self.report(coordinator, service, seen)
 
-    def report_interval(self, service: str, upstream_id: str, interval_ms: float) -> None:
-        """Report the time between two events of a stream, at a limited rate for each engine."""
-        if not self._observations.takes_interval(upstream_id, now_ms()):
-            return
-        coordinator = self._coordinator(service)
-        if coordinator is not None:
-            kind = ObservationKind.EVENT_INTERVAL.value
-            seen = Observation(kind, upstream_id, 0.0, took_ms=interval_ms)
-            self.report(coordinator, service, seen)
+    def takes_interval(self, upstream_id: str) -> bool:
+        """Return whether an event interval of an engine should be reported now."""
+        return self._observations.takes_interval(upstream_id, now_ms())
 
     def _coordinator(self, service: str) -> Address | None:
         order = self._coordinators.order(service, self._controls(), now_ms())
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -7,6 +7,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import Failure
 from briardyke.gateway.attempt import AttemptResult
+from briardyke.gateway.authorization import Identity
 from briardyke.gateway.dialect import RequestMetadata
 from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.gateway.trace import Trace
@@ -38,6 +39,7 @@
     :param has_trial: whether the leader has granted that.
     :param software_version: version of the upstream that sent the stream's first event; only this
         version can continue it. ``None`` while there is no event.
+    :param identity: who sends it.
     :param unsent_dispatches: its places on engines that it has not been sent to, by upstream id.
     :param is_overloaded: whether the coordinator of its service has rejected it.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
@@ -60,12 +62,24 @@
     trial_part: str = ""
     has_trial: bool = False
     software_version: str | None = None
+    identity: Identity = Identity()
     unsent_dispatches: dict[str, Dispatch] = attrs.field(factory=dict)
     is_overloaded: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
 
+    @property
+    def account(self) -> str | None:
+        """Return the account's name, empty for an anonymous caller, ``None`` without accounts."""
+        return self.identity.account
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request: that of its account where it has one."""
+        rank = self.identity.priority
+        return self.route.priority if rank is None else rank
+
     @property
     def has_attempt(self) -> bool:
         """Return whether the request may be sent to another upstream or return to one."""
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -283,8 +283,7 @@
             upstream.observe_event_interval(took_ms / events.count)
         dispatch = relay.source.dispatch
         if dispatch is not None and events.count and relay.has_events:
-            upstream_id = upstream.row.upstream_id
-            dispatch.client.report_interval(context.service, upstream_id, took_ms / events.count)
+            dispatch.record_interval(took_ms / events.count)
         if events.count and not relay.has_events:
             if dispatch is not None:
                 context.trace.add_first_event(
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -8,7 +8,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.gateway.adapters import ADAPTER_RETRY_MS
-from briardyke.gateway.attempt import AttemptResult, AttemptRunner
+from briardyke.gateway.attempt import AttemptResult, AttemptRunner, Ending
 from briardyke.gateway.attempt_feedback import record_attempt, record_own_close
 from briardyke.gateway.coordinated_choice import CoordinatedChoice, Decision
 from briardyke.gateway.dialect import ForwardingMetadata
@@ -208,8 +208,9 @@
         call = ForwardingMetadata(
             upstream_id,
             max(1.0, context.remaining_ms - _RESPONSE_MARGIN_MS / 2),
-            context.route.priority,
+            context.priority,
             context.metadata.last_event_id,
+            context.account,
         )
         self._log_limited_send(context, upstream)
         is_engine = self._state.is_engine(context.service)
@@ -252,7 +253,7 @@
         if attempt.connection is None:
             upstream.in_flight -= 1
             if dispatch is not None:
-                dispatch.end()
+                dispatch.end(has_failed=attempt.ending is not Ending.ANSWERED)
         attempt.dispatch = dispatch
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
