Count the risk of slow spells, and test the choice with replayed load

Cause: most streams that were late had prompts on an engine whose machine had become slow unnoticed; a report comes only with the next head of a response.

Change: prompts that are not known to be read count as unread for the case that a spell has begun, with its probability since the last report; the delay of observations is learned; at most 100 ms of prompts wait at an engine.

--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -23,11 +23,13 @@
 _BATCH_FRACTION = 0.6
 # Prompts beyond this time wait in the queue, where they can still be placed elsewhere; an engine
 # needs only so many that it does not run out of them before the next pass.
-_MAX_BACKLOG_MS = 150.0
+_MAX_BACKLOG_MS = 100.0
+# Pauses in a spell that no report states yet count from this fraction of their objective on.
+_SPELL_RATIO = 0.6
 # Late streams per ms of prefill, so that cached prompts are preferred where nothing is at risk.
-_COST_PER_MS = 0.001
+_COST_PER_MS = 0.002
 # Cost of the last slot of an engine, in late streams.
-_OCCUPANCY_COST = 0.1
+_OCCUPANCY_COST = 0.3
 # Costs of another data centre and of a new connection; both take about a millisecond.
 _REMOTE_COST = 0.01
 _CONNECT_COST = 0.003
@@ -191,6 +193,10 @@
             rule = Rule.FIRST_EVENT
     pause_limit_ms = engine.gap_objective_ms
     if streams:
+        spell_ratio = estimate.spell_pause_ms / pause_limit_ms
+        if spell_ratio > _SPELL_RATIO:
+            late = min(1.0, (spell_ratio - _SPELL_RATIO) / (1.0 - _SPELL_RATIO))
+            cost += streams * late * engine.slowness.spell_risk(now_ms)
         cost += streams * _late_fraction(estimate.pause_ms / pause_limit_ms)
         if estimate.pause_ms > pause_limit_ms * fraction:
             rule = Rule.PAUSE
@@ -223,12 +229,12 @@
 def _late_fraction(ratio: float) -> float:
     """Return the expected fraction of streams that are late, by estimate over objective.
 
-    A spell of slowness that begins meanwhile, as about one in ten do, makes work take 2.5 times as
-    long; beyond the objective, most are late.
+    The power makes short excesses of the estimate rare, and engines in use alike where nothing is
+    at risk.
     """
     square = ratio * ratio
     fourth = square * square
-    return min(1.0, 0.1 * square + 0.9 * fourth * fourth)
+    return min(1.0, 0.02 * square + 0.98 * fourth * fourth)
 
 
 def _ready_ms(
--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -157,7 +157,7 @@
         if observation.kind == ObservationKind.LOAD.value:
             engine.report(observation, now_ms)
         elif observation.kind == ObservationKind.FIRST_EVENT.value:
-            engine.begin(request_id, observation.took_ms, at_ms)
+            engine.begin(request_id, observation.took_ms, at_ms, now_ms)
         elif observation.kind == ObservationKind.EVENT_INTERVAL.value:
             dispatch = engine.dispatches.get(request_id)
             if dispatch is not None:
--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -11,15 +11,19 @@
 
 from briardyke.dispatch.cached_parts import CachedParts
 from briardyke.dispatch.pace import Factor, PaceTable, engine_factor
-from briardyke.dispatch.slowness import Slowness
+from briardyke.dispatch.slowness import SPELL_FACTOR, Slowness
 
 if TYPE_CHECKING:
     from briardyke.dispatch.messages import Observation
 
 # Time from a decision until the engine has the prompt.
 SEND_MS = 6.0
-# Time from an event until the coordinator learns of it, at most, unless the instance is in trouble.
-REPORT_LAG_MS = 150.0
+# Time from an event until the coordinator learns of it: assumed at first, weight of a shorter one,
+# and what is added to the longest recent one.
+_REPORT_LAG_MS = 100.0
+_SHORTER_LAG_WEIGHT = 0.02
+_ADDED_LAG_MS = 20.0
+_MAX_LAG_MS = 250.0
 # Largest chunk in which engines read prompts; a smaller one takes more steps, which is harmless.
 _CHUNK_TOKENS = 2048
 # Each running request prolongs a step by 0.03 of about 9.5 ms.
@@ -93,12 +97,15 @@
     :param read_ms: time to read it.
     :param pause_ms: longest time between two events of the streams that run meanwhile.
     :param first_ms: time to its first event.
+    :param spell_pause_ms: longest time between two events if a slow spell has begun: then none of
+        the prompts that are not known to be read may have been.
     """
 
     wait_ms: float
     read_ms: float
     pause_ms: float
     first_ms: float
+    spell_pause_ms: float
 
 
 class _Read(NamedTuple):
@@ -132,6 +139,7 @@
         self.dispatches: dict[str, Dispatch] = {}
         self.pending: dict[str, Dispatch] = {}
         self.used_tokens = 0
+        self._pending_read_ms = 0.0
         self._paces = paces
         self._models: dict[str, int] = {}
         self._gap_objectives: dict[float, int] = {}
@@ -141,6 +149,8 @@
         self._unknown_waiting, self._unknown_waiting_ms = 0, float("-inf")
         self._ends_ms: deque[float] = deque(maxlen=_KEPT_ENDS)
         self._failures_ms: list[float] = []
+        self._reported_ms = float("-inf")
+        self._lag_ms = _REPORT_LAG_MS
         self._avoided_until_ms = float("-inf")
 
     # What it holds
@@ -187,7 +197,7 @@
             oldest = next(iter(self.pending.values()))
             # The steps between its prompt and its first event may read the prompts behind it.
             read_ms = min(self._read_until_ms, oldest.read_end_ms + _MAX_READ_BEHIND_MS)
-            due_ms = max(read_ms, oldest.read_end_ms) + oldest.steps_ms + REPORT_LAG_MS
+            due_ms = max(read_ms, oldest.read_end_ms) + oldest.steps_ms + self._lag_ms
             # An engine that is overdue is slower than known or stalls: expect as much again.
             delay_ms = max(0.0, now_ms - due_ms)
         if self._unknown_waiting and now_ms - self._unknown_waiting_ms < _UNKNOWN_WAITING_TTL_MS:
@@ -222,7 +232,9 @@
         read_ms = prompt_ms + steps * step_ms
         wait_ms = start_ms - now_ms + delay_ms
         first_ms = wait_ms + read_ms + self.event_tokens * step_ms
-        return Estimate(wait_ms, read_ms, pause_ms, first_ms)
+        spell_ms = self.event_tokens * step_ms + prompt_ms + self._pending_read_ms
+        spell_ms *= max(1.0, SPELL_FACTOR / self.slowness.at(now_ms))
+        return Estimate(wait_ms, read_ms, pause_ms, first_ms, spell_ms)
 
     def expected_first_ms(self, model: str, tokens: int, now_ms: float) -> float:
         """Return the expected time to the first event of a prompt."""
@@ -269,6 +281,7 @@
         steps = 1 + dispatch.unread_tokens // _CHUNK_TOKENS
         self._reads.append(_Read(start_ms, dispatch.read_end_ms, steps))
         self.dispatches[dispatch.request_id] = self.pending[dispatch.request_id] = dispatch
+        self._pending_read_ms += estimate.read_ms
         self.used_tokens += dispatch.tokens
         self._models[dispatch.model] = self._models.get(dispatch.model, 0) + 1
         if dispatch.gap_objective_ms > 0:
@@ -277,7 +290,7 @@
         self.parts.record(dispatch.part_keys, part_tokens, self.cache_tokens - self.used_tokens)
         return estimate
 
-    def begin(self, request_id: str, took_ms: float, at_ms: float) -> None:
+    def begin(self, request_id: str, took_ms: float, at_ms: float, now_ms: float) -> None:
         """Take in that a request has had its first event.
 
         :param took_ms: time from its dispatch to its first event.
@@ -286,6 +299,9 @@
         dispatch = self.dispatches.get(request_id)
         if dispatch is None or dispatch.began_ms is not None:
             return
+        lag_ms = now_ms - at_ms + _ADDED_LAG_MS
+        weight = 1.0 if lag_ms > self._lag_ms else _SHORTER_LAG_WEIGHT
+        self._lag_ms += weight * (min(_MAX_LAG_MS, lag_ms) - self._lag_ms)
         if took_ms > 0:
             self._learn_prompt(dispatch, took_ms, at_ms)
         dispatch.began_ms = at_ms
@@ -293,20 +309,19 @@
         for earlier in list(self.pending.values()) if is_earlier else ():
             # Prompts of the same or a higher rank that were sent before it have been read.
             if earlier is dispatch or earlier.priority <= dispatch.priority:
-                del self.pending[earlier.request_id]
+                self._confirm(earlier)
             if earlier is dispatch:
                 break
-        left_ms = sum(later.read_ms for later in self.pending.values())
-        self._read_until_ms = min(self._read_until_ms, at_ms + left_ms)
+        self._read_until_ms = min(self._read_until_ms, at_ms + self._pending_read_ms)
 
     def end(self, request_id: str, now_ms: float) -> Dispatch | None:
         """Forget a request that has ended."""
         dispatch = self.dispatches.pop(request_id, None)
         if dispatch is None:
             return None
-        if self.pending.pop(request_id, None) is not None:
-            left_ms = sum(later.read_ms for later in self.pending.values())
-            self._read_until_ms = min(self._read_until_ms, now_ms + left_ms)
+        if request_id in self.pending:
+            self._confirm(dispatch)
+            self._read_until_ms = min(self._read_until_ms, now_ms + self._pending_read_ms)
         self._ends_ms.append(now_ms)
         self.used_tokens -= dispatch.tokens
         _decrement(self._models, dispatch.model)
@@ -335,8 +350,9 @@
     def report(self, observation: Observation, now_ms: float) -> None:
         """Take in a report of the engine on its load."""
         at_ms = now_ms - observation.age_ms
-        if at_ms < self.slowness.reported_ms:
+        if at_ms < self._reported_ms:
             return
+        self._reported_ms = at_ms
         self.slowness.report(observation.slowness or 1.0, at_ms)
         if observation.slots > 0:
             self.slots = observation.slots
@@ -357,14 +373,9 @@
             read.end_ms > begin_ms and read.start_ms < at_ms for read in self._reads
         ):
             return
-        factor = self._paces.model(model).value
-        expected_ms = (
-            self.event_tokens
-            * self._paces.step_ms
-            * self.speed.value
-            * self._step_factor(factor)
-            * self.slowness.at(at_ms)
-        )
+        factor = self._step_factor(self._paces.model(model).value)
+        expected_ms = self.event_tokens * self._paces.step_ms * self.speed.value * factor
+        expected_ms *= self.slowness.at(at_ms)
         self._paces.observe_step(self.speed, model, took_ms / expected_ms)
 
     def check_count(self, count: int, counted_ms: float, now_ms: float) -> list[str]:
@@ -387,6 +398,13 @@
             self._unknown_ms = counted_ms
         return forgotten
 
+    def _confirm(self, dispatch: Dispatch) -> None:
+        """Take a prompt from those that are not known to be read."""
+        del self.pending[dispatch.request_id]
+        self._pending_read_ms -= dispatch.read_ms
+        if not self.pending:
+            self._pending_read_ms = 0.0
+
     def _held_at(self, at_ms: float) -> int:
         """Return the requests that it held at a recent time."""
         held = sum(dispatch.placed_ms <= at_ms for dispatch in self.dispatches.values())
--- a/src/briardyke/dispatch/slowness.py
+++ b/src/briardyke/dispatch/slowness.py
@@ -6,6 +6,11 @@
 
 # Engines share their machines with other programs, which slow them in spells of about this length.
 SPELL_MS = 600.0
+# Fraction of the time that is in spells, and their usual slowness.
+_SPELL_FRACTION = 0.15
+SPELL_FACTOR = 2.5
+# Time to read a prompt, about.
+_READ_MS = 100.0
 # Reports below this factor count as usual.
 _USUAL = 1.15
 
@@ -46,6 +51,11 @@
             self.ends_from_ms = max(self.ends_from_ms, at_ms)
         self.factor = factor
 
+    def spell_risk(self, now_ms: float) -> float:
+        """Return the probability that a spell has begun, or begins while a prompt is read."""
+        unknown_ms = now_ms - self.reported_ms + _READ_MS
+        return min(_SPELL_FRACTION, unknown_ms * _SPELL_FRACTION / SPELL_MS)
+
     def at(self, now_ms: float) -> float:
         """Return the expected factor on the time of all work."""
         if now_ms >= self.ends_until_ms:
--- a/tests/dispatch/dispatch_engines.py
+++ b/tests/dispatch/dispatch_engines.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
-import random
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
-STEP_MS, TOKENS_PER_MS, EVENT_TOKENS, SPELL_MS = 9.5, 19.5, 4, 600.0
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STEP_MS, TOKENS_PER_MS, EVENT_TOKENS = 9.5, 19.5, 4
 
 
 @attrs.define(eq=False)
@@ -33,7 +34,6 @@
     interval_ms: float = 0.0
     longest_gap_ms: float = 0.0
     is_rejected: bool = False
-    is_lost: bool = False
 
     def is_late(self) -> bool:
         """Return whether its first event or one of the following came too late."""
@@ -58,6 +58,7 @@
     cache: OrderedDict[tuple, int] = attrs.field(factory=OrderedDict)
     is_busy: bool = False
     most_tokens: int = 0
+    read_tokens: int = 0
 
     def slowness(self, now_ms: float) -> float:
         return next((self.spell_factor for a, b in self.spells if a <= now_ms < b), 1.0)
@@ -71,6 +72,7 @@
             stream = self.waiting.pop(0)
             stream.unread = max(1, stream.prompt - self._cached(stream))
             self.reading.append(stream)
+            self.read_tokens += stream.unread
         self.most_tokens = max(self.most_tokens, self.used_tokens())
         streams = [*self.running, *itertools.islice(self.reading, 1)]
         factor = max(self.factors.get(s.model, 1.0) for s in streams)
@@ -110,29 +112,3 @@
         while self.cache and sum(self.cache.values()) > self.cache_tokens - self.used_tokens():
             self.cache.popitem(last=False)
         return found
-
-
-def spells(source: random.Random, until_ms: float) -> tuple[tuple[float, float], ...]:
-    """Return spells that take 15% of the time."""
-    found, at_ms = [], source.expovariate(1 / 3400.0)
-    while at_ms < until_ms:
-        found.append((at_ms, at_ms + SPELL_MS))
-        at_ms += SPELL_MS + source.expovariate(1 / 3400.0)
-    return tuple(found)
-
-
-class Events:
-    """Calls in the order of their time."""
-
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._number = itertools.count()
-
-    def at(self, at_ms: float, call: Callable[[], None]) -> None:
-        heapq.heappush(self._heap, (max(at_ms, self.now_ms), next(self._number), call))
-
-    def run(self, until_ms: float) -> None:
-        while self._heap and self._heap[0][0] <= until_ms:
-            self.now_ms, _, call = heapq.heappop(self._heap)
-            call()
--- a/tests/dispatch/dispatch_replay.py
+++ b/tests/dispatch/dispatch_replay.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import random
-from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
-from dispatch_engines import EVENT_TOKENS, Events, ModelledEngine, Stream
+from dispatch_engines import EVENT_TOKENS, ModelledEngine, Stream
 
 from briardyke.addresses import parse_address
 from briardyke.dispatch.dispatcher import Dispatcher
@@ -16,9 +18,13 @@
 from briardyke.http.h11_client import ConnectionPool
 from briardyke.routes.configuration import EngineSpec
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
 # Time from a decision until the engine has the request, and from an event until the coordinator
 # learns of it.
 SEND_MS, REPORT_MS = 3.0, 60.0
+_SPELL_MS = 600.0
 
 
 def row(name: str, slots: int, models: Iterable[str] = ("m",)) -> Upstream:
@@ -27,6 +33,23 @@
     return Upstream(name, 1, 1, "pool", f"10.0.0.{number}:80", "a", READY, slots, loaded)
 
 
+class Events:
+    """Calls in the order of their time."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = itertools.count()
+
+    def at(self, at_ms: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (max(at_ms, self.now_ms), next(self._number), call))
+
+    def run(self, until_ms: float) -> None:
+        while self._heap and self._heap[0][0] <= until_ms:
+            self.now_ms, _, call = heapq.heappop(self._heap)
+            call()
+
+
 class Replay:
     """Streams that are sent to engines; subclasses decide where."""
 
@@ -62,7 +85,7 @@
             self._step(engine)
 
     def on_refused(self, stream: Stream, name: str) -> None:
-        stream.is_lost = True
+        raise NotImplementedError
 
     def _step(self, engine: ModelledEngine) -> None:
         if engine.name not in self.engines:
@@ -257,6 +280,57 @@
             del self._owner[stream.name]
 
 
+def spells(source: random.Random, until_ms: float) -> tuple[tuple[float, float], ...]:
+    """Return spells that take 15% of the time."""
+    found, at_ms = [], source.expovariate(1 / 3400.0)
+    while at_ms < until_ms:
+        found.append((at_ms, at_ms + _SPELL_MS))
+        at_ms += _SPELL_MS + source.expovariate(1 / 3400.0)
+    return tuple(found)
+
+
+def pool(
+    count: int = 30, seed: int = 1, with_spells: bool = False, until_ms: float = 20_000.0
+) -> list[ModelledEngine]:
+    """Return engines of three speeds."""
+    source = random.Random(seed)
+    return [
+        ModelledEngine(
+            f"e{number}",
+            (0.6, 1.0, 1.6)[number % 3],
+            spells=spells(source, until_ms) if with_spells else (),
+        )
+        for number in range(count)
+    ]
+
+
+def live_streams(
+    per_s: float,
+    until_ms: float,
+    seed: int = 2,
+    long_fraction: float = 0.0,
+    start_ms: float = 0.0,
+    prefix: str = "r",
+) -> list[Stream]:
+    """Return prompts of 1,460 and 646 tokens, and long ones of 4,700, at random times."""
+    source, at_ms = random.Random(seed), start_ms
+    streams: list[Stream] = []
+    while (at_ms := at_ms + source.expovariate(per_s / 1000.0)) < until_ms:
+        kind = source.random()
+        prompt, objective_ms = (1460, 510.0) if kind < 0.62 else (646, 607.0)
+        if source.random() < long_fraction:
+            prompt, objective_ms = 4700, 900.0
+        output = source.randint(40, 120)
+        streams.append(Stream(f"{prefix}{len(streams)}", at_ms, prompt, output, objective_ms))
+    return streams
+
+
+def late_fraction(streams: Iterable[Stream], from_ms: float = 2000.0) -> float:
+    """Return the fraction of streams that were late or rejected, after a start of 2 s."""
+    counted = [stream for stream in streams if stream.at_ms >= from_ms]
+    return sum(stream.is_late() for stream in counted) / len(counted)
+
+
 def use_clock(monkeypatch, replay: Replay) -> None:
     """Let the choice by reports read the time of a replay."""
     for module in (upstreams, upstream_selection):
