--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,6 +35,8 @@
 # Age of the summed in-flight counts: a part of the intervals of the reports of entry instances and
 # of the exchange between control instances.
 IN_FLIGHT_AGE_MS = 400.0
+# Interval at which the decisions on each service are logged.
+_LOG_INTERVAL_MS = 10_000.0
 # Time without a stated slowness after which the engines of a service count as not stating it. At
 # the lowest loads, an engine of a service answers every few seconds.
 UNSTATED_TTL_MS = 30_000.0
@@ -61,6 +64,7 @@
     :param upstream_ids: its ready engines.
     :param stated_ms: time of the last stated slowness, or of its first request.
     :param held: held requests by id.
+    :param logged: decisions of its dispatcher when they were last logged.
     :param advanced_ms: time of the last decision on its queue.
     :param due_ms: time of the next one.
     """
@@ -71,6 +75,7 @@
     row_sequence: int = -1
     upstream_ids: frozenset[str] = frozenset()
     held: dict[str, _Held] = attrs.field(factory=dict)
+    logged: Counter[str] = attrs.field(factory=Counter)
     advanced_ms: float = float("-inf")
     due_ms: float = float("inf")
 
@@ -232,11 +237,15 @@
     async def run(self) -> None:
         """Decide on queued requests and check the counts until cancelled."""
         check_ms = now_ms()
+        log_ms = check_ms + _LOG_INTERVAL_MS
         while True:
             now = now_ms()
             if now >= check_ms:
                 self._check()
                 check_ms = now + _CHECK_INTERVAL_MS
+            if now >= log_ms:
+                self._log_decisions()
+                log_ms = now + _LOG_INTERVAL_MS
             for service in list(self._services.values()):
                 if service.due_ms <= now:
                     self._advance_if_possible(service)
@@ -292,6 +301,16 @@
                     "dispatch_forgotten", instance=placed.instance_id, upstream=placed.upstream_id
                 )
 
+    def _log_decisions(self) -> None:
+        """Log what was decided since the last time, for services with any decision."""
+        for name, service in self._services.items():
+            counts = Counter(service.dispatcher.counts)
+            new = counts - service.logged
+            service.logged = counts
+            if new:
+                figures = {kind: new[kind] for kind in sorted(new)}
+                log_event("dispatch_decisions", service=name, held=len(service.held), **figures)
+
     def _drop(self, name: str) -> None:
         """Forget a service; its held requests are submitted to a new dispatcher or refused."""
         service = self._services.pop(name)
--- a/tests/dispatch/coordinator_fakes.py
+++ b/tests/dispatch/coordinator_fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -86,7 +87,8 @@
     waiting: dict[str, DispatchRequest] = attrs.field(factory=dict)
     seen: list[DispatchRequest] = attrs.field(factory=list)
     observed: list[tuple[str, Observation]] = attrs.field(factory=list)
-    counts: dict[str, list[int]] = attrs.field(factory=dict)
+    in_flight: dict[str, list[int]] = attrs.field(factory=dict)
+    counts: Counter[str] = attrs.field(factory=Counter)
     updates: int = 0
     advances: int = 0
     changed: bool = False
@@ -99,6 +101,7 @@
 
     def submit(self, request: DispatchRequest, now_ms: float) -> DispatchReply:
         self.seen.append(request)
+        self.counts["submitted"] += 1
         if self.rejects:
             return DispatchReply(REJECTED, retry_after_ms=300.0, reason="full")
         self.waiting[request.request_id] = request
@@ -128,7 +131,7 @@
         return 0.0 if self.changed else 1000.0
 
     def update_in_flight(self, counts: dict[str, list[int]], age_ms: float, now_ms: float) -> None:
-        self.counts = counts
+        self.in_flight = counts
 
     def _place(self) -> list[str]:
         decided = []
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -175,7 +175,7 @@
     ) -> None:
         site.control.report("i-1", {"e-1": [3, 1], "app-1": [5, 5]})
         await site.outcome()
-        assert site.dispatchers[0].counts == {"e-1": [3, 1]}
+        assert site.dispatchers[0].in_flight == {"e-1": [3, 1]}
 
     async def test_requests_of_a_silent_entry_instance_are_forgotten(
         self, autojump_clock: trio.testing.MockClock, site: Site
@@ -208,6 +208,27 @@
         assert len(site.dispatchers) == 2
 
 
+class TestLog:
+    """Covers what an operator sees of the decisions."""
+
+    async def test_decisions_are_logged_every_ten_seconds_while_there_are_any(
+        self,
+        site: Site,
+        autojump_clock: trio.testing.MockClock,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        lines: list[dict[str, Any]] = []
+        monkeypatch.setattr(
+            "briardyke.dispatch.coordinator.log_event",
+            lambda event, **fields: lines.append({"event": event} | fields),
+        )
+        for number in range(3):
+            await site.outcome(request_id=f"q-{number}")
+        await trio.sleep(25.0)
+        decisions = [line for line in lines if line["event"] == "dispatch_decisions"]
+        assert [(line["service"], line["submitted"]) for line in decisions] == [("pool", 5)]
+
+
 class TestCost:
     """Covers the number of decisions in a burst."""
 
--- a/tests/platform/platform_worker.py
+++ b/tests/platform/platform_worker.py
@@ -31,6 +31,7 @@
     :param takes_orders: whether it carries out orders; otherwise it is busy with another one.
     :param status: status of its answers to plain requests.
     :param limit_per_s: requests per second that it names as its limit, or ``None``.
+    :param load: figures of its load that it states, or empty.
     :param arrivals_s: time of each request that reached it, beside reports and orders.
     """
 
@@ -51,6 +52,7 @@
     ran: list[str] = attrs.field(factory=list)
     given_up: list[str] = attrs.field(factory=list)
     limit_per_s: float | None = None
+    load: bytes = b""
     arrivals_s: list[float] = attrs.field(factory=list)
 
     async def serve(self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
@@ -95,7 +97,10 @@
                 await self._run(request, answer)
 
     def _statements(self) -> Headers:
-        return [(b"server-limit", b"%g" % self.limit_per_s)] if self.limit_per_s else []
+        load = [(b"instance-load", self.load)] if self.load else []
+        if self.limit_per_s:
+            return [*load, (b"server-limit", b"%g" % self.limit_per_s)]
+        return load
 
     async def _take_order(self, order: dict[str, Any], answer: Answer) -> None:
         if not self.takes_orders or order.get("expected", self.sequence) != self.sequence:
