Use in-flight counts only if they cover all ready entry instances

Cause: the dispatcher forgets dispatches that the entry instances do not count. A control instance that is cut off from the others lacks the reports of their entry instances, and engines would look free to it.

Change: sums that cover fewer instances than are known as ready are not used. At most 32 parts of a prompt are named to the coordinator.

Measured: tests of the coordinator and of coordinated streams pass.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -228,6 +228,15 @@
             self._schedule(service)
 
     def _update_in_flight(self, service: _Service) -> None:
+        """Give the dispatcher the summed counts, if they cover all ready entry instances.
+
+        The dispatcher forgets dispatches that the entry instances do not count. A control instance
+        that is cut off from the others lacks the reports of theirs.
+        """
+        entries = self._control.tables.entries.changed_after(0)
+        ready = sum(row.is_ready and not is_silent for row, is_silent in entries)
+        if self._control.rows.activity.unreachable_counts()[1] < ready:
+            return
         in_flight = self._control.rows.activity.in_flight()
         counts = {i: in_flight[i] for i in service.upstream_ids if i in in_flight}
         service.dispatcher.update_in_flight(counts, IN_FLIGHT_AGE_MS, now_ms())
--- a/src/briardyke/gateway/coordinated_choice.py
+++ b/src/briardyke/gateway/coordinated_choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import trio
 
@@ -24,6 +24,7 @@
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.upstreams import UpstreamState
 
+_T = TypeVar("_T")
 # Fraction of the caller's event timeout and of its time limit that the first event may take; the
 # rest covers the error of the coordinator's estimate.
 _MAX_FIRST_EVENT_FRACTION = 0.75
@@ -31,6 +32,11 @@
 _REPEAT_MS = 100.0
 
 
+# Parts of a prompt that are named to the coordinator, the first ones and the last one, which is
+# unique to the request. A caller may list thousands.
+_MAX_PARTS = 32
+
+
 class Decision(Enum):
     """What is known of the engine of a stream."""
 
@@ -40,6 +46,12 @@
     LOCAL = "local"
 
 
+def _bounded(parts: tuple[_T, ...]) -> list[_T]:
+    if len(parts) <= _MAX_PARTS:
+        return list(parts)
+    return [*parts[: _MAX_PARTS - 1], parts[-1]]
+
+
 def applies_to(state: GatewayState, context: RequestContext) -> bool:
     """Return whether a coordinator chooses the upstreams of a request.
 
@@ -211,8 +223,8 @@
             self._state.data_centre,
             metadata.prompt_tokens or sum(metadata.prefix_tokens),
             metadata.max_output_tokens,
-            list(metadata.prefix_ids),
-            list(metadata.prefix_tokens),
+            _bounded(metadata.prefix_ids),
+            _bounded(metadata.prefix_tokens),
             context.account or "",
             context.identity.priority,
             context.route.priority,
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -22,6 +22,7 @@
 from briardyke.clock import now_ms
 from briardyke.dispatch.coordinator import HOLD_MS, UNSTATED_TTL_MS, DispatchCoordinator
 from briardyke.dispatch.messages import DispatchReport
+from briardyke.fleet.activity import REPORT_TTL_MS
 from briardyke.fleet.control import ENTRY_SILENT_AFTER_MS
 
 if TYPE_CHECKING:
@@ -177,6 +178,21 @@
         await site.outcome()
         assert site.dispatchers[0].in_flight == {"e-1": [3, 1]}
 
+    async def test_counts_without_the_reports_of_some_entry_instances_are_not_used(
+        self, site: Site, autojump_clock: trio.testing.MockClock
+    ) -> None:
+        """Guards against engines that look free to an instance cut off from the others."""
+        site.control.report("i-1", {"e-1": [3, 1]})
+        await site.outcome()
+        site.control.report("i-2", {"e-1": [1, 1]})
+        await trio.sleep(0.3)
+        assert site.dispatchers[0].in_flight == {"e-1": [4, 2]}
+        await trio.sleep(REPORT_TTL_MS / 1000.0 - 0.4)
+        site.control.report("i-1", {"e-1": [2, 0]})
+        await trio.sleep(0.7)
+        # The second report has run out, but its instance is not known to be gone.
+        assert site.dispatchers[0].in_flight == {"e-1": [3, 1]}
+
     async def test_requests_of_a_silent_entry_instance_are_forgotten(
         self, autojump_clock: trio.testing.MockClock, site: Site
     ) -> None:
--- a/tests/gateway/test_coordinated_streams.py
+++ b/tests/gateway/test_coordinated_streams.py
@@ -225,6 +225,15 @@
         assert (loads[0].running, loads[0].slots, loads[0].slowness) == (1, 8, 1.2)
         assert site.count("dispatch_placed") == 4
 
+    async def test_prompt_of_many_parts_is_named_in_part(self, site: Site) -> None:
+        """Guards against messages as long as a caller likes."""
+        await site.add(whole)
+        await site.stream(prefix=",".join(f"p{n}:1" for n in range(1000)))
+        asked = site.asked()[0]
+        assert len(asked.prefix_ids) == len(asked.prefix_tokens) == 32
+        assert (asked.prefix_ids[0], asked.prefix_ids[-1]) == ("p0", "p999")
+        assert asked.prompt_tokens == 1000
+
     @pytest.mark.parametrize("script", [whole, refused, lost, broken, error])
     async def test_end_is_reported_however_the_upstream_ends_the_stream(
         self, site: Site, script: Script
