--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -19,8 +19,8 @@
 
 # Fraction of an objective that an estimate may take; the rest covers its error.
 _OBJECTIVE_FRACTION = 0.9
-# Batch streams leave more, so that a live stream that follows is not delayed by them.
-_BATCH_FRACTION = 0.6
+# Requests that yield leave more, so that a stream that follows is not delayed by them.
+_YIELDING_FRACTION = 0.4
 # Prompts beyond this time wait in the queue, where they can still be placed elsewhere; an engine
 # needs only so many that it does not run out of them before the next pass.
 _MAX_BACKLOG_MS = 100.0
@@ -59,7 +59,8 @@
     :param arrived_ms: time of its first submission.
     :param objective_ms: time by which its first event meets the objective.
     :param limit_ms: time by which it needs its first event.
-    :param is_batch: whether it yields to other streams.
+    :param is_batch: whether it may wait until live streams leave capacity.
+    :param yields: whether it leaves engines that read prompts to other streams.
     """
 
     request: DispatchRequest
@@ -69,6 +70,7 @@
     objective_ms: float
     limit_ms: float
     is_batch: bool = False
+    yields: bool = False
 
     @classmethod
     def of(cls, request: DispatchRequest, now_ms: float, is_batch: bool = False) -> Need:
@@ -81,6 +83,7 @@
             now_ms + request.first_event_objective_ms,
             now_ms + request.max_wait_ms,
             is_batch,
+            is_batch,
         )
 
     def dispatch(self, unread_tokens: int) -> Dispatch:
@@ -105,6 +108,7 @@
     :param rule: why it is not fit, ``None`` if it is.
     :param cost: expected number of streams that become late, and smaller costs.
     :param unread_tokens: prompt tokens that it has not cached.
+    :param wait_ms: time until its prompt is read.
     :param first_ms: time to the first event.
     :param pause_ms: longest time between events of its running streams.
     :param ready_ms: time until it should be fit; infinite if only the end of its streams helps.
@@ -115,6 +119,7 @@
     rule: Rule | None
     cost: float
     unread_tokens: int
+    wait_ms: float
     first_ms: float
     pause_ms: float
     ready_ms: float
@@ -185,7 +190,7 @@
     if not is_connected:
         cost += _CONNECT_COST
     rule = None
-    fraction = _BATCH_FRACTION if need.is_batch else _OBJECTIVE_FRACTION
+    fraction = _YIELDING_FRACTION if need.yields else _OBJECTIVE_FRACTION
     objective_left_ms = need.objective_ms - now_ms
     if objective_left_ms > 0:
         cost += _late_fraction(estimate.first_ms / objective_left_ms)
@@ -200,7 +205,7 @@
         cost += streams * _late_fraction(estimate.pause_ms / pause_limit_ms)
         if estimate.pause_ms > pause_limit_ms * fraction:
             rule = Rule.PAUSE
-    if estimate.wait_ms > (SEND_MS if need.is_batch else _MAX_BACKLOG_MS) and rule is None:
+    if estimate.wait_ms > (SEND_MS if need.yields else _MAX_BACKLOG_MS) and rule is None:
         rule = Rule.BACKLOG
     is_possible = True
     if engine.upstream_id in reserved:
@@ -219,6 +224,7 @@
         rule,
         cost,
         unread_tokens,
+        estimate.wait_ms,
         estimate.first_ms,
         estimate.pause_ms,
         ready_ms,
--- a/src/briardyke/dispatch/drain.py
+++ b/src/briardyke/dispatch/drain.py
@@ -15,8 +15,6 @@
 
 # Fraction of its time that an engine can read prompts within the objective for pauses.
 _READING_FRACTION = 0.75
-# Largest fraction of the capacity that requests which overtake a waiting one are assumed to take.
-_MAX_OVERTAKING = 0.9
 
 
 @attrs.define(eq=False)
@@ -57,11 +55,8 @@
         self._groups: dict[str, _Group] = {}
         self._shares: dict[tuple[str, str], float] = {}
 
-    def start_ms(self, model: str, request_id: str, overtaking: float = 0.0) -> float:
-        """Return the expected time until a request's turn comes.
-
-        :param overtaking: fraction of the capacity that more urgent requests take.
-        """
+    def start_ms(self, model: str, request_id: str) -> float:
+        """Return the expected time until a request's turn comes."""
         group = self._group(model, request_id)
         if not group.power:
             return math.inf
@@ -69,7 +64,7 @@
         if group.free_slots < 1.0:
             slot_ms = (1.0 - group.free_slots) / max(1e-6, group.slots_per_ms)
             start_ms = max(start_ms, slot_ms)
-        return start_ms / (1.0 - min(_MAX_OVERTAKING, overtaking))
+        return start_ms
 
     def add(self, model: str, request_id: str, tokens: int) -> None:
         """Count a request as ahead of the following ones."""
@@ -95,7 +90,7 @@
 
     def _new_group(self, engines: Sequence[EngineLoad]) -> _Group:
         now_ms = self._now_ms
-        powers = {engine.upstream_id: power(engine, now_ms) for engine in engines}
+        powers = {engine.upstream_id: engine_power(engine, now_ms) for engine in engines}
         total = sum(powers.values())
         backlog_ms = sum(powers[e.upstream_id] * e.backlog_ms(now_ms) for e in engines)
         return _Group(
@@ -121,6 +116,6 @@
     return tokens * paces.ms_per_token * paces.model(model).value
 
 
-def power(engine: EngineLoad, now_ms: float) -> float:
+def engine_power(engine: EngineLoad, now_ms: float) -> float:
     """Return the prompt work per time of an engine, relative to a typical one."""
     return _READING_FRACTION / (engine.speed.value * engine.slowness.at(now_ms))
--- a/src/briardyke/dispatch/queue.py
+++ b/src/briardyke/dispatch/queue.py
@@ -10,6 +10,7 @@
 from sortedcontainers import SortedKeyList
 
 from briardyke.dispatch.choice import Need
+from briardyke.dispatch.decayed_sums import DecayedSums
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -26,6 +27,7 @@
 
     :param need: the request.
     :param rank: priority of its account and of its route; the lowest comes first.
+    :param work_ms: time to read its prompt on a typical engine.
     :param asked_ms: time at which its entry instance last asked for it.
     :param promotion_ms: time from which it has the rank of live streams.
     :param is_late: whether it can no longer meet its objective.
@@ -33,6 +35,7 @@
 
     need: Need
     rank: tuple[int, int]
+    work_ms: float
     asked_ms: float
     promotion_ms: float = math.inf
     is_late: bool = False
@@ -49,23 +52,6 @@
     return (first, route_priority)
 
 
-class AccountUsage:
-    """Tokens that each account was served recently."""
-
-    def __init__(self) -> None:
-        """Start without usage."""
-        self._usage: dict[str, tuple[float, float]] = {}
-
-    def add(self, account: str, tokens: float, now_ms: float) -> None:
-        """Count a request that is placed."""
-        self._usage[account] = (self.recent(account, now_ms) + tokens, now_ms)
-
-    def recent(self, account: str, now_ms: float) -> float:
-        """Return the tokens of about the last seconds."""
-        tokens, at_ms = self._usage.get(account, (0.0, now_ms))
-        return tokens * math.exp((at_ms - now_ms) / _USAGE_DECAY_MS)
-
-
 class _Lane:
     """Waiting requests of one account and rank."""
 
@@ -89,8 +75,11 @@
     """
 
     def __init__(self) -> None:
-        """Start empty."""
-        self.usage = AccountUsage()
+        """Start empty.
+
+        ``usage`` has the tokens that each account was served recently.
+        """
+        self.usage = DecayedSums[str](_USAGE_DECAY_MS)
         self._waiting: dict[str, Waiting] = {}
         self._lanes: dict[tuple[int, int], dict[str, _Lane]] = {}
         self._promotions: list[tuple[float, str]] = []
@@ -140,7 +129,7 @@
             self._discard(waiting)
             request = waiting.need.request
             waiting.rank = rank_of(request.account_priority, live_priority)
-            waiting.need.is_batch = False
+            waiting.need.is_batch = waiting.need.yields = False
             self._insert(waiting)
         return promoted
 
