--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -9,6 +9,7 @@
 from briardyke.gateway.attempt import AttemptResult
 from briardyke.gateway.authorization import Identity
 from briardyke.gateway.dialect import RequestMetadata
+from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.gateway.trace import Trace
 from briardyke.http.buffers import ResponseBuffer
 from briardyke.http.exchange import HttpRequest
@@ -39,6 +40,8 @@
     :param software_version: version of the upstream that sent the stream's first event; only this
         version can continue it. ``None`` while there is no event.
     :param identity: who sends it.
+    :param unsent_dispatches: its places on engines that it has not been sent to, by upstream id.
+    :param is_overloaded: whether the coordinator of its service has rejected it.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -60,6 +63,8 @@
     has_trial: bool = False
     software_version: str | None = None
     identity: Identity = Identity()
+    unsent_dispatches: dict[str, Dispatch] = attrs.field(factory=dict)
+    is_overloaded: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
@@ -88,6 +93,11 @@
             return False
         return upstream_id not in self.tried_upstreams
 
+    def end_unsent_dispatches(self) -> None:
+        """Give up the places on engines that the request has not been sent to."""
+        while self.unsent_dispatches:
+            self.unsent_dispatches.popitem()[1].end()
+
     @property
     def remaining_ms(self) -> float:
         """Return the time left until the deadline."""
