Coordinate engines for which client accounts compete

Cause: the coordinator was used only where engines state their slowness. On a deployment whose engines do not, client accounts compete for them just as well, and nothing divides the room between accounts.

Change: a configuration with client accounts switches the coordination on for its services with engines. A coordinator forgets a service that nobody has asked for or reported on for half a minute.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -37,9 +37,9 @@
 IN_FLIGHT_AGE_MS = 400.0
 # Interval at which the decisions on each service are logged.
 _LOG_INTERVAL_MS = 10_000.0
-# Time without a stated slowness after which the engines of a service count as not stating it. At
-# the lowest loads, an engine of a service answers every few seconds.
-UNSTATED_TTL_MS = 30_000.0
+# Time without a request or a report after which a service is forgotten. At the lowest loads, an
+# engine of a service answers every few seconds.
+UNUSED_TTL_MS = 30_000.0
 
 
 @attrs.define
@@ -62,7 +62,7 @@
     :param spec: its engines, as last given to the dispatcher.
     :param row_sequence: sequence of the upstream table, as last given to it.
     :param upstream_ids: its ready engines.
-    :param stated_ms: time of the last stated slowness, or of its first request.
+    :param used_ms: time of the last request or report.
     :param held: held requests by id.
     :param logged: decisions of its dispatcher when they were last logged.
     :param advanced_ms: time of the last decision on its queue.
@@ -70,7 +70,7 @@
     """
 
     dispatcher: Dispatcher
-    stated_ms: float
+    used_ms: float
     spec: EngineSpec | None = None
     row_sequence: int = -1
     upstream_ids: frozenset[str] = frozenset()
@@ -167,13 +167,11 @@
     def _observe(
         self, service: _Service, instance_id: str, observations: Iterable[Observation]
     ) -> None:
-        now = now_ms()
+        now = service.used_ms = now_ms()
         has_any = False
         for observation in observations:
             has_any = True
-            if observation.kind == ObservationKind.LOAD.value and observation.slowness > 0:
-                service.stated_ms = now
-            elif observation.kind == ObservationKind.ENDED.value:
+            if observation.kind == ObservationKind.ENDED.value:
                 self._placed.remove(observation.request_id)
             service.dispatcher.observe(instance_id, observation, now)
         if has_any and service.held:
@@ -294,7 +292,7 @@
         now = now_ms()
         for name, service in list(self._services.items()):
             spec = self._engine_spec(name)
-            if spec is None or now - service.stated_ms >= UNSTATED_TTL_MS:
+            if spec is None or now - service.used_ms >= UNUSED_TTL_MS:
                 self._drop(name)
                 continue
             self._refresh(name, service, spec)
--- a/src/briardyke/gateway/coordinated_choice.py
+++ b/src/briardyke/gateway/coordinated_choice.py
@@ -53,15 +53,11 @@
 
 
 def applies_to(state: GatewayState, context: RequestContext) -> bool:
-    """Return whether a coordinator chooses the upstreams of a request.
-
-    It does so for streams of services whose engines state their slowness.
-    """
+    """Return whether a coordinator chooses the upstreams of a request."""
     return (
         state.dispatch is not None
         and context.route.kind is RequestKind.STREAMING
-        and state.is_engine(context.service)
-        and any(s.slowness is not None for s in state.upstreams.usable(context.service))
+        and state.is_coordinated(context.service)
     )
 
 
--- a/src/briardyke/gateway/dispatch_client.py
+++ b/src/briardyke/gateway/dispatch_client.py
@@ -230,7 +230,7 @@
     def report_load(self, service: str, upstream_id: str, load: LoadReport) -> None:
         """Report the load that an engine has stated in a response."""
         coordinator = self._coordinator(service)
-        if coordinator is not None and load.slowness is not None:
+        if coordinator is not None:
             seen = Observation(
                 ObservationKind.LOAD.value,
                 upstream_id,
@@ -238,7 +238,7 @@
                 running=load.running,
                 waiting=load.waiting,
                 slots=load.slots,
-                slowness=load.slowness,
+                slowness=load.slowness or 0.0,
             )
             self.report(coordinator, service, seen)
 
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -162,6 +162,18 @@
         spec = self.routes.configuration.services.get(service) if self.routes else None
         return spec is not None and spec.engine is not None
 
+    def is_coordinated(self, service: str) -> bool:
+        """Return whether the streams of a service are given engines by its coordinator.
+
+        Its engines share their machines with other programs and state how slow they are, or client
+        accounts compete for them.
+        """
+        if self.routes is None or not self.is_engine(service):
+            return False
+        return bool(self.routes.configuration.accounts) or any(
+            state.slowness is not None for state in self.upstreams.usable(service)
+        )
+
     def software_versions(self, service: str) -> set[str]:
         """Return the software versions of a service that may have begun a stream."""
         listed = self.service_versions.get(service, ())
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -49,7 +49,7 @@
     ) -> UpstreamState | None:
         """Select an upstream, waiting for a model or adapter that is being loaded.
 
-        A stream on engines that state their slowness is given one by the coordinator of its
+        A stream of a coordinated service is given one by the coordinator of its
         service, and also waits for a place there.
 
         :param select: returns the upstreams to select from; without any, none is waited for.
@@ -268,7 +268,12 @@
         upstream.statements.record(upstream.row, response)
         self._state.limits.record(upstream.row, response.limit_per_s, sent_ms)
         dispatch, service = self._state.dispatch, upstream.row.service
-        if dispatch is not None and response.load is not None and self._state.is_engine(service):
+        if (
+            dispatch is not None
+            and response.load is not None
+            and (response.load.slowness is not None or self._state.is_coordinated(service))
+            and self._state.is_engine(service)
+        ):
             dispatch.report_load(service, upstream.row.upstream_id, response.load)
 
     def _log_limited_send(self, context: RequestContext, upstream: UpstreamState) -> None:
--- a/tests/gateway/test_coordinated_streams.py
+++ b/tests/gateway/test_coordinated_streams.py
@@ -22,6 +22,7 @@
     wait_until,
 )
 
+from briardyke.accounts.types import ClientAccount, key_digest
 from briardyke.addresses import Address
 from briardyke.clock import now_ms
 from briardyke.dispatch.messages import DispatchReply, DispatchRequest
@@ -29,6 +30,7 @@
 from briardyke.gateway.coordinators import Coordinators
 from briardyke.gateway.dialect import LoadReport
 from briardyke.gateway.dispatch_client import DispatchClient
+from briardyke.routes.matching import RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -532,3 +534,31 @@
 
 
 CONTROLS_NOW: list[Address] = []
+
+
+class TestClientAccounts:
+    """Covers engines without stated slowness for which client accounts compete."""
+
+    async def test_accounts_are_placed_by_the_coordinator(self, site: Site) -> None:
+        """Guards against accounts that compete for engines without anything that divides them."""
+
+        async def plain(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all(
+                with_load(STREAM_HEAD % request_id, b"1,0,8") + event(1) + b"0\r\n\r\n"
+            )
+
+        await site.add(plain, slowness=None)
+        routes = site.gateway.state.routes
+        assert routes is not None
+        account = ClientAccount("a", (key_digest(b"k"),), 1)
+        site.gateway.state.routes = RouteTable(
+            attrs.evolve(routes.configuration, accounts=(account,))
+        )
+        reply = await site.gateway.send(
+            "/chat/x", "s-1", "m", more_headers=[("Authorization", "Bearer k")]
+        )
+        assert is_served(reply)
+        (request,) = site.asked()
+        assert (request.account, request.upstream_ids) == ("a", ["u0"])
