Charge requests to the quotas of their accounts

Cause: the quotas of the configuration were read and not enforced.

Change: the leader grants tokens (registered like permits), and an entry instance charges a request after the checks that reject it without cost and before an upstream is selected. A request over the quota gets 429 with the time at which the leader expects tokens; one that no upstream has worked on is refunded. A request without an account, or of an account without a quota, costs no message.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -26,6 +26,7 @@
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.view import FleetView
 from briardyke.logs import log_event, log_limited, log_warning
+from briardyke.quotas.messages import QUOTA_TIMEOUT_MS, QuotaReply, QuotaRequest
 from briardyke.software_versions.directory import StreamDirectory
 from briardyke.upstream_limits.granter import PERMIT_TIMEOUT_MS
 
@@ -376,3 +377,14 @@
         client = self._peers.client(self.view.leader)
         reply = (await client.call(request, PERMIT_TIMEOUT_MS)).ok()
         return reply if isinstance(reply, PermitReply) else None
+
+    async def request_quota(self, request: QuotaRequest) -> QuotaReply | None:
+        """Ask the leader for tokens of accounts.
+
+        :return: ``None`` when the leader cannot be reached in time.
+        """
+        if self.view.leader is None:
+            return None
+        client = self._peers.client(self.view.leader)
+        reply = (await client.call(request, QUOTA_TIMEOUT_MS)).ok()
+        return reply if isinstance(reply, QuotaReply) else None
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -39,6 +39,7 @@
 from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
+from briardyke.quotas.messages import QuotaReply, QuotaRequest
 from briardyke.software_versions.streams import StreamTable
 from briardyke.supervision import keep_running
 
@@ -109,6 +110,7 @@
         self.load_adapter: Callable[[AdapterRequest], Awaitable[AdapterReply]] | None = None
         self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
         self.grant_permit: Callable[[PermitRequest], Awaitable[PermitReply]] | None = None
+        self.grant_quota: Callable[[QuotaRequest], Awaitable[QuotaReply]] | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -266,6 +268,8 @@
             return await self.answer_trial(message)
         if isinstance(message, PermitRequest) and self.grant_permit is not None:
             return await self.grant_permit(message)
+        if isinstance(message, QuotaRequest) and self.grant_quota is not None:
+            return await self.grant_quota(message)
         return None
 
     def _stream_reply(self, request: StreamRequest) -> StreamReply:
--- /dev/null
+++ b/src/briardyke/gateway/charging.py
@@ -0,0 +1,41 @@
+"""Charge requests to the quotas of their accounts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briardyke.clock import now_ms
+
+if TYPE_CHECKING:
+    from briardyke.errors import Failure
+    from briardyke.gateway.request_context import RequestContext
+    from briardyke.gateway.state import GatewayState
+
+# Longest wait for a leader, at most a quarter of the caller's time. An election takes up to two
+# seconds, and the request then needs time to run.
+_MAX_LEADER_WAIT_MS = 1500.0
+_LEADER_WAIT_FRACTION = 0.25
+
+
+async def charge(context: RequestContext, state: GatewayState) -> Failure | None:
+    """Charge a request before an upstream is selected; return the reason to reject it, if any.
+
+    A request without an account, or of an account without a quota, costs no message.
+    """
+    quota = context.identity.quota
+    if not context.account or not quota.is_limited:
+        return None
+    received_ms = context.request.received_ms
+    wait_ms = min(_MAX_LEADER_WAIT_MS, (context.deadline_ms - received_ms) * _LEADER_WAIT_FRACTION)
+    wait_ms = max(0.0, wait_ms - (now_ms() - received_ms))
+    cost = quota.cost(context.metadata.stated_tokens)
+    charged = await state.credits.take(context.account, quota, cost, wait_ms)
+    context.charge = charged.ok()
+    return charged.err()
+
+
+def refund_unless_run(context: RequestContext, state: GatewayState) -> None:
+    """Refund a request that has ended; one that an upstream may have worked on stays charged."""
+    if context.charge is not None and not context.may_have_run:
+        state.credits.refund(context.charge)
+        context.charge = None
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,6 +12,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
 from briardyke.gateway.authorization import authorize
+from briardyke.gateway.charging import charge, refund_unless_run
 from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.hedged_attempts import HedgedAttempts
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
@@ -93,7 +94,7 @@
             request, metadata, route, service, deadline_ms, trace, buffer, identity=identity
         )
         state.budget(service).record_request(now_ms())
-        refusal = await self._admission_refusal(context)
+        refusal = await self._admission_refusal(context) or await charge(context, state)
         if refusal is not None:
             await self._send_failure(answer, trace, refusal)
             return
@@ -257,6 +258,7 @@
 
     async def _finish_unserved(self, context: RequestContext, answer: Answer) -> None:
         """Respond to a request that no upstream has served."""
+        refund_unless_run(context, self._state)
         last = context.last_attempt
         if last is not None and last.ending is Ending.ANSWERED and last.head is not None:
             headers = end_to_end(last.head.headers)
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -15,6 +15,7 @@
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import H11Server, ServerLimits
 from briardyke.logs import log_event
+from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.routes.matching import RouteTable
 from briardyke.supervision import keep_running
@@ -93,6 +94,7 @@
             self.client.request_permit,
             self.client.streams,
             self._is_informed,
+            AccountCredits(settings.instance_id, settings.quota_bounds, self.client.request_quota),
         )
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
@@ -116,6 +118,7 @@
             nursery.start_soon(keep_running, "fleet_client", self.client.run)
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             nursery.start_soon(keep_running, "stream_versions", self.state.streams.run)
+            nursery.start_soon(keep_running, "quotas", self.state.credits.run)
             await nursery.start(self.server.serve, self._settings.listen)
             log_event("entry_started", instance=self._settings.instance_id)
             await stop.wait()
@@ -215,6 +218,7 @@
         entries = self.client.view.entries
         listed = listed_instances(entries, self.carried_per_s)
         self.state.update_listing(self._settings.instance_id, listed, len(entries))
+        self.state.credits.record_instance_count(len(entries))
 
     async def _sweep(self) -> None:
         while True:
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -12,6 +12,7 @@
 from briardyke.gateway.trace import Trace
 from briardyke.http.buffers import ResponseBuffer
 from briardyke.http.exchange import HttpRequest
+from briardyke.quotas.ledger import Charge
 from briardyke.routes.configuration import Route
 
 
@@ -39,6 +40,7 @@
     :param software_version: version of the upstream that sent the stream's first event; only this
         version can continue it. ``None`` while there is no event.
     :param identity: who sends it.
+    :param charge: what it has been charged of its account's quota.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -60,6 +62,7 @@
     has_trial: bool = False
     software_version: str | None = None
     identity: Identity = Identity()
+    charge: Charge | None = None
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -6,6 +6,7 @@
 
 from briardyke.addresses import Address
 from briardyke.gateway.state import RetryBounds
+from briardyke.quotas.bounds import QuotaBounds
 
 
 @attrs.frozen
@@ -18,6 +19,7 @@
     :param grace_s: time between a stop request and the forced stop, in seconds.
     :param retries: limits on the retries of all entry instances together.
     :param capacity_per_s: requests per second that it could process.
+    :param quota_bounds: how far the use of quotas may exceed them.
     """
 
     instance_id: str
@@ -26,3 +28,4 @@
     grace_s: float
     retries: RetryBounds
     capacity_per_s: float = 0.0
+    quota_bounds: QuotaBounds = QuotaBounds()
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -18,6 +18,8 @@
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS
 from briardyke.http.buffers import BufferBudget
 from briardyke.policy.retries import RetryBudget
+from briardyke.quotas.bounds import QuotaBounds
+from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
 
@@ -28,6 +30,7 @@
     from briardyke.gateway.dialect import Dialect
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
+    from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
@@ -67,6 +70,7 @@
         request_permit: RequestPermit | None = None,
         stream_directory: Directory | None = None,
         is_informed: Callable[[], bool] = lambda: True,
+        account_credits: AccountCredits | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -80,6 +84,7 @@
             limit; by default none is granted.
         :param stream_directory: control instances that know the software versions of streams.
         :param is_informed: returns whether the known upstreams are as of now.
+        :param account_credits: charges the quotas of accounts; by default no leader is asked.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -92,6 +97,7 @@
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
+        self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
         self.changed = Notifier()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
@@ -171,5 +177,9 @@
     return None
 
 
+async def _grant_nothing(request: QuotaRequest) -> QuotaReply | None:
+    return None
+
+
 async def _deny_trial(part: str) -> bool:
     return False
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -20,6 +20,8 @@
 from briardyke.platform.starting import start
 from briardyke.quarantine.runner import QuarantineRunner
 from briardyke.quarantine.store import VerdictStore
+from briardyke.quotas.bounds import QuotaBounds
+from briardyke.quotas.granter import QuotaGranter
 from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.software_versions.runner import ServiceVersionsRunner
 from briardyke.supervision import keep_running
@@ -94,12 +96,16 @@
         quarantine = QuarantineRunner(control, VerdictStore(settings.data_dir))
         control.answer_trial = quarantine.answer_trial
         control.grant_permit = PermitGranter(control).grant
+        bounds = QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
+        quotas = QuotaGranter(control, configuration.current, bounds)
+        control.grant_quota = quotas.grant
         versions = ServiceVersionsRunner(control, settings.data_dir)
         nursery.start_soon(control.run)
         nursery.start_soon(keep_running, "configuration", configuration.run)
         nursery.start_soon(keep_running, "placement", models.run)
         nursery.start_soon(keep_running, "quarantine", quarantine.run)
         nursery.start_soon(keep_running, "software_versions", versions.run)
+        nursery.start_soon(keep_running, "quotas", quotas.run)
         log_event("control_started", member=log.status().member_id, version=machine.version)
         await stop.wait()
         await control.stop()
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -17,6 +17,7 @@
 from briardyke.platform.headers import PlatformDialect
 from briardyke.platform.seeds import SettingsFollower
 from briardyke.platform.starting import start
+from briardyke.quotas.bounds import QuotaBounds
 from briardyke.supervision import keep_running
 from briardyke.wire.connection import PROTOCOL_VERSION, Hello
 from briardyke.wire.pool import PeerPool
@@ -35,6 +36,7 @@
         settings.grace_s,
         RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s),
         capacity_per_s(settings.cores, settings.link_mbps),
+        QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
--- a/src/briardyke/quotas/bounds.py
+++ b/src/briardyke/quotas/bounds.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from briardyke.quotas.messages import QUOTA_TIMEOUT_MS
+
 if TYPE_CHECKING:
     from briardyke.accounts.types import AccountQuota
 
@@ -17,7 +19,7 @@
 _EMERGENCY_FRACTION = 0.5
 _UNSPENT_FRACTION = 0.2
 # Below this lifetime, credits would expire on their way; above the other, nothing is gained.
-_MIN_LIFETIME_MS = 250.0
+_MIN_LIFETIME_MS = QUOTA_TIMEOUT_MS
 _MAX_LIFETIME_MS = 1000.0
 # Smallest capacity of a bucket as a part of what the quota allows in a window, for quotas without a
 # burst, and the time of the rate that it does not exceed.
--- a/src/briardyke/quotas/leader.py
+++ b/src/briardyke/quotas/leader.py
@@ -50,6 +50,10 @@
             else:
                 self._buckets[name] = QuotaBucket(allowance, now_ms)
 
+    def bucket(self, account: str) -> QuotaBucket:
+        """Return the bucket of an account with a quota."""
+        return self._buckets[account]
+
     def answer(self, request: QuotaRequest, now_ms: float) -> QuotaReply:
         """Grant what the buckets hold."""
         grants = (self._grant(demand, now_ms) for demand in request.demands)
--- a/src/briardyke/quotas/messages.py
+++ b/src/briardyke/quotas/messages.py
@@ -6,6 +6,9 @@
 
 from briardyke.wire.codec import message
 
+# Tokens of a later reply would have expired, which live no longer than this when the rate is high.
+QUOTA_TIMEOUT_MS = 250.0
+
 
 @attrs.frozen
 class ReturnedTokens:
--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -160,6 +160,10 @@
         """Start to listen on a free port."""
         self.port = await self._nursery.start(self.server.serve, Address("127.0.0.1", 0))
 
+    def run_beside(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Run a task until the gateway ends."""
+        self._nursery.start_soon(task)
+
     async def add(
         self, service: str, script: Script, software_version: str = ""
     ) -> ScriptedUpstream:
