Find callers of the product's own path in the same key table

Cause: the product's own path compared a request's key with each caller in turn, beside the table of the gateway: two definitions of an account, and a look-up that grows with the number of callers.

Change: the table of accounts is built from the callers of a version when it comes into force; the look-up ends with one comparison in constant time. What is accepted and rejected stays.

--- a/src/briardyke/entry/authentication.py
+++ b/src/briardyke/entry/authentication.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
 
+from briardyke.accounts.key_table import KeyTable
+from briardyke.accounts.types import ClientAccount, key_digest
 from briardyke.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
@@ -19,20 +19,26 @@
 _SCHEME = "Bearer "
 
 
-def authenticate(headers: Mapping[str, str], callers: Mapping[str, Caller]) -> Result[str, Failure]:
+def caller_keys(callers: Mapping[str, Caller]) -> KeyTable:
+    """Return the table that finds the callers of a configuration by their keys."""
+    return KeyTable(
+        ClientAccount(name, (bytes.fromhex(caller.api_key_sha256),))
+        for name, caller in callers.items()
+    )
+
+
+def authenticate(headers: Mapping[str, str], keys: KeyTable) -> Result[str, Failure]:
     """Return the name of the caller that owns the request's API key.
 
     :param headers: request headers by lower-case name.
-    :param callers: callers of the configuration; without any, everyone is anonymous.
+    :param keys: keys of the configuration's callers; without any, everyone is anonymous.
     :return: the caller's name, or a failure of kind ``unauthenticated``.
     """
-    if not callers:
+    if not keys:
         return Ok(ANONYMOUS)
     value = headers.get("authorization", "")
-    digest = hashlib.sha256(value.removeprefix(_SCHEME).encode()).hexdigest()
-    if value.startswith(_SCHEME):
-        for name, caller in callers.items():
-            if hmac.compare_digest(digest, caller.api_key_sha256.lower()):
-                return Ok(name)
+    account = keys.find(key_digest(value.removeprefix(_SCHEME).encode()))
+    if account is not None and value.startswith(_SCHEME):
+        return Ok(account.name)
     text = "no caller has this API key"
     return Err(Failure(ErrorKind.UNAUTHENTICATED, text, "authorization"))
--- a/src/briardyke/entry/caller_api.py
+++ b/src/briardyke/entry/caller_api.py
@@ -165,7 +165,7 @@
                 ErrorKind.VERSION_UNCONFIRMED, text, retry_after_ms=_UNCONFIRMED_RETRY_MS
             )
             return Err(failure)
-        return authenticate(request.headers, self._state.configuration.callers)
+        return authenticate(request.headers, self._state.keys)
 
     def _admit_model(
         self, request: Request, request_id: str
--- a/src/briardyke/entry/state.py
+++ b/src/briardyke/entry/state.py
@@ -11,6 +11,7 @@
 from briardyke.agreed.projection import Projection
 from briardyke.clock import now_ms, wall_unix_ms
 from briardyke.entry.announcements import parse_announcement
+from briardyke.entry.authentication import caller_keys
 from briardyke.entry.demand import DemandMeter
 from briardyke.logs import log_error, log_event, log_warning
 from briardyke.policy.admission import AdmissionController
@@ -50,6 +51,7 @@
         self.address = address
         self.view = SyncedView(now_ms())
         self.projection = Projection()
+        self.keys = caller_keys({})
         self.draining = False
         self.in_flight = 0
         self.demand = DemandMeter()
@@ -126,6 +128,7 @@
             log_error("version_unreadable", reason=accepted.unwrap_err().message)
         elif accepted.unwrap():
             self.admission.apply(self.configuration.targets)
+            self.keys = caller_keys(self.configuration.callers)
             log_event("version_in_force", version=self.version)
 
     def _apply_shares(self) -> None:
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
+from briardyke.accounts.types import key_digest
 from briardyke.addresses import Address
 from briardyke.clock import now_ms
 from briardyke.entry.settings import EntrySettings
@@ -72,3 +74,17 @@
         state.view.apply(_reply(1, {}), now_ms(), now_ms())
         mock_clock.jump(VERSION_LEASE_MS / 1000.0)
         assert not state.ready()
+
+
+class TestKeys:
+    """Guards against keys of an earlier version than the one in force."""
+
+    async def test_keys_change_with_the_version(self, mock_clock: trio.testing.MockClock) -> None:
+        state = _state()
+        for version, key in ((1, "k1"), (2, "k2")):
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            callers = {"callers": {"shop": {"api_key_sha256": digest}}}
+            state.view.apply(_reply(version, callers), now_ms(), now_ms())
+            assert state.ready()
+            found = [state.keys.find(key_digest(k)) is not None for k in (b"k1", b"k2")]
+            assert found == [version == 1, version == 2]
