--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -8,6 +8,7 @@
 
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
+from briardyke.gateway.configuration_proof import ConfigurationProof
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
@@ -70,6 +71,7 @@
         request_permit: RequestPermit | None = None,
         stream_directory: Directory | None = None,
         is_informed: Callable[[], bool] = lambda: True,
+        proof: ConfigurationProof | None = None,
         account_credits: AccountCredits | None = None,
     ) -> None:
         """Start without a configuration.
@@ -84,6 +86,7 @@
             limit; by default none is granted.
         :param stream_directory: control instances that know the software versions of streams.
         :param is_informed: returns whether the known upstreams are as of now.
+        :param proof: age of the configuration; by default one of any age may be used.
         :param account_credits: charges the quotas of accounts; by default no leader is asked.
         """
         self.dialect = dialect
@@ -99,6 +102,7 @@
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
         self.changed = Notifier()
+        self.proof = proof or ConfigurationProof()
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
         self._retries = retries
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -36,6 +36,7 @@
         settings.grace_s,
         RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s),
         capacity_per_s(settings.cores, settings.link_mbps),
+        settings.revocation_ms,
         QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
     )
     async with trio.open_nursery() as nursery:
