--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -40,6 +40,7 @@
 from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
+from briardyke.quotas.messages import QuotaReply, QuotaRequest
 from briardyke.software_versions.streams import StreamTable
 from briardyke.supervision import keep_running
 
@@ -112,6 +113,7 @@
         self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
         self.grant_permit: Callable[[PermitRequest], Awaitable[PermitReply]] | None = None
         self.dispatch: DispatchCoordinator | None = None
+        self.grant_quota: Callable[[QuotaRequest], Awaitable[QuotaReply]] | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -273,6 +275,8 @@
             return await self.dispatch.answer(message)
         if isinstance(message, DispatchReport) and self.dispatch is not None:
             self.dispatch.record(message)
+        if isinstance(message, QuotaRequest) and self.grant_quota is not None:
+            return await self.grant_quota(message)
         return None
 
     def _stream_reply(self, request: StreamRequest) -> StreamReply:
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -17,6 +17,7 @@
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import H11Server, ServerLimits
 from briardyke.logs import log_event
+from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.routes.matching import RouteTable
 from briardyke.supervision import keep_running
@@ -101,6 +102,7 @@
                 lambda: self.client.view.proven_as_of_ms,
                 self.client.report_now,
             ),
+            AccountCredits(settings.instance_id, settings.quota_bounds, self.client.request_quota),
         )
         self._dispatch = self.state.dispatch = DispatchClient(
             settings.instance_id,
@@ -131,6 +133,7 @@
             nursery.start_soon(keep_running, "dispatch_reports", self._dispatch.run)
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             nursery.start_soon(keep_running, "stream_versions", self.state.streams.run)
+            nursery.start_soon(keep_running, "quotas", self.state.credits.run)
             await nursery.start(self.server.serve, self._settings.listen)
             log_event("entry_started", instance=self._settings.instance_id)
             await stop.wait()
@@ -230,6 +233,7 @@
         entries = self.client.view.entries
         listed = listed_instances(entries, self.carried_per_s)
         self.state.update_listing(self._settings.instance_id, listed, len(entries))
+        self.state.credits.record_instance_count(len(entries))
 
     async def _sweep(self) -> None:
         while True:
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -13,6 +13,7 @@
 from briardyke.gateway.trace import Trace
 from briardyke.http.buffers import ResponseBuffer
 from briardyke.http.exchange import HttpRequest
+from briardyke.quotas.ledger import Charge
 from briardyke.routes.configuration import Route
 
 
@@ -42,6 +43,7 @@
     :param identity: who sends it.
     :param unsent_dispatches: its places on engines that it has not been sent to, by upstream id.
     :param is_overloaded: whether the coordinator of its service has rejected it.
+    :param charge: what it has been charged of its account's quota.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -65,6 +67,7 @@
     identity: Identity = Identity()
     unsent_dispatches: dict[str, Dispatch] = attrs.field(factory=dict)
     is_overloaded: bool = False
+    charge: Charge | None = None
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -6,6 +6,7 @@
 
 from briardyke.addresses import Address
 from briardyke.gateway.state import RetryBounds
+from briardyke.quotas.bounds import QuotaBounds
 
 
 @attrs.frozen
@@ -20,6 +21,7 @@
     :param capacity_per_s: requests per second that it could process.
     :param revocation_ms: time after which a revoked key must be refused, ``None`` when keys are
         accepted under a configuration of any age.
+    :param quota_bounds: how far the use of quotas may exceed them.
     """
 
     instance_id: str
@@ -29,3 +31,4 @@
     retries: RetryBounds
     capacity_per_s: float = 0.0
     revocation_ms: float | None = None
+    quota_bounds: QuotaBounds = QuotaBounds()
