--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -62,7 +62,7 @@
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)  # may hold API keys
     body: bytes
     received_ms: float = attrs.field(factory=now_ms)
 
