Show refused requests by reason and the age of the proof

Cause: an operator could not tell a missing key from an unknown one or from a missing proof, nor see that an instance was about to lose its proof. Lines of refused clients could displace those of failures.

Change: counters by reason, the age of the proof as a metric where a bound is set, one line when the proof is lost and one when it returns, and the account's name in the line of a request. Lines of requests without a valid key count as routine ones.

--- a/src/briardyke/gateway/authorization.py
+++ b/src/briardyke/gateway/authorization.py
@@ -34,6 +34,13 @@
 _ANONYMOUS = Identity("")
 
 
+def refusal_event(failure: Failure, key_digest: bytes | None) -> str:
+    """Return the name under which a rejection is counted."""
+    if failure.kind is ErrorKind.VERSION_UNCONFIRMED:
+        return "authorization_unproven"
+    return "authorization_no_key" if key_digest is None else "authorization_unknown_key"
+
+
 def authorize(
     routes: RouteTable, route: Route, key_digest: bytes | None, *, is_proven: bool
 ) -> Result[Identity, Failure]:
--- a/src/briardyke/gateway/configuration_proof.py
+++ b/src/briardyke/gateway/configuration_proof.py
@@ -7,6 +7,7 @@
 import attrs
 
 from briardyke.clock import boot_ms
+from briardyke.logs import log_event
 from briardyke.sync.notifier import Notifier
 
 # Fraction of the bound up to which a configuration may be used; the rest covers the difference
@@ -30,6 +31,7 @@
     request_renewal: Callable[[], None] = lambda: None
     renewed: Notifier = attrs.field(factory=Notifier)
     _waiting: int = 0
+    _was_valid: bool = False
 
     @property
     def age_ms(self) -> float:
@@ -43,6 +45,22 @@
             return True
         return self.age_ms < _USABLE_FRACTION * self.revocation_ms
 
+    def observe(self) -> None:
+        """Log when the proof has become too old, and when it has returned."""
+        if self.revocation_ms is None or self.is_valid == self._was_valid:
+            return
+        self._was_valid = self.is_valid
+        age_ms = f"{self.age_ms:.0f}"
+        if self._was_valid:
+            log_event("configuration_proven", age_ms=age_ms, revocation_ms=self.revocation_ms)
+        else:
+            log_event("configuration_unproven", age_ms=age_ms, revocation_ms=self.revocation_ms)
+
+    def record_renewal(self) -> None:
+        """Wake the requests that wait for a newer proof."""
+        self.observe()
+        self.renewed.notify()
+
     async def wait(self, timeout_ms: float) -> None:
         """Wait for a newer proof; the first request that waits asks for it."""
         if not self._waiting:
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -18,12 +19,14 @@
     :param buckets: requests by service and latency bucket.
     :param sums_ms: total duration by service.
     :param events: other events by name.
+    :param gauges: functions that return present values, by name.
     """
 
     requests: dict[tuple[str, str], int] = attrs.field(factory=dict)
     buckets: dict[str, list[int]] = attrs.field(factory=dict)
     sums_ms: dict[str, float] = attrs.field(factory=dict)
     events: dict[str, int] = attrs.field(factory=dict)
+    gauges: dict[str, Callable[[], float]] = attrs.field(factory=dict, repr=False)
 
     def record(self, service: str, outcome: str, duration_ms: float) -> None:
         """Count a finished request."""
@@ -50,7 +53,10 @@
             for bound, count in zip([*BOUNDS_MS, "+Inf"], row, strict=True):
                 total += count
                 durations.append((float(total), {"service": service, "le": str(bound)}))
-        return {
+        gauges: dict[str, list[tuple[float, dict[str, Any]]]] = {
+            name: [(read(), {})] for name, read in self.gauges.items()
+        }
+        return gauges | {
             "gateway_requests_total": [
                 (float(count), {"service": service, "outcome": outcome})
                 for (service, outcome), count in self.requests.items()
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,7 +12,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
-from briardyke.gateway.authorization import authorize
+from briardyke.gateway.authorization import authorize, refusal_event
 from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.hedged_attempts import HedgedAttempts
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
@@ -80,6 +80,7 @@
             await self._send_failure(answer, trace, found.unwrap_err())
             return
         route, identity = found.unwrap()
+        trace.account = identity.account or ""
         metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
         service = choose_service(route, usable, self._random)
@@ -163,6 +164,7 @@
                 return Ok((route, authorized.unwrap()))
             failure = authorized.unwrap_err()
             if failure.kind is not ErrorKind.VERSION_UNCONFIRMED or left_ms <= 0:
+                state.counters.count(refusal_event(failure, metadata.key_digest))
                 return Err(failure)
             await state.proof.wait(left_ms)
 
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -83,7 +83,7 @@
             self._apply_configuration,
             self._on_change,
             self._on_reply,
-            lambda: self.state.proof.renewed.notify(),
+            lambda: self.state.proof.record_renewal(),
         )
         self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
@@ -226,6 +226,7 @@
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP_INTERVAL_S)
+            self.state.proof.observe()
             retired, self._retired = self._retired, []
             for pool in retired:
                 await pool.aclose()
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -97,6 +97,8 @@
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.changed = Notifier()
         self.proof = proof or ConfigurationProof()
+        if self.proof.revocation_ms is not None:
+            self.counters.gauges["gateway_configuration_proof_age_ms"] = lambda: self.proof.age_ms
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
         self._retries = retries
--- a/src/briardyke/gateway/trace.py
+++ b/src/briardyke/gateway/trace.py
@@ -16,6 +16,11 @@
     from briardyke.http.exchange import Answer
 
 
+# Clients that nobody controls can cause rejections at will, so their lines must not displace those
+# of failures.
+_ROUTINE_OUTCOMES = frozenset({"served", "unauthenticated"})
+
+
 class EndedBy(Enum):
     """What ended a request before its answer was complete."""
 
@@ -53,6 +58,7 @@
     :param events: number of events forwarded.
     :param resumes: id of the caller's attempt that began the stream which this one continues.
     :param software_versions: software versions of the upstreams that sent events.
+    :param account: name of the caller's account, or empty.
     """
 
     request_id: str
@@ -69,6 +75,7 @@
     events: int = 0
     resumes: str = ""
     software_versions: list[str] = attrs.field(factory=list)
+    account: str = ""
     is_finished: bool = False
 
     def start_attempt(self, holders: int) -> None:
@@ -114,8 +121,9 @@
         counters.record(self.service, outcome, duration_ms)
         log_limited(
             "request_finished",
-            is_routine=outcome == "served",
+            is_routine=outcome in _ROUTINE_OUTCOMES,
             request=self.request_id,
+            account=self.account,
             route=self.route,
             service=self.service,
             model=self.model,
--- a/tests/gateway/test_configuration_proof.py
+++ b/tests/gateway/test_configuration_proof.py
@@ -11,6 +11,8 @@
 
 from briardyke.clock import boot_ms
 from briardyke.gateway.configuration_proof import ConfigurationProof
+from briardyke.gateway.state import GatewayState, RetryBounds
+from briardyke.platform.headers import PlatformDialect
 
 if TYPE_CHECKING:
     from gateway_support import Gateway
@@ -37,7 +39,7 @@
 
     def renew(self) -> None:
         self.as_of_ms = boot_ms()
-        self.proof.renewed.notify()
+        self.proof.record_renewal()
 
 
 def require_proof(gateway: Gateway) -> Proof:
@@ -68,6 +70,57 @@
         assert ConfigurationProof(None).is_valid
 
 
+class TestVisibility:
+    """Covers what an operator sees of the proof and of rejections."""
+
+    async def test_loss_and_return_are_logged_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a line for each request, and against a silent loss of service."""
+        events: list[str] = []
+        monkeypatch.setattr(
+            "briardyke.gateway.configuration_proof.log_event", lambda name, **_: events.append(name)
+        )
+        proof = Proof()
+        proof.proof.observe()
+        assert events == []  # nothing was lost yet
+        for _ in range(3):
+            proof.renew()
+        proof.as_of_ms -= REVOCATION_MS
+        for _ in range(3):
+            proof.proof.observe()
+        assert events == ["configuration_proven", "configuration_unproven"]
+
+    async def test_rejections_are_counted_by_reason(self, gateway: Gateway) -> None:
+        """Guards against an operator who cannot tell wrong keys from a missing proof."""
+        proof = require_proof(gateway)
+        await gateway.add("app", respond)
+        short = ("Deadline-Ms", "100")
+        await gateway.send("/buy/x", "r-1", more_headers=[short])
+        await gateway.send("/buy/x", "r-2", more_headers=[bearer("unknown"), short])
+        await gateway.send("/buy/x", "r-3", more_headers=[bearer(KEY), short])
+        proof.renew()
+        await gateway.send("/buy/x", "r-4", more_headers=[bearer(KEY), short])
+        counted = gateway.state.counters.events
+        reasons = ("no_key", "unknown_key", "unproven")
+        assert [counted.get("authorization_" + reason) for reason in reasons] == [1, 1, 1]
+
+    async def test_age_of_the_proof_is_a_metric(self) -> None:
+        """Guards against an age that operators cannot watch, or see where none is required."""
+        as_of_ms = boot_ms() - 1200.0
+        for bound_ms, is_shown in ((5000.0, True), (None, False)):
+            state = GatewayState(
+                PlatformDialect(),
+                "dc",
+                RetryBounds(1.0, 1.0, 1.0),
+                lambda request: None,  # type: ignore[arg-type,return-value]
+                proof=ConfigurationProof(bound_ms, lambda: as_of_ms),
+            )
+            figures = state.counters._observe()
+            assert ("gateway_configuration_proof_age_ms" in figures) is is_shown
+            if is_shown:
+                value = figures["gateway_configuration_proof_age_ms"][0][0]
+                assert 1200.0 <= value < 2200.0
+
+
 class TestWithoutProof:
     """Covers an instance that cannot know whether a key has been revoked."""
 
