--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,7 +12,7 @@
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
-from briardyke.gateway.authorization import authorize
+from briardyke.gateway.authorization import authorize, refusal_event
 from briardyke.gateway.charging import charge, refund_unless_run
 from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.hedged_attempts import HedgedAttempts
@@ -81,6 +81,7 @@
             await self._send_failure(answer, trace, found.unwrap_err())
             return
         route, identity = found.unwrap()
+        trace.account = identity.account or ""
         metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
         usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
         service = choose_service(route, usable, self._random)
@@ -165,6 +166,7 @@
                 return Ok((route, authorized.unwrap()))
             failure = authorized.unwrap_err()
             if failure.kind is not ErrorKind.VERSION_UNCONFIRMED or left_ms <= 0:
+                state.counters.count(refusal_event(failure, metadata.key_digest))
                 return Err(failure)
             await state.proof.wait(left_ms)
 
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -104,6 +104,8 @@
         self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
         self.changed = Notifier()
         self.proof = proof or ConfigurationProof()
+        if self.proof.revocation_ms is not None:
+            self.counters.gauges["gateway_configuration_proof_age_ms"] = lambda: self.proof.age_ms
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
         self.dispatch: DispatchClient | None = None
