Let requests wait for the buckets of a new leader instead of refusing them

Cause: a new leader starts with empty buckets.

Change: for the first three seconds of a term the leader says that its buckets are filling; requests then wait for the time that it names, up to the fraction of their time that they would wait for a leader. After that, refusals are immediate again.

--- a/src/briardyke/quotas/granter.py
+++ b/src/briardyke/quotas/granter.py
@@ -71,7 +71,7 @@
             is_silent = self._control.is_former_leader_silent()
             if is_silent and now_ms - self._since_ms < MAX_LEADER_EVIDENCE_AGE_MS:
                 return None
-            self._buckets, self._version = LeaderBuckets(self._bounds, term), None
+            self._buckets, self._version = LeaderBuckets(self._bounds, term, now_ms), None
             log_event("quota_buckets_started", term=term)
         configuration = self._configuration()
         if configuration is not None and configuration.version != self._version:
--- a/src/briardyke/quotas/instance.py
+++ b/src/briardyke/quotas/instance.py
@@ -75,7 +75,7 @@
         ledger.allowance = allowance = self._bounds.allowance(quota)
         ledger.used_ms = now_ms
         token_wait_ms = min(max_wait_ms, MAX_TOKEN_WAIT_MS)
-        waiter = Waiter(account, tokens, now_ms + token_wait_ms)
+        waiter = Waiter(account, tokens, now_ms + token_wait_ms, now_ms + max_wait_ms)
         if tokens > allowance.capacity:
             text = f"{tokens:.0f} tokens are more than the quota of {account} allows at once"
             waiter.decide(Err(_over_quota(text, self._bounds.window_ms)))
@@ -86,7 +86,7 @@
             charge = self._spend_emergency(ledger, tokens, now_ms)
         if charge is not None:
             waiter.decide(Ok(charge))
-        elif ledger.blocked_until_ms > waiter.token_limit_ms:
+        elif ledger.is_refused(waiter):
             waiter.decide(_refused(ledger, now_ms))
         else:
             ledger.waiters.append(waiter)
@@ -140,6 +140,7 @@
                 known.add(grant.account)
                 expires_ms = sent_ms + grant.lifetime_ms
                 ledger.add(grant.tokens, expires_ms, reply.term, reply.granted_at_ms)
+                ledger.is_starting = reply.is_starting
                 self._serve(ledger, grant, now_ms)
         if asked - known:
             # The leader has not decoded the configuration that this instance has.
@@ -157,7 +158,7 @@
         ledger.blocked_until_ms = now_ms + grant.wait_ms
         kept: deque[Waiter] = deque()
         for waiter in ledger.waiters:
-            if ledger.blocked_until_ms > waiter.token_limit_ms:
+            if ledger.is_refused(waiter):
                 waiter.decide(_refused(ledger, now_ms))
             else:
                 kept.append(waiter)
--- a/src/briardyke/quotas/leader.py
+++ b/src/briardyke/quotas/leader.py
@@ -18,6 +18,9 @@
 _KEPT_FRACTION = 0.5
 # Lifetime of tokens for an account whose quota has just been removed.
 _UNLIMITED_LIFETIME_MS = 250.0
+# Time after the start of a term in which empty buckets refuse requests within their quotas: what
+# waited during the election is drained by what a usual account leaves of its quota.
+_STARTING_MS = 3000.0
 
 
 class LeaderBuckets:
@@ -27,12 +30,14 @@
     times its usual demand. No instance sees enough of an account to know its use.
     """
 
-    def __init__(self, bounds: QuotaBounds, term: int) -> None:
+    def __init__(self, bounds: QuotaBounds, term: int, started_ms: float = float("-inf")) -> None:
         """Start without accounts.
 
         :param bounds: how far the use of quotas may exceed them.
         :param term: term of the leader.
+        :param started_ms: start of the term.
         """
+        self._started_ms = started_ms
         self.term = term
         self._bounds = bounds
         self._buckets: dict[str, QuotaBucket] = {}
@@ -57,7 +62,12 @@
     def answer(self, request: QuotaRequest, now_ms: float) -> QuotaReply:
         """Grant what the buckets hold."""
         grants = (self._grant(demand, now_ms) for demand in request.demands)
-        return QuotaReply(self.term, now_ms, [grant for grant in grants if grant is not None])
+        return QuotaReply(
+            self.term,
+            now_ms,
+            [grant for grant in grants if grant is not None],
+            is_starting=now_ms - self._started_ms < _STARTING_MS,
+        )
 
     def _grant(self, demand: AccountDemand, now_ms: float) -> AccountGrant | None:
         if demand.account in self._unlimited:
--- a/src/briardyke/quotas/ledger.py
+++ b/src/briardyke/quotas/ledger.py
@@ -54,6 +54,7 @@
     :param account: name of its account.
     :param tokens: what it counts.
     :param token_limit_ms: time until which it waits for tokens that the leader has named.
+    :param limit_ms: the same while the leader's buckets have not had time to fill.
     :param outcome: its charge or refusal, ``None`` while it waits.
     :param on_decided: called with the outcome.
     """
@@ -61,6 +62,7 @@
     account: str
     tokens: float
     token_limit_ms: float
+    limit_ms: float
     outcome: Result[Charge, Failure] | None = None
     on_decided: Callable[[], None] | None = None
 
@@ -80,6 +82,7 @@
     :param waiters: waiting requests in the order of their arrival.
     :param blocked_until_ms: time until which the leader has no tokens for this instance.
     :param used_ms: time of the last request.
+    :param is_starting: whether the leader's bucket had not had time to fill then.
     """
 
     account: str
@@ -87,11 +90,17 @@
     waiters: deque[Waiter] = attrs.field(factory=deque)
     blocked_until_ms: float = float("-inf")
     used_ms: float = float("-inf")
+    is_starting: bool = False
     _credits: list[_Credit] = attrs.field(factory=list)
     _returned: list[ReturnedTokens] = attrs.field(factory=list)
     _recent: deque[tuple[float, float]] = attrs.field(factory=deque)
     _emergency: list[_Credit] = attrs.field(factory=list)
 
+    def is_refused(self, waiter: Waiter) -> bool:
+        """Return whether the tokens that the leader has named come too late for a request."""
+        limit_ms = waiter.limit_ms if self.is_starting else waiter.token_limit_ms
+        return self.blocked_until_ms > limit_ms
+
     def available(self, now_ms: float) -> float:
         """Return the tokens that can be spent now."""
         self._expire(now_ms)
--- a/src/briardyke/quotas/messages.py
+++ b/src/briardyke/quotas/messages.py
@@ -78,8 +78,11 @@
     :param term: term that the sender leads, 0 when it does not lead.
     :param granted_at_ms: time of the grants on the sender's clock.
     :param grants: grants by account, without the accounts that the sender does not know.
+    :param is_starting: whether the sender's buckets have not had time to fill since its term began,
+        so that a refusal says little about the use of a quota.
     """
 
     term: int
     granted_at_ms: float = 0.0
     grants: list[AccountGrant] = attrs.field(factory=list)
+    is_starting: bool = False
--- a/tests/quotas/quota_world.py
+++ b/tests/quotas/quota_world.py
@@ -117,7 +117,7 @@
             use.instance.refund(use.charge, self.now_ms)
 
     def change_leader(self) -> None:
-        self.leader = LeaderBuckets(self.bounds, self.leader.term + 1)
+        self.leader = LeaderBuckets(self.bounds, self.leader.term + 1, self.now_ms)
         self.leader.update_quotas(self.quotas, self.now_ms)
 
     def restart(self, number: int) -> None:
--- a/tests/quotas/test_instance_credits.py
+++ b/tests/quotas/test_instance_credits.py
@@ -308,3 +308,41 @@
     def test_largest_prompt_fits_the_smallest_quota(self) -> None:
         assert ALLOWANCE.capacity > 4700.0 + 1000.0
         assert ALLOWANCE.rate_per_ms == 4.8
+
+
+class TestNewLeader:
+    """Covers requests that meet the empty buckets of a new leader."""
+
+    def test_request_within_its_quota_waits_for_the_bucket_to_fill(self) -> None:
+        """Guards against 429 for accounts that are far below their quotas."""
+        found = world()
+        found.change_leader()
+        waiter = found.request(0, "a", 1460.0)
+        found.exchange(0)
+        assert waiter.outcome is None
+        found.now_ms += 310.0
+        found.exchange(0)
+        assert waiter.outcome is not None
+        assert waiter.outcome.is_ok()
+
+    def test_request_is_refused_that_would_wait_too_long(self) -> None:
+        found = world()
+        found.change_leader()
+        waiters = [found.request(0, "a", 1460.0) for _ in range(10)]
+        found.exchange(0)
+        assert all(w.outcome is None for w in waiters)
+        for _ in range(20):
+            found.now_ms += 100.0
+            found.exchange(0)
+        kinds = {w.outcome.unwrap_err().kind for w in waiters if w.outcome and w.outcome.is_err()}
+        assert kinds == {ErrorKind.RATE_LIMITED}
+        assert sum(w.outcome is not None and w.outcome.is_ok() for w in waiters) >= 2
+
+    def test_refusal_is_immediate_again_once_the_bucket_had_time_to_fill(self) -> None:
+        found = world()
+        found.change_leader()
+        found.now_ms += 5000.0
+        exhaust(found, 0, 1460.0)
+        refused = found.request(0, "a", 1460.0).outcome
+        assert refused is not None
+        assert refused.unwrap_err().kind is ErrorKind.RATE_LIMITED
