--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -9,8 +9,8 @@
 import attrs
 
 from briardyke.dispatch.cached_parts import part_keys
-from briardyke.dispatch.engine_load import SEND_MS, Dispatch
 from briardyke.dispatch.messages import DispatchRequest
+from briardyke.dispatch.read_schedule import SEND_MS, Dispatch
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
--- a/src/briardyke/dispatch/demand.py
+++ b/src/briardyke/dispatch/demand.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import statistics
 
 from briardyke.dispatch.decayed_sums import DecayedSums
 from briardyke.policy.fairness import max_min_level
@@ -13,13 +13,10 @@
 # Some capacity is left for requests that wait: no burst lasts.
 _MAX_OVERTAKING = 0.9
 # From this fraction of the capacity on, prompts of one account delay those of others.
-_CONTENDED_FRACTION = 0.75
-# Accounts yield only above this many times their usual work, as known over about two minutes:
-# engines serve fewer requests that yield, so a large account in its usual course does not.
-_MIN_ABOVE_USUAL = 1.5
-_USUAL_DECAY_MS = 120_000.0
-# What is known of an account that has been seen for a second is not yet usual.
-_MIN_SEEN = 0.01
+_CONTENDED_FRACTION = 0.7
+# Accounts yield only above this many times the median: the load of equal ones varies at random, and
+# engines serve fewer requests that yield.
+_MIN_ABOVE_MEDIAN = 1.5
 _LEVEL_TTL_MS = 50.0
 
 
@@ -30,8 +27,6 @@
         """Start without requests."""
         self._arrived = DecayedSums[tuple[int, int]](_ARRIVAL_DECAY_MS)
         self._asked = DecayedSums[str](_ACCOUNT_DECAY_MS)
-        self._long_asked = DecayedSums[str](_USUAL_DECAY_MS)
-        self._first_ms: dict[str, float] = {}
         self._served = DecayedSums[str](_ACCOUNT_DECAY_MS)
         self._level, self._level_ms = float("inf"), float("-inf")
 
@@ -39,8 +34,6 @@
         """Count a new request."""
         self._arrived.add(rank, work_ms, now_ms)
         self._asked.add(account, work_ms, now_ms)
-        self._long_asked.add(account, work_ms, now_ms)
-        self._first_ms.setdefault(account, now_ms)
 
     def serve(self, account: str, work_ms: float, now_ms: float) -> None:
         """Count a request that is placed."""
@@ -68,10 +61,7 @@
             self._level_ms = now_ms
             asked = {a: (self._asked.per_ms(a, now_ms), 1.0) for a in self._asked}
             self._level = max_min_level(asked, _CONTENDED_FRACTION * power)
-        served = self._served.per_ms(account, now_ms)
-        return served > self._level and served > _MIN_ABOVE_USUAL * self._usual(account, now_ms)
-
-    def _usual(self, account: str, now_ms: float) -> float:
-        """Return the usual work per ms of an account, as far as it has been seen."""
-        seen = 1.0 - math.exp((self._first_ms.get(account, now_ms) - now_ms) / _USUAL_DECAY_MS)
-        return self._long_asked.per_ms(account, now_ms) / max(_MIN_SEEN, seen)
+            if asked:
+                median = statistics.median(work for work, _ in asked.values())
+                self._level = max(self._level, _MIN_ABOVE_MEDIAN * median)
+        return self._served.per_ms(account, now_ms) > self._level
--- a/src/briardyke/dispatch/pace.py
+++ b/src/briardyke/dispatch/pace.py
@@ -24,6 +24,10 @@
 _MAX_DEVIATIONS = 1.5
 # Longer intervals than expected are more often caused by a prompt that was not known of.
 _LONGER_STEP_WEIGHT = 0.3
+# Prompts that follow prolong the steps to a first event, the more so under load; the mean covers
+# about a hundred first events.
+_STRETCH_WEIGHT = 0.01
+_MAX_STRETCH = 10.0
 
 
 @attrs.define(eq=False)
@@ -50,12 +54,15 @@
 
     Each time is the product of a factor of the engine and a factor of the model, so an engine that
     has just loaded a model is known by its other models.
+
+    :ivar steps_stretch: factor by which prompts of others prolong the steps to a first event.
     """
 
     def __init__(self) -> None:
         """Start with the times of a large model on a typical engine."""
         self._models: dict[str, Factor] = {}
         self._token = Factor(_TOKEN_VARIANCE)
+        self.steps_stretch = 1.0
 
     def model(self, name: str) -> Factor:
         """Return the factor of a model."""
@@ -74,6 +81,10 @@
         """Return the time of a prompt token where both factors are 1."""
         return _MS_PER_TOKEN * self._token.value
 
+    def observe_stretch(self, ratio: float) -> None:
+        """Learn by which factor prompts of others prolong the steps to a first event."""
+        self.steps_stretch += _STRETCH_WEIGHT * (min(_MAX_STRETCH, ratio) - self.steps_stretch)
+
     def observe_step(self, engine: Factor, model_name: str, relative: float) -> None:
         """Learn from a step.
 
--- a/src/briardyke/dispatch/queue_pass.py
+++ b/src/briardyke/dispatch/queue_pass.py
@@ -146,12 +146,13 @@
     ) -> DispatchReply | None:
         """Reject a request that would begin after its time limit, unless its engines are idle."""
         need, request = waiting.need, waiting.need.request
-        if len(self.queue) == 1:
-            engines = self.pool.known(request)
-            if _are_idle(engines, self.now_ms):
-                harm = (choice or self._choose(need)).least_harm
-                if harm is not None:
-                    return self._place(waiting, harm, "placed_with_harm")
+        engines = self.pool.known(request)
+        if _are_idle(engines, self.now_ms) and (
+            len(self.queue) == 1 or not any(engine.schedule.pending for engine in engines)
+        ):
+            harm = (choice or self._choose(need)).least_harm
+            if harm is not None:
+                return self._place(waiting, harm, "placed_with_harm")
         if not math.isfinite(first_ms) and self.now_ms < need.limit_ms:
             return None  # its engines may still be announced, or have space when requests end
         self.counts["rejected"] += 1
--- a/src/briardyke/dispatch/rejection.py
+++ b/src/briardyke/dispatch/rejection.py
@@ -4,6 +4,8 @@
 
 # Random part of a time to come back, relative to it, so that callers do not return together.
 _SPREAD = 0.25
+# Fraction of the capacity that is planned for callers that come back; new ones take the rest.
+_RETURNED_FRACTION = 0.5
 _MIN_RETRY_MS = 30.0
 _MAX_RETRY_MS = 8000.0
 
@@ -31,6 +33,6 @@
         limit_ms = now_ms + _MAX_RETRY_MS
         at_ms = max(now_ms + start_ms, self._promised_until_ms.get(model, 0.0))
         at_ms = min(limit_ms, at_ms)
-        self._promised_until_ms[model] = at_ms + work_ms
+        self._promised_until_ms[model] = at_ms + work_ms / _RETURNED_FRACTION
         retry_ms = (at_ms - now_ms) * (1.0 + _SPREAD * fraction)
         return min(_MAX_RETRY_MS * (1.0 + _SPREAD), max(_MIN_RETRY_MS, retry_ms))
