--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -41,6 +41,7 @@
     """Decisions for one service, by the dispatches of all entry instances.
 
     :ivar counts: numbers of decisions by kind, for metrics.
+    :ivar reserved: engines that requests in the queue wait for.
     """
 
     def __init__(self) -> None:
@@ -52,7 +53,7 @@
         self._retry_times = RetryTimes()
         self._demand = Demand()
         self._live_routes: dict[int, float] = {}
-        self._reserved: set[str] = set()
+        self.reserved: set[str] = set()
         self._waiting_models: Counter[str] = Counter()
         self._next_pass_ms = self._pass_due_ms = -math.inf
         self._housekeeping_ms = -math.inf
@@ -107,7 +108,7 @@
             self._housekeeping_ms = now_ms + _HOUSEKEEPING_MS
             self._forget_abandoned(now_ms)
         self._pass_due_ms = now_ms + _RECHECK_MS
-        self._reserved = set()
+        self.reserved = set()
         if not len(self.queue):
             return []
         self.counts["promoted"] += self.queue.promote(now_ms, self._live_priority(now_ms))
@@ -120,7 +121,7 @@
             self._dequeue(request_id)
             self._decided[request_id] = (reply, now_ms)
             decided.append(request_id)
-        self._reserved = queue_pass.reserved
+        self.reserved = queue_pass.reserved
         interval_ms = max(_MIN_PASS_INTERVAL_MS, _PASS_SPACING * queue_pass.cost_ms)
         self._next_pass_ms = now_ms + interval_ms
         return decided
@@ -142,13 +143,28 @@
         """
         self.counts["forgotten"] += self.pool.check_counts(counts, now_ms - age_ms, now_ms)
 
-    def _new_waiting(self, request: DispatchRequest, now_ms: float) -> Waiting:
-        self._live_routes[request.route_priority] = now_ms
+    def need_of(self, request: DispatchRequest, now_ms: float) -> Need:
+        """Return what a request needs: as known in the queue, or as a new one."""
+        waiting = self.queue.get(request.request_id)
+        if waiting is not None:
+            return waiting.need
         is_batch = (
             request.first_event_objective_ms >= _MIN_BATCH_OBJECTIVE_MS
             and request.route_priority > self._live_priority(now_ms)
         )
         need = Need.of(request, now_ms, is_batch)
+        power = self.pool.power(now_ms)
+        need.yields = is_batch or self._demand.is_above_share(request.account, power, now_ms)
+        return need
+
+    def must_wait_for_turn(self, request: DispatchRequest) -> bool:
+        """Return whether other requests for its model wait."""
+        others = self._waiting_models[request.model]
+        return others > int(self.queue.get(request.request_id) is not None)
+
+    def _new_waiting(self, request: DispatchRequest, now_ms: float) -> Waiting:
+        self._live_routes[request.route_priority] = now_ms
+        need = self.need_of(request, now_ms)
         rank = rank_of(request.account_priority, request.route_priority)
         work_ms = reference_ms(self.pool.paces, request.model, request.prompt_tokens)
         self._demand.arrive(rank, request.account, work_ms, now_ms)
@@ -157,13 +173,10 @@
     def _place_at_once(self, waiting: Waiting, now_ms: float) -> DispatchReply | None:
         """Place a new request on a fit engine unless another one waits for the same model."""
         request = waiting.need.request
-        if self._waiting_models[request.model]:
+        if self.must_wait_for_turn(request):
             return None
-        power = self.pool.power(now_ms)
-        if self._demand.is_above_share(request.account, power, now_ms):
-            waiting.need.yields = True
         engines = self.pool.known(request)
-        choice = choose(waiting.need, engines, now_ms, request.connected_ids, self._reserved)
+        choice = choose(waiting.need, engines, now_ms, request.connected_ids, self.reserved)
         if choice.best is None:
             return None
         self.counts["placed"] += 1
