--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -184,7 +184,9 @@
     estimate = engine.estimate(request.model, unread_tokens, now_ms)
     streams = engine.paused_streams
     cost = _COST_PER_MS * estimate.read_ms
-    cost += _OCCUPANCY_COST * (engine.requests(now_ms) / engine.slots) ** 3
+    requests = engine.requests(now_ms)
+    occupancy = requests / engine.slots
+    cost += _OCCUPANCY_COST * occupancy * occupancy * occupancy
     if engine.data_centre != request.data_centre:
         cost += _REMOTE_COST
     if not is_connected:
@@ -196,8 +198,8 @@
         cost += _late_fraction(estimate.first_ms / objective_left_ms)
         if estimate.first_ms > objective_left_ms * _OBJECTIVE_FRACTION:
             rule = Rule.FIRST_EVENT
-    pause_limit_ms = engine.gap_objective_ms
     if streams:
+        pause_limit_ms = engine.gap_objective_ms
         spell_ratio = estimate.spell_pause_ms / pause_limit_ms
         if spell_ratio > _SPELL_RATIO:
             late = min(1.0, (spell_ratio - _SPELL_RATIO) / (1.0 - _SPELL_RATIO))
@@ -208,11 +210,11 @@
     if estimate.wait_ms > (SEND_MS if need.yields else _MAX_BACKLOG_MS) and rule is None:
         rule = Rule.BACKLOG
     is_possible = True
-    if engine.upstream_id in reserved:
+    if reserved and engine.upstream_id in reserved:
         rule = Rule.RESERVED
     if engine.is_avoided(now_ms):
         rule = Rule.AVOIDED
-    if engine.free_slots(now_ms) == 0:
+    if requests >= engine.slots:
         rule, is_possible = Rule.NO_SLOT, False
     if engine.free_tokens(now_ms) < need.tokens:
         rule, is_possible = Rule.NO_CACHE, False
@@ -240,7 +242,7 @@
     """
     square = ratio * ratio
     fourth = square * square
-    return min(1.0, 0.02 * square + 0.98 * fourth * fourth)
+    return 0.02 * square + 0.98 * fourth * fourth if ratio < 1.0 else 1.0
 
 
 def _ready_ms(
--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -8,12 +8,7 @@
 
 from briardyke.dispatch.cached_parts import CachedParts
 from briardyke.dispatch.pace import Factor, PaceTable, engine_factor
-from briardyke.dispatch.read_schedule import (
-    Dispatch,
-    ReadSchedule,
-    fewest_read_steps,
-    read_ms,
-)
+from briardyke.dispatch.read_schedule import Dispatch, ReadSchedule, read_ms
 from briardyke.dispatch.slowness import SPELL_FACTOR, Slowness
 
 if TYPE_CHECKING:
@@ -62,7 +57,11 @@
 
 
 class EngineLoad:
-    """Dispatches, reports and learned speed of one engine."""
+    """Dispatches, reports and learned speed of one engine.
+
+    :ivar paused_streams: its streams with an objective for pauses.
+    :ivar gap_objective_ms: shortest of these objectives, infinite without one.
+    """
 
     def __init__(
         self,
@@ -85,6 +84,8 @@
         self.parts = CachedParts()
         self.dispatches: dict[str, Dispatch] = {}
         self.used_tokens = 0
+        self.paused_streams = 0
+        self.gap_objective_ms = math.inf
         self.schedule = ReadSchedule(event_tokens)
         self._paces = paces
         self._models: dict[str, int] = {}
@@ -98,16 +99,6 @@
 
     # What it holds
 
-    @property
-    def paused_streams(self) -> int:
-        """Return the streams with an objective for pauses."""
-        return sum(self._gap_objectives.values())
-
-    @property
-    def gap_objective_ms(self) -> float:
-        """Return the shortest objective for pauses, infinite without one."""
-        return min(self._gap_objectives, default=math.inf)
-
     def requests(self, now_ms: float) -> int:
         """Return the requests that it holds, with those that only reports tell of."""
         if self._unknown_requests and now_ms - self._unknown_ms < _UNKNOWN_TTL_MS:
@@ -145,16 +136,20 @@
         schedule = self.schedule
         step_ms, prompt_ms, _ = self._times_ms(model, tokens, now_ms)
         own_ms = read_ms(tokens, prompt_ms, step_ms)
-        delay_ms = schedule.overdue_ms(now_ms) + self._unknown_backlog_ms(now_ms)
+        delay_ms = schedule.overdue_ms(now_ms)
+        if self._unknown_waiting:
+            delay_ms += self._unknown_backlog_ms(now_ms)
         start_ms = schedule.start_ms(now_ms)
-        alone_ms = self.event_tokens * step_ms + prompt_ms
-        steps = fewest_read_steps(tokens)
-        window_ms = schedule.window_ms(start_ms, steps, step_ms, delay_ms > 0)
+        event_ms = self.event_tokens * step_ms
+        pause_ms = spell_ms = event_ms + prompt_ms
+        pause_ms += schedule.window_ms(start_ms, tokens, step_ms, delay_ms > 0)
         wait_ms = start_ms - now_ms + delay_ms
-        first_ms = wait_ms + own_ms + self.event_tokens * step_ms * self._paces.steps_stretch
-        spell_ms = alone_ms + schedule.pending_read_ms
-        spell_ms *= max(1.0, SPELL_FACTOR / self.slowness.at(now_ms))
-        return Estimate(wait_ms, own_ms, alone_ms + window_ms, first_ms, spell_ms)
+        first_ms = wait_ms + own_ms + event_ms * self._paces.steps_stretch
+        spell_ms += schedule.pending_read_ms
+        slow = self.slowness.at(now_ms)
+        if slow < SPELL_FACTOR:
+            spell_ms *= SPELL_FACTOR / slow
+        return Estimate(wait_ms, own_ms, pause_ms, first_ms, spell_ms)
 
     def expected_first_ms(self, model: str, tokens: int, now_ms: float) -> float:
         """Return the expected time to the first event of a prompt."""
@@ -172,20 +167,21 @@
     def _times_ms(self, model: str, tokens: int, now_ms: float) -> tuple[float, float, float]:
         """Return the expected times of a step and of a prompt, and the margin in both."""
         factor = self._paces.model(model)
-        deviation = math.sqrt(self.speed.variance + factor.variance)
-        margin = 1.0 + min(_MAX_MARGIN, _DEVIATIONS * deviation)
+        margin = _DEVIATIONS * math.sqrt(self.speed.variance + factor.variance)
+        margin = 1.0 + (margin if margin < _MAX_MARGIN else _MAX_MARGIN)
         speed = self.speed.value * self.slowness.at(now_ms) * margin
-        step_ms = self._paces.step_ms * speed * self._step_factor(factor.value)
+        step_ms = self._paces.step_ms * speed * self._step_factor(model, factor.value)
         return step_ms, tokens * self._paces.ms_per_token * speed * factor.value, margin
 
     def ms_per_token(self, model: str) -> float:
         """Return the usual time of a prompt token."""
         return self._paces.ms_per_token * self.speed.value * self._paces.model(model).value
 
-    def _step_factor(self, factor: float) -> float:
+    def _step_factor(self, model: str, factor: float) -> float:
         """Return the factor of a step that runs a model, and the models that run already."""
         for name in self._models:
-            factor = max(factor, self._paces.model(name).value)
+            if name != model:
+                factor = max(factor, self._paces.model(name).value)
         return factor * (1.0 + _STEP_PER_RUNNING * len(self.dispatches))
 
     # Changes
@@ -206,6 +202,7 @@
         if dispatch.gap_objective_ms > 0:
             held = self._gap_objectives.get(dispatch.gap_objective_ms, 0)
             self._gap_objectives[dispatch.gap_objective_ms] = held + 1
+            self._update_paused_streams(1)
         self.parts.record(dispatch.part_keys, part_tokens, self.cache_tokens - self.used_tokens)
         return estimate
 
@@ -238,6 +235,7 @@
         _decrement(self._models, dispatch.model)
         if dispatch.gap_objective_ms > 0:
             _decrement(self._gap_objectives, dispatch.gap_objective_ms)
+            self._update_paused_streams(-1)
         return dispatch
 
     def fail(self, request_id: str, now_ms: float) -> None:
@@ -282,7 +280,7 @@
         begin_ms = at_ms - took_ms
         if len(self._models) > 1 or self.schedule.may_read(begin_ms, at_ms):
             return
-        factor = self._step_factor(self._paces.model(model).value)
+        factor = self._step_factor(model, self._paces.model(model).value)
         expected_ms = self.event_tokens * self._paces.step_ms * self.speed.value * factor
         expected_ms *= self.slowness.at(at_ms)
         self._paces.observe_step(self.speed, model, took_ms / expected_ms)
@@ -307,6 +305,10 @@
             self._unknown_ms = counted_ms
         return forgotten
 
+    def _update_paused_streams(self, change: int) -> None:
+        self.paused_streams += change
+        self.gap_objective_ms = min(self._gap_objectives, default=math.inf)
+
     def _unknown_backlog_ms(self, now_ms: float) -> float:
         """Return the time to read prompts that only reports tell of."""
         if not self._unknown_waiting:
--- a/src/briardyke/dispatch/pace.py
+++ b/src/briardyke/dispatch/pace.py
@@ -55,6 +55,8 @@
     Each time is the product of a factor of the engine and a factor of the model, so an engine that
     has just loaded a model is known by its other models.
 
+    :ivar step_ms: time of a step where both factors are 1.
+    :ivar ms_per_token: time of a prompt token where both factors are 1.
     :ivar steps_stretch: factor by which prompts of others prolong the steps to a first event.
     """
 
@@ -62,6 +64,7 @@
         """Start with the times of a large model on a typical engine."""
         self._models: dict[str, Factor] = {}
         self._token = Factor(_TOKEN_VARIANCE)
+        self.step_ms, self.ms_per_token = _STEP_MS, _MS_PER_TOKEN
         self.steps_stretch = 1.0
 
     def model(self, name: str) -> Factor:
@@ -71,16 +74,6 @@
             factor = self._models[name] = Factor(_MODEL_VARIANCE)
         return factor
 
-    @property
-    def step_ms(self) -> float:
-        """Return the time of a step where both factors are 1."""
-        return _STEP_MS
-
-    @property
-    def ms_per_token(self) -> float:
-        """Return the time of a prompt token where both factors are 1."""
-        return _MS_PER_TOKEN * self._token.value
-
     def observe_stretch(self, ratio: float) -> None:
         """Learn by which factor prompts of others prolong the steps to a first event."""
         self.steps_stretch += _STRETCH_WEIGHT * (min(_MAX_STRETCH, ratio) - self.steps_stretch)
@@ -104,6 +97,7 @@
         model = self.model(model_name)
         total = engine.variance + model.variance + self._token.variance + _TOKEN_NOISE
         _correct((engine, model, self._token), _residual(relative, total), total, 1.0)
+        self.ms_per_token = _MS_PER_TOKEN * self._token.value
 
 
 def _residual(relative: float, variance: float) -> float:
--- a/src/briardyke/dispatch/read_schedule.py
+++ b/src/briardyke/dispatch/read_schedule.py
@@ -126,20 +126,22 @@
         read_until_ms = max(end_ms, min(self._until_ms, end_ms + _MAX_READ_BEHIND_MS))
         return max(0.0, now_ms - read_until_ms - oldest.steps_ms - self._lag_ms)
 
-    def window_ms(self, start_ms: float, steps: float, step_ms: float, is_late: bool) -> float:
+    def window_ms(self, start_ms: float, tokens: int, step_ms: float, is_late: bool) -> float:
         """Return the time for prompts that are read in the same event interval as a new one.
 
         :param start_ms: time at which the new one begins to be read.
-        :param steps: steps in which it is read.
+        :param tokens: tokens that are read of it.
         :param step_ms: time of a step.
         :param is_late: whether the engine is late, so that there are no pauses between prompts.
         """
         window_ms, later_ms = 0.0, start_ms
+        steps: float = fewest_read_steps(tokens)
+        steps_limit = self._event_tokens + 1
         for read in reversed(self._reads):
             end_ms = read.read_start_ms + read.read_ms
             if later_ms > end_ms and not is_late:
                 steps += (later_ms - end_ms) / step_ms
-            if steps >= self._event_tokens + 1:
+            if steps >= steps_limit:
                 break
             window_ms += read.read_ms
             steps += read.read_steps
