--- a/bench/dispatch_messages.py
+++ b/bench/dispatch_messages.py
@@ -1,13 +1,15 @@
 """Measure the messages of the dispatch and their processor time on both sides.
 
-Run ``PYTHONPATH=src python bench/dispatch_messages.py [PER_S ...]``. A coordinator with the real
-dispatcher runs in a process of its own and serves the clients of 88 entry instances over loopback
-connections; engines are stood in for by timers. Engines and load are those of the site srisawat:
-45 engines of 16 slots, ten models, prompts of 1,460 and 646 tokens.
+Run ``PYTHONPATH=src python bench/dispatch_messages.py [--slots N] [PER_S ...]``. A coordinator with
+the real dispatcher runs in a process of its own and serves the clients of 88 entry instances over
+loopback connections; engines are stood in for by timers. Engines and load are those of the site
+srisawat: 45 engines of 16 slots, ten models, prompts of 1,460 and 646 tokens. With fewer slots,
+requests queue up: 45 engines of four serve about 180 streams a second.
 """
 
 from __future__ import annotations
 
+import argparse
 import random
 import subprocess
 import sys
@@ -39,12 +41,12 @@
 RATES = (50.0, 100.0, 200.0, 400.0)
 
 
-def engine_rows() -> list[Upstream]:
+def engine_rows(slots: int) -> list[Upstream]:
     """Return the engines, each with some of the models."""
     rng = random.Random(5)
     return [
         Upstream(
-            *(f"engine-{n:03d}", 1, 1, "pool", f"127.0.0.1:{20000 + n}", "dc", READY, SLOTS),
+            *(f"engine-{n:03d}", 1, 1, "pool", f"127.0.0.1:{20000 + n}", "dc", READY, slots),
             [LoadedModel(f"m{m}") for m in rng.sample(range(MODELS), MODELS_PER_ENGINE)],
         )
         for n in range(ENGINES)
@@ -54,24 +56,24 @@
 class BenchControl:
     """Control instance without a log."""
 
-    def __init__(self) -> None:
+    def __init__(self, slots: int) -> None:
         self.tables = SoftTables()
         self.activity = ActivityAggregator("bench")
         self.rows = self
         self.is_complete = True
-        for row in engine_rows():
+        for row in engine_rows(slots):
             self.tables.upstreams.merge(row)
 
     def live_upstreams(self) -> list[Upstream]:
         return self.tables.upstreams.rows()
 
 
-async def serve() -> None:
+async def serve(slots: int) -> None:
     """Serve as coordinator; write figures for each line read, until the end of the input."""
     counts: Counter[str] = Counter()
-    spec = EngineSpec(SLOTS, 100.0, 8, 1.0, 54_845, {}, 4)
+    spec = EngineSpec(slots, 100.0, 8, 1.0, 54_845, {}, 4)
     configuration = ServingConfiguration(1, (), {"pool": ServiceSpec("pool", 100, spec)})
-    control: Any = BenchControl()
+    control: Any = BenchControl(slots)
     coordinator = DispatchCoordinator(control, lambda: configuration)
 
     async def handle(peer_id: str, message: Any) -> Any:
@@ -100,14 +102,16 @@
     """Streams of all entry instances.
 
     :param clients: their clients.
+    :param slots: slots of each engine.
     :param waits_ms: times that requests waited for a reply.
     """
 
     clients: list[DispatchClient]
+    slots: int
     waits_ms: list[float] = attrs.field(factory=list)
     outcomes: Counter[str] = attrs.field(factory=Counter)
     rng: random.Random = attrs.field(factory=lambda: random.Random(7))
-    rows: list[Upstream] = attrs.field(factory=engine_rows)
+    rows: list[Upstream] = attrs.field(factory=lambda: engine_rows(SLOTS))
 
     async def run(self, per_s: float, duration_s: float) -> None:
         end_s = trio.current_time() + duration_s
@@ -144,7 +148,7 @@
     async def _serve(self, client: DispatchClient, dispatch: Dispatch, tokens: int) -> None:
         try:
             await trio.sleep((tokens / TOKENS_PER_MS + EVENT_MS) / 1000.0)
-            client.report_load("pool", dispatch.upstream_id, LoadReport(4, 0, SLOTS, 1.0))
+            client.report_load("pool", dispatch.upstream_id, LoadReport(1, 0, self.slots, 1.0))
             dispatch.record_first_event()
             for _ in range(EVENTS):
                 await trio.sleep(EVENT_MS / 1000.0)
@@ -153,10 +157,10 @@
             dispatch.end()
 
 
-async def measure(per_s: float) -> None:
+async def measure(per_s: float, slots: int) -> None:
     """Print the figures of one rate."""
     process = subprocess.Popen(  # noqa: ASYNC220
-        [sys.executable, __file__, "--serve"],
+        [sys.executable, __file__, "--serve", "--slots", str(slots)],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
@@ -179,7 +183,7 @@
                 client = DispatchClient(f"entry-{number}", peers, lambda: [address], Counters())
                 nursery.start_soon(client.run)
                 clients.append(client)
-            load = Load(clients)
+            load = Load(clients, slots)
             await load.run(per_s, WARM_UP_S)
             load.waits_ms.clear()
             load.outcomes.clear()
@@ -213,8 +217,13 @@
 
 
 if __name__ == "__main__":
-    if sys.argv[1:] == ["--serve"]:
-        trio.run(serve)
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--serve", action="store_true")
+    parser.add_argument("--slots", type=int, default=SLOTS)
+    parser.add_argument("rates", type=float, nargs="*", default=RATES)
+    arguments = parser.parse_args()
+    if arguments.serve:
+        trio.run(serve, arguments.slots)
     else:
-        for rate in [float(text) for text in sys.argv[1:]] or RATES:
-            trio.run(measure, rate)
+        for rate in arguments.rates:
+            trio.run(measure, rate, arguments.slots)
--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -14,7 +14,7 @@
 from briardyke.dispatch.messages import DispatchReply, ObservationKind, Outcome
 from briardyke.dispatch.request_records import PlacedRequests, ReturningRequests
 from briardyke.fleet.records import READY
-from briardyke.logs import log_event
+from briardyke.logs import log_event, log_limited
 from briardyke.routes.configuration import EngineSpec
 from briardyke.sync.notifier import Notifier
 
@@ -325,8 +325,11 @@
             service_of_placed = self._services.get(placed.service)
             if service_of_placed is not None:
                 self._forget(service_of_placed, placed.request_id)
-                log_event(
-                    "dispatch_forgotten", instance=placed.instance_id, upstream=placed.upstream_id
+                log_limited(
+                    "dispatch_forgotten",
+                    is_routine=False,
+                    instance=placed.instance_id,
+                    upstream=placed.upstream_id,
                 )
 
     def _log_decisions(self) -> None:
