--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -40,6 +40,7 @@
 from briardyke.fleet.rows import RowExchange
 from briardyke.ids import new_id
 from briardyke.logs import log_event, log_warning
+from briardyke.quotas.messages import QuotaReply, QuotaRequest
 from briardyke.software_versions.streams import StreamTable
 from briardyke.supervision import keep_running
 
@@ -112,6 +113,7 @@
         self.answer_trial: Callable[[TrialRequest], Awaitable[TrialReply]] | None = None
         self.grant_permit: Callable[[PermitRequest], Awaitable[PermitReply]] | None = None
         self.dispatch: DispatchCoordinator | None = None
+        self.grant_quota: Callable[[QuotaRequest], Awaitable[QuotaReply]] | None = None
         self._own_address = own_address
         self._data_centre = data_centre
         self._compressed: tuple[int, bytes] | None = None
@@ -273,6 +275,8 @@
             return await self.dispatch.answer(message)
         if isinstance(message, DispatchReport) and self.dispatch is not None:
             self.dispatch.record(message)
+        if isinstance(message, QuotaRequest) and self.grant_quota is not None:
+            return await self.grant_quota(message)
         return None
 
     def _stream_reply(self, request: StreamRequest) -> StreamReply:
@@ -297,7 +301,10 @@
         with trio.move_on_after(request.wait_ms / 1000.0):
             while not self._has_changes_for(request):
                 await self.rows.changed.wait(request.wait_ms)
-        return attrs.evolve(build_reply(self, request), waited_ms=now_ms() - arrived_ms)
+        # Read first: if the process stands still in between, the ages in the reply count from
+        # before that time.
+        waited_ms = now_ms() - arrived_ms
+        return attrs.evolve(build_reply(self, request), waited_ms=waited_ms)
 
     def _has_changes_for(self, request: FleetRequest) -> bool:
         if request.table_id != self.table_id or not self.can_inform_entries:
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -8,6 +8,7 @@
 
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
+from briardyke.gateway.configuration_proof import ConfigurationProof
 from briardyke.gateway.counters import Counters
 from briardyke.gateway.demand import DemandMeter
 from briardyke.gateway.limited_upstreams import LimitedUpstreams
@@ -18,6 +19,8 @@
 from briardyke.gateway.upstreams import AGGREGATED_LOAD_AGE_MS
 from briardyke.http.buffers import BufferBudget
 from briardyke.policy.retries import RetryBudget
+from briardyke.quotas.bounds import QuotaBounds
+from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
 
@@ -29,6 +32,7 @@
     from briardyke.gateway.dispatch_client import DispatchClient
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
+    from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
@@ -68,6 +72,8 @@
         request_permit: RequestPermit | None = None,
         stream_directory: Directory | None = None,
         is_informed: Callable[[], bool] = lambda: True,
+        proof: ConfigurationProof | None = None,
+        account_credits: AccountCredits | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -81,6 +87,8 @@
             limit; by default none is granted.
         :param stream_directory: control instances that know the software versions of streams.
         :param is_informed: returns whether the known upstreams are as of now.
+        :param proof: age of the configuration; by default one of any age may be used.
+        :param account_credits: charges the quotas of accounts; by default no leader is asked.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -93,7 +101,11 @@
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
+        self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
         self.changed = Notifier()
+        self.proof = proof or ConfigurationProof()
+        if self.proof.revocation_ms is not None:
+            self.counters.gauges["gateway_configuration_proof_age_ms"] = lambda: self.proof.age_ms
         self.admission = Admission()
         self.adapters = AdapterRouter(self, request_adapter)
         self.dispatch: DispatchClient | None = None
@@ -158,6 +170,18 @@
         spec = self.routes.configuration.services.get(service) if self.routes else None
         return spec is not None and spec.engine is not None
 
+    def is_coordinated(self, service: str) -> bool:
+        """Return whether the streams of a service are given engines by its coordinator.
+
+        Its engines share their machines with other programs and state how slow they are, or client
+        accounts compete for them.
+        """
+        if self.routes is None or not self.is_engine(service):
+            return False
+        return bool(self.routes.configuration.accounts) or any(
+            state.slowness is not None for state in self.upstreams.usable(service)
+        )
+
     def software_versions(self, service: str) -> set[str]:
         """Return the software versions of a service that may have begun a stream."""
         listed = self.service_versions.get(service, ())
@@ -173,5 +197,9 @@
     return None
 
 
+async def _grant_nothing(request: QuotaRequest) -> QuotaReply | None:
+    return None
+
+
 async def _deny_trial(part: str) -> bool:
     return False
