--- a/tests/gateway/test_dispatch_client.py
+++ b/tests/gateway/test_dispatch_client.py
@@ -179,7 +179,8 @@
         site.client.report_load("pool", "u1", LOAD)
         site.client.report_load("pool", "u2", attrs.evolve(LOAD, slowness=None))
         await trio.sleep(0.2)
-        assert [(o.upstream_id, o.running) for o in site.fake.seen] == [("u0", 4), ("u1", 3)]
+        seen = [(o.upstream_id, o.running, o.slowness) for o in site.fake.seen]
+        assert seen == [("u0", 4, 2.5), ("u1", 3, 2.5), ("u2", 3, 0.0)]
 
     async def test_event_intervals_are_few(
         self, site: Site, autojump_clock: trio.testing.MockClock
