Learn the steps to a first event, and engine speeds from long prompts only

Cause: estimates took four engine steps from the end of a prompt to its first event. The difference was learned as speed, so prompts of some thousand tokens were expected in half of their time (expected 171 ms, took 435 ms), and running streams behind them paused for 480 ms.

Change: the number of steps is learned from short prompts, and the time per token only from prompts whose tokens take most of the time to the first event.

--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -36,6 +36,11 @@
 _FAILURE_WINDOW_MS = 500.0
 _AVOIDED_MS = 1000.0
 _AVOID_AFTER_FAILURES = 2
+# First events of prompts that waited longer, or are longer to read, tell little of the steps.
+_MAX_SHORT_WAIT_FRACTION = 0.2
+_MAX_SHORT_READ_STEPS = 6.0
+# Part of the time to a first event that the tokens of the prompt must take to tell their speed.
+_MIN_TOKENS_FRACTION = 0.4
 
 
 class Estimate(NamedTuple):
@@ -144,7 +149,8 @@
         pause_ms = spell_ms = event_ms + prompt_ms
         pause_ms += schedule.window_ms(start_ms, tokens, step_ms, delay_ms > 0)
         wait_ms = start_ms - now_ms + delay_ms
-        first_ms = wait_ms + own_ms + event_ms * self._paces.steps_stretch
+        steps_ms = self._paces.first_steps * step_ms
+        first_ms = wait_ms + own_ms + steps_ms * self._paces.steps_stretch
         spell_ms += schedule.pending_read_ms
         slow = self.slowness.at(now_ms)
         if slow < SPELL_FACTOR:
@@ -192,7 +198,8 @@
         dispatch.placed_ms = now_ms
         dispatch.ms_per_token = self.ms_per_token(dispatch.model)
         step_ms, _, dispatch.margin = self._times_ms(dispatch.model, 0, now_ms)
-        dispatch.read_ms, dispatch.steps_ms = estimate.read_ms, self.event_tokens * step_ms
+        dispatch.read_ms = estimate.read_ms
+        dispatch.step_ms, dispatch.steps_ms = step_ms, self._paces.first_steps * step_ms
         dispatch.wait_ms = estimate.wait_ms
         dispatch.read_start_ms = self.schedule.start_ms(now_ms)
         self.schedule.add(dispatch)
@@ -221,6 +228,7 @@
         behind_ms = self.schedule.begin(dispatch, at_ms, now_ms)
         self._paces.observe_stretch(1.0 + behind_ms / dispatch.steps_ms)
         if took_ms > 0:
+            self._learn_first_steps(dispatch, took_ms, behind_ms, at_ms)
             self._learn_prompt(dispatch, took_ms, expected_ms, at_ms)
         dispatch.began_ms = at_ms
 
@@ -323,12 +331,30 @@
         held = sum(dispatch.placed_ms <= at_ms for dispatch in self.dispatches.values())
         return held + sum(end_ms > at_ms for end_ms in self._ends_ms)
 
+    def _learn_first_steps(
+        self, dispatch: Dispatch, took_ms: float, behind_ms: float, at_ms: float
+    ) -> None:
+        """Learn the time from the end of a prompt to its first event from a short prompt.
+
+        Services differ: an engine may send its first token alone, or take tens of milliseconds
+        more. Charged to the tokens of the prompts, that would make long ones look short.
+        """
+        if behind_ms > 0.0 or dispatch.wait_ms > _MAX_SHORT_WAIT_FRACTION * took_ms:
+            return
+        if dispatch.read_ms > _MAX_SHORT_READ_STEPS * dispatch.step_ms:
+            return
+        if self.slowness.at(at_ms) > 1.0 or self.slowness.at(dispatch.placed_ms) > 1.0:
+            return
+        left_ms = took_ms - (dispatch.wait_ms + dispatch.read_ms / dispatch.margin)
+        self._paces.observe_first_steps(left_ms * dispatch.margin / dispatch.step_ms)
+
     def _learn_prompt(
         self, dispatch: Dispatch, took_ms: float, expected_ms: float, at_ms: float
     ) -> None:
         """Learn the time per token from a prompt while no other one was read."""
         wait_ms = dispatch.wait_ms
-        if wait_ms > 0.3 * expected_ms or dispatch.read_ms < 0.3 * expected_ms:
+        tokens_ms = dispatch.read_ms - dispatch.step_ms
+        if wait_ms > 0.3 * expected_ms or tokens_ms < _MIN_TOKENS_FRACTION * expected_ms:
             return
         if self.slowness.at(at_ms) > 1.0 or self.slowness.at(dispatch.placed_ms) > 1.0:
             return
--- a/src/briardyke/dispatch/pace.py
+++ b/src/briardyke/dispatch/pace.py
@@ -28,6 +28,13 @@
 # about a hundred first events.
 _STRETCH_WEIGHT = 0.01
 _MAX_STRETCH = 10.0
+# Steps from the end of a prompt to its first event, until observations tell. An event that waited
+# for unknown prompts came after more, so fewer steps count more.
+_FIRST_STEPS = 1.0
+_MIN_FIRST_STEPS = 0.25
+_MAX_FIRST_STEPS = 15.0
+_FEWER_STEPS_WEIGHT = 0.1
+_MORE_STEPS_WEIGHT = 0.02
 
 
 @attrs.define(eq=False)
@@ -58,6 +65,7 @@
     :ivar step_ms: time of a step where both factors are 1.
     :ivar ms_per_token: time of a prompt token where both factors are 1.
     :ivar steps_stretch: factor by which prompts of others prolong the steps to a first event.
+    :ivar first_steps: steps from the end of a prompt to its first event.
     """
 
     def __init__(self) -> None:
@@ -66,6 +74,7 @@
         self._token = Factor(_TOKEN_VARIANCE)
         self.step_ms, self.ms_per_token = _STEP_MS, _MS_PER_TOKEN
         self.steps_stretch = 1.0
+        self.first_steps = _FIRST_STEPS
 
     def model(self, name: str) -> Factor:
         """Return the factor of a model."""
@@ -78,6 +87,12 @@
         """Learn by which factor prompts of others prolong the steps to a first event."""
         self.steps_stretch += _STRETCH_WEIGHT * (min(_MAX_STRETCH, ratio) - self.steps_stretch)
 
+    def observe_first_steps(self, steps: float) -> None:
+        """Learn the steps from the end of a short prompt to its first event."""
+        observed = min(_MAX_FIRST_STEPS, max(_MIN_FIRST_STEPS, steps))
+        weight = _FEWER_STEPS_WEIGHT if observed < self.first_steps else _MORE_STEPS_WEIGHT
+        self.first_steps += weight * (observed - self.first_steps)
+
     def observe_step(self, engine: Factor, model_name: str, relative: float) -> None:
         """Learn from a step.
 
--- a/src/briardyke/dispatch/read_schedule.py
+++ b/src/briardyke/dispatch/read_schedule.py
@@ -44,6 +44,7 @@
     :param read_start_ms: expected time at which its prompt begins to be read.
     :param read_ms: expected time for reading its prompt.
     :param steps_ms: expected time of the steps from the end of its prompt to its first event.
+    :param step_ms: expected time of one of them.
     :param began_ms: time of its first event, ``None`` before it.
     """
 
@@ -62,6 +63,7 @@
     read_start_ms: float = 0.0
     read_ms: float = 0.0
     steps_ms: float = 0.0
+    step_ms: float = 0.0
     began_ms: float | None = None
 
     @property
