--- a/tests/platform/platform_cluster.py
+++ b/tests/platform/platform_cluster.py
@@ -55,10 +55,14 @@
 
 @attrs.define
 class Cluster:
-    """Hold the processes; addresses are 127.1.NUMBER.N with the same ports everywhere."""
+    """Hold the processes; addresses are 127.1.NUMBER.N with the same ports everywhere.
+
+    :param limits: limits of the machines, as the settings file states them.
+    """
 
     folder: Path
     number: int
+    limits: dict[str, float] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
 
     def host(self, name: str) -> str:
@@ -105,6 +109,7 @@
             "data_dir": str(self.folder / name) if role == "control" else None,
             "heartbeat_ms": 400,
             "bounds": {"grace_s": 3, "lease_ms": 500, "budget_slack": 50},
+            "limits": self.limits,
         }
         return json.dumps(settings)
 
