Bound the memory that a process holds for requests and responses

Change: one budget per process counts connections, heads, bodies, early bytes and buffered responses. Its size is 0.75 x (`memory_mb` - 64 MiB), and 512 MiB where the machine's memory is unknown. Bodies beyond 64 KiB take at most half of it and responses a quarter, so small requests find room whatever large ones hold. An announced body is refused over the limit, or granted as a whole, before it is read; chunked ones ask in steps. Requests wait unread for room, the smallest first, and are refused (503) after `header_timeout_ms`. While others wait, the largest body that has stopped for 1 s or arrives at less than 256 KiB/s gives way; a request that is being answered never does. A body has `header_timeout_ms` plus its size at that rate, and may stand still for `header_timeout_ms`. A refusal is followed by reading up to 16 MiB or 2 s, so that no reset overtakes it. A response must be taken at 16 KiB per 5 s; otherwise it is given up and logged, and its upstream request is cancelled.

Bodies are sent on and delivered without copies. Errors of cancelled requests kept their bodies until the garbage collector ran; their frames are cleared. On machines of known memory, the allocator returns blocks from 128 KiB at once and the kernel keeps at most 16 KiB (doubled by Linux) unread per connection.

--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -14,6 +14,8 @@
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import H11Server, ServerLimits
+from briardyke.http.memory_budget import MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
 from briardyke.logs import log_event
 from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.routes.matching import RouteTable
@@ -75,6 +77,7 @@
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
+        self.memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
         callbacks = EntryCallbacks(
             settings.data_centre,
             self._report,
@@ -93,13 +96,14 @@
             self.client.request_permit,
             self.client.streams,
             self._is_informed,
+            self.memory.budget,
         )
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
         self.state.limits.on_change = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
-        self.server = H11Server(self._forwarder.handle, self._limits)
+        self.server = H11Server(self._forwarder.handle, self._limits, self.memory)
         self._retired: list[ConnectionPool] = []
 
     @property
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -18,6 +18,7 @@
     :param grace_s: time between a stop request and the forced stop, in seconds.
     :param retries: limits on the retries of all entry instances together.
     :param capacity_per_s: requests per second that it could process.
+    :param memory_mb: memory of its machine, 0 when unknown.
     """
 
     instance_id: str
@@ -26,3 +27,4 @@
     grace_s: float
     retries: RetryBounds
     capacity_per_s: float = 0.0
+    memory_mb: float = 0.0
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -28,6 +28,7 @@
     from briardyke.gateway.dialect import Dialect
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
+    from briardyke.http.memory_budget import MemoryBudget
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
@@ -67,6 +68,7 @@
         request_permit: RequestPermit | None = None,
         stream_directory: Directory | None = None,
         is_informed: Callable[[], bool] = lambda: True,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -80,6 +82,7 @@
             limit; by default none is granted.
         :param stream_directory: control instances that know the software versions of streams.
         :param is_informed: returns whether the known upstreams are as of now.
+        :param memory: budget of the process, which counts buffered responses too.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -87,7 +90,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
-        self.response_buffers = BufferBudget()
+        self.response_buffers = BufferBudget(memory=memory)
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
--- a/src/briardyke/http/buffers.py
+++ b/src/briardyke/http/buffers.py
@@ -4,11 +4,13 @@
 
 import attrs
 
-# A response may always buffer this much, so that endless ones cannot displace usual ones.
-GUARANTEED_BYTES = 64 * 1024
-# All responses together, beyond which only the guaranteed part is buffered. The smallest process
-# that carries traffic has 152 MB.
-MAX_TOTAL_BYTES = 16 * 1024 * 1024
+from briardyke.http.memory_budget import (
+    GUARANTEED_BYTES,
+    MAX_RESPONSE_BYTES,
+    Kind,
+    MemoryBudget,
+    Share,
+)
 
 
 @attrs.define
@@ -17,15 +19,18 @@
 
     Load: 50 upstreams that send without an end would each fill a buffer of the largest size.
 
-    :param limit_bytes: limit for all responses together.
+    :param limit_bytes: limit for all responses together, beyond which only the guaranteed part of
+        each is buffered.
+    :param memory: budget of the process, which counts them too.
     """
 
-    limit_bytes: int = MAX_TOTAL_BYTES
+    limit_bytes: int = MAX_RESPONSE_BYTES
     used_bytes: int = 0
+    memory: MemoryBudget | None = None
 
     def open(self) -> ResponseBuffer:
         """Return the share of one request."""
-        return ResponseBuffer(self)
+        return ResponseBuffer(self, self.memory.open(Kind.RESPONSES) if self.memory else None)
 
 
 @attrs.define
@@ -33,6 +38,7 @@
     """Share of one request in the budget, from its first response to the end of its delivery."""
 
     budget: BufferBudget
+    share: Share | None = None
     used_bytes: int = 0
 
     def grow(self, size_bytes: int) -> bool:
@@ -40,11 +46,15 @@
         is_guaranteed = self.used_bytes + size_bytes <= GUARANTEED_BYTES
         if not is_guaranteed and self.budget.used_bytes + size_bytes > self.budget.limit_bytes:
             return False
+        if self.share is not None and not self.share.grow(size_bytes):
+            return False
         self.used_bytes += size_bytes
         self.budget.used_bytes += size_bytes
         return True
 
     def release(self) -> None:
         """Return all of the share."""
+        if self.share is not None:
+            self.share.release()
         self.budget.used_bytes -= self.used_bytes
         self.used_bytes = 0
--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -24,6 +24,8 @@
         b"upgrade",
     }
 )
+# Parts of an answer up to this size are sent with one system call.
+_JOINED_BYTES = 64 * 1024
 _INTERNAL_ERROR = (
     b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -134,12 +136,19 @@
     async def _write(self, *events: h11.Event | None) -> None:
         if self.is_caller_gone:
             raise CallerGoneError("the caller has left")
-        parts: list[bytes | None] = []
+        parts: list[bytes] = []
         if self._head is not None:
-            parts.append(self._connection.send(self._head))
+            parts.append(self._connection.send(self._head) or b"")
             self._head = None
-        parts += [self._connection.send(event) for event in events if event is not None]
-        await self._transmit(b"".join([part for part in parts if part]))
+        for event in events:
+            if event is not None:
+                parts += self._connection.send_with_data_passthrough(event) or ()
+        # A long body is sent as it is, since a copy would take its size once more.
+        if sum(len(part) for part in parts) <= _JOINED_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            if part:
+                await self._transmit(part)
 
     async def _transmit(self, data: bytes) -> None:
         try:
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -120,18 +120,20 @@
         head = self._protocol.send(self._request) or b""
         parts = [head]
         if body:
-            parts.append(self._protocol.send(h11.Data(data=body)) or b"")
+            parts += self._protocol.send_with_data_passthrough(h11.Data(data=body)) or ()
         parts.append(self._protocol.send(h11.EndOfMessage()) or b"")
-        data = b"".join(parts)
-        if len(data) <= _INLINE_BODY_BYTES:
-            await self._send_all(data)
+        if sum(len(part) for part in parts) <= _INLINE_BODY_BYTES:
+            await self._send_all(b"".join(parts))
         else:
+            # The body is not copied, since an upstream may read it slowly.
             self._may_keep = False
-            nursery.start_soon(self._send_rest, data)
+            nursery.start_soon(self._send_rest, parts)
 
-    async def _send_rest(self, data: bytes) -> None:
+    async def _send_rest(self, parts: list[bytes]) -> None:
         try:
-            await self._send_all(data)
+            for part in parts:
+                if part:
+                    await self._send_all(part)
             self._may_keep = True
         except UpstreamError:
             # The kernel reports a reset once; the reading side would take it for a proper close.
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -11,53 +11,63 @@
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
-import attrs
 import h11
 import trio
 
-from briardyke.clock import now_ms
 from briardyke.http.exchange import Answer, CallerGoneError, HttpRequest
-from briardyke.http.sockets import tune
-from briardyke.logs import log_debug, log_error
+from briardyke.http.memory_budget import Kind, MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
+from briardyke.http.request_reader import (
+    FIRST_READ_BYTES,
+    RequestReader,
+    RequestRefusedError,
+    ServerLimits,
+)
+from briardyke.http.sockets import bound_receive_buffer, tune
+from briardyke.http.tracebacks import clear_frames
+from briardyke.logs import log_debug, log_error, log_limited
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
+    from briardyke.http.memory_budget import Share
 
 Handler = Callable[[HttpRequest, Answer], Awaitable[None]]
 _READ_BYTES = 65536
+# Task, protocol state and one read of a connection.
+CONNECTION_BYTES = 32 * 1024
+_CONNECTION_WAIT_S = 1.0
+# A caller that is still sending when its connection closes sees a reset instead of the answer, so
+# what it sends after a refusal is read and thrown away, up to this amount and time.
+_LINGER_BYTES = 16 * 1024 * 1024
+_LINGER_S = 2.0
 # A caller that sends the next requests early fills this much before reading stops.
 _MAX_EARLY_BYTES = 256 * 1024
 _BACKLOG = 512
+# A caller must take this much of a response within this time, else its request is given up. A
+# process that waits for it holds the response, and the upstream its slot.
+_SEND_BYTES = 16 * 1024
+_SEND_TIMEOUT_S = 5.0
 # Time for the first bytes of a request on a connection that a stop has found open: its way from the
 # caller and one retransmission.
 LAST_REQUEST_S = 0.25
 
 
-@attrs.frozen
-class ServerLimits:
-    """Bound what a caller may send and how long it may take.
-
-    :param max_header_bytes: largest request head.
-    :param max_body_bytes: largest body.
-    :param header_timeout_ms: longest time for a request, from its first byte.
-    :param idle_timeout_ms: longest rest between two requests.
-    """
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
-
-
 class H11Server:
     """Accept connections and hand each request to a handler."""
 
-    def __init__(self, handler: Handler, limits: Callable[[], ServerLimits] = ServerLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits] = ServerLimits,
+        memory: MemoryQueue | None = None,
+    ) -> None:
         """Serve with a handler.
 
         :param handler: answers one request; it is cancelled when the caller goes.
         :param limits: returns the bounds in force.
+        :param memory: memory budget of the process; by default one of its own.
         """
+        self.memory = memory or MemoryQueue(MemoryBudget())
         self._handler = handler
         self.limits = limits
         self.is_closing = False
@@ -75,6 +85,9 @@
         :raises OSError: when the address cannot be bound.
         """
         listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=_BACKLOG)
+        if self.memory.budget.bounds_kernel_buffers:
+            for listener in listeners:
+                bound_receive_buffer(listener.socket)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._accept, listeners, nursery)
             task_status.started(listeners[0].socket.getsockname()[1])
@@ -105,9 +118,16 @@
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        share = self.memory.budget.open(Kind.CONNECTIONS)
         try:
-            await self._serve_stream(stream)
+            if await self.memory.reserve(share, CONNECTION_BYTES, _CONNECTION_WAIT_S):
+                await self._serve_stream(stream)
+            else:
+                self.memory.budget.count_refusal("connection")
+                log_limited("connection_refused", is_routine=False, connections=self.connections)
+                await trio.aclose_forcefully(stream)
         finally:
+            share.release()
             self.connections -= 1
             self._closed.set()
 
@@ -133,7 +153,7 @@
         self.in_flight += 1
         failed = False
         try:
-            await self._handler(request, answer)
+            await self._run_handler(request, answer)
             if not answer.is_complete and not answer.sent_bytes:
                 raise RuntimeError("the handler sent no answer")
         except* CallerGoneError as group:
@@ -146,6 +166,13 @@
         if failed and not answer.sent_bytes and not answer.is_caller_gone:
             await answer.send_internal_error()
 
+    async def _run_handler(self, request: HttpRequest, answer: Answer) -> None:
+        try:
+            await self._handler(request, answer)
+        except BaseException as error:
+            clear_frames(error)
+            raise
+
 
 class _Connection:
     """Serve the requests of one connection, one after the other."""
@@ -156,9 +183,13 @@
         self._protocol = _protocol(server.limits())
 
     async def run(self) -> None:
-        while True:
-            request = await self._next_request()
-            if request is None or not await self._answer(request):
+        while await self._await_first_byte():
+            share = self._server.memory.budget.open(Kind.REQUESTS)
+            try:
+                is_kept = await self._serve_request(share)
+            finally:
+                share.release()
+            if not is_kept:
                 return
             if self._protocol.our_state is not h11.DONE:
                 return
@@ -166,23 +197,29 @@
                 return
             self._protocol.start_next_cycle()
 
-    async def _next_request(self) -> HttpRequest | None:
-        if not await self._await_first_byte():
-            return None
+    async def _serve_request(self, share: Share) -> bool:
+        """Read one request and answer it; return whether the connection may be kept."""
         limits = self._server.limits()
         # The limit may have changed since the connection was opened, and h11 cannot change it.
         received, _ = self._protocol.trailing_data
         self._protocol = _protocol(limits)
         if received:
             self._protocol.receive_data(received)
-        with trio.move_on_after(limits.header_timeout_ms / 1000.0) as scope:
-            try:
-                return await self._read_request(limits)
-            except h11.RemoteProtocolError as error:
-                await self._refuse(error.error_status_hint)
-        if scope.cancelled_caught:
-            await self._refuse(408)
-        return None
+        # The errors are not kept, since their tracebacks would keep the body.
+        try:
+            request = await RequestReader(
+                self._stream, self._protocol, limits, share, self._server.memory
+            ).read()
+        except h11.RemoteProtocolError as error:
+            status, reason = error.error_status_hint, "malformed"
+        except RequestRefusedError as error:
+            status, reason = error.status, error.reason
+        else:
+            return request is not None and await self._answer(request, share)
+        held_bytes = share.held_bytes
+        share.release()
+        await self._refuse(status, reason, held_bytes)
+        return False
 
     async def _await_first_byte(self) -> bool:
         """Wait between requests; return whether another one begins."""
@@ -213,57 +250,25 @@
         return bool(poll.poll(0))
 
     async def _receive_first(self) -> bool:
-        data = await self._stream.receive_some(_READ_BYTES)
+        data = await self._stream.receive_some(FIRST_READ_BYTES)
         self._protocol.receive_data(data)
         return bool(data)
 
-    async def _read_request(self, limits: ServerLimits) -> HttpRequest | None:
-        head: h11.Request | None = None
-        received_ms = now_ms()
-        body = bytearray()
-        while True:
-            event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
-                if self._protocol.they_are_waiting_for_100_continue:
-                    go = h11.InformationalResponse(status_code=100, headers=[])
-                    await self._stream.send_all(self._protocol.send(go) or b"")
-                self._protocol.receive_data(await self._stream.receive_some(_READ_BYTES))
-            elif isinstance(event, h11.Request):
-                head, received_ms = event, now_ms()
-                if _head_bytes(head) > limits.max_header_bytes:
-                    await self._refuse(431)
-                    return None
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.max_body_bytes:
-                    await self._refuse(413)
-                    return None
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                return HttpRequest(
-                    head.method.decode("ascii"),
-                    head.target.decode("latin-1"),
-                    list(head.headers),
-                    bytes(body),
-                    received_ms,
-                )
-            else:
-                return None
-
-    async def _answer(self, request: HttpRequest) -> bool:
+    async def _answer(self, request: HttpRequest, share: Share) -> bool:
         """Run the handler beside a watch for the caller's close; return whether to go on."""
         answer = Answer(self._protocol, self._send, lambda: self._server.is_closing)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, answer, nursery.cancel_scope)
+            nursery.start_soon(self._watch, answer, share, nursery.cancel_scope)
             await self._server.handle(request, answer)
             nursery.cancel_scope.cancel()
         return answer.is_complete and not answer.closes_connection
 
-    async def _watch(self, answer: Answer, scope: trio.CancelScope) -> None:
+    async def _watch(self, answer: Answer, share: Share, scope: trio.CancelScope) -> None:
+        """Read early requests until the caller closes, as far as memory is granted."""
         early = 0
         while early < _MAX_EARLY_BYTES:
             try:
-                data = await self._stream.receive_some(_READ_BYTES)
+                data = await self._stream.receive_some(FIRST_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -272,27 +277,47 @@
                 return
             early += len(data)
             self._protocol.receive_data(data)
+            await self._server.memory.reserve(share, len(data), float("inf"))
 
     async def _send(self, data: bytes) -> None:
-        try:
-            await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise CallerGoneError(str(error)) from error
-
-    async def _refuse(self, status: int) -> None:
-        if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            answer = Answer(self._protocol, self._send)
-            answer.closes_connection = True
-            await answer.send_whole(status, [])
+        """Send bytes, and give up a caller that takes them at less than the least rate."""
+        view = memoryview(data)
+        for start in range(0, len(view), _SEND_BYTES):
+            with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
+                try:
+                    await self._stream.send_all(view[start : start + _SEND_BYTES])
+                except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                    raise CallerGoneError(str(error)) from error
+            if scope.cancelled_caught:
+                self._server.memory.budget.count_refusal("response_unread")
+                log_limited("response_unread", is_routine=False, unsent_bytes=len(view) - start)
+                raise CallerGoneError("the caller does not read the response")
+
+    async def _refuse(self, status: int, reason: str, held_bytes: int) -> None:
+        """Answer a request that was not read to its end, and close without losing the answer."""
+        self._server.memory.budget.count_refusal(reason)
+        log_limited(
+            "request_refused_unread",
+            is_routine=True,
+            status=status,
+            reason=reason,
+            held_bytes=held_bytes,
+        )
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        answer = Answer(self._protocol, self._send)
+        answer.closes_connection = True
+        headers = [(b"retry-after", b"1")] if status == 503 else []
+        await answer.send_whole(status, headers)
+        self._protocol = _protocol(ServerLimits())  # the former one holds what was read last
+        with trio.move_on_after(_LINGER_S):
+            await self._stream.send_eof()
+            left_bytes = _LINGER_BYTES
+            while left_bytes > 0 and (data := await self._stream.receive_some(_READ_BYTES)):
+                left_bytes -= len(data)
 
 
 def _protocol(limits: ServerLimits) -> h11.Connection:
     """Return the state of a connection between two requests."""
     size = limits.max_header_bytes + 1024
     return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
-
-
-def _head_bytes(head: h11.Request) -> int:
-    """Return the size of a request's head; h11 itself bounds only one that is not complete."""
-    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
-    return len(head.method) + len(head.target) + 12 + fields
--- /dev/null
+++ b/src/briardyke/http/memory_queue.py
@@ -0,0 +1,71 @@
+"""Let requests wait for room in the memory budget, the smallest first."""
+
+from __future__ import annotations
+
+from bisect import insort
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from briardyke.clock import now_ms
+
+if TYPE_CHECKING:
+    from briardyke.http.memory_budget import MemoryBudget, Share
+
+# Interval at which the first one looks for bodies that have stopped.
+_CHECK_S = 0.25
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    size_bytes: int
+    event: trio.Event = attrs.field(factory=trio.Event)
+
+
+class MemoryQueue:
+    """Requests that wait for room.
+
+    A crowd of large bodies then delays other large ones, but not those of usual size.
+    """
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        """Wait for room in a budget."""
+        self.budget = budget
+        self._waiting: list[_Waiter] = []
+        budget.on_release = self._notify
+
+    async def reserve(self, share: Share, size_bytes: int, timeout_s: float) -> bool:
+        """Let a share grow, waiting for room if need be; return whether it has grown."""
+        is_next = not self._waiting or size_bytes < self._waiting[0].size_bytes
+        if is_next and share.grow(size_bytes):
+            return True
+        if not self.budget.can_ever_hold(share, size_bytes):
+            return False
+        waiter = _Waiter(size_bytes)
+        insort(self._waiting, waiter, key=lambda other: other.size_bytes)
+        try:
+            with trio.move_on_after(timeout_s):
+                while not await self._is_granted(share, waiter):
+                    pass
+                return True
+        finally:
+            self._waiting.remove(waiter)
+            self._notify()
+        return False
+
+    async def _is_granted(self, share: Share, waiter: _Waiter) -> bool:
+        if self._waiting[0] is not waiter:
+            await waiter.event.wait()
+        elif share.grow(waiter.size_bytes):
+            return True
+        else:
+            self.budget.displace(share, waiter.size_bytes, now_ms())
+            with trio.move_on_after(_CHECK_S):
+                await waiter.event.wait()
+        waiter.event = trio.Event()
+        return False
+
+    def _notify(self) -> None:
+        if self._waiting:
+            self._waiting[0].event.set()
--- a/src/briardyke/http/sockets.py
+++ b/src/briardyke/http/sockets.py
@@ -15,6 +15,16 @@
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# Unread bytes that the kernel keeps for a connection; Linux doubles the figure.
+_RECEIVE_BUFFER_BYTES = 16 * 1024
+
+
+def bound_receive_buffer(listener: trio.socket.SocketType) -> None:
+    """Bound what the kernel keeps unread for each connection that a listener accepts.
+
+    By default it grows to 6 MiB for a caller whose body is not being read.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
 
 
 def tune(stream: trio.SocketStream, *, keepalive: bool = True) -> None:
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -11,6 +11,8 @@
 from briardyke.fleet.control import ControlInstance
 from briardyke.fleet.member import MemberSettings, open_member
 from briardyke.http.h11_server import H11Server
+from briardyke.http.memory_budget import MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
 from briardyke.logs import log_error, log_event
 from briardyke.models.runner import ModelPlacementRunner
 from briardyke.platform.configuration import decode_configuration
@@ -77,8 +79,9 @@
         control = ControlInstance(log, machine, peers, own, settings.data_centre)
         await nursery.start(log.run)
         await nursery.start(serve_peers, own, hello, control.handle)
+        memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
         api = ControlApi(control, settings.control_listen.port)
-        await nursery.start(H11Server(api.handle).serve, settings.control_listen)
+        await nursery.start(H11Server(api.handle, memory=memory).serve, settings.control_listen)
         nursery.start_soon(keep_running, "settings", follower.run)
         configuration = DecodedConfiguration(log, machine)
         models = ModelPlacementRunner(
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -35,6 +35,7 @@
         settings.grace_s,
         RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s),
         capacity_per_s(settings.cores, settings.link_mbps),
+        settings.memory_mb,
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
@@ -44,7 +45,7 @@
         api = EntryApi(entry)
         for address in (settings.readiness_listen, settings.directory_listen):
             if address is not None:
-                await nursery.start(H11Server(api.handle).serve, address)
+                await nursery.start(H11Server(api.handle, memory=entry.memory).serve, address)
         nursery.start_soon(keep_running, "settings", follower.run)
         await entry.run(stop)
         nursery.cancel_scope.cancel()
--- a/src/briardyke/platform/starting.py
+++ b/src/briardyke/platform/starting.py
@@ -7,6 +7,7 @@
 
 from briardyke.exit_codes import ExitCode
 from briardyke.logs import configure_logs, log_error
+from briardyke.platform.allocator import return_large_blocks
 from briardyke.platform.settings import PlatformSettings, load_platform_settings
 from briardyke.runtime import run_until_signal
 
@@ -30,6 +31,9 @@
         return ExitCode.SETTINGS_INVALID
     settings = loaded.unwrap()
 
+    if settings.memory_mb > 0:
+        return_large_blocks()
+
     async def main(stop: trio.Event) -> None:
         await run(settings, stop)
 
