--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -22,6 +22,7 @@
     :param revocation_ms: time after which a revoked key must be refused, ``None`` when keys are
         accepted under a configuration of any age.
     :param quota_bounds: how far the use of quotas may exceed them.
+    :param memory_mb: memory of its machine, 0 when unknown.
     """
 
     instance_id: str
@@ -32,3 +33,4 @@
     capacity_per_s: float = 0.0
     revocation_ms: float | None = None
     quota_bounds: QuotaBounds = QuotaBounds()
+    memory_mb: float = 0.0
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -33,6 +33,7 @@
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
     from briardyke.quotas.messages import QuotaReply, QuotaRequest
+    from briardyke.http.memory_budget import MemoryBudget
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
@@ -74,6 +75,7 @@
         is_informed: Callable[[], bool] = lambda: True,
         proof: ConfigurationProof | None = None,
         account_credits: AccountCredits | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -89,6 +91,7 @@
         :param is_informed: returns whether the known upstreams are as of now.
         :param proof: age of the configuration; by default one of any age may be used.
         :param account_credits: charges the quotas of accounts; by default no leader is asked.
+        :param memory: budget of the process, which counts buffered responses too.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -96,7 +99,7 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
-        self.response_buffers = BufferBudget()
+        self.response_buffers = BufferBudget(memory=memory)
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -38,6 +38,7 @@
         capacity_per_s(settings.cores, settings.link_mbps),
         settings.revocation_ms,
         QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
+        settings.memory_mb,
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
@@ -47,7 +48,7 @@
         api = EntryApi(entry)
         for address in (settings.readiness_listen, settings.directory_listen):
             if address is not None:
-                await nursery.start(H11Server(api.handle).serve, address)
+                await nursery.start(H11Server(api.handle, memory=entry.memory).serve, address)
         nursery.start_soon(keep_running, "settings", follower.run)
         await entry.run(stop)
         nursery.cancel_scope.cancel()
