Forget dispatches by counts only when these stay lower

Cause: a summed count may lack the report of an entry instance for a while; dispatches that still ran would have been forgotten and their engines filled beyond their slots.

Change: counts are believed after 1.5 s, and single requests above the known ones are within their error.

--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -31,6 +31,10 @@
 _UNKNOWN_WAITING_TTL_MS = 300.0
 # Counts of entry instances cover dispatches that are older than this at the time of the count.
 _COUNT_SETTLED_MS = 1000.0
+# Counts consist of reports of different ages, and may lack some for a while: their error in requests,
+# and the time after which fewer than expected are believed.
+_COUNT_TOLERANCE = 2
+_EXCESS_MS = 1500.0
 # Failures in this time after which an engine gets requests only if no other is left, and for how
 # long. A crashed engine stays listed for about 2.5 s.
 _FAILURE_WINDOW_MS = 500.0
@@ -95,6 +99,7 @@
         self._ends_ms: deque[float] = deque(maxlen=_KEPT_ENDS)
         self._failures_ms: list[float] = []
         self._reported_ms = float("-inf")
+        self._excess_since_ms = math.inf
         self._avoided_until_ms = float("-inf")
 
     # What it holds
@@ -291,18 +296,23 @@
         :param count: requests in progress that they reported.
         :param counted_ms: time of the count.
         """
+        if self._unknown_ms < counted_ms:
+            unknown = count - self._held_at(counted_ms) - _COUNT_TOLERANCE
+            self._unknown_requests, self._unknown_ms = max(0, unknown), counted_ms
         settled = [
-            dispatch
-            for dispatch in self.dispatches.values()
+            request_id
+            for request_id, dispatch in self.dispatches.items()
             if dispatch.placed_ms < counted_ms - _COUNT_SETTLED_MS
         ]
-        excess = len(settled) - count
-        forgotten = [dispatch.request_id for dispatch in settled[: max(0, excess)]]
+        if len(settled) <= count:
+            self._excess_since_ms = math.inf
+            return []
+        self._excess_since_ms = min(self._excess_since_ms, now_ms)
+        if now_ms - self._excess_since_ms < _EXCESS_MS:
+            return []  # a single count may lack the report of an entry instance
+        forgotten = settled[: len(settled) - count]
         for request_id in forgotten:
             self.end(request_id, now_ms)
-        if self._unknown_ms < counted_ms:
-            self._unknown_requests = max(0, count - self._held_at(counted_ms))
-            self._unknown_ms = counted_ms
         return forgotten
 
     def _update_paused_streams(self, change: int) -> None:
