--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -31,8 +31,8 @@
 _UNKNOWN_WAITING_TTL_MS = 300.0
 # Counts of entry instances cover dispatches that are older than this at the time of the count.
 _COUNT_SETTLED_MS = 1000.0
-# Counts consist of reports of different ages, and may lack some for a while: their error in requests,
-# and the time after which fewer than expected are believed.
+# Counts consist of reports of different ages and may lack some for a while: their error, in
+# requests, and the time after which fewer than expected are believed.
 _COUNT_TOLERANCE = 2
 _EXCESS_MS = 1500.0
 # Failures in this time after which an engine gets requests only if no other is left, and for how
