--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -32,8 +32,8 @@
     from briardyke.gateway.dispatch_client import DispatchClient
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
-    from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.http.memory_budget import MemoryBudget
+    from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
 
