--- a/tests/platform/platform_cluster.py
+++ b/tests/platform/platform_cluster.py
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, PEER_PORT = 8144, 8143, 8149, 8141, 7380
+# Counts only under configurations with client accounts.
+REVOKE_MS = 5000
 
 
 @attrs.frozen
@@ -104,7 +106,8 @@
             "bootstrap": is_first_start,
             "data_dir": str(self.folder / name) if role == "control" else None,
             "heartbeat_ms": 400,
-            "bounds": {"grace_s": 3, "lease_ms": 500, "budget_slack": 50},
+            "bounds": {"grace_s": 3, "lease_ms": 500, "budget_slack": 50}
+            | {"strict_revoke": True, "revoke_ms": REVOKE_MS},
         }
         return json.dumps(settings)
 
