Bound the memory of the product's own request path

Cause: `http/app.py` kept the pieces of each body, with an object for each chunk, up to the body limit of every connection, and joined them into a second copy. Hypercorn queued up to ten pieces of 64 KiB for a body that is not read.

Change: bodies use the memory budget as on the platform's path: an announced one is granted as a whole before it is read, chunked ones in steps of 64 KiB, and a wait without room ends with 503 (not run). One piece is queued.

--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -15,6 +15,8 @@
 from briardyke.entry.upstream_api import UpstreamApi
 from briardyke.http.app import HttpApp, Request, Response, json_response, serve_http
 from briardyke.http.client import HttpClient
+from briardyke.http.memory_budget import MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
 from briardyke.logs import log_event, log_warning
 from briardyke.metrics import PAGE_CONTENT_TYPE, page_of
 from briardyke.sync.client import SyncClient
@@ -111,7 +113,10 @@
         return any(s.instance_id == self.settings.instance_id for s in self.state.view.listed)
 
     def _http_app(self) -> HttpApp:
-        app = HttpApp(self.settings.body_limit_bytes, self.settings.body_timeout_ms / 1000.0)
+        memory = MemoryQueue(MemoryBudget.of_machine(self.settings.memory_mb))
+        app = HttpApp(
+            self.settings.body_limit_bytes, self.settings.body_timeout_ms / 1000.0, memory
+        )
         CallerApi(self.state, self._relay).register(app)
         UpstreamApi(self.state).register(app)
         app.route("GET", "/health", self._get_health)
--- a/src/briardyke/entry/settings.py
+++ b/src/briardyke/entry/settings.py
@@ -94,6 +94,14 @@
         minimum=100,
         maximum=600000,
     )
+    memory_mb: float = setting(
+        "Memory of the machine, which bounds the bytes held for requests; 0 when unknown.",
+        default="0",
+        parse=float,
+        unit="MiB",
+        minimum=0,
+        maximum=16777216,
+    )
     coalesce_ms: float = setting(
         "Time for which generated tokens are gathered into one write; the first is sent at once.",
         default="20",
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -12,15 +12,20 @@
 
 import attrs
 import trio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 from result import Err, Ok, Result
 
+from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
+from briardyke.http.memory_budget import Kind, MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
+from briardyke.http.sockets import bound_receive_buffer
 from briardyke.logs import log_error, log_warning
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
+    from briardyke.http.memory_budget import Share
 
 DEFAULT_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 DEFAULT_BODY_TIMEOUT_S = 10.0
@@ -28,6 +33,10 @@
 # A caller that is still sending when the connection closes sees a reset instead of the answer, so
 # this much of a body over the limit is read and thrown away.
 _DISCARD_LIMIT_BYTES = 16 * 1024 * 1024
+# Hypercorn queues this many pieces of a body that is not being read, of up to 64 KiB each.
+_QUEUED_PIECES = 1
+# Room for a body of unknown length is asked for in steps of this size.
+_STEP_BYTES = 64 * 1024
 _JSON_HEADERS = {"content-type": "application/json"}
 
 AsgiReceive = Callable[[], Awaitable[Any]]
@@ -143,12 +152,15 @@
         self,
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
+        memory: MemoryQueue | None = None,
     ) -> None:
         """Set the bounds on request bodies.
 
         :param body_limit_bytes: largest accepted body.
         :param body_timeout_s: longest time to receive a body, in seconds.
+        :param memory: memory budget of the process; by default one of its own.
         """
+        self.memory = memory or MemoryQueue(MemoryBudget())
         self._routes: list[_Route] = []
         self._body_limit_bytes = body_limit_bytes
         self._body_timeout_s = body_timeout_s
@@ -175,16 +187,23 @@
             return
         if scope["type"] != "http":
             return
-        response = await self._respond(scope, receive)
-        if response is not None:
-            await send_response(response, receive, send)
+        share = self.memory.budget.open(Kind.REQUESTS)
+        try:
+            response = await self._respond(scope, receive, share)
+            if response is not None:
+                await send_response(response, receive, send)
+        finally:
+            share.release()
 
-    async def _respond(self, scope: dict[str, Any], receive: AsgiReceive) -> AnyResponse | None:
+    async def _respond(
+        self, scope: dict[str, Any], receive: AsgiReceive, share: Share
+    ) -> AnyResponse | None:
         request = _request(scope)
         found = self._find(request)
         if found.is_err():
             return error_response(found.unwrap_err())
-        body = await self._read_body(request, receive)
+        body = await self._read_body(request, receive, share)
+        share.is_reading = False
         if body.is_err():
             return error_response(body.unwrap_err())
         request.body = body.unwrap()
@@ -212,11 +231,23 @@
             return Err(Failure(ErrorKind.METHOD_NOT_ALLOWED, text, "method"))
         return Err(Failure(ErrorKind.NOT_FOUND, f"no resource at {request.path}", "path"))
 
-    async def _read_body(self, request: Request, receive: AsgiReceive) -> Result[bytes, Failure]:
+    async def _read_body(
+        self, request: Request, receive: AsgiReceive, share: Share
+    ) -> Result[bytes, Failure]:
         limit = self._body_limit_bytes
         too_large = Err(Failure(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes", "body"))
-        size_bytes, pieces = 0, []
-        with trio.move_on_after(self._body_timeout_s):
+        no_memory = Err(Failure(ErrorKind.OVERLOADED, "no memory is left for large bodies"))
+        size_bytes, room_bytes, body = 0, 0, bytearray()
+        announced = request.headers.get("content-length", "")
+        # The time limit for the body starts when there is room for it.
+        if announced.isascii() and announced.isdigit() and int(announced) <= limit:
+            room_bytes = int(announced)
+            growth = room_bytes + room_bytes // 8
+            if not await self.memory.reserve(share, growth, self._body_timeout_s):
+                return no_memory
+        with trio.move_on_after(self._body_timeout_s) as scope:
+            share.on_displaced = scope.cancel
+            share.begin_reading(now_ms())
             while True:
                 event = await receive()
                 if event["type"] == "http.disconnect":
@@ -224,12 +255,23 @@
                     return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
                 piece = event.get("body", b"")
                 size_bytes += len(piece)
-                if size_bytes <= limit:
-                    pieces.append(piece)
-                elif size_bytes > limit + _DISCARD_LIMIT_BYTES:
-                    return too_large
+                if size_bytes > limit:
+                    body.clear()
+                    share.shrink(share.held_bytes)
+                    if size_bytes > limit + _DISCARD_LIMIT_BYTES:
+                        return too_large
+                else:
+                    while room_bytes < size_bytes:
+                        step = _STEP_BYTES + _STEP_BYTES // 8
+                        if not await self.memory.reserve(share, step, self._body_timeout_s):
+                            return no_memory
+                        room_bytes += _STEP_BYTES
+                    body += piece
+                    share.record_progress(len(piece), now_ms())
                 if not event.get("more_body", False):
-                    return Ok(b"".join(pieces)) if size_bytes <= limit else too_large
+                    return Ok(bytes(body)) if size_bytes <= limit else too_large
+        if share.is_displaced:
+            return no_memory
         if size_bytes > limit:
             return too_large
         text = f"body was not complete within {self._body_timeout_s:g} s"
@@ -307,6 +349,16 @@
             return
 
 
+class _BoundedConfig(Config):
+    """Bound what the kernel keeps unread for a connection."""
+
+    def create_sockets(self) -> Sockets:
+        created = super().create_sockets()
+        for listener in created.insecure_sockets:
+            bound_receive_buffer(listener)
+        return created
+
+
 async def serve_http(
     app: HttpApp,
     address: Address,
@@ -324,13 +376,14 @@
     :param task_status: reports ``ip:port`` once the socket listens.
     :raises OSError: when the address cannot be bound.
     """
-    config = Config()
+    config = _BoundedConfig() if app.memory.budget.bounds_kernel_buffers else Config()
     config.bind = [str(address)]
     config.graceful_timeout = graceful_timeout_s
     config.keep_alive_timeout = _KEEP_ALIVE_TIMEOUT_S
     config.accesslog = None
     config.errorlog = logging.getLogger("hypercorn")  # keeps the key=value format of the logs
     config.include_server_header = False
+    config.max_app_queue_size = _QUEUED_PIECES
     async with trio.open_nursery() as nursery:
 
         async def wait_for_stop() -> None:
--- a/src/briardyke/http/sockets.py
+++ b/src/briardyke/http/sockets.py
@@ -19,7 +19,7 @@
 _RECEIVE_BUFFER_BYTES = 16 * 1024
 
 
-def bound_receive_buffer(listener: trio.socket.SocketType) -> None:
+def bound_receive_buffer(listener: trio.socket.SocketType | socket.socket) -> None:
     """Bound what the kernel keeps unread for each connection that a listener accepts.
 
     By default it grows to 6 MiB for a caller whose body is not being read.
--- a/src/briardyke/platform/starting.py
+++ b/src/briardyke/platform/starting.py
@@ -5,9 +5,9 @@
 import sys
 from typing import TYPE_CHECKING
 
+from briardyke.allocator import return_large_blocks
 from briardyke.exit_codes import ExitCode
 from briardyke.logs import configure_logs, log_error
-from briardyke.platform.allocator import return_large_blocks
 from briardyke.platform.settings import PlatformSettings, load_platform_settings
 from briardyke.runtime import run_until_signal
 
