Show the memory account to operators and list its limits

Entry processes report on `/metrics` the bytes held by kind, their peak, the limit, refusals by reason and open connections by age.

--- a/src/briardyke/entry/process.py
+++ b/src/briardyke/entry/process.py
@@ -45,6 +45,7 @@
         hello = Hello(PROTOCOL_VERSION, settings.cluster_id, settings.instance_id)
         self._peers = PeerPool(nursery, hello)
         self._client = HttpClient()
+        self._memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
         self._relay = Relay(
             self.state.routing_table,
             self._client,
@@ -113,9 +114,8 @@
         return any(s.instance_id == self.settings.instance_id for s in self.state.view.listed)
 
     def _http_app(self) -> HttpApp:
-        memory = MemoryQueue(MemoryBudget.of_machine(self.settings.memory_mb))
         app = HttpApp(
-            self.settings.body_limit_bytes, self.settings.body_timeout_ms / 1000.0, memory
+            self.settings.body_limit_bytes, self.settings.body_timeout_ms / 1000.0, self._memory
         )
         CallerApi(self.state, self._relay).register(app)
         UpstreamApi(self.state).register(app)
@@ -145,7 +145,7 @@
         return json_response({"ready": ready}, 200 if ready else 503)
 
     async def _get_metrics(self, request: Request) -> Response:
-        page = page_of(STATISTICS.figures())
+        page = page_of(STATISTICS.figures() | self._memory.budget.figures(now_ms()))
         return Response(200, page, {"content-type": PAGE_CONTENT_TYPE})
 
 
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -37,11 +37,16 @@
         """Count an event."""
         self.events[event] = self.events.get(event, 0) + 1
 
-    def prometheus_text(self) -> bytes:
-        """Return all counters in the Prometheus text format."""
+    def prometheus_text(
+        self, further: dict[str, list[tuple[float, dict[str, Any]]]] | None = None
+    ) -> bytes:
+        """Return all counters in the Prometheus text format.
+
+        :param further: values with their labels, by name, that are counted elsewhere.
+        """
         from briardyke import metrics  # the import takes 0.3 s of CPU time
 
-        return metrics.page_of(self._observe())
+        return metrics.page_of(self._observe() | (further or {}))
 
     def _observe(self) -> dict[str, list[tuple[float, dict[str, Any]]]]:
         durations = []
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -14,6 +14,7 @@
 import h11
 import trio
 
+from briardyke.clock import now_ms
 from briardyke.http.exchange import Answer, CallerGoneError, HttpRequest
 from briardyke.http.memory_budget import Kind, MemoryBudget
 from briardyke.http.memory_queue import MemoryQueue
@@ -119,6 +120,7 @@
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         share = self.memory.budget.open(Kind.CONNECTIONS)
+        share.started_ms = now_ms()
         try:
             if await self.memory.reserve(share, CONNECTION_BYTES, _CONNECTION_WAIT_S):
                 await self._serve_stream(stream)
--- a/src/briardyke/http/memory_budget.py
+++ b/src/briardyke/http/memory_budget.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from typing import Any
 
 import attrs
 
@@ -30,6 +31,8 @@
 LEAST_BYTES_PER_S = 256 * 1024
 # Time without progress, or at a low rate, after which a body gives way while memory is short.
 STALL_MS = 1000.0
+# Bounds of the groups in which open connections are counted by their age, in seconds.
+AGE_BOUNDS_S = (1, 10, 60)
 
 
 class Kind(Enum):
@@ -61,7 +64,7 @@
     :param held_bytes: bytes that it holds.
     :param is_reading: whether its body is being read; only then it may be displaced.
     :param is_displaced: whether it must be released.
-    :param started_ms: time at which its body was granted.
+    :param started_ms: time at which its body was granted, or its connection was accepted.
     :param progress_ms: time of the last progress.
     :param received_bytes: bytes received since it was granted.
     """
@@ -226,6 +229,24 @@
             found.on_displaced()
         return found
 
+    def figures(self, now_ms: float) -> dict[str, list[tuple[float, dict[str, Any]]]]:
+        """Return the account for the metrics page: values with their labels, by name."""
+        ages = dict.fromkeys((*map(str, AGE_BOUNDS_S), "+Inf"), 0)
+        for share in self._shares:
+            if share.kind is Kind.CONNECTIONS:
+                age_s = (now_ms - share.started_ms) / 1000.0
+                bound = next((str(b) for b in AGE_BOUNDS_S if age_s <= b), "+Inf")
+                ages[bound] += 1
+        return {
+            "memory_held_bytes": [(float(v), {"kind": k.value}) for k, v in self.held.items()],
+            "memory_held_peak_bytes": [(float(self.peak_bytes), {})],
+            "memory_limit_bytes": [(float(self.limit_bytes), {})],
+            "memory_refusals_total": [
+                (float(count), {"reason": reason}) for reason, count in self.refusals.items()
+            ],
+            "caller_connections": [(float(v), {"age_s_up_to": k}) for k, v in ages.items()],
+        }
+
     def count_refusal(self, reason: str) -> None:
         """Count a request or connection that was refused."""
         self.refusals[reason] = self.refusals.get(reason, 0) + 1
--- a/src/briardyke/http/memory_queue.py
+++ b/src/briardyke/http/memory_queue.py
@@ -9,6 +9,7 @@
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     from briardyke.http.memory_budget import MemoryBudget, Share
@@ -60,12 +61,23 @@
         elif share.grow(waiter.size_bytes):
             return True
         else:
-            self.budget.displace(share, waiter.size_bytes, now_ms())
+            if self.budget.displace(share, waiter.size_bytes, now_ms()) is not None:
+                self._log_shortage()
             with trio.move_on_after(_CHECK_S):
                 await waiter.event.wait()
         waiter.event = trio.Event()
         return False
 
+    def _log_shortage(self) -> None:
+        held = {kind.value: size for kind, size in self.budget.held.items()}
+        log_limited(
+            "memory_short",
+            is_routine=True,
+            limit_bytes=self.budget.limit_bytes,
+            waiting=len(self._waiting),
+            **{f"{kind}_bytes": size for kind, size in held.items()},
+        )
+
     def _notify(self) -> None:
         if self._waiting:
             self._waiting[0].event.set()
--- a/src/briardyke/platform/entry_api.py
+++ b/src/briardyke/platform/entry_api.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
+from briardyke.clock import now_ms
 from briardyke.gateway.directory import addresses_for
 
 if TYPE_CHECKING:
@@ -34,7 +35,8 @@
         elif request.path == _RESOLVE:
             await self._resolve(request, answer)
         elif request.path == METRICS_PATH:
-            page = self._entry.state.counters.prometheus_text()
+            memory = self._entry.memory.budget.figures(now_ms())
+            page = self._entry.state.counters.prometheus_text(memory)
             await answer.send_whole(200, [(b"content-type", b"text/plain")], page)
         else:
             await answer.send_whole(404, [])
--- a/tests/http/test_memory_budget.py
+++ b/tests/http/test_memory_budget.py
@@ -99,6 +99,23 @@
         assert budget.displace(budget.open(Kind.CONNECTIONS), 1024, 1e6) is None
 
 
+class TestFigures:
+    """Covers what an operator sees of the account."""
+
+    def test_bytes_by_kind_refusals_and_connections_by_age(self) -> None:
+        budget = MemoryBudget(LIMIT)
+        for opened_ms in (0.0, 95_000.0, 99_500.0):
+            share = budget.open(Kind.CONNECTIONS)
+            assert share.grow(1024)
+            share.started_ms = opened_ms
+        budget.count_refusal("no_memory")
+        figures = budget.figures(100_000.0)
+        assert (3072.0, {"kind": "connections"}) in figures["memory_held_bytes"]
+        assert figures["memory_refusals_total"] == [(1.0, {"reason": "no_memory"})]
+        counted = {labels["age_s_up_to"]: value for value, labels in figures["caller_connections"]}
+        assert counted == {"1": 1.0, "10": 1.0, "60": 0.0, "+Inf": 1.0}
+
+
 @settings(max_examples=200, stateful_step_count=40, deadline=None)
 class BudgetMachine(RuleBasedStateMachine):
     """Grants, ends and displacements in any order.
