Serve batch streams and large accounts while live load exceeds the capacity

Cause: a promoted batch stream was ordered by its own time left, after all live streams while these exceeded the capacity: it began after up to 14.8 s. Large accounts yielded, and were rejected, at loads that all engines can serve.

Change: a promoted batch stream is ordered like a live one with 500 ms left, from 60% of its objective on; accounts yield from 80% of the capacity on.

--- a/src/briardyke/dispatch/demand.py
+++ b/src/briardyke/dispatch/demand.py
@@ -13,7 +13,7 @@
 # Some capacity is left for requests that wait: no burst lasts.
 _MAX_OVERTAKING = 0.9
 # From this fraction of the capacity on, prompts of one account delay those of others.
-_CONTENDED_FRACTION = 0.7
+_CONTENDED_FRACTION = 0.8
 # Accounts yield only above this many times the median: the load of equal ones varies at random, and
 # engines serve fewer requests that yield.
 _MIN_ABOVE_MEDIAN = 1.5
--- a/src/briardyke/dispatch/queue.py
+++ b/src/briardyke/dispatch/queue.py
@@ -18,7 +18,10 @@
 # Time in which the tokens that an account was served count less by a factor of e.
 _USAGE_DECAY_MS = 4000.0
 # Fraction of its objective after which a batch stream is as urgent as a live one.
-_PROMOTION_FRACTION = 0.5
+_PROMOTION_FRACTION = 0.6
+# From then on, it is ordered like a live stream with this much time left. With its own time left it
+# would come after all live ones while these exceed the capacity.
+_PROMOTED_DUE_MS = 500.0
 
 
 @attrs.define(eq=False)
@@ -29,6 +32,7 @@
     :param rank: priority of its account and of its route; the lowest comes first.
     :param work_ms: time to read its prompt on a typical engine.
     :param asked_ms: time at which its entry instance last asked for it.
+    :param due_ms: time by which it is ordered among requests of its account and rank.
     :param promotion_ms: time from which it has the rank of live streams.
     :param is_late: whether it can no longer meet its objective.
     """
@@ -37,9 +41,14 @@
     rank: tuple[int, int]
     work_ms: float
     asked_ms: float
+    due_ms: float = attrs.field(init=False)
     promotion_ms: float = math.inf
     is_late: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        """Order it by the time left for its objective."""
+        self.due_ms = self.need.objective_ms
+
     @property
     def account(self) -> str:
         """Return its client account."""
@@ -57,9 +66,7 @@
 
     def __init__(self) -> None:
         # Callers that come back after a rejection are first: they have waited already.
-        self.on_time = SortedKeyList(
-            key=lambda w: (not w.need.request.has_returned, w.need.objective_ms)
-        )
+        self.on_time = SortedKeyList(key=lambda w: (not w.need.request.has_returned, w.due_ms))
         self.late = SortedKeyList(key=lambda w: w.need.limit_ms)
 
     def list_of(self, waiting: Waiting) -> SortedKeyList:
@@ -130,6 +137,7 @@
             request = waiting.need.request
             waiting.rank = rank_of(request.account_priority, live_priority)
             waiting.need.is_batch = waiting.need.yields = False
+            waiting.due_ms = now_ms + _PROMOTED_DUE_MS
             self._insert(waiting)
         return promoted
 
--- a/tests/dispatch/test_replayed_overload.py
+++ b/tests/dispatch/test_replayed_overload.py
@@ -88,3 +88,13 @@
         replay(streams + batch, 30_000.0)
         assert late_fraction(streams) < 0.01
         assert max(stream.first_ms - stream.at_ms for stream in batch) < 10_000.0
+
+    def test_batch_streams_are_served_while_live_ones_exceed_the_capacity(self):
+        """Guards against batch streams that starve as long as live ones wait."""
+        streams = live_streams(450, 9_000.0)
+        batch = live_streams(20, 9_000.0, seed=5, prefix="batch-")
+        for stream in batch:
+            stream.objective_ms, stream.priority, stream.gap_ms = 12_000.0, 3, 1e9
+        replay(streams + batch, 30_000.0)
+        assert not any(stream.is_rejected for stream in batch)
+        assert max(stream.first_ms - stream.at_ms for stream in batch) < 10_000.0
