Keep the place of a queued request when it is asked for again

Cause: a repeated request replaced the fields by which its place in the queue is found; one that stated another account, or that its caller had returned, would have raised an error at its removal.

Change: only the lists of engines are taken over from a repeated request.

--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+import attrs
+
 from briardyke.dispatch.choice import Need, choose
 from briardyke.dispatch.demand import Demand
 from briardyke.dispatch.drain import reference_ms
@@ -84,7 +86,13 @@
                 return placement
             self._enqueue(waiting, now_ms)
         else:
-            waiting.asked_ms, waiting.need.request = now_ms, request
+            waiting.asked_ms = now_ms
+            # Its place in the queue depends on the other fields.
+            waiting.need.request = attrs.evolve(
+                waiting.need.request,
+                upstream_ids=request.upstream_ids,
+                connected_ids=request.connected_ids,
+            )
         if now_ms >= self._next_pass_ms:
             self.advance(now_ms)
         decided = self._decided.pop(request_id, None)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -80,6 +80,16 @@
         assert dispatcher.submit(request("1", other), 250.0).upstream_id == other
         assert not dispatcher.pool.engines[first.upstream_id].dispatches
 
+    def test_repeated_request_with_other_fields_stays_in_the_queue(self):
+        """Guards against a request that is filed under one key and looked up under another."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a", 1), row("b", 1)], SPEC, 0.0)
+        dispatcher.submit(request("1", "a"), 0.0)
+        assert dispatcher.submit(request("2", "a"), 0.0).outcome == Outcome.QUEUED.value
+        changed = request("2", "b", account="x", model="n", has_returned=True, route_priority=2)
+        assert dispatcher.submit(changed, 20.0).upstream_id == "b"
+        assert len(dispatcher.queue) == 0
+
 
 class TestRejection:
     def full(self) -> Dispatcher:
