--- a/src/briardyke/quotas/credits.py
+++ b/src/briardyke/quotas/credits.py
@@ -74,6 +74,10 @@
         """Return the tokens of a request that has not run and never will."""
         self._credits.refund(charge, boot_ms())
 
+    def held(self) -> dict[str, float]:
+        """Return the unspent credits by account."""
+        return self._credits.held(boot_ms())
+
     async def run(self) -> None:
         """Ask the leader while requests wait for tokens, until cancelled."""
         while True:
--- a/src/briardyke/quotas/instance.py
+++ b/src/briardyke/quotas/instance.py
@@ -75,7 +75,7 @@
         ledger.allowance = allowance = self._bounds.allowance(quota)
         ledger.used_ms = now_ms
         token_wait_ms = min(max_wait_ms, MAX_TOKEN_WAIT_MS)
-        waiter = Waiter(account, tokens, now_ms + token_wait_ms)
+        waiter = Waiter(account, tokens, now_ms + token_wait_ms, now_ms + max_wait_ms)
         if tokens > allowance.capacity:
             text = f"{tokens:.0f} tokens are more than the quota of {account} allows at once"
             waiter.decide(Err(_over_quota(text, self._bounds.window_ms)))
@@ -132,6 +132,9 @@
             self._retry_ms = now_ms + _RETRY_MS
             for account in asked:
                 self._serve_emergency(self._ledgers[account], now_ms)
+                for waiter in self._ledgers[account].waiters:
+                    # The buckets of the next leader are empty at first.
+                    waiter.token_limit_ms = waiter.leader_limit_ms
             return
         known = set()
         for grant in reply.grants:
--- a/src/briardyke/quotas/ledger.py
+++ b/src/briardyke/quotas/ledger.py
@@ -54,6 +54,7 @@
     :param account: name of its account.
     :param tokens: what it counts.
     :param token_limit_ms: time until which it waits for tokens that the leader has named.
+    :param leader_limit_ms: time until which it waits while no leader can be asked.
     :param outcome: its charge or refusal, ``None`` while it waits.
     :param on_decided: called with the outcome.
     """
@@ -61,6 +62,7 @@
     account: str
     tokens: float
     token_limit_ms: float
+    leader_limit_ms: float
     outcome: Result[Charge, Failure] | None = None
     on_decided: Callable[[], None] | None = None
 
