--- a/src/briardyke/gateway/charging.py
+++ b/src/briardyke/gateway/charging.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briardyke.clock import now_ms
+from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
     from briardyke.errors import Failure
@@ -30,12 +31,28 @@
     wait_ms = max(0.0, wait_ms - (now_ms() - received_ms))
     cost = quota.cost(context.metadata.stated_tokens)
     charged = await state.credits.take(context.account, quota, cost, wait_ms)
-    context.charge = charged.ok()
-    return charged.err()
+    context.charge, failure = charged.ok(), charged.err()
+    if failure is None:
+        state.account_use.admit(context.account, cost)
+        return None
+    reason = next(iter(failure.reasons), failure.kind.value)
+    state.account_use.refuse(context.account, reason)
+    log_limited(
+        "account_refused",
+        is_routine=True,
+        request=context.metadata.request_id,
+        account=context.account,
+        reason=reason,
+        tokens=f"{cost:.0f}",
+        wait_ms=failure.retry_after_ms,
+        credits=f"{state.credits.held().get(context.account, 0.0):.0f}",
+    )
+    return failure
 
 
 def refund_unless_run(context: RequestContext, state: GatewayState) -> None:
     """Refund a request that has ended; one that an upstream may have worked on stays charged."""
     if context.charge is not None and not context.may_have_run:
         state.credits.refund(context.charge)
+        state.account_use.refund(context.charge.account, context.charge.tokens)
         context.charge = None
--- a/src/briardyke/gateway/counters.py
+++ b/src/briardyke/gateway/counters.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeAlias
 
 import attrs
 
+# Values with their labels, by name.
+Figures: TypeAlias = "dict[str, list[tuple[float, dict[str, Any]]]]"
+
 # Bounds of the latency histogram in milliseconds, from a short response to a long stream.
 BOUNDS_MS = (25, 50, 100, 200, 400, 800, 1600, 3200, 6400, 12800, 25600)
 
@@ -20,6 +23,7 @@
     :param sums_ms: total duration by service.
     :param events: other events by name.
     :param gauges: functions that return present values, by name.
+    :param tables: functions that return further figures with their labels, by name.
     """
 
     requests: dict[tuple[str, str], int] = attrs.field(factory=dict)
@@ -27,6 +31,7 @@
     sums_ms: dict[str, float] = attrs.field(factory=dict)
     events: dict[str, int] = attrs.field(factory=dict)
     gauges: dict[str, Callable[[], float]] = attrs.field(factory=dict, repr=False)
+    tables: list[Callable[[], Figures]] = attrs.field(factory=list, repr=False)
 
     def record(self, service: str, outcome: str, duration_ms: float) -> None:
         """Count a finished request."""
@@ -46,17 +51,17 @@
 
         return metrics.page_of(self._observe())
 
-    def _observe(self) -> dict[str, list[tuple[float, dict[str, Any]]]]:
+    def _observe(self) -> Figures:
         durations = []
         for service, row in self.buckets.items():
             total = 0
             for bound, count in zip([*BOUNDS_MS, "+Inf"], row, strict=True):
                 total += count
                 durations.append((float(total), {"service": service, "le": str(bound)}))
-        gauges: dict[str, list[tuple[float, dict[str, Any]]]] = {
-            name: [(read(), {})] for name, read in self.gauges.items()
-        }
-        return gauges | {
+        further: Figures = {name: [(read(), {})] for name, read in self.gauges.items()}
+        for read_table in self.tables:
+            further |= read_table()
+        return further | {
             "gateway_requests_total": [
                 (float(count), {"service": service, "outcome": outcome})
                 for (service, outcome), count in self.requests.items()
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -21,6 +21,7 @@
 from briardyke.policy.retries import RetryBudget
 from briardyke.quotas.bounds import QuotaBounds
 from briardyke.quotas.credits import AccountCredits
+from briardyke.quotas.use_counters import UseCounters
 from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
 
@@ -101,6 +102,8 @@
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
+        self.account_use = UseCounters()
+        self.counters.tables.append(lambda: self.account_use.figures(self.credits.held()))
         self.changed = Notifier()
         self.proof = proof or ConfigurationProof()
         if self.proof.revocation_ms is not None:
--- a/src/briardyke/quotas/bucket.py
+++ b/src/briardyke/quotas/bucket.py
@@ -28,6 +28,15 @@
     level: float
 
 
+@attrs.define
+class BucketUse:
+    """Tokens granted, returned and asked for in vain since the last line of the log."""
+
+    granted: float = 0.0
+    returned: float = 0.0
+    refused: float = 0.0
+
+
 class QuotaBucket:
     """Token bucket whose unused tokens can be returned.
 
@@ -50,6 +59,7 @@
         self._promised = 0.0
         self._promised_ms = since_ms
         self._records: deque[_Record] = deque()
+        self.use = BucketUse()
 
     def change(self, allowance: Allowance, now_ms: float) -> None:
         """Apply another quota; tokens that were granted before are not taken back."""
@@ -77,6 +87,7 @@
         if tokens > self.level:
             return False
         self.level -= max(0.0, tokens)
+        self.use.granted += tokens
         return True
 
     def give_back(self, tokens: float, granted_at_ms: float, now_ms: float) -> None:
@@ -88,6 +99,7 @@
         reached = max((record.level for record in later), default=self.level)
         added = min(tokens, max(0.0, self.allowance.capacity - reached))
         self.level += added
+        self.use.returned += added
         for record in later:
             record.level += added
 
@@ -101,6 +113,7 @@
         elapsed_ms = max(0.0, now_ms - self._promised_ms)
         before = max(0.0, self._promised - rate * elapsed_ms)
         self._promised_ms = now_ms
+        self.use.refused += tokens
         self._promised = min(before + tokens, rate * _MAX_PROMISED_MS)
         return (max(0.0, tokens - self.level) + before) / rate
 
--- a/src/briardyke/quotas/granter.py
+++ b/src/briardyke/quotas/granter.py
@@ -8,9 +8,10 @@
 
 from briardyke.clock import boot_ms
 from briardyke.fleet.control import MAX_LEADER_EVIDENCE_AGE_MS
-from briardyke.logs import log_event
+from briardyke.logs import log_event, log_limited
 from briardyke.quotas.leader import LeaderBuckets
 from briardyke.quotas.messages import QuotaReply, QuotaRequest
+from briardyke.quotas.use_counters import MAX_SHOWN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +22,7 @@
 
 # The buckets of a new leader fill from the time at which it notices its leadership.
 _CHECK_INTERVAL_S = 0.1
+_CHECKS_PER_REPORT = 100
 
 
 class QuotaGranter:
@@ -49,8 +51,25 @@
     async def run(self) -> None:
         """Follow the leadership and the configuration until cancelled."""
         while True:
-            self._current(boot_ms())
-            await trio.sleep(_CHECK_INTERVAL_S)
+            for _ in range(_CHECKS_PER_REPORT):
+                self._current(boot_ms())
+                await trio.sleep(_CHECK_INTERVAL_S)
+            self._report()
+
+    def _report(self) -> None:
+        """Log the accounts that asked for more than their quotas."""
+        if self._buckets is None:
+            return
+        for account, level, use in self._buckets.take_use(MAX_SHOWN):
+            log_limited(
+                "quota_short",
+                is_routine=True,
+                account=account,
+                granted=f"{use.granted:.0f}",
+                refused=f"{use.refused:.0f}",
+                returned=f"{use.returned:.0f}",
+                level=f"{level:.0f}",
+            )
 
     async def grant(self, request: QuotaRequest) -> QuotaReply:
         """Grant what the buckets hold, nothing without fresh evidence of leadership."""
--- a/src/briardyke/quotas/instance.py
+++ b/src/briardyke/quotas/instance.py
@@ -16,6 +16,10 @@
     from briardyke.quotas.bounds import QuotaBounds
     from briardyke.quotas.messages import AccountGrant, QuotaReply
 
+# Reasons of refusals in counters and log lines.
+OVER_QUOTA = "over_quota"
+TOO_LARGE = "too_large"
+NO_LEADER = "no_leader"
 # Time without requests to the leader after one to which none replied.
 _RETRY_MS = 100.0
 # Longest time for which a request waits for tokens that the leader has named. Streams are due
@@ -78,7 +82,7 @@
         waiter = Waiter(account, tokens, now_ms + token_wait_ms, now_ms + max_wait_ms)
         if tokens > allowance.capacity:
             text = f"{tokens:.0f} tokens are more than the quota of {account} allows at once"
-            waiter.decide(Err(_over_quota(text, self._bounds.window_ms)))
+            waiter.decide(Err(_over_quota(text, self._bounds.window_ms, TOO_LARGE)))
             return waiter
         is_first = not ledger.waiters or tokens <= 0.0
         charge = ledger.spend(tokens, now_ms) if is_first else None
@@ -179,7 +183,8 @@
             waiter.decide(_refused(ledger, now_ms))
             return
         text = f"no leader to grant tokens of {waiter.account}"
-        waiter.decide(Err(Failure(ErrorKind.NO_MAJORITY, text, "", _NO_LEADER_RETRY_MS)))
+        reasons = (NO_LEADER,)
+        waiter.decide(Err(Failure(ErrorKind.NO_MAJORITY, text, "", _NO_LEADER_RETRY_MS, reasons)))
 
     def refund(self, charge: Charge, now_ms: float) -> None:
         """Return the tokens of a request that has not run."""
@@ -223,10 +228,11 @@
             del self._ledgers[name]
 
 
-def _over_quota(text: str, wait_ms: float) -> Failure:
-    return Failure(ErrorKind.RATE_LIMITED, text, "", max(1, round(wait_ms)))
+def _over_quota(text: str, wait_ms: float, reason: str) -> Failure:
+    return Failure(ErrorKind.RATE_LIMITED, text, "", max(1, round(wait_ms)), (reason,))
 
 
 def _refused(ledger: AccountLedger, now_ms: float) -> Result[Charge, Failure]:
     wait_ms = ledger.blocked_until_ms - now_ms
-    return Err(_over_quota(f"account {ledger.account} is over its quota", wait_ms))
+    text = f"account {ledger.account} is over its quota"
+    return Err(_over_quota(text, wait_ms, OVER_QUOTA))
--- a/src/briardyke/quotas/leader.py
+++ b/src/briardyke/quotas/leader.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from briardyke.quotas.bucket import QuotaBucket
+from briardyke.quotas.bucket import BucketUse, QuotaBucket
 from briardyke.quotas.messages import AccountGrant, QuotaReply
 
 if TYPE_CHECKING:
@@ -54,6 +54,16 @@
         """Return the bucket of an account with a quota."""
         return self._buckets[account]
 
+    def take_use(self, count: int) -> list[tuple[str, float, BucketUse]]:
+        """Return level and use of the accounts that asked most in vain, and count anew.
+
+        :param count: largest number of accounts.
+        """
+        rows = [(n, b.level, b.use) for n, b in self._buckets.items() if b.use.refused > 0.0]
+        for bucket in self._buckets.values():
+            bucket.use = BucketUse()
+        return sorted(rows, key=lambda row: row[2].refused, reverse=True)[:count]
+
     def answer(self, request: QuotaRequest, now_ms: float) -> QuotaReply:
         """Grant what the buckets hold."""
         grants = (self._grant(demand, now_ms) for demand in request.demands)
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -214,3 +214,18 @@
         await trio.sleep(0.05)
         leader.is_silent = False
         assert (await send(gateway, more_headers=[("Token-Usage", "6000,0")])).status == 200
+
+
+class TestCounters:
+    """Covers what an operator sees of an account."""
+
+    async def test_page_has_admitted_and_refused_requests_by_account(
+        self, gateway: Gateway, leader: Leader
+    ) -> None:
+        await gateway.add("app", respond)
+        for _ in range(2):
+            await send(gateway, more_headers=[("Token-Usage", "6000,0")])
+        use = gateway.state.account_use.shown()["limited"]
+        assert (use.admitted, use.tokens, use.refused) == (1, 6000.0, {"over_quota": 1})
+        page = gateway.state.counters.prometheus_text()
+        assert b'gateway_account_refused_total{account="limited"' in page
