Leave a control instance that hears the leader and lacks the proof

Cause: a control instance whose messages to the leader are lost still hears the leader, so entry instances followed it while its proof became old, although others had a fresh one.

Change: with a strict bound, an entry instance whose own proof is older than 40% of the bound looks for another control instance if the reply has no younger one, at most once a second.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -63,6 +63,8 @@
 _ADAPTER_TIMEOUT_MS = 1500.0
 _TRIAL_TIMEOUT_MS = 500.0
 _PLACE_TIMEOUT_MS = 300.0
+# Shortest time between two searches for a control instance that has a proof.
+_UNPROVEN_RETRY_MS = 1000.0
 # Interval at which an entry instance connected to another data centre looks for a local control
 # instance.
 _LOCAL_CHECK_INTERVAL_MS = 10_000.0
@@ -79,6 +81,8 @@
     :param on_change: called after each change of upstreams or entries.
     :param on_reply: called after each applied reply.
     :param on_proof: called when the configuration held is proven to be more recent.
+    :param max_proof_age_ms: age of the proof from which another control instance is looked for,
+        ``None`` when no proof is needed.
     """
 
     data_centre: str
@@ -88,6 +92,7 @@
     on_change: Callable[[], None]
     on_reply: Callable[[FleetReply], None]
     on_proof: Callable[[], None] = lambda: None
+    max_proof_age_ms: float | None = None
 
 
 @attrs.frozen
@@ -129,6 +134,7 @@
         self._was_current = False
         self._locations: dict[Address, str] = {}
         self._left: Address | None = None
+        self._left_unproven_ms = float("-inf")
         # While a configuration is decoded, another control instance may send an older one.
         self._applying = trio.Lock()
 
@@ -237,6 +243,10 @@
                 log_event("control_followed", control=address, version=reply.version)
             is_first = False
             self.view.confirm(polled.as_of_ms)
+            if self._lacks_proof(reply):
+                self._left_unproven_ms = now_ms()
+                log_event("control_unproven", control=address, proof_age_ms=reply.proof_age_ms)
+                return
             if not self._is_local(address) and now_ms() - since_ms >= _LOCAL_CHECK_INTERVAL_MS:
                 since_ms = now_ms()
                 await self._fetch_locations()
@@ -248,6 +258,19 @@
                 await self._wake.wait()
             polled = await self._poll(address)
 
+    def _lacks_proof(self, reply: FleetReply) -> bool:
+        """Return whether another control instance may have a proof that this one lacks.
+
+        A control instance whose messages to the leader are lost hears the leader, so it counts as
+        current, and its proof becomes old. The configuration of other control instances may not be
+        readable here, or all may lack the proof, so they are not tried more than once a second.
+        """
+        limit_ms, age_ms = self._callbacks.max_proof_age_ms, reply.proof_age_ms
+        if limit_ms is None or (age_ms is not None and age_ms < limit_ms):
+            return False
+        is_due = boot_ms() - self.view.proven_as_of_ms >= limit_ms
+        return is_due and now_ms() - self._left_unproven_ms >= _UNPROVEN_RETRY_MS
+
     async def _poll(self, address: Address) -> _Polled | None:
         """Ask the followed control instance, which may wait for a change."""
         if self._callbacks.is_busy():
--- a/src/briardyke/gateway/configuration_proof.py
+++ b/src/briardyke/gateway/configuration_proof.py
@@ -13,6 +13,14 @@
 # Fraction of the bound up to which a configuration may be used; the rest covers the difference
 # between the clocks of two machines and the time between the check and the use of its result.
 _USABLE_FRACTION = 0.95
+# Fraction of the bound from which a control instance is left whose proof is older. The proof of one
+# that is in touch with the majority is below a second old; the rest is the time to find it.
+_LEAVE_FRACTION = 0.4
+
+
+def max_control_proof_age_ms(revocation_ms: float | None) -> float | None:
+    """Return the age of its proof from which a control instance is left, ``None`` for any."""
+    return None if revocation_ms is None else _LEAVE_FRACTION * revocation_ms
 
 
 @attrs.define
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -9,7 +9,7 @@
 from briardyke.clock import boot_ms, now_ms, wall_unix_ms
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
-from briardyke.gateway.configuration_proof import ConfigurationProof
+from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
@@ -84,6 +84,7 @@
             self._on_change,
             self._on_reply,
             lambda: self.state.proof.record_renewal(),
+            max_control_proof_age_ms(settings.revocation_ms),
         )
         self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -14,7 +14,7 @@
 from briardyke.clock import now_ms
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import initialise, open_identity
-from briardyke.consensus.messages import AppendRequest, GroupMessage, SnapshotChunk
+from briardyke.consensus.messages import AppendReply, AppendRequest, GroupMessage, SnapshotChunk
 from briardyke.consensus.state import NodeSettings
 from briardyke.consensus.storage import DiskFullError
 from briardyke.errors import ErrorKind, Failure
@@ -41,6 +41,7 @@
     :param has_full_disk: whether writes find no room.
     :param loses_entries: whether messages with entries of the log are lost on their way to it.
     :param is_cut_off: whether it exchanges no message with other control instances.
+    :param loses_replies: whether its replies to the leader are lost.
     :param is_silent: whether calls of entry instances get no reply.
     :param reply_delay_s: time for which replies wait at an entry instance that stands still.
     """
@@ -49,6 +50,7 @@
     has_full_disk: bool = False
     loses_entries: bool = False
     is_cut_off: bool = False
+    loses_replies: bool = False
     is_silent: bool = False
     reply_delay_s: float = 0.0
     repaired: Notifier = attrs.field(factory=Notifier)
@@ -152,7 +154,9 @@
 
     async def _deliver(self, address: Address, message: GroupMessage) -> None:
         sender = _name(message.sender_address)
-        is_lost = self.faults[sender].is_cut_off
+        is_lost = self.faults[sender].is_cut_off or (
+            self.faults[sender].loses_replies and isinstance(message, AppendReply)
+        )
         await trio.sleep(LATENCY_S)
         name = _name(address)
         if is_lost or self.faults[name].is_cut_off:
@@ -160,7 +164,9 @@
         if name in self.controls and not self.faults[name].loses(message):
             await self.controls[name].log.handle(message)
 
-    def add_entry(self, data_centre: str, is_busy: bool = False) -> Entry:
+    def add_entry(
+        self, data_centre: str, is_busy: bool = False, max_proof_age_ms: float | None = None
+    ) -> Entry:
         """Start an entry instance."""
         entry: Entry
 
@@ -178,6 +184,7 @@
             apply,
             lambda: None,
             lambda reply: None,
+            max_proof_age_ms=max_proof_age_ms,
         )
         peers: Any = self
         entry = Entry(FleetClient(peers, lambda: tuple(ADDRESSES.values()), callbacks))
--- a/tests/fleet/test_proof_of_entries.py
+++ b/tests/fleet/test_proof_of_entries.py
@@ -13,7 +13,7 @@
 from control_group import ADDRESSES, ControlGroup, Entry
 
 from briardyke.clock import boot_ms
-from briardyke.gateway.configuration_proof import ConfigurationProof
+from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -41,7 +41,9 @@
 
     def add_entry(self, name: str, is_busy: bool = False) -> ConfigurationProof:
         """Start an entry instance; return its proof."""
-        entry = self.entries[name] = self.group.add_entry(name, is_busy)
+        entry = self.entries[name] = self.group.add_entry(
+            name, is_busy, max_control_proof_age_ms(REVOCATION_MS)
+        )
         view = entry.client.view
         proof = ConfigurationProof(
             REVOCATION_MS, lambda: view.proven_as_of_ms, entry.client.report_now
@@ -87,6 +89,22 @@
             await trio.sleep(0.05)
             assert all(proof.is_valid for proof in site.proofs.values())
 
+    @pytest.mark.parametrize("is_busy", [False, True])
+    async def test_control_instance_that_the_leader_does_not_hear_is_left(
+        self, autojump_clock: Any, tmp_path: Path, nursery: trio.Nursery, is_busy: bool
+    ) -> None:
+        """Guards against an instance that follows the only control instance without a proof."""
+        site = Site(tmp_path, nursery)
+        await site.start(is_busy)
+        deaf = site.followers[0]
+        site.group.faults[deaf].loses_replies = True
+        for _ in range(300):
+            await trio.sleep(0.05)
+            assert all(proof.is_valid for proof in site.proofs.values())
+        age_ms = site.group.controls[deaf].log.proof_age_ms()
+        assert age_ms is not None
+        assert age_ms > REVOCATION_MS
+
     async def test_steps_of_the_wall_clock_change_nothing(
         self, site: Site, monkeypatch: pytest.MonkeyPatch
     ) -> None:
