Free the copy of early bytes when a request begins

Cause: the bytes that a caller had sent early, up to 256 KiB, were copied into the protocol state of the next request, and the copy was kept in a local variable until that request had been answered, outside the memory account.

Change: the copy ends with the function that makes it.

--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -202,11 +202,7 @@
     async def _serve_request(self, share: Share) -> bool:
         """Read one request and answer it; return whether the connection may be kept."""
         limits = self._server.limits()
-        # The limit may have changed since the connection was opened, and h11 cannot change it.
-        received, _ = self._protocol.trailing_data
-        self._protocol = _protocol(limits)
-        if received:
-            self._protocol.receive_data(received)
+        self._renew_protocol(limits)
         # The errors are not kept, since their tracebacks would keep the body.
         try:
             request = await RequestReader(
@@ -223,6 +219,13 @@
         await self._refuse(status, reason, held_bytes)
         return False
 
+    def _renew_protocol(self, limits: ServerLimits) -> None:
+        """Begin a request with the limits in force, which h11 cannot change later."""
+        received, _ = self._protocol.trailing_data
+        self._protocol = _protocol(limits)
+        if received:
+            self._protocol.receive_data(received)
+
     async def _await_first_byte(self) -> bool:
         """Wait between requests; return whether another one begins."""
         if self._protocol.trailing_data[0]:
