--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from briardyke.dispatch.cached_parts import CachedParts
 from briardyke.dispatch.pace import Factor, PaceTable, engine_factor
 from briardyke.dispatch.read_schedule import Dispatch, ReadSchedule, read_ms
+from briardyke.dispatch.reported_requests import ReportedRequests
 from briardyke.dispatch.slowness import SPELL_FACTOR, Slowness
 
 if TYPE_CHECKING:
@@ -18,23 +18,11 @@
 
 # Each running request prolongs a step by 0.03 of about 9.5 ms.
 _STEP_PER_RUNNING = 0.003
-# Ends of requests that are kept, to compare with counts that are some 100 ms old.
-_KEPT_ENDS = 64
 # Standard deviations by which estimates of time are raised, and the limit of this increase.
 _DEVIATIONS = 0.7
 _MAX_MARGIN = 0.35
 # A prompt of a request that only the engine's own report tells of.
 _UNKNOWN_PROMPT_TOKENS = 1200
-# Requests that only reports tell of are forgotten after this time without a further report.
-_UNKNOWN_TTL_MS = 1500.0
-# Waiting requests that only reports tell of have been read by then.
-_UNKNOWN_WAITING_TTL_MS = 300.0
-# Counts of entry instances cover dispatches that are older than this at the time of the count.
-_COUNT_SETTLED_MS = 1000.0
-# Counts consist of reports of different ages and may lack some for a while: their error, in
-# requests, and the time after which fewer than expected are believed.
-_COUNT_TOLERANCE = 2
-_EXCESS_MS = 1500.0
 # Failures in this time after which an engine gets requests only if no other is left, and for how
 # long. A crashed engine stays listed for about 2.5 s.
 _FAILURE_WINDOW_MS = 500.0
@@ -94,20 +82,18 @@
         self._paces = paces
         self._models: dict[str, int] = {}
         self._gap_objectives: dict[float, int] = {}
-        self._unknown_requests, self._unknown_ms = 0, float("-inf")
-        self._unknown_waiting, self._unknown_waiting_ms = 0, float("-inf")
-        self._ends_ms: deque[float] = deque(maxlen=_KEPT_ENDS)
+        self._reported = ReportedRequests(self.dispatches)
         self._failures_ms: list[float] = []
         self._reported_ms = float("-inf")
-        self._excess_since_ms = math.inf
         self._avoided_until_ms = float("-inf")
 
     # What it holds
 
     def requests(self, now_ms: float) -> int:
         """Return the requests that it holds, with those that only reports tell of."""
-        if self._unknown_requests and now_ms - self._unknown_ms < _UNKNOWN_TTL_MS:
-            return len(self.dispatches) + self._unknown_requests
+        reported = self._reported
+        if reported.last_unknown:
+            return len(self.dispatches) + reported.unknown(now_ms)
         return len(self.dispatches)
 
     def free_slots(self, now_ms: float) -> int:
@@ -116,8 +102,10 @@
 
     def free_tokens(self, now_ms: float) -> int:
         """Return the cache tokens that its requests do not take."""
-        unknown = self.requests(now_ms) - len(self.dispatches)
-        return self.cache_tokens - self.used_tokens - unknown * _UNKNOWN_PROMPT_TOKENS
+        free_tokens = self.cache_tokens - self.used_tokens
+        if self._reported.last_unknown:
+            free_tokens -= self._reported.unknown(now_ms) * _UNKNOWN_PROMPT_TOKENS
+        return free_tokens
 
     def is_avoided(self, now_ms: float) -> bool:
         """Return whether requests failed on it recently."""
@@ -142,7 +130,7 @@
         step_ms, prompt_ms, _ = self._times_ms(model, tokens, now_ms)
         own_ms = read_ms(tokens, prompt_ms, step_ms)
         delay_ms = schedule.overdue_ms(now_ms)
-        if self._unknown_waiting:
+        if self._reported.last_unread:
             delay_ms += self._unknown_backlog_ms(now_ms)
         start_ms = schedule.start_ms(now_ms)
         event_ms = self.event_tokens * step_ms
@@ -235,7 +223,7 @@
         if dispatch is None:
             return None
         self.schedule.discard(dispatch, now_ms)
-        self._ends_ms.append(now_ms)
+        self._reported.record_end(now_ms)
         self.used_tokens -= dispatch.tokens
         _decrement(self._models, dispatch.model)
         if dispatch.gap_objective_ms > 0:
@@ -270,12 +258,7 @@
         self.slowness.report(observation.slowness or 1.0, at_ms)
         if observation.slots > 0:
             self.slots = observation.slots
-        known = self._held_at(at_ms)
-        reported = observation.running + observation.waiting
-        self._unknown_requests, self._unknown_ms = max(0, reported - known - 1), at_ms
-        waiting = sum(dispatch.placed_ms <= at_ms for dispatch in self.schedule.pending.values())
-        self._unknown_waiting = max(0, observation.waiting - waiting - 1)
-        self._unknown_waiting_ms = at_ms
+        self._reported.report(observation, self.schedule.pending, at_ms)
 
     def observe_interval(self, model: str, took_ms: float, at_ms: float) -> None:
         """Learn from the time between two events, unless a prompt was read meanwhile.
@@ -296,21 +279,7 @@
         :param count: requests in progress that they reported.
         :param counted_ms: time of the count.
         """
-        if self._unknown_ms < counted_ms:
-            unknown = count - self._held_at(counted_ms) - _COUNT_TOLERANCE
-            self._unknown_requests, self._unknown_ms = max(0, unknown), counted_ms
-        settled = [
-            request_id
-            for request_id, dispatch in self.dispatches.items()
-            if dispatch.placed_ms < counted_ms - _COUNT_SETTLED_MS
-        ]
-        if len(settled) <= count:
-            self._excess_since_ms = math.inf
-            return []
-        self._excess_since_ms = min(self._excess_since_ms, now_ms)
-        if now_ms - self._excess_since_ms < _EXCESS_MS:
-            return []  # a single count may lack the report of an entry instance
-        forgotten = settled[: len(settled) - count]
+        forgotten = self._reported.count(count, counted_ms, now_ms)
         for request_id in forgotten:
             self.end(request_id, now_ms)
         return forgotten
@@ -321,17 +290,10 @@
 
     def _unknown_backlog_ms(self, now_ms: float) -> float:
         """Return the time to read prompts that only reports tell of."""
-        if not self._unknown_waiting:
+        unread = self._reported.unknown_unread(now_ms)
+        if not unread:
             return 0.0
-        if now_ms - self._unknown_waiting_ms > _UNKNOWN_WAITING_TTL_MS:
-            return 0.0
-        tokens = self._unknown_waiting * _UNKNOWN_PROMPT_TOKENS
-        return tokens * self._paces.ms_per_token * self.speed.value
-
-    def _held_at(self, at_ms: float) -> int:
-        """Return the requests that it held at a recent time."""
-        held = sum(dispatch.placed_ms <= at_ms for dispatch in self.dispatches.values())
-        return held + sum(end_ms > at_ms for end_ms in self._ends_ms)
+        return unread * _UNKNOWN_PROMPT_TOKENS * self._paces.ms_per_token * self.speed.value
 
     def _learn_prompt(
         self, dispatch: Dispatch, took_ms: float, expected_ms: float, at_ms: float
--- a/tests/dispatch/test_replayed_overload.py
+++ b/tests/dispatch/test_replayed_overload.py
@@ -4,6 +4,8 @@
 
 from dispatch_replay import DispatchedReplay, late_fraction, live_streams, pool
 
+from briardyke.dispatch.dispatcher import Dispatcher
+
 
 def replay(streams, until_ms=20_000.0):
     engines = pool()
@@ -98,3 +100,24 @@
         replay(streams + batch, 30_000.0)
         assert not any(stream.is_rejected for stream in batch)
         assert max(stream.first_ms - stream.at_ms for stream in batch) < 10_000.0
+
+
+class TestNextCoordinator:
+    def test_coordinator_without_any_state_goes_on(self):
+        """Guards against a new coordinator that believes all engines idle and equally fast."""
+        streams = live_streams(200, 9_000.0)
+        engines = pool()
+        run = DispatchedReplay(engines, {"m": [engine.name for engine in engines]})
+
+        def start() -> None:
+            run.dispatcher = Dispatcher()
+            run.update()
+            requests = {
+                name: (len(e.waiting) + len(e.reading) + len(e.running), 0)
+                for name, e in run.engines.items()
+            }
+            run.dispatcher.update_in_flight(requests, 0.0, run.events.now_ms)
+
+        run.events.at(5_000.0, start)
+        run.run(streams, 15_000.0)
+        assert late_fraction([s for s in streams if s.at_ms > 4_000.0]) < 0.02
