--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -77,7 +77,7 @@
         """Derive it from a request that is submitted now."""
         return cls(
             request,
-            request.prompt_tokens + request.output_tokens,
+            max(1, request.prompt_tokens) + max(0, request.output_tokens),
             part_keys(request.model, request.adapter, request.prefix_ids),
             now_ms,
             now_ms + request.first_event_objective_ms,
@@ -254,6 +254,8 @@
     now_ms: float,
 ) -> float:
     """Return the time until an engine should be fit, beyond its backlog."""
+    if rule is Rule.NO_CACHE and need.tokens > engine.cache_tokens:
+        return math.inf
     if rule in (Rule.NO_SLOT, Rule.NO_CACHE, Rule.AVOIDED, Rule.RESERVED):
         return _SLOT_RETRY_MS
     if rule is Rule.BACKLOG:
--- a/src/briardyke/dispatch/queue_pass.py
+++ b/src/briardyke/dispatch/queue_pass.py
@@ -153,8 +153,9 @@
             harm = (choice or self._choose(need)).least_harm
             if harm is not None:
                 return self._place(waiting, harm, "placed_with_harm")
-        if not math.isfinite(first_ms) and self.now_ms < need.limit_ms:
-            return None  # its engines may still be announced, or have space when requests end
+        is_too_large = engines and all(need.tokens > engine.cache_tokens for engine in engines)
+        if not math.isfinite(first_ms) and self.now_ms < need.limit_ms and not is_too_large:
+            return None  # its engines may still be announced, or be fit when their streams end
         self.counts["rejected"] += 1
         work_ms = self._drain.work_ms(request.model, request.request_id, request.prompt_tokens)
         fraction = xxhash.xxh32_intdigest(request.request_id.encode()) / 2.0**32
@@ -163,6 +164,8 @@
             request.model, turn_ms, work_ms, fraction, self.now_ms
         )
         reason = f"first event expected in {first_ms:.0f} ms, {len(self.queue)} waiting"
+        if is_too_large:
+            reason = f"{need.tokens} tokens exceed the cache of every engine"
         return DispatchReply(Outcome.REJECTED.value, retry_after_ms=retry_after_ms, reason=reason)
 
     def _place(self, waiting: Waiting, evaluation: Evaluation, kind: str) -> DispatchReply:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -119,6 +119,13 @@
         hopeless = request("1", "a", first_event_objective_ms=1.0, max_wait_ms=2.0)
         assert dispatcher.submit(hopeless, 0.0).outcome == Outcome.PLACED.value
 
+    def test_request_that_exceeds_every_cache_is_rejected_at_once(self):
+        """Guards against a request that is held until its deadline although it can never start."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a")], SPEC, 0.0)
+        reply = dispatcher.submit(request("1", "a", output_tokens=30_000), 0.0)
+        assert reply.outcome == Outcome.REJECTED.value and "exceed the cache" in reply.reason
+
     def test_request_without_known_engines_waits_for_their_rows(self):
         """Guards against rejections by a coordinator that has just started."""
         dispatcher = Dispatcher()
