Renew the proof soon after a change of the leader

Cause: after a change of the leader, a control instance counts as current before it has a proof from the new one. An idle entry instance that polled it in between had to wait for its pause and long poll of 1.2 s.

Tests of the fleet folder, documentation, revocation with real processes and the start of entry instances pass.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -63,6 +63,8 @@
 _ADAPTER_TIMEOUT_MS = 1500.0
 _TRIAL_TIMEOUT_MS = 500.0
 _PLACE_TIMEOUT_MS = 300.0
+# Pause before the next poll while the proof of a control instance is old: its heartbeat interval.
+_UNPROVEN_PAUSE_MS = 150.0
 # Shortest time between two searches for a control instance that has a proof.
 _UNPROVEN_RETRY_MS = 1000.0
 # Interval at which an entry instance connected to another data centre looks for a local control
@@ -253,11 +255,24 @@
                 if any(self._is_local(a) for a in self.view.controls):
                     log_event("nearer_control_tried", control=address)
                     return
+            if self._is_proof_due(reply):
+                await trio.sleep(_UNPROVEN_PAUSE_MS / 1000.0)
+                polled = await self._ask(address, 0.0, _FIRST_CALL_TIMEOUT_MS)
+                continue
             pause_ms = BUSY_POLL_PAUSE_MS if self._callbacks.is_busy() else IDLE_POLL_PAUSE_MS
             with trio.move_on_after(pause_ms / 1000.0):
                 await self._wake.wait()
             polled = await self._poll(address)
 
+    def _is_proof_due(self, reply: FleetReply) -> bool:
+        """Return whether a control instance's proof should be renewed within a heartbeat or two.
+
+        After a change of the leader, a member hears the new one before it has a proof from it. The
+        usual pause and long poll would delay it by another second.
+        """
+        limit_ms, age_ms = self._callbacks.max_proof_age_ms, reply.proof_age_ms
+        return limit_ms is not None and (age_ms is None or age_ms >= limit_ms / 2.0)
+
     def _lacks_proof(self, reply: FleetReply) -> bool:
         """Return whether another control instance may have a proof that this one lacks.
 
