--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -9,13 +9,15 @@
 from briardyke.clock import boot_ms, now_ms, wall_unix_ms
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
-from briardyke.gateway.configuration_proof import ConfigurationProof
+from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.dispatch_client import DispatchClient
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.state import GatewayState
 from briardyke.http.h11_server import H11Server, ServerLimits
+from briardyke.http.memory_budget import MemoryBudget
+from briardyke.http.memory_queue import MemoryQueue
 from briardyke.logs import log_event
 from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.decoding import decode_configuration_beside
@@ -78,6 +80,7 @@
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
+        self.memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
         callbacks = EntryCallbacks(
             settings.data_centre,
             self._report,
@@ -86,6 +89,7 @@
             self._on_change,
             self._on_reply,
             lambda: self.state.proof.record_renewal(),
+            max_control_proof_age_ms(settings.revocation_ms),
         )
         self.client = FleetClient(peers, seeds, callbacks)
         self.state = GatewayState(
@@ -103,6 +107,7 @@
                 self.client.report_now,
             ),
             AccountCredits(settings.instance_id, settings.quota_bounds, self.client.request_quota),
+            self.memory.budget,
         )
         self._dispatch = self.state.dispatch = DispatchClient(
             settings.instance_id,
@@ -115,7 +120,7 @@
         self.state.limits.on_change = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
-        self.server = H11Server(self._forwarder.handle, self._limits)
+        self.server = H11Server(self._forwarder.handle, self._limits, self.memory)
         self._retired: list[ConnectionPool] = []
 
     @property
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -21,6 +21,7 @@
 from briardyke.policy.retries import RetryBudget
 from briardyke.quotas.bounds import QuotaBounds
 from briardyke.quotas.credits import AccountCredits
+from briardyke.quotas.use_counters import UseCounters
 from briardyke.routes.configuration import NO_VERSION
 from briardyke.sync.notifier import Notifier
 
@@ -32,6 +33,7 @@
     from briardyke.gateway.dispatch_client import DispatchClient
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
+    from briardyke.http.memory_budget import MemoryBudget
     from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
@@ -74,6 +76,7 @@
         is_informed: Callable[[], bool] = lambda: True,
         proof: ConfigurationProof | None = None,
         account_credits: AccountCredits | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         """Start without a configuration.
 
@@ -89,6 +92,7 @@
         :param is_informed: returns whether the known upstreams are as of now.
         :param proof: age of the configuration; by default one of any age may be used.
         :param account_credits: charges the quotas of accounts; by default no leader is asked.
+        :param memory: budget of the process, which counts buffered responses too.
         """
         self.dialect = dialect
         self.data_centre = data_centre
@@ -96,12 +100,14 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
-        self.response_buffers = BufferBudget()
+        self.response_buffers = BufferBudget(memory=memory)
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
+        self.account_use = UseCounters()
+        self.counters.tables.append(lambda: self.account_use.figures(self.credits.held()))
         self.changed = Notifier()
         self.proof = proof or ConfigurationProof()
         if self.proof.revocation_ms is not None:
--- a/src/briardyke/quotas/ledger.py
+++ b/src/briardyke/quotas/ledger.py
@@ -54,7 +54,8 @@
     :param account: name of its account.
     :param tokens: what it counts.
     :param token_limit_ms: time until which it waits for tokens that the leader has named.
-    :param limit_ms: the same while the leader's buckets have not had time to fill.
+    :param leader_limit_ms: time until which it waits while no leader can be asked, or its buckets
+        have not had time to fill.
     :param outcome: its charge or refusal, ``None`` while it waits.
     :param on_decided: called with the outcome.
     """
@@ -62,7 +63,7 @@
     account: str
     tokens: float
     token_limit_ms: float
-    limit_ms: float
+    leader_limit_ms: float
     outcome: Result[Charge, Failure] | None = None
     on_decided: Callable[[], None] | None = None
 
@@ -98,7 +99,7 @@
 
     def is_refused(self, waiter: Waiter) -> bool:
         """Return whether the tokens that the leader has named come too late for a request."""
-        limit_ms = waiter.limit_ms if self.is_starting else waiter.token_limit_ms
+        limit_ms = waiter.leader_limit_ms if self.is_starting else waiter.token_limit_ms
         return self.blocked_until_ms > limit_ms
 
     def available(self, now_ms: float) -> float:
