Tell requests of one model for different engines apart

Cause: a request that only one busy engine may run held up all others of its model, and set their expected turns; two callers that left before their first events made an engine count as failed.

Change: waiting requests are grouped by the engines that may run them; an end without a first event counts as a failure only within 100 ms.

--- a/src/briardyke/dispatch/choice.py
+++ b/src/briardyke/dispatch/choice.py
@@ -56,6 +56,7 @@
     :param request: the request.
     :param tokens: cache tokens that it takes until its end.
     :param part_keys: keys of the parts of its prompt.
+    :param engines_key: the same for requests that the same engines may run.
     :param arrived_ms: time of its first submission.
     :param objective_ms: time by which its first event meets the objective.
     :param limit_ms: time by which it needs its first event.
@@ -66,6 +67,7 @@
     request: DispatchRequest
     tokens: int
     part_keys: list[int]
+    engines_key: int
     arrived_ms: float
     objective_ms: float
     limit_ms: float
@@ -79,6 +81,7 @@
             request,
             max(1, request.prompt_tokens) + max(0, request.output_tokens),
             part_keys(request.model, request.adapter, request.prefix_ids),
+            engines_key(request),
             now_ms,
             now_ms + request.first_event_objective_ms,
             now_ms + request.max_wait_ms,
@@ -101,6 +104,11 @@
         )
 
 
+def engines_key(request: DispatchRequest) -> int:
+    """Return a key for the model of a request and the engines that may run it."""
+    return hash((request.model, frozenset(request.upstream_ids)))
+
+
 class Evaluation(NamedTuple):
     """What placing a request on an engine now is expected to cause.
 
--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from briardyke.dispatch.choice import Need, choose
+from briardyke.dispatch.choice import Need, choose, engines_key
 from briardyke.dispatch.demand import Demand
 from briardyke.dispatch.drain import reference_ms
 from briardyke.dispatch.messages import DispatchReply, DispatchRequest, Observation, Outcome
@@ -93,6 +93,7 @@
                 upstream_ids=request.upstream_ids,
                 connected_ids=request.connected_ids,
             )
+            waiting.need.engines_key = engines_key(waiting.need.request)
         if now_ms >= self._next_pass_ms:
             self.advance(now_ms)
         decided = self._decided.pop(request_id, None)
--- a/src/briardyke/dispatch/drain.py
+++ b/src/briardyke/dispatch/drain.py
@@ -10,7 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from briardyke.dispatch.choice import Need
     from briardyke.dispatch.engine_load import EngineLoad
+    from briardyke.dispatch.messages import DispatchRequest
     from briardyke.dispatch.pace import PaceTable
 
 # Fraction of its time that an engine can read prompts within the objective for pauses.
@@ -19,7 +21,7 @@
 
 @attrs.define(eq=False)
 class _Group:
-    """Engines that hold one model.
+    """Engines that may run the same requests.
 
     :param engines: their power, by id, relative to a typical engine without slowness.
     :param power: sum of their power.
@@ -41,23 +43,23 @@
     def __init__(
         self,
         paces: PaceTable,
-        engines_of: Callable[[str], Sequence[EngineLoad]],
+        engines_of: Callable[[DispatchRequest], Sequence[EngineLoad]],
         request_ms: float,
         now_ms: float,
     ) -> None:
         """Start at the head of the queue.
 
-        :param engines_of: returns the engines that may run a waiting request.
+        :param engines_of: returns the known engines that may run a request.
         :param request_ms: mean time of a request from its dispatch to its end.
         """
         self._paces, self._engines_of = paces, engines_of
         self._request_ms, self._now_ms = request_ms, now_ms
-        self._groups: dict[str, _Group] = {}
-        self._shares: dict[tuple[str, str], float] = {}
+        self._groups: dict[int, _Group] = {}
+        self._shares: dict[tuple[int, int], float] = {}
 
-    def start_ms(self, model: str, request_id: str) -> float:
+    def start_ms(self, need: Need) -> float:
         """Return the expected time until a request's turn comes."""
-        group = self._group(model, request_id)
+        group = self._group(need)
         if not group.power:
             return math.inf
         start_ms = group.level_ms
@@ -66,26 +68,28 @@
             start_ms = max(start_ms, slot_ms)
         return start_ms
 
-    def add(self, model: str, request_id: str, tokens: int) -> None:
+    def add(self, need: Need) -> None:
         """Count a request as ahead of the following ones."""
-        group = self._group(model, request_id)
+        group = self._group(need)
         if not group.power:
             return
-        work_ms = reference_ms(self._paces, model, tokens)
-        for name, other in self._groups.items():
-            share = self._share(model, name)
+        work_ms = reference_ms(self._paces, need.request.model, need.request.prompt_tokens)
+        for key, other in self._groups.items():
+            share = self._share(need.engines_key, key)
             other.level_ms += work_ms * share / other.power if other.power else 0.0
             other.free_slots -= share
 
-    def work_ms(self, model: str, request_id: str, tokens: int) -> float:
-        """Return the time that all engines of a model together take for a prompt."""
-        group = self._group(model, request_id)
-        return reference_ms(self._paces, model, tokens) / max(0.1, group.power)
+    def work_ms(self, need: Need) -> float:
+        """Return the time that all engines of a request together take for its prompt."""
+        request = need.request
+        work_ms = reference_ms(self._paces, request.model, request.prompt_tokens)
+        return work_ms / max(0.1, self._group(need).power)
 
-    def _group(self, model: str, request_id: str) -> _Group:
-        group = self._groups.get(model)
+    def _group(self, need: Need) -> _Group:
+        group = self._groups.get(need.engines_key)
         if group is None:
-            group = self._groups[model] = self._new_group(self._engines_of(request_id))
+            group = self._new_group(self._engines_of(need.request))
+            self._groups[need.engines_key] = group
         return group
 
     def _new_group(self, engines: Sequence[EngineLoad]) -> _Group:
@@ -101,13 +105,13 @@
             backlog_ms / total if total else 0.0,
         )
 
-    def _share(self, model: str, other: str) -> float:
-        """Return the part of a model's work that engines of another model do."""
-        share = self._shares.get((model, other))
+    def _share(self, key: int, other: int) -> float:
+        """Return the part of a group's work that engines of another group do."""
+        share = self._shares.get((key, other))
         if share is None:
-            own, others = self._groups[model], self._groups[other].engines
+            own, others = self._groups[key], self._groups[other].engines
             common = sum(value for i, value in own.engines.items() if i in others)
-            share = self._shares[(model, other)] = common / own.power
+            share = self._shares[(key, other)] = common / own.power
         return share
 
 
--- a/src/briardyke/dispatch/pool.py
+++ b/src/briardyke/dispatch/pool.py
@@ -23,6 +23,9 @@
 _MEAN_REQUEST_MS = 1000.0
 _MEAN_REQUEST_WEIGHT = 0.02
 _POWER_TTL_MS = 50.0
+# An end without a first event within this time is a refusal or a failed connection; a later one may
+# be a caller that left.
+_REFUSED_WITHIN_MS = 100.0
 
 
 class EnginePool:
@@ -149,9 +152,11 @@
         if dispatch is None:
             return
         self._placed.pop(request_id, None)
-        if dispatch.began_ms is None:
+        took_ms = at_ms - dispatch.placed_ms
+        if dispatch.began_ms is None and took_ms < _REFUSED_WITHIN_MS:
             engine.fail(request_id, now_ms)
             return
         engine.end(request_id, now_ms)
-        took_ms = at_ms - dispatch.placed_ms
+        if dispatch.began_ms is None:
+            return
         self.request_ms += _MEAN_REQUEST_WEIGHT * (took_ms - self.request_ms)
--- a/src/briardyke/dispatch/queue_pass.py
+++ b/src/briardyke/dispatch/queue_pass.py
@@ -64,14 +64,14 @@
     reserved: set[str] = attrs.field(factory=set)
     cost_ms: float = 0.0
     _drain: DrainEstimate = attrs.field(init=False)
-    _blocked: dict[tuple[str, bool, bool], _Blocked] = attrs.field(factory=dict, init=False)
+    _blocked: dict[tuple[int, bool, bool], _Blocked] = attrs.field(factory=dict, init=False)
     _above_share: dict[str, bool] = attrs.field(factory=dict, init=False)
     _overtaking: dict[tuple[tuple[int, int], bool], float] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Begin at the head of the queue."""
         self._drain = DrainEstimate(
-            self.pool.paces, self._engines_of, self.pool.request_ms, self.now_ms
+            self.pool.paces, self.pool.known, self.pool.request_ms, self.now_ms
         )
 
     def decide_all(self) -> list[tuple[Waiting, DispatchReply]]:
@@ -88,7 +88,7 @@
         """Return the reply to a waiting request, or ``None`` if it goes on waiting."""
         need, request = waiting.need, waiting.need.request
         need.yields = need.is_batch or self._is_above_share(waiting.account)
-        kind = (request.model, need.yields, waiting.is_late)
+        kind = (need.engines_key, need.yields, waiting.is_late)
         blocked = self._blocked.get(kind)
         choice = None
         if blocked is None or request.prompt_tokens < blocked.tokens:
@@ -99,7 +99,7 @@
             if choice.best is not None:
                 return self._place(waiting, choice.best, "placed")
             blocked = self._blocked[kind] = _Blocked(request.prompt_tokens, choice.soonest)
-        turn_ms = self._drain.start_ms(request.model, request.request_id)
+        turn_ms = self._drain.start_ms(need)
         first_ms = _first_ms(blocked.soonest, turn_ms)
         if choice is not None:
             harmed = self._harmful_placement(waiting, choice, first_ms)
@@ -115,7 +115,7 @@
         overtaken_ms = _first_ms(blocked.soonest, turn_ms / (1.0 - self._overtaken(waiting)))
         if self.now_ms + overtaken_ms > need.limit_ms:
             return self._rejection(waiting, choice, turn_ms, overtaken_ms)
-        self._drain.add(request.model, request.request_id, request.prompt_tokens)
+        self._drain.add(need)
         return None
 
     def _choose(self, need: Need) -> Choice:
@@ -157,7 +157,7 @@
         if not math.isfinite(first_ms) and self.now_ms < need.limit_ms and not is_too_large:
             return None  # its engines may still be announced, or be fit when their streams end
         self.counts["rejected"] += 1
-        work_ms = self._drain.work_ms(request.model, request.request_id, request.prompt_tokens)
+        work_ms = self._drain.work_ms(need)
         fraction = xxhash.xxh32_intdigest(request.request_id.encode()) / 2.0**32
         turn_ms = turn_ms if math.isfinite(turn_ms) else 0.0
         retry_after_ms = self.retry_times.reserve(
@@ -182,10 +182,6 @@
             self._above_share[account] = is_above
         return is_above
 
-    def _engines_of(self, request_id: str) -> list[EngineLoad]:
-        waiting = self.queue.get(request_id)
-        return self.pool.known(waiting.need.request) if waiting is not None else []
-
     def _overtaken(self, waiting: Waiting) -> float:
         """Return the fraction of the capacity that requests arrive with that come before it."""
         key = (waiting.rank, waiting.is_late)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -90,6 +90,26 @@
         assert dispatcher.submit(changed, 20.0).upstream_id == "b"
         assert len(dispatcher.queue) == 0
 
+    def test_request_for_one_busy_engine_does_not_hold_up_others_of_its_model(self):
+        """Guards against requests that wait although their engines are free."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a", 1), row("b", 2)], SPEC, 0.0)
+        dispatcher.submit(request("1", "a"), 0.0)
+        assert dispatcher.submit(request("2", "a"), 0.0).outcome == Outcome.QUEUED.value
+        assert dispatcher.submit(request("3", "a", "b"), 30.0).upstream_id == "b"
+
+    def test_callers_that_leave_do_not_discredit_their_engine(self):
+        """Guards against an engine that gets no requests because callers were impatient."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a", 8)], SPEC, 0.0)
+        cases = ((0.0, 800.0), (900.0, 810.0), (2000.0, 5.0), (2020.0, 5.0))
+        for number, (at_ms, took_ms) in enumerate(cases):
+            assert dispatcher.submit(request(str(number), "a"), at_ms).upstream_id == "a"
+            ended = Observation(ObservationKind.ENDED.value, "a", 0.0, str(number))
+            dispatcher.observe("entry-1", ended, at_ms + took_ms)
+            is_avoided = dispatcher.pool.engines["a"].is_avoided(at_ms + took_ms)
+            assert is_avoided == (number == 3)  # after two refusals
+
 
 class TestRejection:
     def full(self) -> Dispatcher:
