Forget expired dispatches also while nothing waits

Cause: dispatches without an end were forgotten only in passes over the queue, which calm services do not need; a report without a slowness counted as one of the usual speed.

Change: each submission looks for them at most every 100 ms; an unstated slowness is ignored; a changed cache size is taken over.

--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -69,6 +69,7 @@
         """Place, queue or reject a request; one that is queued is asked for again."""
         for observation in request.observations:
             self.observe(request.instance_id, observation, now_ms)
+        self._forget_abandoned(now_ms)
         request_id = request.request_id
         decided = self._decided.pop(request_id, None)
         if decided is not None and decided[0].outcome == Outcome.REJECTED.value:
@@ -113,9 +114,7 @@
 
     def advance(self, now_ms: float) -> list[str]:
         """Place and reject queued requests; return the ids of those that were decided."""
-        if now_ms >= self._housekeeping_ms:
-            self._housekeeping_ms = now_ms + _HOUSEKEEPING_MS
-            self._forget_abandoned(now_ms)
+        self._forget_abandoned(now_ms)
         self._pass_due_ms = now_ms + _RECHECK_MS
         self.reserved = set()
         if not len(self.queue):
@@ -210,6 +209,9 @@
         return min(recent, default=0)
 
     def _forget_abandoned(self, now_ms: float) -> None:
+        if now_ms < self._housekeeping_ms:
+            return
+        self._housekeeping_ms = now_ms + _HOUSEKEEPING_MS
         before_ms = now_ms - _ABANDONED_MS
         for request_id in self.queue.abandoned(before_ms):
             self._dequeue(request_id)
--- a/src/briardyke/dispatch/engine_load.py
+++ b/src/briardyke/dispatch/engine_load.py
@@ -255,7 +255,8 @@
         if at_ms < self._reported_ms:
             return
         self._reported_ms = at_ms
-        self.slowness.report(observation.slowness or 1.0, at_ms)
+        if observation.slowness > 0:
+            self.slowness.report(observation.slowness, at_ms)
         if observation.slots > 0:
             self.slots = observation.slots
         self._reported.report(observation, self.schedule.pending, at_ms)
--- a/src/briardyke/dispatch/pool.py
+++ b/src/briardyke/dispatch/pool.py
@@ -60,7 +60,10 @@
                     self._placed.pop(request_id, None)
         self._power_ms = float("-inf")
         for row in rows:
-            if row.upstream_id not in self.engines:
+            known = self.engines.get(row.upstream_id)
+            if known is not None:
+                known.cache_tokens = spec.cache_tokens
+            else:
                 self.engines[row.upstream_id] = EngineLoad(
                     row.upstream_id,
                     self.paces,
