Set no limit to a cache that the configuration does not state

Cause: without kv_capacity the dispatcher took the cache of every engine as empty and rejected every stream of a coordinated service ("1 tokens exceed the cache of every engine").

Change: the coordinator gives the dispatcher a cache without a limit then.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -39,6 +39,7 @@
 # Counted at most, so that the queue is looked at 25 times a second also when it is very long.
 _MAX_PASS_MS = 10.0
 _MIN_PASS_MS = 1.0
+_UNLIMITED_TOKENS = 10**9
 # Interval of the checks against rows and summed in-flight counts, as often as the sums change.
 _CHECK_INTERVAL_MS = 250.0
 # Age of the summed in-flight counts: a part of the intervals of the reports of entry instances and
@@ -230,7 +231,9 @@
         ]
         service.row_sequence, service.spec = sequence, spec
         service.upstream_ids = frozenset(row.upstream_id for row in rows)
-        service.dispatcher.update_engines(rows, spec, now_ms())
+        # A configuration that does not state the cache sets no limit to it.
+        limited = attrs.evolve(spec, cache_tokens=spec.cache_tokens or _UNLIMITED_TOKENS)
+        service.dispatcher.update_engines(rows, limited, now_ms())
         if is_new:
             self._update_in_flight(service)
         elif service.held:
--- a/tests/dispatch/coordinator_fakes.py
+++ b/tests/dispatch/coordinator_fakes.py
@@ -94,11 +94,13 @@
     advances: int = 0
     changed: bool = False
     rejects: bool = False
+    cache_tokens: int = 0
     pass_s: float = 0.0
     postponed_ms: float = float("-inf")
 
     def update_engines(self, rows: list[Upstream], spec: EngineSpec, now_ms: float) -> None:
         self.slots = {row.upstream_id: row.slots for row in rows}
+        self.cache_tokens = spec.cache_tokens
         self.updates += 1
         self.changed = True
 
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 from coordinator_fakes import (
+    ENGINE,
     PLACED,
     QUEUED,
     REJECTED,
@@ -158,6 +159,15 @@
         assert await site.outcome(request_id="q-20", upstream_ids=["e-2"]) == PLACED
         assert site.dispatchers[0].updates == 2
 
+    @pytest.mark.parametrize(("stated", "given"), [(54_845, 54_845), (0, 10**9)])
+    async def test_cache_that_is_not_stated_sets_no_limit(
+        self, autojump_clock: trio.testing.MockClock, site: Site, stated: int, given: int
+    ) -> None:
+        """Guards against the rejection of every stream where ``kv_capacity`` is absent."""
+        site.configuration = configuration(attrs.evolve(ENGINE, cache_tokens=stated))
+        await site.outcome()
+        assert site.dispatchers[0].cache_tokens == given
+
     async def test_new_engine_serves_held_requests(
         self, autojump_clock: trio.testing.MockClock, site: Site
     ) -> None:
