Close resting connections before they take the descriptors for upstreams

Cause: a client that opens connections and leaves them idle holds each for 1.25 x `idle_timeout_ms`. A thousand of them leave an entry instance no descriptors for its upstreams. Each 4 MiB document that is sent to the operator's interface may also take many times its size while it is decoded, and several were decoded at once.

Change: where `limits.max_fds` is known, more than 0.75 x (`max_fds` - 200) connections make room for a new one by closing the one that rests longest, first one that has never carried a request. No connection is refused, and none that carries a request is closed. Documents of operators are decoded one at a time.

--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -77,7 +77,9 @@
         self._sequence = 0
         self._is_stopping = False
         self._stopping_since_ms = 0.0
-        self.memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
+        self.memory = MemoryQueue(
+            MemoryBudget.of_machine(settings.memory_mb, settings.max_descriptors)
+        )
         callbacks = EntryCallbacks(
             settings.data_centre,
             self._report,
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -19,6 +19,7 @@
     :param retries: limits on the retries of all entry instances together.
     :param capacity_per_s: requests per second that it could process.
     :param memory_mb: memory of its machine, 0 when unknown.
+    :param max_descriptors: descriptors that the process may open, 0 when unknown.
     """
 
     instance_id: str
@@ -28,3 +29,4 @@
     retries: RetryBounds
     capacity_per_s: float = 0.0
     memory_mb: float = 0.0
+    max_descriptors: int = 0
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -76,7 +76,9 @@
         self.connections = 0
         self._closed = trio.Event()
         self._accepting = trio.CancelScope()
-        self._idle: set[trio.CancelScope] = set()
+        # In the order in which they began to rest: connections without a request so far, and kept.
+        self._unused: dict[trio.CancelScope, None] = {}
+        self._idle: dict[trio.CancelScope, None] = {}
 
     async def serve(
         self, address: Address, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -110,9 +112,22 @@
         that still connect. These are answered too, each as the last one of its connection.
         """
         self.is_closing = True
-        for scope in self._idle:
+        for scope in (*self._unused, *self._idle):
             scope.cancel()
 
+    def _shed_resting(self) -> None:
+        """Close the connection that rests longest, first one that has never carried a request.
+
+        Load: clients open connections until the descriptors for upstreams are used up.
+        """
+        for resting in (self._unused, self._idle):
+            if resting:
+                scope = next(iter(resting))
+                del resting[scope]
+                scope.cancel()
+                self.memory.budget.count_refusal("connection_rested")
+                return
+
     def stop_accepting(self) -> None:
         """Close the listener; connections that were accepted go on."""
         self._accepting.cancel()
@@ -121,6 +136,8 @@
         self.connections += 1
         share = self.memory.budget.open(Kind.CONNECTIONS)
         share.started_ms = now_ms()
+        if self.memory.budget.has_many_connections:
+            self._shed_resting()
         try:
             if await self.memory.reserve(share, CONNECTION_BYTES, _CONNECTION_WAIT_S):
                 await self._serve_stream(stream)
@@ -183,9 +200,11 @@
         self._server = server
         self._stream = stream
         self._protocol = _protocol(server.limits())
+        self._is_used = False
 
     async def run(self) -> None:
         while await self._await_first_byte():
+            self._is_used = True
             share = self._server.memory.budget.open(Kind.REQUESTS)
             try:
                 is_kept = await self._serve_request(share)
@@ -240,11 +259,14 @@
             if left_s <= 0:
                 return self._is_readable() and await self._receive_first()
             with trio.move_on_after(left_s) as scope:
-                self._server._idle.add(scope)
+                resting = self._server._idle if self._is_used else self._server._unused
+                resting[scope] = None
                 try:
                     return await self._receive_first()
                 finally:
-                    self._server._idle.discard(scope)
+                    is_shed = resting.pop(scope, scope) is scope
+            if is_shed and not self._server.is_closing:
+                return self._is_readable() and await self._receive_first()
         with trio.move_on_after(LAST_REQUEST_S):
             return await self._receive_first()
         return False
--- a/src/briardyke/http/memory_budget.py
+++ b/src/briardyke/http/memory_budget.py
@@ -31,6 +31,10 @@
 LEAST_BYTES_PER_S = 256 * 1024
 # Time without progress, or at a low rate, after which a body gives way while memory is short.
 STALL_MS = 1000.0
+# Descriptors that the platform keeps for itself, and the part of the others that connections of
+# callers may take; upstreams and own processes need the rest.
+RESERVED_DESCRIPTORS = 200
+_CALLERS_FRACTION = 0.75
 # Bounds of the groups in which open connections are counted by their age, in seconds.
 AGE_BOUNDS_S = (1, 10, 60)
 
@@ -124,14 +128,21 @@
     """
 
     def __init__(
-        self, limit_bytes: int = DEFAULT_LIMIT_BYTES, *, bounds_kernel_buffers: bool = False
+        self,
+        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        *,
+        bounds_kernel_buffers: bool = False,
+        usual_connections: int | None = None,
     ) -> None:
         """Start with nothing held.
 
         :param limit_bytes: limit for all together.
         :param bounds_kernel_buffers: whether the kernel may hold only little for a connection,
             because that counts toward the memory of the machine.
+        :param usual_connections: number of connections beyond which those that rest are closed, or
+            ``None``.
         """
+        self.usual_connections = usual_connections
         self.bounds_kernel_buffers = bounds_kernel_buffers
         self.limit_bytes = limit_bytes
         self.held = dict.fromkeys(Kind, 0)
@@ -147,9 +158,25 @@
         }
 
     @classmethod
-    def of_machine(cls, memory_mb: float) -> MemoryBudget:
-        """Return the budget of a process on a machine, whose memory is 0 when unknown."""
-        return cls(limit_for_memory(memory_mb), bounds_kernel_buffers=memory_mb > 0)
+    def of_machine(cls, memory_mb: float, max_descriptors: int = 0) -> MemoryBudget:
+        """Return the budget of a process on a machine.
+
+        :param memory_mb: memory of the machine, 0 when unknown.
+        :param max_descriptors: descriptors that the process may open, 0 when unknown.
+        """
+        usual = int((max_descriptors - RESERVED_DESCRIPTORS) * _CALLERS_FRACTION)
+        return cls(
+            limit_for_memory(memory_mb),
+            bounds_kernel_buffers=memory_mb > 0,
+            usual_connections=max(1, usual) if max_descriptors else None,
+        )
+
+    @property
+    def has_many_connections(self) -> bool:
+        """Return whether there are more connections than usual, so that resting ones must go."""
+        if self.usual_connections is None:
+            return False
+        return sum(s.kind is Kind.CONNECTIONS for s in self._shares) > self.usual_connections
 
     @property
     def held_bytes(self) -> int:
--- a/src/briardyke/platform/control_api.py
+++ b/src/briardyke/platform/control_api.py
@@ -5,6 +5,8 @@
 import json
 from typing import TYPE_CHECKING
 
+import trio
+
 from briardyke.addresses import parse_address
 from briardyke.errors import ErrorKind, Failure
 from briardyke.logs import log_event, log_limited
@@ -33,6 +35,8 @@
         """
         self._control = control
         self._port = control_port
+        # A document of 4 MiB may take 25 times as much while it is decoded.
+        self._decoding = trio.CapacityLimiter(1)
 
     async def handle(self, request: HttpRequest, answer: Answer) -> None:
         """Answer one call."""
@@ -64,7 +68,8 @@
         await answer.send_whole(200 if taken else _TRY_ANOTHER, _JSON, b"{}" if taken else b"")
 
     async def _put(self, request: HttpRequest, answer: Answer) -> None:
-        decoded = await decode_configuration_beside(decode_configuration, request.body)
+        async with self._decoding:
+            decoded = await decode_configuration_beside(decode_configuration, request.body)
         if decoded.is_err():
             failure = decoded.unwrap_err()
             log_event("configuration_refused", reason=failure.message)
--- a/src/briardyke/platform/control_main.py
+++ b/src/briardyke/platform/control_main.py
@@ -79,7 +79,7 @@
         control = ControlInstance(log, machine, peers, own, settings.data_centre)
         await nursery.start(log.run)
         await nursery.start(serve_peers, own, hello, control.handle)
-        memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb))
+        memory = MemoryQueue(MemoryBudget.of_machine(settings.memory_mb, settings.max_descriptors))
         api = ControlApi(control, settings.control_listen.port)
         await nursery.start(H11Server(api.handle, memory=memory).serve, settings.control_listen)
         nursery.start_soon(keep_running, "settings", follower.run)
--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -36,6 +36,7 @@
         RetryBounds(settings.retry_ratio, settings.retry_slack, settings.retry_window_s),
         capacity_per_s(settings.cores, settings.link_mbps),
         settings.memory_mb,
+        settings.max_descriptors,
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
--- a/tests/http/test_request_memory.py
+++ b/tests/http/test_request_memory.py
@@ -137,6 +137,28 @@
             other.release()
 
 
+class TestManyConnections:
+    """Guards against idle connections that take the descriptors for upstreams."""
+
+    async def test_longest_unused_connection_goes_first(self) -> None:
+        async with served() as found:
+            found.memory.budget.usual_connections = 4
+            kept = await found.send(announced(0))
+            assert b"200" in await kept.receive_some()
+            idle = [await found.send(b"") for _ in range(3)]
+            await trio.sleep(0.05)
+            assert await found.ask(announced(0)) == b"200"
+            with trio.fail_after(5):
+                assert await idle[0].receive_some() == b""
+            await kept.send_all(announced(0))
+            assert b"200" in await kept.receive_some()
+            await idle[1].send_all(announced(0))
+            assert b"200" in await idle[1].receive_some()
+            assert found.memory.budget.refusals == {"connection_rested": 1}
+            for stream in (kept, *idle):
+                await stream.aclose()
+
+
 class TestSlowReaders:
     """Guards against responses that are held for callers that do not read them."""
 
