--- a/src/briardyke/platform/entry_main.py
+++ b/src/briardyke/platform/entry_main.py
@@ -39,6 +39,7 @@
         settings.revocation_ms,
         QuotaBounds(settings.quota_window_s, settings.quota_overage, settings.quota_slack),
         settings.memory_mb,
+        settings.max_descriptors,
     )
     async with trio.open_nursery() as nursery:
         peers = PeerPool(nursery, Hello(PROTOCOL_VERSION, CLUSTER_ID, settings.instance_id))
