--- a/src/briardyke/gateway/charging.py
+++ b/src/briardyke/gateway/charging.py
@@ -45,7 +45,7 @@
         reason=reason,
         tokens=f"{cost:.0f}",
         wait_ms=failure.retry_after_ms,
-        credits=f"{state.credits.held().get(context.account, 0.0):.0f}",
+        credits=f"{state.credits.available(context.account):.0f}",
     )
     return failure
 
--- a/src/briardyke/quotas/credits.py
+++ b/src/briardyke/quotas/credits.py
@@ -74,6 +74,10 @@
         """Return the tokens of a request that has not run and never will."""
         self._credits.refund(charge, boot_ms())
 
+    def available(self, account: str) -> float:
+        """Return the unspent credits of an account."""
+        return self._credits.available(account, boot_ms())
+
     def held(self) -> dict[str, float]:
         """Return the unspent credits by account."""
         return self._credits.held(boot_ms())
--- a/src/briardyke/quotas/instance.py
+++ b/src/briardyke/quotas/instance.py
@@ -192,6 +192,11 @@
         if ledger is not None:
             ledger.refund(charge, now_ms)
 
+    def available(self, account: str, now_ms: float) -> float:
+        """Return the unspent credits of an account."""
+        ledger = self._ledgers.get(account)
+        return 0.0 if ledger is None else ledger.available(now_ms)
+
     def held(self, now_ms: float) -> dict[str, float]:
         """Return the unspent credits by account."""
         return {name: ledger.available(now_ms) for name, ledger in self._ledgers.items()}
