Run the tests of proofs at entry instances on the paused clock

Cause: the clock fixture must be an argument of each test; without it these slept in real time, for more than two minutes together.

Measured: the file takes 5 s and passes.

--- a/tests/fleet/test_proof_of_entries.py
+++ b/tests/fleet/test_proof_of_entries.py
@@ -82,7 +82,9 @@
             await trio.sleep(0.05)
             assert max(proof.age_ms for proof in site.proofs.values()) < CALM_AGE_MS
 
-    async def test_proof_stays_young_beside_two_silent_control_instances(self, site: Site) -> None:
+    async def test_proof_stays_young_beside_two_silent_control_instances(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against an instance that is without the proof though it reaches a follower."""
         site.only(site.followers[0])
         for _ in range(400):
@@ -106,7 +108,7 @@
         assert age_ms > REVOCATION_MS
 
     async def test_steps_of_the_wall_clock_change_nothing(
-        self, site: Site, monkeypatch: pytest.MonkeyPatch
+        self, autojump_clock: Any, site: Site, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against ages that are taken from a clock that can be set."""
         for step_ms in (3_600_000, -3_600_000):
@@ -116,7 +118,7 @@
                 await trio.sleep(0.1)
                 assert all(0 <= p.age_ms < CALM_AGE_MS for p in site.proofs.values())
 
-    async def test_slow_replies_count_their_time(self, site: Site) -> None:
+    async def test_slow_replies_count_their_time(self, autojump_clock: Any, site: Site) -> None:
         """Guards against a poll that looks as recent as its arrival."""
         for fault in site.group.faults.values():
             fault.reply_delay_s = 0.25
@@ -129,7 +131,9 @@
 class TestLeaderDies:
     """Row 1: proofs age until the next leader has committed an entry."""
 
-    async def test_proof_ages_and_returns_below_the_bound(self, site: Site) -> None:
+    async def test_proof_ages_and_returns_below_the_bound(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a gap in the service of requests with keys at each change of leader."""
         site.group.stop(site.leader)
         started_ms, oldest_ms = boot_ms(), 0.0
@@ -139,7 +143,9 @@
         assert oldest_ms < 0.95 * REVOCATION_MS
         assert all(p.as_of_ms() > started_ms + 2000.0 for p in site.proofs.values())
 
-    async def test_key_revoked_under_the_next_leader_is_refused_in_time(self, site: Site) -> None:
+    async def test_key_revoked_under_the_next_leader_is_refused_in_time(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against an entry instance that holds on to what the former leader confirmed."""
         site.group.stop(site.leader)
         confirmed_ms = await revoke(site, site.followers)
@@ -175,7 +181,9 @@
 class TestCutOff:
     """Rows 2 and 4: entry instances or control instances that are cut off."""
 
-    async def test_entry_instance_without_control_instances(self, site: Site) -> None:
+    async def test_entry_instance_without_control_instances(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against an entry instance that serves a revoked key while it is cut off."""
         for fault in site.group.faults.values():
             fault.is_silent = True
@@ -189,7 +197,9 @@
         assert all(proof.is_valid for proof in site.proofs.values())
         assert all(entry.client.view.version == 2 for entry in site.entries.values())
 
-    async def test_entry_instances_at_a_follower_that_is_cut_off(self, site: Site) -> None:
+    async def test_entry_instances_at_a_follower_that_is_cut_off(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a proof from a control instance that hears no leader."""
         cut = site.followers[0]
         site.only(cut)
@@ -197,7 +207,9 @@
         confirmed_ms = await revoke(site, [site.leader])
         await check_revoked(site, confirmed_ms, set())
 
-    async def test_entry_instances_at_a_leader_that_is_cut_off(self, site: Site) -> None:
+    async def test_entry_instances_at_a_leader_that_is_cut_off(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a former leader that vouches for its state."""
         site.only(site.leader)
         site.group.faults[site.leader].is_cut_off = True
@@ -212,7 +224,7 @@
     """Row 3: processes and machines that stand still."""
 
     async def test_entry_instance_wakes_with_an_old_proof(
-        self, site: Site, monkeypatch: pytest.MonkeyPatch
+        self, autojump_clock: Any, site: Site, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against a clock that stands still while the machine is suspended."""
 
@@ -225,7 +237,9 @@
         await trio.sleep(2)
         assert all(proof.is_valid for proof in site.proofs.values())
 
-    async def test_reply_that_waited_through_a_freeze_proves_little(self, site: Site) -> None:
+    async def test_reply_that_waited_through_a_freeze_proves_little(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a reply that was made before the freeze and read after it."""
         for fault in site.group.faults.values():
             fault.reply_delay_s = 8.0
@@ -234,7 +248,7 @@
         await check_revoked(site, confirmed_ms, set())
 
     async def test_control_instance_that_was_suspended_gives_no_fresh_proof(
-        self, site: Site, monkeypatch: pytest.MonkeyPatch
+        self, autojump_clock: Any, site: Site, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against control instances whose ages leave out the time of a suspension."""
         for fault in site.group.faults.values():
@@ -246,7 +260,9 @@
 class TestStart:
     """Covers control instances that have just started."""
 
-    async def test_configuration_from_the_disk_is_served_and_not_proven(self, site: Site) -> None:
+    async def test_configuration_from_the_disk_is_served_and_not_proven(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a stored configuration that is older than a confirmed one."""
         for fault in site.group.faults.values():
             fault.is_cut_off = True
@@ -261,7 +277,9 @@
         await trio.sleep(6)
         assert all(proof.is_valid for proof in site.proofs.values())
 
-    async def test_unreadable_configuration_gives_no_proof(self, site: Site) -> None:
+    async def test_unreadable_configuration_gives_no_proof(
+        self, autojump_clock: Any, site: Site
+    ) -> None:
         """Guards against a proof for a configuration that the instance does not hold."""
         site.entries["a"].unreadable = {2}
         confirmed_ms = await revoke(site, [site.leader])
