--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -59,7 +59,7 @@
     _K.VERSION_MISSING: "A patch has no `If-Match` header.",
     _K.CONFIGURATION_INVALID: "The document after the merge breaks a rule; `reasons` lists all.",
     _K.KEY_REUSED: "An idempotency key or request id was used before for different contents.",
-    _K.RATE_LIMITED: "This instance's share of a request or token rate is used up.",
+    _K.RATE_LIMITED: "A request or token rate is used up, or the quota of a client account.",
     _K.CONCURRENCY_LIMITED: "This instance's share of concurrent requests is in use.",
     _K.OVERLOADED: "Admission refuses the request to keep the others within target.",
     _K.DEADLINE_UNMEETABLE: "The forecast exceeds the deadline, or it passed before dispatch.",
--- a/src/briardyke/gateway/settings.py
+++ b/src/briardyke/gateway/settings.py
@@ -23,6 +23,7 @@
         accepted under a configuration of any age.
     :param quota_bounds: how far the use of quotas may exceed them.
     :param memory_mb: memory of its machine, 0 when unknown.
+    :param max_descriptors: descriptors that the process may open, 0 when unknown.
     """
 
     instance_id: str
@@ -34,3 +35,4 @@
     revocation_ms: float | None = None
     quota_bounds: QuotaBounds = QuotaBounds()
     memory_mb: float = 0.0
+    max_descriptors: int = 0
