Keep the calls to the leader in a module of their own

Change: requests for adapters, trials, permits and tokens move to fleet/leader_calls.py; behaviour stays.

Measured: tests of quotas, limits, the operator and the start of entry instances pass.

--- a/src/briardyke/fleet/client.py
+++ b/src/briardyke/fleet/client.py
@@ -11,24 +11,17 @@
 
 from briardyke.clock import boot_ms, now_ms
 from briardyke.fleet.compression import decompress_document
+from briardyke.fleet.leader_calls import LeaderCalls
 from briardyke.fleet.messages import (
-    AdapterReply,
-    AdapterRequest,
     FleetReply,
     FleetRequest,
-    PermitReply,
-    PermitRequest,
     PlaceReply,
     PlaceRequest,
-    TrialReply,
-    TrialRequest,
 )
 from briardyke.fleet.records import EntryInstance
 from briardyke.fleet.view import FleetView
 from briardyke.logs import log_event, log_limited, log_warning
-from briardyke.quotas.messages import QUOTA_TIMEOUT_MS, QuotaReply, QuotaRequest
 from briardyke.software_versions.directory import StreamDirectory
-from briardyke.upstream_limits.granter import PERMIT_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
@@ -61,8 +54,6 @@
 # The same while idle. After an outage of all control instances, dozens of idle entry instances
 # would otherwise poll the restarting ones many times during each election.
 _IDLE_NEXT_CONTROL_PAUSE_MS = 200.0
-_ADAPTER_TIMEOUT_MS = 1500.0
-_TRIAL_TIMEOUT_MS = 500.0
 _PLACE_TIMEOUT_MS = 300.0
 # Pause before the next poll while the proof of a control instance is old: its heartbeat interval.
 _UNPROVEN_PAUSE_MS = 150.0
@@ -123,6 +114,7 @@
         :param callbacks: callbacks of the entry instance.
         """
         self.view = FleetView()
+        self.leader_calls = LeaderCalls(peers, lambda: self.view.leader)
         self.streams = StreamDirectory(peers, lambda: self.view.controls or seeds())
         self._peers = peers
         self._seeds = seeds
@@ -386,47 +378,3 @@
                 log_warning("configuration_unreadable", version=version, reason=reason)
             elif await self._callbacks.apply_configuration(version, document.unwrap()):
                 self.view.version = version
-
-    async def request_adapter(self, request: AdapterRequest) -> AdapterReply:
-        """Ask the leader to load an adapter.
-
-        :return: a reply without upstream when the leader cannot be reached.
-        """
-        if self.view.leader is None:
-            return AdapterReply("", "no leader is known")
-        client = self._peers.client(self.view.leader)
-        reply = await client.call(request, _ADAPTER_TIMEOUT_MS, is_repeatable=True)
-        if reply.is_ok() and isinstance(reply.unwrap(), AdapterReply):
-            return reply.unwrap()
-        failure = reply.err()
-        return AdapterReply("", failure.message if failure else "unexpected reply")
-
-    async def request_trial(self, part: str) -> bool:
-        """Ask the leader whether one request may test a quarantined part of its prompt."""
-        if self.view.leader is None:
-            return False
-        client = self._peers.client(self.view.leader)
-        reply = (await client.call(TrialRequest(part), _TRIAL_TIMEOUT_MS)).ok()
-        return isinstance(reply, TrialReply) and reply.is_granted
-
-    async def request_permit(self, request: PermitRequest) -> PermitReply | None:
-        """Ask the leader for a permit at an upstream with a limit.
-
-        :return: ``None`` when the leader cannot be reached in time.
-        """
-        if self.view.leader is None:
-            return None
-        client = self._peers.client(self.view.leader)
-        reply = (await client.call(request, PERMIT_TIMEOUT_MS)).ok()
-        return reply if isinstance(reply, PermitReply) else None
-
-    async def request_quota(self, request: QuotaRequest) -> QuotaReply | None:
-        """Ask the leader for tokens of accounts.
-
-        :return: ``None`` when the leader cannot be reached in time.
-        """
-        if self.view.leader is None:
-            return None
-        client = self._peers.client(self.view.leader)
-        reply = (await client.call(request, QUOTA_TIMEOUT_MS)).ok()
-        return reply if isinstance(reply, QuotaReply) else None
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -95,13 +95,14 @@
             max_control_proof_age_ms(settings.revocation_ms),
         )
         self.client = FleetClient(peers, seeds, callbacks)
+        leader = self.client.leader_calls
         self.state = GatewayState(
             dialect,
             settings.data_centre,
             settings.retries,
-            self.client.request_adapter,
-            QuarantineGate(settings.instance_id, self._shared_verdicts, self.client.request_trial),
-            self.client.request_permit,
+            leader.request_adapter,
+            QuarantineGate(settings.instance_id, self._shared_verdicts, leader.request_trial),
+            leader.request_permit,
             self.client.streams,
             self._is_informed,
             ConfigurationProof(
@@ -109,7 +110,7 @@
                 lambda: self.client.view.proven_as_of_ms,
                 self.client.report_now,
             ),
-            AccountCredits(settings.instance_id, settings.quota_bounds, self.client.request_quota),
+            AccountCredits(settings.instance_id, settings.quota_bounds, leader.request_quota),
             self.memory.budget,
         )
         self._dispatch = self.state.dispatch = DispatchClient(
--- a/tests/fleet/test_quota_failures.py
+++ b/tests/fleet/test_quota_failures.py
@@ -54,7 +54,7 @@
 
     async def ask(self, request: QuotaRequest) -> QuotaReply | None:
         self.messages += 1
-        return await self.client.request_quota(request)
+        return await self.client.leader_calls.request_quota(request)
 
     def start(self) -> None:
         """Start a process, without what an earlier one held."""
