Mend what a review of accounts and quotas found

Cause: a request whose caller left before any attempt stayed charged; requests that count no tokens left a record each, without bound; a name with control characters was accepted and failed every request of its account at the header writer; a leader that was suspended could take an old acknowledgement for a fresh one.

Change: such requests are refunded, nothing is recorded for them, such names make a configuration invalid, and the age of a confirmation also counts suspensions.

Measured: a new test for each of the first three; tests of quotas, configuration, driver and proof pass.

--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -219,7 +219,13 @@
         """
         if self._applied_index < self._node.state.term_start_index:
             return None
-        return self._node.confirmed_age_ms(now_ms())
+        age_ms = self._node.confirmed_age_ms(now_ms())
+        confirmed_ms = self._node.state.confirmed_boot_ms
+        if age_ms is None or confirmed_ms is None:
+            return age_ms
+        # An acknowledgement that waited while the machine was suspended looks fresh on a clock that
+        # stood still.
+        return max(age_ms, boot_ms() - confirmed_ms)
 
     def proof_age_ms(self) -> float | None:
         """Return the age of the proof that the state applied here is current.
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -101,6 +101,8 @@
             await self._forward(context, answer)
         finally:
             buffer.release()
+            if not context.attempts_begun:  # its caller may have left while it waited
+                refund_unless_run(context, state)
             context.end_unsent_dispatches()
             state.demand.request_finished(metadata.model or service)
 
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -29,6 +29,7 @@
     :param trace: record for the log and the counters.
     :param buffer: share in what the process may buffer of responses.
     :param sent_attempts: attempts that an upstream received, refused ones included.
+    :param attempts_begun: attempts of which an upstream may have received a part.
     :param connect_failures: attempts for which no connection could be opened.
     :param may_have_run: whether an upstream may have worked on the request.
     :param tried_upstreams: ids of upstreams that are not selected again.
@@ -55,6 +56,7 @@
     trace: Trace
     buffer: ResponseBuffer
     sent_attempts: int = 0
+    attempts_begun: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
     tried_upstreams: set[str] = attrs.field(factory=set)
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -208,6 +208,7 @@
         upstream_id = upstream.row.upstream_id
         dispatch = context.unsent_dispatches.pop(upstream_id, None)
         context.tried_upstreams.add(upstream_id)
+        context.attempts_begun += 1
         was_left = upstream_id in context.left_upstreams
         context.left_upstreams.discard(upstream_id)
         load = upstream.load()
--- a/src/briardyke/quotas/ledger.py
+++ b/src/briardyke/quotas/ledger.py
@@ -116,7 +116,9 @@
         """Charge a request, first to the credits that were granted first; ``None`` if too few."""
         if self.available(now_ms) < tokens - _NO_TOKENS:
             return None
-        self._recent.append((now_ms, tokens))
+        self._forget_old_use(now_ms)
+        if tokens > 0.0:
+            self._recent.append((now_ms, tokens))
         spent = []
         for credit in self._credits:
             part = min(tokens, credit.tokens)
@@ -165,13 +167,16 @@
 
     def wanted(self, now_ms: float) -> float:
         """Return the tokens to ask for in advance: as many as were spent in their lifetime."""
-        since_ms = now_ms - self.allowance.lifetime_ms
-        while self._recent and self._recent[0][0] < since_ms:
-            self._recent.popleft()
+        self._forget_old_use(now_ms)
         if len(self._recent) < _MIN_REQUESTS:
             return 0.0
         return max(0.0, sum(tokens for _, tokens in self._recent) - self.available(now_ms))
 
+    def _forget_old_use(self, now_ms: float) -> None:
+        since_ms = now_ms - self.allowance.lifetime_ms
+        while self._recent and self._recent[0][0] < since_ms:
+            self._recent.popleft()
+
     def take_returned(self) -> list[ReturnedTokens]:
         """Return the tokens to give back to the leader, each once."""
         returned, self._returned = self._returned, []
--- a/src/briardyke/routes/validation.py
+++ b/src/briardyke/routes/validation.py
@@ -37,6 +37,9 @@
     for account in configuration.accounts:
         if not account.name:
             errors.append("a client account has no name")
+        elif account.name != account.name.strip() or not account.name.isprintable():
+            # It is sent to upstreams in a header, which cannot carry such a value.
+            errors.append(f"the name {account.name!r} of a client account is not printable text")
         if account.name in names:
             errors.append(f"two client accounts are named {account.name}")
         names.add(account.name)
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -165,6 +165,17 @@
         await gateway.add("app", respond)
         assert (await send(gateway, more_headers=usage)).status == 200
 
+    async def test_request_whose_caller_leaves_before_an_attempt_is_refunded(
+        self, gateway: Gateway, leader: Leader
+    ) -> None:
+        """Guards against callers that give up, return, and are refused below their quota."""
+        usage = [("Token-Usage", "6000,0")]
+        with trio.move_on_after(0.2):
+            await send(gateway, more_headers=usage)
+        await trio.sleep(0.05)
+        await gateway.add("app", respond)
+        assert (await send(gateway, more_headers=usage)).status == 200
+
     async def test_request_that_may_have_run_stays_charged(
         self, gateway: Gateway, leader: Leader
     ) -> None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -207,6 +207,8 @@
             ([ACCOUNT, ACCOUNT | {"name": "b", "api_keys": ["k-2"]}], "share a key"),
             ([ACCOUNT, ACCOUNT | {"api_keys": ["k-3"]}], "two client accounts are named"),
             ([ACCOUNT | {"name": ""}], "no name"),
+            ([ACCOUNT | {"name": "a\nTenant: b"}], "not printable"),
+            ([ACCOUNT | {"name": " a"}], "not printable"),
             ([ACCOUNT | {"unit": "bytes"}], "unknown unit"),
             ([ACCOUNT | {"rate_per_s": -1}], "a number from 0"),
             ([ACCOUNT | {"burst": -1}], "a number from 0"),
--- a/tests/quotas/test_instance_credits.py
+++ b/tests/quotas/test_instance_credits.py
@@ -346,3 +346,16 @@
         refused = found.request(0, "a", 1460.0).outcome
         assert refused is not None
         assert refused.unwrap_err().kind is ErrorKind.RATE_LIMITED
+
+
+class TestRequestsWithoutTokens:
+    """Covers requests that count nothing."""
+
+    def test_they_leave_no_record(self) -> None:
+        """Guards against memory that grows with requests which never need the leader."""
+        found = world()
+        for _ in range(1000):
+            found.request(0, "a", 0.0)
+            found.now_ms += 10.0
+        ledger = found.instances[0]._ledgers["a"]
+        assert len(ledger._recent) == 0
