Mend what a review of the memory budget and the dispatch found

Cause: (1) a step of a large body at the head of the queue for memory blocked small requests and new connections while half of the budget was free; (2) each refused request left a share in the budget; (3) the kernel reset callers that read steadily but slowly after 2 s, before the server's own 5 s; (4) requests that a submission of another one decided waited out their hold of 150 ms; (5) a caller that stated 10^9 tokens stretched the times to come back of its model to 8 s; (6) a place on an engine stayed booked when the retry budget refused a handover; (7) the own path read bodies that were announced over the limit.

Change: what stays within a guaranteed part goes first; shares are released in every way a request ends; callers' connections have 6 s; decided requests are answered at once; a request beyond every cache is rejected before it counts; places are ended with the search; announced excess is only discarded.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -200,6 +200,7 @@
             self._advance(service)
         started_s = time.thread_time()
         reply = service.dispatcher.submit(request, now)
+        self._wake_decided(service)
         self._space_passes(service, started_s)
         if reply.outcome == Outcome.PLACED.value:
             self._placed.add(request, reply.upstream_id, now)
@@ -331,6 +332,16 @@
         else:
             service.due_ms = now + max(1.0, change_ms)
 
+    @staticmethod
+    def _wake_decided(service: _Service) -> None:
+        """Answer the held requests that a submission has decided beside its own."""
+        if not service.held:
+            return
+        for request_id in service.dispatcher.decided_ids():
+            held = service.held.pop(request_id, None)
+            if held is not None:
+                held.decided.set()
+
     def _advance(self, service: _Service) -> None:
         now = now_ms()
         service.advanced_ms = now
--- a/src/briardyke/dispatch/dispatcher.py
+++ b/src/briardyke/dispatch/dispatcher.py
@@ -37,6 +37,8 @@
 # Time after which waiting requests are looked at again without an observation.
 _RECHECK_MS = 5.0
 _HOUSEKEEPING_MS = 100.0
+# Retry-After of a request that no engine can ever run.
+_TOO_LARGE_RETRY_MS = 1000.0
 
 
 class Dispatcher:
@@ -80,6 +82,13 @@
                 return placement  # decided while it waited, or the reply was lost
             self.pool.fail(request_id, now_ms)
         waiting = self.queue.get(request_id)
+        if waiting is None and self._is_too_large(request):
+            # Neither demand nor a time to come back is counted for what can never be served.
+            tokens = request.prompt_tokens + request.output_tokens
+            reason = f"{tokens} tokens exceed the cache of every engine"
+            return DispatchReply(
+                Outcome.REJECTED.value, retry_after_ms=_TOO_LARGE_RETRY_MS, reason=reason
+            )
         if waiting is None:
             waiting = self._new_waiting(request, now_ms)
             placement = self._place_at_once(waiting, now_ms)
@@ -100,6 +109,15 @@
         decided = self._decided.pop(request_id, None)
         return decided[0] if decided else DispatchReply(Outcome.QUEUED.value)
 
+    def decided_ids(self) -> list[str]:
+        """Return the requests that have been decided and whose replies were not fetched."""
+        return list(self._decided)
+
+    def _is_too_large(self, request: DispatchRequest) -> bool:
+        engines = self.pool.known(request)
+        tokens = request.prompt_tokens + request.output_tokens
+        return bool(engines) and all(tokens > engine.cache_tokens for engine in engines)
+
     def observe(self, instance_id: str, observation: Observation, now_ms: float) -> None:
         """Take in what an entry instance observed."""
         if self.pool.observe(observation, now_ms):
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -92,19 +92,26 @@
             request, metadata, route, service, deadline_ms, trace, buffer, identity=identity
         )
         state.budget(service).record_request(now_ms())
-        refusal = await self._admission_refusal(context) or await charge(context, state)
-        if refusal is not None:
-            await self._send_failure(answer, trace, refusal)
-            return
-        state.demand.request_started(metadata.model or service)
         try:
-            await self._forward(context, answer)
+            refusal = await self._admission_refusal(context) or await charge(context, state)
+            if refusal is not None:
+                await self._send_failure(answer, trace, refusal)
+                return
+            await self._forward_counted(context, answer)
         finally:
             buffer.release()
             if not context.attempts_begun:  # its caller may have left while it waited
                 refund_unless_run(context, state)
             context.end_unsent_dispatches()
-            state.demand.request_finished(metadata.model or service)
+
+    async def _forward_counted(self, context: RequestContext, answer: Answer) -> None:
+        """Forward a request that counts as in progress meanwhile."""
+        demand, name = self._state.demand, context.metadata.model or context.service
+        demand.request_started(name)
+        try:
+            await self._forward(context, answer)
+        finally:
+            demand.request_finished(name)
 
     async def _admission_refusal(self, context: RequestContext) -> Failure | None:
         """Return the reason to reject a new request, or ``None``."""
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -225,12 +225,15 @@
 
     async def request_rest(self, relay: _Relay, on_sent: Callable[[], None]) -> StreamSource | None:
         """Return an upstream that has responded with the rest of a stalled stream, if any."""
-        upstream = await self._attempts.next_upstream(
-            relay.context, lambda: self._alternatives(relay)
-        )
-        if upstream is None or not self._may_send(relay):
-            return None
-        return await self._resume(relay, upstream, on_sent)
+        try:
+            upstream = await self._attempts.next_upstream(
+                relay.context, lambda: self._alternatives(relay)
+            )
+            if upstream is None or not self._may_send(relay):
+                return None
+            return await self._resume(relay, upstream, on_sent)
+        finally:
+            relay.context.end_unsent_dispatches()
 
     async def record_loss(self, relay: _Relay, source: StreamSource, error: Exception) -> None:
         """Record that an upstream has failed before it sent an event of the rest."""
--- a/src/briardyke/http/app.py
+++ b/src/briardyke/http/app.py
@@ -239,8 +239,10 @@
         no_memory = Err(Failure(ErrorKind.OVERLOADED, "no memory is left for large bodies"))
         size_bytes, room_bytes, body = 0, 0, bytearray()
         announced = request.headers.get("content-length", "")
+        is_announced = announced.isascii() and announced.isdigit()
+        is_over = is_announced and int(announced) > limit
         # The time limit for the body starts when there is room for it.
-        if announced.isascii() and announced.isdigit() and int(announced) <= limit:
+        if is_announced and not is_over:
             room_bytes = int(announced)
             growth = room_bytes + room_bytes // 8
             if not await self.memory.reserve(share, growth, self._body_timeout_s):
@@ -255,7 +257,7 @@
                     return Err(Failure(ErrorKind.MALFORMED_REQUEST, text, "body"))
                 piece = event.get("body", b"")
                 size_bytes += len(piece)
-                if size_bytes > limit:
+                if is_over or size_bytes > limit:
                     body.clear()
                     share.shrink(share.held_bytes)
                     if size_bytes > limit + _DISCARD_LIMIT_BYTES:
@@ -269,10 +271,10 @@
                     body += piece
                     share.record_progress(len(piece), now_ms())
                 if not event.get("more_body", False):
-                    return Ok(bytes(body)) if size_bytes <= limit else too_large
+                    return too_large if is_over or size_bytes > limit else Ok(bytes(body))
         if share.is_displaced:
             return no_memory
-        if size_bytes > limit:
+        if is_over or size_bytes > limit:
             return too_large
         text = f"body was not complete within {self._body_timeout_s:g} s"
         return Err(Failure(ErrorKind.BODY_TIMEOUT, text, "body"))
--- a/src/briardyke/http/h11_server.py
+++ b/src/briardyke/http/h11_server.py
@@ -24,7 +24,7 @@
     RequestRefusedError,
     ServerLimits,
 )
-from briardyke.http.sockets import bound_receive_buffer, tune
+from briardyke.http.sockets import CALLER_USER_TIMEOUT_MS, bound_receive_buffer, tune
 from briardyke.http.tracebacks import clear_frames
 from briardyke.logs import log_debug, log_error, log_limited
 
@@ -151,7 +151,7 @@
             self._closed.set()
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
-        tune(stream)
+        tune(stream, user_timeout_ms=CALLER_USER_TIMEOUT_MS)
         try:
             await _Connection(self, stream).run()
         except* (
--- a/src/briardyke/http/memory_queue.py
+++ b/src/briardyke/http/memory_queue.py
@@ -9,6 +9,7 @@
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.http.memory_budget import GUARANTEED_BYTES
 from briardyke.logs import log_limited
 
 if TYPE_CHECKING:
@@ -21,13 +22,15 @@
 @attrs.define(eq=False)
 class _Waiter:
     size_bytes: int
+    rank: tuple[bool, int]
     event: trio.Event = attrs.field(factory=trio.Event)
 
 
 class MemoryQueue:
     """Requests that wait for room.
 
-    A crowd of large bodies then delays other large ones, but not those of usual size.
+    A crowd of large bodies then delays other large ones, but not those of usual size: what stays
+    within its guaranteed part never waits behind a step of a larger one.
     """
 
     def __init__(self, budget: MemoryBudget) -> None:
@@ -38,13 +41,14 @@
 
     async def reserve(self, share: Share, size_bytes: int, timeout_s: float) -> bool:
         """Let a share grow, waiting for room if need be; return whether it has grown."""
-        is_next = not self._waiting or size_bytes < self._waiting[0].size_bytes
+        rank = (share.held_bytes + size_bytes > GUARANTEED_BYTES, size_bytes)
+        is_next = not self._waiting or rank < self._waiting[0].rank
         if is_next and share.grow(size_bytes):
             return True
         if not self.budget.can_ever_hold(share, size_bytes):
             return False
-        waiter = _Waiter(size_bytes)
-        insort(self._waiting, waiter, key=lambda other: other.size_bytes)
+        waiter = _Waiter(size_bytes, rank)
+        insort(self._waiting, waiter, key=lambda other: other.rank)
         try:
             with trio.move_on_after(timeout_s):
                 while not await self._is_granted(share, waiter):
--- a/tests/dispatch/coordinator_fakes.py
+++ b/tests/dispatch/coordinator_fakes.py
@@ -92,12 +92,17 @@
     counts: Counter[str] = attrs.field(factory=Counter)
     updates: int = 0
     advances: int = 0
+    decided_beside: list[str] = attrs.field(factory=list)
     changed: bool = False
     rejects: bool = False
     cache_tokens: int = 0
     pass_s: float = 0.0
     postponed_ms: float = float("-inf")
 
+    def decided_ids(self) -> list[str]:
+        decided, self.decided_beside = self.decided_beside, []
+        return decided
+
     def update_engines(self, rows: list[Upstream], spec: EngineSpec, now_ms: float) -> None:
         self.slots = {row.upstream_id: row.slots for row in rows}
         self.cache_tokens = spec.cache_tokens
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -193,3 +193,27 @@
         dispatcher.submit(request("1", "a"), 0.0)
         dispatcher.cancel("1", 10.0)
         assert dispatcher.submit(request("2", "a"), 20.0).outcome == Outcome.PLACED.value
+
+
+class TestTooLarge:
+    """Covers requests that no engine could ever hold."""
+
+    def test_it_is_rejected_without_effect_on_the_others(self):
+        """Guards against times to come back that a caller stretches by stating a huge size."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a", 1)], SPEC, 0.0)
+        huge = request("huge", "a", prompt_tokens=10**9)
+        assert dispatcher.submit(huge, 0.0).outcome == Outcome.REJECTED.value
+        assert not len(dispatcher.queue)
+        assert dispatcher.submit(request("1", "a"), 1.0).outcome == Outcome.PLACED.value
+
+    def test_decision_beside_a_submission_is_listed(self):
+        """Guards against held requests that are decided and not told until their hold ends."""
+        dispatcher = Dispatcher()
+        dispatcher.update_engines([row("a", 1)], SPEC, 0.0)
+        dispatcher.submit(request("1", "a"), 0.0)
+        dispatcher.submit(request("2", "a"), 1.0)
+        ended = Observation(ObservationKind.ENDED.value, "a", 0.0, "1")
+        dispatcher.observe("entry-1", ended, 500.0)
+        dispatcher.submit(request("3", "a"), 500.0)
+        assert dispatcher.decided_ids() == ["2"]
--- a/tests/gateway/test_account_quotas.py
+++ b/tests/gateway/test_account_quotas.py
@@ -11,6 +11,7 @@
 
 from briardyke.accounts.types import AccountQuota, ClientAccount, key_digest
 from briardyke.clock import boot_ms
+from briardyke.http.memory_budget import MemoryBudget
 from briardyke.quotas.bounds import QuotaBounds
 from briardyke.quotas.credits import AccountCredits
 from briardyke.quotas.leader import LeaderBuckets
@@ -143,6 +144,23 @@
         assert leader.requests == []
 
 
+class TestRefusedRequests:
+    """Covers what a refused request leaves behind."""
+
+    async def test_refusals_leave_no_share_of_the_memory_budget(
+        self, gateway: Gateway, leader: Leader
+    ) -> None:
+        """Guards against memory that grows with the refusals of a hot account."""
+        await gateway.add("app", respond)
+        usage = [("Token-Usage", "6000,0")]
+        assert (await send(gateway, more_headers=usage)).status == 200
+        budget = gateway.state.response_buffers.memory = MemoryBudget()
+        before = len(budget._shares)
+        for _ in range(5):
+            assert (await send(gateway, more_headers=usage)).status == 429
+        assert len(budget._shares) == before
+
+
 class TestRefund:
     """Covers requests that were charged and did not run."""
 
--- a/tests/http/test_memory_budget.py
+++ b/tests/http/test_memory_budget.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+import trio
+import trio.testing
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -17,6 +19,7 @@
     Share,
     limit_for_memory,
 )
+from briardyke.http.memory_queue import MemoryQueue
 
 LIMIT = 16 * MIB
 BODY = 4 * MIB
@@ -184,3 +187,22 @@
 
 
 TestAnyOrder = BudgetMachine.TestCase
+
+
+class TestOrderOfWaiting:
+    """Covers requests that wait for room."""
+
+    async def test_usual_requests_do_not_wait_behind_a_step_of_a_large_one(self) -> None:
+        """Guards against a large body that blocks every new connection with one byte."""
+        budget = MemoryBudget(LIMIT)
+        while budget.open(Kind.REQUESTS).grow(BODY):
+            pass
+        large = budget.open(Kind.REQUESTS)
+        assert large.grow(GUARANTEED_BYTES)
+        queue = MemoryQueue(budget)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(queue.reserve, large, 1, float("inf"))
+            await trio.testing.wait_all_tasks_blocked()
+            with trio.fail_after(1.0):
+                assert await queue.reserve(budget.open(Kind.CONNECTIONS), 32 * 1024, 1.0)
+            nursery.cancel_scope.cancel()
