Explain a decision on request of an entry instance

Cause: an operator could not ask a coordinator why it would place, queue or reject a request; only the pure code had an explanation.

Change: ExplainRequest and ExplainReply. The coordinator copies the dispatcher of the service, explains on the copy, and lets the copy decide, so the outcome is that of the code that decides. Explanations are spaced by twenty times their processor time.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -11,7 +11,8 @@
 
 from briardyke.clock import now_ms
 from briardyke.dispatch.dispatcher import Dispatcher
-from briardyke.dispatch.messages import DispatchReply, ObservationKind, Outcome
+from briardyke.dispatch.explanation import foresee
+from briardyke.dispatch.messages import DispatchReply, ExplainReply, ObservationKind, Outcome
 from briardyke.dispatch.request_records import PlacedRequests, ReturningRequests
 from briardyke.fleet.records import READY
 from briardyke.logs import log_event, log_limited
@@ -39,6 +40,9 @@
 # Counted at most, so that the queue is looked at 25 times a second also when it is very long.
 _MAX_PASS_MS = 10.0
 _MIN_PASS_MS = 1.0
+# Time between two explanations, in times of the processor time of the last one. Each copies the
+# state of a service: 24 ms with 56 engines and 440 requests.
+_EXPLANATION_SPACING = 20.0
 # Interval of the checks against rows and summed in-flight counts, as often as the sums change.
 _CHECK_INTERVAL_MS = 250.0
 # Age of the summed in-flight counts: a part of the intervals of the reports of entry instances and
@@ -115,6 +119,8 @@
         self._placed = PlacedRequests()
         self._returning = ReturningRequests()
         self._queued = Notifier()
+        self._explaining = trio.Lock()
+        self._next_explanation_ms = float("-inf")
 
     # Messages
 
@@ -150,6 +156,42 @@
         for request_id in report.cancelled_ids:
             self._forget(service, request_id)
 
+    async def explain(self, request: DispatchRequest) -> ExplainReply | None:
+        """Explain what would become of a request now, without any change of state.
+
+        :return: ``None`` when this instance cannot coordinate the service.
+        """
+        async with self._explaining:
+            await trio.sleep(max(0.0, self._next_explanation_ms - now_ms()) / 1000.0)
+            started_s = time.thread_time()
+            reply = self._explain(request)
+            took_ms = (time.thread_time() - started_s) * 1000.0
+            self._next_explanation_ms = now_ms() + took_ms * _EXPLANATION_SPACING
+        return reply
+
+    def _explain(self, request: DispatchRequest) -> ExplainReply | None:
+        spec = self._engine_spec(request.service)
+        if spec is None or not self._control.rows.is_complete:
+            return None
+        now = now_ms()
+        service = self._services.get(request.service)
+        if service is None:
+            service = _Service(self._create_dispatcher(), now)
+            self._refresh(request.service, service, spec)
+        if service.upstream_ids.isdisjoint(request.upstream_ids):
+            return None
+        if self._returning.is_returning(request, now):
+            request = attrs.evolve(request, has_returned=True)
+        explanation, reply = foresee(service.dispatcher, request, now)
+        return ExplainReply(
+            reply,
+            explanation.decision,
+            explanation.yields,
+            explanation.waiting,
+            explanation.candidates,
+            explanation.unknown_ids,
+        )
+
     def _submit(self, service: _Service, request: DispatchRequest) -> DispatchReply:
         now = now_ms()
         if service.held and service.dispatcher.next_change_ms(now) == 0.0:
--- a/src/briardyke/dispatch/explanation.py
+++ b/src/briardyke/dispatch/explanation.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import copy
 from typing import TYPE_CHECKING
 
 import attrs
 
 from briardyke.dispatch.choice import choose, evaluate
+from briardyke.dispatch.messages import Candidate, DispatchReply, Outcome
 
 if TYPE_CHECKING:
     from briardyke.dispatch.choice import Choice, Evaluation, Need
@@ -14,42 +16,6 @@
     from briardyke.dispatch.messages import DispatchRequest
 
 
-@attrs.frozen
-class Candidate:
-    """Figures of one engine for a request.
-
-    :param upstream_id: the engine.
-    :param rule: why it is not fit, empty if it is.
-    :param cost: expected number of streams that become late, and smaller costs.
-    :param cached_tokens: prompt tokens that it has cached.
-    :param wait_ms: time until the prompt is read.
-    :param first_ms: time to the first event.
-    :param pause_ms: longest time between events of its running streams.
-    :param ready_ms: time until it should be fit; infinite if only the end of its streams helps.
-    :param requests: requests that it holds.
-    :param slots: requests that it can run.
-    :param unread: those of its requests whose prompts are not known to be read.
-    :param free_tokens: cache tokens that its requests do not take.
-    :param speed: time that it takes, relative to a typical engine.
-    :param slowness: time that its work takes now, relative to the usual time.
-    """
-
-    upstream_id: str
-    rule: str
-    cost: float
-    cached_tokens: int
-    wait_ms: float
-    first_ms: float
-    pause_ms: float
-    ready_ms: float
-    requests: int
-    slots: int
-    unread: int
-    free_tokens: int
-    speed: float
-    slowness: float
-
-
 @attrs.frozen
 class Explanation:
     """Decision on a request, with the figures of each engine.
@@ -105,6 +71,23 @@
     )
 
 
+def foresee(
+    dispatcher: Dispatcher, request: DispatchRequest, now_ms: float
+) -> tuple[Explanation, DispatchReply]:
+    """Return the explanation of a decision, and the reply after the next pass over the queue.
+
+    A copy of the dispatcher takes the decision, so the outcome is that of the code which decides,
+    and the dispatcher keeps its state.
+    """
+    trial = copy.deepcopy(dispatcher)
+    explanation = explain(trial, request, now_ms)
+    reply = trial.submit(request, now_ms)
+    if reply.outcome == Outcome.QUEUED.value:
+        trial.advance(now_ms)
+        reply = trial.submit(request, now_ms)
+    return explanation, reply
+
+
 def _decision(dispatcher: Dispatcher, need: Need, choice: Choice) -> str:
     placement = dispatcher.pool.placement(need.request.request_id)
     if placement is not None:
--- a/src/briardyke/dispatch/messages.py
+++ b/src/briardyke/dispatch/messages.py
@@ -138,3 +138,72 @@
     service: str
     observations: list[Observation]
     cancelled_ids: list[str] = attrs.field(factory=list)
+
+
+@message
+@attrs.frozen
+class ExplainRequest:
+    """Question what would become of a request now; nothing is placed, queued or counted.
+
+    :param request: the request, without observations.
+    """
+
+    request: DispatchRequest
+
+
+@message
+@attrs.frozen
+class Candidate:
+    """Figures of one engine for a request.
+
+    :param upstream_id: the engine.
+    :param rule: why it is not fit, empty if it is.
+    :param cost: expected number of streams that become late, and smaller costs.
+    :param cached_tokens: prompt tokens that it has cached.
+    :param wait_ms: time until the prompt is read.
+    :param first_ms: time to the first event.
+    :param pause_ms: longest time between events of its running streams.
+    :param ready_ms: time until it should be fit; infinite if only the end of its streams helps.
+    :param requests: requests that it holds.
+    :param slots: requests that it can run.
+    :param unread: those of its requests whose prompts are not known to be read.
+    :param free_tokens: cache tokens that its requests do not take.
+    :param speed: time that it takes, relative to a typical engine.
+    :param slowness: time that its work takes now, relative to the usual time.
+    """
+
+    upstream_id: str
+    rule: str
+    cost: float
+    cached_tokens: int
+    wait_ms: float
+    first_ms: float
+    pause_ms: float
+    ready_ms: float
+    requests: int
+    slots: int
+    unread: int
+    free_tokens: int
+    speed: float
+    slowness: float
+
+
+@message
+@attrs.frozen
+class ExplainReply:
+    """Reply to an :class:`ExplainRequest`.
+
+    :param reply: what a request would be answered now.
+    :param decision: the decision in words, with the engine that a queued one would wait for.
+    :param yields: whether it leaves engines that read prompts to others.
+    :param waiting: requests in the queue.
+    :param candidates: engines that may run it, fit ones first, by cost.
+    :param unknown_ids: engines that its entry instance names and that are not known here.
+    """
+
+    reply: DispatchReply
+    decision: str
+    yields: bool
+    waiting: int
+    candidates: list[Candidate]
+    unknown_ids: list[str]
--- a/src/briardyke/fleet/control.py
+++ b/src/briardyke/fleet/control.py
@@ -12,7 +12,7 @@
 from briardyke.clock import now_ms, suspended_ms, wall_unix_ms
 from briardyke.consensus.messages import GroupMessage
 from briardyke.consensus.state import Role
-from briardyke.dispatch.messages import DispatchReport, DispatchRequest
+from briardyke.dispatch.messages import DispatchReport, DispatchRequest, ExplainRequest
 from briardyke.errors import ErrorKind, Failure
 from briardyke.fleet.compression import compress_document
 from briardyke.fleet.entry_reply import build_reply
@@ -275,6 +275,8 @@
             return await self.dispatch.answer(message)
         if isinstance(message, DispatchReport) and self.dispatch is not None:
             self.dispatch.record(message)
+        if isinstance(message, ExplainRequest) and self.dispatch is not None:
+            return await self.dispatch.explain(message.request)
         if isinstance(message, QuotaRequest) and self.grant_quota is not None:
             return await self.grant_quota(message)
         return None
