Answer at an entry instance where a request would go

Cause: which upstreams an entry instance leaves out for a request, and why, was visible only in the code.

Change: GET /briardyke/explain on the readiness and directory listeners. The steps of the selection (able, open, candidates, draw), the route and service look-up, the authorization of a known account and the pure part of the admission become public methods that both the routing and the explanation call. Nothing is sent to an upstream, charged, counted or reported.

--- a/src/briardyke/gateway/admission.py
+++ b/src/briardyke/gateway/admission.py
@@ -78,25 +78,34 @@
         left is rejected at once, so that its caller can retry in time. The same applies to a
         request that would start late in a planned shutdown and could be truncated by it.
         """
+        refusal, is_unknown_need = self.examine(context, state)
+        if is_unknown_need:
+            state.missing_models.record(context.metadata.model)
+        return refusal
+
+    def examine(self, context: RequestContext, state: GatewayState) -> tuple[Failure | None, bool]:
+        """Return the reason to reject a new request, and whether its model is to be reported.
+
+        A model is reported when no upstream holds or loads it. Nothing is changed here.
+        """
         if state.is_stopping and context.deadline_ms > state.stop_ms:
-            return Failure(ErrorKind.DRAINING, "this instance is shutting down")
+            return Failure(ErrorKind.DRAINING, "this instance is shutting down"), False
         model = context.metadata.model
         if not model or not state.is_engine(context.service):
-            return None
+            return None, False
         spec = state.model(context.service, model)
         if spec is None:
-            return None
+            return None, False
         usable = state.upstreams.reachable(context.service, context.software_version)
         if not usable or self._is_model_held(context, state):
-            return None  # without any upstream, this instance may have just started
-        if load_remaining_ms(model, usable) is None:
-            state.missing_models.record(model)
+            return None, False  # without any upstream, this instance may have just started
+        is_unknown_need = load_remaining_ms(model, usable) is None
         available_in_ms = model_available_in_ms(spec, usable)
         waited_ms = now_ms() - context.request.received_ms
         if available_in_ms + waited_ms < self._max_wait_ms(context):
-            return None
+            return None, is_unknown_need
         reason = f"{model} is not loaded, expected in {available_in_ms:.0f} ms"
-        return self._model_loading_failure(context, available_in_ms, reason)
+        return self._model_loading_failure(context, available_in_ms, reason), is_unknown_need
 
     def _wait_refusal(
         self, context: RequestContext, state: GatewayState, left_ms: float
--- a/src/briardyke/gateway/authorization.py
+++ b/src/briardyke/gateway/authorization.py
@@ -11,6 +11,7 @@
 from briardyke.errors import ErrorKind, Failure
 
 if TYPE_CHECKING:
+    from briardyke.accounts.types import ClientAccount
     from briardyke.routes.configuration import Route
     from briardyke.routes.matching import RouteTable
 
@@ -59,6 +60,26 @@
     if not routes.configuration.accounts:
         return Ok(_UNRESTRICTED)
     account = routes.keys.find(key_digest) if key_digest is not None else None
+    return authorize_account(
+        routes, route, account, is_proven=is_proven, has_key=key_digest is not None
+    )
+
+
+def authorize_account(
+    routes: RouteTable,
+    route: Route,
+    account: ClientAccount | None,
+    *,
+    is_proven: bool,
+    has_key: bool,
+) -> Result[Identity, Failure]:
+    """Return who sends a request whose account is known, or the reason to reject it.
+
+    :param account: owner of its key, ``None`` without one.
+    :param has_key: whether it has a well-formed key.
+    """
+    if not routes.configuration.accounts:
+        return Ok(_UNRESTRICTED)
     if account is not None and is_proven:
         priority = routes.ranks.priority_class(account.priority, route.priority)
         return Ok(Identity(account.name, priority, account.quota))
@@ -67,5 +88,5 @@
     if account is not None:
         text = "it is not proven that no key has been revoked"
         return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, text))
-    text = "no client account has this API key" if key_digest else "no well-formed API key"
+    text = "no client account has this API key" if has_key else "no well-formed API key"
     return Err(Failure(ErrorKind.UNAUTHENTICATED, text, "authorization"))
--- a/src/briardyke/gateway/coordinated_choice.py
+++ b/src/briardyke/gateway/coordinated_choice.py
@@ -117,8 +117,7 @@
         if max_wait_ms <= 0:
             self._reject("no engine was free in time", None)
             return Decision.REJECTED, None
-        adapter = (context.metadata.model, context.metadata.adapter)
-        holders = [c for c in candidates if c.holds_adapter(*adapter)] if adapter[1] else []
+        holders = self._holders(candidates)
         usable = holders or candidates
         request = self._request(client, usable, max_wait_ms)
         started_ms = now_ms()
@@ -150,6 +149,20 @@
         context.unsent_dispatches[reply.upstream_id] = dispatch
         return await self._take_place(chosen, candidates, holders)
 
+    def preview(self, candidates: Sequence[UpstreamState], request_id: str) -> DispatchRequest:
+        """Return the request that :meth:`choose` would send, under an id of no request."""
+        assert self._client is not None
+        self._request_id = request_id
+        usable = self._holders(candidates) or candidates
+        return self._request(self._client, usable, self._max_wait_ms())
+
+    def _holders(self, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
+        """Return the candidates that have the adapter of the request, if it needs one."""
+        metadata = self._context.metadata
+        if not metadata.adapter:
+            return []
+        return [c for c in candidates if c.holds_adapter(metadata.model, metadata.adapter)]
+
     def _wait(self, coordinator: Address) -> Decision:
         if not self._may_wait:
             self._queued_at = coordinator
--- a/src/briardyke/gateway/dispatch_client.py
+++ b/src/briardyke/gateway/dispatch_client.py
@@ -10,7 +10,14 @@
 from briardyke.addresses import Address
 from briardyke.clock import now_ms, wall_unix_ms
 from briardyke.dispatch.coordinator import HOLD_MS
-from briardyke.dispatch.messages import DispatchReply, Observation, ObservationKind, Outcome
+from briardyke.dispatch.messages import (
+    DispatchReply,
+    ExplainReply,
+    ExplainRequest,
+    Observation,
+    ObservationKind,
+    Outcome,
+)
 from briardyke.errors import ErrorKind
 from briardyke.gateway.coordinators import Coordinators
 from briardyke.gateway.dispatch_observations import DispatchObservations
@@ -34,6 +41,8 @@
 # ones take as long as a live stream may take to its first event.
 _MAX_COORDINATORS = 3
 _MAX_ASK_MS = 2 * CALL_TIMEOUT_MS
+# Coordinators space explanations by their cost, so one may wait for others.
+EXPLAIN_TIMEOUT_MS = 2000.0
 
 
 class Peer(Protocol):
@@ -201,6 +210,21 @@
         )
         return None
 
+    async def explain(self, request: DispatchRequest) -> tuple[Address, ExplainReply] | None:
+        """Ask the coordinators in the order of :meth:`ask` what would become of a request now.
+
+        Nothing is counted, and a silent coordinator stays the first one to ask.
+
+        :return: the first reply and its sender, ``None`` without one.
+        """
+        order = self._coordinators.order(request.service, self._controls(), now_ms())
+        for address in order[:_MAX_COORDINATORS]:
+            call = self._peers.client(address).call(ExplainRequest(request), EXPLAIN_TIMEOUT_MS)
+            reply = (await call).ok()
+            if isinstance(reply, ExplainReply):
+                return address, reply
+        return None
+
     def placed(
         self, coordinator: Address, request: DispatchRequest, reply: DispatchReply
     ) -> Dispatch:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -83,8 +83,7 @@
         route, identity = found.unwrap()
         trace.account = identity.account or ""
         metadata = attrs.evolve(metadata, fingerprint=request_fingerprint(request, metadata))
-        usable = {t.service for t in route.targets if state.upstreams.usable(t.service)}
-        service = choose_service(route, usable, self._random)
+        service = self.select_service(route)
         trace.service = service
         timeout_ms = min(metadata.deadline_ms or route.timeout_ms, route.timeout_ms)
         deadline_ms = request.received_ms + timeout_ms
@@ -154,7 +153,7 @@
             trace.version = state.version
             if state.routes is None:
                 return Err(Failure(ErrorKind.VERSION_UNCONFIRMED, "no configuration is known"))
-            route = self._route(request)
+            route = self.find_route(request)
             if route is None:
                 return Err(Failure(ErrorKind.NOT_FOUND, "no route"))
             trace.route = route.name
@@ -179,7 +178,14 @@
         while self._state.routes is None and (left_ms := until_ms - now_ms()) > 0:
             await self._state.changed.wait(left_ms)
 
-    def _route(self, request: HttpRequest) -> Route | None:
+    def select_service(self, route: Route) -> str:
+        """Select the service of a request, among several at random by weight."""
+        upstreams = self._state.upstreams
+        usable = {t.service for t in route.targets if upstreams.usable(t.service)}
+        return choose_service(route, usable, self._random)
+
+    def find_route(self, request: HttpRequest) -> Route | None:
+        """Return the route of a request, ``None`` without one or without a configuration."""
         host = (header(request.headers, b"host") or b"").decode("latin-1")
         return self._state.routes.find(host, request.path) if self._state.routes else None
 
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -12,6 +12,7 @@
 from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
 from briardyke.gateway.directory import listed_instances
 from briardyke.gateway.dispatch_client import DispatchClient
+from briardyke.gateway.explanation import RequestExplainer
 from briardyke.gateway.forward import Forwarder
 from briardyke.gateway.quarantine import QuarantineGate, SharedVerdicts
 from briardyke.gateway.state import GatewayState
@@ -120,6 +121,7 @@
         self.state.limits.on_change = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
+        self.explainer = RequestExplainer(self.state, self._forwarder)
         self.server = H11Server(self._forwarder.handle, self._limits, self.memory)
         self._retired: list[ConnectionPool] = []
 
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -89,7 +89,7 @@
                 await trio.sleep(wait_ms / 1000.0)
                 continue
             wait_ms = state.admission.remaining_wait_ms(context, state)
-            closed_ms = self._closed_ms(context)
+            closed_ms = self.closed_ms(context)
             if closed_ms is not None:
                 # What has run already can only go on; anything else can come back.
                 if not context.may_have_run or wait_ms < closed_ms:
@@ -103,18 +103,25 @@
             await state.changed.wait(min(wait_ms, context.remaining_ms, CONNECT_PROBE_INTERVAL_MS))
         return None
 
-    async def _choose(
+    def draw(
         self, context: RequestContext, candidates: Sequence[UpstreamState]
     ) -> UpstreamState | None:
-        """Return the upstream to use, ``None`` when none can load the request's adapter now."""
+        """Draw an upstream by load, without a coordinator and whatever adapter it has."""
         state, metadata = self._state, context.metadata
-        chosen = choose_upstream(
+        return choose_upstream(
             candidates,
             metadata,
             state.data_centre,
             self._random,
             state.unreported_requests(metadata.model or context.service),
         )
+
+    async def _choose(
+        self, context: RequestContext, candidates: Sequence[UpstreamState]
+    ) -> UpstreamState | None:
+        """Return the upstream to use, ``None`` when none can load the request's adapter now."""
+        state, metadata = self._state, context.metadata
+        chosen = self.draw(context, candidates)
         if chosen is None or not metadata.adapter:
             return chosen
         return await state.adapters.find_upstream(metadata, candidates, chosen)
@@ -136,37 +143,37 @@
         if limits.limit_per_s(upstream.row) is None:
             # Without a task switch, so that requests released together see each other's choices.
             return True
-        wait_ms = await limits.take_permit(upstream.row, self._open(context))
+        wait_ms = await limits.take_permit(upstream.row, self.open(context))
         if wait_ms is None:
             return False
         await trio.sleep(wait_ms / 1000.0)
         return True
 
-    def _closed_ms(self, context: RequestContext) -> float | None:
+    def closed_ms(self, context: RequestContext) -> float | None:
         """Return the time until an upstream accepts the request, ``None`` if none could run it."""
         limits = self._state.limits
         waits_ms = [
             max(limits.next_permit_ms(s.row), s.statements.pause_left_ms)
-            for s in self._able(context)
+            for s in self.able(context)
         ]
         return min(waits_ms, default=None)
 
     def candidates(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams to which the request may be sent now."""
-        return self._state.limits.admitted(self._open(context))
+        return self._state.limits.admitted(self.open(context))
 
     def may_send(self, context: RequestContext, upstream: UpstreamState) -> bool:
         """Return whether a request may still be sent to an upstream that was selected earlier.
 
         It may have left, restarted or asked for a pause while the request waited.
         """
-        return any(state is upstream for state in self._open(context))
+        return any(state is upstream for state in self.open(context))
 
-    def _open(self, context: RequestContext) -> list[UpstreamState]:
+    def open(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request and have not asked for a pause."""
-        return [s for s in self._able(context) if not s.statements.pause_left_ms]
+        return [s for s in self.able(context) if not s.statements.pause_left_ms]
 
-    def _able(self, context: RequestContext) -> list[UpstreamState]:
+    def able(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request."""
         usable = self._state.upstreams.reachable(context.service, context.software_version)
         model = context.metadata.model
--- a/src/briardyke/gateway/upstream_table.py
+++ b/src/briardyke/gateway/upstream_table.py
@@ -66,13 +66,13 @@
         self._former.keep(state.row, state.statements)
         return state.pool
 
+    def of_service(self, service: str) -> list[UpstreamState]:
+        """Return all known upstreams of a service."""
+        return [state for state in self._states.values() if state.row.service == service]
+
     def usable(self, service: str) -> list[UpstreamState]:
         """Return the ready upstreams of a service, or else those that are not leaving."""
-        rows = [
-            state
-            for state in self._states.values()
-            if state.row.service == service and not state.statements.is_leaving
-        ]
+        rows = [s for s in self.of_service(service) if not s.statements.is_leaving]
         ready = [s for s in rows if s.row.lifecycle == READY]
         return ready or [s for s in rows if s.row.lifecycle not in (DRAINING, GONE)]
 
