--- a/src/briardyke/operator/client.py
+++ b/src/briardyke/operator/client.py
@@ -149,6 +149,17 @@
         return Err(_outcome_unknown(last) if may_have_run and method != "GET" else last)
 
 
+async def get_from(
+    http: HttpClient, address: Address, target: str, timeout_ms: float
+) -> Result[Any, Failure]:
+    """Return the JSON body of a resource of one instance.
+
+    :param target: path with query.
+    """
+    called = await http.call("GET", address, target, timeout_ms=timeout_ms)
+    return called.and_then(_read_response)
+
+
 def _outcome_unknown(last: Failure) -> Failure:
     return Failure(ErrorKind.OUTCOME_UNKNOWN, f"last error: {last.message}")
 
--- a/src/briardyke/operator/main.py
+++ b/src/briardyke/operator/main.py
@@ -19,6 +19,7 @@
 from briardyke.http.client import HttpClient
 from briardyke.ids import new_id
 from briardyke.operator.client import OperatorClient, OperatorSettings, parse_header_value
+from briardyke.operator.explain import explain
 from briardyke.settings import ENVIRONMENT_PREFIX, load_settings
 
 Call = Callable[[OperatorClient], Awaitable[Result[Any, Failure]]]
@@ -36,6 +37,7 @@
 members = typer.Typer(no_args_is_help=True, help="List and change the control group's members.")
 app.add_typer(members, name="members")
 app.command()(emulate)
+app.command()(explain)
 run = app
 
 
