Do not coordinate services with more engines than one control instance can place

Change: beyond 128 engines, entry instances choose alone, as without client accounts. The groups of engines by data centre that the design names for that size are not built.

--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -43,6 +43,10 @@
 # for instances that have not yet learned of another one.
 _RATIO_FRACTION = 0.5
 _SLACK_FRACTION = 0.4
+# One control instance places the streams of about this many engines, some 900 a second, with half of
+# a core. With more, entry instances choose alone: a coordinator that cannot keep up takes the others
+# and the leader with it.
+MAX_COORDINATED_ENGINES = 128
 # Fraction of the fixed retries that all instances not, or no longer, listed for callers share.
 _UNLISTED_FRACTION = 0.1
 
@@ -184,8 +188,11 @@
         """
         if self.routes is None or not self.is_engine(service):
             return False
+        upstreams = self.upstreams.usable(service)
+        if len(upstreams) > MAX_COORDINATED_ENGINES:
+            return False
         return bool(self.routes.configuration.accounts) or any(
-            state.slowness is not None for state in self.upstreams.usable(service)
+            state.slowness is not None for state in upstreams
         )
 
     def software_versions(self, service: str) -> set[str]:
--- a/tests/gateway/test_coordinated_streams.py
+++ b/tests/gateway/test_coordinated_streams.py
@@ -562,3 +562,17 @@
         assert is_served(reply)
         (request,) = site.asked()
         assert (request.account, request.upstream_ids) == ("a", ["u0"])
+
+    async def test_service_with_too_many_engines_is_not_coordinated(
+        self, site: Site, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a control instance that is asked for more than it can place.
+
+        With 1,000 engines all control instances were busy and nothing was served.
+        """
+        await site.add(whole, whole)
+        assert site.gateway.state.is_coordinated("pool")
+        monkeypatch.setattr("briardyke.gateway.state.MAX_COORDINATED_ENGINES", 1)
+        assert not site.gateway.state.is_coordinated("pool")
+        assert is_served(await site.stream("s-1"))
+        assert not site.fake.requests
