--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -43,8 +43,8 @@
 # for instances that have not yet learned of another one.
 _RATIO_FRACTION = 0.5
 _SLACK_FRACTION = 0.4
-# Beyond this many engines, entry instances choose alone: a coordinator that cannot keep up takes the
-# others and the leader with it. 300 engines take a fifth of a control instance; with 1,000, all
+# Beyond this many engines, entry instances choose alone: a coordinator that cannot keep up takes
+# the others and the leader with it. 300 engines take a fifth of a control instance; with 1,000, all
 # control instances were busy and nothing was served.
 MAX_COORDINATED_ENGINES = 320
 # Fraction of the fixed retries that all instances not, or no longer, listed for callers share.
