Give each test run loopback addresses of its own

Change: the second number of the addresses follows from the process.

Measured: tests of the platform path, the dispatch and the crowds on the own path pass.

--- a/tests/platform/platform_cluster.py
+++ b/tests/platform/platform_cluster.py
@@ -21,6 +21,8 @@
     from platform_worker import PlatformWorker
 
 ROOT = Path(__file__).resolve().parents[2]
+# Two test runs on one machine must not use the same addresses.
+LOOPBACK = f"127.{2 + os.getpid() % 250}"
 CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, PEER_PORT = 8144, 8143, 8149, 8141, 7380
 # Counts only under configurations with client accounts.
 REVOKE_MS = 5000
@@ -57,7 +59,7 @@
 
 @attrs.define
 class Cluster:
-    """Hold the processes; addresses are 127.1.NUMBER.N with the same ports everywhere.
+    """Hold the processes; addresses are LOOPBACK.NUMBER.N with the same ports everywhere.
 
     :param limits: limits of the machines, as the settings file states them.
     """
@@ -70,7 +72,7 @@
     def host(self, name: str) -> str:
         """Return the address of an instance."""
         role, _, index = name.partition("-")
-        return f"127.1.{self.number}.{int(index) + (100 if role == 'entry' else 0)}"
+        return f"{LOOPBACK}.{self.number}.{int(index) + (100 if role == 'entry' else 0)}"
 
     def start(self, name: str, is_first_start: bool = True, settings: str = "") -> None:
         """Start an instance, named like control-1 or entry-2, with its usual settings if none."""
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from platform_cluster import Cluster, Reply, call
+from platform_cluster import LOOPBACK, Cluster, Reply, call
 from platform_worker import PlatformWorker
 
 from briardyke.addresses import Address
@@ -55,7 +55,7 @@
     """Hold a cluster with two engines and two plain upstreams."""
 
     def __init__(self, cluster: Cluster) -> None:
-        host = f"127.1.{cluster.number}"
+        host = f"{LOOPBACK}.{cluster.number}"
         self.cluster = cluster
         self.engines = [
             PlatformWorker(f"e{i}", "pool", Address(f"{host}.{200 + i}", 9001), {"m": []})
--- a/tests/platform/test_hostile_entry_path.py
+++ b/tests/platform/test_hostile_entry_path.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 from hostile_crowd import Target, Watched
-from platform_cluster import ROOT, call
+from platform_cluster import LOOPBACK, ROOT, call
 
 from briardyke.addresses import Address
 from briardyke.http.h11_client import UpstreamError
@@ -28,7 +28,7 @@
 SPARE_DESCRIPTORS = 160
 STAY_S = 8.0
 ANSWER_WITHIN_S = 30.0
-ENTRY = Address("127.1.250.1", 8149)
+ENTRY = Address(f"{LOOPBACK}.250.1", 8149)
 
 BODIES: Sequence[Play] = (crowd.body_short_of_end,) * 56 + (crowd.body_in_pieces,) * 56
 CHUNKS: Sequence[Play] = (crowd.chunks_short_of_end,) * 96 + (crowd.one_byte_chunks,) * 16
@@ -41,7 +41,7 @@
     """Start an entry process without control processes; it reads bodies before it refuses."""
     kept = {k: v for k, v in os.environ.items() if not k.startswith("BRIARDYKE_")}
     flags = ["--instance-id", "entry-1", "--data-centre", "dc-1", "--listen", str(ENTRY)]
-    flags += ["--control-addresses", "127.1.250.2:7380", "--body-limit-bytes", str(BODY_BYTES)]
+    flags += ["--control-addresses", f"{LOOPBACK}.250.2:7380", "--body-limit-bytes", str(BODY_BYTES)]
     flags += ["--memory-mb", str(MEMORY_MB)]
     with (tmp_path / "entry.log").open("ab") as log:
         process = subprocess.Popen(
