--- a/tests/platform/test_hostile_entry_path.py
+++ b/tests/platform/test_hostile_entry_path.py
@@ -41,8 +41,8 @@
     """Start an entry process without control processes; it reads bodies before it refuses."""
     kept = {k: v for k, v in os.environ.items() if not k.startswith("BRIARDYKE_")}
     flags = ["--instance-id", "entry-1", "--data-centre", "dc-1", "--listen", str(ENTRY)]
-    flags += ["--control-addresses", f"{LOOPBACK}.250.2:7380", "--body-limit-bytes", str(BODY_BYTES)]
-    flags += ["--memory-mb", str(MEMORY_MB)]
+    flags += ["--control-addresses", f"{LOOPBACK}.250.2:7380"]
+    flags += ["--body-limit-bytes", str(BODY_BYTES), "--memory-mb", str(MEMORY_MB)]
     with (tmp_path / "entry.log").open("ab") as log:
         process = subprocess.Popen(
             [sys.executable, "-c", "from briardyke.entry.main import run; run()", *flags],
