Store software versions in the event loop of tests with a paused clock

Cause: test_it_is_refused_after_the_other_version_has_left[True] failed in 1 of 40 runs. The versions of services were stored by a worker thread; the paused clock jumps ahead beside one, so the control instances were restarted before the file was written. With 0.3 s added to each write the test failed in each run.

Change: the runner takes the function that runs blocking calls, as the replicated log does; the tests' control group runs them in the event loop.

Measured: with 0.3 s added to each write, all tests of the fleet and the versions pass.

--- a/src/briardyke/software_versions/runner.py
+++ b/src/briardyke/software_versions/runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -10,6 +10,7 @@
 from briardyke.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
     from briardyke.fleet.control import ControlInstance
@@ -25,15 +26,21 @@
     from disk.
     """
 
-    def __init__(self, control: ControlInstance, directory: Path) -> None:
+    def __init__(
+        self,
+        control: ControlInstance,
+        directory: Path,
+        run_blocking: Callable[..., Awaitable[Any]] = trio.to_thread.run_sync,
+    ) -> None:
         """Load the stored versions; :meth:`run` starts the runner.
 
         :param control: this control instance.
         :param directory: directory for durable files.
+        :param run_blocking: runs a blocking function outside the event loop.
         """
         self._control = control
         self._versions = control.rows.versions
-        self._file = SoftStateFile(directory / _FILE, dict[str, list[str]])
+        self._file = SoftStateFile(directory / _FILE, dict[str, list[str]], run_blocking)
         self._saved: dict[str, list[str]] = self._file.load() or {}
         # The time since they were last seen is not known, so they count for their full time again.
         for service, versions in self._saved.items():
--- a/tests/fleet/control_group.py
+++ b/tests/fleet/control_group.py
@@ -126,7 +126,8 @@
         )
         peers: Any = self
         control = ControlInstance(log, machine, peers, ADDRESSES[name], name)
-        versions = ServiceVersionsRunner(control, self._directory / name)
+        fault = self.faults[name]
+        versions = ServiceVersionsRunner(control, self._directory / name, fault.run_blocking)
 
         async def run(*, task_status: trio.TaskStatus[None]) -> None:
             with trio.CancelScope() as self._scopes[name]:
