Ask the leader for trials, permits and quotas in one place

Cause: the request for tokens repeated the steps of those for permits and trials.

Change: one method asks and checks the kind of the reply. Behaviour is the same.

Measured: mypy and the tests of quota failures pass.

--- a/src/briardyke/fleet/leader_calls.py
+++ b/src/briardyke/fleet/leader_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from briardyke.fleet.messages import (
     AdapterReply,
@@ -21,6 +21,7 @@
     from briardyke.addresses import Address
     from briardyke.wire.pool import PeerPool
 
+_Reply = TypeVar("_Reply")
 _ADAPTER_TIMEOUT_MS = 1500.0
 _TRIAL_TIMEOUT_MS = 500.0
 
@@ -53,33 +54,27 @@
 
     async def request_trial(self, part: str) -> bool:
         """Ask the leader whether one request may test a quarantined part of its prompt."""
-        leader = self._leader()
-        if leader is None:
-            return False
-        client = self._peers.client(leader)
-        reply = (await client.call(TrialRequest(part), _TRIAL_TIMEOUT_MS)).ok()
-        return isinstance(reply, TrialReply) and reply.is_granted
+        reply = await self._ask(TrialRequest(part), TrialReply, _TRIAL_TIMEOUT_MS)
+        return reply is not None and reply.is_granted
 
     async def request_permit(self, request: PermitRequest) -> PermitReply | None:
         """Ask the leader for a permit at an upstream with a limit.
 
         :return: ``None`` when the leader cannot be reached in time.
         """
-        leader = self._leader()
-        if leader is None:
-            return None
-        client = self._peers.client(leader)
-        reply = (await client.call(request, PERMIT_TIMEOUT_MS)).ok()
-        return reply if isinstance(reply, PermitReply) else None
+        return await self._ask(request, PermitReply, PERMIT_TIMEOUT_MS)
 
     async def request_quota(self, request: QuotaRequest) -> QuotaReply | None:
         """Ask the leader for tokens of accounts.
 
         :return: ``None`` when the leader cannot be reached in time.
         """
+        return await self._ask(request, QuotaReply, QUOTA_TIMEOUT_MS)
+
+    async def _ask(self, request: object, kind: type[_Reply], timeout_ms: float) -> _Reply | None:
+        """Return the leader's reply of a kind, ``None`` when there is none in time."""
         leader = self._leader()
         if leader is None:
             return None
-        client = self._peers.client(leader)
-        reply = (await client.call(request, QUOTA_TIMEOUT_MS)).ok()
-        return reply if isinstance(reply, QuotaReply) else None
+        reply = (await self._peers.client(leader).call(request, timeout_ms)).ok()
+        return reply if isinstance(reply, kind) else None
