Answer held requests for an engine in one place

Cause: a decision after a submission and one after a pass repeated the same loop.

Change: the service answers its held requests. Behaviour is the same.

Measured: the tests of the coordinator and of explanations pass.

--- a/src/briardyke/dispatch/coordinator.py
+++ b/src/briardyke/dispatch/coordinator.py
@@ -93,6 +93,13 @@
     advanced_ms: float = float("-inf")
     due_ms: float = float("inf")
 
+    def answer_held(self, request_ids: Iterable[str]) -> None:
+        """Answer those of the requests that are held."""
+        for request_id in request_ids:
+            held = self.held.pop(request_id, None)
+            if held is not None:
+                held.decided.set()
+
 
 class DispatchCoordinator:
     """Answer the requests of entry instances for an engine.
@@ -335,12 +342,8 @@
     @staticmethod
     def _wake_decided(service: _Service) -> None:
         """Answer the held requests that a submission has decided beside its own."""
-        if not service.held:
-            return
-        for request_id in service.dispatcher.decided_ids():
-            held = service.held.pop(request_id, None)
-            if held is not None:
-                held.decided.set()
+        if service.held:
+            service.answer_held(service.dispatcher.decided_ids())
 
     def _advance(self, service: _Service) -> None:
         now = now_ms()
@@ -348,10 +351,7 @@
         started_s = time.thread_time()
         decided = service.dispatcher.advance(now)
         self._space_passes(service, started_s)
-        for request_id in decided:
-            held = service.held.pop(request_id, None)
-            if held is not None:
-                held.decided.set()
+        service.answer_held(decided)
         change_ms = service.dispatcher.next_change_ms(now)
         service.due_ms = (
             float("inf") if change_ms is None else now + max(MIN_ADVANCE_INTERVAL_MS, change_ms)
