--- a/review/6/loopback.py
+++ b/review/6/loopback.py
@@ -477,7 +477,7 @@
         """Send a configuration until it is acknowledged."""
         until = time.monotonic() + timeout_s
         for address in itertools.cycle(self.control_addresses):
-            if await self._put_once(address, configuration):
+            if await self.put_once(address, configuration):
                 version = json.loads(configuration)["version"]
                 self.record.add(f"configuration {version} is acknowledged")
                 return
@@ -485,7 +485,8 @@
                 raise Unrunnable("a configuration was not acknowledged")
             await asyncio.sleep(0.2)
 
-    async def _put_once(self, address: tuple[str, int], configuration: bytes) -> bool:
+    async def put_once(self, address: tuple[str, int], configuration: bytes) -> bool:
+        """Send a configuration once, following redirects; return whether it is acknowledged."""
         headers = {"Content-Type": "application/json"}
         for _ in range(3):
             reply = await exchange(address, "PUT", "/briardyke/config", headers, configuration, 5.0)
