--- a/review/6/loopback.py
+++ b/review/6/loopback.py
@@ -176,6 +176,8 @@
     :param event_count: events of a stream.
     :param event_s: time between them.
     :param work_s: time of a plain request.
+    :param version: version of its software.
+    :param down_s: time for which it is down after a crash.
     """
 
     name: str
@@ -189,6 +191,8 @@
     event_count: int = 30
     event_s: float = 0.05
     work_s: float = 0.06
+    version: str = "v1"
+    down_s: float = 3.0
     overcommitted_mb: list[float] = field(default_factory=list)
     cut_streams: list[str] = field(default_factory=list)
     sequence: int = 0
@@ -198,7 +202,7 @@
     fence: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
-    _streams: set[str] = field(default_factory=set)
+    running: set[str] = field(default_factory=set)
 
     @property
     def committed_mb(self) -> float:
@@ -222,7 +226,7 @@
             "service": self.service,
             "address": f"{host}:{port}",
             "zone": "odessa-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 128 if self.models is not None else 6,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -268,7 +272,7 @@
                 "busy": self.busy,
                 "sequence": self.sequence,
                 "queued": 0,
-                "in_flight": len(self._streams),
+                "in_flight": len(self.running),
                 "kv_used": 0,
                 "kv_total": 156441,
                 "handles": 0,
@@ -305,19 +309,22 @@
         if held is None or (adapter and adapter not in held):
             await self._send(writer, 421, request_id)
             return
-        self.record.add(f"{self.name} runs stream {request_id}")
-        self._streams.add(request_id)
+        number = headers.get("last-event-id", "0")
+        self.record.add(f"{self.name} ({self.version}) runs stream {request_id} after {number}")
+        self.running.add(request_id)
         head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: stamp\r\n"
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
-        for number in range(int(headers.get("last-event-id", "0")) + 1, self.event_count + 1):
-            await asyncio.sleep(self.event_s)
-            event = b"id: %d\ndata: token-%d\n\n" % (number, number)
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        try:
+            for number in range(int(headers.get("last-event-id", "0")) + 1, self.event_count + 1):
+                await asyncio.sleep(self.event_s)
+                event = b"id: %d\ndata: token-%d\n\n" % (number, number)
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        self._streams.discard(request_id)
+        finally:
+            self.running.discard(request_id)
 
     def _order(self, order: dict[str, Any]) -> int:
         """Take an order as the pages say; one that does not fit crashes this server."""
@@ -350,25 +357,27 @@
         slots = sum(len(names) for names in self.models.values())
         if self.committed_mb > WEIGHTS_MB or slots > self.adapter_slots:
             self.overcommitted_mb.append(self.committed_mb)
-            self._crash()
+            self.crash()
         return 202
 
     def _be_busy(self, duration_s: float) -> None:
         self.busy = True
         asyncio.get_running_loop().call_later(duration_s, setattr, self, "busy", False)
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """Break all channels, and come back empty after some seconds."""
-        self.record.add(f"{self.name} crashes, {len(self._streams)} streams are cut")
-        self.cut_streams += sorted(self._streams)
-        self._streams.clear()
+        self.record.add(f"{self.name} crashes, {len(self.running)} streams are cut")
+        self.cut_streams += sorted(self.running)
+        self.running.clear()
         assert self._server is not None
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
         self.models = {}
         self.born = 0
-        asyncio.get_running_loop().call_later(3.0, lambda: asyncio.ensure_future(self._come_back()))
+        asyncio.get_running_loop().call_later(
+            self.down_s, lambda: asyncio.ensure_future(self._come_back())
+        )
 
     async def _come_back(self) -> None:
         self.born = time.time_ns() // 1_000_000
