--- a/review/6/loopback.py
+++ b/review/6/loopback.py
@@ -26,6 +26,8 @@
 CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, PEER_PORT = 8144, 8143, 8149, 8141, 7380
 HOST_NAME = "ficu95.example"
 HEARTBEAT_S = 1.2
+# A case that takes longer ends its processes and counts as one that could not run.
+CASE_TIMEOUT_S = 114.0
 # Bounds, limits and sizes of the deployment pecos-kilo.
 BOUNDS = {
     "seed_lag_s": 3,
@@ -647,8 +649,13 @@
     """
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def limited() -> bool:
+        async with asyncio.timeout(CASE_TIMEOUT_S):
+            return bool(await case(record, has_trouble))
+
     try:
-        is_broken = asyncio.run(case(record, has_trouble))
+        is_broken = asyncio.run(limited())
     except (Unrunnable, OSError, TimeoutError) as error:
         record.add(f"the case could not run: {error!r}")
         record.write()
