Log the loss of all links to upstreams

What callers saw: requests at an entry instance that is partitioned from all upstreams fail one by one. No log line tells this from one upstream, one service or one link that is down, or whether callers are still told of the instance.

Change: connections of all upstreams record what they see in one place. After a failed or slow connection, or while nothing arrives from any upstream, a monitor opens connections to five upstreams of all services. It logs the verdict and counts it; nothing acts on it yet.

--- /dev/null
+++ b/src/briardyke/connectivity/monitor.py
@@ -0,0 +1,125 @@
+"""Probe upstreams when all links to them may be lost, and keep the verdict."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from briardyke.clock import now_ms
+from briardyke.connectivity.verdict import (
+    Probe,
+    ProbeResult,
+    Suspicion,
+    are_links_lost,
+    find_suspicion,
+)
+from briardyke.http.h11_client import UpstreamError
+from briardyke.logs import log_event, log_limited
+from briardyke.sync.notifier import Notifier
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briardyke.gateway.counters import Counters
+    from briardyke.gateway.upstream_table import UpstreamTable
+    from briardyke.gateway.upstreams import UpstreamState
+
+_CHECK_INTERVAL_S = 0.1
+# Probes of one round, over all services and data centres; a few upstreams may be down as well.
+_PROBE_COUNT = 5
+_PROBE_TIMEOUT_S = 0.4
+# Shortest time between two rounds, which bounds the connections opened because of upstreams that
+# stay unreachable.
+_ROUND_INTERVAL_MS = 1000.0
+_LOST_ROUND_INTERVAL_MS = 400.0
+
+
+class ConnectivityMonitor:
+    """Know whether this instance has lost its links to all upstreams."""
+
+    def __init__(
+        self, upstreams: UpstreamTable, counters: Counters, is_listed: Callable[[], bool]
+    ) -> None:
+        """Watch the connections to the announced upstreams.
+
+        :param upstreams: the announced upstreams.
+        :param counters: counts the rounds of probes.
+        :param is_listed: returns whether callers are told of this instance, for the log.
+        """
+        self.changed = Notifier()
+        self.is_lost = False
+        self._upstreams = upstreams
+        self._counters = counters
+        self._is_listed = is_listed
+        self._checked_ms = float("-inf")
+        self._lost_since_ms = 0.0
+        counters.gauges["gateway_upstream_links_lost"] = lambda: float(self.is_lost)
+
+    async def run(self) -> None:
+        """Check the links until cancelled."""
+        while True:
+            await trio.sleep(_CHECK_INTERVAL_S)
+            await self._check()
+
+    async def _check(self) -> None:
+        interval_ms = _LOST_ROUND_INTERVAL_MS if self.is_lost else _ROUND_INTERVAL_MS
+        if now_ms() - self._checked_ms < interval_ms:
+            return
+        activity = self._upstreams.activity
+        suspicion = find_suspicion(activity, self._checked_ms)
+        if suspicion is None and not self.is_lost:
+            return
+        self._checked_ms = started_ms = now_ms()
+        probes = await self._probe(self._upstreams.sample(_PROBE_COUNT))
+        is_lost = are_links_lost(probes, has_received=activity.received_ms > started_ms)
+        self._counters.count("upstream_links_probed")
+        if is_lost != self.is_lost:
+            self._switch(is_lost, suspicion, probes)
+        elif not is_lost and suspicion is not None:
+            self._log("upstream_links_sound", suspicion, probes)
+
+    async def _probe(self, states: list[UpstreamState]) -> list[Probe]:
+        """Open a connection to each upstream at the same time, and keep those that open."""
+        probes: list[Probe] = []
+
+        async def probe(state: UpstreamState) -> None:
+            result = ProbeResult.SILENT
+            with trio.move_on_after(_PROBE_TIMEOUT_S):
+                try:
+                    await state.pool.open_idle()
+                    result = ProbeResult.OPENED
+                except UpstreamError:
+                    result = ProbeResult.REFUSED
+            probes.append(Probe(state.row.upstream_id, state.row.service, result))
+
+        async with trio.open_nursery() as nursery:
+            for state in states:
+                nursery.start_soon(probe, state)
+        return probes
+
+    def _switch(self, is_lost: bool, suspicion: Suspicion | None, probes: list[Probe]) -> None:
+        self.is_lost = is_lost
+        if is_lost:
+            self._lost_since_ms = now_ms()
+            self._counters.count("upstream_links_lost")
+            self._log("upstream_links_lost", suspicion, probes)
+        else:
+            log_event(
+                "upstream_links_restored",
+                lost_ms=round(now_ms() - self._lost_since_ms),
+                listed=self._is_listed(),
+            )
+        self.changed.notify()
+
+    def _log(self, event: str, suspicion: Suspicion | None, probes: list[Probe]) -> None:
+        activity = self._upstreams.activity
+        log_limited(
+            event,
+            is_routine=False,
+            suspicion=suspicion.value if suspicion else "",
+            probes=",".join(f"{p.upstream_id}:{p.service}:{p.result.value}" for p in probes),
+            in_flight=activity.in_flight,
+            silent_ms=round(activity.silent_ms),
+            listed=self._is_listed(),
+        )
--- a/src/briardyke/gateway/hedged_attempts.py
+++ b/src/briardyke/gateway/hedged_attempts.py
@@ -216,7 +216,7 @@
 
 async def _discard(upstream: UpstreamState, result: AttemptResult) -> None:
     if result.connection is not None:
-        upstream.in_flight -= 1
+        upstream.end_request()
         if result.dispatch is not None:
             result.dispatch.end()
         await result.connection.aclose()
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -7,6 +7,7 @@
 import trio
 
 from briardyke.clock import boot_ms, now_ms, wall_unix_ms
+from briardyke.connectivity.monitor import ConnectivityMonitor
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
@@ -125,6 +126,9 @@
         self.state.limits.on_change = self.client.report_now
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
+        self.connectivity = ConnectivityMonitor(
+            self.state.upstreams, self.state.counters, lambda: self.state.is_listed
+        )
         self.explainer = RequestExplainer(self.state, self._forwarder)
         self.server = H11Server(self._forwarder.handle, self._limits, self.memory)
         self._retired: list[ConnectionPool] = []
@@ -145,6 +149,7 @@
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             nursery.start_soon(keep_running, "stream_versions", self.state.streams.run)
             nursery.start_soon(keep_running, "quotas", self.state.credits.run)
+            nursery.start_soon(keep_running, "connectivity", self.connectivity.run)
             await nursery.start(self.server.serve, self._settings.listen)
             log_event("entry_started", instance=self._settings.instance_id)
             await stop.wait()
--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -77,6 +77,6 @@
 
     def _release(self) -> None:
         self._is_released = True
-        self.upstream.in_flight -= 1
+        self.upstream.end_request()
         if self.dispatch is not None:
             self.dispatch.end()
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -247,7 +247,7 @@
                 scope=scope,
             )
         except BaseException:
-            upstream.in_flight -= 1
+            upstream.end_request()
             if dispatch is not None:
                 dispatch.end()
             if is_sent:
@@ -259,7 +259,7 @@
         finally:
             upstream.pending -= 1
         if attempt.connection is None:
-            upstream.in_flight -= 1
+            upstream.end_request()
             if dispatch is not None:
                 dispatch.end(has_failed=attempt.ending is not Ending.ANSWERED)
         attempt.dispatch = dispatch
--- a/src/briardyke/gateway/upstream_table.py
+++ b/src/briardyke/gateway/upstream_table.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+from itertools import chain, islice, zip_longest
 from typing import TYPE_CHECKING
 
 from briardyke.addresses import parse_address
 from briardyke.clock import now_ms
+from briardyke.connectivity.activity import LinkActivity
 from briardyke.fleet.records import DRAINING, GONE, READY, is_valid_upstream
 from briardyke.gateway.upstream_statements import FormerStatements
 from briardyke.gateway.upstreams import UpstreamState
@@ -24,6 +27,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, UpstreamState] = {}
+        self.activity = LinkActivity()
         self._rest_limit = RestLimit()
         self._former = FormerStatements()
         self._software_versions: dict[str, set[str]] = {}
@@ -51,9 +55,12 @@
                     retired.append(self._retire(upstream_id))
                 if not _has_address(row):
                     continue
-                pool = ConnectionPool(parse_address(row.address), self._rest_limit)
+                address = parse_address(row.address)
+                pool = ConnectionPool(address, self._rest_limit, self.activity)
                 statements = self._former.restore(row)
-                self._states[upstream_id] = UpstreamState(row, pool, statements=statements)
+                self._states[upstream_id] = UpstreamState(
+                    row, pool, statements=statements, activity=self.activity
+                )
             else:
                 state.row = row
             if upstream_id in changes:
@@ -119,6 +126,16 @@
         """Return the ids of upstreams to report as unreachable."""
         return [i for i, state in self._states.items() if state.is_reported_unreachable]
 
+    def sample(self, count: int) -> list[UpstreamState]:
+        """Return some usable upstreams at random, as many of each service as possible."""
+        by_service: dict[str, list[UpstreamState]] = {}
+        for state in self._states.values():
+            if state.row.lifecycle == READY and not state.statements.is_leaving:
+                by_service.setdefault(state.row.service, []).append(state)
+        drawn = [random.sample(states, min(count, len(states))) for states in by_service.values()]
+        in_turn = chain.from_iterable(zip_longest(*drawn))
+        return list(islice((state for state in in_turn if state is not None), count))
+
     def get(self, upstream_id: str) -> UpstreamState | None:
         """Return the state of an upstream."""
         return self._states.get(upstream_id)
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -8,6 +8,7 @@
 import attrs
 
 from briardyke.clock import now_ms
+from briardyke.connectivity.activity import LinkActivity
 from briardyke.fleet.records import Upstream
 from briardyke.gateway.upstream_statements import UpstreamStatements
 from briardyke.http.h11_client import ConnectionPool
@@ -100,6 +101,7 @@
     :param adapters: time until which each adapter is assumed to be loaded, by model and name.
     :param adapter_misses: adapters that it turned out not to have loaded.
     :param statements: what it has stated about itself in its responses.
+    :param activity: activity on the connections to all upstreams, which this one adds to.
     """
 
     row: Upstream
@@ -130,6 +132,7 @@
     adapters: dict[tuple[str, str], float] = attrs.field(factory=dict)
     adapter_misses: dict[tuple[str, str], Miss] = attrs.field(factory=dict)
     statements: UpstreamStatements = attrs.field(factory=UpstreamStatements)
+    activity: LinkActivity = attrs.field(factory=LinkActivity)
 
     def connect_failed(self) -> None:
         """Record a failure to open a connection."""
@@ -162,6 +165,12 @@
             self.busy_since_ms = now_ms()
         self.in_flight += 1
         self.pending += 1
+        self.activity.begin_request()
+
+    def end_request(self) -> None:
+        """Count a request as no longer in progress."""
+        self.in_flight -= 1
+        self.activity.end_request()
 
     def record_sign(self) -> None:
         """Record a sign of life."""
@@ -169,6 +178,7 @@
         if silent_ms is not None and silent_ms >= _LONG_SILENCE_MS:
             self.long_silence_ms, self.long_silence_end_ms = silent_ms, now
         self.sign_ms = now
+        self.activity.record_sign()
 
     @property
     def sign_age_ms(self) -> float:
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -12,6 +12,7 @@
 import trio
 
 from briardyke.clock import now_ms
+from briardyke.connectivity.activity import LinkActivity
 from briardyke.http.exchange import Headers, header
 from briardyke.http.sockets import tune
 
@@ -324,13 +325,20 @@
 class ConnectionPool:
     """Keep idle connections to one upstream."""
 
-    def __init__(self, address: Address, rest_limit: RestLimit | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        rest_limit: RestLimit | None = None,
+        activity: LinkActivity | None = None,
+    ) -> None:
         """Connect to an address on demand.
 
         :param rest_limit: what is known of the rest that upstreams allow, shared between pools.
+        :param activity: records the connections that are opened, shared between pools.
         """
         self.address = address
         self.rest_limit = rest_limit or RestLimit()
+        self._activity = activity or LinkActivity()
         self._idle: deque[UpstreamConnection] = deque()
         self.opened = 0
 
@@ -366,6 +374,13 @@
                 return connection
         return None
 
+    async def open_idle(self) -> None:
+        """Open a connection and keep it for the next request.
+
+        :raises UpstreamError: when it cannot be opened.
+        """
+        self.give_back(await self._open())
+
     def give_back(self, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request."""
         self._idle.append(connection)
@@ -388,7 +403,7 @@
 
     async def _open(self) -> UpstreamConnection:
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with self._activity.opening(), trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await trio.open_tcp_stream(self.address.host, self.address.port)
         except (OSError, trio.TooSlowError) as error:
             raise UpstreamError(Fault.NOT_CONNECTED, f"cannot connect: {error!r}") from error
