Serve callers of an instance without links through its peers

What callers saw: at an entry instance that is partitioned from all upstreams, first attempts fail after 0.9 to 2 s, though other entry instances reach the upstreams, and callers are told of that instance all the time.

Cause: an entry instance knew of single upstreams only, each request found out anew, and no path led to an upstream but the instance's own link. The class: a failure of one's own link is taken for failures of all that lies beyond it.

Change: the verdict on the links is reported with the row of the instance. Callers are told of the instances with links, of all if none has any. Until callers have new addresses, an instance without links sends each request to one with links, which treats it as its own: admission, account, quota, retries, limits, quarantine, streams. A header marks such a request, so it passes one instance; one that has no links, stops or holds an older configuration states 421. A request at an upstream when the links are lost is handed over if it may run twice. Statements of a leaving upstream reach the relaying instance too. While all links are lost, no upstream is reported as unreachable.

--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -65,6 +65,7 @@
     _K.DEADLINE_UNMEETABLE: "The forecast exceeds the deadline, or it passed before dispatch.",
     _K.VERSION_UNCONFIRMED: "The instance cannot confirm that its configuration is current.",
     _K.DRAINING: "Reserved for refusals during a planned stop; no code path reports it today.",
+    _K.MISDIRECTED: "Another entry instance sent a request to one that cannot serve it now.",
     _K.NO_UPSTREAM: "No ready upstream can serve the model or service.",
     _K.MODEL_LOADING: "No upstream had the model or adapter loaded before the deadline.",
     _K.PROMPT_QUARANTINED: "A part of the prompt crashed the engines that responded to it.",
--- a/src/briardyke/connectivity/monitor.py
+++ b/src/briardyke/connectivity/monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -16,10 +17,9 @@
 )
 from briardyke.http.h11_client import UpstreamError
 from briardyke.logs import log_event, log_limited
-from briardyke.sync.notifier import Notifier
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from briardyke.gateway.counters import Counters
     from briardyke.gateway.upstream_table import UpstreamTable
@@ -47,8 +47,9 @@
         :param counters: counts the rounds of probes.
         :param is_listed: returns whether callers are told of this instance, for the log.
         """
-        self.changed = Notifier()
         self.is_lost = False
+        self.on_change: Callable[[], None] | None = None
+        self._interruptible: dict[trio.CancelScope, Callable[[], bool]] = {}
         self._upstreams = upstreams
         self._counters = counters
         self._is_listed = is_listed
@@ -56,6 +57,16 @@
         self._lost_since_ms = 0.0
         counters.gauges["gateway_upstream_links_lost"] = lambda: float(self.is_lost)
 
+    @contextmanager
+    def interrupting(self, may_interrupt: Callable[[], bool]) -> Iterator[trio.CancelScope]:
+        """Cancel what runs in the context when all links are lost, if it may be then."""
+        with trio.CancelScope() as scope:
+            self._interruptible[scope] = may_interrupt
+            try:
+                yield scope
+            finally:
+                del self._interruptible[scope]
+
     async def run(self) -> None:
         """Check the links until cancelled."""
         while True:
@@ -77,7 +88,8 @@
         if is_lost != self.is_lost:
             self._switch(is_lost, suspicion, probes)
         elif not is_lost and suspicion is not None:
-            self._log("upstream_links_sound", suspicion, probes)
+            fields = self._log_fields(suspicion, probes)
+            log_limited("upstream_links_sound", is_routine=False, **fields)
 
     async def _probe(self, states: list[UpstreamState]) -> list[Probe]:
         """Open a connection to each upstream at the same time, and keep those that open."""
@@ -103,23 +115,29 @@
         if is_lost:
             self._lost_since_ms = now_ms()
             self._counters.count("upstream_links_lost")
-            self._log("upstream_links_lost", suspicion, probes)
+            fields = self._log_fields(suspicion, probes)
+            log_limited("upstream_links_lost", is_routine=False, **fields)
         else:
             log_event(
                 "upstream_links_restored",
                 lost_ms=round(now_ms() - self._lost_since_ms),
                 listed=self._is_listed(),
             )
-        self.changed.notify()
+        if self.on_change is not None:
+            self.on_change()
+        if is_lost:
+            self._interrupt()
+
+    def _interrupt(self) -> None:
+        for scope in [s for s, may_interrupt in self._interruptible.items() if may_interrupt()]:
+            scope.cancel()
 
-    def _log(self, event: str, suspicion: Suspicion | None, probes: list[Probe]) -> None:
+    def _log_fields(self, suspicion: Suspicion | None, probes: list[Probe]) -> dict[str, object]:
         activity = self._upstreams.activity
-        log_limited(
-            event,
-            is_routine=False,
-            suspicion=suspicion.value if suspicion else "",
-            probes=",".join(f"{p.upstream_id}:{p.service}:{p.result.value}" for p in probes),
-            in_flight=activity.in_flight,
-            silent_ms=round(activity.silent_ms),
-            listed=self._is_listed(),
-        )
+        return {
+            "suspicion": suspicion.value if suspicion else "",
+            "probes": ",".join(f"{p.upstream_id}:{p.service}:{p.result.value}" for p in probes),
+            "in_flight": activity.in_flight,
+            "silent_ms": round(activity.silent_ms),
+            "listed": self._is_listed(),
+        }
--- a/src/briardyke/emulator/gateway.py
+++ b/src/briardyke/emulator/gateway.py
@@ -14,6 +14,7 @@
 from briardyke.gateway.dialect import (
     ForwardingMetadata,
     LoadReport,
+    RelayedCall,
     RequestMetadata,
     ResponseMetadata,
 )
@@ -70,6 +71,18 @@
         """Return nothing: emulated engines read the call itself."""
         return []
 
+    def relayed_headers(self, request: HttpRequest, call: RelayedCall) -> Headers:
+        """Return nothing: emulated instances do not lose their links."""
+        return []
+
+    def answered_by(self, upstream_id: str) -> Headers:
+        """Return nothing, for the same reason."""
+        return []
+
+    def without_relay_headers(self, headers: Headers) -> Headers:
+        """Return the headers as they are."""
+        return headers
+
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return what an engine answers without a load report."""
         return ResponseMetadata("", status in (421, 503), True, status == 421)
--- a/src/briardyke/errors.py
+++ b/src/briardyke/errors.py
@@ -41,6 +41,7 @@
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     VERSION_UNCONFIRMED = "version_unconfirmed"
     DRAINING = "draining"
+    MISDIRECTED = "misdirected"
     NO_UPSTREAM = "no_upstream"
     MODEL_LOADING = "model_loading"
     PROMPT_QUARANTINED = "prompt_quarantined"
@@ -105,6 +106,7 @@
     ErrorKind.DEADLINE_UNMEETABLE: Answer(503, True, Ran.NO),
     ErrorKind.VERSION_UNCONFIRMED: Answer(503, True, Ran.NO),
     ErrorKind.DRAINING: Answer(503, True, Ran.NO),
+    ErrorKind.MISDIRECTED: Answer(421, True, Ran.NO),
     ErrorKind.NO_UPSTREAM: Answer(503, True, Ran.NO),
     ErrorKind.MODEL_LOADING: Answer(503, True, Ran.NO),
     ErrorKind.PROMPT_QUARANTINED: Answer(503, True, Ran.NO),
--- a/src/briardyke/fleet/records.py
+++ b/src/briardyke/fleet/records.py
@@ -94,6 +94,7 @@
     :param crashes: recent crashes of upstreams while its requests were waiting on them.
     :param sound_ages_ms: time since the last response to a prompt with each suspected part.
     :param limits: recent statements of upstreams, in responses that it received, of their limits.
+    :param reaches_upstreams: whether it has links to upstreams.
     """
 
     instance_id: str
@@ -112,6 +113,7 @@
     crashes: list[CrashReport] = attrs.field(factory=list)
     sound_ages_ms: dict[str, float] = attrs.field(factory=dict)
     limits: list[LimitStatement] = attrs.field(factory=list)
+    reaches_upstreams: bool = True
 
     @property
     def key(self) -> str:
@@ -125,11 +127,15 @@
 
     def same_content(self, other: EntryInstance) -> bool:
         """Return whether no field that matters for routing callers differs."""
-        return (self.address, self.data_centre, self.is_ready, self.capacity_per_s) == (
-            other.address,
-            other.data_centre,
-            other.is_ready,
-            other.capacity_per_s,
+        return self._routing() == other._routing()
+
+    def _routing(self) -> tuple[str, str, bool, float, bool]:
+        return (
+            self.address,
+            self.data_centre,
+            self.is_ready,
+            self.capacity_per_s,
+            self.reaches_upstreams,
         )
 
     def without_activity(self) -> EntryInstance:
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -29,6 +29,8 @@
     :param stated_tokens: tokens of the prompt and of the longest response together, or ``None``
         when the caller states no readable size.
     :param key_digest: digest of the caller's API key, or ``None`` without a well-formed one.
+    :param relayed_by: id of the entry instance that relays the request, empty for a caller.
+    :param relayed_version: version of the configuration that is in force there.
     """
 
     request_id: str
@@ -44,6 +46,8 @@
     prefix_tokens: tuple[int, ...] = ()
     stated_tokens: int | None = None
     key_digest: bytes | None = attrs.field(default=None, repr=False)
+    relayed_by: str = ""
+    relayed_version: int = 0
 
     @property
     def shared_prefix_ids(self) -> tuple[str, ...]:
@@ -92,6 +96,20 @@
     account: str | None = None
 
 
+@attrs.frozen
+class RelayedCall:
+    """Values of the headers that an entry instance sets on a request to another one.
+
+    :param instance_id: id of the relaying instance.
+    :param version: version of the configuration in force there.
+    :param remaining_ms: time left until the deadline.
+    """
+
+    instance_id: str
+    version: int
+    remaining_ms: float
+
+
 @attrs.frozen
 class ResponseMetadata:
     """Values from the headers of an upstream's response.
@@ -106,6 +124,7 @@
         if it states no limit.
     :param is_leaving: whether it states that it is shutting down.
     :param retry_after_ms: time for which it wants no request from this instance, or ``None``.
+    :param answered_by: id of the upstream whose response another entry instance has relayed.
     """
 
     request_id: str
@@ -116,6 +135,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_ms: float | None = None
+    answered_by: str = ""
 
 
 class Dialect(Protocol):
@@ -127,5 +147,14 @@
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
         """Return the headers of the request to an upstream."""
 
+    def relayed_headers(self, request: HttpRequest, call: RelayedCall) -> Headers:
+        """Return the headers of the request to another entry instance."""
+
+    def answered_by(self, upstream_id: str) -> Headers:
+        """Return the headers that tell a relaying instance which upstream has responded."""
+
+    def without_relay_headers(self, headers: Headers) -> Headers:
+        """Return headers without those between entry instances."""
+
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Read the headers of an upstream's response."""
--- a/src/briardyke/gateway/directory.py
+++ b/src/briardyke/gateway/directory.py
@@ -52,17 +52,22 @@
     :param entries: ready instances.
     :param carried_per_s: requests per second by data centre of the instances that process them.
     """
-    return sorted(e.address for e in _listed_for(data_centre, entries, carried_per_s))[
-        :MAX_ADDRESSES
-    ]
+    listed = _listed_for(data_centre, _with_links(entries), carried_per_s)
+    return sorted(e.address for e in listed)[:MAX_ADDRESSES]
 
 
 def listed_instances(
     entries: Sequence[EntryInstance], carried_per_s: Mapping[str, float]
 ) -> set[str]:
     """Return the ids of all instances that are listed for callers of any data centre."""
+    reaching = _with_links(entries)
     centres = {e.data_centre for e in entries}
-    return {e.instance_id for dc in centres for e in _listed_for(dc, entries, carried_per_s)}
+    return {e.instance_id for dc in centres for e in _listed_for(dc, reaching, carried_per_s)}
+
+
+def _with_links(entries: Sequence[EntryInstance]) -> Sequence[EntryInstance]:
+    """Return the instances with links to upstreams, all of them if none has any."""
+    return [e for e in entries if e.reaches_upstreams] or entries
 
 
 def _listed_for(
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -30,7 +31,8 @@
     from briardyke.gateway.dialect import RequestMetadata
     from briardyke.gateway.state import GatewayState
     from briardyke.gateway.upstreams import UpstreamState
-    from briardyke.http.exchange import Answer
+    from briardyke.http.exchange import Answer, Headers
+    from briardyke.http.h11_client import UpstreamHead
     from briardyke.routes.configuration import Route
 
 # Statuses that tell callers that a request was not executed.
@@ -40,6 +42,8 @@
 # for a quarter of its time leaves a request enough time to be served or retried.
 _CONFIGURATION_WAIT_MS = 1500.0
 _CONFIGURATION_WAIT_FRACTION = 0.25
+# Instances have a new version within milliseconds of each other.
+_RELAYED_VERSION_WAIT_MS = 200.0
 
 
 class Forwarder:
@@ -76,6 +80,10 @@
             _CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_FRACTION
         )
         await self._await_configuration(until_ms)
+        refusal = await self._misdirected(metadata)
+        if refusal is not None:
+            await self._send_failure(answer, trace, refusal)
+            return
         found = await self._authorize(request, metadata, trace, until_ms)
         if found.is_err():
             await self._send_failure(answer, trace, found.unwrap_err())
@@ -91,19 +99,46 @@
         context = RequestContext(
             request, metadata, route, service, deadline_ms, trace, buffer, identity=identity
         )
-        state.budget(service).record_request(now_ms())
         try:
+            if await self._relay(context, answer):
+                return
+            state.budget(service).record_request(now_ms())
             refusal = await self._admission_refusal(context) or await charge(context, state)
             if refusal is not None:
                 await self._send_failure(answer, trace, refusal)
                 return
-            await self._forward_counted(context, answer)
+            with state.connectivity.interrupting(partial(self._may_hand_over, context)) as scope:
+                await self._forward_counted(context, answer)
+            if scope.cancelled_caught and not await self._relay(context, answer):
+                await self._finish_unserved(context, answer)
         finally:
             buffer.release()
             if not context.attempts_begun:  # its caller may have left while it waited
                 refund_unless_run(context, state)
             context.end_unsent_dispatches()
 
+    async def _relay(self, context: RequestContext, answer: Answer) -> bool:
+        """Let another entry instance serve the request if this one has no links to upstreams.
+
+        It decides on admission, charges the account and sends the request. Return whether the
+        request has been answered.
+        """
+        peers = self._state.peers
+        if peers is None or not peers.is_due(context):
+            return False
+        refund_unless_run(context, self._state)
+        if await peers.run(context, answer):
+            return True
+        if context.may_have_run:
+            await self._finish_unserved(context, answer)
+        return context.may_have_run
+
+    def _may_hand_over(self, context: RequestContext) -> bool:
+        peers = self._state.peers
+        if peers is None or not context.may_hand_over or not peers.is_due(context):
+            return False
+        return not context.unanswered or self.attempts.spend_retry(context, "handed_over")
+
     async def _forward_counted(self, context: RequestContext, answer: Answer) -> None:
         """Forward a request that counts as in progress meanwhile."""
         demand, name = self._state.demand, context.metadata.model or context.service
@@ -178,6 +213,24 @@
                 return Err(failure)
             await state.proof.wait(left_ms)
 
+    async def _misdirected(self, metadata: RequestMetadata) -> Failure | None:
+        """Return why this instance cannot serve a request of another one, or ``None``."""
+        state = self._state
+        if not metadata.relayed_by:
+            return None
+        until_ms = now_ms() + _RELAYED_VERSION_WAIT_MS
+        while state.version < metadata.relayed_version and (left_ms := until_ms - now_ms()) > 0:
+            await state.changed.wait(left_ms)
+        if state.version < metadata.relayed_version:
+            reason = f"version {state.version} is older than {metadata.relayed_version}"
+        elif state.connectivity.is_lost:
+            reason = "this instance has no links to upstreams"
+        elif state.is_stopping:
+            reason = "this instance is shutting down"
+        else:
+            return None
+        return Failure(ErrorKind.MISDIRECTED, reason)
+
     async def _await_configuration(self, until_ms: float) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
 
@@ -273,7 +326,8 @@
         nursery: trio.Nursery,
     ) -> None:
         assert attempt.head is not None
-        status, headers = attempt.head.status, end_to_end(attempt.head.headers)
+        context.is_delivering = True
+        status, headers = attempt.head.status, self._end_to_end(context, upstream, attempt.head)
         if status in NOT_EXECUTED_STATUSES and not context.route.is_retryable:
             # The status would tell the caller that the request was not executed. Only an explicit
             # statement of the upstream proves that, and its outcome is Ending.REFUSED.
@@ -289,15 +343,24 @@
             outcome = "served" if status < 500 else "upstream_failed"
             context.trace.finish(self._state.counters, status, outcome)
             return
-        await self._streams.deliver(context, upstream, attempt, answer, nursery)
+        await self._streams.deliver(context, upstream, attempt, answer, headers, nursery)
         if not context.trace.is_finished:
             is_late = context.remaining_ms <= MIN_ATTEMPT_MS
             kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.UPSTREAM_FAILED
             failure = Failure(kind, "the stream ended before its first event")
             await self._send_failure(answer, context.trace, failure)
 
+    def _end_to_end(
+        self, context: RequestContext, upstream: UpstreamState, head: UpstreamHead
+    ) -> Headers:
+        headers = end_to_end(head.headers)
+        if context.metadata.relayed_by:
+            headers += self._state.dialect.answered_by(upstream.row.upstream_id)
+        return headers
+
     async def _finish_unserved(self, context: RequestContext, answer: Answer) -> None:
         """Respond to a request that no upstream has served."""
+        context.is_delivering = True
         refund_unless_run(context, self._state)
         last = context.last_attempt
         if last is not None and last.ending is Ending.ANSWERED and last.head is not None:
--- a/src/briardyke/gateway/process.py
+++ b/src/briardyke/gateway/process.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import trio
 
 from briardyke.clock import boot_ms, now_ms, wall_unix_ms
-from briardyke.connectivity.monitor import ConnectivityMonitor
 from briardyke.fleet.client import EntryCallbacks, FleetClient
 from briardyke.fleet.records import EntryInstance
 from briardyke.gateway.configuration_proof import ConfigurationProof, max_control_proof_age_ms
@@ -21,6 +21,7 @@
 from briardyke.http.memory_budget import MemoryBudget
 from briardyke.http.memory_queue import MemoryQueue
 from briardyke.logs import log_event
+from briardyke.peer_relay.relay import PeerRelay
 from briardyke.quotas.credits import AccountCredits
 from briardyke.routes.decoding import decode_configuration_beside
 from briardyke.routes.matching import RouteTable
@@ -124,11 +125,12 @@
         self.state.missing_models.report_now = self.client.report_now
         self.state.quarantine.on_crash = self.client.report_now
         self.state.limits.on_change = self.client.report_now
+        self.state.connectivity.on_change = self.client.report_now
+        self.state.peers = PeerRelay(
+            settings.instance_id, self.state, lambda: self.client.view.entries, random.Random()
+        )
         self.carried_per_s: dict[str, float] = {}
         self._forwarder = Forwarder(self.state)
-        self.connectivity = ConnectivityMonitor(
-            self.state.upstreams, self.state.counters, lambda: self.state.is_listed
-        )
         self.explainer = RequestExplainer(self.state, self._forwarder)
         self.server = H11Server(self._forwarder.handle, self._limits, self.memory)
         self._retired: list[ConnectionPool] = []
@@ -149,7 +151,7 @@
             nursery.start_soon(keep_running, "connection_sweep", self._sweep)
             nursery.start_soon(keep_running, "stream_versions", self.state.streams.run)
             nursery.start_soon(keep_running, "quotas", self.state.credits.run)
-            nursery.start_soon(keep_running, "connectivity", self.connectivity.run)
+            nursery.start_soon(keep_running, "connectivity", self.state.connectivity.run)
             await nursery.start(self.server.serve, self._settings.listen)
             log_event("entry_started", instance=self._settings.instance_id)
             await stop.wait()
@@ -203,7 +205,7 @@
             self._settings.data_centre,
             self.is_ready,
             self.state.demand.demand(),
-            self.state.upstreams.unreachable(),
+            [] if self.state.connectivity.is_lost else self.state.upstreams.unreachable(),
             self._settings.capacity_per_s,
             sum(self.state.demand.rates().values()) if self.state.is_busy else 0.0,
             self.state.upstreams.in_flight(),
@@ -212,6 +214,7 @@
             self.state.quarantine.crash_reports(),
             self.state.quarantine.sound_ages_ms(),
             self.state.limits.reported(),
+            not self.state.connectivity.is_lost,
         )
 
     def _shared_verdicts(self) -> SharedVerdicts:
@@ -260,3 +263,5 @@
                 await pool.aclose()
             for pool in self.state.upstreams.pools():
                 await pool.sweep()
+            if self.state.peers is not None:
+                await self.state.peers.sweep()
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -45,6 +45,8 @@
     :param unsent_dispatches: its places on engines that it has not been sent to, by upstream id.
     :param is_overloaded: whether the coordinator of its service has rejected it.
     :param charge: what it has been charged of its account's quota.
+    :param unanswered: attempts that an upstream has received and not yet responded to.
+    :param is_delivering: whether the response of an upstream is being returned.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
 
@@ -70,6 +72,8 @@
     unsent_dispatches: dict[str, Dispatch] = attrs.field(factory=dict)
     is_overloaded: bool = False
     charge: Charge | None = None
+    unanswered: int = 0
+    is_delivering: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
     )
@@ -85,6 +89,16 @@
         rank = self.identity.priority
         return self.route.priority if rank is None else rank
 
+    @property
+    def may_hand_over(self) -> bool:
+        """Return whether the request may leave its upstreams for another entry instance."""
+        if self.is_delivering or self.metadata.relayed_by:
+            return False
+        if not self.unanswered and not self.may_have_run:
+            return True
+        sent_attempts = self.sent_attempts + self.unanswered
+        return self.route.is_retryable and sent_attempts < self.route.max_attempts
+
     @property
     def has_attempt(self) -> bool:
         """Return whether the request may be sent to another upstream or return to one."""
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from briardyke.connectivity.monitor import ConnectivityMonitor
 from briardyke.gateway.adapters import AdapterRouter
 from briardyke.gateway.admission import Admission
 from briardyke.gateway.configuration_proof import ConfigurationProof
@@ -34,6 +35,7 @@
     from briardyke.gateway.limited_upstreams import RequestPermit
     from briardyke.gateway.stream_versions import Directory
     from briardyke.http.memory_budget import MemoryBudget
+    from briardyke.peer_relay.relay import PeerRelay
     from briardyke.quotas.messages import QuotaReply, QuotaRequest
     from briardyke.routes.configuration import ModelSpec
     from briardyke.routes.matching import RouteTable
@@ -104,6 +106,10 @@
         self.upstreams = UpstreamTable()
         self.demand = DemandMeter()
         self.counters = Counters()
+        self.connectivity = ConnectivityMonitor(
+            self.upstreams, self.counters, lambda: self.is_listed
+        )
+        self.peers: PeerRelay | None = None
         self.response_buffers = BufferBudget(memory=memory)
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -15,7 +15,7 @@
 from briardyke.gateway.stream_source import Events, StreamSource
 from briardyke.gateway.trace import EndedBy
 from briardyke.gateway.upstream_attempts import MIN_ATTEMPT_MS
-from briardyke.http.exchange import Answer, end_to_end
+from briardyke.http.exchange import Answer, Headers
 from briardyke.http.h11_client import UpstreamError
 from briardyke.logs import log_limited
 
@@ -85,14 +85,17 @@
         upstream: UpstreamState,
         attempt: AttemptResult,
         answer: Answer,
+        headers: Headers,
         nursery: trio.Nursery,
     ) -> None:
         """Forward a stream until its end, resuming it on other upstreams.
 
         Nothing is sent to the caller of a stream that ends before its first event.
+
+        :param headers: headers of the response to the caller.
         """
         assert attempt.head is not None and attempt.connection is not None
-        status, headers = attempt.head.status, end_to_end(attempt.head.headers)
+        status = attempt.head.status
         source = StreamSource(upstream, attempt.connection, attempt.head, attempt.dispatch)
         splitter = EventSplitter(context.metadata.last_event_id)
         relay = _Relay(context, answer, splitter, nursery, source)
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -230,6 +230,7 @@
         def record_sent() -> None:
             nonlocal is_sent
             is_sent = True
+            context.unanswered += 1
             if on_sent is not None:
                 on_sent()
 
@@ -258,6 +259,7 @@
             raise
         finally:
             upstream.pending -= 1
+            context.unanswered -= int(is_sent)
         if attempt.connection is None:
             upstream.end_request()
             if dispatch is not None:
--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -99,6 +99,7 @@
         self.is_complete = False
         self.is_caller_gone = False
         self.sent_bytes = 0
+        self.status = 0
         self.closes_connection = False
 
     async def send_whole(self, status: int, headers: Headers, body: bytes = b"") -> None:
@@ -116,6 +117,7 @@
         self.closes_connection = self.closes_connection or self._is_last()
         if self.closes_connection:
             headers = [*headers, (b"connection", b"close")]
+        self.status = status
         self._head = h11.Response(status_code=status, headers=headers)
 
     async def send_part(self, data: bytes) -> None:
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -8,6 +8,7 @@
 from briardyke.gateway.dialect import (
     ForwardingMetadata,
     LoadReport,
+    RelayedCall,
     RequestMetadata,
     ResponseMetadata,
 )
@@ -37,6 +38,11 @@
 _LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+# Headers between entry instances, which the platform does not know.
+_RELAYED_BY = b"briardyke-relayed-by"
+_RELAYED_VERSION = b"briardyke-version"
+_ANSWERED_BY = b"briardyke-answered-by"
+_RELAY = frozenset({_RELAYED_BY, _RELAYED_VERSION, _ANSWERED_BY})
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
@@ -55,6 +61,7 @@
         b"kv-backup",
         b"kv-from",
         b"kv-fetch",
+        *_RELAY,
     }
 )
 
@@ -87,6 +94,8 @@
             prefix_tokens=tuple(_count(tokens) or 0 for _, tokens in parts),
             stated_tokens=((prompt_tokens or 0) + (max_output_tokens or 0) if is_stated else None),
             key_digest=_key_digest(headers),
+            relayed_by=_text(headers, _RELAYED_BY),
+            relayed_version=_count(_text(headers, _RELAYED_VERSION)) or 0,
         )
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
@@ -108,9 +117,24 @@
             headers.append((_LAST_EVENT, call.last_event_id.encode("latin-1")))
         if call.account:
             headers.append((_ACCOUNT, call.account.encode()))
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        return headers
+        return headers + _body_length(request)
+
+    def relayed_headers(self, request: HttpRequest, call: RelayedCall) -> Headers:
+        """Return the caller's headers with those that a relaying instance sets."""
+        replaced = {_DEADLINE, b"expect", *_RELAY}
+        headers = [pair for pair in end_to_end(request.headers) if pair[0] not in replaced]
+        headers.append((_DEADLINE, b"%d" % max(1, int(call.remaining_ms))))
+        headers.append((_RELAYED_BY, call.instance_id.encode("latin-1")))
+        headers.append((_RELAYED_VERSION, b"%d" % max(0, call.version)))
+        return headers + _body_length(request)
+
+    def answered_by(self, upstream_id: str) -> Headers:
+        """Return the header that names the upstream of a relayed response."""
+        return [(_ANSWERED_BY, upstream_id.encode("latin-1"))]
+
+    def without_relay_headers(self, headers: Headers) -> Headers:
+        """Return headers without those between entry instances."""
+        return [(name, value) for name, value in headers if name not in _RELAY]
 
     def read_response(self, status: int, headers: Headers) -> ResponseMetadata:
         """Return what an upstream's headers say."""
@@ -123,9 +147,16 @@
             limit_per_s=_number(_text(headers, _LIMIT)),
             is_leaving=_text(headers, _LEAVING) == "1",
             retry_after_ms=_pause_ms(headers) if status == _UNAVAILABLE else None,
+            answered_by=_text(headers, _ANSWERED_BY),
         )
 
 
+def _body_length(request: HttpRequest) -> Headers:
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        return [(b"content-length", b"%d" % len(request.body))]
+    return []
+
+
 def _text(headers: Headers, name: bytes) -> str:
     return (header(headers, name) or b"").decode("latin-1").strip()
 
--- a/tests/gateway/peer_support.py
+++ b/tests/gateway/peer_support.py
@@ -84,7 +84,7 @@
     async def start(self) -> None:
         """Start to listen and to watch the links to upstreams."""
         await super().start()
-        self.run_beside(self.process.connectivity.run)
+        self.run_beside(self.state.connectivity.run)
 
     def reach(self, upstreams: dict[str, Address], service: str) -> None:
         """Announce upstreams of a service at the addresses where this instance finds them."""
@@ -126,7 +126,7 @@
 async def lose_links(gateway: PeerGateway, path: str, model: str = "") -> None:
     """Send a request that finds no upstream, and wait until the loss is known."""
     gateway.run_beside(lambda: _ignore_reply(gateway, path, model))
-    await wait_until(lambda: gateway.process.connectivity.is_lost)
+    await wait_until(lambda: gateway.state.connectivity.is_lost)
 
 
 async def _ignore_reply(gateway: PeerGateway, path: str, model: str) -> None:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -85,3 +85,32 @@
         assert capacity_per_s(1.0, 1000.0) == 100.0
         assert capacity_per_s(1.0, 0.96) == 10.0
         assert capacity_per_s(0.5, 0.0) == 50.0
+
+
+class TestInstancesWithoutLinks:
+    """Guards against addresses at which callers are served only through another instance."""
+
+    def test_callers_are_told_of_the_others(self) -> None:
+        entries = [
+            EntryInstance("a1", 1, 1, "a1", "a", True, reaches_upstreams=False),
+            *(EntryInstance(f"a{i}", 1, 1, f"a{i}", "a", True) for i in (2, 3)),
+        ]
+        assert addresses_for("a", entries, {}) == ["a2", "a3"]
+        assert listed_instances(entries, {}) == {"a2", "a3"}
+
+    def test_lost_data_centre_is_served_by_the_others(self) -> None:
+        entries = [
+            *(
+                EntryInstance(f"a{i}", 1, 1, f"a{i}", "a", True, reaches_upstreams=False)
+                for i in (1, 2)
+            ),
+            EntryInstance("b1", 1, 1, "b1", "b", True),
+        ]
+        assert addresses_for("a", entries, {}) == ["b1"]
+
+    def test_all_are_listed_if_none_has_links(self) -> None:
+        entries = [
+            EntryInstance(f"a{i}", 1, 1, f"a{i}", "a", True, reaches_upstreams=False)
+            for i in (1, 2)
+        ]
+        assert addresses_for("a", entries, {}) == ["a1", "a2"]
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -4,16 +4,27 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, ScriptedUpstream, event
-from peer_support import hanging_address, lose_links, partitioned_pair, refusing_address
+from gateway_support import STREAM_HEAD, ScriptedUpstream, event, wait_until
+from peer_support import (
+    PeerGateway,
+    hanging_address,
+    lose_links,
+    partitioned_pair,
+    refusing_address,
+)
+
+from briardyke.addresses import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
     from contextlib import AbstractContextManager
 
-    from briardyke.addresses import Address
+    from gateway_support import Script
+
+    Begin = Callable[..., Awaitable["LostPair"]]
 
 LOST_LINKS = [refusing_address, hanging_address]
 
@@ -64,3 +75,156 @@
                 nursery.cancel_scope.cancel()
         assert (reply.status, reply.is_complete) == (200, True)
         assert reply.body == b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
+
+
+async def hanging(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Send nothing until the connection ends."""
+    await stream.receive_some(1)
+
+
+async def leaving(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
+    """Send a response of a process that shuts down."""
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nServer-Leaving: 1\r\n"
+    await stream.send_all(head % request_id + b"Content-Length: 2\r\n\r\nok")
+
+
+@attrs.define
+class LostPair:
+    """Instance without links, its peer and an upstream that only the peer reaches."""
+
+    cut: PeerGateway
+    sound: PeerGateway
+    upstream: ScriptedUpstream
+
+    async def replace_peers(
+        self, serve: Callable[[trio.SocketStream], Awaitable[None]], instance_ids: str
+    ) -> None:
+        """Let a function serve the connections of peers with these ids of one letter."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+
+        async def run() -> None:
+            await trio.serve_listeners(serve, listeners)
+
+        self.cut.run_beside(run)
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        self.cut.process.client.view.entries = [
+            attrs.evolve(self.sound.row, instance_id=i, address=address, is_ready=True)
+            for i in instance_ids
+        ]
+
+
+@pytest.fixture
+async def lost_pair() -> AsyncIterator[Callable[..., Awaitable[LostPair]]]:
+    """Yield a function that starts an instance without links, its peer and their upstream."""
+    with refusing_address() as lost:
+        async with trio.open_nursery() as nursery:
+
+            async def begin(script: Script, service: str = "app") -> LostPair:
+                upstream = ScriptedUpstream(script)
+                cut, sound = await partitioned_pair(nursery, upstream, service, lost)
+                await lose_links(cut, *(("/chat/x", "m") if service == "pool" else ("/see/x",)))
+                return LostPair(cut, sound, upstream)
+
+            yield begin
+            nursery.cancel_scope.cancel()
+
+
+class TestRelayedRequest:
+    """What an upstream and a caller see of a request that passes two entry instances."""
+
+    async def test_headers_between_instances_reach_nobody_else(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        headers = [("Deadline-Ms", "2000"), ("Briardyke-Answered-By", "x"), ("X-Own", "1")]
+        reply = await pair.cut.send("/see/x", "r-1", more_headers=headers)
+        received = dict(pair.upstream.heads[pair.upstream.requests.index(b"r-1")])
+        assert not [name for name in (*received, *reply.headers) if name.startswith(b"briardyke")]
+        assert received[b"x-own"] == b"1"
+        assert 1500 < int(received[b"deadline-ms"]) < 2000
+
+    async def test_upstream_that_leaves_gets_nothing_from_the_relaying_instance(
+        self, lost_pair: Begin
+    ) -> None:
+        pair = await lost_pair(leaving)
+        reply = await pair.cut.send("/see/x", "r-1")
+        assert reply.headers[b"server-leaving"] == b"1"
+        assert pair.cut.state.upstreams.usable("app") == []
+
+    async def test_request_passes_one_instance_only(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        pair.sound.state.connectivity.is_lost = True
+        reply = await pair.cut.send("/see/x", "r-1")
+        assert reply.status == 503
+        assert pair.upstream.requests.count(b"r-1") == 0
+        assert pair.sound.state.counters.requests[("", "misdirected")] >= 1
+
+    async def test_peer_with_an_older_configuration_does_not_serve(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        pair.cut.put_in_force(2)
+        assert (await pair.cut.send("/see/x", "r-1")).status == 503
+        pair.sound.put_in_force(2)
+        assert (await pair.cut.send("/see/x", "r-2")).status == 200
+
+    async def test_caller_that_leaves_ends_the_work(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(hanging)
+        with trio.move_on_after(0.3):
+            await pair.cut.send("/see/x", "r-1")
+        assert b"r-1" in pair.upstream.requests
+        await wait_until(lambda: pair.upstream.closed == 1)
+
+    @pytest.mark.parametrize(("path", "copies"), [("/buy/x", 1), ("/see/x", 2)])
+    async def test_only_what_may_run_twice_is_sent_again_after_the_loss_of_a_peer(
+        self, lost_pair: Begin, path: str, copies: int
+    ) -> None:
+        pair = await lost_pair(answering)
+        received: list[bytes] = []
+
+        async def fail(stream: trio.SocketStream) -> None:
+            received.append(await stream.receive_some(65536))
+            await trio.aclose_forcefully(stream)
+
+        await pair.replace_peers(fail, "ab")
+        reply = await pair.cut.send(path, "r-1")
+        assert reply.status == 502
+        assert len(received) == copies
+
+    async def test_stream_whose_peer_is_lost_does_not_look_complete(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(streaming, "pool")
+
+        async def fail(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65536)
+            await stream.send_all(STREAM_HEAD % b"s-1" + event(1))
+            await trio.sleep(0.05)
+            await trio.aclose_forcefully(stream)
+
+        await pair.replace_peers(fail, "a")
+        reply = await pair.cut.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.is_complete) == (200, False)
+
+
+class TestRequestsUnderWay:
+    """Requests that an upstream has when the links are lost."""
+
+    @pytest.mark.parametrize(("path", "is_served"), [("/see/x", True), ("/buy/x", False)])
+    async def test_only_what_may_run_twice_is_handed_over(self, path: str, is_served: bool) -> None:
+        silent, sound_upstream = ScriptedUpstream(hanging), ScriptedUpstream(answering)
+        async with trio.open_nursery() as nursery:
+            cut, _ = await partitioned_pair(nursery, sound_upstream, "app", Address("127.0.0.1", 1))
+            await nursery.start(silent.serve)
+            cut.reach({"u0": silent.address}, "app")
+            replies = []
+
+            async def send() -> None:
+                replies.append(await cut.send(path, "r-1"))
+
+            nursery.start_soon(send)
+            await wait_until(lambda: bool(silent.requests))
+            cut.reach({"u0": Address("127.0.0.1", 1)}, "app")
+            await lose_links(cut, "/see/x")
+            if is_served:
+                await wait_until(lambda: bool(replies))
+                assert replies[0].status == 200
+            else:
+                await trio.sleep(0.5)
+                assert not replies
+            assert sound_upstream.requests.count(b"r-1") == int(is_served)
+            nursery.cancel_scope.cancel()
