Do not take the loss of all links for crashes of upstreams

What callers saw: nothing yet; found by looking for the cause of lost links elsewhere. An instance whose connections are reset, and new ones refused, takes this for a crash of each upstream that it had requests on. It reports the parts of their prompts, and parts that seem to crash three upstreams are quarantined for all callers.

Cause: a refused connection was taken as proof that the process there is gone.

Change: a crash counts only if some other upstream can be reached, which is probed at once. A single upstream that cannot be reached does not count as the loss of all links, so its crash still does.

What it costs: crashes of all upstreams of all services at the same moment are not blamed on anybody, until one of them listens again.

--- a/src/briardyke/connectivity/monitor.py
+++ b/src/briardyke/connectivity/monitor.py
@@ -33,6 +33,8 @@
 # stay unreachable.
 _ROUND_INTERVAL_MS = 1000.0
 _LOST_ROUND_INTERVAL_MS = 400.0
+# Age up to which the verdict of a round need not be confirmed.
+_FRESH_MS = 200.0
 
 
 class ConnectivityMonitor:
@@ -54,6 +56,7 @@
         self._counters = counters
         self._is_listed = is_listed
         self._checked_ms = float("-inf")
+        self._probing = trio.Lock()
         self._lost_since_ms = 0.0
         counters.gauges["gateway_upstream_links_lost"] = lambda: float(self.is_lost)
 
@@ -77,13 +80,24 @@
         interval_ms = _LOST_ROUND_INTERVAL_MS if self.is_lost else _ROUND_INTERVAL_MS
         if now_ms() - self._checked_ms < interval_ms:
             return
-        activity = self._upstreams.activity
-        suspicion = find_suspicion(activity, self._checked_ms)
+        suspicion = find_suspicion(self._upstreams.activity, self._checked_ms)
         if suspicion is None and not self.is_lost:
             return
+        async with self._probing:
+            await self._run_round(suspicion)
+
+    async def has_links(self) -> bool:
+        """Return whether an upstream can be reached now."""
+        async with self._probing:
+            if now_ms() - self._checked_ms >= _FRESH_MS:
+                await self._run_round(None)
+            return not self.is_lost
+
+    async def _run_round(self, suspicion: Suspicion | None) -> None:
         self._checked_ms = started_ms = now_ms()
         probes = await self._probe(self._upstreams.sample(_PROBE_COUNT))
-        is_lost = are_links_lost(probes, has_received=activity.received_ms > started_ms)
+        has_received = self._upstreams.activity.received_ms > started_ms
+        is_lost = are_links_lost(probes, has_received=has_received)
         self._counters.count("upstream_links_probed")
         if is_lost != self.is_lost:
             self._switch(is_lost, suspicion, probes)
--- a/src/briardyke/connectivity/verdict.py
+++ b/src/briardyke/connectivity/verdict.py
@@ -22,6 +22,8 @@
 _SLOW_OPENING_MS = 250.0
 # Engines send events to some of their requests more often than this.
 _SILENCE_MS = 600.0
+# A single upstream that cannot be reached says nothing about the links.
+_MIN_PROBES = 2
 
 
 class Suspicion(Enum):
@@ -81,6 +83,6 @@
     :param has_received: whether anything arrived from an upstream meanwhile.
     """
     results = [probe.result for probe in probes]
-    if not results or ProbeResult.OPENED in results:
+    if len(results) < _MIN_PROBES or ProbeResult.OPENED in results:
         return False
     return not has_received or results.count(ProbeResult.REFUSED) * 2 > len(results)
--- a/src/briardyke/gateway/crash_detection.py
+++ b/src/briardyke/gateway/crash_detection.py
@@ -60,13 +60,14 @@
     """Tell the crash of an upstream from the loss of a single connection.
 
     A connection also ends because it was idle, reset on its way or because the upstream failed one
-    request. Only a process that is gone also refuses new connections.
+    request. Only a process that is gone also refuses new connections, unless all links are lost.
     """
 
     def __init__(
         self, is_refusing: Callable[[Address], Awaitable[bool]] = is_refusing_connections
     ) -> None:
         """Check upstreams with a function that returns whether an address refuses connections."""
+        self.has_links: Callable[[], Awaitable[bool]] = _assume_links
         self._is_refusing = is_refusing
         self._checks: dict[tuple[str, int], _Check] = {}
         self._crashes: dict[tuple[str, int], ObservedCrash] = {}
@@ -107,7 +108,8 @@
                 return running.is_refusing
         self._checks[key] = check = _Check()
         try:
-            check.is_refusing = await self._is_refusing(parse_address(row.address))
+            is_refusing = await self._is_refusing(parse_address(row.address))
+            check.is_refusing = is_refusing and await self.has_links()
             return check.is_refusing
         finally:
             del self._checks[key]
@@ -118,3 +120,7 @@
         limit_ms = now_ms() - REPORTED_MS
         self._crashes = {key: c for key, c in self._crashes.items() if c.at_ms >= limit_ms}
         return self._crashes.values()
+
+
+async def _assume_links() -> bool:
+    return True
--- a/src/briardyke/gateway/state.py
+++ b/src/briardyke/gateway/state.py
@@ -113,6 +113,7 @@
         self.response_buffers = BufferBudget(memory=memory)
         self.limits = LimitedUpstreams(request_permit or _deny_permit, self.counters)
         self.quarantine = quarantine or QuarantineGate("", SharedVerdicts, _deny_trial)
+        self.quarantine.detector.has_links = self.connectivity.has_links
         self.service_versions: dict[str, list[str]] = {}
         self.streams = StreamVersions(stream_directory, self.software_versions, is_informed)
         self.credits = account_credits or AccountCredits("", QuotaBounds(), _grant_nothing)
--- a/tests/connectivity/test_verdict.py
+++ b/tests/connectivity/test_verdict.py
@@ -33,6 +33,7 @@
         ("results", "has_received", "is_lost"),
         [
             ((), False, False),
+            ((REFUSED,), False, False),
             ((SILENT, SILENT, SILENT), False, True),
             ((REFUSED, REFUSED, REFUSED), False, True),
             ((REFUSED, REFUSED, SILENT), True, True),
