Continue streams of an instance without links through its peers

What callers saw: streams under way at an instance that loses all its links stall until their callers leave after 2 s, or break off where the connections are reset.

Cause: a stream looks for another upstream only, and the retry budget of an instance that callers are no longer told of is a tenth of one share, so hardly a repeat was allowed.

Change: when the links are lost, a stalled or broken stream asks a peer for the events after the last one that its caller has; the charge of its quota is refunded, since the peer charges it. A repeat is marked, and the peer that sends it to an upstream takes it from its own retry budget, or states 421.

--- a/src/briardyke/gateway/charging.py
+++ b/src/briardyke/gateway/charging.py
@@ -52,7 +52,13 @@
 
 def refund_unless_run(context: RequestContext, state: GatewayState) -> None:
     """Refund a request that has ended; one that an upstream may have worked on stays charged."""
-    if context.charge is not None and not context.may_have_run:
+    if not context.may_have_run:
+        refund(context, state)
+
+
+def refund(context: RequestContext, state: GatewayState) -> None:
+    """Refund a request, also one that may have run if another instance charges it again."""
+    if context.charge is not None:
         state.credits.refund(context.charge)
         state.account_use.refund(context.charge.account, context.charge.tokens)
         context.charge = None
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -14,7 +14,7 @@
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import AttemptResult, Ending
 from briardyke.gateway.authorization import authorize, refusal_event
-from briardyke.gateway.charging import charge, refund_unless_run
+from briardyke.gateway.charging import charge, refund, refund_unless_run
 from briardyke.gateway.fingerprint import request_fingerprint
 from briardyke.gateway.hedged_attempts import HedgedAttempts
 from briardyke.gateway.refusals import refusal_headers, retry_after_s
@@ -102,8 +102,11 @@
         try:
             if await self._relay(context, answer):
                 return
-            state.budget(service).record_request(now_ms())
-            refusal = await self._admission_refusal(context) or await charge(context, state)
+            refusal = (
+                self._repeat_refusal(context)
+                or await self._admission_refusal(context)
+                or await charge(context, state)
+            )
             if refusal is not None:
                 await self._send_failure(answer, trace, refusal)
                 return
@@ -126,18 +129,25 @@
         peers = self._state.peers
         if peers is None or not peers.is_due(context):
             return False
-        refund_unless_run(context, self._state)
+        refund(context, self._state)
         if await peers.run(context, answer):
             return True
         if context.may_have_run:
             await self._finish_unserved(context, answer)
         return context.may_have_run
 
+    def _repeat_refusal(self, context: RequestContext) -> Failure | None:
+        """Count a new request for the retry budget, or charge one that another instance repeats."""
+        if not (context.metadata.relayed_by and context.metadata.is_repeat):
+            self._state.budget(context.service).record_request(now_ms())
+            return None
+        if self.attempts.spend_retry(context, "repeated_for_peer"):
+            return None
+        return Failure(ErrorKind.MISDIRECTED, "the retry budget is exhausted")
+
     def _may_hand_over(self, context: RequestContext) -> bool:
         peers = self._state.peers
-        if peers is None or not context.may_hand_over or not peers.is_due(context):
-            return False
-        return not context.unanswered or self.attempts.spend_retry(context, "handed_over")
+        return peers is not None and context.may_hand_over and peers.is_due(context)
 
     async def _forward_counted(self, context: RequestContext, answer: Answer) -> None:
         """Forward a request that counts as in progress meanwhile."""
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -9,6 +9,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.gateway.admission import caller_event_timeout_ms
+from briardyke.gateway.charging import refund
 from briardyke.gateway.event_stream import EventSplitter, EventStreamError
 from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.stream_handover import hand_over
@@ -103,13 +104,17 @@
             await answer.start(status, headers)
             is_whole = await self._relay_events(relay)
             while not is_whole and self._may_resume(relay):
+                if await self._resume_through_peer(relay):
+                    return
                 next_upstream = await self._attempts.next_upstream(context)
                 if next_upstream is None or not self._may_send(relay):
                     break
                 successor = await self._resume(relay, next_upstream)
-                if successor is not None:
-                    await relay.switch(successor, relay.splitter.fork())
-                    is_whole = await self._relay_events(relay)
+                if successor is None:
+                    await self._state.connectivity.has_links()
+                    continue
+                await relay.switch(successor, relay.splitter.fork())
+                is_whole = await self._relay_events(relay)
         finally:
             await relay.source.aclose()
         if is_whole:
@@ -127,6 +132,23 @@
             self._state.counters, status, "stream_broken", ended_by, answer.sent_bytes
         )
 
+    def _has_peer(self, relay: _Relay) -> bool:
+        peers = self._state.peers
+        return peers is not None and peers.is_due(relay.context) and self._may_resume(relay)
+
+    async def _resume_through_peer(self, relay: _Relay) -> bool:
+        """Let another entry instance send the rest if this one has no links to upstreams."""
+        context, peers = relay.context, self._state.peers
+        if peers is None or not self._has_peer(relay):
+            return False
+        await relay.source.aclose()
+        context.metadata = attrs.evolve(
+            context.metadata, last_event_id=relay.splitter.last_event_id
+        )
+        refund(context, self._state)
+        self._state.counters.count("stream_handed_to_peer")
+        return await peers.run(context, relay.answer)
+
     def _may_resume(self, relay: _Relay) -> bool:
         context = relay.context
         if not context.trace.events and self._state.quarantine.holds_back(context.metadata):
@@ -168,7 +190,10 @@
                 if relay.source.is_closed:
                     return False
                 if events is None:
-                    continue
+                    if not self._has_peer(relay):
+                        continue
+                    await self.leave_source(relay)
+                    return False
                 await self._forward(relay, events)
                 if events.is_last:
                     relay.source.keep_connection()
@@ -212,7 +237,7 @@
             return None
         if stall_left_ms > 0:
             self._log_stall(relay)
-        if not self._alternatives(relay):
+        if self._has_peer(relay) or not self._alternatives(relay):
             return None
         continuation = await hand_over(relay.source, relay.splitter, _Replacement(self, relay))
         if continuation is None:
--- a/src/briardyke/peer_relay/relay.py
+++ b/src/briardyke/peer_relay/relay.py
@@ -83,7 +83,7 @@
         return choose_peer(self._entries(), self._state.data_centre, excluded, self._random)
 
     async def run(self, context: RequestContext, answer: Answer) -> bool:
-        """Send a request to peers until one answers it; return whether one has.
+        """Send a request, or the rest of a stream, to peers; return whether one has answered.
 
         A peer that has lost its links too, or stops, states that the request has not run. If the
         connection to a peer ends instead, only a request that may run twice is sent to another one.
@@ -107,15 +107,17 @@
 
     async def _send(self, context: RequestContext, peer: EntryInstance, answer: Answer) -> _Outcome:
         """Send a request to one peer and return its response, if there is one, to the caller."""
+        sent_bytes = answer.sent_bytes
         async with trio.open_nursery() as nursery:
             outcome, reason = await self._exchange(context, peer, answer, nursery)
             nursery.cancel_scope.cancel()
         context.trace.add_attempt(f"peer:{peer.instance_id}", reason, 0.0)
         counters = self._state.counters
+        has_grown = answer.sent_bytes > sent_bytes
         if outcome is _Outcome.ANSWERED:
             name = "served" if answer.status < 400 else "peer_failed"
             context.trace.finish(counters, answer.status, name)
-        elif answer.sent_bytes:
+        elif has_grown:
             is_late = context.remaining_ms < _MIN_REMAINING_MS
             ended_by = EndedBy.DEADLINE if is_late else EndedBy.UPSTREAM
             context.trace.finish(
@@ -172,7 +174,13 @@
             await connection.read_body(MAX_BUFFERED_BYTES, context.buffer)
             return _Outcome.NOT_RUN, "misdirected"
         self._record(response)
-        await self._return(context, connection, head, answer)
+        if not answer.sent_bytes:
+            await self._return(context, connection, head, answer)
+        elif _is_stream(head):
+            await self._return_events(connection, answer)
+        else:
+            await connection.read_body(MAX_BUFFERED_BYTES, context.buffer)
+            return _Outcome.UNKNOWN, f"status {head.status}"
         return _Outcome.ANSWERED, "answered"
 
     async def _connect(self, pool: ConnectionPool, context: RequestContext) -> UpstreamConnection:
@@ -187,7 +195,15 @@
 
     def _headers(self, context: RequestContext) -> Headers:
         remaining_ms = context.remaining_ms - _RETURN_MARGIN_MS
-        call = RelayedCall(self._instance_id, self._state.version, max(1.0, remaining_ms))
+        metadata = context.metadata
+        call = RelayedCall(
+            self._instance_id,
+            self._state.version,
+            max(1.0, remaining_ms),
+            metadata.last_event_id,
+            metadata.resumed_request_id or metadata.request_id,
+            is_repeat=context.sent_attempts > 0,
+        )
         return self._state.dialect.relayed_headers(context.request, call)
 
     def _is_own(self, context: RequestContext, headers: Headers) -> bool:
@@ -209,12 +225,15 @@
     ) -> None:
         """Return a response to the caller; one that is not a stream is held until it is whole."""
         headers = self._state.dialect.without_relay_headers(end_to_end(head.headers))
-        media_type = header(head.headers, b"content-type") or b""
-        if head.status >= 300 or not media_type.startswith(b"text/event-stream"):
+        if not _is_stream(head):
             body = await connection.read_body(MAX_BUFFERED_BYTES * 16, context.buffer)
             await answer.send_whole(head.status, headers, body)
             return
         await answer.start(head.status, headers)
+        await self._return_events(connection, answer)
+
+    @staticmethod
+    async def _return_events(connection: UpstreamConnection, answer: Answer) -> None:
         while (part := await connection.read_part()) is not None:
             if part:
                 await answer.send_part(part)
@@ -233,3 +252,8 @@
             await self._pools.pop(address).aclose()
         for pool in list(self._pools.values()):
             await pool.sweep()
+
+
+def _is_stream(head: UpstreamHead) -> bool:
+    media_type = header(head.headers, b"content-type") or b""
+    return head.status < 300 and media_type.startswith(b"text/event-stream")
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -41,8 +41,9 @@
 # Headers between entry instances, which the platform does not know.
 _RELAYED_BY = b"briardyke-relayed-by"
 _RELAYED_VERSION = b"briardyke-version"
+_REPEAT = b"briardyke-repeat"
 _ANSWERED_BY = b"briardyke-answered-by"
-_RELAY = frozenset({_RELAYED_BY, _RELAYED_VERSION, _ANSWERED_BY})
+_RELAY = frozenset({_RELAYED_BY, _RELAYED_VERSION, _REPEAT, _ANSWERED_BY})
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
@@ -96,6 +97,7 @@
             key_digest=_key_digest(headers),
             relayed_by=_text(headers, _RELAYED_BY),
             relayed_version=_count(_text(headers, _RELAYED_VERSION)) or 0,
+            is_repeat=_text(headers, _REPEAT) == "1",
         )
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
@@ -122,10 +124,17 @@
     def relayed_headers(self, request: HttpRequest, call: RelayedCall) -> Headers:
         """Return the caller's headers with those that a relaying instance sets."""
         replaced = {_DEADLINE, b"expect", *_RELAY}
+        if call.last_event_id:
+            replaced |= {_LAST_EVENT, _RESUMES}
         headers = [pair for pair in end_to_end(request.headers) if pair[0] not in replaced]
         headers.append((_DEADLINE, b"%d" % max(1, int(call.remaining_ms))))
         headers.append((_RELAYED_BY, call.instance_id.encode("latin-1")))
         headers.append((_RELAYED_VERSION, b"%d" % max(0, call.version)))
+        if call.is_repeat:
+            headers.append((_REPEAT, b"1"))
+        if call.last_event_id:
+            headers.append((_LAST_EVENT, call.last_event_id.encode("latin-1")))
+            headers.append((_RESUMES, call.resumed_request_id.encode("latin-1")))
         return headers + _body_length(request)
 
     def answered_by(self, upstream_id: str) -> Headers:
--- a/tests/gateway/peer_support.py
+++ b/tests/gateway/peer_support.py
@@ -107,6 +107,7 @@
     rows = [attrs.evolve(gateway.row, is_ready=True) for gateway in gateways]
     for gateway in gateways:
         gateway.process.client.view.entries = rows
+        gateway.process.client.view.as_of_ms = float("inf")
 
 
 async def partitioned_pair(
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, ScriptedUpstream, close, event, wait_until
+from gateway_support import STREAM_HEAD, ScriptedUpstream, close, event, remainder, wait_until
 from peer_support import (
     PeerGateway,
     hanging_address,
@@ -17,6 +18,8 @@
 )
 
 from briardyke.addresses import Address
+from briardyke.clock import now_ms
+from briardyke.gateway.state import RetryBounds
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -82,6 +85,18 @@
     await stream.receive_some(1)
 
 
+async def first_event(
+    upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes, *, is_reset: bool
+) -> None:
+    """Send the first event of a stream, then nothing or a reset."""
+    await stream.send_all(STREAM_HEAD % request_id + event(1))
+    await trio.sleep(0.1)
+    if is_reset:
+        await close(stream, is_reset=True)
+    else:
+        await stream.receive_some(1)
+
+
 async def leaving(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
     """Send a response of a process that shuts down."""
     head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nServer-Leaving: 1\r\n"
@@ -201,6 +216,21 @@
         assert (reply.status, reply.is_complete) == (200, False)
 
 
+class TestRetryBudget:
+    """Guards against repeats through peers that no instance pays for."""
+
+    async def test_peer_pays_for_what_an_upstream_may_have_had(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        relayed = [("Briardyke-Relayed-By", "cut"), ("Briardyke-Repeat", "1")]
+        pair.sound.state._retries = RetryBounds(0.0, 0.0, 1.0)
+        while pair.sound.state.budget("app").try_spend(now_ms()):
+            pass
+        refused = await pair.sound.send("/see/x", "r-1", more_headers=relayed)
+        assert (refused.status, refused.headers[b"x-error-kind"]) == (421, b"misdirected")
+        served = await pair.sound.send("/see/x", "r-2", more_headers=relayed[:1])
+        assert served.status == 200
+
+
 class TestRequestsUnderWay:
     """Requests that an upstream has when the links are lost."""
 
@@ -231,6 +261,35 @@
             nursery.cancel_scope.cancel()
 
 
+class TestStreamsUnderWay:
+    """Guards against streams that stall until their callers leave."""
+
+    @pytest.mark.parametrize("is_reset", [True, False])
+    async def test_stream_goes_on_through_a_peer(self, is_reset: bool) -> None:
+        interrupted = ScriptedUpstream(partial(first_event, is_reset=is_reset))
+        rest = ScriptedUpstream(remainder)
+        async with trio.open_nursery() as nursery:
+            dead = Address("127.0.0.1", 1)
+            cut, _ = await partitioned_pair(nursery, rest, "pool", dead)
+            await nursery.start(interrupted.serve)
+            addresses = {"u0": interrupted.address, "u1": interrupted.address}
+            cut.reach(addresses, "pool")
+            replies = []
+
+            async def send() -> None:
+                replies.append(await cut.send("/chat/x", "s-1", "m"))
+
+            nursery.start_soon(send)
+            await wait_until(lambda: bool(interrupted.requests))
+            cut.reach({"u0": dead, "u1": dead}, "pool")
+            await wait_until(lambda: bool(replies))
+            nursery.cancel_scope.cancel()
+        assert replies[0].is_complete
+        assert replies[0].body == b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
+        received = dict(rest.heads[rest.requests.index(b"s-1")])
+        assert received[b"last-event-id"] == b"1"
+
+
 class TestCrashEvidence:
     """Guards against sound requests that are blamed for crashes when the links are lost."""
 
