Take the time of link activity from the caller

Change: the time of a request or response is passed in, which also saves a second look at the clock.

--- a/src/briardyke/connectivity/activity.py
+++ b/src/briardyke/connectivity/activity.py
@@ -46,19 +46,19 @@
         finally:
             del self._opening_since_ms[attempt]
 
-    def begin_request(self) -> None:
+    def begin_request(self, at_ms: float) -> None:
         """Count a request that is about to be sent."""
         if not self.in_flight:
-            self.busy_since_ms = now_ms()
+            self.busy_since_ms = at_ms
         self.in_flight += 1
 
     def end_request(self) -> None:
         """Count the end of a request."""
         self.in_flight -= 1
 
-    def record_sign(self) -> None:
+    def record_sign(self, at_ms: float) -> None:
         """Record a sign of life of any upstream."""
-        self.received_ms = now_ms()
+        self.received_ms = at_ms
 
     @property
     def silent_ms(self) -> float:
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -161,11 +161,12 @@
 
     def begin_request(self) -> None:
         """Count a request that is about to be sent as in progress."""
+        now = now_ms()
         if not self.in_flight:
-            self.busy_since_ms = now_ms()
+            self.busy_since_ms = now
         self.in_flight += 1
         self.pending += 1
-        self.activity.begin_request()
+        self.activity.begin_request(now)
 
     def end_request(self) -> None:
         """Count a request as no longer in progress."""
@@ -178,7 +179,7 @@
         if silent_ms is not None and silent_ms >= _LONG_SILENCE_MS:
             self.long_silence_ms, self.long_silence_end_ms = silent_ms, now
         self.sign_ms = now
-        self.activity.record_sign()
+        self.activity.record_sign(now)
 
     @property
     def sign_age_ms(self) -> float:
--- a/tests/connectivity/test_verdict.py
+++ b/tests/connectivity/test_verdict.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from briardyke.clock import now_ms
 from briardyke.connectivity.activity import LinkActivity
 from briardyke.connectivity.verdict import (
     Probe,
@@ -57,18 +58,18 @@
         await trio.sleep(5)
         with activity.opening():
             await trio.sleep(0.01)
-        activity.begin_request()
+        activity.begin_request(now_ms())
         await trio.sleep(0.3)
-        activity.record_sign()
+        activity.record_sign(now_ms())
         assert find_suspicion(activity, 0.0) is None
 
     async def test_failed_connection_counts_until_probed_or_until_one_opens(self) -> None:
         activity = LinkActivity()
-        checked_ms = trio.current_time() * 1000.0
+        checked_ms = now_ms()
         await trio.sleep(0.1)
         with pytest.raises(OSError), activity.opening():
             raise OSError
-        failed_ms = trio.current_time() * 1000.0
+        failed_ms = now_ms()
         assert find_suspicion(activity, checked_ms) is Suspicion.CONNECTION_FAILED
         assert find_suspicion(activity, failed_ms + 1.0) is None
         with activity.opening():
@@ -84,10 +85,10 @@
 
     async def test_silence_of_all_upstreams(self) -> None:
         activity = LinkActivity()
-        activity.begin_request()
+        activity.begin_request(now_ms())
         await trio.sleep(0.7)
         assert find_suspicion(activity, 0.0) is Suspicion.UPSTREAMS_SILENT
-        activity.record_sign()
+        activity.record_sign(now_ms())
         assert find_suspicion(activity, 0.0) is None
         activity.end_request()
         await trio.sleep(5)
