Spare upstreams that state they are brittle

New on the users' pages: upstreams may state in Server-Brittle that one that must reject more than N requests in a second falls over (LIMIT). No code read it.

Change: after a refusal of a brittle upstream, an instance sends it nothing for so long that all listed instances together meet N refusals a second, with jitter. A brittle upstream without a free slot gets nothing while that is known, for 0.8 s without news at most. Callers are rejected at once, with the time to come back.

--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -132,6 +132,7 @@
         if it states no limit.
     :param is_leaving: whether it states that it is shutting down.
     :param retry_after_ms: time for which it wants no request from this instance, or ``None``.
+    :param brittle_per_s: refusals in a second beyond which it fails, ``None`` if it states none.
     :param answered_by: id of the upstream whose response another entry instance has relayed.
     """
 
@@ -143,6 +144,7 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     retry_after_ms: float | None = None
+    brittle_per_s: float | None = None
     answered_by: str = ""
 
 
--- a/src/briardyke/gateway/explanation.py
+++ b/src/briardyke/gateway/explanation.py
@@ -242,7 +242,7 @@
         elif upstream_id not in able:
             excluded, free_in_ms = _model_exclusion(upstream, model)
         elif upstream_id not in unpaused:
-            excluded, free_in_ms = "asked for a pause", upstream.statements.pause_left_ms
+            excluded, free_in_ms = "asked for a pause", upstream.closed_ms
         elif upstream_id not in candidates:
             excluded, free_in_ms = "limited", state.limits.next_permit_ms(upstream.row)
         found.append(
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -152,10 +152,7 @@
     def closed_ms(self, context: RequestContext) -> float | None:
         """Return the time until an upstream accepts the request, ``None`` if none could run it."""
         limits = self._state.limits
-        waits_ms = [
-            max(limits.next_permit_ms(s.row), s.statements.pause_left_ms)
-            for s in self.able(context)
-        ]
+        waits_ms = [max(limits.next_permit_ms(s.row), s.closed_ms) for s in self.able(context)]
         return min(waits_ms, default=None)
 
     def candidates(self, context: RequestContext) -> list[UpstreamState]:
@@ -170,8 +167,8 @@
         return any(state is upstream for state in self.open(context))
 
     def open(self, context: RequestContext) -> list[UpstreamState]:
-        """Return the upstreams that could run the request and have not asked for a pause."""
-        return [s for s in self.able(context) if not s.statements.pause_left_ms]
+        """Return the upstreams that could run the request and want requests now."""
+        return [s for s in self.able(context) if not s.closed_ms]
 
     def able(self, context: RequestContext) -> list[UpstreamState]:
         """Return the upstreams that could run the request."""
@@ -275,7 +272,7 @@
         self, upstream: UpstreamState, response: ResponseMetadata, sent_ms: float
     ) -> None:
         upstream.record_sign()
-        upstream.statements.record(upstream.row, response)
+        upstream.statements.record(upstream.row, response, self._state.listed_count)
         self._state.limits.record(upstream.row, response.limit_per_s, sent_ms)
         dispatch, service = self._state.dispatch, upstream.row.service
         if (
--- a/src/briardyke/gateway/upstreams.py
+++ b/src/briardyke/gateway/upstreams.py
@@ -51,6 +51,9 @@
 # Spells in which the work of an upstream takes longer last about this long, so a stated slowness
 # holds with this time constant. The next response states it again.
 SLOWNESS_DECAY_MS = 600.0
+# Age of a load report up to which a brittle upstream counts as full; reports of other instances
+# arrive more often than this.
+_FULL_TTL_MS = 800.0
 # Upper limit of one observation, so that a single stalled stream does not dominate the mean.
 _MAX_FIRST_EVENT_MS_PER_LOAD = 500.0
 
@@ -159,6 +162,14 @@
         """Return whether it runs fewer requests than it has slots, as far as known."""
         return self.other_requests + self.in_flight < self.row.slots
 
+    @property
+    def closed_ms(self) -> float:
+        """Return the time for which it should get no request, 0 if it may get one now."""
+        pause_ms = self.statements.pause_left_ms
+        if self.statements.brittle_per_s is None or self.has_free_slot:
+            return pause_ms
+        return max(pause_ms, self.reported_ms + _FULL_TTL_MS - now_ms())
+
     def begin_request(self) -> None:
         """Count a request that is about to be sent as in progress."""
         now = now_ms()
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -37,6 +37,7 @@
 _LOAD = b"instance-load"
 _LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_BRITTLE = b"server-brittle"
 _RETRY_AFTER = b"retry-after"
 # Headers between entry instances, which the platform does not know.
 _RELAYED_BY = b"briardyke-relayed-by"
@@ -156,6 +157,7 @@
             limit_per_s=_number(_text(headers, _LIMIT)),
             is_leaving=_text(headers, _LEAVING) == "1",
             retry_after_ms=_pause_ms(headers) if status == _UNAVAILABLE else None,
+            brittle_per_s=_number(_text(headers, _BRITTLE)),
             answered_by=_text(headers, _ANSWERED_BY),
         )
 
--- a/tests/gateway/test_upstream_statements.py
+++ b/tests/gateway/test_upstream_statements.py
@@ -30,6 +30,7 @@
         headers = [(b"server-limit", b"2.1"), (b"server-leaving", b"1"), (b"retry-after", b"1.5")]
         read = PlatformDialect().read_response(503, headers)
         assert (read.limit_per_s, read.is_leaving, read.retry_after_ms) == (2.1, True, 1500.0)
+        assert PlatformDialect().read_response(200, [(b"server-brittle", b"4")]).brittle_per_s == 4
 
     def test_retry_after_concerns_refusals_for_want_of_room_only(self) -> None:
         read = PlatformDialect().read_response(200, [(b"retry-after", b"1.5")])
@@ -189,3 +190,56 @@
         assert changed.requests == []
         assert other.requests == [b"s-1"]
         assert asked[1] == ["u1"]
+
+
+class TestBrittle:
+    """Guards against upstreams that fall over because they must reject too many requests."""
+
+    FULL = (b"Server-Brittle: 2", b"Instance-Load: 8,0,8")
+    FREE = (b"Server-Brittle: 2", b"Instance-Load: 1,0,8")
+    REFUSED = (*FREE, b"Not-Executed: 1")
+
+    @staticmethod
+    def gateway_of(gateway: Gateway, instances: int) -> Gateway:
+        gateway.state.listed_count = instances
+        return gateway
+
+    @pytest.mark.parametrize(("instances", "pause_s"), [(1, 1.0), (8, 4.0)])
+    async def test_refusal_stops_requests_until_all_instances_may_meet_one(
+        self, gateway: Gateway, instances: int, pause_s: float
+    ) -> None:
+        self.gateway_of(gateway, instances)
+        upstream = await gateway.add(
+            "app", answering(*self.REFUSED, status=b"503 Service Unavailable")
+        )
+        replies = [await gateway.send("/buy/x", f"r-{n}") for n in range(6)]
+        assert len(upstream.requests) == 1
+        assert {reply.status for reply in replies} == {503}
+        pause_ms = gateway.state.upstreams.usable("app")[0].closed_ms
+        assert pause_s * 900 < pause_ms <= pause_s * 1500
+
+    async def test_full_one_gets_nothing_while_another_has_room(self, gateway: Gateway) -> None:
+        full = await gateway.add("app", answering(*self.FULL))
+        await gateway.send("/buy/x", "r-0")
+        free = await gateway.add("app", answering(*self.FREE))
+        for number in range(1, 6):
+            assert (await gateway.send("/buy/x", f"r-{number}")).status == 200
+        assert (len(full.requests), len(free.requests)) == (1, 5)
+
+    async def test_full_one_is_tried_again_without_news(self, gateway: Gateway) -> None:
+        upstream = await gateway.add("app", answering(*self.FULL))
+        await gateway.send("/buy/x", "r-0")
+        refused = await gateway.send("/buy/x", "r-1")
+        assert (refused.status, len(upstream.requests)) == (503, 1)
+        await trio.sleep(0.85)
+        assert (await gateway.send("/buy/x", "r-2")).status == 200
+
+    async def test_statement_ends_with_the_first_response_without_it(
+        self, gateway: Gateway
+    ) -> None:
+        upstream = await gateway.add("app", answering(b"Instance-Load: 8,0,8"))
+        state = gateway.state.upstreams.usable("app")[0]
+        state.statements.brittle_per_s = 2.0
+        await gateway.send("/buy/x", "r-0")
+        assert (await gateway.send("/buy/x", "r-1")).status == 200
+        assert len(upstream.requests) == 2
