Reproduce requests that are sent in a pause after a slow connection

A request waits up to 1 s for its connection, and goes out on it though the upstream has asked for a pause or states that it leaves.

--- a/tests/gateway/test_upstream_statements.py
+++ b/tests/gateway/test_upstream_statements.py
@@ -19,6 +19,7 @@
     from gateway_support import Gateway, Script, ScriptedUpstream
 
     from briardyke.fleet.messages import AdapterRequest
+    from briardyke.http.h11_client import UpstreamConnection
 
 ROW = Upstream("u0", 1, 1, "app", "127.0.0.1:1", "dc", READY, 8)
 
@@ -243,3 +244,34 @@
         await gateway.send("/buy/x", "r-0")
         assert (await gateway.send("/buy/x", "r-1")).status == 200
         assert len(upstream.requests) == 2
+
+
+class TestSlowConnection:
+    """Guards against requests whose connection opens after their upstream asked for a pause."""
+
+    @pytest.mark.parametrize("is_leaving", [True, False])
+    async def test_request_is_not_sent_any_more(self, gateway: Gateway, is_leaving: bool) -> None:
+        upstream = await gateway.add("app", answering())
+        state = gateway.state.upstreams.usable("app")[0]
+        take = state.pool.take
+
+        async def take_slowly(longest_rest_ms: float, request_id: str = "") -> UpstreamConnection:
+            connection = await take(longest_rest_ms, request_id)
+            await trio.sleep(0.3)
+            return connection
+
+        state.pool.take = take_slowly  # type: ignore[method-assign]
+        replies = []
+
+        async def send(request_id: str) -> None:
+            replies.append(await gateway.send("/buy/x", request_id))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(send, f"r-{number}")
+            await trio.sleep(0.1)
+            state.statements.is_leaving = is_leaving
+            state.statements.paused_until_ms = 0.0 if is_leaving else now_ms() + 5000.0
+        assert upstream.requests == []
+        assert [reply.status for reply in replies] == [503] * 4
+        assert state.connect_failures == 0
