Do not send a request whose upstream asked for a pause meanwhile

Cause: the upstream was looked at before the connection was opened, not after. The class: a decision that is not confirmed after the last wait before it acts.

Change: after the connection, the statements of the upstream are looked at once more.

Evidence: TestSlowConnection fails in 2 of 2 cases before and passes now.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -38,6 +38,7 @@
     ANSWERED = "answered"
     REFUSED = "refused"
     NOT_CONNECTED = "not_connected"
+    WITHDRAWN = "withdrawn"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
 
@@ -120,6 +121,11 @@
             with scope or trio.CancelScope() as limit:
                 limit.deadline = trio.current_time() + timeout_ms / 1000.0
                 connection = await state.pool.take(max_idle_ms, request_id)
+                if not state.statements.wants_requests:
+                    keeps_open = True
+                    state.pool.give_back(connection)
+                    reason = "it stated meanwhile that it wants no requests"
+                    return AttemptResult(Ending.WITHDRAWN, reason)
                 headers = self._dialect.upstream_headers(request, call)
                 sent_ms = now_ms()
                 await connection.send(
--- a/src/briardyke/gateway/attempt_feedback.py
+++ b/src/briardyke/gateway/attempt_feedback.py
@@ -35,6 +35,9 @@
         upstream.health.record_failure(now_ms())
         return
     upstream.connect_failures = 0
+    if attempt.ending is Ending.WITHDRAWN:
+        context.tried_upstreams.discard(upstream.row.upstream_id)
+        return
     context.sent_attempts += 1
     if attempt.ending is Ending.REFUSED:
         if attempt.metadata is not None and attempt.metadata.lacks_model:
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -313,6 +313,8 @@
         """
         if context.remaining_ms < MIN_ATTEMPT_MS:
             return False
+        if attempt.ending is Ending.WITHDRAWN:
+            return True
         if attempt.ending is Ending.NOT_CONNECTED:
             return context.connect_failures <= _MAX_CONNECT_FAILURES
         if attempt.may_have_run and not context.route.is_retryable:
--- a/src/briardyke/gateway/upstream_attempts.py
+++ b/src/briardyke/gateway/upstream_attempts.py
@@ -260,7 +260,8 @@
         if attempt.connection is None:
             upstream.end_request()
             if dispatch is not None:
-                dispatch.end(has_failed=attempt.ending is not Ending.ANSWERED)
+                is_failure = attempt.ending not in (Ending.ANSWERED, Ending.WITHDRAWN)
+                dispatch.end(has_failed=is_failure)
         attempt.dispatch = dispatch
         record_attempt(context, upstream, attempt, now_ms() - started_ms, load)
         context.trace.add_attempt(upstream_id, attempt.reason or attempt.ending.value, load)
--- a/src/briardyke/gateway/upstream_statements.py
+++ b/src/briardyke/gateway/upstream_statements.py
@@ -41,6 +41,11 @@
         """Return the time for which it wants no request from this instance."""
         return max(0.0, self.paused_until_ms - now_ms())
 
+    @property
+    def wants_requests(self) -> bool:
+        """Return whether it has neither asked for a pause nor stated that it leaves."""
+        return not self.is_leaving and not self.pause_left_ms
+
     def record(self, row: Upstream, response: ResponseMetadata, instance_count: int = 1) -> None:
         """Record the statements in a response, and log the ones that are new.
 
