Take a status that HTTP does not have for no response

Cause: the parser accepts every status of three digits from 100 on.

Change: a status above 599 ends the exchange as malformed, in the entry instance's client of upstreams and in the product's own HTTP client.

--- a/src/briardyke/http/client.py
+++ b/src/briardyke/http/client.py
@@ -14,6 +14,7 @@
 
 from briardyke.errors import ErrorKind, Failure
 from briardyke.http.buffers import BufferBudget
+from briardyke.http.exchange import LAST_STATUS
 from briardyke.http.paced import PacedStream
 from briardyke.http.pool import ConnectionPool
 
@@ -163,6 +164,10 @@
                     response = await connection.handle_async_request(request)
             except (*_BROKEN, trio.TooSlowError) as error:
                 raise CallError(_failure(error, sent.bytes_sent)) from error
+            if response.status > LAST_STATUS:
+                await response.aclose()
+                text = f"status {response.status}"
+                raise CallError(Failure(ErrorKind.UPSTREAM_FAILED, text))
             received = {
                 k.decode("latin-1").lower(): v.decode("latin-1") for k, v in response.headers
             }
--- a/src/briardyke/http/exchange.py
+++ b/src/briardyke/http/exchange.py
@@ -24,6 +24,8 @@
         b"upgrade",
     }
 )
+# The highest status of HTTP; h11 rejects those below 100 and accepts all others of three digits.
+LAST_STATUS = 599
 # Parts of an answer up to this size are sent with one system call.
 _JOINED_BYTES = 64 * 1024
 _INTERNAL_ERROR = (
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -13,7 +13,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.connectivity.activity import LinkActivity
-from briardyke.http.exchange import Headers, header
+from briardyke.http.exchange import LAST_STATUS, Headers, header
 from briardyke.http.sockets import tune
 
 if TYPE_CHECKING:
@@ -163,6 +163,8 @@
                 event = await self._next_event()
             if not isinstance(event, h11.Response):
                 raise UpstreamError(Fault.BROKEN, "connection closed before the answer")
+            if event.status_code > LAST_STATUS:
+                raise UpstreamError(Fault.MALFORMED, f"status {event.status_code}")
             head = UpstreamHead(event.status_code, list(event.headers))
             if is_own(head.headers):
                 return head
--- a/tests/gateway/test_faulty_upstreams.py
+++ b/tests/gateway/test_faulty_upstreams.py
@@ -188,3 +188,22 @@
         reply = replies["first"]
         assert reply.is_complete
         assert reply.body == b"id: 1\ndata: t\n\nid: 2\ndata: t\n\n"
+
+
+class TestStatusesThatDoNotExist:
+    """Guards against callers that get the status 000 of an upstream in trouble as an answer."""
+
+    @pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+    @pytest.mark.parametrize(("path", "model"), [("/see/x", ""), ("/buy/x", ""), ("/chat/x", "m")])
+    async def test_status_outside_the_classes_is_no_answer(
+        self, gateway: Gateway, path: str, model: str, status: bytes
+    ) -> None:
+        async def invalid(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await stream.send_all((PLAIN % request_id).replace(b"200 OK", status + b" Odd"))
+
+        await gateway.add("pool" if model else "app", invalid)
+        reply = await gateway.send(path, "r-1", model)
+        assert (reply.status, reply.body, reply.is_complete) == (502, b"", True)
+        assert b"server-stamp" not in reply.headers
