Keep promises and bounds of a request over two instances

A request that an upstream of the first instance may have run got the 503 of a peer, which promises that it has not run. Each instance counted the attempts of the route anew. A relayed stream that would outlast a planned stop of the first instance was not refused.

Cause: each of the two instances spoke and counted for itself only.

Change: the attempts that upstreams have received travel with the request and count at the peer; a refusal of the peer is not passed on if the request may have run; a request that a stop would cut is admitted or refused as any other.

--- a/src/briardyke/gateway/attempt.py
+++ b/src/briardyke/gateway/attempt.py
@@ -25,6 +25,8 @@
 # Largest body of a refusal. The body of any other response that is not an event stream is buffered
 # as well, and may be 16 times as long.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Statuses that tell callers that a request was not executed.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 # The upstream may close a keep-alive connection that has been idle for longer just as a request is
 # sent. The outcome of a request that must not run twice is then unknown, so such requests use only
 # connections that have been idle for a shorter time.
--- a/src/briardyke/gateway/dialect.py
+++ b/src/briardyke/gateway/dialect.py
@@ -31,7 +31,7 @@
     :param key_digest: digest of the caller's API key, or ``None`` without a well-formed one.
     :param relayed_by: id of the entry instance that relays the request, empty for a caller.
     :param relayed_version: version of the configuration that is in force there.
-    :param is_repeat: whether an upstream may have had the request from there already.
+    :param relayed_attempts: attempts that upstreams have received from there.
     """
 
     request_id: str
@@ -49,7 +49,7 @@
     key_digest: bytes | None = attrs.field(default=None, repr=False)
     relayed_by: str = ""
     relayed_version: int = 0
-    is_repeat: bool = False
+    relayed_attempts: int = 0
 
     @property
     def shared_prefix_ids(self) -> tuple[str, ...]:
@@ -107,7 +107,7 @@
     :param remaining_ms: time left until the deadline.
     :param last_event_id: id of the event after which a stream resumes, or empty.
     :param resumed_request_id: id of the caller's attempt that received its first event, or empty.
-    :param is_repeat: whether an upstream may have had the request already.
+    :param sent_attempts: attempts that upstreams have received already.
     """
 
     instance_id: str
@@ -115,7 +115,7 @@
     remaining_ms: float
     last_event_id: str = ""
     resumed_request_id: str = ""
-    is_repeat: bool = False
+    sent_attempts: int = 0
 
 
 @attrs.frozen
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -12,7 +12,7 @@
 
 from briardyke.clock import now_ms
 from briardyke.errors import ErrorKind, Failure
-from briardyke.gateway.attempt import AttemptResult, Ending
+from briardyke.gateway.attempt import NOT_EXECUTED_STATUSES, AttemptResult, Ending
 from briardyke.gateway.authorization import authorize, refusal_event
 from briardyke.gateway.charging import charge, refund, refund_unless_run
 from briardyke.gateway.fingerprint import request_fingerprint
@@ -35,8 +35,6 @@
     from briardyke.http.h11_client import UpstreamHead
     from briardyke.routes.configuration import Route
 
-# Statuses that tell callers that a request was not executed.
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 _MAX_CONNECT_FAILURES = 3
 # Control instances serve their stored configuration about a second after a power failure. Waiting
 # for a quarter of its time leaves a request enough time to be served or retried.
@@ -138,9 +136,10 @@
 
     def _repeat_refusal(self, context: RequestContext) -> Failure | None:
         """Count a new request for the retry budget, or charge one that another instance repeats."""
-        if not (context.metadata.relayed_by and context.metadata.is_repeat):
+        if not (context.metadata.relayed_by and context.metadata.relayed_attempts):
             self._state.budget(context.service).record_request(now_ms())
             return None
+        context.sent_attempts = context.metadata.relayed_attempts
         if self.attempts.spend_retry(context, "repeated_for_peer"):
             return None
         return Failure(ErrorKind.MISDIRECTED, "the retry budget is exhausted")
--- a/src/briardyke/peer_relay/relay.py
+++ b/src/briardyke/peer_relay/relay.py
@@ -13,6 +13,7 @@
     MAX_BUFFERED_BYTES,
     MAX_IDLE_MS,
     MAX_IDLE_NOT_RETRYABLE_MS,
+    NOT_EXECUTED_STATUSES,
 )
 from briardyke.gateway.dialect import RelayedCall
 from briardyke.gateway.trace import EndedBy
@@ -75,6 +76,7 @@
         return (
             self._state.connectivity.is_lost
             and not context.metadata.relayed_by
+            and not (self._state.is_stopping and context.deadline_ms > self._state.stop_ms)
             and self._choose(()) is not None
         )
 
@@ -173,6 +175,10 @@
         if head.status == _MISDIRECTED and not response.answered_by:
             await connection.read_body(MAX_BUFFERED_BYTES, context.buffer)
             return _Outcome.NOT_RUN, "misdirected"
+        if context.may_have_run and head.status in NOT_EXECUTED_STATUSES:
+            # The peer speaks for itself, and an upstream of this instance may have run the request.
+            await connection.read_body(MAX_BUFFERED_BYTES, context.buffer)
+            return _Outcome.NOT_RUN, f"status {head.status}"
         self._record(response)
         if not answer.sent_bytes:
             await self._return(context, connection, head, answer)
@@ -202,7 +208,7 @@
             max(1.0, remaining_ms),
             metadata.last_event_id,
             metadata.resumed_request_id or metadata.request_id,
-            is_repeat=context.sent_attempts > 0,
+            sent_attempts=context.sent_attempts,
         )
         return self._state.dialect.relayed_headers(context.request, call)
 
--- a/src/briardyke/platform/headers.py
+++ b/src/briardyke/platform/headers.py
@@ -42,9 +42,9 @@
 # Headers between entry instances, which the platform does not know.
 _RELAYED_BY = b"briardyke-relayed-by"
 _RELAYED_VERSION = b"briardyke-version"
-_REPEAT = b"briardyke-repeat"
+_RELAYED_ATTEMPTS = b"briardyke-attempts"
 _ANSWERED_BY = b"briardyke-answered-by"
-_RELAY = frozenset({_RELAYED_BY, _RELAYED_VERSION, _REPEAT, _ANSWERED_BY})
+_RELAY = frozenset({_RELAYED_BY, _RELAYED_VERSION, _RELAYED_ATTEMPTS, _ANSWERED_BY})
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _LOWEST_PRIORITY = 9
@@ -98,7 +98,7 @@
             key_digest=_key_digest(headers),
             relayed_by=_text(headers, _RELAYED_BY),
             relayed_version=_count(_text(headers, _RELAYED_VERSION)) or 0,
-            is_repeat=_text(headers, _REPEAT) == "1",
+            relayed_attempts=_count(_text(headers, _RELAYED_ATTEMPTS)) or 0,
         )
 
     def upstream_headers(self, request: HttpRequest, call: ForwardingMetadata) -> Headers:
@@ -131,8 +131,7 @@
         headers.append((_DEADLINE, b"%d" % max(1, int(call.remaining_ms))))
         headers.append((_RELAYED_BY, call.instance_id.encode("latin-1")))
         headers.append((_RELAYED_VERSION, b"%d" % max(0, call.version)))
-        if call.is_repeat:
-            headers.append((_REPEAT, b"1"))
+        headers.append((_RELAYED_ATTEMPTS, b"%d" % call.sent_attempts))
         if call.last_event_id:
             headers.append((_LAST_EVENT, call.last_event_id.encode("latin-1")))
             headers.append((_RESUMES, call.resumed_request_id.encode("latin-1")))
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -216,12 +216,51 @@
         assert (reply.status, reply.is_complete) == (200, False)
 
 
+class TestPromises:
+    """Guards against statements about a request that hold for one of its two instances only."""
+
+    async def test_request_that_may_have_run_is_not_said_not_to_have_run(
+        self, lost_pair: Begin
+    ) -> None:
+        async def fail_first(stream: trio.SocketStream) -> None:
+            received.append(await stream.receive_some(65536))
+            if len(received) == 2:
+                head = b"HTTP/1.1 503 Unavailable\r\nRequest-Id: r-1\r\nContent-Length: 0\r\n\r\n"
+                await stream.send_all(head)
+                await trio.sleep(0.1)
+            await trio.aclose_forcefully(stream)
+
+        received: list[bytes] = []
+        pair = await lost_pair(answering)
+        await pair.replace_peers(fail_first, "ab")
+        assert (await pair.cut.send("/see/x", "r-1")).status == 502
+        assert len(received) == 2
+
+    async def test_attempts_are_counted_over_both_instances(self, lost_pair: Begin) -> None:
+        async def fail(
+            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+        ) -> None:
+            await close(stream)
+
+        pair = await lost_pair(fail)
+        before = len(pair.upstream.requests)
+        relayed = [("Briardyke-Relayed-By", "cut"), ("Briardyke-Attempts", "1")]
+        assert (await pair.sound.send("/see/x", "r-1", more_headers=relayed)).status == 502
+        assert len(pair.upstream.requests) == before + 1
+
+    async def test_stream_that_a_stop_would_cut_is_refused(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(streaming, "pool")
+        pair.cut.state.is_stopping, pair.cut.state.stop_ms = True, now_ms() + 2000.0
+        reply = await pair.cut.send("/chat/x", "s-1", "m")
+        assert (reply.status, reply.headers[b"x-error-kind"]) == (503, b"draining")
+
+
 class TestRetryBudget:
     """Guards against repeats through peers that no instance pays for."""
 
     async def test_peer_pays_for_what_an_upstream_may_have_had(self, lost_pair: Begin) -> None:
         pair = await lost_pair(answering)
-        relayed = [("Briardyke-Relayed-By", "cut"), ("Briardyke-Repeat", "1")]
+        relayed = [("Briardyke-Relayed-By", "cut"), ("Briardyke-Attempts", "1")]
         pair.sound.state._retries = RetryBounds(0.0, 0.0, 1.0)
         while pair.sound.state.budget("app").try_spend(now_ms()):
             pass
