Serve the first requests after connections are refused

What callers saw: where new connections are refused and open ones live on, a request that finds none ends with 503 within milliseconds, before the loss of the links is known. One that was sent on a live connection was taken from it and sent once more.

Change: a request whose connections failed asks for the verdict, at most one round a second, before it is answered. A request that an upstream has is handed over only if the links are silent.

Evidence: TestRefusedConnections fails in 2 of 2 cases before and passes now; test_lost_links.py and tests/connectivity passed three times in a row (38).

--- a/src/briardyke/connectivity/monitor.py
+++ b/src/briardyke/connectivity/monitor.py
@@ -13,6 +13,7 @@
     ProbeResult,
     Suspicion,
     are_links_lost,
+    are_refused,
     find_suspicion,
 )
 from briardyke.http.h11_client import UpstreamError
@@ -31,10 +32,10 @@
 _PROBE_TIMEOUT_S = 0.4
 # Shortest time between two rounds, which bounds the connections opened because of upstreams that
 # stay unreachable.
-_ROUND_INTERVAL_MS = 1000.0
+ROUND_INTERVAL_MS = 1000.0
 _LOST_ROUND_INTERVAL_MS = 400.0
-# Age up to which the verdict of a round need not be confirmed.
-_FRESH_MS = 200.0
+# Age of a verdict that is as of now.
+FRESH_MS = 200.0
 
 
 class ConnectivityMonitor:
@@ -50,6 +51,7 @@
         :param is_listed: returns whether callers are told of this instance, for the log.
         """
         self.is_lost = False
+        self.keeps_connections = True
         self.on_change: Callable[[], None] | None = None
         self._interruptible: dict[trio.CancelScope, Callable[[], bool]] = {}
         self._upstreams = upstreams
@@ -77,7 +79,7 @@
             await self._check()
 
     async def _check(self) -> None:
-        interval_ms = _LOST_ROUND_INTERVAL_MS if self.is_lost else _ROUND_INTERVAL_MS
+        interval_ms = _LOST_ROUND_INTERVAL_MS if self.is_lost else ROUND_INTERVAL_MS
         if now_ms() - self._checked_ms < interval_ms:
             return
         suspicion = find_suspicion(self._upstreams.activity, self._checked_ms)
@@ -86,10 +88,13 @@
         async with self._probing:
             await self._run_round(suspicion)
 
-    async def has_links(self) -> bool:
-        """Return whether an upstream can be reached now."""
+    async def has_links(self, max_age_ms: float = FRESH_MS) -> bool:
+        """Return whether an upstream can be reached.
+
+        :param max_age_ms: age up to which the verdict of a round is not confirmed by another one.
+        """
         async with self._probing:
-            if now_ms() - self._checked_ms >= _FRESH_MS:
+            if now_ms() - self._checked_ms >= max_age_ms:
                 await self._run_round(None)
             return not self.is_lost
 
@@ -98,6 +103,7 @@
         probes = await self._probe(self._upstreams.sample(_PROBE_COUNT))
         has_received = self._upstreams.activity.received_ms > started_ms
         is_lost = are_links_lost(probes, has_received=has_received)
+        self.keeps_connections = not is_lost or are_refused(probes)
         self._counters.count("upstream_links_probed")
         if is_lost != self.is_lost:
             self._switch(is_lost, suspicion, probes)
--- a/src/briardyke/connectivity/verdict.py
+++ b/src/briardyke/connectivity/verdict.py
@@ -82,7 +82,11 @@
     :param probes: probes of upstreams of several services, made at the same time.
     :param has_received: whether anything arrived from an upstream meanwhile.
     """
-    results = [probe.result for probe in probes]
-    if len(results) < _MIN_PROBES or ProbeResult.OPENED in results:
+    if len(probes) < _MIN_PROBES or any(p.result is ProbeResult.OPENED for p in probes):
         return False
-    return not has_received or results.count(ProbeResult.REFUSED) * 2 > len(results)
+    return not has_received or are_refused(probes)
+
+
+def are_refused(probes: Sequence[Probe]) -> bool:
+    """Return whether most probes were refused; connections that are open may live on then."""
+    return sum(probe.result is ProbeResult.REFUSED for probe in probes) * 2 > len(probes)
--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from briardyke.clock import now_ms
+from briardyke.connectivity.monitor import ROUND_INTERVAL_MS
 from briardyke.errors import ErrorKind, Failure
 from briardyke.gateway.attempt import NOT_EXECUTED_STATUSES, AttemptResult, Ending
 from briardyke.gateway.authorization import authorize, refusal_event
@@ -108,9 +109,9 @@
             if refusal is not None:
                 await self._send_failure(answer, trace, refusal)
                 return
-            with state.connectivity.interrupting(partial(self._may_hand_over, context)) as scope:
+            with state.connectivity.interrupting(partial(self._may_hand_over, context)):
                 await self._forward_counted(context, answer)
-            if scope.cancelled_caught and not await self._relay(context, answer):
+            if not context.is_delivering and not await self._relay(context, answer):
                 await self._finish_unserved(context, answer)
         finally:
             buffer.release()
@@ -146,7 +147,9 @@
 
     def _may_hand_over(self, context: RequestContext) -> bool:
         peers = self._state.peers
-        return peers is not None and context.may_hand_over and peers.is_due(context)
+        if peers is None or not context.may_hand_over or not peers.is_due(context):
+            return False
+        return not context.unanswered or not self._state.connectivity.keeps_connections
 
     async def _forward_counted(self, context: RequestContext, answer: Answer) -> None:
         """Forward a request that counts as in progress meanwhile."""
@@ -261,9 +264,15 @@
         return self._state.routes.find(host, request.path) if self._state.routes else None
 
     async def _forward(self, context: RequestContext, answer: Answer) -> None:
-        """Try upstreams until one responds or no further attempt is allowed."""
+        """Try upstreams until one responds or no further attempt is allowed.
+
+        A request that another instance can serve is left without an answer.
+        """
         async with trio.open_nursery() as nursery:
-            while (upstream := await self.attempts.next_upstream(context)) is not None:
+            while (
+                not self._may_hand_over(context)
+                and (upstream := await self.attempts.next_upstream(context)) is not None
+            ):
                 context.refusal = self.attempts.late_start_refusal(
                     context, upstream
                 ) or await self._quarantine_refusal(context)
@@ -282,7 +291,10 @@
                 if not self._may_retry(context, attempt):
                     break
             nursery.cancel_scope.cancel()
-        await self._finish_unserved(context, answer)
+        if context.connect_failures:
+            await self._state.connectivity.has_links(ROUND_INTERVAL_MS)
+        if not self._may_hand_over(context):
+            await self._finish_unserved(context, answer)
 
     async def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
         """Return the reason not to send a request, or ``None``.
