Try the own upstreams once after peers have failed

While no peer can serve, a request at an instance without links asked up to three peers again instead of its own upstreams, which may be back; a broken stream did so until its time was over.

Cause: nothing recorded that the peers had been tried.

Change: a request asks peers once. What decides at either end whether a request passes is a module of its own, since forward.py had grown past one job.

Evidence: test_own_upstreams_are_tried_after_peers_in_vain fails before and passes now.

--- a/src/briardyke/gateway/forward.py
+++ b/src/briardyke/gateway/forward.py
@@ -24,6 +24,7 @@
 from briardyke.gateway.trace import EndedBy, Trace, interruption
 from briardyke.gateway.upstream_attempts import MIN_ATTEMPT_MS, UpstreamAttempts
 from briardyke.http.exchange import HttpRequest, end_to_end, header
+from briardyke.peer_relay.acceptance import may_hand_over, misdirected, repeat_refusal
 from briardyke.routes.configuration import RequestKind
 from briardyke.routes.matching import choose_service
 
@@ -41,8 +42,6 @@
 # for a quarter of its time leaves a request enough time to be served or retried.
 _CONFIGURATION_WAIT_MS = 1500.0
 _CONFIGURATION_WAIT_FRACTION = 0.25
-# Instances have a new version within milliseconds of each other.
-_RELAYED_VERSION_WAIT_MS = 200.0
 
 
 class Forwarder:
@@ -79,7 +78,7 @@
             _CONFIGURATION_WAIT_MS, deadline_ms * _CONFIGURATION_WAIT_FRACTION
         )
         await self._await_configuration(until_ms)
-        refusal = await self._misdirected(metadata)
+        refusal = await misdirected(metadata, state)
         if refusal is not None:
             await self._send_failure(answer, trace, refusal)
             return
@@ -102,14 +101,14 @@
             if await self._relay(context, answer):
                 return
             refusal = (
-                self._repeat_refusal(context)
+                repeat_refusal(context, state, self.attempts)
                 or await self._admission_refusal(context)
                 or await charge(context, state)
             )
             if refusal is not None:
                 await self._send_failure(answer, trace, refusal)
                 return
-            with state.connectivity.interrupting(partial(self._may_hand_over, context)):
+            with state.connectivity.interrupting(partial(may_hand_over, context, state)):
                 await self._forward_counted(context, answer)
             if not context.is_delivering and not await self._relay(context, answer):
                 await self._finish_unserved(context, answer)
@@ -135,22 +134,6 @@
             await self._finish_unserved(context, answer)
         return context.may_have_run
 
-    def _repeat_refusal(self, context: RequestContext) -> Failure | None:
-        """Count a new request for the retry budget, or charge one that another instance repeats."""
-        if not (context.metadata.relayed_by and context.metadata.relayed_attempts):
-            self._state.budget(context.service).record_request(now_ms())
-            return None
-        context.sent_attempts = context.metadata.relayed_attempts
-        if self.attempts.spend_retry(context, "repeated_for_peer"):
-            return None
-        return Failure(ErrorKind.MISDIRECTED, "the retry budget is exhausted")
-
-    def _may_hand_over(self, context: RequestContext) -> bool:
-        peers = self._state.peers
-        if peers is None or not context.may_hand_over or not peers.is_due(context):
-            return False
-        return not context.unanswered or not self._state.connectivity.keeps_connections
-
     async def _forward_counted(self, context: RequestContext, answer: Answer) -> None:
         """Forward a request that counts as in progress meanwhile."""
         demand, name = self._state.demand, context.metadata.model or context.service
@@ -225,24 +208,6 @@
                 return Err(failure)
             await state.proof.wait(left_ms)
 
-    async def _misdirected(self, metadata: RequestMetadata) -> Failure | None:
-        """Return why this instance cannot serve a request of another one, or ``None``."""
-        state = self._state
-        if not metadata.relayed_by:
-            return None
-        until_ms = now_ms() + _RELAYED_VERSION_WAIT_MS
-        while state.version < metadata.relayed_version and (left_ms := until_ms - now_ms()) > 0:
-            await state.changed.wait(left_ms)
-        if state.version < metadata.relayed_version:
-            reason = f"version {state.version} is older than {metadata.relayed_version}"
-        elif state.connectivity.is_lost:
-            reason = "this instance has no links to upstreams"
-        elif state.is_stopping:
-            reason = "this instance is shutting down"
-        else:
-            return None
-        return Failure(ErrorKind.MISDIRECTED, reason)
-
     async def _await_configuration(self, until_ms: float) -> None:
         """Wait for the first configuration after a start, for a fraction of the caller's time.
 
@@ -270,7 +235,7 @@
         """
         async with trio.open_nursery() as nursery:
             while (
-                not self._may_hand_over(context)
+                not may_hand_over(context, self._state)
                 and (upstream := await self.attempts.next_upstream(context)) is not None
             ):
                 context.refusal = self.attempts.late_start_refusal(
@@ -293,7 +258,7 @@
             nursery.cancel_scope.cancel()
         if context.connect_failures:
             await self._state.connectivity.has_links(ROUND_INTERVAL_MS)
-        if not self._may_hand_over(context):
+        if not may_hand_over(context, self._state):
             await self._finish_unserved(context, answer)
 
     async def _quarantine_refusal(self, context: RequestContext) -> Failure | None:
--- a/src/briardyke/gateway/request_context.py
+++ b/src/briardyke/gateway/request_context.py
@@ -46,6 +46,7 @@
     :param is_overloaded: whether the coordinator of its service has rejected it.
     :param charge: what it has been charged of its account's quota.
     :param unanswered: attempts that an upstream has received and not yet responded to.
+    :param has_tried_peers: whether no other entry instance has served it.
     :param is_delivering: whether the response of an upstream is being returned.
     :param last_progress_ms: time of its arrival, or of the last forwarded event.
     """
@@ -73,6 +74,7 @@
     is_overloaded: bool = False
     charge: Charge | None = None
     unanswered: int = 0
+    has_tried_peers: bool = False
     is_delivering: bool = False
     last_progress_ms: float = attrs.field(
         default=attrs.Factory(lambda self: self.request.received_ms, takes_self=True)
--- a/src/briardyke/peer_relay/relay.py
+++ b/src/briardyke/peer_relay/relay.py
@@ -76,6 +76,7 @@
         return (
             self._state.connectivity.is_lost
             and not context.metadata.relayed_by
+            and not context.has_tried_peers
             and not (self._state.is_stopping and context.deadline_ms > self._state.stop_ms)
             and self._choose(()) is not None
         )
@@ -89,6 +90,7 @@
 
         A peer that has lost its links too, or stops, states that the request has not run. If the
         connection to a peer ends instead, only a request that may run twice is sent to another one.
+        After that, only the instance's own upstreams are left.
         """
         tried: list[str] = []
         while context.remaining_ms > _MIN_REMAINING_MS and len(tried) < _MAX_PEERS:
@@ -105,6 +107,7 @@
                 context.sent_attempts += 1
                 if not context.route.is_retryable or not context.has_attempt:
                     break
+        context.has_tried_peers = True
         return False
 
     async def _send(self, context: RequestContext, peer: EntryInstance, answer: Answer) -> _Outcome:
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -247,6 +247,13 @@
         assert (await pair.sound.send("/see/x", "r-1", more_headers=relayed)).status == 502
         assert pair.upstream.requests.count(b"r-1") == 1
 
+    async def test_own_upstreams_are_tried_after_peers_in_vain(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        pair.sound.state.connectivity.is_lost = True
+        addresses = dict.fromkeys(("u0", "u1"), pair.upstream.address)
+        pair.cut.reach(addresses, "app")
+        assert (await pair.cut.send("/buy/x", "r-1")).status == 200
+
     async def test_stream_that_a_stop_would_cut_is_refused(self, lost_pair: Begin) -> None:
         pair = await lost_pair(streaming, "pool")
         pair.cut.state.is_stopping, pair.cut.state.stop_ms = True, now_ms() + 2000.0
