Do not repeat suspect requests through peers, count whole rounds only

A request that tests a quarantined part, or may have crashed an upstream, was repeated through a peer. A round of probes whose request left midway counted as made, so the verdict came up to a second late.

Cause: what holds for a repeat at this instance was not asked before a repeat at another one; the time of a round was taken at its begin.

Change: both are asked and taken in one place each.

--- a/src/briardyke/connectivity/monitor.py
+++ b/src/briardyke/connectivity/monitor.py
@@ -79,28 +79,30 @@
             await self._check()
 
     async def _check(self) -> None:
-        interval_ms = _LOST_ROUND_INTERVAL_MS if self.is_lost else ROUND_INTERVAL_MS
-        if now_ms() - self._checked_ms < interval_ms:
-            return
         suspicion = find_suspicion(self._upstreams.activity, self._checked_ms)
-        if suspicion is None and not self.is_lost:
-            return
-        async with self._probing:
-            await self._run_round(suspicion)
+        if self.is_lost:
+            await self._confirm(_LOST_ROUND_INTERVAL_MS, suspicion)
+        elif suspicion is not None:
+            await self._confirm(ROUND_INTERVAL_MS, suspicion)
 
     async def has_links(self, max_age_ms: float = FRESH_MS) -> bool:
         """Return whether an upstream can be reached.
 
         :param max_age_ms: age up to which the verdict of a round is not confirmed by another one.
         """
+        await self._confirm(max_age_ms, None)
+        return not self.is_lost
+
+    async def _confirm(self, max_age_ms: float, suspicion: Suspicion | None) -> None:
+        """Probe the links unless the last whole round began recently."""
         async with self._probing:
             if now_ms() - self._checked_ms >= max_age_ms:
-                await self._run_round(None)
-            return not self.is_lost
+                await self._run_round(suspicion)
 
     async def _run_round(self, suspicion: Suspicion | None) -> None:
-        self._checked_ms = started_ms = now_ms()
+        started_ms = now_ms()
         probes = await self._probe(self._upstreams.sample(_PROBE_COUNT))
+        self._checked_ms = started_ms
         has_received = self._upstreams.activity.received_ms > started_ms
         is_lost = are_links_lost(probes, has_received=has_received)
         self.keeps_connections = not is_lost or are_refused(probes)
--- a/src/briardyke/gateway/stream_relay.py
+++ b/src/briardyke/gateway/stream_relay.py
@@ -134,7 +134,9 @@
 
     def _has_peer(self, relay: _Relay) -> bool:
         peers = self._state.peers
-        return peers is not None and peers.is_due(relay.context) and self._may_resume(relay)
+        if relay.context.has_trial or not self._may_resume(relay):
+            return False
+        return peers is not None and peers.is_due(relay.context)
 
     async def _resume_through_peer(self, relay: _Relay) -> bool:
         """Let another entry instance send the rest if this one has no links to upstreams."""
--- a/src/briardyke/peer_relay/acceptance.py
+++ b/src/briardyke/peer_relay/acceptance.py
@@ -20,10 +20,14 @@
 def may_hand_over(context: RequestContext, state: GatewayState) -> bool:
     """Return whether a request that no upstream has answered may leave for a peer.
 
-    One that an upstream has stays there while its connection may live on.
+    One that an upstream has stays there while its connection may live on. One that may have crashed
+    an upstream is not repeated.
     """
     if state.peers is None or not context.may_hand_over or not state.peers.is_due(context):
         return False
+    may_have_run = context.may_have_run or bool(context.unanswered)
+    if may_have_run and (context.has_trial or state.quarantine.holds_back(context.metadata)):
+        return False
     return not context.unanswered or not state.connectivity.keeps_connections
 
 
--- a/tests/gateway/test_lost_links.py
+++ b/tests/gateway/test_lost_links.py
@@ -8,7 +8,15 @@
 import attrs
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, ScriptedUpstream, close, event, remainder, wait_until
+from gateway_support import (
+    ROUTES,
+    STREAM_HEAD,
+    ScriptedUpstream,
+    close,
+    event,
+    remainder,
+    wait_until,
+)
 from peer_support import (
     PeerGateway,
     hanging_address,
@@ -19,7 +27,11 @@
 
 from briardyke.addresses import Address
 from briardyke.clock import now_ms
+from briardyke.gateway.request_context import RequestContext
 from briardyke.gateway.state import RetryBounds
+from briardyke.gateway.trace import Trace
+from briardyke.http.exchange import HttpRequest
+from briardyke.peer_relay.acceptance import may_hand_over
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -247,6 +259,25 @@
         assert (await pair.sound.send("/see/x", "r-1", more_headers=relayed)).status == 502
         assert pair.upstream.requests.count(b"r-1") == 1
 
+    async def test_trial_is_not_repeated(self, lost_pair: Begin) -> None:
+        pair = await lost_pair(answering)
+        request = HttpRequest("GET", "/see/x", [(b"host", b"h")], b"")
+        state = pair.cut.state
+        state.connectivity.keeps_connections = False
+        context = RequestContext(
+            request,
+            state.dialect.read_request(request),
+            ROUTES[0],
+            "app",
+            now_ms() + 3000.0,
+            Trace("r-1", now_ms(), 1),
+            state.response_buffers.open(),
+            unanswered=1,
+        )
+        assert may_hand_over(context, state)
+        context.has_trial = True
+        assert not may_hand_over(context, state)
+
     async def test_own_upstreams_are_tried_after_peers_in_vain(self, lost_pair: Begin) -> None:
         pair = await lost_pair(answering)
         pair.sound.state.connectivity.is_lost = True
