--- /dev/null
+++ b/tests/consensus/driver_group.py
@@ -0,0 +1,111 @@
+"""Run several drivers on a simulated clock, connected by links of ours."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+import trio
+
+from briardyke.addresses import Address
+from briardyke.consensus.driver import ReplicatedLog
+from briardyke.consensus.identity import Identity, initialise, open_identity
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+ADDRESSES = {name: Address("127.0.0.1", port) for port, name in enumerate("abcd", start=1)}
+VOTERS = {name: ADDRESSES[name] for name in "abc"}
+
+
+class CommandList:
+    """Record commands and return how many there are."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands.append(command)
+        return b"%d" % len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return msgpack.packb(self.commands)
+
+    def restore(self, data: bytes) -> None:
+        self.commands = msgpack.unpackb(data)
+
+
+async def run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run in the event loop: the simulated clock would jump ahead while a worker thread runs."""
+    await trio.lowlevel.checkpoint()
+    return function(*arguments)
+
+
+class DriverGroup:
+    """Run several drivers that exchange messages with a latency of 1 ms."""
+
+    def __init__(self, directory: Path, nursery: trio.Nursery) -> None:
+        self.directory, self.nursery = directory, nursery
+        self.logs: dict[str, ReplicatedLog] = {}
+        self.machines: dict[str, CommandList] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.isolated: set[str] = set()
+        self.snapshot_entries = 10_000
+
+    def initialise(self, names: str = "abc") -> None:
+        for name in names:
+            initialise(self.directory / name, "k", name, VOTERS).unwrap()
+
+    async def start(self, name: str, directory: str = "", **options: Any) -> ReplicatedLog:
+        identity: Identity = open_identity(self.directory / (directory or name), name).unwrap()
+        options.setdefault("run_blocking", run_inline)
+        machine = self.machines[name] = CommandList()
+        log = ReplicatedLog(
+            "control",
+            identity,
+            ADDRESSES[name],
+            identity.open_group("control").unwrap(),
+            machine,
+            lambda address, message: self._send(name, address, message),
+            random.Random(name),
+            seeds=list(VOTERS.values()),
+            snapshot_entries=self.snapshot_entries,
+            **options,
+        )
+
+        async def run(*, task_status: Any) -> None:
+            with trio.CancelScope() as self.scopes[name]:
+                await log.run(task_status=task_status)
+
+        await self.nursery.start(run)
+        self.logs[name] = log
+        return log
+
+    def stop(self, name: str) -> None:
+        self.scopes.pop(name).cancel()
+        del self.logs[name]
+
+    def _send(self, sender: str, address: Address, message: Any) -> None:
+        self.nursery.start_soon(self._deliver, sender, address, message)
+
+    async def _deliver(self, sender: str, address: Address, message: Any) -> None:
+        await trio.sleep(0.001)
+        name = next(name for name, known in ADDRESSES.items() if known == address)
+        if name in self.logs and not {sender, name} & self.isolated:
+            await self.logs[name].handle(message)
+
+    async def leader(self) -> str:
+        for _ in range(200):
+            await trio.sleep(0.05)
+            for name, log in self.logs.items():
+                if log.confirmed_age_ms() is not None and name not in self.isolated:
+                    return name
+        raise AssertionError("no leader")
+
+    async def started(self, names: str = "abc") -> str:
+        self.initialise()
+        for name in names:
+            await self.start(name)
+        return await self.leader()
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -3,125 +3,29 @@
 from __future__ import annotations
 
 import errno
-import random
 import threading
 from typing import TYPE_CHECKING, Any
 
-import msgpack
 import pytest
 import trio
 
-from briardyke.addresses import Address
-from briardyke.consensus.driver import ReplicatedLog
-from briardyke.consensus.identity import Identity, initialise, open_identity
+from briardyke.consensus.identity import initialise
 from briardyke.consensus.members import MemberChange
 from briardyke.consensus.state import Role
 from briardyke.consensus.storage import DiskFullError
 from briardyke.errors import ErrorKind
 
+from .driver_group import ADDRESSES, DriverGroup, run_inline
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from pathlib import Path
 
-ADDRESSES = {name: Address("127.0.0.1", port) for port, name in enumerate("abcd", start=1)}
-VOTERS = {name: ADDRESSES[name] for name in "abc"}
-
-
-class _Machine:
-    """Record commands and return how many there are."""
-
-    def __init__(self) -> None:
-        self.commands: list[bytes] = []
-
-    def apply(self, index: int, command: bytes) -> bytes:
-        self.commands.append(command)
-        return b"%d" % len(self.commands)
-
-    def snapshot(self) -> bytes:
-        return msgpack.packb(self.commands)
-
-    def restore(self, data: bytes) -> None:
-        self.commands = msgpack.unpackb(data)
-
-
-async def _run_inline(function: Callable[..., Any], *arguments: Any) -> Any:
-    """Run in the event loop: the simulated clock would jump ahead while a worker thread runs."""
-    await trio.lowlevel.checkpoint()
-    return function(*arguments)
-
-
-class _Group:
-    """Run several drivers that exchange messages with a latency of 1 ms."""
-
-    def __init__(self, directory: Path, nursery: trio.Nursery) -> None:
-        self.directory, self.nursery = directory, nursery
-        self.logs: dict[str, ReplicatedLog] = {}
-        self.machines: dict[str, _Machine] = {}
-        self.scopes: dict[str, trio.CancelScope] = {}
-        self.isolated: set[str] = set()
-        self.snapshot_entries = 10_000
-
-    def initialise(self, names: str = "abc") -> None:
-        for name in names:
-            initialise(self.directory / name, "k", name, VOTERS).unwrap()
-
-    async def start(self, name: str, directory: str = "", **options: Any) -> ReplicatedLog:
-        identity: Identity = open_identity(self.directory / (directory or name), name).unwrap()
-        options.setdefault("run_blocking", _run_inline)
-        machine = self.machines[name] = _Machine()
-        log = ReplicatedLog(
-            "control",
-            identity,
-            ADDRESSES[name],
-            identity.open_group("control").unwrap(),
-            machine,
-            lambda address, message: self._send(name, address, message),
-            random.Random(name),
-            seeds=list(VOTERS.values()),
-            snapshot_entries=self.snapshot_entries,
-            **options,
-        )
-
-        async def run(*, task_status: Any) -> None:
-            with trio.CancelScope() as self.scopes[name]:
-                await log.run(task_status=task_status)
-
-        await self.nursery.start(run)
-        self.logs[name] = log
-        return log
-
-    def stop(self, name: str) -> None:
-        self.scopes.pop(name).cancel()
-        del self.logs[name]
-
-    def _send(self, sender: str, address: Address, message: Any) -> None:
-        self.nursery.start_soon(self._deliver, sender, address, message)
-
-    async def _deliver(self, sender: str, address: Address, message: Any) -> None:
-        await trio.sleep(0.001)
-        name = next(name for name, known in ADDRESSES.items() if known == address)
-        if name in self.logs and not {sender, name} & self.isolated:
-            await self.logs[name].handle(message)
-
-    async def leader(self) -> str:
-        for _ in range(200):
-            await trio.sleep(0.05)
-            for name, log in self.logs.items():
-                if log.confirmed_age_ms() is not None and name not in self.isolated:
-                    return name
-        raise AssertionError("no leader")
-
-    async def started(self, names: str = "abc") -> str:
-        self.initialise()
-        for name in names:
-            await self.start(name)
-        return await self.leader()
-
 
 async def test_proposals_are_applied_everywhere(autojump_clock: Any, tmp_path: Path) -> None:
     """Guards against results for the wrong proposer and against members that diverge."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         leader = await group.started()
         results: dict[bytes, Any] = {}
 
@@ -150,13 +54,13 @@
     followers hang, only the leader holds the entry and must not acknowledge it; while the sync of
     the leader hangs, it must not send the entry."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         leader = await group.started()
         syncs_released = trio.Event()
 
         async def wait_for_release(function: Callable[..., Any], *arguments: Any) -> Any:
             await syncs_released.wait()
-            return await _run_inline(function, *arguments)
+            return await run_inline(function, *arguments)
 
         for name, log in group.logs.items():
             if name != leader:
@@ -182,7 +86,7 @@
 ) -> None:
     """Guards against reporting a command as not run that the next leader may still commit."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         leader = await group.started()
         group.isolated = {leader}
         outcome = await group.logs[leader].propose(b"x", 5000)
@@ -198,7 +102,7 @@
     """Guards against serving outdated state after a restart, and against applying entries again
     that the snapshot includes."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         group.snapshot_entries = 20
         leader = await group.started()
         for number in range(70):
@@ -220,7 +124,7 @@
     """Guards against a repair that needs an operator, and against promoting a learner of another
     instance without an explicit request."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         leader = await group.started()
         await group.start("d")
         lost = next(name for name in "abc" if name != leader)
@@ -243,7 +147,7 @@
 async def test_planned_stop_transfers_leadership(autojump_clock: Any, tmp_path: Path) -> None:
     """Guards against an election timeout without a leader at each planned stop."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         leader = await group.started()
         before = trio.current_time()
         assert await group.logs[leader].transfer_leadership(2000)
@@ -258,7 +162,7 @@
     """Guards against tasks that stall during a disk sync: the write runs in another thread, and the
     event loop continues while that thread waits."""
     async with trio.open_nursery() as nursery:
-        group = _Group(tmp_path, nursery)
+        group = DriverGroup(tmp_path, nursery)
         initialise(tmp_path / "a", "k", "a", {"a": ADDRESSES["a"]}).unwrap()
         log = await group.start("a", run_blocking=trio.to_thread.run_sync)
         await group.leader()
@@ -288,7 +192,7 @@
     """Covers disks without room for a few seconds, one after the other."""
 
     @staticmethod
-    def _fill(group: _Group, name: str, full: set[str]) -> None:
+    def _fill(group: DriverGroup, name: str, full: set[str]) -> None:
         async def run(function: Callable[..., Any], *arguments: Any) -> Any:
             await trio.lowlevel.checkpoint()
             if name in full:
@@ -303,7 +207,7 @@
     ) -> None:
         """Guards against members that end, or that refuse changes long after there is room."""
         async with trio.open_nursery() as nursery:
-            group = _Group(tmp_path, nursery)
+            group = DriverGroup(tmp_path, nursery)
             leader = await group.started()
             full: set[str] = set()
             for name in "abc":
@@ -326,7 +230,7 @@
             nursery.cancel_scope.cancel()
 
     @staticmethod
-    async def _is_accepted(group: _Group, command: bytes) -> bool:
+    async def _is_accepted(group: DriverGroup, command: bytes) -> bool:
         """Offer a command to each member in turn, as an operator does, for five seconds."""
         for _ in range(50):
             for log in group.logs.values():
@@ -340,7 +244,7 @@
     ) -> None:
         """Guards against memory that grows for as long as the disk is full."""
         async with trio.open_nursery() as nursery:
-            group = _Group(tmp_path, nursery)
+            group = DriverGroup(tmp_path, nursery)
             leader = await group.started()
             name = next(name for name in "abc" if name != leader)
             full = {name}
@@ -357,7 +261,7 @@
         self, autojump_clock: Any, tmp_path: Path
     ) -> None:
         async with trio.open_nursery() as nursery:
-            group = _Group(tmp_path, nursery)
+            group = DriverGroup(tmp_path, nursery)
             leader = await group.started()
             self._fill(group, leader, {leader})
             await group.logs[leader].propose(b"1", 200)
@@ -376,7 +280,7 @@
 
         with pytest.raises(ExceptionGroup):
             async with trio.open_nursery() as nursery:
-                group = _Group(tmp_path, nursery)
+                group = DriverGroup(tmp_path, nursery)
                 leader = await group.started()
                 group.logs[leader]._run_blocking = fail
                 await group.logs[leader].propose(b"1", 1000)
@@ -395,7 +299,7 @@
 
         with pytest.raises(ExceptionGroup):
             async with trio.open_nursery() as nursery:
-                group = _Group(tmp_path, nursery)
+                group = DriverGroup(tmp_path, nursery)
                 leader = await group.started()
                 group.isolated.add(leader)
                 monkeypatch.setattr(group.logs[leader]._node, "step", fail)
