--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -420,6 +420,9 @@
     def _request_snapshot(self) -> None:
         if self._applied_index - self._snapshot_index < self._snapshot_entries:
             return
+        received = self._node.state.snapshot
+        if received is not None and received.index > self._applied_index:
+            return  # the disk has yet to store it; the node knows no earlier membership any more
         members = self._node.membership_at(self._applied_index).encode()
         data = self._machine.snapshot()
         snapshot = Snapshot(self._applied_index, self._applied_term, members, data)
--- a/tests/consensus/driver_group.py
+++ b/tests/consensus/driver_group.py
@@ -11,6 +11,7 @@
 from briardyke.addresses import Address
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import Identity, initialise, open_identity
+from briardyke.consensus.messages import SnapshotChunk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,3 +110,22 @@
         for name in names:
             await self.start(name)
         return await self.leader()
+
+    def snapshot_of(self, sender: str, recipient: str) -> SnapshotChunk:
+        """Return the message with which a leader sends its whole snapshot to another member."""
+        state = self.logs[sender]._node.state
+        assert state.snapshot is not None
+        return SnapshotChunk(
+            group_id=state.group_id,
+            sender_id=state.own_id,
+            sender_address=state.own_address,
+            recipient_id=self.logs[recipient].status().member_id,
+            term=state.term,
+            index=state.snapshot.index,
+            index_term=state.snapshot.term,
+            members=state.snapshot.members,
+            offset_bytes=0,
+            data=state.snapshot.data,
+            done=True,
+            round_number=state.round_number,
+        )
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -308,3 +308,36 @@
                     await group.logs[leader].handle(message)
                 await trio.sleep(5.0)
                 nursery.cancel_scope.cancel()
+
+
+class TestStalledDisks:
+    """Covers disks that take no write for a while."""
+
+    async def test_snapshot_received_while_committed_entries_wait(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        """Guards against the end of a process that asks for the membership at an entry which the
+        received snapshot has replaced."""
+        async with trio.open_nursery() as nursery:
+            group = DriverGroup(tmp_path, nursery)
+            group.snapshot_entries = 1
+            leader = await group.started()
+            stalled = next(name for name in "abc" if name != leader)
+            has_disk = trio.Event()
+
+            async def run_when_possible(function: Callable[..., Any], *arguments: Any) -> Any:
+                await has_disk.wait()
+                return function(*arguments)
+
+            group.logs[stalled]._run_blocking = run_when_possible
+            for number in range(5):
+                assert (await group.logs[leader].propose(b"%d" % number, 1000)).is_ok()
+            await trio.sleep(0.3)
+            group.isolated.add(stalled)
+            assert (await group.logs[leader].propose(b"5", 1000)).is_ok()
+            await trio.sleep(0.1)
+            await group.logs[stalled].handle(group.snapshot_of(leader, stalled))
+            has_disk.set()
+            await trio.sleep(0.1)
+            assert group.machines[stalled].commands == [b"%d" % number for number in range(6)]
+            nursery.cancel_scope.cancel()
