Keep log entries by their size, not their number

After some 800 changes of 256 KB and two tolerated losses of a disk, one after the other, no control instance could be read or changed any more. Cause: every member held the last 1,000 entries in memory, each a whole configuration, and a leader sends entries for as long as it holds them. Elections, a member that is not promoted though it has everything, and lost messages were ruled out by the same lines.

Messages and files are the same.

--- a/src/briardyke/consensus/log.py
+++ b/src/briardyke/consensus/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from enum import Enum
 
 import attrs
@@ -85,7 +86,12 @@
         """
         self.base_index = base_index
         self.base_term = base_term
-        self._entries = list(entries)
+        self._entries: list[Entry] = []
+        # Total size of the data up to each entry, from the first entry after the original base.
+        self._base_end_bytes = 0
+        self._ends_bytes: list[int] = []
+        for entry in entries:
+            self.append(entry)
 
     @property
     def last_index(self) -> int:
@@ -109,6 +115,26 @@
         """Return the entries from ``first`` to ``last``, both included."""
         return self._entries[first - self.base_index - 1 : last - self.base_index]
 
+    def size_bytes(self, first: int, last: int) -> int:
+        """Return the total size of the data of the held entries from ``first`` to ``last``."""
+        return max(0, self._end_bytes(last) - self._end_bytes(first - 1))
+
+    def _end_bytes(self, index: int) -> int:
+        position = min(index, self.last_index) - self.base_index
+        return self._ends_bytes[position - 1] if position > 0 else self._base_end_bytes
+
+    def first_within(self, last: int, max_bytes: int) -> int:
+        """Return the first held entry from which the entries up to ``last`` fit into a size.
+
+        :param last: index of a held entry.
+        :param max_bytes: maximum total size of the data.
+        :return: its index; ``last + 1`` when not even the last entry fits.
+        """
+        least_end_bytes = self._end_bytes(last) - max_bytes
+        if self._base_end_bytes >= least_end_bytes:
+            return self.base_index + 1
+        return self.base_index + bisect_left(self._ends_bytes, least_end_bytes) + 2
+
     def batch(self, first: int, max_entries: int, max_bytes: int) -> list[Entry]:
         """Return entries for one message.
 
@@ -128,11 +154,13 @@
     def append(self, entry: Entry) -> None:
         """Add the next entry."""
         assert entry.index == self.last_index + 1
+        self._ends_bytes.append(self._end_bytes(self.last_index) + len(entry.data))
         self._entries.append(entry)
 
     def truncate_after(self, index: int) -> None:
         """Remove all entries after an index."""
-        del self._entries[max(0, index - self.base_index) :]
+        position = max(0, index - self.base_index)
+        del self._entries[position:], self._ends_bytes[position:]
 
     def first_index_of_term(self, index: int) -> int:
         """Return the first held index with the same term as the entry at ``index``."""
@@ -147,10 +175,12 @@
             return
         term = self.term_at(index)
         assert term is not None
-        del self._entries[: index - self.base_index]
+        self._base_end_bytes = self._end_bytes(index)
+        position = index - self.base_index
+        del self._entries[:position], self._ends_bytes[:position]
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
         """Remove all entries and continue after an installed snapshot."""
-        self._entries.clear()
+        self.truncate_after(self.base_index)
         self.base_index, self.base_term = index, term
--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -193,12 +193,23 @@
         return self._take_effects()
 
     def compact(self, snapshot: Snapshot) -> None:
-        """Remove entries that a snapshot on disk includes, except the last ``kept_entries``."""
+        """Remove entries that a snapshot on disk includes, except a few for slow members.
+
+        Kept are the last ``kept_entries`` at most, and no more than what is cheaper to send than
+        the snapshot.
+        """
         state = self.state
         if state.snapshot is not None and snapshot.index <= state.snapshot.index:
             return
         state.snapshot = snapshot
-        state.log.compact(max(state.log.base_index, snapshot.index - state.settings.kept_entries))
+        kept_bytes = max(state.settings.kept_bytes, len(snapshot.data))
+        state.log.compact(
+            max(
+                state.log.base_index,
+                snapshot.index - state.settings.kept_entries,
+                state.log.first_within(snapshot.index, kept_bytes) - 1,
+            )
+        )
         position = max(i for i, row in enumerate(state.memberships) if row[0] <= snapshot.index)
         del state.memberships[:position]
 
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -42,8 +42,9 @@
     :param max_append_bytes: maximum total size of the entries in one message.
     :param max_in_flight_entries: maximum number of entries sent to a member and not acknowledged.
     :param snapshot_chunk_bytes: size of snapshot chunks.
-    :param kept_entries: number of entries before a snapshot that stay in memory, so that a slow
-        member can catch up without the snapshot.
+    :param kept_entries: maximum number of entries before a snapshot that stay in memory, so that a
+        slow member can catch up without the snapshot.
+    :param kept_bytes: maximum total size of these entries; a larger snapshot raises it to its size.
     :param promotes_learners: whether every learner that has caught up becomes a voter.
     :param replacement_silence_ms: time without a reply after which a learner of another instance
         takes the place of a voter; used only with ``promotes_learners``.
@@ -61,6 +62,7 @@
     max_in_flight_entries: int = 8192
     snapshot_chunk_bytes: int = 256 * 1024
     kept_entries: int = 1000
+    kept_bytes: int = 1024 * 1024
     promotes_learners: bool = False
     replacement_silence_ms: float = 3000.0
     removal_silence_ms: float = 20_000.0
--- a/tests/consensus/driver_group.py
+++ b/tests/consensus/driver_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import msgpack
@@ -12,6 +13,8 @@
 from briardyke.consensus.driver import ReplicatedLog
 from briardyke.consensus.identity import Identity, initialise, open_identity
 from briardyke.consensus.messages import SnapshotChunk
+from briardyke.wire import codec
+from briardyke.wire.client import MAX_QUEUED_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,11 +47,33 @@
     return function(*arguments)
 
 
-class DriverGroup:
-    """Run several drivers that exchange messages with a latency of 1 ms."""
+class LastCommand(CommandList):
+    """Keep the last command alone, as the configuration does."""
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.commands = [command]
+        return b""
 
-    def __init__(self, directory: Path, nursery: trio.Nursery) -> None:
+
+class DriverGroup:
+    """Run several drivers that exchange messages with a latency of 1 ms.
+
+    :ivar link_bytes_per_s: throughput of each link; a message that finds two megabytes queued is
+        dropped.
+    :ivar sent_bytes: encoded size of the messages that were sent to each member.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        nursery: trio.Nursery,
+        machine_class: type[CommandList] = CommandList,
+        link_bytes_per_s: float = float("inf"),
+    ) -> None:
         self.directory, self.nursery = directory, nursery
+        self.machine_class, self.link_bytes_per_s = machine_class, link_bytes_per_s
+        self.sent_bytes: Counter[str] = Counter()
+        self._free_at_s: dict[tuple[str, str], float] = {}
         self.logs: dict[str, ReplicatedLog] = {}
         self.machines: dict[str, CommandList] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
@@ -62,7 +87,7 @@
     async def start(self, name: str, directory: str = "", **options: Any) -> ReplicatedLog:
         identity: Identity = open_identity(self.directory / (directory or name), name).unwrap()
         options.setdefault("run_blocking", run_inline)
-        machine = self.machines[name] = CommandList()
+        machine = self.machines[name] = self.machine_class()
         log = ReplicatedLog(
             "control",
             identity,
@@ -89,11 +114,19 @@
         del self.logs[name]
 
     def _send(self, sender: str, address: Address, message: Any) -> None:
-        self.nursery.start_soon(self._deliver, sender, address, message)
-
-    async def _deliver(self, sender: str, address: Address, message: Any) -> None:
-        await trio.sleep(0.001)
         name = next(name for name, known in ADDRESSES.items() if known == address)
+        size_bytes = len(codec.encode(message))
+        self.sent_bytes[name] += size_bytes
+        now_s = trio.current_time()
+        free_at_s = max(now_s, self._free_at_s.get((sender, name), 0.0))
+        if (free_at_s - now_s) * self.link_bytes_per_s > MAX_QUEUED_BYTES:
+            return
+        free_at_s += size_bytes / self.link_bytes_per_s
+        self._free_at_s[sender, name] = free_at_s
+        self.nursery.start_soon(self._deliver, sender, name, message, free_at_s)
+
+    async def _deliver(self, sender: str, name: str, message: Any, sent_at_s: float) -> None:
+        await trio.sleep_until(sent_at_s + 0.001)
         if name in self.logs and not {sender, name} & self.isolated:
             await self.logs[name].handle(message)
 
