--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from briardyke.consensus import election
-from briardyke.consensus.log import EntryKind, Snapshot
+from briardyke.consensus.log import Entry, EntryKind, Snapshot
 from briardyke.consensus.members import Member, Membership
 from briardyke.consensus.messages import (
     AppendReply,
@@ -12,7 +12,7 @@
     SnapshotReply,
 )
 from briardyke.consensus.state import NodeState, Progress, Role
-from briardyke.logs import log_event
+from briardyke.logs import log_event, log_limited
 
 
 def start_round(state: NodeState) -> None:
@@ -47,16 +47,12 @@
     previous_index = progress.next_index - 1
     previous_term = state.log.term_at(previous_index)
     if progress.snapshot is not None or previous_term is None:
-        if heartbeat:
+        if progress.snapshot is None:
             _send_chunk(state, member, progress)
+        elif heartbeat:
+            _ask_for_progress(state, member, progress)
         return
-    settings = state.settings
-    in_flight = progress.next_index - progress.match_index - 1
-    entries = []
-    if progress.probing or in_flight < settings.max_in_flight_entries:
-        entries = state.log.batch(
-            progress.next_index, settings.max_append_entries, settings.max_append_bytes
-        )
+    entries = _next_entries(state, progress)
     if not heartbeat and (progress.probing or not entries):
         return
     if not progress.probing:
@@ -80,12 +76,49 @@
     )
 
 
+def _next_entries(state: NodeState, progress: Progress) -> list[Entry]:
+    """Return the entries of the next message, as far as the member may have more in flight."""
+    settings, log = state.settings, state.log
+    first = progress.next_index
+    if progress.probing:
+        # The message may be repeated with each heartbeat, until the member replies.
+        entries = log.batch(first, settings.max_append_entries, settings.max_probe_bytes)
+        fits = sum(len(entry.data) for entry in entries) <= settings.max_probe_bytes
+        return entries if fits else []
+    in_flight_bytes = log.size_bytes(progress.match_index + 1, first - 1)
+    if (
+        progress.match_index < log.base_index  # what is in flight is no longer held
+        or first - 1 - progress.match_index >= settings.max_in_flight_entries
+        or in_flight_bytes >= settings.max_in_flight_bytes
+    ):
+        return []
+    max_bytes = min(settings.max_append_bytes, settings.max_in_flight_bytes - in_flight_bytes)
+    return log.batch(first, settings.max_append_entries, max_bytes)
+
+
 def _send_chunk(state: NodeState, member: Member, progress: Progress) -> None:
+    """Send the next chunk of a snapshot; without a part that has arrived, of the newest one."""
     if progress.snapshot is None:
+        progress.snapshot_started_ms = state.now_ms
+    if progress.snapshot is None or not progress.snapshot_offset_bytes:
         progress.snapshot, progress.snapshot_offset_bytes = state.snapshot, 0
     snapshot, start = progress.snapshot, progress.snapshot_offset_bytes
     assert snapshot is not None
     end = start + state.settings.snapshot_chunk_bytes
+    progress.chunk_round = state.round_number
+    _send_part(state, member, progress, snapshot.data[start:end], end >= len(snapshot.data))
+
+
+def _ask_for_progress(state: NodeState, member: Member, progress: Progress) -> None:
+    """Send an empty chunk as heartbeat; its reply shows what has arrived."""
+    _send_part(state, member, progress, b"", False)
+
+
+def _send_part(
+    state: NodeState, member: Member, progress: Progress, data: bytes, is_last: bool
+) -> None:
+    snapshot = progress.snapshot
+    assert snapshot is not None
     state.send(
         SnapshotChunk,
         member.member_id,
@@ -93,13 +126,28 @@
         index=snapshot.index,
         index_term=snapshot.term,
         members=snapshot.members,
-        offset_bytes=start,
-        data=snapshot.data[start:end],
-        done=end >= len(snapshot.data),
+        offset_bytes=progress.snapshot_offset_bytes,
+        data=data,
+        done=is_last,
         round_number=state.round_number,
     )
 
 
+def _end_snapshot(state: NodeState, member: Member, progress: Progress) -> None:
+    snapshot, progress.snapshot = progress.snapshot, None
+    assert snapshot is not None
+    log_limited(
+        "snapshot_sent",
+        is_routine=True,
+        group=state.group_id,
+        member=member.member_id,
+        index=snapshot.index,
+        bytes=len(snapshot.data),
+        duration_ms=round(state.now_ms - progress.snapshot_started_ms),
+        missing_entries=state.log.last_index - progress.match_index,
+    )
+
+
 def _record_reply(state: NodeState, message: AppendReply | SnapshotReply) -> Progress | None:
     """Record a reply; return ``None`` unless this member leads in the term of the reply."""
     if message.term > state.term:
@@ -148,7 +196,7 @@
             progress.probing = False
             progress.next_index = progress.match_index + 1
         if progress.snapshot and progress.match_index >= progress.snapshot.index:
-            progress.snapshot = None
+            _end_snapshot(state, member, progress)
         advance_commit(state)
         if state.role is not Role.LEADER:
             return
@@ -301,15 +349,17 @@
 
 
 def on_snapshot_reply(state: NodeState, message: SnapshotReply) -> None:
-    """Send the chunk that the member expects next."""
+    """Send the chunk that the member expects next, once the last one has arrived or is lost."""
     progress = _record_reply(state, message)
     member = state.membership.get(message.sender_id)
     if progress is None or member is None or progress.snapshot is None:
         return
     if message.index == progress.snapshot.index:
-        advanced = message.received_bytes != progress.snapshot_offset_bytes
+        has_arrived = message.received_bytes != progress.snapshot_offset_bytes
+        # The reply is to a heartbeat that was sent after the chunk, on the same connection.
+        is_lost = message.round_number > progress.chunk_round
         progress.snapshot_offset_bytes = message.received_bytes
-        if advanced:
+        if has_arrived or is_lost:
             _send_chunk(state, member, progress)
 
 
--- a/src/briardyke/consensus/state.py
+++ b/src/briardyke/consensus/state.py
@@ -41,6 +41,10 @@
     :param max_append_entries: maximum number of entries in one message.
     :param max_append_bytes: maximum total size of the entries in one message.
     :param max_in_flight_entries: maximum number of entries sent to a member and not acknowledged.
+    :param max_in_flight_bytes: total size of these entries from which no more are sent. A
+        connection drops messages beyond twice as much.
+    :param max_probe_bytes: maximum total size of the entries that are sent before it is known what
+        a member holds.
     :param snapshot_chunk_bytes: size of snapshot chunks.
     :param kept_entries: maximum number of entries before a snapshot that stay in memory, so that a
         slow member can catch up without the snapshot.
@@ -60,6 +64,8 @@
     max_append_entries: int = 512
     max_append_bytes: int = 1024 * 1024
     max_in_flight_entries: int = 8192
+    max_in_flight_bytes: int = 1024 * 1024
+    max_probe_bytes: int = 16 * 1024
     snapshot_chunk_bytes: int = 256 * 1024
     kept_entries: int = 1000
     kept_bytes: int = 1024 * 1024
@@ -82,7 +88,9 @@
     :param probing: whether the matching index is unknown; ``next_index`` then changes only on
         replies.
     :param snapshot: snapshot being sent, if any.
-    :param snapshot_offset_bytes: offset of the next chunk.
+    :param snapshot_offset_bytes: offset of the chunk that was sent last.
+    :param chunk_round: heartbeat round in which it was sent.
+    :param snapshot_started_ms: time since when the member is sent snapshots.
     :param clock_id: clock of the member's process, empty when not known.
     :param reading_ms: the member's newest reading of it that has arrived here.
     """
@@ -98,6 +106,8 @@
     probing: bool = True
     snapshot: Snapshot | None = None
     snapshot_offset_bytes: int = 0
+    chunk_round: int = 0
+    snapshot_started_ms: float = 0.0
     clock_id: str = ""
     reading_ms: float = 0.0
 
--- a/tests/consensus/test_state_transfer.py
+++ b/tests/consensus/test_state_transfer.py
@@ -159,3 +159,110 @@
                 for name in "abc":
                     held_bytes = changes.held_bytes(name)
                     assert held_bytes <= SETTINGS.kept_bytes + document_bytes
+
+
+class TestInterruptedTransfers:
+    """Guards against transfers that start anew without need, or that never end."""
+
+    @staticmethod
+    async def _back(changes: Changes, name: str) -> None:
+        """Wait until a member is back, within the time that it may take."""
+        for _ in range(50):
+            await trio.sleep(0.1)
+            if changes.is_voter(name):
+                return
+        raise AssertionError("the member is not back in time")
+
+    @staticmethod
+    async def _lose_follower(changes: Changes, link_bytes_per_s: float = LINK_BYTES_PER_S) -> str:
+        """Let a follower lose its disk after some changes, and reach it over this link."""
+        await changes.make(20)
+        leader = await changes.group.leader()
+        name = next(other for other in "abc" if other != leader)
+        changes.group.link_bytes_per_s = link_bytes_per_s
+        await changes.lose_disk(name)
+        return name
+
+    async def test_link_that_takes_seconds_for_a_chunk(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        """Guards against chunks that are sent again with each heartbeat while they are on their
+        way, which no slow link ever gets through."""
+        async with changes_of(tmp_path, LARGE_BYTES) as changes:
+            name = await self._lose_follower(changes, LARGE_BYTES / 1.5)
+            await self._back(changes, name)
+            assert changes.group.sent_bytes[name] < SETTINGS.kept_bytes + 2.3 * LARGE_BYTES
+
+    async def test_chunk_that_was_lost_is_sent_again(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        async with changes_of(tmp_path, LARGE_BYTES) as changes:
+            name = await self._lose_follower(changes)
+            for _ in range(3):
+                await trio.sleep(0.4)
+                changes.group.isolated.add(name)
+                await trio.sleep(0.2)
+                changes.group.isolated.clear()
+            await self._back(changes, name)
+
+    async def test_member_that_restarts_halfway(self, autojump_clock: Any, tmp_path: Path) -> None:
+        async with changes_of(tmp_path, LARGE_BYTES) as changes:
+            name = await self._lose_follower(changes, LARGE_BYTES)
+            await trio.sleep(1.5)
+            changes.group.stop(name)
+            await changes.group.start(name, directory=f"{name}-empty", settings=SETTINGS)
+            await self._back(changes, name)
+
+    async def test_leader_that_changes_halfway(self, autojump_clock: Any, tmp_path: Path) -> None:
+        async with changes_of(tmp_path, LARGE_BYTES) as changes:
+            name = await self._lose_follower(changes, LARGE_BYTES)
+            await trio.sleep(1.5)
+            leader = await changes.group.leader()
+            assert await changes.group.logs[leader].transfer_leadership(1000)
+            await self._back(changes, name)
+
+    @pytest.mark.parametrize("document_bytes", [SMALL_BYTES, LARGE_BYTES])
+    async def test_state_that_is_replaced_ten_times_a_second(
+        self, autojump_clock: Any, tmp_path: Path, document_bytes: int
+    ) -> None:
+        async with changes_of(tmp_path, document_bytes) as changes, trio.open_nursery() as nursery:
+            nursery.start_soon(changes.go_on, 0.1)
+            name = await self._lose_follower(changes)
+            await self._back(changes, name)
+            nursery.cancel_scope.cancel()
+            await trio.sleep(1.0)
+            assert changes.group.machines[name].commands == changes.acknowledged[-1:]
+
+
+class TestSilentMembers:
+    """Guards against a queue that fills with history for a member that answers nothing."""
+
+    @pytest.mark.parametrize("document_bytes", [SMALL_BYTES, LARGE_BYTES])
+    async def test_bytes_sent_to_one_that_answers_nothing(
+        self, autojump_clock: Any, tmp_path: Path, document_bytes: int
+    ) -> None:
+        async with changes_of(tmp_path, document_bytes) as changes:
+            await changes.make(1)
+            leader = await changes.group.leader()
+            name = next(other for other in "abc" if other != leader)
+            changes.group.isolated.add(name)
+            changes.group.sent_bytes.clear()
+            await changes.make(200)
+            heartbeats_bytes = 200 * 1024
+            limit_bytes = SETTINGS.max_in_flight_bytes + 2 * document_bytes + heartbeats_bytes
+            assert changes.group.sent_bytes[name] < limit_bytes
+
+    async def test_one_that_was_away_for_seconds_is_sent_the_newest_state(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        async with changes_of(tmp_path, LARGE_BYTES) as changes:
+            await changes.make(1)
+            leader = await changes.group.leader()
+            name = next(other for other in "abc" if other != leader)
+            changes.group.isolated.add(name)
+            await changes.make(50)
+            changes.group.sent_bytes.clear()
+            changes.group.isolated.clear()
+            await trio.sleep(2.0)
+            assert changes.group.machines[name].commands == changes.acknowledged[-1:]
+            assert changes.group.sent_bytes[name] < 1.5 * LARGE_BYTES
