--- a/src/briardyke/consensus/driver.py
+++ b/src/briardyke/consensus/driver.py
@@ -33,6 +33,9 @@
 __all__ = ["Applied", "LogStatus", "ReplicatedLog", "StateMachine"]
 TICK_MS = 50.0
 SNAPSHOT_ENTRIES = 10_000
+# Entries since the last snapshot stay in memory and on disk; a larger state allows for more, so
+# that writing snapshots at most doubles what is written.
+SNAPSHOT_BYTES = 4 * 1024 * 1024
 _MAX_BATCH_COMMANDS = 512
 _DEFAULT_SETTINGS = NodeSettings()
 Sender = Callable[["Address", "GroupMessage"], None]
@@ -83,7 +86,8 @@
         :param random: source of election timeouts.
         :param seeds: peer addresses that a process which is not a member asks to join.
         :param settings: intervals and limits.
-        :param snapshot_entries: applied entries after which a snapshot is written.
+        :param snapshot_entries: applied entries after which a snapshot is written, unless they
+            take :data:`SNAPSHOT_BYTES` before.
         :param run_blocking: runs a blocking function outside the event loop.
         """
         self._storage, recovered = storage
@@ -114,6 +118,8 @@
         self._applied_index = self._applied_term = 0
         self._lag = CommitLag()
         self._snapshot_index = 0
+        self._snapshot_bytes = 0
+        self._is_snapshot_missing = False
         self._written_snapshot: Snapshot | None = None
         self._snapshot_requests, self._snapshot_queue = trio.open_memory_channel[Snapshot](1)
         if recovered.snapshot is not None:
@@ -415,10 +421,10 @@
         self._machine.restore(snapshot.data)
         self._applied_index, self._applied_term = snapshot.index, snapshot.term
         self._lag.record_applied(snapshot.index)
-        self._snapshot_index = snapshot.index
+        self._record_snapshot(snapshot.index, snapshot.data)
 
     def _request_snapshot(self) -> None:
-        if self._applied_index - self._snapshot_index < self._snapshot_entries:
+        if not self._is_snapshot_due():
             return
         received = self._node.state.snapshot
         if received is not None and received.index > self._applied_index:
@@ -430,12 +436,25 @@
             self._snapshot_requests.send_nowait(snapshot)
         except trio.WouldBlock:
             return  # the previous snapshot is still being written
-        self._snapshot_index = self._applied_index
+        self._record_snapshot(self._applied_index, data)
+
+    def _is_snapshot_due(self) -> bool:
+        log = self._node.state.log
+        size_bytes = log.size_bytes(self._snapshot_index + 1, self._applied_index)
+        return (
+            self._is_snapshot_missing
+            or self._applied_index - self._snapshot_index >= self._snapshot_entries
+            or size_bytes >= max(SNAPSHOT_BYTES, self._snapshot_bytes)
+        )
+
+    def _record_snapshot(self, index: int, data: bytes) -> None:
+        self._snapshot_index, self._snapshot_bytes = index, len(data)
+        self._is_snapshot_missing = False
 
     async def _write_snapshots(self) -> None:
         async for snapshot in self._snapshot_queue:
             if not await self._disk.try_to_write(self._storage.save_snapshot, snapshot):
-                self._snapshot_index = 0  # the next entry asks for a snapshot again
+                self._is_snapshot_missing = True  # the next entry asks for it again
                 continue
             self._written_snapshot = snapshot
             self._work_available.set()
--- a/tests/consensus/test_state_transfer.py
+++ b/tests/consensus/test_state_transfer.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from briardyke.consensus.driver import SNAPSHOT_BYTES
 from briardyke.consensus.state import NodeSettings
 
 from .driver_group import DriverGroup, LastCommand
@@ -88,11 +89,13 @@
 
 
 @asynccontextmanager
-async def changes_of(directory: Path, document_bytes: int) -> AsyncIterator[Changes]:
-    """Run a group that writes a snapshot after each change."""
+async def changes_of(
+    directory: Path, document_bytes: int, snapshot_entries: int = 1
+) -> AsyncIterator[Changes]:
+    """Run a group that writes a snapshot after each change, or after so many."""
     async with trio.open_nursery() as nursery:
         group = DriverGroup(directory, nursery, LastCommand, LINK_BYTES_PER_S)
-        group.snapshot_entries = 1
+        group.snapshot_entries = snapshot_entries
         group.initialise()
         for name in "abc":
             await group.start(name, settings=SETTINGS)
@@ -160,6 +163,17 @@
                     held_bytes = changes.held_bytes(name)
                     assert held_bytes <= SETTINGS.kept_bytes + document_bytes
 
+    async def test_groups_with_rare_snapshots_write_one_for_large_entries(
+        self, autojump_clock: Any, tmp_path: Path
+    ) -> None:
+        """Guards against ten thousand large entries in memory between two snapshots."""
+        async with changes_of(tmp_path, LARGE_BYTES, snapshot_entries=10_000) as changes:
+            await changes.make(100)
+            await trio.sleep(1.0)
+            for name in "abc":
+                bound_bytes = SNAPSHOT_BYTES + SETTINGS.kept_bytes + LARGE_BYTES
+                assert changes.held_bytes(name) <= bound_bytes
+
 
 class TestInterruptedTransfers:
     """Guards against transfers that start anew without need, or that never end."""
