Bound the work of readers in one turn of the event loop

Cause: a reader takes all that one read holds before others run, and the sender chooses how much that is: 10,900 chunks in 64 KB, 50 ms in h11 and the event splitter, 74 ms with 200 KB of an unfinished event, since the splitter copied that event for each chunk. Readers of whole bodies, of refusals, of responses to other requests, of events and of frames between processes had the same loop; request bodies were bounded. Change: turns.py counts what a reader has handled. After 64 items it queues up with all other readers that have more to do, and one of them works in a turn of the event loop. All connections to upstreams, requests and frames pass there, before an item is taken, so that a cancelled reader loses none. Small chunks of responses are joined as those of requests are, events are cut at most 64 at a time, and unfinished events are neither copied nor searched again.

--- a/src/briardyke/gateway/event_stream.py
+++ b/src/briardyke/gateway/event_stream.py
@@ -5,11 +5,9 @@
 import copy
 import re
 
-# Events contain a few tokens; longer data without a terminator is treated as invalid.
-MAX_EVENT_BYTES = 256 * 1024
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-# The longest terminator without its last byte; this many bytes are searched again.
-_TERMINATOR_OVERLAP_BYTES = len(b"\r\n\r\n") - 1
+from briardyke.http.sse import EVENT_END, MAX_EVENT_BYTES, TERMINATOR_OVERLAP_BYTES
+from briardyke.turns import ITEMS_PER_TURN
+
 # Lines other than comments and empty lines.
 _FIELD_LINE = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] [0-9]{3}\b", re.MULTILINE)
@@ -38,13 +36,21 @@
 
 
 class EventSplitter:
-    """Return complete events and remember the id of the last one."""
+    """Return complete events and remember the id of the last one.
+
+    :ivar count: number of events returned so far.
+    :ivar is_behind: whether more of the data may be complete events than were returned, which the
+        next call of :meth:`feed` returns.
+    """
 
     def __init__(self, last_event_id: str = "") -> None:
         """Start after the event with the given id, or at the beginning."""
         self.last_event_id = last_event_id
         self.count = 0
-        self._partial = b""
+        self._partial = bytearray()
+        # Up to here, no terminator ends in the incomplete event.
+        self._searched_bytes = 0
+        self.is_behind = False
         self._has_events = False
         self._is_resumed = False
         self._is_position_known = True
@@ -55,16 +61,24 @@
         return self._is_position_known
 
     def feed(self, data: bytes) -> bytes:
-        """Add data from the upstream and return the events that are now complete.
+        """Add data from the upstream and return complete events, as many as fit into a turn.
 
         :raises EventTooLongError: when an incomplete event exceeds :data:`MAX_EVENT_BYTES`.
         :raises StrayResponseError: when a response head follows the events returned last.
         :raises EventOrderError: when the first event after a resumption has no later id.
         """
-        searched = max(0, len(self._partial) - _TERMINATOR_OVERLAP_BYTES)
         self._partial += data
-        end = 0
-        for match in _EVENT_END.finditer(self._partial, searched):
+        whole = self._take_whole()
+        if not self.is_behind and len(self._partial) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"{len(self._partial)} bytes without an event terminator")
+        return whole
+
+    def _take_whole(self) -> bytes:
+        end, searched = 0, self._searched_bytes
+        for _ in range(ITEMS_PER_TURN):
+            match = EVENT_END.search(self._partial, searched)
+            if match is None:
+                break
             event = self._partial[end : match.end()]
             if _STATUS_LINE.search(event):
                 if end:
@@ -73,13 +87,16 @@
             if _FIELD_LINE.search(event):
                 self._record_event(event)
             self.count += 1
-            end = match.end()
-        whole, self._partial = self._partial[:end], self._partial[end:]
-        if len(self._partial) > MAX_EVENT_BYTES:
-            raise EventTooLongError(f"{len(self._partial)} bytes without an event terminator")
+            end = searched = match.end()
+        self.is_behind = match is not None
+        whole = bytes(self._partial[:end])
+        del self._partial[:end]
+        self._searched_bytes = 0
+        if not self.is_behind:
+            self._searched_bytes = max(0, len(self._partial) - TERMINATOR_OVERLAP_BYTES)
         return whole
 
-    def _record_event(self, event: bytes) -> None:
+    def _record_event(self, event: bytearray) -> None:
         found = _ID_LINE.search(event)
         event_id = found.group(1).decode("latin-1").strip() if found else ""
         if self._is_resumed and not _is_later(event_id, self.last_event_id):
@@ -92,7 +109,9 @@
 
     def drop_partial(self) -> None:
         """Discard an incomplete event that its upstream will not finish."""
-        self._partial = b""
+        self._partial = bytearray()
+        self._searched_bytes = 0
+        self.is_behind = False
         self._is_resumed = self._has_events
 
     def fork(self) -> EventSplitter:
@@ -106,7 +125,7 @@
 
         :raises UnfinishedEventError: when the stream has ended before the blank line of an event.
         """
-        remainder, self._partial = self._partial, b""
+        remainder, self._partial = bytes(self._partial), bytearray()
         if remainder.strip(b"\r\n"):
             raise UnfinishedEventError(f"the stream ended {len(remainder)} bytes into an event")
         return remainder
--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -50,11 +50,14 @@
         :raises UpstreamError: when the connection ends before.
         :raises EventStreamError: when its events cannot be forwarded.
         """
+        turns = self.connection.turns
         count = splitter.count
         while True:
-            part = await self.connection.read_part()
+            await turns.wait_if_due()
+            part = b"" if splitter.is_behind else await self.connection.read_part()
             data = splitter.take_remainder() if part is None else splitter.feed(part)
             if data or part is None:
+                turns.charge(splitter.count - count)
                 self.upstream.record_sign()
                 return Events(data, splitter.count - count, part is None)
 
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -13,8 +13,10 @@
 
 from briardyke.clock import now_ms
 from briardyke.connectivity.activity import LinkActivity
+from briardyke.http.chunk_joiner import ChunkJoiner
 from briardyke.http.exchange import LAST_STATUS, Headers, header
 from briardyke.http.sockets import tune
+from briardyke.turns import ReaderTurns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,6 +46,8 @@
 _MAX_FOREIGN_BYTES = 1024 * 1024
 # Refused requests that a connection remembers before it is replaced, which bounds its memory.
 _MAX_REFUSED_IDS = 256
+# Statuses of responses that have no body.
+_BODILESS = frozenset({204, 304})
 # Bodies up to this size fit a socket's buffer, so that writing them cannot block the answer.
 _INLINE_BODY_BYTES = 16 * 1024
 
@@ -97,6 +101,8 @@
         self._is_reset = False
         self._refused_ids: set[str] = set()
         self._has_foreign = False
+        self._joiner: ChunkJoiner | None = None
+        self.turns = ReaderTurns()
 
     @property
     def was_dropped_at_rest(self) -> bool:
@@ -248,11 +254,15 @@
 
     async def _next_event(self) -> object:
         while True:
+            await self.turns.wait_if_due()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise UpstreamError(Fault.MALFORMED, str(error)) from error
             if event is not h11.NEED_DATA:
+                self.turns.charge()
+                if isinstance(event, h11.InformationalResponse | h11.Response):
+                    self._begin_body(event)
                 return event
             try:
                 data = await self._stream.receive_some(_READ_BYTES)
@@ -263,8 +273,20 @@
             if not data and self._is_reset:
                 raise UpstreamError(Fault.BROKEN, "connection reset while sending")
             self._has_received = self._has_received or bool(data)
+            if self._joiner is not None and data:
+                data = self._joiner.join(data)
+                if not data:
+                    continue  # no bytes would mean the end of the connection
             self._protocol.receive_data(data)
 
+    def _begin_body(self, head: h11.InformationalResponse | h11.Response) -> None:
+        self.turns.charge(len(head.headers))
+        is_chunked = header(list(head.headers), b"transfer-encoding") is not None
+        has_body = isinstance(head, h11.Response) and head.status_code not in _BODILESS
+        self._joiner = None
+        if is_chunked and has_body and self._request.method != b"HEAD":
+            self._joiner = ChunkJoiner(self._protocol.trailing_data[0])
+
     async def _skip_foreign(self) -> None:
         self._has_foreign = True
         await self._skip_body(_MAX_FOREIGN_BYTES)
@@ -283,7 +305,7 @@
 def _is_framed(head: UpstreamHead) -> bool:
     """Return whether the end of an answer shows without the end of its connection."""
     names = {name for name, _ in head.headers}
-    return head.status in (204, 304) or bool(names & {b"content-length", b"transfer-encoding"})
+    return head.status in _BODILESS or bool(names & {b"content-length", b"transfer-encoding"})
 
 
 async def is_refusing_connections(address: Address) -> bool:
--- a/src/briardyke/http/request_reader.py
+++ b/src/briardyke/http/request_reader.py
@@ -12,6 +12,7 @@
 from briardyke.http.chunk_joiner import ChunkJoiner
 from briardyke.http.exchange import HttpRequest, header
 from briardyke.http.memory_budget import LEAST_BYTES_PER_S
+from briardyke.turns import ReaderTurns
 
 if TYPE_CHECKING:
     from briardyke.http.memory_budget import Share
@@ -23,8 +24,6 @@
 # Room for a body of unknown length is asked for in steps between these two, as the body grows.
 _LEAST_STEP_BYTES = 16 * 1024
 _LARGEST_STEP_BYTES = 256 * 1024
-# One-byte chunks give thousands of events for one read; other connections get their turn between.
-_EVENTS_PER_TURN = 64
 
 
 @attrs.frozen
@@ -90,6 +89,7 @@
         self._room_bytes = 0
         self._length: int | None = None
         self._joiner: ChunkJoiner | None = None
+        self._turns = ReaderTurns()
         share.on_displaced = self._scope.cancel
 
     async def read(self) -> HttpRequest | None:
@@ -107,9 +107,10 @@
 
     async def _read(self) -> HttpRequest | None:
         received_ms = now_ms()
-        events = 0
         while True:
+            await self._turns.wait_if_due()
             event = self._protocol.next_event()
+            self._turns.charge()
             if event is h11.NEED_DATA:
                 await self._receive()
             elif isinstance(event, h11.Request):
@@ -117,9 +118,6 @@
                 await self._begin_body(event)
             elif isinstance(event, h11.Data):
                 self._add(event.data)
-                events += 1
-                if events % _EVENTS_PER_TURN == 0:
-                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
                 return self._finish(received_ms)
             else:
--- a/src/briardyke/wire/frames.py
+++ b/src/briardyke/wire/frames.py
@@ -7,6 +7,7 @@
 import msgpack
 import trio
 
+from briardyke.turns import ReaderTurns
 from briardyke.wire import codec
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
         self._stream = stream
         self._buffer = bytearray()
         self._write_lock = trio.Lock()
+        self._turns = ReaderTurns()
 
     async def send(self, correlation_id: int, is_reply: bool, body: bytes) -> None:
         """Write one frame.
@@ -45,6 +47,8 @@
 
         :raises ValueError: when the bytes are not a valid frame.
         """
+        await self._turns.wait_if_due()
+        self._turns.charge()
         head = await self._read(codec.LENGTH_PREFIX_BYTES)
         if head is None:
             return None
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from briardyke.gateway.event_stream import EventSplitter, StrayResponseError, UnfinishedEventError
+from briardyke.http.sse import EventParser
+from briardyke.turns import ITEMS_PER_TURN
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n"
 
@@ -52,3 +56,39 @@
             splitter.take_remainder()
         assert received == EVENTS
         assert splitter.last_event_id == "3"
+
+
+class TestUnfinishedEvents:
+    """Guards against work that grows with the unfinished event for each byte that arrives."""
+
+    CHUNKS = 20_000
+    BOUND = 3.0
+
+    def _cost_s(self, start: EventSplitter | EventParser) -> float:
+        started_s = time.process_time()
+        for _ in range(self.CHUNKS):
+            start.feed(b"x")
+        return time.process_time() - started_s
+
+    @pytest.mark.parametrize("kind", [EventSplitter, EventParser])
+    def test_chunks_cost_the_same_late_in_a_long_event(
+        self, kind: type[EventSplitter] | type[EventParser]
+    ) -> None:
+        early, late = kind(), kind()
+        late.feed(b"data: " + b"x" * 230_000)
+        assert self._cost_s(late) < self.BOUND * self._cost_s(early)
+
+
+class TestManyEventsAtOnce:
+    """Guards against events that are lost or joined where more arrive than fit into a turn."""
+
+    def test_all_are_returned_over_several_calls(self) -> None:
+        splitter = EventSplitter()
+        data = b"".join(b"id: %d\ndata: t\n\n" % number for number in range(1, 1001))
+        parts = [splitter.feed(data + b"id: 1001\n")]
+        while splitter.is_behind:
+            parts.append(splitter.feed(b""))
+        assert b"".join(parts) == data
+        assert (splitter.count, splitter.last_event_id) == (1000, "1000")
+        assert max(part.count(b"data:") for part in parts) <= ITEMS_PER_TURN
+        assert splitter.feed(b"data: t\n\n") == b"id: 1001\ndata: t\n\n"
--- a/tests/http/test_h11_client.py
+++ b/tests/http/test_h11_client.py
@@ -22,6 +22,9 @@
 
 OWN = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 3\r\n\r\nown"
 LATE = b"HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nContent-Length: 4\r\n\r\nlate"
+_CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+OWN_IN_CHUNKS = _CHUNKED_HEAD % b"r-1" + b"1\r\no\r\n1\r\nw\r\n1\r\nn\r\n0\r\n\r\n"
+LATE_IN_CHUNKS = _CHUNKED_HEAD % b"r-0" + b"1\r\nl\r\n3\r\nate\r\n0\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 Script = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -118,6 +121,26 @@
         _, body, _ = await exchange(pool)
         assert body == b"own"
 
+    @pytest.mark.parametrize("position", range(1, len(LATE_IN_CHUNKS + OWN_IN_CHUNKS), 3))
+    async def test_answers_in_small_chunks_are_whole_wherever_they_are_divided(
+        self, upstream: Upstream, pool: ConnectionPool, position: int
+    ) -> None:
+        """Guards against chunks that are joined across the border of two answers."""
+        data = LATE_IN_CHUNKS + OWN_IN_CHUNKS
+        upstream.script = upstream.answer(data[:position], data[position:], hold=True)
+        head, body, connection = await exchange(pool)
+        assert body == b"own"
+        assert connection.finish(head)
+
+    async def test_answer_without_a_body_may_name_chunks(
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> None:
+        head = (_CHUNKED_HEAD % b"r-1").replace(b"200 OK", b"304 Not Modified")
+        upstream.script = upstream.answer(head, hold=True)
+        found, body, connection = await exchange(pool)
+        assert (found.status, body) == (304, b"")
+        assert connection.finish(found)
+
     async def test_bytes_after_the_answer_end_the_connection(
         self, upstream: Upstream, pool: ConnectionPool
     ) -> None:
