Refuse announcements of more than 256 KB unread

The body of an announcement may have 4 MB, which is parsed in one turn of the event loop of a control process. Change: a limit of 256 KB, as for the reports of engines. The test fails before: the long announcement is accepted.

--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -14,6 +14,8 @@
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
 _MAX_SLOTS = 1_000_000
+# Reading one takes the event loop for milliseconds; a thousand names take 40 KB.
+_MAX_BYTES = 256 * 1024
 
 
 def decode_announcement(upstream_id: str, body: bytes) -> Result[Upstream, Failure]:
@@ -22,6 +24,9 @@
     :param upstream_id: id in the path of the call.
     :return: ``field_invalid`` when it names no upstream that can be used.
     """
+    if len(body) > _MAX_BYTES:
+        text = f"the announcement has {len(body)} bytes"
+        return Err(Failure(ErrorKind.FIELD_INVALID, text))
     try:
         row = _upstream(upstream_id, parse_json(body))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -72,6 +72,15 @@
     def test_unreadable_bytes_are_refused(self, body: bytes) -> None:
         assert decode_announcement("i-1", body).is_err()
 
+    def test_size_is_limited_before_the_bytes_are_parsed(self) -> None:
+        """Guards against announcements of megabytes, each of which holds up the event loop."""
+        names = [f"adapter-{number:04d}" for number in range(1000)]
+        models = [{"name": "daka", "adapters": names}]
+        row = decode_announcement("i-1", json.dumps(BODY | {"models": models}).encode()).unwrap()
+        assert row.models[0].adapters == names
+        long = json.dumps(BODY | {"comment": "x" * 300_000}).encode()
+        assert decode_announcement("i-1", long).unwrap_err().kind is ErrorKind.FIELD_INVALID
+
 
 class TestOddEntries:
     """Covers entries of another writer that no process could pass on or use."""
