Bound what the product's own client reads in one turn

A response in one-byte chunks gave the reader 10,923 chunks in one turn of the event loop. Change: chunks count in the reader's turns, and a read has 16 KB at most, since httpcore itself goes through interim responses without a pause. The test fails before: 10,923 chunks against 200.

--- a/src/briardyke/http/client.py
+++ b/src/briardyke/http/client.py
@@ -17,6 +17,7 @@
 from briardyke.http.exchange import LAST_STATUS
 from briardyke.http.paced import PacedStream
 from briardyke.http.pool import ConnectionPool
+from briardyke.turns import ReaderTurns
 
 if TYPE_CHECKING:
     from briardyke.addresses import Address
@@ -93,9 +94,12 @@
 
         :raises CallError: of kind ``upstream_failed`` when the connection breaks.
         """
+        turns = ReaderTurns()
         try:
             async for chunk in self._response.aiter_stream():
+                turns.charge()
                 yield chunk
+                await turns.wait_if_due()
         except _BROKEN as error:
             raise CallError(_failure(error, bytes_sent=True)) from error
 
--- a/src/briardyke/http/paced.py
+++ b/src/briardyke/http/paced.py
@@ -14,6 +14,8 @@
 
 
 _JOIN_LIMIT_BYTES = 64 * 1024
+# httpcore goes through the interim responses of one read without a pause.
+_READ_BYTES = 16 * 1024
 
 
 class PacedStream(httpcore.AsyncNetworkStream):
@@ -37,6 +39,7 @@
 
         The wait for the first byte has no timeout while an interval is set; the caller bounds it.
         """
+        max_bytes = min(max_bytes, _READ_BYTES)
         if self._unsent:
             # An upstream may answer before it has read the whole request; httpcore ignores such a
             # broken write as well, and the read reports a connection that is really lost.
--- a/tests/http/test_endless_responses.py
+++ b/tests/http/test_endless_responses.py
@@ -18,6 +18,8 @@
     from collections.abc import AsyncIterator
 
 CALLS = 50
+# A chunk takes some tens of microseconds in httpcore, so this is a few milliseconds.
+CHUNKS_BOUND = 200
 # Four responses of the largest size, and as much again for copies.
 MEMORY_BOUND_BYTES = 128 * 1024 * 1024
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -27,12 +29,12 @@
     "body": (OK + b"Content-Length: 1000000000000\r\n\r\n", b"w" * 65536),
     "chunk-header": (OK + b"Transfer-Encoding: chunked\r\n\r\n5;", b"w" * 65536),
 }
+SMALL_CHUNKS = (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 8192)
 
 
 @asynccontextmanager
-async def server(kind: str) -> AsyncIterator[Address]:
+async def server(start: bytes, repeated: bytes) -> AsyncIterator[Address]:
     """Yield the address of a server whose responses have no end."""
-    start, repeated = ENDLESS[kind]
 
     async def serve(stream: trio.SocketStream) -> None:
         try:
@@ -62,7 +64,7 @@
             failed = await client.call("GET", address, "/", timeout_ms=1000)
             kinds.append(failed.unwrap_err().kind)
 
-        async with server(kind) as address:
+        async with server(*ENDLESS[kind]) as address:
             tracemalloc.start()
             try:
                 with trio.fail_after(30):
@@ -81,3 +83,27 @@
         with pytest.raises(EventTooLongError):
             for _ in range(MAX_EVENT_BYTES // 1024 + 1):
                 parser.feed(b"w" * 1024)
+
+
+class TestSmallChunks:
+    """Guards against a process that stands still while it reads thousands of small chunks."""
+
+    async def test_others_run_between_chunks_of_one_read(self) -> None:
+        client = HttpClient()
+        received, most = 0, 0
+
+        async def read() -> None:
+            nonlocal received
+            async with client.open("GET", address, "/", timeout_ms=1000) as response:
+                async for _ in response.chunks():
+                    received += 1
+
+        async with server(*SMALL_CHUNKS) as address, trio.open_nursery() as nursery:
+            nursery.start_soon(read)
+            while received < 20_000:
+                before = received
+                await trio.lowlevel.checkpoint()
+                most = max(most, received - before)
+            nursery.cancel_scope.cancel()
+        await client.aclose()
+        assert most <= CHUNKS_BOUND
