--- a/src/briardyke/consensus/node.py
+++ b/src/briardyke/consensus/node.py
@@ -195,8 +195,8 @@
     def compact(self, snapshot: Snapshot) -> None:
         """Remove entries that a snapshot on disk includes, except a few for slow members.
 
-        Kept are the last ``kept_entries`` at most, and no more than what is cheaper to send than
-        the snapshot.
+        Kept are the last ``kept_entries`` at most, and of those no more than ``kept_bytes``, or
+        than the size of a larger snapshot, which costs as much to send.
         """
         state = self.state
         if state.snapshot is not None and snapshot.index <= state.snapshot.index:
--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -356,7 +356,7 @@
         return
     if message.index == progress.snapshot.index:
         has_arrived = message.received_bytes != progress.snapshot_offset_bytes
-        # The reply is to a heartbeat that was sent after the chunk, on the same connection.
+        # The heartbeat that this answers was sent after the chunk.
         is_lost = message.round_number > progress.chunk_round
         progress.snapshot_offset_bytes = message.received_bytes
         if has_arrived or is_lost:
