--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -98,6 +98,8 @@
             kept_entries=3,
             max_append_entries=4,
             caught_up_entries=4,
+            max_in_flight_bytes=16,
+            max_probe_bytes=4,
             promotes_learners=promotes_learners,
         )
         self.partitions: list[set[str]] = []
