--- a/src/briardyke/http/chunk_joiner.py
+++ b/src/briardyke/http/chunk_joiner.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from briardyke.turns import ITEMS_PER_TURN
 
+if TYPE_CHECKING:
+    import h11
+
+    from briardyke.turns import ReaderTurns
+
 # h11 takes 6 us for each chunk on a whole core. The link of the smallest machine carries 70,000
 # chunks of one byte a second, which would take more than its 0.36 cores. Joined, they take a
 # hundredth of that, and chunks of two bytes a quarter.
@@ -43,6 +49,16 @@
         self._joined = bytearray()
         self._output: list[bytes] = []
 
+    def pass_on(self, data: bytes, protocol: h11.Connection, turns: ReaderTurns) -> None:
+        """Give a parser what it should receive for the next bytes, and count the work.
+
+        :param data: the bytes; empty while the joiner is behind.
+        """
+        joined = self.join(data)
+        turns.charge(self.handled)
+        if joined:  # no bytes would mean the end of the connection
+            protocol.receive_data(joined)
+
     def join(self, data: bytes) -> bytes:
         """Return what the parser should receive for the next bytes of the body.
 
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -269,7 +269,7 @@
                     self._begin_body(event)
                 return event
             if self._joiner is not None and self._joiner.is_behind:
-                self._receive_joined(self._joiner, b"")
+                self._joiner.pass_on(b"", self._protocol, self.turns)
                 continue
             try:
                 size_bytes = _FIRST_READ_BYTES if self._is_reading_head else _READ_BYTES
@@ -282,16 +282,10 @@
                 raise UpstreamError(Fault.BROKEN, "connection reset while sending")
             self._has_received = self._has_received or bool(data)
             if self._joiner is not None and data:
-                self._receive_joined(self._joiner, data)
+                self._joiner.pass_on(data, self._protocol, self.turns)
             else:
                 self._protocol.receive_data(data)
 
-    def _receive_joined(self, joiner: ChunkJoiner, data: bytes) -> None:
-        joined = joiner.join(data)
-        self.turns.charge(joiner.handled)
-        if joined:  # no bytes would mean the end of the connection
-            self._protocol.receive_data(joined)
-
     def _begin_body(self, head: h11.InformationalResponse | h11.Response) -> None:
         self.turns.charge(len(head.headers))
         is_chunked = header(list(head.headers), b"transfer-encoding") is not None
--- a/src/briardyke/http/request_reader.py
+++ b/src/briardyke/http/request_reader.py
@@ -160,7 +160,7 @@
 
     async def _receive(self) -> None:
         if self._joiner is not None and self._joiner.is_behind:
-            self._receive_joined(self._joiner, b"")
+            self._joiner.pass_on(b"", self._protocol, self._turns)
             return
         if self._head is None:
             size_bytes = FIRST_READ_BYTES
@@ -177,16 +177,10 @@
         elif data:
             self._extend_deadline()
         if self._joiner is not None and data:
-            self._receive_joined(self._joiner, data)
+            self._joiner.pass_on(data, self._protocol, self._turns)
         else:
             self._protocol.receive_data(data)
 
-    def _receive_joined(self, joiner: ChunkJoiner, data: bytes) -> None:
-        joined = joiner.join(data)
-        self._turns.charge(joiner.handled)
-        if joined:  # no bytes would mean the end of the connection
-            self._protocol.receive_data(joined)
-
     async def _next_step(self) -> int:
         """Return how much of a body in chunks may be read now, after asking for room."""
         left = self._room_bytes - len(self._body)
--- a/tests/consensus/test_state_transfer.py
+++ b/tests/consensus/test_state_transfer.py
@@ -73,6 +73,11 @@
         self.group.sent_bytes[name] = 0
         await self.group.start(name, directory=f"{name}-empty", settings=SETTINGS)
 
+    async def follower(self) -> str:
+        """Return a member that does not lead."""
+        leader = await self.group.leader()
+        return next(name for name in "abc" if name != leader)
+
     def is_voter(self, name: str) -> bool:
         """Return whether a member that leads counts this one as a voter."""
         own_id = self.group.logs[name].status().member_id
@@ -120,8 +125,7 @@
     ) -> None:
         async with changes_of(tmp_path, document_bytes) as changes:
             await changes.make(200)
-            leader = await changes.group.leader()
-            name = next(other for other in "abc" if other != leader)
+            name = await changes.follower()
             await changes.lose_disk(name)
             await trio.sleep(CATCH_UP_S)
             assert changes.is_voter(name)
@@ -191,8 +195,7 @@
     async def _lose_follower(changes: Changes, link_bytes_per_s: float = LINK_BYTES_PER_S) -> str:
         """Let a follower lose its disk after some changes, and reach it over this link."""
         await changes.make(20)
-        leader = await changes.group.leader()
-        name = next(other for other in "abc" if other != leader)
+        name = await changes.follower()
         changes.group.link_bytes_per_s = link_bytes_per_s
         await changes.lose_disk(name)
         return name
@@ -257,8 +260,7 @@
     ) -> None:
         async with changes_of(tmp_path, document_bytes) as changes:
             await changes.make(1)
-            leader = await changes.group.leader()
-            name = next(other for other in "abc" if other != leader)
+            name = await changes.follower()
             changes.group.isolated.add(name)
             changes.group.sent_bytes.clear()
             await changes.make(200)
@@ -271,8 +273,7 @@
     ) -> None:
         async with changes_of(tmp_path, LARGE_BYTES) as changes:
             await changes.make(1)
-            leader = await changes.group.leader()
-            name = next(other for other in "abc" if other != leader)
+            name = await changes.follower()
             changes.group.isolated.add(name)
             await changes.make(50)
             changes.group.sent_bytes.clear()
