Do not take the round of an earlier term for one of the present

What callers saw: nothing yet. Cause: a member that has moved to a new term rejects a delayed message of an earlier one with its present term, but with the round of that message. If the sender leads again by then, it takes the round for its own: one that it has not sent yet ends the process, one that it has sent counts as acknowledged, which would confirm the leader without proof. Change: such a rejection names no round, and a leader ignores replies to rounds that it has not sent, as members of earlier builds may send them. The tests fail before, two with KeyError.

--- a/src/briardyke/consensus/replication.py
+++ b/src/briardyke/consensus/replication.py
@@ -156,7 +156,9 @@
     if state.role is not Role.LEADER or message.term != state.term:
         return None
     progress = state.progress.get(message.sender_id)
-    if progress is None:
+    # Members of earlier builds answer a delayed message of an earlier term with the present term
+    # and the round of that message.
+    if progress is None or message.round_number > state.round_number:
         return None
     progress.last_reply_ms, progress.earlier_silence_ms = state.now_ms, 0.0
     progress.acked_round = max(progress.acked_round, message.round_number)
@@ -292,7 +294,7 @@
         success=success,
         match_index=match_index,
         rejected_index=rejected,
-        round_number=message.round_number,
+        round_number=message.round_number if message.term == state.term else 0,
         clock_id=state.clock_id,
         boot_ms=state.boot_ms,
     )
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -18,6 +18,7 @@
     PreVoteReply,
     PreVoteRequest,
     SnapshotChunk,
+    SnapshotReply,
     TimeoutNow,
     VoteReply,
     VoteRequest,
@@ -234,6 +235,28 @@
         assert node.state.term == 3
 
 
+class TestRepliesToEarlierLeadership:
+    """Guards against a reply to a delayed message of an earlier term, which the same member led,
+    that counts as an acknowledgement in the present one."""
+
+    def test_round_of_an_earlier_term_is_not_acknowledged(self) -> None:
+        node = _node(Recovered(HardState(5), None, ()))
+        reply = node.step(_append("b", 4, 0, 0, []), 1.0).messages[0].message
+        assert (reply.term, reply.success, reply.round_number) == (5, False, 0)
+
+    @pytest.mark.parametrize("cls", [AppendReply, SnapshotReply])
+    def test_round_that_was_not_sent_yet_confirms_nothing(self, cls: type) -> None:
+        """Guards against the end of a leader that looks up when that round was sent."""
+        node = _node(Recovered(HardState(2), None, ()))
+        _elect(node)
+        fields = {"success": False, "match_index": 0, "rejected_index": 0}
+        if cls is SnapshotReply:
+            fields = {"index": 0, "received_bytes": 0}
+        for name in "bcd":
+            node.step(_message_from(cls, name, 3, round_number=20, **fields), 5001.0)
+        assert node.state.confirmed_round == 0
+
+
 class TestReplication:
     """Guards against logs that differ below the commit index."""
 
