--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -163,7 +163,7 @@
         :raises UpstreamError: when the connection ends or the bytes are no answer.
         """
         for _ in range(_MAX_FOREIGN_ANSWERS):
-            self._is_reading_head = True
+            self._is_reading_head, self._joiner = True, None
             event = await self._next_event()
             interim = 0
             while isinstance(event, h11.InformationalResponse):
