--- a/src/briardyke/gateway/stream_source.py
+++ b/src/briardyke/gateway/stream_source.py
@@ -9,6 +9,7 @@
 from briardyke.gateway.dispatch_client import Dispatch
 from briardyke.gateway.upstreams import UpstreamState
 from briardyke.http.h11_client import UpstreamConnection, UpstreamHead
+from briardyke.turns import ReaderTurns
 
 if TYPE_CHECKING:
     from briardyke.gateway.event_stream import EventSplitter
@@ -43,6 +44,7 @@
     head: UpstreamHead
     dispatch: Dispatch | None = None
     _is_released: bool = False
+    _turns: ReaderTurns = attrs.field(factory=ReaderTurns, init=False)
 
     async def next_events(self, splitter: EventSplitter) -> Events:
         """Wait for complete events or the end of the stream.
@@ -50,14 +52,13 @@
         :raises UpstreamError: when the connection ends before.
         :raises EventStreamError: when its events cannot be forwarded.
         """
-        turns = self.connection.turns
         count = splitter.count
         while True:
-            await turns.wait_if_due()
+            await self._turns.wait_if_due()
             part = b"" if splitter.is_behind else await self.connection.read_part()
             data = splitter.take_remainder() if part is None else splitter.feed(part)
             if data or part is None:
-                turns.charge(splitter.count - count)
+                self._turns.charge(splitter.count - count)
                 self.upstream.record_sign()
                 return Events(data, splitter.count - count, part is None)
 
--- a/src/briardyke/http/h11_client.py
+++ b/src/briardyke/http/h11_client.py
@@ -105,7 +105,7 @@
         self._has_foreign = False
         self._joiner: ChunkJoiner | None = None
         self._is_reading_head = True
-        self.turns = ReaderTurns()
+        self._turns = ReaderTurns()
 
     @property
     def was_dropped_at_rest(self) -> bool:
@@ -258,18 +258,18 @@
 
     async def _next_event(self) -> object:
         while True:
-            await self.turns.wait_if_due()
+            await self._turns.wait_if_due()
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
                 raise UpstreamError(Fault.MALFORMED, str(error)) from error
             if event is not h11.NEED_DATA:
-                self.turns.charge()
+                self._turns.charge()
                 if isinstance(event, h11.InformationalResponse | h11.Response):
                     self._begin_body(event)
                 return event
             if self._joiner is not None and self._joiner.is_behind:
-                self._joiner.pass_on(b"", self._protocol, self.turns)
+                self._joiner.pass_on(b"", self._protocol, self._turns)
                 continue
             try:
                 size_bytes = _FIRST_READ_BYTES if self._is_reading_head else _READ_BYTES
@@ -282,12 +282,12 @@
                 raise UpstreamError(Fault.BROKEN, "connection reset while sending")
             self._has_received = self._has_received or bool(data)
             if self._joiner is not None and data:
-                self._joiner.pass_on(data, self._protocol, self.turns)
+                self._joiner.pass_on(data, self._protocol, self._turns)
             else:
                 self._protocol.receive_data(data)
 
     def _begin_body(self, head: h11.InformationalResponse | h11.Response) -> None:
-        self.turns.charge(len(head.headers))
+        self._turns.charge(len(head.headers))
         is_chunked = header(list(head.headers), b"transfer-encoding") is not None
         has_body = isinstance(head, h11.Response) and head.status_code not in _BODILESS
         self._is_reading_head = isinstance(head, h11.InformationalResponse)
