--- a/tests/gateway/gateway_support.py
+++ b/tests/gateway/gateway_support.py
@@ -129,6 +129,23 @@
             await trio.aclose_forcefully(stream)
 
 
+def without_end(start: bytes, repeated: bytes) -> Script:
+    """Return the script of an upstream that sends until the caller closes.
+
+    :param start: sent first, with ``%s`` replaced by the id of the request.
+    :param repeated: sent again and again.
+    """
+
+    async def script(
+        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
+    ) -> None:
+        await stream.send_all(start.replace(b"%s", request_id))
+        while True:
+            await stream.send_all(repeated)
+
+    return script
+
+
 @attrs.define
 class Reply:
     """What the caller received until its connection ended."""
--- a/tests/gateway/test_endless_items.py
+++ b/tests/gateway/test_endless_items.py
@@ -8,7 +8,7 @@
 import h11
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, chunk, close
+from gateway_support import STREAM_HEAD, chunk, close, without_end
 
 from briardyke.gateway.event_stream import EventSplitter
 from briardyke.http.chunk_joiner import ChunkJoiner
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from gateway_support import Gateway, Script, ScriptedUpstream
+    from gateway_support import Gateway, ScriptedUpstream
 
 # A handful of streams to one faulty upstream, as a caller's usual load brings them.
 READERS = 10
@@ -98,20 +98,6 @@
     trio.lowlevel.remove_instrument(counter)
 
 
-def endless(kind: str) -> Script:
-    """Return the script of an upstream that sends items until the caller closes."""
-    _, start, repeated = ENDLESS[kind]
-
-    async def script(
-        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-    ) -> None:
-        await stream.send_all(start.replace(b"%s", request_id))
-        while True:
-            await stream.send_all(repeated)
-
-    return script
-
-
 async def whole(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
     """Send a short response and close."""
     await stream.send_all(_OK + _ID % request_id + b"Content-Length: 2\r\n\r\nok")
@@ -124,9 +110,9 @@
     upstream's, so that requests to sound upstreams are answered seconds late."""
 
     async def _start(self, gateway: Gateway, kind: str, nursery: trio.Nursery) -> None:
-        path = ENDLESS[kind][0]
+        path, start, repeated = ENDLESS[kind]
         service, model = ("pool", "m") if path == "/chat/x" else ("app", "")
-        await gateway.add(service, endless(kind))
+        await gateway.add(service, without_end(start, repeated))
         for number in range(READERS):
             nursery.start_soon(gateway.send, path, f"n-{number}", model)
 
--- a/tests/gateway/test_endless_upstreams.py
+++ b/tests/gateway/test_endless_upstreams.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, event
+from gateway_support import STREAM_HEAD, event, without_end
 
 if TYPE_CHECKING:
     from gateway_support import Gateway, Reply, Script, ScriptedUpstream
@@ -37,16 +37,7 @@
 
 def endless(kind: str) -> Script:
     """Return the script of an upstream that sends without an end until the caller closes."""
-    start, repeated = ENDLESS[kind]
-
-    async def script(
-        upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-    ) -> None:
-        await stream.send_all(start.replace(b"%s", request_id))
-        while True:
-            await stream.send_all(repeated)
-
-    return script
+    return without_end(*ENDLESS[kind])
 
 
 async def whole(upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes) -> None:
