--- a/src/briardyke/platform/announcements.py
+++ b/src/briardyke/platform/announcements.py
@@ -14,7 +14,7 @@
 # The platform's words for the two states; any other names no upstream to use.
 _STATES = {"ready": READY, "draining": DRAINING}
 _MAX_SLOTS = 1_000_000
-# Reading one takes the event loop for milliseconds; a thousand names take 40 KB.
+# Reading one takes the event loop for milliseconds; a thousand names take 16 KB.
 _MAX_BYTES = 256 * 1024
 
 
--- a/tests/gateway/test_faulty_upstreams.py
+++ b/tests/gateway/test_faulty_upstreams.py
@@ -7,7 +7,7 @@
 
 import pytest
 import trio
-from gateway_support import STREAM_HEAD, chunk, event, wait_until
+from gateway_support import STREAM_HEAD, chunk, event, wait_until, without_end
 
 from briardyke.gateway.event_stream import MAX_EVENT_BYTES
 
@@ -124,14 +124,8 @@
     async def test_failure_is_reported_correctly_in_bounded_memory(
         self, gateway: Gateway, kind: str, start: bytes, repeated: bytes
     ) -> None:
-        async def endless(
-            upstream: ScriptedUpstream, stream: trio.SocketStream, request_id: bytes
-        ) -> None:
-            await stream.send_all(start.replace(b"%s", request_id))
-            while True:
-                await stream.send_all(repeated)
-
-        faulty = await gateway.add("pool" if kind == "chat" else "app", endless)
+        service = "pool" if kind == "chat" else "app"
+        faulty = await gateway.add(service, without_end(start, repeated))
         tracemalloc.start()
         try:
             with trio.fail_after(8):
